--- /dev/null
+++ b/api/object/object.go
@@ -0,0 +1,151 @@
+// Package object holds the objects that operators write.
+package object
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+)
+
+// Kind names a kind of object.
+type Kind string
+
+// The kinds of object.
+const (
+	KindService         Kind = "Service"
+	KindClass           Kind = "Class"
+	KindTenant          Kind = "Tenant"
+	KindPool            Kind = "Pool"
+	KindMaintenancePlan Kind = "MaintenancePlan"
+	KindJob             Kind = "Job"
+)
+
+// Key names one object.
+type Key struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+}
+
+// String returns "Kind/name".
+func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
+
+// Revision counts accepted configuration changes, from 1. Zero means none.
+type Revision int64
+
+// Duration is a time.Duration written as "1m30s" in JSON.
+type Duration time.Duration
+
+// MarshalJSON writes the duration as Go writes it.
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
+
+// UnmarshalJSON reads a Go duration such as "1m30s".
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return fmt.Errorf("duration %s: want a string such as \"30s\": %w", data, err)
+	}
+	value, err := time.ParseDuration(text)
+	if err != nil {
+		return fmt.Errorf("duration %q: want a form such as \"30s\": %w", text, err)
+	}
+	*d = Duration(value)
+	return nil
+}
+
+// Service is what callers reach under /s/{name}/. Its executors are the backend
+// servers whose labels match Selector and, where Pool is set, that serve in it.
+type Service struct {
+	Name     string `json:"name"`
+	Pool     string `json:"pool,omitempty"`
+	Selector string `json:"selector,omitempty"` // default service=<name>
+	// Slots is how many requests one executor runs at once.
+	Slots int `json:"slots"`
+	// Connections is how many connections one executor accepts from all entry instances.
+	Connections int `json:"connections"`
+	// QueueLimit bounds the requests that wait at one entry instance.
+	QueueLimit int `json:"queueLimit,omitempty"`
+	// MaxBodyBytes bounds a request's body; zero takes the default.
+	MaxBodyBytes int64 `json:"maxBodyBytes,omitempty"`
+	// ReadinessPath is probed on executors; empty takes /readyz.
+	ReadinessPath string `json:"readinessPath,omitempty"`
+}
+
+// Class says how requests of one kind of work are treated.
+type Class struct {
+	Name string `json:"name"`
+	// Priority orders classes; a higher one goes first.
+	Priority int `json:"priority"`
+	// Timeout applies where the caller names none.
+	Timeout Duration `json:"timeout"`
+	// Repeatable says whether its requests are idempotent; nil leaves it to the HTTP method.
+	Repeatable *bool `json:"repeatable,omitempty"`
+}
+
+// Tenant is a team or member with its share and quota.
+type Tenant struct {
+	Name string `json:"name"`
+	// Weight is the tenant's fair share of contended capacity relative to others; zero reads as 1.
+	Weight int `json:"weight,omitempty"`
+	// MaxInFlight caps the tenant's requests at one entry instance; zero means no cap.
+	MaxInFlight int `json:"maxInFlight,omitempty"`
+	// Quota is what the tenant's jobs may hold on workers before they borrow.
+	Quota fleet.Resources `json:"quota,omitzero"`
+}
+
+// Amount is a count, or a percentage where Percent is true. In JSON it is 3 or "25%".
+type Amount struct {
+	Value   int
+	Percent bool
+}
+
+// Budget bounds how many instances of a pool may be out of service. At most one
+// of the two is set.
+type Budget struct {
+	MinHealthy     *Amount `json:"minHealthy,omitempty"`
+	MaxUnavailable *Amount `json:"maxUnavailable,omitempty"`
+}
+
+// Pool is a group of instances with a common purpose.
+type Pool struct {
+	Name     string `json:"name"`
+	Selector string `json:"selector"`
+	// Budget holds for the pool, ZoneBudget for its part in each availability zone.
+	Budget     Budget `json:"budget"`
+	ZoneBudget Budget `json:"zoneBudget,omitzero"`
+	// Min and Max bound the pool's size; a zero Max means no bound.
+	Min int `json:"min,omitempty"`
+	Max int `json:"max,omitempty"`
+	// MoveWeight and BufferWeight are the costs of one move and of one idle instance for a day.
+	MoveWeight   float64 `json:"moveWeight,omitempty"`
+	BufferWeight float64 `json:"bufferWeight,omitempty"`
+}
+
+// MaintenancePlan says which pools are maintained and how often.
+type MaintenancePlan struct {
+	Name string `json:"name"`
+	// Pools names the pools; empty means all.
+	Pools []string `json:"pools,omitempty"`
+	// Period is the time within which every instance is maintained once.
+	Period Duration `json:"period"`
+	// Duration is how long one instance is expected to be away.
+	Duration Duration `json:"duration"`
+	// MaxParallel bounds the instances under maintenance at once; zero leaves it to the budgets.
+	MaxParallel int  `json:"maxParallel,omitempty"`
+	Paused      bool `json:"paused,omitempty"`
+}
+
+// Job is work that is placed on workers.
+type Job struct {
+	Name     string          `json:"name"`
+	Tenant   string          `json:"tenant"`
+	Class    string          `json:"class"`
+	Selector string          `json:"selector,omitempty"` // over workers' labels
+	Declared fleet.Resources `json:"declared"`           // for each task; often far from the truth
+	Tasks    int             `json:"tasks"`
+	Urgent   bool            `json:"urgent,omitempty"`
+	Deadline time.Time       `json:"deadline,omitzero"`
+	RunTime  Duration        `json:"runTime,omitempty"` // declared, often far from the truth
+	Canceled bool            `json:"canceled,omitempty"`
+}
--- /dev/null
+++ b/cmd/tarragonctl/main.go
@@ -0,0 +1,4 @@
+// Command tarragonctl is part of tarragonreach.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/tarragond/main.go
@@ -0,0 +1,4 @@
+// Command tarragond is part of tarragonreach.
+package main
+
+func main() {}
--- /dev/null
+++ b/entry/backend/backend.go
@@ -0,0 +1,51 @@
+// Package backend sends requests to backend servers, one attempt a call.
+package backend
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+)
+
+// Target is the executor to which an attempt goes.
+type Target struct {
+	ID      fleet.InstanceID
+	Address string // host:port
+	// Connections is this entry instance's share of the executor's connections.
+	Connections int
+}
+
+// Request is one attempt at a caller's request.
+type Request struct {
+	ID     string // the Tarragon-Request-Id sent along
+	Method string
+	Path   string // escaped path with query, as the executor sees it
+	Header http.Header
+	// Body is the whole body, unless Stream is set.
+	Body []byte
+	// Stream is the body of a request too large to buffer; it can be sent once only.
+	Stream io.Reader
+	// StreamLength is the length of Stream in bytes, or -1 if unknown.
+	StreamLength int64
+}
+
+// Answer is what a backend server answered. A body up to the buffer limit has
+// been read whole and checked; a longer one is read from Body, whose Read
+// returns an error where the answer is cut short.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	// Leaving says that the executor gave notice with this answer.
+	Leaving bool
+}
+
+// Transport sends single attempts.
+type Transport interface {
+	// Send makes exactly one attempt and never replays it. Each error is a
+	// *verdict.Error whose verdict speaks for this attempt. The deadline of ctx
+	// bounds the attempt.
+	Send(ctx context.Context, target Target, request *Request) (*Answer, error)
+}
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry is described in docs/architecture.md.
+package entry
--- /dev/null
+++ b/mesh/doc.go
@@ -0,0 +1,2 @@
+// Package mesh is described in docs/architecture.md.
+package mesh
--- /dev/null
+++ b/policy/doc.go
@@ -0,0 +1,2 @@
+// Package policy is described in docs/architecture.md.
+package policy
--- /dev/null
+++ b/tools/doc.go
@@ -0,0 +1,2 @@
+// Package tools pins the linter and the other programs that CI runs.
+package tools
