Decode JSON with comments and report every fault with its position

Cause: settings and operators' documents must name all faults at once. Measured: its tests name four faults of one document with line and column.

--- /dev/null
+++ b/api/strictjson/strictjson_test.go
@@ -0,0 +1,58 @@
+package strictjson
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+type inner struct {
+	Port int `json:"port"`
+}
+
+type sample struct {
+	Name  string            `json:"name"`
+	Inner *inner            `json:"inner"`
+	List  []inner           `json:"list"`
+	Tags  map[string]string `json:"tags"`
+}
+
+func TestDecodeReadsCommentsAndNestedValues(t *testing.T) {
+	var got sample
+	_, err := Decode([]byte("{ // note\n\"name\": \"a\", \"inner\": {\"port\": 1}, \"list\": [{\"port\": 2}], \"tags\": {\"k\": \"v\"},}"), &got)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, sample{Name: "a", Inner: &inner{1}, List: []inner{{2}}, Tags: map[string]string{"k": "v"}})
+}
+
+func TestDecodeReportsEveryFault(t *testing.T) {
+	var got sample
+	text := "{\n  \"name\": 3,\n  \"inner\": {\"prot\": 1},\n  \"list\": [{\"port\": \"x\"}],\n  \"name\": \"b\"\n}"
+	_, err := Decode([]byte(text), &got)
+	assert.Error(t, err, "2:11: name: a number stands here, want a string\n"+
+		"3:13: inner.prot: unknown field; known here: port\n"+
+		"4:21: list.0.port: a string stands here, want a whole number\n"+
+		"5:3: name: field stands twice")
+}
+
+func TestDecodeNamesThePlaceOfBrokenSyntax(t *testing.T) {
+	var got sample
+	_, err := Decode([]byte("{\n  \"name\" 3\n}"), &got)
+	assert.ErrorContains(t, err, "2:10: not JSON")
+}
+
+func TestReportNamesTheNearestEnclosingValue(t *testing.T) {
+	var got sample
+	doc, err := Decode([]byte("{\n  \"inner\": {}\n}"), &got)
+	assert.NilError(t, err)
+	doc.Report("/inner/port", "want a port")
+	assert.Error(t, doc.Err(), "2:12: inner.port: want a port")
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte("{\"name\": \"a\", \"list\": [{}]}"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var got sample
+		doc, err := Decode(text, &got)
+		assert.Assert(t, doc != nil || err != nil)
+	})
+}
