--- /dev/null
+++ b/entry/serve/tls.go
@@ -0,0 +1,46 @@
+// Package serve opens listeners and runs HTTP servers with limits and TLS.
+package serve
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"os"
+
+	"github.com/tarragonreach/tarragonreach/entry/settings"
+)
+
+// TLSConfig loads the named PEM files. It returns nil where TLS is off. With a CA
+// file, peers must present a certificate that it signed.
+func TLSConfig(t settings.TLS) (*tls.Config, error) {
+	if !t.Enabled() {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(t.CertFile, t.KeyFile)
+	if err != nil {
+		return nil, fmt.Errorf("load certificate %s with key %s: %w", t.CertFile, t.KeyFile, err)
+	}
+	config := &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13}
+	if t.CAFile == "" {
+		return config, nil
+	}
+	pool, err := loadPool(t.CAFile)
+	if err != nil {
+		return nil, err
+	}
+	config.ClientCAs, config.RootCAs = pool, pool
+	config.ClientAuth = tls.RequireAndVerifyClientCert
+	return config, nil
+}
+
+func loadPool(path string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read CA file: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("CA file %s holds no PEM certificate", path)
+	}
+	return pool, nil
+}
