--- a/cmd/tarragonctl/main.go
+++ b/cmd/tarragonctl/main.go
@@ -1,4 +1,89 @@
-// Command tarragonctl is part of tarragonreach.
+// Command tarragonctl is the operators' command line. It talks to the operator
+// listener of any entry instance.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/tarragonreach/tarragonreach/api/buildinfo"
+)
+
+const (
+	defaultServer  = "127.0.0.1:8081"
+	defaultTimeout = 10 * time.Second
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if err := newApp().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "tarragonctl:", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func newApp() *cli.Command {
+	app := newRootCommand()
+	reportUsageErrors(app)
+	return app
+}
+
+// reportUsageErrors sets the handler of each command, for subcommands do not inherit it.
+func reportUsageErrors(cmd *cli.Command) {
+	cmd.OnUsageError = onUsageError
+	for _, sub := range cmd.Commands {
+		reportUsageErrors(sub)
+	}
+}
+
+func newRootCommand() *cli.Command {
+	return &cli.Command{
+		Name:                  "tarragonctl",
+		Usage:                 "see and steer a fleet",
+		Version:               buildinfo.Version(),
+		EnableShellCompletion: true,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		Action:                runWithoutCommand,
+		Description: "Exit codes: 0 done, 1 failed, 2 wrong input, 3 conflict with another change, " +
+			"4 no entry instance answered.\n\nExamples:\n" +
+			"  tarragonctl --server 127.0.0.1:8081 status\n" +
+			"  tarragonctl config get > fleet.json\n" +
+			"  tarragonctl config apply --reason 'larger pool' fleet.json",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name: "server", Value: defaultServer, Sources: cli.EnvVars("TARRAGON_SERVER"),
+				Usage: "operator listener as HOST:PORT or URL",
+			},
+			&cli.StringFlag{
+				Name: "token-file", Sources: cli.EnvVars("TARRAGON_TOKEN_FILE"), Usage: "file with the operator token",
+			},
+			&cli.StringFlag{Name: "ca-file", Usage: "CA of the operator listener's certificate; implies https"},
+			&cli.StringFlag{Name: "cert-file", Usage: "client certificate"},
+			&cli.StringFlag{Name: "key-file", Usage: "key of the client certificate"},
+			&cli.DurationFlag{Name: "timeout", Value: defaultTimeout, Usage: "longest wait for an answer"},
+			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: outputTable, Usage: "table or json"},
+		},
+		Commands: []*cli.Command{
+			statusCommand(), configCommand(), poolCommand(), instanceCommand(),
+			drainCommand(), undrainCommand(), jobCommand(), explainCommand(), logLevelCommand(),
+		},
+	}
+}
+
+// runWithoutCommand prints the help, or names a command that does not exist.
+func runWithoutCommand(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return &usageError{fmt.Sprintf("unknown command %q; see tarragonctl --help", cmd.Args().First())}
+	}
+	return cli.ShowRootCommandHelp(cmd)
+}
+
+func onUsageError(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+	return &usageError{fmt.Sprintf("%v; see %s --help", err, cmd.FullName())}
+}
