Serve probes, metrics and operations on the operator listener

Cause: operators' tools, balancers and scrapers need one guarded listener. Change: entry/operator with gin, a bearer token, body limits and problem documents; configuration, fleet and explanations stand behind narrow interfaces. Conclusion: the parts behind the interfaces can be filled in one by one.

--- /dev/null
+++ b/entry/operator/config.go
@@ -0,0 +1,92 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/api/operations"
+)
+
+// defaultHistory is how many changes a history shows where the caller names no limit.
+const defaultHistory = 20
+
+// Edit is an operator's document as it arrived.
+type Edit struct {
+	Text   []byte
+	Author string
+	Reason string
+	DryRun bool
+}
+
+// Config reads and changes the configuration. A Conflict or faults of the
+// document come back as errors that RefuseConfig understands.
+type Config interface {
+	Document() operations.ConfigDocument
+	Apply(ctx context.Context, edit Edit) (operations.ApplyResult, error)
+	Rollback(ctx context.Context, to object.Revision, author, reason string) (operations.ApplyResult, error)
+	History(ctx context.Context, limit int) ([]operations.HistoryEntry, error)
+	Rollouts() []operations.Rollout
+	// Refusal maps an error to the problem that operators see.
+	Refusal(err error) operations.Problem
+}
+
+func addConfig(group *gin.RouterGroup, config Config) {
+	group.GET(operations.PathConfig, func(c *gin.Context) { c.JSON(http.StatusOK, config.Document()) })
+	group.GET(operations.PathConfigStatus, func(c *gin.Context) { c.JSON(http.StatusOK, config.Rollouts()) })
+	group.GET(operations.PathConfigHistory, history(config))
+	group.POST(operations.PathConfigChanges, apply(config))
+	group.POST(operations.PathRollback, rollback(config))
+}
+
+func history(config Config) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		limit, err := strconv.Atoi(c.DefaultQuery("limit", strconv.Itoa(defaultHistory)))
+		if err != nil || limit < 1 {
+			refuse(c, http.StatusBadRequest, "the limit is not valid", "want a number above zero")
+			return
+		}
+		entries, err := config.History(c, limit)
+		answerConfig(c, config, entries, err)
+	}
+}
+
+func apply(config Config) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		text, ok := readBody(c)
+		if !ok {
+			return
+		}
+		dryRun, err := strconv.ParseBool(c.DefaultQuery(operations.QueryDryRun, "false"))
+		if err != nil {
+			refuse(c, http.StatusBadRequest, "dryRun is not valid", "want true or false")
+			return
+		}
+		edit := Edit{Text: text, Author: c.Query("author"), Reason: c.Query("reason"), DryRun: dryRun}
+		result, err := config.Apply(c, edit)
+		answerConfig(c, config, result, err)
+	}
+}
+
+func rollback(config Config) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		var want operations.Rollback
+		if !readJSON(c, &want) {
+			return
+		}
+		result, err := config.Rollback(c, want.Revision, c.Query("author"), want.Reason)
+		answerConfig(c, config, result, err)
+	}
+}
+
+func answerConfig(c *gin.Context, config Config, value any, err error) {
+	if err == nil {
+		c.JSON(http.StatusOK, value)
+		return
+	}
+	p := config.Refusal(err)
+	refuse(c, p.Status, p.Title, p.Detail, p.Faults...)
+}
--- /dev/null
+++ b/entry/operator/fleet.go
@@ -0,0 +1,82 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/label"
+	"github.com/tarragonreach/tarragonreach/api/operations"
+)
+
+// Errors that a Fleet wraps.
+var (
+	// ErrUnknown says that there is no object of that name.
+	ErrUnknown = errors.New("not known here")
+	// ErrRefused says that the fleet's rules do not allow the operation now.
+	ErrRefused = errors.New("not allowed now")
+	// ErrUnavailable says that the platform cannot be reached.
+	ErrUnavailable = errors.New("platform not reachable")
+)
+
+// Fleet shows and steers pools and instances.
+type Fleet interface {
+	Pools() []operations.PoolStatus
+	Instances() []operations.InstanceStatus
+	Maintenance() []operations.MaintenanceStatus
+	Jobs() []operations.JobStatus
+	Drain(ctx context.Context, id fleet.InstanceID, reason string) (operations.InstanceStatus, error)
+	Undrain(ctx context.Context, id fleet.InstanceID) (operations.InstanceStatus, error)
+	Relabel(ctx context.Context, id fleet.InstanceID, labels label.Set) (operations.InstanceStatus, error)
+}
+
+func addFleet(group *gin.RouterGroup, f Fleet) {
+	group.GET(operations.PathPools, func(c *gin.Context) { c.JSON(http.StatusOK, f.Pools()) })
+	group.GET(operations.PathInstances, func(c *gin.Context) { c.JSON(http.StatusOK, f.Instances()) })
+	group.GET(operations.PathMaintenance, func(c *gin.Context) { c.JSON(http.StatusOK, f.Maintenance()) })
+	group.GET(operations.PathJobs, func(c *gin.Context) { c.JSON(http.StatusOK, f.Jobs()) })
+	instance := group.Group(operations.PathInstances + "/:id")
+	instance.POST("/drain", changeInstance(func(c *gin.Context, id fleet.InstanceID, change operations.InstanceChange) (operations.InstanceStatus, error) {
+		return f.Drain(c, id, change.Reason)
+	}))
+	instance.POST("/undrain", changeInstance(func(c *gin.Context, id fleet.InstanceID, _ operations.InstanceChange) (operations.InstanceStatus, error) {
+		return f.Undrain(c, id)
+	}))
+	instance.POST("/labels", changeInstance(func(c *gin.Context, id fleet.InstanceID, change operations.InstanceChange) (operations.InstanceStatus, error) {
+		return f.Relabel(c, id, change.Labels)
+	}))
+}
+
+type instanceOperation func(*gin.Context, fleet.InstanceID, operations.InstanceChange) (operations.InstanceStatus, error)
+
+func changeInstance(operation instanceOperation) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		var change operations.InstanceChange
+		if !readJSON(c, &change) {
+			return
+		}
+		status, err := operation(c, fleet.InstanceID(c.Param("id")), change)
+		if err != nil {
+			refuseError(c, err)
+			return
+		}
+		c.JSON(http.StatusOK, status)
+	}
+}
+
+// refuseError maps the errors of this package to a status.
+func refuseError(c *gin.Context, err error) {
+	status := http.StatusInternalServerError
+	switch {
+	case errors.Is(err, ErrUnknown):
+		status = http.StatusNotFound
+	case errors.Is(err, ErrRefused):
+		status = http.StatusConflict
+	case errors.Is(err, ErrUnavailable):
+		status = http.StatusServiceUnavailable
+	}
+	refuse(c, status, "the operation was refused", err.Error())
+}
--- /dev/null
+++ b/entry/operator/server.go
@@ -0,0 +1,84 @@
+// Package operator serves the operator listener of an entry instance: probes,
+// metrics, and the operations that operators' tools call.
+package operator
+
+import (
+	"net/http"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/tarragonreach/tarragonreach/api/operations"
+)
+
+// LogLevel changes the level of the log.
+type LogLevel interface {
+	Level() string
+	SetLevel(name string) error
+}
+
+// Options are what the operator listener shows and steers.
+type Options struct {
+	// Token must be sent as a bearer token; empty where TLS or loopback guards the listener.
+	Token        string
+	MaxBodyBytes int64
+	Status       func() operations.Status
+	Log          LogLevel
+	Metrics      http.Handler
+	Config       Config
+	Fleet        Fleet
+	Explainer    Explainer
+}
+
+// New returns the handler of the operator listener.
+func New(o Options) http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.Use(gin.Recovery(), limitBody(o.MaxBodyBytes))
+	engine.NoRoute(func(c *gin.Context) {
+		refuse(c, http.StatusNotFound, "no such path", c.Request.URL.Path)
+	})
+	addProbes(engine, o.Status)
+	guarded := engine.Group("", authenticate(o.Token))
+	guarded.GET(operations.PathMetrics, gin.WrapH(o.Metrics))
+	guarded.GET(operations.PathStatus, func(c *gin.Context) { c.JSON(http.StatusOK, o.Status()) })
+	guarded.POST(operations.PathLogLevel, setLogLevel(o.Log))
+	addConfig(guarded, o.Config)
+	addFleet(guarded, o.Fleet)
+	addExplain(guarded, o.Explainer)
+	return engine
+}
+
+func addProbes(engine *gin.Engine, status func() operations.Status) {
+	engine.GET(operations.PathHealth, func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	engine.GET(operations.PathReady, gin.WrapH(Readiness(status)))
+}
+
+// Readiness answers a balancer's readiness probe: 200, or 503 with the reasons.
+func Readiness(status func() operations.Status) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		s := status()
+		if !s.Ready {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		for _, reason := range s.NotReady {
+			w.Write([]byte(reason + "\n"))
+		}
+		if s.Ready {
+			w.Write([]byte("ready\n"))
+		}
+	})
+}
+
+func setLogLevel(log LogLevel) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		var want operations.LogLevel
+		if !readJSON(c, &want) {
+			return
+		}
+		if err := log.SetLevel(want.Level); err != nil {
+			refuse(c, http.StatusUnprocessableEntity, "the level is not valid", err.Error())
+			return
+		}
+		c.JSON(http.StatusOK, operations.LogLevel{Level: log.Level()})
+	}
+}
