--- /dev/null
+++ b/entry/dev/load/stats.go
@@ -0,0 +1,101 @@
+package load
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+)
+
+// maxFaults bounds the faults that are kept as text.
+const maxFaults = 5
+
+// Stats counts how the requests of one class ended.
+type Stats struct {
+	mu        sync.Mutex
+	sent      int
+	answered  int
+	refused   int
+	verdicts  Verdicts
+	faulty    int
+	faults    []string
+	latencies []time.Duration
+}
+
+// Verdicts counts answers by their verdict.
+type Verdicts struct {
+	Ran        int `json:"ran"`
+	NotRun     int `json:"notRun"`
+	MayHaveRun int `json:"mayHaveRun"`
+}
+
+// Summary is how one class fared.
+type Summary struct {
+	Class    string `json:"class"`
+	Sent     int    `json:"sent"`
+	Answered int    `json:"answered"`
+	// Refused counts answers with an honest refusal.
+	Refused  int             `json:"refused"`
+	Verdicts Verdicts        `json:"verdicts"`
+	P50      object.Duration `json:"p50"`
+	P99      object.Duration `json:"p99"`
+	// Faulty counts requests for which a guarantee was broken; Faults names a few.
+	Faulty int      `json:"faulty"`
+	Faults []string `json:"faults,omitempty"`
+}
+
+func (s *Stats) add(r result, latency time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent++
+	if r.fault != "" {
+		s.addFault(r.fault)
+		return
+	}
+	s.latencies = append(s.latencies, latency)
+	s.verdicts.add(r.verdict)
+	if r.answered {
+		s.answered++
+		return
+	}
+	s.refused++
+}
+
+func (s *Stats) addFault(fault string) {
+	s.faulty++
+	if len(s.faults) < maxFaults {
+		s.faults = append(s.faults, fault)
+	}
+}
+
+func (v *Verdicts) add(got verdict.Verdict) {
+	switch got {
+	case verdict.Ran:
+		v.Ran++
+	case verdict.NotRun:
+		v.NotRun++
+	default:
+		v.MayHaveRun++
+	}
+}
+
+func (s *Stats) summary(class string) Summary {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sorted := slices.Sorted(slices.Values(s.latencies))
+	return Summary{
+		Class: class, Sent: s.sent, Answered: s.answered, Refused: s.refused, Verdicts: s.verdicts,
+		P50: quantile(sorted, 0.50), P99: quantile(sorted, 0.99),
+		Faulty: s.faulty, Faults: slices.Clone(s.faults),
+	}
+}
+
+// quantile returns the q-quantile of sorted latencies, zero where there are none.
+func quantile(sorted []time.Duration, q float64) object.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return object.Duration(sorted[int(q*float64(len(sorted)-1))])
+}
