--- a/api/fleet/fleet.go
+++ b/api/fleet/fleet.go
@@ -10,6 +10,10 @@
 // InstanceID names one instance; it is never reused.
 type InstanceID string
 
+// TaskID names one start of one task. A second start with the same ID is a no-op,
+// so that a lost answer never doubles a task.
+type TaskID string
+
 // AvailabilityZone names one availability zone.
 type AvailabilityZone string
 
--- /dev/null
+++ b/policy/attribution/attribution_test.go
@@ -0,0 +1,119 @@
+package attribution
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	_ "github.com/tarragonreach/tarragonreach/api/rapidseed"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const perRack = 4
+
+func worker(i int) fleet.InstanceID { return fleet.InstanceID(fmt.Sprintf("w-%d", i)) }
+
+func result(w int, job string, failed bool, second int) Result {
+	return Result{
+		Worker: worker(w), Rack: fmt.Sprintf("r-%d", w/perRack), Job: job, Failed: failed,
+		At: start.Add(time.Duration(second) * time.Second),
+	}
+}
+
+// healthy adds successes of other jobs on every worker.
+func healthy(e *Evidence, workers int) {
+	for w := range workers {
+		for j := range 3 {
+			e.Add(result(w, fmt.Sprintf("good-%d", j), false, w))
+		}
+	}
+}
+
+func TestWorkerThatFailsEverythingIsBlamedAndItsJobsAreNot(t *testing.T) {
+	e := New()
+	healthy(e, 12)
+	for i := range 4 {
+		for j := range 3 {
+			e.Add(result(20, fmt.Sprintf("good-%d", j), true, 20+i))
+		}
+	}
+	now := start.Add(time.Minute)
+	assert.Assert(t, e.Worker(worker(20), now).Blamed, "%+v", e.Worker(worker(20), now))
+	assert.Assert(t, !e.Job("good-0", now).Blamed)
+	assert.Assert(t, !e.Worker(worker(1), now).Blamed)
+}
+
+func TestHopelessJobIsBlamedAndItsWorkersAreNot(t *testing.T) {
+	e := New()
+	healthy(e, 12)
+	for w := range 6 {
+		e.Add(result(w*2, "hopeless", true, 20+w))
+	}
+	now := start.Add(time.Minute)
+	assert.Assert(t, e.Job("hopeless", now).Blamed, "%+v", e.Job("hopeless", now))
+	for w := range 12 {
+		assert.Assert(t, !e.Worker(worker(w), now).Blamed)
+	}
+}
+
+func TestOneRackIsNotEnoughToBlameAJob(t *testing.T) {
+	e := New()
+	healthy(e, 12)
+	for i := range 8 {
+		e.Add(result(i%perRack, "narrow", true, 20+i))
+	}
+	assert.Assert(t, !e.Job("narrow", start.Add(time.Minute)).Blamed)
+}
+
+func TestStormBlamesNobody(t *testing.T) {
+	e := New()
+	for w := range 12 {
+		for j := range 4 {
+			e.Add(result(w, fmt.Sprintf("good-%d", j), true, w))
+		}
+	}
+	now := start.Add(time.Minute)
+	assert.Assert(t, !e.Worker(worker(3), now).Blamed)
+	assert.Assert(t, !e.Job("good-1", now).Blamed)
+}
+
+func TestOldResultsStopCounting(t *testing.T) {
+	e := New()
+	e.Add(result(1, "a", true, 0))
+	v := e.Worker(worker(1), start.Add(window+time.Second))
+	assert.Equal(t, v.Failures, 0)
+	assert.Equal(t, len(e.pairs)+len(e.workers)+len(e.jobs)+len(e.byWorker)+len(e.byJob), 0)
+}
+
+// TestBlameTellsBadWorkersFromHopelessJobs draws fleets with one bad worker and
+// one hopeless job among many results and checks that neither hides the other.
+func TestBlameTellsBadWorkersFromHopelessJobs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		workers := rapid.IntRange(12, 30).Draw(t, "workers")
+		jobs := rapid.IntRange(4, 8).Draw(t, "jobs")
+		badWorker := rapid.IntRange(0, workers-1).Draw(t, "badWorker")
+		hopeless := fmt.Sprintf("j-%d", rapid.IntRange(0, jobs-1).Draw(t, "hopeless"))
+		e := New()
+		for round := range 3 {
+			for w := range workers {
+				for j := range jobs {
+					job := fmt.Sprintf("j-%d", j)
+					e.Add(result(w, job, w == badWorker || job == hopeless, round))
+				}
+			}
+		}
+		now := start.Add(time.Minute)
+		for w := range workers {
+			assert.Equal(t, e.Worker(worker(w), now).Blamed, w == badWorker, "worker %d", w)
+		}
+		for j := range jobs {
+			job := fmt.Sprintf("j-%d", j)
+			assert.Equal(t, e.Job(job, now).Blamed, job == hopeless, job)
+		}
+	})
+}
--- /dev/null
+++ b/policy/placement/placement_test.go
@@ -0,0 +1,164 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/label"
+	_ "github.com/tarragonreach/tarragonreach/api/rapidseed"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func res(cpu, memory int64) fleet.Resources { return fleet.Resources{MilliCPU: cpu, MemoryMiB: memory} }
+
+func worker(i int, tasks ...Task) Worker {
+	return Worker{
+		ID: fleet.InstanceID(fmt.Sprintf("w-%d", i)), Rack: fmt.Sprintf("r-%d", i/4), Capacity: res(16_000, 64_000),
+		Trust: 1, Tasks: tasks, Labels: label.Set{"kind": "cpu"},
+	}
+}
+
+func batch(id, tenant string, need fleet.Resources, checkpointed time.Duration) Task {
+	return Task{ID: fleet.TaskID(id), Job: id, Tenant: tenant, Need: need, Checkpointed: now.Add(-checkpointed), Remaining: time.Hour}
+}
+
+func pending(job, tenant string, need fleet.Resources) Pending {
+	return Pending{Job: job, Tenant: tenant, Need: need, Since: now}
+}
+
+func quota(name string, amount fleet.Resources) Tenant { return Tenant{Name: name, Quota: amount} }
+
+func TestUrgentTaskThrottlesBeforeItCheckpoints(t *testing.T) {
+	urgent := pending("urgent", "a", res(8_000, 1_000))
+	urgent.Urgent = true
+	plan := Decide(Snapshot{Now: now, Pending: []Pending{urgent}, Workers: []Worker{
+		worker(0, batch("b", "a", res(15_000, 4_000), time.Hour)),
+	}})
+	assert.Equal(t, len(plan.Starts), 1)
+	assert.Equal(t, len(plan.Reliefs), 1)
+	assert.Equal(t, plan.Reliefs[0].Kind, ReliefThrottle)
+}
+
+func TestUrgentTaskSparesTheBatchNearItsDeadline(t *testing.T) {
+	urgent := pending("urgent", "a", res(1_000, 32_000))
+	urgent.Urgent = true
+	near := batch("near", "a", res(1_000, 60_000), time.Minute)
+	near.Deadline = now.Add(65 * time.Minute)
+	far := batch("far", "a", res(1_000, 60_000), 2*time.Hour)
+	plan := Decide(Snapshot{Now: now, Pending: []Pending{urgent}, Workers: []Worker{worker(0, near), worker(1, far)}})
+	assert.Equal(t, len(plan.Reliefs), 1)
+	assert.Equal(t, plan.Reliefs[0].Task, far.ID)
+	assert.Equal(t, plan.Starts[0].Worker, fleet.InstanceID("w-1"))
+}
+
+func TestTenantWithinQuotaGetsBorrowedRoomBack(t *testing.T) {
+	borrower := batch("b", "rich", res(16_000, 64_000), time.Minute)
+	s := Snapshot{
+		Now: now, Workers: []Worker{worker(0, borrower)}, Pending: []Pending{pending("j", "poor", res(8_000, 8_000))},
+		Tenants: []Tenant{{Name: "rich", Quota: res(1_000, 1_000), Held: borrower.Need}, quota("poor", res(8_000, 8_000))},
+	}
+	plan := Decide(s)
+	assert.Equal(t, len(plan.Starts), 1)
+	assert.Assert(t, !plan.Starts[0].Borrowed)
+	assert.Equal(t, plan.Reliefs[0].Task, borrower.ID)
+
+	s.Tenants[0].Quota = res(16_000, 64_000)
+	assert.Equal(t, len(Decide(s).Starts), 0, "room within a quota is not taken")
+}
+
+func TestRefusalSaysWhetherTheTaskCanEverRun(t *testing.T) {
+	large := pending("large", "a", res(99_000, 1))
+	picky := pending("picky", "a", res(1, 1))
+	picky.Selector, _ = label.Parse("kind=gpu")
+	full := pending("full", "a", res(16_000, 1))
+	s := Snapshot{Now: now, Pending: []Pending{large, picky, full}, Workers: []Worker{worker(0, batch("b", "a", res(9_000, 1), 0))}}
+	plan := Decide(s)
+	assert.Equal(t, len(plan.Refusals), 3)
+	for _, r := range plan.Refusals {
+		assert.Equal(t, r.Never, r.Job != "full", r.Job)
+		assert.Assert(t, cmp.Contains(r.Reason, "of 1 workers"))
+	}
+}
+
+func TestOvercommittedWorkerIsRelieved(t *testing.T) {
+	plan := Decide(Snapshot{Now: now, Workers: []Worker{worker(0,
+		batch("old", "a", res(1, 40_000), time.Hour), batch("young", "a", res(1, 40_000), time.Minute))}})
+	assert.Equal(t, len(plan.Reliefs), 1)
+	assert.Equal(t, plan.Reliefs[0].Task, fleet.TaskID("young"))
+}
+
+// TestPlanNeverOvercommits checks plans over random fleets: no worker ends beyond
+// its capacity, only usable ones start tasks, and each task is placed or refused once.
+func TestPlanNeverOvercommits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSnapshot(t)
+		plan := Decide(s)
+		free := map[fleet.InstanceID]fleet.Resources{}
+		tasks := map[fleet.TaskID]Task{}
+		for _, w := range s.Workers {
+			free[w.ID] = newNode(w).free
+			for _, task := range w.Tasks {
+				tasks[task.ID] = task
+			}
+		}
+		for _, r := range plan.Reliefs {
+			task := tasks[r.Task]
+			back := task.Need
+			if r.Kind == ReliefThrottle {
+				back = saving(task)
+			}
+			free[r.Worker] = free[r.Worker].Add(back)
+		}
+		for _, start := range plan.Starts {
+			free[start.Worker] = free[start.Worker].Sub(start.Pending.Need)
+		}
+		for _, w := range s.Workers {
+			assert.Assert(t, free[w.ID].MemoryMiB >= 0, "%s: %+v", w.ID, free[w.ID])
+			assert.Assert(t, w.Unusable == "" || !startsOn(plan, w.ID))
+		}
+		assert.Equal(t, len(plan.Starts)+len(plan.Refusals), len(s.Pending))
+	})
+}
+
+func startsOn(plan Plan, id fleet.InstanceID) bool {
+	for _, s := range plan.Starts {
+		if s.Worker == id {
+			return true
+		}
+	}
+	return false
+}
+
+func drawSnapshot(t *rapid.T) Snapshot {
+	s := Snapshot{Now: now, Tenants: []Tenant{quota("a", res(20_000, 80_000)), quota("b", res(5_000, 20_000))}}
+	tenants := rapid.SampledFrom([]string{"a", "b", "c"})
+	need := func(name string) fleet.Resources {
+		return res(rapid.Int64Range(1, 12_000).Draw(t, name+"CPU"), rapid.Int64Range(1, 50_000).Draw(t, name+"Memory"))
+	}
+	for i := range rapid.IntRange(1, 8).Draw(t, "workers") {
+		w := worker(i)
+		if rapid.IntRange(0, 4).Draw(t, "unusable") == 0 {
+			w.Unusable = "draining"
+		}
+		for j := range rapid.IntRange(0, 3).Draw(t, "tasks") {
+			task := batch(fmt.Sprintf("t-%d-%d", i, j), tenants.Draw(t, "tenant"), need("task"), time.Minute)
+			task.Urgent = rapid.Bool().Draw(t, "taskUrgent")
+			w.Tasks = append(w.Tasks, task)
+		}
+		s.Workers = append(s.Workers, w)
+	}
+	for i := range rapid.IntRange(0, 12).Draw(t, "pending") {
+		p := pending(fmt.Sprintf("j-%d", i%5), tenants.Draw(t, "pendingTenant"), need("pending"))
+		p.Index = i
+		p.Urgent = rapid.Bool().Draw(t, "urgent")
+		s.Pending = append(s.Pending, p)
+	}
+	return s
+}
--- /dev/null
+++ b/policy/placement/relief.go
@@ -0,0 +1,205 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+)
+
+const (
+	// throttlePercent is the processor share left to a throttled task.
+	throttlePercent = 25
+	fullPercent     = 100
+	// deadlineSlack is how much later than its deadline allows a task must not end.
+	deadlineSlack = 10 * time.Minute
+	// restartDelay is what a checkpointed task is expected to lose by waiting.
+	restartDelay = 5 * time.Minute
+	// atRiskCost is added to the cost of a task that would miss its deadline.
+	atRiskCost = 24 * time.Hour
+)
+
+// option is a way to make room on one worker.
+type option struct {
+	node    *node
+	reliefs []Relief
+	cost    time.Duration
+}
+
+// makeRoom starts an urgent task where the least work is lost for it.
+func (p *planner) makeRoom(t Pending) bool {
+	return p.startOnBest(t, func(n *node) []Task {
+		return slices.DeleteFunc(slices.Clone(n.tasks), func(v Task) bool { return v.Urgent })
+	}, "urgent, others make way")
+}
+
+// giveBack takes room back from tenants beyond their quota for one within its own.
+func (p *planner) giveBack(t Pending) bool {
+	if _, full := p.full[t.Job]; full {
+		return false
+	}
+	return p.startOnBest(t, func(n *node) []Task {
+		return slices.DeleteFunc(slices.Clone(n.tasks), func(v Task) bool {
+			return v.Urgent || v.Tenant == t.Tenant || !p.borrows(v.Tenant)
+		})
+	}, "within quota, borrowed room is given back")
+}
+
+func (p *planner) borrows(tenant string) bool {
+	a := p.account(tenant)
+	return !a.held.Fits(a.quota)
+}
+
+// startOnBest picks the worker whose victims cost least. victims lists the tasks of
+// a worker that may make way.
+func (p *planner) startOnBest(t Pending, victims func(*node) []Task, reason string) bool {
+	var best *option
+	for _, n := range p.workers {
+		if !p.usable(t, n) || !t.Need.Fits(n.Capacity) {
+			continue
+		}
+		o, ok := p.roomOn(t, n, victims(n))
+		if ok && (best == nil || o.cost < best.cost) {
+			best = o
+		}
+	}
+	if best == nil {
+		return false
+	}
+	p.relieve(best.node, best.reliefs)
+	p.start(t, best.node, reason)
+	return true
+}
+
+// roomOn tries to throttle first, for that loses no work, and checkpoints where
+// throttling is not enough.
+func (p *planner) roomOn(t Pending, n *node, victims []Task) (*option, bool) {
+	slices.SortStableFunc(victims, p.byCost)
+	if o, ok := p.roomByThrottling(t, n, victims); ok {
+		return o, true
+	}
+	o := &option{node: n}
+	free := n.free
+	for _, v := range victims {
+		if t.Need.Fits(free) {
+			break
+		}
+		free = free.Add(v.Need)
+		o.cost += p.cost(v)
+		o.reliefs = append(o.reliefs, Relief{
+			Kind: ReliefCheckpoint, Task: v.ID, Worker: n.ID,
+			Reason: fmt.Sprintf("makes way for %s/%d", t.Job, t.Index),
+		})
+	}
+	return o, t.Need.Fits(free)
+}
+
+func (p *planner) roomByThrottling(t Pending, n *node, victims []Task) (*option, bool) {
+	o := &option{node: n}
+	free := n.free
+	for _, v := range victims {
+		if t.Need.Fits(free) {
+			break
+		}
+		if v.Throttled || p.atRisk(v, throttledDelay(v)) {
+			continue
+		}
+		free = free.Add(saving(v))
+		o.cost += throttledDelay(v)
+		o.reliefs = append(o.reliefs, Relief{
+			Kind: ReliefThrottle, Task: v.ID, Worker: n.ID, Percent: throttlePercent,
+			Reason: fmt.Sprintf("shares its processors with %s/%d", t.Job, t.Index),
+		})
+	}
+	return o, t.Need.Fits(free)
+}
+
+// saving is what a throttled task gives back.
+func saving(v Task) fleet.Resources {
+	return fleet.Resources{MilliCPU: v.Need.MilliCPU * (fullPercent - throttlePercent) / fullPercent}
+}
+
+// throttledDelay is how much later a task ends while throttled to its end.
+func throttledDelay(v Task) time.Duration {
+	return v.Remaining * (fullPercent - throttlePercent) / throttlePercent
+}
+
+// cost is the work lost when a task is checkpointed now.
+func (p *planner) cost(v Task) time.Duration {
+	lost := max(p.now.Now.Sub(v.Checkpointed), 0)
+	if p.atRisk(v, restartDelay) {
+		lost += atRiskCost
+	}
+	return lost
+}
+
+// atRisk reports whether a delay would make a task miss its deadline.
+func (p *planner) atRisk(v Task, delay time.Duration) bool {
+	if v.Deadline.IsZero() {
+		return false
+	}
+	end := p.now.Now.Add(v.Remaining + delay + deadlineSlack)
+	return end.After(v.Deadline)
+}
+
+// relieve applies reliefs to the planner's view of a worker.
+func (p *planner) relieve(n *node, reliefs []Relief) {
+	for _, r := range reliefs {
+		i := slices.IndexFunc(n.tasks, func(t Task) bool { return t.ID == r.Task })
+		t := &n.tasks[i]
+		if r.Kind == ReliefThrottle {
+			n.free = n.free.Add(saving(*t))
+			t.Throttled = true
+			t.Need = t.Need.Sub(saving(*t))
+			continue
+		}
+		p.release(n, i)
+	}
+	p.plan.Reliefs = append(p.plan.Reliefs, reliefs...)
+}
+
+func (p *planner) release(n *node, i int) {
+	t := n.tasks[i]
+	n.free = n.free.Add(t.Need)
+	a := p.account(t.Tenant)
+	a.held = a.held.Sub(t.Need)
+	n.tasks = slices.Delete(n.tasks, i, i+1)
+}
+
+// relieveOvercommitted checkpoints the cheapest tasks of workers whose estimated
+// use exceeds their memory, since workers start what they are given whether it
+// fits or not. Processors alone are shared and only slow down.
+func (p *planner) relieveOvercommitted() {
+	for _, n := range p.workers {
+		if n.free.MemoryMiB >= 0 && n.free.Accelerators >= 0 {
+			continue
+		}
+		victims := slices.Clone(n.tasks)
+		slices.SortStableFunc(victims, p.byUrgencyThenCost)
+		p.relieve(n, p.overcommitReliefs(n, victims))
+	}
+}
+
+func (p *planner) byUrgencyThenCost(a, b Task) int {
+	if a.Urgent != b.Urgent {
+		return boolOrder(b.Urgent)
+	}
+	return p.byCost(a, b)
+}
+
+func (p *planner) overcommitReliefs(n *node, victims []Task) []Relief {
+	var reliefs []Relief
+	free := n.free
+	for _, v := range victims {
+		if free.MemoryMiB >= 0 && free.Accelerators >= 0 {
+			break
+		}
+		free = free.Add(v.Need)
+		reliefs = append(reliefs, Relief{
+			Kind: ReliefCheckpoint, Task: v.ID, Worker: n.ID,
+			Reason: fmt.Sprintf("the worker is overcommitted by %d MiB", max(-n.free.MemoryMiB, 0)),
+		})
+	}
+	return reliefs
+}
