Let an attempt name its class and whether it may be repeated

Cause: how long an answer may take before its connection is taken to be silent depends on both. Change: Request.Class, Request.Repeatable and Target.ReadinessPath; zero values keep today's behavior. Conclusion: additive; callers fill them in when they can.

--- a/entry/backend/backend.go
+++ b/entry/backend/backend.go
@@ -15,6 +15,9 @@
 	Address string // host:port
 	// Connections is this entry instance's share of the executor's connections.
 	Connections int
+	// ReadinessPath is asked on a new connection where others seem silent; empty
+	// takes DefaultReadinessPath.
+	ReadinessPath string
 }
 
 // Request is one attempt at a caller's request.
@@ -29,6 +32,10 @@
 	Stream io.Reader
 	// StreamLength is the length of Stream in bytes, or -1 if unknown.
 	StreamLength int64
+	// Class is the class under which answer times are learned; it may be empty.
+	Class string
+	// Repeatable says that another attempt may follow one that may have run.
+	Repeatable bool
 }
 
 // Answer is what a backend server answered. A body up to the buffer limit has
