Let the request path ask for a fresh connection and an early verdict

Cause: a retry after a silent connection must not meet a second one, and a keyed request refused before Begin needs a verdict for the submission. Change: backend.Request.Fresh and the optional interface submission.Refuser. Result: the workspace builds; both are additive.

--- a/entry/backend/backend.go
+++ b/entry/backend/backend.go
@@ -29,6 +29,9 @@
 	Stream io.Reader
 	// StreamLength is the length of Stream in bytes, or -1 if unknown.
 	StreamLength int64
+	// Fresh asks for a connection opened for this attempt, because an earlier
+	// attempt at the same request met a connection that had gone silent.
+	Fresh bool
 }
 
 // Answer is what a backend server answered. A body up to the buffer limit has
--- a/entry/submission/submission.go
+++ b/entry/submission/submission.go
@@ -37,3 +37,10 @@
 	// NextTicket mints a ticket for the tenant.
 	NextTicket(tenant string) string
 }
+
+// Refuser is a Guard that also gives the verdict of a refusal made before Begin.
+type Refuser interface {
+	// Refusal returns NotRun only where no earlier copy of the submission can have
+	// run; attempt is as in Begin.
+	Refusal(key Key, attempt int) verdict.Verdict
+}
