Add the request path: admission, routing, health, retry, directory, gateway

Cause: callers need requests to reach an executor and an honest answer. The division of slots is static and readiness probes are missing so far.

--- /dev/null
+++ b/entry/directory/build.go
@@ -0,0 +1,108 @@
+package directory
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/label"
+	"github.com/tarragonreach/tarragonreach/api/object"
+)
+
+// defaultSelectorKey is the label of a service without a selector of its own.
+const defaultSelectorKey = fleet.LabelService
+
+// inputs is everything from which a snapshot is made.
+type inputs struct {
+	config    *object.Config
+	instances []fleet.Instance
+	records   map[fleet.InstanceID]fleet.Record
+	notices   map[fleet.InstanceID]time.Time // when each notice ends
+}
+
+// build merges the inputs into a snapshot.
+func build(in inputs, now time.Time) *Snapshot {
+	snapshot := &Snapshot{Config: in.config, Services: map[string]*Service{}}
+	for _, instance := range in.instances {
+		if instance.Kind == fleet.KindEntry && !instance.Leaving {
+			snapshot.EntryInstances = append(snapshot.EntryInstances, instance)
+		}
+	}
+	if in.config == nil {
+		return snapshot
+	}
+	for name, versioned := range in.config.Services {
+		snapshot.Services[name] = buildService(in, versioned.Spec, now)
+	}
+	return snapshot
+}
+
+func buildService(in inputs, spec object.Service, now time.Time) *Service {
+	service := &Service{Spec: spec}
+	selector, err := selectorOf(spec)
+	if err != nil {
+		return service // Validation refuses such a selector; no endpoint is the safe reading.
+	}
+	for _, instance := range in.instances {
+		if in.exclusion(instance, spec, selector, now) != Included {
+			continue
+		}
+		endpoint := Endpoint{ID: instance.ID, Address: instance.Address, Zone: instance.Zone}
+		service.Endpoints = append(service.Endpoints, endpoint)
+	}
+	slices.SortFunc(service.Endpoints, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return service
+}
+
+func selectorOf(spec object.Service) (label.Selector, error) {
+	if spec.Selector == "" {
+		return label.Parse(defaultSelectorKey + "=" + spec.Name)
+	}
+	return label.Parse(spec.Selector)
+}
+
+// exclusion returns why the instance is no endpoint of the service, or Included.
+func (in inputs) exclusion(instance fleet.Instance, spec object.Service, selector label.Selector, now time.Time) Exclusion {
+	if instance.Kind != fleet.KindBackendServer {
+		return NotBackend
+	}
+	record, recorded := in.records[instance.ID]
+	if !selector.Matches(labelsOf(instance, record)) {
+		return NoMatch
+	}
+	if instance.Leaving {
+		return PlatformLeaving
+	}
+	if now.Before(in.notices[instance.ID]) {
+		return OwnNotice
+	}
+	if !recorded {
+		return Included
+	}
+	if spec.Pool != "" && record.State != fleet.StateReleased && record.Pool != spec.Pool {
+		return OtherPool
+	}
+	if record.State != fleet.StateServing && !(record.State == fleet.StateReleased && spec.Pool == "") {
+		return Drained
+	}
+	return Included
+}
+
+// labelsOf merges the platform's labels, the derived ones and the operators'.
+func labelsOf(instance fleet.Instance, record fleet.Record) label.Set {
+	labels := make(label.Set, len(instance.Labels)+len(record.Labels)+4)
+	for key, value := range instance.Labels {
+		labels[key] = value
+	}
+	for key, value := range record.Labels {
+		labels[key] = value
+	}
+	labels[fleet.LabelZone] = string(instance.Zone)
+	labels[fleet.LabelRack] = instance.Rack
+	labels[fleet.LabelKind] = string(instance.Kind)
+	if record.Pool != "" {
+		labels[fleet.LabelPool] = record.Pool
+	}
+	return labels
+}
--- /dev/null
+++ b/entry/directory/directory.go
@@ -0,0 +1,156 @@
+package directory
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/platform"
+)
+
+// Defaults of Options.
+const (
+	DefaultInterval  = time.Second
+	DefaultNoticeTTL = 60 * time.Second
+)
+
+// Options are the collaborators and settings of a Directory.
+type Options struct {
+	// List is the platform's instance list.
+	List platform.InstanceList
+	// Interval is the time between two polls; zero takes DefaultInterval.
+	Interval time.Duration
+	// NoticeTTL is how long an executor's own notice holds unless it is withdrawn;
+	// zero takes DefaultNoticeTTL.
+	NoticeTTL time.Duration
+	// Logger takes changes of state; nil takes slog.Default.
+	Logger *slog.Logger
+}
+
+// Directory publishes snapshots. Readers never block; writers take a lock.
+type Directory struct {
+	options  Options
+	snapshot atomic.Pointer[Snapshot]
+
+	mu        sync.Mutex
+	in        inputs
+	listening []func(*Snapshot)
+	listDown  bool
+}
+
+// New returns a Directory with an empty snapshot.
+func New(options Options) *Directory {
+	if options.Interval <= 0 {
+		options.Interval = DefaultInterval
+	}
+	if options.NoticeTTL <= 0 {
+		options.NoticeTTL = DefaultNoticeTTL
+	}
+	if options.Logger == nil {
+		options.Logger = slog.Default()
+	}
+	d := &Directory{options: options}
+	d.in.records = map[fleet.InstanceID]fleet.Record{}
+	d.in.notices = map[fleet.InstanceID]time.Time{}
+	d.snapshot.Store(build(d.in, time.Time{}))
+	return d
+}
+
+// Snapshot returns the newest snapshot; it is never nil.
+func (d *Directory) Snapshot() *Snapshot { return d.snapshot.Load() }
+
+// Subscribe calls fn with the present snapshot and with each later one, one call
+// at a time. fn must not call back into the Directory.
+func (d *Directory) Subscribe(fn func(*Snapshot)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listening = append(d.listening, fn)
+	fn(d.snapshot.Load())
+}
+
+// Run polls the platform's list until ctx ends.
+func (d *Directory) Run(ctx context.Context) error {
+	ticker := time.NewTicker(d.options.Interval)
+	defer ticker.Stop()
+	for {
+		d.poll(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// poll reads the list once. A failed or empty answer keeps the last list, so that
+// an outage of the platform never empties the routing.
+func (d *Directory) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, 2*d.options.Interval)
+	defer cancel()
+	instances, err := d.options.List.Instances(ctx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	failed := err != nil || (len(instances) == 0 && len(d.in.instances) > 0)
+	if failed != d.listDown {
+		d.listDown = failed
+		d.options.Logger.Info("instance list changed state", "down", failed, "error", err)
+	}
+	if !failed {
+		d.in.instances = instances
+	}
+	d.publish()
+}
+
+// SetConfig takes a newer configuration.
+func (d *Directory) SetConfig(config *object.Config) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.in.config = config
+	d.publish()
+}
+
+// SetRecords takes the fleet's records, all of them.
+func (d *Directory) SetRecords(records []fleet.Record) {
+	byID := make(map[fleet.InstanceID]fleet.Record, len(records))
+	for _, record := range records {
+		byID[record.ID] = record
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.in.records = byID
+	d.publish()
+}
+
+// SetNotice records an executor's own notice that it is leaving, or withdraws it.
+func (d *Directory) SetNotice(id fleet.InstanceID, leaving bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if leaving {
+		d.in.notices[id] = time.Now().Add(d.options.NoticeTTL)
+	} else {
+		delete(d.in.notices, id)
+	}
+	d.publish()
+}
+
+// publish builds and stores a snapshot; the lock is held.
+func (d *Directory) publish() {
+	now := time.Now()
+	for id, until := range d.in.notices {
+		if !now.Before(until) {
+			delete(d.in.notices, id)
+		}
+	}
+	snapshot := build(d.in, now)
+	if equal(snapshot, d.snapshot.Load()) {
+		return
+	}
+	d.snapshot.Store(snapshot)
+	for _, fn := range d.listening {
+		fn(snapshot)
+	}
+}
--- /dev/null
+++ b/entry/directory/equal.go
@@ -0,0 +1,28 @@
+package directory
+
+import (
+	"slices"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+)
+
+// equal reports whether two snapshots would route alike.
+func equal(a, b *Snapshot) bool {
+	if a.Config != b.Config || len(a.Services) != len(b.Services) {
+		return false
+	}
+	if !slices.EqualFunc(a.EntryInstances, b.EntryInstances, sameEntryInstance) {
+		return false
+	}
+	for name, service := range a.Services {
+		other := b.Services[name]
+		if other == nil || !slices.Equal(service.Endpoints, other.Endpoints) {
+			return false
+		}
+	}
+	return true
+}
+
+func sameEntryInstance(a, b fleet.Instance) bool {
+	return a.ID == b.ID && a.Zone == b.Zone && a.Address == b.Address
+}
--- /dev/null
+++ b/entry/dispatch/acquire.go
@@ -0,0 +1,192 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/policy/admission"
+)
+
+// Acquire asks for a slot. It returns a Grant with an executor or a refusal, or
+// queued true: then w.Deliver is called later.
+func (s *Service) Acquire(w *Waiter, now time.Time) (grant Grant, queued bool) {
+	if len(s.members.Load().all) == 0 {
+		return Grant{Err: noBackendServer()}, false
+	}
+	if s.waiting.Load() == 0 || w.Request.Exclude != nil {
+		if e := s.pickFor(w); e != nil {
+			return Grant{Executor: e}, false
+		}
+	}
+	return s.enqueue(w, now)
+}
+
+// pickFor prefers a trial for a repeatable request, because a failed trial of
+// one costs its caller nothing.
+func (s *Service) pickFor(w *Waiter) *Executor {
+	if w.Request.Repeatable && w.Request.Exclude == nil {
+		if e := s.pickTrial(nil); e != nil {
+			return e
+		}
+	}
+	return s.pick(w.Request.Exclude)
+}
+
+func noBackendServer() *verdict.Error {
+	return refuse(verdict.CodeNoBackendServer, "the service has no backend server that takes requests", admission.MinRetryAfter)
+}
+
+func (s *Service) enqueue(w *Waiter, now time.Time) (Grant, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var refusal *verdict.Error
+	if w.Request.Exclude != nil {
+		refusal = s.enqueueRetry(w)
+	} else {
+		refusal = s.enqueueFirst(w, now)
+	}
+	if refusal != nil {
+		return Grant{Err: refusal}, false
+	}
+	s.waiting.Add(1)
+	s.drain(now) // A slot may have become free before the waiter could be seen.
+	return Grant{}, true
+}
+
+func (s *Service) enqueueRetry(w *Waiter) *verdict.Error {
+	m := s.members.Load()
+	onlyExcluded := len(m.all) == 1 && m.all[0] == w.Request.Exclude
+	if onlyExcluded {
+		return refuse(verdict.CodeNoBackendServer, "the service has no other backend server to try", admission.MinRetryAfter)
+	}
+	if len(s.retries) >= maxRetryQueue {
+		return refuse(verdict.CodeQueueFull, "too many retries wait already", admission.MinRetryAfter)
+	}
+	w.retry = true
+	s.retries = append(s.retries, w)
+	return nil
+}
+
+func (s *Service) enqueueFirst(w *Waiter, now time.Time) *verdict.Error {
+	load := s.load(w, now)
+	if err := load.Check(); err != nil {
+		return err
+	}
+	r := &w.Request
+	w.queued.Value = w
+	w.queued.Priority, w.queued.Tenant, w.queued.Weight = r.Priority, r.Tenant, r.Weight
+	displaced, accepted := s.queue.Push(&w.queued)
+	if !accepted {
+		return refuse(verdict.CodeQueueFull, "the queue of the service is full", load.RetryAfter())
+	}
+	if displaced != nil {
+		s.waiting.Add(-1)
+		refusal := refuse(verdict.CodeQueueFull, "requests of a higher priority took the place in the queue", load.RetryAfter())
+		displaced.Value.Deliver(Grant{Err: refusal})
+	}
+	return nil
+}
+
+// load describes the service to the admission policy; the lock is held.
+func (s *Service) load(w *Waiter, now time.Time) admission.Load {
+	r := &w.Request
+	return admission.Load{
+		Ahead:    s.queue.Ahead(r.Priority, r.Tenant, r.Weight) + len(s.retries),
+		Slots:    s.Capacity(),
+		RunTime:  s.runTime.Value(),
+		OwnTime:  s.RunTime(r.Class),
+		TimeLeft: r.Deadline.Sub(now),
+	}
+}
+
+// Cancel takes a queued waiter out and reports whether it was still queued. If
+// not, w.Deliver has been called.
+func (s *Service) Cancel(w *Waiter) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	removed := false
+	if w.retry {
+		removed = s.removeRetry(w)
+	} else {
+		removed = s.queue.Remove(&w.queued)
+	}
+	if removed {
+		s.waiting.Add(-1)
+	}
+	return removed
+}
+
+func (s *Service) removeRetry(w *Waiter) bool {
+	at := slices.Index(s.retries, w)
+	if at < 0 {
+		return false
+	}
+	s.retries = slices.Delete(s.retries, at, at+1)
+	w.retry = false
+	return true
+}
+
+// drain hands free slots to waiters; the lock is held.
+func (s *Service) drain(now time.Time) {
+	s.drainRetries()
+	for s.queue.Len() > 0 {
+		e := s.pick(nil)
+		if e == nil {
+			return
+		}
+		w := s.nextInTime(now)
+		if w == nil {
+			e.inFlight.Add(-1)
+			return
+		}
+		if trial := s.trialFor(w); trial != nil {
+			e.inFlight.Add(-1)
+			e = trial
+		}
+		w.Deliver(Grant{Executor: e})
+	}
+}
+
+func (s *Service) trialFor(w *Waiter) *Executor {
+	if !w.Request.Repeatable {
+		return nil
+	}
+	return s.pickTrial(nil)
+}
+
+// drainRetries serves retries before the queue, since they have waited longest.
+func (s *Service) drainRetries() {
+	kept := s.retries[:0]
+	for _, w := range s.retries {
+		e := s.pick(w.Request.Exclude)
+		if e == nil {
+			kept = append(kept, w)
+			continue
+		}
+		w.retry = false
+		s.waiting.Add(-1)
+		w.Deliver(Grant{Executor: e})
+	}
+	clear(s.retries[len(kept):])
+	s.retries = kept
+}
+
+// nextInTime pops the next waiter that can still be answered in time and refuses
+// those before it.
+func (s *Service) nextInTime(now time.Time) *Waiter {
+	for {
+		next := s.queue.Pop()
+		if next == nil {
+			return nil
+		}
+		s.waiting.Add(-1)
+		w := next.Value
+		left := w.Request.Deadline.Sub(now)
+		if left >= s.RunTime(w.Request.Class) {
+			return w
+		}
+		refusal := refuse(verdict.CodeWaitExceedsTimeout, "the request waited too long to be answered in time", admission.MinRetryAfter)
+		w.Deliver(Grant{Err: refusal})
+	}
+}
--- /dev/null
+++ b/entry/dispatch/members.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/policy/health"
+)
+
+// Endpoint is an executor as the directory lists it, with this entry instance's
+// part in it.
+type Endpoint struct {
+	ID          fleet.InstanceID
+	Address     string
+	Zone        fleet.AvailabilityZone
+	Slots       int
+	Share       int // slots that this entry instance may use
+	Connections int // connections that this entry instance may open
+}
+
+// SetMembers replaces the executors in routing. Live state is kept for those
+// that stay; a new one begins in slow start unless all are new.
+func (s *Service) SetMembers(endpoints []Endpoint, queueLimit int, now time.Time) {
+	known := map[fleet.InstanceID]*Executor{}
+	for _, e := range s.members.Load().all {
+		known[e.ID] = e
+	}
+	next := &members{}
+	for _, endpoint := range endpoints {
+		e := known[endpoint.ID]
+		if e == nil || e.Address != endpoint.Address {
+			e = newExecutor(endpoint, len(known) > 0, now)
+		}
+		delete(known, endpoint.ID)
+		e.setShare(endpoint.Share, now)
+		next.add(e, s.zone)
+	}
+	s.members.Store(next)
+	s.mu.Lock()
+	if queueLimit <= 0 {
+		queueLimit = DefaultQueueLimit
+	}
+	s.queue.SetLimit(queueLimit)
+	s.mu.Unlock()
+	s.Tick(now)
+}
+
+func (m *members) add(e *Executor, zone fleet.AvailabilityZone) {
+	m.all = append(m.all, e)
+	if e.Zone == zone {
+		m.own = append(m.own, e)
+	} else {
+		m.other = append(m.other, e)
+	}
+}
+
+// recountUnproved counts afresh, because an executor on probation may have left.
+func (s *Service) recountUnproved(all []*Executor) {
+	n := int64(0)
+	for _, e := range all {
+		if e.State() == health.Probation {
+			n++
+		}
+	}
+	s.unproved.Store(n)
+}
+
+func newExecutor(endpoint Endpoint, slowStart bool, now time.Time) *Executor {
+	e := &Executor{
+		ID:          endpoint.ID,
+		Address:     endpoint.Address,
+		Zone:        endpoint.Zone,
+		Slots:       endpoint.Slots,
+		Connections: endpoint.Connections,
+	}
+	e.ramp.Store(math.Float64bits(1))
+	if slowStart {
+		e.since = now
+	}
+	return e
+}
+
+// setShare changes the slots that this entry instance may use.
+func (e *Executor) setShare(share int, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.share = share
+	e.refreshLimit(now)
+}
--- /dev/null
+++ b/entry/dispatch/tick.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/policy/health"
+)
+
+// TickInterval is how often Tick is due.
+const TickInterval = 50 * time.Millisecond
+
+// Tick ends ejections, moves slow starts on and hands out slots that became free
+// by it.
+func (s *Service) Tick(now time.Time) {
+	usable := 0
+	capacity := 0
+	all := s.members.Load().all
+	for _, e := range all {
+		s.decide(e, now, func() health.Decision { return s.settings.Health.OnTick(e.member, now) })
+		s.refresh(e, now)
+		if e.State() == health.Healthy {
+			usable++
+			capacity += e.Limit()
+		}
+	}
+	if usable == 0 && len(all) > 0 {
+		s.readmitAll(all, now)
+	}
+	s.recountUnproved(all)
+	s.capacity.Store(int64(capacity))
+	if s.waiting.Load() == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(all) == 0 {
+		s.refuseAll()
+		return
+	}
+	s.drain(now)
+}
+
+// refuseAll answers every waiter of a service that lost its last executor; the
+// lock is held.
+func (s *Service) refuseAll() {
+	for _, w := range s.retries {
+		w.retry = false
+		s.waiting.Add(-1)
+		w.Deliver(Grant{Err: noBackendServer()})
+	}
+	s.retries = nil
+	for next := s.queue.Pop(); next != nil; next = s.queue.Pop() {
+		s.waiting.Add(-1)
+		next.Value.Deliver(Grant{Err: noBackendServer()})
+	}
+}
+
+func (s *Service) refresh(e *Executor, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refreshLimit(now)
+}
+
+// readmitAll returns every executor to service, because a bad one is better than none.
+func (s *Service) readmitAll(all []*Executor, now time.Time) {
+	for _, e := range all {
+		s.decide(e, now, func() health.Decision {
+			member := e.member
+			member.State = health.Healthy
+			return health.Decision{Member: member, Reason: health.Recovered}
+		})
+	}
+}
+
+// HalveWindows makes older outcomes count less; it is due each window.
+func (s *Service) HalveWindows() {
+	for _, e := range s.members.Load().all {
+		e.halveWindow()
+	}
+}
--- /dev/null
+++ b/entry/gateway/answer.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/header"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/entry/backend"
+	"github.com/tarragonreach/tarragonreach/entry/dispatch"
+	"github.com/tarragonreach/tarragonreach/entry/submission"
+)
+
+// maxKeptBytes bounds the answers that are kept for duplicates of a submission.
+const maxKeptBytes = 64 << 10
+
+// sized is a body that has been read whole already.
+type sized interface{ Len() int }
+
+// finishAnswered passes an executor's answer on and gives its slot back.
+func (g *Gateway) finishAnswered(w http.ResponseWriter, x *exchange, answer *backend.Answer, lease *slotLease) {
+	defer discard(answer)
+	outcome := dispatch.Succeeded
+	if failedStatus(answer.Status) {
+		outcome = dispatch.Failed
+	}
+	buffered, whole := answer.Body.(sized)
+	if whole {
+		lease.release(outcome) // A slow caller must not hold the slot.
+	}
+	kept := g.keepAnswer(x, answer, buffered)
+	g.writeAnswerHeader(w, x, answer)
+	_, err := io.Copy(w, kept.reader)
+	if !whole {
+		lease.release(streamOutcome(outcome, err))
+	}
+	g.finishPass(x, submission.Outcome{Verdict: verdict.Ran, Status: answer.Status, Header: answer.Header, Body: kept.body})
+	g.metrics.answered(x, answer.Status, time.Since(x.started))
+	if err != nil {
+		g.metrics.cut()
+		panic(http.ErrAbortHandler) // Cuts the connection, so that the caller sees a short body.
+	}
+}
+
+func streamOutcome(outcome dispatch.Outcome, err error) dispatch.Outcome {
+	if err != nil {
+		return dispatch.Neutral // Either end may have broken it.
+	}
+	return outcome
+}
+
+// writeAnswerHeader writes status and headers with the verdict.
+func (g *Gateway) writeAnswerHeader(w http.ResponseWriter, x *exchange, answer *backend.Answer) {
+	h := w.Header()
+	copyHeaders(h, answer.Header)
+	h[header.Verdict] = ranValue
+	h[header.RequestID] = []string{x.request.ID}
+	if body, whole := answer.Body.(sized); whole && h["Content-Length"] == nil && answer.Status >= http.StatusOK {
+		h["Content-Length"] = []string{strconv.Itoa(body.Len())}
+	}
+	g.offerTicket(h, x)
+	w.WriteHeader(answer.Status)
+}
+
+// ranValue is shared by all answers; nobody may change it.
+var ranValue = []string{verdict.Ran.String()}
+
+// offerTicket puts a fresh ticket on answers to requests that may need one.
+func (g *Gateway) offerTicket(h http.Header, x *exchange) {
+	if g.options.Guard != nil && x.keyed() {
+		h[header.NextTicket] = []string{g.options.Guard.NextTicket(x.tenant)}
+	}
+}
--- /dev/null
+++ b/entry/gateway/body.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+)
+
+// readBody buffers a small body and leaves a larger one to be streamed.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, x *exchange) *verdict.Error {
+	limit := x.service.maxBodyBytes(g.options.Settings)
+	if r.ContentLength > limit {
+		return bodyTooLarge(nil)
+	}
+	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	// A caller that sends slowly must not outlive its own timeout.
+	_ = http.NewResponseController(w).SetReadDeadline(x.deadline)
+	defer func() { _ = http.NewResponseController(w).SetReadDeadline(time.Time{}) }()
+	body := http.MaxBytesReader(w, r.Body, limit)
+	buffered, whole, err := readUpTo(body, r.ContentLength, g.options.Settings.BufferBytes)
+	if err != nil {
+		return bodyError(err)
+	}
+	if whole {
+		x.request.Body = buffered
+		return nil
+	}
+	x.request.Stream = io.MultiReader(bytes.NewReader(buffered), body)
+	x.request.StreamLength = r.ContentLength
+	return nil
+}
+
+// readUpTo reads at most limit bytes and reports whether that was the whole body.
+// length is the announced length, or -1.
+func readUpTo(body io.Reader, length, limit int64) (data []byte, whole bool, err error) {
+	if length > limit {
+		return nil, false, nil
+	}
+	if length >= 0 {
+		data = make([]byte, length)
+		_, err = io.ReadFull(body, data)
+		return data, true, err
+	}
+	data, err = io.ReadAll(io.LimitReader(body, limit+1))
+	return data, int64(len(data)) <= limit, err
+}
+
+func bodyError(err error) *verdict.Error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return bodyTooLarge(err)
+	}
+	refusal := verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the request's body could not be read whole")
+	refusal.Err = err
+	return refusal
+}
+
+func bodyTooLarge(err error) *verdict.Error {
+	refusal := verdict.New(verdict.NotRun, verdict.CodeBodyTooLarge, "the request's body is larger than the service accepts")
+	refusal.Err = err
+	return refusal
+}
--- /dev/null
+++ b/entry/gateway/exchange.go
@@ -0,0 +1,155 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/entry/backend"
+	"github.com/tarragonreach/tarragonreach/entry/dispatch"
+	"github.com/tarragonreach/tarragonreach/entry/submission"
+)
+
+// exchange is one caller's request on its way. Exchanges are pooled.
+type exchange struct {
+	service    *serviceEntry
+	class      object.Class
+	tenant     string
+	weight     int
+	cap        int // the tenant's requests at this entry instance; zero means no cap
+	repeatable bool
+	started    time.Time
+	deadline   time.Time
+	attempt    int // as the caller counts; zero means not given
+	key        string
+
+	incoming http.Header // shared with the caller's request; never changed
+	request  backend.Request
+	attempts int
+	// verdict speaks for all attempts so far.
+	verdict verdict.Verdict
+	pass    submission.Pass
+
+	waiter dispatch.Waiter
+	grants chan dispatch.Grant
+}
+
+func newExchange() *exchange {
+	x := &exchange{grants: make(chan dispatch.Grant, 1)}
+	x.waiter.Deliver = func(g dispatch.Grant) { x.grants <- g }
+	return x
+}
+
+// reset clears everything but the channel and its callback.
+func (x *exchange) reset() {
+	grants, deliver := x.grants, x.waiter.Deliver
+	*x = exchange{grants: grants}
+	x.waiter.Deliver = deliver
+}
+
+// keyed reports whether the guard must decide about the request.
+func (x *exchange) keyed() bool { return x.key != "" && !x.repeatable }
+
+// timeLeft returns what is left of the timeout.
+func (x *exchange) timeLeft(now time.Time) time.Duration { return x.deadline.Sub(now) }
+
+// combine returns the verdict over an earlier and a later attempt.
+func combine(earlier, later verdict.Verdict) verdict.Verdict {
+	switch {
+	case earlier == verdict.Ran || later == verdict.Ran:
+		return verdict.Ran
+	case earlier == verdict.NotRun:
+		return later
+	default:
+		return verdict.MayHaveRun
+	}
+}
+
+// serveService answers a request for /s/{service}/{path...}.
+func (g *Gateway) serveService(w http.ResponseWriter, r *http.Request) {
+	x := g.exchanges.Get().(*exchange)
+	defer g.recycle(x)
+	x.started = time.Now()
+	x.verdict = verdict.NotRun
+	if refusal := g.parse(x, r); refusal != nil {
+		g.finishRefused(w, x, refusal)
+		return
+	}
+	if !g.tenants.acquire(x.tenant, x.cap) {
+		refusal := verdict.New(g.refusalVerdict(x), verdict.CodeQuotaExceeded, "the tenant has as many requests here as its quota allows")
+		refusal.RetryAfter = time.Second
+		g.finishRefused(w, x, refusal)
+		return
+	}
+	defer g.tenants.release(x.tenant, x.cap)
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	g.admitted(ctx, w, r, x)
+}
+
+func (g *Gateway) recycle(x *exchange) {
+	x.reset()
+	g.exchanges.Put(x)
+}
+
+// admitted reads the body, asks the guard and sends the request.
+func (g *Gateway) admitted(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange) {
+	if refusal := g.readBody(w, r, x); refusal != nil {
+		refusal.Verdict = g.refusalVerdict(x)
+		g.finishRefused(w, x, refusal)
+		return
+	}
+	if refusal := g.begin(ctx, x); refusal != nil {
+		g.finishRefused(w, x, refusal)
+		return
+	}
+	answer, lease, err := g.send(ctx, x)
+	if err != nil {
+		g.finishRefused(w, x, err)
+		return
+	}
+	g.finishAnswered(w, x, answer, lease)
+}
+
+// begin asks the guard for a pass where the request needs one.
+func (g *Gateway) begin(ctx context.Context, x *exchange) *verdict.Error {
+	if !x.keyed() {
+		return nil
+	}
+	if g.options.Guard == nil {
+		return verdict.New(g.refusalVerdict(x), verdict.CodeClaimUnavailable, "this entry instance takes no keyed requests")
+	}
+	pass, err := g.options.Guard.Begin(ctx, submission.Key{Tenant: x.tenant, Value: x.key}, x.attempt)
+	if err != nil {
+		return asError(err)
+	}
+	x.pass = pass
+	return nil
+}
+
+// refusalVerdict returns the verdict of a refusal before the guard was asked. For
+// a keyed request it must speak for the whole submission.
+func (g *Gateway) refusalVerdict(x *exchange) verdict.Verdict {
+	if !x.keyed() {
+		return verdict.NotRun
+	}
+	if refuser, ok := g.options.Guard.(submission.Refuser); ok {
+		return refuser.Refusal(submission.Key{Tenant: x.tenant, Value: x.key}, x.attempt)
+	}
+	return verdict.MayHaveRun
+}
+
+// finishPass records the outcome of a submission.
+func (g *Gateway) finishPass(x *exchange, outcome submission.Outcome) {
+	if x.pass == nil {
+		return
+	}
+	x.pass.Finish(outcome)
+	x.pass = nil
+}
+
+func outcomeOfError(err *verdict.Error) submission.Outcome {
+	return submission.Outcome{Verdict: err.Verdict, Status: err.Code.Status()}
+}
--- /dev/null
+++ b/entry/gateway/gateway.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/policy/routing"
+)
+
+// Paths of the caller interface.
+const (
+	servicePrefix = "/s/"
+	ticketsPath   = "/v1/tickets"
+)
+
+// Gateway is the handler of the caller listener.
+type Gateway struct {
+	options Options
+	metrics *metrics
+	rng     *rand.Rand
+	table   atomic.Pointer[table]
+	tenants tenantCounts
+
+	inFlight sharedCounter
+	ready    atomic.Bool
+	closing  atomic.Bool
+
+	peersMu sync.Mutex
+	peers   []routing.PeerLoad // as last reported
+	self    routing.PeerLoad   // as last published
+
+	exchanges sync.Pool
+}
+
+// runtimeSource draws from the runtime's generator, which each thread has its own of.
+type runtimeSource struct{}
+
+// Uint64 implements rand.Source.
+func (runtimeSource) Uint64() uint64 { return rand.Uint64() }
+
+// New returns a Gateway that follows the directory. It serves at once; Run must
+// be started as well.
+func New(options Options) *Gateway {
+	g := &Gateway{options: options.withDefaults(), rng: rand.New(runtimeSource{})}
+	g.metrics = newMetrics(g.options.Scope)
+	g.exchanges.New = func() any { return newExchange() }
+	g.ready.Store(true)
+	g.options.Directory.Subscribe(g.setSnapshot)
+	return g
+}
+
+// Ready reports whether the balancer should send requests here.
+func (g *Gateway) Ready() bool { return g.ready.Load() }
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.add(1)
+	defer g.inFlight.add(-1)
+	switch {
+	case g.closing.Load():
+		refusal := verdict.New(verdict.NotRun, verdict.CodeShuttingDown, "this entry instance is shutting down")
+		w.Header().Set("Connection", "close")
+		g.serveRefusal(w, r, refusal)
+	case strings.HasPrefix(r.URL.Path, servicePrefix):
+		g.serveService(w, r)
+	case r.URL.Path == ticketsPath:
+		g.serveTicket(w, r)
+	default:
+		problem := verdict.New(verdict.NotRun, verdict.CodeUnknownService, "the path is neither /s/{service}/... nor /v1/tickets")
+		g.serveRefusal(w, r, problem)
+	}
+}
+
+// Run does the periodic work until ctx ends.
+func (g *Gateway) Run(ctx context.Context) error {
+	return g.maintain(ctx)
+}
+
+// Shutdown fails readiness, accepts requests for the listener's grace, then waits
+// until work in progress has ended or ctx ends. The caller closes the listener
+// afterwards, and may then close connections.
+func (g *Gateway) Shutdown(ctx context.Context) error {
+	g.ready.Store(false)
+	g.options.Logger.Info("gateway is draining", "grace", g.options.Settings.ListenerGrace)
+	if err := pause(ctx, g.options.Settings.ListenerGrace); err != nil {
+		return err
+	}
+	g.closing.Store(true)
+	for g.inFlight.sum() > 0 {
+		if err := pause(ctx, drainPoll); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// drainPoll is the time between two looks at the work in progress.
+const drainPoll = 20 * time.Millisecond
+
+// pause waits for d, or returns the error of ctx.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/entry/gateway/maintain.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/entry/dispatch"
+)
+
+// windowInterval is the time after which old outcomes count half.
+const windowInterval = 10 * time.Second
+
+// maintain ticks every service until ctx ends.
+func (g *Gateway) maintain(ctx context.Context) error {
+	ticker := time.NewTicker(dispatch.TickInterval)
+	defer ticker.Stop()
+	windowStart := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			halve := now.Sub(windowStart) >= windowInterval
+			if halve {
+				windowStart = now
+			}
+			g.tick(now, halve)
+		}
+	}
+}
+
+func (g *Gateway) tick(now time.Time, halve bool) {
+	for _, entry := range g.table.Load().services {
+		entry.live.Tick(now)
+		if halve {
+			entry.live.HalveWindows()
+		}
+	}
+}
--- /dev/null
+++ b/entry/gateway/metrics.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/policy/retry"
+	"github.com/uber-go/tally/v4"
+)
+
+// maxTagValues bounds the distinct tenants, and the distinct classes, that get
+// metrics of their own; the rest is counted under otherValue.
+const (
+	maxTagValues = 64
+	otherValue   = "other"
+	noneValue    = "none"
+)
+
+// latencyBuckets run from 1 ms to about a minute.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 17)
+
+// metrics are the counters of the request path. Recording takes no lock once a
+// metric exists.
+type metrics struct {
+	scope    tally.Scope
+	tenants  histograms
+	classes  histograms
+	codes    counters
+	statuses counters
+	retries  counters
+	cutCount tally.Counter
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	return &metrics{
+		scope:    scope,
+		tenants:  histograms{scope: scope, name: "request_latency_by_tenant", tag: "tenant"},
+		classes:  histograms{scope: scope, name: "request_latency_by_class", tag: "class"},
+		codes:    counters{scope: scope, name: "refusals", tag: "code"},
+		statuses: counters{scope: scope, name: "answers", tag: "status"},
+		retries:  counters{scope: scope, name: "retry_decisions", tag: "decision"},
+		cutCount: scope.Counter("answers_cut"),
+	}
+}
+
+// answered counts an executor's answer.
+func (m *metrics) answered(x *exchange, status int, took time.Duration) {
+	m.statuses.inc(statusClass(status))
+	m.latency(x, took)
+}
+
+// refused counts an error that the gateway answered itself.
+func (m *metrics) refused(x *exchange, code verdict.Code, took time.Duration) {
+	m.codes.inc(string(code))
+	m.latency(x, took)
+}
+
+func (m *metrics) code(code verdict.Code) { m.codes.inc(string(code)) }
+
+func (m *metrics) cut() { m.cutCount.Inc(1) }
+
+func (m *metrics) latency(x *exchange, took time.Duration) {
+	m.tenants.record(x.tenant, took)
+	m.classes.record(x.class.Name, took)
+}
+
+// retry counts a decision on a retry.
+func (m *metrics) retry(refusal retry.Refusal) {
+	if refusal == retry.None {
+		m.retries.inc("retried")
+		return
+	}
+	m.retries.inc(string(refusal))
+}
+
+// statusClass returns a value such as 2xx.
+func statusClass(status int) string {
+	switch status / 100 {
+	case 2:
+		return "2xx"
+	case 3:
+		return "3xx"
+	case 4:
+		return "4xx"
+	case 5:
+		return "5xx"
+	default:
+		return strconv.Itoa(status)
+	}
+}
+
+// histograms is a family of histograms by the value of one tag.
+type histograms struct {
+	scope     tally.Scope
+	name, tag string
+	byValue   sync.Map
+	size      atomic.Int64
+}
+
+func (h *histograms) record(value string, took time.Duration) {
+	if value == "" {
+		value = noneValue
+	}
+	h.get(value).RecordDuration(took)
+}
+
+func (h *histograms) get(value string) tally.Histogram {
+	if known, ok := h.byValue.Load(value); ok {
+		return known.(tally.Histogram)
+	}
+	if value != otherValue && h.size.Add(1) > maxTagValues {
+		return h.get(otherValue)
+	}
+	made := h.scope.Tagged(map[string]string{h.tag: value}).Histogram(h.name, latencyBuckets)
+	stored, _ := h.byValue.LoadOrStore(value, made)
+	return stored.(tally.Histogram)
+}
+
+// counters is a family of counters by the value of one tag; its values are the
+// program's own, so they need no bound.
+type counters struct {
+	scope     tally.Scope
+	name, tag string
+	byValue   sync.Map
+}
+
+func (c *counters) inc(value string) {
+	if known, ok := c.byValue.Load(value); ok {
+		known.(tally.Counter).Inc(1)
+		return
+	}
+	made := c.scope.Tagged(map[string]string{c.tag: value}).Counter(c.name)
+	stored, _ := c.byValue.LoadOrStore(value, made)
+	stored.(tally.Counter).Inc(1)
+}
--- /dev/null
+++ b/entry/gateway/options.go
@@ -0,0 +1,87 @@
+// Package gateway answers callers: it admits each request, sends it to one
+// executor of its service, retries where that is safe, and says on every answer
+// whether the request ran.
+package gateway
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/entry/backend"
+	"github.com/tarragonreach/tarragonreach/entry/directory"
+	"github.com/tarragonreach/tarragonreach/entry/dispatch"
+	"github.com/tarragonreach/tarragonreach/entry/submission"
+	"github.com/uber-go/tally/v4"
+)
+
+// Options are the collaborators and settings of a Gateway.
+type Options struct {
+	// Self is this entry instance as the platform lists it.
+	Self fleet.InstanceID
+	// Zone is the availability zone of this entry instance.
+	Zone fleet.AvailabilityZone
+	// Directory publishes services and endpoints.
+	Directory *directory.Directory
+	// Transport sends attempts to backend servers.
+	Transport backend.Transport
+	// Guard runs keyed, non-repeatable requests at most once. Without one they are
+	// refused.
+	Guard submission.Guard
+	// Scope takes the metrics; nil takes tally.NoopScope.
+	Scope tally.Scope
+	// Logger takes changes of state; nil takes slog.Default.
+	Logger *slog.Logger
+	// Settings tune the request path; the zero value takes DefaultSettings.
+	Settings Settings
+}
+
+// Settings tune the request path.
+type Settings struct {
+	// DefaultTimeout applies where neither the caller nor the class names one.
+	DefaultTimeout time.Duration
+	// MaxTimeout bounds every request's timeout.
+	MaxTimeout time.Duration
+	// MaxBodyBytes bounds a body where the service sets no bound.
+	MaxBodyBytes int64
+	// BufferBytes is the largest request body that is buffered, so that it can be
+	// sent again.
+	BufferBytes int64
+	// MaxHeaderBytes bounds a request's header lines, for the server of callers.
+	MaxHeaderBytes int
+	// ProbeInterval is the time between two readiness probes of one executor.
+	ProbeInterval time.Duration
+	// ListenerGrace is how long an instance that shuts down still accepts requests
+	// after its readiness has failed.
+	ListenerGrace time.Duration
+	// Dispatch tunes ejection and retries.
+	Dispatch dispatch.Settings
+}
+
+// DefaultSettings returns the settings of production.
+func DefaultSettings() Settings {
+	return Settings{
+		DefaultTimeout: 30 * time.Second,
+		MaxTimeout:     10 * time.Minute,
+		MaxBodyBytes:   8 << 20,
+		BufferBytes:    256 << 10,
+		MaxHeaderBytes: 64 << 10,
+		ProbeInterval:  5 * time.Second,
+		ListenerGrace:  5 * time.Second,
+		Dispatch:       dispatch.DefaultSettings(),
+	}
+}
+
+// withDefaults fills what is absent.
+func (o Options) withDefaults() Options {
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	if o.Logger == nil {
+		o.Logger = slog.Default()
+	}
+	if o.Settings == (Settings{}) {
+		o.Settings = DefaultSettings()
+	}
+	return o
+}
--- /dev/null
+++ b/entry/gateway/problem.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/header"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+)
+
+// problemType is the media type of RFC 9457.
+const problemType = "application/problem+json"
+
+// Problem is the body of every error that the gateway answers, after RFC 9457.
+type Problem struct {
+	Type    string       `json:"type"`
+	Title   string       `json:"title"`
+	Status  int          `json:"status"`
+	Detail  string       `json:"detail"`
+	Code    verdict.Code `json:"code"`
+	Verdict string       `json:"verdict"`
+	// RequestID is absent where the request was refused before it got one.
+	RequestID string `json:"requestId,omitempty"`
+	// RetryAfter is in seconds; absent where there is no advice.
+	RetryAfter int `json:"retryAfter,omitempty"`
+}
+
+// finishRefused answers with a problem document and counts it.
+func (g *Gateway) finishRefused(w http.ResponseWriter, x *exchange, err *verdict.Error) {
+	g.finishPass(x, outcomeOfError(err))
+	g.metrics.refused(x, err.Code, time.Since(x.started))
+	if x.request.ID != "" {
+		w.Header()[header.RequestID] = []string{x.request.ID}
+	}
+	g.offerTicket(w.Header(), x)
+	writeProblem(w, err, x.request.ID)
+}
+
+// serveRefusal answers a request that is refused unread.
+func (g *Gateway) serveRefusal(w http.ResponseWriter, r *http.Request, refusal *verdict.Error) {
+	x := &exchange{started: time.Now(), key: r.Header.Get(header.IdempotencyKey), tenant: r.Header.Get(header.Tenant)}
+	refusal.Verdict = g.refusalVerdict(x)
+	g.metrics.code(refusal.Code)
+	writeProblem(w, refusal, "")
+}
+
+// writeProblem writes the problem document of an error.
+func writeProblem(w http.ResponseWriter, err *verdict.Error, requestID string) {
+	status := err.Code.Status()
+	problem := Problem{
+		Type:       "urn:tarragonreach:" + string(err.Code),
+		Title:      http.StatusText(status),
+		Status:     status,
+		Detail:     err.Detail,
+		Code:       err.Code,
+		Verdict:    err.Verdict.String(),
+		RequestID:  requestID,
+		RetryAfter: retryAfterSeconds(err),
+	}
+	body, _ := json.Marshal(problem) // A struct of strings and numbers always marshals.
+	h := w.Header()
+	h.Set("Content-Type", problemType)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(header.Verdict, problem.Verdict)
+	if problem.RetryAfter > 0 {
+		h.Set(header.RetryAfter, strconv.Itoa(problem.RetryAfter))
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // The caller may be gone.
+}
+
+// retryAfterSeconds rounds the advice up; a refusal for want of capacity always
+// gives one.
+func retryAfterSeconds(err *verdict.Error) int {
+	if err.RetryAfter > 0 {
+		return int(math.Ceil(err.RetryAfter.Seconds()))
+	}
+	switch err.Code.Status() {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/entry/gateway/tenants.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// tenantCounts counts the requests of each tenant with a cap. Only configured
+// tenants are counted, so the map stays small.
+type tenantCounts struct{ byName sync.Map }
+
+// acquire counts a request in, and reports false if the tenant is at its cap.
+func (c *tenantCounts) acquire(tenant string, limit int) bool {
+	if limit <= 0 {
+		return true
+	}
+	count := c.count(tenant)
+	if count.Add(1) > int64(limit) {
+		count.Add(-1)
+		return false
+	}
+	return true
+}
+
+// release counts a request out; limit is as in acquire.
+func (c *tenantCounts) release(tenant string, limit int) {
+	if limit > 0 {
+		c.count(tenant).Add(-1)
+	}
+}
+
+func (c *tenantCounts) count(tenant string) *atomic.Int64 {
+	if known, ok := c.byName.Load(tenant); ok {
+		return known.(*atomic.Int64)
+	}
+	made, _ := c.byName.LoadOrStore(tenant, new(atomic.Int64))
+	return made.(*atomic.Int64)
+}
--- /dev/null
+++ b/policy/admission/level.go
@@ -0,0 +1,161 @@
+package admission
+
+import "container/heap"
+
+// level holds the waiters of one priority.
+type level[T any] struct {
+	priority int
+	length   int
+	virtual  float64 // virtual time: the start of the flow served last
+	sequence uint64  // breaks ties between equal starts
+	flows    map[string]*flow[T]
+	active   activeFlows[T] // flows with waiters, by start
+}
+
+// flow is the list of one tenant's waiters at one level.
+type flow[T any] struct {
+	level       *level[T]
+	tenant      string
+	weight      float64
+	start       float64 // virtual time at which its first waiter may go
+	sequence    uint64
+	length      int
+	index       int // in the heap
+	first, last *Waiter[T]
+}
+
+func (l *level[T]) push(w *Waiter[T]) {
+	f := l.flows[w.Tenant]
+	if f == nil {
+		f = &flow[T]{level: l, tenant: w.Tenant}
+		l.flows[w.Tenant] = f
+	}
+	f.weight = float64(max(w.Weight, 1))
+	f.append(w)
+	l.length++
+	if f.length > 1 {
+		return
+	}
+	f.start = max(f.start, l.virtual)
+	l.sequence++
+	f.sequence = l.sequence
+	heap.Push(&l.active, f)
+}
+
+func (l *level[T]) pop() *Waiter[T] {
+	f := l.active[0]
+	w := f.first
+	l.virtual = f.start
+	f.start += 1 / f.weight
+	l.sequence++
+	f.sequence = l.sequence
+	l.detach(w)
+	if f.length > 0 {
+		heap.Fix(&l.active, f.index)
+	}
+	return w
+}
+
+func (l *level[T]) remove(w *Waiter[T]) { l.detach(w) }
+
+// detach unlinks the waiter and drops its flow from the heap once it is empty.
+func (l *level[T]) detach(w *Waiter[T]) {
+	f := w.flow
+	f.unlink(w)
+	l.length--
+	if f.length == 0 {
+		heap.Remove(&l.active, f.index)
+	}
+	if l.length == 0 {
+		l.virtual = 0
+		clear(l.flows)
+	}
+}
+
+func (l *level[T]) longest() *flow[T] {
+	longest := l.active[0]
+	for _, f := range l.active {
+		if f.length > longest.length {
+			longest = f
+		}
+	}
+	return longest
+}
+
+func (l *level[T]) ahead(tenant string, weight int) int {
+	own := 0
+	if f := l.flows[tenant]; f != nil {
+		own = f.length
+	}
+	ahead := own
+	for _, f := range l.active {
+		if f.tenant == tenant {
+			continue
+		}
+		share := int(float64(own+1) * f.weight / float64(weight))
+		ahead += min(f.length, share)
+	}
+	return ahead
+}
+
+func (f *flow[T]) append(w *Waiter[T]) {
+	w.flow = f
+	w.prev = f.last
+	w.next = nil
+	if f.last == nil {
+		f.first = w
+	} else {
+		f.last.next = w
+	}
+	f.last = w
+	f.length++
+}
+
+func (f *flow[T]) unlink(w *Waiter[T]) {
+	if w.prev == nil {
+		f.first = w.next
+	} else {
+		w.prev.next = w.next
+	}
+	if w.next == nil {
+		f.last = w.prev
+	} else {
+		w.next.prev = w.prev
+	}
+	w.flow, w.prev, w.next = nil, nil, nil
+	f.length--
+}
+
+// activeFlows is a heap of flows by start, then by sequence.
+type activeFlows[T any] []*flow[T]
+
+func (a activeFlows[T]) Len() int { return len(a) }
+
+func (a activeFlows[T]) Less(i, j int) bool {
+	if a[i].start != a[j].start {
+		return a[i].start < a[j].start
+	}
+	return a[i].sequence < a[j].sequence
+}
+
+func (a activeFlows[T]) Swap(i, j int) {
+	a[i], a[j] = a[j], a[i]
+	a[i].index = i
+	a[j].index = j
+}
+
+// Push is called by package heap.
+func (a *activeFlows[T]) Push(x any) {
+	f := x.(*flow[T])
+	f.index = len(*a)
+	*a = append(*a, f)
+}
+
+// Pop is called by package heap.
+func (a *activeFlows[T]) Pop() any {
+	last := len(*a) - 1
+	f := (*a)[last]
+	(*a)[last] = nil
+	*a = (*a)[:last]
+	return f
+}
