--- /dev/null
+++ b/entry/config/check.go
@@ -0,0 +1,84 @@
+package config
+
+import (
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/object"
+)
+
+// check returns why the change cannot follow on the state, or nil.
+func (l *Log) check(held *state, change object.Change) error {
+	if err := l.checkBase(held, change); err != nil {
+		return err
+	}
+	return object.ValidateChange(held.config, change, l.instances()).Err()
+}
+
+// checkBase returns an *object.Conflict for the first object that has changed
+// since the revision on which the change was made.
+func (l *Log) checkBase(held *state, change object.Change) error {
+	base := map[object.Key]object.Revision{}
+	for _, b := range change.Base {
+		base[b.Key] = b.Revision
+	}
+	for _, key := range change.Touched() {
+		current := held.revisionOf(key)
+		if base[key] != current {
+			return newConflict(held, change, key, base[key])
+		}
+	}
+	return nil
+}
+
+// newConflict describes the other change as far as it is recent.
+func newConflict(held *state, change object.Change, key object.Key, base object.Revision) *object.Conflict {
+	conflict := &object.Conflict{Key: key, Base: base, Current: held.revisionOf(key)}
+	conflict.Differences = differencesFor(held, change, key)
+	if other, ok := lastChange(held, key); ok {
+		conflict.ChangeID, conflict.Author, conflict.Reason, conflict.At = other.ID, other.Author, other.Reason, other.At
+	}
+	return conflict
+}
+
+// lastChange returns the newest recent change that touched the object.
+func lastChange(held *state, key object.Key) (Summary, bool) {
+	for i := len(held.recent) - 1; i >= 0; i-- {
+		for _, touched := range held.recent[i].Touched {
+			if touched == key {
+				return held.recent[i], true
+			}
+		}
+	}
+	return Summary{}, false
+}
+
+// differencesFor tells the object as it stands from the one in the change.
+func differencesFor(held *state, change object.Change, key object.Key) []object.Difference {
+	differences, err := object.Diff(held.config, held.config.Apply(change))
+	if err != nil {
+		return nil
+	}
+	var out []object.Difference
+	for _, d := range differences {
+		if d.Key == key {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+func (l *Log) instances() []fleet.Instance {
+	if l.options.Instances == nil {
+		return nil
+	}
+	return l.options.Instances()
+}
+
+// WithBase returns the change with the base revisions of all objects that it
+// touches, as they stand in the configuration on which it was made.
+func WithBase(change object.Change, seen *object.Config) object.Change {
+	change.Base = nil
+	for _, key := range change.Touched() {
+		change.Base = append(change.Base, object.BaseRevision{Key: key, Revision: seen.RevisionOf(key)})
+	}
+	return change
+}
--- /dev/null
+++ b/entry/config/compact.go
@@ -0,0 +1,166 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/platform"
+)
+
+// Compaction of the log.
+const (
+	// logKept is how many entries stay in the log after a compaction.
+	logKept = 512
+	// compactEvery is how many revisions lie between two compactions.
+	compactEvery = 256
+	// compactTimeout bounds one compaction.
+	compactTimeout = 30 * time.Second
+	// maxSnapshotValue bounds the compressed snapshot, below the store's limit.
+	maxSnapshotValue = 900 << 10
+)
+
+// compactIfDue compacts after every compactEvery-th revision. A compaction that
+// fails is made up for by the next one.
+func (l *Log) compactIfDue(ctx context.Context, revision object.Revision) {
+	if revision%compactEvery != 0 || revision < logKept+compactEvery {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), compactTimeout)
+	defer cancel()
+	if err := l.Compact(ctx); err != nil {
+		l.logger.Warn("configuration log not compacted", "revision", revision, "error", err)
+	}
+}
+
+// Compact moves the store's snapshot forward to logKept revisions before the
+// newest one and drops the log entries up to there. Any number of processes may
+// compact at once: the snapshot only moves forward, by compare-and-swap.
+func (l *Log) Compact(ctx context.Context) error {
+	base, err := l.base(ctx)
+	if err != nil {
+		return err
+	}
+	target := l.follower.Current().Revision - logKept
+	if target <= base.state.revision() {
+		return l.dropLog(ctx, base.state.revision())
+	}
+	next, err := l.replay(ctx, base.state, target)
+	if err != nil {
+		return err
+	}
+	body, err := encodeSnapshot(next)
+	if err != nil {
+		return err
+	}
+	if len(body) > maxSnapshotValue {
+		return fmt.Errorf("configuration snapshot of %d bytes, the limit is %d: %w", len(body), maxSnapshotValue, platform.ErrTooLarge)
+	}
+	if err := l.writeSnapshot(ctx, body, base.revision); err != nil {
+		return err
+	}
+	return l.dropLog(ctx, target)
+}
+
+// storedBase is the store's snapshot with the store's revision of it, both zero
+// where there is none.
+type storedBase struct {
+	state    *state
+	revision platform.Revision
+}
+
+func (l *Log) base(ctx context.Context) (storedBase, error) {
+	entry, err := l.store.Get(ctx, snapshotKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return storedBase{state: emptyState()}, nil
+	}
+	if err != nil {
+		return storedBase{}, fmt.Errorf("read the configuration snapshot: %w", err)
+	}
+	held, err := decodeSnapshot(entry.Value)
+	if err != nil {
+		return storedBase{}, err
+	}
+	return storedBase{state: held, revision: entry.Revision}, nil
+}
+
+// replay applies the log to the state up to the target revision.
+func (l *Log) replay(ctx context.Context, from *state, target object.Revision) (*state, error) {
+	after := logKey(from.revision())
+	for held := from; ; {
+		page, err := l.store.List(ctx, logPrefix, after, listLimit)
+		if err != nil {
+			return nil, fmt.Errorf("list the configuration log: %w", err)
+		}
+		held, err = applyEntries(held, page.Entries, target)
+		if err != nil || held.revision() == target {
+			return held, err
+		}
+		if page.Next == "" {
+			return nil, fmt.Errorf("revision %d is not in the log", target)
+		}
+		after = page.Next
+	}
+}
+
+func applyEntries(held *state, entries []platform.Entry, target object.Revision) (*state, error) {
+	for _, entry := range entries {
+		if held.revision() == target {
+			return held, nil
+		}
+		revision, err := revisionOfKey(entry.Key)
+		if err != nil {
+			return nil, err
+		}
+		if revision != held.revision()+1 {
+			return nil, errLogMoved
+		}
+		record, err := decodeRecord(entry.Value, revision)
+		if err != nil {
+			return nil, err
+		}
+		held = held.apply(record)
+	}
+	return held, nil
+}
+
+// writeSnapshot creates or replaces the snapshot. Where another process was
+// faster its snapshot stands, which is as good.
+func (l *Log) writeSnapshot(ctx context.Context, body []byte, prev platform.Revision) error {
+	var err error
+	if prev == 0 {
+		_, err = l.store.Create(ctx, snapshotKey, body, 0)
+	} else {
+		_, err = l.store.Swap(ctx, snapshotKey, body, prev, 0)
+	}
+	if err != nil {
+		return fmt.Errorf("write the configuration snapshot: %w", err)
+	}
+	return nil
+}
+
+// dropLog deletes log entries up to the revision, oldest first, so that the log
+// stays without gaps whenever this ends.
+func (l *Log) dropLog(ctx context.Context, upTo object.Revision) error {
+	after := logPrefix
+	for {
+		page, err := l.store.List(ctx, logPrefix, after, listLimit)
+		if err != nil {
+			return fmt.Errorf("list the configuration log: %w", err)
+		}
+		for _, entry := range page.Entries {
+			if entry.Key > logKey(upTo) {
+				return nil
+			}
+			if err := l.store.Delete(ctx, entry.Key, entry.Revision); err != nil && !errors.Is(err, platform.ErrNotFound) {
+				return fmt.Errorf("drop %s: %w", entry.Key, err)
+			}
+		}
+		if page.Next == "" {
+			return nil
+		}
+		after = page.Next
+	}
+}
--- /dev/null
+++ b/entry/config/log.go
@@ -0,0 +1,244 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/platform"
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
+)
+
+// Bounds of one Accept.
+const (
+	// maxRaces bounds how often a change is rebased because another was accepted first.
+	maxRaces = 16
+	// createTimeout bounds one attempt to create a log entry.
+	createTimeout = 3 * time.Second
+	// acceptTimeout bounds an Accept whose context has no deadline.
+	acceptTimeout = 20 * time.Second
+	// maxRecordBytes bounds the log entry of one change.
+	maxRecordBytes = 900 << 10
+)
+
+// LogOptions configure a Log.
+type LogOptions struct {
+	// Instances returns the fleet as known, against which selectors are checked;
+	// nil checks selectors without it.
+	Instances func() []fleet.Instance
+	// Logger gets changes of state; nil discards them.
+	Logger *slog.Logger
+}
+
+// Log accepts changes into the configuration log. It is safe for concurrent use,
+// and any number of processes may accept changes at the same time.
+type Log struct {
+	store    platform.Store
+	follower *Follower
+	options  LogOptions
+	logger   *slog.Logger
+}
+
+// NewLog returns a log that shares what it reads and writes with the follower.
+func NewLog(store platform.Store, follower *Follower, options LogOptions) *Log {
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
+	}
+	return &Log{store: store, follower: follower, options: options, logger: options.Logger}
+}
+
+// Accept validates the change and accepts it as the next revision, which it
+// returns. The call is idempotent by the change's ID.
+//
+// A change that was refused gives an *object.Conflict, an object.Invalid, or a
+// *verdict.Error with NotRun. Where the outcome is unknown it gives a
+// *verdict.Error with MayHaveRun; the same change may then be sent again.
+func (l *Log) Accept(ctx context.Context, change object.Change) (object.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	if change.At.IsZero() {
+		change.At = time.Now().UTC()
+	}
+	for range maxRaces {
+		revision, err := l.acceptOnce(ctx, change)
+		if errors.Is(err, errOvertaken) {
+			continue
+		}
+		if err != nil {
+			return 0, err
+		}
+		l.compactIfDue(ctx, revision)
+		return revision, nil
+	}
+	return 0, notRun("other changes were accepted first too often", errOvertaken)
+}
+
+// errOvertaken says that another change took the revision.
+var errOvertaken = errors.New("another change took the revision")
+
+// acceptOnce tries to accept the change right after the newest revision.
+func (l *Log) acceptOnce(ctx context.Context, change object.Change) (object.Revision, error) {
+	at, err := l.read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	held := l.follower.current.Load()
+	if revision := held.accepted(change.ID); revision > 0 {
+		return revision, nil
+	}
+	if err := l.check(held, change); err != nil {
+		return 0, err
+	}
+	record, err := newRecord(change, held.revision()+1)
+	if err != nil {
+		return 0, notRun("the change cannot be encoded", err)
+	}
+	return l.create(ctx, record, at)
+}
+
+// read brings the follower level with the store, so that the change is checked
+// against the newest revision.
+func (l *Log) read(ctx context.Context) (platform.Revision, error) {
+	failures := 0
+	for {
+		at, err := l.follower.refreshWithin(ctx, readTimeout)
+		if err == nil {
+			return at, nil
+		}
+		failures++
+		if failures > maxReadFailures || backoff.Sleep(ctx, backoff.Default.Delay(failures, backoff.NewRandom())) != nil {
+			return 0, notRun("the store cannot be read, so no change can be accepted", err)
+		}
+	}
+}
+
+// maxReadFailures is how often Accept reads in vain before it gives up.
+const maxReadFailures = 3
+
+// create writes the log entry, resolves lost answers and puts the revision in force.
+func (l *Log) create(ctx context.Context, record Record, at platform.Revision) (object.Revision, error) {
+	body, err := json.Marshal(record)
+	if err != nil {
+		return 0, notRun("the change cannot be encoded", err)
+	}
+	if len(body) > maxRecordBytes {
+		return 0, notRun(fmt.Sprintf("the change has %d bytes, the limit is %d", len(body), maxRecordBytes), platform.ErrTooLarge)
+	}
+	created, err := l.createEntry(ctx, record, body)
+	if err != nil {
+		return 0, err
+	}
+	if err := l.confirm(ctx, record, created, at); err != nil {
+		return 0, err
+	}
+	l.follower.append(record, body)
+	l.logger.Info("change accepted", "revision", record.Revision, "change", record.ID, "author", record.Author)
+	return record.Revision, nil
+}
+
+// createEntry creates the entry until the answer is certain. Once an attempt was
+// ambiguous, an error means that the change may have been accepted.
+func (l *Log) createEntry(ctx context.Context, record Record, body []byte) (platform.Revision, error) {
+	key := logKey(record.Revision)
+	ambiguous, failures := false, 0
+	for {
+		revision, err := l.createWithin(ctx, key, body)
+		if err == nil {
+			return revision, nil
+		}
+		if errors.Is(err, platform.ErrExists) {
+			revision, err = l.ownEntry(ctx, key, record, ambiguous)
+			if err == nil || errors.Is(err, errOvertaken) {
+				return revision, err
+			}
+		}
+		ambiguous = ambiguous || isAmbiguous(err)
+		failures++
+		if backoff.Sleep(ctx, backoff.Default.Delay(failures, backoff.NewRandom())) != nil {
+			return 0, unresolved(err, ambiguous)
+		}
+	}
+}
+
+func (l *Log) createWithin(ctx context.Context, key string, body []byte) (platform.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, createTimeout)
+	defer cancel()
+	return l.store.Create(ctx, key, body, 0)
+}
+
+// ownEntry tells an entry that this call created from one of another change. An
+// entry that is gone again was compacted, so other changes came first.
+func (l *Log) ownEntry(ctx context.Context, key string, record Record, ambiguous bool) (platform.Revision, error) {
+	if !ambiguous {
+		return 0, errOvertaken
+	}
+	entry, err := l.store.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, errOvertaken
+	}
+	if err != nil {
+		return 0, err
+	}
+	found, err := decodeRecord(entry.Value, record.Revision)
+	if err != nil || found.ID != record.ID {
+		return 0, errOvertaken
+	}
+	return entry.Revision, nil
+}
+
+// confirm makes sure that the entry was not created in the place of one that had
+// been compacted, as by a process paused since it read the log. The log keeps its
+// last entries, so this cannot be where the store saw fewer writes since then.
+func (l *Log) confirm(ctx context.Context, record Record, created, read platform.Revision) error {
+	if created-read <= logKept {
+		return nil
+	}
+	entry, err := l.store.Get(ctx, snapshotKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return unresolved(err, true)
+	}
+	compacted, err := decodeSnapshot(entry.Value)
+	if err != nil {
+		return unresolved(err, true)
+	}
+	if compacted.revision() < record.Revision {
+		return nil
+	}
+	_ = l.store.Delete(ctx, logKey(record.Revision), created)
+	return errOvertaken
+}
+
+// isAmbiguous reports whether a write that failed with err may have taken effect.
+func isAmbiguous(err error) bool {
+	for _, certain := range []error{platform.ErrRateLimited, platform.ErrTooLarge, platform.ErrExists, platform.ErrNotFound} {
+		if errors.Is(err, certain) {
+			return false
+		}
+	}
+	return verdict.Of(err) != verdict.NotRun
+}
+
+func notRun(detail string, cause error) error {
+	e := verdict.New(verdict.NotRun, CodeStoreUnavailable, detail)
+	e.Err = cause
+	return e
+}
+
+func unresolved(cause error, ambiguous bool) error {
+	if !ambiguous {
+		return notRun("the store took no change", cause)
+	}
+	e := verdict.New(verdict.MayHaveRun, CodeOutcomeUnknown,
+		"the change may have been accepted: send it again with the same ID")
+	e.Err = cause
+	return e
+}
--- /dev/null
+++ b/entry/config/refresh.go
@@ -0,0 +1,150 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/platform"
+)
+
+// listLimit is the number of log entries in one page.
+const listLimit = 100
+
+// maxRefreshes bounds how often one read starts anew because the log was
+// compacted meanwhile.
+const maxRefreshes = 4
+
+// Errors of a store whose content contradicts the revision held.
+var (
+	ErrStoreDiverged = errors.New("the store holds another change at the revision held here")
+	ErrStoreBehind   = errors.New("the store holds an older revision than the one held here")
+	errLogMoved      = errors.New("the log was compacted while it was read")
+)
+
+// refresh reads all newer revisions from the store and returns the store's
+// revision at the time of the reading, from which a watch may start.
+func (f *Follower) refresh(ctx context.Context) (platform.Revision, error) {
+	for range maxRefreshes {
+		at, err := f.readLog(ctx)
+		if !errors.Is(err, errLogMoved) {
+			f.noteStore(err)
+			return at, err
+		}
+		if err := f.readSnapshot(ctx); err != nil {
+			f.noteStore(err)
+			return 0, err
+		}
+	}
+	f.noteStore(errLogMoved)
+	return 0, errLogMoved
+}
+
+// readLog reads the log from the revision held on. All pages are read before any
+// entry is applied, because an entry that a paused process created after its
+// revision was compacted shows up only as a gap.
+func (f *Follower) readLog(ctx context.Context) (platform.Revision, error) {
+	held := f.current.Load()
+	entries, at, err := f.listLog(ctx, held.revision())
+	if err != nil {
+		return 0, err
+	}
+	if len(entries) == 0 {
+		return f.checkEmptyLog(ctx, held, at)
+	}
+	records, err := decodeEntries(entries, held)
+	if err != nil {
+		return 0, err
+	}
+	for i, record := range records {
+		if !f.append(record, entries[i].Value) {
+			return 0, errLogMoved
+		}
+	}
+	f.setKnown("store")
+	return at, nil
+}
+
+// listLog lists the log from the entry of the given revision on. The revision
+// returned is the one of the first page.
+func (f *Follower) listLog(ctx context.Context, from object.Revision) ([]platform.Entry, platform.Revision, error) {
+	var entries []platform.Entry
+	var at platform.Revision
+	after := logKey(max(from-1, 0))
+	for {
+		f.counter.lists.Add(1)
+		page, err := f.store.List(ctx, logPrefix, after, listLimit)
+		if err != nil {
+			return nil, 0, fmt.Errorf("list the configuration log: %w", err)
+		}
+		if at == 0 {
+			at = page.Revision
+		}
+		entries = append(entries, page.Entries...)
+		if page.Next == "" {
+			return entries, at, nil
+		}
+		after = page.Next
+	}
+}
+
+// decodeEntries reads entries that must continue the state held without a gap.
+func decodeEntries(entries []platform.Entry, held *state) ([]Record, error) {
+	records := make([]Record, 0, len(entries))
+	for i, entry := range entries {
+		revision, err := revisionOfKey(entry.Key)
+		if err != nil {
+			return nil, err
+		}
+		if !continues(held.revision(), records, revision) {
+			return nil, errLogMoved
+		}
+		record, err := decodeRecord(entry.Value, revision)
+		if err != nil {
+			return nil, err
+		}
+		if i == 0 && revision == held.revision() && record.ID != held.config.ChangeID {
+			return nil, fmt.Errorf("revision %d: %w", revision, ErrStoreDiverged)
+		}
+		records = append(records, record)
+	}
+	return records, nil
+}
+
+// continues reports whether revision follows on the records read so far. The
+// first may be the revision held or the next one.
+func continues(held object.Revision, records []Record, revision object.Revision) bool {
+	if len(records) > 0 {
+		return revision == records[len(records)-1].Revision+1
+	}
+	return revision == held || revision == held+1
+}
+
+// checkEmptyLog handles a log without entries from the held revision on: a new
+// store, or one that has lost writes.
+func (f *Follower) checkEmptyLog(ctx context.Context, held *state, at platform.Revision) (platform.Revision, error) {
+	if held.revision() > 0 {
+		return 0, fmt.Errorf("revision %d: %w", held.revision(), ErrStoreBehind)
+	}
+	if err := f.readSnapshot(ctx); err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return 0, err
+	}
+	f.setKnown("store")
+	return at, nil
+}
+
+// readSnapshot installs the store's snapshot if it is newer than the state held.
+func (f *Follower) readSnapshot(ctx context.Context) error {
+	f.counter.snapshots.Add(1)
+	entry, err := f.store.Get(ctx, snapshotKey)
+	if err != nil {
+		return fmt.Errorf("read the configuration snapshot: %w", err)
+	}
+	next, err := decodeSnapshot(entry.Value)
+	if err != nil {
+		return err
+	}
+	f.install(next)
+	return nil
+}
--- /dev/null
+++ b/entry/config/replica.go
@@ -0,0 +1,84 @@
+package config
+
+import (
+	"context"
+	"errors"
+
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/mesh"
+)
+
+var _ mesh.Replica = (*Follower)(nil)
+
+// Digest implements mesh.Replica.
+func (f *Follower) Digest() []mesh.StreamVersion {
+	return []mesh.StreamVersion{{Stream: Stream, Version: int64(f.Current().Revision)}}
+}
+
+// Read implements mesh.Replica. It returns log entries, or a snapshot where the
+// entry after the given revision is no longer kept.
+func (f *Follower) Read(stream mesh.Stream, after int64, maxBytes int) []mesh.Document {
+	if stream != Stream {
+		return nil
+	}
+	held, entries, ok := f.readTail(object.Revision(after), maxBytes)
+	if int64(held.revision()) <= after {
+		return nil
+	}
+	if !ok {
+		return snapshotDocument(held)
+	}
+	documents := make([]mesh.Document, 0, len(entries))
+	for _, entry := range entries {
+		documents = append(documents, mesh.Document{Stream: Stream, Version: int64(entry.revision), Body: entry.body})
+	}
+	return documents
+}
+
+func (f *Follower) readTail(after object.Revision, maxBytes int) (*state, []logged, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	entries, ok := f.tail.after(after, maxBytes)
+	return f.current.Load(), entries, ok
+}
+
+func snapshotDocument(held *state) []mesh.Document {
+	body, err := encodeSnapshot(held)
+	if err != nil {
+		return nil
+	}
+	return []mesh.Document{{Stream: Stream, Version: int64(held.revision()), Snapshot: true, Body: body}}
+}
+
+// Merge implements mesh.Replica. Documents that cannot be read are reported and
+// the others are taken all the same.
+func (f *Follower) Merge(_ context.Context, documents []mesh.Document) error {
+	var faults []error
+	for _, document := range documents {
+		if document.Stream != Stream || document.Version <= int64(f.Current().Revision) {
+			continue
+		}
+		if err := f.merge(document); err != nil {
+			f.counter.unreadable.Add(1)
+			faults = append(faults, err)
+		}
+	}
+	return errors.Join(faults...)
+}
+
+func (f *Follower) merge(document mesh.Document) error {
+	if document.Snapshot {
+		next, err := decodeSnapshot(document.Body)
+		if err != nil {
+			return err
+		}
+		f.install(next)
+		return nil
+	}
+	record, err := decodeRecord(document.Body, object.Revision(document.Version))
+	if err != nil {
+		return err
+	}
+	f.append(record, document.Body)
+	return nil
+}
--- /dev/null
+++ b/entry/config/run.go
@@ -0,0 +1,119 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/platform"
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
+)
+
+// Pace of the reads from the store.
+const (
+	// watchWait ends a watch, so that one which has gone silent is found out.
+	watchWait = 3 * time.Second
+	// readTimeout bounds one read of the log.
+	readTimeout = 5 * time.Second
+	// pollInterval is the mean time between two reads by one that does not watch.
+	pollInterval = 30 * time.Second
+	// roleInterval is how often one that does not watch looks whether it should.
+	roleInterval = time.Second
+)
+
+// Run follows the store until ctx ends. It retries with backoff for as long as
+// the store is out; meanwhile peers may bring newer revisions.
+func (f *Follower) Run(ctx context.Context) error {
+	failures := 0
+	for ctx.Err() == nil {
+		if err := f.step(ctx); err == nil {
+			failures = 0
+			continue
+		}
+		failures++
+		_ = backoff.Sleep(ctx, f.retryPolicy().Delay(failures, f.options.Random))
+	}
+	return ctx.Err()
+}
+
+// retryPolicy lets those that neither watch nor wait for their first
+// configuration return to the store as seldom as they poll it.
+func (f *Follower) retryPolicy() backoff.Policy {
+	if f.isWatcher() || f.Ready() != nil {
+		return backoff.Default
+	}
+	return backoff.Policy{Base: backoff.Default.Base, Cap: pollInterval}
+}
+
+// step reads the log and then watches, or waits for the next poll.
+func (f *Follower) step(ctx context.Context) error {
+	at, err := f.refreshWithin(ctx, readTimeout)
+	if err != nil {
+		return err
+	}
+	if !f.isWatcher() {
+		f.waitForPoll(ctx)
+		return nil
+	}
+	return f.watch(ctx, at)
+}
+
+func (f *Follower) refreshWithin(ctx context.Context, timeout time.Duration) (platform.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return f.refresh(ctx)
+}
+
+// waitForPoll returns when the next poll is due or this instance is to watch.
+func (f *Follower) waitForPoll(ctx context.Context) {
+	spread := pollInterval / 2
+	due := time.Now().Add(spread + time.Duration(f.options.Random.Int64N(int64(pollInterval))))
+	for time.Now().Before(due) && ctx.Err() == nil && !f.isWatcher() {
+		_ = backoff.Sleep(ctx, roleInterval)
+	}
+}
+
+// watch applies events until one is missing, the watch is silent or it fails. An
+// answer without events is checked by reading the log, which step does next.
+func (f *Follower) watch(ctx context.Context, at platform.Revision) error {
+	for {
+		events, err := f.watchOnce(ctx, at)
+		switch {
+		case errors.Is(err, platform.ErrCompacted), errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil:
+			return nil
+		case err != nil:
+			f.noteStore(err)
+			return err
+		}
+		f.noteStore(nil)
+		if len(events.Events) == 0 || !f.applyEvents(events) {
+			return nil
+		}
+		at = events.Revision
+	}
+}
+
+func (f *Follower) watchOnce(ctx context.Context, at platform.Revision) (platform.Events, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait)
+	defer cancel()
+	f.counter.watches.Add(1)
+	return f.store.Watch(ctx, logPrefix, at)
+}
+
+// applyEvents reports false where the log must be read anew.
+func (f *Follower) applyEvents(events platform.Events) bool {
+	for _, event := range events.Events {
+		if event.Deleted {
+			continue
+		}
+		revision, err := revisionOfKey(event.Entry.Key)
+		if err != nil {
+			return false
+		}
+		record, err := decodeRecord(event.Entry.Value, revision)
+		if err != nil || !f.append(record, event.Entry.Value) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/entry/config/snapshot.go
@@ -0,0 +1,95 @@
+package config
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/object"
+)
+
+// maxSnapshotBytes bounds a snapshot before compression.
+const maxSnapshotBytes = 16 << 20
+
+var errSnapshotTooLarge = errors.New("snapshot exceeds its limit")
+
+// snapshot is the whole configuration at one revision as the store holds it.
+type snapshot struct {
+	Revision   object.Revision `json:"revision"`
+	ChangeID   string          `json:"changeID"`
+	AcceptedAt time.Time       `json:"acceptedAt"`
+	Objects    []storedObject  `json:"objects"`
+	Recent     []Summary       `json:"recent"`
+}
+
+// encodeSnapshot returns the state as compressed JSON. Equal states give equal bytes.
+func encodeSnapshot(s *state) ([]byte, error) {
+	body := snapshot{
+		Revision: s.revision(), ChangeID: s.config.ChangeID,
+		AcceptedAt: s.config.AcceptedAt, Recent: s.recent,
+	}
+	for _, stored := range s.objects {
+		body.Objects = append(body.Objects, stored)
+	}
+	slices.SortFunc(body.Objects, func(a, b storedObject) int {
+		return strings.Compare(a.Key.String(), b.Key.String())
+	})
+	var out bytes.Buffer
+	packed := gzip.NewWriter(&out)
+	if err := json.NewEncoder(packed).Encode(body); err != nil {
+		return nil, fmt.Errorf("encode snapshot %d: %w", body.Revision, err)
+	}
+	if err := packed.Close(); err != nil {
+		return nil, fmt.Errorf("compress snapshot %d: %w", body.Revision, err)
+	}
+	return out.Bytes(), nil
+}
+
+// decodeSnapshot reads what encodeSnapshot wrote.
+func decodeSnapshot(body []byte) (*state, error) {
+	plain, err := gunzip(body)
+	if err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	var read snapshot
+	if err := json.Unmarshal(plain, &read); err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	if read.Revision <= 0 {
+		return nil, fmt.Errorf("snapshot has revision %d, want a positive one", read.Revision)
+	}
+	return read.state(), nil
+}
+
+func gunzip(body []byte) ([]byte, error) {
+	packed, err := gzip.NewReader(bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	plain, err := io.ReadAll(io.LimitReader(packed, maxSnapshotBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(plain) > maxSnapshotBytes {
+		return nil, errSnapshotTooLarge
+	}
+	return plain, nil
+}
+
+func (read snapshot) state() *state {
+	config := &object.Config{Revision: read.Revision, ChangeID: read.ChangeID, AcceptedAt: read.AcceptedAt}
+	out := &state{config: config, recent: read.Recent, objects: make(map[object.Key]storedObject, len(read.Objects))}
+	for _, stored := range read.Objects {
+		out.objects[stored.Key] = stored
+		if err := config.Restore(stored.Item, stored.Revision); err != nil {
+			out.unknown++
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/entry/config/state.go
@@ -0,0 +1,87 @@
+package config
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/object"
+)
+
+// recentKept is how many summaries of past changes a follower holds.
+const recentKept = 256
+
+// storedObject is one object as JSON with the revision that last wrote it.
+type storedObject struct {
+	object.Item
+	Revision object.Revision `json:"revision"`
+}
+
+// Summary says of an accepted change who made it and what it touched.
+type Summary struct {
+	Revision object.Revision `json:"revision"`
+	ID       string          `json:"id"`
+	Author   string          `json:"author,omitempty"`
+	Reason   string          `json:"reason,omitempty"`
+	At       time.Time       `json:"at"`
+	Touched  []object.Key    `json:"touched,omitempty"`
+}
+
+// state is the configuration at one revision. It is immutable.
+type state struct {
+	config  *object.Config
+	objects map[object.Key]storedObject
+	recent  []Summary // oldest first
+	// unknown counts the specs that this version of the program does not understand.
+	unknown int
+}
+
+func emptyState() *state { return &state{config: &object.Config{}} }
+
+func (s *state) revision() object.Revision { return s.config.Revision }
+
+// apply returns the state after the record, which must be for the next revision.
+func (s *state) apply(record Record) *state {
+	change, left := record.change()
+	next := &state{
+		config:  s.config.Apply(change),
+		objects: maps.Clone(s.objects),
+		recent:  appendRecent(s.recent, summaryOf(record)),
+		unknown: s.unknown + left,
+	}
+	if next.objects == nil {
+		next.objects = make(map[object.Key]storedObject, len(record.Put))
+	}
+	for _, item := range record.Put {
+		next.objects[item.Key] = storedObject{Item: item, Revision: record.Revision}
+	}
+	for _, key := range record.Delete {
+		delete(next.objects, key)
+	}
+	return next
+}
+
+// revisionOf returns the revision that last wrote the object, or zero.
+func (s *state) revisionOf(key object.Key) object.Revision { return s.objects[key].Revision }
+
+// accepted returns the revision of a recent change with that ID, or zero.
+func (s *state) accepted(id string) object.Revision {
+	for _, summary := range slices.Backward(s.recent) {
+		if summary.ID == id {
+			return summary.Revision
+		}
+	}
+	return 0
+}
+
+func summaryOf(record Record) Summary {
+	return Summary{
+		Revision: record.Revision, ID: record.ID, Author: record.Author,
+		Reason: record.Reason, At: record.At, Touched: record.touched(),
+	}
+}
+
+func appendRecent(recent []Summary, summary Summary) []Summary {
+	out := append(slices.Clone(recent), summary)
+	return out[max(0, len(out)-recentKept):]
+}
--- /dev/null
+++ b/entry/config/status.go
@@ -0,0 +1,119 @@
+package config
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/object"
+)
+
+// counters count what the follower and the log did.
+type counters struct {
+	applied    atomic.Int64
+	ignored    atomic.Int64
+	gaps       atomic.Int64
+	unreadable atomic.Int64
+	lists      atomic.Int64
+	watches    atomic.Int64
+	snapshots  atomic.Int64
+	errors     atomic.Int64
+}
+
+// Counters are what the follower and its log have done since the start.
+type Counters struct {
+	// Applied counts revisions put in force, Ignored those that were held already.
+	Applied int64 `json:"applied"`
+	Ignored int64 `json:"ignored"`
+	// Gaps counts the times that a revision was missing and the log was read anew.
+	Gaps int64 `json:"gaps"`
+	// Unreadable counts documents of peers or of the store that could not be read.
+	Unreadable int64 `json:"unreadable"`
+	// Lists, Watches and Snapshots count reads of the store, Errors those that failed.
+	Lists     int64 `json:"lists"`
+	Watches   int64 `json:"watches"`
+	Snapshots int64 `json:"snapshots"`
+	Errors    int64 `json:"errors"`
+}
+
+// Counters returns the counts since the start.
+func (f *Follower) Counters() Counters {
+	c := &f.counter
+	return Counters{
+		Applied: c.applied.Load(), Ignored: c.ignored.Load(), Gaps: c.gaps.Load(),
+		Unreadable: c.unreadable.Load(), Lists: c.lists.Load(), Watches: c.watches.Load(),
+		Snapshots: c.snapshots.Load(), Errors: c.errors.Load(),
+	}
+}
+
+// sourceStatus is what the last reads of the store said.
+type sourceStatus struct {
+	reachable bool
+	checked   time.Time // the last read that succeeded
+	failed    error     // the last failure; nil while the store is reachable
+}
+
+// Status says what is held here and how old it is.
+type Status struct {
+	Revision   object.Revision `json:"revision"`
+	ChangeID   string          `json:"changeID,omitempty"`
+	AcceptedAt time.Time       `json:"acceptedAt,omitzero"`
+	// Age is the time since the configuration was last known to be the newest one.
+	Age time.Duration `json:"age"`
+	// Verified is the last time that the store confirmed the revision; zero if never.
+	Verified       time.Time `json:"verified,omitzero"`
+	StoreReachable bool      `json:"storeReachable"`
+	StoreError     string    `json:"storeError,omitempty"`
+	Watching       bool      `json:"watching"`
+	Ready          bool      `json:"ready"`
+	NotReady       string    `json:"notReady,omitempty"`
+	// Unknown counts objects written by a newer version of the program that this
+	// one keeps but does not understand.
+	Unknown int `json:"unknown,omitempty"`
+}
+
+// Status returns the status at now.
+func (f *Follower) Status(now time.Time) Status {
+	held, source := f.current.Load(), f.source.Load()
+	status := Status{
+		Revision: held.revision(), ChangeID: held.config.ChangeID, AcceptedAt: held.config.AcceptedAt,
+		Verified: source.checked, StoreReachable: source.reachable, Unknown: held.unknown,
+		Watching: f.isWatcher(), Ready: true,
+	}
+	if !source.checked.IsZero() {
+		status.Age = now.Sub(source.checked)
+	}
+	if source.failed != nil {
+		status.StoreError = source.failed.Error()
+	}
+	if err := f.Ready(); err != nil {
+		status.Ready, status.NotReady = false, err.Error()
+	}
+	return status
+}
+
+// noteStore records the outcome of a read of the store and logs changes.
+func (f *Follower) noteStore(err error) {
+	old := f.source.Load()
+	next := &sourceStatus{reachable: err == nil, checked: old.checked, failed: err}
+	if err == nil {
+		next.checked = time.Now()
+	} else {
+		f.counter.errors.Add(1)
+	}
+	f.source.Store(next)
+	first := old.checked.IsZero() && old.failed == nil
+	switch {
+	case err == nil && (first || !old.reachable):
+		f.logger.Info("store reachable", "revision", f.Current().Revision)
+	case err != nil && (first || old.reachable):
+		f.logger.Warn("store unreachable, configuration goes on at the revision held",
+			"revision", f.Current().Revision, "error", err)
+	}
+}
+
+func (f *Follower) isWatcher() bool {
+	if f.options.Members == nil {
+		return true
+	}
+	return IsWatcher(f.options.Self, f.options.Members())
+}
--- /dev/null
+++ b/entry/config/tail.go
@@ -0,0 +1,47 @@
+package config
+
+import "github.com/tarragonreach/tarragonreach/api/object"
+
+// Bounds of the log entries that a follower keeps for its peers.
+const (
+	tailEntries = 512
+	tailBytes   = 512 << 10
+)
+
+// logged is one log entry as the store holds it.
+type logged struct {
+	revision object.Revision
+	body     []byte
+}
+
+// tail is the end of the log, without gaps, oldest first.
+type tail struct {
+	entries []logged
+	bytes   int
+}
+
+// add appends the next entry and drops the oldest beyond the bounds.
+func (t *tail) add(revision object.Revision, body []byte) {
+	t.entries = append(t.entries, logged{revision, body})
+	t.bytes += len(body)
+	for len(t.entries) > tailEntries || (t.bytes > tailBytes && len(t.entries) > 1) {
+		t.bytes -= len(t.entries[0].body)
+		t.entries[0] = logged{}
+		t.entries = t.entries[1:]
+	}
+}
+
+// after returns the entries newer than revision up to about maxBytes. It reports
+// false where the entry right after revision is no longer kept.
+func (t *tail) after(revision object.Revision, maxBytes int) ([]logged, bool) {
+	if len(t.entries) == 0 || revision+1 < t.entries[0].revision {
+		return nil, false
+	}
+	start := min(int(revision+1-t.entries[0].revision), len(t.entries))
+	end, size := start, 0
+	for end < len(t.entries) && (end == start || size+len(t.entries[end].body) <= maxBytes) {
+		size += len(t.entries[end].body)
+		end++
+	}
+	return t.entries[start:end:end], true
+}
