--- /dev/null
+++ b/mesh/conn.go
@@ -0,0 +1,201 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/mesh/engine"
+	"github.com/tarragonreach/tarragonreach/mesh/wire"
+)
+
+// Limits of one connection.
+const (
+	handshakeTimeout   = time.Second
+	idleTimeout        = 20 * time.Second
+	streamReadTimeout  = 10 * time.Second
+	streamWindowBytes  = 64 << 10
+	maxStreamWindow    = 256 << 10
+	connWindowBytes    = 128 << 10
+	maxConnWindow      = 512 << 10
+	maxCallsPerPeer    = 64
+	maxMessageStreams  = 16
+	sendQueueMessages  = 128
+	firstHeartbeatByte = byte(wire.KindHeartbeat)
+)
+
+// Application error codes with which connections and streams are closed.
+const (
+	closeLeaving  quic.ApplicationErrorCode = 1
+	closeSilent   quic.ApplicationErrorCode = 2
+	closeSecond   quic.ApplicationErrorCode = 3
+	closeIdentity quic.ApplicationErrorCode = 4
+
+	streamRefused quic.StreamErrorCode = 1
+)
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:           handshakeTimeout,
+		MaxIdleTimeout:                 idleTimeout,
+		InitialStreamReceiveWindow:     streamWindowBytes,
+		MaxStreamReceiveWindow:         maxStreamWindow,
+		InitialConnectionReceiveWindow: connWindowBytes,
+		MaxConnectionReceiveWindow:     maxConnWindow,
+		MaxIncomingStreams:             maxCallsPerPeer,
+		MaxIncomingUniStreams:          maxMessageStreams,
+		DisablePathMTUDiscovery:        true,
+		EnableDatagrams:                true,
+	}
+}
+
+// conn is the connection to one peer.
+type conn struct {
+	node   *Node
+	quic   *quic.Conn
+	peer   fleet.InstanceID
+	dialed bool
+	opened time.Time
+	queue  chan []byte
+}
+
+// start serves the connection until it ends.
+func (c *conn) start() {
+	c.node.work.Go(c.writeMessages)
+	c.node.work.Go(c.readMessages)
+	c.node.work.Go(c.readHeartbeats)
+	c.node.work.Go(c.serveCalls)
+}
+
+func (c *conn) close(code quic.ApplicationErrorCode, reason string) {
+	c.quic.CloseWithError(code, reason)
+}
+
+// send hands a message to the transport without blocking. A message that finds
+// the queue full is dropped; the next heartbeats repair what it would have said.
+func (c *conn) send(message wire.Message) {
+	data, err := wire.Encode(message)
+	if err != nil {
+		c.node.traffic.refuse(reasonTooLarge)
+		return
+	}
+	if message.Kind() == wire.KindHeartbeat {
+		c.sendHeartbeat(data)
+		return
+	}
+	select {
+	case c.queue <- data:
+	default:
+		c.node.traffic.refuse(reasonQueueFull)
+	}
+}
+
+func (c *conn) sendHeartbeat(data []byte) {
+	if err := c.quic.SendDatagram(data); err != nil {
+		c.node.traffic.refuse(reasonQueueFull)
+		return
+	}
+	c.node.traffic.countSent(wire.KindHeartbeat, len(data))
+}
+
+// writeMessages sends each queued message on a stream of its own, in order.
+func (c *conn) writeMessages() {
+	ctx := c.quic.Context()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case data := <-c.queue:
+			if err := c.writeMessage(ctx, data); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (c *conn) writeMessage(ctx context.Context, data []byte) error {
+	stream, err := c.quic.OpenUniStreamSync(ctx)
+	if err != nil {
+		return err
+	}
+	if _, err := stream.Write(data); err != nil {
+		return err
+	}
+	if err := stream.Close(); err != nil {
+		return err
+	}
+	c.node.traffic.countSent(wire.Kind(data[0]), len(data))
+	return nil
+}
+
+// readMessages takes the peer's messages one after the other, so that one
+// message per peer is in memory at a time.
+func (c *conn) readMessages() {
+	ctx := c.quic.Context()
+	for {
+		stream, err := c.quic.AcceptUniStream(ctx)
+		if err != nil {
+			c.node.lost(c)
+			return
+		}
+		c.readMessage(stream)
+	}
+}
+
+func (c *conn) readMessage(stream *quic.ReceiveStream) {
+	stream.SetReadDeadline(time.Now().Add(streamReadTimeout))
+	data, err := c.node.budget.readMessage(stream)
+	defer func() { c.node.budget.give(cap(data)) }()
+	if err != nil {
+		stream.CancelRead(streamRefused)
+		c.node.traffic.refuse(reasonOf(err))
+		return
+	}
+	c.receive(data)
+}
+
+func (c *conn) readHeartbeats() {
+	ctx := c.quic.Context()
+	for {
+		data, err := c.quic.ReceiveDatagram(ctx)
+		if err != nil {
+			return
+		}
+		if len(data) == 0 || data[0] != firstHeartbeatByte || len(data) > wire.MaxHeartbeatBytes {
+			c.node.traffic.refuse(reasonMalformed)
+			continue
+		}
+		c.receive(data)
+	}
+}
+
+func (c *conn) receive(data []byte) {
+	message, err := wire.Decode(data)
+	if err != nil {
+		c.node.traffic.refuse(reasonOf(err))
+		return
+	}
+	c.node.traffic.countReceived(message.Kind(), len(data))
+	c.node.step(func(now time.Time) []engine.Action {
+		if c.node.conns[c.peer] != c {
+			return nil
+		}
+		return c.node.engine.Receive(c.peer, message, now)
+	})
+}
+
+func reasonOf(err error) string {
+	switch {
+	case errors.Is(err, wire.ErrUnknownKind):
+		return reasonUnknownKind
+	case errors.Is(err, wire.ErrTooLarge):
+		return reasonTooLarge
+	case errors.Is(err, errOverBudget):
+		return reasonOverBudget
+	default:
+		return reasonMalformed
+	}
+}
--- /dev/null
+++ b/mesh/connect.go
@@ -0,0 +1,179 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/mesh/engine"
+	"github.com/tarragonreach/tarragonreach/mesh/keys"
+)
+
+// simultaneous is the time within which two connections of a pair count as
+// opened at once by both ends.
+const simultaneous = 2 * time.Second
+
+// dialing is an attempt to open a connection; done is closed at its end.
+type dialing struct {
+	done chan struct{}
+	conn *conn
+	err  error
+}
+
+// startDial opens a connection in the background, once per address at a time.
+// The caller holds the lock.
+func (n *Node) startDial(address string) *dialing {
+	if d := n.dials[address]; d != nil {
+		return d
+	}
+	d := &dialing{done: make(chan struct{})}
+	if n.isStopped() {
+		d.err = ErrStopped
+		close(d.done)
+		return d
+	}
+	n.dials[address] = d
+	n.work.Go(func() { n.dial(address, d) })
+	return d
+}
+
+func (n *Node) dial(address string, d *dialing) {
+	c, err := n.open(address)
+	n.mu.Lock()
+	delete(n.dials, address)
+	if err != nil {
+		n.engine.DialFailed(address, time.Now())
+	} else {
+		c, err = n.register(c, address)
+	}
+	d.conn, d.err = c, err
+	n.mu.Unlock()
+	close(d.done)
+}
+
+func (n *Node) open(address string) (*conn, error) {
+	remote, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, fmt.Errorf("mesh address %q: %w", address, err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*handshakeTimeout)
+	defer cancel()
+	q, err := n.transport.Dial(ctx, remote, n.options.TLS, quicConfig())
+	if err != nil {
+		n.traffic.refuse(reasonHandshake)
+		return nil, fmt.Errorf("mesh dial %s: %w", address, err)
+	}
+	return n.newConn(q, true)
+}
+
+func (n *Node) newConn(q *quic.Conn, dialed bool) (*conn, error) {
+	peer, err := keys.Identity(q.ConnectionState().TLS)
+	if err != nil {
+		n.traffic.refuse(reasonNoIdentity)
+		q.CloseWithError(closeIdentity, "no identity")
+		return nil, err
+	}
+	return &conn{
+		node:   n,
+		quic:   q,
+		peer:   peer,
+		dialed: dialed,
+		opened: time.Now(),
+		queue:  make(chan []byte, sendQueueMessages),
+	}, nil
+}
+
+func (n *Node) accept(ctx context.Context) {
+	for {
+		q, err := n.listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		c, err := n.newConn(q, false)
+		if err != nil {
+			continue
+		}
+		n.mu.Lock()
+		n.register(c, "")
+		n.mu.Unlock()
+	}
+}
+
+// register makes a connection the one of its peer, or closes it where another
+// one is to be kept, which it then returns. The caller holds the lock.
+func (n *Node) register(c *conn, address string) (*conn, error) {
+	if n.isStopped() {
+		c.close(closeLeaving, "leaving")
+		return nil, ErrStopped
+	}
+	if c.peer == n.options.ID {
+		n.refuseConn(c, address, reasonSelf)
+		return nil, fmt.Errorf("mesh dial %s: it is this instance", address)
+	}
+	kept := n.conns[c.peer]
+	if kept != nil && n.prefer(kept, c) {
+		n.refuseConn(c, address, reasonTwoConns)
+		return kept, nil
+	}
+	n.conns[c.peer] = c
+	if kept != nil {
+		kept.close(closeSecond, "replaced")
+	}
+	n.options.Logger.Info("mesh connection opened", "peer", c.peer, "address", c.quic.RemoteAddr().String())
+	c.start()
+	n.perform(n.engine.Connected(c.peer, address, c.dialed, c.opened))
+	return c, nil
+}
+
+func (n *Node) refuseConn(c *conn, address, reason string) {
+	n.traffic.refuse(reason)
+	if c.dialed {
+		n.engine.Met(address, c.peer, time.Now())
+	}
+	c.close(closeSecond, reason)
+}
+
+// prefer reports whether to keep an older connection: where both ends dialed at
+// once, the one dialed by the lower ID stays; otherwise the newer one does,
+// since its opener has given up the older one.
+func (n *Node) prefer(old, young *conn) bool {
+	if old.dialed == young.dialed || young.opened.Sub(old.opened) > simultaneous {
+		return false
+	}
+	return old.dialed == (n.options.ID < old.peer)
+}
+
+// lost is called when a connection has ended.
+func (n *Node) lost(c *conn) {
+	n.step(func(now time.Time) []engine.Action {
+		if n.conns[c.peer] != c {
+			return nil
+		}
+		delete(n.conns, c.peer)
+		n.options.Logger.Info("mesh connection closed", "peer", c.peer)
+		return n.engine.Disconnected(c.peer, now)
+	})
+}
+
+// giveUp closes the connection to a peer that the engine has dropped. The
+// caller holds the lock.
+func (n *Node) giveUp(peer fleet.InstanceID) {
+	c := n.conns[peer]
+	if c == nil {
+		return
+	}
+	delete(n.conns, peer)
+	n.options.Logger.Info("mesh connection given up", "peer", peer)
+	c.close(closeSilent, "silent")
+}
+
+// send passes a message to a peer's connection. The caller holds the lock.
+func (n *Node) send(s engine.Send) {
+	if c := n.conns[s.To]; c != nil {
+		c.send(s.Message)
+	}
+}
--- /dev/null
+++ b/mesh/engine/dial.go
@@ -0,0 +1,194 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+)
+
+// maxLoneDials is the number of addresses that an instance without any peer
+// tries at the same time.
+const maxLoneDials = 4
+
+// dialState is the history of attempts to reach one address.
+type dialState struct {
+	open     bool
+	failures int
+	next     time.Time
+	// peer is the instance last met at the address.
+	peer fleet.InstanceID
+}
+
+// DialFailed reports that no connection could be opened to an address.
+func (e *Engine) DialFailed(address string, now time.Time) {
+	e.dialDone(address, "", now)
+}
+
+// Met reports that an attempt reached a peer to which no further connection is
+// needed, such as the instance itself.
+func (e *Engine) Met(address string, peer fleet.InstanceID, now time.Time) {
+	e.dialDone(address, peer, now)
+}
+
+// dialDone ends an attempt. Until the peer's Hello it counts as failed, since a
+// peer may refuse a connection that looked open.
+func (e *Engine) dialDone(address string, peer fleet.InstanceID, now time.Time) {
+	state := e.dials[address]
+	if state == nil {
+		state = &dialState{}
+		e.dials[address] = state
+	}
+	state.open = false
+	state.peer = peer
+	state.failures++
+	state.next = now.Add(e.backoff(state.failures))
+}
+
+// forgetFailures lets an address be dialed at once.
+func (e *Engine) forgetFailures(address string) {
+	state := e.dials[address]
+	if state == nil {
+		return
+	}
+	state.failures = 0
+	state.next = time.Time{}
+}
+
+// backoff doubles from DialMin to DialMax; half of it is drawn at random.
+func (e *Engine) backoff(failures int) time.Duration {
+	limit := e.timing.DialMin
+	for range failures {
+		limit = min(2*limit, e.timing.DialMax)
+	}
+	return limit/2 + e.draw(limit/2)
+}
+
+// draw returns a random duration up to the limit.
+func (e *Engine) draw(limit time.Duration) time.Duration {
+	return time.Duration(e.random.Int64N(int64(limit) + 1))
+}
+
+// dial looks for wanted peers, and for members at addresses where none is reachable.
+func (e *Engine) dial(now time.Time) {
+	e.dialWanted(now)
+	e.dialStrangers(now)
+	e.dropOldDials(now)
+}
+
+func (e *Engine) dialWanted(now time.Time) {
+	for _, record := range e.members.present() {
+		if !e.wanted[record.ID] || e.links[record.ID] != nil {
+			continue
+		}
+		if e.members.self > record.ID {
+			e.waitForPeer(record.ID, record.Address, now)
+		}
+		e.dialAddress(record.Address, now)
+	}
+}
+
+// waitForPeer gives the lower ID of a pair time to dial first, so that the two
+// seldom open a connection each.
+func (e *Engine) waitForPeer(peer fleet.InstanceID, address string, now time.Time) {
+	state := e.dials[address]
+	if state != nil && (state.open || state.peer != peer) {
+		return
+	}
+	e.dials[address] = &dialState{next: now.Add(e.timing.Heartbeat)}
+}
+
+// dialStrangers tries addresses at which no member is reachable: several while
+// the instance is alone, else one now and then, which heals a partition.
+func (e *Engine) dialStrangers(now time.Time) {
+	alone := len(e.links) == 0
+	if !alone && now.Before(e.nextProbe) {
+		return
+	}
+	addresses := e.strangers()
+	e.random.Shuffle(len(addresses), func(i, j int) {
+		addresses[i], addresses[j] = addresses[j], addresses[i]
+	})
+	if alone {
+		e.dialSome(addresses, now)
+		return
+	}
+	e.nextProbe = now.Add(e.timing.Probe/2 + e.draw(e.timing.Probe))
+	if len(addresses) > 0 {
+		e.forgetFailures(addresses[0])
+		e.dialAddress(addresses[0], now)
+	}
+}
+
+func (e *Engine) dialSome(addresses []string, now time.Time) {
+	open := 0
+	for _, state := range e.dials {
+		if state.open {
+			open++
+		}
+	}
+	for _, address := range addresses {
+		if open >= maxLoneDials {
+			return
+		}
+		if e.dialAddress(address, now) {
+			open++
+		}
+	}
+}
+
+// strangers returns the addresses of unreachable members and of the seeds at
+// which no reachable member is known, sorted.
+func (e *Engine) strangers() []string {
+	taken := map[string]bool{e.members.own().Address: true}
+	var addresses []string
+	for _, record := range e.members.present() {
+		if e.members.entries[record.ID].reachable {
+			taken[record.Address] = true
+			continue
+		}
+		addresses = append(addresses, record.Address)
+	}
+	addresses = append(addresses, e.seeds...)
+	slices.Sort(addresses)
+	addresses = slices.Compact(addresses)
+	return slices.DeleteFunc(addresses, func(address string) bool {
+		return taken[address] || e.isPeerReachableAt(address)
+	})
+}
+
+// isPeerReachableAt reports whether the member met at an address is reachable,
+// under whatever address it publishes.
+func (e *Engine) isPeerReachableAt(address string) bool {
+	state := e.dials[address]
+	if state == nil || state.peer == "" {
+		return false
+	}
+	entry := e.members.entries[state.peer]
+	return entry != nil && entry.reachable
+}
+
+// dialAddress asks for a connection unless one is being opened or not due yet.
+func (e *Engine) dialAddress(address string, now time.Time) bool {
+	state := e.dials[address]
+	if state == nil {
+		state = &dialState{}
+		e.dials[address] = state
+	}
+	if state.open || now.Before(state.next) {
+		return false
+	}
+	state.open = true
+	e.actions = append(e.actions, Dial{Address: address})
+	return true
+}
+
+// dropOldDials forgets the history of addresses that nobody has any more.
+func (e *Engine) dropOldDials(now time.Time) {
+	for address, state := range e.dials {
+		if state.open || now.Sub(state.next) <= e.timing.DialMax || slices.Contains(e.seeds, address) {
+			continue
+		}
+		delete(e.dials, address)
+	}
+}
--- /dev/null
+++ b/mesh/engine/engine.go
@@ -0,0 +1,272 @@
+// Package engine holds the protocol between entry instances without sockets,
+// goroutines or a clock: events and the time go in, actions come out.
+//
+// Members publish records of themselves that say whom they hear; the links that
+// both ends confirm tell each instance who is reachable. Heartbeats carry hashes
+// of the members and of the stream versions held; only a difference costs more.
+//
+// An Engine is not safe for concurrent use.
+package engine
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/mesh/replica"
+	"github.com/tarragonreach/tarragonreach/mesh/topology"
+	"github.com/tarragonreach/tarragonreach/mesh/wire"
+)
+
+// Action is something that the owner of an Engine has to do.
+type Action interface{ action() }
+
+// Send asks to send a message to a connected peer.
+type Send struct {
+	To      fleet.InstanceID
+	Message wire.Message
+}
+
+// Dial asks to open a connection and to report Connected or DialFailed.
+type Dial struct {
+	Address string // host:port
+}
+
+// Close asks to close the connection to a peer, which the engine has given up.
+type Close struct {
+	Peer fleet.InstanceID
+}
+
+// Merge asks to hand documents to their Replica and then to call Merged.
+type Merge struct {
+	From      fleet.InstanceID
+	Replica   replica.Replica
+	Documents []replica.Document
+}
+
+func (Send) action()  {}
+func (Dial) action()  {}
+func (Close) action() {}
+func (Merge) action() {}
+
+// Timing holds the periods of the protocol.
+type Timing struct {
+	// Heartbeat is the time between two heartbeats on a link.
+	Heartbeat time.Duration
+	// Silence is the time without a heartbeat after which a connection is closed.
+	Silence time.Duration
+	// Suspicion is the time in which the peer of a failed call has to show a heartbeat.
+	Suspicion time.Duration
+	// DialMin and DialMax bound the time between two attempts to reach an address.
+	DialMin, DialMax time.Duration
+	// Probe is about the time between attempts to reach unreachable members and seeds.
+	Probe time.Duration
+	// Pull is the time after which an unanswered pull is repeated elsewhere.
+	Pull time.Duration
+	// Forget is the time after which an unreachable member is forgotten.
+	Forget time.Duration
+}
+
+// DefaultTiming returns the periods used in production.
+func DefaultTiming() Timing {
+	return Timing{
+		Heartbeat: 2 * time.Second,
+		Silence:   5 * time.Second,
+		Suspicion: time.Second,
+		DialMin:   250 * time.Millisecond,
+		DialMax:   30 * time.Second,
+		Probe:     4 * time.Second,
+		Pull:      time.Second,
+		Forget:    10 * time.Minute,
+	}
+}
+
+// Options configures an Engine.
+type Options struct {
+	Self     wire.Record
+	Replicas []replica.Replica
+	Timing   Timing
+	Rand     *rand.Rand
+}
+
+// Engine is the state of one entry instance in the mesh.
+type Engine struct {
+	timing   Timing
+	random   *rand.Rand
+	replicas []replica.Replica
+	members  *memberTable
+	links    map[fleet.InstanceID]*link
+	wanted   map[fleet.InstanceID]bool
+	dials    map[string]*dialState
+	seeds    []string
+	pulls    map[replica.Stream]pull
+	summary  []byte
+	// summaryVersion counts the summaries set; zero means none.
+	summaryVersion uint32
+	nextProbe      time.Time
+	recordDirty    bool
+	actions        []Action
+}
+
+// New returns an engine that knows only itself.
+func New(options Options) *Engine {
+	return &Engine{
+		timing:   options.Timing,
+		random:   options.Rand,
+		replicas: options.Replicas,
+		members:  newMemberTable(options.Self),
+		links:    make(map[fleet.InstanceID]*link),
+		wanted:   make(map[fleet.InstanceID]bool),
+		dials:    make(map[string]*dialState),
+		pulls:    make(map[replica.Stream]pull),
+	}
+}
+
+// SetSeeds replaces the addresses at which to look for unknown members.
+func (e *Engine) SetSeeds(addresses []string) {
+	e.seeds = slices.Clone(addresses)
+}
+
+// SetSummary replaces the load summary that heartbeats carry.
+func (e *Engine) SetSummary(summary []byte) {
+	e.summary = slices.Clone(summary)
+	e.summaryVersion++
+}
+
+// Tick advances the timers. The owner calls it a few times per heartbeat.
+func (e *Engine) Tick(now time.Time) []Action {
+	e.closeSilent(now)
+	e.publish(now)
+	e.members.forget(e.timing.Forget, now)
+	e.chooseLinks()
+	e.beat(now)
+	e.dial(now)
+	return e.take()
+}
+
+// Changed offers what is new in the replicas to the peers.
+func (e *Engine) Changed(now time.Time) []Action {
+	e.spread(now)
+	return e.take()
+}
+
+// Member is what the engine knows of one member.
+type Member struct {
+	Record    wire.Record
+	Reachable bool
+	LastHeard time.Time
+	Summary   []byte // of linked members only
+}
+
+// Members returns all members except the instance itself, by ID.
+func (e *Engine) Members() []Member {
+	var members []Member
+	for _, record := range e.members.all() {
+		if record.ID == e.members.self {
+			continue
+		}
+		entry := e.members.entries[record.ID]
+		member := Member{Record: record, Reachable: entry.reachable, LastHeard: entry.reachableAt}
+		if l := e.links[record.ID]; l != nil && l.up {
+			member.LastHeard = l.lastHeard
+			member.Summary = l.summary
+		}
+		members = append(members, member)
+	}
+	return members
+}
+
+// AddressOf returns the address that a member publishes.
+func (e *Engine) AddressOf(id fleet.InstanceID) (address string, known bool) {
+	entry := e.members.entries[id]
+	if entry == nil || id == e.members.self {
+		return "", false
+	}
+	return entry.record.Address, true
+}
+
+// chooseLinks computes the wanted peers: those of the topology over all members
+// known, and those of the topology over the reachable ones, which closes the
+// ring of zones while some are cut off.
+func (e *Engine) chooseLinks() {
+	clear(e.wanted)
+	for _, records := range [][]wire.Record{e.members.present(), e.members.reachable()} {
+		for _, id := range topology.Peers(e.members.self, topologyMembers(records)) {
+			e.wanted[id] = true
+		}
+	}
+}
+
+func topologyMembers(records []wire.Record) []topology.Member {
+	members := make([]topology.Member, len(records))
+	for i, record := range records {
+		members[i] = topology.Member{ID: record.ID, Zone: record.Zone}
+	}
+	return members
+}
+
+// publish renews the instance's own record if the peers it hears have changed.
+func (e *Engine) publish(now time.Time) {
+	own := &e.members.entries[e.members.self].record
+	heard := e.heardPeers(now)
+	if !e.recordDirty && slices.Equal(heard, own.Heard) {
+		return
+	}
+	e.recordDirty = false
+	own.Heard = heard
+	own.Sequence++
+	e.refreshReachable(now)
+	e.sendRecords([]wire.Record{*own}, "", now)
+}
+
+func (e *Engine) refreshReachable(now time.Time) {
+	heard := make(map[fleet.InstanceID]bool)
+	for _, id := range e.heardPeers(now) {
+		heard[id] = true
+	}
+	for _, address := range e.members.updateReachable(heard, now) {
+		e.forgetFailures(address)
+	}
+}
+
+// sendRecords passes records to all links but their source. Records that came
+// from the own zone are not sent there again, since it is fully meshed.
+func (e *Engine) sendRecords(records []wire.Record, source fleet.InstanceID, now time.Time) {
+	if len(records) == 0 {
+		return
+	}
+	for _, l := range e.sortedLinks() {
+		if l.peer == source || !e.active(l, now) || e.coveredBySource(l, source) {
+			continue
+		}
+		e.send(l.peer, &wire.Members{Records: records})
+	}
+}
+
+// coveredBySource reports whether the source sends to the link's peer by itself.
+func (e *Engine) coveredBySource(l *link, source fleet.InstanceID) bool {
+	if source == "" {
+		return false
+	}
+	own := e.members.own().Zone
+	return e.zone(source) == own && e.zone(l.peer) == own
+}
+
+func (e *Engine) zone(id fleet.InstanceID) fleet.AvailabilityZone {
+	entry := e.members.entries[id]
+	if entry == nil {
+		return ""
+	}
+	return entry.record.Zone
+}
+
+func (e *Engine) send(to fleet.InstanceID, message wire.Message) {
+	e.actions = append(e.actions, Send{To: to, Message: message})
+}
+
+func (e *Engine) take() []Action {
+	actions := e.actions
+	e.actions = nil
+	return actions
+}
--- /dev/null
+++ b/mesh/engine/link.go
@@ -0,0 +1,179 @@
+package engine
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/mesh/replica"
+	"github.com/tarragonreach/tarragonreach/mesh/wire"
+)
+
+// unconfirmedBeats is the number of heartbeats per period on a new connection.
+const unconfirmedBeats = 8
+
+// link is the connection to one peer.
+type link struct {
+	peer   fleet.InstanceID
+	dialed bool // by this side, which then sends the heartbeats
+	// address is the one dialed, if this side dialed.
+	address string
+	// up is set by the peer's Hello.
+	up bool
+	// confirmed is set by the peer's first heartbeat.
+	confirmed bool
+	lastHeard time.Time
+	// suspectUntil is the time by which a suspected peer has to show a heartbeat.
+	suspectUntil time.Time
+	nextBeat     time.Time
+	sequence     uint32
+	// offered holds the versions that the peer holds or was offered.
+	offered map[replica.Stream]int64
+	streams comparison
+	members comparison
+	// summary is the peer's load summary of summaryVersion.
+	summary        []byte
+	summaryVersion uint32
+	// summaryHeld is the own summary version that the peer holds.
+	summaryHeld uint32
+}
+
+// Connected reports a new connection to a peer; it replaces an earlier one.
+func (e *Engine) Connected(peer fleet.InstanceID, address string, dialed bool, now time.Time) []Action {
+	if dialed {
+		e.dialDone(address, peer, now)
+	}
+	e.links[peer] = &link{
+		peer:      peer,
+		dialed:    dialed,
+		address:   address,
+		lastHeard: now,
+		offered:   make(map[replica.Stream]int64),
+	}
+	e.send(peer, &wire.Hello{Record: e.members.own()})
+	return e.take()
+}
+
+// Disconnected reports the end of the current connection to a peer.
+func (e *Engine) Disconnected(peer fleet.InstanceID, now time.Time) []Action {
+	e.drop(peer, now)
+	return e.take()
+}
+
+// Suspect reports that a call to the peer got no answer in time. The peer has to
+// show a heartbeat soon, else the connection is taken for dead.
+func (e *Engine) Suspect(peer fleet.InstanceID, now time.Time) []Action {
+	l := e.links[peer]
+	if l == nil || !l.up || !l.suspectUntil.IsZero() {
+		return nil
+	}
+	l.suspectUntil = now.Add(e.timing.Suspicion)
+	e.sendHeartbeat(l, false)
+	return e.take()
+}
+
+// Leave returns the last messages to all peers.
+func (e *Engine) Leave() []Action {
+	record := e.members.own()
+	record.Sequence++
+	record.Heard = nil
+	record.Left = true
+	for _, l := range e.sortedLinks() {
+		e.send(l.peer, &wire.Leave{Record: record})
+	}
+	return e.take()
+}
+
+func (e *Engine) drop(peer fleet.InstanceID, now time.Time) {
+	delete(e.links, peer)
+	for stream, p := range e.pulls {
+		if p.from == peer {
+			delete(e.pulls, stream)
+		}
+	}
+	e.refreshReachable(now)
+}
+
+func (e *Engine) sortedLinks() []*link {
+	links := make([]*link, 0, len(e.links))
+	for _, l := range e.links {
+		links = append(links, l)
+	}
+	slices.SortFunc(links, func(a, b *link) int {
+		return strings.Compare(string(a.peer), string(b.peer))
+	})
+	return links
+}
+
+// active reports whether a link carries heartbeats. Connections that serve only
+// calls do not.
+func (e *Engine) active(l *link, now time.Time) bool {
+	return l.up && l.sequence > 0 && now.Sub(l.lastHeard) <= e.timing.Silence
+}
+
+// heardPeers returns the peers whose heartbeats are heard, sorted.
+func (e *Engine) heardPeers(now time.Time) []fleet.InstanceID {
+	var heard []fleet.InstanceID
+	for _, l := range e.sortedLinks() {
+		if e.active(l, now) {
+			heard = append(heard, l.peer)
+		}
+	}
+	return heard
+}
+
+// closeSilent gives up wanted connections whose heartbeats are overdue. The
+// transport's idle timeout closes the others.
+func (e *Engine) closeSilent(now time.Time) {
+	for _, l := range e.sortedLinks() {
+		if !e.silent(l, now) {
+			continue
+		}
+		e.drop(l.peer, now)
+		e.actions = append(e.actions, Close{Peer: l.peer})
+	}
+}
+
+func (e *Engine) silent(l *link, now time.Time) bool {
+	if !l.suspectUntil.IsZero() && now.After(l.suspectUntil) {
+		return true
+	}
+	return e.wanted[l.peer] && now.Sub(l.lastHeard) > e.timing.Silence
+}
+
+// beat sends heartbeats on the wanted links that this side opened.
+func (e *Engine) beat(now time.Time) {
+	for _, l := range e.sortedLinks() {
+		if !l.up || !l.dialed || !e.wanted[l.peer] || now.Before(l.nextBeat) {
+			continue
+		}
+		l.nextBeat = now.Add(e.beatPeriod(l))
+		l.sequence++
+		e.sendHeartbeat(l, false)
+	}
+}
+
+// beatPeriod is short until the peer has answered once, since it ignores
+// heartbeats that overtake the Hello.
+func (e *Engine) beatPeriod(l *link) time.Duration {
+	if l.confirmed {
+		return e.timing.Heartbeat
+	}
+	return e.timing.Heartbeat / unconfirmedBeats
+}
+
+func (e *Engine) sendHeartbeat(l *link, reply bool) {
+	heartbeat := &wire.Heartbeat{
+		Sequence:       l.sequence,
+		Reply:          reply,
+		MemberHash:     e.members.hash(),
+		DigestHash:     digestHash(e.digest()),
+		SummaryVersion: e.summaryVersion,
+		SummaryHeld:    l.summaryVersion,
+	}
+	if l.summaryHeld != e.summaryVersion {
+		heartbeat.Summary = e.summary
+	}
+	e.send(l.peer, heartbeat)
+}
--- /dev/null
+++ b/mesh/engine/members.go
@@ -0,0 +1,193 @@
+package engine
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/mesh/wire"
+)
+
+// memberTable holds the newest record of each member. Each record is written by
+// its member alone, so that two records of a member are always ordered.
+type memberTable struct {
+	self    fleet.InstanceID
+	entries map[fleet.InstanceID]*memberEntry
+}
+
+type memberEntry struct {
+	record wire.Record
+	// reachableAt is the last time at which the member was found reachable.
+	reachableAt time.Time
+	reachable   bool
+}
+
+func newMemberTable(self wire.Record) *memberTable {
+	table := &memberTable{self: self.ID, entries: make(map[fleet.InstanceID]*memberEntry)}
+	table.entries[self.ID] = &memberEntry{record: self, reachable: true}
+	return table
+}
+
+// own returns the record of the instance itself.
+func (t *memberTable) own() wire.Record {
+	return t.entries[t.self].record
+}
+
+// merge takes a record and reports whether it is newer than the one held.
+func (t *memberTable) merge(record wire.Record, now time.Time) bool {
+	entry, known := t.entries[record.ID]
+	if known && !record.NewerThan(entry.record) {
+		return false
+	}
+	if !known && len(t.entries) >= wire.MaxMembers {
+		return false
+	}
+	if !known {
+		entry = &memberEntry{reachableAt: now}
+		t.entries[record.ID] = entry
+	}
+	entry.record = record
+	t.dropSuperseded(record)
+	return true
+}
+
+// dropSuperseded forgets unreachable members whose address a younger member has taken.
+func (t *memberTable) dropSuperseded(record wire.Record) {
+	for id, entry := range t.entries {
+		if id == record.ID || id == t.self || entry.reachable {
+			continue
+		}
+		if entry.record.Address == record.Address && entry.record.Incarnation < record.Incarnation {
+			delete(t.entries, id)
+		}
+	}
+}
+
+// updateReachable follows the links from self: a link counts where self hears
+// the peer, or where both ends say that they hear each other. It returns the
+// addresses of the members that became reachable.
+func (t *memberTable) updateReachable(heard map[fleet.InstanceID]bool, now time.Time) []string {
+	found := t.search(heard)
+	var regained []string
+	for id, entry := range t.entries {
+		if found[id] && !entry.reachable {
+			regained = append(regained, entry.record.Address)
+		}
+		if entry.reachable || found[id] {
+			entry.reachableAt = now
+		}
+		entry.reachable = found[id]
+	}
+	return regained
+}
+
+func (t *memberTable) search(heard map[fleet.InstanceID]bool) map[fleet.InstanceID]bool {
+	found := map[fleet.InstanceID]bool{t.self: true}
+	queue := []fleet.InstanceID{}
+	for id := range heard {
+		if t.entries[id] != nil {
+			found[id] = true
+			queue = append(queue, id)
+		}
+	}
+	for len(queue) > 0 {
+		from := queue[0]
+		queue = queue[1:]
+		for _, to := range t.entries[from].record.Heard {
+			if found[to] || !t.hears(to, from) {
+				continue
+			}
+			found[to] = true
+			queue = append(queue, to)
+		}
+	}
+	return found
+}
+
+func (t *memberTable) hears(listener, speaker fleet.InstanceID) bool {
+	entry := t.entries[listener]
+	return entry != nil && slices.Contains(entry.record.Heard, speaker)
+}
+
+// forget drops members that were unreachable for longer than the given time.
+func (t *memberTable) forget(after time.Duration, now time.Time) {
+	for id, entry := range t.entries {
+		if !entry.reachable && now.Sub(entry.reachableAt) > after {
+			delete(t.entries, id)
+		}
+	}
+}
+
+// reachable returns the records of reachable members, self included, by ID.
+func (t *memberTable) reachable() []wire.Record {
+	return t.records(func(e *memberEntry) bool { return e.reachable })
+}
+
+// present returns the records of members that have not left, by ID.
+func (t *memberTable) present() []wire.Record {
+	return t.records(func(e *memberEntry) bool { return !e.record.Left })
+}
+
+// all returns every record held, self included, by ID.
+func (t *memberTable) all() []wire.Record {
+	return t.records(func(*memberEntry) bool { return true })
+}
+
+func (t *memberTable) records(keep func(*memberEntry) bool) []wire.Record {
+	records := make([]wire.Record, 0, len(t.entries))
+	for _, entry := range t.entries {
+		if keep(entry) {
+			records = append(records, entry.record)
+		}
+	}
+	slices.SortFunc(records, func(a, b wire.Record) int {
+		return strings.Compare(string(a.ID), string(b.ID))
+	})
+	return records
+}
+
+// hash covers the versions of all reachable records.
+func (t *memberTable) hash() uint64 {
+	h := fnv.New64a()
+	var number [8]byte
+	for _, record := range t.reachable() {
+		h.Write([]byte(record.ID))
+		binary.LittleEndian.PutUint64(number[:], uint64(record.Incarnation))
+		h.Write(number[:])
+		binary.LittleEndian.PutUint64(number[:], record.Sequence)
+		h.Write(number[:])
+	}
+	return h.Sum64()
+}
+
+// versions lists the versions of all reachable records.
+func (t *memberTable) versions() []wire.MemberVersion {
+	records := t.reachable()
+	versions := make([]wire.MemberVersion, len(records))
+	for i, record := range records {
+		versions[i] = wire.MemberVersion{ID: record.ID, Incarnation: record.Incarnation, Sequence: record.Sequence}
+	}
+	return versions
+}
+
+// difference returns the reachable records that are newer than those of a
+// peer's digest, and reports whether the digest lists any newer one.
+func (t *memberTable) difference(digest []wire.MemberVersion) (newer []wire.Record, behind bool) {
+	theirs := make(map[fleet.InstanceID]wire.Record, len(digest))
+	for _, v := range digest {
+		record := wire.Record{ID: v.ID, Incarnation: v.Incarnation, Sequence: v.Sequence}
+		theirs[v.ID] = record
+		entry := t.entries[v.ID]
+		behind = behind || entry == nil || record.NewerThan(entry.record)
+	}
+	for _, record := range t.reachable() {
+		held, listed := theirs[record.ID]
+		if !listed || record.NewerThan(held) {
+			newer = append(newer, record)
+		}
+	}
+	return newer, behind
+}
--- /dev/null
+++ b/mesh/engine/receive.go
@@ -0,0 +1,126 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/mesh/wire"
+)
+
+// Receive takes a message from a connected peer.
+func (e *Engine) Receive(from fleet.InstanceID, message wire.Message, now time.Time) []Action {
+	l := e.links[from]
+	if l == nil {
+		return nil
+	}
+	switch m := message.(type) {
+	case *wire.Hello:
+		e.receiveHello(l, m, now)
+	case *wire.Heartbeat:
+		e.receiveHeartbeat(l, m, now)
+	case *wire.Members:
+		e.receiveRecords(m.Records, from, now)
+	case *wire.MemberDigest:
+		e.receiveMemberDigest(l, m)
+	case *wire.Digest:
+		e.receiveDigest(l, m, now)
+	case *wire.Pull:
+		e.receivePull(l, m)
+	case *wire.Documents:
+		e.receiveDocuments(l, m)
+	case *wire.Leave:
+		e.receiveLeave(l, m, now)
+	}
+	return e.take()
+}
+
+// receiveHello takes the peer's own record. One of another instance than the
+// certificate names ends the connection.
+func (e *Engine) receiveHello(l *link, hello *wire.Hello, now time.Time) {
+	if hello.Record.ID != l.peer {
+		e.drop(l.peer, now)
+		e.actions = append(e.actions, Close{Peer: l.peer})
+		return
+	}
+	l.up = true
+	l.lastHeard = now
+	e.forgetFailures(l.address)
+	e.receiveRecords([]wire.Record{hello.Record}, l.peer, now)
+	e.chooseLinks()
+	e.beat(now)
+}
+
+func (e *Engine) receiveHeartbeat(l *link, heartbeat *wire.Heartbeat, now time.Time) {
+	if !l.up {
+		return
+	}
+	l.lastHeard = now
+	l.confirmed = true
+	l.suspectUntil = time.Time{}
+	if heartbeat.Summary != nil || heartbeat.SummaryVersion == 0 {
+		l.summary = heartbeat.Summary
+		l.summaryVersion = heartbeat.SummaryVersion
+	}
+	l.summaryHeld = heartbeat.SummaryHeld
+	if !heartbeat.Reply {
+		l.sequence = max(heartbeat.Sequence, 1)
+		e.sendHeartbeat(l, true)
+	}
+	e.refreshReachable(now)
+	e.compareMembers(l, heartbeat.MemberHash, now)
+	e.compareDigest(l, heartbeat.DigestHash, now)
+}
+
+// compareMembers sends the versions of the members held where the peer's differ.
+func (e *Engine) compareMembers(l *link, hash uint64, now time.Time) {
+	if !l.members.due(e.members.hash(), hash, e.timing.Heartbeat/2, now) {
+		return
+	}
+	e.send(l.peer, &wire.MemberDigest{Versions: e.members.versions()})
+}
+
+func (e *Engine) receiveMemberDigest(l *link, digest *wire.MemberDigest) {
+	newer, behind := e.members.difference(digest.Versions)
+	if len(newer) > 0 {
+		e.send(l.peer, &wire.Members{Records: newer})
+	}
+	if behind && !digest.Reply {
+		e.send(l.peer, &wire.MemberDigest{Versions: e.members.versions(), Reply: true})
+	}
+}
+
+// receiveRecords takes records and passes the new ones on.
+func (e *Engine) receiveRecords(records []wire.Record, from fleet.InstanceID, now time.Time) {
+	var news []wire.Record
+	for _, record := range records {
+		if record.ID == e.members.self {
+			e.outlive(record)
+			continue
+		}
+		if e.members.merge(record, now) {
+			news = append(news, record)
+		}
+	}
+	e.refreshReachable(now)
+	e.sendRecords(news, from, now)
+}
+
+// outlive makes the own record newer than one of an earlier run of the process.
+func (e *Engine) outlive(record wire.Record) {
+	own := &e.members.entries[e.members.self].record
+	if !record.NewerThan(*own) {
+		return
+	}
+	own.Incarnation = record.Incarnation + 1
+	e.recordDirty = true
+}
+
+// receiveLeave stops counting on the peer at once and tells the others.
+func (e *Engine) receiveLeave(l *link, leave *wire.Leave, now time.Time) {
+	if leave.Record.ID != l.peer {
+		return
+	}
+	e.drop(l.peer, now)
+	e.actions = append(e.actions, Close{Peer: l.peer})
+	e.receiveRecords([]wire.Record{leave.Record}, l.peer, now)
+}
--- /dev/null
+++ b/mesh/engine/streams.go
@@ -0,0 +1,272 @@
+package engine
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/mesh/replica"
+	"github.com/tarragonreach/tarragonreach/mesh/wire"
+)
+
+const (
+	// pushBytes is the size up to which new documents are sent unasked. Larger
+	// ones are announced, so that each peer pulls them once.
+	pushBytes = 1 << 10
+	// pullBytes is about the size of one answer to a pull.
+	pullBytes = 64 << 10
+	// documentOverhead is the size of a document's envelope in bytes.
+	documentOverhead = 32
+	// refusedPulls is the number of pull timeouts for which a peer whose documents
+	// brought no progress is not asked again.
+	refusedPulls = 5
+)
+
+// pull is a request for documents that has not been answered.
+type pull struct {
+	from   fleet.InstanceID
+	after  int64
+	target int64 // the version that the peer announced
+	until  time.Time
+}
+
+// digest returns the versions of all replicas, by stream.
+func (e *Engine) digest() []replica.StreamVersion {
+	var versions []replica.StreamVersion
+	for _, r := range e.replicas {
+		versions = append(versions, r.Digest()...)
+	}
+	slices.SortFunc(versions, func(a, b replica.StreamVersion) int {
+		return strings.Compare(string(a.Stream), string(b.Stream))
+	})
+	return slices.DeleteFunc(versions, func(v replica.StreamVersion) bool { return v.Version <= 0 })
+}
+
+func digestHash(versions []replica.StreamVersion) uint64 {
+	h := fnv.New64a()
+	var number [8]byte
+	for _, v := range versions {
+		h.Write([]byte(v.Stream))
+		binary.LittleEndian.PutUint64(number[:], uint64(v.Version))
+		h.Write(number[:])
+	}
+	return h.Sum64()
+}
+
+// owner returns the replica of a stream, or nil.
+func (e *Engine) owner(stream replica.Stream) replica.Replica {
+	for _, r := range e.replicas {
+		if owns(r, stream) {
+			return r
+		}
+	}
+	return nil
+}
+
+func owns(r replica.Replica, stream replica.Stream) bool {
+	if owner, ok := r.(replica.Owner); ok {
+		return owner.Owns(stream)
+	}
+	for _, v := range r.Digest() {
+		if family(v.Stream) == family(stream) {
+			return true
+		}
+	}
+	return false
+}
+
+// family is the part of a stream's name before the first slash.
+func family(stream replica.Stream) string {
+	name, _, _ := strings.Cut(string(stream), "/")
+	return name
+}
+
+// held returns the version of a stream that the replicas hold.
+func (e *Engine) held(stream replica.Stream) int64 {
+	for _, v := range e.digest() {
+		if v.Stream == stream {
+			return v.Version
+		}
+	}
+	return 0
+}
+
+// compareDigest sends all versions held where the peer's hash differs, unless
+// the same two states were compared before without a result.
+func (e *Engine) compareDigest(l *link, hash uint64, now time.Time) {
+	versions := e.digest()
+	own := digestHash(versions)
+	if hash == own {
+		for _, v := range versions {
+			l.offered[v.Stream] = v.Version
+		}
+		return
+	}
+	if !l.streams.due(own, hash, e.timing.Heartbeat/2, now) {
+		return
+	}
+	e.send(l.peer, &wire.Digest{Versions: versions, Full: true})
+}
+
+// receiveDigest pulls what is newer at the peer and offers what is older there.
+func (e *Engine) receiveDigest(l *link, digest *wire.Digest, now time.Time) {
+	theirs := make(map[replica.Stream]int64, len(digest.Versions))
+	for _, v := range digest.Versions {
+		theirs[v.Stream] = v.Version
+		e.pullIfBehind(l, v, now)
+	}
+	var announce []replica.StreamVersion
+	for _, v := range e.digest() {
+		version, listed := theirs[v.Stream]
+		if !listed && !digest.Full {
+			continue
+		}
+		l.offered[v.Stream] = version
+		announce = append(announce, e.offer(l, v)...)
+	}
+	e.announce(l, announce)
+}
+
+func (e *Engine) pullIfBehind(l *link, theirs replica.StreamVersion, now time.Time) {
+	held := e.held(theirs.Stream)
+	if theirs.Version <= held || e.owner(theirs.Stream) == nil {
+		return
+	}
+	if p, open := e.pulls[theirs.Stream]; open && now.Before(p.until) {
+		return
+	}
+	e.pull(l.peer, theirs, held, now)
+}
+
+func (e *Engine) pull(from fleet.InstanceID, target replica.StreamVersion, held int64, now time.Time) {
+	e.pulls[target.Stream] = pull{from: from, after: held, target: target.Version, until: now.Add(e.timing.Pull)}
+	e.send(from, &wire.Pull{Stream: target.Stream, After: held})
+}
+
+func (e *Engine) receivePull(l *link, request *wire.Pull) {
+	owner := e.owner(request.Stream)
+	if owner == nil {
+		return
+	}
+	documents := owner.Read(request.Stream, request.After, pullBytes)
+	if len(documents) == 0 {
+		return
+	}
+	e.send(l.peer, &wire.Documents{Documents: documents})
+}
+
+// receiveDocuments hands documents to their replicas, one Merge for each.
+func (e *Engine) receiveDocuments(l *link, message *wire.Documents) {
+	for _, r := range e.replicas {
+		var documents []replica.Document
+		for _, d := range message.Documents {
+			if e.owner(d.Stream) == r {
+				documents = append(documents, d)
+			}
+		}
+		if len(documents) > 0 {
+			e.actions = append(e.actions, Merge{From: l.peer, Replica: r, Documents: documents})
+		}
+	}
+}
+
+// Merged reports that the replica of a Merge has taken or refused its documents.
+func (e *Engine) Merged(merge Merge, now time.Time) []Action {
+	newest := make(map[replica.Stream]int64)
+	for _, d := range merge.Documents {
+		newest[d.Stream] = max(newest[d.Stream], d.Version)
+	}
+	for stream, version := range newest {
+		e.mergedStream(merge.From, stream, version, now)
+	}
+	e.spread(now)
+	return e.take()
+}
+
+func (e *Engine) mergedStream(from fleet.InstanceID, stream replica.Stream, version int64, now time.Time) {
+	held := e.held(stream)
+	l := e.links[from]
+	if l != nil {
+		l.offered[stream] = max(l.offered[stream], version)
+	}
+	e.coverOwnZone(from, stream, held)
+	p, open := e.pulls[stream]
+	if !open || p.from != from {
+		return
+	}
+	if held <= p.after {
+		p.until = now.Add(refusedPulls * e.timing.Pull)
+		e.pulls[stream] = p
+		return
+	}
+	delete(e.pulls, stream)
+	if l != nil && held < p.target {
+		e.pull(from, replica.StreamVersion{Stream: stream, Version: p.target}, held, now)
+	}
+}
+
+// coverOwnZone marks a version from a peer of the own zone as offered to the
+// other peers there, which that peer serves itself.
+func (e *Engine) coverOwnZone(from fleet.InstanceID, stream replica.Stream, version int64) {
+	for _, l := range e.links {
+		if e.coveredBySource(l, from) {
+			l.offered[stream] = max(l.offered[stream], version)
+		}
+	}
+}
+
+// spread offers each peer the versions that it does not hold.
+func (e *Engine) spread(now time.Time) {
+	versions := e.digest()
+	for _, l := range e.sortedLinks() {
+		if !e.active(l, now) {
+			continue
+		}
+		var announce []replica.StreamVersion
+		for _, v := range versions {
+			announce = append(announce, e.offer(l, v)...)
+		}
+		e.announce(l, announce)
+	}
+}
+
+// offer sends small documents at once; it returns the version of a stream whose
+// documents are to be announced instead.
+func (e *Engine) offer(l *link, v replica.StreamVersion) []replica.StreamVersion {
+	after := l.offered[v.Stream]
+	if after >= v.Version {
+		return nil
+	}
+	l.offered[v.Stream] = v.Version
+	owner := e.owner(v.Stream)
+	if owner == nil {
+		return nil
+	}
+	documents := owner.Read(v.Stream, after, pushBytes)
+	if len(documents) == 0 {
+		return nil
+	}
+	complete := documents[len(documents)-1].Version >= v.Version
+	if !complete || sizeOf(documents) > pushBytes {
+		return []replica.StreamVersion{v}
+	}
+	e.send(l.peer, &wire.Documents{Documents: documents})
+	return nil
+}
+
+func (e *Engine) announce(l *link, versions []replica.StreamVersion) {
+	if len(versions) > 0 {
+		e.send(l.peer, &wire.Digest{Versions: versions})
+	}
+}
+
+func sizeOf(documents []replica.Document) int {
+	size := 0
+	for _, d := range documents {
+		size += len(d.Body) + len(d.Key) + len(d.Stream) + documentOverhead
+	}
+	return size
+}
--- /dev/null
+++ b/mesh/node.go
@@ -0,0 +1,263 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/mesh/engine"
+	"github.com/tarragonreach/tarragonreach/mesh/wire"
+)
+
+const (
+	// ticksPerHeartbeat is how often per heartbeat the engine's timers are looked at.
+	ticksPerHeartbeat = 10
+	// mergeTimeout bounds the work of a replica on one message.
+	mergeTimeout = 10 * time.Second
+	// farewellTime is the time that the last messages have to leave the machine.
+	farewellTime = 100 * time.Millisecond
+)
+
+// ErrStopped says that the Node has shut down.
+var ErrStopped = errors.New("mesh node has stopped")
+
+// Node is one entry instance's end of the mesh.
+type Node struct {
+	options   Options
+	transport *quic.Transport
+	listener  *quic.Listener
+	address   string
+	traffic   *traffic
+	budget    *budget
+	handlers  sync.Map // method name to Handler
+	members   atomic.Pointer[[]Member]
+	summary   atomic.Pointer[[]byte]
+	changed   chan struct{}
+	stopped   chan struct{}
+	work      sync.WaitGroup
+
+	mu     sync.Mutex // guards the engine, the connections and the dials
+	engine *engine.Engine
+	conns  map[fleet.InstanceID]*conn
+	dials  map[string]*dialing
+}
+
+// New returns a Node that listens but does nothing else before Run.
+func New(options Options) (*Node, error) {
+	if err := options.setDefaults(); err != nil {
+		return nil, err
+	}
+	local, err := net.ResolveUDPAddr("udp", options.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("mesh address %q: %w", options.Listen, err)
+	}
+	socket, err := net.ListenUDP("udp", local)
+	if err != nil {
+		return nil, fmt.Errorf("mesh listen on %q: %w", options.Listen, err)
+	}
+	transport := &quic.Transport{Conn: socket}
+	listener, err := transport.Listen(options.TLS, quicConfig())
+	if err != nil {
+		socket.Close()
+		return nil, fmt.Errorf("mesh listen on %q: %w", options.Listen, err)
+	}
+	address := options.Advertise
+	if address == "" {
+		address = socket.LocalAddr().String()
+	}
+	n := &Node{
+		options:   options,
+		transport: transport,
+		listener:  listener,
+		address:   address,
+		traffic:   newTraffic(options.Metrics),
+		budget:    newBudget(nodeBufferBytes),
+		changed:   make(chan struct{}, 1),
+		stopped:   make(chan struct{}),
+		conns:     make(map[fleet.InstanceID]*conn),
+		dials:     make(map[string]*dialing),
+		engine:    newEngine(options, address),
+	}
+	n.members.Store(&[]Member{})
+	return n, nil
+}
+
+func newEngine(options Options, address string) *engine.Engine {
+	return engine.New(engine.Options{
+		Self: wire.Record{
+			ID:          options.ID,
+			Zone:        options.Zone,
+			Address:     address,
+			Incarnation: time.Now().UnixMilli(),
+		},
+		Replicas: options.Replicas,
+		Timing:   options.Timing,
+		Rand:     options.Random,
+	})
+}
+
+// Addr returns the address that peers dial, host:port.
+func (n *Node) Addr() string { return n.address }
+
+// Members returns the other entry instances, by ID. The caller must not change them.
+func (n *Node) Members() []Member { return *n.members.Load() }
+
+// Changed tells the Node that a replica has something new to spread. It never blocks.
+func (n *Node) Changed() {
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+}
+
+// SetSummary replaces the load summary that linked members see, up to
+// wire.MaxSummaryBytes. A larger one is an error and changes nothing.
+func (n *Node) SetSummary(summary []byte) error {
+	if len(summary) > wire.MaxSummaryBytes {
+		return fmt.Errorf("load summary of %d bytes: %w", len(summary), wire.ErrTooLarge)
+	}
+	n.summary.Store(&summary)
+	return nil
+}
+
+// Traffic returns the messages and bytes counted so far, by kind.
+func (n *Node) Traffic() Traffic { return n.traffic.snapshot() }
+
+// Run takes part in the mesh until ctx ends, then says farewell and closes the
+// socket. A Node runs once.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	n.work.Go(func() { n.accept(ctx) })
+	n.loop(ctx)
+	n.leave()
+	cancel()
+	n.stop()
+	err := n.transport.Close()
+	n.transport.Conn.Close()
+	n.work.Wait()
+	if err != nil {
+		return fmt.Errorf("mesh close: %w", err)
+	}
+	return nil
+}
+
+func (n *Node) loop(ctx context.Context) {
+	ticker := time.NewTicker(n.options.Timing.Heartbeat / ticksPerHeartbeat)
+	defer ticker.Stop()
+	n.tick()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.tick()
+		case <-n.changed:
+			n.step(func(now time.Time) []engine.Action { return n.engine.Changed(now) })
+		}
+	}
+}
+
+func (n *Node) tick() {
+	seeds := n.options.Seeds()
+	summary := n.summary.Swap(nil)
+	n.step(func(now time.Time) []engine.Action {
+		n.engine.SetSeeds(seeds)
+		if summary != nil {
+			n.engine.SetSummary(*summary)
+		}
+		return n.engine.Tick(now)
+	})
+	n.publishMembers()
+}
+
+// step runs one event of the engine and carries out its actions.
+func (n *Node) step(event func(now time.Time) []engine.Action) {
+	n.mu.Lock()
+	actions := event(time.Now())
+	merges := n.perform(actions)
+	n.mu.Unlock()
+	for _, m := range merges {
+		n.merge(m)
+	}
+}
+
+// perform carries out actions that do not block and returns the merges.
+func (n *Node) perform(actions []engine.Action) []engine.Merge {
+	var merges []engine.Merge
+	for _, action := range actions {
+		switch a := action.(type) {
+		case engine.Send:
+			n.send(a)
+		case engine.Dial:
+			n.startDial(a.Address)
+		case engine.Close:
+			n.giveUp(a.Peer)
+		case engine.Merge:
+			merges = append(merges, a)
+		}
+	}
+	return merges
+}
+
+// merge runs outside of the lock, on the goroutine of the peer's connection.
+func (n *Node) merge(m engine.Merge) {
+	ctx, cancel := context.WithTimeout(context.Background(), mergeTimeout)
+	defer cancel()
+	if err := m.Replica.Merge(ctx, m.Documents); err != nil {
+		n.traffic.refuse(reasonMergeFailed)
+		n.options.Logger.Warn("documents from peer refused", "peer", m.From, "error", err)
+	}
+	n.step(func(now time.Time) []engine.Action { return n.engine.Merged(m, now) })
+}
+
+func (n *Node) publishMembers() {
+	n.mu.Lock()
+	known := n.engine.Members()
+	links := len(n.conns)
+	n.mu.Unlock()
+	members := make([]Member, len(known))
+	for i, m := range known {
+		members[i] = Member{
+			ID:        m.Record.ID,
+			Zone:      m.Record.Zone,
+			Address:   m.Record.Address,
+			Reachable: m.Reachable,
+			LastHeard: m.LastHeard,
+			Summary:   m.Summary,
+		}
+	}
+	n.members.Store(&members)
+	n.options.Metrics.LinksOpen(links)
+}
+
+// leave tells the peers that the instance goes and gives the messages time to leave.
+func (n *Node) leave() {
+	n.step(func(time.Time) []engine.Action { return n.engine.Leave() })
+	time.Sleep(farewellTime)
+}
+
+// stop closes all connections and lets none be opened any more.
+func (n *Node) stop() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.stopped)
+	for _, c := range n.conns {
+		c.close(closeLeaving, "leaving")
+	}
+}
+
+func (n *Node) isStopped() bool {
+	select {
+	case <-n.stopped:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/mesh/serve.go
@@ -0,0 +1,113 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/mesh/wire"
+)
+
+// serveCalls runs the peer's calls, up to maxCallsPerPeer at a time.
+func (c *conn) serveCalls() {
+	ctx := c.quic.Context()
+	for {
+		stream, err := c.quic.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		c.node.work.Go(func() { c.serveCall(ctx, stream) })
+	}
+}
+
+func (c *conn) serveCall(ctx context.Context, stream *quic.Stream) {
+	stream.SetReadDeadline(time.Now().Add(streamReadTimeout))
+	data, err := c.node.budget.readMessage(stream)
+	defer func() { c.node.budget.give(cap(data)) }()
+	if errors.Is(err, errOverBudget) {
+		c.node.traffic.refuse(reasonOverBudget)
+		c.respond(stream, refusal(verdict.CodeQueueFull, "the instance holds too many messages"))
+		return
+	}
+	if err != nil {
+		c.node.traffic.refuse(reasonOf(err))
+		abort(stream)
+		return
+	}
+	c.respond(stream, c.run(ctx, data))
+}
+
+// run runs one call and returns its answer. An answer with verdict not-run is
+// given only where no handler was started.
+func (c *conn) run(ctx context.Context, data []byte) *wire.Response {
+	message, err := wire.Decode(data)
+	if err != nil {
+		c.node.traffic.refuse(reasonOf(err))
+		return refusal(verdict.CodeBadRequest, "the call cannot be read")
+	}
+	request, ok := message.(*wire.Request)
+	if !ok {
+		c.node.traffic.refuse(reasonMalformed)
+		return refusal(verdict.CodeBadRequest, "the message is no call")
+	}
+	c.node.traffic.countReceived(wire.KindRequest, len(data))
+	handler, ok := c.node.handlers.Load(request.Method)
+	if !ok {
+		return refusal(verdict.CodeBadRequest, "no such method: "+request.Method)
+	}
+	if request.TimeoutMillis > 0 {
+		timeout := time.Duration(request.TimeoutMillis) * time.Millisecond
+		limited, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		ctx = limited
+	}
+	payload, err := handler.(Handler)(ctx, c.peer, request.Payload)
+	if err != nil {
+		return responseOf(err)
+	}
+	return &wire.Response{Payload: payload}
+}
+
+func (c *conn) respond(stream *quic.Stream, response *wire.Response) {
+	data, err := wire.Encode(response)
+	if err != nil {
+		c.node.traffic.refuse(reasonTooLarge)
+		data, err = wire.Encode(responseOf(&verdict.Error{
+			Verdict: verdict.Ran,
+			Code:    verdict.CodeAnswerTooLarge,
+			Detail:  "the answer exceeds the size limit",
+		}))
+	}
+	if err != nil {
+		abort(stream)
+		return
+	}
+	stream.SetWriteDeadline(time.Now().Add(streamReadTimeout))
+	if _, err := stream.Write(data); err != nil {
+		abort(stream)
+		return
+	}
+	stream.Close()
+	c.node.traffic.countSent(wire.KindResponse, len(data))
+}
+
+func refusal(code verdict.Code, detail string) *wire.Response {
+	return &wire.Response{Code: string(code), Verdict: verdict.NotRun.String(), Detail: detail}
+}
+
+func responseOf(err error) *wire.Response {
+	response := &wire.Response{
+		Code:    string(verdict.CodeOf(err)),
+		Verdict: verdict.Of(err).String(),
+		Detail:  err.Error(),
+	}
+	var e *verdict.Error
+	if errors.As(err, &e) {
+		response.Detail = e.Detail
+		response.RetryAfterMillis = e.RetryAfter.Milliseconds()
+	}
+	return response
+}
--- /dev/null
+++ b/mesh/topology/topology.go
@@ -0,0 +1,115 @@
+// Package topology chooses which entry instances keep a connection to each other.
+//
+// Inside an availability zone each instance is linked to each other one. The
+// zones form a ring in the order of their names, and each neighbouring pair of
+// zones is joined by two links that share no instance where the zones have two
+// or more. The loss of one instance or of one whole zone therefore leaves the
+// others connected, and a zone carries four cross-zone links however many zones
+// there are.
+package topology
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+)
+
+// Member is an entry instance and its availability zone.
+type Member struct {
+	ID   fleet.InstanceID
+	Zone fleet.AvailabilityZone
+}
+
+// linksPerEdge is the number of links between two neighbouring zones.
+const linksPerEdge = 2
+
+// Peers returns the instances to which self keeps a link, sorted. The relation
+// is symmetric: where all instances know the same members, they agree on it.
+func Peers(self fleet.InstanceID, members []Member) []fleet.InstanceID {
+	zones := groupByZone(members)
+	own := zoneOf(self, members)
+	peers := make(map[fleet.InstanceID]bool)
+	addOwnZone(peers, zones, own)
+	addRing(peers, zones, self, own)
+	delete(peers, self)
+	return sortedIDs(peers)
+}
+
+// zone is an availability zone with its members in order.
+type zone struct {
+	name    fleet.AvailabilityZone
+	members []fleet.InstanceID
+}
+
+func groupByZone(members []Member) []zone {
+	grouped := make(map[fleet.AvailabilityZone][]fleet.InstanceID)
+	for _, m := range members {
+		grouped[m.Zone] = append(grouped[m.Zone], m.ID)
+	}
+	zones := make([]zone, 0, len(grouped))
+	for name, ids := range grouped {
+		slices.Sort(ids)
+		zones = append(zones, zone{name: name, members: slices.Compact(ids)})
+	}
+	slices.SortFunc(zones, func(a, b zone) int {
+		return strings.Compare(string(a.name), string(b.name))
+	})
+	return zones
+}
+
+func zoneOf(self fleet.InstanceID, members []Member) fleet.AvailabilityZone {
+	for _, m := range members {
+		if m.ID == self {
+			return m.Zone
+		}
+	}
+	return ""
+}
+
+func addOwnZone(peers map[fleet.InstanceID]bool, zones []zone, own fleet.AvailabilityZone) {
+	for _, z := range zones {
+		if z.name != own {
+			continue
+		}
+		for _, id := range z.members {
+			peers[id] = true
+		}
+	}
+}
+
+func addRing(peers map[fleet.InstanceID]bool, zones []zone, self fleet.InstanceID, own fleet.AvailabilityZone) {
+	for i, from := range zones {
+		to := zones[(i+1)%len(zones)]
+		if from.name != own && to.name != own {
+			continue
+		}
+		if len(zones) == 2 && i == 1 {
+			continue // the ring of two zones has one edge
+		}
+		addEdge(peers, from, to, self)
+	}
+}
+
+// addEdge adds the far ends of those links between two zones that end at self.
+func addEdge(peers map[fleet.InstanceID]bool, from, to zone, self fleet.InstanceID) {
+	for n := range linksPerEdge {
+		near := from.members[n%len(from.members)]
+		far := to.members[(linksPerEdge+n)%len(to.members)]
+		if near == self {
+			peers[far] = true
+		}
+		if far == self {
+			peers[near] = true
+		}
+	}
+}
+
+func sortedIDs(set map[fleet.InstanceID]bool) []fleet.InstanceID {
+	ids := make([]fleet.InstanceID, 0, len(set))
+	for id := range set {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/mesh/traffic.go
@@ -0,0 +1,90 @@
+package mesh
+
+import (
+	"sync/atomic"
+
+	"github.com/tarragonreach/tarragonreach/mesh/wire"
+)
+
+// Reasons for which messages and connections are refused.
+const (
+	reasonUnknownKind = "unknown-kind"
+	reasonMalformed   = "malformed"
+	reasonTooLarge    = "too-large"
+	reasonOverBudget  = "over-budget"
+	reasonQueueFull   = "queue-full"
+	reasonMergeFailed = "merge-failed"
+	reasonNoIdentity  = "no-identity"
+	reasonTwoConns    = "second-connection"
+	reasonSelf        = "self"
+	reasonHandshake   = "handshake-failed"
+)
+
+// kinds is one more than the largest kind counted by itself.
+const kinds = int(wire.KindResponse) + 1
+
+// Count is a number of messages and of their bytes without transport overhead.
+type Count struct {
+	Messages int64
+	Bytes    int64
+}
+
+// Traffic holds the counts of a Node by kind of message.
+type Traffic struct {
+	Sent     map[wire.Kind]Count
+	Received map[wire.Kind]Count
+}
+
+type counter struct {
+	messages atomic.Int64
+	bytes    atomic.Int64
+}
+
+type traffic struct {
+	metrics  Metrics
+	sent     [kinds]counter
+	received [kinds]counter
+}
+
+func newTraffic(metrics Metrics) *traffic {
+	return &traffic{metrics: metrics}
+}
+
+func (t *traffic) countSent(kind wire.Kind, bytes int) {
+	add(&t.sent, kind, bytes)
+	t.metrics.MessageSent(kind.String(), bytes)
+}
+
+func (t *traffic) countReceived(kind wire.Kind, bytes int) {
+	add(&t.received, kind, bytes)
+	t.metrics.MessageReceived(kind.String(), bytes)
+}
+
+func (t *traffic) refuse(reason string) {
+	t.metrics.MessageRefused(reason)
+}
+
+func (t *traffic) snapshot() Traffic {
+	return Traffic{Sent: read(&t.sent), Received: read(&t.received)}
+}
+
+// add counts kinds of other versions of the program as kind zero.
+func add(counters *[kinds]counter, kind wire.Kind, bytes int) {
+	i := int(kind)
+	if i >= kinds {
+		i = 0
+	}
+	counters[i].messages.Add(1)
+	counters[i].bytes.Add(int64(bytes))
+}
+
+func read(counters *[kinds]counter) map[wire.Kind]Count {
+	counts := make(map[wire.Kind]Count)
+	for i := range counters {
+		messages := counters[i].messages.Load()
+		if messages > 0 {
+			counts[wire.Kind(i)] = Count{Messages: messages, Bytes: counters[i].bytes.Load()}
+		}
+	}
+	return counts
+}
--- /dev/null
+++ b/mesh/wire/validate.go
@@ -0,0 +1,105 @@
+package wire
+
+import (
+	"errors"
+	"fmt"
+)
+
+func validate(message Message) error {
+	switch m := message.(type) {
+	case *Heartbeat:
+		return within("summary", len(m.Summary), MaxSummaryBytes)
+	case *Hello:
+		return validateRecord(m.Record)
+	case *Leave:
+		return validateRecord(m.Record)
+	case *Members:
+		return validateRecords(m.Records)
+	case *MemberDigest:
+		return validateMemberDigest(m)
+	case *Digest:
+		return validateDigest(m)
+	case *Pull:
+		return validateName("stream", string(m.Stream))
+	case *Documents:
+		return validateDocuments(m)
+	case *Request:
+		return validateName("method", m.Method)
+	default:
+		return nil
+	}
+}
+
+func validateRecords(records []Record) error {
+	if err := within("records", len(records), MaxMembers); err != nil {
+		return err
+	}
+	for _, record := range records {
+		if err := validateRecord(record); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func validateRecord(record Record) error {
+	err := errors.Join(
+		validateName("instance", string(record.ID)),
+		validateName("availability zone", string(record.Zone)),
+		validateName("address", record.Address),
+		within("peers heard", len(record.Heard), MaxMembers),
+	)
+	if err != nil {
+		return err
+	}
+	for _, peer := range record.Heard {
+		if err := validateName("peer heard", string(peer)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func validateMemberDigest(digest *MemberDigest) error {
+	if err := within("members", len(digest.Versions), MaxMembers); err != nil {
+		return err
+	}
+	for _, version := range digest.Versions {
+		if err := validateName("instance", string(version.ID)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func validateDigest(digest *Digest) error {
+	for _, version := range digest.Versions {
+		if err := validateName("stream", string(version.Stream)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func validateDocuments(documents *Documents) error {
+	for _, document := range documents.Documents {
+		if err := validateName("stream", string(document.Stream)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func validateName(what, name string) error {
+	if name == "" {
+		return fmt.Errorf("%s is empty", what)
+	}
+	return within(what, len(name), MaxNameBytes)
+}
+
+func within(what string, n, limit int) error {
+	if n > limit {
+		return fmt.Errorf("%s: %d exceeds %d", what, n, limit)
+	}
+	return nil
+}
