--- /dev/null
+++ b/api/explain/explain.go
@@ -0,0 +1,79 @@
+// Package explain holds the typed records of decisions: what was decided about
+// which subject, why, from which inputs, and which alternatives were refused.
+package explain
+
+import (
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+)
+
+// SubjectKind says what a decision is about.
+type SubjectKind string
+
+// The kinds of subject.
+const (
+	SubjectInstance SubjectKind = "instance"
+	SubjectPool     SubjectKind = "pool"
+	SubjectPlan     SubjectKind = "maintenance-plan"
+	SubjectJob      SubjectKind = "job"
+	SubjectRequest  SubjectKind = "request"
+)
+
+// Subject names what a decision is about.
+type Subject struct {
+	Kind SubjectKind `json:"kind"`
+	Name string      `json:"name"`
+}
+
+// Instance returns the subject of an instance.
+func Instance(id fleet.InstanceID) Subject { return Subject{SubjectInstance, string(id)} }
+
+// Pool returns the subject of a pool.
+func Pool(name string) Subject { return Subject{SubjectPool, name} }
+
+// Outcome says how a decision ended.
+type Outcome string
+
+// The outcomes of a decision.
+const (
+	Applied Outcome = "applied"
+	Waiting Outcome = "waiting"
+	Refused Outcome = "refused"
+)
+
+// Input is one value that a decision was made from.
+type Input struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+}
+
+// Alternative is a choice that was weighed and refused.
+type Alternative struct {
+	Choice string  `json:"choice"`
+	Reason Reason  `json:"reason"`
+	Cost   float64 `json:"cost,omitempty"`
+}
+
+// Record is one decision.
+type Record struct {
+	At           time.Time              `json:"at"`
+	Zone         fleet.AvailabilityZone `json:"zone,omitempty"`
+	Epoch        int64                  `json:"epoch,omitempty"` // of the duty that decided
+	Subject      Subject                `json:"subject"`
+	Action       Action                 `json:"action"`
+	Outcome      Outcome                `json:"outcome"`
+	Reason       Reason                 `json:"reason"`
+	Detail       string                 `json:"detail,omitempty"` // one sentence for a person
+	Inputs       []Input                `json:"inputs,omitempty"`
+	Alternatives []Alternative          `json:"alternatives,omitempty"`
+	// Count and Last tell of repetitions of the same decision since At.
+	Count int       `json:"count,omitempty"`
+	Last  time.Time `json:"last,omitzero"`
+}
+
+// SameDecision reports whether o decides the same thing for the same reason.
+func (r Record) SameDecision(o Record) bool {
+	return r.Subject == o.Subject && r.Action == o.Action && r.Outcome == o.Outcome &&
+		r.Reason == o.Reason && r.Detail == o.Detail && r.Epoch == o.Epoch
+}
--- a/api/fleet/fleet.go
+++ b/api/fleet/fleet.go
@@ -91,9 +91,17 @@
 	Since  time.Time  `json:"since"`
 	// LastMaintained is the end of the last maintenance; zero if unknown.
 	LastMaintained time.Time `json:"lastMaintained,omitzero"`
+	// DrainRequested is set while an operator wants the instance out of its pool.
+	DrainRequested *DrainRequest `json:"drainRequested,omitempty"`
+	// Rack is the last rack that the platform's list named, so that an instance
+	// that is gone from the list still counts in its failure domain.
+	Rack string `json:"rack,omitempty"`
 }
 
 // Page is the value of a fleet/<availabilityZone>/<page> key.
 type Page struct {
+	// Epoch is the highest duty epoch that wrote the page; a duty with a lower one
+	// no longer writes it.
+	Epoch   int64    `json:"epoch,omitempty"`
 	Records []Record `json:"records"`
 }
--- /dev/null
+++ b/api/fleet/page.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"fmt"
+	"hash/fnv"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/label"
+)
+
+// PagePrefix starts the key of every page of the fleet record.
+const PagePrefix = "fleet/"
+
+// PagesPerZone is how many pages hold the records of one availability zone.
+const PagesPerZone = 32
+
+// ZonePrefix starts the keys of the pages of one availability zone.
+func ZonePrefix(zone AvailabilityZone) string { return PagePrefix + string(zone) + "/" }
+
+// PageKey returns the key of the only page that may hold the record of id. An
+// instance never changes its availability zone, so that it has one record.
+func PageKey(zone AvailabilityZone, id InstanceID) string {
+	hash := fnv.New32a()
+	hash.Write([]byte(id))
+	return fmt.Sprintf("%s%02d", ZonePrefix(zone), hash.Sum32()%PagesPerZone)
+}
+
+// Find returns the record of id and whether the page holds it.
+func (p Page) Find(id InstanceID) (Record, bool) {
+	for _, record := range p.Records {
+		if record.ID == id {
+			return record, true
+		}
+	}
+	return Record{}, false
+}
+
+// With returns a copy of the page that holds record in place of any earlier one.
+func (p Page) With(record Record) Page {
+	next := p.Without(record.ID)
+	next.Records = append(next.Records, record)
+	return next
+}
+
+// Without returns a copy of the page without the record of id.
+func (p Page) Without(id InstanceID) Page {
+	next := Page{Epoch: p.Epoch, Records: make([]Record, 0, len(p.Records)+1)}
+	for _, record := range p.Records {
+		if record.ID != id {
+			next.Records = append(next.Records, record)
+		}
+	}
+	return next
+}
+
+// DrainRequest is an operator's wish to take an instance out of its pool.
+type DrainRequest struct {
+	Reason string    `json:"reason"`
+	At     time.Time `json:"at"`
+}
+
+// EffectiveLabels returns the labels that selectors see: the platform's labels,
+// the ones derived from the instance, and over both the operators' own.
+func EffectiveLabels(instance Instance, operators label.Set) label.Set {
+	labels := make(label.Set, len(instance.Labels)+len(operators)+3)
+	for key, value := range instance.Labels {
+		labels[key] = value
+	}
+	labels[LabelKind] = string(instance.Kind)
+	labels[LabelZone] = string(instance.Zone)
+	if instance.Rack != "" {
+		labels[LabelRack] = instance.Rack
+	}
+	for key, value := range operators {
+		labels[key] = value
+	}
+	return labels
+}
--- a/api/object/object.go
+++ b/api/object/object.go
@@ -120,6 +120,9 @@
 	// MoveWeight and BufferWeight are the costs of one move and of one idle instance for a day.
 	MoveWeight   float64 `json:"moveWeight,omitempty"`
 	BufferWeight float64 `json:"bufferWeight,omitempty"`
+	// FailureDomain is what the pool's size survives the loss of: "rack" or "zone".
+	// Empty takes "zone".
+	FailureDomain string `json:"failureDomain,omitempty"`
 }
 
 // MaintenancePlan says which pools are maintained and how often.
