--- /dev/null
+++ b/policy/capacity/history.go
@@ -0,0 +1,110 @@
+package capacity
+
+import (
+	"math"
+	"time"
+)
+
+// Hysteresis bounds how quickly a need follows its estimate.
+type Hysteresis struct {
+	// UpAfter is how long a slightly higher estimate must stand.
+	UpAfter time.Duration
+	// DownAfter is how long a lower estimate must stand.
+	DownAfter time.Duration
+	// JumpShare is the growth, as a share of the need, that is followed at once.
+	JumpShare float64
+}
+
+// DefaultHysteresis returns the hysteresis of a deployment that sets none.
+func DefaultHysteresis() Hysteresis {
+	return Hysteresis{UpAfter: 2 * time.Minute, DownAfter: 15 * time.Minute, JumpShare: 0.2}
+}
+
+// History is a need with its past. The zero History starts with the first estimate.
+type History struct {
+	need    int
+	started bool
+	above   time.Time // since when the estimate is above need; zero if it is not
+	below   time.Time // since when the estimate is below need; zero if it is not
+	peak    int       // the highest estimate since below
+	peaks   []peak    // falling needs and when each was last needed
+}
+
+// peak says when a need of at least Need last stood.
+type peak struct {
+	need int
+	last time.Time
+}
+
+// Need returns the need in force.
+func (h *History) Need() int { return h.need }
+
+// Update takes an estimate and returns the need in force, which follows a higher
+// estimate after UpAfter, or at once if it is much higher, and a lower one after
+// DownAfter.
+func (h *History) Update(estimate int, now time.Time, limits Hysteresis) int {
+	switch {
+	case !h.started:
+		h.started = true
+		h.set(estimate)
+	case estimate > h.need:
+		h.raise(estimate, now, limits)
+	case estimate < h.need:
+		h.lower(estimate, now, limits)
+	default:
+		h.above, h.below, h.peak = time.Time{}, time.Time{}, 0
+	}
+	h.remember(now)
+	return h.need
+}
+
+func (h *History) set(need int) {
+	h.need, h.peak = need, 0
+	h.above, h.below = time.Time{}, time.Time{}
+}
+
+func (h *History) raise(estimate int, now time.Time, limits Hysteresis) {
+	h.below, h.peak = time.Time{}, 0
+	if h.above.IsZero() {
+		h.above = now
+	}
+	jump := float64(estimate-h.need) >= limits.JumpShare*float64(h.need)
+	if jump || now.Sub(h.above) >= limits.UpAfter {
+		h.set(estimate)
+	}
+}
+
+// lower falls to the highest estimate seen since the estimates fell.
+func (h *History) lower(estimate int, now time.Time, limits Hysteresis) {
+	h.above = time.Time{}
+	if h.below.IsZero() {
+		h.below = now
+	}
+	h.peak = max(h.peak, estimate)
+	if now.Sub(h.below) >= limits.DownAfter {
+		h.set(h.peak)
+	}
+}
+
+// remember notes that every size up to need is needed now.
+func (h *History) remember(now time.Time) {
+	for len(h.peaks) > 0 && h.peaks[len(h.peaks)-1].need <= h.need {
+		h.peaks = h.peaks[:len(h.peaks)-1]
+	}
+	h.peaks = append(h.peaks, peak{h.need, now})
+}
+
+// IdleDays forecasts how long the instance that makes a pool size instances large
+// stays idle: as long again as it has been idle. Sizes that were never needed while
+// the history ran have been idle since its start, which since names.
+func (h *History) IdleDays(size int, since, now time.Time) float64 {
+	last := since
+	for _, p := range h.peaks {
+		if p.need >= size {
+			last = p.last
+		}
+	}
+	return math.Max(now.Sub(last).Hours()/hoursPerDay, 0)
+}
+
+const hoursPerDay = 24
--- /dev/null
+++ b/policy/capacity/outcome.go
@@ -0,0 +1,176 @@
+package capacity
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/tarragonreach/tarragonreach/api/explain"
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+)
+
+// plan reads the solved network.
+func (p *planner) plan() Plan {
+	var out Plan
+	sizes := p.sizes()
+	for _, pool := range p.pools {
+		out.Pools = append(out.Pools, p.filled(pool, sizes))
+	}
+	for g, group := range p.groups {
+		out.Assignments = append(out.Assignments, p.assign(g, group, sizes)...)
+	}
+	slices.SortFunc(out.Assignments, func(a, b Assignment) int { return cmp.Compare(a.ID, b.ID) })
+	out.Moves, out.Cost = p.price(sizes)
+	return out
+}
+
+func (p *planner) sizes() []int {
+	sizes := make([]int, len(p.pools))
+	for g := range p.groups {
+		for i := range p.pools {
+			sizes[i] += p.flow(g, i)
+		}
+	}
+	return sizes
+}
+
+// flow returns how many instances of a group go to a pool; the index after the
+// last pool stands for no pool.
+func (p *planner) flow(g, pool int) int {
+	if p.edges[g][pool] < 0 {
+		return 0
+	}
+	return p.net.used(p.groupNode(g), p.edges[g][pool])
+}
+
+// assign deals the members of a group out: first the ones that stay.
+func (p *planner) assign(g int, group group, sizes []int) []Assignment {
+	var out []Assignment
+	members := group.members
+	deal := func(pool, count int) {
+		name := ""
+		if pool < len(p.pools) {
+			name = p.pools[pool].Name
+		}
+		for _, id := range members[:count] {
+			out = append(out, p.explain(id, group, name, sizes))
+		}
+		members = members[count:]
+	}
+	home, hasHome := p.index[group.pool]
+	if hasHome {
+		deal(home, p.flow(g, home))
+	}
+	for i := range p.pools {
+		if !hasHome || i != home {
+			deal(i, p.flow(g, i))
+		}
+	}
+	deal(len(p.pools), len(members))
+	return out
+}
+
+func (p *planner) explain(id fleet.InstanceID, group group, to string, sizes []int) Assignment {
+	a := Assignment{ID: id, From: group.pool, To: to, Reason: p.reason(group, to)}
+	if a.From == to && to != "" {
+		return a
+	}
+	for _, name := range group.eligible {
+		if name == to {
+			continue
+		}
+		i := p.index[name]
+		a.Refused = append(a.Refused, explain.Alternative{
+			Choice: name,
+			Reason: p.against(i, sizes[i]),
+			Cost:   float64(p.moveCost(group, name)) / costUnit,
+		})
+	}
+	return a
+}
+
+func (p *planner) reason(group group, to string) explain.Reason {
+	eligibleHome := slices.Contains(group.eligible, group.pool)
+	switch {
+	case to == "" && len(group.eligible) == 0:
+		return explain.ReasonNoPoolMatches
+	case group.pool != "" && !eligibleHome:
+		return explain.ReasonNotSelected
+	case to == "":
+		return p.reasonIdle(group)
+	case group.pool == to, p.pools[p.index[to]].Open:
+		return explain.ReasonSelected
+	default:
+		return explain.ReasonPoolShort
+	}
+}
+
+// reasonIdle says why no eligible pool takes an instance.
+func (p *planner) reasonIdle(group group) explain.Reason {
+	for _, name := range group.eligible {
+		pool := p.pools[p.index[name]]
+		if pool.Max == 0 && !pool.Closed || pool.Need < pool.Max && !pool.Open {
+			return explain.ReasonSurplus
+		}
+	}
+	return explain.ReasonPoolFull
+}
+
+// against says why a pool did not get one more instance.
+func (p *planner) against(i, size int) explain.Reason {
+	pool := p.pools[i]
+	switch {
+	case pool.Closed || pool.Max > 0 && size >= pool.Max:
+		return explain.ReasonPoolFull
+	case size >= pool.Need:
+		return explain.ReasonTargetMet
+	default:
+		return explain.ReasonMoveCostsTooMuch
+	}
+}
+
+// filled says how a pool comes out and which constraint leaves it short.
+func (p *planner) filled(pool Pool, sizes []int) Filled {
+	f := Filled{Pool: pool.Name, Need: pool.Need, Size: sizes[p.index[pool.Name]], Reason: explain.ReasonTargetMet}
+	for _, group := range p.groups {
+		if slices.Contains(group.eligible, pool.Name) {
+			f.Matching += len(group.members)
+		}
+	}
+	if f.Short() == 0 {
+		return f
+	}
+	switch {
+	case pool.Closed || pool.Max > 0 && f.Size >= pool.Max:
+		f.Reason = explain.ReasonPoolFull
+	case f.Matching == 0:
+		f.Reason = explain.ReasonNoInstanceFits
+	case f.Size >= f.Matching:
+		f.Reason = explain.ReasonTooFewInstances
+	default:
+		f.Reason = explain.ReasonCandidatesTaken
+	}
+	return f
+}
+
+// price counts moves and sums up the weighted cost of moves and idle days.
+func (p *planner) price(sizes []int) (int, float64) {
+	moves, cost := 0, int64(0)
+	for g, group := range p.groups {
+		for i := range p.edges[g] {
+			name := ""
+			if i < len(p.pools) {
+				name = p.pools[i].Name
+			}
+			if group.pool != "" && group.pool != name {
+				moves += p.flow(g, i)
+				cost += int64(p.flow(g, i)) * p.moveCost(group, name)
+			}
+		}
+	}
+	for i, pool := range p.pools {
+		for size := pool.Need + 1; size <= sizes[i] && !pool.Open; size++ {
+			cost += pool.idleCost(size)
+		}
+	}
+	return moves, float64(cost) / costUnit
+}
--- /dev/null
+++ b/policy/capacity/split.go
@@ -0,0 +1,33 @@
+package capacity
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Split divides total in proportion to weights by the largest remainders; ties go
+// to the earlier place. With no weight at all it gives nothing to anybody.
+func Split(total int, weights []int) []int {
+	shares := make([]int, len(weights))
+	sum := 0
+	for _, weight := range weights {
+		sum += weight
+	}
+	if sum == 0 {
+		return shares
+	}
+	left := total
+	order := make([]int, len(weights))
+	for i, weight := range weights {
+		shares[i] = total * weight / sum
+		left -= shares[i]
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Compare(total*weights[b]%sum, total*weights[a]%sum)
+	})
+	for _, i := range order[:left] {
+		shares[i]++
+	}
+	return shares
+}
