Keep and follow the fleet record and act on it by compare-and-swap

The controller of a zone registers instances, assigns, drains, releases and maintains them. Its tests relabel an instance and watch it move within its pool's budget, and drain and undrain one.

--- /dev/null
+++ b/entry/explain/ring.go
@@ -0,0 +1,102 @@
+// Package explain keeps the latest decision records of an entry instance in
+// bounded memory and counts decisions for each reason.
+package explain
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/tarragonreach/tarragonreach/api/explain"
+)
+
+// DefaultSize is how many records a ring keeps where none is set.
+const DefaultSize = 4096
+
+// Metrics counts decisions.
+type Metrics interface {
+	// Decision counts one decision.
+	Decision(action explain.Action, outcome explain.Outcome, reason explain.Reason)
+}
+
+// Ring keeps the latest records. A decision that repeats the last one on the same
+// subject raises that record's count. Methods may be called from any goroutine.
+type Ring struct {
+	mu      sync.Mutex
+	size    int
+	records []explain.Record
+	next    int                     // slot to write once the ring is full
+	last    map[explain.Subject]int // slot of the latest record
+	metrics Metrics
+	total   atomic.Int64
+}
+
+// NewRing returns a ring for size records; metrics may be nil.
+func NewRing(size int, metrics Metrics) *Ring {
+	return &Ring{size: size, last: make(map[explain.Subject]int), metrics: metrics}
+}
+
+// Record keeps one decision.
+func (r *Ring) Record(record explain.Record) {
+	r.total.Add(1)
+	if r.metrics != nil {
+		r.metrics.Decision(record.Action, record.Outcome, record.Reason)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.repeat(record) {
+		return
+	}
+	record.Count, record.Last = 1, record.At
+	r.insert(record)
+}
+
+// repeat counts a decision that was made before.
+func (r *Ring) repeat(record explain.Record) bool {
+	slot, known := r.last[record.Subject]
+	if !known || !r.records[slot].SameDecision(record) {
+		return false
+	}
+	r.records[slot].Count++
+	r.records[slot].Last = record.At
+	return true
+}
+
+func (r *Ring) insert(record explain.Record) {
+	if len(r.records) < r.size {
+		r.last[record.Subject] = len(r.records)
+		r.records = append(r.records, record)
+		return
+	}
+	evicted := r.records[r.next].Subject
+	if r.last[evicted] == r.next {
+		delete(r.last, evicted)
+	}
+	r.records[r.next] = record
+	r.last[record.Subject] = r.next
+	r.next = (r.next + 1) % r.size
+}
+
+// Total returns how many decisions were recorded.
+func (r *Ring) Total() int64 { return r.total.Load() }
+
+// About returns the records on a subject, the latest first.
+func (r *Ring) About(subject explain.Subject) []explain.Record {
+	return r.Find(func(record explain.Record) bool { return record.Subject == subject })
+}
+
+// Find returns the records that match, the latest first.
+func (r *Ring) Find(match func(explain.Record) bool) []explain.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []explain.Record
+	for i := range r.records {
+		record := r.records[(r.next+i)%len(r.records)]
+		if match(record) {
+			found = append(found, record)
+		}
+	}
+	slices.SortStableFunc(found, func(a, b explain.Record) int { return a.Last.Compare(b.Last) })
+	slices.Reverse(found)
+	return found
+}
--- /dev/null
+++ b/entry/fleetctl/apply.go
@@ -0,0 +1,154 @@
+package fleetctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/explain"
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/entry/fleetview"
+	"github.com/tarragonreach/tarragonreach/policy/lifecycle"
+)
+
+// change is a step of one member.
+type change struct {
+	*member
+	step lifecycle.Step
+}
+
+// apply takes the next step of each of the zone's instances.
+func (r *round) apply(ctx context.Context) error {
+	var free []change
+	wanted := make(map[string][]change) // by the pool whose budget is asked
+	for _, m := range r.members {
+		if m.zone != r.Zone {
+			continue
+		}
+		c := change{m, r.next(m)}
+		switch {
+		case c.step.Voluntary:
+			wanted[m.record.Pool] = append(wanted[m.record.Pool], c)
+		case c.step.Reboot:
+			if r.reboot(ctx, c) {
+				free = append(free, c)
+			}
+		case c.step.Changed() || m.isNew:
+			free = append(free, c)
+		}
+	}
+	granted, err := r.grantAll(ctx, wanted)
+	if err != nil {
+		return errors.Join(err, r.write(ctx, r.snapshot, free))
+	}
+	return r.write(ctx, r.snapshot, append(free, granted...))
+}
+
+// next returns the next step of a member. While the list is suspect, absence from
+// it proves nothing.
+func (r *round) next(m *member) lifecycle.Step {
+	seen := m.seen
+	if r.suspect && seen.AbsentFor < suspectLimit {
+		seen.AbsentFor = 0
+		seen.Healthy = true
+	}
+	return r.Timings.Next(m.record, seen, m.intent, r.now)
+}
+
+// reboot asks the platform to start the maintenance of a drained instance. The call
+// is idempotent and repeated until the platform has taken it.
+func (r *round) reboot(ctx context.Context, c change) bool {
+	if !r.term.Active() {
+		return false
+	}
+	if err := r.Instances.Reboot(ctx, c.record.ID); err != nil {
+		slog.Warn("reboot was not taken", "instance", c.record.ID, "error", err)
+		return false
+	}
+	return true
+}
+
+// write applies steps page by page. A page that changed since the snapshot from
+// which they were decided is left to the next round; any other failure ends this one.
+func (r *round) write(ctx context.Context, decidedOn *fleetview.Snapshot, changes []change) error {
+	byPage := make(map[string][]change)
+	for _, c := range changes {
+		key := fleet.PageKey(c.zone, c.record.ID)
+		byPage[key] = append(byPage[key], c)
+	}
+	for _, key := range slices.Sorted(maps.Keys(byPage)) {
+		if !r.term.Active() {
+			return nil
+		}
+		err := r.writePage(ctx, decidedOn.Page(key), key, byPage[key])
+		if err != nil && !raced(err) {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *round) writePage(ctx context.Context, old fleetview.PageEntry, key string, changes []change) error {
+	if old.Page.Epoch > r.epoch {
+		return fmt.Errorf("page %s was written in term %d, this is %d: %w", key, old.Page.Epoch, r.epoch, ErrDeposed)
+	}
+	old.Key = key
+	next := old.Page
+	next.Epoch = r.epoch
+	for _, c := range changes {
+		if c.step.Forget {
+			next = next.Without(c.record.ID)
+			continue
+		}
+		next = next.With(c.step.Record)
+	}
+	if err := r.pages.swap(ctx, old, next); err != nil {
+		return err
+	}
+	for _, c := range changes {
+		r.explainStep(c)
+	}
+	return nil
+}
+
+func (r *round) explainStep(c change) {
+	r.record(explain.Record{
+		Subject: explain.Instance(c.record.ID), Action: c.step.Action, Outcome: explain.Applied,
+		Reason: c.step.Reason, Detail: describe(c), Inputs: r.inputs(c.member), Alternatives: c.refused,
+	})
+}
+
+// describe tells a step in one line.
+func describe(c change) string {
+	before, after := c.record, c.step.Record
+	if c.step.Forget {
+		return fmt.Sprintf("was %s in pool %q", before.State, before.Pool)
+	}
+	line := fmt.Sprintf("%s in pool %q, was %s in pool %q", after.State, after.Pool, before.State, before.Pool)
+	if after.Target != "" && after.Target != after.Pool {
+		line += fmt.Sprintf(", on its way to pool %q", after.Target)
+	}
+	if after.DrainRequested != nil {
+		line += fmt.Sprintf(", operator's drain: %s", after.DrainRequested.Reason)
+	}
+	return line
+}
+
+// inputs names what a step was decided from.
+func (r *round) inputs(m *member) []explain.Input {
+	return []explain.Input{
+		{Name: "labels", Value: fleet.EffectiveLabels(m.instance, m.record.Labels).String()},
+		{Name: "eligible-pools", Value: fmt.Sprint(m.eligible)},
+		{Name: "listed", Value: fmt.Sprint(m.seen.Listed)},
+		{Name: "leaving", Value: fmt.Sprint(m.seen.Leaving)},
+		{Name: "healthy", Value: fmt.Sprint(m.seen.Healthy)},
+		{Name: "config-revision", Value: fmt.Sprint(r.config.Revision)},
+	}
+}
+
+// suspectLimit is how long a suspect list is not believed.
+const suspectLimit = 5 * time.Minute
--- /dev/null
+++ b/entry/fleetctl/fake_test.go
@@ -0,0 +1,159 @@
+package fleetctl
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/explain"
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/platform"
+)
+
+var errLost = errors.New("answer lost")
+
+// fakeStore is a Store in memory. fault is asked before each write and says whether
+// the write takes effect and which error the caller sees.
+type fakeStore struct {
+	mu       sync.Mutex
+	entries  map[string]platform.Entry
+	revision platform.Revision
+	written  int64 // bytes
+	writes   int64
+	down     bool
+	fault    func(key string) (effect bool, err error)
+	wrote    func(key string, before, after platform.Entry)
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{entries: make(map[string]platform.Entry)} }
+
+func (s *fakeStore) Get(_ context.Context, key string) (platform.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Entry{}, errLost
+	}
+	entry, found := s.entries[key]
+	if !found {
+		return platform.Entry{}, platform.ErrNotFound
+	}
+	return entry, nil
+}
+
+func (s *fakeStore) Create(_ context.Context, key string, value []byte, _ platform.LeaseID) (platform.Revision, error) {
+	return s.put(key, value, 0, platform.ErrExists)
+}
+
+func (s *fakeStore) Swap(_ context.Context, key string, value []byte, prev platform.Revision, _ platform.LeaseID) (platform.Revision, error) {
+	return s.put(key, value, prev, platform.ErrConflict)
+}
+
+func (s *fakeStore) put(key string, value []byte, prev platform.Revision, mismatch error) (platform.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	effect, err := true, error(nil)
+	if s.fault != nil {
+		effect, err = s.fault(key)
+	}
+	if s.down || !effect {
+		return 0, errLost
+	}
+	before := s.entries[key]
+	if before.Revision != prev {
+		return 0, mismatch
+	}
+	s.revision++
+	s.writes++
+	s.written += int64(len(value))
+	s.entries[key] = platform.Entry{Key: key, Value: slices.Clone(value), Revision: s.revision}
+	if s.wrote != nil {
+		s.wrote(key, before, s.entries[key])
+	}
+	return s.revision, err
+}
+
+func (s *fakeStore) List(_ context.Context, prefix, after string, limit int) (platform.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Page{}, errLost
+	}
+	var keys []string
+	for key := range s.entries {
+		if strings.HasPrefix(key, prefix) && key > after {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	page := platform.Page{Revision: s.revision}
+	for i, key := range keys {
+		if i == limit {
+			page.Next = keys[i-1]
+			break
+		}
+		page.Entries = append(page.Entries, s.entries[key])
+	}
+	return page, nil
+}
+
+func (s *fakeStore) Delete(context.Context, string, platform.Revision) error { return nil }
+func (s *fakeStore) Watch(context.Context, string, platform.Revision) (platform.Events, error) {
+	return platform.Events{}, errLost
+}
+func (s *fakeStore) Grant(context.Context, time.Duration) (platform.LeaseID, error) { return 1, nil }
+func (s *fakeStore) KeepAlive(context.Context, platform.LeaseID) error              { return nil }
+func (s *fakeStore) Revoke(context.Context, platform.LeaseID) error                 { return nil }
+
+// fakePlatform is an instance list that also takes reboots.
+type fakePlatform struct {
+	instances []fleet.Instance
+	reboots   []fleet.InstanceID
+}
+
+func (p *fakePlatform) Instances(context.Context) ([]fleet.Instance, error) {
+	return slices.Clone(p.instances), nil
+}
+
+func (p *fakePlatform) Reboot(_ context.Context, id fleet.InstanceID) error {
+	p.reboots = append(p.reboots, id)
+	return nil
+}
+
+// remove takes an instance off the list.
+func (p *fakePlatform) remove(id fleet.InstanceID) {
+	p.instances = slices.DeleteFunc(p.instances, func(i fleet.Instance) bool { return i.ID == id })
+}
+
+type fakeTerm struct {
+	epoch int64
+	ended bool
+}
+
+func (t *fakeTerm) Epoch() int64 { return t.epoch }
+func (t *fakeTerm) Active() bool { return !t.ended }
+
+// idleWork says that nothing is ever in progress.
+type idleWork struct {
+	deadlines map[fleet.InstanceID]time.Time
+}
+
+func (idleWork) Idle(fleet.InstanceID) bool               { return true }
+func (w idleWork) Deadline(id fleet.InstanceID) time.Time { return w.deadlines[id] }
+
+// recorded keeps decision records in order.
+type recorded struct{ records []explain.Record }
+
+func (r *recorded) Record(record explain.Record) { r.records = append(r.records, record) }
+
+// about returns the last record on an instance.
+func (r *recorded) about(id fleet.InstanceID) explain.Record {
+	for _, record := range slices.Backward(r.records) {
+		if record.Subject == explain.Instance(id) {
+			return record
+		}
+	}
+	return explain.Record{}
+}
--- /dev/null
+++ b/entry/fleetctl/grants.go
@@ -0,0 +1,130 @@
+package fleetctl
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/tarragonreach/tarragonreach/api/explain"
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/policy/budget"
+)
+
+// grantAttempts bounds the races for one ledger in one round.
+const grantAttempts = 3
+
+// grantAll asks the budgets for the voluntary steps and returns the granted ones.
+func (r *round) grantAll(ctx context.Context, wanted map[string][]change) ([]change, error) {
+	if r.suspect || !r.term.Active() {
+		return nil, nil
+	}
+	var granted []change
+	for _, pool := range slices.Sorted(maps.Keys(wanted)) {
+		changes := wanted[pool]
+		slices.SortStableFunc(changes, func(a, b change) int { return cmp.Compare(urgency(a), urgency(b)) })
+		got, err := r.grant(ctx, pool, changes)
+		if err != nil && !raced(err) {
+			return granted, err
+		}
+		granted = append(granted, got...)
+	}
+	return granted, nil
+}
+
+// urgency orders the steps that compete for one budget.
+func urgency(c change) int {
+	switch c.step.Reason {
+	case explain.ReasonOperatorDrain:
+		return 0
+	case explain.ReasonMaintenanceDue:
+		return 2
+	default:
+		return 1
+	}
+}
+
+// grant reads the ledger of one pool and writes the grants into it.
+func (r *round) grant(ctx context.Context, pool string, changes []change) ([]change, error) {
+	var err error
+	for range grantAttempts {
+		var entry ledgerEntry
+		if entry, err = r.ledgers.read(ctx, pool); err != nil {
+			return nil, err
+		}
+		next, granted, refused := r.decideGrants(pool, entry.ledger, changes)
+		if next.changed {
+			err = r.ledgers.swap(ctx, pool, entry, next.ledger)
+		}
+		if err == nil {
+			r.explainRefusals(refused)
+			return granted, nil
+		}
+		if !raced(err) {
+			return nil, err
+		}
+	}
+	return nil, err
+}
+
+// refusal is a step that the budget did not allow.
+type refusal struct {
+	change
+	decision budget.Decision
+}
+
+type draftLedger struct {
+	ledger  fleet.Ledger
+	changed bool
+}
+
+func (r *round) decideGrants(pool string, ledger fleet.Ledger, changes []change) (draftLedger, []change, []refusal) {
+	draft := draftLedger{ledger: ledger}
+	var granted []change
+	var refused []refusal
+	for _, c := range changes {
+		if r.holdsGrant(draft.ledger, c) {
+			granted = append(granted, c)
+			continue
+		}
+		decision := budget.Grant(r.pool(pool), draft.ledger, budget.Request{
+			ID: c.record.ID, Zone: r.Zone, Epoch: r.epoch,
+			RecordEpoch: c.record.Epoch, Expires: r.now.Add(r.GrantTTL),
+		})
+		if !decision.Granted {
+			refused = append(refused, refusal{c, decision})
+			continue
+		}
+		draft = draftLedger{decision.Ledger, true}
+		granted = append(granted, c)
+	}
+	return draft, granted, refused
+}
+
+// holdsGrant says whether an earlier round got the grant and did not use it.
+func (r *round) holdsGrant(ledger fleet.Ledger, c change) bool {
+	outage, counted := ledger.Outage(c.record.ID)
+	return counted && outage.Voluntary && outage.Epoch == r.epoch && outage.RecordEpoch == c.record.Epoch
+}
+
+func (r *round) explainRefusals(refused []refusal) {
+	for _, c := range refused {
+		r.record(explain.Record{
+			Subject: explain.Instance(c.record.ID), Action: c.step.Action, Outcome: explain.Waiting,
+			Reason: c.decision.Reason,
+			Detail: fmt.Sprintf("wants to drain from pool %q: %s", c.record.Pool, c.step.Reason),
+			Inputs: standingInputs(c.decision),
+		})
+	}
+}
+
+func standingInputs(d budget.Decision) []explain.Input {
+	show := func(s budget.Standing) string {
+		return fmt.Sprintf("%d of %d out, limit %d", s.Out, s.Expected, s.Limit)
+	}
+	return []explain.Input{
+		{Name: "pool-budget", Value: show(d.Pool)},
+		{Name: "zone-budget", Value: show(d.Zone)},
+	}
+}
--- /dev/null
+++ b/entry/fleetctl/inputs.go
@@ -0,0 +1,120 @@
+package fleetctl
+
+import (
+	"errors"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/explain"
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/entry/fleetview"
+	"github.com/tarragonreach/tarragonreach/platform"
+	"github.com/tarragonreach/tarragonreach/policy/capacity"
+	"github.com/tarragonreach/tarragonreach/policy/lifecycle"
+	"github.com/tarragonreach/tarragonreach/policy/maintenance"
+)
+
+// Errors of controllers and operations.
+var (
+	ErrDeposed         = errors.New("a later holder of the duty wrote the fleet record")
+	ErrUnknownInstance = errors.New("instance is not in the fleet record")
+	ErrTooManyRaces    = errors.New("the record kept changing; try again")
+)
+
+// Term is one term of a duty.
+type Term interface {
+	// Epoch grows with each term of the duty.
+	Epoch() int64
+	// Active reports whether the holder may still act by its own clock.
+	Active() bool
+}
+
+// Health tells what the request path knows of an instance.
+type Health interface {
+	// Healthy returns whether the instance answers, and whether that is known at all.
+	Healthy(id fleet.InstanceID) (healthy, known bool)
+}
+
+// Work tells what an instance is doing.
+type Work interface {
+	// Idle reports that nothing is in progress there.
+	Idle(id fleet.InstanceID) bool
+	// Deadline returns the nearest deadline of a batch there; zero if there is none.
+	Deadline(id fleet.InstanceID) time.Time
+}
+
+// Demand tells how much of a pool is in use.
+type Demand interface {
+	// Demand returns the demand in one availability zone, in busy instances, and
+	// whether it is known.
+	Demand(pool string, zone fleet.AvailabilityZone) (instances float64, known bool)
+}
+
+// Recorder takes decision records.
+type Recorder interface {
+	Record(record explain.Record)
+}
+
+// Options are what a controller works with. Health, Work and Demand may be nil:
+// every listed instance then counts as healthy, a drain waits for its limit, and a
+// pool takes every instance that its selector matches.
+type Options struct {
+	Zone      fleet.AvailabilityZone
+	Store     platform.Store
+	View      *fleetview.View
+	List      platform.InstanceList
+	Instances platform.Instances
+	Config    func() *object.Config
+	Health    Health
+	Work      Work
+	Demand    Demand
+	Recorder  Recorder
+	Now       func() time.Time
+	Timings   lifecycle.Timings
+	Failures  maintenance.FailureLimits
+	// Hysteresis and HalfLife shape how a pool's need follows its demand.
+	Hysteresis capacity.Hysteresis
+	HalfLife   time.Duration
+	// Quantile of the demand is what a pool is sized for.
+	Quantile float64
+	// GrantTTL is after what time an unused grant is taken back.
+	GrantTTL time.Duration
+	// ReplaceAfter is how long a failed instance keeps its seat in the plan.
+	ReplaceAfter time.Duration
+}
+
+// WithDefaults returns the options with every unset timing at its default.
+func (o Options) WithDefaults() Options {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Timings == (lifecycle.Timings{}) {
+		o.Timings = lifecycle.DefaultTimings()
+	}
+	if o.Failures == (maintenance.FailureLimits{}) {
+		o.Failures = maintenance.DefaultFailureLimits()
+	}
+	if o.Hysteresis == (capacity.Hysteresis{}) {
+		o.Hysteresis = capacity.DefaultHysteresis()
+	}
+	if o.HalfLife == 0 {
+		o.HalfLife = defaultHalfLife
+	}
+	if o.Quantile == 0 {
+		o.Quantile = defaultQuantile
+	}
+	if o.GrantTTL == 0 {
+		o.GrantTTL = defaultGrantTTL
+	}
+	if o.ReplaceAfter == 0 {
+		o.ReplaceAfter = defaultReplaceAfter
+	}
+	return o
+}
+
+const (
+	defaultHalfLife     = 6 * time.Hour
+	defaultQuantile     = 0.98
+	defaultGrantTTL     = 2 * time.Minute
+	defaultReplaceAfter = 10 * time.Minute
+)
--- /dev/null
+++ b/entry/fleetctl/ledgers.go
@@ -0,0 +1,84 @@
+package fleetctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/platform"
+)
+
+// ledgerEntry is a ledger with the revision at which it was read; zero if the key
+// does not exist.
+type ledgerEntry struct {
+	ledger   fleet.Ledger
+	revision platform.Revision
+}
+
+// ledgers reads and swaps the ledgers of pools. Its cache may be old: a swap based
+// on it then fails.
+type ledgers struct {
+	store platform.Store
+	cache map[string]ledgerEntry
+}
+
+func newLedgers(store platform.Store) *ledgers {
+	return &ledgers{store: store, cache: make(map[string]ledgerEntry)}
+}
+
+// cached returns the ledger as last seen; it reads the store if it was never seen.
+func (l *ledgers) cached(ctx context.Context, pool string) (ledgerEntry, error) {
+	if entry, held := l.cache[pool]; held {
+		return entry, nil
+	}
+	return l.read(ctx, pool)
+}
+
+// read returns the ledger as the store holds it now.
+func (l *ledgers) read(ctx context.Context, pool string) (ledgerEntry, error) {
+	stored, err := l.store.Get(ctx, fleet.LedgerKey(pool))
+	if errors.Is(err, platform.ErrNotFound) {
+		l.cache[pool] = ledgerEntry{}
+		return ledgerEntry{}, nil
+	}
+	if err != nil {
+		return ledgerEntry{}, fmt.Errorf("read the ledger of pool %s: %w", pool, err)
+	}
+	entry := ledgerEntry{revision: stored.Revision}
+	if err := json.Unmarshal(stored.Value, &entry.ledger); err != nil {
+		return ledgerEntry{}, fmt.Errorf("read the ledger of pool %s: %w", pool, err)
+	}
+	l.cache[pool] = entry
+	return entry, nil
+}
+
+// swap replaces the ledger that was read as old. After any error the cache is
+// dropped, since the write may have taken effect.
+func (l *ledgers) swap(ctx context.Context, pool string, old ledgerEntry, next fleet.Ledger) error {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return fmt.Errorf("encode the ledger of pool %s: %w", pool, err)
+	}
+	revision, err := put(ctx, l.store, fleet.LedgerKey(pool), value, old.revision)
+	if err != nil {
+		delete(l.cache, pool)
+		return fmt.Errorf("write the ledger of pool %s: %w", pool, err)
+	}
+	l.cache[pool] = ledgerEntry{ledger: next, revision: revision}
+	return nil
+}
+
+// put creates a key whose last revision is zero and swaps any other.
+func put(ctx context.Context, store platform.Store, key string, value []byte, prev platform.Revision) (platform.Revision, error) {
+	if prev == 0 {
+		return store.Create(ctx, key, value, 0)
+	}
+	return store.Swap(ctx, key, value, prev, 0)
+}
+
+// raced reports that a write had no effect because another one came first.
+func raced(err error) bool {
+	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrExists)
+}
--- /dev/null
+++ b/entry/fleetctl/maintain.go
@@ -0,0 +1,137 @@
+package fleetctl
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/explain"
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/policy/budget"
+	"github.com/tarragonreach/tarragonreach/policy/maintenance"
+)
+
+// decideMaintenance asks for the maintenance of due instances that the pool plan
+// leaves where they are.
+func (r *round) decideMaintenance(ctx context.Context) {
+	var shown []maintenance.Status
+	left := r.budgetsLeft(ctx)
+	for _, plan := range r.maintenancePlans() {
+		decision := maintenance.Decide(maintenance.Input{
+			Now: r.now, Plan: plan, Zone: r.Zone, Instances: r.covered(plan),
+			BudgetLeft: left, Failures: r.Failures,
+		})
+		shown = append(shown, decision.Status)
+		r.explainPlan(decision.Status)
+		r.start(plan, decision.Choices)
+	}
+	r.status.set(shown)
+}
+
+func (r *round) maintenancePlans() []object.MaintenancePlan {
+	var plans []object.MaintenancePlan
+	for _, plan := range r.config.MaintenancePlans {
+		plans = append(plans, plan.Spec)
+	}
+	slices.SortFunc(plans, func(a, b object.MaintenancePlan) int { return cmp.Compare(a.Name, b.Name) })
+	return plans
+}
+
+// budgetsLeft tells the waves which pools have no room, from ledgers that may be
+// old; the grant itself is decided on the ledger as it stands then.
+func (r *round) budgetsLeft(ctx context.Context) map[string]int {
+	left := make(map[string]int)
+	for _, pool := range r.pools {
+		entry, err := r.ledgers.cached(ctx, pool.Name)
+		if err != nil {
+			left[pool.Name] = 0
+			continue
+		}
+		standing := budget.Of(pool.Pool, entry.ledger)
+		zone := budget.OfZone(pool.Pool, entry.ledger, r.Zone)
+		left[pool.Name] = min(standing.Left(), zone.Left())
+	}
+	return left
+}
+
+// covered returns the instances of a plan in all zones.
+func (r *round) covered(plan object.MaintenancePlan) []maintenance.Instance {
+	var covered []maintenance.Instance
+	for _, m := range r.members {
+		inPool := m.record.Pool != "" && (len(plan.Pools) == 0 || slices.Contains(plan.Pools, m.record.Pool))
+		if !inPool {
+			continue
+		}
+		covered = append(covered, maintenance.Instance{
+			ID: m.record.ID, Zone: m.zone, Rack: m.record.Rack, Pool: m.record.Pool,
+			State: m.record.State, Since: m.record.Since,
+			InMaintenance:  inMaintenance(m.record),
+			Overdue:        m.record.Reason == string(explain.ReasonMaintenanceOverdue),
+			LastMaintained: m.record.LastMaintained,
+			Deadline:       r.deadline(m),
+		})
+		if inMaintenance(m.record) {
+			m.intent.Duration = time.Duration(plan.Duration)
+		}
+	}
+	return covered
+}
+
+func inMaintenance(record fleet.Record) bool {
+	draining := record.State == fleet.StateDraining && record.Reason == string(explain.ReasonMaintenanceDue)
+	return draining || record.State == fleet.StateMaintenance
+}
+
+func (r *round) deadline(m *member) time.Time {
+	if r.Work == nil || m.zone != r.Zone {
+		return time.Time{}
+	}
+	return r.Work.Deadline(m.record.ID)
+}
+
+// start marks the chosen instances and records why others wait.
+func (r *round) start(plan object.MaintenancePlan, choices []maintenance.Choice) {
+	for _, choice := range choices {
+		m := r.member(choice.ID)
+		if m == nil || m.intent.Pool != m.record.Pool {
+			continue
+		}
+		if choice.Start {
+			m.intent.Maintain = true
+			m.intent.Duration = time.Duration(plan.Duration)
+			continue
+		}
+		r.record(explain.Record{
+			Subject: explain.Instance(choice.ID), Action: explain.ActionMaintain, Outcome: explain.Waiting,
+			Reason: choice.Reason, Detail: "due for maintenance under plan " + plan.Name,
+		})
+	}
+}
+
+func (r *round) member(id fleet.InstanceID) *member {
+	place, found := slices.BinarySearchFunc(r.members, id, func(m *member, id fleet.InstanceID) int {
+		return cmp.Compare(m.record.ID, id)
+	})
+	if !found {
+		return nil
+	}
+	return r.members[place]
+}
+
+func (r *round) explainPlan(status maintenance.Status) {
+	record := explain.Record{
+		Subject: explain.Subject{Kind: explain.SubjectPlan, Name: status.Plan},
+		Action:  explain.ActionMaintain, Outcome: explain.Applied, Reason: explain.ReasonMaintenanceRunning,
+		Detail: fmt.Sprintf("turn of %s, at most %d away at once", status.Turn, status.Parallel),
+	}
+	switch {
+	case status.Paused != "":
+		record.Outcome, record.Reason, record.Detail = explain.Waiting, status.Paused, "no wave starts"
+	case status.Due == 0 && status.InProgress == 0:
+		record.Reason, record.Detail = explain.ReasonNotDue, "nothing is due"
+	}
+	r.record(record)
+}
--- /dev/null
+++ b/entry/fleetctl/report.go
@@ -0,0 +1,78 @@
+package fleetctl
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/entry/fleetview"
+	"github.com/tarragonreach/tarragonreach/policy/budget"
+)
+
+// PoolReport says how a pool stands by the fleet record.
+type PoolReport struct {
+	Name        string            `json:"name"`
+	Size        int               `json:"size"`
+	Serving     int               `json:"serving"`
+	Draining    int               `json:"draining"`
+	Maintenance int               `json:"maintenance"`
+	Failed      int               `json:"failed"`
+	Budget      budget.Standing   `json:"budget"`
+	Zones       []budget.Standing `json:"zones"`
+}
+
+// ReportPools returns how each pool stands, by name. It reads the fleet record
+// alone, so that it works while the store is unavailable; grants that are not used
+// yet are not in it.
+func ReportPools(snapshot *fleetview.Snapshot, config *object.Config) []PoolReport {
+	reports := make(map[string]*PoolReport)
+	ledgers := make(map[string]fleet.Ledger)
+	for name := range config.Pools {
+		reports[name] = &PoolReport{Name: name}
+	}
+	for _, located := range snapshot.Records("") {
+		if located.Pool == "" {
+			continue
+		}
+		if reports[located.Pool] == nil {
+			reports[located.Pool] = &PoolReport{Name: located.Pool}
+		}
+		reports[located.Pool].add(located.State)
+		ledgers[located.Pool] = counted(ledgers[located.Pool], located)
+	}
+	var out []PoolReport
+	for name, report := range reports {
+		pool, ledger := config.Pools[name].Spec, ledgers[name]
+		report.Budget = budget.Of(pool, ledger)
+		for _, zone := range ledger.Zones {
+			report.Zones = append(report.Zones, budget.OfZone(pool, ledger, zone.Zone))
+		}
+		out = append(out, *report)
+	}
+	slices.SortFunc(out, func(a, b PoolReport) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+func (p *PoolReport) add(state fleet.State) {
+	p.Size++
+	switch state {
+	case fleet.StateServing:
+		p.Serving++
+	case fleet.StateDraining:
+		p.Draining++
+	case fleet.StateMaintenance:
+		p.Maintenance++
+	case fleet.StateFailed:
+		p.Failed++
+	}
+}
+
+// counted adds an instance to a ledger worked out from the fleet record.
+func counted(ledger fleet.Ledger, located fleetview.Located) fleet.Ledger {
+	next := ledger.WithMembers(located.Zone, ledger.Members(located.Zone)+1)
+	if located.State != fleet.StateServing {
+		next = next.With(fleet.Outage{ID: located.ID, Zone: located.Zone})
+	}
+	return next
+}
--- /dev/null
+++ b/entry/fleetctl/round.go
@@ -0,0 +1,166 @@
+package fleetctl
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/explain"
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/label"
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/entry/fleetview"
+	"github.com/tarragonreach/tarragonreach/policy/lifecycle"
+)
+
+// poolSpec is a pool with its parsed selector.
+type poolSpec struct {
+	object.Pool
+	selector label.Selector
+}
+
+// member is an instance of any availability zone as this round sees it.
+type member struct {
+	instance fleet.Instance // the zero Instance if the list does not name it
+	record   fleet.Record
+	zone     fleet.AvailabilityZone
+	seen     lifecycle.Observation
+	eligible []string
+	intent   lifecycle.Intent
+	refused  []explain.Alternative // pools that the plan weighed against
+	isNew    bool                  // not in the fleet record yet
+}
+
+// round is the state of one round of a controller.
+type round struct {
+	*Controller
+	term     Term
+	now      time.Time
+	config   *object.Config
+	snapshot *fleetview.Snapshot
+	listed   map[fleet.InstanceID]fleet.Instance
+	pools    []poolSpec
+	// broken names pools whose selector can't be read; they keep what they have.
+	broken  map[string]bool
+	members []*member // of all zones, ordered by instance
+	// suspect says that the list misses so many instances that it may be wrong.
+	suspect bool
+}
+
+func (c *Controller) newRound(config *object.Config, listed []fleet.Instance, term Term) *round {
+	r := &round{
+		Controller: c, term: term, now: c.Now(), config: config, snapshot: c.View.Snapshot(),
+		listed: make(map[fleet.InstanceID]fleet.Instance, len(listed)),
+		broken: make(map[string]bool),
+	}
+	for _, instance := range listed {
+		if instance.Kind != fleet.KindEntry {
+			r.listed[instance.ID] = instance
+		}
+	}
+	r.readPools()
+	return r
+}
+
+// readPools parses the selectors, in the order of names.
+func (r *round) readPools() {
+	for name, pool := range r.config.Pools {
+		selector, err := label.Parse(pool.Spec.Selector)
+		if err != nil {
+			r.broken[name] = true
+			r.record(explain.Record{
+				Subject: explain.Pool(name), Action: explain.ActionSize, Outcome: explain.Refused,
+				Reason: explain.ReasonSelectorInvalid, Detail: err.Error(),
+			})
+			continue
+		}
+		r.pools = append(r.pools, poolSpec{pool.Spec, selector})
+	}
+	slices.SortFunc(r.pools, func(a, b poolSpec) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// observe joins the fleet record with the platform's list.
+func (r *round) observe() {
+	known := make(map[fleet.InstanceID]bool)
+	zoneKnown, zoneMissing := 0, 0
+	for _, located := range r.snapshot.Records("") {
+		known[located.ID] = true
+		m := &member{record: located.Record, zone: located.Zone}
+		_, listed := r.listed[located.ID]
+		if m.zone == r.Zone {
+			zoneKnown++
+			if !listed && m.record.State != fleet.StateFailed {
+				zoneMissing++
+			}
+		}
+		r.join(m)
+	}
+	for id, instance := range r.listed {
+		if !known[id] {
+			r.join(r.newMember(id, instance, zoneKnown > 0))
+		}
+	}
+	r.suspect = zoneMissing >= suspectAtLeast && 2*zoneMissing > zoneKnown
+	slices.SortFunc(r.members, func(a, b *member) int { return cmp.Compare(a.record.ID, b.record.ID) })
+}
+
+// suspectAtLeast is the least number of instances whose absence makes a list suspect.
+const suspectAtLeast = 4
+
+// newMember makes the first record of an instance. One that joins a known zone is
+// freshly made, so that its first maintenance is a period away.
+func (r *round) newMember(id fleet.InstanceID, instance fleet.Instance, joinsKnownZone bool) *member {
+	record := fleet.Record{ID: id, State: fleet.StateReleased, Reason: string(explain.ReasonListed), Since: r.now}
+	if joinsKnownZone {
+		record.LastMaintained = r.now
+	}
+	return &member{record: record, zone: instance.Zone, isNew: true}
+}
+
+func (r *round) join(m *member) {
+	instance, listed := r.listed[m.record.ID]
+	m.instance = instance
+	if listed && instance.Rack != "" {
+		m.record.Rack = instance.Rack
+	}
+	if m.zone == r.Zone {
+		m.seen = r.look(m.record.ID, instance, listed)
+	}
+	labels := fleet.EffectiveLabels(instance, m.record.Labels)
+	for _, pool := range r.pools {
+		if listed && pool.selector.Matches(labels) {
+			m.eligible = append(m.eligible, pool.Name)
+		}
+	}
+	m.intent = lifecycle.Intent{Pool: m.record.Pool, Reason: explain.ReasonNotServing}
+	r.members = append(r.members, m)
+}
+
+// look observes an instance. One that answers counts as listed, since the list lags.
+func (r *round) look(id fleet.InstanceID, instance fleet.Instance, listed bool) lifecycle.Observation {
+	healthy, known := listed, false
+	if r.Health != nil {
+		healthy, known = r.Health.Healthy(id)
+	}
+	if !known {
+		healthy = listed
+	}
+	seen := lifecycle.Observation{
+		Listed:  listed || known && healthy,
+		Leaving: instance.Leaving,
+		Healthy: healthy,
+	}
+	seen.AbsentFor = r.absence.note(id, seen.Listed, r.now)
+	if r.Work != nil {
+		seen.Idle = r.Work.Idle(id)
+	}
+	return seen
+}
+
+// pool returns the specification of a pool; a pool that was deleted has only a name.
+func (r *round) pool(name string) object.Pool {
+	if pool, found := r.config.Pools[name]; found {
+		return pool.Spec
+	}
+	return object.Pool{Name: name}
+}
--- /dev/null
+++ b/entry/fleetctl/sizing.go
@@ -0,0 +1,104 @@
+package fleetctl
+
+import (
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/policy/capacity"
+)
+
+// sizing follows the demand of each pool in each availability zone.
+type sizing struct {
+	options    Options
+	estimators map[seat]*capacity.Estimator
+	histories  map[string]*capacity.History // of the controller's own zone, by pool
+	began      time.Time
+	sampled    time.Time
+}
+
+// seat is one pool in one availability zone.
+type seat struct {
+	pool string
+	zone fleet.AvailabilityZone
+}
+
+func newSizing(options Options) *sizing {
+	return &sizing{
+		options:    options,
+		estimators: make(map[seat]*capacity.Estimator),
+		histories:  make(map[string]*capacity.History),
+	}
+}
+
+// sample takes the demand that stands now into the estimators.
+func (s *sizing) sample(pools []poolSpec, zones []fleet.AvailabilityZone, now time.Time) {
+	if s.options.Demand == nil {
+		return
+	}
+	if s.began.IsZero() {
+		s.began, s.sampled = now, now
+	}
+	elapsed := max(now.Sub(s.sampled), time.Second)
+	s.sampled = now
+	for _, pool := range pools {
+		for _, zone := range zones {
+			demand, known := s.options.Demand.Demand(pool.Name, zone)
+			if !known {
+				continue
+			}
+			key := seat{pool.Name, zone}
+			if s.estimators[key] == nil {
+				s.estimators[key] = capacity.NewEstimator(s.options.HalfLife)
+			}
+			s.estimators[key].Observe(demand, elapsed, now)
+		}
+	}
+}
+
+// zoneSupply counts the instances of an availability zone that may serve a pool.
+type zoneSupply struct {
+	zone        fleet.AvailabilityZone
+	eligible    int
+	largestRack int
+}
+
+// need returns how many instances the controller's zone needs for a pool, and
+// whether the demand is known.
+func (s *sizing) need(pool poolSpec, supply []zoneSupply, now time.Time) (int, bool) {
+	demands := make([]capacity.ZoneDemand, len(supply))
+	weights := make([]int, len(supply))
+	known, own := false, 0
+	for i, zone := range supply {
+		demands[i] = capacity.ZoneDemand{Limit: zone.eligible, LargestRack: zone.largestRack}
+		weights[i] = zone.eligible
+		if estimator := s.estimators[seat{pool.Name, zone.zone}]; estimator != nil {
+			known = true
+			demands[i].Demand = estimator.Quantile(s.options.Quantile)
+		}
+		if zone.zone == s.options.Zone {
+			own = i
+		}
+	}
+	least := 0
+	if len(supply) > 0 {
+		least = capacity.Split(pool.Min, weights)[own]
+	}
+	if !known {
+		return least, false
+	}
+	need := max(capacity.Spread(demands, capacity.FailureDomain(pool.FailureDomain))[own], least)
+	return s.history(pool.Name).Update(need, now, s.options.Hysteresis), true
+}
+
+func (s *sizing) history(pool string) *capacity.History {
+	if s.histories[pool] == nil {
+		s.histories[pool] = &capacity.History{}
+	}
+	return s.histories[pool]
+}
+
+// idleDays forecasts how long an instance beyond a pool's need stays idle.
+func (s *sizing) idleDays(pool string, now time.Time) func(size int) float64 {
+	history := s.history(pool)
+	return func(size int) float64 { return history.IdleDays(size, s.began, now) }
+}
--- /dev/null
+++ b/entry/fleetctl/status.go
@@ -0,0 +1,26 @@
+package fleetctl
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/tarragonreach/tarragonreach/policy/maintenance"
+)
+
+// statuses hands the maintenance plans' statuses from the round to readers.
+type statuses struct {
+	mu    sync.Mutex
+	plans []maintenance.Status
+}
+
+func (s *statuses) set(plans []maintenance.Status) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.plans = plans
+}
+
+func (s *statuses) get() []maintenance.Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.plans)
+}
--- /dev/null
+++ b/entry/fleetview/follow.go
@@ -0,0 +1,135 @@
+package fleetview
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/platform"
+)
+
+const (
+	listLimit = 64 // pages read in one call
+	// relistInterval bounds how long a watch that silently stopped goes unnoticed.
+	relistInterval = 30 * time.Minute
+	retryFirst     = 200 * time.Millisecond
+	retryLast      = 10 * time.Second
+	// idleWatchPause keeps a store whose watches return at once from being flooded.
+	idleWatchPause = 20 * time.Millisecond
+)
+
+// Follow reads all pages and then watches them until ctx ends. Failures are
+// retried with a growing, jittered pause; meanwhile the view keeps what it holds.
+func (v *View) Follow(ctx context.Context, store platform.Store) error {
+	pause := retryFirst
+	for ctx.Err() == nil {
+		after, err := v.Load(ctx, store)
+		if err == nil {
+			pause = retryFirst
+			err = v.watch(ctx, store, after)
+		}
+		if err == nil || errors.Is(err, platform.ErrCompacted) {
+			continue
+		}
+		if ctx.Err() == nil && pause == retryFirst {
+			slog.Warn("fleet record is not followed", "error", err)
+		}
+		sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, retryLast)
+	}
+	return ctx.Err()
+}
+
+// Load reads all pages once and returns the store's revision from which a watch
+// misses nothing.
+func (v *View) Load(ctx context.Context, store platform.Store) (platform.Revision, error) {
+	var first platform.Revision
+	var pages []PageEntry
+	for after := ""; ; {
+		part, err := store.List(ctx, fleet.PagePrefix, after, listLimit)
+		if err != nil {
+			return 0, err
+		}
+		if after == "" {
+			first = part.Revision
+		}
+		pages = append(pages, parseAll(part.Entries)...)
+		if part.Next == "" {
+			break
+		}
+		after = part.Next
+	}
+	v.update(func(d *draft) { d.level(pages, first) })
+	return first, nil
+}
+
+// level takes a full listing whose first part was read at revision first. Later
+// parts may show newer pages while an earlier part has missed some.
+func (d *draft) level(pages []PageEntry, first platform.Revision) {
+	for _, page := range pages {
+		d.put(page)
+		d.advance(page.Zone, min(page.Revision, first))
+	}
+}
+
+// parseAll reads pages and leaves out the ones that can't be read.
+func parseAll(entries []platform.Entry) []PageEntry {
+	var pages []PageEntry
+	for _, entry := range entries {
+		page, err := parse(entry)
+		if err != nil {
+			slog.Error("unreadable page of the fleet record", "error", err)
+			continue
+		}
+		pages = append(pages, page)
+	}
+	return pages
+}
+
+// watch takes events until an error, or until it is time to list again.
+func (v *View) watch(ctx context.Context, store platform.Store, after platform.Revision) error {
+	relist := time.Now().Add(relistInterval)
+	for time.Now().Before(relist) {
+		events, err := store.Watch(ctx, fleet.PagePrefix, after)
+		if err != nil {
+			return err
+		}
+		v.take(events)
+		after = max(after, events.Revision)
+		if len(events.Events) == 0 {
+			sleep(ctx, idleWatchPause)
+		}
+	}
+	return nil
+}
+
+func (v *View) take(events platform.Events) {
+	var entries []platform.Entry
+	for _, event := range events.Events {
+		if !event.Deleted {
+			entries = append(entries, event.Entry)
+		}
+	}
+	pages := parseAll(entries)
+	if len(pages) == 0 {
+		return
+	}
+	v.update(func(d *draft) {
+		for _, page := range pages {
+			d.put(page)
+			d.advance(page.Zone, page.Revision)
+		}
+	})
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
