Validate configuration changes and read history from the log

A change must be refused whole with every fault named before it is accepted. Parse reads JSON with comments and reports all faults with line and column; Validate checks references, selectors, budgets, quotas and names, and warns of selectors that match nothing and of pools that can claim the same instance. Faults that stood before do not hold up other changes. Preview, history, rollback as a new change and a roll-out measure come with it.

--- /dev/null
+++ b/api/object/check_pools.go
@@ -0,0 +1,113 @@
+package object
+
+import (
+	"math"
+
+	"github.com/tarragonreach/tarragonreach/api/label"
+)
+
+// checkedPool is a pool whose selector could be parsed.
+type checkedPool struct {
+	key      Key
+	selector label.Selector
+}
+
+func (c *checker) checkPools() {
+	var parsed []checkedPool
+	for _, name := range names(c.config.Pools) {
+		key, pool := Key{KindPool, name}, c.config.Pools[name].Spec
+		c.checkPool(key, pool)
+		selector, ok := c.checkSelector(key, pool.Selector)
+		if !ok {
+			continue
+		}
+		matched := c.matching(selector, "")
+		c.warnNoMatch(key, matched)
+		c.warnShort(key, pool, len(matched))
+		parsed = append(parsed, checkedPool{key, selector})
+	}
+	for i, pool := range parsed {
+		for _, other := range parsed[i+1:] {
+			c.warnOverlap(pool, other)
+		}
+	}
+}
+
+func (c *checker) checkPool(key Key, p Pool) {
+	c.checkName(key)
+	c.checkAtLeast(key, "min", int64(p.Min), 0)
+	c.checkAtLeast(key, "max", int64(p.Max), 0)
+	if p.Max > 0 && p.Min > p.Max {
+		c.fault(key, "min", "is %d, above max %d", p.Min, p.Max)
+	}
+	c.checkWeight(key, "moveWeight", p.MoveWeight)
+	c.checkWeight(key, "bufferWeight", p.BufferWeight)
+	c.checkBudget(key, "budget", p.Budget, p.Max)
+	c.checkBudget(key, "zoneBudget", p.ZoneBudget, p.Max)
+}
+
+func (c *checker) checkWeight(key Key, field string, weight float64) {
+	if weight < 0 || math.IsNaN(weight) || math.IsInf(weight, 0) {
+		c.fault(key, field, "is %v, want a number of at least zero", weight)
+	}
+}
+
+// checkBudget reports budgets that can never be met, or that never allow a
+// disruption.
+func (c *checker) checkBudget(key Key, field string, b Budget, largest int) {
+	if b.MinHealthy != nil && b.MaxUnavailable != nil {
+		c.fault(key, field, "sets minHealthy and maxUnavailable, want one of them")
+		return
+	}
+	if b.MaxUnavailable != nil && b.MaxUnavailable.Value == 0 {
+		c.warn(key, field+".maxUnavailable", "is 0, so no instance may ever be drained or maintained")
+	}
+	if b.MinHealthy == nil {
+		return
+	}
+	least := *b.MinHealthy
+	switch {
+	case least.Percent && least.Value == MaxPercent:
+		c.warn(key, field+".minHealthy", "is 100%%, so no instance may ever be drained or maintained")
+	case !least.Percent && largest > 0 && least.Value > largest:
+		c.fault(key, field+".minHealthy", "is %d, but the pool never has more than %d instances", least.Value, largest)
+	}
+}
+
+// warnShort warns of a pool that asks for more instances than can serve it.
+func (c *checker) warnShort(key Key, p Pool, matched int) {
+	if len(c.instances) == 0 || matched == 0 {
+		return
+	}
+	if p.Min > matched {
+		c.warn(key, "min", "is %d, but only %d instances match the selector", p.Min, matched)
+	}
+	if least := p.Budget.MinHealthy; least != nil && !least.Percent && least.Value > matched {
+		c.warn(key, "budget.minHealthy", "is %d, but only %d instances match the selector", least.Value, matched)
+	}
+}
+
+// warnOverlap warns of two pools that can claim the same instance. It is no fault,
+// as moves between pools need it: the record of the fleet keeps each instance in
+// one pool.
+func (c *checker) warnOverlap(pool, other checkedPool) {
+	if !label.Overlap(pool.selector, other.selector) {
+		return
+	}
+	both := 0
+	first := ""
+	for _, instance := range c.matching(pool.selector, "") {
+		if other.selector.Matches(instance.Labels) {
+			both++
+			if first == "" {
+				first = string(instance.ID)
+			}
+		}
+	}
+	switch {
+	case both > 0:
+		c.warn(pool.key, "selector", "claims %d instances that %s claims too, such as %s", both, other.key, first)
+	case len(c.instances) == 0:
+		c.warn(pool.key, "selector", "can claim instances that %s claims too", other.key)
+	}
+}
--- /dev/null
+++ b/api/object/checker.go
@@ -0,0 +1,105 @@
+package object
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/label"
+)
+
+// MaxNameLength bounds the name of an object, in bytes.
+const MaxNameLength = 63
+
+// nameRunes are the characters of a name.
+const nameRunes = "abcdefghijklmnopqrstuvwxyz0123456789-_."
+
+// checker gathers what is wrong with a configuration.
+type checker struct {
+	config    *Config
+	instances []fleet.Instance
+	report    Report
+}
+
+func (c *checker) fault(key Key, field, format string, args ...any) {
+	c.report.Faults = append(c.report.Faults, Finding{key, field, fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) warn(key Key, field, format string, args ...any) {
+	c.report.Warnings = append(c.report.Warnings, Finding{key, field, fmt.Sprintf(format, args...)})
+}
+
+// names returns the names in order, so that reports are the same on each run.
+func names[T any](objects map[string]Versioned[T]) []string {
+	return slices.Sorted(maps.Keys(objects))
+}
+
+func (c *checker) checkName(key Key) {
+	switch {
+	case key.Name == "":
+		c.fault(key, "name", "is empty")
+	case len(key.Name) > MaxNameLength:
+		c.fault(key, "name", "has %d characters, the limit is %d", len(key.Name), MaxNameLength)
+	case strings.Trim(key.Name, nameRunes) != "":
+		c.fault(key, "name", "want lower-case letters, digits and the signs - _ . only")
+	}
+}
+
+// checkAtLeast reports a number below its minimum.
+func (c *checker) checkAtLeast(key Key, field string, value, least int64) {
+	if value < least {
+		c.fault(key, field, "is %d, want at least %d", value, least)
+	}
+}
+
+func (c *checker) checkDuration(key Key, field string, value Duration) {
+	if value <= 0 {
+		c.fault(key, field, "want a duration above zero such as \"30s\"")
+	}
+}
+
+func (c *checker) checkResources(key Key, field string, r fleet.Resources) {
+	c.checkAtLeast(key, field+".milliCPU", r.MilliCPU, 0)
+	c.checkAtLeast(key, field+".memoryMiB", r.MemoryMiB, 0)
+	c.checkAtLeast(key, field+".accelerators", r.Accelerators, 0)
+}
+
+// checkReference reports a name that no object of the kind has.
+func checkReference[T any](c *checker, key Key, field string, kind Kind, name string, known map[string]Versioned[T]) {
+	if _, ok := known[name]; !ok {
+		c.fault(key, field, "names %s, which does not exist", Key{kind, name})
+	}
+}
+
+// checkSelector parses a selector; it reports false for one that cannot be parsed.
+func (c *checker) checkSelector(key Key, text string) (label.Selector, bool) {
+	selector, err := label.Parse(text)
+	if err != nil {
+		c.fault(key, "selector", "%v", err)
+		return selector, false
+	}
+	return selector, true
+}
+
+// matching returns the known instances of a kind that the selector matches; an
+// empty kind stands for all but entry instances.
+func (c *checker) matching(selector label.Selector, kind fleet.Kind) []fleet.Instance {
+	var out []fleet.Instance
+	for _, instance := range c.instances {
+		if instance.Kind == kind || (kind == "" && instance.Kind != fleet.KindEntry) {
+			if selector.Matches(instance.Labels) {
+				out = append(out, instance)
+			}
+		}
+	}
+	return out
+}
+
+// warnNoMatch warns of a selector that matches none of the known instances.
+func (c *checker) warnNoMatch(key Key, matched []fleet.Instance) {
+	if len(c.instances) > 0 && len(matched) == 0 {
+		c.warn(key, "selector", "matches none of the %d instances known", len(c.instances))
+	}
+}
--- a/api/object/item.go
+++ b/api/object/item.go
@@ -1,6 +1,7 @@
 package object
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -64,6 +65,39 @@
 	}
 }
 
+// CheckUnderstood returns an error if the item has a kind or fields that this
+// version of the program does not know, and that it would lose on writing.
+func (item Item) CheckUnderstood() error {
+	var d Document
+	if err := d.Add(item); err != nil {
+		return err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(item.Body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(d.only(item.Key.Kind)); err != nil {
+		return fmt.Errorf("%s: %w", item.Key, err)
+	}
+	return nil
+}
+
+// only returns the one object of the kind that the document holds.
+func (d *Document) only(kind Kind) any {
+	switch kind {
+	case KindService:
+		return &d.Services[0]
+	case KindClass:
+		return &d.Classes[0]
+	case KindTenant:
+		return &d.Tenants[0]
+	case KindPool:
+		return &d.Pools[0]
+	case KindMaintenancePlan:
+		return &d.MaintenancePlans[0]
+	default:
+		return &d.Jobs[0]
+	}
+}
+
 func addSpec[T any](specs *[]T, item Item) error {
 	var spec T
 	if err := json.Unmarshal(item.Body, &spec); err != nil {
--- /dev/null
+++ b/api/object/parse.go
@@ -0,0 +1,146 @@
+package object
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/tarragonreach/tarragonreach/api/strictjson"
+)
+
+// MaxEditBytes bounds the text of one edit.
+const MaxEditBytes = 512 << 10
+
+// editFile is an edit as operators write it.
+type editFile struct {
+	Revision         Revision          `json:"revision"`
+	Reason           string            `json:"reason"`
+	Services         []Service         `json:"services"`
+	Classes          []Class           `json:"classes"`
+	Tenants          []Tenant          `json:"tenants"`
+	Pools            []Pool            `json:"pools"`
+	MaintenancePlans []MaintenancePlan `json:"maintenancePlans"`
+	Jobs             []Job             `json:"jobs"`
+	Delete           []string          `json:"delete"`
+}
+
+// Edit is an operator's text, parsed.
+type Edit struct {
+	// Revision is the configuration on which the edit is based; zero takes the newest.
+	Revision Revision
+	Reason   string
+	Put      Document
+	Delete   []Key
+
+	source *strictjson.Document
+	paths  map[Key]string
+}
+
+// Parse reads an operator's JSON with comments. Its error is a strictjson.Faults
+// that names every fault with line and column.
+func Parse(text []byte) (*Edit, error) {
+	if len(text) > MaxEditBytes {
+		problem := fmt.Sprintf("the text has %d bytes, the limit is %d", len(text), MaxEditBytes)
+		return nil, strictjson.Faults{{Line: 1, Column: 1, Problem: problem}}
+	}
+	var file editFile
+	source, err := strictjson.Decode(text, &file)
+	if source == nil {
+		return nil, err
+	}
+	edit := &Edit{Revision: file.Revision, Reason: file.Reason, Put: file.document(), source: source}
+	edit.readDeletes(file.Delete)
+	edit.index()
+	if err := source.Err(); err != nil {
+		return nil, err
+	}
+	return edit, nil
+}
+
+func (f editFile) document() Document {
+	return Document{
+		Services: f.Services, Classes: f.Classes, Tenants: f.Tenants,
+		Pools: f.Pools, MaintenancePlans: f.MaintenancePlans, Jobs: f.Jobs,
+	}
+}
+
+func (e *Edit) readDeletes(names []string) {
+	for i, name := range names {
+		key, err := ParseKey(name)
+		if err != nil {
+			e.source.Report("/delete/"+strconv.Itoa(i), err.Error())
+			continue
+		}
+		e.Delete = append(e.Delete, key)
+	}
+}
+
+// ParseKey reads "Kind/name".
+func ParseKey(text string) (Key, error) {
+	kind, name, found := strings.Cut(text, "/")
+	if !found || name == "" || !slices.Contains(Kinds(), Kind(kind)) {
+		return Key{}, fmt.Errorf("%q: want Kind/name, such as Pool/checks; kinds are %v", text, Kinds())
+	}
+	return Key{Kind: Kind(kind), Name: name}, nil
+}
+
+// Kinds returns the kinds of object.
+func Kinds() []Kind {
+	return []Kind{KindService, KindClass, KindTenant, KindPool, KindMaintenancePlan, KindJob}
+}
+
+// index notes where each object stands and reports those that stand twice.
+func (e *Edit) index() {
+	e.paths = map[Key]string{}
+	count := map[Kind]int{}
+	for _, key := range e.Put.Keys() {
+		path := fmt.Sprintf("/%s/%d", listField(key.Kind), count[key.Kind])
+		count[key.Kind]++
+		if _, ok := e.paths[key]; ok {
+			e.source.Report(path+"/name", key.String()+" stands twice, want it once")
+		}
+		e.paths[key] = path
+	}
+	for i, key := range e.Delete {
+		path := "/delete/" + strconv.Itoa(i)
+		if _, ok := e.paths[key]; ok {
+			e.source.Report(path, key.String()+" stands twice, want it once")
+		}
+		e.paths[key] = path
+	}
+}
+
+// listField returns the field of a document that lists the kind.
+func listField(kind Kind) string {
+	switch kind {
+	case KindService:
+		return "services"
+	case KindClass:
+		return "classes"
+	case KindTenant:
+		return "tenants"
+	case KindPool:
+		return "pools"
+	case KindMaintenancePlan:
+		return "maintenancePlans"
+	default:
+		return "jobs"
+	}
+}
+
+// Locate gives findings the line and column at which they stand in the text. A
+// finding on an object that the text leaves alone is placed at its start.
+func (e *Edit) Locate(findings []Finding) strictjson.Faults {
+	var out strictjson.Faults
+	for _, finding := range findings {
+		path, ok := e.paths[finding.Key]
+		if ok && finding.Field != "" {
+			path += "/" + strings.ReplaceAll(finding.Field, ".", "/")
+		}
+		fault := e.source.At(path, finding.Problem)
+		fault.Path = finding.place()
+		out = append(out, fault)
+	}
+	return out.Sorted()
+}
--- a/api/object/validate.go
+++ b/api/object/validate.go
@@ -1,7 +1,7 @@
 package object
 
 import (
-	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
@@ -10,17 +10,25 @@
 // Finding is one thing wrong or doubtful about an object.
 type Finding struct {
 	Key   Key    `json:"key"`
-	Field string `json:"field,omitempty"`
+	Field string `json:"field,omitempty"` // path such as "budget.minHealthy"
 	// Problem says what is wrong and what would be right.
 	Problem string `json:"problem"`
 }
 
 // String returns "Kind/name field: problem".
 func (f Finding) String() string {
-	if f.Field == "" {
-		return fmt.Sprintf("%s: %s", f.Key, f.Problem)
+	if place := f.place(); place != "" {
+		return place + ": " + f.Problem
 	}
-	return fmt.Sprintf("%s %s: %s", f.Key, f.Field, f.Problem)
+	return f.Problem
+}
+
+// place returns "Kind/name field"; it is empty for a finding on the whole change.
+func (f Finding) place() string {
+	if f.Key == (Key{}) {
+		return ""
+	}
+	return strings.TrimSpace(f.Key.String() + " " + f.Field)
 }
 
 // Report is the outcome of a validation. Faults refuse a change, warnings do not.
@@ -49,16 +57,60 @@
 	return strings.Join(lines, "\n")
 }
 
-// Touched returns the objects that the change writes or deletes.
-func (c Change) Touched() []Key {
-	return append(c.Put.Keys(), c.Delete...)
+// Validate checks a whole configuration. Selectors are also tried on the known
+// instances, if any are given.
+func Validate(config *Config, instances []fleet.Instance) Report {
+	c := &checker{config: config, instances: instances}
+	c.checkServices()
+	c.checkClasses()
+	c.checkTenants()
+	c.checkPools()
+	c.checkMaintenancePlans()
+	c.checkJobs()
+	return c.report
 }
 
-// ValidateChange validates the configuration as it would be after the change.
-// Selectors are checked against the instances known, if any.
+// ValidateChange checks the configuration as it would be after the change. Faults
+// that stood before, on objects that the change leaves alone, become warnings, so
+// that they do not hold up other changes.
 func ValidateChange(held *Config, change Change, instances []fleet.Instance) Report {
-	var r Report
-	_ = held
-	_ = instances
-	return r
+	before := Validate(held, instances)
+	after := Validate(held.Apply(change), instances)
+	touched := change.Touched()
+	out := Report{Faults: checkChange(held, change), Warnings: after.Warnings}
+	for _, fault := range after.Faults {
+		if slices.Contains(before.Faults, fault) && !slices.Contains(touched, fault.Key) {
+			out.Warnings = append(out.Warnings, fault)
+			continue
+		}
+		out.Faults = append(out.Faults, fault)
+	}
+	return out
 }
+
+// checkChange finds faults of the change itself, whatever its objects say.
+func checkChange(held *Config, change Change) []Finding {
+	var faults []Finding
+	if change.ID == "" {
+		faults = append(faults, Finding{Problem: "the change has no ID"})
+	}
+	seen := map[Key]bool{}
+	for _, key := range change.Touched() {
+		if seen[key] {
+			faults = append(faults, Finding{Key: key, Problem: "stands twice in the change, want it once"})
+		}
+		seen[key] = true
+	}
+	for _, key := range change.Delete {
+		if held.RevisionOf(key) == 0 {
+			faults = append(faults, Finding{Key: key, Problem: "cannot be deleted, it does not exist"})
+		}
+	}
+	if len(seen) == 0 {
+		faults = append(faults, Finding{Problem: "the change is empty"})
+	}
+	return faults
+}
+
+// Touched returns the objects that the change writes or deletes.
+func (c Change) Touched() []Key { return slices.Concat(c.Put.Keys(), c.Delete) }
--- a/api/strictjson/decode.go
+++ b/api/strictjson/decode.go
@@ -39,6 +39,12 @@
 	d.add(d.find(path), path, problem)
 }
 
+// At returns a fault at the place to which path points, without reporting it.
+func (d *Document) At(path, problem string) Fault {
+	at := positionOf(d.text, d.find(path))
+	return Fault{Line: at.line, Column: at.column, Problem: problem}
+}
+
 // Err returns all faults found so far in order of position, or nil.
 func (d *Document) Err() error {
 	d.faults.sort()
--- a/api/strictjson/fault.go
+++ b/api/strictjson/fault.go
@@ -46,6 +46,13 @@
 	return fs
 }
 
+// Sorted returns the faults in order of position.
+func (fs Faults) Sorted() Faults {
+	out := slices.Clone(fs)
+	out.sort()
+	return out
+}
+
 func (fs Faults) sort() {
 	slices.SortStableFunc(fs, func(a, b Fault) int {
 		if a.Line != b.Line {
--- a/entry/config/check.go
+++ b/entry/config/check.go
@@ -1,21 +1,62 @@
 package config
 
 import (
+	"fmt"
+
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/api/object"
 )
 
-// check returns why the change cannot follow on the state, or nil.
-func (l *Log) check(held *state, change object.Change) error {
-	if err := l.checkBase(held, change); err != nil {
-		return err
+// check returns the report on the change, and why it cannot follow on the state
+// or nil.
+func (l *Log) check(held *state, change object.Change) (object.Report, error) {
+	if err := checkBase(held, change); err != nil {
+		return object.Report{}, err
+	}
+	report := object.ValidateChange(held.config, change, l.instances())
+	report.Faults = append(report.Faults, checkUnderstood(held, change)...)
+	report.Faults = append(report.Faults, checkSize(held, change)...)
+	return report, report.Err()
+}
+
+// checkUnderstood refuses to replace objects that hold fields of a newer version
+// of the program, because this one would lose them.
+func checkUnderstood(held *state, change object.Change) []object.Finding {
+	var faults []object.Finding
+	for _, key := range change.Put.Keys() {
+		stored, ok := held.objects[key]
+		if !ok {
+			continue
+		}
+		if err := stored.CheckUnderstood(); err != nil {
+			problem := fmt.Sprintf("was written by a newer version of the program (%v); send the change to an entry instance of that version", err)
+			faults = append(faults, object.Finding{Key: key, Problem: problem})
+		}
+	}
+	return faults
+}
+
+// checkSize refuses a change after which the configuration might not fit into
+// one snapshot.
+func checkSize(held *state, change object.Change) []object.Finding {
+	items, err := change.Put.Items()
+	if err != nil {
+		return []object.Finding{{Problem: err.Error()}}
+	}
+	size := held.size
+	for _, item := range items {
+		size += len(item.Body) - len(held.objects[item.Key].Body)
+	}
+	if size <= maxConfigBytes || size <= held.size {
+		return nil
 	}
-	return object.ValidateChange(held.config, change, l.instances()).Err()
+	problem := fmt.Sprintf("the configuration would have %d bytes, the limit is %d: delete jobs that have ended", size, maxConfigBytes)
+	return []object.Finding{{Problem: problem}}
 }
 
 // checkBase returns an *object.Conflict for the first object that has changed
 // since the revision on which the change was made.
-func (l *Log) checkBase(held *state, change object.Change) error {
+func checkBase(held *state, change object.Change) error {
 	base := map[object.Key]object.Revision{}
 	for _, b := range change.Base {
 		base[b.Key] = b.Revision
--- /dev/null
+++ b/entry/config/history.go
@@ -0,0 +1,125 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+)
+
+// CodeRevisionUnknown is the reason code of a revision that is not in the log.
+const CodeRevisionUnknown verdict.Code = "config-revision-unknown"
+
+// Preview is what a change would do.
+type Preview struct {
+	// Revision is the one on which the change would follow.
+	Revision    object.Revision     `json:"revision"`
+	Differences []object.Difference `json:"differences,omitempty"`
+	Warnings    []object.Finding    `json:"warnings,omitempty"`
+}
+
+// Preview checks a change as Accept would and returns what it would do, without
+// accepting it. With the store out it checks against the revision held.
+func (l *Log) Preview(ctx context.Context, change object.Change) (Preview, error) {
+	_, _ = l.follower.refreshWithin(ctx, readTimeout)
+	held := l.follower.current.Load()
+	report, err := l.check(held, change)
+	if err != nil {
+		return Preview{Revision: held.revision(), Warnings: report.Warnings}, err
+	}
+	differences, err := object.Diff(held.config, held.config.Apply(change))
+	return Preview{held.revision(), differences, report.Warnings}, err
+}
+
+// History returns up to limit accepted changes, the newest first. It reaches back
+// recentKept changes and needs no store.
+func (f *Follower) History(limit int) []Summary {
+	recent := slices.Clone(f.current.Load().recent)
+	slices.Reverse(recent)
+	return recent[:min(limit, len(recent))]
+}
+
+// At returns the configuration at an earlier revision, which the log must still
+// reach: at least the last logKept ones.
+func (l *Log) At(ctx context.Context, revision object.Revision) (*object.Config, error) {
+	held := l.follower.current.Load()
+	switch {
+	case revision == held.revision():
+		return held.config, nil
+	case revision > held.revision() || revision < 0:
+		return nil, unknownRevision(revision, "it has not been accepted")
+	}
+	base, err := l.base(ctx)
+	if err != nil {
+		return nil, notRun("the store cannot be read", err)
+	}
+	if revision < base.state.revision() {
+		return nil, unknownRevision(revision, fmt.Sprintf("the oldest one kept is %d", base.state.revision()))
+	}
+	found, err := l.replay(ctx, base.state, revision)
+	if err != nil {
+		return nil, notRun("the store cannot be read", err)
+	}
+	return found.config, nil
+}
+
+func unknownRevision(revision object.Revision, why string) error {
+	return verdict.New(verdict.NotRun, CodeRevisionUnknown, fmt.Sprintf("no revision %d: %s", revision, why))
+}
+
+// ErrNoDifference says that a rollback would change nothing.
+var ErrNoDifference = errors.New("the configuration is the same at that revision")
+
+// Rollback returns the change that brings back all objects as they were at an
+// earlier revision, based on the revision held. Accept makes it a new revision.
+func (l *Log) Rollback(ctx context.Context, to object.Revision, id, author, reason string) (object.Change, error) {
+	if _, err := l.follower.refreshWithin(ctx, readTimeout); err != nil {
+		return object.Change{}, notRun("the store cannot be read", err)
+	}
+	old, err := l.At(ctx, to)
+	if err != nil {
+		return object.Change{}, err
+	}
+	now := l.follower.Current()
+	change := object.Change{ID: id, Author: author, Reason: reason, Put: old.Document()}
+	if err := keepChanged(&change, now, old); err != nil {
+		return object.Change{}, err
+	}
+	if len(change.Touched()) == 0 {
+		return object.Change{}, fmt.Errorf("rollback to revision %d: %w", to, ErrNoDifference)
+	}
+	return WithBase(change, now), nil
+}
+
+// keepChanged reduces the change to the objects that differ, and deletes those
+// that did not exist.
+func keepChanged(change *object.Change, now, old *object.Config) error {
+	differences, err := object.Diff(now, old)
+	if err != nil {
+		return err
+	}
+	differing := map[object.Key]bool{}
+	for _, d := range differences {
+		differing[d.Key] = true
+		if d.Field == "" && d.New == "" {
+			change.Delete = append(change.Delete, d.Key)
+		}
+	}
+	items, err := change.Put.Items()
+	if err != nil {
+		return err
+	}
+	change.Put = object.Document{}
+	for _, item := range items {
+		if !differing[item.Key] {
+			continue
+		}
+		if err := change.Put.Add(item); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/entry/config/log.go
+++ b/entry/config/log.go
@@ -92,7 +92,7 @@
 	if revision := held.accepted(change.ID); revision > 0 {
 		return revision, nil
 	}
-	if err := l.check(held, change); err != nil {
+	if _, err := l.check(held, change); err != nil {
 		return 0, err
 	}
 	record, err := newRecord(change, held.revision()+1)
--- a/entry/config/log_test.go
+++ b/entry/config/log_test.go
@@ -119,5 +119,12 @@
 	_, err = fresh.refresh(t.Context())
 	assert.NilError(t, err)
 	assert.DeepEqual(t, fresh.Current(), follower.Current())
-	assert.DeepEqual(t, fresh.current.Load().objects, follower.current.Load().objects)
+	assert.DeepEqual(t, mustEncode(t, fresh), mustEncode(t, follower))
+}
+
+// mustEncode returns the whole state of the follower in its one encoding.
+func mustEncode(t *testing.T, f *Follower) []byte {
+	body, err := encodeSnapshot(f.current.Load())
+	assert.NilError(t, err)
+	return body
 }
--- a/entry/config/record.go
+++ b/entry/config/record.go
@@ -56,14 +56,14 @@
 }
 
 // change returns what this version of the program understands of the record, and
-// how many specs it had to leave out.
-func (r Record) change() (object.Change, int) {
+// the objects that it had to leave out.
+func (r Record) change() (object.Change, map[object.Key]bool) {
 	change := object.Change{ID: r.ID, Author: r.Author, Reason: r.Reason, At: r.At, Delete: r.Delete}
-	left := 0
+	unread := map[object.Key]bool{}
 	for _, item := range r.Put {
 		if err := change.Put.Add(item); err != nil {
-			left++
+			unread[item.Key] = true
 		}
 	}
-	return change, left
+	return change, unread
 }
--- /dev/null
+++ b/entry/config/rollout.go
@@ -0,0 +1,129 @@
+package config
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/object"
+)
+
+// RollOut measures how long each revision takes from its acceptance until it is
+// in force on every live entry instance, as one entry instance sees it. It is safe
+// for concurrent use. Its times compare clocks of several instances, so they are
+// as exact as these agree.
+type RollOut struct {
+	mu      sync.Mutex
+	waiting []Progress // revisions not yet in force everywhere, oldest first
+	done    []Progress // the last rollOutsKept complete ones, oldest first
+	held    map[fleet.InstanceID]object.Revision
+}
+
+// Bounds of the roll-outs remembered, complete ones and those that still wait.
+const (
+	rollOutsKept    = 64
+	rollOutsWaiting = 256
+)
+
+// Progress is how far one revision has come.
+type Progress struct {
+	Revision   object.Revision `json:"revision"`
+	AcceptedAt time.Time       `json:"acceptedAt"`
+	// InForceAt is when it was in force everywhere; zero while it is not.
+	InForceAt time.Time `json:"inForceAt,omitzero"`
+	// Behind lists the live entry instances that hold an older revision.
+	Behind []fleet.InstanceID `json:"behind,omitempty"`
+}
+
+// Took returns the time from acceptance until in force everywhere, or zero.
+func (p Progress) Took() time.Duration {
+	if p.InForceAt.IsZero() {
+		return 0
+	}
+	return p.InForceAt.Sub(p.AcceptedAt)
+}
+
+// NewRollOut returns a measure that follows the configuration.
+func NewRollOut(follower *Follower, self fleet.InstanceID) *RollOut {
+	r := &RollOut{held: map[fleet.InstanceID]object.Revision{}}
+	follower.Subscribe(func(c *object.Config) { r.accepted(self, c) })
+	return r
+}
+
+// accepted notes a revision in force here.
+func (r *RollOut) accepted(self fleet.InstanceID, c *object.Config) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held[self] = c.Revision
+	if c.Revision == 0 {
+		return
+	}
+	r.waiting = append(r.waiting, Progress{Revision: c.Revision, AcceptedAt: c.AcceptedAt})
+	r.waiting = r.waiting[max(0, len(r.waiting)-rollOutsWaiting):]
+	r.settle(time.Now())
+}
+
+// Observe notes the revision that each live entry instance holds, as heartbeats
+// carry it. Instances that are left out are gone and hold up nothing.
+func (r *RollOut) Observe(held map[fleet.InstanceID]object.Revision, self fleet.InstanceID, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	own := r.held[self]
+	r.held = make(map[fleet.InstanceID]object.Revision, len(held)+1)
+	for id, revision := range held {
+		r.held[id] = revision
+	}
+	r.held[self] = own
+	r.settle(at)
+}
+
+// settle closes the revisions that every live instance holds. The caller holds
+// the lock.
+func (r *RollOut) settle(at time.Time) {
+	least := r.least()
+	for len(r.waiting) > 0 && r.waiting[0].Revision <= least {
+		finished := r.waiting[0]
+		finished.InForceAt = at
+		r.waiting = r.waiting[1:]
+		r.done = append(r.done, finished)
+		r.done = r.done[max(0, len(r.done)-rollOutsKept):]
+	}
+}
+
+func (r *RollOut) least() object.Revision {
+	first := true
+	var least object.Revision
+	for _, revision := range r.held {
+		if first || revision < least {
+			least, first = revision, false
+		}
+	}
+	return least
+}
+
+// Recent returns up to limit roll-outs, the newest first.
+func (r *RollOut) Recent(limit int) []Progress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := slices.Concat(r.done, r.waiting)
+	slices.Reverse(out)
+	out = out[:min(limit, len(out))]
+	for i := range out {
+		if out[i].InForceAt.IsZero() {
+			out[i].Behind = r.behind(out[i].Revision)
+		}
+	}
+	return out
+}
+
+func (r *RollOut) behind(revision object.Revision) []fleet.InstanceID {
+	var out []fleet.InstanceID
+	for id, held := range r.held {
+		if held < revision {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/entry/config/snapshot.go
+++ b/entry/config/snapshot.go
@@ -14,8 +14,13 @@
 	"github.com/tarragonreach/tarragonreach/api/object"
 )
 
-// maxSnapshotBytes bounds a snapshot before compression.
-const maxSnapshotBytes = 16 << 20
+// Bounds of the configuration.
+const (
+	// maxConfigBytes bounds the objects of a configuration as JSON.
+	maxConfigBytes = 4 << 20
+	// maxSnapshotBytes bounds a snapshot before compression.
+	maxSnapshotBytes = 16 << 20
+)
 
 var errSnapshotTooLarge = errors.New("snapshot exceeds its limit")
 
@@ -86,10 +91,8 @@
 	config := &object.Config{Revision: read.Revision, ChangeID: read.ChangeID, AcceptedAt: read.AcceptedAt}
 	out := &state{config: config, recent: read.Recent, objects: make(map[object.Key]storedObject, len(read.Objects))}
 	for _, stored := range read.Objects {
-		out.objects[stored.Key] = stored
-		if err := config.Restore(stored.Item, stored.Revision); err != nil {
-			out.unknown++
-		}
+		stored.unread = config.Restore(stored.Item, stored.Revision) != nil
+		out.put(stored)
 	}
 	return out
 }
--- a/entry/config/state.go
+++ b/entry/config/state.go
@@ -15,6 +15,7 @@
 type storedObject struct {
 	object.Item
 	Revision object.Revision `json:"revision"`
+	unread   bool            // this version of the program does not understand it
 }
 
 // Summary says of an accepted change who made it and what it touched.
@@ -32,8 +33,8 @@
 	config  *object.Config
 	objects map[object.Key]storedObject
 	recent  []Summary // oldest first
-	// unknown counts the specs that this version of the program does not understand.
-	unknown int
+	unread  int       // objects that this version of the program does not understand
+	size    int       // bytes of all objects
 }
 
 func emptyState() *state { return &state{config: &object.Config{}} }
@@ -41,26 +42,50 @@
 func (s *state) revision() object.Revision { return s.config.Revision }
 
 // apply returns the state after the record, which must be for the next revision.
+// An object that cannot be read stays in the configuration as it was before.
 func (s *state) apply(record Record) *state {
-	change, left := record.change()
+	change, unread := record.change()
 	next := &state{
 		config:  s.config.Apply(change),
 		objects: maps.Clone(s.objects),
 		recent:  appendRecent(s.recent, summaryOf(record)),
-		unknown: s.unknown + left,
+		unread:  s.unread,
+		size:    s.size,
 	}
 	if next.objects == nil {
 		next.objects = make(map[object.Key]storedObject, len(record.Put))
 	}
 	for _, item := range record.Put {
-		next.objects[item.Key] = storedObject{Item: item, Revision: record.Revision}
+		next.put(storedObject{Item: item, Revision: record.Revision, unread: unread[item.Key]})
 	}
 	for _, key := range record.Delete {
-		delete(next.objects, key)
+		next.remove(key)
 	}
 	return next
 }
 
+// put adds or replaces an object of a state that is not shared yet.
+func (s *state) put(stored storedObject) {
+	s.remove(stored.Key)
+	s.objects[stored.Key] = stored
+	s.size += len(stored.Body)
+	if stored.unread {
+		s.unread++
+	}
+}
+
+func (s *state) remove(key object.Key) {
+	old, ok := s.objects[key]
+	if !ok {
+		return
+	}
+	delete(s.objects, key)
+	s.size -= len(old.Body)
+	if old.unread {
+		s.unread--
+	}
+}
+
 // revisionOf returns the revision that last wrote the object, or zero.
 func (s *state) revisionOf(key object.Key) object.Revision { return s.objects[key].Revision }
 
--- a/entry/config/status.go
+++ b/entry/config/status.go
@@ -66,9 +66,9 @@
 	Watching       bool      `json:"watching"`
 	Ready          bool      `json:"ready"`
 	NotReady       string    `json:"notReady,omitempty"`
-	// Unknown counts objects written by a newer version of the program that this
+	// Unread counts objects written by a newer version of the program that this
 	// one keeps but does not understand.
-	Unknown int `json:"unknown,omitempty"`
+	Unread int `json:"unread,omitempty"`
 }
 
 // Status returns the status at now.
@@ -76,7 +76,7 @@
 	held, source := f.current.Load(), f.source.Load()
 	status := Status{
 		Revision: held.revision(), ChangeID: held.config.ChangeID, AcceptedAt: held.config.AcceptedAt,
-		Verified: source.checked, StoreReachable: source.reachable, Unknown: held.unknown,
+		Verified: source.checked, StoreReachable: source.reachable, Unread: held.unread,
 		Watching: f.isWatcher(), Ready: true,
 	}
 	if !source.checked.IsZero() {
