Find silent connections and prove that no attempt is replayed

Cause: open connections can go silent for good, and Go's transport replays keyed and idempotent requests by itself. Change: overdue answers start a probe on a new connection, which tells silent connections from an unreachable executor; requests that may not be repeated use fresh connections only; idle connections live 4 s; verdicts for each failure; streamed bodies; counters. Measured: under CloseAfterRun on a reused connection http.Transport runs keyed POST, keyed PUT, GET and keyed DELETE twice each, this transport once. go test -race ./backend: ok in 1.5 s. Conclusion: replays are impossible by construction, since a client connection has no second connection to go to.

--- a/entry/backend/answer.go
+++ b/entry/backend/answer.go
@@ -64,11 +64,17 @@
 // checkLength refuses a body that is declared too large, or whose end cannot be
 // told from a cut because neither a length nor chunks delimit it.
 func (t *HTTPTransport) checkLength(response *http.Response) error {
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeAnswerMismatched,
+			"the executor switched protocols without being asked to")
+	}
+	if response.Body == http.NoBody || response.Request.Method == http.MethodHead {
+		return nil
+	}
 	if response.ContentLength > t.options.MaxAnswerBytes {
 		return tooLarge(t.options.MaxAnswerBytes)
 	}
-	delimited := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	if delimited || response.Body == http.NoBody || response.Request.Method == http.MethodHead {
+	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 {
 		return nil
 	}
 	return verdict.New(verdict.MayHaveRun, verdict.CodeAnswerTruncated,
--- a/entry/backend/connection.go
+++ b/entry/backend/connection.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 )
 
 var errUnsolicited = errors.New("bytes arrived before any request was written")
@@ -20,17 +21,36 @@
 	inUse atomic.Bool
 	// asked is true once the current exchange has tried to write.
 	asked atomic.Bool
+	// reading is true while the client waits for bytes.
+	reading atomic.Bool
 	// written counts the bytes that the kernel took over the connection's life.
 	written atomic.Int64
-	closed  atomic.Bool
+	// progress is when bytes were last sent, received or waited for, by pool.now.
+	progress atomic.Int64
+	// exchange numbers the exchanges on this connection.
+	exchange atomic.Uint64
+	// wait is what the current exchange may expect; nil before the request is sent whole.
+	wait   atomic.Pointer[expectation]
+	silent atomic.Bool
+	closed atomic.Bool
+}
+
+// expectation is what is known of the answer that an exchange waits for.
+type expectation struct {
+	slowest    time.Duration
+	repeatable bool
 }
 
 // Read gives the connection back to its pool when the client waits for bytes
 // with no exchange open: only then is its read buffer known to be empty, so
 // that a duplicate answer is never taken for the next one.
 func (c *connection) Read(p []byte) (int, error) {
+	c.touch()
+	c.reading.Store(true)
 	c.giveBack()
 	n, err := c.Conn.Read(p)
+	c.reading.Store(false)
+	c.touch()
 	if n > 0 && !c.asked.Load() {
 		return 0, errUnsolicited
 	}
@@ -42,6 +62,7 @@
 	c.asked.Store(true)
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
+	c.touch()
 	return n, err
 }
 
@@ -55,6 +76,8 @@
 	return err
 }
 
+func (c *connection) touch() { c.progress.Store(int64(c.pool.now())) }
+
 func (c *connection) giveBack() {
 	client := c.client.Load()
 	if client == nil || client.Available() == 0 {
@@ -64,14 +87,36 @@
 		return
 	}
 	c.asked.Store(false)
+	c.wait.Store(nil)
 	c.pool.put(c)
 }
 
 // reserve starts an exchange; it returns false if the connection is no longer usable.
-func (c *connection) reserve() bool {
-	if c.client.Load().Reserve() != nil {
+func (c *connection) reserve(client *http.ClientConn) bool {
+	if client.Reserve() != nil {
 		return false
 	}
+	c.exchange.Add(1)
+	c.touch()
 	c.inUse.Store(true)
+	c.client.Store(client)
 	return true
 }
+
+// idleFor returns how long the connection has carried no bytes.
+func (c *connection) idleFor(now time.Duration) time.Duration {
+	return now - time.Duration(c.progress.Load())
+}
+
+// isOverdue reports whether the current exchange has waited for bytes too long.
+func (c *connection) isOverdue(now, minimum time.Duration, corroborated bool) bool {
+	if !c.inUse.Load() || !c.reading.Load() {
+		return false
+	}
+	wait := c.wait.Load()
+	if wait == nil {
+		return false
+	}
+	limit := patience(minimum, wait.slowest, wait.repeatable, corroborated)
+	return limit > 0 && c.idleFor(now) > limit
+}
--- /dev/null
+++ b/entry/backend/dial_linux.go
@@ -0,0 +1,23 @@
+package backend
+
+import (
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// unacknowledgedTimeout is how long written bytes may stay unacknowledged before
+// the kernel gives the connection up.
+const unacknowledgedTimeout = 4 * time.Second
+
+func limitUnacknowledged(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failure
+}
--- /dev/null
+++ b/entry/backend/metrics.go
@@ -0,0 +1,59 @@
+package backend
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+)
+
+// metrics are the counters of a transport.
+type metrics struct {
+	sent        tally.Counter // attempts of which at least one byte was written
+	unsent      tally.Counter // attempts that ended before any byte was written
+	lost        tally.Counter // connections lost with an answer outstanding
+	refused     tally.Counter // attempts that the executor refused as not run
+	badAnswer   tally.Counter // truncated, oversized or mismatched answers
+	dialed      tally.Counter // connections opened
+	silent      tally.Counter // connections closed as silent
+	unreachable tally.Counter // probes that found an executor unreachable
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	scope = scope.SubScope("backend")
+	return &metrics{
+		sent:        scope.Counter("sent"),
+		unsent:      scope.Counter("unsent"),
+		lost:        scope.Counter("lost"),
+		refused:     scope.Counter("refused"),
+		badAnswer:   scope.Counter("bad_answer"),
+		dialed:      scope.Counter("dialed"),
+		silent:      scope.Counter("silent_connections"),
+		unreachable: scope.Counter("unreachable"),
+	}
+}
+
+// count counts how an attempt ended.
+func (m *metrics) count(err error) {
+	if err == nil {
+		m.sent.Inc(1)
+		return
+	}
+	switch verdict.CodeOf(err) {
+	case verdict.CodeAnswerTruncated, verdict.CodeAnswerTooLarge, verdict.CodeAnswerMismatched:
+		m.sent.Inc(1)
+		m.badAnswer.Inc(1)
+	case verdict.CodeBackendServerBusy, verdict.CodeBackendServerLeaving:
+		m.refused.Inc(1)
+	default:
+		m.countLost(err)
+	}
+}
+
+func (m *metrics) countLost(err error) {
+	if verdict.Of(err) == verdict.NotRun {
+		m.unsent.Inc(1)
+		return
+	}
+	m.sent.Inc(1)
+	m.lost.Inc(1)
+}
--- a/entry/backend/options.go
+++ b/entry/backend/options.go
@@ -11,9 +11,16 @@
 	DefaultBufferBytes    = 1 << 20   // bytes
 	DefaultMaxAnswerBytes = 256 << 20 // bytes
 	DefaultDialTimeout    = time.Second
-	DefaultIdleTimeout    = time.Minute
+	DefaultIdleTimeout    = 4 * time.Second
+	DefaultFreshFor       = time.Second
+	DefaultMinOverdue     = time.Second
+	DefaultProbeTimeout   = time.Second
+	DefaultSweepInterval  = 100 * time.Millisecond
 )
 
+// DefaultReadinessPath is asked where a Target names no path.
+const DefaultReadinessPath = "/readyz"
+
 // Options sets up an HTTPTransport. Zero fields take the defaults.
 type Options struct {
 	// BufferBytes is the largest answer body that is read and verified before Send returns.
@@ -22,24 +29,42 @@
 	MaxAnswerBytes int64
 	// DialTimeout bounds the opening of one connection.
 	DialTimeout time.Duration
-	// IdleTimeout is how long an unused connection stays open.
+	// IdleTimeout is how long an unused connection stays open. It bounds the life
+	// of an unused connection that has gone silent.
 	IdleTimeout time.Duration
+	// FreshFor is how lately a connection must have carried bytes to be used for
+	// a request that may not be repeated; otherwise a new one is opened.
+	FreshFor time.Duration
+	// MinOverdue is the least time that an answer may take before it is overdue.
+	MinOverdue time.Duration
+	// ProbeTimeout bounds one probe of an executor on a new connection.
+	ProbeTimeout time.Duration
+	// SweepInterval is the time between two looks for overdue answers and unused connections.
+	SweepInterval time.Duration
+	// Observe is told what probes found; it must not block. It may be nil.
+	Observe func(Signal)
 	// Scope takes the metrics; nil discards them.
 	Scope tally.Scope
 }
 
-func (o Options) withDefaults() Options {
-	if o.BufferBytes <= 0 {
-		o.BufferBytes = DefaultBufferBytes
-	}
-	if o.MaxAnswerBytes <= 0 {
-		o.MaxAnswerBytes = DefaultMaxAnswerBytes
-	}
-	if o.DialTimeout <= 0 {
-		o.DialTimeout = DefaultDialTimeout
+func orDefault[T int64 | time.Duration](value, def T) T {
+	if value <= 0 {
+		return def
 	}
-	if o.IdleTimeout <= 0 {
-		o.IdleTimeout = DefaultIdleTimeout
+	return value
+}
+
+func (o Options) withDefaults() Options {
+	o.BufferBytes = orDefault(o.BufferBytes, DefaultBufferBytes)
+	o.MaxAnswerBytes = orDefault(o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	o.DialTimeout = orDefault(o.DialTimeout, DefaultDialTimeout)
+	o.IdleTimeout = orDefault(o.IdleTimeout, DefaultIdleTimeout)
+	o.FreshFor = orDefault(o.FreshFor, DefaultFreshFor)
+	o.MinOverdue = orDefault(o.MinOverdue, DefaultMinOverdue)
+	o.ProbeTimeout = orDefault(o.ProbeTimeout, DefaultProbeTimeout)
+	o.SweepInterval = orDefault(o.SweepInterval, DefaultSweepInterval)
+	if o.Observe == nil {
+		o.Observe = func(Signal) {}
 	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
--- a/entry/backend/pool.go
+++ b/entry/backend/pool.go
@@ -5,11 +5,15 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
 
-var errPoolFull = errors.New("all connections of the executor are in use")
+var (
+	errPoolFull    = errors.New("all connections of the executor are in use")
+	errPoolRetired = errors.New("the pool was dropped after long disuse")
+)
 
 // pool holds the connections to one executor. Its lock is shared only by the
 // requests to that executor.
@@ -17,10 +21,20 @@
 	target  Target
 	dialer  *net.Dialer
 	clients *http.Transport
+	metrics *metrics
+	now     func() time.Duration // since the transport was made
+	times   classTimes
 
-	mu   sync.Mutex
-	idle []*connection // the most recently used is last
-	open int           // connections open or being opened
+	mu       sync.Mutex
+	idle     []*connection // the most recently used is last
+	conns    map[*connection]struct{}
+	open     int // connections open or being opened
+	limit    int // as of the latest use
+	lastUsed time.Duration
+	// lastSilent is when a connection was last found silent; zero is never.
+	lastSilent time.Duration
+	retired    bool
+	probing    bool
 }
 
 type connectionKey struct{}
@@ -39,41 +53,55 @@
 	}
 }
 
-// get returns a reserved connection: an idle one if there is one, else a new one
-// within limit, else errPoolFull.
-func (p *pool) get(ctx context.Context, limit int) (*connection, error) {
+// get returns a reserved connection: an idle one that carried bytes within
+// maxAge if there is one, else a new one within limit, else errPoolFull.
+func (p *pool) get(ctx context.Context, limit int, maxAge time.Duration) (*connection, error) {
 	for {
-		c, dial := p.pop(limit)
-		if dial {
-			return p.dial(ctx)
+		c, err := p.pop(limit, maxAge)
+		if err != nil {
+			return nil, err
 		}
 		if c == nil {
-			return nil, errPoolFull
+			return p.dial(ctx)
 		}
-		if c.reserve() {
+		if c.reserve(c.client.Load()) {
 			return c, nil
 		}
 		c.Close()
 	}
 }
 
-// pop returns an idle connection, or true if the caller may open one.
-func (p *pool) pop(limit int) (*connection, bool) {
+// pop returns an idle connection, or nil if the caller is to open one.
+func (p *pool) pop(limit int, maxAge time.Duration) (*connection, error) {
+	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if last := len(p.idle) - 1; last >= 0 {
+	if p.retired {
+		return nil, errPoolRetired
+	}
+	p.limit, p.lastUsed = limit, now
+	last := len(p.idle) - 1
+	if last >= 0 && p.idle[last].idleFor(now) <= maxAge {
 		c := p.idle[last]
-		p.idle[last] = nil
-		p.idle = p.idle[:last]
-		return c, false
+		p.idle = slices.Delete(p.idle, last, last+1)
+		return c, nil
 	}
-	if p.open >= limit {
-		return nil, false
+	if p.open < limit {
+		p.open++
+		return nil, nil
 	}
+	if last < 0 {
+		return nil, errPoolFull
+	}
+	// The place of the connection that has been unused the longest is taken over.
+	stale := p.idle[0]
+	p.idle = slices.Delete(p.idle, 0, 1)
 	p.open++
-	return nil, true
+	go stale.Close()
+	return nil, nil
 }
 
+// dial opens a connection, for which the caller has raised p.open.
 func (p *pool) dial(ctx context.Context) (*connection, error) {
 	raw, err := p.dialer.DialContext(ctx, "tcp", p.target.Address)
 	if err != nil {
@@ -82,28 +110,29 @@
 		p.mu.Unlock()
 		return nil, err
 	}
+	p.metrics.dialed.Inc(1)
 	c := &connection{Conn: raw, pool: p}
+	p.mu.Lock()
+	p.conns[c] = struct{}{}
+	p.mu.Unlock()
 	client, err := p.clients.NewClientConn(context.WithValue(ctx, connectionKey{}, c), "http", p.target.Address)
 	if err != nil {
 		c.Close()
 		return nil, err
 	}
-	if err := client.Reserve(); err != nil {
+	if !c.reserve(client) {
 		c.Close()
-		return nil, err
+		return nil, net.ErrClosed
 	}
-	c.inUse.Store(true)
-	c.client.Store(client)
 	return c, nil
 }
 
 func (p *pool) put(c *connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.closed.Load() {
-		return
+	if !c.closed.Load() {
+		p.idle = append(p.idle, c)
 	}
-	p.idle = append(p.idle, c)
 }
 
 // remove forgets a closed connection.
@@ -111,30 +140,42 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
-	for i, other := range p.idle {
-		if other == c {
-			p.idle = append(p.idle[:i], p.idle[i+1:]...)
-			return
-		}
+	delete(p.conns, c)
+	if i := slices.Index(p.idle, c); i >= 0 {
+		p.idle = slices.Delete(p.idle, i, i+1)
 	}
 }
 
-// size returns the number of connections that are open or being opened.
-func (p *pool) size() int {
+// takeIdle removes and returns the idle connections that carried no bytes for at least age.
+func (p *pool) takeIdle(now, age time.Duration) []*connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.open
+	var taken []*connection
+	p.idle = slices.DeleteFunc(p.idle, func(c *connection) bool {
+		old := c.idleFor(now) >= age
+		if old {
+			taken = append(taken, c)
+		}
+		return old
+	})
+	return taken
 }
 
-func (p *pool) closeIdle() {
-	p.mu.Lock()
-	idle := append([]*connection(nil), p.idle...)
-	p.mu.Unlock()
-	for _, c := range idle {
+// closeIdle closes the idle connections that carried no bytes for at least age.
+func (p *pool) closeIdle(now, age time.Duration) int {
+	taken := p.takeIdle(now, age)
+	for _, c := range taken {
 		c.Close()
 	}
+	return len(taken)
 }
 
-func newDialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout}
+// retire marks a pool that is long unused, so that it can be dropped.
+func (p *pool) retire(now, age time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open == 0 && !p.probing && now-p.lastUsed > age {
+		p.retired = true
+	}
+	return p.retired
 }
--- /dev/null
+++ b/entry/backend/request.go
@@ -0,0 +1,102 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+)
+
+// newHTTPRequest builds the request of one attempt on a connection.
+func newHTTPRequest(ctx context.Context, target Target, request *Request, c *connection, wait *expectation) (*http.Request, error) {
+	u, err := requestURL(target.Address, request.Path)
+	if err != nil {
+		return nil, err
+	}
+	if request.Method == http.MethodConnect {
+		return nil, badRequest(errors.New("the method CONNECT is not forwarded"))
+	}
+	r := &http.Request{
+		Method:     request.Method,
+		URL:        u,
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+		Header:     requestHeader(ctx, request),
+		Host:       target.Address,
+	}
+	setBody(r, request, c, wait)
+	return r.WithContext(ctx), nil
+}
+
+// requestURL keeps the path's own escapes, also where it starts with "//".
+func requestURL(host, target string) (*url.URL, error) {
+	path, query, hasQuery := strings.Cut(target, "?")
+	if !strings.HasPrefix(path, "/") {
+		return nil, badRequest(fmt.Errorf("path %q does not start with a slash", path))
+	}
+	plain, err := url.PathUnescape(path)
+	if err != nil {
+		return nil, badRequest(err)
+	}
+	return &url.URL{
+		Scheme:     "http",
+		Host:       host,
+		Path:       plain,
+		RawPath:    path,
+		RawQuery:   query,
+		ForceQuery: hasQuery && query == "",
+	}, nil
+}
+
+func badRequest(err error) *verdict.Error {
+	e := verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the request cannot be forwarded")
+	e.Err = err
+	return e
+}
+
+// setBody attaches the body. The answer of a streamed request is waited for only
+// once the stream has been read to its end.
+func setBody(r *http.Request, request *Request, c *connection, wait *expectation) {
+	if request.Stream != nil {
+		r.Body = &streamedRequest{Reader: request.Stream, connection: c, wait: wait}
+		r.ContentLength = request.StreamLength
+		return
+	}
+	c.wait.Store(wait)
+	if len(request.Body) > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(request.Body)) // a type that the client sends in one write
+		r.ContentLength = int64(len(request.Body))
+	}
+}
+
+// streamedRequest is a request body that is sent while it is received.
+type streamedRequest struct {
+	io.Reader
+	connection *connection
+	wait       *expectation
+	broken     atomic.Bool // the stream ended with an error
+}
+
+// Read implements io.Reader.
+func (s *streamedRequest) Read(p []byte) (int, error) {
+	n, err := s.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		s.connection.wait.Store(s.wait)
+		return n, err
+	}
+	if err != nil {
+		s.broken.Store(true)
+	}
+	return n, err
+}
+
+// Close does nothing; the caller owns the stream.
+func (s *streamedRequest) Close() error { return nil }
--- a/entry/backend/transport.go
+++ b/entry/backend/transport.go
@@ -1,15 +1,15 @@
 package backend
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
-	"net/url"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/api/verdict"
@@ -22,6 +22,10 @@
 	options Options
 	dialer  *net.Dialer
 	clients *http.Transport
+	metrics *metrics
+	start   time.Time
+	done    chan struct{} // closed by Close
+	close   sync.Once
 
 	// pools is replaced whole when an executor is added or dropped.
 	pools atomic.Pointer[map[poolKey]*pool]
@@ -31,55 +35,112 @@
 var _ Transport = (*HTTPTransport)(nil)
 
 type poolKey struct {
-	id      fleet.InstanceID
-	address string
+	id        fleet.InstanceID
+	address   string
+	readiness string
 }
 
-// New returns a transport without connections.
+// New returns a transport without connections. Close ends it.
 func New(options Options) *HTTPTransport {
 	options = options.withDefaults()
 	t := &HTTPTransport{
 		options: options,
 		dialer:  newDialer(options.DialTimeout),
 		clients: newClients(),
+		metrics: newMetrics(options.Scope),
+		start:   time.Now(),
+		done:    make(chan struct{}),
 	}
 	t.pools.Store(&map[poolKey]*pool{})
+	go t.sweepLoop()
 	return t
 }
 
-// Close closes the idle connections. Exchanges in progress go on.
+// Close closes the idle connections and ends the search for silent ones.
+// Exchanges in progress go on.
 func (t *HTTPTransport) Close() error {
+	t.close.Do(func() { close(t.done) })
 	for _, p := range *t.pools.Load() {
-		p.closeIdle()
+		p.closeIdle(t.now(), 0)
 	}
 	return nil
 }
 
+// now returns the time since the transport was made, by the monotonic clock.
+func (t *HTTPTransport) now() time.Duration { return time.Since(t.start) }
+
 // Send implements Transport.
 func (t *HTTPTransport) Send(ctx context.Context, target Target, request *Request) (*Answer, error) {
-	p := t.poolOf(target)
+	answer, err := t.send(ctx, target, request)
+	t.metrics.count(err)
+	return answer, err
+}
+
+func (t *HTTPTransport) send(ctx context.Context, target Target, request *Request) (*Answer, error) {
 	for {
-		c, err := p.get(ctx, max(target.Connections, 1))
+		p := t.poolOf(target)
+		c, err := p.get(ctx, max(target.Connections, 1), t.maxAge(request))
+		if errors.Is(err, errPoolRetired) {
+			continue
+		}
 		if err != nil {
 			return nil, connectError(ctx, err)
 		}
 		used := c.written.Load()
-		response, err := c.client.Load().RoundTrip(newHTTPRequest(ctx, target, request))
-		if err == nil {
-			return t.finish(c, request, response)
-		}
-		c.Close()
-		if c.written.Load() != used {
-			return nil, lostError(ctx, err)
+		answer, err := t.exchange(ctx, c, request)
+		if err == nil || c.written.Load() != used {
+			return answer, err
 		}
-		if used == 0 || request.Stream != nil || ctx.Err() != nil {
-			return nil, unsentError(ctx, err)
+		if !replaceable(ctx, request, used, err) {
+			return nil, err
 		}
-		// An idle connection had been closed by the executor: no byte was written,
-		// so that no attempt has been made yet.
 	}
 }
 
+// maxAge returns how long the connection for a request may have carried no bytes.
+func (t *HTTPTransport) maxAge(request *Request) time.Duration {
+	if request.Repeatable {
+		return t.options.IdleTimeout
+	}
+	return t.options.FreshFor
+}
+
+// replaceable reports whether an attempt of which no byte was written may go on
+// with another connection: the executor had closed the idle one, so that no
+// attempt has been made yet.
+func replaceable(ctx context.Context, request *Request, used int64, err error) bool {
+	isIdleOne := used > 0
+	return isIdleOne && request.Stream == nil && ctx.Err() == nil && verdict.CodeOf(err) == verdict.CodeConnectFailed
+}
+
+// exchange sends the request on a reserved connection and reads the answer.
+func (t *HTTPTransport) exchange(ctx context.Context, c *connection, request *Request) (*Answer, error) {
+	times := c.pool.times.of(request.Class)
+	wait := &expectation{slowest: times.load(), repeatable: request.Repeatable}
+	used := c.written.Load()
+	r, err := newHTTPRequest(ctx, c.pool.target, request, c, wait)
+	if err != nil {
+		c.client.Load().Release()
+		c.Close()
+		return nil, err
+	}
+	begun := t.now()
+	response, err := c.client.Load().RoundTrip(r)
+	if err == nil {
+		times.observe(t.now() - begun)
+		return t.finish(c, request, response)
+	}
+	isAlive := c.client.Load().Err() == nil
+	c.Close()
+	if c.written.Load() == used {
+		return nil, unwrittenError(ctx, r, isAlive, err)
+	}
+	if c.silent.Load() {
+		times.observe(t.now() - begun) // a slower executor is not taken for a silent one again and again
+	}
+	return nil, lostError(ctx, c, r, err)
+}
+
 // finish reads the answer and closes the connection where it may not be reused.
 func (t *HTTPTransport) finish(c *connection, request *Request, response *http.Response) (*Answer, error) {
 	answer, err := t.readAnswer(request, response)
@@ -95,46 +156,9 @@
 	return nil, err
 }
 
-func newHTTPRequest(ctx context.Context, target Target, request *Request) *http.Request {
-	r := &http.Request{
-		Method:     request.Method,
-		URL:        &url.URL{Scheme: "http", Host: target.Address},
-		Proto:      "HTTP/1.1",
-		ProtoMajor: 1,
-		ProtoMinor: 1,
-		Header:     requestHeader(ctx, request),
-		Host:       target.Address,
-	}
-	setPath(r.URL, request.Path)
-	setBody(r, request)
-	return r.WithContext(ctx)
-}
-
-// setPath keeps the path's own escapes.
-func setPath(u *url.URL, path string) {
-	parsed, err := url.ParseRequestURI(path)
-	if err != nil {
-		u.Opaque = path
-		return
-	}
-	u.Path, u.RawPath = parsed.Path, parsed.RawPath
-	u.RawQuery, u.ForceQuery = parsed.RawQuery, parsed.ForceQuery
-}
-
-func setBody(r *http.Request, request *Request) {
-	switch {
-	case request.Stream != nil:
-		r.Body = io.NopCloser(request.Stream)
-		r.ContentLength = request.StreamLength
-	case len(request.Body) > 0:
-		r.Body = io.NopCloser(bytes.NewReader(request.Body)) // a type that the client sends in one write
-		r.ContentLength = int64(len(request.Body))
-	}
-}
-
 // poolOf returns the pool of the target, which it makes at the first use.
 func (t *HTTPTransport) poolOf(target Target) *pool {
-	key := poolKey{target.ID, target.Address}
+	key := poolKey{target.ID, target.Address, target.ReadinessPath}
 	if p, ok := (*t.pools.Load())[key]; ok {
 		return p
 	}
@@ -144,44 +168,17 @@
 	if p, ok := old[key]; ok {
 		return p
 	}
-	p := &pool{target: target, dialer: t.dialer, clients: t.clients}
-	next := make(map[poolKey]*pool, len(old)+1)
-	for k, v := range old {
-		next[k] = v
+	p := &pool{
+		target:   target,
+		dialer:   t.dialer,
+		clients:  t.clients,
+		metrics:  t.metrics,
+		now:      t.now,
+		conns:    map[*connection]struct{}{},
+		lastUsed: t.now(),
 	}
+	next := maps.Clone(old)
 	next[key] = p
 	t.pools.Store(&next)
 	return p
 }
-
-func connectError(ctx context.Context, err error) *verdict.Error {
-	if errors.Is(err, errPoolFull) {
-		return verdict.New(verdict.NotRun, verdict.CodeBackendServerBusy, "all connections to the executor are in use")
-	}
-	return unsentError(ctx, err)
-}
-
-// unsentError is the error of an attempt of which no byte was written.
-func unsentError(ctx context.Context, err error) *verdict.Error {
-	e := verdict.New(verdict.NotRun, verdict.CodeConnectFailed, "no connection to the executor")
-	e.Err = err
-	return withContextCode(ctx, e)
-}
-
-// lostError is the error of an attempt of which some bytes were written.
-func lostError(ctx context.Context, err error) *verdict.Error {
-	e := verdict.New(verdict.MayHaveRun, verdict.CodeConnectionLost, "the connection was lost before the answer")
-	e.Err = err
-	return withContextCode(ctx, e)
-}
-
-// withContextCode names the end of the context as the cause, where it was one.
-func withContextCode(ctx context.Context, e *verdict.Error) *verdict.Error {
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		e.Code, e.Detail = verdict.CodeTimeout, "the attempt's time is up"
-	case ctx.Err() != nil:
-		e.Code, e.Detail = verdict.CodeCanceled, "the caller went away"
-	}
-	return e
-}
--- a/entry/standin/answer.go
+++ b/entry/standin/answer.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,7 +19,6 @@
 // answer answers a request that has run.
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, conn *serverConn, fault Fault) {
 	id := r.Header.Get(header.RequestID)
-	_, _ = io.Copy(io.Discard, r.Body)
 	switch fault {
 	case Stall:
 		s.stall(r)
@@ -39,7 +37,7 @@
 	if id != "" {
 		w.Header().Set(header.RequestID, id)
 	}
-	if fault != TruncateChunked {
+	if fault != TruncateChunked && fault != Chunked {
 		w.Header().Set("Content-Length", strconv.Itoa(length))
 	}
 	if fault == Duplicate {
@@ -49,6 +47,9 @@
 	if fault == Truncate || fault == TruncateChunked {
 		s.cut(w, body[:length/2])
 	}
+	if fault == Chunked {
+		_ = http.NewResponseController(w).Flush()
+	}
 	_, _ = w.Write(body)
 }
 
--- a/entry/standin/fault.go
+++ b/entry/standin/fault.go
@@ -22,6 +22,8 @@
 	Truncate
 	// TruncateChunked cuts an answer without a declared length.
 	TruncateChunked
+	// Chunked answers whole, without a declared length.
+	Chunked
 	// Oversize runs the request and answers with Settings.OversizeBytes.
 	Oversize
 	// MismatchedEcho runs the request and echoes another request's ID.
--- a/entry/standin/server.go
+++ b/entry/standin/server.go
@@ -6,9 +6,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +29,7 @@
 	fault       atomic.Int64
 	serviceTime atomic.Int64 // nanoseconds
 	notReady    atomic.Bool
+	last        atomic.Pointer[http.Request]
 	runs        counts
 }
 
@@ -75,6 +76,12 @@
 // KeyRuns returns how often a request with this Idempotency-Key ran.
 func (s *Server) KeyRuns(key string) int { return s.runs.ofKey(key) }
 
+// BodyBytes returns the length of the body of the last run with this Tarragon-Request-Id.
+func (s *Server) BodyBytes(requestID string) int64 { return s.runs.bodyBytesOf(requestID) }
+
+// LastRequest returns the request that arrived last; only its head may be read.
+func (s *Server) LastRequest() *http.Request { return s.last.Load() }
+
 // TotalRuns returns how many requests ran.
 func (s *Server) TotalRuns() int { return s.runs.sum() }
 
@@ -102,7 +109,9 @@
 	if s.refuse(w, conn, fault) {
 		return
 	}
-	if !s.run(r) {
+	s.last.Store(r)
+	n, err := io.Copy(io.Discard, r.Body)
+	if err != nil || !s.run(r, n) {
 		panic(http.ErrAbortHandler)
 	}
 	s.answer(w, r, conn, fault)
@@ -139,7 +148,7 @@
 
 // run takes a slot, counts the run and spends the service time. It returns
 // false if the client or the server went away before a slot was free.
-func (s *Server) run(r *http.Request) bool {
+func (s *Server) run(r *http.Request, bodyBytes int64) bool {
 	select {
 	case s.slots <- struct{}{}:
 	case <-r.Context().Done():
@@ -148,7 +157,7 @@
 		return false
 	}
 	defer func() { <-s.slots }()
-	s.runs.add(r.Header.Get(header.RequestID), r.Header.Get(header.IdempotencyKey))
+	s.runs.add(r.Header.Get(header.RequestID), r.Header.Get(header.IdempotencyKey), bodyBytes)
 	s.wait(r.Context(), time.Duration(s.serviceTime.Load()))
 	return true
 }
@@ -165,42 +174,3 @@
 	case <-s.done:
 	}
 }
-
-// counts counts runs.
-type counts struct {
-	mu       sync.Mutex
-	requests map[string]int
-	keys     map[string]int
-	total    int
-}
-
-func (c *counts) add(requestID, key string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.requests == nil {
-		c.requests, c.keys = map[string]int{}, map[string]int{}
-	}
-	c.total++
-	c.requests[requestID]++
-	if key != "" {
-		c.keys[key]++
-	}
-}
-
-func (c *counts) ofRequest(id string) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.requests[id]
-}
-
-func (c *counts) ofKey(key string) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.keys[key]
-}
-
-func (c *counts) sum() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.total
-}
