Compose an entry instance and a development fleet

Cause: the parts need one program that starts, serves and stops them. Change: entry/node composes with fx; entry/dev runs a small fleet on loopback.

--- a/entry/config/history.go
+++ b/entry/config/history.go
@@ -85,7 +85,7 @@
 	}
 	now := l.follower.Current()
 	change := object.Change{ID: id, Author: author, Reason: reason, Put: old.Document()}
-	if err := keepChanged(&change, now, old); err != nil {
+	if err := Reduce(&change, now, old); err != nil {
 		return object.Change{}, err
 	}
 	if len(change.Touched()) == 0 {
@@ -94,9 +94,9 @@
 	return WithBase(change, now), nil
 }
 
-// keepChanged reduces the change to the objects that differ, and deletes those
-// that did not exist.
-func keepChanged(change *object.Change, now, old *object.Config) error {
+// Reduce cuts the change from now to old down to the objects that differ, and
+// deletes those that old does not have.
+func Reduce(change *object.Change, now, old *object.Config) error {
 	differences, err := object.Diff(now, old)
 	if err != nil {
 		return err
--- /dev/null
+++ b/entry/dev/scenario.go
@@ -0,0 +1,197 @@
+package dev
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/api/operations"
+	"github.com/tarragonreach/tarragonreach/entry/node"
+	"github.com/tarragonreach/tarragonreach/platform/memory"
+)
+
+const (
+	// pollInterval is the time between two looks at the fleet.
+	pollInterval = 20 * time.Millisecond
+	// settleTimeout bounds the wait for the fleet to be ready.
+	settleTimeout = 20 * time.Second
+	// storeOutage is how long the store is off after the change was accepted.
+	storeOutage = 1 * time.Second
+	// drainCheck is how long after the drain no new work may arrive.
+	drainCheck = 3 * time.Second
+)
+
+func stopAll(ctx context.Context, entries []*node.Node) {
+	var stopping sync.WaitGroup
+	for _, e := range entries {
+		stopping.Go(func() { _ = e.Stop(ctx) })
+	}
+	stopping.Wait()
+}
+
+// seed applies the first configuration and waits until every entry instance routes.
+func (f *devFleet) seed(ctx context.Context) error {
+	body, err := json.Marshal(firstConfig())
+	if err != nil {
+		return fmt.Errorf("encode the first configuration: %w", err)
+	}
+	var result operations.ApplyResult
+	if err := f.post(ctx, f.entries[0], operations.PathConfigChanges, body, &result); err != nil {
+		return fmt.Errorf("apply the first configuration: %w", err)
+	}
+	return f.await(ctx, settleTimeout, "every entry instance to be ready with all executors", func() bool {
+		return f.all(func(s operations.Status) bool {
+			return s.Ready && s.ConfigRevision >= result.Revision && s.Executors == len(f.backends.executors) &&
+				reachable(s) == len(f.entries)-1
+		})
+	})
+}
+
+func reachable(s operations.Status) int {
+	n := 0
+	for _, m := range s.Members {
+		if m.Reachable {
+			n++
+		}
+	}
+	return n
+}
+
+// changeConfig changes a class, switches the store off right after acceptance, and
+// measures how long the change takes to be in force on every entry instance.
+func (f *devFleet) changeConfig(ctx context.Context, at time.Time) (RollOut, error) {
+	if err := sleepUntil(ctx, at); err != nil {
+		return RollOut{}, err
+	}
+	class := firstConfig().Classes[0]
+	class.Timeout = object.Duration(checkTimeout + time.Second)
+	body, err := json.Marshal(operations.ConfigDocument{
+		Reason: "longer timeout for checks", Document: object.Document{Classes: []object.Class{class}},
+	})
+	if err != nil {
+		return RollOut{}, fmt.Errorf("encode the change: %w", err)
+	}
+	var result operations.ApplyResult
+	if err := f.post(ctx, f.entries[0], operations.PathConfigChanges, body, &result); err != nil {
+		return RollOut{}, err
+	}
+	accepted := time.Now()
+	f.platform.SetFaults(memory.Faults{Down: true})
+	defer f.platform.SetFaults(memory.Faults{})
+	err = f.await(ctx, settleTimeout, "the change to be in force everywhere", func() bool {
+		return f.all(func(s operations.Status) bool { return s.ConfigRevision >= result.Revision })
+	})
+	took := time.Since(accepted)
+	if err == nil {
+		err = sleepUntil(ctx, accepted.Add(storeOutage))
+	}
+	return RollOut{Revision: result.Revision, InForceEverywhere: object.Duration(took), StoreOffAfterAcceptance: true}, err
+}
+
+// drainOne drains an executor and counts the work that it gets afterwards.
+func (f *devFleet) drainOne(ctx context.Context, at time.Time) (Drain, error) {
+	if err := sleepUntil(ctx, at); err != nil {
+		return Drain{}, err
+	}
+	target := f.backends.executors[0]
+	path := operations.PathInstances + "/" + string(target.instance.ID) + "/drain"
+	var now operations.InstanceStatus
+	if err := f.post(ctx, f.entries[len(f.entries)-1], path, []byte(`{"reason": "development run"}`), &now); err != nil {
+		return Drain{}, err
+	}
+	began := time.Now()
+	d := Drain{Instance: target.instance.ID}
+	err := f.await(ctx, settleTimeout, "the instance to leave routing", func() bool {
+		return f.all(func(s operations.Status) bool { return s.Executors == len(f.backends.executors)-1 })
+	})
+	if err != nil {
+		return d, err
+	}
+	d.OutOfRouting = object.Duration(time.Since(began))
+	if err := sleepUntil(ctx, began.Add(drainCheck)); err != nil {
+		return d, nil
+	}
+	before := target.server.TotalRuns()
+	<-ctx.Done()
+	d.RunsAfter = target.server.TotalRuns() - before
+	return d, nil
+}
+
+func (f *devFleet) all(holds func(operations.Status) bool) bool {
+	for _, e := range f.entries {
+		if !holds(e.Status()) {
+			return false
+		}
+	}
+	return true
+}
+
+// await waits until holds is true, or returns what was waited for in vain.
+func (f *devFleet) await(ctx context.Context, limit time.Duration, what string, holds func() bool) error {
+	deadline := time.Now().Add(limit)
+	for !holds() {
+		if time.Now().After(deadline) {
+			return fmt.Errorf("waited %s in vain for %s", limit, what)
+		}
+		if err := sleepUntil(ctx, time.Now().Add(pollInterval)); err != nil {
+			return fmt.Errorf("wait for %s: %w", what, err)
+		}
+	}
+	return nil
+}
+
+func sleepUntil(ctx context.Context, at time.Time) error {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// post calls the operator listener of an entry instance, as an operator's tool does.
+func (f *devFleet) post(ctx context.Context, entry *node.Node, path string, body []byte, out any) error {
+	url := "http://" + entry.OperatorAddr() + path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		return err
+	}
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d: %s", path, res.StatusCode, data)
+	}
+	return json.Unmarshal(data, out)
+}
+
+// Drain is how the drain of one instance went.
+type Drain struct {
+	Instance fleet.InstanceID `json:"instance"`
+	// OutOfRouting is the time until no entry instance routed to it.
+	OutOfRouting object.Duration `json:"outOfRouting"`
+	// RunsAfter counts requests that it ran later than 3 s after the drain.
+	RunsAfter int `json:"runsAfter"`
+}
+
+// RollOut is how one configuration change spread.
+type RollOut struct {
+	Revision                object.Revision `json:"revision"`
+	InForceEverywhere       object.Duration `json:"inForceEverywhere"`
+	StoreOffAfterAcceptance bool            `json:"storeOffAfterAcceptance"`
+}
--- /dev/null
+++ b/entry/dev/summary.go
@@ -0,0 +1,109 @@
+package dev
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/entry/dev/load"
+)
+
+// progressInterval is the time between two lines of live progress.
+const progressInterval = time.Second
+
+// maxRollOut is within what time an accepted configuration must be in force.
+const maxRollOut = 9 * time.Second
+
+// Summary is what came of a run.
+type Summary struct {
+	OK      bool           `json:"ok"`
+	Broken  []string       `json:"broken,omitempty"`
+	Classes []load.Summary `json:"classes"`
+	RollOut RollOut        `json:"rollOut"`
+	Drain   Drain          `json:"drain"`
+}
+
+// judge says whether every guarantee held.
+func (s *Summary) judge() {
+	for _, c := range s.Classes {
+		if c.Faulty > 0 {
+			s.Broken = append(s.Broken, fmt.Sprintf("class %s: %d faulty requests", c.Class, c.Faulty))
+		}
+		if c.Answered == 0 {
+			s.Broken = append(s.Broken, fmt.Sprintf("class %s: no request was answered", c.Class))
+		}
+	}
+	if time.Duration(s.RollOut.InForceEverywhere) > maxRollOut {
+		s.Broken = append(s.Broken, fmt.Sprintf("the change took %s to be in force", time.Duration(s.RollOut.InForceEverywhere)))
+	}
+	if s.Drain.RunsAfter > 0 {
+		s.Broken = append(s.Broken, fmt.Sprintf("the drained instance ran %d new requests", s.Drain.RunsAfter))
+	}
+	s.OK = len(s.Broken) == 0
+}
+
+func printSummary(o Options, f *devFleet, s Summary) error {
+	if o.JSON {
+		encoder := json.NewEncoder(o.Out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(s)
+	}
+	if err := printClasses(o.Out, s.Classes); err != nil {
+		return err
+	}
+	fmt.Fprintf(o.Out, "\nrevision %d in force on %d entry instances after %s, with the store off\n",
+		s.RollOut.Revision, len(f.entries), time.Duration(s.RollOut.InForceEverywhere).Round(time.Millisecond))
+	fmt.Fprintf(o.Out, "%s drained, out of routing after %s, %d runs later than %s\n",
+		s.Drain.Instance, time.Duration(s.Drain.OutOfRouting).Round(time.Millisecond), s.Drain.RunsAfter, drainCheck)
+	for _, b := range s.Broken {
+		fmt.Fprintln(o.Out, "broken:", b)
+	}
+	printAddresses(o.Out, f)
+	return nil
+}
+
+func printClasses(out io.Writer, classes []load.Summary) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "CLASS\tSENT\tANSWERED\tREFUSED\tP50\tP99\tRAN\tNOT-RUN\tMAY-HAVE-RUN\tFAULTY")
+	for _, c := range classes {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%s\t%s\t%d\t%d\t%d\t%d\n", c.Class, c.Sent, c.Answered, c.Refused,
+			round(c.P50), round(c.P99), c.Verdicts.Ran, c.Verdicts.NotRun, c.Verdicts.MayHaveRun, c.Faulty)
+		for _, fault := range c.Faults {
+			fmt.Fprintf(w, "  %s\n", fault)
+		}
+	}
+	return w.Flush()
+}
+
+func round[D ~int64](d D) string { return time.Duration(d).Round(100 * time.Microsecond).String() }
+
+func printAddresses(out io.Writer, f *devFleet) {
+	fmt.Fprintln(out)
+	for _, e := range f.entries {
+		fmt.Fprintf(out, "%s  callers http://%s  operators %s\n", e.Status().Instance, e.CallerAddr(), e.OperatorAddr())
+	}
+	fmt.Fprintf(out, "stand-in platform http://%s (switches under /admin/)\n\nTry:\n", f.address)
+	fmt.Fprintf(out, "  curl -i -H 'Tarragon-Tenant: %s' -H 'Tarragon-Class: %s' http://%s/s/%s/hello\n",
+		tenantOffice, classCheck, f.entries[0].CallerAddr(), serviceCounter)
+	fmt.Fprintf(out, "  go run ./cmd/tarragonctl --server %s status\n", f.entries[0].OperatorAddr())
+}
+
+// showProgress prints the classes' counts each second until ctx ends.
+func showProgress(ctx context.Context, out io.Writer, l *load.Load) {
+	ticker := time.NewTicker(progressInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			for _, s := range l.Summaries() {
+				fmt.Fprintf(out, "%s: %d sent, %d answered, %d refused, p99 %s   ", s.Class, s.Sent, s.Answered, s.Refused, round(s.P99))
+			}
+			fmt.Fprintln(out)
+		}
+	}
+}
--- /dev/null
+++ b/entry/node/configops.go
@@ -0,0 +1,176 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"net/http"
+	"strings"
+
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/api/operations"
+	"github.com/tarragonreach/tarragonreach/api/strictjson"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/entry/config"
+	"github.com/tarragonreach/tarragonreach/entry/operator"
+)
+
+// rollOutsShown bounds the roll-outs in a status.
+const rollOutsShown = 20
+
+// configOperations reads and changes the configuration for operators.
+type configOperations struct {
+	parts
+}
+
+var _ operator.Config = (*configOperations)(nil)
+
+// Document returns the configuration in force as a document that Apply takes.
+func (c *configOperations) Document() operations.ConfigDocument {
+	now := c.Follower.Current()
+	return operations.ConfigDocument{Revision: now.Revision, Document: now.Document()}
+}
+
+// Apply checks an edit and, unless it is a dry run, accepts what it changes.
+func (c *configOperations) Apply(ctx context.Context, edit operator.Edit) (operations.ApplyResult, error) {
+	parsed, err := object.Parse(edit.Text)
+	if err != nil {
+		return operations.ApplyResult{}, err
+	}
+	change, err := c.change(edit, parsed)
+	if err != nil {
+		return operations.ApplyResult{}, err
+	}
+	result, err := c.accept(ctx, change, edit.DryRun)
+	return result, located(parsed, err)
+}
+
+// located gives the faults of a change their places in the operator's text.
+func located(parsed *object.Edit, err error) error {
+	var invalid object.Invalid
+	if errors.As(err, &invalid) {
+		return parsed.Locate(invalid)
+	}
+	return err
+}
+
+// change turns an edit into a change of the objects that differ.
+func (c *configOperations) change(edit operator.Edit, parsed *object.Edit) (object.Change, error) {
+	now := c.Follower.Current()
+	change := object.Change{
+		ID: rand.Text(), Author: edit.Author, Reason: firstOf(edit.Reason, parsed.Reason),
+		Put: parsed.Put, Delete: parsed.Delete,
+	}
+	after := now.Apply(change)
+	change.Delete = nil
+	if err := config.Reduce(&change, now, after); err != nil {
+		return change, err
+	}
+	change = config.WithBase(change, now)
+	keepOldBase(&change, parsed.Revision)
+	return change, nil
+}
+
+// keepOldBase makes a change conflict with objects written after the revision that
+// the operator edited.
+func keepOldBase(change *object.Change, seen object.Revision) {
+	for i, base := range change.Base {
+		if seen > 0 && base.Revision > seen {
+			change.Base[i].Revision = seen
+		}
+	}
+}
+
+func firstOf(texts ...string) string {
+	for _, text := range texts {
+		if text != "" {
+			return text
+		}
+	}
+	return ""
+}
+
+func (c *configOperations) accept(ctx context.Context, change object.Change, dryRun bool) (operations.ApplyResult, error) {
+	preview, err := c.ConfigLog.Preview(ctx, change)
+	if err != nil {
+		return operations.ApplyResult{}, err
+	}
+	result := operations.ApplyResult{DryRun: dryRun, Diff: texts(preview.Differences), Warnings: texts(preview.Warnings)}
+	if dryRun || len(preview.Differences) == 0 {
+		return result, nil
+	}
+	result.Revision, err = c.ConfigLog.Accept(ctx, change)
+	return result, err
+}
+
+// texts returns the printed form of each item.
+func texts[T interface{ String() string }](items []T) []string {
+	var out []string
+	for _, item := range items {
+		out = append(out, item.String())
+	}
+	return out
+}
+
+// Rollback accepts a change that brings back an older revision's objects.
+func (c *configOperations) Rollback(ctx context.Context, to object.Revision, author, reason string) (operations.ApplyResult, error) {
+	change, err := c.ConfigLog.Rollback(ctx, to, rand.Text(), author, reason)
+	if errors.Is(err, config.ErrNoDifference) {
+		return operations.ApplyResult{}, nil
+	}
+	if err != nil {
+		return operations.ApplyResult{}, err
+	}
+	return c.accept(ctx, change, false)
+}
+
+// History returns accepted changes, the newest first.
+func (c *configOperations) History(_ context.Context, limit int) ([]operations.HistoryEntry, error) {
+	out := []operations.HistoryEntry{}
+	for _, s := range c.Follower.History(limit) {
+		out = append(out, operations.HistoryEntry{
+			Revision: s.Revision, At: s.At, Author: s.Author, Reason: s.Reason, Keys: texts(s.Touched),
+		})
+	}
+	return out, nil
+}
+
+// Rollouts returns how far the latest revisions have come.
+func (c *configOperations) Rollouts() []operations.Rollout {
+	out := []operations.Rollout{}
+	for _, progress := range c.RollOut.Recent(rollOutsShown) {
+		out = append(out, operations.Rollout{
+			Revision: progress.Revision, AcceptedAt: progress.AcceptedAt,
+			InForce: object.Duration(progress.Took()), Behind: progress.Behind,
+		})
+	}
+	return out
+}
+
+// Refusal maps an error to the problem that operators see.
+func (c *configOperations) Refusal(err error) operations.Problem {
+	var faults strictjson.Faults
+	var invalid object.Invalid
+	var conflict *object.Conflict
+	var failed *verdict.Error
+	switch {
+	case errors.As(err, &faults), errors.As(err, &invalid):
+		return operations.Problem{
+			Title: "the change is not valid", Status: http.StatusUnprocessableEntity, Faults: strings.Split(err.Error(), "\n"),
+		}
+	case errors.As(err, &conflict):
+		return operations.Problem{
+			Title: "the change conflicts with another", Status: http.StatusConflict, Detail: conflict.Error(),
+			Faults: texts(conflict.Differences),
+		}
+	case errors.As(err, &failed) && failed.Code == config.CodeRevisionUnknown:
+		return operations.Problem{Title: "no such revision", Status: http.StatusNotFound, Detail: failed.Detail}
+	case errors.As(err, &failed):
+		return operations.Problem{
+			Title: "the store took no change", Status: http.StatusServiceUnavailable, Detail: failed.Error(),
+			Code: string(failed.Code), Verdict: failed.Verdict.String(),
+		}
+	default:
+		return operations.Problem{Title: "the operation failed", Status: http.StatusInternalServerError, Detail: err.Error()}
+	}
+}
--- /dev/null
+++ b/entry/node/explainops.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/explain"
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/operations"
+	"github.com/tarragonreach/tarragonreach/entry/operator"
+)
+
+const (
+	// explainMethod is the mesh call that returns a peer's decisions on a subject.
+	explainMethod = "explain"
+	// explainTimeout bounds the wait for one peer.
+	explainTimeout = 2 * time.Second
+	// explainLimit bounds the decisions that one entry instance returns.
+	explainLimit = 50
+)
+
+// explainer gathers decisions from this entry instance and its reachable peers.
+type explainer struct {
+	parts
+}
+
+var _ operator.Explainer = (*explainer)(nil)
+
+// Explain returns the decisions about one subject, newest first. Peers that do not
+// answer are left out.
+func (e *explainer) Explain(ctx context.Context, kind, name string) ([]operations.Explanation, error) {
+	subject := explain.Subject{Kind: explain.SubjectKind(kind), Name: name}
+	all := e.own(subject)
+	var mu sync.Mutex
+	var asking sync.WaitGroup
+	for _, m := range e.Peers.members() {
+		if !m.Reachable {
+			continue
+		}
+		asking.Go(func() {
+			theirs := e.ask(ctx, m.ID, subject)
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, theirs...)
+		})
+	}
+	asking.Wait()
+	slices.SortStableFunc(all, func(a, b operations.Explanation) int { return b.At.Compare(a.At) })
+	return all, nil
+}
+
+func (e *explainer) ask(ctx context.Context, peer fleet.InstanceID, subject explain.Subject) []operations.Explanation {
+	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
+	defer cancel()
+	payload, err := json.Marshal(subject)
+	if err != nil {
+		return nil
+	}
+	answer, err := e.Peers.Call(ctx, peer, explainMethod, payload)
+	if err != nil {
+		return nil
+	}
+	var theirs []operations.Explanation
+	if err := json.Unmarshal(answer, &theirs); err != nil {
+		return nil
+	}
+	return theirs
+}
+
+// serve answers a peer's call.
+func (e *explainer) serve(_ context.Context, _ fleet.InstanceID, payload []byte) ([]byte, error) {
+	var subject explain.Subject
+	if err := json.Unmarshal(payload, &subject); err != nil {
+		return nil, fmt.Errorf("decode the subject: %w", err)
+	}
+	return json.Marshal(e.own(subject))
+}
+
+// own returns this entry instance's decisions on a subject, the latest first.
+func (e *explainer) own(subject explain.Subject) []operations.Explanation {
+	out := []operations.Explanation{}
+	for _, record := range e.Ring.About(subject) {
+		if len(out) == explainLimit {
+			break
+		}
+		out = append(out, explanation(e.Options.Settings.Instance.ID, record))
+	}
+	return out
+}
+
+func explanation(by fleet.InstanceID, r explain.Record) operations.Explanation {
+	out := operations.Explanation{
+		At: r.Last, Instance: string(by), Subject: string(r.Subject.Kind) + "/" + r.Subject.Name,
+		Decision: fmt.Sprintf("%s %s", r.Action, r.Outcome), Reason: string(r.Reason),
+	}
+	if r.Detail != "" {
+		out.Reason += ": " + r.Detail
+	}
+	for _, input := range r.Inputs {
+		out.Inputs = append(out.Inputs, input.Name+"="+input.Value)
+	}
+	for _, a := range r.Alternatives {
+		out.Refused = append(out.Refused, fmt.Sprintf("%s: %s", a.Choice, a.Reason))
+	}
+	return out
+}
--- /dev/null
+++ b/entry/node/fleetops.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/label"
+	"github.com/tarragonreach/tarragonreach/api/operations"
+	"github.com/tarragonreach/tarragonreach/entry/fleetctl"
+	"github.com/tarragonreach/tarragonreach/entry/fleetview"
+	"github.com/tarragonreach/tarragonreach/entry/operator"
+)
+
+// fleetOperations shows and steers pools and instances for operators.
+type fleetOperations struct {
+	parts
+}
+
+var _ operator.Fleet = (*fleetOperations)(nil)
+
+func (f *fleetOperations) operations() fleetctl.Operations {
+	return fleetctl.Operations{Store: f.Client, View: f.View, Now: time.Now}
+}
+
+// Pools returns how each pool stands by the fleet record.
+func (f *fleetOperations) Pools() []operations.PoolStatus {
+	out := []operations.PoolStatus{}
+	for _, r := range fleetctl.ReportPools(f.View.Snapshot(), f.Follower.Current()) {
+		out = append(out, operations.PoolStatus{
+			Name: r.Name, Size: r.Size, Healthy: r.Serving, Target: r.Size, Available: r.Budget.Left(),
+		})
+	}
+	return out
+}
+
+// Instances returns how each instance stands by the fleet record.
+func (f *fleetOperations) Instances() []operations.InstanceStatus {
+	out := []operations.InstanceStatus{}
+	for _, located := range f.View.Snapshot().Records("") {
+		out = append(out, instanceStatus(located))
+	}
+	return out
+}
+
+func instanceStatus(l fleetview.Located) operations.InstanceStatus {
+	return operations.InstanceStatus{
+		ID: l.ID, Zone: l.Zone, Rack: l.Rack, Pool: l.Pool, State: l.State, Reason: l.Reason, Labels: l.Labels, Since: l.Since,
+	}
+}
+
+// Maintenance returns the progress of the maintenance plans.
+func (f *fleetOperations) Maintenance() []operations.MaintenanceStatus {
+	return []operations.MaintenanceStatus{}
+}
+
+// Jobs returns how each job stands.
+func (f *fleetOperations) Jobs() []operations.JobStatus { return []operations.JobStatus{} }
+
+// Drain asks to take an instance out of its pool.
+func (f *fleetOperations) Drain(ctx context.Context, id fleet.InstanceID, reason string) (operations.InstanceStatus, error) {
+	return f.after(id, f.operations().Drain(ctx, id, reason))
+}
+
+// Undrain withdraws a drain.
+func (f *fleetOperations) Undrain(ctx context.Context, id fleet.InstanceID) (operations.InstanceStatus, error) {
+	return f.after(id, f.operations().Undrain(ctx, id))
+}
+
+// Relabel sets operators' labels; an empty value removes one.
+func (f *fleetOperations) Relabel(ctx context.Context, id fleet.InstanceID, labels label.Set) (operations.InstanceStatus, error) {
+	set := label.Set{}
+	var remove []string
+	for key, value := range labels {
+		if value == "" {
+			remove = append(remove, key)
+			continue
+		}
+		set[key] = value
+	}
+	return f.after(id, f.operations().Relabel(ctx, id, set, remove...))
+}
+
+// after returns the instance as it stands after an operation, or its mapped error.
+func (f *fleetOperations) after(id fleet.InstanceID, err error) (operations.InstanceStatus, error) {
+	switch {
+	case errors.Is(err, fleetctl.ErrUnknownInstance):
+		return operations.InstanceStatus{}, fmt.Errorf("%w: %w", operator.ErrUnknown, err)
+	case errors.Is(err, fleetctl.ErrTooManyRaces):
+		return operations.InstanceStatus{}, fmt.Errorf("%w: %w", operator.ErrRefused, err)
+	case err != nil:
+		return operations.InstanceStatus{}, fmt.Errorf("%w: %w", operator.ErrUnavailable, err)
+	}
+	record, zone, _ := f.View.Snapshot().Find(id)
+	return instanceStatus(fleetview.Located{Record: record, Zone: zone}), nil
+}
--- a/entry/node/mesh.go
+++ b/entry/node/mesh.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"sync/atomic"
 
@@ -113,3 +115,15 @@
 	p.Peers.node.Store(node)
 	return node, nil
 }
+
+// errNoMesh says that the mesh is not up yet.
+var errNoMesh = errors.New("the mesh is not up yet")
+
+// Call runs a method on another entry instance.
+func (p *peers) Call(ctx context.Context, peer fleet.InstanceID, method string, payload []byte) ([]byte, error) {
+	node := p.node.Load()
+	if node == nil {
+		return nil, errNoMesh
+	}
+	return node.Call(ctx, peer, method, payload)
+}
--- /dev/null
+++ b/entry/node/node.go
@@ -0,0 +1,184 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"go.uber.org/dig"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/tarragonreach/tarragonreach/api/operations"
+	"github.com/tarragonreach/tarragonreach/entry/operator"
+	"github.com/tarragonreach/tarragonreach/entry/serve"
+	"github.com/tarragonreach/tarragonreach/mesh"
+)
+
+// Node is one entry instance.
+type Node struct {
+	app      *fx.App
+	parts    parts
+	mesh     *mesh.Node
+	caller   *serve.Server
+	operator *serve.Server
+	tasks    *tasks
+}
+
+// New builds an entry instance and opens its listeners; nothing is served before
+// Start. The error names the listener, key or setting at fault.
+func New(o Options) (*Node, error) {
+	n := &Node{}
+	n.app = fx.New(
+		fx.Supply(o),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(stopTimeout(o)),
+		constructors(),
+		fx.Invoke(n.compose),
+	)
+	if err := n.app.Err(); err != nil {
+		n.closeListeners()
+		return nil, fmt.Errorf("compose the entry instance: %w", fxRoot(err))
+	}
+	return n, nil
+}
+
+// startTimeout bounds the start, which opens no connection that it waits for.
+const startTimeout = 15 * time.Second
+
+// stopSlack is what the stages of a shutdown after the last request may take.
+const stopSlack = 10 * time.Second
+
+func stopTimeout(o Options) time.Duration {
+	return time.Duration(o.Settings.Shutdown.ReadinessDelay) + time.Duration(o.Settings.Shutdown.Grace) + stopSlack
+}
+
+// compose opens the listeners and registers the stages of start and stop.
+func (n *Node) compose(lc fx.Lifecycle, down fx.Shutdowner, p parts) error {
+	n.parts = p
+	n.tasks = newTasks(p.Log.Logger, func() { _ = down.Shutdown(fx.ExitCode(1)) })
+	if err := n.openListeners(p); err != nil {
+		return err
+	}
+	n.wire()
+	n.addStages(lc)
+	return nil
+}
+
+func (n *Node) openListeners(p parts) error {
+	s := p.Options.Settings
+	var err error
+	if n.mesh, err = newMesh(p.Options, p, []mesh.Replica{p.Follower, p.View}); err != nil {
+		return err
+	}
+	if n.operator, err = n.openOperator(); err != nil {
+		return err
+	}
+	callerTLS, err := serve.TLSConfig(s.Caller.TLS)
+	if err != nil {
+		return fmt.Errorf("caller TLS: %w", err)
+	}
+	n.caller, err = serve.Open(serve.Options{
+		Name: "caller", Listen: s.Caller.Listen, TLS: callerTLS, Handler: n.callerHandler(),
+		MaxHeaderBytes: s.Caller.MaxHeaderBytes, MaxConnections: s.Caller.MaxConnections,
+		ReadHeaderTimeout: time.Duration(s.Caller.ReadHeaderTimeout), IdleTimeout: time.Duration(s.Caller.IdleTimeout),
+	})
+	return err
+}
+
+// callerHandler serves the gateway and the readiness probe of the balancer.
+func (n *Node) callerHandler() http.Handler {
+	ready := operator.Readiness(n.Status)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == operations.PathReady {
+			ready.ServeHTTP(w, r)
+			return
+		}
+		n.parts.Gateway.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) openOperator() (*serve.Server, error) {
+	s := n.parts.Options.Settings.Operator
+	token, err := readToken(s.TokenFile)
+	if err != nil {
+		return nil, err
+	}
+	tlsConfig, err := serve.TLSConfig(s.TLS)
+	if err != nil {
+		return nil, fmt.Errorf("operator TLS: %w", err)
+	}
+	handler := operator.New(operator.Options{
+		Token: token, MaxBodyBytes: s.MaxBodyBytes, Status: n.Status, Log: n.parts.Log, Metrics: n.parts.Metrics,
+		Config: &configOperations{n.parts}, Fleet: &fleetOperations{n.parts}, Explainer: &explainer{n.parts},
+	})
+	return serve.Open(serve.Options{
+		Name: "operator", Listen: s.Listen, TLS: tlsConfig, Handler: handler,
+		ReadHeaderTimeout: operatorHeaderTimeout, IdleTimeout: operatorIdleTimeout,
+	})
+}
+
+// Timeouts of the operator listener.
+const (
+	operatorHeaderTimeout = 5 * time.Second
+	operatorIdleTimeout   = time.Minute
+)
+
+func readToken(path string) (string, error) {
+	if path == "" {
+		return "", nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("read the operator token: %w", err)
+	}
+	return strings.TrimSpace(string(text)), nil
+}
+
+// Start starts all parts.
+func (n *Node) Start(ctx context.Context) error {
+	if err := n.app.Start(ctx); err != nil {
+		return fmt.Errorf("start the entry instance: %w", fxRoot(err))
+	}
+	return nil
+}
+
+// Stop shuts down gracefully: readiness fails first, the listener stays for a set
+// time, work in progress ends, then the rest goes down.
+func (n *Node) Stop(ctx context.Context) error {
+	if err := n.app.Stop(ctx); err != nil {
+		return fmt.Errorf("stop the entry instance: %w", err)
+	}
+	return nil
+}
+
+// StopTimeout is how long Stop may take.
+func (n *Node) StopTimeout() time.Duration { return n.app.StopTimeout() }
+
+// Wait returns a channel that hears of a part's failure.
+func (n *Node) Wait() <-chan fx.ShutdownSignal { return n.app.Wait() }
+
+// CallerAddr returns the caller listener as host:port.
+func (n *Node) CallerAddr() string { return n.caller.Addr() }
+
+// OperatorAddr returns the operator listener as host:port.
+func (n *Node) OperatorAddr() string { return n.operator.Addr() }
+
+// MeshAddr returns the mesh listener as host:port.
+func (n *Node) MeshAddr() string { return n.mesh.Addr() }
+
+func (n *Node) closeListeners() {
+	if n.operator != nil {
+		n.operator.Close()
+	}
+	if n.caller != nil {
+		n.caller.Close()
+	}
+}
+
+// fxRoot strips the composition library's own words from an error.
+func fxRoot(err error) error { return dig.RootCause(err) }
--- /dev/null
+++ b/entry/node/parts.go
@@ -0,0 +1,118 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/entry/backend"
+	"github.com/tarragonreach/tarragonreach/entry/config"
+	"github.com/tarragonreach/tarragonreach/entry/directory"
+	"github.com/tarragonreach/tarragonreach/entry/explain"
+	"github.com/tarragonreach/tarragonreach/entry/fleetview"
+	"github.com/tarragonreach/tarragonreach/entry/gateway"
+	"github.com/tarragonreach/tarragonreach/entry/logging"
+	"github.com/tarragonreach/tarragonreach/entry/metrics"
+	"github.com/tarragonreach/tarragonreach/entry/submission"
+	"github.com/tarragonreach/tarragonreach/platform/httpapi"
+	"go.uber.org/fx"
+)
+
+// parts are the subsystems of an entry instance that do not open listeners.
+type parts struct {
+	fx.In
+
+	Options   Options
+	Log       *logging.Log
+	Metrics   *metrics.Metrics
+	Client    *httpapi.Client
+	List      *listCache
+	Peers     *peers
+	Follower  *config.Follower
+	ConfigLog *config.Log
+	RollOut   *config.RollOut
+	View      *fleetview.View
+	Ring      *explain.Ring
+	Directory *directory.Directory
+	Transport *backend.HTTPTransport
+	Keeper    *submission.Keeper
+	Gateway   *gateway.Gateway
+}
+
+// constructors build the parts in the order of their needs.
+func constructors() fx.Option {
+	return fx.Provide(
+		newLog, newMetrics, newStoreClient, newList, newPeers, newFollower, newConfigLog, newRollOut,
+		fleetview.New, newRing, newDirectory, newTransport, newKeeper, newGateway,
+	)
+}
+
+func newLog(o Options) (*logging.Log, error) {
+	return logging.New(o.LogOutput, o.Settings.Log, o.Settings.Instance)
+}
+
+func newMetrics(log *logging.Log) *metrics.Metrics {
+	return metrics.New(func(err error) { log.Warn("a metric was not registered", "error", err) })
+}
+
+func newStoreClient(o Options) *httpapi.Client { return newClient(o.Settings) }
+
+func newList(client *httpapi.Client) *listCache { return newListCache(client) }
+
+func newPeers() *peers { return &peers{} }
+
+func newFollower(o Options, client *httpapi.Client, p *peers, log *logging.Log) *config.Follower {
+	self := config.Member{ID: o.Settings.Instance.ID, Zone: o.Settings.Instance.Zone}
+	return config.NewFollower(client, config.Options{Self: self, Members: p.reachable, Logger: log.Logger})
+}
+
+func newConfigLog(client *httpapi.Client, f *config.Follower, list *listCache, log *logging.Log) *config.Log {
+	return config.NewLog(client, f, config.LogOptions{Instances: list.Last, Logger: log.Logger})
+}
+
+func newRollOut(o Options, f *config.Follower) *config.RollOut {
+	return config.NewRollOut(f, o.Settings.Instance.ID)
+}
+
+func newRing(m *metrics.Metrics) *explain.Ring {
+	return explain.NewRing(explain.DefaultSize, explain.TallyMetrics{Scope: m.Scope.SubScope("decisions")})
+}
+
+func newDirectory(o Options, list *listCache, log *logging.Log) *directory.Directory {
+	return directory.New(directory.Options{
+		List: list, Interval: time.Duration(o.Settings.Platform.InstanceInterval), Logger: log.Logger,
+	})
+}
+
+func newTransport(o Options, m *metrics.Metrics) *backend.HTTPTransport {
+	return backend.New(backend.Options{
+		BufferBytes: o.Settings.Gateway.BufferBytes, MaxAnswerBytes: o.Settings.Gateway.MaxAnswerBytes,
+		Scope: m.Scope.SubScope("backend"),
+	})
+}
+
+func newKeeper(o Options, client *httpapi.Client, p *peers) (*submission.Keeper, error) {
+	s := o.Settings.Gateway
+	keeper, err := submission.New(submission.Options{
+		Self: o.Settings.Instance.ID, Store: client, Peers: p,
+		TicketLifetime: time.Duration(s.TicketLifetime), Retention: time.Duration(s.ClaimRetention),
+		CallsPerSecond: s.ClaimsPerSecond,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("prepare submissions: %w", err)
+	}
+	return keeper, nil
+}
+
+func newGateway(o Options, d *directory.Directory, t *backend.HTTPTransport, k *submission.Keeper,
+	m *metrics.Metrics, log *logging.Log) *gateway.Gateway {
+	tuned := gateway.DefaultSettings()
+	tuned.DefaultTimeout = time.Duration(o.Settings.Gateway.DefaultTimeout)
+	tuned.MaxBodyBytes = o.Settings.Caller.MaxBodyBytes
+	tuned.BufferBytes = o.Settings.Gateway.BufferBytes
+	tuned.MaxHeaderBytes = o.Settings.Caller.MaxHeaderBytes
+	tuned.ListenerGrace = time.Duration(o.Settings.Shutdown.ReadinessDelay)
+	return gateway.New(gateway.Options{
+		Self: o.Settings.Instance.ID, Zone: o.Settings.Instance.Zone, Directory: d, Transport: t, Guard: k,
+		Scope: m.Scope.SubScope("gateway"), Logger: log.Logger, Settings: tuned,
+	})
+}
--- /dev/null
+++ b/entry/node/stages.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"context"
+
+	"go.uber.org/fx"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/object"
+)
+
+// wire connects the parts that hear of each other's changes.
+func (n *Node) wire() {
+	p := n.parts
+	p.Follower.Subscribe(func(c *object.Config) {
+		p.Directory.SetConfig(c)
+		p.Peers.changed()
+	})
+	n.mesh.Handle(explainMethod, (&explainer{p}).serve)
+}
+
+// addStages registers the stages in the order of their start; they stop in the
+// reverse order, so that callers are served to the end of a shutdown.
+func (n *Node) addStages(lc fx.Lifecycle) {
+	p := n.parts
+	lc.Append(fx.StopHook(p.Metrics.Close))
+	lc.Append(fx.StopHook(p.Client.Close))
+	lc.Append(fx.StartStopHook(n.startTasks, n.tasks.stop))
+	lc.Append(fx.StartStopHook(
+		func() { n.operator.Start(n.serverFailed) },
+		n.operator.Shutdown,
+	))
+	lc.Append(fx.StopHook(p.Transport.Close))
+	lc.Append(fx.StartStopHook(
+		func() { n.caller.Start(n.serverFailed) },
+		n.stopCaller,
+	))
+}
+
+func (n *Node) startTasks() {
+	p := n.parts
+	n.tasks.start("mesh", n.mesh.Run)
+	n.tasks.start("configuration", p.Follower.Run)
+	n.tasks.start("directory", p.Directory.Run)
+	n.tasks.start("gateway", p.Gateway.Run)
+	n.tasks.start("fleet record", func(ctx context.Context) error { return p.View.Follow(ctx, p.Client) })
+	n.tasks.start("fleet records to routing", n.passRecords)
+	n.tasks.start("roll-out", n.observeRollOut)
+}
+
+func (n *Node) serverFailed(err error) {
+	n.parts.Log.Error("a listener failed", "error", err)
+	n.tasks.onFailure()
+}
+
+// stopCaller lets the gateway drain and then closes the listener.
+func (n *Node) stopCaller(ctx context.Context) error {
+	err := n.parts.Gateway.Shutdown(ctx)
+	if closed := n.caller.Shutdown(ctx); err == nil {
+		err = closed
+	}
+	return err
+}
+
+// passRecords hands the fleet's records to the directory whenever they change.
+func (n *Node) passRecords(ctx context.Context) error {
+	p := n.parts
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.View.Changed():
+			p.Directory.SetRecords(n.records())
+			p.Peers.changed()
+		}
+	}
+}
+
+func (n *Node) records() []fleet.Record {
+	var out []fleet.Record
+	for _, located := range n.parts.View.Snapshot().Records("") {
+		out = append(out, located.Record)
+	}
+	return out
+}
--- /dev/null
+++ b/entry/node/status.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/buildinfo"
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/api/operations"
+)
+
+// Status returns how this entry instance stands.
+func (n *Node) Status() operations.Status {
+	p := n.parts
+	held := p.Follower.Status(time.Now())
+	s := operations.Status{
+		Instance: p.Options.Settings.Instance.ID, Zone: p.Options.Settings.Instance.Zone,
+		Version: buildinfo.Version(), ConfigRevision: held.Revision, ConfigAge: object.Duration(held.Age),
+		StoreReachable: held.StoreReachable, Executors: n.executors(), Members: n.members(),
+	}
+	if !held.Ready {
+		s.NotReady = append(s.NotReady, held.NotReady)
+	}
+	if !p.Gateway.Ready() {
+		s.NotReady = append(s.NotReady, "shutting down")
+	}
+	s.Ready = len(s.NotReady) == 0
+	return s
+}
+
+func (n *Node) executors() int {
+	total := 0
+	for _, service := range n.parts.Directory.Snapshot().Services {
+		total += len(service.Endpoints)
+	}
+	return total
+}
+
+func (n *Node) members() []operations.Member {
+	var out []operations.Member
+	for _, m := range n.parts.Peers.members() {
+		out = append(out, operations.Member{
+			Instance: m.ID, Zone: m.Zone, Address: m.Address, Reachable: m.Reachable, LastHeard: m.LastHeard,
+			ConfigRevision: summaryOf(m).ConfigRevision,
+		})
+	}
+	return out
+}
+
+// observeInterval is the time between two looks at what the peers hold.
+const observeInterval = 250 * time.Millisecond
+
+// observeRollOut notes the revisions that reachable peers hold, and publishes this
+// entry instance's own summary.
+func (n *Node) observeRollOut(ctx context.Context) error {
+	ticker := time.NewTicker(observeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			n.publishSummary()
+			n.parts.RollOut.Observe(n.heldByPeers(), n.parts.Options.Settings.Instance.ID, now)
+		}
+	}
+}
+
+func (n *Node) heldByPeers() map[fleet.InstanceID]object.Revision {
+	held := map[fleet.InstanceID]object.Revision{}
+	for _, m := range n.parts.Peers.members() {
+		if m.Reachable && m.Summary != nil {
+			held[m.ID] = summaryOf(m).ConfigRevision
+		}
+	}
+	return held
+}
--- /dev/null
+++ b/entry/node/summary.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/mesh"
+	"github.com/tarragonreach/tarragonreach/policy/routing"
+)
+
+// summary is what an entry instance tells its peers of itself with its heartbeats.
+type summary struct {
+	ConfigRevision object.Revision       `cbor:"1,keyasint"`
+	Services       []routing.ServiceLoad `cbor:"2,keyasint,omitempty"`
+}
+
+// summaryOf decodes a peer's summary; one that cannot be read counts as empty.
+func summaryOf(m mesh.Member) summary {
+	var s summary
+	if err := cbor.Unmarshal(m.Summary, &s); err != nil {
+		return summary{}
+	}
+	return s
+}
+
+// publishSummary tells the peers this entry instance's load and takes theirs.
+func (n *Node) publishSummary() {
+	p := n.parts
+	own := summary{ConfigRevision: p.Follower.Current().Revision, Services: p.Gateway.LoadSummary().Services}
+	body, err := cbor.Marshal(own)
+	if err != nil {
+		p.Log.Error("the load summary was not encoded", "error", err)
+		return
+	}
+	if err := n.mesh.SetSummary(body); err != nil {
+		p.Log.Error("the load summary was not taken", "error", err)
+	}
+	p.Gateway.SetPeerLoads(n.peerLoads())
+}
+
+func (n *Node) peerLoads() []routing.PeerLoad {
+	var out []routing.PeerLoad
+	for _, m := range n.parts.Peers.members() {
+		if m.Reachable {
+			out = append(out, routing.PeerLoad{Peer: string(m.ID), Services: summaryOf(m).Services})
+		}
+	}
+	return out
+}
--- a/entry/serve/server.go
+++ b/entry/serve/server.go
@@ -77,6 +77,9 @@
 	return nil
 }
 
+// Close closes the listener of a server that was not started.
+func (s *Server) Close() error { return s.listener.Close() }
+
 // limitedListener closes connections beyond max at once.
 type limitedListener struct {
 	net.Listener
