--- a/entry/directory/build.go
+++ b/entry/directory/build.go
@@ -45,16 +45,21 @@
 		return service // Validation refuses such a selector; no endpoint is the safe reading.
 	}
 	for _, instance := range in.instances {
-		if in.exclusion(instance, spec, selector, now) != Included {
-			continue
-		}
 		endpoint := Endpoint{ID: instance.ID, Address: instance.Address, Zone: instance.Zone}
-		service.Endpoints = append(service.Endpoints, endpoint)
+		switch in.exclusion(instance, spec, selector, now) {
+		case Included:
+			service.Endpoints = append(service.Endpoints, endpoint)
+		case OwnNotice:
+			service.Noticed = append(service.Noticed, endpoint)
+		}
 	}
-	slices.SortFunc(service.Endpoints, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(service.Endpoints, byID)
+	slices.SortFunc(service.Noticed, byID)
 	return service
 }
 
+func byID(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) }
+
 func selectorOf(spec object.Service) (label.Selector, error) {
 	if spec.Selector == "" {
 		return label.Parse(defaultSelectorKey + "=" + spec.Name)
@@ -74,12 +79,20 @@
 	if instance.Leaving {
 		return PlatformLeaving
 	}
+	if recorded {
+		if reason := recordExclusion(record, spec); reason != Included {
+			return reason
+		}
+	}
 	if now.Before(in.notices[instance.ID]) {
 		return OwnNotice
 	}
-	if !recorded {
-		return Included
-	}
+	return Included
+}
+
+// recordExclusion judges by the fleet record. A released instance is in no pool;
+// it serves only where the service asks for none.
+func recordExclusion(record fleet.Record, spec object.Service) Exclusion {
 	if spec.Pool != "" && record.State != fleet.StateReleased && record.Pool != spec.Pool {
 		return OtherPool
 	}
--- a/entry/directory/equal.go
+++ b/entry/directory/equal.go
@@ -16,7 +16,7 @@
 	}
 	for name, service := range a.Services {
 		other := b.Services[name]
-		if other == nil || !slices.Equal(service.Endpoints, other.Endpoints) {
+		if other == nil || !slices.Equal(service.Endpoints, other.Endpoints) || !slices.Equal(service.Noticed, other.Noticed) {
 			return false
 		}
 	}
--- a/entry/directory/snapshot.go
+++ b/entry/directory/snapshot.go
@@ -23,6 +23,8 @@
 	Spec object.Service
 	// Endpoints take new work, in order of their IDs.
 	Endpoints []Endpoint
+	// Noticed are out of routing by their own notice alone.
+	Noticed []Endpoint
 }
 
 // Endpoint is one executor of a service.
--- a/entry/gateway/maintain.go
+++ b/entry/gateway/maintain.go
@@ -15,6 +15,7 @@
 	ticker := time.NewTicker(dispatch.TickInterval)
 	defer ticker.Stop()
 	windowStart := time.Now()
+	probes := newProber(g)
 	for {
 		select {
 		case <-ctx.Done():
@@ -25,6 +26,7 @@
 				windowStart = now
 			}
 			g.tick(now, halve)
+			probes.tick(ctx, now)
 		}
 	}
 }
@@ -32,6 +34,7 @@
 func (g *Gateway) tick(now time.Time, halve bool) {
 	for _, entry := range g.table.Load().services {
 		entry.live.Tick(now)
+		g.metrics.queue(entry.live)
 		if halve {
 			entry.live.HalveWindows()
 		}
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -2,11 +2,10 @@
 
 import (
 	"strconv"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/entry/dispatch"
 	"github.com/tarragonreach/tarragonreach/policy/retry"
 	"github.com/uber-go/tally/v4"
 )
@@ -32,6 +31,8 @@
 	statuses counters
 	retries  counters
 	cutCount tally.Counter
+	queues   gauges
+	inFlight gauges
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -43,6 +44,8 @@
 		statuses: counters{scope: scope, name: "answers", tag: "status"},
 		retries:  counters{scope: scope, name: "retry_decisions", tag: "decision"},
 		cutCount: scope.Counter("answers_cut"),
+		queues:   gauges{scope: scope, name: "queue_length", tag: "service"},
+		inFlight: gauges{scope: scope, name: "in_flight", tag: "service"},
 	}
 }
 
@@ -67,6 +70,12 @@
 	m.classes.record(x.class.Name, took)
 }
 
+// queue sets the gauges of a service.
+func (m *metrics) queue(live *dispatch.Service) {
+	m.queues.set(live.Name, float64(live.Waiting()))
+	m.inFlight.set(live.Name, float64(live.InFlight()))
+}
+
 // retry counts a decision on a retry.
 func (m *metrics) retry(refusal retry.Refusal) {
 	if refusal == retry.None {
@@ -91,48 +100,3 @@
 		return strconv.Itoa(status)
 	}
 }
-
-// histograms is a family of histograms by the value of one tag.
-type histograms struct {
-	scope     tally.Scope
-	name, tag string
-	byValue   sync.Map
-	size      atomic.Int64
-}
-
-func (h *histograms) record(value string, took time.Duration) {
-	if value == "" {
-		value = noneValue
-	}
-	h.get(value).RecordDuration(took)
-}
-
-func (h *histograms) get(value string) tally.Histogram {
-	if known, ok := h.byValue.Load(value); ok {
-		return known.(tally.Histogram)
-	}
-	if value != otherValue && h.size.Add(1) > maxTagValues {
-		return h.get(otherValue)
-	}
-	made := h.scope.Tagged(map[string]string{h.tag: value}).Histogram(h.name, latencyBuckets)
-	stored, _ := h.byValue.LoadOrStore(value, made)
-	return stored.(tally.Histogram)
-}
-
-// counters is a family of counters by the value of one tag; its values are the
-// program's own, so they need no bound.
-type counters struct {
-	scope     tally.Scope
-	name, tag string
-	byValue   sync.Map
-}
-
-func (c *counters) inc(value string) {
-	if known, ok := c.byValue.Load(value); ok {
-		known.(tally.Counter).Inc(1)
-		return
-	}
-	made := c.scope.Tagged(map[string]string{c.tag: value}).Counter(c.name)
-	stored, _ := c.byValue.LoadOrStore(value, made)
-	stored.(tally.Counter).Inc(1)
-}
--- /dev/null
+++ b/policy/admission/queue_test.go
@@ -0,0 +1,227 @@
+package admission
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	_ "github.com/tarragonreach/tarragonreach/api/rapidseed"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// naiveQueue keeps the same order by sorting a plain list before each pop.
+type naiveQueue struct {
+	limit    int
+	items    []*Waiter[int]
+	start    map[string]float64 // next start of each level and tenant
+	active   map[string]int     // when the flow last became active or was served
+	virtual  map[int]float64
+	sequence int
+	passed   int
+}
+
+func flowName(w *Waiter[int]) string { return fmt.Sprint(w.Priority, w.Tenant) }
+
+func (n *naiveQueue) ofFlow(name string) (count int) {
+	for _, w := range n.items {
+		if flowName(w) == name {
+			count++
+		}
+	}
+	return count
+}
+
+func (n *naiveQueue) ofLevel(priority int) (count int) {
+	for _, w := range n.items {
+		if w.Priority == priority {
+			count++
+		}
+	}
+	return count
+}
+
+func (n *naiveQueue) push(w *Waiter[int]) {
+	name := flowName(w)
+	if n.ofFlow(name) == 0 {
+		n.start[name] = max(n.start[name], n.virtual[w.Priority])
+		n.sequence++
+		n.active[name] = n.sequence
+	}
+	n.items = append(n.items, w)
+}
+
+func (n *naiveQueue) remove(w *Waiter[int]) {
+	n.items = slices.DeleteFunc(n.items, func(o *Waiter[int]) bool { return o == w })
+	if n.ofLevel(w.Priority) > 0 {
+		return
+	}
+	n.virtual[w.Priority] = 0
+	for name := range n.start {
+		if name[:1] == fmt.Sprint(w.Priority) {
+			delete(n.start, name)
+		}
+	}
+}
+
+func (n *naiveQueue) pop() *Waiter[int] {
+	if len(n.items) == 0 {
+		return nil
+	}
+	order := slices.Clone(n.items)
+	slices.SortStableFunc(order, func(a, b *Waiter[int]) int {
+		switch {
+		case a.Priority != b.Priority:
+			return b.Priority - a.Priority
+		case n.start[flowName(a)] < n.start[flowName(b)]:
+			return -1
+		case n.start[flowName(a)] > n.start[flowName(b)]:
+			return 1
+		default:
+			return n.active[flowName(a)] - n.active[flowName(b)]
+		}
+	})
+	w := order[0]
+	lowest := order[len(order)-1].Priority
+	switch {
+	case lowest == w.Priority:
+		n.passed = 0
+	case n.passed < LowerTurn:
+		n.passed++
+	default:
+		n.passed = 0
+		w = order[slices.IndexFunc(order, func(o *Waiter[int]) bool { return o.Priority == lowest })]
+	}
+	name := flowName(w)
+	n.virtual[w.Priority] = n.start[name]
+	n.start[name] += 1 / float64(w.Weight)
+	n.sequence++
+	n.active[name] = n.sequence
+	n.remove(w)
+	return w
+}
+
+func TestQueueKeepsTheOrderOfASortedList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New[int](1 << 20)
+		n := &naiveQueue{start: map[string]float64{}, active: map[string]int{}, virtual: map[int]float64{}}
+		weights := map[string]int{"a": 1, "b": 2, "c": 4}
+		id := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				id++
+				tenant := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "tenant")
+				w := &Waiter[int]{Value: id, Priority: rapid.IntRange(1, 3).Draw(t, "priority"), Tenant: tenant, Weight: weights[tenant]}
+				_, accepted := q.Push(w)
+				assert.Assert(t, accepted)
+				n.push(w)
+			},
+			"pop": func(t *rapid.T) {
+				want := n.pop()
+				assert.Equal(t, q.Pop(), want)
+			},
+			"cancel": func(t *rapid.T) {
+				if len(n.items) == 0 {
+					t.Skip("nothing waits")
+				}
+				w := rapid.SampledFrom(n.items).Draw(t, "waiter")
+				n.remove(w)
+				assert.Assert(t, q.Remove(w))
+				assert.Assert(t, !q.Remove(w))
+			},
+			"": func(t *rapid.T) { assert.Equal(t, q.Len(), len(n.items)) },
+		})
+	})
+}
+
+func TestTenantsShareByWeight(t *testing.T) {
+	q := New[int](1000)
+	for i := range 300 {
+		q.Push(&Waiter[int]{Value: i, Tenant: "light", Weight: 1})
+		q.Push(&Waiter[int]{Value: i, Tenant: "heavy", Weight: 3})
+	}
+	served := map[string]int{}
+	for range 200 {
+		served[q.Pop().Tenant]++
+	}
+	assert.Equal(t, served["heavy"], 150)
+}
+
+func TestFullQueueGivesUpTheLowestLevel(t *testing.T) {
+	q := New[int](2)
+	batch := []*Waiter[int]{{Value: 1, Priority: 1}, {Value: 2, Priority: 1}}
+	q.Push(batch[0])
+	q.Push(batch[1])
+	displaced, accepted := q.Push(&Waiter[int]{Value: 3, Priority: 9})
+	assert.Assert(t, accepted)
+	assert.Equal(t, displaced, batch[1])
+	_, accepted = q.Push(&Waiter[int]{Value: 4, Priority: 1})
+	assert.Assert(t, !accepted)
+	assert.Equal(t, q.Len(), 2)
+}
+
+func TestAheadCountsWhatGoesFirst(t *testing.T) {
+	q := New[int](100)
+	for range 10 {
+		q.Push(&Waiter[int]{Priority: 5, Tenant: "many"})
+		q.Push(&Waiter[int]{Priority: 9, Tenant: "many"})
+	}
+	assert.Equal(t, q.Ahead(9, "new", 1), 1, "one of the other tenant at most")
+	assert.Equal(t, q.Ahead(9, "many", 1), 10)
+	assert.Equal(t, q.Ahead(5, "new", 1), 11)
+	assert.Equal(t, q.Ahead(1, "many", 1), 20)
+}
+
+func TestEarlyRefusalIsNotRunAndSaysWhen(t *testing.T) {
+	load := Load{Ahead: 79, Slots: 8, RunTime: time.Second, OwnTime: time.Second, TimeLeft: 11 * time.Second}
+	assert.Assert(t, load.Check() == nil)
+	load.TimeLeft--
+	refusal := load.Check()
+	assert.Equal(t, refusal.Verdict, verdict.NotRun)
+	assert.Equal(t, refusal.Code, verdict.CodeWaitExceedsTimeout)
+	assert.Equal(t, refusal.RetryAfter, 10*time.Second)
+}
+
+// BenchmarkRequestPathCancel cancels a whole wave; the time for each must not grow
+// with the wave. The naive queue searches a list.
+func BenchmarkRequestPathCancel(b *testing.B) {
+	for _, wave := range []int{10_000, 100_000} {
+		b.Run(fmt.Sprintf("queue/%d", wave), func(b *testing.B) { benchmarkCancel(b, wave) })
+	}
+	b.Run("naive/10000", func(b *testing.B) {
+		for range b.N {
+			n := &naiveQueue{start: map[string]float64{}, active: map[string]int{}, virtual: map[int]float64{}}
+			n.items = newWave(10_000)
+			started := time.Now()
+			for _, w := range slices.Backward(slices.Clone(n.items)) {
+				n.items = slices.Delete(n.items, slices.Index(n.items, w), slices.Index(n.items, w)+1)
+			}
+			b.ReportMetric(float64(time.Since(started).Nanoseconds())/10_000, "ns/cancel")
+		}
+	})
+}
+
+func newWave(size int) []*Waiter[int] {
+	wave := make([]*Waiter[int], size)
+	for i := range wave {
+		wave[i] = &Waiter[int]{Value: i, Priority: i % 3, Tenant: fmt.Sprint(i % 210), Weight: 1}
+	}
+	return wave
+}
+
+func benchmarkCancel(b *testing.B, size int) {
+	for range b.N {
+		q := New[int](size)
+		wave := newWave(size)
+		for _, w := range wave {
+			q.Push(w)
+		}
+		started := time.Now()
+		for _, w := range slices.Backward(wave) {
+			q.Remove(w)
+		}
+		b.ReportMetric(float64(time.Since(started).Nanoseconds())/float64(size), "ns/cancel")
+	}
+}
--- a/policy/routing/divide.go
+++ b/policy/routing/divide.go
@@ -15,14 +15,14 @@
 
 // PeerLoad is what an entry instance tells its peers of its load.
 type PeerLoad struct {
-	Peer     string
-	Services []ServiceLoad
+	Peer     string        `cbor:"1,keyasint"`
+	Services []ServiceLoad `cbor:"2,keyasint,omitempty"`
 }
 
 // ServiceLoad is the load of one service at one entry instance.
 type ServiceLoad struct {
-	Service string
-	Demand  int // requests in flight and waiting
+	Service string `cbor:"1,keyasint"`
+	Demand  int    `cbor:"2,keyasint"` // requests in flight and waiting
 }
 
 // Demand is what one entry instance asks of a service.
@@ -30,27 +30,201 @@
 	Peer  string
 	Zone  fleet.AvailabilityZone
 	Slots int // requests in flight and waiting
+	// Known is false for an entry instance that has sent no summary; it is taken to
+	// ask for an equal share.
 	Known bool
 }
 
-// Divide returns how many slots of each executor self may use. Every entry
-// instance that passes the same arguments but for self gets a disjoint part, so
-// that executors are never overrun while the arguments agree. Demands in an
-// availability zone are met there first and spill to others; what is left over is
-// split evenly. Each entry instance gets at least one slot of the service.
+// Divide returns how many slots of each executor self may use. Entry instances
+// that pass the same arguments but for self get disjoint parts, so that
+// executors are not overrun while the arguments agree. Demands in an availability
+// zone are met there first and spill to others; what is left over is split
+// evenly in its availability zone. Each entry instance gets at least one slot of
+// the service; only where there are fewer slots than entry instances can parts
+// overlap by that.
 func Divide(executors []Slots, demands []Demand, self string) []int {
-	sorted := slices.Clone(demands)
-	slices.SortFunc(sorted, func(a, b Demand) int { return cmp.Compare(a.Peer, b.Peer) })
-	own := slices.IndexFunc(sorted, func(d Demand) bool { return d.Peer == self })
+	peers := slices.Clone(demands)
+	slices.SortFunc(peers, func(a, b Demand) int { return cmp.Compare(a.Peer, b.Peer) })
+	own := slices.IndexFunc(peers, func(d Demand) bool { return d.Peer == self })
 	result := make([]int, len(executors))
-	if own < 0 {
+	if own < 0 || len(executors) == 0 {
 		return result
 	}
-	for i, e := range executors {
-		result[i] = e.Count / len(sorted)
-		if i%len(sorted) == own {
-			result[i]++
-		}
+	d := newDivision(executors, peers)
+	d.meet(func(Demand) int { return 1 })
+	d.meet(func(p Demand) int { return d.demand(p) - 1 })
+	d.splitRest()
+	for zone := range d.zones {
+		d.layOut(zone, own, executors, result)
+	}
+	if total(result) == 0 {
+		result[own%len(result)] = 1
 	}
 	return result
 }
+
+// division is the state of one Divide.
+type division struct {
+	peers []Demand
+	zones []zoneSlots
+	wants []int // unmet, by peer
+	slots int   // of all executors
+}
+
+// zoneSlots are the slots of one availability zone and the peers' parts in them.
+type zoneSlots struct {
+	name  fleet.AvailabilityZone
+	free  int
+	parts []int // by peer
+}
+
+func newDivision(executors []Slots, peers []Demand) *division {
+	d := &division{peers: peers, wants: make([]int, len(peers))}
+	for _, e := range executors {
+		d.slots += e.Count
+		d.zone(e.Zone).free += e.Count
+	}
+	slices.SortFunc(d.zones, func(a, b zoneSlots) int { return cmp.Compare(a.name, b.name) })
+	return d
+}
+
+// zone returns the entry of an availability zone, made where absent.
+func (d *division) zone(name fleet.AvailabilityZone) *zoneSlots {
+	for i := range d.zones {
+		if d.zones[i].name == name {
+			return &d.zones[i]
+		}
+	}
+	d.zones = append(d.zones, zoneSlots{name: name, parts: make([]int, len(d.peers))})
+	return &d.zones[len(d.zones)-1]
+}
+
+// give adds to a peer's part of a zone.
+func (z *zoneSlots) give(peer, slots int) {
+	z.parts[peer] += slots
+	z.free -= slots
+}
+
+// meet gives each peer up to want slots, at home first.
+func (d *division) meet(want func(Demand) int) {
+	for p, peer := range d.peers {
+		d.wants[p] = want(peer)
+	}
+	d.meetAtHome()
+	d.spill()
+}
+
+// demand returns what a peer asks for, at least one slot.
+func (d *division) demand(p Demand) int {
+	if !p.Known {
+		return max(d.slots/len(d.peers), 1)
+	}
+	return max(p.Slots, 1)
+}
+
+// meetAtHome gives each availability zone's slots to its own peers.
+func (d *division) meetAtHome() {
+	for i := range d.zones {
+		z := &d.zones[i]
+		wants := make([]int, len(d.peers))
+		for p, peer := range d.peers {
+			if peer.Zone == z.name {
+				wants[p] = d.wants[p]
+			}
+		}
+		for p, slots := range MaxMin(z.free, wants) {
+			z.give(p, slots)
+			d.wants[p] -= slots
+		}
+	}
+}
+
+// spill gives free slots of any availability zone to unmet demands.
+func (d *division) spill() {
+	free := 0
+	for _, z := range d.zones {
+		free += z.free
+	}
+	for p, slots := range MaxMin(free, d.wants) {
+		d.wants[p] -= slots
+		for i := range d.zones {
+			z := &d.zones[i]
+			part := min(slots, z.free)
+			z.give(p, part)
+			slots -= part
+		}
+	}
+}
+
+// splitRest spreads what nobody asked for, so that a demand may grow before the
+// next division.
+func (d *division) splitRest() {
+	for i := range d.zones {
+		z := &d.zones[i]
+		wants := make([]int, len(d.peers))
+		local := false
+		for p, peer := range d.peers {
+			if peer.Zone == z.name {
+				wants[p] = z.free
+				local = true
+			}
+		}
+		if !local {
+			for p := range wants {
+				wants[p] = z.free
+			}
+		}
+		for p, slots := range MaxMin(z.free, wants) {
+			z.give(p, slots)
+		}
+	}
+}
+
+// layOut assigns the peers' parts to the executors of an availability zone. It
+// walks over the executors one slot each a round, so that a part spreads evenly.
+func (d *division) layOut(zone, own int, executors []Slots, result []int) {
+	z := d.zones[zone]
+	first := total(z.parts[:own])
+	last := first + z.parts[own]
+	at := 0
+	for round := 0; at < last; round++ {
+		for i, e := range executors {
+			if e.Zone != z.name || e.Count <= round {
+				continue
+			}
+			if at >= first && at < last {
+				result[i]++
+			}
+			at++
+		}
+	}
+}
+
+// MaxMin divides capacity among wants: the smaller ones are met and the rest is
+// split evenly, with remainders to the first.
+func MaxMin(capacity int, wants []int) []int {
+	order := make([]int, len(wants))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(wants[a], wants[b]) })
+	parts := make([]int, len(wants))
+	for n, i := range order {
+		left := len(order) - n
+		share := (capacity + left - 1) / left
+		if wants[i] <= capacity/left {
+			share = wants[i]
+		}
+		parts[i] = min(share, wants[i], capacity)
+		capacity -= parts[i]
+	}
+	return parts
+}
+
+func total(values []int) int {
+	sum := 0
+	for _, v := range values {
+		sum += v
+	}
+	return sum
+}
--- /dev/null
+++ b/policy/routing/divide_test.go
@@ -0,0 +1,72 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	_ "github.com/tarragonreach/tarragonreach/api/rapidseed"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var zones = []fleet.AvailabilityZone{"z1", "z2", "z3"}
+
+func drawDivision(t *rapid.T) ([]Slots, []Demand) {
+	executors := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Slots {
+		return Slots{rapid.SampledFrom(zones).Draw(t, "zone"), rapid.IntRange(1, 9).Draw(t, "count")}
+	}), 1, 12).Draw(t, "executors")
+	n := rapid.IntRange(1, 9).Draw(t, "peers")
+	var demands []Demand
+	for i := range n {
+		demands = append(demands, Demand{string(rune('a' + i)), rapid.SampledFrom(zones).Draw(t, "home"),
+			rapid.IntRange(0, 60).Draw(t, "demand"), rapid.Bool().Draw(t, "known")})
+	}
+	return executors, demands
+}
+
+func TestDivideNeverOverlapsAndWastesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		executors, demands := drawDivision(t)
+		slots := 0
+		used := make([]int, len(executors))
+		for _, d := range demands {
+			part := Divide(executors, demands, d.Peer)
+			assert.Assert(t, total(part) >= 1, "peer %s has no slot", d.Peer)
+			for i := range part {
+				used[i] += part[i]
+			}
+		}
+		for _, e := range executors {
+			slots += e.Count
+		}
+		if slots < len(demands) {
+			return // Parts may overlap by the one slot that each has at least.
+		}
+		for i, e := range executors {
+			assert.Equal(t, used[i], e.Count, "executor %d", i)
+		}
+	})
+}
+
+func TestMaxMinIsFair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		wants := rapid.SliceOfN(rapid.IntRange(0, 20), 1, 8).Draw(t, "wants")
+		capacity := rapid.IntRange(0, 100).Draw(t, "capacity")
+		parts := MaxMin(capacity, wants)
+		assert.Equal(t, total(parts), min(capacity, total(wants)))
+		for i := range parts {
+			assert.Assert(t, parts[i] <= wants[i])
+			for j := range parts {
+				short := parts[i] < wants[i]
+				assert.Assert(t, !short || parts[j] <= parts[i]+1, "%v of %v", parts, wants)
+			}
+		}
+	})
+}
+
+func TestDivideMeetsDemandAtHomeFirst(t *testing.T) {
+	executors := []Slots{{"z1", 8}, {"z2", 8}}
+	demands := []Demand{{"a", "z1", 20, true}, {"b", "z2", 2, true}}
+	assert.DeepEqual(t, Divide(executors, demands, "a"), []int{8, 6})
+	assert.DeepEqual(t, Divide(executors, demands, "b"), []int{0, 2})
+}
