Measure the request path in virtual time; share slot time instead of counts

Change: cost-aware turns and fair shares; an estimate must fit twice into what is left; an event-loop driver with a naive baseline.

--- a/entry/dispatch/acquire.go
+++ b/entry/dispatch/acquire.go
@@ -76,6 +76,7 @@
 	r := &w.Request
 	w.queued.Value = w
 	w.queued.Priority, w.queued.Tenant, w.queued.Weight = r.Priority, r.Tenant, r.Weight
+	w.queued.Cost = load.OwnTime
 	displaced, accepted := s.queue.Push(&w.queued)
 	if !accepted {
 		return refuse(verdict.CodeQueueFull, "the queue of the service is full", load.RetryAfter())
@@ -183,7 +184,7 @@
 		s.waiting.Add(-1)
 		w := next.Value
 		left := w.Request.Deadline.Sub(now)
-		if left >= s.RunTime(w.Request.Class) {
+		if left >= admission.Margin*s.RunTime(w.Request.Class) {
 			return w
 		}
 		refusal := refuse(verdict.CodeWaitExceedsTimeout, "the request waited too long to be answered in time", admission.MinRetryAfter)
--- a/entry/dispatch/average.go
+++ b/entry/dispatch/average.go
@@ -7,7 +7,7 @@
 )
 
 // averageWeight is the weight of a new value in an Average.
-const averageWeight = 0.1
+const averageWeight = 0.05
 
 // Average is an exponentially weighted moving average of durations. The zero
 // Average is empty; it is safe for concurrent use.
--- /dev/null
+++ b/entry/dispatch/driver_entry_test.go
@@ -0,0 +1,163 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/policy/retry"
+	"github.com/tarragonreach/tarragonreach/policy/routing"
+)
+
+// summaryInterval is the time between two load summaries of an entry instance.
+const summaryInterval = time.Second
+
+// fakeEntry is one entry instance under the policy.
+type fakeEntry struct {
+	driver  *driver
+	name    string
+	zone    fleet.AvailabilityZone
+	service *Service
+	reached map[fleet.InstanceID]*fakeExecutor
+}
+
+// addEntry adds an entry instance that ticks and follows its executors.
+func (d *driver) addEntry(zone fleet.AvailabilityZone, n int) *fakeEntry {
+	e := &fakeEntry{driver: d, name: fmt.Sprintf("e%02d", n), zone: zone}
+	e.service = New("svc", zone, DefaultSettings(), d.rng)
+	d.after(0, func() {
+		d.every(TickInterval, func() { e.service.Tick(d.clock()) })
+		d.every(10*time.Second, e.service.HalveWindows)
+	})
+	return e
+}
+
+// setMembers gives the entry instance its executors and its parts in them.
+func (e *fakeEntry) setMembers(executors []*fakeExecutor, shares []int) {
+	e.reached = map[fleet.InstanceID]*fakeExecutor{}
+	var endpoints []Endpoint
+	for i, x := range executors {
+		e.reached[x.id] = x
+		endpoints = append(endpoints, Endpoint{ID: x.id, Zone: x.zone, Slots: x.slots, Share: shares[i]})
+	}
+	e.service.SetMembers(endpoints, 0, e.driver.clock())
+}
+
+// submit takes a call through admission.
+func (e *fakeEntry) submit(c *call) {
+	c.verdict = verdict.NotRun
+	e.service.Earn()
+	e.acquire(c, nil)
+}
+
+func (e *fakeEntry) acquire(c *call, exclude *Executor) {
+	w := &Waiter{Request: Request{
+		Class:      c.workload.class,
+		Priority:   c.workload.priority,
+		Tenant:     c.workload.class,
+		Deadline:   epoch.Add(c.born + c.workload.timeout),
+		Repeatable: c.workload.repeatable,
+		Exclude:    exclude,
+	}}
+	w.Deliver = func(g Grant) { e.granted(c, g) }
+	grant, queued := e.service.Acquire(w, e.driver.clock())
+	if !queued {
+		e.granted(c, grant)
+		return
+	}
+	c.onEnd = func() { e.service.Cancel(w) }
+}
+
+func (e *fakeEntry) granted(c *call, g Grant) {
+	c.onEnd = nil
+	if g.Err != nil {
+		c.end(refused)
+		return
+	}
+	began := e.driver.now
+	sendTo := e.reached[g.Executor.ID]
+	sendTo.send(c, func(v verdict.Verdict, code verdict.Code) {
+		e.completed(c, g.Executor, v, code, e.driver.now-began)
+	})
+}
+
+func (e *fakeEntry) completed(c *call, x *Executor, v verdict.Verdict, code verdict.Code, took time.Duration) {
+	if v == verdict.Ran {
+		e.service.Release(x, c.workload.class, Succeeded, took, e.driver.clock())
+		c.end(answered)
+		return
+	}
+	if c.verdict == verdict.NotRun {
+		c.verdict = v
+	}
+	again := mayRetry(e.service, c, code)
+	e.service.Release(x, c.workload.class, Failed, took, e.driver.clock())
+	if !again {
+		c.end(failed)
+		return
+	}
+	left := c.born + c.workload.timeout - e.driver.now
+	e.driver.after(retry.Pause(left, e.driver.rng), func() { e.acquire(c, x) })
+}
+
+// share divides the executors' slots by demand each summaryInterval; each entry
+// instance hears of the others' demands a little later.
+func (d *driver) share(entries []*fakeEntry, executors func(*fakeEntry) []*fakeExecutor) {
+	known := map[*fakeEntry][]routing.Demand{}
+	for _, e := range entries {
+		d.every(summaryInterval, func() {
+			demands := d.demands(entries, known[e] != nil)
+			known[e] = demands
+			d.after(time.Duration(d.rng.IntN(20))*time.Millisecond, func() { e.divide(executors(e), demands) })
+		})
+	}
+}
+
+func (d *driver) demands(entries []*fakeEntry, known bool) []routing.Demand {
+	var demands []routing.Demand
+	for _, e := range entries {
+		demands = append(demands, routing.Demand{
+			Peer:  e.name,
+			Zone:  e.zone,
+			Slots: e.service.InFlight() + e.service.Waiting(),
+			Known: known,
+		})
+	}
+	return demands
+}
+
+func (e *fakeEntry) divide(executors []*fakeExecutor, demands []routing.Demand) {
+	e.setMembers(executors, routing.Divide(slotsOf(executors), demands, e.name))
+}
+
+func slotsOf(executors []*fakeExecutor) []routing.Slots {
+	var slots []routing.Slots
+	for _, x := range executors {
+		slots = append(slots, routing.Slots{Zone: x.zone, Count: x.slots})
+	}
+	return slots
+}
+
+// naive is the baseline: round robin, no limits, three blind retries.
+type naive struct {
+	executors []*fakeExecutor
+	next      int
+}
+
+const blindRetries = 3
+
+func (n *naive) submit(c *call) {
+	x := n.executors[n.next%len(n.executors)]
+	n.next++
+	x.send(c, func(v verdict.Verdict, _ verdict.Code) {
+		switch {
+		case v == verdict.Ran:
+			c.end(answered)
+		case c.attempts <= blindRetries && c.result == pending:
+			n.submit(c)
+		default:
+			c.end(failed)
+		}
+	})
+}
--- /dev/null
+++ b/entry/dispatch/driver_stats_test.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import "time"
+
+// result is how a call ended.
+type result uint8
+
+const (
+	pending result = iota
+	answered
+	refused  // not run
+	failed   // an error
+	timedOut // nothing came in time
+)
+
+// phase counts the calls born in one span of time.
+type phase struct {
+	from, to                                     time.Duration
+	offered, answered, refused, failed, timedOut int
+	refusedLate                                  int // after half of the timeout
+	sends, extraRuns                             int
+	work                                         time.Duration // run time of calls answered within the span
+}
+
+// stats counts calls by phase and class.
+type stats struct{ phases map[string][]*phase }
+
+func newStats() *stats { return &stats{phases: map[string][]*phase{}} }
+
+// phase adds a span for the class; an empty class counts all.
+func (s *stats) phase(class string, from, to time.Duration) *phase {
+	p := &phase{from: from, to: to}
+	s.phases[class] = append(s.phases[class], p)
+	return p
+}
+
+func (s *stats) each(c *call, at time.Duration, do func(*phase)) {
+	for _, class := range []string{"", c.workload.class} {
+		for _, p := range s.phases[class] {
+			if at >= p.from && at < p.to {
+				do(p)
+			}
+		}
+	}
+}
+
+func (s *stats) offered(c *call) { s.each(c, c.born, func(p *phase) { p.offered++ }) }
+
+func (s *stats) sent(c *call) { s.each(c, c.born, func(p *phase) { p.sends++ }) }
+
+func (s *stats) ended(c *call) {
+	if c.result == answered {
+		s.each(c, c.driver.now, func(p *phase) { p.work += c.runTime })
+	}
+	s.each(c, c.born, func(p *phase) {
+		switch c.result {
+		case answered:
+			p.answered++
+		case refused:
+			p.refused++
+			if c.driver.now-c.born > c.workload.timeout/2 {
+				p.refusedLate++
+			}
+		case failed:
+			p.failed++
+		case timedOut:
+			p.timedOut++
+		}
+	})
+}
+
+// utilization is the share of slots spent on calls that were answered in time.
+func (p *phase) utilization(slots int) float64 {
+	return p.work.Seconds() / (float64(slots) * (p.to - p.from).Seconds())
+}
+
+// share returns part / whole, or zero.
+func share(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/entry/dispatch/driver_test.go
@@ -0,0 +1,208 @@
+package dispatch
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/policy/retry"
+)
+
+// driver runs entry instances before executors in virtual time. Executors run
+// their slots' worth at once and queue the rest.
+type driver struct {
+	now       time.Duration
+	events    eventHeap
+	sequence  int
+	rng       *rand.Rand
+	executors []*fakeExecutor
+	stats     *stats
+}
+
+type event struct {
+	at       time.Duration
+	sequence int
+	do       func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].sequence < h[j].sequence
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+var epoch = time.Unix(1_000_000, 0)
+
+func newDriver(seed uint64) *driver {
+	return &driver{rng: rand.New(rand.NewPCG(seed, seed)), stats: newStats()}
+}
+
+// clock returns the virtual time.
+func (d *driver) clock() time.Time { return epoch.Add(d.now) }
+
+// after schedules do.
+func (d *driver) after(delay time.Duration, do func()) {
+	d.sequence++
+	heap.Push(&d.events, event{d.now + delay, d.sequence, do})
+}
+
+// every schedules do at once and then each interval.
+func (d *driver) every(interval time.Duration, do func()) {
+	do()
+	d.after(interval, func() { d.every(interval, do) })
+}
+
+// run advances the time to end.
+func (d *driver) run(end time.Duration) {
+	for len(d.events) > 0 && d.events[0].at <= end {
+		next := heap.Pop(&d.events).(event)
+		d.now = next.at
+		next.do()
+	}
+	d.now = end
+}
+
+// spread returns a random duration with the mean, lognormal with sigma 0.5.
+func (d *driver) spread(mean time.Duration) time.Duration {
+	const sigma = 0.5
+	return time.Duration(float64(mean) * math.Exp(d.rng.NormFloat64()*sigma-sigma*sigma/2))
+}
+
+// workload is a stream of requests of one class.
+type workload struct {
+	class      string
+	priority   int
+	rate       float64 // requests a second
+	runTime    time.Duration
+	timeout    time.Duration
+	repeatable bool
+}
+
+// offer sends the workload to submit with exponential gaps until end.
+func (d *driver) offer(w workload, end time.Duration, submit func(*call)) {
+	gap := time.Duration(d.rng.ExpFloat64() / w.rate * float64(time.Second))
+	d.after(gap, func() {
+		if d.now >= end {
+			return
+		}
+		c := &call{driver: d, workload: w, runTime: d.spread(w.runTime), born: d.now}
+		d.stats.offered(c)
+		d.after(w.timeout, func() { c.end(timedOut) })
+		submit(c)
+		d.offer(w, end, submit)
+	})
+}
+
+// call is one caller's request. It ends once.
+type call struct {
+	driver   *driver
+	workload workload
+	runTime  time.Duration
+	born     time.Duration
+	attempts int
+	verdict  verdict.Verdict
+	result   result
+	onEnd    func()
+}
+
+func (c *call) end(r result) {
+	if c.result != pending {
+		return
+	}
+	c.result = r
+	c.driver.stats.ended(c)
+	if c.onEnd != nil {
+		c.onEnd()
+	}
+}
+
+// fakeExecutor is a backend server.
+type fakeExecutor struct {
+	driver  *driver
+	id      fleet.InstanceID
+	zone    fleet.AvailabilityZone
+	slots   int
+	running int
+	waiting []func()
+	down    bool // refuses connections
+	broken  bool // fails everything in 1 ms
+	sends   int
+	runs    int
+	worst   int // most requests there at once
+}
+
+func (d *driver) addExecutors(n, slots int, zone fleet.AvailabilityZone) {
+	for range n {
+		id := fleet.InstanceID(rune('a' + len(d.executors)))
+		d.executors = append(d.executors, &fakeExecutor{driver: d, id: id, zone: zone, slots: slots})
+	}
+}
+
+// fastFailure is how long a broken or absent executor takes to fail a request.
+const fastFailure = time.Millisecond
+
+// send runs the call and reports its end.
+func (e *fakeExecutor) send(c *call, done func(verdict.Verdict, verdict.Code)) {
+	e.sends++
+	c.attempts++
+	c.driver.stats.sent(c)
+	switch {
+	case e.down:
+		e.driver.after(fastFailure, func() { done(verdict.NotRun, verdict.CodeConnectFailed) })
+		return
+	case e.broken:
+		e.driver.after(fastFailure, func() { done(verdict.MayHaveRun, verdict.CodeConnectionLost) })
+		return
+	}
+	start := func() { e.start(c, done) }
+	if e.running >= e.slots {
+		e.waiting = append(e.waiting, start)
+	} else {
+		start()
+	}
+	e.worst = max(e.worst, e.running+len(e.waiting))
+}
+
+func (e *fakeExecutor) start(c *call, done func(verdict.Verdict, verdict.Code)) {
+	e.running++
+	e.runs++
+	e.driver.after(c.runTime, func() {
+		e.running--
+		if e.down {
+			done(verdict.MayHaveRun, verdict.CodeConnectionLost)
+		} else {
+			done(verdict.Ran, "")
+		}
+		if len(e.waiting) > 0 && e.running < e.slots {
+			next := e.waiting[0]
+			e.waiting = e.waiting[1:]
+			next()
+		}
+	})
+}
+
+// mayRetry is the gateway's decision about another attempt.
+func mayRetry(s *Service, c *call, code verdict.Code) bool {
+	left := c.born + c.workload.timeout - c.driver.now
+	return c.result == pending && retry.Decide(retry.Attempt{
+		Number:     c.attempts,
+		Repeatable: c.workload.repeatable,
+		Replayable: true,
+		Verdict:    c.verdict,
+		Code:       code,
+		TimeLeft:   left,
+		RunTime:    s.RunTime(c.workload.class),
+	}) == retry.None && s.SpendRetry()
+}
--- a/policy/admission/level.go
+++ b/policy/admission/level.go
@@ -42,11 +42,14 @@
 	heap.Push(&l.active, f)
 }
 
+// head returns the waiter that pop would return.
+func (l *level[T]) head() *Waiter[T] { return l.active[0].first }
+
 func (l *level[T]) pop() *Waiter[T] {
 	f := l.active[0]
 	w := f.first
 	l.virtual = f.start
-	f.start += 1 / f.weight
+	f.start += w.cost() / f.weight
 	l.sequence++
 	f.sequence = l.sequence
 	l.detach(w)
--- a/policy/admission/queue.go
+++ b/policy/admission/queue.go
@@ -1,16 +1,20 @@
 // Package admission decides which waiting request goes next and which request is
 // refused because it cannot be answered in time.
 //
-// A Queue serves levels by priority. Inside a level, tenants share by weight
-// through start-time fair queueing, and one tenant's requests keep their order.
+// A Queue serves levels by priority. Inside a level, tenants share the slots' time
+// by weight through start-time fair queueing, and one tenant's requests keep
+// their order.
 // The package is pure: it holds no lock and reads no clock.
 package admission
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
-// LowerTurn is how many requests in a row go to higher levels while a lower one
-// waits; the next one goes to the lower level, so that no level starves.
-const LowerTurn = 20
+// LowerShare is the part of the slots' time that the lowest waiting level gets
+// while higher ones wait as well, so that no level starves.
+const LowerShare = 0.05
 
 // Waiter is one queued request. Its fields must not change while it is queued.
 type Waiter[T any] struct {
@@ -18,11 +22,16 @@
 	Priority int    // a higher one goes first
 	Tenant   string // shares are kept by tenant
 	Weight   int    // the tenant's share relative to others; below 1 reads as 1
+	// Cost is the expected time in a slot; zero reads as 1 ms.
+	Cost time.Duration
 
 	flow       *flow[T]
 	prev, next *Waiter[T]
 }
 
+// cost returns the expected time in a slot, in seconds.
+func (w *Waiter[T]) cost() float64 { return max(w.Cost, time.Millisecond).Seconds() }
+
 // Queued reports whether the waiter is in a queue.
 func (w *Waiter[T]) Queued() bool { return w.flow != nil }
 
@@ -31,7 +40,7 @@
 	limit  int
 	length int
 	levels []*level[T] // by falling priority
-	passed int         // requests served in a row while a lower level waited
+	credit float64     // seconds that the lowest waiting level has coming
 }
 
 // New returns a queue of at most limit waiters.
@@ -83,10 +92,24 @@
 	return l.pop()
 }
 
-// nextLevel returns the highest waiting level, or each LowerTurn requests the
-// lowest one.
+// nextLevel returns the highest waiting level, or the lowest one once its credit
+// pays for its next waiter.
 func (q *Queue[T]) nextLevel() *level[T] {
-	var highest, lowest *level[T]
+	highest, lowest := q.waitingLevels()
+	if highest == lowest {
+		q.credit = 0
+		return highest
+	}
+	if cost := lowest.head().cost(); q.credit >= cost {
+		q.credit -= cost
+		return lowest
+	}
+	q.credit += LowerShare * highest.head().cost()
+	return highest
+}
+
+// waitingLevels returns the highest and the lowest level with waiters, or nil.
+func (q *Queue[T]) waitingLevels() (highest, lowest *level[T]) {
 	for _, l := range q.levels {
 		if l.length == 0 {
 			continue
@@ -96,16 +119,7 @@
 		}
 		lowest = l
 	}
-	if highest == lowest {
-		q.passed = 0
-		return highest
-	}
-	if q.passed < LowerTurn {
-		q.passed++
-		return highest
-	}
-	q.passed = 0
-	return lowest
+	return highest, lowest
 }
 
 // Remove takes a waiter out in O(log tenants) and reports whether it was queued.
--- a/policy/admission/wait.go
+++ b/policy/admission/wait.go
@@ -25,13 +25,18 @@
 	return time.Duration(float64(l.RunTime) * float64(l.Ahead+1) / float64(l.Slots))
 }
 
+// Margin is how many times the estimate must fit into what is left of the timeout,
+// since waits and run times vary. It lets a request be refused on arrival rather
+// than after a wait in vain.
+const Margin = 2
+
 // Check refuses a request whose estimated wait and run time exceed what is left
 // of its timeout. The error says when to come back.
 func (l Load) Check() *verdict.Error {
 	if l.Slots <= 0 || l.RunTime <= 0 {
 		return nil // Nothing is known yet.
 	}
-	if l.Wait()+l.OwnTime <= l.TimeLeft {
+	if Margin*(l.Wait()+l.OwnTime) <= l.TimeLeft {
 		return nil
 	}
 	refusal := verdict.New(verdict.NotRun, verdict.CodeWaitExceedsTimeout,
