--- a/entry/backend/options.go
+++ b/entry/backend/options.go
@@ -13,6 +13,7 @@
 	DefaultDialTimeout    = time.Second
 	DefaultIdleTimeout    = 4 * time.Second
 	DefaultFreshFor       = time.Second
+	DefaultConnectionWait = 20 * time.Millisecond
 	DefaultMinOverdue     = time.Second
 	DefaultProbeTimeout   = time.Second
 	DefaultSweepInterval  = 100 * time.Millisecond
@@ -35,6 +36,8 @@
 	// FreshFor is how lately a connection must have carried bytes to be used for
 	// a request that may not be repeated; otherwise a new one is opened.
 	FreshFor time.Duration
+	// ConnectionWait is how long an attempt waits for a connection where all are in use.
+	ConnectionWait time.Duration
 	// MinOverdue is the least time that an answer may take before it is overdue.
 	MinOverdue time.Duration
 	// ProbeTimeout bounds one probe of an executor on a new connection.
@@ -60,6 +63,7 @@
 	o.DialTimeout = orDefault(o.DialTimeout, DefaultDialTimeout)
 	o.IdleTimeout = orDefault(o.IdleTimeout, DefaultIdleTimeout)
 	o.FreshFor = orDefault(o.FreshFor, DefaultFreshFor)
+	o.ConnectionWait = orDefault(o.ConnectionWait, DefaultConnectionWait)
 	o.MinOverdue = orDefault(o.MinOverdue, DefaultMinOverdue)
 	o.ProbeTimeout = orDefault(o.ProbeTimeout, DefaultProbeTimeout)
 	o.SweepInterval = orDefault(o.SweepInterval, DefaultSweepInterval)
--- /dev/null
+++ b/entry/backend/overdue_test.go
@@ -0,0 +1,43 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestPatience(t *testing.T) {
+	const minimum = time.Second
+	cases := []struct {
+		name         string
+		slowest      time.Duration
+		repeatable   bool
+		corroborated bool
+		want         time.Duration
+	}{
+		{"nothing learned", 0, true, true, 0},
+		{"quick and repeatable", 10 * time.Millisecond, true, false, time.Second},
+		{"quick, not repeatable", 10 * time.Millisecond, false, false, 4 * time.Second},
+		{"quick, not repeatable, others silent", 10 * time.Millisecond, false, true, time.Second},
+		{"slow and repeatable", time.Minute, true, false, 4 * time.Minute},
+		{"slow, not repeatable", time.Minute, false, false, 16 * time.Minute},
+	}
+	for _, c := range cases {
+		assert.Equal(t, patience(minimum, c.slowest, c.repeatable, c.corroborated), c.want, c.name)
+	}
+}
+
+func TestAnswerTimesRememberTheSlowest(t *testing.T) {
+	var times classTimes
+	check := times.of("check")
+	check.observe(time.Second)
+	check.observe(10 * time.Millisecond)
+	assert.Assert(t, check.load() > 900*time.Millisecond)
+	for range 1000 {
+		check.observe(10 * time.Millisecond)
+	}
+	assert.Assert(t, check.load() < 20*time.Millisecond)
+	assert.Equal(t, times.of("batch").load(), time.Duration(0))
+	assert.Equal(t, times.of("check"), check)
+}
--- a/entry/backend/pool.go
+++ b/entry/backend/pool.go
@@ -29,10 +29,10 @@
 	idle     []*connection // the most recently used is last
 	conns    map[*connection]struct{}
 	open     int // connections open or being opened
-	limit    int // as of the latest use
 	lastUsed time.Duration
 	// lastSilent is when a connection was last found silent; zero is never.
 	lastSilent time.Duration
+	waiters    []waiter // the one that waits the longest is first
 	retired    bool
 	probing    bool
 }
@@ -54,10 +54,14 @@
 }
 
 // get returns a reserved connection: an idle one that carried bytes within
-// maxAge if there is one, else a new one within limit, else errPoolFull.
-func (p *pool) get(ctx context.Context, limit int, maxAge time.Duration) (*connection, error) {
+// maxAge if there is one, else a new one within limit, else one that comes free
+// within wait, else errPoolFull.
+func (p *pool) get(ctx context.Context, limit int, maxAge, wait time.Duration) (*connection, error) {
 	for {
-		c, err := p.pop(limit, maxAge)
+		c, w, err := p.pop(limit, maxAge)
+		if w != nil {
+			c, err = p.await(ctx, w, wait)
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -71,34 +75,35 @@
 	}
 }
 
-// pop returns an idle connection, or nil if the caller is to open one.
-func (p *pool) pop(limit int, maxAge time.Duration) (*connection, error) {
+// pop returns an idle connection, or nil if the caller is to open one, or a
+// waiter where all connections are in use.
+func (p *pool) pop(limit int, maxAge time.Duration) (*connection, waiter, error) {
 	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.retired {
-		return nil, errPoolRetired
+		return nil, nil, errPoolRetired
 	}
-	p.limit, p.lastUsed = limit, now
+	p.lastUsed = now
 	last := len(p.idle) - 1
 	if last >= 0 && p.idle[last].idleFor(now) <= maxAge {
 		c := p.idle[last]
 		p.idle = slices.Delete(p.idle, last, last+1)
-		return c, nil
+		return c, nil, nil
 	}
 	if p.open < limit {
 		p.open++
-		return nil, nil
+		return nil, nil, nil
 	}
 	if last < 0 {
-		return nil, errPoolFull
+		return nil, p.enqueue(), nil
 	}
 	// The place of the connection that has been unused the longest is taken over.
 	stale := p.idle[0]
 	p.idle = slices.Delete(p.idle, 0, 1)
 	p.open++
 	go stale.Close()
-	return nil, nil
+	return nil, nil, nil
 }
 
 // dial opens a connection, for which the caller has raised p.open.
@@ -106,8 +111,8 @@
 	raw, err := p.dialer.DialContext(ctx, "tcp", p.target.Address)
 	if err != nil {
 		p.mu.Lock()
-		p.open--
-		p.mu.Unlock()
+		defer p.mu.Unlock()
+		p.freePlace()
 		return nil, err
 	}
 	p.metrics.dialed.Inc(1)
@@ -130,7 +135,10 @@
 func (p *pool) put(c *connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !c.closed.Load() {
+	if c.closed.Load() {
+		return
+	}
+	if !p.handOver(c) {
 		p.idle = append(p.idle, c)
 	}
 }
@@ -139,7 +147,7 @@
 func (p *pool) remove(c *connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.open--
+	p.freePlace()
 	delete(p.conns, c)
 	if i := slices.Index(p.idle, c); i >= 0 {
 		p.idle = slices.Delete(p.idle, i, i+1)
--- a/entry/backend/replay_test.go
+++ b/entry/backend/replay_test.go
@@ -35,6 +35,7 @@
 			r := request(c.method, "warm-up")
 			_, err := transport.Send(t.Context(), target, r)
 			assert.NilError(t, err)
+			waitFor(t, func() bool { return transport.IdleConnections(target) == 1 })
 			server.SetFault(standin.CloseAfterRun)
 			r.ID, r.Body = "broken", c.body
 			_, err = transport.Send(t.Context(), target, r)
--- a/entry/backend/transport.go
+++ b/entry/backend/transport.go
@@ -79,7 +79,7 @@
 func (t *HTTPTransport) send(ctx context.Context, target Target, request *Request) (*Answer, error) {
 	for {
 		p := t.poolOf(target)
-		c, err := p.get(ctx, max(target.Connections, 1), t.maxAge(request))
+		c, err := p.get(ctx, max(target.Connections, 1), t.maxAge(request), t.options.ConnectionWait)
 		if errors.Is(err, errPoolRetired) {
 			continue
 		}
--- a/entry/backend/transport_test.go
+++ b/entry/backend/transport_test.go
@@ -81,6 +81,7 @@
 			transport := newTransport(t, backend.Options{MaxAnswerBytes: 1 << 20})
 			_, err := transport.Send(t.Context(), target, request(http.MethodPost, "first"))
 			assert.NilError(t, err)
+			waitFor(t, func() bool { return transport.IdleConnections(target) == 1 })
 			server.SetFault(c.fault)
 			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 			defer cancel()
--- /dev/null
+++ b/entry/backend/waiter.go
@@ -0,0 +1,62 @@
+package backend
+
+import (
+	"context"
+	"slices"
+	"time"
+)
+
+// waiter is one who waits for a connection of a full pool. It receives an idle
+// connection, or nil for the right to open one.
+type waiter chan *connection
+
+// enqueue adds a waiter. The caller holds the lock.
+func (p *pool) enqueue() waiter {
+	w := make(waiter, 1)
+	p.waiters = append(p.waiters, w)
+	return w
+}
+
+// await waits for a connection that comes free. A connection comes free a moment
+// after its answer was read whole, so that a short wait spares a refusal.
+func (p *pool) await(ctx context.Context, w waiter, wait time.Duration) (*connection, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case c := <-w:
+		return c, nil
+	case <-timer.C:
+		return p.leave(w, errPoolFull)
+	case <-ctx.Done():
+		return p.leave(w, ctx.Err())
+	}
+}
+
+// leave ends a wait, unless a connection was handed over in the meantime.
+func (p *pool) leave(w waiter, err error) (*connection, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := slices.Index(p.waiters, w); i >= 0 {
+		p.waiters = slices.Delete(p.waiters, i, i+1)
+		return nil, err
+	}
+	return <-w, nil
+}
+
+// handOver gives a connection, or the right to open one, to the first waiter.
+// The caller holds the lock.
+func (p *pool) handOver(c *connection) bool {
+	if len(p.waiters) == 0 {
+		return false
+	}
+	p.waiters[0] <- c
+	p.waiters = slices.Delete(p.waiters, 0, 1)
+	return true
+}
+
+// freePlace gives up the place of one connection. The caller holds the lock.
+func (p *pool) freePlace() {
+	if !p.handOver(nil) {
+		p.open--
+	}
+}
--- a/entry/standin/conn.go
+++ b/entry/standin/conn.go
@@ -11,6 +11,7 @@
 type listener struct {
 	net.Listener
 	accepted atomic.Int64
+	frozen   atomic.Bool // connections are silent from the start
 
 	mu    sync.Mutex
 	conns []*serverConn
@@ -26,6 +27,7 @@
 	}
 	l.accepted.Add(1)
 	c := &serverConn{Conn: raw, listener: l}
+	c.silent.Store(l.frozen.Load())
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns = append(l.conns, c)
@@ -51,6 +53,16 @@
 
 func (l *listener) count() int { return len(l.open()) }
 
+func (l *listener) silentCount() int {
+	n := 0
+	for _, c := range l.open() {
+		if c.silent.Load() {
+			n++
+		}
+	}
+	return n
+}
+
 func (l *listener) closeAll() {
 	for _, c := range l.open() {
 		_ = c.Conn.Close()
--- a/entry/standin/server.go
+++ b/entry/standin/server.go
@@ -99,6 +99,19 @@
 // and nothing is closed. Later connections work. It returns how many it silenced.
 func (s *Server) SilenceConnections(share float64) int { return s.listener.silence(share) }
 
+// SilentConnections returns the number of silent connections that are still open.
+func (s *Server) SilentConnections() int { return s.listener.silentCount() }
+
+// Freeze makes all connections silent, those to come included; Thaw lets those
+// to come work again.
+func (s *Server) Freeze() {
+	s.listener.frozen.Store(true)
+	s.listener.silence(1)
+}
+
+// Thaw ends Freeze for connections to come.
+func (s *Server) Thaw() { s.listener.frozen.Store(false) }
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == ReadinessPath {
 		s.serveReadiness(w)
