--- a/entry/config/run.go
+++ b/entry/config/run.go
@@ -82,7 +82,9 @@
 		case errors.Is(err, platform.ErrCompacted), errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil:
 			return nil
 		case err != nil:
-			f.noteStore(err)
+			if ctx.Err() == nil {
+				f.noteStore(err)
+			}
 			return err
 		}
 		f.noteStore(nil)
--- a/entry/dev/fleet.go
+++ b/entry/dev/fleet.go
@@ -25,8 +25,9 @@
 	entries  []*node.Node
 }
 
-// entriesPerZone is the number of entry instances in each availability zone.
-const entriesPerZone = 2
+// entriesPerZone is the number of entry instances in each availability zone, of
+// which one is no watcher of the store and learns changes over the mesh.
+const entriesPerZone = 3
 
 const (
 	devReadinessDelay = 200 * time.Millisecond
--- a/entry/dev/load/load.go
+++ b/entry/dev/load/load.go
@@ -117,8 +117,12 @@
 // Summaries returns how each class fared so far, in the order of the streams.
 func (l *Load) Summaries() []Summary {
 	var out []Summary
+	seen := map[string]bool{}
 	for _, s := range l.options.Streams {
-		out = append(out, l.stats[s.Class].summary(s.Class))
+		if !seen[s.Class] {
+			out = append(out, l.stats[s.Class].summary(s.Class))
+		}
+		seen[s.Class] = true
 	}
 	return out
 }
--- a/entry/dev/load/request.go
+++ b/entry/dev/load/request.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/rand"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"github.com/tarragonreach/tarragonreach/api/header"
 	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/entry/gateway"
 	"github.com/tarragonreach/tarragonreach/entry/standin"
 )
 
@@ -67,12 +69,11 @@
 		return "", fmt.Errorf("ask for a ticket: %w", err)
 	}
 	defer res.Body.Close()
-	io.Copy(io.Discard, res.Body)
-	ticket := res.Header.Get(header.NextTicket)
-	if ticket == "" {
+	var ticket gateway.Ticket
+	if err := json.NewDecoder(res.Body).Decode(&ticket); err != nil || ticket.Ticket == "" {
 		return "", fmt.Errorf("ask for a ticket: status %d without a ticket", res.StatusCode)
 	}
-	return ticket, nil
+	return ticket.Ticket, nil
 }
 
 func (l *Load) exchange(ctx context.Context, s Stream, entry, id, key string) (*http.Response, []byte, error) {
--- a/entry/dev/scenario.go
+++ b/entry/dev/scenario.go
@@ -79,6 +79,7 @@
 		return RollOut{}, fmt.Errorf("encode the change: %w", err)
 	}
 	var result operations.ApplyResult
+	sent := time.Now()
 	if err := f.post(ctx, f.entries[0], operations.PathConfigChanges, body, &result); err != nil {
 		return RollOut{}, err
 	}
@@ -88,7 +89,7 @@
 	err = f.await(ctx, settleTimeout, "the change to be in force everywhere", func() bool {
 		return f.all(func(s operations.Status) bool { return s.ConfigRevision >= result.Revision })
 	})
-	took := time.Since(accepted)
+	took := time.Since(sent)
 	if err == nil {
 		err = sleepUntil(ctx, accepted.Add(storeOutage))
 	}
@@ -191,7 +192,9 @@
 
 // RollOut is how one configuration change spread.
 type RollOut struct {
-	Revision                object.Revision `json:"revision"`
+	Revision object.Revision `json:"revision"`
+	// InForceEverywhere is the time from sending the change until it was in force
+	// on every entry instance.
 	InForceEverywhere       object.Duration `json:"inForceEverywhere"`
 	StoreOffAfterAcceptance bool            `json:"storeOffAfterAcceptance"`
 }
--- a/entry/dev/summary.go
+++ b/entry/dev/summary.go
@@ -61,7 +61,9 @@
 	for _, b := range s.Broken {
 		fmt.Fprintln(o.Out, "broken:", b)
 	}
-	printAddresses(o.Out, f)
+	if o.Stay {
+		printAddresses(o.Out, f)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/entry/node/controllers.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/operations"
+	"github.com/tarragonreach/tarragonreach/entry/duty"
+	"github.com/tarragonreach/tarragonreach/entry/fleetctl"
+	"github.com/tarragonreach/tarragonreach/policy/maintenance"
+)
+
+// dutyFleet is the duty of deciding for the pools of one availability zone.
+const dutyFleet = "fleet"
+
+// controllers runs the decisions of this entry instance's availability zone while
+// it holds their duties.
+type controllers struct {
+	lessee *duty.Lessee
+	parts  parts
+	fleet  atomic.Pointer[fleetctl.Controller]
+}
+
+func newControllers(p parts) *controllers {
+	s := p.Options.Settings
+	lessee := duty.New(p.Client, duty.Options{
+		Zone: s.Instance.Zone, Self: s.Instance.ID, Logger: p.Log.Logger,
+	})
+	return &controllers{lessee: lessee, parts: p}
+}
+
+// run competes for the duty until ctx ends.
+func (c *controllers) run(ctx context.Context) error {
+	c.lessee.Run(ctx, dutyFleet, c.act)
+	return nil
+}
+
+// activeTerm shows a duty's term to the controllers.
+type activeTerm struct {
+	term duty.Term
+}
+
+// Epoch returns the term's fencing epoch.
+func (t activeTerm) Epoch() int64 { return t.term.Epoch }
+
+// Active reports whether the term still holds by this process's clock.
+func (t activeTerm) Active() bool { return t.term.Valid(time.Now()) }
+
+// act decides for the availability zone during one term.
+func (c *controllers) act(ctx context.Context, term duty.Term) {
+	p := c.parts
+	controller := fleetctl.New(fleetctl.Options{
+		Zone: p.Options.Settings.Instance.Zone, Store: duty.Fence(p.Client, term), View: p.View, List: p.List,
+		Instances: p.Client, Config: p.Follower.Current, Recorder: p.Ring,
+	})
+	c.fleet.Store(controller)
+	defer c.fleet.Store(nil)
+	if err := controller.Run(ctx, activeTerm{term}); err != nil && ctx.Err() == nil {
+		p.Log.Warn("fleet decisions ended", "epoch", term.Epoch, "error", err)
+	}
+}
+
+// maintenance returns how the plans stood in the last round, none while another
+// entry instance holds the duty.
+func (c *controllers) maintenance() []maintenance.Status {
+	controller := c.fleet.Load()
+	if controller == nil {
+		return nil
+	}
+	return controller.Maintenance()
+}
+
+// duties returns the duties held here.
+func (c *controllers) duties() []operations.Duty {
+	var out []operations.Duty
+	for _, term := range c.lessee.Held(time.Now()) {
+		out = append(out, operations.Duty{Name: term.Name, Epoch: term.Epoch, Since: term.Since})
+	}
+	return out
+}
--- a/entry/node/fleetops.go
+++ b/entry/node/fleetops.go
@@ -17,6 +17,7 @@
 // fleetOperations shows and steers pools and instances for operators.
 type fleetOperations struct {
 	parts
+	controllers *controllers
 }
 
 var _ operator.Fleet = (*fleetOperations)(nil)
@@ -53,7 +54,13 @@
 
 // Maintenance returns the progress of the maintenance plans.
 func (f *fleetOperations) Maintenance() []operations.MaintenanceStatus {
-	return []operations.MaintenanceStatus{}
+	out := []operations.MaintenanceStatus{}
+	for _, s := range f.controllers.maintenance() {
+		out = append(out, operations.MaintenanceStatus{
+			Plan: s.Plan, Done: s.Done, Total: s.Total, Under: s.InProgress, Forecast: s.Forecast, Paused: string(s.Paused),
+		})
+	}
+	return out
 }
 
 // Jobs returns how each job stands.
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -26,6 +26,8 @@
 	caller   *serve.Server
 	operator *serve.Server
 	tasks    *tasks
+	// controllers decides for the availability zone while it holds the duty.
+	controllers *controllers
 }
 
 // New builds an entry instance and opens its listeners; nothing is served before
@@ -60,6 +62,7 @@
 // compose opens the listeners and registers the stages of start and stop.
 func (n *Node) compose(lc fx.Lifecycle, down fx.Shutdowner, p parts) error {
 	n.parts = p
+	n.controllers = newControllers(p)
 	n.tasks = newTasks(p.Log.Logger, func() { _ = down.Shutdown(fx.ExitCode(1)) })
 	if err := n.openListeners(p); err != nil {
 		return err
@@ -114,7 +117,7 @@
 	}
 	handler := operator.New(operator.Options{
 		Token: token, MaxBodyBytes: s.MaxBodyBytes, Status: n.Status, Log: n.parts.Log, Metrics: n.parts.Metrics,
-		Config: &configOperations{n.parts}, Fleet: &fleetOperations{n.parts}, Explainer: &explainer{n.parts},
+		Config: &configOperations{n.parts}, Fleet: &fleetOperations{n.parts, n.controllers}, Explainer: &explainer{n.parts},
 	})
 	return serve.Open(serve.Options{
 		Name: "operator", Listen: s.Listen, TLS: tlsConfig, Handler: handler,
--- a/entry/node/stages.go
+++ b/entry/node/stages.go
@@ -45,6 +45,9 @@
 	n.tasks.start("gateway", p.Gateway.Run)
 	n.tasks.start("fleet record", func(ctx context.Context) error { return p.View.Follow(ctx, p.Client) })
 	n.tasks.start("fleet records to routing", n.passRecords)
+	if p.Options.Settings.Fleet.Controllers {
+		n.tasks.start("controllers", n.controllers.run)
+	}
 	n.tasks.start("roll-out", n.observeRollOut)
 }
 
--- a/entry/node/status.go
+++ b/entry/node/status.go
@@ -18,6 +18,7 @@
 		Instance: p.Options.Settings.Instance.ID, Zone: p.Options.Settings.Instance.Zone,
 		Version: buildinfo.Version(), ConfigRevision: held.Revision, ConfigAge: object.Duration(held.Age),
 		StoreReachable: held.StoreReachable, Executors: n.executors(), Members: n.members(),
+		Duties: n.controllers.duties(),
 	}
 	if !held.Ready {
 		s.NotReady = append(s.NotReady, held.NotReady)
--- a/entry/settings/check.go
+++ b/entry/settings/check.go
@@ -120,8 +120,6 @@
 	c.positive("/gateway/ticketLifetime", s.Gateway.TicketLifetime)
 	c.positive("/gateway/claimRetention", s.Gateway.ClaimRetention)
 	c.positiveNumber("/gateway/claimsPerSecond", s.Gateway.ClaimsPerSecond)
-	c.positive("/fleet/interval", s.Fleet.Interval)
-	c.positive("/fleet/leaseTTL", s.Fleet.LeaseTTL)
 	c.positive("/shutdown/readinessDelay", s.Shutdown.ReadinessDelay)
 	c.positive("/shutdown/grace", s.Shutdown.Grace)
 	c.positiveNumber("/metrics/maxTenants", float64(s.Metrics.MaxTenants))
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -91,9 +91,7 @@
 
 // Fleet says which controllers this entry instance may run.
 type Fleet struct {
-	Controllers bool            `json:"controllers"`
-	Interval    object.Duration `json:"interval"` // between decision rounds
-	LeaseTTL    object.Duration `json:"leaseTTL"` // of a duty
+	Controllers bool `json:"controllers"`
 }
 
 // Shutdown bounds the stages of a graceful shutdown.
@@ -134,8 +132,6 @@
 	defaultTicketLifetime    = 10 * time.Minute
 	defaultClaimRetention    = 24 * time.Hour
 	defaultClaimsPerSecond   = 15
-	defaultDecisionInterval  = 2 * time.Second
-	defaultLeaseTTL          = 9 * time.Second
 	defaultReadinessDelay    = 3 * time.Second
 	defaultGrace             = 30 * time.Second
 	defaultMetricsTenants    = 250
@@ -169,9 +165,7 @@
 			DefaultTimeout: object.Duration(defaultRequestTimeout), TicketLifetime: object.Duration(defaultTicketLifetime),
 			ClaimRetention: object.Duration(defaultClaimRetention), ClaimsPerSecond: defaultClaimsPerSecond,
 		},
-		Fleet: Fleet{
-			Controllers: true, Interval: object.Duration(defaultDecisionInterval), LeaseTTL: object.Duration(defaultLeaseTTL),
-		},
+		Fleet:    Fleet{Controllers: true},
 		Shutdown: Shutdown{ReadinessDelay: object.Duration(defaultReadinessDelay), Grace: object.Duration(defaultGrace)},
 		Log:      Log{Level: defaultLogLevel, Format: jsonFormat},
 		Metrics:  Metrics{MaxTenants: defaultMetricsTenants, MaxClasses: defaultMetricsClasses},
