--- a/api/object/parse.go
+++ b/api/object/parse.go
@@ -50,8 +50,8 @@
 		return nil, err
 	}
 	edit := &Edit{Revision: file.Revision, Reason: file.Reason, Put: file.document(), source: source}
-	edit.readDeletes(file.Delete)
 	edit.index()
+	edit.readDeletes(file.Delete)
 	if err := source.Err(); err != nil {
 		return nil, err
 	}
@@ -73,6 +73,7 @@
 			continue
 		}
 		e.Delete = append(e.Delete, key)
+		e.place(key, "/delete/"+strconv.Itoa(i), "")
 	}
 }
 
@@ -90,25 +91,23 @@
 	return []Kind{KindService, KindClass, KindTenant, KindPool, KindMaintenancePlan, KindJob}
 }
 
-// index notes where each object stands and reports those that stand twice.
+// index notes where each object stands.
 func (e *Edit) index() {
 	e.paths = map[Key]string{}
 	count := map[Kind]int{}
 	for _, key := range e.Put.Keys() {
-		path := fmt.Sprintf("/%s/%d", listField(key.Kind), count[key.Kind])
+		e.place(key, fmt.Sprintf("/%s/%d", listField(key.Kind), count[key.Kind]), "/name")
 		count[key.Kind]++
-		if _, ok := e.paths[key]; ok {
-			e.source.Report(path+"/name", key.String()+" stands twice, want it once")
-		}
-		e.paths[key] = path
 	}
-	for i, key := range e.Delete {
-		path := "/delete/" + strconv.Itoa(i)
-		if _, ok := e.paths[key]; ok {
-			e.source.Report(path, key.String()+" stands twice, want it once")
-		}
-		e.paths[key] = path
+}
+
+// place notes the path of an object, and reports one that stands twice at its
+// field.
+func (e *Edit) place(key Key, path, field string) {
+	if _, ok := e.paths[key]; ok {
+		e.source.Report(path+field, key.String()+" stands twice, want it once")
 	}
+	e.paths[key] = path
 }
 
 // listField returns the field of a document that lists the kind.
