Bound the nesting of JSON that operators send

A text of 512 KiB of brackets made the parser recurse until the process held 1,035 MiB (measured once with runtime.MemStats.Sys). Values may now nest 32 deep; deeper ones are a fault with its place.

--- a/api/strictjson/decode.go
+++ b/api/strictjson/decode.go
@@ -23,6 +23,9 @@
 // of a wrong type and repeated fields are faults. Where the returned error is not
 // nil it is of type Faults; the Document is nil only if the text could not be parsed.
 func Decode(text []byte, into any) (*Document, error) {
+	if faults := checkDepth(text); faults != nil {
+		return nil, faults
+	}
 	root, err := hujson.Parse(text)
 	if err != nil {
 		return nil, Faults{syntaxFault(text, err)}
--- /dev/null
+++ b/api/strictjson/depth.go
@@ -0,0 +1,73 @@
+package strictjson
+
+import "fmt"
+
+// MaxDepth bounds how deep values nest. The parser recurses, so that a short text
+// without this bound could take a gigabyte of stack.
+const MaxDepth = 32
+
+// scanner walks over a text without parsing it.
+type scanner struct {
+	text  []byte
+	next  int
+	depth int
+}
+
+// checkDepth returns a fault where brackets outside strings and comments nest
+// deeper than MaxDepth.
+func checkDepth(text []byte) Faults {
+	s := &scanner{text: text}
+	for s.next < len(text) {
+		at := s.next
+		s.step()
+		if s.depth > MaxDepth {
+			place := positionOf(text, at)
+			problem := fmt.Sprintf("values nest deeper than %d", MaxDepth)
+			return Faults{{Line: place.line, Column: place.column, Problem: problem}}
+		}
+	}
+	return nil
+}
+
+func (s *scanner) step() {
+	c := s.text[s.next]
+	s.next++
+	switch {
+	case c == '"':
+		s.skipString()
+	case c == '/' && s.at('/'):
+		s.skipUntil("\n")
+	case c == '/' && s.at('*'):
+		s.next++
+		s.skipUntil("*/")
+	case c == '[' || c == '{':
+		s.depth++
+	case c == ']' || c == '}':
+		s.depth--
+	}
+}
+
+func (s *scanner) at(c byte) bool { return s.next < len(s.text) && s.text[s.next] == c }
+
+func (s *scanner) skipString() {
+	for s.next < len(s.text) {
+		c := s.text[s.next]
+		s.next++
+		if c == '\\' {
+			s.next++
+		}
+		if c == '"' {
+			return
+		}
+	}
+}
+
+func (s *scanner) skipUntil(end string) {
+	for s.next < len(s.text) {
+		if s.next+len(end) <= len(s.text) && string(s.text[s.next:s.next+len(end)]) == end {
+			s.next += len(end)
+			return
+		}
+		s.next++
+	}
+}
--- a/api/strictjson/strictjson_test.go
+++ b/api/strictjson/strictjson_test.go
@@ -1,6 +1,7 @@
 package strictjson
 
 import (
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -48,6 +49,17 @@
 	assert.Error(t, doc.Err(), "2:12: inner.port: want a port")
 }
 
+func TestDecodeRefusesDeepNesting(t *testing.T) {
+	var got sample
+	for _, nested := range []string{"[", "{\"a\":", "/* \" */ [", "// \"\n["} {
+		_, err := Decode([]byte(strings.Repeat(nested, 100_000)), &got)
+		assert.ErrorContains(t, err, "values nest deeper than 32")
+	}
+	_, err := Decode([]byte("{\"name\": \""+strings.Repeat("[", 100)+"\\\"[\"}"), &got)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Name, strings.Repeat("[", 100)+"\"[")
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte("{\"name\": \"a\", \"list\": [{}]}"))
 	f.Fuzz(func(t *testing.T, text []byte) {
