--- a/mesh/engine/dial.go
+++ b/mesh/engine/dial.go
@@ -143,7 +143,7 @@
 	taken := map[string]bool{e.members.own().Address: true}
 	var addresses []string
 	for _, record := range e.members.present() {
-		if e.members.entries[record.ID].reachable {
+		if e.isReachable(record.ID) {
 			taken[record.Address] = true
 			continue
 		}
@@ -164,8 +164,7 @@
 	if state == nil || state.peer == "" {
 		return false
 	}
-	entry := e.members.entries[state.peer]
-	return entry != nil && entry.reachable
+	return e.isReachable(state.peer)
 }
 
 // dialAddress asks for a connection unless one is being opened or not due yet.
--- a/mesh/engine/engine.go
+++ b/mesh/engine/engine.go
@@ -62,6 +62,9 @@
 	DialMin, DialMax time.Duration
 	// Probe is about the time between attempts to reach unreachable members and seeds.
 	Probe time.Duration
+	// Bridge is the time for which a link off the topology is kept at least where
+	// it was the only way to its peer.
+	Bridge time.Duration
 	// Pull is the time after which an unanswered pull is repeated elsewhere.
 	Pull time.Duration
 	// Forget is the time after which an unreachable member is forgotten.
@@ -77,6 +80,7 @@
 		DialMin:   250 * time.Millisecond,
 		DialMax:   30 * time.Second,
 		Probe:     4 * time.Second,
+		Bridge:    30 * time.Second,
 		Pull:      time.Second,
 		Forget:    10 * time.Minute,
 	}
@@ -106,6 +110,8 @@
 	summaryVersion uint32
 	nextProbe      time.Time
 	recordDirty    bool
+	chosenAt       uint64 // changes of the members at the last choice of links
+	ticked         time.Time
 	actions        []Action
 }
 
@@ -136,7 +142,9 @@
 
 // Tick advances the timers. The owner calls it a few times per heartbeat.
 func (e *Engine) Tick(now time.Time) []Action {
+	e.ticked = now
 	e.closeSilent(now)
+	e.releaseBridges(now)
 	e.publish(now)
 	e.members.forget(e.timing.Forget, now)
 	e.chooseLinks()
@@ -167,7 +175,10 @@
 			continue
 		}
 		entry := e.members.entries[record.ID]
-		member := Member{Record: record, Reachable: entry.reachable, LastHeard: entry.reachableAt}
+		member := Member{Record: record, Reachable: entry.reachable, LastHeard: entry.lostAt}
+		if entry.reachable {
+			member.LastHeard = e.ticked
+		}
 		if l := e.links[record.ID]; l != nil && l.up {
 			member.LastHeard = l.lastHeard
 			member.Summary = l.summary
@@ -177,6 +188,11 @@
 	return members
 }
 
+func (e *Engine) isReachable(id fleet.InstanceID) bool {
+	entry := e.members.entries[id]
+	return entry != nil && entry.reachable
+}
+
 // AddressOf returns the address that a member publishes.
 func (e *Engine) AddressOf(id fleet.InstanceID) (address string, known bool) {
 	entry := e.members.entries[id]
@@ -190,6 +206,10 @@
 // known, and those of the topology over the reachable ones, which closes the
 // ring of zones while some are cut off.
 func (e *Engine) chooseLinks() {
+	if e.chosenAt == e.members.changes {
+		return
+	}
+	e.chosenAt = e.members.changes
 	clear(e.wanted)
 	for _, records := range [][]wire.Record{e.members.present(), e.members.reachable()} {
 		for _, id := range topology.Peers(e.members.self, topologyMembers(records)) {
@@ -208,7 +228,7 @@
 
 // publish renews the instance's own record if the peers it hears have changed.
 func (e *Engine) publish(now time.Time) {
-	own := &e.members.entries[e.members.self].record
+	own := e.members.own()
 	heard := e.heardPeers(now)
 	if !e.recordDirty && slices.Equal(heard, own.Heard) {
 		return
@@ -216,16 +236,13 @@
 	e.recordDirty = false
 	own.Heard = heard
 	own.Sequence++
+	e.members.setOwn(own)
 	e.refreshReachable(now)
-	e.sendRecords([]wire.Record{*own}, "", now)
+	e.sendRecords([]wire.Record{own}, "", now)
 }
 
 func (e *Engine) refreshReachable(now time.Time) {
-	heard := make(map[fleet.InstanceID]bool)
-	for _, id := range e.heardPeers(now) {
-		heard[id] = true
-	}
-	for _, address := range e.members.updateReachable(heard, now) {
+	for _, address := range e.members.updateReachable(e.heardPeers(now), now) {
 		e.forgetFailures(address)
 	}
 }
--- a/mesh/engine/link.go
+++ b/mesh/engine/link.go
@@ -32,6 +32,9 @@
 	offered map[replica.Stream]int64
 	streams comparison
 	members comparison
+	// bridgeUntil is set where the link is off the topology but was the only way
+	// to the peer; it is kept at least until then.
+	bridgeUntil time.Time
 	// summary is the peer's load summary of summaryVersion.
 	summary        []byte
 	summaryVersion uint32
@@ -44,13 +47,17 @@
 	if dialed {
 		e.dialDone(address, peer, now)
 	}
-	e.links[peer] = &link{
+	l := &link{
 		peer:      peer,
 		dialed:    dialed,
 		address:   address,
 		lastHeard: now,
 		offered:   make(map[replica.Stream]int64),
 	}
+	if dialed && !e.isReachable(peer) {
+		l.bridgeUntil = now.Add(e.timing.Bridge)
+	}
+	e.links[peer] = l
 	e.send(peer, &wire.Hello{Record: e.members.own()})
 	return e.take()
 }
@@ -135,17 +142,37 @@
 	}
 }
 
+// wants reports whether this side keeps the link up.
+func (e *Engine) wants(l *link) bool {
+	return e.wanted[l.peer] || !l.bridgeUntil.IsZero()
+}
+
+// releaseBridges ends the keeping of bridges whose peer is reachable without them.
+func (e *Engine) releaseBridges(now time.Time) {
+	for _, l := range e.links {
+		if l.bridgeUntil.IsZero() || now.Before(l.bridgeUntil) {
+			continue
+		}
+		others := slices.DeleteFunc(e.heardPeers(now), func(id fleet.InstanceID) bool { return id == l.peer })
+		if e.members.search(others)[l.peer] {
+			l.bridgeUntil = time.Time{}
+			continue
+		}
+		l.bridgeUntil = now.Add(e.timing.Bridge)
+	}
+}
+
 func (e *Engine) silent(l *link, now time.Time) bool {
 	if !l.suspectUntil.IsZero() && now.After(l.suspectUntil) {
 		return true
 	}
-	return e.wanted[l.peer] && now.Sub(l.lastHeard) > e.timing.Silence
+	return e.wants(l) && now.Sub(l.lastHeard) > e.timing.Silence
 }
 
 // beat sends heartbeats on the wanted links that this side opened.
 func (e *Engine) beat(now time.Time) {
 	for _, l := range e.sortedLinks() {
-		if !l.up || !l.dialed || !e.wanted[l.peer] || now.Before(l.nextBeat) {
+		if !l.up || !l.dialed || !e.wants(l) || now.Before(l.nextBeat) {
 			continue
 		}
 		l.nextBeat = now.Add(e.beatPeriod(l))
--- a/mesh/engine/members.go
+++ b/mesh/engine/members.go
@@ -16,17 +16,23 @@
 type memberTable struct {
 	self    fleet.InstanceID
 	entries map[fleet.InstanceID]*memberEntry
+	// changes counts the changes of records and of who is reachable.
+	changes    uint64
+	hashed     uint64 // hash of the table at hashedAt
+	hashedAt   uint64 // changes at the time of the hash
+	searchedAt uint64 // changes at the time of the last search
+	heard      []fleet.InstanceID
 }
 
 type memberEntry struct {
-	record wire.Record
-	// reachableAt is the last time at which the member was found reachable.
-	reachableAt time.Time
-	reachable   bool
+	record    wire.Record
+	reachable bool
+	// lostAt is the time at which the member became known or unreachable.
+	lostAt time.Time
 }
 
 func newMemberTable(self wire.Record) *memberTable {
-	table := &memberTable{self: self.ID, entries: make(map[fleet.InstanceID]*memberEntry)}
+	table := &memberTable{self: self.ID, entries: make(map[fleet.InstanceID]*memberEntry), changes: 1}
 	table.entries[self.ID] = &memberEntry{record: self, reachable: true}
 	return table
 }
@@ -36,6 +42,12 @@
 	return t.entries[t.self].record
 }
 
+// setOwn replaces the record of the instance itself.
+func (t *memberTable) setOwn(record wire.Record) {
+	t.entries[t.self].record = record
+	t.changes++
+}
+
 // merge takes a record and reports whether it is newer than the one held.
 func (t *memberTable) merge(record wire.Record, now time.Time) bool {
 	entry, known := t.entries[record.ID]
@@ -46,10 +58,11 @@
 		return false
 	}
 	if !known {
-		entry = &memberEntry{reachableAt: now}
+		entry = &memberEntry{lostAt: now}
 		t.entries[record.ID] = entry
 	}
 	entry.record = record
+	t.changes++
 	t.dropSuperseded(record)
 	return true
 }
@@ -62,6 +75,7 @@
 		}
 		if entry.record.Address == record.Address && entry.record.Incarnation < record.Incarnation {
 			delete(t.entries, id)
+			t.changes++
 		}
 	}
 }
@@ -69,25 +83,32 @@
 // updateReachable follows the links from self: a link counts where self hears
 // the peer, or where both ends say that they hear each other. It returns the
 // addresses of the members that became reachable.
-func (t *memberTable) updateReachable(heard map[fleet.InstanceID]bool, now time.Time) []string {
+func (t *memberTable) updateReachable(heard []fleet.InstanceID, now time.Time) []string {
+	if t.searchedAt == t.changes && slices.Equal(heard, t.heard) {
+		return nil
+	}
+	t.heard = heard
 	found := t.search(heard)
 	var regained []string
 	for id, entry := range t.entries {
-		if found[id] && !entry.reachable {
-			regained = append(regained, entry.record.Address)
-		}
-		if entry.reachable || found[id] {
-			entry.reachableAt = now
+		if entry.reachable == found[id] {
+			continue
 		}
 		entry.reachable = found[id]
+		entry.lostAt = now
+		t.changes++
+		if entry.reachable {
+			regained = append(regained, entry.record.Address)
+		}
 	}
+	t.searchedAt = t.changes
 	return regained
 }
 
-func (t *memberTable) search(heard map[fleet.InstanceID]bool) map[fleet.InstanceID]bool {
+func (t *memberTable) search(heard []fleet.InstanceID) map[fleet.InstanceID]bool {
 	found := map[fleet.InstanceID]bool{t.self: true}
 	queue := []fleet.InstanceID{}
-	for id := range heard {
+	for _, id := range heard {
 		if t.entries[id] != nil {
 			found[id] = true
 			queue = append(queue, id)
@@ -115,8 +136,9 @@
 // forget drops members that were unreachable for longer than the given time.
 func (t *memberTable) forget(after time.Duration, now time.Time) {
 	for id, entry := range t.entries {
-		if !entry.reachable && now.Sub(entry.reachableAt) > after {
+		if !entry.reachable && now.Sub(entry.lostAt) > after {
 			delete(t.entries, id)
+			t.changes++
 		}
 	}
 }
@@ -151,6 +173,9 @@
 
 // hash covers the versions of all reachable records.
 func (t *memberTable) hash() uint64 {
+	if t.hashedAt == t.changes {
+		return t.hashed
+	}
 	h := fnv.New64a()
 	var number [8]byte
 	for _, record := range t.reachable() {
@@ -160,7 +185,9 @@
 		binary.LittleEndian.PutUint64(number[:], record.Sequence)
 		h.Write(number[:])
 	}
-	return h.Sum64()
+	t.hashed = h.Sum64()
+	t.hashedAt = t.changes
+	return t.hashed
 }
 
 // versions lists the versions of all reachable records.
--- /dev/null
+++ b/mesh/engine/network_test.go
@@ -0,0 +1,176 @@
+package engine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/mesh/enginetest"
+	"github.com/tarragonreach/tarragonreach/mesh/replicatest"
+)
+
+const config = "config"
+
+// checkPeriod is the virtual time between two looks at whether a mesh has converged.
+const checkPeriod = 2 * time.Millisecond
+
+// mesh is a network whose nodes hold one log each.
+type mesh struct {
+	*enginetest.Network
+	logs map[*enginetest.Node]*replicatest.Log
+	next int
+}
+
+func newMesh(seed uint64) *mesh {
+	network := enginetest.NewNetwork(rand.New(rand.NewPCG(seed, 0)))
+	network.Latency = func(a, b fleet.AvailabilityZone) time.Duration {
+		if a == b {
+			return 150 * time.Microsecond
+		}
+		return 1500 * time.Microsecond
+	}
+	return &mesh{Network: network, logs: make(map[*enginetest.Node]*replicatest.Log)}
+}
+
+// add starts a node at a new address that knows the addresses of some others.
+func (m *mesh) add(zone int, seeds []string) *enginetest.Node {
+	return m.addAt(fmt.Sprintf("host-%03d:1", m.next), zone, seeds)
+}
+
+func (m *mesh) addAt(address string, zone int, seeds []string) *enginetest.Node {
+	id := fleet.InstanceID(fmt.Sprintf("entry-%03d", m.next))
+	m.next++
+	log := replicatest.NewLog(config)
+	node := m.Start(id, fleet.AvailabilityZone(fmt.Sprintf("zone-%02d", zone)), address, seeds, log)
+	m.logs[node] = log
+	return node
+}
+
+// grow starts perZone nodes in each zone and lets them find each other.
+func (m *mesh) grow(t testing.TB, zones, perZone int) {
+	var seeds []string
+	for z := range zones {
+		for range perZone {
+			node := m.add(z, seeds)
+			if len(seeds) < 2 {
+				seeds = append(seeds, node.Address)
+			}
+		}
+	}
+	assert.Assert(t, m.runUntil(time.Minute, m.converged), "mesh of %d zones did not form", zones)
+}
+
+// runUntil advances the time until done or until d has passed, and reports done.
+func (m *mesh) runUntil(d time.Duration, done func() bool) bool {
+	for end := m.Now.Add(d); m.Now.Before(end) && !done(); {
+		m.Run(checkPeriod)
+	}
+	return done()
+}
+
+// converged reports whether all live nodes find exactly each other reachable
+// and hold the same version.
+func (m *mesh) converged() bool {
+	nodes := m.Nodes
+	for _, node := range nodes {
+		if m.logs[node].Version(config) != m.logs[nodes[0]].Version(config) {
+			return false
+		}
+		if !sees(node, nodes) {
+			return false
+		}
+	}
+	return true
+}
+
+func sees(node *enginetest.Node, nodes []*enginetest.Node) bool {
+	reachable := make(map[fleet.InstanceID]bool)
+	for _, member := range node.Engine.Members() {
+		if member.Reachable {
+			reachable[member.Record.ID] = true
+		}
+	}
+	if len(reachable) != len(nodes)-1 {
+		return false
+	}
+	for _, other := range nodes {
+		if other != node && !reachable[other.ID] {
+			return false
+		}
+	}
+	return true
+}
+
+// accept appends a document at one node and offers it to the others.
+func (m *mesh) accept(node *enginetest.Node, bytes int) {
+	m.logs[node].Append(config, make([]byte, bytes))
+	m.Perform(node, node.Engine.Changed(m.Now))
+}
+
+func (m *mesh) cutZone(zone, zones int, cut bool) {
+	name := fleet.AvailabilityZone(fmt.Sprintf("zone-%02d", zone))
+	for other := range zones {
+		if other != zone {
+			m.SetCut(name, fleet.AvailabilityZone(fmt.Sprintf("zone-%02d", other)), cut)
+		}
+	}
+}
+
+func TestMeshForms(t *testing.T) {
+	for _, size := range [][2]int{{1, 1}, {1, 8}, {4, 2}, {13, 3}, {13, 5}} {
+		m := newMesh(1)
+		m.grow(t, size[0], size[1])
+	}
+}
+
+func TestDocumentsOfAnySizeReachAllNodes(t *testing.T) {
+	for _, bytes := range []int{1, 2000, 300_000} {
+		m := newMesh(2)
+		m.grow(t, 4, 2)
+		for range 5 {
+			m.accept(m.Nodes[0], bytes)
+		}
+		assert.Assert(t, m.runUntil(time.Second, m.converged), "%d bytes", bytes)
+	}
+}
+
+func TestKilledNodeIsNoticedAndItsSuccessorTakesTheAddress(t *testing.T) {
+	m := newMesh(3)
+	m.grow(t, 4, 2)
+	old := m.Nodes[3]
+	m.Kill(old)
+	assert.Assert(t, m.runUntil(9*time.Second, m.converged), "loss not noticed")
+	m.addAt(old.Address, 1, []string{m.Nodes[0].Address})
+	assert.Assert(t, m.runUntil(9*time.Second, m.converged), "successor not found")
+	for _, node := range m.Nodes {
+		for _, member := range node.Engine.Members() {
+			assert.Assert(t, member.Record.ID != old.ID, "%s still lists the old instance", node.ID)
+		}
+	}
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	m := newMesh(4)
+	m.grow(t, 2, 1)
+	m.Silence(m.Nodes[0], m.Nodes[1])
+	m.accept(m.Nodes[0], 10)
+	assert.Assert(t, m.runUntil(9*time.Second, m.converged))
+}
+
+func TestZoneRejoinsWithinNineSeconds(t *testing.T) {
+	for _, duration := range []time.Duration{3 * time.Second, 20 * time.Second, 5 * time.Minute} {
+		m := newMesh(5)
+		m.grow(t, 13, 3)
+		m.cutZone(6, 13, true)
+		m.accept(m.Nodes[0], 500)
+		m.Run(duration)
+		m.cutZone(6, 13, false)
+		start := m.Now
+		assert.Assert(t, m.runUntil(9*time.Second, m.converged), "cut of %v", duration)
+		t.Logf("cut of %v healed in %v", duration, m.Now.Sub(start))
+	}
+}
--- a/mesh/engine/receive.go
+++ b/mesh/engine/receive.go
@@ -107,11 +107,12 @@
 
 // outlive makes the own record newer than one of an earlier run of the process.
 func (e *Engine) outlive(record wire.Record) {
-	own := &e.members.entries[e.members.self].record
-	if !record.NewerThan(*own) {
+	own := e.members.own()
+	if !record.NewerThan(own) {
 		return
 	}
 	own.Incarnation = record.Incarnation + 1
+	e.members.setOwn(own)
 	e.recordDirty = true
 }
 
