Open a new connection for an attempt that asks for one

Cause: Request.Fresh came in from the request path and had no effect yet. Change: no idle connection is young enough for such an attempt. Measured: TestUnrepeatableRequestTakesAFreshConnection sees a fourth connection. Conclusion: a retry after a silent connection does not meet a second one.

--- a/entry/backend/silent_test.go
+++ b/entry/backend/silent_test.go
@@ -126,6 +126,10 @@
 	_, err := transport.Send(t.Context(), target, r)
 	assert.NilError(t, err)
 	assert.Equal(t, server.Accepted(), 3)
+	r.Fresh = true
+	_, err = transport.Send(t.Context(), target, r)
+	assert.NilError(t, err)
+	assert.Equal(t, server.Accepted(), 4)
 }
 
 func TestUnusedConnectionsAreClosed(t *testing.T) {
--- a/entry/backend/transport.go
+++ b/entry/backend/transport.go
@@ -99,12 +99,19 @@
 
 // maxAge returns how long the connection for a request may have carried no bytes.
 func (t *HTTPTransport) maxAge(request *Request) time.Duration {
-	if request.Repeatable {
+	switch {
+	case request.Fresh:
+		return neverReuse
+	case request.Repeatable:
 		return t.options.IdleTimeout
+	default:
+		return t.options.FreshFor
 	}
-	return t.options.FreshFor
 }
 
+// neverReuse is the age of connection that no idle connection has.
+const neverReuse = -1
+
 // replaceable reports whether an attempt of which no byte was written may go on
 // with another connection: the executor had closed the idle one, so that no
 // attempt has been made yet.
