Place tasks of jobs on workers and follow them

Cause: jobs need workers that can run them, answers are lost, workers vanish and some fail everything.

--- /dev/null
+++ b/api/explain/job.go
@@ -0,0 +1,29 @@
+package explain
+
+// Job returns the subject of a job.
+func Job(name string) Subject { return Subject{SubjectJob, name} }
+
+// The actions on jobs, their tasks and workers.
+const (
+	ActionStartTask  Action = "start-task"
+	ActionWait       Action = "wait"       // a task finds no worker
+	ActionCheckpoint Action = "checkpoint" // a task makes way
+	ActionThrottle   Action = "throttle"   // a task gives processors back
+	ActionQuarantine Action = "quarantine" // no task of a job starts any more
+	ActionSetAside   Action = "set-aside"  // a worker takes no tasks
+	ActionCancelTask Action = "cancel-task"
+	ActionRetryTask  Action = "retry-task"
+)
+
+// Reasons of placement.
+const (
+	ReasonFits            Reason = "fits"
+	ReasonBorrowed        Reason = "fits-beyond-quota"
+	ReasonNoRoom          Reason = "no-worker-has-room"
+	ReasonNeverFits       Reason = "no-worker-can-ever-run-it"
+	ReasonMakesWay        Reason = "makes-way"
+	ReasonJobFailsOnly    Reason = "job-fails-everywhere"
+	ReasonWorkerFailsOnly Reason = "worker-fails-everything"
+	ReasonCanceled        Reason = "canceled-by-operator"
+	ReasonTaskEnded       Reason = "task-ended-early"
+)
--- /dev/null
+++ b/api/fleet/job.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+)
+
+// JobPrefix starts the keys of all job pages.
+const JobPrefix = "jobs/"
+
+// TasksPerPage is how many tasks one job page holds.
+const TasksPerPage = 100
+
+// JobPageKey returns the key of a job's page, counted from 0.
+func JobPageKey(job string, page int) string { return fmt.Sprintf("%s%s/%04d", JobPrefix, job, page) }
+
+// JobPages returns how many pages a job of so many tasks has.
+func JobPages(tasks int) int { return (tasks + TasksPerPage - 1) / TasksPerPage }
+
+// TaskPhase is where a task of a job stands by the record.
+type TaskPhase string
+
+// The phases of a task.
+const (
+	TaskPending  TaskPhase = "pending"  // waits for a worker
+	TaskStarted  TaskPhase = "started"  // given to a worker
+	TaskDone     TaskPhase = "done"     // succeeded
+	TaskCanceled TaskPhase = "canceled" // stopped on an operator's wish
+)
+
+// TaskRecord is the record of one task of a job.
+type TaskRecord struct {
+	Index int       `json:"index"`
+	Phase TaskPhase `json:"phase"`
+	// Since is the time of the last change of phase.
+	Since time.Time `json:"since"`
+	// ID, Worker and Zone belong to the last start.
+	ID     TaskID           `json:"id,omitempty"`
+	Worker InstanceID       `json:"worker,omitempty"`
+	Zone   AvailabilityZone `json:"zone,omitempty"`
+	Need   Resources        `json:"need,omitzero"`
+	// Starts counts the starts, Failures those that failed on their own.
+	Starts   int `json:"starts,omitempty"`
+	Failures int `json:"failures,omitempty"`
+	// Avoid lists the last workers on which the task failed.
+	Avoid []InstanceID `json:"avoid,omitempty"`
+	// Checkpoint is the start whose checkpoint the next one goes on from.
+	Checkpoint TaskID `json:"checkpoint,omitempty"`
+}
+
+// JobPage is the value of a jobs/<job>/<page> key.
+type JobPage struct {
+	// Revision is the configuration revision of the job for which the page was made.
+	Revision int64 `json:"revision"`
+	// Quarantined says why no task starts any more; empty where tasks start.
+	Quarantined string       `json:"quarantined,omitempty"`
+	Tasks       []TaskRecord `json:"tasks"`
+}
--- /dev/null
+++ b/entry/jobctl/controller.go
@@ -0,0 +1,88 @@
+package jobctl
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/policy/attribution"
+	"github.com/tarragonreach/tarragonreach/policy/estimate"
+)
+
+// Controller places tasks for one availability zone. Its methods are for one
+// goroutine, except those of Work.
+type Controller struct {
+	Options
+	estimator *estimate.Estimator
+	evidence  *attribution.Evidence
+	// lastListed is when each worker was last in the platform's list.
+	lastListed map[fleet.InstanceID]time.Time
+	// firstSeen is when a job without pages was first seen here.
+	firstSeen map[string]time.Time
+	throttled map[fleet.TaskID]bool
+	parsed    map[string]*pageState // pages by key, as last decoded
+	work      atomic.Pointer[workView]
+}
+
+// New returns a controller.
+func New(o Options) *Controller {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	c := &Controller{
+		Options: o, estimator: estimate.New(maxJobsLearned), evidence: attribution.New(),
+		lastListed: map[fleet.InstanceID]time.Time{}, firstSeen: map[string]time.Time{},
+		throttled: map[fleet.TaskID]bool{},
+	}
+	c.work.Store(&workView{})
+	return c
+}
+
+// Run makes rounds while the term is active, until ctx ends.
+func (c *Controller) Run(ctx context.Context, term Term) error {
+	ticker := time.NewTicker(RoundInterval)
+	defer ticker.Stop()
+	failing := false
+	for term.Active() {
+		err := c.Round(ctx, term)
+		if (err != nil) != failing && ctx.Err() == nil {
+			failing = err != nil
+			slog.Info("placement rounds", "zone", c.Zone, "epoch", term.Epoch(), "failing", failing, "error", err)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// Round follows the reports of the workers, then decides once and applies what was
+// decided. An error ends the round; what is left is decided anew in the next one.
+func (c *Controller) Round(ctx context.Context, term Term) error {
+	if !c.Cache.Loaded() || !term.Active() {
+		return nil
+	}
+	listed, err := c.List.Instances(ctx)
+	if err != nil {
+		return fmt.Errorf("list instances: %w", err)
+	}
+	usage, err := c.Workers.Usage(ctx)
+	if err != nil {
+		return fmt.Errorf("read usage: %w", err)
+	}
+	r := c.newRound(term, listed, usage)
+	r.learn()
+	if err := r.followPages(ctx); err != nil {
+		return err
+	}
+	if err := r.place(ctx); err != nil {
+		return err
+	}
+	r.publishWork()
+	return r.resend(ctx)
+}
--- /dev/null
+++ b/entry/jobctl/follow.go
@@ -0,0 +1,168 @@
+package jobctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/tarragonreach/tarragonreach/api/explain"
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/platform"
+	"github.com/tarragonreach/tarragonreach/policy/attribution"
+	"github.com/tarragonreach/tarragonreach/policy/tasks"
+)
+
+// followPages brings the record level with the configuration and the reports. A
+// page that another holder wrote first is left for the next round.
+func (r *round) followPages(ctx context.Context) error {
+	for _, job := range r.ordered() {
+		if err := r.followJob(ctx, job); err != nil && !raced(err) {
+			return err
+		}
+	}
+	return nil
+}
+
+// raced reports whether a write lost against another one.
+func raced(err error) bool {
+	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrExists)
+}
+
+func (r *round) followJob(ctx context.Context, job *jobState) error {
+	if err := r.ensurePages(ctx, job); err != nil {
+		return err
+	}
+	for _, p := range job.orderedPages() {
+		if err := r.observe(ctx, job, p); err != nil {
+			return err
+		}
+	}
+	if job.canceled() {
+		return r.cancel(ctx, job)
+	}
+	return r.quarantine(ctx, job)
+}
+
+// observe applies the reports to a page. The evidence counts a result only once
+// the page is written, so that a result is never counted twice.
+func (r *round) observe(ctx context.Context, job *jobState, p *pageState) error {
+	next, changes := tasks.Observe(p.page, r.Zone, r.reports, r.listedAt, r.now)
+	if len(changes) == 0 {
+		return nil
+	}
+	if err := r.write(ctx, p, next); err != nil {
+		return err
+	}
+	for _, change := range changes {
+		delete(r.throttled, change.Task.ID)
+		r.noteChange(job, change)
+	}
+	return nil
+}
+
+func (r *round) noteChange(job *jobState, change tasks.Change) {
+	if change.Ended == tasks.EndedSucceeded || change.Ended == tasks.EndedFailed {
+		r.evidence.Add(attribution.Result{
+			Worker: change.Task.Worker, Rack: r.workers[change.Task.Worker].Rack, Job: job.name,
+			Failed: change.Ended == tasks.EndedFailed, At: r.now,
+		})
+	}
+	if change.Ended == tasks.EndedFailed || change.Ended == tasks.EndedLost {
+		r.record(explain.Job(job.name), explain.ActionRetryTask, explain.Applied, explain.ReasonTaskEnded,
+			string(change.Task.ID)+" on "+string(change.Task.Worker)+": "+string(change.Ended)+" "+change.Failure)
+	}
+}
+
+// cancel marks waiting tasks, stops running ones and drops the pages of a job that
+// is gone from the configuration once nothing runs.
+func (r *round) cancel(ctx context.Context, job *jobState) error {
+	for _, p := range job.orderedPages() {
+		if err := r.cancelPage(ctx, job, p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *round) cancelPage(ctx context.Context, job *jobState, p *pageState) error {
+	next, running := tasks.Cancel(p.page, r.Zone, r.now)
+	for _, t := range running {
+		gone, err := r.stop(ctx, job, t)
+		if err != nil {
+			return err
+		}
+		if gone {
+			next = tasks.End(next, t.ID, tasks.EndedStopped, r.now)
+		}
+	}
+	if phaseCount(next, fleet.TaskCanceled) != phaseCount(p.page, fleet.TaskCanceled) {
+		if err := r.write(ctx, p, next); err != nil {
+			return err
+		}
+	}
+	if job.spec == nil && phaseCount(p.page, fleet.TaskStarted) == 0 {
+		return r.drop(ctx, p)
+	}
+	return nil
+}
+
+// stop stops a task and reports whether its worker never had it. After a stop the
+// worker refuses starts of earlier terms, so such a task cannot start any more.
+func (r *round) stop(ctx context.Context, job *jobState, t fleet.TaskRecord) (bool, error) {
+	err := r.Workers.Stop(ctx, t.Worker, t.ID, r.term.Epoch())
+	gone := errors.Is(err, platform.ErrNotFound)
+	if err != nil && !gone {
+		return false, fmt.Errorf("stop %s: %w", t.ID, err)
+	}
+	r.record(explain.Job(job.name), explain.ActionCancelTask, explain.Applied, explain.ReasonCanceled,
+		string(t.ID)+" on "+string(t.Worker))
+	return gone, nil
+}
+
+func (r *round) drop(ctx context.Context, p *pageState) error {
+	if err := r.Store.Delete(ctx, p.key, p.revision); err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	r.Cache.Remove(p.key)
+	return nil
+}
+
+func phaseCount(p fleet.JobPage, phase fleet.TaskPhase) int {
+	n := 0
+	for _, t := range p.Tasks {
+		if t.Phase == phase {
+			n++
+		}
+	}
+	return n
+}
+
+// quarantine stops the starts of a job that fails on its own account everywhere.
+func (r *round) quarantine(ctx context.Context, job *jobState) error {
+	if job.quarantined() != "" {
+		return nil
+	}
+	finding := r.evidence.Job(job.name, r.now)
+	if !finding.Blamed {
+		return nil
+	}
+	for _, p := range job.orderedPages() {
+		next := p.page
+		next.Quarantined = finding.Reason
+		if err := r.write(ctx, p, next); err != nil {
+			return err
+		}
+	}
+	r.record(explain.Job(job.name), explain.ActionQuarantine, explain.Applied, explain.ReasonJobFailsOnly, finding.Reason)
+	return nil
+}
+
+func (r *round) record(subject explain.Subject, action explain.Action, outcome explain.Outcome, reason explain.Reason, detail string) {
+	if r.Recorder == nil {
+		return
+	}
+	r.Recorder.Record(explain.Record{
+		At: r.now, Zone: r.Zone, Epoch: r.term.Epoch(), Subject: subject, Action: action, Outcome: outcome,
+		Reason: reason, Detail: detail,
+	})
+}
--- /dev/null
+++ b/entry/jobctl/place.go
@@ -0,0 +1,148 @@
+package jobctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/tarragonreach/tarragonreach/api/explain"
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/platform"
+	"github.com/tarragonreach/tarragonreach/policy/placement"
+	"github.com/tarragonreach/tarragonreach/policy/tasks"
+)
+
+// place decides on the waiting tasks and applies the plan: reliefs first, since
+// the starts need their room.
+func (r *round) place(ctx context.Context) error {
+	plan := placement.Decide(r.snapshot())
+	for _, relief := range plan.Reliefs {
+		if err := r.relieve(ctx, relief); err != nil {
+			return err
+		}
+	}
+	for _, refusal := range plan.Refusals {
+		r.recordRefusal(refusal)
+	}
+	for _, starts := range byPage(plan.Starts) {
+		if err := r.startAll(ctx, starts); err != nil && !raced(err) {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *round) recordRefusal(refusal placement.Refusal) {
+	reason := explain.ReasonNoRoom
+	if refusal.Never {
+		reason = explain.ReasonNeverFits
+	}
+	r.record(explain.Job(refusal.Job), explain.ActionWait, explain.Waiting, reason, refusal.Reason)
+}
+
+// relieve makes a running task give resources back. A worker that no longer has
+// the task has given them back already.
+func (r *round) relieve(ctx context.Context, relief placement.Relief) error {
+	var err error
+	action := explain.ActionCheckpoint
+	if relief.Kind == placement.ReliefThrottle {
+		action = explain.ActionThrottle
+		r.throttled[relief.Task] = true
+		err = r.Workers.Throttle(ctx, relief.Worker, relief.Task, relief.Percent, r.term.Epoch())
+	} else {
+		err = r.Workers.Checkpoint(ctx, relief.Worker, relief.Task, r.term.Epoch())
+	}
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return fmt.Errorf("%s %s: %w", relief.Kind, relief.Task, err)
+	}
+	r.record(explain.Job(r.usage[relief.Task].Job), action, explain.Applied, explain.ReasonMakesWay,
+		string(relief.Task)+" on "+string(relief.Worker)+" "+relief.Reason)
+	return nil
+}
+
+// byPage groups starts so that each page is written once.
+func byPage(starts []placement.Start) [][]placement.Start {
+	groups := map[string][]placement.Start{}
+	for _, s := range starts {
+		key := fleet.JobPageKey(s.Pending.Job, s.Pending.Index/fleet.TasksPerPage)
+		groups[key] = append(groups[key], s)
+	}
+	var out [][]placement.Start
+	for _, key := range slices.Sorted(maps.Keys(groups)) {
+		out = append(out, groups[key])
+	}
+	return out
+}
+
+// startAll writes the starts of one page and then sends them. A start whose answer
+// is lost is sent again in a later round under the same ID.
+func (r *round) startAll(ctx context.Context, starts []placement.Start) error {
+	job := r.jobs[starts[0].Pending.Job]
+	p := job.pages[starts[0].Pending.Index/fleet.TasksPerPage]
+	next := p.page
+	started := map[fleet.TaskID]placement.Start{}
+	for _, s := range starts {
+		page, id, err := tasks.Start(next, job.name, s.Pending.Index, s.Worker, r.Zone, s.Pending.Need, r.now)
+		if err != nil {
+			continue
+		}
+		next = page
+		started[id] = s
+	}
+	if err := r.write(ctx, p, next); err != nil {
+		return err
+	}
+	for _, t := range next.Tasks {
+		s, ok := started[t.ID]
+		if !ok {
+			continue
+		}
+		r.recordStart(job, t, s)
+		if err := r.send(ctx, job, t); err != nil {
+			return fmt.Errorf("start %s: %w", t.ID, err)
+		}
+	}
+	return nil
+}
+
+func (r *round) recordStart(job *jobState, t fleet.TaskRecord, s placement.Start) {
+	reason := explain.ReasonFits
+	if s.Borrowed {
+		reason = explain.ReasonBorrowed
+	}
+	detail := fmt.Sprintf("%s on %s: %s", t.ID, t.Worker, s.Reason)
+	r.record(explain.Job(job.name), explain.ActionStartTask, explain.Applied, reason, detail)
+}
+
+// send starts a task. An error leaves the start to be sent again; only an active
+// term sends.
+func (r *round) send(ctx context.Context, job *jobState, t fleet.TaskRecord) error {
+	if !r.term.Active() {
+		return errTermOver
+	}
+	return r.Workers.Start(ctx, platform.StartCommand{
+		ID: t.ID, Worker: t.Worker, Job: job.name, Tenant: job.spec.Tenant, Need: t.Need,
+		Resume: t.Checkpoint, Epoch: r.term.Epoch(),
+	})
+}
+
+var errTermOver = errors.New("the term of the duty is over")
+
+// resend sends the starts that no worker has reported.
+func (r *round) resend(ctx context.Context) error {
+	for _, job := range r.ordered() {
+		if job.canceled() {
+			continue
+		}
+		for _, p := range job.orderedPages() {
+			for _, t := range tasks.Unreported(p.page, r.Zone, r.reports, r.now) {
+				if err := r.send(ctx, job, t); err != nil {
+					return fmt.Errorf("send %s again: %w", t.ID, err)
+				}
+			}
+		}
+	}
+	return nil
+}
