--- a/entry/dispatch/demand.go
+++ b/entry/dispatch/demand.go
@@ -10,8 +10,6 @@
 const (
 	// demandTime is the time constant over which offered load is averaged.
 	demandTime = 2 * time.Second
-	// burstFactor times the root of the load is the headroom for chance bursts.
-	burstFactor = 2
 	// unknownRunTime stands for the run time of a class that has not run yet.
 	unknownRunTime = 10 * time.Millisecond
 )
@@ -52,10 +50,10 @@
 // average returns the load in slots.
 func (d *demand) average() float64 { return math.Float64frombits(d.load.Load()) }
 
-// slotsFor returns the slots that a load asks for, with headroom for bursts.
+// slotsFor returns the whole slots that a load takes.
 func slotsFor(load float64) int {
 	if load < 0.01 {
 		return 0
 	}
-	return int(math.Ceil(load + burstFactor*math.Sqrt(load)))
+	return int(math.Ceil(load))
 }
--- a/entry/dispatch/executor.go
+++ b/entry/dispatch/executor.go
@@ -40,7 +40,12 @@
 	mu     sync.Mutex
 	member health.Member
 	since  time.Time // start of slow start
-	share  int       // of the slots, by the division between entry instances
+
+	// The part of the slots by the division between entry instances: as used now,
+	// and as it will be from growAt.
+	share     int
+	nextShare int
+	growAt    time.Time
 }
 
 // Load implements routing.Candidate.
@@ -113,6 +118,9 @@
 
 // refreshLimit recomputes ramp and limit; the lock is held.
 func (e *Executor) refreshLimit(now time.Time) {
+	if e.nextShare > e.share && !now.Before(e.growAt) {
+		e.share = e.nextShare
+	}
 	ramp := routing.Ramp(now.Sub(e.since))
 	limit := routing.RampedLimit(e.share, ramp)
 	if now.UnixNano() < e.busyUntil.Load() {
--- a/entry/dispatch/members.go
+++ b/entry/dispatch/members.go
@@ -6,6 +6,7 @@
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/policy/health"
+	"github.com/tarragonreach/tarragonreach/policy/routing"
 )
 
 // Endpoint is an executor as the directory lists it, with this entry instance's
@@ -73,6 +74,7 @@
 		Zone:        endpoint.Zone,
 		Slots:       endpoint.Slots,
 		Connections: endpoint.Connections,
+		share:       endpoint.Share,
 	}
 	e.ramp.Store(math.Float64bits(1))
 	if slowStart {
@@ -81,10 +83,16 @@
 	return e
 }
 
-// setShare changes the slots that this entry instance may use.
+// setShare changes the slots that this entry instance may use. Fewer hold at once,
+// more after routing.GrowthDelay, when those who lose them have let go.
 func (e *Executor) setShare(share int, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.share = share
+	grows := share > e.share
+	if grows && e.nextShare <= e.share {
+		e.growAt = now.Add(routing.GrowthDelay)
+	}
+	e.nextShare = share
+	e.share = min(e.share, share)
 	e.refreshLimit(now)
 }
--- a/entry/dispatch/requestpath_test.go
+++ b/entry/dispatch/requestpath_test.go
@@ -92,6 +92,7 @@
 	detected, healed         *phase
 	sendsBroken, sendsHealed float64 // the executor's part of all sends, relative to an equal part
 	failures                 float64
+	repeated                 float64 // non-repeatable requests that were sent again after they may have run
 }
 
 func runBrokenOne(policy bool) brokenOne {
@@ -100,6 +101,7 @@
 	const breaks, detection, heals, end = 10 * time.Second, 11 * time.Second, 40 * time.Second, 80 * time.Second
 	var r brokenOne
 	r.detected = d.stats.phase("", detection, heals)
+	orders := d.stats.phase("order", detection, heals)
 	r.healed = d.stats.phase("", heals+30*time.Second, end)
 	d.offer(load("check", 10, 0.3, checkTime, checkTimeout, true), end, submit)
 	d.offer(load("order", 5, 0.3, checkTime, checkTimeout, false), end, submit)
@@ -113,6 +115,7 @@
 	d.run(end)
 	r.sendsHealed = share(bad.sends-before, r.healed.sends) * executors
 	r.failures = share(r.detected.failed, r.detected.offered)
+	r.repeated = share(orders.sends-orders.offered+orders.refused, orders.offered)
 	return r
 }
 
@@ -121,6 +124,7 @@
 	r := runBrokenOne(true)
 	assert.Assert(t, r.failures < 0.005, "failed %.4f", r.failures)
 	assert.Assert(t, r.sendsBroken < 0.01, "its part of the load %.4f", r.sendsBroken)
+	assert.Equal(t, r.repeated, 0.0, "non-repeatable requests sent again")
 	assert.Assert(t, r.sendsHealed > 0.5, "its part of an equal share 30 s after healing %.2f", r.sendsHealed)
 }
 
@@ -129,6 +133,7 @@
 		r := runBrokenOne(policy)
 		b.ReportMetric(100*r.failures, "failed-%")
 		b.ReportMetric(100*r.sendsBroken, "load-while-broken-%")
+		b.ReportMetric(100*r.repeated, "orders-sent-again-%")
 		b.ReportMetric(100*r.sendsHealed, "of-equal-share-30s-after-healing-%")
 	})
 }
--- a/entry/dispatch/service.go
+++ b/entry/dispatch/service.go
@@ -83,10 +83,8 @@
 	return n
 }
 
-// Demand returns the slots that the load offered here asks for.
-func (s *Service) Demand() int {
-	return max(slotsFor(s.classes.load(math.MinInt64)), s.InFlight())
-}
+// Demand returns the slots that the load offered here takes on average.
+func (s *Service) Demand() int { return slotsFor(s.classes.load(math.MinInt64)) }
 
 // Executors returns the executors in routing; the slice must not be changed.
 func (s *Service) Executors() []*Executor { return s.members.Load().all }
--- a/policy/routing/divide.go
+++ b/policy/routing/divide.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
+	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 )
@@ -13,6 +15,11 @@
 	Count int
 }
 
+// GrowthDelay is how long an entry instance waits before it uses slots that a new
+// division gives it. The summaries reach all peers in less, and most requests that
+// ran in those slots have ended by then.
+const GrowthDelay = 400 * time.Millisecond
+
 // PeerLoad is what an entry instance tells its peers of its load.
 type PeerLoad struct {
 	Peer     string        `cbor:"1,keyasint"`
@@ -38,8 +45,8 @@
 // Divide returns how many slots of each executor self may use. Entry instances
 // that pass the same arguments but for self get disjoint parts, so that
 // executors are not overrun while the arguments agree. Demands in an availability
-// zone are met there first and spill to others; what is left over is split
-// evenly in its availability zone. Each entry instance gets at least one slot of
+// zone are met there first and spill to others. What is left goes to headroom for
+// bursts, and then in even parts to the entry instances of its availability zone. Each entry instance gets at least one slot of
 // the service; only where there are fewer slots than entry instances can parts
 // overlap by that.
 func Divide(executors []Slots, demands []Demand, self string) []int {
@@ -53,6 +60,7 @@
 	d := newDivision(executors, peers)
 	d.meet(func(Demand) int { return 1 })
 	d.meet(func(p Demand) int { return d.demand(p) - 1 })
+	d.meet(func(p Demand) int { return headroom(d.demand(p)) })
 	d.splitRest()
 	for zone := range d.zones {
 		d.layOut(zone, own, executors, result)
@@ -122,6 +130,13 @@
 	return max(p.Slots, 1)
 }
 
+// burstFactor times the root of a load is the headroom that chance bursts take.
+const burstFactor = 2
+
+func headroom(slots int) int {
+	return int(math.Ceil(burstFactor * math.Sqrt(float64(slots))))
+}
+
 // meetAtHome gives each availability zone's slots to its own peers.
 func (d *division) meetAtHome() {
 	for i := range d.zones {
