--- a/entry/dispatch/executor.go
+++ b/entry/dispatch/executor.go
@@ -33,13 +33,19 @@
 	successes   atomic.Int64
 	failures    atomic.Int64
 	consecutive atomic.Int64
+	answered    atomic.Int64 // time of the last success, nanoseconds since the epoch
 	busyUntil   atomic.Int64 // nanoseconds since the epoch
 	busyLimit   atomic.Int64 // holds until busyUntil
 
 	mu     sync.Mutex
 	member health.Member
 	since  time.Time // start of slow start
-	share  int       // of the slots, by the division between entry instances
+
+	// The part of the slots by the division between entry instances: as used now,
+	// and as it will be from growAt.
+	share     int
+	nextShare int
+	growAt    time.Time
 }
 
 // Load implements routing.Candidate.
@@ -62,6 +68,10 @@
 // Limit returns the requests that this entry instance may run there at once.
 func (e *Executor) Limit() int { return int(e.limit.Load()) }
 
+// AnsweredSince reports whether the executor has answered any request since t. One
+// that has is alive, so that an overdue answer is a slow one.
+func (e *Executor) AnsweredSince(t time.Time) bool { return e.answered.Load() >= t.UnixNano() }
+
 // tryAcquire takes a slot below the limit.
 func (e *Executor) tryAcquire() bool {
 	for {
@@ -108,6 +118,9 @@
 
 // refreshLimit recomputes ramp and limit; the lock is held.
 func (e *Executor) refreshLimit(now time.Time) {
+	if e.nextShare > e.share && !now.Before(e.growAt) {
+		e.share = e.nextShare
+	}
 	ramp := routing.Ramp(now.Sub(e.since))
 	limit := routing.RampedLimit(e.share, ramp)
 	if now.UnixNano() < e.busyUntil.Load() {
