Claim callers' own keys in the store and pass tickets to their minters

Cause: only tickets presented to their own minter were served. Change: claims by create-if-absent under leases that are never renewed, read back after an ambiguous answer, within a budget of calls; tickets asked for at their minter over the mesh; released grants are remembered, so that a claim that was not used can be taken over by its revision; refusals carry the verdict of the submission; clean-up in the background.

--- /dev/null
+++ b/entry/submission/background.go
@@ -0,0 +1,96 @@
+package submission
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	maxJobs    = 4096
+	jobWorkers = 4
+	// jobAttempts and jobPause bound the tries of one job.
+	jobAttempts = 20
+	jobPause    = 500 * time.Millisecond
+)
+
+// job is clean-up whose loss costs accuracy but never safety.
+type job struct {
+	// do reports whether the job is settled.
+	do    func(ctx context.Context) bool
+	tries int
+}
+
+// background runs jobs, each a few times until it is settled.
+type background struct {
+	queue   chan *job
+	pending atomic.Int64 // queued, running or waiting for the next try
+	ctx     context.Context
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
+	giveUp  func() // called for each job that is given up
+}
+
+func newBackground(giveUp func()) *background {
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &background{queue: make(chan *job, maxJobs), ctx: ctx, cancel: cancel, giveUp: giveUp}
+	for range jobWorkers {
+		b.group.Go(b.work)
+	}
+	return b
+}
+
+// add queues a job; it is given up if too many are pending.
+func (b *background) add(do func(ctx context.Context) bool) {
+	if b.pending.Add(1) > maxJobs {
+		b.drop()
+		return
+	}
+	b.queue <- &job{do: do} // has room for all that are pending
+}
+
+func (b *background) drop() {
+	b.pending.Add(-1)
+	b.giveUp()
+}
+
+func (b *background) work() {
+	for {
+		select {
+		case j := <-b.queue:
+			b.run(j)
+		case <-b.ctx.Done():
+			return
+		}
+	}
+}
+
+// run tries a job once and queues it again after a pause where it is not settled.
+func (b *background) run(j *job) {
+	j.tries++
+	switch {
+	case j.do(b.ctx):
+		b.pending.Add(-1)
+	case j.tries >= jobAttempts:
+		b.drop()
+	default:
+		time.AfterFunc(jobPause, func() { b.queue <- j })
+	}
+}
+
+// close runs each job that is still queued once, until ctx ends.
+func (b *background) close(ctx context.Context) {
+	b.cancel()
+	b.group.Wait()
+	for {
+		select {
+		case j := <-b.queue:
+			if ctx.Err() != nil || !j.do(ctx) {
+				b.drop()
+			}
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/entry/submission/budget.go
@@ -0,0 +1,76 @@
+package submission
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// errBudget says that the calls of the store set aside for claims are used up.
+var errBudget = errors.New("the store's calls for claims are used up for now")
+
+// budgetError carries the time after which a call is likely to be free.
+type budgetError struct{ after time.Duration }
+
+// Error implements error.
+func (e *budgetError) Error() string { return errBudget.Error() }
+
+// Unwrap returns errBudget.
+func (e *budgetError) Unwrap() error { return errBudget }
+
+// budget bounds the calls of the store, so that a wave of submissions leaves
+// room for leases and configuration. Clean-up uses only what claims leave over.
+type budget struct {
+	limiter *rate.Limiter
+	reserve float64 // tokens that clean-up leaves for claims
+	maxWait time.Duration
+}
+
+func newBudget(perSecond float64, burst int, maxWait time.Duration) *budget {
+	return &budget{
+		limiter: rate.NewLimiter(rate.Limit(perSecond), burst),
+		reserve: float64(burst) / 2,
+		maxWait: maxWait,
+	}
+}
+
+// take waits for the right to make one call for a claim.
+func (b *budget) take(ctx context.Context, now time.Time) error {
+	reservation := b.limiter.ReserveN(now, 1)
+	delay := reservation.DelayFrom(now)
+	if delay > b.maxWait || outlasts(ctx, now, delay) {
+		reservation.CancelAt(now)
+		return &budgetError{after: delay}
+	}
+	if err := sleep(ctx, delay); err != nil {
+		reservation.CancelAt(now)
+		return err
+	}
+	return nil
+}
+
+// takeSpare takes the right to make one call for clean-up, if there is one to spare.
+func (b *budget) takeSpare(now time.Time) bool {
+	return b.limiter.TokensAt(now) > b.reserve && b.limiter.AllowN(now, 1)
+}
+
+func outlasts(ctx context.Context, now time.Time, delay time.Duration) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && now.Add(delay).After(deadline)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/entry/submission/claims.go
@@ -0,0 +1,291 @@
+package submission
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/platform"
+)
+
+// maxAcquireSteps bounds the rounds of one acquire against others' changes.
+const maxAcquireSteps = 4
+
+var (
+	errContended = errors.New("the claim kept changing")
+	errRepeat    = fmt.Errorf("try once more: %w", errContended)
+	errTooSlow   = errors.New("the claim took so long that it would lapse too early")
+)
+
+// claims makes and releases claims in the platform's store.
+type claims struct {
+	store       platform.Store
+	leases      *leases
+	budget      *budget
+	breaker     *breaker
+	callTimeout time.Duration
+	now         func() time.Time
+	// phaseOf asks how the grant of another claim stands.
+	phaseOf func(ctx context.Context, key Key, c claim) view
+}
+
+// holding is a claim that this entry instance holds.
+type holding struct {
+	storeKey string
+	claim    claim
+	revision platform.Revision
+	lease    claimLease
+}
+
+// acquisition is the outcome of acquire: the claim is ours, or it stands as other
+// says, or, after an error, uncertain says whether it may exist.
+type acquisition struct {
+	held      *holding
+	other     view
+	uncertain bool
+}
+
+// attempt is one run of acquire.
+type attempt struct {
+	*claims
+	key      Key
+	storeKey string
+	mine     claim
+	value    []byte
+}
+
+// acquire claims the submission with a grant of its own. Each step that may have
+// taken effect without an answer is resolved by reading the claim back. After an
+// error the claim may exist; its grant must never be used.
+func (c *claims) acquire(ctx context.Context, key Key, mine claim) (acquisition, error) {
+	value, err := mine.encode()
+	if err != nil {
+		return acquisition{}, err
+	}
+	a := &attempt{claims: c, key: key, storeKey: claimKey(key), mine: mine, value: value}
+	var uncertain bool
+	last := errContended
+	for range maxAcquireSteps {
+		got, err := a.step(ctx)
+		uncertain = uncertain || got.uncertain
+		if err == nil && (got.held != nil || got.other.phase != PhaseReleased) {
+			return got, nil
+		}
+		if err != nil {
+			last = err
+		}
+		if isFinal(err) {
+			break
+		}
+	}
+	return acquisition{uncertain: uncertain}, last
+}
+
+// step creates the claim or, where one exists, looks at it and takes it over if
+// its holder gave it up. It is repeated after errRepeat.
+func (a *attempt) step(ctx context.Context) (acquisition, error) {
+	lease, err := a.lease(ctx)
+	if err != nil {
+		return acquisition{}, &finalError{err}
+	}
+	revision, err := a.create(ctx, a.storeKey, a.value, lease)
+	if err == nil {
+		return a.own(revision, lease)
+	}
+	uncertain := !isWithoutEffect(err)
+	if isRefused(err) {
+		return acquisition{}, &finalError{err}
+	}
+	entry, err := a.get(ctx, a.storeKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return acquisition{uncertain: uncertain}, errRepeat
+	}
+	if err != nil {
+		return acquisition{uncertain: uncertain}, &finalError{fmt.Errorf("read the claim back: %w", err)}
+	}
+	got, err := a.judge(ctx, entry, lease)
+	got.uncertain = got.uncertain || uncertain
+	return got, err
+}
+
+// judge decides about a claim that exists.
+func (a *attempt) judge(ctx context.Context, entry platform.Entry, lease claimLease) (acquisition, error) {
+	found := decodeClaim(entry.Value)
+	if found.Grant == a.mine.Grant {
+		return a.own(entry.Revision, lease)
+	}
+	stands := a.phaseOf(ctx, a.key, found)
+	if stands.phase != PhaseReleased {
+		return acquisition{other: stands}, nil
+	}
+	revision, err := a.takeOver(ctx, entry, a.value, lease)
+	if err == nil {
+		return a.own(revision, lease)
+	}
+	return acquisition{uncertain: !isWithoutEffect(err)}, errRepeat
+}
+
+// own checks that the claim lasts the whole retention.
+func (a *attempt) own(revision platform.Revision, lease claimLease) (acquisition, error) {
+	if !a.leases.covers(lease, a.now()) {
+		return acquisition{uncertain: true}, &finalError{errTooSlow}
+	}
+	held := &holding{storeKey: a.storeKey, claim: a.mine, revision: revision, lease: lease}
+	return acquisition{held: held}, nil
+}
+
+// finalError ends an acquire.
+type finalError struct{ error }
+
+// Unwrap returns the cause.
+func (e *finalError) Unwrap() error { return e.error }
+
+func isFinal(err error) bool {
+	var final *finalError
+	return errors.As(err, &final)
+}
+
+// isRefused reports whether the call had no effect and another one now is no use.
+func isRefused(err error) bool {
+	return errors.Is(err, errBudget) || errors.Is(err, errStoreOut) ||
+		errors.Is(err, platform.ErrRateLimited) || verdict.Of(err) == verdict.NotRun
+}
+
+// isWithoutEffect reports whether a write that failed certainly changed nothing.
+func isWithoutEffect(err error) bool { return isAnswer(err) || isRefused(err) }
+
+// lease returns the lease for claims made now.
+func (c *claims) lease(ctx context.Context) (claimLease, error) {
+	if lease, ok := c.leases.get(c.now()); ok {
+		return lease, nil
+	}
+	var lease claimLease
+	err := c.call(ctx, func(ctx context.Context) error {
+		var err error
+		lease, err = c.leases.renew(ctx, c.now())
+		return err
+	})
+	if err != nil {
+		return claimLease{}, fmt.Errorf("open a lease for claims: %w", err)
+	}
+	return lease, nil
+}
+
+func (c *claims) create(ctx context.Context, storeKey string, value []byte, lease claimLease) (platform.Revision, error) {
+	var revision platform.Revision
+	err := c.call(ctx, func(ctx context.Context) error {
+		var err error
+		revision, err = c.store.Create(ctx, storeKey, value, lease.id)
+		return err
+	})
+	if errors.Is(err, platform.ErrLeaseLost) {
+		c.leases.forget(lease)
+	}
+	return revision, err
+}
+
+func (c *claims) get(ctx context.Context, storeKey string) (platform.Entry, error) {
+	var entry platform.Entry
+	err := c.call(ctx, func(ctx context.Context) error {
+		var err error
+		entry, err = c.store.Get(ctx, storeKey)
+		return err
+	})
+	return entry, err
+}
+
+// takeOver replaces a claim whose holder gave it up. The revision makes sure that
+// only one can.
+func (c *claims) takeOver(ctx context.Context, entry platform.Entry, value []byte, lease claimLease) (platform.Revision, error) {
+	var revision platform.Revision
+	err := c.call(ctx, func(ctx context.Context) error {
+		var err error
+		revision, err = c.store.Swap(ctx, entry.Key, value, entry.Revision, lease.id)
+		return err
+	})
+	return revision, err
+}
+
+// call makes one call within the budget.
+func (c *claims) call(ctx context.Context, do func(ctx context.Context) error) error {
+	if err := c.breaker.allow(c.now()); err != nil {
+		return err
+	}
+	if err := c.budget.take(ctx, c.now()); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.callTimeout)
+	defer cancel()
+	err := do(ctx)
+	c.breaker.report(isAnswer(err), c.now())
+	return err
+}
+
+// isAnswer reports whether err is what a store that works may answer.
+func isAnswer(err error) bool {
+	if err == nil {
+		return true
+	}
+	for _, answer := range []error{
+		platform.ErrNotFound, platform.ErrExists, platform.ErrConflict, platform.ErrLeaseLost, platform.ErrRateLimited,
+	} {
+		if errors.Is(err, answer) {
+			return true
+		}
+	}
+	return false
+}
+
+// drop removes a claim that was given up; it reports whether that is settled.
+// Only calls to spare are used.
+func (c *claims) drop(ctx context.Context, held holding) bool {
+	if held.revision == 0 {
+		return c.findAndDrop(ctx, held)
+	}
+	return c.spare(ctx, func(ctx context.Context) error {
+		return c.store.Delete(ctx, held.storeKey, held.revision)
+	})
+}
+
+// findAndDrop removes a claim of which it is not known whether it was made.
+func (c *claims) findAndDrop(ctx context.Context, held holding) bool {
+	var entry platform.Entry
+	var err error
+	settled := c.spare(ctx, func(ctx context.Context) error {
+		entry, err = c.store.Get(ctx, held.storeKey)
+		return err
+	})
+	if !settled || err != nil || decodeClaim(entry.Value).Grant != held.claim.Grant {
+		return settled
+	}
+	held.revision = entry.Revision
+	return c.drop(ctx, held)
+}
+
+// recordEnd writes the outcome into the claim, for the time when this entry
+// instance is gone.
+func (c *claims) recordEnd(ctx context.Context, held holding) bool {
+	value, err := held.claim.encode()
+	if err != nil {
+		return true
+	}
+	return c.spare(ctx, func(ctx context.Context) error {
+		_, err := c.store.Swap(ctx, held.storeKey, value, held.revision, held.lease.id)
+		return err
+	})
+}
+
+// spare makes one call for clean-up; it reports whether the store answered.
+func (c *claims) spare(ctx context.Context, do func(ctx context.Context) error) bool {
+	now := c.now()
+	if c.breaker.allow(now) != nil || !c.budget.takeSpare(now) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.callTimeout)
+	defer cancel()
+	err := do(ctx)
+	c.breaker.report(isAnswer(err), c.now())
+	return isAnswer(err) && !errors.Is(err, platform.ErrRateLimited)
+}
--- a/entry/submission/memory.go
+++ b/entry/submission/memory.go
@@ -3,48 +3,24 @@
 import (
 	"container/heap"
 	"hash/maphash"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// Phase says where a submission stands.
-type Phase uint8
-
-// The phases of a submission.
-const (
-	// PhaseUnknown means that the entry instance that knew has been replaced.
-	PhaseUnknown Phase = iota
-	// PhaseInProgress means that it was begun and has not ended.
-	PhaseInProgress
-	// PhaseEnded means that it ran or may have run.
-	PhaseEnded
-	// PhaseReleased means that it ended without having run and may be begun again.
-	PhaseReleased
-)
-
-// String returns the phase as callers see it.
-func (p Phase) String() string {
-	switch p {
-	case PhaseInProgress:
-		return "in progress"
-	case PhaseEnded:
-		return "ended"
-	case PhaseReleased:
-		return "not run"
-	default:
-		return "unknown"
-	}
-}
-
 // grantID names one right to send one submission; it is never used twice.
 type grantID [16]byte
 
+// maxNotRun bounds the grants of one submission that are remembered as not run.
+const maxNotRun = 8
+
 // record is what an entry instance remembers of one submission.
 type record struct {
 	key     Key
 	phase   Phase
 	grant   grantID
+	notRun  []grantID // grants that ended without having run
 	outcome Outcome
 	expires time.Time
 	index   int // in the shard's heap
@@ -54,6 +30,7 @@
 type view struct {
 	phase   Phase
 	grant   grantID
+	notRun  []grantID
 	outcome Outcome
 }
 
@@ -68,8 +45,8 @@
 type memory struct {
 	seed       maphash.Seed
 	shardLimit int
-	bodyLimit  int64 // bytes
-	bodyBytes  atomic.Int64
+	keptLimit  int64 // bytes
+	kept       atomic.Int64
 	shards     [memoryShards]shard
 }
 
@@ -79,11 +56,11 @@
 	expiry  expiryHeap
 }
 
-func newMemory(maxRecords int, maxBodyBytes int64) *memory {
+func newMemory(maxRecords int, maxKeptBytes int64) *memory {
 	m := &memory{
 		seed:       maphash.MakeSeed(),
 		shardLimit: max(maxRecords/memoryShards, 1),
-		bodyLimit:  maxBodyBytes,
+		keptLimit:  maxKeptBytes,
 	}
 	for i := range m.shards {
 		m.shards[i].records = map[Key]*record{}
@@ -104,41 +81,47 @@
 	startRefusedFull
 )
 
-// begin starts the submission unless it is in progress or ended. Where it was
-// started before, the view says how it stands. A begin with the grant in
-// progress is repeated without effect; the grant named released, if it is the
-// one in progress, is given up first.
-func (m *memory) begin(key Key, grant, released grantID, expires, now time.Time) (start, view) {
-	s := m.shardOf(key)
+// opening asks memory.begin for a grant.
+type opening struct {
+	key   Key
+	grant grantID
+	// notRun are earlier grants that are known not to have run.
+	notRun  []grantID
+	expires time.Time
+}
+
+// begin starts the submission unless it is in progress or ended; the view says
+// how it stood before. A begin with the grant in progress has no further effect.
+func (m *memory) begin(o opening, now time.Time) (start, view) {
+	s := m.shardOf(o.key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m.sweep(s, now)
-	r, ok := s.records[key]
+	r, ok := s.records[o.key]
 	if !ok {
 		if len(s.records) >= m.shardLimit {
 			return startRefusedFull, view{}
 		}
-		r = &record{key: key, expires: expires}
-		s.records[key] = r
-		heap.Push(&s.expiry, r)
+		r = s.add(o.key, o.expires)
 	}
-	if r.phase == PhaseInProgress && r.grant == released {
-		r.phase = PhaseReleased
+	if r.phase == PhaseInProgress && slices.Contains(o.notRun, r.grant) {
+		r.release()
 	}
-	if r.phase == PhaseInProgress && r.grant == grant {
-		return started, r.view()
+	before := r.view()
+	if r.phase == PhaseInProgress && r.grant == o.grant {
+		return started, before
 	}
 	if r.phase == PhaseInProgress || r.phase == PhaseEnded {
-		return startedBefore, r.view()
+		return startedBefore, before
 	}
-	r.phase, r.grant = PhaseInProgress, grant
-	m.setExpiry(s, r, expires)
-	return started, r.view()
+	r.phase, r.grant = PhaseInProgress, o.grant
+	s.setExpiry(r, o.expires)
+	return started, before
 }
 
 // end records the outcome of a grant in progress; it reports false where another
 // grant has taken its place or nothing is known of it.
-func (m *memory) end(key Key, grant grantID, phase Phase, outcome Outcome, now time.Time) bool {
+func (m *memory) end(key Key, grant grantID, outcome Outcome, now time.Time) bool {
 	s := m.shardOf(key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -147,7 +130,11 @@
 	if !ok || r.grant != grant || r.phase != PhaseInProgress {
 		return false
 	}
-	r.phase = phase
+	if phaseOf(outcome) == PhaseReleased {
+		r.release()
+		return true
+	}
+	r.phase = PhaseEnded
 	r.outcome = m.keep(outcome)
 	return true
 }
@@ -177,61 +164,62 @@
 	return n
 }
 
-func (r *record) view() view { return view{r.phase, r.grant, r.outcome} }
-
-// keep drops the body where no room is left for it.
+// keep drops the answer where no room is left for it.
 func (m *memory) keep(outcome Outcome) Outcome {
-	size := int64(len(outcome.Body))
-	if m.bodyBytes.Add(size) > m.bodyLimit {
-		m.bodyBytes.Add(-size)
-		outcome.Body = nil
+	size := outcome.size()
+	if m.kept.Add(size) > m.keptLimit {
+		m.kept.Add(-size)
+		outcome.Header, outcome.Body = nil, nil
 	}
 	return outcome
 }
 
-func (m *memory) setExpiry(s *shard, r *record, expires time.Time) {
-	r.expires = expires
-	heap.Fix(&s.expiry, r.index)
-}
-
-// sweep drops the expired records, of which each begin adds at most one.
+// sweep drops the expired records of a shard.
 func (m *memory) sweep(s *shard, now time.Time) {
 	for len(s.expiry) > 0 && !now.Before(s.expiry[0].expires) {
 		r := s.expiry[0]
 		if r.phase == PhaseInProgress {
-			m.setExpiry(s, r, now.Add(inProgressExtension))
+			s.setExpiry(r, now.Add(inProgressExtension))
 			continue
 		}
 		heap.Pop(&s.expiry)
 		delete(s.records, r.key)
-		m.bodyBytes.Add(-int64(len(r.outcome.Body)))
+		m.kept.Add(-r.outcome.size())
 	}
 }
 
-// expiryHeap orders records by expiry.
-type expiryHeap []*record
+func (s *shard) add(key Key, expires time.Time) *record {
+	r := &record{key: key, expires: expires}
+	s.records[key] = r
+	heap.Push(&s.expiry, r)
+	return r
+}
 
-func (h expiryHeap) Len() int           { return len(h) }
-func (h expiryHeap) Less(i, j int) bool { return h[i].expires.Before(h[j].expires) }
+func (s *shard) setExpiry(r *record, expires time.Time) {
+	r.expires = expires
+	heap.Fix(&s.expiry, r.index)
+}
 
-// Swap implements heap.Interface.
-func (h expiryHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
+// release ends a grant that has not run.
+func (r *record) release() {
+	r.phase = PhaseReleased
+	if len(r.notRun) == maxNotRun {
+		r.notRun = slices.Delete(r.notRun, 0, 1)
+	}
+	r.notRun = append(r.notRun, r.grant)
 }
 
-// Push implements heap.Interface.
-func (h *expiryHeap) Push(x any) {
-	r := x.(*record)
-	r.index = len(*h)
-	*h = append(*h, r)
+func (r *record) view() view {
+	return view{phase: r.phase, grant: r.grant, notRun: slices.Clone(r.notRun), outcome: r.outcome}
 }
 
-// Pop implements heap.Interface.
-func (h *expiryHeap) Pop() any {
-	last := len(*h) - 1
-	r := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return r
+// phaseOfGrant returns how one grant stands.
+func (v view) phaseOfGrant(grant grantID) Phase {
+	if slices.Contains(v.notRun, grant) {
+		return PhaseReleased
+	}
+	if v.grant == grant {
+		return v.phase
+	}
+	return PhaseUnknown
 }
--- /dev/null
+++ b/entry/submission/network_test.go
@@ -0,0 +1,91 @@
+package submission
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+)
+
+var errCut = errors.New("no way to the peer")
+
+// network connects keepers. Calls may be cut, slow, or lose their answers.
+type network struct {
+	mu       sync.Mutex
+	handlers map[fleet.InstanceID]map[string]Handler
+	cut      map[fleet.InstanceID]bool
+	latency  time.Duration
+	losing   int // percent of calls whose answer is lost
+	random   *rand.Rand
+}
+
+func newNetwork(seed uint64) *network {
+	return &network{
+		handlers: map[fleet.InstanceID]map[string]Handler{},
+		cut:      map[fleet.InstanceID]bool{},
+		random:   rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// endpoint is the network as one keeper sees it.
+type endpoint struct {
+	*network
+	self fleet.InstanceID
+}
+
+// Handle implements HandlerRegistry.
+func (e endpoint) Handle(method string, handler Handler) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.handlers[e.self] == nil {
+		e.handlers[e.self] = map[string]Handler{}
+	}
+	e.handlers[e.self][method] = handler
+}
+
+// Call implements Peers.
+func (e endpoint) Call(ctx context.Context, peer fleet.InstanceID, method string, payload []byte) ([]byte, error) {
+	handler, latency, lost := e.route(peer, method)
+	if handler == nil {
+		return nil, errCut
+	}
+	if err := sleep(ctx, latency); err != nil {
+		return nil, err
+	}
+	answer, err := handler(context.Background(), e.self, payload)
+	if lost {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return answer, err
+}
+
+func (e endpoint) route(peer fleet.InstanceID, method string) (Handler, time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cut[e.self] || e.cut[peer] {
+		return nil, 0, false
+	}
+	return e.handlers[peer][method], e.latency, e.random.IntN(100) < e.losing
+}
+
+func (n *network) setCut(id fleet.InstanceID, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[id] = cut
+}
+
+func (n *network) remove(id fleet.InstanceID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.handlers, id)
+}
+
+func (n *network) setFaults(latency time.Duration, losing int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.latency, n.losing = latency, losing
+}
--- a/entry/submission/options.go
+++ b/entry/submission/options.go
@@ -31,6 +31,14 @@
 	Call(ctx context.Context, peer fleet.InstanceID, method string, payload []byte) ([]byte, error)
 }
 
+// Handler serves calls of one method from other entry instances.
+type Handler = func(ctx context.Context, from fleet.InstanceID, payload []byte) ([]byte, error)
+
+// HandlerRegistry takes the handlers for calls from other entry instances.
+type HandlerRegistry interface {
+	Handle(method string, handler Handler)
+}
+
 // Options sets up a Keeper. Zero fields but Self take the defaults.
 type Options struct {
 	// Self is this entry instance.
--- /dev/null
+++ b/entry/submission/peers.go
@@ -0,0 +1,137 @@
+package submission
+
+import (
+	"context"
+	"errors"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+)
+
+var errNoPeers = errors.New("no way to other entry instances")
+
+// ask calls a method on a peer.
+func ask[Reply, Request any](ctx context.Context, k *Keeper, peer fleet.InstanceID, method string, request Request) (Reply, error) {
+	var none Reply
+	if k.options.Peers == nil {
+		return none, errNoPeers
+	}
+	payload, err := encodeMessage(request)
+	if err != nil {
+		return none, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, k.options.PeerTimeout)
+	defer cancel()
+	answer, err := k.options.Peers.Call(ctx, peer, method, payload)
+	if err != nil {
+		return none, err
+	}
+	return decodeMessage[Reply](answer)
+}
+
+// serve makes a handler for Peers from one on typed messages.
+func serve[Request, Reply any](handle func(from fleet.InstanceID, request Request) Reply) Handler {
+	return func(_ context.Context, from fleet.InstanceID, payload []byte) ([]byte, error) {
+		request, err := decodeMessage[Request](payload)
+		if err != nil {
+			e := verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the message cannot be read")
+			e.Err = err
+			return nil, e
+		}
+		return encodeMessage(handle(from, request))
+	}
+}
+
+// Register sets the handlers for calls from other entry instances.
+func (k *Keeper) Register(peers HandlerRegistry) {
+	peers.Handle(MethodBegin, serve(k.serveBegin))
+	peers.Handle(MethodFinish, serve(k.serveFinish))
+	peers.Handle(MethodState, serve(k.serveState))
+}
+
+// serveBegin grants a ticket minted here to another entry instance.
+func (k *Keeper) serveBegin(_ fleet.InstanceID, r beginRequest) beginReply {
+	key := Key{Tenant: r.Tenant, Value: r.Ticket}
+	t, err := decodeTicket(r.Ticket)
+	if err != nil {
+		return refusedReply(invalidTicket())
+	}
+	if refusal := k.grantTicket(key, t, r.Grant, r.NotRun, r.Attempt); refusal != nil {
+		return refusedReply(refusal)
+	}
+	return beginReply{}
+}
+
+func refusedReply(e *verdict.Error) beginReply {
+	reply := beginReply{Code: e.Code, Verdict: e.Verdict, Detail: e.Detail}
+	var d *DuplicateError
+	if errors.As(e, &d) {
+		reply.State = stateOf(view{phase: d.Phase, outcome: d.Outcome})
+	}
+	return reply
+}
+
+// err returns the refusal that a reply carries, or nil.
+func (r beginReply) err() *verdict.Error {
+	switch r.Code {
+	case "":
+		return nil
+	case verdict.CodeDuplicate:
+		return duplicate(r.State.view())
+	default:
+		return verdict.New(r.Verdict, r.Code, r.Detail)
+	}
+}
+
+// serveFinish records how a ticket's submission ended at another entry instance.
+func (k *Keeper) serveFinish(_ fleet.InstanceID, r finishRequest) finishReply {
+	key := Key{Tenant: r.Tenant, Value: r.Ticket}
+	k.memory.end(key, r.Grant, r.Outcome.outcome().trimmed(k.options.KeepBodyBytes), k.now())
+	return finishReply{}
+}
+
+// serveState says how a claim of this entry instance stands.
+func (k *Keeper) serveState(_ fleet.InstanceID, r stateRequest) stateReply {
+	return stateOf(k.ownState(Key{Tenant: r.Tenant, Value: r.Value}, r.Incarnation, r.Grant))
+}
+
+// ownState returns how a grant of this run of this entry instance stands.
+func (k *Keeper) ownState(key Key, incarnation incarnationID, grant grantID) view {
+	if incarnation != k.mint.incarnation {
+		return view{}
+	}
+	seen, known := k.memory.look(key, k.now())
+	if !known {
+		return view{}
+	}
+	phase := seen.phaseOfGrant(grant)
+	if phase != PhaseEnded {
+		return view{phase: phase}
+	}
+	return view{phase: phase, outcome: seen.outcome}
+}
+
+// stateOfClaim asks the holder of a claim how it stands. Where the holder is gone
+// the claim's own record counts.
+func (k *Keeper) stateOfClaim(ctx context.Context, key Key, c claim) view {
+	stands := k.holderView(ctx, key, c)
+	if stands.phase == PhaseUnknown {
+		return c.view()
+	}
+	return stands
+}
+
+func (k *Keeper) holderView(ctx context.Context, key Key, c claim) view {
+	if c.Owner == k.mint.self {
+		return k.ownState(key, c.Incarnation, c.Grant)
+	}
+	if c.Owner == "" {
+		return view{}
+	}
+	request := stateRequest{Tenant: key.Tenant, Value: key.Value, Grant: c.Grant, Incarnation: c.Incarnation}
+	reply, err := ask[stateReply](ctx, k, c.Owner, MethodState, request)
+	if err != nil {
+		return view{}
+	}
+	return reply.view()
+}
--- a/entry/submission/ticket.go
+++ b/entry/submission/ticket.go
@@ -27,6 +27,9 @@
 	secretBytes      = 32
 )
 
+// incarnationID names one run of one entry instance.
+type incarnationID [incarnationBytes]byte
+
 // MaxKeyBytes is the longest key that a caller may send.
 const MaxKeyBytes = 512
 
@@ -36,7 +39,7 @@
 // incarnation, expiry (Unix seconds), nonce, MAC and the minter's ID.
 type ticket struct {
 	minter      fleet.InstanceID
-	incarnation [incarnationBytes]byte
+	incarnation incarnationID
 	expiry      int64 // Unix seconds
 	nonce       [nonceBytes]byte
 	mac         [macBytes]byte
@@ -98,7 +101,7 @@
 // has not minted, and it need not remember tickets that nobody uses.
 type mint struct {
 	self        fleet.InstanceID
-	incarnation [incarnationBytes]byte
+	incarnation incarnationID
 	secret      [secretBytes]byte
 	lifetime    time.Duration
 }
