--- a/entry/submission/claim.go
+++ b/entry/submission/claim.go
@@ -20,13 +20,12 @@
 
 // claim is the store's record that one entry instance may send one submission.
 type claim struct {
-	Owner       fleet.InstanceID `cbor:"1,keyasint"`
-	Incarnation incarnationID    `cbor:"2,keyasint"`
-	Grant       grantID          `cbor:"3,keyasint"`
+	Owner fleet.InstanceID `cbor:"1,keyasint"`
+	Grant grantID          `cbor:"2,keyasint"`
 	// Ended says that Verdict and Status are set.
-	Ended   bool            `cbor:"4,keyasint,omitempty"`
-	Verdict verdict.Verdict `cbor:"5,keyasint,omitempty"`
-	Status  int             `cbor:"6,keyasint,omitempty"`
+	Ended   bool            `cbor:"3,keyasint,omitempty"`
+	Verdict verdict.Verdict `cbor:"4,keyasint,omitempty"`
+	Status  int             `cbor:"5,keyasint,omitempty"`
 }
 
 // claimKey returns the store's key of a submission.
--- a/entry/submission/message.go
+++ b/entry/submission/message.go
@@ -46,10 +46,9 @@
 type finishReply struct{}
 
 type stateRequest struct {
-	Tenant      string        `cbor:"1,keyasint"`
-	Value       string        `cbor:"2,keyasint"`
-	Grant       grantID       `cbor:"3,keyasint"`
-	Incarnation incarnationID `cbor:"4,keyasint"`
+	Tenant string  `cbor:"1,keyasint"`
+	Value  string  `cbor:"2,keyasint"`
+	Grant  grantID `cbor:"3,keyasint"`
 }
 
 type stateReply struct {
--- a/entry/submission/own.go
+++ b/entry/submission/own.go
@@ -12,7 +12,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	mine := claim{Owner: k.mint.self, Incarnation: k.mint.incarnation, Grant: opened.grant}
+	mine := claim{Owner: k.mint.self, Grant: opened.grant}
 	got, err := k.acquire(ctx, key, mine)
 	if err != nil {
 		k.giveUp(key, opened.grant)
--- a/entry/submission/peers.go
+++ b/entry/submission/peers.go
@@ -92,14 +92,12 @@
 
 // serveState says how a claim of this entry instance stands.
 func (k *Keeper) serveState(_ fleet.InstanceID, r stateRequest) stateReply {
-	return stateOf(k.ownState(Key{Tenant: r.Tenant, Value: r.Value}, r.Incarnation, r.Grant))
+	return stateOf(k.ownState(Key{Tenant: r.Tenant, Value: r.Value}, r.Grant))
 }
 
-// ownState returns how a grant of this run of this entry instance stands.
-func (k *Keeper) ownState(key Key, incarnation incarnationID, grant grantID) view {
-	if incarnation != k.mint.incarnation {
-		return view{}
-	}
+// ownState returns how a grant of this run of this entry instance stands. Of a
+// grant that it does not remember it says nothing.
+func (k *Keeper) ownState(key Key, grant grantID) view {
 	seen, known := k.memory.look(key, k.now())
 	if !known {
 		return view{}
@@ -123,12 +121,12 @@
 
 func (k *Keeper) holderView(ctx context.Context, key Key, c claim) view {
 	if c.Owner == k.mint.self {
-		return k.ownState(key, c.Incarnation, c.Grant)
+		return k.ownState(key, c.Grant)
 	}
 	if c.Owner == "" {
 		return view{}
 	}
-	request := stateRequest{Tenant: key.Tenant, Value: key.Value, Grant: c.Grant, Incarnation: c.Incarnation}
+	request := stateRequest{Tenant: key.Tenant, Value: key.Value, Grant: c.Grant}
 	reply, err := ask[stateReply](ctx, k, c.Owner, MethodState, request)
 	if err != nil {
 		return view{}
