--- a/entry/config/compact.go
+++ b/entry/config/compact.go
@@ -25,7 +25,7 @@
 // compactIfDue compacts after every compactEvery-th revision. A compaction that
 // fails is made up for by the next one.
 func (l *Log) compactIfDue(ctx context.Context, revision object.Revision) {
-	if revision%compactEvery != 0 || revision < logKept+compactEvery {
+	if revision%l.compactEvery != 0 || revision < l.kept+l.compactEvery {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), compactTimeout)
@@ -43,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	target := l.follower.Current().Revision - logKept
+	target := l.follower.Current().Revision - l.kept
 	if target <= base.state.revision() {
 		return l.dropLog(ctx, base.state.revision())
 	}
--- /dev/null
+++ b/entry/config/fleet_test.go
@@ -0,0 +1,215 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"testing/synctest"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/platform"
+	"github.com/tarragonreach/tarragonreach/platform/memory"
+)
+
+// lateStore loses some creates on the way, and lets them take effect later.
+type lateStore struct {
+	platform.Store
+	mu     sync.Mutex
+	random *rand.Rand
+	// percent is the share of creates that are late, by up to lateness.
+	percent int
+}
+
+const lateness = 8 * time.Second
+
+// Create implements platform.Store.
+func (s *lateStore) Create(ctx context.Context, key string, value []byte, lease platform.LeaseID) (platform.Revision, error) {
+	s.mu.Lock()
+	late := s.random.IntN(100) < s.percent
+	after := time.Duration(s.random.Int64N(int64(lateness)))
+	s.mu.Unlock()
+	if !late {
+		return s.Store.Create(ctx, key, value, lease)
+	}
+	go func() {
+		time.Sleep(after)
+		_, _ = s.Store.Create(context.WithoutCancel(ctx), key, value, lease)
+	}()
+	return 0, verdict.New(verdict.MayHaveRun, verdict.CodeConnectionLost, "late")
+}
+
+// node is one entry instance of the test fleet.
+type node struct {
+	id       int
+	view     *memory.View
+	late     *lateStore
+	follower *Follower
+	log      *Log
+	stop     context.CancelFunc
+}
+
+// history is what all followers and operators of a test have seen.
+type history struct {
+	mu       sync.Mutex
+	changes  map[object.Revision]string // the change of each revision in force anywhere
+	accepted map[string]object.Revision
+	refused  map[string]error
+	faults   []error
+}
+
+func newHistory() *history {
+	return &history{changes: map[object.Revision]string{}, accepted: map[string]object.Revision{}, refused: map[string]error{}}
+}
+
+func (h *history) failf(format string, args ...any) {
+	h.faults = append(h.faults, fmt.Errorf(format, args...))
+}
+
+// inForce checks that every follower sees the same change at a revision, and that
+// none goes back.
+func (h *history) inForce(id int, last, now *object.Config) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if last != nil && now.Revision <= last.Revision {
+		h.failf("node %d went from revision %d to %d", id, last.Revision, now.Revision)
+	}
+	if known, ok := h.changes[now.Revision]; ok && known != now.ChangeID {
+		h.failf("revision %d is change %s and change %s", now.Revision, known, now.ChangeID)
+	}
+	if now.Revision > 0 {
+		h.changes[now.Revision] = now.ChangeID
+	}
+}
+
+// outcome notes how an Accept ended. An ambiguous one proves nothing.
+func (h *history) outcome(id string, revision object.Revision, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var conflict *object.Conflict
+	var invalid object.Invalid
+	switch {
+	case err == nil:
+		h.accepted[id] = revision
+	case errors.As(err, &conflict), errors.As(err, &invalid), verdict.Of(err) == verdict.NotRun:
+		h.refused[id] = err
+	}
+}
+
+// check compares what operators were told with what came into force.
+func (h *history) check() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	seen := map[string]object.Revision{}
+	for revision, id := range h.changes {
+		if other, ok := seen[id]; ok {
+			h.failf("change %s is revision %d and %d", id, other, revision)
+		}
+		seen[id] = revision
+		if err, ok := h.refused[id]; ok {
+			h.failf("change %s was refused (%v) but is revision %d", id, err, revision)
+		}
+	}
+	for id, revision := range h.accepted {
+		if seen[id] != revision {
+			h.failf("change %s was accepted as revision %d but is %d", id, revision, seen[id])
+		}
+	}
+	return errors.Join(h.faults...)
+}
+
+// fleetOfNodes runs followers that share a store, with links that can be cut.
+type fleetOfNodes struct {
+	store   *memory.Platform
+	nodes   []*node
+	history *history
+	random  *rand.Rand
+	mu      sync.Mutex
+	group   map[int]int // nodes of the same group reach each other
+}
+
+func newFleet(count int, seed uint64) *fleetOfNodes {
+	f := &fleetOfNodes{
+		store: memory.New(time.Now), history: newHistory(), group: map[int]int{},
+		random: rand.New(rand.NewPCG(seed, seed)), nodes: make([]*node, count),
+	}
+	for i := range count {
+		f.replace(i)
+	}
+	return f
+}
+
+// replace starts an empty node in the place of the one before.
+func (f *fleetOfNodes) replace(i int) {
+	if f.nodes[i] != nil {
+		f.nodes[i].stop()
+	}
+	var ctx context.Context
+	n := &node{id: i, view: f.store.From(strconv.Itoa(i))}
+	n.late = &lateStore{Store: n.view, random: rand.New(rand.NewPCG(f.random.Uint64(), 0))}
+	n.follower = NewFollower(n.late, Options{
+		Self:   Member{ID: fleet.InstanceID(strconv.Itoa(i)), Zone: "z"},
+		Random: rand.New(rand.NewPCG(f.random.Uint64(), 1)),
+	})
+	n.log = NewLog(n.late, n.follower, LogOptions{})
+	n.log.kept, n.log.compactEvery = 3, 2
+	var last *object.Config
+	n.follower.Subscribe(func(c *object.Config) {
+		f.history.inForce(i, last, c)
+		last = c
+	})
+	ctx, n.stop = context.WithCancel(context.Background())
+	f.mu.Lock()
+	f.nodes[i] = n
+	f.mu.Unlock()
+	go func() { _ = n.follower.Run(ctx) }()
+	go f.gossip(ctx, n, f.random.Uint64())
+}
+
+// gossip passes revisions on to the nodes in reach twice a second.
+func (f *fleetOfNodes) gossip(ctx context.Context, n *node, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	for ctx.Err() == nil {
+		time.Sleep(400*time.Millisecond + time.Duration(random.Int64N(int64(200*time.Millisecond))))
+		for _, peer := range f.peers(n) {
+			documents := n.follower.Read(Stream, int64(peer.follower.Current().Revision), 1<<10)
+			_ = peer.follower.Merge(ctx, documents)
+		}
+	}
+}
+
+func (f *fleetOfNodes) peers(n *node) []*node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*node
+	for _, peer := range f.nodes {
+		if peer != nil && peer != n && f.group[peer.id] == f.group[n.id] {
+			out = append(out, peer)
+		}
+	}
+	return out
+}
+
+// partition sets the group of each node.
+func (f *fleetOfNodes) partition(groups []int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.nodes {
+		f.group[i] = groups[i]
+	}
+}
+
+// stopAll ends every node and waits for it.
+func (f *fleetOfNodes) stopAll() {
+	f.store.SetFaults(memory.Faults{})
+	for _, n := range f.nodes {
+		n.stop()
+	}
+	time.Sleep(time.Minute)
+	synctest.Wait()
+}
--- a/entry/config/log.go
+++ b/entry/config/log.go
@@ -43,6 +43,9 @@
 	follower *Follower
 	options  LogOptions
 	logger   *slog.Logger
+	// kept and compactEvery are logKept and compactEvery, smaller in tests.
+	kept         object.Revision
+	compactEvery object.Revision
 }
 
 // NewLog returns a log that shares what it reads and writes with the follower.
@@ -50,7 +53,10 @@
 	if options.Logger == nil {
 		options.Logger = slog.New(slog.DiscardHandler)
 	}
-	return &Log{store: store, follower: follower, options: options, logger: options.Logger}
+	return &Log{
+		store: store, follower: follower, options: options, logger: options.Logger,
+		kept: logKept, compactEvery: compactEvery,
+	}
 }
 
 // Accept validates the change and accepts it as the next revision, which it
@@ -196,7 +202,7 @@
 // been compacted, as by a process paused since it read the log. The log keeps its
 // last entries, so this cannot be where the store saw fewer writes since then.
 func (l *Log) confirm(ctx context.Context, record Record, created, read platform.Revision) error {
-	if created-read <= logKept {
+	if created-read <= platform.Revision(l.kept) {
 		return nil
 	}
 	entry, err := l.store.Get(ctx, snapshotKey)
--- /dev/null
+++ b/entry/config/property_test.go
@@ -0,0 +1,172 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/tarragonreach/tarragonreach/api/object"
+	_ "github.com/tarragonreach/tarragonreach/api/rapidseed"
+	"github.com/tarragonreach/tarragonreach/platform/memory"
+)
+
+const fleetSize = 4
+
+// command is one step of the state machine.
+type command struct {
+	Kind   string
+	Node   int
+	Other  int
+	Tenant int
+	Faults memory.Faults
+	Groups []int
+	Late   int
+	Wait   time.Duration
+}
+
+func drawCommand(t *rapid.T) command {
+	index := rapid.IntRange(0, fleetSize-1)
+	return command{
+		Kind: rapid.SampledFrom([]string{"apply", "apply", "race", "race", "store", "zone", "partition",
+			"replace", "late", "compact events", "settle"}).Draw(t, "kind"),
+		Node:   index.Draw(t, "node"),
+		Other:  index.Draw(t, "other"),
+		Tenant: rapid.IntRange(0, 3).Draw(t, "tenant"),
+		Faults: drawFaults(t),
+		Groups: rapid.SliceOfN(rapid.IntRange(0, 1), fleetSize, fleetSize).Draw(t, "groups"),
+		Late:   rapid.SampledFrom([]int{0, 0, 50, 100}).Draw(t, "late"),
+		Wait:   time.Duration(rapid.IntRange(0, 12000).Draw(t, "wait")) * time.Millisecond,
+	}
+}
+
+func drawFaults(t *rapid.T) memory.Faults {
+	return memory.Faults{
+		Down:              rapid.Bool().Draw(t, "down"),
+		Latency:           time.Duration(rapid.SampledFrom([]int{0, 0, 50, 2000}).Draw(t, "latency")) * time.Millisecond,
+		LostAnswerPercent: rapid.SampledFrom([]int{0, 30, 100}).Draw(t, "lost"),
+		SilentWatches:     rapid.Bool().Draw(t, "silent"),
+		HungWatches:       rapid.Bool().Draw(t, "hung"),
+	}
+}
+
+// TestAcceptedRevisionsNeverRevert runs random operators, partitions, replacements
+// and faults of the store, then heals everything. No revision ever reverts or
+// differs, what was accepted stays, what was refused never shows up, and all nodes
+// converge.
+func TestAcceptedRevisionsNeverRevert(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		commands := rapid.SliceOfN(rapid.Custom(drawCommand), 1, 25).Draw(rt, "commands")
+		var err error
+		synctest.Test(t, func(*testing.T) { err = runCommands(seed, commands) })
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+func runCommands(seed uint64, commands []command) error {
+	f := newFleet(fleetSize, seed)
+	defer f.stopAll()
+	done := make(chan struct{}, 2*len(commands))
+	operators := 0
+	for i, c := range commands {
+		operators += f.run(i, c, done)
+		time.Sleep(c.Wait)
+		if err := f.settled(c); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+	}
+	f.heal()
+	for range operators {
+		<-done
+	}
+	time.Sleep(time.Minute)
+	if err := f.converged(f.nodes); err != nil {
+		return err
+	}
+	return f.history.check()
+}
+
+// run performs a command and returns how many operators it started.
+func (f *fleetOfNodes) run(step int, c command, done chan<- struct{}) int {
+	switch c.Kind {
+	case "apply":
+		go f.apply(fmt.Sprintf("%d", step), f.nodes[c.Node], c.Tenant, done)
+		return 1
+	case "race":
+		go f.apply(fmt.Sprintf("%d-a", step), f.nodes[c.Node], c.Tenant, done)
+		go f.apply(fmt.Sprintf("%d-b", step), f.nodes[c.Other], c.Tenant, done)
+		return 2
+	case "store":
+		f.store.SetFaults(c.Faults)
+	case "zone":
+		f.nodes[c.Node].view.SetFaults(c.Faults)
+	case "partition":
+		f.partition(c.Groups)
+	case "replace":
+		f.replace(c.Node)
+	case "late":
+		late := f.nodes[c.Node].late
+		late.mu.Lock()
+		late.percent = c.Late
+		late.mu.Unlock()
+	case "compact events":
+		f.store.CompactEvents()
+	}
+	return 0
+}
+
+// apply is one operator who edits a tenant as seen on a node.
+func (f *fleetOfNodes) apply(id string, n *node, tenant int, done chan<- struct{}) {
+	defer func() { done <- struct{}{} }()
+	change := putTenant(id, fmt.Sprintf("tenant-%d", tenant), len(id), n.follower.Current())
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	revision, err := n.log.Accept(ctx, change)
+	f.history.outcome(id, revision, err)
+}
+
+// settled checks that nodes in reach of each other hold the same revision once
+// nothing new can come from the store.
+func (f *fleetOfNodes) settled(c command) error {
+	if c.Kind != "settle" {
+		return nil
+	}
+	before := f.store.Faults()
+	f.store.SetFaults(memory.Faults{Down: true})
+	time.Sleep(25 * time.Second) // operators give up, peers pass on
+	defer f.store.SetFaults(before)
+	for _, n := range f.nodes {
+		if err := f.converged(append(f.peers(n), n)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleetOfNodes) heal() {
+	f.store.SetFaults(memory.Faults{})
+	for _, n := range f.nodes {
+		n.view.SetFaults(memory.Faults{})
+	}
+	f.partition(make([]int, fleetSize))
+}
+
+func (f *fleetOfNodes) converged(nodes []*node) error {
+	want := nodes[0].follower.current.Load()
+	for _, n := range nodes[1:] {
+		got := n.follower.current.Load()
+		if got.revision() != want.revision() {
+			return fmt.Errorf("node %d holds revision %d, node %d holds %d", n.id, got.revision(), nodes[0].id, want.revision())
+		}
+		if differences, err := object.Diff(want.config, got.config); err != nil || len(differences) > 0 {
+			return fmt.Errorf("node %d differs from node %d: %v %v", n.id, nodes[0].id, differences, err)
+		}
+	}
+	return nil
+}
