mesh: dial from a fresh socket, and test faults on real sockets

Cause: what lost track of a connection between two ends knows its ports, so a redial from the same socket would stay silent too. Conclusion: silent connections are replaced and half-sent requests do not run.

--- a/mesh/connect.go
+++ b/mesh/connect.go
@@ -55,21 +55,36 @@
 	close(d.done)
 }
 
+// open dials from a socket of its own: whatever lost track of an earlier
+// connection between the two ends knows its addresses and ports.
 func (n *Node) open(address string) (*conn, error) {
 	remote, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, fmt.Errorf("mesh address %q: %w", address, err)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 2*handshakeTimeout)
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: n.localIP})
+	if err != nil {
+		return nil, fmt.Errorf("mesh dial %s: %w", address, err)
+	}
+	transport := &quic.Transport{Conn: socket}
+	ctx, cancel := context.WithTimeout(n.running, 2*handshakeTimeout)
 	defer cancel()
-	q, err := n.transport.Dial(ctx, remote, n.options.TLS, quicConfig())
+	q, err := transport.Dial(ctx, remote, n.options.TLS, quicConfig())
 	if err != nil {
+		closeTransport(transport)
 		n.traffic.refuse(reasonHandshake)
 		return nil, fmt.Errorf("mesh dial %s: %w", address, err)
 	}
+	context.AfterFunc(q.Context(), func() { closeTransport(transport) })
 	return n.newConn(q, true)
 }
 
+// closeTransport closes a transport and its socket, which it does not own.
+func closeTransport(transport *quic.Transport) {
+	transport.Close()
+	transport.Conn.Close()
+}
+
 func (n *Node) newConn(q *quic.Conn, dialed bool) (*conn, error) {
 	peer, err := keys.Identity(q.ConnectionState().TLS)
 	if err != nil {
--- /dev/null
+++ b/mesh/faults_test.go
@@ -0,0 +1,325 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/mesh/wire"
+)
+
+// middlebox passes datagrams between the dialers and one node. It can lose
+// track of the flows that it knows, while it passes new ones.
+type middlebox struct {
+	front  *net.UDPConn
+	target *net.UDPAddr
+	mu     sync.Mutex
+	flows  map[string]*net.UDPConn // by the dialer's address; nil for a lost one
+}
+
+func newMiddlebox(t *testing.T, target string) *middlebox {
+	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	address, err := net.ResolveUDPAddr("udp", target)
+	assert.NilError(t, err)
+	m := &middlebox{front: front, target: address, flows: make(map[string]*net.UDPConn)}
+	done := make(chan struct{})
+	go func() { defer close(done); m.pass() }()
+	t.Cleanup(func() {
+		front.Close()
+		<-done
+		m.forget()
+	})
+	return m
+}
+
+func (m *middlebox) address() string { return m.front.LocalAddr().String() }
+
+func (m *middlebox) pass() {
+	buffer := make([]byte, 2048)
+	for {
+		n, from, err := m.front.ReadFromUDP(buffer)
+		if err != nil {
+			return
+		}
+		if back := m.flow(from); back != nil {
+			back.Write(buffer[:n])
+		}
+	}
+}
+
+func (m *middlebox) flow(from *net.UDPAddr) *net.UDPConn {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	back, known := m.flows[from.String()]
+	if known {
+		return back
+	}
+	back, err := net.DialUDP("udp", nil, m.target)
+	if err != nil {
+		return nil
+	}
+	m.flows[from.String()] = back
+	go func() {
+		buffer := make([]byte, 2048)
+		for {
+			n, err := back.Read(buffer)
+			if err != nil {
+				return
+			}
+			m.front.WriteToUDP(buffer[:n], from)
+		}
+	}()
+	return back
+}
+
+// forget drops all flows for good and returns how many there were.
+func (m *middlebox) forget() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	lost := 0
+	for from, back := range m.flows {
+		if back != nil {
+			back.Close()
+			m.flows[from] = nil
+			lost++
+		}
+	}
+	return lost
+}
+
+// startBehindMiddlebox starts two nodes; entry-b is reached over a middlebox.
+func startBehindMiddlebox(c *cluster) (a, b running, box *middlebox) {
+	port, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(c.t, err)
+	address := port.LocalAddr().String()
+	port.Close()
+	box = newMiddlebox(c.t, address)
+	b = c.start("entry-b", "zone-1", func(o *Options) { o.Listen, o.Advertise = address, box.address() })
+	c.seeds.Store(&[]string{box.address()})
+	a = c.start("entry-a", "zone-0", nil)
+	for _, n := range []running{a, b} {
+		c.eventually("peers reachable", func() bool { return reachable(n) == 1 })
+	}
+	return a, b, box
+}
+
+func TestSilentConnectionIsReplacedByANewOne(t *testing.T) {
+	c := newCluster(t)
+	a, b, box := startBehindMiddlebox(c)
+	assert.Assert(t, box.forget() > 0)
+	version := a.log.Append("config", []byte("new"))
+	a.Changed()
+	c.eventually("document over a new connection", func() bool { return b.log.Version("config") == version })
+	c.eventually("peer reachable again", func() bool { return reachable(a) == 1 && reachable(b) == 1 })
+}
+
+func TestCallOnSilentConnectionMayHaveRunAndTheNextOneWorks(t *testing.T) {
+	c := newCluster(t)
+	a, b, box := startBehindMiddlebox(c)
+	b.Handle("echo", func(_ context.Context, _ fleet.InstanceID, p []byte) ([]byte, error) { return p, nil })
+	assert.Assert(t, box.forget() > 0)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := a.Call(ctx, "entry-b", "echo", nil)
+	assert.Equal(t, verdict.Of(err), verdict.MayHaveRun, "%v", err)
+	c.eventually("call over a new connection", func() bool {
+		_, err := a.Call(t.Context(), "entry-b", "echo", nil)
+		return err == nil
+	})
+}
+
+func TestPeerReplacedUnderTheSameAddress(t *testing.T) {
+	c := newCluster(t)
+	a := c.start("entry-a", "zone-0", nil)
+	c.seeds.Store(&[]string{a.Addr()})
+	old := c.start("entry-old", "zone-1", nil)
+	c.eventually("old peer reachable", func() bool { return reachable(a) == 1 })
+	old.stop()
+	c.start("entry-new", "zone-1", func(o *Options) { o.Listen = old.Addr() })
+	c.eventually("only the new peer known", func() bool {
+		return reachable(a) == 1 && len(a.Members()) == 1 && a.Members()[0].ID == "entry-new"
+	})
+	_, err := a.Call(t.Context(), "entry-old", "echo", nil)
+	assert.Equal(t, verdict.Of(err), verdict.NotRun)
+}
+
+func TestPeerThatRestartsKeepsItsPlace(t *testing.T) {
+	c := newCluster(t)
+	a := c.start("entry-a", "zone-0", nil)
+	c.seeds.Store(&[]string{a.Addr()})
+	first := c.start("entry-b", "zone-1", nil)
+	c.eventually("peer reachable", func() bool { return reachable(a) == 1 })
+	first.stop()
+	c.eventually("peer gone", func() bool { return reachable(a) == 0 })
+	second := c.start("entry-b", "zone-1", func(o *Options) { o.Listen = first.Addr() })
+	c.eventually("peer back", func() bool { return reachable(a) == 1 && reachable(second) == 1 })
+}
+
+func TestUntrustedCertificateIsRefused(t *testing.T) {
+	c := newCluster(t)
+	foreign := newCluster(t)
+	a := c.start("entry-a", "zone-0", nil)
+	foreign.seeds.Store(&[]string{a.Addr()})
+	refused := &refusals{}
+	stranger := foreign.start("entry-x", "zone-1", func(o *Options) { o.Metrics = refused })
+	c.eventually("handshakes refused", func() bool { return refused.count(reasonHandshake) >= 2 })
+	assert.Equal(t, len(a.Members()), 0)
+	assert.Equal(t, len(stranger.Members()), 0)
+}
+
+// refusals counts refused messages by reason.
+type refusals struct {
+	noMetrics
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (r *refusals) MessageRefused(reason string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.counts == nil {
+		r.counts = make(map[string]int)
+	}
+	r.counts[reason]++
+}
+
+func (r *refusals) count(reason string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.counts[reason]
+}
+
+// rawPeer connects with a trusted certificate and sends what the test wants.
+func (c *cluster) rawPeer(id fleet.InstanceID, address string) *quic.Conn {
+	config, err := c.authority.Issue(id)
+	assert.NilError(c.t, err)
+	conn, err := quic.DialAddr(c.t.Context(), address, config, quicConfig())
+	assert.NilError(c.t, err)
+	c.t.Cleanup(func() { conn.CloseWithError(0, "") })
+	return conn
+}
+
+func sendRaw(t *testing.T, conn *quic.Conn, data []byte) {
+	t.Helper()
+	stream, err := conn.OpenUniStreamSync(t.Context())
+	assert.NilError(t, err)
+	stream.Write(data) // a refused stream ends the write with an error
+	stream.Close()
+}
+
+func hello(t *testing.T, id fleet.InstanceID) []byte {
+	data, err := wire.Encode(&wire.Hello{Record: wire.Record{ID: id, Zone: "zone-1", Address: "127.0.0.1:9", Incarnation: 1}})
+	assert.NilError(t, err)
+	return data
+}
+
+func TestGarbageIsRefusedAndTheLinkStays(t *testing.T) {
+	c := newCluster(t)
+	refused := &refusals{}
+	a := c.start("entry-a", "zone-0", func(o *Options) { o.Metrics = refused })
+
+	outside, err := net.Dial("udp", a.Addr())
+	assert.NilError(t, err)
+	defer outside.Close()
+	for _, size := range []int{0, 1, 21, 1200, 60_000} {
+		outside.Write(make([]byte, size))
+	}
+
+	conn := c.rawPeer("entry-raw", a.Addr())
+	sendRaw(t, conn, hello(t, "entry-raw"))
+	sendRaw(t, conn, []byte{200, 0xa0})
+	sendRaw(t, conn, []byte{byte(wire.KindDocuments), 0xff})
+	sendRaw(t, conn, nil)
+	sendRaw(t, conn, make([]byte, wire.MaxMessageBytes+2))
+	assert.NilError(t, conn.SendDatagram([]byte{byte(wire.KindHeartbeat), 0xff}))
+	assert.NilError(t, conn.SendDatagram([]byte("nonsense")))
+	c.eventually("all refused", func() bool {
+		return refused.count(reasonUnknownKind) == 1 && refused.count(reasonMalformed) == 4 && refused.count(reasonTooLarge) == 1
+	})
+	heartbeat, err := wire.Encode(&wire.Heartbeat{Sequence: 1})
+	assert.NilError(t, err)
+	assert.NilError(t, conn.SendDatagram(heartbeat))
+	c.eventually("raw peer reachable", func() bool { return reachable(a) == 1 })
+	assert.NilError(t, conn.Context().Err())
+}
+
+func TestHelloOfAnotherInstanceEndsTheConnection(t *testing.T) {
+	c := newCluster(t)
+	a := c.start("entry-a", "zone-0", nil)
+	conn := c.rawPeer("entry-raw", a.Addr())
+	sendRaw(t, conn, hello(t, "entry-else"))
+	<-conn.Context().Done()
+	assert.Equal(t, len(a.Members()), 0)
+}
+
+func TestRequestWithoutItsEndDoesNotRun(t *testing.T) {
+	c := newCluster(t)
+	a := c.start("entry-a", "zone-0", nil)
+	ran := make(chan string, 2)
+	a.Handle("note", func(_ context.Context, _ fleet.InstanceID, p []byte) ([]byte, error) {
+		ran <- string(p)
+		return nil, nil
+	})
+	conn := c.rawPeer("entry-raw", a.Addr())
+	for _, payload := range []string{"cut", "whole"} {
+		data, err := wire.Encode(&wire.Request{Method: "note", Payload: []byte(payload)})
+		assert.NilError(t, err)
+		stream, err := conn.OpenStreamSync(t.Context())
+		assert.NilError(t, err)
+		_, err = stream.Write(data)
+		assert.NilError(t, err)
+		if payload == "cut" {
+			stream.CancelWrite(streamRefused)
+			continue
+		}
+		assert.NilError(t, stream.Close())
+	}
+	assert.Equal(t, <-ran, "whole")
+}
+
+func TestPairKeepsOneConnection(t *testing.T) {
+	c := newCluster(t)
+	a := c.start("entry-a", "zone-0", nil)
+	b := c.start("entry-b", "zone-0", nil)
+	c.seeds.Store(&[]string{a.Addr(), b.Addr()}) // both dial at once
+	for _, n := range []running{a, b} {
+		c.eventually("peer reachable", func() bool { return reachable(n) == 1 })
+	}
+	c.eventually("the same connection at both ends", func() bool {
+		return samePath(a.connOf("entry-b"), b.connOf("entry-a"))
+	})
+}
+
+func samePath(x, y *conn) bool {
+	if x == nil || y == nil || x.dialed == y.dialed {
+		return false
+	}
+	return x.quic.LocalAddr().String() == y.quic.RemoteAddr().String()
+}
+
+func (n *Node) connOf(peer fleet.InstanceID) *conn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.conns[peer]
+}
+
+func TestBudgetBoundsMessagesInMemory(t *testing.T) {
+	b := newBudget(3 * readStepBytes)
+	data, err := b.readMessage(zeros{})
+	assert.ErrorIs(t, err, errOverBudget)
+	b.give(cap(data))
+	assert.Equal(t, b.used.Load(), int64(0))
+}
+
+// zeros never ends.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -21,8 +21,8 @@
 	ticksPerHeartbeat = 10
 	// mergeTimeout bounds the work of a replica on one message.
 	mergeTimeout = 10 * time.Second
-	// farewellTime is the time that the last messages have to leave the machine.
-	farewellTime = 100 * time.Millisecond
+	// leaveTime is the time that the last messages have to leave the machine.
+	leaveTime = 100 * time.Millisecond
 )
 
 // ErrStopped says that the Node has shut down.
@@ -34,13 +34,15 @@
 	transport *quic.Transport
 	listener  *quic.Listener
 	address   string
+	localIP   net.IP
+	running   context.Context // ends when the node stops
+	end       context.CancelFunc
 	traffic   *traffic
 	budget    *budget
 	handlers  sync.Map // method name to Handler
 	members   atomic.Pointer[[]Member]
 	summary   atomic.Pointer[[]byte]
 	changed   chan struct{}
-	stopped   chan struct{}
 	work      sync.WaitGroup
 
 	mu     sync.Mutex // guards the engine, the connections and the dials
@@ -72,15 +74,18 @@
 	if address == "" {
 		address = socket.LocalAddr().String()
 	}
+	running, end := context.WithCancel(context.Background())
 	n := &Node{
 		options:   options,
 		transport: transport,
 		listener:  listener,
 		address:   address,
+		localIP:   local.IP,
+		running:   running,
+		end:       end,
 		traffic:   newTraffic(options.Metrics),
 		budget:    newBudget(nodeBufferBytes),
 		changed:   make(chan struct{}, 1),
-		stopped:   make(chan struct{}),
 		conns:     make(map[fleet.InstanceID]*conn),
 		dials:     make(map[string]*dialing),
 		engine:    newEngine(options, address),
@@ -130,21 +135,15 @@
 // Traffic returns the messages and bytes counted so far, by kind.
 func (n *Node) Traffic() Traffic { return n.traffic.snapshot() }
 
-// Run takes part in the mesh until ctx ends, then says farewell and closes the
-// socket. A Node runs once.
+// Run takes part in the mesh until ctx ends, then tells the peers that the
+// instance leaves and closes all sockets. A Node runs once.
 func (n *Node) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	n.work.Go(func() { n.accept(ctx) })
+	n.work.Go(func() { n.accept(n.running) })
 	n.loop(ctx)
 	n.leave()
-	cancel()
 	n.stop()
-	err := n.transport.Close()
-	n.transport.Conn.Close()
+	closeTransport(n.transport)
 	n.work.Wait()
-	if err != nil {
-		return fmt.Errorf("mesh close: %w", err)
-	}
 	return nil
 }
 
@@ -240,24 +239,19 @@
 // leave tells the peers that the instance goes and gives the messages time to leave.
 func (n *Node) leave() {
 	n.step(func(time.Time) []engine.Action { return n.engine.Leave() })
-	time.Sleep(farewellTime)
+	time.Sleep(leaveTime)
 }
 
 // stop closes all connections and lets none be opened any more.
 func (n *Node) stop() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	close(n.stopped)
+	n.end()
 	for _, c := range n.conns {
 		c.close(closeLeaving, "leaving")
 	}
 }
 
 func (n *Node) isStopped() bool {
-	select {
-	case <-n.stopped:
-		return true
-	default:
-		return false
-	}
+	return n.running.Err() != nil
 }
--- /dev/null
+++ b/mesh/topology/topology_test.go
@@ -0,0 +1,102 @@
+package topology
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	_ "github.com/tarragonreach/tarragonreach/api/rapidseed"
+)
+
+// maxCrossZoneLinks is the number of ends of cross-zone links in one zone.
+const maxCrossZoneLinks = 2 * linksPerEdge
+
+func drawMembers(t *rapid.T) []Member {
+	var members []Member
+	for z := range rapid.IntRange(1, 14).Draw(t, "zones") {
+		for range rapid.IntRange(1, 6).Draw(t, "members of the zone") {
+			id := fleet.InstanceID(fmt.Sprintf("entry-%03d", len(members)*37%101))
+			members = append(members, Member{ID: id, Zone: fleet.AvailabilityZone(fmt.Sprintf("zone-%02d", z))})
+		}
+	}
+	return rapid.Permutation(members).Draw(t, "order")
+}
+
+// connected follows the links among the members that are kept.
+func connected(members []Member, keep func(Member) bool) bool {
+	kept := make(map[fleet.InstanceID]bool)
+	for _, m := range members {
+		if keep(m) {
+			kept[m.ID] = true
+		}
+	}
+	found := make(map[fleet.InstanceID]bool)
+	var visit func(fleet.InstanceID)
+	visit = func(id fleet.InstanceID) {
+		if !kept[id] || found[id] {
+			return
+		}
+		found[id] = true
+		for _, peer := range Peers(id, members) {
+			visit(peer)
+		}
+	}
+	for id := range kept {
+		visit(id)
+		break
+	}
+	return len(found) == len(kept)
+}
+
+func TestAnyOneLossLeavesTheOthersConnected(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := drawMembers(t)
+		assert.Assert(t, connected(members, func(Member) bool { return true }))
+		for _, lost := range members {
+			assert.Assert(t, connected(members, func(m Member) bool { return m.ID != lost.ID }), "without %s", lost.ID)
+			assert.Assert(t, connected(members, func(m Member) bool { return m.Zone != lost.Zone }), "without %s", lost.Zone)
+		}
+	})
+}
+
+func TestLinksAreSymmetricAndFew(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := drawMembers(t)
+		zones := make(map[fleet.InstanceID]fleet.AvailabilityZone)
+		perZone := make(map[fleet.AvailabilityZone]int)
+		for _, m := range members {
+			zones[m.ID] = m.Zone
+			perZone[m.Zone]++
+		}
+		cross := make(map[fleet.AvailabilityZone]int)
+		for _, m := range members {
+			own := 0
+			for _, peer := range Peers(m.ID, members) {
+				assert.Assert(t, slices.Contains(Peers(peer, members), m.ID), "%s and %s", m.ID, peer)
+				if zones[peer] == m.Zone {
+					own++
+				} else {
+					cross[m.Zone]++
+				}
+			}
+			assert.Equal(t, own, perZone[m.Zone]-1)
+		}
+		for zone, links := range cross {
+			assert.Assert(t, links <= maxCrossZoneLinks, "%d links of %s", links, zone)
+		}
+	})
+}
+
+func TestOrderOfMembersDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := drawMembers(t)
+		shuffled := rapid.Permutation(members).Draw(t, "other order")
+		for _, m := range members {
+			assert.DeepEqual(t, Peers(m.ID, members), Peers(m.ID, shuffled))
+		}
+	})
+}
