Make grants and page writes safe against late, stale and racing holders

A random fleet with two racing holders in each zone broke a budget: a holder with an old view removed a grant that was still to be used, and old counts of members replaced newer ones. A term now fences the zone's pages first, ledgers carry the epoch of the duty that counted, entries are removed only on newer records, and an instance leaves its pool only once its outage is counted. Waiting times come from the holder's own clock, since a skew of half an hour between holders held a drain up for longer than the test's bound.

--- a/api/fleet/ledger.go
+++ b/api/fleet/ledger.go
@@ -17,8 +17,8 @@
 	Voluntary bool `json:"voluntary,omitempty"`
 	// Epoch is the epoch of the duty that wrote the entry.
 	Epoch int64 `json:"epoch"`
-	// RecordEpoch is the epoch of the instance's record for which a grant holds. Once
-	// the record has changed, the grant is used or void.
+	// RecordEpoch is the epoch of the instance's record when the entry was made. A
+	// grant holds for this epoch only: once the record has changed it is used or void.
 	RecordEpoch int64 `json:"recordEpoch,omitempty"`
 	// Expires is when a grant that was not used may be taken back; zero on failures.
 	Expires time.Time `json:"expires,omitzero"`
@@ -28,6 +28,8 @@
 type ZoneMembers struct {
 	Zone    AvailabilityZone `json:"zone"`
 	Members int              `json:"members"`
+	// Epoch is the epoch of the duty that counted.
+	Epoch int64 `json:"epoch,omitempty"`
 }
 
 // Ledger is the value of a budgets/<pool> key. Every instance of the pool that is
@@ -88,14 +90,25 @@
 	return next
 }
 
+// ZoneEpoch returns the highest duty epoch that counted an availability zone.
+func (l Ledger) ZoneEpoch(zone AvailabilityZone) int64 {
+	var epoch int64
+	for _, z := range l.Zones {
+		if z.Zone == zone {
+			epoch = max(epoch, z.Epoch)
+		}
+	}
+	return epoch
+}
+
 // WithMembers returns a copy of the ledger with the count of one availability zone.
-func (l Ledger) WithMembers(zone AvailabilityZone, members int) Ledger {
+func (l Ledger) WithMembers(count ZoneMembers) Ledger {
 	next := Ledger{Outages: l.Outages, Zones: make([]ZoneMembers, 0, len(l.Zones)+1)}
 	for _, z := range l.Zones {
-		if z.Zone != zone {
+		if z.Zone != count.Zone {
 			next.Zones = append(next.Zones, z)
 		}
 	}
-	next.Zones = append(next.Zones, ZoneMembers{Zone: zone, Members: members})
+	next.Zones = append(next.Zones, count)
 	return next
 }
--- a/entry/fleetctl/apply.go
+++ b/entry/fleetctl/apply.go
@@ -37,6 +37,8 @@
 			if r.reboot(ctx, c) {
 				free = append(free, c)
 			}
+		case leavesPool(c) && !r.countedOut(ctx, c):
+			continue
 		case c.step.Changed() || m.isNew:
 			free = append(free, c)
 		}
@@ -48,6 +50,22 @@
 	return r.write(ctx, r.snapshot, append(free, granted...))
 }
 
+func leavesPool(c change) bool {
+	return c.record.Pool != "" && (c.step.Forget || c.step.Record.Pool == "")
+}
+
+// countedOut says whether the pool's ledger counts an instance as out of service.
+// It has to before the instance leaves the pool: others could take the ledger's
+// larger membership for healthy instances otherwise.
+func (r *round) countedOut(ctx context.Context, c change) bool {
+	entry, err := r.ledgers.cached(ctx, c.record.Pool)
+	if err != nil {
+		return false
+	}
+	_, counted := entry.ledger.Outage(c.record.ID)
+	return counted
+}
+
 // next returns the next step of a member. While the list is suspect, absence from
 // it proves nothing.
 func (r *round) next(m *member) lifecycle.Step {
@@ -94,7 +112,7 @@
 
 func (r *round) writePage(ctx context.Context, old fleetview.PageEntry, key string, changes []change) error {
 	if old.Page.Epoch > r.epoch {
-		return fmt.Errorf("page %s was written in term %d, this is %d: %w", key, old.Page.Epoch, r.epoch, ErrDeposed)
+		return deposed(old, r.epoch)
 	}
 	old.Key = key
 	next := old.Page
@@ -111,10 +129,20 @@
 	}
 	for _, c := range changes {
 		r.explainStep(c)
+		r.remember(c)
 	}
 	return nil
 }
 
+// remember starts the clock of the state that was written.
+func (r *round) remember(c change) {
+	if c.step.Forget {
+		r.forget(c.record.ID)
+		return
+	}
+	r.states.note(c.step.Record, r.now)
+}
+
 func (r *round) explainStep(c change) {
 	r.record(explain.Record{
 		Subject: explain.Instance(c.record.ID), Action: c.step.Action, Outcome: explain.Applied,
--- a/entry/fleetctl/controller.go
+++ b/entry/fleetctl/controller.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/explain"
-	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/entry/fleetview"
 	"github.com/tarragonreach/tarragonreach/policy/maintenance"
 )
 
@@ -21,6 +21,7 @@
 	pages   pages
 	ledgers *ledgers
 	absence absence
+	states  states
 	sizing  *sizing
 	status  statuses
 	epoch   int64 // of the term for which the caches hold
@@ -34,6 +35,7 @@
 		pages:   pages{options.Store, options.View},
 		ledgers: newLedgers(options.Store),
 		absence: make(absence),
+		states:  make(states),
 		sizing:  newSizing(options),
 	}
 }
@@ -86,7 +88,8 @@
 }
 
 // begin reads what the store holds at the start of a term, so that nothing is
-// decided on what an earlier term remembers.
+// decided on what an earlier term remembers, and fences the zone's pages, so that
+// no write of an earlier holder arrives any more.
 func (c *Controller) begin(ctx context.Context, term Term) error {
 	if c.epoch == term.Epoch() {
 		return nil
@@ -94,12 +97,35 @@
 	if _, err := c.View.Load(ctx, c.Store); err != nil {
 		return fmt.Errorf("read the fleet record: %w", err)
 	}
+	for _, page := range c.View.Snapshot().Pages(c.Zone) {
+		if err := c.fencePage(ctx, page, term.Epoch()); err != nil {
+			return err
+		}
+	}
 	c.ledgers = newLedgers(c.Store)
 	c.absence = make(absence)
+	c.states = make(states)
 	c.epoch = term.Epoch()
 	return nil
 }
 
+// fencePage notes the term in a page.
+func (c *Controller) fencePage(ctx context.Context, page fleetview.PageEntry, epoch int64) error {
+	if page.Page.Epoch > epoch {
+		return deposed(page, epoch)
+	}
+	if page.Page.Epoch == epoch {
+		return nil
+	}
+	next := page.Page
+	next.Epoch = epoch
+	return c.pages.swap(ctx, page, next)
+}
+
+func deposed(page fleetview.PageEntry, epoch int64) error {
+	return fmt.Errorf("page %s was written in term %d, this is %d: %w", page.Key, page.Page.Epoch, epoch, ErrDeposed)
+}
+
 // Maintenance returns how each maintenance plan stood in the last round. It may be
 // called from any goroutine.
 func (c *Controller) Maintenance() []maintenance.Status { return c.status.get() }
@@ -112,17 +138,3 @@
 	r.At, r.Zone, r.Epoch = c.Now(), c.Zone, c.epoch
 	c.Recorder.Record(r)
 }
-
-// absence says since when instances miss from the platform's list.
-type absence map[fleet.InstanceID]time.Time
-
-func (a absence) note(id fleet.InstanceID, listed bool, now time.Time) time.Duration {
-	if listed {
-		delete(a, id)
-		return 0
-	}
-	if _, known := a[id]; !known {
-		a[id] = now
-	}
-	return now.Sub(a[id])
-}
--- a/entry/fleetctl/fake_test.go
+++ b/entry/fleetctl/fake_test.go
@@ -52,12 +52,12 @@
 }
 
 func (s *fakeStore) put(key string, value []byte, prev platform.Revision, mismatch error) (platform.Revision, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	effect, err := true, error(nil)
 	if s.fault != nil {
 		effect, err = s.fault(key)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.down || !effect {
 		return 0, errLost
 	}
--- a/entry/fleetctl/grants.go
+++ b/entry/fleetctl/grants.go
@@ -53,6 +53,9 @@
 		if entry, err = r.ledgers.read(ctx, pool); err != nil {
 			return nil, err
 		}
+		if entry.ledger.ZoneEpoch(r.Zone) > r.epoch {
+			return nil, fmt.Errorf("ledger of pool %s: %w", pool, ErrDeposed)
+		}
 		next, granted, refused := r.decideGrants(pool, entry.ledger, changes)
 		if next.changed {
 			err = r.ledgers.swap(ctx, pool, entry, next.ledger)
--- /dev/null
+++ b/entry/fleetctl/invariant_test.go
@@ -0,0 +1,156 @@
+package fleetctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/tarragonreach/tarragonreach/api/explain"
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/platform"
+	"github.com/tarragonreach/tarragonreach/policy/budget"
+)
+
+// invariants judges every write that took effect in a store.
+type invariants struct {
+	store  *fakeStore
+	config func() *object.Config
+	fail   func(format string, args ...any)
+	drains int
+}
+
+// wrote is called with the store's lock held.
+func (v *invariants) wrote(key string, before, after platform.Entry) {
+	if pool, isLedger := strings.CutPrefix(key, fleet.LedgerPrefix); isLedger {
+		v.ledger(pool, parseLedger(before.Value), parseLedger(after.Value))
+		return
+	}
+	old, next := parsePage(before.Value), parsePage(after.Value)
+	if next.Epoch < old.Epoch {
+		v.fail("%s: epoch fell from %d to %d", key, old.Epoch, next.Epoch)
+	}
+	for _, record := range next.Records {
+		if previous, existed := old.Find(record.ID); existed {
+			v.step(previous, record)
+		}
+		v.shape(record)
+	}
+	v.onePage()
+}
+
+func parseLedger(value []byte) (ledger fleet.Ledger) {
+	if value != nil {
+		must(json.Unmarshal(value, &ledger))
+	}
+	return ledger
+}
+
+func parsePage(value []byte) (page fleet.Page) {
+	if value != nil {
+		must(json.Unmarshal(value, &page))
+	}
+	return page
+}
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func (v *invariants) shape(r fleet.Record) {
+	if (r.Pool == "") != (r.State == fleet.StateReleased) {
+		v.fail("%s is %s in pool %q", r.ID, r.State, r.Pool)
+	}
+	if r.State == fleet.StateReleased && r.Reason == "" {
+		v.fail("%s is idle without a reason", r.ID)
+	}
+}
+
+// step judges one change of a record.
+func (v *invariants) step(old, next fleet.Record) {
+	if next.Epoch < old.Epoch {
+		v.fail("%s: epoch fell from %d to %d", old.ID, old.Epoch, next.Epoch)
+	}
+	throughReleased := old.State == fleet.StateReleased || next.State == fleet.StateReleased
+	if old.Pool != next.Pool && !throughReleased {
+		v.fail("%s moved from pool %q to %q without a release", old.ID, old.Pool, next.Pool)
+	}
+	if old.State != fleet.StateServing || next.State == fleet.StateServing || next.State == fleet.StateFailed {
+		return
+	}
+	if next.State != fleet.StateDraining {
+		v.fail("%s went from serving to %s", old.ID, next.State)
+	}
+	if next.Reason == string(explain.ReasonLeaving) {
+		return
+	}
+	v.drains++
+	grant, held := parseLedger(v.store.entries[fleet.LedgerKey(old.Pool)].Value).Outage(old.ID)
+	if !held || !grant.Voluntary || grant.RecordEpoch != old.Epoch {
+		v.fail("%s was drained for %s without a grant: %+v", old.ID, next.Reason, grant)
+	}
+}
+
+// ledger judges new grants against the ledger and against the fleet record.
+func (v *invariants) ledger(pool string, old, next fleet.Ledger) {
+	for _, outage := range next.Outages {
+		if _, counted := old.Outage(outage.ID); counted || !outage.Voluntary {
+			continue
+		}
+		spec := object.Pool{Name: pool}
+		if configured, found := v.config().Pools[pool]; found {
+			spec = configured.Spec
+		}
+		standing, zone := budget.Of(spec, next), budget.OfZone(spec, next, outage.Zone)
+		if standing.Out > standing.Limit || zone.Out > zone.Limit {
+			v.fail("grant of %s breaks the budget: pool %+v, zone %+v", outage.ID, standing, zone)
+		}
+		standing = budget.Of(spec, v.truth(pool, next))
+		if standing.Out > standing.Limit {
+			v.fail("grant of %s breaks the budget of the fleet record: %+v, %+v", outage.ID, standing, next)
+		}
+	}
+}
+
+// truth is the ledger of the fleet record with the grants of next. A failure that
+// next does not count yet happened too late to be seen.
+func (v *invariants) truth(pool string, next fleet.Ledger) fleet.Ledger {
+	var truth fleet.Ledger
+	for key, entry := range v.store.entries {
+		if !strings.HasPrefix(key, fleet.PagePrefix) {
+			continue
+		}
+		zone := fleet.AvailabilityZone(strings.Split(key, "/")[1])
+		for _, r := range parsePage(entry.Value).Records {
+			if r.Pool != pool {
+				continue
+			}
+			truth = truth.WithMembers(fleet.ZoneMembers{Zone: zone, Members: truth.Members(zone) + 1})
+			outage, counted := next.Outage(r.ID)
+			chosen := r.State == fleet.StateDraining || r.State == fleet.StateMaintenance
+			out := r.State != fleet.StateServing && (counted || chosen && r.Reason != string(explain.ReasonLeaving))
+			if out || counted && outage.Voluntary {
+				truth = truth.With(fleet.Outage{ID: r.ID, Zone: zone})
+			}
+		}
+	}
+	return truth
+}
+
+// onePage checks that no instance is recorded twice.
+func (v *invariants) onePage() {
+	seen := make(map[fleet.InstanceID]string)
+	for key, entry := range v.store.entries {
+		if !strings.HasPrefix(key, fleet.PagePrefix) {
+			continue
+		}
+		for _, r := range parsePage(entry.Value).Records {
+			if other, twice := seen[r.ID]; twice {
+				v.fail("%s", fmt.Sprintf("%s is recorded in %s and %s", r.ID, key, other))
+			}
+			seen[r.ID] = key
+		}
+	}
+}
--- a/entry/fleetctl/leveling.go
+++ b/entry/fleetctl/leveling.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 
@@ -16,34 +17,41 @@
 // It works on the view, which holds what this round wrote.
 func (r *round) levelLedgers(ctx context.Context) error {
 	snapshot := r.View.Snapshot()
-	members := make(map[string][]budget.Member)
+	var records []budget.Member
+	pools := make(map[string]bool)
 	for _, pool := range r.pools {
-		members[pool.Name] = nil
+		pools[pool.Name] = true
 	}
 	for _, located := range snapshot.Records(r.Zone) {
+		member := budget.Member{ID: located.ID, Pool: located.Pool, State: located.State, Epoch: located.Epoch}
+		records = append(records, member)
 		if located.Pool != "" {
-			member := budget.Member{ID: located.ID, State: located.State, Epoch: located.Epoch}
-			members[located.Pool] = append(members[located.Pool], member)
+			pools[located.Pool] = true
 		}
 	}
-	for _, pool := range slices.Sorted(maps.Keys(members)) {
-		if err := r.levelLedger(ctx, snapshot, pool, members[pool]); err != nil && !raced(err) {
+	for _, pool := range slices.Sorted(maps.Keys(pools)) {
+		if err := r.levelLedger(ctx, snapshot, pool, records); err != nil && !raced(err) {
 			return err
 		}
 	}
 	return nil
 }
 
-func (r *round) levelLedger(ctx context.Context, snapshot *fleetview.Snapshot, pool string, members []budget.Member) error {
+func (r *round) levelLedger(ctx context.Context, snapshot *fleetview.Snapshot, pool string, records []budget.Member) error {
 	entry, err := r.ledgers.cached(ctx, pool)
 	if err != nil {
 		return err
 	}
-	level := budget.Reconcile(entry.ledger, r.Zone, members, r.epoch, r.now)
-	if len(level.Stale) > 0 {
-		if err := r.fence(ctx, snapshot, level.Stale); err != nil {
-			return err
-		}
+	holder := budget.Holder{Zone: r.Zone, Epoch: r.epoch, Now: r.now}
+	level := budget.Reconcile(pool, entry.ledger, records, holder)
+	if level.Deposed {
+		return fmt.Errorf("ledger of pool %s: %w", pool, ErrDeposed)
+	}
+	if err := r.fence(ctx, snapshot, level.Stale); err != nil {
+		return err
+	}
+	if err := r.dropUnknown(ctx, &level); err != nil {
+		return err
 	}
 	if !level.Changed || !r.term.Active() {
 		return nil
@@ -51,6 +59,20 @@
 	return r.ledgers.swap(ctx, pool, entry, level.Ledger)
 }
 
+// dropUnknown removes the entries of instances that have no record in the store.
+func (r *round) dropUnknown(ctx context.Context, level *budget.Reconciled) error {
+	for _, outage := range level.Unknown {
+		if err := r.Controller.pages.refresh(ctx, fleet.PageKey(r.Zone, outage.ID)); err != nil {
+			return err
+		}
+		if _, _, found := r.View.Snapshot().Find(outage.ID); !found {
+			level.Ledger = level.Ledger.Without(outage.ID)
+			level.Changed = true
+		}
+	}
+	return nil
+}
+
 // fence raises the epochs of records whose grants are taken back. The next leveling
 // then drops the grants.
 func (r *round) fence(ctx context.Context, snapshot *fleetview.Snapshot, stale []fleet.Outage) error {
--- a/entry/fleetctl/planning.go
+++ b/entry/fleetctl/planning.go
@@ -138,7 +138,7 @@
 	case m.zone != r.Zone, !listed, m.seen.Leaving, m.record.DrainRequested != nil, r.broken[m.record.Pool]:
 		return false
 	case m.record.State == fleet.StateFailed:
-		return r.now.Sub(m.record.Since) < r.ReplaceAfter || m.seen.Healthy
+		return m.seen.InState < r.ReplaceAfter || m.seen.Healthy
 	case m.record.State == fleet.StateReleased:
 		return m.seen.Healthy
 	default:
--- /dev/null
+++ b/entry/fleetctl/property_test.go
@@ -0,0 +1,274 @@
+package fleetctl
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "github.com/tarragonreach/tarragonreach/api/rapidseed"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/label"
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/entry/fleetview"
+	"github.com/tarragonreach/tarragonreach/platform"
+)
+
+// roundsToFixedPoint is how many rounds after the last fault a zone of the property
+// test's size takes at most until nothing changes any more.
+const roundsToFixedPoint = 80
+
+var fleetZones = []fleet.AvailabilityZone{"palermo", "catania"}
+
+// holder is a controller that believes in its term, with a clock of its own.
+type holder struct {
+	*Controller
+	term *fakeTerm
+}
+
+// machine is a random fleet with racing controllers in each zone.
+type machine struct {
+	*rig
+	all      map[fleet.InstanceID]fleet.Instance
+	ids      []fleet.InstanceID
+	holders  []holder
+	epoch    map[fleet.AvailabilityZone]int64
+	demand   randomDemand
+	unwell   map[fleet.InstanceID]bool
+	acting   *Controller
+	nested   bool
+	judge    *invariants
+	faulty   bool
+	sequence int
+}
+
+type randomDemand map[seat]float64
+
+func (d randomDemand) Demand(pool string, zone fleet.AvailabilityZone) (float64, bool) {
+	demand, known := d[seat{pool, zone}]
+	return demand, known
+}
+
+// Healthy makes machine a Health.
+func (m *machine) Healthy(id fleet.InstanceID) (bool, bool) { return false, m.unwell[id] }
+
+func newMachine(t *rapid.T, outer testing.TB) *machine {
+	m := &machine{
+		all: make(map[fleet.InstanceID]fleet.Instance), epoch: make(map[fleet.AvailabilityZone]int64),
+		demand: make(randomDemand), unwell: make(map[fleet.InstanceID]bool),
+	}
+	m.rig = newRig(outer, drawConfig(t))
+	m.judge = &invariants{store: m.store, config: func() *object.Config { return m.config }, fail: t.Fatalf}
+	m.store.wrote = m.judge.wrote
+	for range rapid.IntRange(4, 14).Draw(t, "instances") {
+		m.add(t)
+	}
+	for _, zone := range fleetZones {
+		m.newTerm(t, zone)
+	}
+	return m
+}
+
+func drawConfig(t *rapid.T) object.Document {
+	document := object.Document{Pools: []object.Pool{drawPool(t, "a"), drawPool(t, "b")}}
+	if rapid.Bool().Draw(t, "maintained") {
+		document.MaintenancePlans = []object.MaintenancePlan{{
+			Name: "patch", Period: object.Duration(time.Hour), Duration: object.Duration(30 * time.Second),
+		}}
+	}
+	return document
+}
+
+func drawPool(t *rapid.T, name string) object.Pool {
+	return object.Pool{
+		Name: name, Selector: fmt.Sprintf("p in (%s,ab)", name),
+		Budget: drawBudget(t, name), ZoneBudget: drawBudget(t, name+" zone"),
+		Min: rapid.IntRange(0, 3).Draw(t, "min"), Max: rapid.SampledFrom([]int{0, 0, 4}).Draw(t, "max"),
+		MoveWeight: float64(rapid.IntRange(0, 9).Draw(t, "move")), BufferWeight: float64(rapid.IntRange(0, 9).Draw(t, "buffer")),
+	}
+}
+
+func drawBudget(t *rapid.T, name string) object.Budget {
+	value := rapid.SampledFrom([]object.Amount{{Value: 1}, {Value: 2}, {Value: 50, Percent: true}, {Value: 34, Percent: true}}).Draw(t, name)
+	switch rapid.IntRange(0, 2).Draw(t, name+" kind") {
+	case 0:
+		return object.Budget{MaxUnavailable: &value}
+	case 1:
+		return object.Budget{MinHealthy: &value}
+	default:
+		return object.Budget{}
+	}
+}
+
+func (m *machine) add(t *rapid.T) {
+	m.sequence++
+	instance := fleet.Instance{
+		ID: fleet.InstanceID(fmt.Sprintf("i%03d", m.sequence)), Kind: fleet.KindWorker,
+		Zone:   rapid.SampledFrom(fleetZones).Draw(t, "zone"),
+		Rack:   rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "rack"),
+		Labels: label.Set{"p": rapid.SampledFrom([]string{"a", "b", "ab", "none"}).Draw(t, "label")},
+	}
+	m.all[instance.ID] = instance
+	m.ids = append(m.ids, instance.ID)
+	m.platform.instances = append(m.platform.instances, instance)
+}
+
+// newTerm starts another controller; the earlier ones go on believing in theirs.
+func (m *machine) newTerm(t *rapid.T, zone fleet.AvailabilityZone) {
+	m.epoch[zone]++
+	skew := time.Duration(rapid.IntRange(-30, 30).Draw(t, "skew")) * time.Minute
+	options := m.options(zone)
+	options.View, options.Demand, options.Health = fleetview.New(), m.demand, m
+	options.Now = func() time.Time { return m.now.Add(skew) }
+	m.holders = append(m.holders, holder{New(options), &fakeTerm{epoch: m.epoch[zone]}})
+}
+
+// round lets a holder act; its writes may fail in any way.
+func (m *machine) round(h holder) {
+	outer := m.acting
+	m.acting = h.Controller
+	_ = h.Round(context.Background(), h.term)
+	m.acting = outer
+}
+
+// race lets another holder act in the middle of a round.
+func (m *machine) race(t *rapid.T) {
+	racer := rapid.SampledFrom(m.holders).Draw(t, "racer")
+	if racer.Controller == m.acting {
+		return
+	}
+	m.nested = true
+	m.round(racer)
+	m.nested = false
+}
+
+func (m *machine) anyID(t *rapid.T) fleet.InstanceID { return rapid.SampledFrom(m.ids).Draw(t, "id") }
+
+// fault loses answers, loses writes, and lets another holder act in between.
+func (m *machine) fault(t *rapid.T) func(string) (bool, error) {
+	return func(string) (bool, error) {
+		if !m.faulty || m.nested {
+			return true, nil
+		}
+		switch rapid.IntRange(0, 9).Draw(t, "fault") {
+		case 0:
+			return true, errLost
+		case 1:
+			return false, nil
+		case 2, 3:
+			m.now = m.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Second)
+			m.race(t)
+		}
+		return true, nil
+	}
+}
+
+func (m *machine) actions(t *rapid.T) map[string]func(*rapid.T) {
+	act := func(t *rapid.T) {
+		m.store.fault = m.fault(t)
+		for range rapid.IntRange(1, 8).Draw(t, "rounds") {
+			m.round(rapid.SampledFrom(m.holders).Draw(t, "holder"))
+			m.now = m.now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds")) * time.Second)
+		}
+	}
+	return map[string]func(*rapid.T){
+		"round": act, "another": act, "third": act,
+		"wait": func(t *rapid.T) {
+			m.now = m.now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "minutes")) * time.Minute)
+		},
+		"takeOver": func(t *rapid.T) { m.newTerm(t, rapid.SampledFrom(fleetZones).Draw(t, "zone")) },
+		"add":      func(t *rapid.T) { m.add(t) },
+		"fail":     func(t *rapid.T) { m.platform.remove(m.anyID(t)) },
+		"return":   func(t *rapid.T) { m.restore(m.anyID(t)) },
+		"unwell":   func(t *rapid.T) { id := m.anyID(t); m.unwell[id] = !m.unwell[id] },
+		"leave":    func(t *rapid.T) { m.leave(m.anyID(t)) },
+		"relabel":  func(t *rapid.T) { m.operate(t) },
+		"repair":   func(t *rapid.T) { m.store.down = false },
+		"outage":   func(t *rapid.T) { m.store.down = !m.store.down },
+		"demand": func(t *rapid.T) {
+			key := seat{rapid.SampledFrom([]string{"a", "b"}).Draw(t, "pool"), rapid.SampledFrom(fleetZones).Draw(t, "zone")}
+			m.demand[key] = float64(rapid.IntRange(0, 5).Draw(t, "demand"))
+		},
+		"operate": func(t *rapid.T) { m.operate(t) },
+	}
+}
+
+func (m *machine) restore(id fleet.InstanceID) {
+	m.platform.remove(id)
+	m.platform.instances = append(m.platform.instances, m.all[id])
+}
+
+func (m *machine) leave(id fleet.InstanceID) {
+	m.platform.remove(id)
+	instance := m.all[id]
+	instance.Leaving = true
+	m.platform.instances = append(m.platform.instances, instance)
+}
+
+func (m *machine) operate(t *rapid.T) {
+	m.nested = true
+	defer func() { m.nested = false }()
+	id, ctx := m.anyID(t), context.Background()
+	switch rapid.IntRange(0, 2).Draw(t, "operation") {
+	case 0:
+		_ = m.operations.Drain(ctx, id, "test")
+	case 1:
+		_ = m.operations.Undrain(ctx, id)
+	default:
+		_ = m.operations.Relabel(ctx, id, label.Set{"p": rapid.SampledFrom([]string{"a", "b", "ab"}).Draw(t, "label")})
+	}
+}
+
+// settle ends all faults and runs the latest controller of each zone.
+func (m *machine) settle(t *rapid.T) {
+	m.store.down, m.faulty, m.store.fault = false, false, nil
+	clear(m.unwell)
+	for _, id := range m.ids {
+		m.restore(id)
+	}
+	document := object.Document{}
+	for _, pool := range m.config.Pools {
+		document.Pools = append(document.Pools, pool.Spec)
+	}
+	m.configure(document)
+	m.holders = nil
+	for _, zone := range fleetZones {
+		m.newTerm(t, zone)
+	}
+	m.run(roundsToFixedPoint)
+	m.store.wrote = func(key string, before, after platform.Entry) {
+		t.Fatalf("%d rounds after the last fault %s changes from %s to %s",
+			roundsToFixedPoint, key, before.Value, after.Value)
+	}
+	m.run(5)
+}
+
+func (m *machine) run(rounds int) {
+	for range rounds {
+		for _, h := range m.holders {
+			if _, err := h.View.Load(context.Background(), m.store); err != nil {
+				panic(err)
+			}
+			m.round(h)
+		}
+		m.now = m.now.Add(roundStep)
+	}
+}
+
+func TestRacingControllersNeverBreakABudget(t *testing.T) {
+	drains := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newMachine(rt, t)
+		m.faulty = true
+		rt.Repeat(m.actions(rt))
+		m.settle(rt)
+		drains += m.judge.drains
+	})
+	if drains == 0 {
+		t.Fatal("no instance was ever drained, so that nothing was tested")
+	}
+	t.Logf("%d voluntary drains", drains)
+}
--- a/entry/fleetctl/report.go
+++ b/entry/fleetctl/report.go
@@ -70,7 +70,9 @@
 
 // counted adds an instance to a ledger worked out from the fleet record.
 func counted(ledger fleet.Ledger, located fleetview.Located) fleet.Ledger {
-	next := ledger.WithMembers(located.Zone, ledger.Members(located.Zone)+1)
+	next := ledger.WithMembers(fleet.ZoneMembers{
+		Zone: located.Zone, Members: ledger.Members(located.Zone) + 1,
+	})
 	if located.State != fleet.StateServing {
 		next = next.With(fleet.Outage{ID: located.ID, Zone: located.Zone})
 	}
--- a/entry/fleetctl/round.go
+++ b/entry/fleetctl/round.go
@@ -110,7 +110,13 @@
 // newMember makes the first record of an instance. One that joins a known zone is
 // freshly made, so that its first maintenance is a period away.
 func (r *round) newMember(id fleet.InstanceID, instance fleet.Instance, joinsKnownZone bool) *member {
-	record := fleet.Record{ID: id, State: fleet.StateReleased, Reason: string(explain.ReasonListed), Since: r.now}
+	page := r.snapshot.Page(fleet.PageKey(instance.Zone, id))
+	record := fleet.Record{
+		ID: id, State: fleet.StateReleased, Reason: string(explain.ReasonListed), Since: r.now,
+		// An instance that was forgotten and comes back never reuses an epoch, since the
+		// page's revision outgrows the epochs of its records.
+		Epoch: int64(page.Revision),
+	}
 	if joinsKnownZone {
 		record.LastMaintained = r.now
 	}
@@ -125,6 +131,7 @@
 	}
 	if m.zone == r.Zone {
 		m.seen = r.look(m.record.ID, instance, listed)
+		m.seen.InState = r.states.note(m.record, r.now)
 	}
 	labels := fleet.EffectiveLabels(instance, m.record.Labels)
 	for _, pool := range r.pools {
--- a/policy/lifecycle/lifecycle.go
+++ b/policy/lifecycle/lifecycle.go
@@ -42,6 +42,9 @@
 	Healthy   bool
 	AbsentFor time.Duration // since the list last named it; zero while Listed
 	Idle      bool          // no work in progress
+	// InState is how long the observer has seen the record in its state. It comes
+	// from the observer's own clock: the record's time may be another clock's.
+	InState time.Duration
 }
 
 // Intent is what the plans want of an instance.
@@ -70,7 +73,7 @@
 // Changed reports whether the step alters the record.
 func (s Step) Changed() bool { return s.Action != explain.ActionStay }
 
-// Next returns the next step of the record. Times come from one clock.
+// Next returns the next step of the record.
 func (t Timings) Next(record fleet.Record, seen Observation, intent Intent, now time.Time) Step {
 	s := stepper{Timings: t, record: record, seen: seen, intent: intent, now: now}
 	if s.forgotten() {
@@ -224,11 +227,10 @@
 }
 
 func (s stepper) drained() bool {
-	age := s.now.Sub(s.record.Since)
-	if age < s.DrainMinimum {
+	if s.seen.InState < s.DrainMinimum {
 		return false
 	}
-	return s.seen.Idle || age >= s.DrainLimit
+	return s.seen.Idle || s.seen.InState >= s.DrainLimit
 }
 
 func (s stepper) release(reason explain.Reason) Step {
@@ -251,7 +253,7 @@
 // maintenance asks for the reboot until the platform has taken it, then waits for
 // the instance to come back.
 func (s stepper) maintenance() Step {
-	age := s.now.Sub(s.record.Since)
+	age := s.seen.InState
 	switch {
 	case s.forMaintenance():
 		step := s.become(fleet.StateMaintenance, explain.ActionMaintain, explain.ReasonMaintenanceRunning)
