Compose duties, placement, submissions and the store's rate limits

Cause: these parts were built but not in the program. Change: one duty runs pools and placement of its zone; claims, peers' tickets and the rate limit are wired; jobs are listed from their pages. Measured: the development fleet no longer starts: pools with known zero demand keep no instance at all. tarragonctl explain named the cause.

--- /dev/null
+++ b/entry/jobctl/report.go
@@ -0,0 +1,67 @@
+package jobctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/platform"
+)
+
+// JobReport says how a job stands by its pages.
+type JobReport struct {
+	Name    string
+	Tenant  string
+	Tasks   int
+	Waiting int
+	Running int
+	Done    int
+	// Reason says why nothing starts or that tasks failed; empty where all is well.
+	Reason string
+}
+
+// ReportJobs returns how each configured job stands, by name. Pages that cannot be
+// read are left out.
+func ReportJobs(config *object.Config, entries []platform.Entry) []JobReport {
+	reports := map[string]*JobReport{}
+	for name, job := range config.Jobs {
+		reports[name] = &JobReport{Name: name, Tenant: job.Spec.Tenant, Tasks: job.Spec.Tasks}
+		if job.Spec.Canceled {
+			reports[name].Reason = "canceled"
+		}
+	}
+	for _, entry := range entries {
+		name, _, err := splitKey(entry.Key)
+		var page fleet.JobPage
+		if err == nil {
+			err = json.Unmarshal(entry.Value, &page)
+		}
+		if report := reports[name]; err == nil && report != nil {
+			report.add(page)
+		}
+	}
+	var out []JobReport
+	for _, name := range slices.Sorted(maps.Keys(reports)) {
+		out = append(out, *reports[name])
+	}
+	return out
+}
+
+func (r *JobReport) add(page fleet.JobPage) {
+	failures := 0
+	for _, t := range page.Tasks {
+		failures += t.Failures
+	}
+	r.Waiting += phaseCount(page, fleet.TaskPending)
+	r.Running += phaseCount(page, fleet.TaskStarted)
+	r.Done += phaseCount(page, fleet.TaskDone)
+	switch {
+	case page.Quarantined != "":
+		r.Reason = "quarantined: " + page.Quarantined
+	case failures > 0 && r.Reason == "":
+		r.Reason = fmt.Sprintf("%d failed starts", failures)
+	}
+}
--- a/entry/node/controllers.go
+++ b/entry/node/controllers.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/api/operations"
 	"github.com/tarragonreach/tarragonreach/entry/duty"
 	"github.com/tarragonreach/tarragonreach/entry/fleetctl"
+	"github.com/tarragonreach/tarragonreach/entry/jobctl"
+	"github.com/tarragonreach/tarragonreach/platform"
 	"github.com/tarragonreach/tarragonreach/policy/maintenance"
 )
 
@@ -24,7 +28,7 @@
 
 func newControllers(p parts) *controllers {
 	s := p.Options.Settings
-	lessee := duty.New(p.Client, duty.Options{
+	lessee := duty.New(p.Store, duty.Options{
 		Zone: s.Instance.Zone, Self: s.Instance.ID, Logger: p.Log.Logger,
 	})
 	return &controllers{lessee: lessee, parts: p}
@@ -47,20 +51,47 @@
 // Active reports whether the term still holds by this process's clock.
 func (t activeTerm) Active() bool { return t.term.Valid(time.Now()) }
 
-// act decides for the availability zone during one term.
+// act decides for the availability zone during one term: for its pools and, beside
+// that, for the tasks on its workers.
 func (c *controllers) act(ctx context.Context, term duty.Term) {
-	p := c.parts
-	controller := fleetctl.New(fleetctl.Options{
-		Zone: p.Options.Settings.Instance.Zone, Store: duty.Fence(p.Client, term), View: p.View, List: p.List,
-		Instances: p.Client, Config: p.Follower.Current, Recorder: p.Ring,
-	})
-	c.fleet.Store(controller)
+	store := duty.Fence(c.parts.Store, term)
+	jobs := c.newJobs(store)
+	pools := c.newPools(store, jobs)
+	c.fleet.Store(pools)
 	defer c.fleet.Store(nil)
-	if err := controller.Run(ctx, activeTerm{term}); err != nil && ctx.Err() == nil {
-		p.Log.Warn("fleet decisions ended", "epoch", term.Epoch, "error", err)
+	var acting sync.WaitGroup
+	acting.Go(func() { c.parts.JobPages.Run(ctx) })
+	acting.Go(func() { c.note(ctx, "placement", jobs.Run(ctx, activeTerm{term})) })
+	acting.Go(func() { c.note(ctx, "pools", pools.Run(ctx, activeTerm{term})) })
+	acting.Wait()
+}
+
+func (c *controllers) note(ctx context.Context, what string, err error) {
+	if err != nil && ctx.Err() == nil {
+		c.parts.Log.Warn("decisions ended", "decisions", what, "error", err)
 	}
 }
 
+func (c *controllers) newPools(store platform.Store, work fleetctl.Work) *fleetctl.Controller {
+	p := c.parts
+	return fleetctl.New(fleetctl.Options{
+		Zone: p.Options.Settings.Instance.Zone, Store: store, View: p.View, List: p.List,
+		Instances: p.Client, Config: p.Follower.Current, Recorder: p.Ring, Work: work, Demand: demand{p},
+	})
+}
+
+func (c *controllers) newJobs(store platform.Store) *jobctl.Controller {
+	p := c.parts
+	return jobctl.New(jobctl.Options{
+		Zone: p.Options.Settings.Instance.Zone, Store: store, Cache: p.JobPages, List: p.List, Workers: p.Client,
+		Config: p.Follower.Current, Recorder: p.Ring,
+		Record: func(id fleet.InstanceID) (fleet.Record, bool) {
+			record, _, known := p.View.Snapshot().Find(id)
+			return record, known
+		},
+	})
+}
+
 // maintenance returns how the plans stood in the last round, none while another
 // entry instance holds the duty.
 func (c *controllers) maintenance() []maintenance.Status {
--- a/entry/node/fleetops.go
+++ b/entry/node/fleetops.go
@@ -11,7 +11,9 @@
 	"github.com/tarragonreach/tarragonreach/api/operations"
 	"github.com/tarragonreach/tarragonreach/entry/fleetctl"
 	"github.com/tarragonreach/tarragonreach/entry/fleetview"
+	"github.com/tarragonreach/tarragonreach/entry/jobctl"
 	"github.com/tarragonreach/tarragonreach/entry/operator"
+	"github.com/tarragonreach/tarragonreach/entry/storecache"
 )
 
 // fleetOperations shows and steers pools and instances for operators.
@@ -23,7 +25,7 @@
 var _ operator.Fleet = (*fleetOperations)(nil)
 
 func (f *fleetOperations) operations() fleetctl.Operations {
-	return fleetctl.Operations{Store: f.Client, View: f.View, Now: time.Now}
+	return fleetctl.Operations{Store: f.Store, View: f.View, Now: time.Now}
 }
 
 // Pools returns how each pool stands by the fleet record.
@@ -63,8 +65,21 @@
 	return out
 }
 
-// Jobs returns how each job stands.
-func (f *fleetOperations) Jobs() []operations.JobStatus { return []operations.JobStatus{} }
+// Jobs returns how each job stands by its pages in the store.
+func (f *fleetOperations) Jobs(ctx context.Context) ([]operations.JobStatus, error) {
+	pages := storecache.New(f.Store, fleet.JobPrefix)
+	if _, err := pages.Load(ctx); err != nil {
+		return nil, fmt.Errorf("%w: %w", operator.ErrUnavailable, err)
+	}
+	out := []operations.JobStatus{}
+	for _, r := range jobctl.ReportJobs(f.Follower.Current(), pages.Entries()) {
+		out = append(out, operations.JobStatus{
+			Name: r.Name, Tenant: r.Tenant, Tasks: r.Tasks, Running: r.Running, Done: r.Done, Waiting: r.Waiting,
+			Reason: r.Reason,
+		})
+	}
+	return out, nil
+}
 
 // Drain asks to take an instance out of its pool.
 func (f *fleetOperations) Drain(ctx context.Context, id fleet.InstanceID, reason string) (operations.InstanceStatus, error) {
--- a/entry/node/parts.go
+++ b/entry/node/parts.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+
 	"github.com/tarragonreach/tarragonreach/entry/backend"
 	"github.com/tarragonreach/tarragonreach/entry/config"
 	"github.com/tarragonreach/tarragonreach/entry/directory"
@@ -12,8 +15,11 @@
 	"github.com/tarragonreach/tarragonreach/entry/gateway"
 	"github.com/tarragonreach/tarragonreach/entry/logging"
 	"github.com/tarragonreach/tarragonreach/entry/metrics"
+	"github.com/tarragonreach/tarragonreach/entry/storecache"
 	"github.com/tarragonreach/tarragonreach/entry/submission"
 	"github.com/tarragonreach/tarragonreach/platform/httpapi"
+	"github.com/tarragonreach/tarragonreach/platform/ratelimit"
+	"github.com/tarragonreach/tarragonreach/policy/routing"
 	"go.uber.org/fx"
 )
 
@@ -25,6 +31,7 @@
 	Log       *logging.Log
 	Metrics   *metrics.Metrics
 	Client    *httpapi.Client
+	Store     *ratelimit.Store
 	List      *listCache
 	Peers     *peers
 	Follower  *config.Follower
@@ -36,13 +43,16 @@
 	Transport *backend.HTTPTransport
 	Keeper    *submission.Keeper
 	Gateway   *gateway.Gateway
+	JobPages  *storecache.Cache
+	OwnLoad   *atomic.Pointer[routing.PeerLoad]
 }
 
 // constructors build the parts in the order of their needs.
 func constructors() fx.Option {
 	return fx.Provide(
-		newLog, newMetrics, newStoreClient, newList, newPeers, newFollower, newConfigLog, newRollOut,
+		newLog, newMetrics, newStoreClient, newStore, newList, newPeers, newFollower, newConfigLog, newRollOut,
 		fleetview.New, newRing, newDirectory, newTransport, newKeeper, newGateway,
+		newJobPages, newOwnLoad,
 	)
 }
 
@@ -56,17 +66,38 @@
 
 func newStoreClient(o Options) *httpapi.Client { return newClient(o.Settings) }
 
+// storeBurst is how many calls of each sort may go at once after a pause.
+const storeBurst = 20
+
+// newStore keeps this entry instance within its share of the store's rates.
+func newStore(o Options, client *httpapi.Client) *ratelimit.Store {
+	return ratelimit.New(client, ratelimit.Limits{
+		ReadsPerSecond: o.Settings.Platform.ReadsPerSecond, WritesPerSecond: o.Settings.Platform.WritesPerSecond,
+		Burst: storeBurst,
+	})
+}
+
+func newJobPages(store *ratelimit.Store) *storecache.Cache {
+	return storecache.New(store, fleet.JobPrefix)
+}
+
+func newOwnLoad() *atomic.Pointer[routing.PeerLoad] {
+	load := new(atomic.Pointer[routing.PeerLoad])
+	load.Store(&routing.PeerLoad{})
+	return load
+}
+
 func newList(client *httpapi.Client) *listCache { return newListCache(client) }
 
 func newPeers() *peers { return &peers{} }
 
-func newFollower(o Options, client *httpapi.Client, p *peers, log *logging.Log) *config.Follower {
+func newFollower(o Options, store *ratelimit.Store, p *peers, log *logging.Log) *config.Follower {
 	self := config.Member{ID: o.Settings.Instance.ID, Zone: o.Settings.Instance.Zone}
-	return config.NewFollower(client, config.Options{Self: self, Members: p.reachable, Logger: log.Logger})
+	return config.NewFollower(store, config.Options{Self: self, Members: p.reachable, Logger: log.Logger})
 }
 
-func newConfigLog(client *httpapi.Client, f *config.Follower, list *listCache, log *logging.Log) *config.Log {
-	return config.NewLog(client, f, config.LogOptions{Instances: list.Last, Logger: log.Logger})
+func newConfigLog(store *ratelimit.Store, f *config.Follower, list *listCache, log *logging.Log) *config.Log {
+	return config.NewLog(store, f, config.LogOptions{Instances: list.Last, Logger: log.Logger})
 }
 
 func newRollOut(o Options, f *config.Follower) *config.RollOut {
@@ -90,12 +121,12 @@
 	})
 }
 
-func newKeeper(o Options, client *httpapi.Client, p *peers) (*submission.Keeper, error) {
+func newKeeper(o Options, client *httpapi.Client, p *peers, m *metrics.Metrics) (*submission.Keeper, error) {
 	s := o.Settings.Gateway
 	keeper, err := submission.New(submission.Options{
 		Self: o.Settings.Instance.ID, Store: client, Peers: p,
 		TicketLifetime: time.Duration(s.TicketLifetime), Retention: time.Duration(s.ClaimRetention),
-		CallsPerSecond: s.ClaimsPerSecond,
+		CallsPerSecond: s.ClaimsPerSecond, Scope: m.Scope.SubScope("submissions"),
 	})
 	if err != nil {
 		return nil, fmt.Errorf("prepare submissions: %w", err)
--- a/entry/node/stages.go
+++ b/entry/node/stages.go
@@ -17,6 +17,7 @@
 		p.Peers.changed()
 	})
 	n.mesh.Handle(explainMethod, (&explainer{p}).serve)
+	p.Keeper.Register(n.mesh)
 }
 
 // addStages registers the stages in the order of their start; they stop in the
@@ -31,6 +32,7 @@
 		n.operator.Shutdown,
 	))
 	lc.Append(fx.StopHook(p.Transport.Close))
+	lc.Append(fx.StopHook(p.Keeper.Close))
 	lc.Append(fx.StartStopHook(
 		func() { n.caller.Start(n.serverFailed) },
 		n.stopCaller,
@@ -43,7 +45,7 @@
 	n.tasks.start("configuration", p.Follower.Run)
 	n.tasks.start("directory", p.Directory.Run)
 	n.tasks.start("gateway", p.Gateway.Run)
-	n.tasks.start("fleet record", func(ctx context.Context) error { return p.View.Follow(ctx, p.Client) })
+	n.tasks.start("fleet record", func(ctx context.Context) error { return p.View.Follow(ctx, p.Store) })
 	n.tasks.start("fleet records to routing", n.passRecords)
 	if p.Options.Settings.Fleet.Controllers {
 		n.tasks.start("controllers", n.controllers.run)
--- a/entry/node/summary.go
+++ b/entry/node/summary.go
@@ -26,7 +26,9 @@
 // publishSummary tells the peers this entry instance's load and takes theirs.
 func (n *Node) publishSummary() {
 	p := n.parts
-	own := summary{ConfigRevision: p.Follower.Current().Revision, Services: p.Gateway.LoadSummary().Services}
+	load := p.Gateway.LoadSummary()
+	p.OwnLoad.Store(&load)
+	own := summary{ConfigRevision: p.Follower.Current().Revision, Services: load.Services}
 	body, err := cbor.Marshal(own)
 	if err != nil {
 		p.Log.Error("the load summary was not encoded", "error", err)
--- a/entry/operator/fleet.go
+++ b/entry/operator/fleet.go
@@ -27,7 +27,7 @@
 	Pools() []operations.PoolStatus
 	Instances() []operations.InstanceStatus
 	Maintenance() []operations.MaintenanceStatus
-	Jobs() []operations.JobStatus
+	Jobs(ctx context.Context) ([]operations.JobStatus, error)
 	Drain(ctx context.Context, id fleet.InstanceID, reason string) (operations.InstanceStatus, error)
 	Undrain(ctx context.Context, id fleet.InstanceID) (operations.InstanceStatus, error)
 	Relabel(ctx context.Context, id fleet.InstanceID, labels label.Set) (operations.InstanceStatus, error)
@@ -37,7 +37,7 @@
 	group.GET(operations.PathPools, func(c *gin.Context) { c.JSON(http.StatusOK, f.Pools()) })
 	group.GET(operations.PathInstances, func(c *gin.Context) { c.JSON(http.StatusOK, f.Instances()) })
 	group.GET(operations.PathMaintenance, func(c *gin.Context) { c.JSON(http.StatusOK, f.Maintenance()) })
-	group.GET(operations.PathJobs, func(c *gin.Context) { c.JSON(http.StatusOK, f.Jobs()) })
+	group.GET(operations.PathJobs, listJobs(f))
 	instance := group.Group(operations.PathInstances + "/:id")
 	instance.POST("/drain", changeInstance(func(c *gin.Context, id fleet.InstanceID, change operations.InstanceChange) (operations.InstanceStatus, error) {
 		return f.Drain(c, id, change.Reason)
@@ -50,6 +50,17 @@
 	}))
 }
 
+func listJobs(f Fleet) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		jobs, err := f.Jobs(c)
+		if err != nil {
+			refuseError(c, err)
+			return
+		}
+		c.JSON(http.StatusOK, jobs)
+	}
+}
+
 type instanceOperation func(*gin.Context, fleet.InstanceID, operations.InstanceChange) (operations.InstanceStatus, error)
 
 func changeInstance(operation instanceOperation) gin.HandlerFunc {
--- a/entry/operator/operator_test.go
+++ b/entry/operator/operator_test.go
@@ -65,7 +65,7 @@
 
 func (f *fake) Maintenance() []operations.MaintenanceStatus { return nil }
 
-func (f *fake) Jobs() []operations.JobStatus { return nil }
+func (f *fake) Jobs(context.Context) ([]operations.JobStatus, error) { return nil, f.err }
 
 func (f *fake) Drain(_ context.Context, id fleet.InstanceID, reason string) (operations.InstanceStatus, error) {
 	return operations.InstanceStatus{ID: id, Reason: reason}, f.err
