--- a/policy/capacity/estimator.go
+++ b/policy/capacity/estimator.go
@@ -61,7 +61,8 @@
 }
 
 // Quantile returns a demand that the given share of the weighted samples does not
-// exceed, rounded up by at most one bucket; zero without samples.
+// exceed, rounded up by at most one bucket. It is zero without samples, and where
+// the demand is below the smallest bucket.
 func (e *Estimator) Quantile(share float64) float64 {
 	if e.total == 0 {
 		return 0
--- a/policy/capacity/plan.go
+++ b/policy/capacity/plan.go
@@ -53,6 +53,8 @@
 	// shortageTiers make a pool's first instances worth more than its last, so that
 	// scarce instances are shared out.
 	shortageTiers = 4
+	// tieCost makes an instance stay where a move costs as much as it saves.
+	tieCost = 2
 	// maxWeightCost bounds a single cost, so that sums stay below shortageCost.
 	maxWeightCost = 1e10
 )
@@ -207,7 +209,7 @@
 	if g.protected {
 		weight *= ProtectedFactor
 	}
-	return max(units(weight), 2) // a free move is still worse than none
+	return units(weight) + tieCost
 }
 
 func units(cost float64) int64 { return int64(math.Round(min(cost*costUnit, maxWeightCost))) }
@@ -215,16 +217,15 @@
 // addPool adds the edges of a pool to the sink: tiers of the need at falling worth,
 // then one for each instance above the need at its idle cost.
 func (p *planner) addPool(i int, pool Pool, total int) {
-	bound := total
+	need, bound := pool.Need, total
 	if pool.Max > 0 || pool.Closed {
-		bound = min(bound, pool.Max)
+		need, bound = min(need, pool.Max), min(total, pool.Max)
 	}
-	need := min(pool.Need, bound)
 	from := 0
 	for tier := range shortageTiers {
 		upTo := (tier + 1) * need / shortageTiers
 		worth := shortageCost * int64(shortageTiers-tier)
-		p.addSeats(i, upTo-from, -worth)
+		p.addSeats(i, min(upTo, total)-min(from, total), -worth)
 		from = upTo
 	}
 	if pool.Open {
