--- a/entry/fleetctl/apply.go
+++ b/entry/fleetctl/apply.go
@@ -125,6 +125,9 @@
 		next = next.With(c.step.Record)
 	}
 	if err := r.pages.swap(ctx, old, next); err != nil {
+		if stored := r.View.Snapshot().Page(key); stored.Page.Epoch > r.epoch {
+			return deposed(stored, r.epoch)
+		}
 		return err
 	}
 	for _, c := range changes {
--- a/policy/maintenance/maintenance.go
+++ b/policy/maintenance/maintenance.go
@@ -114,7 +114,7 @@
 		if choice.Reason == "" {
 			choice.Start = true
 			choice.Reason = explain.ReasonMaintenanceDue
-			w.left[instance.Pool]--
+			w.take(instance.Pool)
 			room--
 		}
 		out.Choices = append(out.Choices, choice)
--- a/policy/maintenance/wave.go
+++ b/policy/maintenance/wave.go
@@ -168,6 +168,13 @@
 	}
 }
 
+// take uses up one of a pool's budget, where that is bounded.
+func (w *wave) take(pool string) {
+	if left, bounded := w.left[pool]; bounded {
+		w.left[pool] = left - 1
+	}
+}
+
 // nearDeadline says whether maintenance could make a batch miss its deadline.
 func (w *wave) nearDeadline(instance Instance) bool {
 	if instance.Deadline.IsZero() || instance.Deadline.Before(w.Now) {
