Keep a pool's instances until its demand was watched

Cause: with a demand of zero a pool took no instance, so nothing could ever show a demand; a new holder of the duty, which has watched nothing yet, would have emptied the pools. tarragonctl explain showed 'target-met: 0 needed'. Change: until a half-life of the demand was watched, a pool keeps what it holds, and one that holds nothing takes what its selector matches.

--- a/entry/fleetctl/planning.go
+++ b/entry/fleetctl/planning.go
@@ -85,7 +85,7 @@
 
 // capacityPool states what the zone's part of a pool needs and costs.
 func (r *round) capacityPool(pool poolSpec, supply []zoneSupply) capacity.Pool {
-	need, known := r.sizing.need(pool, supply, r.now)
+	need, known := r.sizing.need(pool, supply, r.held(pool.Name), r.now)
 	out := capacity.Pool{
 		Name: pool.Name, Open: !known, Need: need,
 		MoveWeight: pool.MoveWeight, BufferWeight: pool.BufferWeight,
@@ -101,6 +101,17 @@
 	return out
 }
 
+// held counts the zone's instances that are in a pool or on their way to it.
+func (r *round) held(pool string) int {
+	n := 0
+	for _, m := range r.members {
+		if r.placeable(m) && heading(m) == pool {
+			n++
+		}
+	}
+	return n
+}
+
 // ownShare is the zone's part of a bound on the whole pool.
 func (r *round) ownShare(total int, supply []zoneSupply) int {
 	weights := make([]int, len(supply))
--- a/entry/fleetctl/sizing.go
+++ b/entry/fleetctl/sizing.go
@@ -62,9 +62,11 @@
 	largestRack int
 }
 
-// need returns how many instances the controller's zone needs for a pool, and
-// whether the demand is known.
-func (s *sizing) need(pool poolSpec, supply []zoneSupply, now time.Time) (int, bool) {
+// need returns how many instances the controller's zone needs for a pool that has
+// held of them, and whether the demand is known. A new holder of the duty has seen
+// little of the demand, so until it has watched for a half-life the pool keeps what
+// it holds, and one that holds nothing takes what it can get.
+func (s *sizing) need(pool poolSpec, supply []zoneSupply, held int, now time.Time) (int, bool) {
 	demands := make([]capacity.ZoneDemand, len(supply))
 	weights := make([]int, len(supply))
 	known, own := false, 0
@@ -83,10 +85,14 @@
 	if len(supply) > 0 {
 		least = capacity.Split(pool.Min, weights)[own]
 	}
-	if !known {
+	fresh := now.Sub(s.began) < s.options.HalfLife
+	if !known || (fresh && held == 0) {
 		return least, false
 	}
 	need := max(capacity.Spread(demands, capacity.FailureDomain(pool.FailureDomain))[own], least)
+	if fresh {
+		need = max(need, held)
+	}
 	return s.history(pool.Name).Update(need, now, s.options.Hysteresis), true
 }
 
