Test verdicts against runs, shutdown and leaving; keep notices until a restart

Cause: a ready probe ended a notice at once, so a draining executor went on getting work for 30 s; a 5xx answer was lost when its retry failed. Change: a notice holds until a restart shows; the 5xx answer in hand is passed on; refusals of keyed requests speak for the submission; a property test over random faults counts runs for each request ID.

--- a/entry/directory/build.go
+++ b/entry/directory/build.go
@@ -18,7 +18,7 @@
 	config    *object.Config
 	instances []fleet.Instance
 	records   map[fleet.InstanceID]fleet.Record
-	notices   map[fleet.InstanceID]time.Time // when each notice ends
+	notices   map[fleet.InstanceID]notice
 }
 
 // build merges the inputs into a snapshot.
@@ -84,7 +84,7 @@
 			return reason
 		}
 	}
-	if now.Before(in.notices[instance.ID]) {
+	if now.Before(in.notices[instance.ID].until) {
 		return OwnNotice
 	}
 	return Included
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -15,7 +15,7 @@
 // Defaults of Options.
 const (
 	DefaultInterval  = time.Second
-	DefaultNoticeTTL = 60 * time.Second
+	DefaultNoticeTTL = 10 * time.Minute
 )
 
 // Options are the collaborators and settings of a Directory.
@@ -24,8 +24,8 @@
 	List platform.InstanceList
 	// Interval is the time between two polls; zero takes DefaultInterval.
 	Interval time.Duration
-	// NoticeTTL is how long an executor's own notice holds unless it is withdrawn;
-	// zero takes DefaultNoticeTTL.
+	// NoticeTTL is how long an executor's own notice holds unless it restarts; zero
+	// takes DefaultNoticeTTL.
 	NoticeTTL time.Duration
 	// Logger takes changes of state; nil takes slog.Default.
 	Logger *slog.Logger
@@ -55,7 +55,7 @@
 	}
 	d := &Directory{options: options}
 	d.in.records = map[fleet.InstanceID]fleet.Record{}
-	d.in.notices = map[fleet.InstanceID]time.Time{}
+	d.in.notices = map[fleet.InstanceID]notice{}
 	d.snapshot.Store(build(d.in, time.Time{}))
 	return d
 }
@@ -125,26 +125,10 @@
 	d.publish()
 }
 
-// SetNotice records an executor's own notice that it is leaving, or withdraws it.
-func (d *Directory) SetNotice(id fleet.InstanceID, leaving bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if leaving {
-		d.in.notices[id] = time.Now().Add(d.options.NoticeTTL)
-	} else {
-		delete(d.in.notices, id)
-	}
-	d.publish()
-}
-
 // publish builds and stores a snapshot; the lock is held.
 func (d *Directory) publish() {
 	now := time.Now()
-	for id, until := range d.in.notices {
-		if !now.Before(until) {
-			delete(d.in.notices, id)
-		}
-	}
+	d.forgetNotices(now)
 	snapshot := build(d.in, now)
 	if equal(snapshot, d.snapshot.Load()) {
 		return
--- /dev/null
+++ b/entry/directory/directory_test.go
@@ -0,0 +1,114 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/label"
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"gotest.tools/v3/assert"
+)
+
+// fakeList is the platform's list, or its outage.
+type fakeList struct {
+	instances []fleet.Instance
+	err       error
+}
+
+func (l *fakeList) Instances(context.Context) ([]fleet.Instance, error) { return l.instances, l.err }
+
+func server(id string, labels label.Set) fleet.Instance {
+	return fleet.Instance{ID: fleet.InstanceID(id), Kind: fleet.KindBackendServer, Zone: "z1", Address: id, Labels: labels}
+}
+
+func configOf(services ...object.Service) *object.Config {
+	return (&object.Config{}).Apply(object.Change{Put: object.Document{Services: services}})
+}
+
+func ids(d *Directory, service string) (found []string) {
+	for _, e := range d.Snapshot().Services[service].Endpoints {
+		found = append(found, string(e.ID))
+	}
+	return found
+}
+
+func TestEndpointsFollowEachSource(t *testing.T) {
+	svc := label.Set{fleet.LabelService: "svc"}
+	leaving := server("d", svc)
+	leaving.Leaving = true
+	list := &fakeList{instances: []fleet.Instance{
+		server("c", svc), server("a", svc), server("b", label.Set{fleet.LabelService: "other"}), leaving,
+		{ID: "e", Kind: fleet.KindEntry, Labels: svc},
+	}}
+	d := New(Options{List: list})
+	d.SetConfig(configOf(object.Service{Name: "svc", Pool: "p"}))
+	d.poll(t.Context())
+	assert.DeepEqual(t, ids(d, "svc"), []string{"a", "c"})
+	assert.Equal(t, len(d.Snapshot().EntryInstances), 1)
+
+	d.SetRecords([]fleet.Record{{ID: "a", Pool: "p", State: fleet.StateServing}, {ID: "c", Pool: "other", State: fleet.StateServing}})
+	assert.DeepEqual(t, ids(d, "svc"), []string{"a"})
+	for _, state := range []fleet.State{fleet.StateDraining, fleet.StateMaintenance, fleet.StateFailed, fleet.StateReleased} {
+		d.SetRecords([]fleet.Record{{ID: "a", Pool: "p", State: state}, {ID: "c", Pool: "p", State: fleet.StateServing}})
+		assert.DeepEqual(t, ids(d, "svc"), []string{"c"})
+	}
+	d.SetRecords([]fleet.Record{{ID: "b", Pool: "p", State: fleet.StateServing, Labels: svc}})
+	assert.DeepEqual(t, ids(d, "svc"), []string{"a", "b", "c"}) // Operators' labels go over the platform's.
+}
+
+func TestListOutageKeepsTheLastList(t *testing.T) {
+	list := &fakeList{instances: []fleet.Instance{server("a", label.Set{fleet.LabelService: "svc"})}}
+	d := New(Options{List: list})
+	d.SetConfig(configOf(object.Service{Name: "svc"}))
+	d.poll(t.Context())
+	list.err = errors.New("down")
+	d.poll(t.Context())
+	assert.DeepEqual(t, ids(d, "svc"), []string{"a"})
+	list.err, list.instances = nil, nil
+	d.poll(t.Context())
+	assert.DeepEqual(t, ids(d, "svc"), []string{"a"}) // An empty list is taken for an outage.
+}
+
+func TestNoticeHoldsUntilARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Options{List: &fakeList{instances: []fleet.Instance{server("a", label.Set{fleet.LabelService: "svc"})}}})
+		d.SetConfig(configOf(object.Service{Name: "svc"}))
+		d.poll(t.Context())
+		published := 0
+		d.Subscribe(func(*Snapshot) { published++ })
+		d.NoteReadiness("a", true)
+		assert.Equal(t, published, 1, "nothing changed")
+		d.NoteLeaving("a")
+		d.NoteReadiness("a", true)
+		assert.Equal(t, len(ids(d, "svc")), 0, "ready as long as it drains")
+		assert.Equal(t, len(d.Snapshot().Services["svc"].Noticed), 1)
+		d.NoteReadiness("a", false)
+		d.NoteReadiness("a", true)
+		assert.Equal(t, len(ids(d, "svc")), 1, "it has restarted")
+		d.NoteLeaving("a")
+		time.Sleep(DefaultNoticeTTL)
+		d.poll(t.Context())
+		assert.Equal(t, len(ids(d, "svc")), 1)
+	})
+}
+
+// BenchmarkRequestPathSnapshot builds a snapshot of 500 executors in 5 services.
+func BenchmarkRequestPathSnapshot(b *testing.B) {
+	in := inputs{records: map[fleet.InstanceID]fleet.Record{}, notices: map[fleet.InstanceID]notice{}}
+	var services []object.Service
+	for s := range 5 {
+		services = append(services, object.Service{Name: fmt.Sprint("svc", s), Slots: 8})
+	}
+	in.config = configOf(services...)
+	for i := range 500 {
+		in.instances = append(in.instances, server(fmt.Sprint(i), label.Set{fleet.LabelService: fmt.Sprint("svc", i%5)}))
+	}
+	for b.Loop() {
+		build(in, time.Time{})
+	}
+}
--- /dev/null
+++ b/entry/directory/notice.go
@@ -0,0 +1,50 @@
+package directory
+
+import (
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+)
+
+// notice is an executor's own notice that it is leaving.
+type notice struct {
+	until time.Time
+	// wasDown says that a readiness probe has failed since the notice, so that a
+	// later success shows a restart.
+	wasDown bool
+}
+
+// NoteLeaving records a notice given with an answer. It holds until the platform
+// drops the instance, it restarts, or Options.NoticeTTL has passed.
+func (d *Directory) NoteLeaving(id fleet.InstanceID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.in.notices[id]
+	d.in.notices[id] = notice{until: time.Now().Add(d.options.NoticeTTL), wasDown: old.wasDown}
+	d.publish()
+}
+
+// NoteReadiness records the result of a readiness probe. A failed one is a notice;
+// a success ends a notice only if a probe has failed since it was given.
+func (d *Directory) NoteReadiness(id fleet.InstanceID, ready bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case !ready:
+		d.in.notices[id] = notice{until: time.Now().Add(d.options.NoticeTTL), wasDown: true}
+	case d.in.notices[id].wasDown:
+		delete(d.in.notices, id)
+	default:
+		return
+	}
+	d.publish()
+}
+
+// forgetNotices drops the notices that have run out.
+func (d *Directory) forgetNotices(now time.Time) {
+	for id, n := range d.in.notices {
+		if !now.Before(n.until) {
+			delete(d.in.notices, id)
+		}
+	}
+}
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -22,8 +22,8 @@
 	repeatable bool
 	started    time.Time
 	deadline   time.Time
-	attempt    int // as the caller counts; zero means not given
-	key        string
+	attempt    int            // as the caller counts; zero means not given
+	submission submission.Key // as the caller names it; no value where it sent no key
 
 	incoming http.Header // shared with the caller's request; never changed
 	request  backend.Request
@@ -50,7 +50,7 @@
 }
 
 // keyed reports whether the guard must decide about the request.
-func (x *exchange) keyed() bool { return x.key != "" && !x.repeatable }
+func (x *exchange) keyed() bool { return x.submission.Value != "" && !x.repeatable }
 
 // timeLeft returns what is left of the timeout.
 func (x *exchange) timeLeft(now time.Time) time.Duration { return x.deadline.Sub(now) }
@@ -107,6 +107,7 @@
 	}
 	answer, lease, err := g.send(ctx, x)
 	if err != nil {
+		g.speakForSubmission(x, err)
 		g.finishRefused(w, x, err)
 		return
 	}
@@ -121,7 +122,7 @@
 	if g.options.Guard == nil {
 		return verdict.New(g.refusalVerdict(x), verdict.CodeClaimUnavailable, "this entry instance takes no keyed requests")
 	}
-	pass, err := g.options.Guard.Begin(ctx, submission.Key{Tenant: x.tenant, Value: x.key}, x.attempt)
+	pass, err := g.options.Guard.Begin(ctx, x.submission, x.attempt)
 	if err != nil {
 		return asError(err)
 	}
@@ -132,15 +133,23 @@
 // refusalVerdict returns the verdict of a refusal before the guard was asked. For
 // a keyed request it must speak for the whole submission.
 func (g *Gateway) refusalVerdict(x *exchange) verdict.Verdict {
-	if !x.keyed() {
+	if x.submission.Value == "" {
 		return verdict.NotRun
 	}
 	if refuser, ok := g.options.Guard.(submission.Refuser); ok {
-		return refuser.Refusal(submission.Key{Tenant: x.tenant, Value: x.key}, x.attempt)
+		return refuser.Refusal(x.submission, x.attempt)
 	}
 	return verdict.MayHaveRun
 }
 
+// speakForSubmission widens the verdict of a keyed request that ran under no pass,
+// since an earlier copy may have run.
+func (g *Gateway) speakForSubmission(x *exchange, err *verdict.Error) {
+	if err.Verdict == verdict.NotRun && x.pass == nil {
+		err.Verdict = g.refusalVerdict(x)
+	}
+}
+
 // finishPass records the outcome of a submission.
 func (g *Gateway) finishPass(x *exchange, outcome submission.Outcome) {
 	if x.pass == nil {
--- /dev/null
+++ b/entry/gateway/leaving_test.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/entry/backend"
+	"github.com/tarragonreach/tarragonreach/entry/directory"
+	"gotest.tools/v3/assert"
+)
+
+// leavingBound is how soon after its first sign an executor gets no new work.
+const leavingBound = 3 * time.Second
+
+// leavingFleet is executors a and b of which a gives one sign of leaving.
+type leavingFleet struct {
+	list     *fakeList
+	d        *directory.Directory
+	mu       sync.Mutex
+	lastWork time.Time // of a
+	unready  bool      // a fails its readiness probe
+	closes   bool      // a answers 503 and closes the connection
+}
+
+func (f *leavingFleet) Send(_ context.Context, target backend.Target, r *backend.Request) (*backend.Answer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if target.ID != "a" {
+		return okAnswer("b"), nil
+	}
+	if r.Path == backend.DefaultReadinessPath {
+		answer := okAnswer("")
+		if f.unready {
+			answer.Status = http.StatusServiceUnavailable
+		}
+		return answer, nil
+	}
+	f.lastWork = time.Now()
+	if f.closes {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeBackendServerLeaving, "leaving")
+	}
+	return okAnswer("a"), nil
+}
+
+func (f *leavingFleet) sign(name string) {
+	switch name {
+	case "list":
+		f.list.mu.Lock()
+		defer f.list.mu.Unlock()
+		leaving := executorInstance("a", "z1")
+		leaving.Leaving = true
+		f.list.instances = []fleet.Instance{leaving, executorInstance("b", "z1")}
+	case "drain":
+		f.d.SetRecords([]fleet.Record{{ID: "a", Pool: "p", State: fleet.StateDraining}})
+	case "notice":
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.closes = true
+	case "readiness":
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.unready = true
+	}
+}
+
+// lastWorkAfter returns how long after the sign a got its last request.
+func lastWorkAfter(t *testing.T, sign string) (last time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &leavingFleet{list: &fakeList{instances: []fleet.Instance{executorInstance("a", "z1"), executorInstance("b", "z1")}}}
+		f.d = directory.New(directory.Options{List: f.list})
+		f.d.SetConfig(testConfig())
+		g := New(Options{Self: "e1", Zone: "z1", Directory: f.d, Transport: f})
+		ctx, stop := context.WithCancel(t.Context())
+		go f.d.Run(ctx)
+		go g.Run(ctx)
+		time.Sleep(10*time.Second + 3*time.Millisecond)
+		f.sign(sign)
+		signed := time.Now()
+		for time.Since(signed) < 30*time.Second {
+			assert.Equal(t, call(g, "GET", "/s/sportello/x", "").Code, http.StatusOK)
+			time.Sleep(5 * time.Millisecond)
+		}
+		last = max(f.lastWork.Sub(signed), 0)
+		stop()
+		synctest.Wait()
+	})
+	return last
+}
+
+func TestLeavingExecutorGetsNoNewWork(t *testing.T) {
+	for _, sign := range []string{"list", "drain", "notice", "readiness"} {
+		last := lastWorkAfter(t, sign)
+		t.Logf("%s: last work %v after the sign", sign, last)
+		assert.Assert(t, last <= leavingBound, "%s: last work %v after the sign", sign, last)
+	}
+}
+
+func TestShutdownEndsWorkInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		stream, feed := io.Pipe()
+		g, _ := newTestGateway(func(ctx context.Context, target backend.Target, r *backend.Request) (*backend.Answer, error) {
+			if r.Path == "/stream" {
+				return &backend.Answer{Status: 200, Header: http.Header{}, Body: stream}, nil
+			}
+			return hold(release)(ctx, target, r)
+		}, nil)
+		done := make(chan *httptest.ResponseRecorder, 100)
+		begin := func(path string) {
+			go func() { done <- call(g, "GET", path, "") }()
+			synctest.Wait()
+		}
+		begin("/s/sportello/stream")
+		for range 20 { // Two executors of 8 slots: some wait in the queue.
+			begin("/s/sportello/x")
+		}
+		live := g.table.Load().services["sportello"].live
+		assert.Assert(t, live.Waiting() > 0)
+		ended := make(chan error, 1)
+		go func() { ended <- g.Shutdown(t.Context()) }()
+		synctest.Wait()
+		assert.Assert(t, !g.Ready(), "readiness fails first")
+		begin("/s/sportello/x") // Still accepted within the grace.
+		time.Sleep(DefaultSettings().ListenerGrace + time.Millisecond)
+		w := call(g, "GET", "/s/sportello/x", "")
+		assert.Equal(t, problemOf(t, w).Code, verdict.CodeShuttingDown)
+		assert.Equal(t, problemOf(t, w).Verdict, "not-run")
+		time.Sleep(time.Second)
+		assert.Equal(t, len(ended), 0, "work is in progress")
+		go func() {
+			io.Copy(feed, strings.NewReader("whole"))
+			feed.Close()
+		}()
+		close(release)
+		assert.NilError(t, <-ended)
+		for range 22 {
+			w := <-done
+			assert.Equal(t, w.Code, http.StatusOK)
+			assert.Assert(t, w.Body.String() == "held" || w.Body.String() == "whole")
+		}
+	})
+}
--- a/entry/gateway/options.go
+++ b/entry/gateway/options.go
@@ -66,7 +66,7 @@
 		MaxBodyBytes:   8 << 20,
 		BufferBytes:    256 << 10,
 		MaxHeaderBytes: 64 << 10,
-		ProbeInterval:  5 * time.Second,
+		ProbeInterval:  2500 * time.Millisecond,
 		ListenerGrace:  5 * time.Second,
 		Dispatch:       dispatch.DefaultSettings(),
 	}
--- a/entry/gateway/parse.go
+++ b/entry/gateway/parse.go
@@ -21,22 +21,54 @@
 func (g *Gateway) parse(x *exchange, r *http.Request) *verdict.Error {
 	t := g.table.Load()
 	x.incoming = r.Header
+	if refusal := g.parseSubmission(x); refusal != nil {
+		return refusal
+	}
 	name, path := splitPath(r.URL.EscapedPath())
 	x.service = t.services[name]
 	if x.service == nil {
-		return g.parseRefusal(x, r, verdict.CodeUnknownService, "no service "+strconv.Quote(name)+" is configured")
+		return g.refuse(x, verdict.CodeUnknownService, "no service "+strconv.Quote(name)+" is configured")
 	}
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
 	x.request.Method, x.request.Path = r.Method, path
-	if refusal := g.parseClass(x, r, t); refusal != nil {
+	if refusal := g.parseClass(x, t); refusal != nil {
 		return refusal
 	}
-	if refusal := g.parseTenant(x, r, t); refusal != nil {
+	if refusal := g.parseTenant(x, t); refusal != nil {
 		return refusal
 	}
-	return g.parseHeaders(x, r)
+	x.request.Class, x.request.Repeatable = x.class.Name, x.repeatable
+	timeout, refusal := g.parseTimeout(x)
+	x.deadline = x.started.Add(timeout)
+	return refusal
+}
+
+// parseSubmission reads what names the request, so that any later refusal can
+// speak for the whole submission.
+func (g *Gateway) parseSubmission(x *exchange) *verdict.Error {
+	x.submission.Tenant = x.incoming.Get(header.Tenant)
+	x.submission.Value = x.incoming.Get(header.IdempotencyKey)
+	x.request.ID = x.incoming.Get(header.RequestID)
+	if len(x.submission.Value) > maxIDBytes || len(x.request.ID) > maxIDBytes {
+		x.request.ID = ""
+		return g.refuse(x, verdict.CodeBadRequest, "a key or request ID is longer than "+strconv.Itoa(maxIDBytes)+" bytes")
+	}
+	if x.request.ID == "" {
+		x.request.ID = newRequestID()
+	}
+	text := x.incoming.Get(header.Attempt)
+	if text == "" {
+		return nil
+	}
+	attempt, err := strconv.Atoi(text)
+	if err != nil || attempt < 1 {
+		x.attempt = unknownAttempt
+		return g.refuse(x, verdict.CodeBadRequest, header.Attempt+" must be a whole number from 1")
+	}
+	x.attempt = attempt
+	return nil
 }
 
 // splitPath cuts /s/{service}/{path...} into the service and /{path}.
@@ -48,15 +80,15 @@
 
 // parseClass takes the class; a silent class leaves repeatable to the method, and
 // without a class only safe methods are repeatable beside PUT and DELETE.
-func (g *Gateway) parseClass(x *exchange, r *http.Request, t *table) *verdict.Error {
-	x.repeatable = idempotentMethod(r.Method)
-	name := r.Header.Get(header.Class)
+func (g *Gateway) parseClass(x *exchange, t *table) *verdict.Error {
+	x.repeatable = idempotentMethod(x.request.Method)
+	name := x.incoming.Get(header.Class)
 	if name == "" {
 		return nil
 	}
 	class, known := t.snapshot.Config.Classes[name]
 	if !known {
-		return g.parseRefusal(x, r, verdict.CodeUnknownClass, "no class "+strconv.Quote(name)+" is configured")
+		return g.refuse(x, verdict.CodeUnknownClass, "no class "+strconv.Quote(name)+" is configured")
 	}
 	x.class = class.Spec
 	if class.Spec.Repeatable != nil {
@@ -75,8 +107,8 @@
 	}
 }
 
-func (g *Gateway) parseTenant(x *exchange, r *http.Request, t *table) *verdict.Error {
-	x.tenant = r.Header.Get(header.Tenant)
+func (g *Gateway) parseTenant(x *exchange, t *table) *verdict.Error {
+	x.tenant = x.submission.Tenant
 	if x.tenant == "" {
 		return nil
 	}
@@ -84,61 +116,34 @@
 	if !known {
 		name := x.tenant
 		x.tenant = "" // An unknown name must not reach the metrics.
-		return g.parseRefusal(x, r, verdict.CodeUnknownTenant, "no tenant "+strconv.Quote(name)+" is configured")
+		return g.refuse(x, verdict.CodeUnknownTenant, "no tenant "+strconv.Quote(name)+" is configured")
 	}
 	x.weight = tenant.Spec.Weight
 	x.cap = tenant.Spec.MaxInFlight
 	return nil
 }
 
-func (g *Gateway) parseHeaders(x *exchange, r *http.Request) *verdict.Error {
-	x.key = r.Header.Get(header.IdempotencyKey)
-	x.request.ID = r.Header.Get(header.RequestID)
-	if len(x.key) > maxIDBytes || len(x.request.ID) > maxIDBytes {
-		return g.parseRefusal(x, r, verdict.CodeBadRequest, "a key or request ID is longer than "+strconv.Itoa(maxIDBytes)+" bytes")
-	}
-	if x.request.ID == "" {
-		x.request.ID = newRequestID()
-	}
-	if text := r.Header.Get(header.Attempt); text != "" {
-		attempt, err := strconv.Atoi(text)
-		if err != nil || attempt < 1 {
-			x.attempt = unknownAttempt
-			return g.parseRefusal(x, r, verdict.CodeBadRequest, header.Attempt+" must be a whole number from 1")
-		}
-		x.attempt = attempt
-	}
-	timeout, refusal := g.parseTimeout(x, r)
-	if refusal != nil {
-		return refusal
-	}
-	x.deadline = x.started.Add(timeout)
-	return nil
-}
-
 // unknownAttempt stands for an unreadable count: not known to be the first.
 const unknownAttempt = 2
 
-func (g *Gateway) parseTimeout(x *exchange, r *http.Request) (time.Duration, *verdict.Error) {
+func (g *Gateway) parseTimeout(x *exchange) (time.Duration, *verdict.Error) {
 	settings := g.options.Settings
 	timeout := time.Duration(x.class.Timeout)
 	if timeout <= 0 {
 		timeout = settings.DefaultTimeout
 	}
-	if text := r.Header.Get(header.Timeout); text != "" {
+	if text := x.incoming.Get(header.Timeout); text != "" {
 		parsed, err := time.ParseDuration(text)
 		if err != nil || parsed <= 0 {
-			return 0, g.parseRefusal(x, r, verdict.CodeBadRequest, header.Timeout+" must be a positive duration such as 2s")
+			return 0, g.refuse(x, verdict.CodeBadRequest, header.Timeout+" must be a positive duration such as 2s")
 		}
 		timeout = parsed
 	}
 	return min(timeout, settings.MaxTimeout), nil
 }
 
-// parseRefusal refuses a request that was not understood. Where a key came with
-// it, the verdict speaks for the submission.
-func (g *Gateway) parseRefusal(x *exchange, r *http.Request, code verdict.Code, detail string) *verdict.Error {
-	x.key = r.Header.Get(header.IdempotencyKey)
+// refuse returns the refusal of a request that was not understood.
+func (g *Gateway) refuse(x *exchange, code verdict.Code, detail string) *verdict.Error {
 	return verdict.New(g.refusalVerdict(x), code, detail)
 }
 
--- a/entry/gateway/probe.go
+++ b/entry/gateway/probe.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// defaultReadinessPath is probed where the service names no path.
-	defaultReadinessPath = "/readyz"
 	// probeTimeout bounds one readiness probe.
 	probeTimeout = time.Second
 	// maxProbes bounds the probes that run at once.
@@ -84,34 +82,34 @@
 	return true
 }
 
-// probe asks once and passes on a notice, which it thereby prolongs, or its end.
+// probe asks once and passes the result on.
 func (p *prober) probe(ctx context.Context, path string, e directory.Endpoint, noticed bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	target := backend.Target{ID: e.ID, Address: e.Address, Connections: 1, ReadinessPath: path}
 	if path == "" {
-		path = defaultReadinessPath
+		path = backend.DefaultReadinessPath
 	}
 	request := &backend.Request{ID: newRequestID(), Method: http.MethodGet, Path: path, Header: http.Header{}}
 	request.Header.Set(header.Timeout, probeTimeout.String())
-	target := backend.Target{ID: e.ID, Address: e.Address, Connections: 1}
 	answer, err := p.gateway.options.Transport.Send(ctx, target, request)
 	discard(answer)
-	leaving, known := readiness(answer, err)
-	if known && (leaving || noticed) {
-		p.gateway.options.Directory.SetNotice(e.ID, leaving)
+	if ready, known := readiness(answer, err, noticed); known {
+		p.gateway.options.Directory.NoteReadiness(e.ID, ready)
 	}
 }
 
-// readiness reads a probe's answer. An answer without meaning leaves known false.
-func readiness(answer *backend.Answer, err error) (leaving, known bool) {
+// readiness reads a probe's answer; known is false where it says nothing. That an
+// executor does not answer counts only after its notice: it has then ended.
+func readiness(answer *backend.Answer, err error, noticed bool) (ready, known bool) {
 	if err != nil {
-		return true, verdict.CodeOf(err) == verdict.CodeBackendServerLeaving
+		return false, noticed || verdict.CodeOf(err) == verdict.CodeBackendServerLeaving
 	}
 	switch {
 	case answer.Status == http.StatusServiceUnavailable:
-		return true, true
-	case answer.Status < http.StatusMultipleChoices:
 		return false, true
+	case answer.Status < http.StatusMultipleChoices:
+		return true, true
 	default:
 		return false, false
 	}
--- a/entry/gateway/problem.go
+++ b/entry/gateway/problem.go
@@ -41,10 +41,13 @@
 
 // serveRefusal answers a request that is refused unread.
 func (g *Gateway) serveRefusal(w http.ResponseWriter, r *http.Request, refusal *verdict.Error) {
-	x := &exchange{started: time.Now(), key: r.Header.Get(header.IdempotencyKey), tenant: r.Header.Get(header.Tenant)}
+	x := &exchange{incoming: r.Header}
+	if unreadable := g.parseSubmission(x); unreadable != nil {
+		refusal = unreadable
+	}
 	refusal.Verdict = g.refusalVerdict(x)
 	g.metrics.code(refusal.Code)
-	writeProblem(w, refusal, "")
+	writeProblem(w, refusal, x.request.ID)
 }
 
 // writeProblem writes the problem document of an error.
--- /dev/null
+++ b/entry/gateway/property_test.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/header"
+	"github.com/tarragonreach/tarragonreach/api/object"
+	_ "github.com/tarragonreach/tarragonreach/api/rapidseed"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/entry/backend"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// behavior is what an executor does with one attempt.
+type behavior int
+
+const (
+	answers behavior = iota
+	answersLate
+	answersTooLate
+	answersError
+	runsAndIsLost
+	isLostUnrun
+	isBusy
+	refusesConnection
+	givesNotice
+	truncates
+	behaviors
+)
+
+// plannedCall is one caller's request.
+type plannedCall struct {
+	at, timeout, cancelAfter time.Duration // a zero cancelAfter never cancels
+	method, class            string
+	keyed                    bool
+}
+
+// plan is one run: callers, what executors do by turns, and changes of the fleet.
+type plan struct {
+	calls     []plannedCall
+	behaviors []behavior
+	drainAt   time.Duration
+	reloadAt  time.Duration
+}
+
+func drawPlan(t *rapid.T) plan {
+	ms := func(from, to int, name string) time.Duration {
+		return time.Duration(rapid.IntRange(from, to).Draw(t, name)) * time.Millisecond
+	}
+	p := plan{
+		behaviors: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) behavior {
+			return behavior(rapid.IntRange(0, int(behaviors)-1).Draw(t, "behavior"))
+		}), 1, 20).Draw(t, "behaviors"),
+		drainAt:  ms(0, 300, "drainAt"),
+		reloadAt: ms(0, 300, "reloadAt"),
+	}
+	for range rapid.IntRange(1, 16).Draw(t, "calls") {
+		p.calls = append(p.calls, plannedCall{
+			at:          ms(0, 200, "at"),
+			timeout:     ms(20, 800, "timeout"),
+			cancelAfter: ms(0, 400, "cancelAfter") * time.Duration(rapid.IntRange(0, 1).Draw(t, "cancels")),
+			method:      rapid.SampledFrom([]string{"GET", "POST", "PUT"}).Draw(t, "method"),
+			class:       rapid.SampledFrom([]string{"", "check", "order", "silent"}).Draw(t, "class"),
+			keyed:       rapid.Bool().Draw(t, "keyed"),
+		})
+	}
+	return p
+}
+
+// countingTransport follows the plan and counts the runs of each request ID.
+type countingTransport struct {
+	mu    sync.Mutex
+	plan  []behavior
+	next  int
+	runs  map[string]int
+	sends map[string][]fleet.InstanceID
+}
+
+func (c *countingTransport) turn(id string, target fleet.InstanceID) behavior {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := c.plan[c.next%len(c.plan)]
+	c.next++
+	c.sends[id] = append(c.sends[id], target)
+	return b
+}
+
+func (c *countingTransport) run(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs[id]++
+}
+
+func (c *countingTransport) Send(ctx context.Context, target backend.Target, r *backend.Request) (*backend.Answer, error) {
+	b := c.turn(r.ID, target.ID)
+	body := "answer for " + r.ID
+	fail := func(v verdict.Verdict, code verdict.Code) (*backend.Answer, error) {
+		return nil, verdict.New(v, code, "planned")
+	}
+	delay := 10 * time.Millisecond
+	switch b {
+	case isBusy:
+		return fail(verdict.NotRun, verdict.CodeBackendServerBusy)
+	case refusesConnection:
+		return fail(verdict.NotRun, verdict.CodeConnectFailed)
+	case givesNotice:
+		return fail(verdict.NotRun, verdict.CodeBackendServerLeaving)
+	case isLostUnrun:
+		return fail(verdict.MayHaveRun, verdict.CodeConnectionLost)
+	case answersLate:
+		delay = 150 * time.Millisecond
+	case answersTooLate:
+		delay = 5 * time.Second
+	}
+	c.run(r.ID)
+	if pause(ctx, delay) != nil {
+		return fail(verdict.MayHaveRun, verdict.CodeTimeout)
+	}
+	switch b {
+	case runsAndIsLost:
+		return fail(verdict.MayHaveRun, verdict.CodeConnectionLost)
+	case truncates:
+		return fail(verdict.MayHaveRun, verdict.CodeAnswerTruncated)
+	case answersError:
+		return &backend.Answer{Status: 500, Header: http.Header{}, Body: wholeBody{bytes.NewReader([]byte(body))}}, nil
+	default:
+		return okAnswer(body), nil
+	}
+}
+
+// seen is what one caller got.
+type seen struct {
+	id, body, verdict string
+	status            int
+	took              time.Duration
+}
+
+// execute runs the plan in virtual time.
+func execute(t *testing.T, p plan) (*countingTransport, []seen, int) {
+	transport := &countingTransport{plan: p.behaviors, runs: map[string]int{}, sends: map[string][]fleet.InstanceID{}}
+	results := make([]seen, len(p.calls))
+	left := 0
+	synctest.Test(t, func(t *testing.T) {
+		g, d := newTestGateway(transport.Send, refusing(&fakeGuard{early: verdict.NotRun}))
+		d.SetConfig(testConfig().Apply(object.Change{Put: object.Document{Services: []object.Service{{Name: "sportello", Slots: 2, QueueLimit: 4}}}}))
+		ctx, stop := context.WithCancel(t.Context())
+		go g.Run(ctx)
+		time.AfterFunc(p.drainAt, func() { d.SetRecords([]fleet.Record{{ID: "a", State: fleet.StateDraining, Pool: "p"}}) })
+		time.AfterFunc(p.reloadAt, func() { d.SetConfig(testConfig()) })
+		var callers sync.WaitGroup
+		for i, planned := range p.calls {
+			callers.Go(func() { results[i] = callAs(g, i, planned) })
+		}
+		callers.Wait()
+		left = g.table.Load().services["sportello"].live.InFlight() + int(g.inFlight.sum())
+		stop()
+		synctest.Wait()
+	})
+	return transport, results, left
+}
+
+func callAs(g *Gateway, i int, planned plannedCall) seen {
+	time.Sleep(planned.at)
+	id := fmt.Sprint("id-", i)
+	r := httptest.NewRequest(planned.method, "/s/sportello/x", nil)
+	r.Header.Set(header.RequestID, id)
+	r.Header.Set(header.Timeout, planned.timeout.String())
+	if planned.class != "" {
+		r.Header.Set(header.Class, planned.class)
+	}
+	if planned.keyed {
+		r.Header.Set(header.IdempotencyKey, id)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if planned.cancelAfter > 0 {
+		time.AfterFunc(planned.cancelAfter, cancel)
+	}
+	began := time.Now()
+	w := httptest.NewRecorder()
+	g.ServeHTTP(w, r.WithContext(ctx))
+	return seen{id, w.Body.String(), w.Header().Get(header.Verdict), w.Code, time.Since(began)}
+}
+
+func repeatable(c plannedCall) bool {
+	return c.class == "check" || c.class != "order" && c.method != "POST"
+}
+
+func TestVerdictsAndRunsAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := drawPlan(rt)
+		transport, results, left := execute(t, p)
+		assert.Equal(rt, left, 0, "slots or requests were leaked")
+		for i, got := range results {
+			runs, sends := transport.runs[got.id], transport.sends[got.id]
+			switch got.verdict {
+			case "not-run":
+				assert.Equal(rt, runs, 0, "%s was answered not-run", got.id)
+			case "ran":
+				assert.Assert(rt, runs >= 1, "%s was answered ran", got.id)
+				assert.Equal(rt, got.body, "answer for "+got.id)
+			default:
+				assert.Equal(rt, got.verdict, "may-have-run")
+			}
+			if !repeatable(p.calls[i]) {
+				assert.Assert(rt, runs <= 1, "%s ran %d times", got.id, runs)
+			}
+			assert.Assert(rt, len(sends) <= 2, "%s was sent %d times", got.id, len(sends))
+			assert.Assert(rt, len(sends) < 2 || sends[0] != sends[1], "%s went back to the executor that failed", got.id)
+			assert.Assert(rt, got.took <= p.calls[i].timeout, "%s took %v of %v", got.id, got.took, p.calls[i].timeout)
+		}
+	})
+}
--- a/entry/gateway/retry.go
+++ b/entry/gateway/retry.go
@@ -80,6 +80,6 @@
 // noteLeaving tells the directory of an executor's own notice.
 func (g *Gateway) noteLeaving(e *dispatch.Executor, leaving bool) {
 	if leaving {
-		g.options.Directory.SetNotice(e.ID, true)
+		g.options.Directory.NoteLeaving(e.ID)
 	}
 }
--- a/entry/gateway/send.go
+++ b/entry/gateway/send.go
@@ -48,9 +48,13 @@
 	if next == nil {
 		return g.settle(x, nil, answer, failure)
 	}
+	second, failure := g.attempt(ctx, x, next)
+	if second == nil && answer != nil {
+		next.release(next.outcomeOf(failure))
+		return answer, nil, nil // A 5xx answer in hand is better than none.
+	}
 	discard(answer)
-	answer, failure = g.attempt(ctx, x, next)
-	return g.settle(x, next, answer, failure)
+	return g.settle(x, next, second, failure)
 }
 
 // settle returns the answer if there is one, else the failure with the verdict
@@ -137,8 +141,7 @@
 		defer bounded.lift()
 		ctx = bounded
 	}
-	target := backend.Target{ID: executor.ID, Address: executor.Address, Connections: executor.Connections}
-	answer, err := g.options.Transport.Send(ctx, target, &x.request)
+	answer, err := g.options.Transport.Send(ctx, x.target(executor), &x.request)
 	if err != nil {
 		failure := asError(err)
 		x.verdict = combine(x.verdict, failure.Verdict)
@@ -154,6 +157,15 @@
 	return answer, nil
 }
 
+func (x *exchange) target(e *dispatch.Executor) backend.Target {
+	return backend.Target{
+		ID:            e.ID,
+		Address:       e.Address,
+		Connections:   e.Connections,
+		ReadinessPath: x.service.spec.ReadinessPath,
+	}
+}
+
 // attemptDeadline leaves time for a retry where one is possible and likely to
 // finish, since the executor may have fallen silent.
 func (x *exchange) attemptDeadline(now time.Time) time.Time {
