Guard the test's list of outcomes by a lock

Change: the fake guard locks its list. Result: go test -race ./entry/gateway ./entry/directory ./entry/dispatch passes.

--- a/entry/gateway/errors_test.go
+++ b/entry/gateway/errors_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,20 +21,31 @@
 	"gotest.tools/v3/assert"
 )
 
-// fakeGuard grants every key but those that it refuses with an error.
+// fakeGuard grants every key, or refuses all with an error.
 type fakeGuard struct {
-	refuse   error
-	early    verdict.Verdict
+	refuse error
+	early  verdict.Verdict
+
+	mu       sync.Mutex
 	finished []submission.Outcome
 }
 
 func (g *fakeGuard) Begin(context.Context, submission.Key, int) (submission.Pass, error) {
 	return g, g.refuse
 }
-func (g *fakeGuard) Finish(o submission.Outcome)                 { g.finished = append(g.finished, o) }
-func (g *fakeGuard) NextTicket(string) string                    { return "ticket-1" }
+
+func (g *fakeGuard) Finish(o submission.Outcome) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.finished = append(g.finished, o)
+}
+
+func (g *fakeGuard) NextTicket(string) string { return "ticket-1" }
+
 func (g *fakeGuard) Refusal(submission.Key, int) verdict.Verdict { return g.early }
-func refusing(guard submission.Guard) func(*Options)             { return func(o *Options) { o.Guard = guard } }
+
+func guardedBy(guard submission.Guard) func(*Options) { return func(o *Options) { o.Guard = guard } }
+
 func answering(context.Context, backend.Target, *backend.Request) (*backend.Answer, error) {
 	return okAnswer("ok"), nil
 }
@@ -67,7 +79,7 @@
 	}
 	for _, keyed := range []bool{false, true} {
 		guard := &fakeGuard{early: verdict.MayHaveRun}
-		g, _ := newTestGateway(answering, refusing(guard))
+		g, _ := newTestGateway(answering, guardedBy(guard))
 		for _, c := range cases {
 			headers, want := c.headers, verdict.NotRun
 			if keyed && !strings.HasPrefix(c.path, ticketsPath) {
@@ -86,7 +98,7 @@
 func TestKeyedRepeatableRefusalSpeaksForTheSubmission(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		notRun := verdict.New(verdict.NotRun, verdict.CodeConnectFailed, "cause")
-		g, _ := newTestGateway(failing(notRun), refusing(&fakeGuard{early: verdict.MayHaveRun}))
+		g, _ := newTestGateway(failing(notRun), guardedBy(&fakeGuard{early: verdict.MayHaveRun}))
 		p := problemOf(t, call(g, "GET", "/s/sportello/x", "", header.IdempotencyKey, "k", header.Attempt, "2"))
 		assert.Equal(t, p.Verdict, "may-have-run")
 	})
@@ -112,7 +124,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				guard := &fakeGuard{}
 				for _, headers := range [][]string{nil, {header.IdempotencyKey, "k"}} {
-					g, _ := newTestGateway(failing(verdict.New(v, code, "cause")), refusing(guard))
+					g, _ := newTestGateway(failing(verdict.New(v, code, "cause")), guardedBy(guard))
 					w := call(g, "POST", "/s/sportello/x", "", headers...)
 					p := problemOf(t, w)
 					assert.Equal(t, p.Verdict, v.String(), "%s", code)
@@ -146,7 +158,7 @@
 
 func TestGuardDecides(t *testing.T) {
 	duplicate := verdict.New(verdict.Ran, verdict.CodeDuplicate, "seen before")
-	g, _ := newTestGateway(answering, refusing(&fakeGuard{refuse: duplicate}))
+	g, _ := newTestGateway(answering, guardedBy(&fakeGuard{refuse: duplicate}))
 	w := call(g, "POST", "/s/sportello/x", "", header.IdempotencyKey, "k")
 	assert.Equal(t, w.Code, http.StatusConflict)
 	assert.Equal(t, problemOf(t, w).Verdict, "ran")
@@ -156,7 +168,7 @@
 	assert.Equal(t, w.Code, http.StatusOK, "a repeatable request needs no guard")
 
 	guard := &fakeGuard{}
-	g, _ = newTestGateway(answering, refusing(guard))
+	g, _ = newTestGateway(answering, guardedBy(guard))
 	w = call(g, "POST", "/s/sportello/x", "", header.IdempotencyKey, "k")
 	assert.Equal(t, w.Body.String(), "ok")
 	assert.Equal(t, string(guard.finished[0].Body), "ok")
--- a/entry/gateway/property_test.go
+++ b/entry/gateway/property_test.go
@@ -151,7 +151,7 @@
 	results := make([]seen, len(p.calls))
 	left := 0
 	synctest.Test(t, func(t *testing.T) {
-		g, d := newTestGateway(transport.Send, refusing(&fakeGuard{early: verdict.NotRun}))
+		g, d := newTestGateway(transport.Send, guardedBy(&fakeGuard{early: verdict.NotRun}))
 		d.SetConfig(testConfig().Apply(object.Change{Put: object.Document{Services: []object.Service{{Name: "sportello", Slots: 2, QueueLimit: 4}}}}))
 		ctx, stop := context.WithCancel(t.Context())
 		go g.Run(ctx)
