Measure the gateway over loopback beside a naive forwarder

Cause: the cost of the policy on a request must be known. Change: benchmarks of throughput, added p99 and the handler's own work.

--- /dev/null
+++ b/entry/gateway/loopback_test.go
@@ -0,0 +1,238 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/header"
+	"github.com/tarragonreach/tarragonreach/api/label"
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/entry/backend"
+	"github.com/tarragonreach/tarragonreach/entry/directory"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	loopbackExecutors = 4
+	loopbackCallers   = 32
+	loopbackTime      = 2 * time.Second
+	loopbackRounds    = 3
+)
+
+// loopback is a fleet on real sockets with the gateway and the naive forwarder
+// before it.
+type loopback struct {
+	gateway, naive *httptest.Server
+	close          []func()
+}
+
+func newLoopback(tb testing.TB) *loopback {
+	l := &loopback{}
+	list := &fakeList{}
+	var addresses []string
+	for i := range loopbackExecutors {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "the parcel is in the register")
+		}))
+		l.close = append(l.close, server.Close)
+		address := server.Listener.Addr().String()
+		addresses = append(addresses, address)
+		list.instances = append(list.instances, fleet.Instance{ID: fleet.InstanceID(fmt.Sprint("x", i)), Kind: fleet.KindBackendServer,
+			Zone: "z1", Address: address, Labels: label.Set{fleet.LabelService: "sportello"}})
+	}
+	g := newRealGateway(tb, l, list, object.Service{Name: "sportello", Slots: 64, Connections: 64})
+	l.gateway = httptest.NewServer(g)
+	l.naive = httptest.NewServer(&naiveForwarder{addresses: addresses, client: newClient()})
+	l.close = append(l.close, l.gateway.Close, l.naive.Close)
+	return l
+}
+
+// newRealGateway returns a running gateway with the HTTP transport.
+func newRealGateway(tb testing.TB, l *loopback, list *fakeList, service object.Service) *Gateway {
+	d := directory.New(directory.Options{List: list})
+	d.SetConfig(testConfig().Apply(object.Change{Put: object.Document{Services: []object.Service{service}}}))
+	transport := backend.New(backend.Options{})
+	g := New(Options{Self: "e1", Zone: "z1", Directory: d, Transport: transport})
+	ctx, stop := context.WithCancel(context.Background())
+	go d.Run(ctx)
+	go g.Run(ctx)
+	l.close = append(l.close, stop, func() { _ = transport.Close() })
+	for len(d.Snapshot().Services["sportello"].Endpoints) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	return g
+}
+
+func (l *loopback) stop() {
+	for _, fn := range slices.Backward(l.close) {
+		fn()
+	}
+}
+
+func newClient() *http.Transport {
+	return &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
+}
+
+// naiveForwarder sends round robin and copies the answer; it decides nothing.
+type naiveForwarder struct {
+	addresses []string
+	next      atomic.Uint64
+	client    *http.Transport
+}
+
+func (n *naiveForwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	out := r.Clone(r.Context())
+	out.URL.Scheme = "http"
+	out.URL.Host = n.addresses[n.next.Add(1)%uint64(len(n.addresses))]
+	out.RequestURI = ""
+	answer, err := n.client.RoundTrip(out)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	defer answer.Body.Close()
+	for key, values := range answer.Header {
+		w.Header()[key] = values
+	}
+	w.WriteHeader(answer.StatusCode)
+	_, _ = io.Copy(w, answer.Body)
+}
+
+// ask sends one request and fails unless it is answered well.
+func ask(tb testing.TB, client *http.Transport, url string) {
+	r, _ := http.NewRequest(http.MethodGet, url+"/s/sportello/parcels/7", nil)
+	r.Header.Set(header.Class, "check")
+	answer, err := client.RoundTrip(r)
+	if err != nil {
+		tb.Error(err)
+		return
+	}
+	defer answer.Body.Close()
+	if _, err := io.Copy(io.Discard, answer.Body); err != nil || answer.StatusCode != http.StatusOK {
+		tb.Errorf("status %d, error %v", answer.StatusCode, err)
+	}
+}
+
+// throughput returns the requests a second of callers that ask one after another.
+func throughput(tb testing.TB, url string) float64 {
+	client := newClient()
+	defer client.CloseIdleConnections()
+	var count atomic.Int64
+	var callers sync.WaitGroup
+	began := time.Now()
+	for range loopbackCallers {
+		callers.Go(func() {
+			for time.Since(began) < loopbackTime {
+				ask(tb, client, url)
+				count.Add(1)
+			}
+		})
+	}
+	callers.Wait()
+	return float64(count.Load()) / time.Since(began).Seconds()
+}
+
+// p99 returns the 99th percentile of latency at an offered rate.
+func p99(tb testing.TB, url string, rate float64) time.Duration {
+	client := newClient()
+	defer client.CloseIdleConnections()
+	var mu sync.Mutex
+	var latencies []time.Duration
+	var callers sync.WaitGroup
+	began := time.Now()
+	for caller := range loopbackCallers {
+		callers.Go(func() {
+			gap := time.Duration(loopbackCallers / rate * float64(time.Second))
+			due := began.Add(gap * time.Duration(caller) / loopbackCallers)
+			var own []time.Duration
+			for due.Sub(began) < loopbackTime {
+				time.Sleep(time.Until(due))
+				sent := time.Now()
+				ask(tb, client, url)
+				own = append(own, time.Since(sent))
+				due = due.Add(gap)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			latencies = append(latencies, own...)
+		})
+	}
+	callers.Wait()
+	slices.Sort(latencies)
+	return latencies[len(latencies)*99/100]
+}
+
+func median(values []float64) float64 {
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+func BenchmarkRequestPathLoopback(b *testing.B) {
+	l := newLoopback(b)
+	defer l.stop()
+	throughput(b, l.gateway.URL) // Warms up.
+	for range b.N {
+		var ratios, added, own, base []float64
+		for range loopbackRounds {
+			naive := throughput(b, l.naive.URL)
+			gateway := throughput(b, l.gateway.URL)
+			ratios = append(ratios, gateway/naive)
+			own = append(own, gateway)
+			base = append(base, naive)
+			slow := p99(b, l.gateway.URL, naive/2) - p99(b, l.naive.URL, naive/2)
+			added = append(added, float64(slow.Microseconds())/1000)
+		}
+		b.ReportMetric(median(base), "naive-requests/s")
+		b.ReportMetric(median(own), "requests/s")
+		b.ReportMetric(median(ratios), "throughput-ratio")
+		b.ReportMetric(median(added), "added-p99-ms-at-half-load")
+	}
+	b.ReportMetric(0, "ns/op")
+}
+
+// nullWriter is a response writer that keeps nothing.
+type nullWriter struct{ h http.Header }
+
+func (w *nullWriter) Header() http.Header         { return w.h }
+func (w *nullWriter) Write(p []byte) (int, error) { return len(p), nil }
+func (w *nullWriter) WriteHeader(int)             {}
+
+// BenchmarkRequestPathHandler is the gateway's own work for one request, with an
+// immediate transport. On many threads it shows that no lock is shared.
+func BenchmarkRequestPathHandler(b *testing.B) {
+	answer := okAnswer("")
+	g, _ := newTestGateway(func(context.Context, backend.Target, *backend.Request) (*backend.Answer, error) {
+		return answer, nil
+	}, nil)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		w := &nullWriter{h: http.Header{}}
+		r := httptest.NewRequest("GET", "/s/sportello/x", nil)
+		r.Header.Set(header.Class, "check")
+		r.Header.Set(header.Tenant, "trapani")
+		for pb.Next() {
+			clear(w.h)
+			g.ServeHTTP(w, r)
+		}
+	})
+}
+
+func TestLoopbackAnswersThroughTheRealTransport(t *testing.T) {
+	l := newLoopback(t)
+	defer l.stop()
+	client := newClient()
+	defer client.CloseIdleConnections()
+	for range 20 {
+		ask(t, client, l.gateway.URL)
+	}
+	assert.Assert(t, !t.Failed())
+}
