--- a/entry/submission/claims.go
+++ b/entry/submission/claims.go
@@ -87,9 +87,12 @@
 // its holder gave it up. It is repeated after errRepeat.
 func (a *attempt) step(ctx context.Context) (acquisition, error) {
 	lease, err := a.lease(ctx)
-	if err != nil {
+	if isRefused(err) {
 		return acquisition{}, &finalError{err}
 	}
+	if err != nil {
+		return acquisition{}, err // a lease whose grant was not answered lapses unused
+	}
 	revision, err := a.create(ctx, a.storeKey, a.value, lease)
 	if err == nil {
 		return a.own(revision, lease)
