--- a/entry/backend/export_test.go
+++ b/entry/backend/export_test.go
@@ -1,5 +1,18 @@
 package backend
 
+import (
+	"io"
+	"log"
+	"os"
+	"testing"
+)
+
+// TestMain discards what net/http logs about duplicate answers.
+func TestMain(m *testing.M) {
+	log.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
 // IdleConnections returns the number of connections that wait for a request.
 func (t *HTTPTransport) IdleConnections(target Target) int {
 	p := t.poolOf(target)
--- /dev/null
+++ b/entry/submission/bench_test.go
@@ -0,0 +1,158 @@
+package submission
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	standin "github.com/tarragonreach/tarragonreach/platform/memory"
+)
+
+// naiveTickets is one map of random tickets under one lock, which remembers
+// every ticket from its minting on.
+type naiveTickets struct {
+	mu   sync.Mutex
+	used map[string]bool
+}
+
+func (n *naiveTickets) mint() string {
+	ticket := rand.Text()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.used[ticket] = false
+	return ticket
+}
+
+func (n *naiveTickets) redeem(ticket string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	used, known := n.used[ticket]
+	n.used[ticket] = true
+	return known && !used
+}
+
+// BenchmarkSubmissionTicket mints tickets of which one in eight is used.
+func BenchmarkSubmissionTicket(b *testing.B) {
+	const usedOneIn = 8
+	b.Run("keeper", func(b *testing.B) {
+		k, err := New(Options{Self: "entry-1", MaxRecords: 1 << 30})
+		assert.NilError(b, err)
+		defer k.Close(b.Context())
+		b.ReportAllocs()
+		b.RunParallel(func(pb *testing.PB) {
+			for n := 0; pb.Next(); n++ {
+				ticket := k.NextTicket("magnolia")
+				if n%usedOneIn != 0 {
+					continue
+				}
+				pass, err := k.Begin(b.Context(), Key{"magnolia", ticket}, 1)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				pass.Finish(ran)
+			}
+		})
+		b.ReportMetric(float64(k.Records())/float64(b.N), "records/ticket")
+	})
+	b.Run("naive-map", func(b *testing.B) {
+		n := &naiveTickets{used: map[string]bool{}}
+		b.ReportAllocs()
+		b.RunParallel(func(pb *testing.PB) {
+			for i := 0; pb.Next(); i++ {
+				ticket := n.mint()
+				if i%usedOneIn == 0 && !n.redeem(ticket) {
+					b.Error("refused")
+					return
+				}
+			}
+		})
+		b.ReportMetric(float64(len(n.used))/float64(b.N), "records/ticket")
+	})
+}
+
+const (
+	claimKeepers = 8
+	claimSeconds = 3
+	// claimOffered is how many submissions a second each keeper is offered.
+	claimOffered = 200
+	// otherWrites is how many writes a second others make, such as lease renewals.
+	otherWrites = 50
+)
+
+// BenchmarkSubmissionClaims offers eight keepers far more submissions than the
+// store takes writes, while others write to it as well.
+func BenchmarkSubmissionClaims(b *testing.B) {
+	b.Run("budget", func(b *testing.B) {
+		for b.Loop() {
+			measureClaims(b, Options{})
+		}
+	})
+	b.Run("naive-no-budget", func(b *testing.B) {
+		for b.Loop() {
+			measureClaims(b, Options{CallsPerSecond: 1e6, CallBurst: 1e6})
+		}
+	})
+}
+
+func measureClaims(b *testing.B, options Options) {
+	platform := standin.New(time.Now)
+	platform.SetFaults(standin.Faults{RateLimited: true})
+	options.Store = platform
+	var claimed, others, refusedOthers atomic.Int64
+	ctx, cancel := context.WithTimeout(context.Background(), claimSeconds*time.Second)
+	defer cancel()
+	var group sync.WaitGroup
+	for i := range claimKeepers {
+		options.Self = fleet.InstanceID(fmt.Sprintf("entry-%d", i))
+		k, err := New(options)
+		assert.NilError(b, err)
+		defer k.Close(ctx)
+		group.Go(func() { offerSubmissions(ctx, k, &group, &claimed) })
+	}
+	group.Go(func() {
+		every(ctx, time.Second/otherWrites, func(n int) {
+			others.Add(1)
+			if _, err := platform.Create(ctx, fmt.Sprintf("other/%d", n), nil, 0); err != nil {
+				refusedOthers.Add(1)
+			}
+		})
+	})
+	group.Wait()
+	b.ReportMetric(float64(claimed.Load())/claimSeconds, "claims/s")
+	b.ReportMetric(float64(platform.Calls().Writes)/claimSeconds, "store-writes/s")
+	b.ReportMetric(100*float64(refusedOthers.Load())/float64(others.Load()), "%-of-other-writes-refused")
+}
+
+func offerSubmissions(ctx context.Context, k *Keeper, group *sync.WaitGroup, claimed *atomic.Int64) {
+	every(ctx, time.Second/claimOffered, func(n int) {
+		group.Go(func() {
+			key := Key{"magnolia", fmt.Sprintf("%s-%d", k.mint.self, n)}
+			if pass, err := k.Begin(ctx, key, 1); err == nil {
+				claimed.Add(1)
+				pass.Finish(ran)
+			}
+		})
+	})
+}
+
+// every calls do at each tick until ctx ends.
+func every(ctx context.Context, interval time.Duration, do func(n int)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ticker.C:
+			do(n)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/entry/submission/budget.go
+++ b/entry/submission/budget.go
@@ -24,14 +24,12 @@
 // room for leases and configuration. Clean-up uses only what claims leave over.
 type budget struct {
 	limiter *rate.Limiter
-	reserve float64 // tokens that clean-up leaves for claims
 	maxWait time.Duration
 }
 
 func newBudget(perSecond float64, burst int, maxWait time.Duration) *budget {
 	return &budget{
 		limiter: rate.NewLimiter(rate.Limit(perSecond), burst),
-		reserve: float64(burst) / 2,
 		maxWait: maxWait,
 	}
 }
@@ -53,7 +51,14 @@
 
 // takeSpare takes the right to make one call for clean-up, if there is one to spare.
 func (b *budget) takeSpare(now time.Time) bool {
-	return b.limiter.TokensAt(now) > b.reserve && b.limiter.AllowN(now, 1)
+	reserve := float64(b.limiter.Burst()) / 2 // tokens that clean-up leaves for claims
+	return b.limiter.TokensAt(now) > reserve && b.limiter.AllowN(now, 1)
+}
+
+// set changes the rate and the burst.
+func (b *budget) set(perSecond float64, burst int) {
+	b.limiter.SetLimit(rate.Limit(perSecond))
+	b.limiter.SetBurst(burst)
 }
 
 func outlasts(ctx context.Context, now time.Time, delay time.Duration) bool {
--- a/entry/submission/keeper.go
+++ b/entry/submission/keeper.go
@@ -66,6 +66,14 @@
 	}
 }
 
+// SetBudget changes the bound on this entry instance's calls of the store, such
+// as when the number of entry instances that share the store changes.
+func (k *Keeper) SetBudget(callsPerSecond float64, burst int) {
+	if k.claims != nil {
+		k.claims.budget.set(callsPerSecond, burst)
+	}
+}
+
 // Close ends the clean-up in the background after a last try until ctx ends.
 func (k *Keeper) Close(ctx context.Context) { k.background.close(ctx) }
 
--- a/entry/submission/options.go
+++ b/entry/submission/options.go
@@ -18,8 +18,8 @@
 	DefaultMaxRecords      = 64 << 10
 	DefaultMaxBodyBytes    = 8 << 20  // bytes, all answers together
 	DefaultKeepBodyBytes   = 16 << 10 // bytes, one answer
-	DefaultCallsPerSecond  = 20       // calls of the store
-	DefaultCallBurst       = 40       // calls of the store
+	DefaultCallsPerSecond  = 15       // calls of the store
+	DefaultCallBurst       = 15       // calls of the store
 	DefaultClaimTimeout    = 2 * time.Second
 	DefaultPeerTimeout     = 500 * time.Millisecond
 )
--- a/entry/submission/refusal_test.go
+++ b/entry/submission/refusal_test.go
@@ -181,7 +181,7 @@
 }
 
 func callsUsedUp(_ *testing.T, b *bench) Key {
-	b.here.claims.budget.limiter.SetBurst(0)
+	b.here.SetBudget(0, 0)
 	return tenantKey("order-1")
 }
 
--- a/entry/submission/ticket.go
+++ b/entry/submission/ticket.go
@@ -8,7 +8,9 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"hash"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
@@ -102,8 +104,8 @@
 type mint struct {
 	self        fleet.InstanceID
 	incarnation incarnationID
-	secret      [secretBytes]byte
 	lifetime    time.Duration
+	hashes      sync.Pool // of *macHash, all with the secret
 }
 
 func newMint(self fleet.InstanceID, lifetime time.Duration) (*mint, error) {
@@ -112,7 +114,9 @@
 	}
 	m := &mint{self: self, lifetime: lifetime}
 	_, _ = rand.Read(m.incarnation[:]) // never fails
-	_, _ = rand.Read(m.secret[:])
+	var secret [secretBytes]byte
+	_, _ = rand.Read(secret[:])
+	m.hashes.New = func() any { return &macHash{hash: hmac.New(sha256.New, secret[:])} }
 	return m, nil
 }
 
@@ -134,14 +138,21 @@
 	return hmac.Equal(want[:], t.mac[:])
 }
 
+// macHash is a hash with the buffers that one use of it needs.
+type macHash struct {
+	hash    hash.Hash
+	message []byte
+	sum     []byte
+}
+
 func (m *mint) sign(t ticket, tenant string) [macBytes]byte {
-	message := make([]byte, 0, expiryBytes+nonceBytes+64)
-	message = binary.BigEndian.AppendUint64(message, uint64(t.expiry))
-	message = append(message, t.nonce[:]...)
-	message = append(message, tenant...)
-	h := hmac.New(sha256.New, m.secret[:])
-	_, _ = h.Write(message) // never fails
-	var sum [sha256.Size]byte
-	h.Sum(sum[:0])
-	return [macBytes]byte(sum[:macBytes])
+	h := m.hashes.Get().(*macHash)
+	defer m.hashes.Put(h)
+	h.message = binary.BigEndian.AppendUint64(h.message[:0], uint64(t.expiry))
+	h.message = append(h.message, t.nonce[:]...)
+	h.message = append(h.message, tenant...)
+	h.hash.Reset()
+	_, _ = h.hash.Write(h.message) // never fails
+	h.sum = h.hash.Sum(h.sum[:0])
+	return [macBytes]byte(h.sum[:macBytes])
 }
