--- a/entry/config/log.go
+++ b/entry/config/log.go
@@ -60,7 +60,7 @@
 }
 
 // Accept validates the change and accepts it as the next revision, which it
-// returns. The call is idempotent by the change's ID.
+// returns. The call is idempotent by the change's ID. The log sets the change's time.
 //
 // A change that was refused gives an *object.Conflict, an object.Invalid, or a
 // *verdict.Error with NotRun. Where the outcome is unknown it gives a
@@ -68,9 +68,6 @@
 func (l *Log) Accept(ctx context.Context, change object.Change) (object.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	if change.At.IsZero() {
-		change.At = time.Now().UTC()
-	}
 	for range maxRaces {
 		revision, err := l.acceptOnce(ctx, change)
 		if errors.Is(err, errOvertaken) {
@@ -101,6 +98,7 @@
 	if _, err := l.check(held, change); err != nil {
 		return 0, err
 	}
+	change.At = time.Now().UTC()
 	record, err := newRecord(change, held.revision()+1)
 	if err != nil {
 		return 0, notRun("the change cannot be encoded", err)
