Bound the summaries of changes and let an empty change be previewed

Each of the 256 summaries that a follower holds named every object of its change; with operators who apply whole files of 3,000 jobs these would outgrow the memory bound. They now name 16 and count the rest, and a conflict finds the other change by its revision. An edit that changes nothing is no fault in a preview; Accept still refuses it.

--- a/api/object/validate.go
+++ b/api/object/validate.go
@@ -106,9 +106,6 @@
 			faults = append(faults, Finding{Key: key, Problem: "cannot be deleted, it does not exist"})
 		}
 	}
-	if len(seen) == 0 {
-		faults = append(faults, Finding{Problem: "the change is empty"})
-	}
 	return faults
 }
 
--- a/entry/config/check.go
+++ b/entry/config/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/api/object"
@@ -82,11 +83,10 @@
 
 // lastChange returns the newest recent change that touched the object.
 func lastChange(held *state, key object.Key) (Summary, bool) {
-	for i := len(held.recent) - 1; i >= 0; i-- {
-		for _, touched := range held.recent[i].Touched {
-			if touched == key {
-				return held.recent[i], true
-			}
+	current := held.revisionOf(key)
+	for _, summary := range slices.Backward(held.recent) {
+		if summary.Revision == current || slices.Contains(summary.Touched, key) {
+			return summary, true
 		}
 	}
 	return Summary{}, false
--- a/entry/config/log.go
+++ b/entry/config/log.go
@@ -66,6 +66,9 @@
 // *verdict.Error with NotRun. Where the outcome is unknown it gives a
 // *verdict.Error with MayHaveRun; the same change may then be sent again.
 func (l *Log) Accept(ctx context.Context, change object.Change) (object.Revision, error) {
+	if len(change.Touched()) == 0 {
+		return 0, object.Invalid{{Problem: "the change is empty"}}
+	}
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	for range maxRaces {
--- a/entry/config/state.go
+++ b/entry/config/state.go
@@ -8,8 +8,11 @@
 	"github.com/tarragonreach/tarragonreach/api/object"
 )
 
-// recentKept is how many summaries of past changes a follower holds.
-const recentKept = 256
+// Bounds of the summaries of past changes that a follower holds.
+const (
+	recentKept  = 256
+	touchedKept = 16
+)
 
 // storedObject is one object as JSON with the revision that last wrote it.
 type storedObject struct {
@@ -25,7 +28,9 @@
 	Author   string          `json:"author,omitempty"`
 	Reason   string          `json:"reason,omitempty"`
 	At       time.Time       `json:"at"`
-	Touched  []object.Key    `json:"touched,omitempty"`
+	// Touched names the first objects that it wrote or deleted, Count counts all.
+	Touched []object.Key `json:"touched,omitempty"`
+	Count   int          `json:"count"`
 }
 
 // state is the configuration at one revision. It is immutable.
@@ -100,9 +105,10 @@
 }
 
 func summaryOf(record Record) Summary {
+	touched := record.touched()
 	return Summary{
-		Revision: record.Revision, ID: record.ID, Author: record.Author,
-		Reason: record.Reason, At: record.At, Touched: record.touched(),
+		Revision: record.Revision, ID: record.ID, Author: record.Author, Reason: record.Reason,
+		At: record.At, Touched: slices.Clone(touched[:min(touchedKept, len(touched))]), Count: len(touched),
 	}
 }
 
--- /dev/null
+++ b/entry/config/status_test.go
@@ -0,0 +1,173 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/platform/memory"
+)
+
+func TestIsWatcherPicksTheLowestOfTheZone(t *testing.T) {
+	members := []Member{{"a", "x"}, {"b", "x"}, {"c", "x"}, {"a2", "y"}}
+	assert.Assert(t, IsWatcher(members[0], members))
+	assert.Assert(t, IsWatcher(members[1], members))
+	assert.Assert(t, !IsWatcher(members[2], members))
+	assert.Assert(t, IsWatcher(members[3], members), "each zone has its own")
+	assert.Assert(t, IsWatcher(members[2], nil), "one that knows no other watches")
+	assert.Assert(t, IsWatcher(members[2], members[1:2]))
+}
+
+func TestOthersPollSeldomAndTakeOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := memory.New(time.Now)
+		members := []Member{{"a", "x"}, {"b", "x"}, {"c", "x"}}
+		var known atomic.Pointer[[]Member]
+		known.Store(&members)
+		follower := NewFollower(store, Options{Self: members[2], Members: func() []Member { return *known.Load() }})
+		go func() { _ = follower.Run(ctx) }()
+		time.Sleep(time.Hour)
+		reads := store.Calls().Reads
+		assert.Assert(t, reads > 60 && reads < 240, "%d reads in an hour", reads)
+		assert.Assert(t, !follower.Status(time.Now()).Watching)
+		left := members[1:]
+		known.Store(&left)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, store.Calls().Waiting, int64(1), "it watches once a watcher is gone")
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestStatusSaysHowOldTheRevisionIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := memory.New(time.Now)
+		follower, log := newPair(store)
+		go func() { _ = follower.Run(ctx) }()
+		_, err := log.Accept(ctx, putTenant("a", "t", 1, follower.Current()))
+		assert.NilError(t, err)
+		store.SetFaults(memory.Faults{Down: true})
+		time.Sleep(time.Hour)
+		status := follower.Status(time.Now())
+		assert.Assert(t, status.Ready && !status.StoreReachable)
+		assert.Equal(t, status.Revision, object.Revision(1))
+		assert.Equal(t, status.Age.Round(time.Minute), time.Hour)
+		assert.Assert(t, status.StoreError != "")
+		store.SetFaults(memory.Faults{})
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, follower.Status(time.Now()).StoreReachable)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestANewFollowerTakesItsConfigurationFromPeersWhileTheStoreIsOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := memory.New(time.Now)
+		peer, log := newPair(store)
+		_, err := log.Accept(ctx, putTenant("a", "t", 1, peer.Current()))
+		assert.NilError(t, err)
+		store.SetFaults(memory.Faults{Down: true})
+		fresh, _ := newPair(store)
+		go func() { _ = fresh.Run(ctx) }()
+		time.Sleep(time.Minute)
+		assert.ErrorContains(t, fresh.Ready(), "neither the store nor a peer has answered")
+		assert.NilError(t, fresh.Merge(ctx, peer.Read(Stream, 0, 1<<20)))
+		assert.NilError(t, fresh.Ready())
+		assert.Equal(t, fresh.Current().Revision, object.Revision(1))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestAStoreThatLostWritesIsNotFollowedBack(t *testing.T) {
+	follower, log := newPair(memory.New(time.Now))
+	for _, id := range []string{"a", "b"} {
+		_, err := log.Accept(t.Context(), putTenant(id, id, 1, follower.Current()))
+		assert.NilError(t, err)
+	}
+	other := memory.New(time.Now)
+	follower.store = other
+	_, err := follower.refresh(t.Context())
+	assert.ErrorIs(t, err, ErrStoreBehind)
+	_, foreign := newPair(other)
+	for _, id := range []string{"x", "y", "z"} {
+		_, err := foreign.Accept(t.Context(), putTenant(id, id, 1, foreign.follower.Current()))
+		assert.NilError(t, err)
+	}
+	_, err = follower.refresh(t.Context())
+	assert.ErrorIs(t, err, ErrStoreDiverged)
+	assert.Equal(t, follower.Current().ChangeID, "b", "the revision in force stays")
+}
+
+func TestPreviewHistoryAndRollback(t *testing.T) {
+	follower, log := newPair(memory.New(time.Now))
+	for i := range 3 {
+		_, err := log.Accept(t.Context(), putTenant(fmt.Sprint(i), "t", i+1, follower.Current()))
+		assert.NilError(t, err)
+	}
+	_, err := log.Accept(t.Context(), putTenant("new", "u", 1, follower.Current()))
+	assert.NilError(t, err)
+
+	change, err := log.Rollback(t.Context(), 2, "back", "ada", "too heavy")
+	assert.NilError(t, err)
+	preview, err := log.Preview(t.Context(), change)
+	assert.NilError(t, err)
+	assert.Equal(t, len(preview.Differences), 2)
+	assert.Equal(t, preview.Differences[0].String(), "~ Tenant/t weight: 3 -> 2")
+	assert.Equal(t, follower.Current().Revision, object.Revision(4), "a preview accepts nothing")
+
+	revision, err := log.Accept(t.Context(), change)
+	assert.NilError(t, err)
+	assert.Equal(t, revision, object.Revision(5), "a rollback is a new revision")
+	assert.Equal(t, len(follower.Current().Tenants), 1)
+	newest := follower.History(1)[0]
+	assert.Equal(t, newest.Author, "ada")
+	assert.Equal(t, newest.Count, 2)
+	assert.Equal(t, len(follower.History(100)), 5)
+
+	preview, err = log.Preview(t.Context(), object.Change{ID: "none"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(preview.Differences), 0, "an empty change can be previewed")
+	_, err = log.Accept(t.Context(), object.Change{ID: "none"})
+	assert.ErrorContains(t, err, "the change is empty")
+
+	_, err = log.Rollback(t.Context(), 5, "again", "ada", "")
+	assert.ErrorIs(t, err, ErrNoDifference)
+	_, err = log.Rollback(t.Context(), 9, "ahead", "ada", "")
+	assert.Equal(t, verdict.CodeOf(err), CodeRevisionUnknown)
+}
+
+func TestRollOutWaitsForEveryLiveInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		follower, log := newPair(memory.New(time.Now))
+		rollOut := NewRollOut(follower, "a")
+		observe := func(b, c object.Revision) {
+			rollOut.Observe(map[fleet.InstanceID]object.Revision{"b": b, "c": c}, "a", time.Now())
+		}
+		observe(0, 0)
+		_, err := log.Accept(t.Context(), putTenant("x", "t", 1, follower.Current()))
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		observe(1, 0)
+		progress := rollOut.Recent(1)[0]
+		assert.DeepEqual(t, progress.Behind, []fleet.InstanceID{"c"})
+		assert.Equal(t, progress.Took(), time.Duration(0))
+		time.Sleep(time.Second)
+		rollOut.Observe(map[fleet.InstanceID]object.Revision{"b": 1}, "a", time.Now())
+		progress = rollOut.Recent(1)[0]
+		assert.Equal(t, progress.Took(), 2*time.Second, "one that is gone holds up nothing")
+		assert.Equal(t, len(progress.Behind), 0)
+	})
+}
