--- a/entry/dispatch/driver_stats_test.go
+++ b/entry/dispatch/driver_stats_test.go
@@ -18,7 +18,7 @@
 	from, to                                     time.Duration
 	offered, answered, refused, failed, timedOut int
 	refusedLate                                  int // after half of the timeout
-	sends, extraRuns                             int
+	sends                                        int
 	work                                         time.Duration // run time of calls answered within the span
 }
 
--- a/policy/admission/queue_test.go
+++ b/policy/admission/queue_test.go
@@ -14,7 +14,6 @@
 
 // naiveQueue keeps the same order by sorting a plain list before each pop.
 type naiveQueue struct {
-	limit    int
 	items    []*Waiter[int]
 	start    map[string]float64 // next start of each level and tenant
 	active   map[string]int     // when the flow last became active or was served
