--- a/entry/node/stages.go
+++ b/entry/node/stages.go
@@ -37,6 +37,9 @@
 		func() { n.caller.Start(n.serverFailed) },
 		n.stopCaller,
 	))
+	lc.Append(fx.StartHook(func() {
+		p.Log.Info("serving", "callers", n.CallerAddr(), "operators", n.OperatorAddr(), "mesh", n.MeshAddr())
+	}))
 }
 
 func (n *Node) startTasks() {
