--- a/entry/gateway/headers.go
+++ b/entry/gateway/headers.go
@@ -1,11 +1,11 @@
 package gateway
 
 import (
+	"maps"
 	"net/http"
 	"net/textproto"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/header"
 )
@@ -46,16 +46,14 @@
 	return false
 }
 
-// outgoingHeader returns the headers of the next attempt. The timeout passed on
-// is what is left of the caller's.
-func (x *exchange) outgoingHeader(now time.Time) http.Header {
-	out := make(http.Header, len(x.incoming)+4)
-	copyHeaders(out, x.incoming)
-	out[header.RequestID] = []string{x.request.ID}
-	left := max(x.timeLeft(now), time.Millisecond)
-	out[header.Timeout] = []string{left.Round(time.Millisecond).String()}
-	if x.attempts > 1 || x.attempt > 1 {
-		out[header.Attempt] = []string{strconv.Itoa(max(x.attempt, 1) + x.attempts - 1)}
+// outgoingHeader returns the headers of the next attempt. The transport drops
+// those of the caller's connection and adds the request ID and what is left of the
+// timeout. A retry is counted, so that nothing further on retries it.
+func (x *exchange) outgoingHeader() http.Header {
+	if x.attempts <= 1 {
+		return x.incoming
 	}
+	out := maps.Clone(x.incoming)
+	out[header.Attempt] = []string{strconv.Itoa(max(x.attempt, 1) + x.attempts - 1)}
 	return out
 }
--- /dev/null
+++ b/entry/gateway/locks_test.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/tarragonreach/tarragonreach/api/header"
+	"github.com/tarragonreach/tarragonreach/entry/backend"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+)
+
+// TestNoLockIsSharedByAllRequests runs requests that need not wait on many threads
+// under the mutex profile, which must show no wait within the request path.
+func TestNoLockIsSharedByAllRequests(t *testing.T) {
+	before := runtime.SetMutexProfileFraction(1)
+	defer runtime.SetMutexProfileFraction(before)
+	g, _ := newTestGateway(func(context.Context, backend.Target, *backend.Request) (*backend.Answer, error) {
+		return okAnswer("ok"), nil
+	}, func(o *Options) { o.Scope = tally.NewTestScope("", nil) })
+	ask := func() {
+		r := httptest.NewRequest("GET", "/s/sportello/x", nil)
+		r.Header.Set(header.Class, "check")
+		r.Header.Set(header.Tenant, "trapani")
+		w := &nullWriter{h: http.Header{}}
+		g.ServeHTTP(w, r)
+	}
+	ask() // The first request of each kind makes its metrics under a lock.
+	was := contentions()
+	var callers sync.WaitGroup
+	for range 8 { // Within the executors' slots, so that nothing waits.
+		callers.Go(func() {
+			for range 5000 {
+				ask()
+			}
+		})
+	}
+	callers.Wait()
+	assert.Equal(t, contentions()-was, int64(0), "requests waited for each other's locks")
+}
+
+// contentions counts the waits for locks of package sync within the request path.
+func contentions() int64 {
+	records := make([]runtime.BlockProfileRecord, 10_000)
+	n, _ := runtime.MutexProfile(records)
+	total := int64(0)
+	for _, record := range records[:n] {
+		if waitedForSync(record.Stack()) {
+			total += record.Count
+		}
+	}
+	return total
+}
+
+func waitedForSync(stack []uintptr) bool {
+	frames := runtime.CallersFrames(stack)
+	frame, more := frames.Next()
+	if !strings.HasPrefix(frame.Function, "sync.") {
+		return false // A lock of the runtime itself, such as one thread's timers.
+	}
+	for more {
+		frame, more = frames.Next()
+		if strings.HasPrefix(frame.Function, "sync.(*Pool).pinSlow") {
+			return false // Each thread makes its part of a sync.Pool once between two garbage collections.
+		}
+		if strings.Contains(frame.Function, "entry/gateway.(*Gateway).serveService") {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/entry/gateway/reqctx.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/entry/dispatch"
+)
+
+// requestContext bounds a request by its deadline and, while an attempt is
+// watched, by the attempt's own. One timer serves both.
+type requestContext struct {
+	context.Context // ends with the caller
+	parent          context.Context
+	deadline        time.Time
+	cancel          context.CancelFunc
+	timer           *time.Timer
+	expired         atomic.Bool
+
+	// watched is the executor of the watched attempt, if any; watchedSince is set
+	// before it and never changed afterwards.
+	watched      atomic.Pointer[dispatch.Executor]
+	watchedSince time.Time
+}
+
+// newRequestContext returns a context that ends at the deadline. stop must be
+// called in the end.
+func newRequestContext(parent context.Context, deadline time.Time) *requestContext {
+	c := &requestContext{parent: parent, deadline: deadline}
+	c.Context, c.cancel = context.WithCancel(parent)
+	c.timer = time.AfterFunc(time.Until(deadline), c.onTimer)
+	return c
+}
+
+// watch ends the context at an earlier deadline if the executor has answered
+// nothing by then. It may be called once.
+func (c *requestContext) watch(e *dispatch.Executor, now, deadline time.Time) {
+	c.watchedSince = now
+	c.watched.Store(e)
+	c.timer.Reset(deadline.Sub(now))
+}
+
+// unwatch lets the attempt's answer take the full timeout.
+func (c *requestContext) unwatch() { c.watched.Store(nil) }
+
+func (c *requestContext) onTimer() {
+	left := time.Until(c.deadline)
+	if left > 0 && !c.overdue() {
+		c.timer.Reset(left)
+		return
+	}
+	c.expired.Store(true)
+	c.cancel()
+}
+
+// overdue reports whether the watched executor has fallen silent.
+func (c *requestContext) overdue() bool {
+	e := c.watched.Load()
+	return e != nil && !e.AnsweredSince(c.watchedSince)
+}
+
+// renewed returns a context for another attempt if the last one was cut.
+func (c *requestContext) renewed() *requestContext {
+	if !c.expired.Load() {
+		return c
+	}
+	c.stop()
+	return newRequestContext(c.parent, c.deadline)
+}
+
+// stop releases the context's resources.
+func (c *requestContext) stop() {
+	c.timer.Stop()
+	c.cancel()
+}
+
+// Deadline implements context.Context; it is the request's.
+func (c *requestContext) Deadline() (time.Time, bool) { return c.deadline, true }
+
+// Err implements context.Context.
+func (c *requestContext) Err() error {
+	if c.expired.Load() {
+		return context.DeadlineExceeded
+	}
+	return c.Context.Err()
+}
