Share one pool between targets that differ in the readiness path only

Cause: a probe of the request path and its requests opened two pools to one executor, beyond its share of connections; answer headers were copied. Change: the pool is found by ID and address; headers are filtered in place. Conclusion: one share for each executor.

--- a/entry/backend/header.go
+++ b/entry/backend/header.go
@@ -57,9 +57,17 @@
 	return h
 }
 
-// answerHeader returns the headers that the caller may see.
-func answerHeader(from http.Header) http.Header {
-	h := copyEndToEnd(from, 0)
+// answerHeader returns the headers that the caller may see; it changes h, which
+// belongs to this answer alone.
+func answerHeader(h http.Header) http.Header {
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for name := range hopByHop {
+		delete(h, name)
+	}
 	for _, name := range entryOnly {
 		delete(h, name)
 	}
--- a/entry/backend/pool.go
+++ b/entry/backend/pool.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -24,6 +25,8 @@
 	metrics *metrics
 	now     func() time.Duration // since the transport was made
 	times   classTimes
+	// readiness is the path that probes ask; nil takes DefaultReadinessPath.
+	readiness atomic.Pointer[string]
 
 	mu       sync.Mutex
 	idle     []*connection // the most recently used is last
--- a/entry/backend/probe.go
+++ b/entry/backend/probe.go
@@ -45,7 +45,7 @@
 func (p *pool) askReadiness(ctx context.Context, c *connection) error {
 	request := &http.Request{
 		Method: http.MethodGet,
-		URL:    &url.URL{Scheme: "http", Host: p.target.Address, Path: p.target.readinessPath()},
+		URL:    &url.URL{Scheme: "http", Host: p.target.Address, Path: p.readinessPath()},
 		Header: http.Header{"User-Agent": nil},
 		Host:   p.target.Address,
 	}
@@ -59,11 +59,19 @@
 	return err
 }
 
-func (t Target) readinessPath() string {
-	if t.ReadinessPath == "" {
-		return DefaultReadinessPath
+// setReadinessPath keeps the path of the latest target that names one.
+func (p *pool) setReadinessPath(path string) {
+	if path == "" || path == p.readinessPath() {
+		return
+	}
+	p.readiness.Store(&path)
+}
+
+func (p *pool) readinessPath() string {
+	if path := p.readiness.Load(); path != nil {
+		return *path
 	}
-	return t.ReadinessPath
+	return DefaultReadinessPath
 }
 
 // closeSilent closes the suspects for good, since the executor answers on a new
--- a/entry/backend/transport.go
+++ b/entry/backend/transport.go
@@ -35,9 +35,8 @@
 var _ Transport = (*HTTPTransport)(nil)
 
 type poolKey struct {
-	id        fleet.InstanceID
-	address   string
-	readiness string
+	id      fleet.InstanceID
+	address string
 }
 
 // New returns a transport without connections. Close ends it.
@@ -79,6 +78,7 @@
 func (t *HTTPTransport) send(ctx context.Context, target Target, request *Request) (*Answer, error) {
 	for {
 		p := t.poolOf(target)
+		p.setReadinessPath(target.ReadinessPath)
 		c, err := p.get(ctx, max(target.Connections, 1), t.maxAge(request), t.options.ConnectionWait)
 		if errors.Is(err, errPoolRetired) {
 			continue
@@ -165,7 +165,7 @@
 
 // poolOf returns the pool of the target, which it makes at the first use.
 func (t *HTTPTransport) poolOf(target Target) *pool {
-	key := poolKey{target.ID, target.Address, target.ReadinessPath}
+	key := poolKey{target.ID, target.Address}
 	if p, ok := (*t.pools.Load())[key]; ok {
 		return p
 	}
