Pace reads of the log where watches end at once

A store whose watches answer at once, without events or with old ones, made the follower read the log in a tight loop. Two reads now lie at least 500 ms apart: at most 121 reads in a minute (asserted).

--- a/entry/config/follower.go
+++ b/entry/config/follower.go
@@ -111,6 +111,7 @@
 		return
 	}
 	f.tail = tail{}
+	clear(f.inForce)
 	f.publish(next)
 }
 
--- a/entry/config/run.go
+++ b/entry/config/run.go
@@ -17,6 +17,9 @@
 	readTimeout = 5 * time.Second
 	// pollInterval is the mean time between two reads by one that does not watch.
 	pollInterval = 30 * time.Second
+	// minRound is the least time between two reads of the log in one go, should
+	// watches end at once.
+	minRound = 500 * time.Millisecond
 	// roleInterval is how often one that does not watch looks whether it should.
 	roleInterval = time.Second
 )
@@ -55,7 +58,10 @@
 		f.waitForPoll(ctx)
 		return nil
 	}
-	return f.watch(ctx, at)
+	began := time.Now()
+	err = f.watch(ctx, at)
+	_ = backoff.Sleep(ctx, minRound-time.Since(began))
+	return err
 }
 
 func (f *Follower) refreshWithin(ctx context.Context, timeout time.Duration) (platform.Revision, error) {
@@ -88,7 +94,7 @@
 			return err
 		}
 		f.noteStore(nil)
-		if len(events.Events) == 0 || !f.applyEvents(events) {
+		if len(events.Events) == 0 || events.Revision <= at || !f.applyEvents(events) {
 			return nil
 		}
 		at = events.Revision
--- a/entry/config/status_test.go
+++ b/entry/config/status_test.go
@@ -13,6 +13,7 @@
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/api/object"
 	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/platform"
 	"github.com/tarragonreach/tarragonreach/platform/memory"
 )
 
@@ -48,6 +49,37 @@
 	})
 }
 
+// hastyStore answers every watch at once, without events or with the same one.
+type hastyStore struct {
+	platform.Store
+	events []platform.Event
+}
+
+// Watch implements platform.Store.
+func (s hastyStore) Watch(context.Context, string, platform.Revision) (platform.Events, error) {
+	return platform.Events{Events: s.events}, nil
+}
+
+func TestWatchesThatEndAtOnceCostFewReads(t *testing.T) {
+	for _, events := range [][]platform.Event{nil, {{Deleted: true}}} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			store := memory.New(time.Now)
+			follower, log := newPair(store)
+			_, err := log.Accept(ctx, putTenant("a", "t", 1, follower.Current()))
+			assert.NilError(t, err)
+			follower.store = hastyStore{store, events}
+			before := store.Calls().Reads
+			go func() { _ = follower.Run(ctx) }()
+			time.Sleep(time.Minute)
+			reads := store.Calls().Reads - before
+			assert.Assert(t, reads <= 121, "%d reads in a minute", reads)
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
+
 func TestStatusSaysHowOldTheRevisionIs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/entry/duty/serve.go
+++ b/entry/duty/serve.go
@@ -56,7 +56,10 @@
 // waitToRenew waits until the next renewal is due; it reports false where the
 // term is over.
 func (l *Lessee) waitToRenew(ctx context.Context, held lease, acted <-chan struct{}, wait time.Duration) bool {
-	wait = min(wait, max(0, held.term.window.left(time.Now())))
+	wait = min(wait, held.term.window.left(time.Now()))
+	if wait <= 0 {
+		return false
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
