--- /dev/null
+++ b/mesh/bench_test.go
@@ -0,0 +1,165 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/mesh/engine"
+	"github.com/tarragonreach/tarragonreach/mesh/keys"
+	"github.com/tarragonreach/tarragonreach/mesh/replicatest"
+)
+
+const (
+	benchZones    = 13
+	ipAndUDPBytes = 28 // headers of one IPv4 and UDP packet
+	benchWindow   = 10 * time.Second
+	benchSettle   = 5 * time.Second
+	changeBytes   = 700
+	benchChanges  = 10
+	targetPerDay  = 3100 // changes of configuration
+	secondsPerDay = 86400
+)
+
+// usage is what the process has spent.
+type usage struct {
+	cpu     time.Duration
+	quic    int64 // bytes sent by QUIC, without headers of IP and UDP
+	packets int64
+	own     int64 // bytes of messages sent
+}
+
+func (u usage) minus(o usage) usage {
+	return usage{u.cpu - o.cpu, u.quic - o.quic, u.packets - o.packets, u.own - o.own}
+}
+
+// wire returns the bytes on the wire with the headers of IP and UDP.
+func (u usage) wire() float64 {
+	return float64(u.quic) + float64(u.packets)*ipAndUDPBytes
+}
+
+func measure(nodes []*Node) usage {
+	var u usage
+	var r syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &r) == nil {
+		u.cpu = time.Duration(r.Utime.Nano() + r.Stime.Nano())
+	}
+	for _, n := range nodes {
+		for _, count := range n.Traffic().Sent {
+			u.own += count.Bytes
+		}
+		sent := n.PacketsSent()
+		u.quic += sent.Bytes
+		u.packets += sent.Messages
+	}
+	return u
+}
+
+// benchMesh runs n nodes in as many as 13 zones on loopback with production periods.
+func benchMesh(b *testing.B, size int, timing engine.Timing) (nodes []*Node, logs []*replicatest.Log, stop func()) {
+	authority, err := keys.NewAuthority()
+	assert.NilError(b, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, size)
+	var seeds []string
+	for i := range size {
+		id := fleet.InstanceID(fmt.Sprintf("entry-%04d", i))
+		tls, err := authority.Issue(id)
+		assert.NilError(b, err)
+		log := replicatest.NewLog("config")
+		n, err := New(Options{
+			ID:       id,
+			Zone:     fleet.AvailabilityZone(fmt.Sprintf("zone-%02d", i%benchZones)),
+			Listen:   "127.0.0.1:0",
+			TLS:      tls,
+			Seeds:    func() []string { return seeds },
+			Replicas: []Replica{log},
+			Timing:   timing,
+		})
+		assert.NilError(b, err)
+		nodes = append(nodes, n)
+		logs = append(logs, log)
+	}
+	seeds = []string{nodes[0].Addr(), nodes[1].Addr()}
+	for _, n := range nodes {
+		go func() { done <- n.Run(ctx) }()
+	}
+	stop = func() {
+		cancel()
+		for range nodes {
+			assert.NilError(b, <-done)
+		}
+	}
+	return nodes, logs, stop
+}
+
+func awaitMesh(b *testing.B, nodes []*Node) {
+	deadline := time.Now().Add(time.Minute)
+	for _, n := range nodes {
+		for reachable(running{Node: n}) != len(nodes)-1 {
+			if time.Now().After(deadline) {
+				b.Fatal("mesh did not form")
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
+
+// BenchmarkMeshNode measures one node's share of a mesh on loopback: bytes sent
+// and received a second while idle, what one change adds, processor time, memory.
+func BenchmarkMeshNode(b *testing.B) {
+	for _, size := range []int{4, 8, 16, 32, 64} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			for range b.N {
+				benchNode(b, size)
+			}
+		})
+	}
+}
+
+func benchNode(b *testing.B, size int) {
+	before := heapBytes()
+	nodes, logs, stop := benchMesh(b, size, engine.DefaultTiming())
+	defer stop()
+	awaitMesh(b, nodes)
+	time.Sleep(benchSettle)
+	start := measure(nodes)
+	time.Sleep(benchWindow)
+	idle := measure(nodes).minus(start)
+	memory := float64(heapBytes()-before) / float64(size)
+
+	start = measure(nodes)
+	for range benchChanges {
+		logs[0].Append("config", make([]byte, changeBytes))
+		nodes[0].Changed()
+		time.Sleep(benchWindow / benchChanges)
+	}
+	busy := measure(nodes).minus(start)
+
+	// What the nodes send is received by nodes: a node's own traffic is twice its share.
+	share := 2 / float64(size) / benchWindow.Seconds()
+	idleRate := idle.wire() * share
+	perChange := (busy.wire() - idle.wire()) * 2 / float64(size) / benchChanges
+	b.ReportMetric(idleRate, "wire-B/s")
+	b.ReportMetric(float64(idle.own)*share, "message-B/s")
+	b.ReportMetric(float64(idle.quic)*share, "quic-B/s")
+	b.ReportMetric(perChange, "wire-B/change")
+	b.ReportMetric(idleRate+perChange*targetPerDay/secondsPerDay, "target-B/s")
+	b.ReportMetric(100*idle.cpu.Seconds()/benchWindow.Seconds()/float64(size), "%core")
+	b.ReportMetric(memory/1024, "KiB-memory")
+	b.ReportMetric(0, "ns/op")
+}
--- a/mesh/engine/engine.go
+++ b/mesh/engine/engine.go
@@ -202,6 +202,17 @@
 	return entry.record.Address, true
 }
 
+// Reachable returns the number of reachable members besides the instance itself.
+func (e *Engine) Reachable() int {
+	count := -1
+	for _, entry := range e.members.entries {
+		if entry.reachable {
+			count++
+		}
+	}
+	return count
+}
+
 // chooseLinks computes the wanted peers: those of the topology over all members
 // known, and those of the topology over the reachable ones, which closes the
 // ring of zones while some are cut off.
--- a/mesh/engine/streams.go
+++ b/mesh/engine/streams.go
@@ -15,7 +15,7 @@
 const (
 	// pushBytes is the size up to which new documents are sent unasked. Larger
 	// ones are announced, so that each peer pulls them once.
-	pushBytes = 1 << 10
+	pushBytes = 256
 	// pullBytes is about the size of one answer to a pull.
 	pullBytes = 64 << 10
 	// documentOverhead is the size of a document's envelope in bytes.
@@ -27,10 +27,12 @@
 
 // pull is a request for documents that has not been answered.
 type pull struct {
-	from   fleet.InstanceID
-	after  int64
-	target int64 // the version that the peer announced
-	until  time.Time
+	from  fleet.InstanceID
+	after int64
+	until time.Time
+	// target is the newest version announced, by the peer announcer.
+	target    int64
+	announcer fleet.InstanceID
 }
 
 // digest returns the versions of all replicas, by stream.
@@ -136,13 +138,23 @@
 		return
 	}
 	if p, open := e.pulls[theirs.Stream]; open && now.Before(p.until) {
+		if theirs.Version > p.target {
+			p.target, p.announcer = theirs.Version, l.peer
+			e.pulls[theirs.Stream] = p
+		}
 		return
 	}
 	e.pull(l.peer, theirs, held, now)
 }
 
 func (e *Engine) pull(from fleet.InstanceID, target replica.StreamVersion, held int64, now time.Time) {
-	e.pulls[target.Stream] = pull{from: from, after: held, target: target.Version, until: now.Add(e.timing.Pull)}
+	e.pulls[target.Stream] = pull{
+		from:      from,
+		after:     held,
+		until:     now.Add(e.timing.Pull),
+		target:    target.Version,
+		announcer: from,
+	}
 	e.send(from, &wire.Pull{Stream: target.Stream, After: held})
 }
 
@@ -203,8 +215,8 @@
 		return
 	}
 	delete(e.pulls, stream)
-	if l != nil && held < p.target {
-		e.pull(from, replica.StreamVersion{Stream: stream, Version: p.target}, held, now)
+	if held < p.target && e.links[p.announcer] != nil {
+		e.pull(p.announcer, replica.StreamVersion{Stream: stream, Version: p.target}, held, now)
 	}
 }
 
