--- /dev/null
+++ b/entry/fleetctl/controller.go
@@ -0,0 +1,140 @@
+package fleetctl
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/explain"
+	"github.com/tarragonreach/tarragonreach/entry/fleetview"
+	"github.com/tarragonreach/tarragonreach/policy/maintenance"
+)
+
+// RoundInterval is the pause between two rounds of a controller.
+const RoundInterval = 2 * time.Second
+
+// Controller decides for one availability zone. Its methods are for one goroutine,
+// except Maintenance.
+type Controller struct {
+	Options
+	pages   pages
+	ledgers *ledgers
+	absence absence
+	states  states
+	sizing  *sizing
+	status  statuses
+	epoch   int64 // of the term for which the caches hold
+}
+
+// New returns a controller.
+func New(options Options) *Controller {
+	options = options.WithDefaults()
+	return &Controller{
+		Options: options,
+		pages:   pages{options.Store, options.View},
+		ledgers: newLedgers(options.Store),
+		absence: make(absence),
+		states:  make(states),
+		sizing:  newSizing(options),
+	}
+}
+
+// Run makes rounds while the term is active, until ctx ends.
+func (c *Controller) Run(ctx context.Context, term Term) error {
+	ticker := time.NewTicker(RoundInterval)
+	defer ticker.Stop()
+	failing := false
+	for term.Active() {
+		err := c.Round(ctx, term)
+		if (err != nil) != failing {
+			failing = err != nil
+			slog.Info("fleet rounds", "zone", c.Zone, "epoch", term.Epoch(), "failing", failing, "error", err)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// Round decides once and applies what was decided. An error ends the round; what
+// is left is decided anew in the next one.
+func (c *Controller) Round(ctx context.Context, term Term) error {
+	config := c.Config()
+	if !term.Active() || config == nil {
+		return nil
+	}
+	if err := c.begin(ctx, term); err != nil {
+		return err
+	}
+	listed, err := c.List.Instances(ctx)
+	if err != nil {
+		return fmt.Errorf("list instances: %w", err)
+	}
+	r := c.newRound(config, listed, term)
+	r.observe()
+	r.decidePools()
+	r.decideMaintenance(ctx)
+	if err := r.levelLedgers(ctx); err != nil {
+		return err
+	}
+	if err := r.apply(ctx); err != nil {
+		return err
+	}
+	return r.levelLedgers(ctx)
+}
+
+// begin reads what the store holds at the start of a term, so that nothing is
+// decided on what an earlier term remembers, and fences the zone's pages, so that
+// no write of an earlier holder arrives any more.
+func (c *Controller) begin(ctx context.Context, term Term) error {
+	if c.epoch == term.Epoch() {
+		return nil
+	}
+	if _, err := c.View.Load(ctx, c.Store); err != nil {
+		return fmt.Errorf("read the fleet record: %w", err)
+	}
+	for _, page := range c.View.Snapshot().Pages(c.Zone) {
+		if err := c.fencePage(ctx, page, term.Epoch()); err != nil {
+			return err
+		}
+	}
+	c.ledgers = newLedgers(c.Store)
+	c.absence = make(absence)
+	c.states = make(states)
+	c.epoch = term.Epoch()
+	return nil
+}
+
+// fencePage notes the term in a page.
+func (c *Controller) fencePage(ctx context.Context, page fleetview.PageEntry, epoch int64) error {
+	if page.Page.Epoch > epoch {
+		return deposed(page, epoch)
+	}
+	if page.Page.Epoch == epoch {
+		return nil
+	}
+	next := page.Page
+	next.Epoch = epoch
+	return c.pages.swap(ctx, page, next)
+}
+
+func deposed(page fleetview.PageEntry, epoch int64) error {
+	return fmt.Errorf("page %s was written in term %d, this is %d: %w", page.Key, page.Page.Epoch, epoch, ErrDeposed)
+}
+
+// Maintenance returns how each maintenance plan stood in the last round. It may be
+// called from any goroutine.
+func (c *Controller) Maintenance() []maintenance.Status { return c.status.get() }
+
+// record fills in what all records of a controller share.
+func (c *Controller) record(r explain.Record) {
+	if c.Recorder == nil {
+		return
+	}
+	r.At, r.Zone, r.Epoch = c.Now(), c.Zone, c.epoch
+	c.Recorder.Record(r)
+}
--- /dev/null
+++ b/entry/gateway/probe.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/header"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/entry/backend"
+	"github.com/tarragonreach/tarragonreach/entry/directory"
+)
+
+const (
+	// probeTimeout bounds one readiness probe.
+	probeTimeout = time.Second
+	// maxProbes bounds the probes that run at once.
+	maxProbes = 16
+	// foreignFactor is how many times rarer executors of other availability zones
+	// are probed.
+	foreignFactor = 4
+)
+
+// prober asks executors for their readiness. An executor that answers that it is
+// not ready has given notice; one that does not answer is left to ejection.
+type prober struct {
+	gateway *Gateway
+	due     map[fleet.InstanceID]time.Time
+	running chan struct{}
+}
+
+func newProber(g *Gateway) *prober {
+	return &prober{gateway: g, due: map[fleet.InstanceID]time.Time{}, running: make(chan struct{}, maxProbes)}
+}
+
+// tick starts the probes that are due.
+func (p *prober) tick(ctx context.Context, now time.Time) {
+	seen := make(map[fleet.InstanceID]time.Time, len(p.due))
+	for _, service := range p.gateway.table.Load().snapshot.Services {
+		for _, endpoint := range service.Endpoints {
+			p.consider(ctx, service, endpoint, false, now, seen)
+		}
+		for _, endpoint := range service.Noticed {
+			p.consider(ctx, service, endpoint, true, now, seen)
+		}
+	}
+	p.due = seen // Forgets executors that are gone.
+}
+
+// consider starts a probe if it is due and one more may run.
+func (p *prober) consider(ctx context.Context, s *directory.Service, e directory.Endpoint, noticed bool, now time.Time, seen map[fleet.InstanceID]time.Time) {
+	due, known := p.due[e.ID]
+	if !known {
+		due = now.Add(p.interval(e)) // The first probes spread out.
+	}
+	if known && !now.Before(due) && p.start(ctx, s.Spec.ReadinessPath, e, noticed) {
+		due = now.Add(p.interval(e))
+	}
+	seen[e.ID] = due
+}
+
+// interval returns the jittered time until the executor's next probe.
+func (p *prober) interval(e directory.Endpoint) time.Duration {
+	interval := p.gateway.options.Settings.ProbeInterval
+	if e.Zone != p.gateway.options.Zone {
+		interval *= foreignFactor
+	}
+	return interval/2 + time.Duration(p.gateway.rng.Int64N(int64(interval/2)+1))
+}
+
+func (p *prober) start(ctx context.Context, path string, e directory.Endpoint, noticed bool) bool {
+	select {
+	case p.running <- struct{}{}:
+	default:
+		return false
+	}
+	go func() {
+		defer func() { <-p.running }()
+		p.probe(ctx, path, e, noticed)
+	}()
+	return true
+}
+
+// probe asks once and passes the result on.
+func (p *prober) probe(ctx context.Context, path string, e directory.Endpoint, noticed bool) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	target := backend.Target{ID: e.ID, Address: e.Address, Connections: 1, ReadinessPath: path}
+	if path == "" {
+		path = backend.DefaultReadinessPath
+	}
+	request := &backend.Request{ID: newRequestID(), Method: http.MethodGet, Path: path, Header: http.Header{}}
+	request.Header.Set(header.Timeout, probeTimeout.String())
+	answer, err := p.gateway.options.Transport.Send(ctx, target, request)
+	discard(answer)
+	if ready, known := readiness(answer, err, noticed); known {
+		p.gateway.options.Directory.NoteReadiness(e.ID, ready)
+	}
+}
+
+// readiness reads a probe's answer; known is false where it says nothing. That an
+// executor does not answer counts only after its notice: it has then ended.
+func readiness(answer *backend.Answer, err error, noticed bool) (ready, known bool) {
+	if err != nil {
+		return false, noticed || verdict.CodeOf(err) == verdict.CodeBackendServerLeaving
+	}
+	switch {
+	case answer.Status == http.StatusServiceUnavailable:
+		return false, true
+	case answer.Status < http.StatusMultipleChoices:
+		return true, true
+	default:
+		return false, false
+	}
+}
