--- a/cmd/tarragond/keys.go
+++ b/cmd/tarragond/keys.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"os"
+	"path/filepath"
 
 	"github.com/urfave/cli/v3"
 
@@ -16,7 +18,7 @@
 
 func keysCommand() *cli.Command {
 	return &cli.Command{
-		Name: "keys", Usage: "make an authority and mesh certificates for a trial", ArgsUsage: "INSTANCE…",
+		Name: "keys", Usage: "make mesh certificates and an operator token for a trial", ArgsUsage: "INSTANCE…",
 		Description: "The authority's own key is thrown away afterwards, so name all instances at once. In production " +
 			"take certificates from your own authority; a certificate's common name is the instance's ID.",
 		Flags:  []cli.Flag{&cli.StringFlag{Name: "dir", Value: "keys", Usage: "`DIRECTORY` for the PEM files"}},
@@ -24,6 +26,19 @@
 	}
 }
 
+// tokenFile is the name of the file with the operators' token.
+const tokenFile = "operator.token"
+
+// tokenMode keeps the token to its owner.
+const tokenMode = 0o600
+
+func writeToken(path string) error {
+	if err := os.WriteFile(path, []byte(rand.Text()+"\n"), tokenMode); err != nil {
+		return fmt.Errorf("write the operator token: %w", err)
+	}
+	return nil
+}
+
 func runKeys(_ context.Context, cmd *cli.Command) error {
 	if !cmd.Args().Present() {
 		return &usageError{"keys: name one or more instances"}
@@ -32,6 +47,9 @@
 	if err := os.MkdirAll(dir, keysDirMode); err != nil {
 		return fmt.Errorf("make the directory for keys: %w", err)
 	}
+	if err := writeToken(filepath.Join(dir, tokenFile)); err != nil {
+		return err
+	}
 	authority, err := keys.NewAuthority()
 	if err != nil {
 		return err
--- a/entry/dev/config.go
+++ b/entry/dev/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/api/object"
 	"github.com/tarragonreach/tarragonreach/api/operations"
 	"github.com/tarragonreach/tarragonreach/entry/dev/load"
@@ -17,6 +18,8 @@
 	classDossier   = "dossier"
 	tenantOffice   = "palermo-office"
 	tenantRegion   = "region"
+	poolWorkers    = "workers"
+	jobReconcile   = "reconcile-herds"
 )
 
 const (
@@ -51,11 +54,20 @@
 				{Name: classDossier, Priority: dossierPriority, Timeout: object.Duration(dossierTimeout), Repeatable: &no},
 				{Name: classBatch, Priority: batchPriority, Timeout: object.Duration(batchTimeout), Repeatable: &yes},
 			},
-			Tenants: []object.Tenant{{Name: tenantOffice, Weight: 2}, {Name: tenantRegion, Weight: 1}},
+			Tenants: []object.Tenant{
+				{Name: tenantOffice, Weight: 2},
+				{Name: tenantRegion, Weight: 1, Quota: fleet.Resources{MilliCPU: 32_000, MemoryMiB: 128_000}},
+			},
 			Pools: []object.Pool{
 				{Name: serviceCounter, Selector: "service=" + serviceCounter, Budget: object.Budget{MaxUnavailable: one}},
 				{Name: serviceParcels, Selector: "service=" + serviceParcels, Budget: object.Budget{MaxUnavailable: one}},
+				{Name: poolWorkers, Selector: "kind=" + string(fleet.KindWorker), Budget: object.Budget{MaxUnavailable: one}},
 			},
+			Jobs: []object.Job{{
+				Name: jobReconcile, Tenant: tenantRegion, Class: classBatch, Tasks: jobTasks,
+				Declared: fleet.Resources{MilliCPU: taskMilliCPU, MemoryMiB: taskMemoryMiB},
+				RunTime:  object.Duration(taskRunTime),
+			}},
 		},
 	}
 }
--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -99,6 +99,7 @@
 	}
 	<-done
 	s.Classes = l.Summaries()
+	s.Tasks = f.workers.summary()
 	s.judge()
 	return s, ctx.Err()
 }
--- a/entry/dev/fleet.go
+++ b/entry/dev/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
@@ -22,6 +23,7 @@
 	server   *http.Server
 	address  string // host:port of the stand-in platform
 	backends *backends
+	workers  *workers
 	entries  []*node.Node
 }
 
@@ -44,11 +46,12 @@
 	if f.backends, err = startBackends(zones); err != nil {
 		return f, err
 	}
-	f.platform.SetInstances(f.backends.instances())
+	f.workers = startWorkers(f.platform, zones)
+	f.platform.SetInstances(append(f.backends.instances(), f.workers.instances...))
 	if err := f.startEntries(ctx, o); err != nil {
 		return f, err
 	}
-	f.platform.SetInstances(append(f.backends.instances(), f.entryInstances()...))
+	f.platform.SetInstances(slices.Concat(f.backends.instances(), f.workers.instances, f.entryInstances()))
 	return f, f.seed(ctx)
 }
 
@@ -143,6 +146,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), devReadinessDelay+devGrace)
 	defer cancel()
 	stopAll(ctx, f.entries)
+	if f.workers != nil {
+		f.workers.close()
+	}
 	if f.backends != nil {
 		f.backends.close()
 	}
--- a/entry/dev/summary.go
+++ b/entry/dev/summary.go
@@ -24,6 +24,7 @@
 	Classes []load.Summary `json:"classes"`
 	RollOut RollOut        `json:"rollOut"`
 	Drain   Drain          `json:"drain"`
+	Tasks   Tasks          `json:"tasks"`
 }
 
 // judge says whether every guarantee held.
@@ -42,6 +43,9 @@
 	if s.Drain.RunsAfter > 0 {
 		s.Broken = append(s.Broken, fmt.Sprintf("the drained instance ran %d new requests", s.Drain.RunsAfter))
 	}
+	if s.Tasks.Doubled > 0 {
+		s.Broken = append(s.Broken, fmt.Sprintf("%d tasks ran twice", s.Tasks.Doubled))
+	}
 	s.OK = len(s.Broken) == 0
 }
 
@@ -58,6 +62,7 @@
 		s.RollOut.Revision, len(f.entries), time.Duration(s.RollOut.InForceEverywhere).Round(time.Millisecond))
 	fmt.Fprintf(o.Out, "%s drained, out of routing after %s, %d runs later than %s\n",
 		s.Drain.Instance, time.Duration(s.Drain.OutOfRouting).Round(time.Millisecond), s.Drain.RunsAfter, drainCheck)
+	fmt.Fprintf(o.Out, "job %s: %d tasks, %d done, %d running\n", jobReconcile, jobTasks, s.Tasks.Done, s.Tasks.Running)
 	for _, b := range s.Broken {
 		fmt.Fprintln(o.Out, "broken:", b)
 	}
