Let the fleet's controllers see the request path's health; few watch the store

Cause: controllers took every listed instance for healthy, so an executor that failed everything did not count against its pool's budget; and every entry instance watched the fleet record and competed for duties. A failed executor stays in routing, where ejection holds it off, because one that left routing could never be seen to heal; the directory's test said the opposite and now asserts this. Only the two watchers of a zone watch the record and compete.

--- a/entry/directory/build.go
+++ b/entry/directory/build.go
@@ -96,7 +96,7 @@
 	if spec.Pool != "" && record.State != fleet.StateReleased && record.Pool != spec.Pool {
 		return OtherPool
 	}
-	if record.State != fleet.StateServing && !(record.State == fleet.StateReleased && spec.Pool == "") {
+	if !takesWork(record.State) && !(record.State == fleet.StateReleased && spec.Pool == "") {
 		return Drained
 	}
 	return Included
@@ -119,3 +119,10 @@
 	}
 	return labels
 }
+
+// takesWork reports whether an instance of a pool is routed to. A failed one is, as
+// long as the platform lists it: the request path itself ejects it and finds out
+// when it has healed.
+func takesWork(state fleet.State) bool {
+	return state == fleet.StateServing || state == fleet.StateFailed
+}
--- a/entry/node/controllers.go
+++ b/entry/node/controllers.go
@@ -30,6 +30,7 @@
 	s := p.Options.Settings
 	lessee := duty.New(p.Store, duty.Options{
 		Zone: s.Instance.Zone, Self: s.Instance.ID, Logger: p.Log.Logger,
+		Candidate: p.isWatcher,
 	})
 	return &controllers{lessee: lessee, parts: p}
 }
@@ -76,7 +77,7 @@
 	p := c.parts
 	return fleetctl.New(fleetctl.Options{
 		Zone: p.Options.Settings.Instance.Zone, Store: store, View: p.View, List: p.List,
-		Instances: p.Client, Config: p.Follower.Current, Recorder: p.Ring, Work: work, Demand: demand{p},
+		Instances: p.Client, Config: p.Follower.Current, Recorder: p.Ring, Work: work, Demand: demand{p}, Health: p.Health,
 	})
 }
 
--- a/entry/node/parts.go
+++ b/entry/node/parts.go
@@ -44,6 +44,7 @@
 	Keeper    *submission.Keeper
 	Gateway   *gateway.Gateway
 	JobPages  *storecache.Cache
+	Health    *executorHealth
 	OwnLoad   *atomic.Pointer[routing.PeerLoad]
 }
 
@@ -52,7 +53,7 @@
 	return fx.Provide(
 		newLog, newMetrics, newStoreClient, newStore, newList, newPeers, newFollower, newConfigLog, newRollOut,
 		fleetview.New, newRing, newDirectory, newTransport, newKeeper, newGateway,
-		newJobPages, newOwnLoad,
+		newJobPages, newExecutorHealth, newOwnLoad,
 	)
 }
 
--- /dev/null
+++ b/entry/node/records.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/entry/config"
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
+)
+
+const (
+	// watcherCheck is the time between two looks at whether this entry instance
+	// should watch the store.
+	watcherCheck = 2 * time.Second
+	// recordsPoll is the time between two readings of the fleet record by an entry
+	// instance that does not watch, in case the mesh does not bring it.
+	recordsPoll = 5 * time.Minute
+)
+
+// isWatcher reports whether this entry instance is one of the few of its
+// availability zone that watch the store and compete for duties.
+func (p parts) isWatcher() bool {
+	s := p.Options.Settings.Instance
+	return config.IsWatcher(config.Member{ID: s.ID, Zone: s.Zone}, p.Peers.reachable())
+}
+
+// followRecords keeps the copy of the fleet record level with the store: by a watch
+// where this entry instance is a watcher, else by the mesh and a rare reading.
+func (n *Node) followRecords(ctx context.Context) error {
+	var read time.Time
+	for ctx.Err() == nil {
+		switch {
+		case n.parts.isWatcher():
+			n.watchRecords(ctx)
+		case time.Since(read) > recordsPoll:
+			if _, err := n.parts.View.Load(ctx, n.parts.Store); err == nil {
+				read = time.Now()
+			}
+		}
+		_ = backoff.Sleep(ctx, watcherCheck)
+	}
+	return nil
+}
+
+// watchRecords follows the store until this entry instance is no watcher any more.
+func (n *Node) watchRecords(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n.tasks.running.Go(func() {
+		defer cancel()
+		for n.parts.isWatcher() && backoff.Sleep(ctx, watcherCheck) == nil {
+		}
+	})
+	_ = n.parts.View.Follow(ctx, n.parts.Store)
+}
--- a/entry/node/stages.go
+++ b/entry/node/stages.go
@@ -48,7 +48,7 @@
 	n.tasks.start("configuration", p.Follower.Run)
 	n.tasks.start("directory", p.Directory.Run)
 	n.tasks.start("gateway", p.Gateway.Run)
-	n.tasks.start("fleet record", func(ctx context.Context) error { return p.View.Follow(ctx, p.Store) })
+	n.tasks.start("fleet record", n.followRecords)
 	n.tasks.start("fleet records to routing", n.passRecords)
 	if p.Options.Settings.Fleet.Controllers {
 		n.tasks.start("controllers", n.controllers.run)
--- a/entry/node/status.go
+++ b/entry/node/status.go
@@ -63,6 +63,7 @@
 			return nil
 		case now := <-ticker.C:
 			n.publishSummary()
+			n.parts.Health.observe(n.parts.Gateway.Executors(), now)
 			n.parts.RollOut.Observe(n.heldByPeers(), n.parts.Options.Settings.Instance.ID, now)
 		}
 	}
