Test dispatching under load; name the caller's body as the cause where it was

Cause: a streamed body over the limit read as a lost connection and counted against the executor; the queue had no test with threads.

--- /dev/null
+++ b/entry/dispatch/service_test.go
@@ -0,0 +1,151 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/policy/health"
+	"gotest.tools/v3/assert"
+)
+
+// threadSource is a random source that threads may share.
+type threadSource struct{}
+
+func (threadSource) Uint64() uint64 { return rand.Uint64() }
+
+func newTestService(endpoints ...Endpoint) *Service {
+	s := New("svc", "z1", DefaultSettings(), rand.New(threadSource{}))
+	s.SetMembers(endpoints, 0, epoch)
+	return s
+}
+
+func endpoint(id string, share int) Endpoint {
+	return Endpoint{ID: fleet.InstanceID(id), Zone: "z1", Slots: share, Share: share}
+}
+
+// ask acquires a slot and waits for it.
+func ask(s *Service, priority int) Grant {
+	grants := make(chan Grant, 1)
+	w := &Waiter{Request: Request{Class: "c", Priority: priority, Deadline: epoch.Add(time.Hour), Repeatable: true}}
+	w.Deliver = func(g Grant) { grants <- g }
+	grant, queued := s.Acquire(w, epoch)
+	if !queued {
+		return grant
+	}
+	return <-grants
+}
+
+func TestNoWaiterIsForgotten(t *testing.T) {
+	s := newTestService(endpoint("a", 2), endpoint("b", 1))
+	var running, worst, served atomic.Int64
+	var callers sync.WaitGroup
+	for i := range 32 {
+		callers.Go(func() {
+			for range 200 {
+				g := ask(s, i%3)
+				if g.Err != nil {
+					t.Errorf("refused: %v", g.Err)
+					return
+				}
+				now := running.Add(1)
+				for was := worst.Load(); now > was && !worst.CompareAndSwap(was, now); was = worst.Load() {
+				}
+				running.Add(-1)
+				s.Release(g.Executor, "c", Succeeded, time.Microsecond, epoch)
+				served.Add(1)
+			}
+		})
+	}
+	callers.Wait()
+	assert.Equal(t, served.Load(), int64(32*200))
+	assert.Assert(t, worst.Load() <= 3, "%d at once", worst.Load())
+	assert.Equal(t, s.InFlight()+s.Waiting(), 0)
+}
+
+func TestWaveOfCancellationsLeavesNothing(t *testing.T) {
+	const wave = 100_000
+	s := newTestService(endpoint("a", 1))
+	s.SetMembers([]Endpoint{endpoint("a", 1)}, wave, epoch)
+	held := ask(s, 0)
+	waiters := make([]*Waiter, wave)
+	for i := range waiters {
+		waiters[i] = &Waiter{Request: Request{Priority: i % 3, Tenant: string(rune('a' + i%20)), Deadline: epoch.Add(time.Hour)}}
+		_, queued := s.Acquire(waiters[i], epoch)
+		assert.Assert(t, queued)
+	}
+	for _, w := range waiters {
+		assert.Assert(t, s.Cancel(w))
+	}
+	assert.Equal(t, s.Waiting(), 0)
+	s.Release(held.Executor, "", Neutral, 0, epoch)
+	assert.Equal(t, s.InFlight(), 0)
+}
+
+func TestLastExecutorLeavingRefusesWaiters(t *testing.T) {
+	s := newTestService(endpoint("a", 1))
+	ask(s, 0)
+	refusals := 0
+	for range 3 {
+		w := &Waiter{Request: Request{Deadline: epoch.Add(time.Hour)}}
+		w.Deliver = func(g Grant) {
+			assert.Equal(t, g.Err.Code, verdict.CodeNoBackendServer)
+			refusals++
+		}
+		s.Acquire(w, epoch)
+	}
+	s.SetMembers(nil, 0, epoch)
+	assert.Equal(t, refusals, 3)
+	assert.Equal(t, s.Waiting(), 0)
+}
+
+func TestProbationTakesOneRequestAtATime(t *testing.T) {
+	s := newTestService(endpoint("a", 4), endpoint("b", 4))
+	a := s.Executors()[0]
+	for range s.settings.Health.ConsecutiveFailures {
+		a.inFlight.Add(1)
+		s.Release(a, "c", Failed, 0, epoch)
+	}
+	assert.Equal(t, a.State(), health.Ejected)
+	later := epoch.Add(s.settings.Health.BaseEjection)
+	s.Tick(later)
+	assert.Equal(t, a.State(), health.Probation)
+	first, second := ask(s, 0), ask(s, 0)
+	assert.Equal(t, first.Executor, a, "a repeatable request is the trial")
+	assert.Assert(t, second.Executor != a)
+	s.Release(a, "c", Succeeded, time.Millisecond, later)
+	for range s.settings.Health.ReturnSuccesses - 1 {
+		g := ask(s, 0)
+		assert.Equal(t, g.Executor, a)
+		s.Release(a, "c", Succeeded, time.Millisecond, later)
+	}
+	assert.Equal(t, a.State(), health.Healthy)
+	assert.Equal(t, a.Limit(), 1, "it returns by slow start")
+}
+
+func TestGainedSlotsWaitAndLostOnesDoNot(t *testing.T) {
+	s := newTestService(endpoint("a", 2))
+	a := s.Executors()[0]
+	s.SetMembers([]Endpoint{endpoint("a", 5)}, 0, epoch)
+	assert.Equal(t, a.Limit(), 2)
+	s.Tick(epoch.Add(time.Second))
+	assert.Equal(t, a.Limit(), 5)
+	s.SetMembers([]Endpoint{endpoint("a", 1)}, 0, epoch.Add(time.Second))
+	assert.Equal(t, a.Limit(), 1)
+}
+
+func TestBusyAnswerLowersTheLimitForAWhile(t *testing.T) {
+	s := newTestService(endpoint("a", 4))
+	a := s.Executors()[0]
+	for range 3 {
+		ask(s, 0)
+	}
+	s.Release(a, "c", Busy, 0, epoch)
+	assert.Equal(t, a.Limit(), 2)
+	s.Tick(epoch.Add(2 * busyPause))
+	assert.Equal(t, a.Limit(), 4)
+}
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -16,9 +16,6 @@
 // maxKeptBytes bounds the answers that are kept for duplicates of a submission.
 const maxKeptBytes = 64 << 10
 
-// sized is a body that has been read whole already.
-type sized interface{ Len() int }
-
 // finishAnswered passes an executor's answer on and gives its slot back.
 func (g *Gateway) finishAnswered(w http.ResponseWriter, x *exchange, answer *backend.Answer, lease *slotLease) {
 	defer discard(answer)
@@ -26,14 +23,14 @@
 	if failedStatus(answer.Status) {
 		outcome = dispatch.Failed
 	}
-	buffered, whole := answer.Body.(sized)
-	if whole {
+	_, streamed := wholeLength(answer)
+	if !streamed {
 		lease.release(outcome) // A slow caller must not hold the slot.
 	}
-	kept := g.keepAnswer(x, answer, buffered)
+	kept := g.keepAnswer(x, answer)
 	g.writeAnswerHeader(w, x, answer)
 	_, err := io.Copy(w, kept.reader)
-	if !whole {
+	if streamed {
 		lease.release(streamOutcome(outcome, err))
 	}
 	g.finishPass(x, submission.Outcome{Verdict: verdict.Ran, Status: answer.Status, Header: answer.Header, Body: kept.body})
@@ -57,8 +54,8 @@
 	copyHeaders(h, answer.Header)
 	h[header.Verdict] = ranValue
 	h[header.RequestID] = []string{x.request.ID}
-	if body, whole := answer.Body.(sized); whole && h["Content-Length"] == nil && answer.Status >= http.StatusOK {
-		h["Content-Length"] = []string{strconv.Itoa(body.Len())}
+	if length, _ := wholeLength(answer); length > 0 && h["Content-Length"] == nil {
+		h["Content-Length"] = []string{strconv.Itoa(length)}
 	}
 	g.offerTicket(h, x)
 	w.WriteHeader(answer.Status)
--- a/entry/gateway/body.go
+++ b/entry/gateway/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/verdict"
@@ -31,11 +32,39 @@
 		x.request.Body = buffered
 		return nil
 	}
-	x.request.Stream = io.MultiReader(bytes.NewReader(buffered), body)
+	x.stream = &callerStream{reader: io.MultiReader(bytes.NewReader(buffered), body)}
+	x.request.Stream = x.stream
 	x.request.StreamLength = r.ContentLength
 	return nil
 }
 
+// callerStream is a body that is read while it is sent on. It remembers why the
+// caller's side ended it.
+type callerStream struct {
+	reader io.Reader
+	failed atomic.Pointer[error]
+}
+
+// Read implements io.Reader.
+func (s *callerStream) Read(p []byte) (int, error) {
+	n, err := s.reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		s.failed.Store(&err)
+	}
+	return n, err
+}
+
+// bodyFailure names the caller's body as the cause of a failed attempt where it
+// was one; the attempt's verdict stays.
+func (x *exchange) bodyFailure(failure *verdict.Error) *verdict.Error {
+	if x.stream == nil || x.stream.failed.Load() == nil {
+		return failure
+	}
+	cause := bodyError(*x.stream.failed.Load())
+	cause.Verdict = failure.Verdict
+	return cause
+}
+
 // readUpTo reads at most limit bytes and reports whether that was the whole body.
 // length is the announced length, or -1.
 func readUpTo(body io.Reader, length, limit int64) (data []byte, whole bool, err error) {
--- a/entry/gateway/errors_test.go
+++ b/entry/gateway/errors_test.go
@@ -114,6 +114,30 @@
 	assert.Equal(t, w.Code, http.StatusRequestEntityTooLarge)
 }
 
+// readsStream is a transport that reads the streamed body like a real one.
+func readsStream(_ context.Context, _ backend.Target, r *backend.Request) (*backend.Answer, error) {
+	if _, err := io.Copy(io.Discard, r.Stream); err != nil {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeConnectionLost, "cut")
+	}
+	return okAnswer("ok"), nil
+}
+
+func TestStreamedBodyOverTheLimit(t *testing.T) {
+	settings := DefaultSettings()
+	settings.BufferBytes = 100
+	g, _ := newTestGateway(readsStream, func(o *Options) { o.Settings = settings })
+	for length, want := range map[int]int{900: http.StatusOK, 1100: http.StatusRequestEntityTooLarge} {
+		r := httptest.NewRequest("PUT", "/s/sportello/x", io.MultiReader(strings.NewReader(strings.Repeat("x", length))))
+		r.ContentLength = -1
+		w := httptest.NewRecorder()
+		g.ServeHTTP(w, r)
+		assert.Equal(t, w.Code, want)
+		if want != http.StatusOK {
+			assert.Equal(t, problemOf(t, w).Verdict, "may-have-run", "a part of it was sent")
+		}
+	}
+}
+
 func TestTransportErrorsKeepTheirVerdict(t *testing.T) {
 	codes := []verdict.Code{
 		verdict.CodeConnectFailed, verdict.CodeBackendServerBusy, verdict.CodeBackendServerLeaving, verdict.CodeConnectionLost,
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -27,6 +27,7 @@
 
 	incoming http.Header // shared with the caller's request; never changed
 	request  backend.Request
+	stream   *callerStream // nil unless the body is too large to buffer
 	attempts int
 	// verdict speaks for all attempts so far.
 	verdict verdict.Verdict
--- a/entry/gateway/send.go
+++ b/entry/gateway/send.go
@@ -72,11 +72,11 @@
 
 // isStream reports whether the answer has not been read whole.
 func isStream(answer *backend.Answer) bool {
-	if answer == nil || answer.Body == nil {
+	if answer == nil {
 		return false
 	}
-	_, whole := answer.Body.(sized)
-	return !whole
+	_, streamed := wholeLength(answer)
+	return streamed
 }
 
 // acquire waits for a slot.
@@ -144,7 +144,7 @@
 	answer, err := g.options.Transport.Send(x.ctx, x.target(executor), &x.request)
 	x.ctx.unwatch()
 	if err != nil {
-		failure := asError(err)
+		failure := x.bodyFailure(asError(err))
 		x.verdict = combine(x.verdict, failure.Verdict)
 		g.noteLeaving(executor, failure.Code == verdict.CodeBackendServerLeaving)
 		return nil, failure
