--- a/entry/fleetctl/apply.go
+++ b/entry/fleetctl/apply.go
@@ -26,9 +26,6 @@
 	var free []change
 	wanted := make(map[string][]change) // by the pool whose budget is asked
 	for _, m := range r.members {
-		if m.zone != r.Zone {
-			continue
-		}
 		c := change{m, r.next(m)}
 		switch {
 		case c.step.Voluntary:
@@ -37,6 +34,8 @@
 			if r.reboot(ctx, c) {
 				free = append(free, c)
 			}
+		case leavesPool(c) && !r.countedOut(ctx, c):
+			continue
 		case c.step.Changed() || m.isNew:
 			free = append(free, c)
 		}
@@ -48,6 +47,22 @@
 	return r.write(ctx, r.snapshot, append(free, granted...))
 }
 
+func leavesPool(c change) bool {
+	return c.record.Pool != "" && (c.step.Forget || c.step.Record.Pool == "")
+}
+
+// countedOut says whether the pool's ledger counts an instance as out of service.
+// It has to before the instance leaves the pool: others could take the ledger's
+// larger membership for healthy instances otherwise.
+func (r *round) countedOut(ctx context.Context, c change) bool {
+	entry, err := r.ledgers.cached(ctx, c.record.Pool)
+	if err != nil {
+		return false
+	}
+	_, counted := entry.ledger.Outage(c.record.ID)
+	return counted
+}
+
 // next returns the next step of a member. While the list is suspect, absence from
 // it proves nothing.
 func (r *round) next(m *member) lifecycle.Step {
@@ -77,7 +92,7 @@
 func (r *round) write(ctx context.Context, decidedOn *fleetview.Snapshot, changes []change) error {
 	byPage := make(map[string][]change)
 	for _, c := range changes {
-		key := fleet.PageKey(c.zone, c.record.ID)
+		key := fleet.PageKey(r.Zone, c.record.ID)
 		byPage[key] = append(byPage[key], c)
 	}
 	for _, key := range slices.Sorted(maps.Keys(byPage)) {
@@ -94,7 +109,7 @@
 
 func (r *round) writePage(ctx context.Context, old fleetview.PageEntry, key string, changes []change) error {
 	if old.Page.Epoch > r.epoch {
-		return fmt.Errorf("page %s was written in term %d, this is %d: %w", key, old.Page.Epoch, r.epoch, ErrDeposed)
+		return deposed(old, r.epoch)
 	}
 	old.Key = key
 	next := old.Page
@@ -107,14 +122,27 @@
 		next = next.With(c.step.Record)
 	}
 	if err := r.pages.swap(ctx, old, next); err != nil {
+		if stored := r.View.Snapshot().Page(key); stored.Page.Epoch > r.epoch {
+			return deposed(stored, r.epoch)
+		}
 		return err
 	}
 	for _, c := range changes {
 		r.explainStep(c)
+		r.remember(c)
 	}
 	return nil
 }
 
+// remember starts the clock of the state that was written.
+func (r *round) remember(c change) {
+	if c.step.Forget {
+		r.forget(c.record.ID)
+		return
+	}
+	r.states.note(c.step.Record, r.now)
+}
+
 func (r *round) explainStep(c change) {
 	r.record(explain.Record{
 		Subject: explain.Instance(c.record.ID), Action: c.step.Action, Outcome: explain.Applied,
--- a/entry/submission/options.go
+++ b/entry/submission/options.go
@@ -18,8 +18,8 @@
 	DefaultMaxRecords      = 64 << 10
 	DefaultMaxBodyBytes    = 8 << 20  // bytes, all answers together
 	DefaultKeepBodyBytes   = 16 << 10 // bytes, one answer
-	DefaultCallsPerSecond  = 20       // calls of the store
-	DefaultCallBurst       = 40       // calls of the store
+	DefaultCallsPerSecond  = 15       // calls of the store
+	DefaultCallBurst       = 15       // calls of the store
 	DefaultClaimTimeout    = 2 * time.Second
 	DefaultPeerTimeout     = 500 * time.Millisecond
 )
@@ -31,6 +31,14 @@
 	Call(ctx context.Context, peer fleet.InstanceID, method string, payload []byte) ([]byte, error)
 }
 
+// Handler serves calls of one method from other entry instances.
+type Handler = func(ctx context.Context, from fleet.InstanceID, payload []byte) ([]byte, error)
+
+// HandlerRegistry takes the handlers for calls from other entry instances.
+type HandlerRegistry interface {
+	Handle(method string, handler Handler)
+}
+
 // Options sets up a Keeper. Zero fields but Self take the defaults.
 type Options struct {
 	// Self is this entry instance.
