Measure how soon a leaving executor is left alone, beside a naive way

Cause: the table of the request path lacked this case. Change: BenchmarkRequestPathLeaving gives each of four signs of leaving in real time; the test does so in virtual time.

--- a/entry/gateway/leaving_test.go
+++ b/entry/gateway/leaving_test.go
@@ -72,38 +72,67 @@
 	}
 }
 
-// lastWorkAfter returns how long after the sign a got its last request.
-func lastWorkAfter(t *testing.T, sign string) (last time.Duration) {
-	synctest.Test(t, func(t *testing.T) {
-		f := &leavingFleet{list: &fakeList{instances: []fleet.Instance{executorInstance("a", "z1"), executorInstance("b", "z1")}}}
-		f.d = directory.New(directory.Options{List: f.list})
-		f.d.SetConfig(testConfig())
-		g := New(Options{Self: "e1", Zone: "z1", Directory: f.d, Transport: f})
-		ctx, stop := context.WithCancel(t.Context())
-		go f.d.Run(ctx)
-		go g.Run(ctx)
-		time.Sleep(10*time.Second + 3*time.Millisecond)
-		f.sign(sign)
-		signed := time.Now()
-		for time.Since(signed) < 30*time.Second {
-			assert.Equal(t, call(g, "GET", "/s/sportello/x", "").Code, http.StatusOK)
-			time.Sleep(5 * time.Millisecond)
+// signs are the ways in which an executor shows that it is leaving.
+var signs = []string{"list", "drain", "notice", "readiness"}
+
+// lastWorkAfter returns how long after the sign a got its last request. The naive
+// way reads the list once.
+func lastWorkAfter(ctx context.Context, sign string, naive bool, before, after time.Duration) time.Duration {
+	f := &leavingFleet{list: &fakeList{instances: []fleet.Instance{executorInstance("a", "z1"), executorInstance("b", "z1")}}}
+	f.d = directory.New(directory.Options{List: f.list})
+	f.d.SetConfig(testConfig())
+	g := New(Options{Self: "e1", Zone: "z1", Directory: f.d, Transport: f})
+	turn := 0
+	ask := func() {
+		turn++
+		if naive {
+			_, _ = f.Send(ctx, backend.Target{ID: fleet.InstanceID([]string{"a", "b"}[turn%2])}, &backend.Request{Path: "/x"})
+			return
 		}
-		last = max(f.lastWork.Sub(signed), 0)
-		stop()
-		synctest.Wait()
-	})
-	return last
+		call(g, "GET", "/s/sportello/x", "")
+	}
+	go f.d.Run(ctx)
+	go g.Run(ctx)
+	time.Sleep(before)
+	f.sign(sign)
+	signed := time.Now()
+	for time.Since(signed) < after {
+		ask()
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(f.lastWork.Sub(signed), 0)
 }
 
 func TestLeavingExecutorGetsNoNewWork(t *testing.T) {
-	for _, sign := range []string{"list", "drain", "notice", "readiness"} {
-		last := lastWorkAfter(t, sign)
-		t.Logf("%s: last work %v after the sign", sign, last)
-		assert.Assert(t, last <= leavingBound, "%s: last work %v after the sign", sign, last)
+	for _, sign := range signs {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, stop := context.WithCancel(t.Context())
+			last := lastWorkAfter(ctx, sign, false, 10*time.Second+3*time.Millisecond, 30*time.Second)
+			assert.Assert(t, last <= leavingBound, "%s: last work %v after the sign", sign, last)
+			stop()
+			synctest.Wait()
+		})
 	}
 }
 
+func BenchmarkRequestPathLeaving(b *testing.B) {
+	comparePolicyAndNaive(b, func(b *testing.B, naive bool) {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		var measured sync.WaitGroup
+		lasts := make([]time.Duration, len(signs))
+		for i, sign := range signs {
+			measured.Go(func() { lasts[i] = lastWorkAfter(ctx, sign, naive, 1500*time.Millisecond, 6*time.Second) })
+		}
+		measured.Wait()
+		for i, sign := range signs {
+			b.ReportMetric(lasts[i].Seconds(), sign+"-s-to-last-work")
+		}
+	})
+}
+
 func TestShutdownEndsWorkInProgress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		release := make(chan struct{})
