entry/fleetview: own the fleet's streams before any page is held

Cause: the mesh asks a replica for its streams by its digest, which is empty at a new entry instance, so it would take no fleet record from peers while the store is out. Change: Owns names the streams; the mesh asks it first.

--- a/entry/fleetview/replica.go
+++ b/entry/fleetview/replica.go
@@ -114,3 +114,9 @@
 	})
 	return nil
 }
+
+// Owns implements mesh.StreamOwner, so that a view which holds no page yet takes
+// those of its peers.
+func (v *View) Owns(stream mesh.Stream) bool {
+	return strings.HasPrefix(string(stream), fleet.PagePrefix)
+}
