--- a/policy/placement/planner.go
+++ b/policy/placement/planner.go
@@ -19,7 +19,9 @@
 	starts map[rackJob]int
 	// full holds the refusals of jobs of which no further task can start.
 	full map[string]Refusal
-	plan Plan
+	// scratch is the list of victims of the worker that is weighed.
+	scratch []victim
+	plan    Plan
 }
 
 type rackJob struct {
--- a/policy/placement/relief.go
+++ b/policy/placement/relief.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -20,6 +21,9 @@
 	atRiskCost = 24 * time.Hour
 )
 
+// maxWeighed is how many workers are weighed for room once one has been found.
+const maxWeighed = 48
+
 // option is a way to make room on one worker.
 type option struct {
 	node    *node
@@ -27,11 +31,18 @@
 	cost    time.Duration
 }
 
+// victim is a task that may make way, with the work that a checkpoint loses.
+type victim struct {
+	task *Task
+	cost time.Duration
+}
+
+// mayYield says whether a task may make way for another.
+type mayYield func(v *Task) bool
+
 // makeRoom starts an urgent task where the least work is lost for it.
 func (p *planner) makeRoom(t Pending) bool {
-	return p.startOnBest(t, func(n *node) []Task {
-		return slices.DeleteFunc(slices.Clone(n.tasks), func(v Task) bool { return v.Urgent })
-	}, "urgent, others make way")
+	return p.startOnBest(t, func(v *Task) bool { return !v.Urgent }, "urgent, others make way")
 }
 
 // giveBack takes room back from tenants beyond their quota for one within its own.
@@ -39,10 +50,8 @@
 	if _, full := p.full[t.Job]; full {
 		return false
 	}
-	return p.startOnBest(t, func(n *node) []Task {
-		return slices.DeleteFunc(slices.Clone(n.tasks), func(v Task) bool {
-			return v.Urgent || v.Tenant == t.Tenant || !p.borrows(v.Tenant)
-		})
+	return p.startOnBest(t, func(v *Task) bool {
+		return !v.Urgent && v.Tenant != t.Tenant && p.borrows(v.Tenant)
 	}, "within quota, borrowed room is given back")
 }
 
@@ -51,17 +60,24 @@
 	return !a.held.Fits(a.quota)
 }
 
-// startOnBest picks the worker whose victims cost least. victims lists the tasks of
-// a worker that may make way.
-func (p *planner) startOnBest(t Pending, victims func(*node) []Task, reason string) bool {
+// startOnBest picks the worker whose victims cost least. It starts at a worker that
+// depends on the task, and weighs only some more once one with room is found, so
+// that the cost of a round stays bounded.
+func (p *planner) startOnBest(t Pending, yields mayYield, reason string) bool {
 	var best *option
-	for _, n := range p.workers {
+	weighed := 0
+	for i := range p.workers {
+		n := p.workers[(i+t.Index)%len(p.workers)]
+		if best != nil && weighed >= maxWeighed {
+			break
+		}
 		if !p.usable(t, n) || !t.Need.Fits(n.Capacity) {
 			continue
 		}
-		o, ok := p.roomOn(t, n, victims(n))
+		weighed++
+		o, ok := p.roomOn(t, n, yields)
 		if ok && (best == nil || o.cost < best.cost) {
-			best = o
+			best = &o
 		}
 	}
 	if best == nil {
@@ -74,41 +90,63 @@
 
 // roomOn tries to throttle first, for that loses no work, and checkpoints where
 // throttling is not enough.
-func (p *planner) roomOn(t Pending, n *node, victims []Task) (*option, bool) {
-	slices.SortStableFunc(victims, p.byCost)
+func (p *planner) roomOn(t Pending, n *node, yields mayYield) (option, bool) {
+	victims, room := p.victims(n, yields)
+	if !t.Need.Fits(room) {
+		return option{}, false
+	}
+	slices.SortStableFunc(victims, func(a, b victim) int { return cmp.Compare(a.cost, b.cost) })
 	if o, ok := p.roomByThrottling(t, n, victims); ok {
 		return o, true
 	}
-	o := &option{node: n}
+	o := option{node: n}
 	free := n.free
 	for _, v := range victims {
 		if t.Need.Fits(free) {
 			break
 		}
-		free = free.Add(v.Need)
-		o.cost += p.cost(v)
+		free = free.Add(v.task.Need)
+		o.cost += v.cost
 		o.reliefs = append(o.reliefs, Relief{
-			Kind: ReliefCheckpoint, Task: v.ID, Worker: n.ID,
+			Kind: ReliefCheckpoint, Task: v.task.ID, Worker: n.ID,
 			Reason: fmt.Sprintf("makes way for %s/%d", t.Job, t.Index),
 		})
 	}
-	return o, t.Need.Fits(free)
+	return o, true
+}
+
+// victims lists the tasks that may make way, and what is free without them. The
+// list is valid until the next call.
+func (p *planner) victims(n *node, yields mayYield) ([]victim, fleet.Resources) {
+	p.scratch = p.scratch[:0]
+	room := n.free
+	for i := range n.tasks {
+		v := &n.tasks[i]
+		if yields(v) {
+			p.scratch = append(p.scratch, victim{v, p.cost(*v)})
+			room = room.Add(v.Need)
+		}
+	}
+	return p.scratch, room
 }
 
-func (p *planner) roomByThrottling(t Pending, n *node, victims []Task) (*option, bool) {
-	o := &option{node: n}
+func (p *planner) roomByThrottling(t Pending, n *node, victims []victim) (option, bool) {
+	o := option{node: n}
 	free := n.free
+	if t.Need.MemoryMiB > free.MemoryMiB || t.Need.Accelerators > free.Accelerators {
+		return o, false
+	}
 	for _, v := range victims {
 		if t.Need.Fits(free) {
 			break
 		}
-		if v.Throttled || p.atRisk(v, throttledDelay(v)) {
+		if v.task.Throttled || p.atRisk(*v.task, throttledDelay(*v.task)) {
 			continue
 		}
-		free = free.Add(saving(v))
-		o.cost += throttledDelay(v)
+		free = free.Add(saving(*v.task))
+		o.cost += throttledDelay(*v.task)
 		o.reliefs = append(o.reliefs, Relief{
-			Kind: ReliefThrottle, Task: v.ID, Worker: n.ID, Percent: throttlePercent,
+			Kind: ReliefThrottle, Task: v.task.ID, Worker: n.ID, Percent: throttlePercent,
 			Reason: fmt.Sprintf("shares its processors with %s/%d", t.Job, t.Index),
 		})
 	}
