Give throttled tasks their processors back; learn from unreported failures

Cause: a throttled task stayed throttled to its end, though the room came back; and a task killed before its first report was started with the same size again. Change: throttling ends where there is room, before further tasks start; a failure without a report raises the job's memory until the first report.

--- a/api/explain/job.go
+++ b/api/explain/job.go
@@ -9,6 +9,7 @@
 	ActionWait       Action = "wait"       // a task finds no worker
 	ActionCheckpoint Action = "checkpoint" // a task makes way
 	ActionThrottle   Action = "throttle"   // a task gives processors back
+	ActionRestore    Action = "restore"    // a throttled task gets its processors again
 	ActionQuarantine Action = "quarantine" // no task of a job starts any more
 	ActionSetAside   Action = "set-aside"  // a worker takes no tasks
 	ActionCancelTask Action = "cancel-task"
--- a/entry/jobctl/place.go
+++ b/entry/jobctl/place.go
@@ -42,26 +42,40 @@
 	r.record(explain.Job(refusal.Job), explain.ActionWait, explain.Waiting, reason, refusal.Reason)
 }
 
-// relieve makes a running task give resources back. A worker that no longer has
-// the task has given them back already.
+// relieve makes a running task give resources back, or gives them to it again. A
+// worker that no longer has the task has given them back already.
 func (r *round) relieve(ctx context.Context, relief placement.Relief) error {
-	var err error
-	action := explain.ActionCheckpoint
-	if relief.Kind == placement.ReliefThrottle {
-		action = explain.ActionThrottle
-		r.throttled[relief.Task] = true
-		err = r.Workers.Throttle(ctx, relief.Worker, relief.Task, relief.Percent, r.term.Epoch())
-	} else {
-		err = r.Workers.Checkpoint(ctx, relief.Worker, relief.Task, r.term.Epoch())
-	}
+	err := r.command(ctx, relief)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return fmt.Errorf("%s %s: %w", relief.Kind, relief.Task, err)
 	}
-	r.record(explain.Job(r.usage[relief.Task].Job), action, explain.Applied, explain.ReasonMakesWay,
+	r.record(explain.Job(r.usage[relief.Task].Job), reliefAction(relief.Kind), explain.Applied, explain.ReasonMakesWay,
 		string(relief.Task)+" on "+string(relief.Worker)+" "+relief.Reason)
 	return nil
 }
 
+func (r *round) command(ctx context.Context, relief placement.Relief) error {
+	if relief.Kind == placement.ReliefCheckpoint {
+		return r.Workers.Checkpoint(ctx, relief.Worker, relief.Task, r.term.Epoch())
+	}
+	err := r.Workers.Throttle(ctx, relief.Worker, relief.Task, relief.Percent, r.term.Epoch())
+	if err == nil {
+		r.throttled[relief.Task] = relief.Kind == placement.ReliefThrottle
+	}
+	return err
+}
+
+func reliefAction(kind placement.ReliefKind) explain.Action {
+	switch kind {
+	case placement.ReliefCheckpoint:
+		return explain.ActionCheckpoint
+	case placement.ReliefThrottle:
+		return explain.ActionThrottle
+	default:
+		return explain.ActionRestore
+	}
+}
+
 // byPage groups starts so that each page is written once.
 func byPage(starts []placement.Start) [][]placement.Start {
 	groups := map[string][]placement.Start{}
--- a/policy/estimate/estimate.go
+++ b/policy/estimate/estimate.go
@@ -29,6 +29,7 @@
 const (
 	SourceJob      Source = "usage of this job"
 	SourceTenant   Source = "usage of the tenant's other jobs"
+	SourceFailure  Source = "failures before any report"
 	SourceDeclared Source = "declaration"
 )
 
@@ -51,6 +52,8 @@
 	fallShare = 0.04
 	// memoryHeadroom multiplies memory, which unlike processor time cannot be throttled.
 	memoryHeadroom = 1.1
+	// failureRaise multiplies the memory of a job whose task failed unreported.
+	failureRaise = 1.5
 	// minRatio and maxRatio bound how far a tenant's ratio changes a declaration.
 	minRatio = 0.1
 	maxRatio = 4.0
@@ -68,6 +71,8 @@
 	memory  float64 // mebibytes
 	samples int
 	last    time.Time
+	// guess is what a task is given after unreported failures, until the first report.
+	guess fleet.Resources
 }
 
 // ratioEstimate is used by declared, for each dimension.
@@ -112,6 +117,29 @@
 	ratio.samples++
 }
 
+// ObserveFailure learns from a task that failed before any task of its job was
+// reported. What it used is unknown; since it may have been killed for memory, the
+// next start asks for more, up to limit and maxRatio times the declaration. The first
+// report replaces this guess.
+func (e *Estimator) ObserveFailure(key JobKey, declared, limit fleet.Resources, at time.Time) {
+	job, known := e.jobs[key]
+	if known && job.samples > 0 {
+		return
+	}
+	need := e.Estimate(key, declared).Resources
+	if !known {
+		e.evictOldest()
+		job = &jobEstimate{}
+		e.jobs[key] = job
+	}
+	most := min(float64(limit.MemoryMiB), maxRatio*float64(declared.MemoryMiB))
+	job.guess = fleet.Resources{
+		MilliCPU: need.MilliCPU, MemoryMiB: int64(min(float64(need.MemoryMiB)*failureRaise, most)),
+		Accelerators: declared.Accelerators,
+	}
+	job.last = at
+}
+
 // follow moves estimate towards value; the first value is taken whole.
 func follow(estimate, value float64, samples int) float64 {
 	if samples == 0 {
@@ -150,9 +178,13 @@
 // Estimate returns what one task of the job is expected to use at its peak.
 // Accelerators are exclusive devices, so the declaration stands for them.
 func (e *Estimator) Estimate(key JobKey, declared fleet.Resources) Need {
-	if job, ok := e.jobs[key]; ok && job.samples >= minJobSamples {
+	job, known := e.jobs[key]
+	if known && job.samples >= minJobSamples {
 		return Need{Resources: rounded(job.cpu, job.memory, declared), Source: SourceJob, Samples: job.samples}
 	}
+	if known && job.samples == 0 {
+		return Need{Resources: job.guess, Source: SourceFailure}
+	}
 	ratio, ok := e.tenants[key.Tenant]
 	if !ok || ratio.samples < minTenantSamples {
 		return Need{Resources: declared, Source: SourceDeclared}
--- a/policy/estimate/estimate_test.go
+++ b/policy/estimate/estimate_test.go
@@ -42,6 +42,19 @@
 	assert.Equal(t, need.Resources.Accelerators, int64(1))
 }
 
+func TestUnreportedFailureRaisesMemoryUpToTheLimit(t *testing.T) {
+	e := New(100)
+	key := JobKey{"terreni", "parcels"}
+	declared, limit := fleet.Resources{MilliCPU: 1000, MemoryMiB: 1000}, fleet.Resources{MemoryMiB: 2000}
+	e.ObserveFailure(key, declared, limit, start)
+	raised := e.Estimate(key, declared).Resources.MemoryMiB
+	assert.Assert(t, raised >= 1500 && raised <= 1510, "%d", raised)
+	for range 5 {
+		e.ObserveFailure(key, declared, limit, start)
+	}
+	assert.Assert(t, e.Estimate(key, declared).Resources.MemoryMiB <= 2001)
+}
+
 func TestMemoryOfTheEstimatorIsBounded(t *testing.T) {
 	e := New(2)
 	for i, job := range []string{"a", "b", "c"} {
--- a/policy/placement/driver_test.go
+++ b/policy/placement/driver_test.go
@@ -54,6 +54,7 @@
 	workers  int
 	tasks    []*real
 	ooms     int
+	killed   []*real         // since the last decision, before any report
 	delays   []time.Duration // of urgent starts
 }
 
@@ -110,6 +111,9 @@
 	for i, r := range running {
 		if used += r.needs.MemoryMiB; used > w.capacity.MemoryMiB {
 			w.ooms++
+			if now-r.started < usageLag {
+				w.killed = append(w.killed, r)
+			}
 			r.saved = 0
 			r.stop(now + oomRestart)
 			return append(running[:i:i], running[i+1:]...)
@@ -182,8 +186,8 @@
 	}
 	for _, relief := range plan.Reliefs {
 		r := byID[relief.Task]
-		if relief.Kind == ReliefThrottle {
-			r.throttled = true
+		if relief.Kind != ReliefCheckpoint {
+			r.throttled = relief.Kind == ReliefThrottle
 			continue
 		}
 		r.saved = r.done
@@ -197,6 +201,10 @@
 }
 
 func (l *learned) learn(w *world, now time.Duration) {
+	for _, r := range w.killed {
+		l.estimator.ObserveFailure(estimate.JobKey{Tenant: r.tenant, Job: r.job}, r.declared, w.capacity, epoch.Add(now))
+	}
+	w.killed = nil
 	if now%usageLag != 0 {
 		return
 	}
@@ -238,12 +246,8 @@
 				Deadline: at(r.deadline), Since: epoch.Add(r.waitFrom),
 			})
 		case r.worker >= 0 && r.ended == 0:
-			need := l.need(r)
-			if r.throttled {
-				need.MilliCPU = need.MilliCPU * throttlePercent / fullPercent
-			}
 			s.Workers[r.worker].Tasks = append(s.Workers[r.worker].Tasks, Task{
-				ID: r.id, Job: r.job, Tenant: r.tenant, Need: need, Urgent: r.urgent,
+				ID: r.id, Job: r.job, Tenant: r.tenant, Need: l.need(r), Urgent: r.urgent,
 				Checkpointed: epoch.Add(r.started), Deadline: at(r.deadline), Remaining: r.work - r.done,
 				Throttled: r.throttled,
 			})
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -40,6 +40,14 @@
 	Throttled bool
 }
 
+// use is what the task takes now: its need, less what throttling saves.
+func (t Task) use() fleet.Resources {
+	if t.Throttled {
+		return t.Need.Sub(saving(t))
+	}
+	return t.Need
+}
+
 // Pending is a task that waits for a worker.
 type Pending struct {
 	Job      string
@@ -86,6 +94,8 @@
 const (
 	ReliefThrottle   ReliefKind = "throttle"
 	ReliefCheckpoint ReliefKind = "checkpoint"
+	// ReliefRestore ends a throttling.
+	ReliefRestore ReliefKind = "restore"
 )
 
 // Relief makes a running task give resources back.
@@ -93,7 +103,7 @@
 	Kind   ReliefKind
 	Task   fleet.TaskID
 	Worker fleet.InstanceID
-	// Percent is the processor share left to a throttled task.
+	// Percent is the processor share that a throttled or restored task gets.
 	Percent int
 	Reason  string
 }
@@ -119,6 +129,7 @@
 	p := newPlanner(s)
 	p.relieveOvercommitted()
 	p.placeUrgent()
+	p.restoreThrottled()
 	p.placeWithinQuota()
 	p.placeBorrowed()
 	return p.plan
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -46,6 +46,16 @@
 	assert.Equal(t, plan.Reliefs[0].Kind, ReliefThrottle)
 }
 
+func TestThrottledTaskIsRestoredOnceThereIsRoom(t *testing.T) {
+	throttled := batch("b", "a", res(8_000, 4_000), time.Hour)
+	throttled.Throttled = true
+	plan := Decide(Snapshot{Now: now, Workers: []Worker{worker(0, throttled)}})
+	assert.Equal(t, len(plan.Reliefs), 1)
+	assert.Equal(t, plan.Reliefs[0].Kind, ReliefRestore)
+	busy := batch("c", "a", res(12_000, 4_000), time.Hour)
+	assert.Equal(t, len(Decide(Snapshot{Now: now, Workers: []Worker{worker(0, throttled, busy)}}).Reliefs), 0)
+}
+
 func TestUrgentTaskSparesTheBatchNearItsDeadline(t *testing.T) {
 	urgent := pending("urgent", "a", res(1_000, 32_000))
 	urgent.Urgent = true
@@ -110,9 +120,12 @@
 		}
 		for _, r := range plan.Reliefs {
 			task := tasks[r.Task]
-			back := task.Need
-			if r.Kind == ReliefThrottle {
-				back = saving(task)
+			back := task.use()
+			if r.Kind != ReliefCheckpoint {
+				next := task
+				next.Throttled = r.Kind == ReliefThrottle
+				back = task.use().Sub(next.use())
+				tasks[r.Task] = next
 			}
 			free[r.Worker] = free[r.Worker].Add(back)
 		}
@@ -150,6 +163,7 @@
 		for j := range rapid.IntRange(0, 3).Draw(t, "tasks") {
 			task := batch(fmt.Sprintf("t-%d-%d", i, j), tenants.Draw(t, "tenant"), need("task"), time.Minute)
 			task.Urgent = rapid.Bool().Draw(t, "taskUrgent")
+			task.Throttled = rapid.Bool().Draw(t, "throttled")
 			w.Tasks = append(w.Tasks, task)
 		}
 		s.Workers = append(s.Workers, w)
--- a/policy/placement/planner.go
+++ b/policy/placement/planner.go
@@ -63,7 +63,7 @@
 func newNode(w Worker) *node {
 	n := &node{Worker: w, free: w.Capacity, tasks: slices.Clone(w.Tasks)}
 	for _, t := range w.Tasks {
-		n.free = n.free.Sub(t.Need)
+		n.free = n.free.Sub(t.use())
 	}
 	return n
 }
--- a/policy/placement/relief.go
+++ b/policy/placement/relief.go
@@ -105,7 +105,7 @@
 		if t.Need.Fits(free) {
 			break
 		}
-		free = free.Add(v.task.Need)
+		free = free.Add(v.task.use())
 		o.cost += v.cost
 		o.reliefs = append(o.reliefs, Relief{
 			Kind: ReliefCheckpoint, Task: v.task.ID, Worker: n.ID,
@@ -124,7 +124,7 @@
 		v := &n.tasks[i]
 		if yields(v) {
 			p.scratch = append(p.scratch, victim{v, p.cost(*v)})
-			room = room.Add(v.Need)
+			room = room.Add(v.use())
 		}
 	}
 	return p.scratch, room
@@ -185,21 +185,40 @@
 func (p *planner) relieve(n *node, reliefs []Relief) {
 	for _, r := range reliefs {
 		i := slices.IndexFunc(n.tasks, func(t Task) bool { return t.ID == r.Task })
-		t := &n.tasks[i]
-		if r.Kind == ReliefThrottle {
-			n.free = n.free.Add(saving(*t))
-			t.Throttled = true
-			t.Need = t.Need.Sub(saving(*t))
+		if r.Kind == ReliefCheckpoint {
+			p.release(n, i)
 			continue
 		}
-		p.release(n, i)
+		n.setThrottled(i, r.Kind == ReliefThrottle)
 	}
 	p.plan.Reliefs = append(p.plan.Reliefs, reliefs...)
 }
 
+func (n *node) setThrottled(i int, throttled bool) {
+	t := &n.tasks[i]
+	n.free = n.free.Add(t.use())
+	t.Throttled = throttled
+	n.free = n.free.Sub(t.use())
+}
+
+// restoreThrottled gives throttled tasks their processors back where there is room,
+// before further tasks start.
+func (p *planner) restoreThrottled() {
+	for _, n := range p.workers {
+		for _, t := range n.tasks {
+			if !t.Throttled || !saving(t).Fits(n.free) {
+				continue
+			}
+			p.relieve(n, []Relief{{
+				Kind: ReliefRestore, Task: t.ID, Worker: n.ID, Percent: fullPercent, Reason: "there is room again",
+			}})
+		}
+	}
+}
+
 func (p *planner) release(n *node, i int) {
 	t := n.tasks[i]
-	n.free = n.free.Add(t.Need)
+	n.free = n.free.Add(t.use())
 	a := p.account(t.Tenant)
 	a.held = a.held.Sub(t.Need)
 	n.tasks = slices.Delete(n.tasks, i, i+1)
@@ -233,7 +252,7 @@
 		if free.MemoryMiB >= 0 && free.Accelerators >= 0 {
 			break
 		}
-		free = free.Add(v.Need)
+		free = free.Add(v.use())
 		reliefs = append(reliefs, Relief{
 			Kind: ReliefCheckpoint, Task: v.ID, Worker: n.ID,
 			Reason: fmt.Sprintf("the worker is overcommitted by %d MiB", max(-n.free.MemoryMiB, 0)),
