Explain refused requests; bound the histograms by settings

Cause: tarragonctl explain request had no records, and the bound of distinct tenants and classes was fixed. Result: go test -race ./entry/gateway passes; the composition does not set Options.Explain yet.

--- a/entry/gateway/families.go
+++ b/entry/gateway/families.go
@@ -12,6 +12,7 @@
 type histograms struct {
 	scope     tally.Scope
 	name, tag string
+	most      int64 // distinct values, otherValue not counted
 	byValue   sync.Map
 	size      atomic.Int64
 }
@@ -27,7 +28,7 @@
 	if known, ok := h.byValue.Load(value); ok {
 		return known.(tally.Histogram)
 	}
-	if value != otherValue && h.size.Add(1) > maxTagValues {
+	if value != otherValue && h.size.Add(1) > h.most {
 		return h.get(otherValue)
 	}
 	made := h.scope.Tagged(map[string]string{h.tag: value}).Histogram(h.name, latencyBuckets)
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -21,11 +21,12 @@
 
 // Gateway is the handler of the caller listener.
 type Gateway struct {
-	options Options
-	metrics *metrics
-	rng     *rand.Rand
-	table   atomic.Pointer[table]
-	tenants tenantCounts
+	options   Options
+	metrics   *metrics
+	rng       *rand.Rand
+	table     atomic.Pointer[table]
+	tenants   tenantCounts
+	explainer explainer
 
 	inFlight sharedCounter
 	ready    atomic.Bool
@@ -48,7 +49,8 @@
 // be started as well.
 func New(options Options) *Gateway {
 	g := &Gateway{options: options.withDefaults(), rng: rand.New(runtimeSource{})}
-	g.metrics = newMetrics(g.options.Scope)
+	g.metrics = newMetrics(g.options.Scope, g.options.Settings)
+	g.explainer.record = g.options.Explain
 	g.exchanges.New = func() any { return newExchange() }
 	g.ready.Store(true)
 	g.options.Directory.Subscribe(g.setSnapshot)
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -10,12 +10,10 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// maxTagValues bounds the distinct tenants, and the distinct classes, that get
-// metrics of their own; the rest is counted under otherValue.
+// Values of the tags tenant and class.
 const (
-	maxTagValues = 64
-	otherValue   = "other"
-	noneValue    = "none"
+	otherValue = "other" // beyond the bound of distinct values
+	noneValue  = "none"  // the request named none
 )
 
 // latencyBuckets run from 1 ms to about a minute.
@@ -35,11 +33,11 @@
 	inFlight gauges
 }
 
-func newMetrics(scope tally.Scope) *metrics {
+func newMetrics(scope tally.Scope, settings Settings) *metrics {
 	return &metrics{
 		scope:    scope,
-		tenants:  histograms{scope: scope, name: "request_latency_by_tenant", tag: "tenant"},
-		classes:  histograms{scope: scope, name: "request_latency_by_class", tag: "class"},
+		tenants:  histograms{scope: scope, name: "request_latency_by_tenant", tag: "tenant", most: int64(settings.MaxTenants)},
+		classes:  histograms{scope: scope, name: "request_latency_by_class", tag: "class", most: int64(settings.MaxClasses)},
 		codes:    counters{scope: scope, name: "refusals", tag: "code"},
 		statuses: counters{scope: scope, name: "answers", tag: "status"},
 		retries:  counters{scope: scope, name: "retry_decisions", tag: "decision"},
--- a/entry/gateway/options.go
+++ b/entry/gateway/options.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/tarragonreach/tarragonreach/api/explain"
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/entry/backend"
 	"github.com/tarragonreach/tarragonreach/entry/directory"
@@ -32,6 +33,9 @@
 	Scope tally.Scope
 	// Logger takes changes of state; nil takes slog.Default.
 	Logger *slog.Logger
+	// Explain takes records of requests that were refused or failed, a bounded
+	// number each second; nil drops them. It must not block.
+	Explain func(explain.Record)
 	// Settings tune the request path; the zero value takes DefaultSettings.
 	Settings Settings
 }
@@ -54,6 +58,10 @@
 	// ListenerGrace is how long an instance that shuts down still accepts requests
 	// after its readiness has failed.
 	ListenerGrace time.Duration
+	// MaxTenants and MaxClasses bound the tenants and classes that get histograms of
+	// their own; further ones count under "other".
+	MaxTenants int
+	MaxClasses int
 	// Dispatch tunes ejection and retries.
 	Dispatch dispatch.Settings
 }
@@ -68,6 +76,8 @@
 		MaxHeaderBytes: 64 << 10,
 		ProbeInterval:  2500 * time.Millisecond,
 		ListenerGrace:  5 * time.Second,
+		MaxTenants:     64,
+		MaxClasses:     64,
 		Dispatch:       dispatch.DefaultSettings(),
 	}
 }
--- a/entry/gateway/problem.go
+++ b/entry/gateway/problem.go
@@ -31,7 +31,9 @@
 // finishRefused answers with a problem document and counts it.
 func (g *Gateway) finishRefused(w http.ResponseWriter, x *exchange, err *verdict.Error) {
 	g.finishPass(x, outcomeOfError(err))
-	g.metrics.refused(x, err.Code, time.Since(x.started))
+	now := time.Now()
+	g.metrics.refused(x, err.Code, now.Sub(x.started))
+	g.explainRefused(x, err, now)
 	if x.request.ID != "" {
 		w.Header()[header.RequestID] = []string{x.request.ID}
 	}
