Report the handler's work for each request by threads, beside a shared lock

Cause: at -benchtime 1x the handler's benchmark showed only its warm-up. Change: 200,000 requests a run on 1, 4 and 8 threads, and behind one lock.

--- a/entry/gateway/loopback_test.go
+++ b/entry/gateway/loopback_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -206,24 +207,54 @@
 func (w *nullWriter) Write(p []byte) (int, error) { return len(p), nil }
 func (w *nullWriter) WriteHeader(int)             {}
 
+const handlerRequests = 200_000
+
 // BenchmarkRequestPathHandler is the gateway's own work for one request, with an
-// immediate transport. On many threads it shows that no lock is shared.
+// immediate transport; the naive way takes one lock for each request.
 func BenchmarkRequestPathHandler(b *testing.B) {
 	answer := okAnswer("")
 	g, _ := newTestGateway(func(context.Context, backend.Target, *backend.Request) (*backend.Answer, error) {
 		return answer, nil
 	}, nil)
-	b.ReportAllocs()
-	b.RunParallel(func(pb *testing.PB) {
-		w := &nullWriter{h: http.Header{}}
-		r := httptest.NewRequest("GET", "/s/sportello/x", nil)
-		r.Header.Set(header.Class, "check")
-		r.Header.Set(header.Tenant, "trapani")
-		for pb.Next() {
-			clear(w.h)
-			g.ServeHTTP(w, r)
-		}
+	var lock sync.Mutex
+	locked := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		lock.Lock()
+		defer lock.Unlock()
+		g.ServeHTTP(w, r)
 	})
+	for _, threads := range []int{1, 4, 8} {
+		b.Run(fmt.Sprint("policy/threads=", threads), func(b *testing.B) { benchmarkHandler(b, g, threads) })
+		b.Run(fmt.Sprint("naive/threads=", threads), func(b *testing.B) { benchmarkHandler(b, locked, threads) })
+	}
+}
+
+func benchmarkHandler(b *testing.B, handler http.Handler, threads int) {
+	for range b.N {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		began := time.Now()
+		var callers sync.WaitGroup
+		for range threads {
+			callers.Go(func() { serveMany(handler, handlerRequests/threads) })
+		}
+		callers.Wait()
+		took := time.Since(began)
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(handlerRequests/took.Seconds()/1000, "thousand-requests/s")
+		b.ReportMetric(float64(after.Mallocs-before.Mallocs)/handlerRequests, "allocs/request")
+	}
+	b.ReportMetric(0, "ns/op")
+}
+
+func serveMany(handler http.Handler, n int) {
+	w := &nullWriter{h: http.Header{}}
+	r := httptest.NewRequest("GET", "/s/sportello/x", nil)
+	r.Header.Set(header.Class, "check")
+	r.Header.Set(header.Tenant, "trapani")
+	for range n {
+		clear(w.h)
+		handler.ServeHTTP(w, r)
+	}
 }
 
 func TestLoopbackAnswersThroughTheRealTransport(t *testing.T) {
