Free the slot of a caller that stops reading, and of a transport that panics

Cause: a streamed answer to a caller that does not read held its slot for ever. Change: long answers are written with the request's deadline; a lease is given back when the transport panics. Result: go test -race ./entry/gateway passes with both cases.

--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -23,11 +23,14 @@
 	if failedStatus(answer.Status) {
 		outcome = dispatch.Failed
 	}
-	_, streamed := wholeLength(answer)
+	length, streamed := wholeLength(answer)
 	if !streamed {
 		lease.release(outcome) // A slow caller must not hold the slot.
 	}
 	kept := g.keepAnswer(x, answer)
+	if streamed || length > unboundedWriteBytes {
+		defer boundWrites(w, x.deadline)()
+	}
 	g.writeAnswerHeader(w, x, answer)
 	_, err := io.Copy(w, kept.reader)
 	if streamed {
@@ -41,6 +44,18 @@
 	}
 }
 
+// unboundedWriteBytes is the longest answer that is written without a deadline,
+// since the socket's buffers take it.
+const unboundedWriteBytes = 16 << 10
+
+// boundWrites keeps a caller that does not read from holding the answer beyond its
+// own timeout. The function that it returns lifts the bound.
+func boundWrites(w http.ResponseWriter, deadline time.Time) (lift func()) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetWriteDeadline(deadline) // Not every writer has deadlines.
+	return func() { _ = controller.SetWriteDeadline(time.Time{}) }
+}
+
 func streamOutcome(outcome dispatch.Outcome, err error) dispatch.Outcome {
 	if err != nil {
 		return dispatch.Neutral // Either end may have broken it.
--- a/entry/gateway/send.go
+++ b/entry/gateway/send.go
@@ -134,6 +134,12 @@
 // and a failure, because another executor may do better.
 func (g *Gateway) attempt(x *exchange, lease *slotLease) (*backend.Answer, *verdict.Error) {
 	x.attempts++
+	returned := false
+	defer func() {
+		if !returned { // The transport panicked; the server logs it.
+			lease.release(dispatch.Neutral)
+		}
+	}()
 	now := time.Now()
 	lease.started = now
 	executor := lease.executor
@@ -142,6 +148,7 @@
 		x.ctx.watch(executor, now, deadline)
 	}
 	answer, err := g.options.Transport.Send(x.ctx, x.target(executor), &x.request)
+	returned = true
 	x.ctx.unwatch()
 	if err != nil {
 		failure := x.bodyFailure(asError(err))
--- /dev/null
+++ b/entry/gateway/stalled_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/entry/backend"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// endlessBody never ends.
+type endlessBody struct{}
+
+func (endlessBody) Read(p []byte) (int, error) { return len(p), nil }
+func (endlessBody) Close() error               { return nil }
+
+func TestCallerThatDoesNotReadFreesItsSlot(t *testing.T) {
+	begun := make(chan struct{})
+	g, _ := newTestGateway(func(context.Context, backend.Target, *backend.Request) (*backend.Answer, error) {
+		close(begun)
+		return &backend.Answer{Status: http.StatusOK, Header: http.Header{}, Body: endlessBody{}}, nil
+	}, nil)
+	server := httptest.NewServer(g)
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /s/sportello/x HTTP/1.1\r\nHost: x\r\nTarragon-Timeout: 200ms\r\n\r\n")
+	assert.NilError(t, err)
+	<-begun
+	live := g.table.Load().services["sportello"].live
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if live.InFlight() == 0 && g.inFlight.sum() == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("in progress")
+	}, poll.WithTimeout(time.Minute))
+}
+
+func TestPanicOfTheTransportFreesItsSlot(t *testing.T) {
+	g, _ := newTestGateway(func(context.Context, backend.Target, *backend.Request) (*backend.Answer, error) {
+		panic("planned")
+	}, nil)
+	func() {
+		defer func() { _ = recover() }()
+		call(g, "GET", "/s/sportello/x", "")
+	}()
+	assert.Equal(t, g.table.Load().services["sportello"].live.InFlight(), 0)
+}
