Bound the rate of readiness probes; measure the division at the target's size

Cause: probes of many executors would exceed the bytes for control. Change: at most 6 probes a second for an entry instance; BenchmarkRequestPathDivide.

--- a/entry/dispatch/service_test.go
+++ b/entry/dispatch/service_test.go
@@ -149,3 +149,14 @@
 	s.Tick(epoch.Add(2 * busyPause))
 	assert.Equal(t, a.Limit(), 4)
 }
+
+func TestOwnZoneFirstThenSpill(t *testing.T) {
+	far := endpoint("far", 2)
+	far.Zone = "z2"
+	s := newTestService(endpoint("near", 2), far)
+	var order []string
+	for range 4 {
+		order = append(order, string(ask(s, 0).Executor.ID))
+	}
+	assert.DeepEqual(t, order, []string{"near", "near", "far", "far"})
+}
--- a/entry/gateway/leaving_test.go
+++ b/entry/gateway/leaving_test.go
@@ -178,3 +178,12 @@
 		}
 	})
 }
+
+func TestProbesKeepToTheirRate(t *testing.T) {
+	g, d := newLargeGateway()
+	interval := newProber(g).intervalFor(d.Snapshot())
+	rate := swapExecutors / (interval.Seconds() * 0.75)
+	assert.Assert(t, rate <= maxProbeRate*1.001, "%.2f probes a second", rate)
+	small, d := newTestGateway(answering, nil)
+	assert.Equal(t, newProber(small).intervalFor(d.Snapshot()), DefaultSettings().ProbeInterval)
+}
--- a/entry/gateway/probe.go
+++ b/entry/gateway/probe.go
@@ -20,14 +20,18 @@
 	// foreignFactor is how many times rarer executors of other availability zones
 	// are probed.
 	foreignFactor = 4
+	// maxProbeRate bounds the probes in a second; with more executors the interval
+	// grows.
+	maxProbeRate = 6
 )
 
 // prober asks executors for their readiness. An executor that answers that it is
 // not ready has given notice; one that does not answer is left to ejection.
 type prober struct {
-	gateway *Gateway
-	due     map[fleet.InstanceID]time.Time
-	running chan struct{}
+	gateway  *Gateway
+	due      map[fleet.InstanceID]time.Time
+	running  chan struct{}
+	shortest time.Duration // least interval that keeps to maxProbeRate
 }
 
 func newProber(g *Gateway) *prober {
@@ -37,6 +41,7 @@
 // tick starts the probes that are due.
 func (p *prober) tick(ctx context.Context, now time.Time) {
 	seen := make(map[fleet.InstanceID]time.Time, len(p.due))
+	p.shortest = p.intervalFor(p.gateway.table.Load().snapshot)
 	for _, service := range p.gateway.table.Load().snapshot.Services {
 		for _, endpoint := range service.Endpoints {
 			p.consider(ctx, service, endpoint, false, now, seen)
@@ -60,9 +65,27 @@
 	seen[e.ID] = due
 }
 
+// intervalFor returns the interval of the own availability zone's executors. Jitter
+// takes a quarter off on average.
+func (p *prober) intervalFor(snapshot *directory.Snapshot) time.Duration {
+	probes := 0.0 // in one interval
+	for _, service := range snapshot.Services {
+		for _, e := range service.Endpoints {
+			if e.Zone == p.gateway.options.Zone {
+				probes++
+			} else {
+				probes += 1.0 / foreignFactor
+			}
+		}
+	}
+	const meanJitter = 0.75
+	shortest := time.Duration(probes / (maxProbeRate * meanJitter) * float64(time.Second))
+	return max(p.gateway.options.Settings.ProbeInterval, shortest)
+}
+
 // interval returns the jittered time until the executor's next probe.
 func (p *prober) interval(e directory.Endpoint) time.Duration {
-	interval := p.gateway.options.Settings.ProbeInterval
+	interval := p.shortest
 	if e.Zone != p.gateway.options.Zone {
 		interval *= foreignFactor
 	}
--- a/policy/routing/divide_test.go
+++ b/policy/routing/divide_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	_ "github.com/tarragonreach/tarragonreach/api/rapidseed"
@@ -70,3 +71,37 @@
 	assert.DeepEqual(t, Divide(executors, demands, "a"), []int{8, 6})
 	assert.DeepEqual(t, Divide(executors, demands, "b"), []int{0, 2})
 }
+
+// BenchmarkRequestPathDivide divides 500 executors of a service between 52 entry
+// instances in 13 availability zones; the naive way gives even parts.
+func BenchmarkRequestPathDivide(b *testing.B) {
+	const executorCount, peerCount, zoneCount = 500, 52, 13
+	executors := make([]Slots, executorCount)
+	for i := range executors {
+		executors[i] = Slots{fleet.AvailabilityZone(string(rune('a' + i%zoneCount))), 8}
+	}
+	demands := make([]Demand, peerCount)
+	for i := range demands {
+		demands[i] = Demand{Peer: string(rune('A' + i)), Zone: fleet.AvailabilityZone(string(rune('a' + i%zoneCount))), Slots: 10 * i, Known: true}
+	}
+	const rounds = 100
+	measure := func(b *testing.B, divide func()) {
+		for range b.N {
+			began := time.Now()
+			for range rounds {
+				divide()
+			}
+			b.ReportMetric(float64(time.Since(began).Microseconds())/rounds, "us/division")
+		}
+		b.ReportMetric(0, "ns/op")
+	}
+	b.Run("policy", func(b *testing.B) { measure(b, func() { Divide(executors, demands, demands[3].Peer) }) })
+	b.Run("naive", func(b *testing.B) {
+		measure(b, func() {
+			parts := make([]int, len(executors))
+			for i, e := range executors {
+				parts[i] = max(e.Count/len(demands), 1)
+			}
+		})
+	})
+}
