Let streamed answers pause, and say a duplicate's state in its detail

Cause: a streamed answer that paused longer than usual answers take was closed as silent; event streams were held back by the buffer. Change: an answer that is streamed is no longer waited for; the time of a body that is read whole counts as answer time; event streams are streamed at once; a duplicate's detail names the first copy's state. Measured: TestStreamedAnswerMayPause fails without the change and passes with it; go test -race ./backend: ok in 8 s. Conclusion: only answers that are awaited can be overdue.

--- a/entry/backend/answer.go
+++ b/entry/backend/answer.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/header"
@@ -97,7 +98,7 @@
 	if response.Body == http.NoBody {
 		return http.NoBody, nil
 	}
-	if response.ContentLength > t.options.BufferBytes {
+	if response.ContentLength > t.options.BufferBytes || isEventStream(response) {
 		return t.stream(nil, response.Body), nil
 	}
 	head, err := readUpTo(response, t.options.BufferBytes)
@@ -113,6 +114,12 @@
 	return &wholeBody{*bytes.NewReader(head)}, nil
 }
 
+// isEventStream reports whether the body is an endless sequence of events, which
+// the caller wants as they come.
+func isEventStream(response *http.Response) bool {
+	return strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+}
+
 // readUpTo reads at most limit+1 bytes; fewer than limit+1 are the whole body.
 func readUpTo(response *http.Response, limit int64) ([]byte, error) {
 	if response.ContentLength < 0 {
--- a/entry/backend/connection.go
+++ b/entry/backend/connection.go
@@ -120,3 +120,10 @@
 	limit := patience(minimum, wait.slowest, wait.repeatable, corroborated)
 	return limit > 0 && c.idleFor(now) > limit
 }
+
+// expectNoMore lets the body of a streamed answer pause for as long as it likes.
+func (c *connection) expectNoMore(answer *Answer) {
+	if _, ok := answer.Body.(*streamedBody); ok {
+		c.wait.Store(nil)
+	}
+}
--- a/entry/backend/silent_test.go
+++ b/entry/backend/silent_test.go
@@ -30,12 +30,15 @@
 func openConnections(t testing.TB, transport *backend.HTTPTransport, server *standin.Server, target backend.Target, n int) {
 	t.Helper()
 	server.SetServiceTime(20 * time.Millisecond)
-	for transport.IdleConnections(target) < n {
+	for transport.IdleConnections(target) < n && !t.Failed() {
 		var group sync.WaitGroup
 		for i := range n {
 			group.Go(func() {
-				_, err := transport.Send(t.Context(), target, request(http.MethodPost, fmt.Sprintf("open-%d", i)))
-				assert.Check(t, err)
+				answer, err := transport.Send(t.Context(), target, request(http.MethodPost, fmt.Sprintf("open-%d", i)))
+				if assert.Check(t, err) {
+					_, err = readAll(answer)
+					assert.Check(t, err)
+				}
 			})
 		}
 		group.Wait()
@@ -141,3 +144,19 @@
 	server.SilenceConnections(1)
 	waitFor(t, func() bool { return server.Connections() == 0 })
 }
+
+func TestStreamedAnswerMayPause(t *testing.T) {
+	server, target := startServer(t, standin.Settings{AnswerBytes: 8 << 10})
+	options := quick(nil)
+	options.BufferBytes = 1 << 10
+	transport := newTransport(t, options)
+	openConnections(t, transport, server, target, 1)
+	server.SetFault(standin.PauseInBody)
+	r := request(http.MethodGet, "a")
+	r.Repeatable = true
+	answer, err := transport.Send(t.Context(), target, r)
+	assert.NilError(t, err)
+	body, err := readAll(answer)
+	assert.NilError(t, err)
+	assert.Equal(t, len(body), 8<<10)
+}
--- a/entry/backend/transport.go
+++ b/entry/backend/transport.go
@@ -134,8 +134,9 @@
 	begun := t.now()
 	response, err := c.client.Load().RoundTrip(r)
 	if err == nil {
-		times.observe(t.now() - begun)
-		return t.finish(c, request, response)
+		answer, err := t.finish(c, request, response)
+		times.observe(t.now() - begun) // a body that is read whole counts
+		return answer, err
 	}
 	isAlive := c.client.Load().Err() == nil
 	c.Close()
@@ -152,6 +153,7 @@
 func (t *HTTPTransport) finish(c *connection, request *Request, response *http.Response) (*Answer, error) {
 	answer, err := t.readAnswer(request, response)
 	if err == nil {
+		c.expectNoMore(answer)
 		return answer, nil
 	}
 	if verdict.Of(err) == verdict.NotRun {
--- a/entry/standin/answer.go
+++ b/entry/standin/answer.go
@@ -50,6 +50,12 @@
 	if fault == Chunked {
 		_ = http.NewResponseController(w).Flush()
 	}
+	if fault == PauseInBody {
+		n, _ := w.Write(body[:length/2])
+		_ = http.NewResponseController(w).Flush()
+		s.wait(r.Context(), s.settings.LateBy)
+		body = body[n:]
+	}
 	_, _ = w.Write(body)
 }
 
--- a/entry/standin/fault.go
+++ b/entry/standin/fault.go
@@ -24,6 +24,8 @@
 	TruncateChunked
 	// Chunked answers whole, without a declared length.
 	Chunked
+	// PauseInBody answers whole, with a pause of Settings.LateBy in the body.
+	PauseInBody
 	// Oversize runs the request and answers with Settings.OversizeBytes.
 	Oversize
 	// MismatchedEcho runs the request and echoes another request's ID.
--- a/entry/submission/duplicate.go
+++ b/entry/submission/duplicate.go
@@ -20,7 +20,7 @@
 	if e.Phase == PhaseEnded && e.Outcome.Status != 0 {
 		return fmt.Sprintf("the first copy ended with status %d", e.Outcome.Status)
 	}
-	return "the first copy's state is: " + e.Phase.String()
+	return "the first copy's state is " + e.Phase.String()
 }
 
 // duplicate refuses a copy of a submission that was begun before.
@@ -29,7 +29,8 @@
 	if seen.phase == PhaseEnded {
 		v = seen.outcome.Verdict
 	}
-	e := verdict.New(v, verdict.CodeDuplicate, "a request with this key was begun before; this copy was not sent on")
-	e.Err = &DuplicateError{Phase: seen.phase, Outcome: seen.outcome}
+	first := &DuplicateError{Phase: seen.phase, Outcome: seen.outcome}
+	e := verdict.New(v, verdict.CodeDuplicate, first.Error()+"; this copy was not sent on")
+	e.Err = first
 	return e
 }
--- a/entry/submission/refusal_test.go
+++ b/entry/submission/refusal_test.go
@@ -90,6 +90,7 @@
 		{"key in progress there", keyInProgressThere, 1, verdict.CodeDuplicate, verdict.MayHaveRun},
 		{"key that ran there", keyRanThere, 1, verdict.CodeDuplicate, verdict.Ran},
 		{"key that ran at one replaced since", keyRanAtReplaced, 1, verdict.CodeDuplicate, verdict.Ran},
+		{"key not run at one replaced before its clean-up", keyReleasedAtReplaced, 2, verdict.CodeDuplicate, verdict.MayHaveRun},
 		{"key in progress at one replaced since", keyInProgressAtReplaced, 1, verdict.CodeDuplicate, verdict.MayHaveRun},
 	}
 	for _, c := range cases {
@@ -207,6 +208,15 @@
 	return key
 }
 
+func keyReleasedAtReplaced(t *testing.T, b *bench) Key {
+	pass := mustBegin(t, b.there, tenantKey("order-1"))
+	b.there.background.cancel()
+	synctest.Wait()
+	pass.Finish(notRun)
+	b.network.remove("entry-there")
+	return tenantKey("order-1")
+}
+
 func keyInProgressAtReplaced(t *testing.T, b *bench) Key {
 	key := keyInProgressThere(t, b)
 	b.network.remove("entry-there")
