--- a/api/object/check_pools.go
+++ b/api/object/check_pools.go
@@ -9,6 +9,7 @@
 // checkedPool is a pool whose selector could be parsed.
 type checkedPool struct {
 	key      Key
+	text     string
 	selector label.Selector
 }
 
@@ -21,14 +22,18 @@
 		if !ok {
 			continue
 		}
-		matched := c.matching(selector, "")
-		c.warnNoMatch(key, matched)
-		c.warnShort(key, pool, len(matched))
-		parsed = append(parsed, checkedPool{key, selector})
+		if c.inScope(key) {
+			matched := c.matching(pool.Selector, selector, "")
+			c.warnNoMatch(key, matched)
+			c.warnShort(key, pool, len(matched))
+		}
+		parsed = append(parsed, checkedPool{key, pool.Selector, selector})
 	}
 	for i, pool := range parsed {
 		for _, other := range parsed[i+1:] {
-			c.warnOverlap(pool, other)
+			if c.inScope(pool.key) || c.inScope(other.key) {
+				c.warnOverlap(pool, other)
+			}
 		}
 	}
 }
@@ -96,7 +101,7 @@
 	}
 	both := 0
 	first := ""
-	for _, instance := range c.matching(pool.selector, "") {
+	for _, instance := range c.matching(pool.text, pool.selector, "") {
 		if other.selector.Matches(instance.Labels) {
 			both++
 			if first == "" {
--- a/api/object/check_requests.go
+++ b/api/object/check_requests.go
@@ -27,8 +27,9 @@
 	if s.Pool != "" {
 		checkReference(c, key, "pool", KindPool, s.Pool, c.config.Pools)
 	}
-	if selector, ok := c.checkSelector(key, s.ExecutorSelector()); ok {
-		c.warnNoMatch(key, c.matching(selector, fleet.KindBackendServer))
+	text := s.ExecutorSelector()
+	if selector, ok := c.checkSelector(key, text); ok && c.inScope(key) {
+		c.warnNoMatch(key, c.matching(text, selector, fleet.KindBackendServer))
 	}
 }
 
--- a/api/object/check_work.go
+++ b/api/object/check_work.go
@@ -51,10 +51,10 @@
 	checkReference(c, key, "tenant", KindTenant, j.Tenant, c.config.Tenants)
 	checkReference(c, key, "class", KindClass, j.Class, c.config.Classes)
 	selector, ok := c.checkSelector(key, j.Selector)
-	if !ok {
+	if !ok || !c.inScope(key) {
 		return
 	}
-	workers := c.matching(selector, fleet.KindWorker)
+	workers := c.matching(j.Selector, selector, fleet.KindWorker)
 	c.warnNoMatch(key, workers)
 	fits := func(worker fleet.Instance) bool { return j.Declared.Fits(worker.Capacity) }
 	if len(workers) > 0 && !slices.ContainsFunc(workers, fits) {
--- a/api/object/checker.go
+++ b/api/object/checker.go
@@ -20,9 +20,45 @@
 type checker struct {
 	config    *Config
 	instances []fleet.Instance
-	report    Report
+	// scope names the objects whose selectors are tried on the instances; nil
+	// stands for all.
+	scope  map[Key]bool
+	tried  map[trial][]fleet.Instance
+	report Report
 }
 
+// trial is a selector tried on the instances of one kind.
+type trial struct {
+	selector string
+	kind     fleet.Kind
+}
+
+func newChecker(config *Config, instances []fleet.Instance) *checker {
+	return &checker{config: config, instances: instances, tried: map[trial][]fleet.Instance{}}
+}
+
+// run makes every check.
+func (c *checker) run() Report {
+	c.checkServices()
+	c.checkClasses()
+	c.checkTenants()
+	c.checkPools()
+	c.checkMaintenancePlans()
+	c.checkJobs()
+	return c.report
+}
+
+// runFor makes every check, and tries the selectors of the given objects only.
+func (c *checker) runFor(keys []Key) Report {
+	c.scope = make(map[Key]bool, len(keys))
+	for _, key := range keys {
+		c.scope[key] = true
+	}
+	return c.run()
+}
+
+func (c *checker) inScope(key Key) bool { return c.scope == nil || c.scope[key] }
+
 func (c *checker) fault(key Key, field, format string, args ...any) {
 	c.report.Faults = append(c.report.Faults, Finding{key, field, fmt.Sprintf(format, args...)})
 }
@@ -84,8 +120,13 @@
 }
 
 // matching returns the known instances of a kind that the selector matches; an
-// empty kind stands for all but entry instances.
-func (c *checker) matching(selector label.Selector, kind fleet.Kind) []fleet.Instance {
+// empty kind stands for all but entry instances. Objects often share a selector,
+// so the answer is kept.
+func (c *checker) matching(text string, selector label.Selector, kind fleet.Kind) []fleet.Instance {
+	asked := trial{text, kind}
+	if out, ok := c.tried[asked]; ok {
+		return out
+	}
 	var out []fleet.Instance
 	for _, instance := range c.instances {
 		if instance.Kind == kind || (kind == "" && instance.Kind != fleet.KindEntry) {
@@ -94,6 +135,7 @@
 			}
 		}
 	}
+	c.tried[asked] = out
 	return out
 }
 
--- a/api/object/validate.go
+++ b/api/object/validate.go
@@ -60,23 +60,17 @@
 // Validate checks a whole configuration. Selectors are also tried on the known
 // instances, if any are given.
 func Validate(config *Config, instances []fleet.Instance) Report {
-	c := &checker{config: config, instances: instances}
-	c.checkServices()
-	c.checkClasses()
-	c.checkTenants()
-	c.checkPools()
-	c.checkMaintenancePlans()
-	c.checkJobs()
-	return c.report
+	return newChecker(config, instances).run()
 }
 
 // ValidateChange checks the configuration as it would be after the change. Faults
 // that stood before, on objects that the change leaves alone, become warnings, so
-// that they do not hold up other changes.
+// that they do not hold up other changes. Only selectors of objects that the change
+// touches are tried on the instances.
 func ValidateChange(held *Config, change Change, instances []fleet.Instance) Report {
-	before := Validate(held, instances)
-	after := Validate(held.Apply(change), instances)
 	touched := change.Touched()
+	before := Validate(held, nil)
+	after := newChecker(held.Apply(change), instances).runFor(touched)
 	out := Report{Faults: checkChange(held, change), Warnings: after.Warnings}
 	for _, fault := range after.Faults {
 		if slices.Contains(before.Faults, fault) && !slices.Contains(touched, fault.Key) {
--- a/api/object/validate_test.go
+++ b/api/object/validate_test.go
@@ -99,6 +99,13 @@
 	assert.Assert(t, ValidateChange(held, same, nil).Err() != nil)
 }
 
+func TestOnlySelectorsOfTouchedObjectsAreTried(t *testing.T) {
+	held := (&Config{}).Apply(Change{Put: Document{Pools: []Pool{{Name: "p", Selector: "kind=tpu"}}}})
+	other := Change{ID: "a", Put: Document{Pools: []Pool{{Name: "q", Selector: "kind=cpu"}}}}
+	assert.Equal(t, len(ValidateChange(held, other, knownInstances).Warnings), 0)
+	assert.Assert(t, matches(Validate(held, knownInstances).Warnings, "Pool/p selector: matches none"))
+}
+
 func TestDeletingAnObjectInUseIsAFault(t *testing.T) {
 	pool := Pool{Name: "p"}
 	service := Service{Name: "s", Slots: 1, Connections: 1, Pool: "p"}
--- a/entry/config/fleet_test.go
+++ b/entry/config/fleet_test.go
@@ -153,8 +153,9 @@
 	n := &node{id: i, view: f.store.From(strconv.Itoa(i))}
 	n.late = &lateStore{Store: n.view, random: rand.New(rand.NewPCG(f.random.Uint64(), 0))}
 	n.follower = NewFollower(n.late, Options{
-		Self:   Member{ID: fleet.InstanceID(strconv.Itoa(i)), Zone: "z"},
-		Random: rand.New(rand.NewPCG(f.random.Uint64(), 1)),
+		Self:    n.member(),
+		Members: func() []Member { return f.members(n) },
+		Random:  rand.New(rand.NewPCG(f.random.Uint64(), 1)),
 	})
 	n.log = NewLog(n.late, n.follower, LogOptions{})
 	n.log.kept, n.log.compactEvery = 3, 2
@@ -183,6 +184,16 @@
 	}
 }
 
+func (n *node) member() Member { return Member{ID: fleet.InstanceID(strconv.Itoa(n.id)), Zone: "z"} }
+
+func (f *fleetOfNodes) members(n *node) []Member {
+	var out []Member
+	for _, peer := range f.peers(n) {
+		out = append(out, peer.member())
+	}
+	return out
+}
+
 func (f *fleetOfNodes) peers(n *node) []*node {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/entry/config/follower.go
+++ b/entry/config/follower.go
@@ -41,6 +41,7 @@
 	logger  *slog.Logger
 	current atomic.Pointer[state]
 	source  atomic.Pointer[sourceStatus]
+	packed  atomic.Pointer[packedSnapshot]
 	counter counters
 
 	mu          sync.Mutex // guards the writes of current and all below
--- a/entry/config/replica.go
+++ b/entry/config/replica.go
@@ -26,7 +26,7 @@
 		return nil
 	}
 	if !ok {
-		return snapshotDocument(held)
+		return f.snapshotDocument(held)
 	}
 	documents := make([]mesh.Document, 0, len(entries))
 	for _, entry := range entries {
@@ -42,12 +42,25 @@
 	return f.current.Load(), entries, ok
 }
 
-func snapshotDocument(held *state) []mesh.Document {
-	body, err := encodeSnapshot(held)
-	if err != nil {
-		return nil
+// packedSnapshot is the encoded state of one revision.
+type packedSnapshot struct {
+	revision object.Revision
+	body     []byte
+}
+
+// snapshotDocument encodes the state once for all peers that ask for the revision.
+func (f *Follower) snapshotDocument(held *state) []mesh.Document {
+	packed := f.packed.Load()
+	if packed == nil || packed.revision != held.revision() {
+		body, err := encodeSnapshot(held)
+		if err != nil {
+			f.logger.Error("snapshot for a peer", "revision", held.revision(), "error", err)
+			return nil
+		}
+		packed = &packedSnapshot{held.revision(), body}
+		f.packed.Store(packed)
 	}
-	return []mesh.Document{{Stream: Stream, Version: int64(held.revision()), Snapshot: true, Body: body}}
+	return []mesh.Document{{Stream: Stream, Version: int64(packed.revision), Snapshot: true, Body: packed.body}}
 }
 
 // Merge implements mesh.Replica. Documents that cannot be read are reported and
--- a/entry/config/size_test.go
+++ b/entry/config/size_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/label"
 	"github.com/tarragonreach/tarragonreach/api/object"
 	"github.com/tarragonreach/tarragonreach/platform/memory"
 )
@@ -20,6 +21,7 @@
 	targetPools    = 28
 	targetTenants  = 210
 	targetJobs     = 3000
+	targetWorkers  = 3100
 )
 
 // memoryBound is the memory of the whole control part, in bytes.
@@ -46,9 +48,22 @@
 	return d
 }
 
+// targetWorkerList returns the workers of the target size.
+func targetWorkerList() []fleet.Instance {
+	var out []fleet.Instance
+	for i := range targetWorkers {
+		pool := fmt.Sprintf("pool-%d", i%targetPools)
+		out = append(out, fleet.Instance{ID: fleet.InstanceID(fmt.Sprintf("worker-%d", i)), Kind: fleet.KindWorker,
+			Labels: label.Set{"pool": pool, "kind": "cpu", "rack": fmt.Sprint(i / 4)}, Capacity: fleet.Resources{MilliCPU: 16000, MemoryMiB: 65536}})
+	}
+	return out
+}
+
 // filled returns a log whose follower holds the document, accepted in two changes.
 func filled(tb testing.TB, d object.Document) (*Follower, *Log) {
 	follower, log := newPair(memory.New(time.Now))
+	workers := targetWorkerList()
+	log.options.Instances = func() []fleet.Instance { return workers }
 	jobs := d.Jobs
 	d.Jobs = nil
 	accept(tb, log, "base", d)
