--- a/entry/config/measure_test.go
+++ b/entry/config/measure_test.go
@@ -243,7 +243,7 @@
 	return true
 }
 
-func TestTheStoresReturnBringsNoStampede(t *testing.T) {
+func TestTheStoresReturnBringsNoBurst(t *testing.T) {
 	out := storeOut(largest(), 3*time.Minute, func(s scenario, then func(*bench)) { measure(t, s, then) })
 	assert.Assert(t, out.attempts <= readsBound, "%.1f attempts a second, bound %d", out.attempts, readsBound)
 	assert.Assert(t, out.peak <= readsBound, "%.0f calls in one second, bound %d", out.peak, readsBound)
