Show why the store cannot be read in an entry instance's status

Operators need the reason, such as a store that lost writes, and the number of objects of a newer version; until now only the log had the first. Two fields are added to the status message, and the operators' pages name the fields as they are.

--- a/api/operations/operations.go
+++ b/api/operations/operations.go
@@ -44,9 +44,13 @@
 	// ConfigAge is the time since the revision held was last known to be the newest.
 	ConfigAge      object.Duration `json:"configAge"`
 	StoreReachable bool            `json:"storeReachable"`
-	Executors      int             `json:"executors"`
-	Members        []Member        `json:"members,omitempty"`
-	Duties         []Duty          `json:"duties,omitempty"`
+	// StoreError is why the last read of the configuration failed.
+	StoreError string `json:"storeError,omitempty"`
+	// ConfigUnread counts objects of a newer version that this one cannot use.
+	ConfigUnread int      `json:"configUnread,omitempty"`
+	Executors    int      `json:"executors"`
+	Members      []Member `json:"members,omitempty"`
+	Duties       []Duty   `json:"duties,omitempty"`
 }
 
 // Member is another entry instance as this one sees it.
