mesh: send load summaries to other zones seldom; tools: measure capacity slopes

Cause: at the target a changing summary of 28 services on every heartbeat of every link would cost more than the idle mesh; and the capacity page needs slopes from code. Change: peers of another zone get a summary each fifth heartbeat, an equal summary is not sent again; the capacity command measures slopes with the product's packages, fits lines, writes docs/capacity.json, tables and plots. Result: a test counts the summaries while the load changes all the time.

--- a/entry/fleetview/replica.go
+++ b/entry/fleetview/replica.go
@@ -32,7 +32,8 @@
 	return mesh.Stream(fleet.PagePrefix + string(zone))
 }
 
-// Owns reports whether a stream is part of the fleet record.
+// Owns implements mesh.StreamOwner, so that a view which holds no page yet takes
+// those of its peers.
 func (v *View) Owns(stream mesh.Stream) bool {
 	return strings.HasPrefix(string(stream), fleet.PagePrefix)
 }
@@ -122,9 +123,3 @@
 	})
 	return nil
 }
-
-// Owns implements mesh.StreamOwner, so that a view which holds no page yet takes
-// those of its peers.
-func (v *View) Owns(stream mesh.Stream) bool {
-	return strings.HasPrefix(string(stream), fleet.PagePrefix)
-}
--- a/mesh/engine/engine.go
+++ b/mesh/engine/engine.go
@@ -9,6 +9,7 @@
 package engine
 
 import (
+	"bytes"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -136,6 +137,9 @@
 
 // SetSummary replaces the load summary that heartbeats carry.
 func (e *Engine) SetSummary(summary []byte) {
+	if bytes.Equal(summary, e.summary) {
+		return
+	}
 	e.summary = slices.Clone(summary)
 	e.summaryVersion++
 }
--- a/mesh/engine/link.go
+++ b/mesh/engine/link.go
@@ -10,6 +10,10 @@
 	"github.com/tarragonreach/tarragonreach/mesh/wire"
 )
 
+// farSummaryBeats is the number of heartbeats between two summaries for a peer of
+// another availability zone.
+const farSummaryBeats = 5
+
 // unconfirmedBeats is the number of heartbeats per period on a new connection.
 const unconfirmedBeats = 8
 
@@ -38,6 +42,7 @@
 	// summary is the peer's load summary of summaryVersion.
 	summary        []byte
 	summaryVersion uint32
+	nextSummary    time.Time
 	// summaryHeld is the own summary version that the peer holds.
 	summaryHeld uint32
 }
@@ -76,7 +81,7 @@
 		return nil
 	}
 	l.suspectUntil = now.Add(e.timing.Suspicion)
-	e.sendHeartbeat(l, false)
+	e.sendHeartbeat(l, false, now)
 	return e.take()
 }
 
@@ -177,7 +182,7 @@
 		}
 		l.nextBeat = now.Add(e.beatPeriod(l))
 		l.sequence++
-		e.sendHeartbeat(l, false)
+		e.sendHeartbeat(l, false, now)
 	}
 }
 
@@ -190,7 +195,7 @@
 	return e.timing.Heartbeat / unconfirmedBeats
 }
 
-func (e *Engine) sendHeartbeat(l *link, reply bool) {
+func (e *Engine) sendHeartbeat(l *link, reply bool, now time.Time) {
 	heartbeat := &wire.Heartbeat{
 		Sequence:       l.sequence,
 		Reply:          reply,
@@ -199,8 +204,24 @@
 		SummaryVersion: e.summaryVersion,
 		SummaryHeld:    l.summaryVersion,
 	}
-	if l.summaryHeld != e.summaryVersion {
+	if e.summaryDue(l, now) {
 		heartbeat.Summary = e.summary
 	}
 	e.send(l.peer, heartbeat)
 }
+
+// summaryDue reports whether the peer lacks the newest summary and may get it
+// now: in the own zone at once, in another one after some heartbeats.
+func (e *Engine) summaryDue(l *link, now time.Time) bool {
+	if l.summaryHeld == e.summaryVersion {
+		return false
+	}
+	if e.zone(l.peer) == e.members.own().Zone {
+		return true
+	}
+	if now.Before(l.nextSummary) {
+		return false
+	}
+	l.nextSummary = now.Add(farSummaryBeats * e.timing.Heartbeat)
+	return true
+}
--- /dev/null
+++ b/mesh/engine/summary_test.go
@@ -0,0 +1,56 @@
+package engine_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/mesh/enginetest"
+	"github.com/tarragonreach/tarragonreach/mesh/wire"
+)
+
+// TestSummariesOfAnotherZoneComeSeldom counts the summaries that are sent while
+// the load changes all the time.
+func TestSummariesOfAnotherZoneComeSeldom(t *testing.T) {
+	m := newMesh(31)
+	m.grow(t, 2, 2)
+	near, far := m.Nodes[1], m.Nodes[2]
+	sent := 0
+	m.OnSend = func(from *enginetest.Node, message wire.Message) {
+		if h, ok := message.(*wire.Heartbeat); ok && from == m.Nodes[0] && h.Summary != nil {
+			sent++
+		}
+	}
+	const beats = 50
+	for i := range beats {
+		m.Nodes[0].Engine.SetSummary([]byte{byte(i)})
+		m.Run(2 * time.Second)
+	}
+	assert.Assert(t, sent >= beats && sent <= beats*3/2, "%d summaries", sent)
+	assert.DeepEqual(t, summaryAt(near, m.Nodes[0]), []byte{beats - 1})
+	assert.Assert(t, summaryAt(far, m.Nodes[0]) != nil)
+}
+
+func TestEqualSummaryIsNotSentAgain(t *testing.T) {
+	m := newMesh(32)
+	m.grow(t, 1, 2)
+	m.Nodes[0].Engine.SetSummary([]byte("load"))
+	m.Run(10 * time.Second)
+	m.OnSend = func(_ *enginetest.Node, message wire.Message) {
+		if h, ok := message.(*wire.Heartbeat); ok {
+			assert.Assert(t, h.Summary == nil)
+		}
+	}
+	m.Nodes[0].Engine.SetSummary([]byte("load"))
+	m.Run(10 * time.Second)
+}
+
+func summaryAt(node, of *enginetest.Node) []byte {
+	for _, member := range node.Engine.Members() {
+		if member.Record.ID == of.ID {
+			return member.Summary
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/tools/capacity/fit.go
@@ -0,0 +1,33 @@
+package main
+
+import "math"
+
+// Fit is the line a + b*n of least squares.
+type Fit struct {
+	A float64 `json:"a"`
+	B float64 `json:"b"`
+	// Residual is the root of the mean squared distance from the line, in the
+	// unit of the values.
+	Residual float64 `json:"residual"`
+}
+
+// fitLine returns the line of least squares through at least two sizes.
+func fitLine(points []Point) Fit {
+	n := float64(len(points))
+	var sumX, sumY, sumXX, sumXY float64
+	for _, p := range points {
+		sumX += p.Size
+		sumY += p.Value
+		sumXX += p.Size * p.Size
+		sumXY += p.Size * p.Value
+	}
+	b := (n*sumXY - sumX*sumY) / (n*sumXX - sumX*sumX)
+	fit := Fit{A: (sumY - b*sumX) / n, B: b}
+	var squares float64
+	for _, p := range points {
+		d := p.Value - fit.A - fit.B*p.Size
+		squares += d * d
+	}
+	fit.Residual = math.Sqrt(squares / n)
+	return fit
+}
--- /dev/null
+++ b/tools/capacity/main.go
@@ -0,0 +1,46 @@
+// Command capacity measures how the control part's costs grow, fits a line to
+// each, writes them to one file and renews the tables and plots of the capacity
+// page from it.
+//
+//	go run ./tools/capacity            # measure and renew the page
+//	go run ./tools/capacity -page-only # renew the page from the file
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+func main() {
+	docs := flag.String("docs", "docs", "directory of the page, its data and its plots")
+	pageOnly := flag.Bool("page-only", false, "renew the page from the data at hand")
+	quick := flag.Bool("quick", false, "measure small sizes only, to try the command")
+	flag.Parse()
+	if err := run(*docs, *pageOnly, *quick); err != nil {
+		fmt.Fprintln(os.Stderr, "capacity:", err)
+		os.Exit(1)
+	}
+}
+
+func run(docs string, pageOnly, quick bool) error {
+	data := filepath.Join(docs, "capacity.json")
+	if !pageOnly {
+		report, err := measureAll(quick)
+		if err != nil {
+			return err
+		}
+		if err := report.save(data); err != nil {
+			return err
+		}
+	}
+	report, err := load(data)
+	if err != nil {
+		return err
+	}
+	if err := renewPage(filepath.Join(docs, "CAPACITY.md"), report); err != nil {
+		return err
+	}
+	return drawPlots(docs, report)
+}
--- /dev/null
+++ b/tools/capacity/measure_config.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/entry/config"
+	"github.com/tarragonreach/tarragonreach/platform/memory"
+)
+
+const (
+	teams         = 210
+	objectsToday  = 60   // services, pools, classes, tenants and jobs of one cooperative
+	objectsTarget = 3300 // 28 pools, 210 teams, 28 services and 3,000 jobs
+	editBatch     = 500
+)
+
+// configMeasurement holds a configuration in a follower, accepts one change and
+// merges one change from a peer.
+func configMeasurement() measurement {
+	series := func(name, unit string) Series {
+		return Series{Name: name, Role: "configuration follower", Unit: unit, Per: "objects", Today: objectsToday, Target: objectsTarget}
+	}
+	return measurement{
+		sizes:  []int{100, 400, 1600, 3300, 6600},
+		series: []Series{series("config-memory", "KiB"), series("config-merge", "µs/change"), series("config-change", "B/change")},
+		at:     measureConfig,
+	}
+}
+
+func measureConfig(size int) ([]float64, error) {
+	store := memory.New(time.Now)
+	source := config.NewFollower(store, config.Options{})
+	log := config.NewLog(store, source, config.LogOptions{})
+	accept := func(id string, d object.Document) error {
+		change := config.WithBase(object.Change{ID: id, Put: d}, source.Current())
+		_, err := log.Accept(context.Background(), change)
+		return err
+	}
+	if err := fillConfig(size, accept); err != nil {
+		return nil, err
+	}
+	before := heapBytes()
+	held := config.NewFollower(store, config.Options{})
+	if err := copyConfig(source, held); err != nil {
+		return nil, err
+	}
+	memory := heapBytes() - before
+	for round := range timedRuns {
+		edit := object.Document{Tenants: []object.Tenant{teamAt(0, round+1)}}
+		if err := accept(fmt.Sprint("edit-", round), edit); err != nil {
+			return nil, err
+		}
+	}
+	merge, bytes, err := mergeRest(source, held)
+	runtime.KeepAlive(held)
+	return []float64{memory / kib, merge, bytes}, err
+}
+
+// mergeRest hands the changes that held misses to it one by one, and returns the
+// shortest time of a merge in microseconds and the bytes of the last change.
+func mergeRest(source, held *config.Follower) (merge, bytes float64, err error) {
+	best := time.Duration(1<<63 - 1)
+	for held.Current().Revision < source.Current().Revision {
+		documents := source.Read(config.Stream, int64(held.Current().Revision), 1)
+		if len(documents) == 0 {
+			return 0, 0, errors.New("a revision is missing")
+		}
+		bytes = float64(len(documents[0].Body))
+		began := time.Now()
+		if err := held.Merge(context.Background(), documents[:1]); err != nil {
+			return 0, 0, err
+		}
+		best = min(best, time.Since(began))
+	}
+	return float64(best) / float64(time.Microsecond), bytes, nil
+}
+
+func copyConfig(from, to *config.Follower) error {
+	for to.Current().Revision < from.Current().Revision {
+		documents := from.Read(config.Stream, int64(to.Current().Revision), 1<<30)
+		if err := to.Merge(context.Background(), documents); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// fillConfig accepts a configuration of about size objects, most of them jobs.
+func fillConfig(size int, accept func(string, object.Document) error) error {
+	base := object.Document{Classes: []object.Class{{Name: "batch", Timeout: object.Duration(time.Hour)}}}
+	for i := range min(size/4, teams) {
+		base.Tenants = append(base.Tenants, teamAt(i, 0))
+	}
+	for i := range min(size/8, pools) {
+		base.Pools = append(base.Pools, object.Pool{Name: fmt.Sprintf("pool-%02d", i), Selector: fmt.Sprintf("pool=pool-%02d", i), Min: 1, Max: 200})
+	}
+	if err := accept("base", base); err != nil {
+		return err
+	}
+	left := size - len(base.Tenants) - len(base.Pools) - len(base.Classes)
+	for first := 0; first < left; first += editBatch {
+		var d object.Document
+		for i := first; i < min(first+editBatch, left); i++ {
+			d.Jobs = append(d.Jobs, jobAt(i, len(base.Tenants)))
+		}
+		if err := accept(fmt.Sprint("jobs-", first), d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func teamAt(i, round int) object.Tenant {
+	return object.Tenant{Name: fmt.Sprintf("team-%03d", i), Weight: 1 + round, Quota: fleet.Resources{MilliCPU: 64_000, MemoryMiB: 1 << 20}}
+}
+
+func jobAt(i, tenants int) object.Job {
+	return object.Job{
+		Name:     fmt.Sprintf("job-%05d", i),
+		Tenant:   fmt.Sprintf("team-%03d", i%tenants),
+		Class:    "batch",
+		Selector: "kind=worker",
+		Declared: fleet.Resources{MilliCPU: 4000, MemoryMiB: 8192},
+		Tasks:    1 + i%40,
+		RunTime:  object.Duration(time.Hour),
+	}
+}
--- /dev/null
+++ b/tools/capacity/measure_fleet.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/label"
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/entry/directory"
+	"github.com/tarragonreach/tarragonreach/entry/fleetview"
+	"github.com/tarragonreach/tarragonreach/platform"
+	"github.com/tarragonreach/tarragonreach/policy/routing"
+)
+
+const (
+	workersToday  = 100 // backend servers and workers of one cooperative
+	workersTarget = 3100
+	pools         = 28
+	rackSize      = 4
+	pageRecords   = 64
+)
+
+func instanceAt(i int) fleet.Instance {
+	return fleet.Instance{
+		ID:      fleet.InstanceID(fmt.Sprintf("worker-%05d", i)),
+		Kind:    fleet.KindWorker,
+		Zone:    fleet.AvailabilityZone(fmt.Sprintf("zone-%02d", i%zones)),
+		Rack:    fmt.Sprintf("rack-%04d", i/rackSize),
+		Address: fmt.Sprintf("10.%d.%d.%d:8443", i>>16, i>>8&255, i&255),
+		Labels: label.Set{
+			fleet.LabelPool: fmt.Sprintf("pool-%02d", i%pools),
+		},
+		Capacity: fleet.Resources{MilliCPU: 64_000, MemoryMiB: 131_072, Accelerators: 1},
+	}
+}
+
+func recordAt(i int) fleet.Record {
+	return fleet.Record{
+		ID:             fleet.InstanceID(fmt.Sprintf("worker-%05d", i)),
+		Pool:           fmt.Sprintf("pool-%02d", i%pools),
+		State:          fleet.StateServing,
+		Reason:         "assigned to the pool with the largest need",
+		Epoch:          int64(i),
+		Since:          time.Unix(1_700_000_000+int64(i), 0).UTC(),
+		LastMaintained: time.Unix(1_690_000_000+int64(i), 0).UTC(),
+	}
+}
+
+// fleetMeasurement holds the fleet's record in a view, page by page.
+func fleetMeasurement() measurement {
+	series := func(name, unit string) Series {
+		return Series{Name: name, Role: "fleet record", Unit: unit, Per: "instances", Today: workersToday, Target: workersTarget}
+	}
+	return measurement{
+		sizes:  []int{100, 400, 1600, 3100, 6200},
+		series: []Series{series("record-bytes", "B"), series("record-memory", "KiB")},
+		at:     measureFleet,
+	}
+}
+
+func measureFleet(size int) ([]float64, error) {
+	before := heapBytes()
+	view := fleetview.New()
+	bytes := 0
+	for first := 0; first < size; first += pageRecords {
+		entry, err := pageEntry(first, min(first+pageRecords, size))
+		if err != nil {
+			return nil, err
+		}
+		bytes += len(entry.Value)
+		if err := view.Put(entry); err != nil {
+			return nil, err
+		}
+	}
+	memory := heapBytes() - before
+	runtime.KeepAlive(view)
+	return []float64{float64(bytes), memory / kib}, nil
+}
+
+func pageEntry(first, end int) (platform.Entry, error) {
+	var page fleet.Page
+	for i := first; i < end; i++ {
+		page.Records = append(page.Records, recordAt(i))
+	}
+	body, err := json.Marshal(page)
+	key := fmt.Sprintf("%szone-%02d/%04d", fleet.PagePrefix, first/pageRecords%zones, first/pageRecords)
+	return platform.Entry{Key: key, Value: body, Revision: platform.Revision(first + 1)}, err
+}
+
+// listMeasurement encodes and reads the platform's list as each poll does.
+func listMeasurement() measurement {
+	series := func(name, unit string) Series {
+		return Series{Name: name, Role: "instance list", Unit: unit, Per: "instances", Today: workersToday, Target: workersTarget}
+	}
+	return measurement{
+		sizes:  []int{100, 400, 1600, 3100, 6200},
+		series: []Series{series("list-bytes", "B/poll"), series("list-read", "ms/poll")},
+		at:     measureList,
+	}
+}
+
+func measureList(size int) ([]float64, error) {
+	body, err := json.Marshal(instances(size))
+	if err != nil {
+		return nil, err
+	}
+	var failed error
+	read := fastest(func() {
+		var list []fleet.Instance
+		failed = json.Unmarshal(body, &list)
+	})
+	return []float64{float64(len(body)), read / millisecondUs}, failed
+}
+
+func instances(size int) []fleet.Instance {
+	list := make([]fleet.Instance, size)
+	for i := range list {
+		list[i] = instanceAt(i)
+	}
+	return list
+}
+
+// staticList is a platform list that does not change.
+type staticList []fleet.Instance
+
+// Instances implements platform.InstanceList.
+func (l staticList) Instances(context.Context) ([]fleet.Instance, error) { return l, nil }
+
+// directoryMeasurement builds the snapshot of the request path from the list.
+func directoryMeasurement() measurement {
+	series := func(name, unit string) Series {
+		return Series{Name: name, Role: "gateway", Unit: unit, Per: "instances", Today: workersToday, Target: workersTarget}
+	}
+	return measurement{
+		sizes:  []int{100, 400, 1600, 3100, 6200},
+		series: []Series{series("directory-swap", "µs"), series("directory-memory", "KiB")},
+		at:     measureDirectory,
+	}
+}
+
+func measureDirectory(size int) ([]float64, error) {
+	list := instances(size)
+	for i := range list {
+		list[i].Kind = fleet.KindBackendServer
+	}
+	configs := [2]*object.Config{serviceConfig(1), serviceConfig(2)}
+	before := heapBytes()
+	d := directory.New(directory.Options{List: staticList(list)})
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	if err := d.Run(ctx); err != nil && ctx.Err() == nil {
+		return nil, err
+	}
+	round := 0
+	swap := fastest(func() {
+		d.SetConfig(configs[round%2])
+		round++
+	})
+	memory := heapBytes() - before
+	if len(d.Snapshot().Services) != pools {
+		return nil, fmt.Errorf("%d services in the snapshot", len(d.Snapshot().Services))
+	}
+	runtime.KeepAlive(configs)
+	return []float64{swap, memory / kib}, nil
+}
+
+// serviceConfig has one service for each pool.
+func serviceConfig(revision object.Revision) *object.Config {
+	config := &object.Config{Revision: revision, Services: map[string]object.Versioned[object.Service]{}}
+	for i := range pools {
+		name := fmt.Sprintf("service-%02d", i)
+		spec := object.Service{Name: name, Selector: fmt.Sprintf("pool=pool-%02d", i), Slots: 8 + int(revision), Connections: 64}
+		config.Services[name] = object.Versioned[object.Service]{Spec: spec, Revision: revision}
+	}
+	return config
+}
+
+// summaryMeasurement encodes the loads that an instance sends to its linked peers.
+func summaryMeasurement() measurement {
+	return measurement{
+		sizes: []int{5, 10, 20, 40, 80},
+		series: []Series{{
+			Name: "summary-bytes", Role: "load summaries", Unit: "B", Per: "services",
+			Today: 5, Target: pools,
+		}},
+		at: func(size int) ([]float64, error) {
+			loads := make([]routing.ServiceLoad, size)
+			for i := range loads {
+				loads[i] = routing.ServiceLoad{Service: fmt.Sprintf("service-%02d", i), Demand: 100 + i}
+			}
+			body, err := cbor.Marshal(loads)
+			return []float64{float64(len(body))}, err
+		},
+	}
+}
