--- a/mesh/engine/bench_test.go
+++ b/mesh/engine/bench_test.go
@@ -126,7 +126,7 @@
 // carry the versions of all members and streams.
 func BenchmarkMeshMessages(b *testing.B) {
 	for _, nodes := range []int{4, 8, 16, 32, 64} {
-		for _, state := range []string{"idle", "zone cut off", "all pairs"} {
+		for _, state := range []string{"idle", "zone cut off", "one replaced", "all pairs"} {
 			b.Run(fmt.Sprintf("nodes=%d/%s", nodes, state), func(b *testing.B) {
 				for range b.N {
 					b.ReportMetric(messageBytes(b, nodes, state), "message-B/s")
@@ -149,9 +149,14 @@
 	if state == "all pairs" {
 		return allPairsBytes(m)
 	}
+	m.Run(time.Minute) // the last records and bridges of the start
 	if state == "zone cut off" {
 		m.cutZone(1, zones, true)
 	}
+	if state == "one replaced" {
+		m.Kill(m.Nodes[2])
+		m.add(2, seeds)
+	}
 	total := 0
 	m.OnSend = func(_ *enginetest.Node, message wire.Message) { total += encodedBytes(message) }
 	const window = 100 * time.Second
--- a/tools/capacity/measure_mesh.go
+++ b/tools/capacity/measure_mesh.go
@@ -15,8 +15,8 @@
 
 const (
 	zones         = 13
-	packetHeaders = 28 // bytes of the IPv4 and UDP headers of one packet
-	meshSettle    = 5 * time.Second
+	packetHeaders = 28               // bytes of the IPv4 and UDP headers of one packet
+	meshSettle    = 35 * time.Second // the links of the start are gone by then
 	meshWindow    = 10 * time.Second
 	meshChanges   = 10
 	changeBytes   = 700
