--- /dev/null
+++ b/mesh/engine/publish.go
@@ -0,0 +1,97 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/mesh/topology"
+	"github.com/tarragonreach/tarragonreach/mesh/wire"
+)
+
+// Reachable returns the number of reachable members besides the instance itself.
+func (e *Engine) Reachable() int {
+	count := -1
+	for _, entry := range e.members.entries {
+		if entry.reachable {
+			count++
+		}
+	}
+	return count
+}
+
+// chooseLinks computes the wanted peers: those of the topology over all members
+// known, and those of the topology over the reachable ones, which closes the
+// ring of zones while some are cut off.
+func (e *Engine) chooseLinks() {
+	if e.chosenAt == e.members.changes {
+		return
+	}
+	e.chosenAt = e.members.changes
+	clear(e.wanted)
+	for _, records := range [][]wire.Record{e.members.present(), e.members.reachable()} {
+		for _, id := range topology.Peers(e.members.self, topologyMembers(records)) {
+			e.wanted[id] = true
+		}
+	}
+}
+
+func topologyMembers(records []wire.Record) []topology.Member {
+	members := make([]topology.Member, len(records))
+	for i, record := range records {
+		members[i] = topology.Member{ID: record.ID, Zone: record.Zone}
+	}
+	return members
+}
+
+// publish renews the instance's own record if the peers it hears have changed.
+func (e *Engine) publish(now time.Time) {
+	own := e.members.own()
+	heard := e.heardPeers(now)
+	if !e.recordDirty && slices.Equal(heard, own.Heard) {
+		return
+	}
+	e.recordDirty = false
+	own.Heard = heard
+	own.Sequence++
+	e.members.setOwn(own)
+	e.refreshReachable(now)
+	e.sendRecords([]wire.Record{own}, "", now)
+}
+
+func (e *Engine) refreshReachable(now time.Time) {
+	for _, address := range e.members.updateReachable(e.heardPeers(now), now) {
+		e.forgetFailures(address)
+	}
+}
+
+// sendRecords passes records to all links but their source. Records that came
+// from the own zone are not sent there again, since it is fully meshed.
+func (e *Engine) sendRecords(records []wire.Record, source fleet.InstanceID, now time.Time) {
+	if len(records) == 0 {
+		return
+	}
+	for _, l := range e.sortedLinks() {
+		if l.peer == source || !e.active(l, now) || e.coveredBySource(l, source) {
+			continue
+		}
+		e.send(l.peer, &wire.Members{Records: records})
+	}
+}
+
+// coveredBySource reports whether the source sends to the link's peer by itself.
+func (e *Engine) coveredBySource(l *link, source fleet.InstanceID) bool {
+	if source == "" {
+		return false
+	}
+	own := e.members.own().Zone
+	return e.zone(source) == own && e.zone(l.peer) == own
+}
+
+func (e *Engine) zone(id fleet.InstanceID) fleet.AvailabilityZone {
+	entry := e.members.entries[id]
+	if entry == nil {
+		return ""
+	}
+	return entry.record.Zone
+}
--- /dev/null
+++ b/mesh/middlebox_test.go
@@ -0,0 +1,89 @@
+package mesh
+
+import (
+	"net"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// middlebox passes datagrams between the dialers and one node. It can lose
+// track of the flows that it knows, while it passes new ones.
+type middlebox struct {
+	front  *net.UDPConn
+	target *net.UDPAddr
+	mu     sync.Mutex
+	flows  map[string]*net.UDPConn // by the dialer's address; nil for a lost one
+}
+
+func newMiddlebox(t *testing.T, target string) *middlebox {
+	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	address, err := net.ResolveUDPAddr("udp", target)
+	assert.NilError(t, err)
+	m := &middlebox{front: front, target: address, flows: make(map[string]*net.UDPConn)}
+	done := make(chan struct{})
+	go func() { defer close(done); m.pass() }()
+	t.Cleanup(func() {
+		front.Close()
+		<-done
+		m.forget()
+	})
+	return m
+}
+
+func (m *middlebox) address() string { return m.front.LocalAddr().String() }
+
+func (m *middlebox) pass() {
+	buffer := make([]byte, 2048)
+	for {
+		n, from, err := m.front.ReadFromUDP(buffer)
+		if err != nil {
+			return
+		}
+		if back := m.flow(from); back != nil {
+			back.Write(buffer[:n])
+		}
+	}
+}
+
+func (m *middlebox) flow(from *net.UDPAddr) *net.UDPConn {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	back, known := m.flows[from.String()]
+	if known {
+		return back
+	}
+	back, err := net.DialUDP("udp", nil, m.target)
+	if err != nil {
+		return nil
+	}
+	m.flows[from.String()] = back
+	go func() {
+		buffer := make([]byte, 2048)
+		for {
+			n, err := back.Read(buffer)
+			if err != nil {
+				return
+			}
+			m.front.WriteToUDP(buffer[:n], from)
+		}
+	}()
+	return back
+}
+
+// forget drops all flows for good and returns how many there were.
+func (m *middlebox) forget() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	lost := 0
+	for from, back := range m.flows {
+		if back != nil {
+			back.Close()
+			m.flows[from] = nil
+			lost++
+		}
+	}
+	return lost
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -84,6 +84,9 @@
 
 // listen opens the socket at which peers reach the instance.
 func (n *Node) listen(local *net.UDPAddr) error {
+	if isWildcard(local.IP) && n.options.Advertise == "" {
+		return fmt.Errorf("mesh listens on %s: peers need an address to dial, set Advertise", local)
+	}
 	socket, err := n.listenUDP(local)
 	if err != nil {
 		return err
@@ -101,6 +104,8 @@
 	return nil
 }
 
+func isWildcard(ip net.IP) bool { return len(ip) == 0 || ip.IsUnspecified() }
+
 func newEngine(options Options, address string) *engine.Engine {
 	return engine.New(engine.Options{
 		Self: wire.Record{
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -212,3 +212,28 @@
 		c.eventually("one member left", func() bool { return reachable(n) == 1 })
 	}
 }
+
+func TestOptionsAreChecked(t *testing.T) {
+	tls, err := newCluster(t).authority.Issue("entry-a")
+	assert.NilError(t, err)
+	whole := Options{ID: "entry-a", Zone: "zone-0", Listen: "127.0.0.1:0", TLS: tls}
+	cases := []struct {
+		name   string
+		change func(*Options)
+		want   string
+	}{
+		{"no instance", func(o *Options) { o.ID = "" }, "required"},
+		{"no TLS", func(o *Options) { o.TLS = nil }, "required"},
+		{"bad address", func(o *Options) { o.Listen = "nowhere" }, "mesh address"},
+		{"address that nobody can dial", func(o *Options) { o.Listen = "0.0.0.0:0" }, "set Advertise"},
+		{"port alone", func(o *Options) { o.Listen = ":0" }, "set Advertise"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			options := whole
+			tc.change(&options)
+			_, err := New(options)
+			assert.ErrorContains(t, err, tc.want)
+		})
+	}
+}
