mesh/engine: focused tests for silence, suspicion, earlier runs and leaving

Cause: two faults put in by hand (no limit on silence, no newer incarnation) passed the other tests. Result: both are caught now; six other faults put in by hand were caught before.

--- /dev/null
+++ b/mesh/engine/engine_test.go
@@ -0,0 +1,91 @@
+package engine
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/mesh/wire"
+)
+
+// pair is an engine with one linked peer that the test plays.
+type pair struct {
+	*Engine
+	now time.Time
+}
+
+func newPair() *pair {
+	p := &pair{now: time.Unix(1000, 0)}
+	p.Engine = New(Options{
+		Self:   wire.Record{ID: "a", Zone: "z", Address: "a:1", Incarnation: 5},
+		Timing: DefaultTiming(),
+		Rand:   rand.New(rand.NewPCG(1, 1)),
+	})
+	p.Connected("b", "b:1", true, p.now)
+	p.Receive("b", &wire.Hello{Record: wire.Record{ID: "b", Zone: "z", Address: "b:1", Incarnation: 1}}, p.now)
+	return p
+}
+
+func (p *pair) pass(d time.Duration) []Action {
+	p.now = p.now.Add(d)
+	return p.Tick(p.now)
+}
+
+func closes(actions []Action) bool {
+	for _, a := range actions {
+		if c, ok := a.(Close); ok && c.Peer == "b" {
+			return true
+		}
+	}
+	return false
+}
+
+func TestSilentLinkIsClosedAfterTheLimit(t *testing.T) {
+	p := newPair()
+	for range 10 {
+		assert.Assert(t, !closes(p.pass(2*time.Second)))
+		p.Receive("b", &wire.Heartbeat{Reply: true}, p.now)
+	}
+	assert.Assert(t, !closes(p.pass(DefaultTiming().Silence)))
+	assert.Assert(t, closes(p.pass(time.Millisecond)))
+}
+
+func TestSuspectedLinkIsClosedUnlessItShowsAHeartbeat(t *testing.T) {
+	p := newPair()
+	p.Suspect("b", p.now)
+	p.Receive("b", &wire.Heartbeat{Reply: true}, p.now)
+	assert.Assert(t, !closes(p.pass(DefaultTiming().Suspicion+time.Millisecond)))
+	p.Suspect("b", p.now)
+	assert.Assert(t, closes(p.pass(DefaultTiming().Suspicion+time.Millisecond)))
+}
+
+func TestRecordOfAnEarlierRunIsOutlived(t *testing.T) {
+	p := newPair()
+	p.Receive("b", &wire.Members{Records: []wire.Record{{ID: "a", Zone: "z", Address: "a:1", Incarnation: 9, Sequence: 40}}}, p.now)
+	var published []wire.Record
+	for _, a := range p.pass(time.Second) {
+		if s, ok := a.(Send); ok {
+			if m, ok := s.Message.(*wire.Members); ok {
+				published = append(published, m.Records...)
+			}
+		}
+	}
+	assert.Equal(t, len(published), 1)
+	assert.Assert(t, published[0].NewerThan(wire.Record{Incarnation: 9, Sequence: 40}), "%v", published[0])
+}
+
+func TestLeavingPeerIsNotDialedAgain(t *testing.T) {
+	p := newPair()
+	p.Receive("b", &wire.Heartbeat{Reply: true}, p.now)
+	actions := p.Receive("b", &wire.Leave{Record: wire.Record{ID: "b", Zone: "z", Address: "b:1", Incarnation: 1, Sequence: 9, Left: true}}, p.now)
+	assert.Assert(t, closes(actions))
+	assert.Equal(t, p.Reachable(), 0)
+	for range 100 {
+		for _, a := range p.pass(time.Second) {
+			_, dials := a.(Dial)
+			assert.Assert(t, !dials)
+		}
+	}
+}
