Measure capacity and maintenance beside fixed policies

Zones no longer each round their demand up: the whole pool's demand is to survive the loss of a zone. Demand is forgotten quickly, since the price of a move already decides how long surplus is kept.

--- a/entry/fleetctl/inputs.go
+++ b/entry/fleetctl/inputs.go
@@ -98,10 +98,10 @@
 		o.Hysteresis = capacity.DefaultHysteresis()
 	}
 	if o.HalfLife == 0 {
-		o.HalfLife = defaultHalfLife
+		o.HalfLife = capacity.DefaultHalfLife
 	}
 	if o.Quantile == 0 {
-		o.Quantile = defaultQuantile
+		o.Quantile = capacity.DefaultQuantile
 	}
 	if o.GrantTTL == 0 {
 		o.GrantTTL = defaultGrantTTL
@@ -113,8 +113,6 @@
 }
 
 const (
-	defaultHalfLife     = 6 * time.Hour
-	defaultQuantile     = 0.98
 	defaultGrantTTL     = 2 * time.Minute
 	defaultReplaceAfter = 10 * time.Minute
 )
--- a/entry/fleetctl/sizing.go
+++ b/entry/fleetctl/sizing.go
@@ -41,18 +41,37 @@
 	elapsed := max(now.Sub(s.sampled), time.Second)
 	s.sampled = now
 	for _, pool := range pools {
+		total, anyKnown := 0.0, false
 		for _, zone := range zones {
 			demand, known := s.options.Demand.Demand(pool.Name, zone)
-			if !known {
-				continue
+			if known {
+				s.observe(seat{pool.Name, zone}, demand, elapsed, now)
+				total, anyKnown = total+demand, true
 			}
-			key := seat{pool.Name, zone}
-			if s.estimators[key] == nil {
-				s.estimators[key] = capacity.NewEstimator(s.options.HalfLife)
-			}
-			s.estimators[key].Observe(demand, elapsed, now)
 		}
+		if anyKnown {
+			s.observe(seat{pool.Name, allZones}, total, elapsed, now)
+		}
+	}
+}
+
+// allZones stands for the sum over the zones of a pool.
+const allZones fleet.AvailabilityZone = ""
+
+func (s *sizing) observe(key seat, demand float64, elapsed time.Duration, now time.Time) {
+	if s.estimators[key] == nil {
+		s.estimators[key] = capacity.NewEstimator(s.options.HalfLife)
 	}
+	s.estimators[key].Observe(demand, elapsed, now)
+}
+
+// quantile returns the demand that a seat is sized for, and whether it is known.
+func (s *sizing) quantile(key seat) (float64, bool) {
+	estimator := s.estimators[key]
+	if estimator == nil {
+		return 0, false
+	}
+	return estimator.Quantile(s.options.Quantile), true
 }
 
 // zoneSupply counts the instances of an availability zone that may serve a pool.
@@ -67,14 +86,11 @@
 func (s *sizing) need(pool poolSpec, supply []zoneSupply, now time.Time) (int, bool) {
 	demands := make([]capacity.ZoneDemand, len(supply))
 	weights := make([]int, len(supply))
-	known, own := false, 0
+	own := 0
 	for i, zone := range supply {
 		demands[i] = capacity.ZoneDemand{Limit: zone.eligible, LargestRack: zone.largestRack}
 		weights[i] = zone.eligible
-		if estimator := s.estimators[seat{pool.Name, zone.zone}]; estimator != nil {
-			known = true
-			demands[i].Demand = estimator.Quantile(s.options.Quantile)
-		}
+		demands[i].Demand, _ = s.quantile(seat{pool.Name, zone.zone})
 		if zone.zone == s.options.Zone {
 			own = i
 		}
@@ -83,10 +99,11 @@
 	if len(supply) > 0 {
 		least = capacity.Split(pool.Min, weights)[own]
 	}
+	total, known := s.quantile(seat{pool.Name, allZones})
 	if !known {
 		return least, false
 	}
-	need := max(capacity.Spread(demands, capacity.FailureDomain(pool.FailureDomain))[own], least)
+	need := max(capacity.Spread(demands, total, capacity.FailureDomain(pool.FailureDomain))[own], least)
 	return s.history(pool.Name).Update(need, now, s.options.Hysteresis), true
 }
 
--- /dev/null
+++ b/policy/capacity/bench_test.go
@@ -0,0 +1,161 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// planned sizes by the estimator, the spread over zones and the history of needs.
+type planned struct {
+	d          deployment
+	share      float64
+	domain     FailureDomain
+	division   func(zones []ZoneDemand, total float64, domain FailureDomain) []int
+	estimators [][]*Estimator
+	totals     []*Estimator
+	histories  [][]*History
+	limits     Hysteresis
+}
+
+func newPlanned(d deployment) *planned {
+	p := &planned{d: d, share: DefaultQuantile, domain: DomainZone, division: Spread, limits: DefaultHysteresis()}
+	p.estimators = make([][]*Estimator, driverServices)
+	p.histories = make([][]*History, driverServices)
+	for s := range driverServices {
+		p.totals = append(p.totals, NewEstimator(DefaultHalfLife))
+		for range d.zones {
+			p.estimators[s] = append(p.estimators[s], NewEstimator(DefaultHalfLife))
+			p.histories[s] = append(p.histories[s], &History{})
+		}
+	}
+	return p
+}
+
+func (p *planned) observe(demand [][]float64, now time.Time) {
+	for s := range demand {
+		zones := make([]ZoneDemand, p.d.zones)
+		total := 0.0
+		for z, value := range demand[s] {
+			total += value
+			p.estimators[s][z].Observe(value, driverStep, now)
+			zones[z] = ZoneDemand{Demand: p.estimators[s][z].Quantile(p.share), Limit: 50, LargestRack: 1}
+		}
+		p.totals[s].Observe(total, driverStep, now)
+		for z, need := range p.division(zones, p.totals[s].Quantile(p.share), p.domain) {
+			p.histories[s][z].Update(need, now, p.limits)
+		}
+	}
+}
+
+func (p *planned) pools(zone int, now time.Time) []Pool {
+	pools := make([]Pool, driverServices)
+	for s := range pools {
+		history := p.histories[s][zone]
+		pools[s] = Pool{
+			Name: fmt.Sprint("service-", s), Need: history.Need(),
+			MoveWeight: p.d.move, BufferWeight: p.d.buffer,
+			IdleDays: func(size int) float64 { return history.IdleDays(size, start, now) },
+		}
+	}
+	return pools
+}
+
+// eachZoneAlone lets each zone size for its own demand and its share of what a lost
+// zone would leave to it.
+func eachZoneAlone(zones []ZoneDemand, _ float64, _ FailureDomain) []int {
+	sizes := make([]int, len(zones))
+	for i, zone := range zones {
+		sizes[i] = wholeInstances(zone.Demand * float64(len(zones)) / float64(len(zones)-1))
+	}
+	return sizes
+}
+
+// fixedBuffer keeps 20% above the highest demand of each zone in the last hours, and
+// moves at once.
+type fixedBuffer struct {
+	d      deployment
+	window time.Duration
+	past   [][][]float64
+	demand [][]float64
+}
+
+func (f *fixedBuffer) observe(demand [][]float64, _ time.Time) {
+	f.past = append(f.past, demand)
+	f.past = f.past[max(0, len(f.past)-int(f.window/driverStep)):]
+	f.demand = make([][]float64, driverServices)
+	for s := range f.demand {
+		f.demand[s] = make([]float64, f.d.zones)
+		for _, past := range f.past {
+			for z := range f.demand[s] {
+				f.demand[s][z] = max(f.demand[s][z], past[s][z])
+			}
+		}
+	}
+}
+
+func (f *fixedBuffer) pools(zone int, _ time.Time) []Pool {
+	pools := make([]Pool, driverServices)
+	for s := range pools {
+		need := int(math.Ceil(1.2 * f.demand[s][zone]))
+		pools[s] = Pool{Name: fmt.Sprint("service-", s), Need: need, MoveWeight: 1, BufferWeight: 1e3}
+	}
+	return pools
+}
+
+func (s score) report(b *testing.B) {
+	b.ReportMetric(s.bufferPercent, "%buffer")
+	b.ReportMetric(s.costADay, "cost/day")
+	b.ReportMetric(s.movesADay, "moves/day")
+	b.ReportMetric(s.shortMinutes, "short-min/day")
+	b.ReportMetric(s.lossMinutes, "short-min/zone-losses")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkFleetCapacity prints buffer cost, moves and shortage of both deployments
+// by their own weights, by each other's, and by a fixed buffer of 20%.
+func BenchmarkFleetCapacity(b *testing.B) {
+	for _, d := range []deployment{agrisportello, magnolia} {
+		swapped := d
+		swapped.move, swapped.buffer = d.buffer, d.move
+		b.Run(d.name+"/own-weights", func(b *testing.B) { d.run(newPlanned(d)).report(b) })
+		b.Run(d.name+"/swapped-weights", func(b *testing.B) { d.run(newPlanned(swapped)).report(b) })
+		b.Run(d.name+"/survives-rack-only", func(b *testing.B) {
+			p := newPlanned(d)
+			p.domain = DomainRack
+			d.run(p).report(b)
+		})
+		b.Run(d.name+"/each-zone-alone", func(b *testing.B) {
+			p := newPlanned(d)
+			p.division = eachZoneAlone
+			d.run(p).report(b)
+		})
+		b.Run(d.name+"/fixed-20%-over-hour", func(b *testing.B) { d.run(&fixedBuffer{d: d, window: time.Hour}).report(b) })
+		b.Run(d.name+"/fixed-20%-over-day", func(b *testing.B) { d.run(&fixedBuffer{d: d, window: 24 * time.Hour}).report(b) })
+	}
+}
+
+// BenchmarkFleetCapacityCurve prints moves against buffer cost as weights change.
+func BenchmarkFleetCapacityCurve(b *testing.B) {
+	for _, ratio := range []float64{0.01, 0.03, 0.1, 0.3, 1, 3, 10} {
+		for _, d := range []deployment{agrisportello, magnolia} {
+			b.Run(fmt.Sprintf("%s/move-over-buffer=%g", d.name, ratio), func(b *testing.B) {
+				d.move, d.buffer = ratio, 1
+				d.run(newPlanned(d)).report(b)
+			})
+		}
+	}
+}
+
+// TestWeightsGiveVisiblyDifferentPlans holds the weights to their purpose: whoever
+// weighs moves moves less, and whoever weighs the buffer pays for less of it.
+func TestWeightsGiveVisiblyDifferentPlans(t *testing.T) {
+	agri, magn := agrisportello, agrisportello
+	magn.move, magn.buffer = magnolia.move, magnolia.buffer
+	moveAverse, bufferAverse := agri.run(newPlanned(agri)), magn.run(newPlanned(magn))
+	assert.Assert(t, 2*moveAverse.movesADay < bufferAverse.movesADay, "%+v %+v", moveAverse, bufferAverse)
+	assert.Assert(t, bufferAverse.bufferPercent < 0.9*moveAverse.bufferPercent, "%+v %+v", moveAverse, bufferAverse)
+}
--- a/policy/capacity/estimator.go
+++ b/policy/capacity/estimator.go
@@ -15,6 +15,13 @@
 	rescaleExponent = 30
 )
 
+const (
+	// DefaultHalfLife and DefaultQuantile make a need follow the demand of about the
+	// last hour and a half.
+	DefaultHalfLife = 20 * time.Minute
+	DefaultQuantile = 0.95
+)
+
 // Estimator is a histogram of observed demand whose older samples weigh less. The
 // zero Estimator is not ready; use NewEstimator.
 type Estimator struct {
--- a/policy/capacity/history.go
+++ b/policy/capacity/history.go
@@ -94,8 +94,12 @@
 	h.peaks = append(h.peaks, peak{h.need, now})
 }
 
+// idleForecast is how long an instance is expected to stay idle, in times of how
+// long it has been idle.
+const idleForecast = 2
+
 // IdleDays forecasts how long the instance that makes a pool size instances large
-// stays idle: as long again as it has been idle. Sizes that were never needed while
+// stays idle, from how long it has been idle. Sizes that were never needed while
 // the history ran have been idle since its start, which since names.
 func (h *History) IdleDays(size int, since, now time.Time) float64 {
 	last := since
@@ -104,7 +108,7 @@
 			last = p.last
 		}
 	}
-	return math.Max(now.Sub(last).Hours()/hoursPerDay, 0)
+	return math.Max(idleForecast*now.Sub(last).Hours()/hoursPerDay, 0)
 }
 
 const hoursPerDay = 24
--- a/policy/capacity/spread.go
+++ b/policy/capacity/spread.go
@@ -24,36 +24,51 @@
 	LargestRack int
 }
 
-// Spread returns how many instances the pool needs in each availability zone, so
-// that what is left after the loss of the largest failure domain carries the whole
-// demand. Instances that another zone lacks are added where they cost least. The
-// sum is the smallest one for which each zone also carries its own demand; it falls
-// short only where limits leave no other choice.
-func Spread(zones []ZoneDemand, domain FailureDomain) []int {
-	if domain == DomainRack || len(zones) < 2 {
-		return spreadRacks(zones)
+// Spread returns how many instances a pool needs in each availability zone, so that
+// what is left after the loss of the largest failure domain carries total, the
+// demand of the whole pool in instances. Demand beyond a zone's own instances is
+// served by the others, so that zones need not each round up; each keeps its own
+// whole instances, and one where it has any demand, for when it is cut off. The sum
+// is the smallest one for that; it falls short only where limits leave no choice.
+func Spread(zones []ZoneDemand, total float64, domain FailureDomain) []int {
+	if len(zones) == 0 {
+		return nil
 	}
-	total := 0.0
-	for _, zone := range zones {
-		total += zone.Demand
+	if domain == DomainRack || len(zones) == 1 {
+		return spreadRacks(zones, total)
 	}
-	want := int(math.Ceil(total - roundingSlack))
+	want := wholeInstances(total)
+	return trim(raise(zones, want, survivors), zones, want, survivors)
+}
+
+func wholeInstances(demand float64) int { return int(math.Ceil(demand - roundingSlack)) }
+
+// raise levels the zones up until enough of the sizes is left.
+func raise(zones []ZoneDemand, want int, left func([]int) int) []int {
 	top := 0
 	for _, zone := range zones {
 		top = max(top, zone.Limit)
 	}
 	level := 0
-	for level < top && survivors(levelled(zones, level)) < want {
+	for level < top && left(levelled(zones, level)) < want {
 		level++
 	}
-	return trim(levelled(zones, level), zones, want)
+	return levelled(zones, level)
 }
 
 // roundingSlack keeps sums of binary fractions from costing a whole instance.
 const roundingSlack = 1e-9
 
+// leastDemand is the demand below which a zone needs no instance of its own.
+const leastDemand = 0.05
+
+// own is what a zone keeps for when it is cut off.
 func own(zone ZoneDemand) int {
-	return min(int(math.Ceil(zone.Demand-roundingSlack)), zone.Limit)
+	least := 0
+	if zone.Demand > leastDemand {
+		least = 1
+	}
+	return min(max(int(zone.Demand+roundingSlack), least), zone.Limit)
 }
 
 // levelled gives each zone its own demand and at least level instances.
@@ -75,11 +90,11 @@
 }
 
 // trim takes back what the last level added beyond need.
-func trim(sizes []int, zones []ZoneDemand, want int) []int {
+func trim(sizes []int, zones []ZoneDemand, want int, left func([]int) int) []int {
 	for i := range sizes {
 		for sizes[i] > own(zones[i]) {
 			sizes[i]--
-			if survivors(sizes) < want {
+			if left(sizes) < want {
 				sizes[i]++
 				break
 			}
@@ -88,14 +103,22 @@
 	return sizes
 }
 
-// spreadRacks lets each zone survive the loss of its largest rack by itself.
-func spreadRacks(zones []ZoneDemand) []int {
-	sizes := make([]int, len(zones))
-	for i, zone := range zones {
-		if zone.Demand > 0 {
-			need := int(math.Ceil(zone.Demand-roundingSlack)) + zone.LargestRack
-			sizes[i] = min(need, zone.Limit)
+// spreadRacks leaves enough after the loss of the largest rack of any zone.
+func spreadRacks(zones []ZoneDemand, total float64) []int {
+	rack := 0
+	for _, zone := range zones {
+		rack = max(rack, zone.LargestRack)
+	}
+	left := func(sizes []int) int {
+		sum := 0
+		for _, size := range sizes {
+			sum += size
 		}
+		return sum - rack
 	}
-	return sizes
+	want := wholeInstances(total)
+	if want == 0 {
+		return make([]int, len(zones))
+	}
+	return trim(raise(zones, want, left), zones, want, left)
 }
--- /dev/null
+++ b/policy/maintenance/driver_test.go
@@ -0,0 +1,243 @@
+package maintenance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/policy/budget"
+)
+
+// fleetShape is a fleet whose instances fail at the target's daily rates.
+type fleetShape struct {
+	name                              string
+	instances, zones, pools, rackSize int
+}
+
+var (
+	agrisportello = fleetShape{"agrisportello", 100, 4, 5, 4}
+	magnolia      = fleetShape{"magnolia", 100, 3, 5, 4}
+	target        = fleetShape{"target", 6400, 13, 28, 8}
+)
+
+const (
+	driverStep    = 30 * time.Minute
+	driverPeriods = 2
+	// Rates of one instance, a day, at the target: 25 fail and 740 restart of 6,400.
+	failureRate = 25.0 / 6400
+	restartRate = 740.0 / 6400
+	repairTime  = 4 * time.Hour
+	// A rack is lost every rackLoss, and one zone zoneLoss after the start.
+	rackLoss    = 45 * 24 * time.Hour
+	zoneLoss    = 30 * 24 * time.Hour
+	zoneLossFor = 3 * time.Hour
+	budgetShare = 10 // percent of a pool
+)
+
+// run is a fleet under maintenance in virtual time.
+type run struct {
+	shape     fleetShape
+	instances []Instance
+	until     []time.Time // when an instance that is out comes back
+	random    *rand.Rand
+	now       time.Time
+	// results
+	firstRound time.Time // when each instance had been maintained once
+	gap        time.Duration
+	breaches   int // voluntary starts that the budget did not allow
+	starts     int
+	outages    int
+}
+
+func newRun(shape fleetShape) *run {
+	r := &run{shape: shape, random: rand.New(rand.NewPCG(3, 3)), now: now}
+	for i := range shape.instances {
+		place := i / shape.zones
+		r.instances = append(r.instances, Instance{
+			ID: fleet.InstanceID(fmt.Sprintf("i%04d", i)), Zone: fleet.AvailabilityZone(fmt.Sprintf("z%02d", i%shape.zones)),
+			Rack: fmt.Sprintf("r%03d", place/shape.rackSize), Pool: fmt.Sprint("p", place%shape.pools),
+			State: fleet.StateServing, Since: now,
+		})
+	}
+	r.until = make([]time.Time, shape.instances)
+	return r
+}
+
+func (r *run) out(i int, state fleet.State, d time.Duration) {
+	r.instances[i].State, r.instances[i].Since, r.until[i] = state, r.now, r.now.Add(d)
+	r.instances[i].InMaintenance = state == fleet.StateMaintenance
+}
+
+// fail plays failures, restarts, and losses of racks and a zone.
+func (r *run) fail() {
+	part := float64(driverStep) / float64(24*time.Hour)
+	elapsed := r.now.Sub(now)
+	rackLost := elapsed > 0 && elapsed%rackLoss == 0
+	rack := r.instances[r.random.IntN(len(r.instances))]
+	for i := range r.instances {
+		if r.instances[i].State != fleet.StateServing {
+			continue
+		}
+		switch {
+		case elapsed == zoneLoss && r.instances[i].Zone == "z00":
+			r.out(i, fleet.StateFailed, zoneLossFor)
+		case rackLost && r.instances[i].Zone == rack.Zone && r.instances[i].Rack == rack.Rack:
+			r.out(i, fleet.StateFailed, repairTime)
+		case r.random.Float64() < failureRate*part:
+			r.out(i, fleet.StateFailed, repairTime)
+		case r.random.Float64() < restartRate*part:
+			r.out(i, fleet.StateFailed, driverStep)
+		default:
+			continue
+		}
+		r.outages++
+	}
+}
+
+func (r *run) recover() {
+	for i := range r.instances {
+		instance := &r.instances[i]
+		if instance.State == fleet.StateServing || r.now.Before(r.until[i]) {
+			continue
+		}
+		if instance.InMaintenance {
+			last := instance.LastMaintained
+			if last.IsZero() {
+				last = now
+			}
+			r.gap = max(r.gap, r.now.Sub(last))
+			instance.LastMaintained = r.now
+		}
+		instance.State, instance.InMaintenance, instance.Since = fleet.StateServing, false, r.now
+	}
+}
+
+// left returns the budget left of each pool.
+func (r *run) left() map[string]int {
+	size, out := make(map[string]int), make(map[string]int)
+	for _, instance := range r.instances {
+		size[instance.Pool]++
+		if instance.State != fleet.StateServing {
+			out[instance.Pool]++
+		}
+	}
+	share := object.Budget{MaxUnavailable: &object.Amount{Value: budgetShare, Percent: true}}
+	for pool := range size {
+		out[pool] = budget.Limit(share, size[pool]) - out[pool]
+	}
+	return out
+}
+
+func (r *run) start(ids []fleet.InstanceID, left map[string]int) {
+	byID := make(map[fleet.InstanceID]int, len(r.instances))
+	for i, instance := range r.instances {
+		byID[instance.ID] = i
+	}
+	for _, id := range ids {
+		i := byID[id]
+		left[r.instances[i].Pool]--
+		if left[r.instances[i].Pool] < 0 {
+			r.breaches++
+		}
+		r.starts++
+		r.out(i, fleet.StateMaintenance, time.Duration(plan.Duration))
+	}
+}
+
+// waves decides by the policy, for the zone whose turn it is.
+func waves(r *run, left map[string]int) []fleet.InstanceID {
+	in := Input{Now: r.now, Plan: plan, Instances: r.instances, BudgetLeft: left, Failures: DefaultFailureLimits()}
+	in.Zone = newWave(in).turn
+	return started(Decide(in))
+}
+
+// oneAtATime maintains the instances in order, one after the other.
+func oneAtATime(r *run, _ map[string]int) []fleet.InstanceID {
+	next := -1
+	for i, instance := range r.instances {
+		if instance.InMaintenance {
+			return nil
+		}
+		due := !dueAt(instance, plan).After(r.now) && instance.State == fleet.StateServing
+		if due && (next < 0 || instance.LastMaintained.Before(r.instances[next].LastMaintained)) {
+			next = i
+		}
+	}
+	if next < 0 {
+		return nil
+	}
+	return []fleet.InstanceID{r.instances[next].ID}
+}
+
+func (r *run) play(decide func(*run, map[string]int) []fleet.InstanceID) {
+	for end := now.Add(driverPeriods * time.Duration(plan.Period)); r.now.Before(end); r.now = r.now.Add(driverStep) {
+		r.recover()
+		r.fail()
+		left := r.left()
+		r.start(decide(r, left), left)
+		if r.firstRound.IsZero() && r.allMaintained() {
+			r.firstRound = r.now
+		}
+	}
+	for _, instance := range r.instances {
+		last := instance.LastMaintained
+		if last.IsZero() {
+			last = now
+		}
+		r.gap = max(r.gap, r.now.Sub(last))
+	}
+}
+
+func (r *run) allMaintained() bool {
+	for _, instance := range r.instances {
+		if instance.LastMaintained.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+// BenchmarkFleetMaintenance prints how long a round takes, the longest time between
+// two maintenances of one instance, and how often a start broke a budget.
+func BenchmarkFleetMaintenance(b *testing.B) {
+	policies := []struct {
+		name   string
+		decide func(*run, map[string]int) []fleet.InstanceID
+	}{{"waves", waves}, {"one-at-a-time", oneAtATime}}
+	for _, shape := range []fleetShape{agrisportello, magnolia, target} {
+		for _, policy := range policies {
+			b.Run(shape.name+"/"+policy.name, func(b *testing.B) {
+				r := newRun(shape)
+				r.play(policy.decide)
+				round := -1.0 // not finished
+				if !r.firstRound.IsZero() {
+					round = r.firstRound.Sub(now).Hours() / 24
+				}
+				b.ReportMetric(round, "days/first-round")
+				b.ReportMetric(r.gap.Hours()/24, "days/longest-gap")
+				b.ReportMetric(float64(r.breaches), "breaches")
+				b.ReportMetric(float64(r.starts), "starts")
+				b.ReportMetric(float64(r.outages), "failures")
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
+
+// TestEveryInstanceIsMaintainedOncePerPeriod plays both deployments and a part of
+// the target with daily failures and lost racks and zones.
+func TestEveryInstanceIsMaintainedOncePerPeriod(t *testing.T) {
+	part := target
+	part.instances, part.zones = part.instances/16, 4
+	for _, shape := range []fleetShape{agrisportello, magnolia, part} {
+		r := newRun(shape)
+		r.play(waves)
+		assert.Assert(t, r.gap <= time.Duration(plan.Period), "%s: %v between two maintenances", shape.name, r.gap)
+		assert.Equal(t, r.breaches, 0, shape.name)
+	}
+}
