Merge fleet's measurements; estimate the demand of other zones

Cause: sizes now rest on the demand of all availability zones together, but the composition told only its own zone's. Change: a zone's demand is taken from the entry instances there that tell their load, scaled to those that do not.

--- a/entry/node/demand.go
+++ b/entry/node/demand.go
@@ -2,23 +2,24 @@
 
 import (
 	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/mesh"
 	"github.com/tarragonreach/tarragonreach/policy/routing"
 )
 
 // demand tells the fleet's controllers how much of a pool the request path uses in
-// this availability zone.
+// each availability zone.
 type demand struct {
 	parts
 }
 
-// Demand returns the load of the services of a pool in busy instances, from this
-// entry instance and its peers in the zone. It is known only for pools that serve
-// requests and for this zone.
+// Demand returns the load of the services of a pool in busy instances. It is known
+// only for pools that serve requests, and for zones of which some entry instance
+// tells its load.
 func (d demand) Demand(pool string, zone fleet.AvailabilityZone) (float64, bool) {
-	if zone != d.Options.Settings.Instance.Zone {
+	loads, share := d.loads(zone)
+	if len(loads) == 0 {
 		return 0, false
 	}
-	loads := d.loads()
 	total, known := 0.0, false
 	for name, service := range d.Follower.Current().Services {
 		if service.Spec.Pool != pool || service.Spec.Slots <= 0 {
@@ -27,17 +28,33 @@
 		known = true
 		total += float64(slotsOf(name, loads)) / float64(service.Spec.Slots)
 	}
-	return total, known
+	return total / share, known
 }
 
-func (d demand) loads() []routing.PeerLoad {
-	loads := []routing.PeerLoad{*d.OwnLoad.Load()}
-	for _, m := range d.Peers.members() {
-		if m.Reachable && m.Zone == d.Options.Settings.Instance.Zone {
+// loads returns the loads that are known of a zone, and the share of the zone's
+// entry instances that they stand for. Instances of other zones tell their load
+// only where a link leads to them; the balancer loads the rest alike.
+func (d demand) loads(zone fleet.AvailabilityZone) ([]routing.PeerLoad, float64) {
+	return zoneLoads(zone, d.Options.Settings.Instance.Zone, *d.OwnLoad.Load(), d.Peers.members())
+}
+
+func zoneLoads(zone, own fleet.AvailabilityZone, ownLoad routing.PeerLoad, members []mesh.Member) ([]routing.PeerLoad, float64) {
+	var loads []routing.PeerLoad
+	present := 0
+	if zone == own {
+		loads = append(loads, ownLoad)
+		present++
+	}
+	for _, m := range members {
+		if !m.Reachable || m.Zone != zone {
+			continue
+		}
+		present++
+		if m.Summary != nil {
 			loads = append(loads, routing.PeerLoad{Peer: string(m.ID), Services: summaryOf(m).Services})
 		}
 	}
-	return loads
+	return loads, float64(len(loads)) / float64(max(present, 1))
 }
 
 func slotsOf(service string, loads []routing.PeerLoad) int {
