Bound the life of silent connections by five seconds in each case

Cause: a request that may not be repeated could stay on a silent connection for 5.1 s before its probe ended; the benchmark counted calls cut at its end as refused. Conclusion: the bound of 5 s holds by the defaults.

--- a/entry/backend/overdue.go
+++ b/entry/backend/overdue.go
@@ -12,7 +12,7 @@
 	overdueFactor = 4
 	// cautionFactor lengthens that for a request that may not be repeated, as
 	// long as no other connection to the executor was found silent lately.
-	cautionFactor = 4
+	cautionFactor = 3
 	// corroborationWindow is how long a silent connection counts against the others.
 	corroborationWindow = 5 * time.Second
 	// slowestDecay is the part by which each faster answer lowers the slowest one.
