--- a/entry/jobctl/follow.go
+++ b/entry/jobctl/follow.go
@@ -9,6 +9,7 @@
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/platform"
 	"github.com/tarragonreach/tarragonreach/policy/attribution"
+	"github.com/tarragonreach/tarragonreach/policy/estimate"
 	"github.com/tarragonreach/tarragonreach/policy/tasks"
 )
 
@@ -67,6 +68,10 @@
 			Failed: change.Ended == tasks.EndedFailed, At: r.now,
 		})
 	}
+	if change.Ended == tasks.EndedFailed && job.spec != nil {
+		r.estimator.ObserveFailure(estimate.JobKey{Tenant: job.spec.Tenant, Job: job.name}, job.spec.Declared,
+			r.workers[change.Task.Worker].Capacity, r.now)
+	}
 	if change.Ended == tasks.EndedFailed || change.Ended == tasks.EndedLost {
 		r.record(explain.Job(job.name), explain.ActionRetryTask, explain.Applied, explain.ReasonTaskEnded,
 			string(change.Task.ID)+" on "+string(change.Task.Worker)+": "+string(change.Ended)+" "+change.Failure)
--- a/policy/placement/driver_test.go
+++ b/policy/placement/driver_test.go
@@ -78,16 +78,6 @@
 	r.worker, r.waitFrom, r.done = -1, from, r.saved
 }
 
-func (w *world) running(worker int) []*real {
-	var out []*real
-	for _, r := range w.tasks {
-		if r.worker == worker && r.ended == 0 {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
 // advance runs all workers for a step: processors are shared, memory is not.
 func (w *world) advance(now time.Duration) {
 	byWorker := make([][]*real, w.workers)
