Keep the state of executors that leave routing and come back

Cause: an executor that left the list for a moment came back as new: its requests in flight were forgotten, so it was overrun, and its ejection ended. Change: state worth keeping is kept until requests have ended and the ejection is long over; a test runs failures, cancellations and changes of members at once.

--- a/entry/dispatch/members.go
+++ b/entry/dispatch/members.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -20,24 +21,24 @@
 	Connections int // connections that this entry instance may open
 }
 
-// SetMembers replaces the executors in routing. Live state is kept for those
-// that stay; a new one begins in slow start unless all are new.
+// SetMembers replaces the executors in routing. Live state is kept for those that
+// stay, and for those that left with requests in flight or not healthy and come
+// back; a new one begins in slow start unless all are new. Calls must not overlap.
 func (s *Service) SetMembers(endpoints []Endpoint, queueLimit int, now time.Time) {
-	known := map[fleet.InstanceID]*Executor{}
-	for _, e := range s.members.Load().all {
-		known[e.ID] = e
-	}
+	known := s.knownExecutors()
+	slowStart := len(s.members.Load().all) > 0
 	next := &members{}
 	for _, endpoint := range endpoints {
 		e := known[endpoint.ID]
 		if e == nil || e.Address != endpoint.Address {
-			e = newExecutor(endpoint, len(known) > 0, now)
+			e = newExecutor(endpoint, slowStart, now)
 		}
 		delete(known, endpoint.ID)
 		e.setShare(endpoint.Share, now)
 		next.add(e, s.zone)
 	}
 	s.members.Store(next)
+	s.retire(known, now)
 	s.mu.Lock()
 	if queueLimit <= 0 {
 		queueLimit = DefaultQueueLimit
@@ -47,6 +48,33 @@
 	s.Tick(now)
 }
 
+// knownExecutors returns those in routing and the retired ones.
+func (s *Service) knownExecutors() map[fleet.InstanceID]*Executor {
+	known := maps.Clone(s.retired)
+	if known == nil {
+		known = map[fleet.InstanceID]*Executor{}
+	}
+	for _, e := range s.members.Load().all {
+		known[e.ID] = e
+	}
+	return known
+}
+
+// retire remembers the executors that left with state worth keeping.
+func (s *Service) retire(left map[fleet.InstanceID]*Executor, now time.Time) {
+	maps.DeleteFunc(left, func(_ fleet.InstanceID, e *Executor) bool {
+		return e.InFlight() == 0 && e.forgivenBy(now, s.settings.Health.MaxEjection)
+	})
+	s.retired = left
+}
+
+// forgivenBy reports whether an executor out of routing would be healthy by now.
+func (e *Executor) forgivenBy(now time.Time, longest time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.member.State == health.Healthy || now.Sub(e.member.Until) > longest
+}
+
 func (m *members) add(e *Executor, zone fleet.AvailabilityZone) {
 	m.all = append(m.all, e)
 	if e.Zone == zone {
--- a/entry/dispatch/service.go
+++ b/entry/dispatch/service.go
@@ -48,6 +48,9 @@
 	capacity atomic.Int64 // slots of usable executors
 	unproved atomic.Int64 // executors on probation
 
+	// retired are executors out of routing whose state is kept; SetMembers alone uses it.
+	retired map[fleet.InstanceID]*Executor
+
 	mu      sync.Mutex
 	queue   *admission.Queue[*Waiter]
 	retries []*Waiter // oldest first
--- a/entry/dispatch/service_test.go
+++ b/entry/dispatch/service_test.go
@@ -160,3 +160,83 @@
 	}
 	assert.DeepEqual(t, order, []string{"near", "near", "far", "far"})
 }
+
+// TestNothingLeaksWhileExecutorsFailAndChange runs requests, cancellations, failures,
+// ticks and changes of members at once.
+func TestNothingLeaksWhileExecutorsFailAndChange(t *testing.T) {
+	s := newTestService(endpoint("a", 2), endpoint("b", 2), endpoint("c", 2))
+	done := make(chan struct{})
+	var upkeep, callers sync.WaitGroup
+	upkeep.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-done:
+				return
+			default:
+			}
+			members := []Endpoint{endpoint("a", 1+i%3), endpoint("b", 2)}
+			if i%2 == 0 {
+				members = append(members, endpoint("c", 2))
+			}
+			s.SetMembers(members, 10, epoch.Add(time.Duration(i)*time.Second))
+		}
+	})
+	for i := range 16 {
+		callers.Go(func() {
+			for n := range 200 {
+				churn(s, Outcome((i+n)%4), n%5 == 0)
+			}
+		})
+	}
+	callers.Wait()
+	close(done)
+	upkeep.Wait()
+	assert.Equal(t, s.Waiting(), 0)
+	assert.Equal(t, len(s.retries), 0)
+	for _, e := range s.Executors() {
+		assert.Equal(t, e.InFlight(), 0, "%s", e.ID)
+	}
+}
+
+// churn asks once, perhaps cancels, and gives the slot back with the outcome.
+func churn(s *Service, outcome Outcome, cancels bool) {
+	grants := make(chan Grant, 1)
+	w := &Waiter{Request: Request{Class: "c", Deadline: epoch.Add(24 * time.Hour), Repeatable: true}}
+	w.Deliver = func(g Grant) { grants <- g }
+	grant, queued := s.Acquire(w, epoch)
+	if queued {
+		if cancels && s.Cancel(w) {
+			return
+		}
+		grant = <-grants
+	}
+	if grant.Executor != nil {
+		s.Release(grant.Executor, "c", outcome, time.Microsecond, epoch)
+	}
+}
+
+func TestExecutorThatComesBackKeepsItsState(t *testing.T) {
+	s := newTestService(endpoint("a", 1), endpoint("b", 1))
+	a := ask(s, 0).Executor
+	other := "a"
+	if a.ID == "a" {
+		other = "b"
+	}
+	s.SetMembers([]Endpoint{endpoint(other, 1)}, 0, epoch)
+	s.SetMembers([]Endpoint{endpoint("a", 1), endpoint("b", 1)}, 0, epoch)
+	assert.Equal(t, s.InFlight(), 1, "its request still counts")
+	s.Release(a, "c", Succeeded, time.Millisecond, epoch)
+	assert.Equal(t, s.InFlight(), 0)
+	s.SetMembers([]Endpoint{endpoint(other, 1)}, 0, epoch)
+	assert.Equal(t, len(s.retired), 0, "nothing is kept of an idle, healthy one")
+	b := s.Executors()[0]
+	b.inFlight.Add(5)
+	s.SetMembers([]Endpoint{endpoint("a", 1), endpoint("b", 1)}, 0, epoch)
+	for range 5 {
+		s.Release(b, "c", Failed, 0, epoch)
+	}
+	s.SetMembers(nil, 0, epoch)
+	assert.Equal(t, s.retired[b.ID], b, "an ejected one is remembered")
+	s.SetMembers(nil, 0, epoch.Add(time.Minute))
+	assert.Equal(t, len(s.retired), 0, "but not for ever")
+}
