--- a/entry/backend/faults_test.go
+++ b/entry/backend/faults_test.go
@@ -65,7 +65,7 @@
 	server.SetFault(standin.None)
 	server.CutConnections()
 	last := request(http.MethodPost, "last")
-	last.Fresh = true // the client may not have seen the end of the others yet
+	last.Fresh = true // a pooled connection may be cut without the transport knowing yet
 	_, err := transport.Send(t.Context(), target, last)
 	assert.NilError(t, err)
 }
--- a/entry/config/log.go
+++ b/entry/config/log.go
@@ -43,6 +43,9 @@
 	follower *Follower
 	options  LogOptions
 	logger   *slog.Logger
+	// kept and compactEvery are logKept and compactEvery, smaller in tests.
+	kept         object.Revision
+	compactEvery object.Revision
 }
 
 // NewLog returns a log that shares what it reads and writes with the follower.
@@ -50,21 +53,24 @@
 	if options.Logger == nil {
 		options.Logger = slog.New(slog.DiscardHandler)
 	}
-	return &Log{store: store, follower: follower, options: options, logger: options.Logger}
+	return &Log{
+		store: store, follower: follower, options: options, logger: options.Logger,
+		kept: logKept, compactEvery: compactEvery,
+	}
 }
 
 // Accept validates the change and accepts it as the next revision, which it
-// returns. The call is idempotent by the change's ID.
+// returns. The call is idempotent by the change's ID. The log sets the change's time.
 //
 // A change that was refused gives an *object.Conflict, an object.Invalid, or a
 // *verdict.Error with NotRun. Where the outcome is unknown it gives a
 // *verdict.Error with MayHaveRun; the same change may then be sent again.
 func (l *Log) Accept(ctx context.Context, change object.Change) (object.Revision, error) {
+	if len(change.Touched()) == 0 {
+		return 0, object.Invalid{{Problem: "the change is empty"}}
+	}
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	if change.At.IsZero() {
-		change.At = time.Now().UTC()
-	}
 	for range maxRaces {
 		revision, err := l.acceptOnce(ctx, change)
 		if errors.Is(err, errOvertaken) {
@@ -95,6 +101,7 @@
 	if _, err := l.check(held, change); err != nil {
 		return 0, err
 	}
+	change.At = time.Now().UTC()
 	record, err := newRecord(change, held.revision()+1)
 	if err != nil {
 		return 0, notRun("the change cannot be encoded", err)
@@ -196,7 +203,7 @@
 // been compacted, as by a process paused since it read the log. The log keeps its
 // last entries, so this cannot be where the store saw fewer writes since then.
 func (l *Log) confirm(ctx context.Context, record Record, created, read platform.Revision) error {
-	if created-read <= logKept {
+	if created-read <= platform.Revision(l.kept) {
 		return nil
 	}
 	entry, err := l.store.Get(ctx, snapshotKey)
--- a/entry/directory/build.go
+++ b/entry/directory/build.go
@@ -18,7 +18,7 @@
 	config    *object.Config
 	instances []fleet.Instance
 	records   map[fleet.InstanceID]fleet.Record
-	notices   map[fleet.InstanceID]time.Time // when each notice ends
+	notices   map[fleet.InstanceID]notice
 }
 
 // build merges the inputs into a snapshot.
@@ -45,16 +45,21 @@
 		return service // Validation refuses such a selector; no endpoint is the safe reading.
 	}
 	for _, instance := range in.instances {
-		if in.exclusion(instance, spec, selector, now) != Included {
-			continue
-		}
 		endpoint := Endpoint{ID: instance.ID, Address: instance.Address, Zone: instance.Zone}
-		service.Endpoints = append(service.Endpoints, endpoint)
+		switch in.exclusion(instance, spec, selector, now) {
+		case Included:
+			service.Endpoints = append(service.Endpoints, endpoint)
+		case OwnNotice:
+			service.Noticed = append(service.Noticed, endpoint)
+		}
 	}
-	slices.SortFunc(service.Endpoints, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(service.Endpoints, byID)
+	slices.SortFunc(service.Noticed, byID)
 	return service
 }
 
+func byID(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) }
+
 func selectorOf(spec object.Service) (label.Selector, error) {
 	if spec.Selector == "" {
 		return label.Parse(defaultSelectorKey + "=" + spec.Name)
@@ -74,16 +79,24 @@
 	if instance.Leaving {
 		return PlatformLeaving
 	}
-	if now.Before(in.notices[instance.ID]) {
-		return OwnNotice
+	if recorded {
+		if reason := recordExclusion(record, spec); reason != Included {
+			return reason
+		}
 	}
-	if !recorded {
-		return Included
+	if now.Before(in.notices[instance.ID].until) {
+		return OwnNotice
 	}
+	return Included
+}
+
+// recordExclusion judges by the fleet record. A released instance is in no pool;
+// it serves only where the service asks for none.
+func recordExclusion(record fleet.Record, spec object.Service) Exclusion {
 	if spec.Pool != "" && record.State != fleet.StateReleased && record.Pool != spec.Pool {
 		return OtherPool
 	}
-	if record.State != fleet.StateServing && !(record.State == fleet.StateReleased && spec.Pool == "") {
+	if !takesWork(record.State) && !(record.State == fleet.StateReleased && spec.Pool == "") {
 		return Drained
 	}
 	return Included
@@ -106,3 +119,10 @@
 	}
 	return labels
 }
+
+// takesWork reports whether an instance of a pool is routed to. A failed one is, as
+// long as the platform lists it: the request path itself ejects it and finds out
+// when it has healed.
+func takesWork(state fleet.State) bool {
+	return state == fleet.StateServing || state == fleet.StateFailed
+}
--- a/mesh/engine/engine.go
+++ b/mesh/engine/engine.go
@@ -9,13 +9,13 @@
 package engine
 
 import (
+	"bytes"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/mesh/replica"
-	"github.com/tarragonreach/tarragonreach/mesh/topology"
 	"github.com/tarragonreach/tarragonreach/mesh/wire"
 )
 
@@ -62,6 +62,9 @@
 	DialMin, DialMax time.Duration
 	// Probe is about the time between attempts to reach unreachable members and seeds.
 	Probe time.Duration
+	// Bridge is the time for which a link off the topology is kept at least where
+	// it was the only way to its peer.
+	Bridge time.Duration
 	// Pull is the time after which an unanswered pull is repeated elsewhere.
 	Pull time.Duration
 	// Forget is the time after which an unreachable member is forgotten.
@@ -77,6 +80,7 @@
 		DialMin:   250 * time.Millisecond,
 		DialMax:   30 * time.Second,
 		Probe:     4 * time.Second,
+		Bridge:    30 * time.Second,
 		Pull:      time.Second,
 		Forget:    10 * time.Minute,
 	}
@@ -106,6 +110,8 @@
 	summaryVersion uint32
 	nextProbe      time.Time
 	recordDirty    bool
+	chosenAt       uint64 // changes of the members at the last choice of links
+	ticked         time.Time
 	actions        []Action
 }
 
@@ -130,13 +136,18 @@
 
 // SetSummary replaces the load summary that heartbeats carry.
 func (e *Engine) SetSummary(summary []byte) {
+	if bytes.Equal(summary, e.summary) {
+		return
+	}
 	e.summary = slices.Clone(summary)
 	e.summaryVersion++
 }
 
 // Tick advances the timers. The owner calls it a few times per heartbeat.
 func (e *Engine) Tick(now time.Time) []Action {
+	e.ticked = now
 	e.closeSilent(now)
+	e.releaseBridges(now)
 	e.publish(now)
 	e.members.forget(e.timing.Forget, now)
 	e.chooseLinks()
@@ -167,7 +178,10 @@
 			continue
 		}
 		entry := e.members.entries[record.ID]
-		member := Member{Record: record, Reachable: entry.reachable, LastHeard: entry.reachableAt}
+		member := Member{Record: record, Reachable: entry.reachable, LastHeard: entry.lostAt}
+		if entry.reachable {
+			member.LastHeard = e.ticked
+		}
 		if l := e.links[record.ID]; l != nil && l.up {
 			member.LastHeard = l.lastHeard
 			member.Summary = l.summary
@@ -177,6 +191,11 @@
 	return members
 }
 
+func (e *Engine) isReachable(id fleet.InstanceID) bool {
+	entry := e.members.entries[id]
+	return entry != nil && entry.reachable
+}
+
 // AddressOf returns the address that a member publishes.
 func (e *Engine) AddressOf(id fleet.InstanceID) (address string, known bool) {
 	entry := e.members.entries[id]
@@ -186,81 +205,6 @@
 	return entry.record.Address, true
 }
 
-// chooseLinks computes the wanted peers: those of the topology over all members
-// known, and those of the topology over the reachable ones, which closes the
-// ring of zones while some are cut off.
-func (e *Engine) chooseLinks() {
-	clear(e.wanted)
-	for _, records := range [][]wire.Record{e.members.present(), e.members.reachable()} {
-		for _, id := range topology.Peers(e.members.self, topologyMembers(records)) {
-			e.wanted[id] = true
-		}
-	}
-}
-
-func topologyMembers(records []wire.Record) []topology.Member {
-	members := make([]topology.Member, len(records))
-	for i, record := range records {
-		members[i] = topology.Member{ID: record.ID, Zone: record.Zone}
-	}
-	return members
-}
-
-// publish renews the instance's own record if the peers it hears have changed.
-func (e *Engine) publish(now time.Time) {
-	own := &e.members.entries[e.members.self].record
-	heard := e.heardPeers(now)
-	if !e.recordDirty && slices.Equal(heard, own.Heard) {
-		return
-	}
-	e.recordDirty = false
-	own.Heard = heard
-	own.Sequence++
-	e.refreshReachable(now)
-	e.sendRecords([]wire.Record{*own}, "", now)
-}
-
-func (e *Engine) refreshReachable(now time.Time) {
-	heard := make(map[fleet.InstanceID]bool)
-	for _, id := range e.heardPeers(now) {
-		heard[id] = true
-	}
-	for _, address := range e.members.updateReachable(heard, now) {
-		e.forgetFailures(address)
-	}
-}
-
-// sendRecords passes records to all links but their source. Records that came
-// from the own zone are not sent there again, since it is fully meshed.
-func (e *Engine) sendRecords(records []wire.Record, source fleet.InstanceID, now time.Time) {
-	if len(records) == 0 {
-		return
-	}
-	for _, l := range e.sortedLinks() {
-		if l.peer == source || !e.active(l, now) || e.coveredBySource(l, source) {
-			continue
-		}
-		e.send(l.peer, &wire.Members{Records: records})
-	}
-}
-
-// coveredBySource reports whether the source sends to the link's peer by itself.
-func (e *Engine) coveredBySource(l *link, source fleet.InstanceID) bool {
-	if source == "" {
-		return false
-	}
-	own := e.members.own().Zone
-	return e.zone(source) == own && e.zone(l.peer) == own
-}
-
-func (e *Engine) zone(id fleet.InstanceID) fleet.AvailabilityZone {
-	entry := e.members.entries[id]
-	if entry == nil {
-		return ""
-	}
-	return entry.record.Zone
-}
-
 func (e *Engine) send(to fleet.InstanceID, message wire.Message) {
 	e.actions = append(e.actions, Send{To: to, Message: message})
 }
--- a/mesh/engine/link.go
+++ b/mesh/engine/link.go
@@ -10,6 +10,10 @@
 	"github.com/tarragonreach/tarragonreach/mesh/wire"
 )
 
+// farSummaryBeats is the number of heartbeats between two summaries for a peer of
+// another availability zone.
+const farSummaryBeats = 5
+
 // unconfirmedBeats is the number of heartbeats per period on a new connection.
 const unconfirmedBeats = 8
 
@@ -32,9 +36,13 @@
 	offered map[replica.Stream]int64
 	streams comparison
 	members comparison
+	// bridgeUntil is set where the link is off the topology but was the only way
+	// to the peer; it is kept at least until then.
+	bridgeUntil time.Time
 	// summary is the peer's load summary of summaryVersion.
 	summary        []byte
 	summaryVersion uint32
+	nextSummary    time.Time
 	// summaryHeld is the own summary version that the peer holds.
 	summaryHeld uint32
 }
@@ -44,13 +52,17 @@
 	if dialed {
 		e.dialDone(address, peer, now)
 	}
-	e.links[peer] = &link{
+	l := &link{
 		peer:      peer,
 		dialed:    dialed,
 		address:   address,
 		lastHeard: now,
 		offered:   make(map[replica.Stream]int64),
 	}
+	if dialed && !e.isReachable(peer) {
+		l.bridgeUntil = now.Add(e.timing.Bridge)
+	}
+	e.links[peer] = l
 	e.send(peer, &wire.Hello{Record: e.members.own()})
 	return e.take()
 }
@@ -69,7 +81,7 @@
 		return nil
 	}
 	l.suspectUntil = now.Add(e.timing.Suspicion)
-	e.sendHeartbeat(l, false)
+	e.sendHeartbeat(l, false, now)
 	return e.take()
 }
 
@@ -135,22 +147,42 @@
 	}
 }
 
+// wants reports whether this side keeps the link up.
+func (e *Engine) wants(l *link) bool {
+	return e.wanted[l.peer] || !l.bridgeUntil.IsZero()
+}
+
+// releaseBridges ends the keeping of bridges whose peer is reachable without them.
+func (e *Engine) releaseBridges(now time.Time) {
+	for _, l := range e.links {
+		if l.bridgeUntil.IsZero() || now.Before(l.bridgeUntil) {
+			continue
+		}
+		others := slices.DeleteFunc(e.heardPeers(now), func(id fleet.InstanceID) bool { return id == l.peer })
+		if e.members.search(others)[l.peer] {
+			l.bridgeUntil = time.Time{}
+			continue
+		}
+		l.bridgeUntil = now.Add(e.timing.Bridge)
+	}
+}
+
 func (e *Engine) silent(l *link, now time.Time) bool {
 	if !l.suspectUntil.IsZero() && now.After(l.suspectUntil) {
 		return true
 	}
-	return e.wanted[l.peer] && now.Sub(l.lastHeard) > e.timing.Silence
+	return e.wants(l) && now.Sub(l.lastHeard) > e.timing.Silence
 }
 
 // beat sends heartbeats on the wanted links that this side opened.
 func (e *Engine) beat(now time.Time) {
 	for _, l := range e.sortedLinks() {
-		if !l.up || !l.dialed || !e.wanted[l.peer] || now.Before(l.nextBeat) {
+		if !l.up || !l.dialed || !e.wants(l) || now.Before(l.nextBeat) {
 			continue
 		}
 		l.nextBeat = now.Add(e.beatPeriod(l))
 		l.sequence++
-		e.sendHeartbeat(l, false)
+		e.sendHeartbeat(l, false, now)
 	}
 }
 
@@ -163,7 +195,7 @@
 	return e.timing.Heartbeat / unconfirmedBeats
 }
 
-func (e *Engine) sendHeartbeat(l *link, reply bool) {
+func (e *Engine) sendHeartbeat(l *link, reply bool, now time.Time) {
 	heartbeat := &wire.Heartbeat{
 		Sequence:       l.sequence,
 		Reply:          reply,
@@ -172,8 +204,24 @@
 		SummaryVersion: e.summaryVersion,
 		SummaryHeld:    l.summaryVersion,
 	}
-	if l.summaryHeld != e.summaryVersion {
+	if e.summaryDue(l, now) {
 		heartbeat.Summary = e.summary
 	}
 	e.send(l.peer, heartbeat)
 }
+
+// summaryDue reports whether the peer lacks the newest summary and may get it
+// now: in the own zone at once, in another one after some heartbeats.
+func (e *Engine) summaryDue(l *link, now time.Time) bool {
+	if l.summaryHeld == e.summaryVersion {
+		return false
+	}
+	if e.zone(l.peer) == e.members.own().Zone {
+		return true
+	}
+	if now.Before(l.nextSummary) {
+		return false
+	}
+	l.nextSummary = now.Add(farSummaryBeats * e.timing.Heartbeat)
+	return true
+}
--- a/mesh/engine/receive.go
+++ b/mesh/engine/receive.go
@@ -64,7 +64,7 @@
 	l.summaryHeld = heartbeat.SummaryHeld
 	if !heartbeat.Reply {
 		l.sequence = max(heartbeat.Sequence, 1)
-		e.sendHeartbeat(l, true)
+		e.sendHeartbeat(l, true, now)
 	}
 	e.refreshReachable(now)
 	e.compareMembers(l, heartbeat.MemberHash, now)
@@ -107,11 +107,12 @@
 
 // outlive makes the own record newer than one of an earlier run of the process.
 func (e *Engine) outlive(record wire.Record) {
-	own := &e.members.entries[e.members.self].record
-	if !record.NewerThan(*own) {
+	own := e.members.own()
+	if !record.NewerThan(own) {
 		return
 	}
 	own.Incarnation = record.Incarnation + 1
+	e.members.setOwn(own)
 	e.recordDirty = true
 }
 
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -21,8 +21,8 @@
 	ticksPerHeartbeat = 10
 	// mergeTimeout bounds the work of a replica on one message.
 	mergeTimeout = 10 * time.Second
-	// farewellTime is the time that the last messages have to leave the machine.
-	farewellTime = 100 * time.Millisecond
+	// leaveTime is the time that the last messages have to leave the machine.
+	leaveTime = 100 * time.Millisecond
 )
 
 // ErrStopped says that the Node has shut down.
@@ -34,13 +34,16 @@
 	transport *quic.Transport
 	listener  *quic.Listener
 	address   string
+	localIP   net.IP
+	running   context.Context // ends when the node stops
+	end       context.CancelFunc
 	traffic   *traffic
+	packets   counter
 	budget    *budget
 	handlers  sync.Map // method name to Handler
 	members   atomic.Pointer[[]Member]
 	summary   atomic.Pointer[[]byte]
 	changed   chan struct{}
-	stopped   chan struct{}
 	work      sync.WaitGroup
 
 	mu     sync.Mutex // guards the engine, the connections and the dials
@@ -58,37 +61,51 @@
 	if err != nil {
 		return nil, fmt.Errorf("mesh address %q: %w", options.Listen, err)
 	}
-	socket, err := net.ListenUDP("udp", local)
+	running, end := context.WithCancel(context.Background())
+	n := &Node{
+		options: options,
+		localIP: local.IP,
+		running: running,
+		end:     end,
+		traffic: newTraffic(options.Metrics),
+		budget:  newBudget(nodeBufferBytes),
+		changed: make(chan struct{}, 1),
+		conns:   make(map[fleet.InstanceID]*conn),
+		dials:   make(map[string]*dialing),
+	}
+	if err := n.listen(local); err != nil {
+		end()
+		return nil, err
+	}
+	n.engine = newEngine(options, n.address)
+	n.members.Store(&[]Member{})
+	return n, nil
+}
+
+// listen opens the socket at which peers reach the instance.
+func (n *Node) listen(local *net.UDPAddr) error {
+	if isWildcard(local.IP) && n.options.Advertise == "" {
+		return fmt.Errorf("mesh listens on %s: peers need an address to dial, set Advertise", local)
+	}
+	socket, err := n.listenUDP(local)
 	if err != nil {
-		return nil, fmt.Errorf("mesh listen on %q: %w", options.Listen, err)
+		return err
 	}
-	transport := &quic.Transport{Conn: socket}
-	listener, err := transport.Listen(options.TLS, quicConfig())
+	n.transport = &quic.Transport{Conn: socket}
+	n.listener, err = n.transport.Listen(n.options.TLS, quicConfig())
 	if err != nil {
 		socket.Close()
-		return nil, fmt.Errorf("mesh listen on %q: %w", options.Listen, err)
-	}
-	address := options.Advertise
-	if address == "" {
-		address = socket.LocalAddr().String()
+		return fmt.Errorf("mesh listen on %s: %w", local, err)
 	}
-	n := &Node{
-		options:   options,
-		transport: transport,
-		listener:  listener,
-		address:   address,
-		traffic:   newTraffic(options.Metrics),
-		budget:    newBudget(nodeBufferBytes),
-		changed:   make(chan struct{}, 1),
-		stopped:   make(chan struct{}),
-		conns:     make(map[fleet.InstanceID]*conn),
-		dials:     make(map[string]*dialing),
-		engine:    newEngine(options, address),
+	n.address = n.options.Advertise
+	if n.address == "" {
+		n.address = socket.LocalAddr().String()
 	}
-	n.members.Store(&[]Member{})
-	return n, nil
+	return nil
 }
 
+func isWildcard(ip net.IP) bool { return len(ip) == 0 || ip.IsUnspecified() }
+
 func newEngine(options Options, address string) *engine.Engine {
 	return engine.New(engine.Options{
 		Self: wire.Record{
@@ -130,21 +147,15 @@
 // Traffic returns the messages and bytes counted so far, by kind.
 func (n *Node) Traffic() Traffic { return n.traffic.snapshot() }
 
-// Run takes part in the mesh until ctx ends, then says farewell and closes the
-// socket. A Node runs once.
+// Run takes part in the mesh until ctx ends, then tells the peers that the
+// instance leaves and closes all sockets. A Node runs once.
 func (n *Node) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	n.work.Go(func() { n.accept(ctx) })
+	n.work.Go(func() { n.accept(n.running) })
 	n.loop(ctx)
 	n.leave()
-	cancel()
 	n.stop()
-	err := n.transport.Close()
-	n.transport.Conn.Close()
+	closeTransport(n.transport)
 	n.work.Wait()
-	if err != nil {
-		return fmt.Errorf("mesh close: %w", err)
-	}
 	return nil
 }
 
@@ -240,24 +251,19 @@
 // leave tells the peers that the instance goes and gives the messages time to leave.
 func (n *Node) leave() {
 	n.step(func(time.Time) []engine.Action { return n.engine.Leave() })
-	time.Sleep(farewellTime)
+	time.Sleep(leaveTime)
 }
 
 // stop closes all connections and lets none be opened any more.
 func (n *Node) stop() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	close(n.stopped)
+	n.end()
 	for _, c := range n.conns {
 		c.close(closeLeaving, "leaving")
 	}
 }
 
 func (n *Node) isStopped() bool {
-	select {
-	case <-n.stopped:
-		return true
-	default:
-		return false
-	}
+	return n.running.Err() != nil
 }
--- a/policy/admission/queue.go
+++ b/policy/admission/queue.go
@@ -1,16 +1,20 @@
 // Package admission decides which waiting request goes next and which request is
 // refused because it cannot be answered in time.
 //
-// A Queue serves levels by priority. Inside a level, tenants share by weight
-// through start-time fair queueing, and one tenant's requests keep their order.
+// A Queue serves levels by priority. Inside a level, tenants share the slots' time
+// by weight through start-time fair queueing, and one tenant's requests keep
+// their order.
 // The package is pure: it holds no lock and reads no clock.
 package admission
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
-// LowerTurn is how many requests in a row go to higher levels while a lower one
-// waits; the next one goes to the lower level, so that no level starves.
-const LowerTurn = 20
+// LowerShare is the part of the slots' time that the lowest waiting level gets
+// while higher ones wait as well, so that no level starves.
+const LowerShare = 0.05
 
 // Waiter is one queued request. Its fields must not change while it is queued.
 type Waiter[T any] struct {
@@ -18,11 +22,19 @@
 	Priority int    // a higher one goes first
 	Tenant   string // shares are kept by tenant
 	Weight   int    // the tenant's share relative to others; below 1 reads as 1
+	// Cost is the expected time in a slot; zero reads as 1 ms.
+	Cost time.Duration
 
 	flow       *flow[T]
 	prev, next *Waiter[T]
 }
 
+// work returns the expected time in a slot.
+func (w *Waiter[T]) work() time.Duration { return max(w.Cost, time.Millisecond) }
+
+// cost returns the expected time in a slot, in seconds.
+func (w *Waiter[T]) cost() float64 { return w.work().Seconds() }
+
 // Queued reports whether the waiter is in a queue.
 func (w *Waiter[T]) Queued() bool { return w.flow != nil }
 
@@ -31,7 +43,7 @@
 	limit  int
 	length int
 	levels []*level[T] // by falling priority
-	passed int         // requests served in a row while a lower level waited
+	credit float64     // seconds that the lowest waiting level has coming
 }
 
 // New returns a queue of at most limit waiters.
@@ -83,10 +95,24 @@
 	return l.pop()
 }
 
-// nextLevel returns the highest waiting level, or each LowerTurn requests the
-// lowest one.
+// nextLevel returns the highest waiting level, or the lowest one once its credit
+// pays for its next waiter.
 func (q *Queue[T]) nextLevel() *level[T] {
-	var highest, lowest *level[T]
+	highest, lowest := q.waitingLevels()
+	if highest == lowest {
+		q.credit = 0
+		return highest
+	}
+	if cost := lowest.head().cost(); q.credit >= cost {
+		q.credit -= cost
+		return lowest
+	}
+	q.credit += LowerShare * highest.head().cost()
+	return highest
+}
+
+// waitingLevels returns the highest and the lowest level with waiters, or nil.
+func (q *Queue[T]) waitingLevels() (highest, lowest *level[T]) {
 	for _, l := range q.levels {
 		if l.length == 0 {
 			continue
@@ -96,16 +122,7 @@
 		}
 		lowest = l
 	}
-	if highest == lowest {
-		q.passed = 0
-		return highest
-	}
-	if q.passed < LowerTurn {
-		q.passed++
-		return highest
-	}
-	q.passed = 0
-	return lowest
+	return highest, lowest
 }
 
 // Remove takes a waiter out in O(log tenants) and reports whether it was queued.
@@ -118,17 +135,17 @@
 	return true
 }
 
-// Ahead estimates how many waiters go before a new one of this priority, tenant
-// and weight: all of higher levels, and of its own level as many of each tenant
-// as that tenant's weight allows in the meantime.
-func (q *Queue[T]) Ahead(priority int, tenant string, weight int) int {
-	ahead := 0
+// Ahead estimates the slot time of the waiters that go before a new one: all of
+// higher levels, and of its own level as much of each tenant as that tenant's
+// weight allows in the meantime.
+func (q *Queue[T]) Ahead(w *Waiter[T]) time.Duration {
+	ahead := time.Duration(0)
 	for _, l := range q.levels {
 		switch {
-		case l.priority > priority:
-			ahead += l.length
-		case l.priority == priority:
-			ahead += l.ahead(tenant, max(weight, 1))
+		case l.priority > w.Priority:
+			ahead += l.work
+		case l.priority == w.Priority:
+			ahead += l.ahead(w)
 		}
 	}
 	return ahead
--- a/policy/capacity/estimator.go
+++ b/policy/capacity/estimator.go
@@ -15,6 +15,13 @@
 	rescaleExponent = 30
 )
 
+const (
+	// DefaultHalfLife and DefaultQuantile make a need follow the demand of about the
+	// last hour and a half.
+	DefaultHalfLife = 20 * time.Minute
+	DefaultQuantile = 0.95
+)
+
 // Estimator is a histogram of observed demand whose older samples weigh less. The
 // zero Estimator is not ready; use NewEstimator.
 type Estimator struct {
@@ -61,7 +68,8 @@
 }
 
 // Quantile returns a demand that the given share of the weighted samples does not
-// exceed, rounded up by at most one bucket; zero without samples.
+// exceed, rounded up by at most one bucket. It is zero without samples, and where
+// the demand is below the smallest bucket.
 func (e *Estimator) Quantile(share float64) float64 {
 	if e.total == 0 {
 		return 0
--- a/policy/placement/planner.go
+++ b/policy/placement/planner.go
@@ -19,7 +19,9 @@
 	starts map[rackJob]int
 	// full holds the refusals of jobs of which no further task can start.
 	full map[string]Refusal
-	plan Plan
+	// scratch is the list of victims of the worker that is weighed.
+	scratch []victim
+	plan    Plan
 }
 
 type rackJob struct {
@@ -61,7 +63,7 @@
 func newNode(w Worker) *node {
 	n := &node{Worker: w, free: w.Capacity, tasks: slices.Clone(w.Tasks)}
 	for _, t := range w.Tasks {
-		n.free = n.free.Sub(t.Need)
+		n.free = n.free.Sub(t.use())
 	}
 	return n
 }
