--- a/entry/submission/options.go
+++ b/entry/submission/options.go
@@ -13,7 +13,7 @@
 // Defaults of Options.
 const (
 	DefaultTicketLifetime  = 10 * time.Minute
-	DefaultRetention       = 6 * time.Hour
+	DefaultRetention       = 24 * time.Hour
 	DefaultMemoryRetention = 10 * time.Minute
 	DefaultMaxRecords      = 64 << 10
 	DefaultMaxBodyBytes    = 8 << 20  // bytes, all answers together
