--- a/api/explain/job.go
+++ b/api/explain/job.go
@@ -21,7 +21,7 @@
 	ReasonFits            Reason = "fits"
 	ReasonBorrowed        Reason = "fits-beyond-quota"
 	ReasonNoRoom          Reason = "no-worker-has-room"
-	ReasonNeverFits       Reason = "no-worker-can-ever-run-it"
+	ReasonNeverFits       Reason = "no-worker-of-the-zone-can-ever-run-it"
 	ReasonMakesWay        Reason = "makes-way"
 	ReasonJobFailsOnly    Reason = "job-fails-everywhere"
 	ReasonWorkerFailsOnly Reason = "worker-fails-everything"
