Measure roll-outs by each instance's own word; end drains by asking who is busy

Cause: config status showed a revision behind on instances that had held it for long, since summaries of unlinked peers grow old, and 6.6 s for one in force after 25 ms; and a drained backend server was released only after the drain limit of 10 minutes, since nobody knew whether requests were in progress there. Change: the accepting entry instance asks all others when they put a revision in force; the duty's holder asks all others whether they have requests in progress on what drains, and one that does not answer counts as busy. Summaries of links that serve only calls are not shown any more. Maintenance is gathered from all duties.

--- a/api/operations/operations.go
+++ b/api/operations/operations.go
@@ -113,7 +113,8 @@
 type Rollout struct {
 	Revision   object.Revision `json:"revision"`
 	AcceptedAt time.Time       `json:"acceptedAt"`
-	// InForce is the time from acceptance until this entry instance applied it.
+	// InForce is the time from acceptance until in force on every live entry
+	// instance, by their clocks; zero while it is not.
 	InForce object.Duration `json:"inForce"`
 	// Behind lists the reachable entry instances that hold an older revision.
 	Behind []fleet.InstanceID `json:"behind,omitempty"`
@@ -126,7 +127,7 @@
 	Name      string   `json:"name"`
 	Size      int      `json:"size"`
 	Healthy   int      `json:"healthy"`
-	Target    int      `json:"target"`
+	Expected  int      `json:"expected"`  // by the record of its budget
 	Available int      `json:"available"` // disruptions that the budget still allows
 	Reasons   []string `json:"reasons,omitempty"`
 }
@@ -149,15 +150,17 @@
 	Labels label.Set `json:"labels,omitempty"`
 }
 
-// MaintenanceStatus is the progress of one pool's maintenance.
+// MaintenanceStatus is the progress of one plan as one availability zone's duty
+// sees it.
 type MaintenanceStatus struct {
-	Plan     string    `json:"plan"`
-	Pool     string    `json:"pool"`
-	Done     int       `json:"done"`
-	Total    int       `json:"total"`
-	Under    int       `json:"under"` // under maintenance now
-	Forecast time.Time `json:"forecast,omitzero"`
-	Paused   string    `json:"paused,omitempty"` // why nothing new starts
+	Plan     string                 `json:"plan"`
+	Zone     fleet.AvailabilityZone `json:"zone"`
+	Done     int                    `json:"done"`
+	Total    int                    `json:"total"`
+	Under    int                    `json:"under"` // under maintenance now
+	Due      int                    `json:"due"`
+	Forecast time.Time              `json:"forecast,omitzero"`
+	Paused   string                 `json:"paused,omitempty"` // why nothing new starts
 }
 
 // JobStatus is how one job stands.
--- a/cmd/tarragonctl/config.go
+++ b/cmd/tarragonctl/config.go
@@ -145,14 +145,22 @@
 }
 
 func rolloutTable(rollouts []operations.Rollout) *table {
-	t := &table{heading: []string{"REVISION", "ACCEPTED", "IN FORCE HERE", "BEHIND", "UNREACHABLE"}}
+	t := &table{heading: []string{"REVISION", "ACCEPTED", "IN FORCE EVERYWHERE", "BEHIND", "UNREACHABLE"}}
 	for _, r := range rollouts {
 		t.add(strconv.FormatInt(int64(r.Revision), 10), formatTime(r.AcceptedAt),
-			time.Duration(r.InForce).Round(time.Millisecond).String(), joinIDs(r.Behind), joinIDs(r.Unreachable))
+			inForceText(r), joinIDs(r.Behind), joinIDs(r.Unreachable))
 	}
 	return t
 }
 
+// inForceText is the time from acceptance until in force on every live entry instance.
+func inForceText(r operations.Rollout) string {
+	if r.InForce <= 0 {
+		return "not yet"
+	}
+	return time.Duration(r.InForce).Round(time.Millisecond).String()
+}
+
 func joinIDs(ids []fleet.InstanceID) string {
 	names := make([]string, 0, len(ids))
 	for _, id := range ids {
--- a/cmd/tarragonctl/fleet.go
+++ b/cmd/tarragonctl/fleet.go
@@ -64,18 +64,18 @@
 }
 
 func poolTable(pools []operations.PoolStatus) *table {
-	t := &table{heading: []string{"POOL", "SIZE", "HEALTHY", "TARGET", "BUDGET LEFT", "REASONS"}}
+	t := &table{heading: []string{"POOL", "SIZE", "HEALTHY", "EXPECTED", "BUDGET LEFT", "REASONS"}}
 	for _, p := range pools {
-		t.add(p.Name, strconv.Itoa(p.Size), strconv.Itoa(p.Healthy), strconv.Itoa(p.Target),
+		t.add(p.Name, strconv.Itoa(p.Size), strconv.Itoa(p.Healthy), strconv.Itoa(p.Expected),
 			strconv.Itoa(p.Available), orDash(strings.Join(p.Reasons, "; ")))
 	}
 	return t
 }
 
 func maintenanceTable(items []operations.MaintenanceStatus) *table {
-	t := &table{heading: []string{"PLAN", "POOL", "DONE", "UNDER WAY", "FORECAST", "PAUSED"}}
+	t := &table{heading: []string{"PLAN", "BY ZONE", "DONE", "DUE", "UNDER WAY", "FORECAST", "PAUSED"}}
 	for _, m := range items {
-		t.add(m.Plan, m.Pool, fmt.Sprintf("%d/%d", m.Done, m.Total), strconv.Itoa(m.Under),
+		t.add(m.Plan, string(m.Zone), fmt.Sprintf("%d/%d", m.Done, m.Total), strconv.Itoa(m.Due), strconv.Itoa(m.Under),
 			formatTime(m.Forecast), orDash(m.Paused))
 	}
 	return t
--- a/entry/config/rollout.go
+++ b/entry/config/rollout.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -17,7 +18,14 @@
 	mu      sync.Mutex
 	waiting []Progress // revisions not yet in force everywhere, oldest first
 	done    []Progress // the last rollOutsKept complete ones, oldest first
-	held    map[fleet.InstanceID]object.Revision
+	held    map[fleet.InstanceID]Held
+}
+
+// Held is the revision that an entry instance holds, and when it put the revisions
+// that it was asked about in force, as far as it knows.
+type Held struct {
+	Revision object.Revision               `json:"revision"`
+	InForce  map[object.Revision]time.Time `json:"inForce,omitempty"`
 }
 
 // Bounds of the roll-outs remembered, complete ones and those that still wait.
@@ -46,34 +54,51 @@
 
 // NewRollOut returns a measure that follows the configuration.
 func NewRollOut(follower *Follower, self fleet.InstanceID) *RollOut {
-	r := &RollOut{held: map[fleet.InstanceID]object.Revision{}}
+	r := &RollOut{held: map[fleet.InstanceID]Held{}}
 	follower.Subscribe(func(c *object.Config) { r.accepted(self, c) })
 	return r
 }
 
-// accepted notes a revision in force here.
+// accepted notes a revision in force here. Whether it is in force elsewhere is for
+// Observe to say.
 func (r *RollOut) accepted(self fleet.InstanceID, c *object.Config) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.held[self] = c.Revision
+	now := time.Now()
+	own := r.held[self]
+	if own.InForce == nil {
+		own.InForce = map[object.Revision]time.Time{}
+	}
+	own.Revision, own.InForce[c.Revision] = c.Revision, now
+	delete(own.InForce, c.Revision-rollOutsWaiting)
+	r.held[self] = own
 	if c.Revision == 0 {
 		return
 	}
 	r.waiting = append(r.waiting, Progress{Revision: c.Revision, AcceptedAt: c.AcceptedAt})
 	r.waiting = r.waiting[max(0, len(r.waiting)-rollOutsWaiting):]
-	r.settle(time.Now())
 }
 
-// Observe notes the revision that each live entry instance holds, as heartbeats
-// carry it. Instances that are left out are gone and hold up nothing.
-func (r *RollOut) Observe(held map[fleet.InstanceID]object.Revision, self fleet.InstanceID, at time.Time) {
+// Waiting returns the revisions that are not yet known in force everywhere, oldest
+// first.
+func (r *RollOut) Waiting() []object.Revision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	own := r.held[self]
-	r.held = make(map[fleet.InstanceID]object.Revision, len(held)+1)
-	for id, revision := range held {
-		r.held[id] = revision
+	out := make([]object.Revision, 0, len(r.waiting))
+	for _, progress := range r.waiting {
+		out = append(out, progress.Revision)
 	}
+	return out
+}
+
+// Observe notes what each live entry instance answered about the revisions that
+// wait. Instances that are left out are gone and hold up nothing.
+func (r *RollOut) Observe(held map[fleet.InstanceID]Held, self fleet.InstanceID, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	own := r.held[self]
+	r.held = make(map[fleet.InstanceID]Held, len(held)+1)
+	maps.Copy(r.held, held)
 	r.held[self] = own
 	r.settle(at)
 }
@@ -84,19 +109,34 @@
 	least := r.least()
 	for len(r.waiting) > 0 && r.waiting[0].Revision <= least {
 		finished := r.waiting[0]
-		finished.InForceAt = at
+		finished.InForceAt = r.inForce(finished.Revision, at)
 		r.waiting = r.waiting[1:]
 		r.done = append(r.done, finished)
 		r.done = r.done[max(0, len(r.done)-rollOutsKept):]
 	}
 }
 
+// inForce returns the latest time at which an instance put the revision in force by
+// its own word, or at where none knows.
+func (r *RollOut) inForce(revision object.Revision, at time.Time) time.Time {
+	var latest time.Time
+	for _, held := range r.held {
+		if since := held.InForce[revision]; since.After(latest) {
+			latest = since
+		}
+	}
+	if latest.IsZero() {
+		return at
+	}
+	return latest
+}
+
 func (r *RollOut) least() object.Revision {
 	first := true
 	var least object.Revision
-	for _, revision := range r.held {
-		if first || revision < least {
-			least, first = revision, false
+	for _, held := range r.held {
+		if first || held.Revision < least {
+			least, first = held.Revision, false
 		}
 	}
 	return least
@@ -120,7 +160,7 @@
 func (r *RollOut) behind(revision object.Revision) []fleet.InstanceID {
 	var out []fleet.InstanceID
 	for id, held := range r.held {
-		if held < revision {
+		if held.Revision < revision {
 			out = append(out, id)
 		}
 	}
--- a/entry/node/configops.go
+++ b/entry/node/configops.go
@@ -100,6 +100,9 @@
 		return result, nil
 	}
 	result.Revision, err = c.ConfigLog.Accept(ctx, change)
+	if err == nil {
+		go c.followRollOut()
+	}
 	return result, err
 }
 
@@ -135,14 +138,20 @@
 	return out, nil
 }
 
-// Rollouts returns how far the latest revisions have come.
-func (c *configOperations) Rollouts() []operations.Rollout {
+// Rollouts returns how far the latest revisions have come, by the word of every
+// reachable entry instance.
+func (c *configOperations) Rollouts(ctx context.Context) []operations.Rollout {
+	c.askHeld(ctx)
 	out := []operations.Rollout{}
 	for _, progress := range c.RollOut.Recent(rollOutsShown) {
-		out = append(out, operations.Rollout{
+		rollout := operations.Rollout{
 			Revision: progress.Revision, AcceptedAt: progress.AcceptedAt,
 			InForce: object.Duration(progress.Took()), Behind: progress.Behind,
-		})
+		}
+		if progress.InForceAt.IsZero() {
+			rollout.Unreachable = c.unreachable()
+		}
+		out = append(out, rollout)
 	}
 	return out
 }
--- a/entry/node/controllers.go
+++ b/entry/node/controllers.go
@@ -12,7 +12,6 @@
 	"github.com/tarragonreach/tarragonreach/entry/fleetctl"
 	"github.com/tarragonreach/tarragonreach/entry/jobctl"
 	"github.com/tarragonreach/tarragonreach/platform"
-	"github.com/tarragonreach/tarragonreach/policy/maintenance"
 )
 
 // dutyFleet is the duty of deciding for the pools of one availability zone.
@@ -57,11 +56,13 @@
 func (c *controllers) act(ctx context.Context, term duty.Term) {
 	store := duty.Fence(c.parts.Store, term)
 	jobs := c.newJobs(store)
-	pools := c.newPools(store, jobs)
+	requests := newDrained(c.parts)
+	pools := c.newPools(store, work{jobs, requests})
 	c.fleet.Store(pools)
 	defer c.fleet.Store(nil)
 	var acting sync.WaitGroup
 	acting.Go(func() { c.parts.JobPages.Run(ctx) })
+	acting.Go(func() { requests.run(ctx) })
 	acting.Go(func() { c.note(ctx, "placement", jobs.Run(ctx, activeTerm{term})) })
 	acting.Go(func() { c.note(ctx, "pools", pools.Run(ctx, activeTerm{term})) })
 	acting.Wait()
@@ -95,12 +96,19 @@
 
 // maintenance returns how the plans stood in the last round, none while another
 // entry instance holds the duty.
-func (c *controllers) maintenance() []maintenance.Status {
+func (c *controllers) maintenance() []operations.MaintenanceStatus {
+	out := []operations.MaintenanceStatus{}
 	controller := c.fleet.Load()
 	if controller == nil {
-		return nil
+		return out
 	}
-	return controller.Maintenance()
+	for _, s := range controller.Maintenance() {
+		out = append(out, operations.MaintenanceStatus{
+			Plan: s.Plan, Zone: c.parts.Options.Settings.Instance.Zone, Done: s.Done, Total: s.Total,
+			Under: s.InProgress, Due: s.Due, Forecast: s.Forecast, Paused: string(s.Paused),
+		})
+	}
+	return out
 }
 
 // duties returns the duties held here.
--- a/entry/node/explainops.go
+++ b/entry/node/explainops.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"slices"
-	"sync"
-	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/explain"
 	"github.com/tarragonreach/tarragonreach/api/fleet"
@@ -17,8 +15,6 @@
 const (
 	// explainMethod is the mesh call that returns a peer's decisions on a subject.
 	explainMethod = "explain"
-	// explainTimeout bounds the wait for one peer.
-	explainTimeout = 2 * time.Second
 	// explainLimit bounds the decisions that one entry instance returns.
 	explainLimit = 50
 )
@@ -34,41 +30,16 @@
 // answer are left out.
 func (e *explainer) Explain(ctx context.Context, kind, name string) ([]operations.Explanation, error) {
 	subject := explain.Subject{Kind: explain.SubjectKind(kind), Name: name}
-	all := e.own(subject)
-	var mu sync.Mutex
-	var asking sync.WaitGroup
-	for _, m := range e.Peers.members() {
-		if !m.Reachable {
-			continue
-		}
-		asking.Go(func() {
-			theirs := e.ask(ctx, m.ID, subject)
-			mu.Lock()
-			defer mu.Unlock()
-			all = append(all, theirs...)
-		})
-	}
-	asking.Wait()
-	slices.SortStableFunc(all, func(a, b operations.Explanation) int { return b.At.Compare(a.At) })
-	return all, nil
-}
-
-func (e *explainer) ask(ctx context.Context, peer fleet.InstanceID, subject explain.Subject) []operations.Explanation {
-	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
-	defer cancel()
 	payload, err := json.Marshal(subject)
 	if err != nil {
-		return nil
-	}
-	answer, err := e.Peers.Call(ctx, peer, explainMethod, payload)
-	if err != nil {
-		return nil
+		return nil, fmt.Errorf("encode the subject: %w", err)
 	}
-	var theirs []operations.Explanation
-	if err := json.Unmarshal(answer, &theirs); err != nil {
-		return nil
+	all := e.own(subject)
+	for _, theirs := range callAll[[]operations.Explanation](ctx, e.Peers, explainMethod, payload) {
+		all = append(all, theirs...)
 	}
-	return theirs
+	slices.SortStableFunc(all, func(a, b operations.Explanation) int { return b.At.Compare(a.At) })
+	return all, nil
 }
 
 // serve answers a peer's call.
--- a/entry/node/fleetops.go
+++ b/entry/node/fleetops.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/tarragonreach/tarragonreach/api/explain"
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/api/label"
 	"github.com/tarragonreach/tarragonreach/api/operations"
@@ -33,12 +36,22 @@
 	out := []operations.PoolStatus{}
 	for _, r := range fleetctl.ReportPools(f.View.Snapshot(), f.Follower.Current()) {
 		out = append(out, operations.PoolStatus{
-			Name: r.Name, Size: r.Size, Healthy: r.Serving, Target: r.Size, Available: r.Budget.Left(),
+			Name: r.Name, Size: r.Size, Healthy: r.Serving, Expected: r.Budget.Expected, Available: r.Budget.Left(),
+			Reasons: f.latest(r.Name),
 		})
 	}
 	return out
 }
 
+// latest returns the last decision about a pool that was made here, if any.
+func (f *fleetOperations) latest(pool string) []string {
+	records := f.Ring.About(explain.Pool(pool))
+	if len(records) == 0 {
+		return nil
+	}
+	return []string{string(records[0].Reason) + ": " + records[0].Detail}
+}
+
 // Instances returns how each instance stands by the fleet record.
 func (f *fleetOperations) Instances() []operations.InstanceStatus {
 	out := []operations.InstanceStatus{}
@@ -54,14 +67,16 @@
 	}
 }
 
-// Maintenance returns the progress of the maintenance plans.
-func (f *fleetOperations) Maintenance() []operations.MaintenanceStatus {
-	out := []operations.MaintenanceStatus{}
-	for _, s := range f.controllers.maintenance() {
-		out = append(out, operations.MaintenanceStatus{
-			Plan: s.Plan, Done: s.Done, Total: s.Total, Under: s.InProgress, Forecast: s.Forecast, Paused: string(s.Paused),
-		})
+// Maintenance returns the progress of the maintenance plans as each availability
+// zone's duty sees it, from every reachable entry instance.
+func (f *fleetOperations) Maintenance(ctx context.Context) []operations.MaintenanceStatus {
+	out := f.controllers.maintenance()
+	for _, theirs := range callAll[[]operations.MaintenanceStatus](ctx, f.Peers, maintenanceMethod, nil) {
+		out = append(out, theirs...)
 	}
+	slices.SortStableFunc(out, func(a, b operations.MaintenanceStatus) int {
+		return strings.Compare(a.Plan+"/"+string(a.Zone), b.Plan+"/"+string(b.Zone))
+	})
 	return out
 }
 
--- /dev/null
+++ b/entry/node/gather.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+)
+
+const (
+	// maintenanceMethod is the mesh call that returns a peer's maintenance status.
+	maintenanceMethod = "maintenance"
+	// gatherTimeout bounds the wait for one peer.
+	gatherTimeout = 2 * time.Second
+)
+
+// callAll runs a method on every reachable entry instance at once and returns the
+// answers. Peers that do not answer are left out.
+func callAll[T any](ctx context.Context, p *peers, method string, payload []byte) []T {
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var out []T
+	var asking sync.WaitGroup
+	for _, m := range p.members() {
+		if !m.Reachable {
+			continue
+		}
+		asking.Go(func() {
+			answer, err := callJSON[T](ctx, p, m.ID, method, payload)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, answer)
+		})
+	}
+	asking.Wait()
+	return out
+}
+
+// callJSON runs a method on one entry instance and decodes its answer.
+func callJSON[T any](ctx context.Context, p *peers, peer fleet.InstanceID, method string, payload []byte) (T, error) {
+	var answer T
+	body, err := p.Call(ctx, peer, method, payload)
+	if err != nil {
+		return answer, err
+	}
+	return answer, json.Unmarshal(body, &answer)
+}
+
+// serveMaintenance answers a peer's call.
+func (n *Node) serveMaintenance(context.Context, fleet.InstanceID, []byte) ([]byte, error) {
+	return json.Marshal(n.controllers.maintenance())
+}
--- a/entry/node/stages.go
+++ b/entry/node/stages.go
@@ -17,6 +17,9 @@
 		p.Peers.changed()
 	})
 	n.mesh.Handle(explainMethod, (&explainer{p}).serve)
+	n.mesh.Handle(busyMethod, p.serveBusy)
+	n.mesh.Handle(heldMethod, p.serveHeld)
+	n.mesh.Handle(maintenanceMethod, n.serveMaintenance)
 	p.Keeper.Register(n.mesh)
 }
 
@@ -53,7 +56,7 @@
 	if p.Options.Settings.Fleet.Controllers {
 		n.tasks.start("controllers", n.controllers.run)
 	}
-	n.tasks.start("roll-out", n.observeRollOut)
+	n.tasks.start("observation", n.observe)
 }
 
 func (n *Node) serverFailed(err error) {
--- a/entry/node/status.go
+++ b/entry/node/status.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/buildinfo"
-	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/api/object"
 	"github.com/tarragonreach/tarragonreach/api/operations"
 )
@@ -49,12 +48,12 @@
 	return out
 }
 
-// observeInterval is the time between two looks at what the peers hold.
+// observeInterval is the time between two looks at this entry instance's own load.
 const observeInterval = 250 * time.Millisecond
 
-// observeRollOut notes the revisions that reachable peers hold, and publishes this
-// entry instance's own summary.
-func (n *Node) observeRollOut(ctx context.Context) error {
+// observe publishes this entry instance's load to its peers, takes theirs, and
+// follows the health of the executors.
+func (n *Node) observe(ctx context.Context) error {
 	ticker := time.NewTicker(observeInterval)
 	defer ticker.Stop()
 	for {
@@ -64,17 +63,6 @@
 		case now := <-ticker.C:
 			n.publishSummary()
 			n.parts.Health.observe(n.parts.Gateway.Executors(), now)
-			n.parts.RollOut.Observe(n.heldByPeers(), n.parts.Options.Settings.Instance.ID, now)
 		}
 	}
 }
-
-func (n *Node) heldByPeers() map[fleet.InstanceID]object.Revision {
-	held := map[fleet.InstanceID]object.Revision{}
-	for _, m := range n.parts.Peers.members() {
-		if m.Reachable && m.Summary != nil {
-			held[m.ID] = summaryOf(m).ConfigRevision
-		}
-	}
-	return held
-}
--- a/entry/operator/config.go
+++ b/entry/operator/config.go
@@ -29,14 +29,14 @@
 	Apply(ctx context.Context, edit Edit) (operations.ApplyResult, error)
 	Rollback(ctx context.Context, to object.Revision, author, reason string) (operations.ApplyResult, error)
 	History(ctx context.Context, limit int) ([]operations.HistoryEntry, error)
-	Rollouts() []operations.Rollout
+	Rollouts(ctx context.Context) []operations.Rollout
 	// Refusal maps an error to the problem that operators see.
 	Refusal(err error) operations.Problem
 }
 
 func addConfig(group *gin.RouterGroup, config Config) {
 	group.GET(operations.PathConfig, func(c *gin.Context) { c.JSON(http.StatusOK, config.Document()) })
-	group.GET(operations.PathConfigStatus, func(c *gin.Context) { c.JSON(http.StatusOK, config.Rollouts()) })
+	group.GET(operations.PathConfigStatus, func(c *gin.Context) { c.JSON(http.StatusOK, config.Rollouts(c)) })
 	group.GET(operations.PathConfigHistory, history(config))
 	group.POST(operations.PathConfigChanges, apply(config))
 	group.POST(operations.PathRollback, rollback(config))
--- a/entry/operator/fleet.go
+++ b/entry/operator/fleet.go
@@ -26,7 +26,7 @@
 type Fleet interface {
 	Pools() []operations.PoolStatus
 	Instances() []operations.InstanceStatus
-	Maintenance() []operations.MaintenanceStatus
+	Maintenance(ctx context.Context) []operations.MaintenanceStatus
 	Jobs(ctx context.Context) ([]operations.JobStatus, error)
 	Drain(ctx context.Context, id fleet.InstanceID, reason string) (operations.InstanceStatus, error)
 	Undrain(ctx context.Context, id fleet.InstanceID) (operations.InstanceStatus, error)
@@ -36,7 +36,7 @@
 func addFleet(group *gin.RouterGroup, f Fleet) {
 	group.GET(operations.PathPools, func(c *gin.Context) { c.JSON(http.StatusOK, f.Pools()) })
 	group.GET(operations.PathInstances, func(c *gin.Context) { c.JSON(http.StatusOK, f.Instances()) })
-	group.GET(operations.PathMaintenance, func(c *gin.Context) { c.JSON(http.StatusOK, f.Maintenance()) })
+	group.GET(operations.PathMaintenance, func(c *gin.Context) { c.JSON(http.StatusOK, f.Maintenance(c)) })
 	group.GET(operations.PathJobs, listJobs(f))
 	instance := group.Group(operations.PathInstances + "/:id")
 	instance.POST("/drain", changeInstance(func(c *gin.Context, id fleet.InstanceID, change operations.InstanceChange) (operations.InstanceStatus, error) {
--- a/mesh/engine/engine.go
+++ b/mesh/engine/engine.go
@@ -184,7 +184,10 @@
 		}
 		if l := e.links[record.ID]; l != nil && l.up {
 			member.LastHeard = l.lastHeard
-			member.Summary = l.summary
+			// A link that serves only calls carries no newer summaries.
+			if e.active(l, e.ticked) {
+				member.Summary = l.summary
+			}
 		}
 		members = append(members, member)
 	}
