--- a/entry/backend/bench_test.go
+++ b/entry/backend/bench_test.go
@@ -71,8 +71,10 @@
 			target.Connections = 64
 			b.ReportAllocs()
 			b.RunParallel(func(pb *testing.PB) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
 				for pb.Next() {
-					if err := c.send(b.Context(), target, "bench"); err != nil {
+					if err := c.send(ctx, target, "bench"); err != nil {
 						b.Error(err)
 						return
 					}
