mesh/engine: search unreachable addresses in turn, shared by a zone

Cause: each node tried a random unreachable address every 4 s on average; after one instance's death that cost all 38 others about as much as the idle mesh. Change: a zone's members share the search; the address tried longest ago comes first, and ones never tried follow each other soon; histories are kept while a member or seed has the address. Conclusion: searching costs a zone, not a node, one attempt each 4 s.

--- a/mesh/engine/dial.go
+++ b/mesh/engine/dial.go
@@ -7,15 +7,22 @@
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 )
 
-// maxLoneDials is the number of addresses that an instance without any peer
-// tries at the same time.
-const maxLoneDials = 4
+const (
+	// maxLoneDials is the number of addresses that an instance without any peer
+	// tries at the same time.
+	maxLoneDials = 4
+	// newAddressPace is how many addresses that were never tried are tried in the
+	// time of one probe.
+	newAddressPace = 4
+)
 
 // dialState is the history of attempts to reach one address.
 type dialState struct {
 	open     bool
 	failures int
 	next     time.Time
+	// tried is the time of the last attempt, zero if there was none.
+	tried time.Time
 	// peer is the instance last met at the address.
 	peer fleet.InstanceID
 }
@@ -95,11 +102,18 @@
 	if state != nil && (state.open || state.peer != peer) {
 		return
 	}
-	e.dials[address] = &dialState{next: now.Add(e.timing.Heartbeat)}
+	if state == nil {
+		state = &dialState{}
+		e.dials[address] = state
+	}
+	state.peer = ""
+	state.failures = 0
+	state.next = now.Add(e.timing.Heartbeat)
 }
 
 // dialStrangers tries addresses at which no member is reachable: several while
-// the instance is alone, else one now and then, which heals a partition.
+// the instance is alone, else the one tried longest ago now and then, which heals
+// a partition.
 func (e *Engine) dialStrangers(now time.Time) {
 	alone := len(e.links) == 0
 	if !alone && now.Before(e.nextProbe) {
@@ -113,11 +127,37 @@
 		e.dialSome(addresses, now)
 		return
 	}
-	e.nextProbe = now.Add(e.timing.Probe/2 + e.draw(e.timing.Probe))
+	e.nextProbe = now.Add(e.probePause())
 	if len(addresses) > 0 {
-		e.forgetFailures(addresses[0])
-		e.dialAddress(addresses[0], now)
+		e.dialOldest(addresses, now)
+	}
+}
+
+// dialOldest tries the address whose last attempt is the longest ago. While some
+// were never tried, the next one follows soon.
+func (e *Engine) dialOldest(addresses []string, now time.Time) {
+	slices.SortStableFunc(addresses, func(a, b string) int { return e.triedAt(a).Compare(e.triedAt(b)) })
+	if e.triedAt(addresses[0]).IsZero() {
+		e.nextProbe = now.Add(e.timing.Probe / newAddressPace)
+	}
+	e.forgetFailures(addresses[0])
+	e.dialAddress(addresses[0], now)
+}
+
+// probePause is drawn at random. The members of a zone share the search, so that
+// its cost stays flat.
+func (e *Engine) probePause() time.Duration {
+	share := time.Duration(e.reachableInZone())
+	return share * (e.timing.Probe/2 + e.draw(e.timing.Probe))
+}
+
+// triedAt returns the time of the last attempt to reach an address.
+func (e *Engine) triedAt(address string) time.Time {
+	state := e.dials[address]
+	if state == nil {
+		return time.Time{}
 	}
+	return state.tried
 }
 
 func (e *Engine) dialSome(addresses []string, now time.Time) {
@@ -178,16 +218,27 @@
 		return false
 	}
 	state.open = true
+	state.tried = now
 	e.actions = append(e.actions, Dial{Address: address})
 	return true
 }
 
 // dropOldDials forgets the history of addresses that nobody has any more.
 func (e *Engine) dropOldDials(now time.Time) {
+	if now.Before(e.nextDrop) {
+		return
+	}
+	e.nextDrop = now.Add(e.timing.DialMax)
+	used := make(map[string]bool)
+	for _, address := range e.seeds {
+		used[address] = true
+	}
+	for _, record := range e.members.present() {
+		used[record.Address] = true
+	}
 	for address, state := range e.dials {
-		if state.open || now.Sub(state.next) <= e.timing.DialMax || slices.Contains(e.seeds, address) {
-			continue
+		if !state.open && !used[address] && now.Sub(state.next) > e.timing.DialMax {
+			delete(e.dials, address)
 		}
-		delete(e.dials, address)
 	}
 }
--- a/mesh/engine/engine.go
+++ b/mesh/engine/engine.go
@@ -60,7 +60,8 @@
 	Suspicion time.Duration
 	// DialMin and DialMax bound the time between two attempts to reach an address.
 	DialMin, DialMax time.Duration
-	// Probe is about the time between attempts to reach unreachable members and seeds.
+	// Probe is about the time between attempts of one availability zone to reach
+	// unreachable members and seeds; its members take turns at random.
 	Probe time.Duration
 	// Bridge is the time for which a link off the topology is kept at least where
 	// it was the only way to its peer.
@@ -109,6 +110,7 @@
 	// summaryVersion counts the summaries set; zero means none.
 	summaryVersion uint32
 	nextProbe      time.Time
+	nextDrop       time.Time
 	recordDirty    bool
 	chosenAt       uint64 // changes of the members at the last choice of links
 	ticked         time.Time
--- a/mesh/engine/network_test.go
+++ b/mesh/engine/network_test.go
@@ -170,3 +170,21 @@
 	m.accept(m.Nodes[0], 10)
 	assert.Assert(t, m.runUntil(9*time.Second, m.converged))
 }
+
+// TestPartsWithoutCommonSeedsFindEachOther starts a zone while it is cut off: one
+// node knows only addresses that cannot be reached, another knows that node.
+func TestPartsWithoutCommonSeedsFindEachOther(t *testing.T) {
+	for seed := range uint64(20) {
+		m := newMesh(seed)
+		m.cutZone(1, 2, true)
+		var far []string
+		for range 10 {
+			far = append(far, m.add(0, far).Address)
+		}
+		first := m.add(1, far)
+		second := m.add(1, append(far, first.Address))
+		m.add(1, append(far, second.Address))
+		met := func() bool { return first.Engine.Reachable() == 2 && second.Engine.Reachable() == 2 }
+		assert.Assert(t, m.runSteps(20*time.Second, time.Second, met), "seed %d", seed)
+	}
+}
--- a/mesh/engine/publish.go
+++ b/mesh/engine/publish.go
@@ -95,3 +95,14 @@
 	}
 	return entry.record.Zone
 }
+
+// reachableInZone counts the reachable members of the own zone, self included.
+func (e *Engine) reachableInZone() int {
+	count := 0
+	for _, entry := range e.members.entries {
+		if entry.reachable && entry.record.Zone == e.members.own().Zone {
+			count++
+		}
+	}
+	return count
+}
