--- a/api/explain/job.go
+++ b/api/explain/job.go
@@ -9,6 +9,7 @@
 	ActionWait       Action = "wait"       // a task finds no worker
 	ActionCheckpoint Action = "checkpoint" // a task makes way
 	ActionThrottle   Action = "throttle"   // a task gives processors back
+	ActionRestore    Action = "restore"    // a throttled task gets its processors again
 	ActionQuarantine Action = "quarantine" // no task of a job starts any more
 	ActionSetAside   Action = "set-aside"  // a worker takes no tasks
 	ActionCancelTask Action = "cancel-task"
@@ -20,7 +21,7 @@
 	ReasonFits            Reason = "fits"
 	ReasonBorrowed        Reason = "fits-beyond-quota"
 	ReasonNoRoom          Reason = "no-worker-has-room"
-	ReasonNeverFits       Reason = "no-worker-can-ever-run-it"
+	ReasonNeverFits       Reason = "no-worker-of-the-zone-can-ever-run-it"
 	ReasonMakesWay        Reason = "makes-way"
 	ReasonJobFailsOnly    Reason = "job-fails-everywhere"
 	ReasonWorkerFailsOnly Reason = "worker-fails-everything"
