Let an instance join the pool that its labels match

With demand known, a relabelled instance was left idle as surplus where the new pool's need was met. It joins now, and its idle time is weighed once it has passed. A zone that knows only its own demand sizes for its share of what a lost zone would leave to it.

--- a/api/explain/reason.go
+++ b/api/explain/reason.go
@@ -30,6 +30,7 @@
 	ReasonPoolShort      Reason = "pool-below-target"
 	ReasonSurplus        Reason = "surplus"
 	ReasonOperatorDrain  Reason = "drained-by-operator"
+	ReasonRelabelled     Reason = "relabelled-by-operator"
 	ReasonUndrained      Reason = "drain-withdrawn"
 	ReasonIntentReverted Reason = "move-no-longer-wanted"
 	ReasonDrained        Reason = "drained"
--- a/entry/fleetctl/apply.go
+++ b/entry/fleetctl/apply.go
@@ -141,6 +141,9 @@
 		return
 	}
 	r.states.note(c.step.Record, r.now)
+	if c.step.Action == explain.ActionAssign {
+		r.sizing.join(c.step.Record.Pool, r.now)
+	}
 }
 
 func (r *round) explainStep(c change) {
--- a/entry/fleetctl/controller_test.go
+++ b/entry/fleetctl/controller_test.go
@@ -143,3 +143,22 @@
 	assert.Equal(t, r.record("terreni-0").State, fleet.StateServing)
 	assert.ErrorIs(t, r.operations.Drain(context.Background(), "none", ""), ErrUnknownInstance)
 }
+
+func TestInstanceJoinsAPoolThatNeedsNoneAndLeavesOnceItsIdleTimeCosts(t *testing.T) {
+	pool := poolOf("terreni", 2)
+	pool.MoveWeight, pool.BufferWeight = 1, 10
+	r := newRig(t, object.Document{Pools: []object.Pool{pool}}, servers("terreni", 4)...)
+	options := r.options("palermo")
+	options.Demand = randomDemand{seat{"terreni", "palermo"}: 0.9}
+	r.controller = New(options)
+	r.rounds(2)
+	assert.Equal(t, r.inState(fleet.StateServing), 4)
+	r.now = r.now.Add(2 * time.Hour) // a move costs what a tenth of a day idle costs
+	r.rounds(4)
+	assert.Assert(t, r.inState(fleet.StateReleased) > 0)
+	assert.Equal(t, r.record("terreni-3").Reason, string(explain.ReasonSurplus))
+	r.rounds(10)
+	released := r.inState(fleet.StateReleased)
+	r.rounds(10)
+	assert.Equal(t, r.inState(fleet.StateReleased), released, "no way back and forth")
+}
--- a/entry/fleetctl/operations.go
+++ b/entry/fleetctl/operations.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"time"
 
+	"github.com/tarragonreach/tarragonreach/api/explain"
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/api/label"
 	"github.com/tarragonreach/tarragonreach/entry/fleetview"
@@ -52,7 +53,11 @@
 		for _, key := range remove {
 			delete(labels, key)
 		}
+		changed := !maps.Equal(r.Labels, labels)
 		r.Labels = labels
+		if changed && r.State == fleet.StateReleased && r.DrainRequested == nil {
+			r.Reason = string(explain.ReasonRelabelled) // weighed anew, like a newcomer
+		}
 	})
 }
 
--- a/entry/fleetctl/planning.go
+++ b/entry/fleetctl/planning.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/explain"
@@ -74,6 +75,7 @@
 		if r.placeable(m) {
 			instances = append(instances, capacity.Instance{
 				ID: m.record.ID, Pool: heading(m), Eligible: m.eligible, Protected: r.protected(m),
+				Newcomer: newcomer(m),
 			})
 		}
 	}
@@ -96,6 +98,17 @@
 	}
 }
 
+// newcomer says whether an instance has not been weighed by the plan where it is.
+func newcomer(m *member) bool {
+	home := heading(m)
+	if home != "" {
+		return !slices.Contains(m.eligible, home)
+	}
+	reason := explain.Reason(m.record.Reason)
+	weighed := reason == explain.ReasonSurplus || reason == explain.ReasonPoolFull
+	return m.record.State == fleet.StateReleased && !weighed
+}
+
 // heading returns the pool where an instance is or is on its way to.
 func heading(m *member) string {
 	switch m.record.State {
--- a/entry/fleetctl/sizing.go
+++ b/entry/fleetctl/sizing.go
@@ -12,6 +12,7 @@
 	options    Options
 	estimators map[seat]*capacity.Estimator
 	histories  map[string]*capacity.History // of the controller's own zone, by pool
+	joined     map[string]time.Time         // when each pool last got an instance
 	began      time.Time
 	sampled    time.Time
 }
@@ -27,6 +28,7 @@
 		options:    options,
 		estimators: make(map[seat]*capacity.Estimator),
 		histories:  make(map[string]*capacity.History),
+		joined:     make(map[string]time.Time),
 	}
 }
 
@@ -86,25 +88,41 @@
 func (s *sizing) need(pool poolSpec, supply []zoneSupply, now time.Time) (int, bool) {
 	demands := make([]capacity.ZoneDemand, len(supply))
 	weights := make([]int, len(supply))
-	own := 0
+	own, unknown := 0, 0
 	for i, zone := range supply {
-		demands[i] = capacity.ZoneDemand{Limit: zone.eligible, LargestRack: zone.largestRack}
+		demand, known := s.quantile(seat{pool.Name, zone.zone})
+		demands[i] = capacity.ZoneDemand{Demand: demand, Limit: zone.eligible, LargestRack: zone.largestRack}
 		weights[i] = zone.eligible
-		demands[i].Demand, _ = s.quantile(seat{pool.Name, zone.zone})
+		if !known && zone.eligible > 0 {
+			unknown++
+		}
 		if zone.zone == s.options.Zone {
 			own = i
 		}
 	}
-	least := 0
-	if len(supply) > 0 {
-		least = capacity.Split(pool.Min, weights)[own]
-	}
+	least := capacity.Split(pool.Min, weights)[own]
 	total, known := s.quantile(seat{pool.Name, allZones})
 	if !known {
 		return least, false
 	}
-	need := max(capacity.Spread(demands, total, capacity.FailureDomain(pool.FailureDomain))[own], least)
-	return s.history(pool.Name).Update(need, now, s.options.Hysteresis), true
+	need := s.share(pool, demands, own, total, unknown > 0)
+	return s.history(pool.Name).Update(max(need, least), now, s.options.Hysteresis), true
+}
+
+// share is the zone's part of what the pool needs. Where another zone's demand is
+// not known the zone decides alone.
+func (s *sizing) share(pool poolSpec, demands []capacity.ZoneDemand, own int, total float64, alone bool) int {
+	domain := capacity.FailureDomain(pool.FailureDomain)
+	if !alone {
+		return capacity.Spread(demands, total, domain)[own]
+	}
+	zones := 0
+	for _, zone := range demands {
+		if zone.Limit > 0 {
+			zones++
+		}
+	}
+	return capacity.Alone(demands[own], zones, domain)
 }
 
 func (s *sizing) history(pool string) *capacity.History {
@@ -114,8 +132,13 @@
 	return s.histories[pool]
 }
 
+// join notes that a pool got an instance, whose idle time starts now.
+func (s *sizing) join(pool string, now time.Time) { s.joined[pool] = now }
+
 // idleDays forecasts how long an instance beyond a pool's need stays idle.
 func (s *sizing) idleDays(pool string, now time.Time) func(size int) float64 {
-	history := s.history(pool)
-	return func(size int) float64 { return history.IdleDays(size, s.began, now) }
+	history, since := s.history(pool), s.began
+	return func(size int) float64 {
+		return min(history.IdleDays(size, since, now), capacity.ForecastIdleDays(now.Sub(s.joined[pool])))
+	}
 }
--- a/policy/capacity/flow.go
+++ b/policy/capacity/flow.go
@@ -3,6 +3,11 @@
 // network is a directed graph with capacities and costs for minimum-cost flow.
 type network struct {
 	edges [][]edge
+	// Work space of shortest, by node.
+	distance []int64
+	via      []step
+	queued   []bool
+	queue    []int
 }
 
 type edge struct {
@@ -13,7 +18,10 @@
 }
 
 func newNetwork(nodes int) *network {
-	return &network{edges: make([][]edge, nodes)}
+	return &network{
+		edges: make([][]edge, nodes), distance: make([]int64, nodes),
+		via: make([]step, nodes), queued: make([]bool, nodes),
+	}
 }
 
 // add puts in an edge and returns its place at from.
@@ -61,35 +69,36 @@
 // shortest finds the cheapest path with room by the queue-based Bellman-Ford
 // algorithm, which allows negative costs.
 func (n *network) shortest(source, sink int) ([]step, bool) {
-	distance := make([]int64, len(n.edges))
-	for i := range distance {
-		distance[i] = unreached
+	for i := range n.distance {
+		n.distance[i] = unreached
 	}
-	distance[source] = 0
-	via := make([]step, len(n.edges))
-	queued := make([]bool, len(n.edges))
-	queue := []int{source}
-	for len(queue) > 0 {
-		node := queue[0]
-		queue = queue[1:]
-		queued[node] = false
-		for i, e := range n.edges[node] {
-			reached := distance[node] + e.cost
-			if e.capacity == 0 || reached >= distance[e.to] {
-				continue
-			}
-			distance[e.to] = reached
-			via[e.to] = step{node, i}
-			if !queued[e.to] {
-				queued[e.to] = true
-				queue = append(queue, e.to)
-			}
-		}
+	n.distance[source] = 0
+	n.queue = append(n.queue[:0], source)
+	for next := 0; next < len(n.queue); next++ {
+		node := n.queue[next]
+		n.queued[node] = false
+		n.relax(node)
 	}
-	if distance[sink] == unreached {
+	if n.distance[sink] == unreached {
 		return nil, false
 	}
-	return backtrack(via, source, sink), true
+	return backtrack(n.via, source, sink), true
+}
+
+// relax takes the edges out of a node and queues the nodes that came nearer.
+func (n *network) relax(node int) {
+	for i, e := range n.edges[node] {
+		reached := n.distance[node] + e.cost
+		if e.capacity == 0 || reached >= n.distance[e.to] {
+			continue
+		}
+		n.distance[e.to] = reached
+		n.via[e.to] = step{node, i}
+		if !n.queued[e.to] {
+			n.queued[e.to] = true
+			n.queue = append(n.queue, e.to)
+		}
+	}
 }
 
 func backtrack(via []step, source, sink int) []step {
--- a/policy/capacity/outcome.go
+++ b/policy/capacity/outcome.go
@@ -70,7 +70,7 @@
 }
 
 func (p *planner) explain(id fleet.InstanceID, group group, to string, sizes []int) Assignment {
-	a := Assignment{ID: id, From: group.pool, To: to, Reason: p.reason(group, to)}
+	a := Assignment{ID: id, From: group.pool, To: to, Reason: p.reason(group, to, sizes)}
 	if a.From == to && to != "" {
 		return a
 	}
@@ -88,7 +88,7 @@
 	return a
 }
 
-func (p *planner) reason(group group, to string) explain.Reason {
+func (p *planner) reason(group group, to string, sizes []int) explain.Reason {
 	eligibleHome := slices.Contains(group.eligible, group.pool)
 	switch {
 	case to == "" && len(group.eligible) == 0:
@@ -96,8 +96,8 @@
 	case group.pool != "" && !eligibleHome:
 		return explain.ReasonNotSelected
 	case to == "":
-		return p.reasonIdle(group)
-	case group.pool == to, p.pools[p.index[to]].Open:
+		return p.reasonIdle(group, sizes)
+	case group.pool == to, group.newcomer, p.pools[p.index[to]].Open:
 		return explain.ReasonSelected
 	default:
 		return explain.ReasonPoolShort
@@ -105,10 +105,11 @@
 }
 
 // reasonIdle says why no eligible pool takes an instance.
-func (p *planner) reasonIdle(group group) explain.Reason {
+func (p *planner) reasonIdle(group group, sizes []int) explain.Reason {
 	for _, name := range group.eligible {
-		pool := p.pools[p.index[name]]
-		if pool.Max == 0 && !pool.Closed || pool.Need < pool.Max && !pool.Open {
+		i := p.index[name]
+		bounded := p.pools[i].Max > 0 || p.pools[i].Closed
+		if !bounded || sizes[i] < p.pools[i].Max {
 			return explain.ReasonSurplus
 		}
 	}
--- a/policy/capacity/plan.go
+++ b/policy/capacity/plan.go
@@ -20,6 +20,10 @@
 	// Protected marks an instance that holds work near its deadline; a move of it
 	// costs ProtectedFactor times as much.
 	Protected bool
+	// Newcomer marks an instance that no pool has had yet, or that has to leave the one
+	// where it is. It joins a pool that its labels match although the pool's need is
+	// met, since idle time is weighed only once it has passed.
+	Newcomer bool
 }
 
 // Pool is one pool's part in an availability zone.
@@ -57,6 +61,8 @@
 	tieCost = 2
 	// maxWeightCost bounds a single cost, so that sums stay below shortageCost.
 	maxWeightCost = 1e10
+	// welcomeWorth outweighs any single cost, but no shortage.
+	welcomeWorth = 1e12
 )
 
 // Assignment says where one instance shall serve.
@@ -107,15 +113,19 @@
 	pool      string
 	eligible  []string
 	protected bool
+	newcomer  bool
 	members   []fleet.InstanceID
 }
 
 func (g group) key() string {
-	flag := ""
+	flags := ""
 	if g.protected {
-		flag = "!"
+		flags = "!"
 	}
-	return flag + g.pool + "|" + strings.Join(g.eligible, ",")
+	if g.newcomer {
+		flags += "+"
+	}
+	return flags + g.pool + "|" + strings.Join(g.eligible, ",")
 }
 
 type planner struct {
@@ -134,7 +144,10 @@
 	}
 	byKey := make(map[string]int)
 	for _, instance := range instances {
-		g := group{pool: instance.Pool, eligible: p.known(instance.Eligible), protected: instance.Protected}
+		g := group{
+			pool: instance.Pool, eligible: p.known(instance.Eligible),
+			protected: instance.Protected, newcomer: instance.Newcomer,
+		}
 		key := g.key()
 		place, known := byKey[key]
 		if !known {
@@ -191,12 +204,20 @@
 	}
 	for _, name := range group.eligible {
 		i := p.index[name]
-		edges[i] = p.net.add(p.groupNode(g), p.poolNode(i), len(group.members), p.moveCost(group, name))
+		edges[i] = p.net.add(p.groupNode(g), p.poolNode(i), len(group.members), p.moveCost(group, name)-group.welcome())
 	}
 	edges[len(p.pools)] = p.net.add(p.groupNode(g), p.idleNode(), len(group.members), p.moveCost(group, ""))
 	return edges
 }
 
+// welcome is what makes a newcomer join a pool that it matches.
+func (g group) welcome() int64 {
+	if g.newcomer {
+		return welcomeWorth
+	}
+	return 0
+}
+
 // moveCost is the cost of taking an instance out of the pool where it is.
 func (p *planner) moveCost(g group, to string) int64 {
 	if g.pool == "" || g.pool == to {
--- a/policy/capacity/plan_test.go
+++ b/policy/capacity/plan_test.go
@@ -213,6 +213,22 @@
 	assert.Equal(t, plan(1, 10).Assignments[5].Reason, explain.ReasonSurplus)
 }
 
+func TestNewcomersJoinThePoolThatTheyMatch(t *testing.T) {
+	pools := []Pool{{Name: "a", Need: 0, BufferWeight: 10}, {Name: "b", Need: 0, Max: 1, BufferWeight: 10}}
+	plan := MakePlan(pools, []Instance{
+		{ID: "1", Eligible: []string{"a"}, Newcomer: true}, {ID: "2", Eligible: []string{"a"}},
+		{ID: "3", Eligible: []string{"b"}, Newcomer: true}, {ID: "4", Eligible: []string{"b"}, Newcomer: true},
+		{ID: "5", Pool: "b", Eligible: []string{"a"}, Newcomer: true},
+	})
+	var to []string
+	for _, assignment := range plan.Assignments {
+		to = append(to, assignment.To)
+	}
+	assert.DeepEqual(t, to, []string{"a", "", "b", "", "a"})
+	assert.Equal(t, plan.Assignments[1].Reason, explain.ReasonSurplus)
+	assert.Equal(t, plan.Assignments[3].Reason, explain.ReasonPoolFull)
+}
+
 func TestShortPoolsNameTheConstraint(t *testing.T) {
 	for _, tc := range []struct {
 		name      string
--- a/policy/capacity/sizing_test.go
+++ b/policy/capacity/sizing_test.go
@@ -98,6 +98,16 @@
 	assert.Assert(t, sizes[0] >= 2 && sizes[1] >= 4, "%v", sizes)
 }
 
+func TestAloneAddsTheShareOfALostZone(t *testing.T) {
+	zone := ZoneDemand{Demand: 6, Limit: 20, LargestRack: 2}
+	assert.Equal(t, Alone(zone, 4, DomainZone), 8)
+	assert.Equal(t, Alone(zone, 1, DomainZone), 8)
+	assert.Equal(t, Alone(zone, 4, DomainRack), 8)
+	assert.Equal(t, Alone(ZoneDemand{Limit: 20, LargestRack: 2}, 4, DomainZone), 0)
+	zone.Limit = 7
+	assert.Equal(t, Alone(zone, 4, DomainZone), 7)
+}
+
 func TestHistoryFollowsUpQuicklyAndDownSlowly(t *testing.T) {
 	var h History
 	limits := Hysteresis{UpAfter: time.Minute, DownAfter: 10 * time.Minute, JumpShare: 0.5}
--- a/policy/capacity/spread.go
+++ b/policy/capacity/spread.go
@@ -41,6 +41,22 @@
 	return trim(raise(zones, want, survivors), zones, want, survivors)
 }
 
+// Alone returns how many instances one of zones availability zones needs for a pool
+// whose demand in the others is not known: its own, and its share of what the loss
+// of another zone, or of its own largest rack, would leave to it.
+func Alone(zone ZoneDemand, zones int, domain FailureDomain) int {
+	need := wholeInstances(zone.Demand)
+	switch {
+	case need == 0:
+		return 0
+	case domain == DomainRack || zones < 2:
+		need += zone.LargestRack
+	default:
+		need = wholeInstances(zone.Demand * float64(zones) / float64(zones-1))
+	}
+	return min(need, zone.Limit)
+}
+
 func wholeInstances(demand float64) int { return int(math.Ceil(demand - roundingSlack)) }
 
 // raise levels the zones up until enough of the sizes is left.
--- a/policy/lifecycle/lifecycle.go
+++ b/policy/lifecycle/lifecycle.go
@@ -237,6 +237,9 @@
 	step := s.become(fleet.StateReleased, explain.ActionRelease, reason)
 	step.Record.Pool = ""
 	step.Record.Target = s.intent.Pool
+	if s.intent.Pool == "" && s.intent.Reason != "" {
+		step.Record.Reason = string(s.intent.Reason)
+	}
 	if s.record.DrainRequested != nil {
 		step.Record.Target = ""
 		step.Record.Reason = string(explain.ReasonOperatorDrain)
