--- a/entry/backend/transport.go
+++ b/entry/backend/transport.go
@@ -35,9 +35,8 @@
 var _ Transport = (*HTTPTransport)(nil)
 
 type poolKey struct {
-	id        fleet.InstanceID
-	address   string
-	readiness string
+	id      fleet.InstanceID
+	address string
 }
 
 // New returns a transport without connections. Close ends it.
@@ -79,6 +78,7 @@
 func (t *HTTPTransport) send(ctx context.Context, target Target, request *Request) (*Answer, error) {
 	for {
 		p := t.poolOf(target)
+		p.setReadinessPath(target.ReadinessPath)
 		c, err := p.get(ctx, max(target.Connections, 1), t.maxAge(request), t.options.ConnectionWait)
 		if errors.Is(err, errPoolRetired) {
 			continue
@@ -134,8 +134,9 @@
 	begun := t.now()
 	response, err := c.client.Load().RoundTrip(r)
 	if err == nil {
-		times.observe(t.now() - begun)
-		return t.finish(c, request, response)
+		answer, err := t.finish(c, request, response)
+		times.observe(t.now() - begun) // a body that is read whole counts
+		return answer, err
 	}
 	isAlive := c.client.Load().Err() == nil
 	c.Close()
@@ -152,6 +153,7 @@
 func (t *HTTPTransport) finish(c *connection, request *Request, response *http.Response) (*Answer, error) {
 	answer, err := t.readAnswer(request, response)
 	if err == nil {
+		c.expectNoMore(answer)
 		return answer, nil
 	}
 	if verdict.Of(err) == verdict.NotRun {
@@ -165,7 +167,7 @@
 
 // poolOf returns the pool of the target, which it makes at the first use.
 func (t *HTTPTransport) poolOf(target Target) *pool {
-	key := poolKey{target.ID, target.Address, target.ReadinessPath}
+	key := poolKey{target.ID, target.Address}
 	if p, ok := (*t.pools.Load())[key]; ok {
 		return p
 	}
--- a/entry/fleetctl/sizing.go
+++ b/entry/fleetctl/sizing.go
@@ -83,9 +83,11 @@
 	largestRack int
 }
 
-// need returns how many instances the controller's zone needs for a pool, and
-// whether the demand is known.
-func (s *sizing) need(pool poolSpec, supply []zoneSupply, now time.Time) (int, bool) {
+// need returns how many instances the controller's zone needs for a pool that has
+// held of them, and whether the demand is known. A new holder of the duty has seen
+// little of the demand, so until it has watched for a half-life the pool keeps what
+// it holds, and one that holds nothing takes what it can get.
+func (s *sizing) need(pool poolSpec, supply []zoneSupply, held int, now time.Time) (int, bool) {
 	demands := make([]capacity.ZoneDemand, len(supply))
 	weights := make([]int, len(supply))
 	own, unknown := 0, 0
@@ -102,11 +104,15 @@
 	}
 	least := capacity.Split(pool.Min, weights)[own]
 	total, known := s.quantile(seat{pool.Name, allZones})
-	if !known {
+	fresh := now.Sub(s.began) < s.options.HalfLife
+	if !known || (fresh && held == 0) {
 		return least, false
 	}
-	need := s.share(pool, demands, own, total, unknown > 0)
-	return s.history(pool.Name).Update(max(need, least), now, s.options.Hysteresis), true
+	need := max(s.share(pool, demands, own, total, unknown > 0), least)
+	if fresh {
+		need = max(need, held)
+	}
+	return s.history(pool.Name).Update(need, now, s.options.Hysteresis), true
 }
 
 // share is the zone's part of what the pool needs. Where another zone's demand is
--- a/entry/gateway/probe.go
+++ b/entry/gateway/probe.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// defaultReadinessPath is probed where the service names no path.
-	defaultReadinessPath = "/readyz"
 	// probeTimeout bounds one readiness probe.
 	probeTimeout = time.Second
 	// maxProbes bounds the probes that run at once.
@@ -22,14 +20,18 @@
 	// foreignFactor is how many times rarer executors of other availability zones
 	// are probed.
 	foreignFactor = 4
+	// maxProbeRate bounds the probes in a second; with more executors the interval
+	// grows.
+	maxProbeRate = 6
 )
 
 // prober asks executors for their readiness. An executor that answers that it is
 // not ready has given notice; one that does not answer is left to ejection.
 type prober struct {
-	gateway *Gateway
-	due     map[fleet.InstanceID]time.Time
-	running chan struct{}
+	gateway  *Gateway
+	due      map[fleet.InstanceID]time.Time
+	running  chan struct{}
+	shortest time.Duration // least interval that keeps to maxProbeRate
 }
 
 func newProber(g *Gateway) *prober {
@@ -39,6 +41,7 @@
 // tick starts the probes that are due.
 func (p *prober) tick(ctx context.Context, now time.Time) {
 	seen := make(map[fleet.InstanceID]time.Time, len(p.due))
+	p.shortest = p.intervalFor(p.gateway.table.Load().snapshot)
 	for _, service := range p.gateway.table.Load().snapshot.Services {
 		for _, endpoint := range service.Endpoints {
 			p.consider(ctx, service, endpoint, false, now, seen)
@@ -62,9 +65,27 @@
 	seen[e.ID] = due
 }
 
+// intervalFor returns the interval of the own availability zone's executors. Jitter
+// takes a quarter off on average.
+func (p *prober) intervalFor(snapshot *directory.Snapshot) time.Duration {
+	probes := 0.0 // in one interval
+	for _, service := range snapshot.Services {
+		for _, e := range service.Endpoints {
+			if e.Zone == p.gateway.options.Zone {
+				probes++
+			} else {
+				probes += 1.0 / foreignFactor
+			}
+		}
+	}
+	const meanJitter = 0.75
+	shortest := time.Duration(probes / (maxProbeRate * meanJitter) * float64(time.Second))
+	return max(p.gateway.options.Settings.ProbeInterval, shortest)
+}
+
 // interval returns the jittered time until the executor's next probe.
 func (p *prober) interval(e directory.Endpoint) time.Duration {
-	interval := p.gateway.options.Settings.ProbeInterval
+	interval := p.shortest
 	if e.Zone != p.gateway.options.Zone {
 		interval *= foreignFactor
 	}
@@ -84,34 +105,34 @@
 	return true
 }
 
-// probe asks once and passes on a notice, which it thereby prolongs, or its end.
+// probe asks once and passes the result on.
 func (p *prober) probe(ctx context.Context, path string, e directory.Endpoint, noticed bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	target := backend.Target{ID: e.ID, Address: e.Address, Connections: 1, ReadinessPath: path}
 	if path == "" {
-		path = defaultReadinessPath
+		path = backend.DefaultReadinessPath
 	}
 	request := &backend.Request{ID: newRequestID(), Method: http.MethodGet, Path: path, Header: http.Header{}}
 	request.Header.Set(header.Timeout, probeTimeout.String())
-	target := backend.Target{ID: e.ID, Address: e.Address, Connections: 1}
 	answer, err := p.gateway.options.Transport.Send(ctx, target, request)
 	discard(answer)
-	leaving, known := readiness(answer, err)
-	if known && (leaving || noticed) {
-		p.gateway.options.Directory.SetNotice(e.ID, leaving)
+	if ready, known := readiness(answer, err, noticed); known {
+		p.gateway.options.Directory.NoteReadiness(e.ID, ready)
 	}
 }
 
-// readiness reads a probe's answer. An answer without meaning leaves known false.
-func readiness(answer *backend.Answer, err error) (leaving, known bool) {
+// readiness reads a probe's answer; known is false where it says nothing. That an
+// executor does not answer counts only after its notice: it has then ended.
+func readiness(answer *backend.Answer, err error, noticed bool) (ready, known bool) {
 	if err != nil {
-		return true, verdict.CodeOf(err) == verdict.CodeBackendServerLeaving
+		return false, noticed || verdict.CodeOf(err) == verdict.CodeBackendServerLeaving
 	}
 	switch {
 	case answer.Status == http.StatusServiceUnavailable:
-		return true, true
-	case answer.Status < http.StatusMultipleChoices:
 		return false, true
+	case answer.Status < http.StatusMultipleChoices:
+		return true, true
 	default:
 		return false, false
 	}
--- a/entry/gateway/problem.go
+++ b/entry/gateway/problem.go
@@ -31,7 +31,9 @@
 // finishRefused answers with a problem document and counts it.
 func (g *Gateway) finishRefused(w http.ResponseWriter, x *exchange, err *verdict.Error) {
 	g.finishPass(x, outcomeOfError(err))
-	g.metrics.refused(x, err.Code, time.Since(x.started))
+	now := time.Now()
+	g.metrics.refused(x, err.Code, now.Sub(x.started))
+	g.explainRefused(x, err, now)
 	if x.request.ID != "" {
 		w.Header()[header.RequestID] = []string{x.request.ID}
 	}
@@ -41,10 +43,13 @@
 
 // serveRefusal answers a request that is refused unread.
 func (g *Gateway) serveRefusal(w http.ResponseWriter, r *http.Request, refusal *verdict.Error) {
-	x := &exchange{started: time.Now(), key: r.Header.Get(header.IdempotencyKey), tenant: r.Header.Get(header.Tenant)}
+	x := &exchange{incoming: r.Header}
+	if unreadable := g.parseSubmission(x); unreadable != nil {
+		refusal = unreadable
+	}
 	refusal.Verdict = g.refusalVerdict(x)
 	g.metrics.code(refusal.Code)
-	writeProblem(w, refusal, "")
+	writeProblem(w, refusal, x.request.ID)
 }
 
 // writeProblem writes the problem document of an error.
--- /dev/null
+++ b/entry/node/demand.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/mesh"
+	"github.com/tarragonreach/tarragonreach/policy/routing"
+)
+
+// demand tells the fleet's controllers how much of a pool the request path uses in
+// each availability zone.
+type demand struct {
+	parts
+}
+
+// Demand returns the load of the services of a pool in busy instances. It is known
+// only for pools that serve requests, and for zones of which some entry instance
+// tells its load.
+func (d demand) Demand(pool string, zone fleet.AvailabilityZone) (float64, bool) {
+	loads, share := d.loads(zone)
+	if len(loads) == 0 {
+		return 0, false
+	}
+	total, known := 0.0, false
+	for name, service := range d.Follower.Current().Services {
+		if service.Spec.Pool != pool || service.Spec.Slots <= 0 {
+			continue
+		}
+		known = true
+		total += float64(slotsOf(name, loads)) / float64(service.Spec.Slots)
+	}
+	return total / share, known
+}
+
+// loads returns the loads that are known of a zone, and the share of the zone's
+// entry instances that they stand for. Instances of other zones tell their load
+// only where a link leads to them; the balancer loads the rest alike.
+func (d demand) loads(zone fleet.AvailabilityZone) ([]routing.PeerLoad, float64) {
+	return zoneLoads(zone, d.Options.Settings.Instance.Zone, *d.OwnLoad.Load(), d.Peers.members())
+}
+
+func zoneLoads(zone, own fleet.AvailabilityZone, ownLoad routing.PeerLoad, members []mesh.Member) ([]routing.PeerLoad, float64) {
+	var loads []routing.PeerLoad
+	present := 0
+	if zone == own {
+		loads = append(loads, ownLoad)
+		present++
+	}
+	for _, m := range members {
+		if !m.Reachable || m.Zone != zone {
+			continue
+		}
+		present++
+		if m.Summary != nil {
+			loads = append(loads, routing.PeerLoad{Peer: string(m.ID), Services: summaryOf(m).Services})
+		}
+	}
+	return loads, float64(len(loads)) / float64(max(present, 1))
+}
+
+func slotsOf(service string, loads []routing.PeerLoad) int {
+	slots := 0
+	for _, load := range loads {
+		for _, s := range load.Services {
+			if s.Service == service {
+				slots += s.Demand
+			}
+		}
+	}
+	return slots
+}
--- a/entry/submission/options.go
+++ b/entry/submission/options.go
@@ -13,13 +13,13 @@
 // Defaults of Options.
 const (
 	DefaultTicketLifetime  = 10 * time.Minute
-	DefaultRetention       = 6 * time.Hour
+	DefaultRetention       = 24 * time.Hour
 	DefaultMemoryRetention = 10 * time.Minute
 	DefaultMaxRecords      = 64 << 10
 	DefaultMaxBodyBytes    = 8 << 20  // bytes, all answers together
 	DefaultKeepBodyBytes   = 16 << 10 // bytes, one answer
-	DefaultCallsPerSecond  = 20       // calls of the store
-	DefaultCallBurst       = 40       // calls of the store
+	DefaultCallsPerSecond  = 15       // calls of the store
+	DefaultCallBurst       = 15       // calls of the store
 	DefaultClaimTimeout    = 2 * time.Second
 	DefaultPeerTimeout     = 500 * time.Millisecond
 )
