--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -34,7 +34,9 @@
 
 	peersMu sync.Mutex
 	peers   []routing.PeerLoad // as last reported
-	self    routing.PeerLoad   // as last published
+	// The summaries that peers were told: the last one, when, and the one before.
+	told, toldBefore routing.PeerLoad
+	toldAt           time.Time
 
 	exchanges sync.Pool
 }
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -1,25 +1,38 @@
 package gateway
 
 import (
+	"cmp"
+	"slices"
+	"time"
+
 	"github.com/tarragonreach/tarragonreach/entry/directory"
 	"github.com/tarragonreach/tarragonreach/policy/routing"
 )
 
-// LoadSummary returns this entry instance's load for its peers. It is called
-// once for each summary that is sent, because the division of slots rests on the
-// summary sent last.
+// summaryInterval is the time for which a summary is kept. It is no shorter than the
+// time until all peers of the availability zone have heard of it.
+const summaryInterval = 2 * time.Second
+
+// LoadSummary returns this entry instance's load for its peers. It may be called
+// often; the summary changes each summaryInterval at most.
 func (g *Gateway) LoadSummary() routing.PeerLoad {
-	summary := routing.PeerLoad{Peer: string(g.options.Self)}
+	g.peersMu.Lock()
+	defer g.peersMu.Unlock()
+	now := time.Now()
+	if g.told.Peer != "" && now.Sub(g.toldAt) < summaryInterval {
+		return g.told
+	}
+	next := routing.PeerLoad{Peer: string(g.options.Self)}
 	for name, entry := range g.table.Load().services {
-		demand := entry.live.Demand()
+		last := demandOf(g.told, name, next.Peer).Slots
+		demand := routing.Hold(last, entry.live.Demand())
 		if demand > 0 {
-			summary.Services = append(summary.Services, routing.ServiceLoad{Service: name, Demand: demand})
+			next.Services = append(next.Services, routing.ServiceLoad{Service: name, Demand: demand})
 		}
 	}
-	g.peersMu.Lock()
-	g.self = summary
-	g.peersMu.Unlock()
-	return summary
+	slices.SortFunc(next.Services, func(a, b routing.ServiceLoad) int { return cmp.Compare(a.Service, b.Service) })
+	g.toldBefore, g.told, g.toldAt = g.told, next, now
+	return next
 }
 
 // SetPeerLoads takes the newest summaries of all reachable peers and divides the
@@ -34,7 +47,8 @@
 // demands returns the demand of every listed entry instance; the lock is held.
 func (g *Gateway) demands(snapshot *directory.Snapshot, service string) []routing.Demand {
 	self := string(g.options.Self)
-	demands := []routing.Demand{demandOf(g.self, service, self)}
+	own := routing.Lesser(demandOf(g.toldBefore, service, self), demandOf(g.told, service, self))
+	demands := []routing.Demand{own}
 	demands[0].Zone = g.options.Zone
 	for _, instance := range snapshot.EntryInstances {
 		peer := string(instance.ID)
@@ -48,6 +62,9 @@
 			}
 		}
 		demand.Zone = instance.Zone
+		if demand.Zone != g.options.Zone && demand.Slots == 0 {
+			demand.Known = false // Summaries cross availability zones late or not at all.
+		}
 		demands = append(demands, demand)
 	}
 	return demands
--- /dev/null
+++ b/entry/gateway/peers_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/entry/directory"
+	"github.com/tarragonreach/tarragonreach/policy/routing"
+	"gotest.tools/v3/assert"
+)
+
+func entryInstance(id string, zone fleet.AvailabilityZone) fleet.Instance {
+	return fleet.Instance{ID: fleet.InstanceID(id), Kind: fleet.KindEntry, Zone: zone, Address: id}
+}
+
+func TestSlotsAreDividedBySummaries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := &fakeList{instances: []fleet.Instance{executorInstance("a", "z1"), executorInstance("b", "z1"),
+			entryInstance("e1", "z1"), entryInstance("e2", "z1"), entryInstance("far", "z2")}}
+		d := directory.New(directory.Options{List: list})
+		d.SetConfig(testConfig())
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_ = d.Run(ctx) // Polls once.
+		g := New(Options{Self: "e1", Zone: "z1", Directory: d, Transport: sendFunc(answering)})
+		live := g.table.Load().services["sportello"].live
+		assert.Assert(t, live.Capacity() < 16, "static parts without summaries, %d", live.Capacity())
+
+		peer := func(demand int) {
+			g.SetPeerLoads([]routing.PeerLoad{{Peer: "e2", Services: []routing.ServiceLoad{{Service: "sportello", Demand: demand}}}, {Peer: "far"}})
+			time.Sleep(time.Second)
+			g.tick(time.Now(), false)
+		}
+		peer(100)
+		busy := live.Capacity()
+		peer(0)
+		assert.Assert(t, live.Capacity() > busy, "%d with a busy peer, %d with an idle one", busy, live.Capacity())
+	})
+}
+
+func TestSummaryIsKeptForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, _ := newTestGateway(answering, nil)
+		first := g.LoadSummary()
+		assert.Equal(t, len(first.Services), 0)
+		for range 200 {
+			call(g, "GET", "/s/sportello/x", "")
+			time.Sleep(5 * time.Millisecond)
+			g.tick(time.Now(), false)
+		}
+		assert.Equal(t, len(g.LoadSummary().Services), 0, "peers have only just heard the first")
+		time.Sleep(summaryInterval)
+		assert.Equal(t, g.LoadSummary().Services[0].Service, "sportello")
+	})
+}
--- a/policy/routing/divide.go
+++ b/policy/routing/divide.go
@@ -243,3 +243,29 @@
 	}
 	return sum
 }
+
+// heldChange is the part by which a demand must change before it is told anew.
+const heldChange = 0.2
+
+// Hold returns the demand to tell peers: the last one as long as the present one
+// is close to it, so that the division stays put under a steady load.
+func Hold(last, now int) int {
+	if last == 0 || now == 0 {
+		return now
+	}
+	change := max(last-now, now-last)
+	if float64(change) <= max(1, heldChange*float64(last)) {
+		return last
+	}
+	return now
+}
+
+// Lesser returns the smaller of the two demands that an entry instance told its
+// peers last. Its own division rests on it: a demand that has grown counts once
+// every peer has heard of it, one that has fallen at once.
+func Lesser(before, last Demand) Demand {
+	if before.Slots < last.Slots {
+		return before
+	}
+	return last
+}
