--- a/entry/submission/bench_test.go
+++ b/entry/submission/bench_test.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -80,6 +81,30 @@
 	})
 }
 
+// BenchmarkSubmissionRecord measures the memory of one remembered submission
+// without its answer.
+func BenchmarkSubmissionRecord(b *testing.B) {
+	const records = 50_000
+	for b.Loop() {
+		m := newMemory(2*records, 0)
+		now := time.Now()
+		before := heapBytes()
+		for i := range records {
+			key, grant := Key{"magnolia", fmt.Sprintf("order-2026-%d", i)}, newGrant()
+			m.begin(opening{key: key, grant: grant, expires: now.Add(time.Hour)}, now)
+			m.end(key, grant, ran, now)
+		}
+		b.ReportMetric(float64(heapBytes()-before)/float64(m.size()), "B/record")
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
 const (
 	claimKeepers = 8
 	claimSeconds = 3
