--- a/tools/capacity/measure_fleet.go
+++ b/tools/capacity/measure_fleet.go
@@ -23,7 +23,6 @@
 	workersTarget = 3100
 	pools         = 28
 	rackSize      = 4
-	pageRecords   = 64
 )
 
 func instanceAt(i int) fleet.Instance {
@@ -59,38 +58,36 @@
 	}
 	return measurement{
 		sizes:  []int{100, 400, 1600, 3100, 6200},
-		series: []Series{series("record-bytes", "B"), series("record-memory", "KiB")},
+		series: []Series{series("record-bytes", "B"), series("record-largest-page", "B"), series("record-memory", "KiB")},
 		at:     measureFleet,
 	}
 }
 
 func measureFleet(size int) ([]float64, error) {
+	pages := make(map[string]fleet.Page)
+	for i := range size {
+		record := recordAt(i)
+		key := fleet.PageKey(instanceAt(i).Zone, record.ID)
+		pages[key] = pages[key].With(record)
+	}
 	before := heapBytes()
 	view := fleetview.New()
-	bytes := 0
-	for first := 0; first < size; first += pageRecords {
-		entry, err := pageEntry(first, min(first+pageRecords, size))
+	total, largest := 0, 0
+	for key, page := range pages {
+		body, err := json.Marshal(page)
 		if err != nil {
 			return nil, err
 		}
-		bytes += len(entry.Value)
-		if err := view.Put(entry); err != nil {
+		total += len(body)
+		largest = max(largest, len(body))
+		if err := view.Put(platform.Entry{Key: key, Value: body, Revision: 1}); err != nil {
 			return nil, err
 		}
 	}
 	memory := heapBytes() - before
 	runtime.KeepAlive(view)
-	return []float64{float64(bytes), memory / kib}, nil
-}
-
-func pageEntry(first, end int) (platform.Entry, error) {
-	var page fleet.Page
-	for i := first; i < end; i++ {
-		page.Records = append(page.Records, recordAt(i))
-	}
-	body, err := json.Marshal(page)
-	key := fmt.Sprintf("%szone-%02d/%04d", fleet.PagePrefix, first/pageRecords%zones, first/pageRecords)
-	return platform.Entry{Key: key, Value: body, Revision: platform.Revision(first + 1)}, err
+	runtime.KeepAlive(pages)
+	return []float64{float64(total), float64(largest), memory / kib}, nil
 }
 
 // listMeasurement encodes and reads the platform's list as each poll does.
