--- a/mesh/engine/dial.go
+++ b/mesh/engine/dial.go
@@ -79,7 +79,7 @@
 // dial looks for wanted peers, and for members at addresses where none is reachable.
 func (e *Engine) dial(now time.Time) {
 	e.dialWanted(now)
-	e.dialStrangers(now)
+	e.searchUnreachable(now)
 	e.dropOldDials(now)
 }
 
@@ -111,15 +111,15 @@
 	state.next = now.Add(e.timing.Heartbeat)
 }
 
-// dialStrangers tries addresses at which no member is reachable: several while
+// searchUnreachable tries addresses at which no member is reachable: several while
 // the instance is alone, else the one tried longest ago now and then, which heals
 // a partition.
-func (e *Engine) dialStrangers(now time.Time) {
+func (e *Engine) searchUnreachable(now time.Time) {
 	alone := len(e.links) == 0
 	if !alone && now.Before(e.nextProbe) {
 		return
 	}
-	addresses := e.strangers()
+	addresses := e.searchAddresses()
 	e.random.Shuffle(len(addresses), func(i, j int) {
 		addresses[i], addresses[j] = addresses[j], addresses[i]
 	})
@@ -177,9 +177,9 @@
 	}
 }
 
-// strangers returns the addresses of unreachable members and of the seeds at
+// searchAddresses returns the addresses of unreachable members and of the seeds at
 // which no reachable member is known, sorted.
-func (e *Engine) strangers() []string {
+func (e *Engine) searchAddresses() []string {
 	taken := map[string]bool{e.members.own().Address: true}
 	var addresses []string
 	for _, record := range e.members.present() {
--- a/mesh/engine/receive.go
+++ b/mesh/engine/receive.go
@@ -94,7 +94,7 @@
 	var news []wire.Record
 	for _, record := range records {
 		if record.ID == e.members.self {
-			e.outlive(record)
+			e.supersedeOwn(record)
 			continue
 		}
 		if e.members.merge(record, now) {
@@ -105,8 +105,8 @@
 	e.sendRecords(news, from, now)
 }
 
-// outlive makes the own record newer than one of an earlier run of the process.
-func (e *Engine) outlive(record wire.Record) {
+// supersedeOwn makes the own record newer than one of an earlier run of the process.
+func (e *Engine) supersedeOwn(record wire.Record) {
 	own := e.members.own()
 	if !record.NewerThan(own) {
 		return
--- a/mesh/engine/streams.go
+++ b/mesh/engine/streams.go
@@ -73,15 +73,15 @@
 		return owner.Owns(stream)
 	}
 	for _, v := range r.Digest() {
-		if family(v.Stream) == family(stream) {
+		if prefixOf(v.Stream) == prefixOf(stream) {
 			return true
 		}
 	}
 	return false
 }
 
-// family is the part of a stream's name before the first slash.
-func family(stream replica.Stream) string {
+// prefixOf returns the part of a stream's name before the first slash.
+func prefixOf(stream replica.Stream) string {
 	name, _, _ := strings.Cut(string(stream), "/")
 	return name
 }
