--- a/mesh/topology/topology_test.go
+++ b/mesh/topology/topology_test.go
@@ -26,8 +26,17 @@
 	return rapid.Permutation(members).Draw(t, "order")
 }
 
+// linksOf returns the peers of each member.
+func linksOf(members []Member) map[fleet.InstanceID][]fleet.InstanceID {
+	links := make(map[fleet.InstanceID][]fleet.InstanceID)
+	for _, m := range members {
+		links[m.ID] = Peers(m.ID, members)
+	}
+	return links
+}
+
 // connected follows the links among the members that are kept.
-func connected(members []Member, keep func(Member) bool) bool {
+func connected(members []Member, links map[fleet.InstanceID][]fleet.InstanceID, keep func(Member) bool) bool {
 	kept := make(map[fleet.InstanceID]bool)
 	for _, m := range members {
 		if keep(m) {
@@ -41,7 +50,7 @@
 			return
 		}
 		found[id] = true
-		for _, peer := range Peers(id, members) {
+		for _, peer := range links[id] {
 			visit(peer)
 		}
 	}
@@ -55,10 +64,11 @@
 func TestAnyOneLossLeavesTheOthersConnected(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		members := drawMembers(t)
-		assert.Assert(t, connected(members, func(Member) bool { return true }))
+		links := linksOf(members)
+		assert.Assert(t, connected(members, links, func(Member) bool { return true }))
 		for _, lost := range members {
-			assert.Assert(t, connected(members, func(m Member) bool { return m.ID != lost.ID }), "without %s", lost.ID)
-			assert.Assert(t, connected(members, func(m Member) bool { return m.Zone != lost.Zone }), "without %s", lost.Zone)
+			assert.Assert(t, connected(members, links, func(m Member) bool { return m.ID != lost.ID }), "without %s", lost.ID)
+			assert.Assert(t, connected(members, links, func(m Member) bool { return m.Zone != lost.Zone }), "without %s", lost.Zone)
 		}
 	})
 }
@@ -73,10 +83,11 @@
 			perZone[m.Zone]++
 		}
 		cross := make(map[fleet.AvailabilityZone]int)
+		links := linksOf(members)
 		for _, m := range members {
 			own := 0
-			for _, peer := range Peers(m.ID, members) {
-				assert.Assert(t, slices.Contains(Peers(peer, members), m.ID), "%s and %s", m.ID, peer)
+			for _, peer := range links[m.ID] {
+				assert.Assert(t, slices.Contains(links[peer], m.ID), "%s and %s", m.ID, peer)
 				if zones[peer] == m.Zone {
 					own++
 				} else {
--- /dev/null
+++ b/tools/capacity/budget.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Rates from which the budget of a node is worked out.
+const (
+	secondsPerDay = 86400.0
+	// changesPerDay is the number of changes of configuration.
+	changesPerDay = 3100.0
+	// recordWritesPerDay are four states for each of 740 restarts, 25 failures and
+	// 63 maintenances (3,100 instances once in 49 days).
+	recordWritesPerDay = 4 * (740.0 + 25 + 63)
+	// listPollsPerSecond and those of a duty's holder, which polls for its rounds.
+	listPollsPerSecond   = 1.0
+	holderPollsPerSecond = listPollsPerSecond + 2 + 0.5
+	planRoundsPerSecond  = 0.5
+	placementPerSecond   = 2.0
+
+	boundMemoryKiB = 32 << 10
+	msPerCent      = 10.0 // milliseconds of work a second that are 1% of a core
+)
+
+// budgetLine is one cost of a node at the target.
+type budgetLine struct {
+	what  string
+	how   string
+	value float64
+}
+
+// budgetTable sums lines under a bound.
+type budgetTable struct {
+	title string
+	unit  string
+	bound float64
+	lines []budgetLine
+}
+
+func (t budgetTable) sum() float64 {
+	total := 0.0
+	for _, l := range t.lines {
+		total += l.value
+	}
+	return total
+}
+
+func (t budgetTable) write(b *strings.Builder) {
+	fmt.Fprintf(b, "\n| %s | %s | how |\n|---|---|---|\n", t.title, t.unit)
+	for _, l := range t.lines {
+		fmt.Fprintf(b, "| %s | %s | %s |\n", l.what, number(l.value), l.how)
+	}
+	state := "under"
+	if t.sum() > t.bound {
+		state = "**over**"
+	}
+	fmt.Fprintf(b, "| sum | %s | %s the bound of %s |\n", number(t.sum()), state, number(t.bound))
+}
+
+// budgets works the costs of a node at the target out from a report.
+func budgets(report Report) ([]budgetTable, error) {
+	var missing error
+	at := func(name string) float64 {
+		s, err := report.find(name)
+		if err != nil {
+			missing = err
+		}
+		return s.At(s.Target)
+	}
+	tables := []budgetTable{
+		bytesBudget(at),
+		listBudget(at),
+		processorBudget("processor, any entry instance", at, listPollsPerSecond, false),
+		processorBudget("processor, a zone's duty holder", at, holderPollsPerSecond, true),
+		memoryBudget(at),
+	}
+	return tables, missing
+}
+
+func bytesBudget(at func(string) float64) budgetTable {
+	pages := at("record-bytes") / (zones * 32) // bytes of an average page
+	return budgetTable{title: "mesh, sent and received", unit: "B/s", bound: boundBytesPerSecond, lines: []budgetLine{
+		{"heartbeats", "m", at("mesh-idle")},
+		{"changes of configuration, 3,100 a day", "m slope, w rate", at("mesh-change") * changesPerDay / secondsPerDay},
+		{"load summaries of 28 services, always changing", "m", at("mesh-summaries")},
+		{"pages of the fleet record", "w, as changes, plus the page's bytes once each way", (at("mesh-change") + 2*pages) * recordWritesPerDay / secondsPerDay},
+	}}
+}
+
+func listBudget(at func(string) float64) budgetTable {
+	return budgetTable{title: "platform's list, received", unit: "B/s", bound: boundBytesPerSecond, lines: []budgetLine{
+		{"one poll a second", "m slope, w rate", at("list-bytes") * listPollsPerSecond},
+	}}
+}
+
+func processorBudget(title string, at func(string) float64, polls float64, holder bool) budgetTable {
+	t := budgetTable{title: title, unit: "% of a core", bound: boundProcessor, lines: []budgetLine{
+		{"mesh", "m", at("mesh-processor")},
+		{fmt.Sprintf("reading the platform's list, %s a second", number(polls)), "m slope, w rate", at("list-read") * polls / msPerCent},
+		{"building the directory, once a second", "m slope, w rate", at("directory-swap") / millisecondUs / msPerCent},
+		{"merging changes", "m slope, w rate", at("config-merge") / millisecondUs / msPerCent * changesPerDay / secondsPerDay},
+	}}
+	if holder {
+		t.lines = append(t.lines,
+			budgetLine{"capacity plans", "m slope, w rate", at("plan-round") * planRoundsPerSecond / msPerCent},
+			budgetLine{"placement", "m slope, w rate", at("placement-round") * placementPerSecond / msPerCent})
+	}
+	return t
+}
+
+func memoryBudget(at func(string) float64) budgetTable {
+	return budgetTable{title: "memory", unit: "KiB", bound: boundMemoryKiB, lines: []budgetLine{
+		{"mesh", "m", at("mesh-memory")},
+		{"configuration", "m", at("config-memory")},
+		{"fleet record", "m", at("record-memory")},
+		{"directory", "m", at("directory-memory")},
+		{"platform's list while it is read: its bytes twice, decoded and raw", "w", 2 * at("list-bytes") / kib},
+		{"messages being received, at most", "w, the limit in the code", 12 << 10},
+	}}
+}
--- a/tools/capacity/page.go
+++ b/tools/capacity/page.go
@@ -21,7 +21,11 @@
 	if err != nil {
 		return fmt.Errorf("read the page: %w", err)
 	}
-	renewed, err := replaceTables(string(page), tables(report))
+	budget, err := budgets(report)
+	if err != nil {
+		return err
+	}
+	renewed, err := replaceTables(string(page), tables(report)+budgetText(budget))
 	if err != nil {
 		return fmt.Errorf("%s: %w", file, err)
 	}
@@ -55,6 +59,15 @@
 	return b.String()
 }
 
+func budgetText(tables []budgetTable) string {
+	var b strings.Builder
+	b.WriteString("\n### Budget of a node at the target\n")
+	for _, t := range tables {
+		t.write(&b)
+	}
+	return b.String()
+}
+
 func sizesOf(s Series) string {
 	return joined(s.Points, func(p Point) float64 { return p.Size })
 }
