--- a/entry/fleetctl/late_test.go
+++ b/entry/fleetctl/late_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/tarragonreach/tarragonreach/api/explain"
 	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/label"
 	"github.com/tarragonreach/tarragonreach/api/object"
 	"github.com/tarragonreach/tarragonreach/entry/fleetview"
 	"github.com/tarragonreach/tarragonreach/platform"
@@ -147,3 +148,30 @@
 	assert.Equal(t, r.recorded.about("terreni-0").Reason, explain.ReasonBatchDeadline)
 	assert.Assert(t, !r.record("terreni-1").LastMaintained.IsZero())
 }
+
+func TestInstanceLeavesItsPoolOnlyOnceTheLedgerCountsIt(t *testing.T) {
+	r := newRig(t, object.Document{Pools: []object.Pool{poolOf("terreni", 1)}}, servers("terreni", 3)...)
+	r.rounds(1)
+	racing := false
+	r.store.fault = func(key string) (bool, error) {
+		if strings.HasPrefix(key, fleet.LedgerPrefix) && !racing {
+			racing = true
+			entry := r.store.entries[key]
+			_, err := r.store.Swap(context.Background(), key, entry.Value, entry.Revision, 0)
+			assert.NilError(t, err)
+			racing = false
+		}
+		return true, nil
+	}
+	relabelled := r.platform.instances[0]
+	relabelled.Labels = label.Set{"service": "other"}
+	r.platform.remove(relabelled.ID)
+	r.rounds(4)
+	assert.Equal(t, r.record(relabelled.ID).State, fleet.StateFailed)
+	r.platform.instances = append(r.platform.instances, relabelled)
+	r.rounds(2)
+	assert.Equal(t, r.record(relabelled.ID).Pool, "terreni")
+	r.store.fault = nil
+	r.rounds(2)
+	assert.Equal(t, r.record(relabelled.ID).State, fleet.StateReleased)
+}
