cmd/tarragond: prove submissions, changes, verdicts and a cut zone on processes

Cause: the points that must always hold were proved inside packages; between separate processes only kills and a platform outage were tried.

--- /dev/null
+++ b/cmd/tarragond/changes_test.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/label"
+	"github.com/tarragonreach/tarragonreach/api/operations"
+	"github.com/tarragonreach/tarragonreach/platform/memory"
+)
+
+// classDocument edits the class of checks, based on a revision; zero takes the newest.
+func classDocument(revision, seconds int) string {
+	return fmt.Sprintf(`{"revision": %d, "classes": [
+  {"name": "check", "priority": 1, "timeout": "%ds", "repeatable": true}]}`, revision, seconds)
+}
+
+// timeoutOf returns the timeout of checks in force at an entry instance, in seconds.
+func timeoutOf(e *entry) int {
+	document, _ := getJSON[operations.ConfigDocument](e, operations.PathConfig)
+	for _, class := range document.Classes {
+		if class.Name == "check" {
+			return int(class.Timeout / 1e9)
+		}
+	}
+	return 0
+}
+
+// TestOneOfTwoConflictingChangesIsAccepted lets two operators edit the same
+// revision through two entry instances at the same moment.
+func TestOneOfTwoConflictingChangesIsAccepted(t *testing.T) {
+	t.Parallel()
+	s := newServingSite(t, 2)
+	for revision := 1; revision <= 6; revision++ {
+		var codes [2]int
+		var applying sync.WaitGroup
+		for i, e := range s.entries {
+			applying.Go(func() {
+				codes[i], _ = e.post(operations.PathConfigChanges, classDocument(revision, 10*revision+i))
+			})
+		}
+		applying.Wait()
+		accepted := 0
+		if codes[1] == http.StatusOK {
+			accepted = 1
+		}
+		assert.Equal(t, codes[accepted], http.StatusOK, "%v", codes)
+		assert.Equal(t, codes[1-accepted], http.StatusConflict, "%v", codes)
+		s.await("the accepted change at both", func() bool { return s.all(revision+1, 1) })
+		for _, e := range s.entries {
+			assert.Equal(t, timeoutOf(e), 10*revision+accepted)
+		}
+	}
+}
+
+// TestLostAnswersNeverDoubleAChange applies changes while the store loses the
+// answers of writes that took effect.
+func TestLostAnswersNeverDoubleAChange(t *testing.T) {
+	t.Parallel()
+	const changes = 12
+	s := newServingSite(t, 2)
+	s.platform.SetFaults(memory.Faults{LostAnswerPercent: 50})
+	codes := map[string]int{}
+	for i := range changes {
+		author := fmt.Sprintf("operator-%d", i)
+		codes[author], _ = s.entries[i%2].post(operations.PathConfigChanges+"?author="+author, classDocument(0, 10+i))
+	}
+	s.platform.SetFaults(memory.Faults{})
+	var history []operations.HistoryEntry
+	s.await("both to hold the same history", func() bool {
+		first, ok := getJSON[[]operations.HistoryEntry](s.entries[0], operations.PathConfigHistory)
+		second, also := getJSON[[]operations.HistoryEntry](s.entries[1], operations.PathConfigHistory)
+		history = first
+		return ok && also && len(first) > 0 && len(first) == len(second) && first[0].Revision == second[0].Revision
+	})
+	seen := map[string]int{}
+	for i, change := range history {
+		seen[change.Author]++
+		assert.Equal(t, int(change.Revision), len(history)-i)
+	}
+	accepted := 0
+	for author, code := range codes {
+		if code == http.StatusOK {
+			accepted++
+			assert.Equal(t, seen[author], 1, "%s was told that the change is accepted", author)
+		}
+		assert.Assert(t, seen[author] <= 1, "%s: %d", author, seen[author])
+	}
+	assert.Assert(t, accepted > 0, "%v", codes)
+}
+
+// TestZoneWithoutThePlatformServesAndFollows cuts one of two availability zones
+// off from the platform.
+func TestZoneWithoutThePlatformServesAndFollows(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	var executors []fleet.Instance
+	for _, zone := range []fleet.AvailabilityZone{"palermo", "catania"} {
+		executors = append(executors, fleet.Instance{
+			ID: fleet.InstanceID("terreni-" + zone), Kind: fleet.KindBackendServer, Zone: zone, Rack: "r0",
+			Address: s.server.Address(), Labels: label.Set{fleet.LabelService: "terreni"},
+		})
+	}
+	s.platform.SetInstances(executors)
+	connected, cut := s.start("pa-0"), s.startIn("catania", "ct-0")
+	s.apply(connected, firstDocument)
+	s.await("both to be ready", func() bool { return s.all(1, 1) })
+
+	s.platform.From("catania").SetFaults(memory.Faults{Down: true})
+	s.await("the cut to be noticed", func() bool { return !cut.status().StoreReachable })
+	s.apply(connected, classDocument(1, 42))
+	s.await("the change to reach the zone that is cut off", func() bool { return s.all(2, 1) })
+	assert.Equal(t, timeoutOf(cut), 42)
+	assert.Assert(t, !cut.status().StoreReachable)
+	for _, e := range s.entries {
+		code, body := e.ask("/s/terreni/hello")
+		assert.Equal(t, code, http.StatusOK, body)
+	}
+	code, body := cut.post(operations.PathConfigChanges, classDocument(2, 43))
+	assert.Equal(t, code, http.StatusServiceUnavailable, body)
+	assert.Assert(t, strings.Contains(body, "not-run"), body)
+	assert.Equal(t, timeoutOf(cut), 42)
+}
--- a/cmd/tarragond/process_test.go
+++ b/cmd/tarragond/process_test.go
@@ -47,6 +47,7 @@
 	t         *testing.T
 	dir       string
 	platform  *memory.Platform
+	gate      *writeGate
 	address   string
 	server    *standin.Server
 	authority *keys.Authority
@@ -66,6 +67,7 @@
 func newSite(t *testing.T) *site {
 	t.Helper()
 	s := &site{t: t, dir: t.TempDir(), platform: memory.New(time.Now)}
+	s.gate = &writeGate{next: httpapi.NewHandler(s.platform)}
 	var err error
 	s.authority, err = keys.NewAuthority()
 	assert.NilError(t, err)
@@ -78,15 +80,18 @@
 	}})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	web := &http.Server{Handler: httpapi.NewHandler(s.platform)}
+	web := &http.Server{Handler: s.gate}
 	go web.Serve(listener)
 	t.Cleanup(func() { web.Close() })
 	s.address = listener.Addr().String()
 	return s
 }
 
-// settings writes the settings file of an entry instance.
-func (s *site) settings(id string, more string) string {
+// settings writes the settings file of an entry instance in Palermo.
+func (s *site) settings(id string, more string) string { return s.settingsIn("palermo", id, more) }
+
+// settingsIn writes the settings file of an entry instance.
+func (s *site) settingsIn(zone, id, more string) string {
 	files, err := s.authority.WriteFiles(s.dir, fleet.InstanceID(id))
 	assert.NilError(s.t, err)
 	var seeds []string
@@ -94,14 +99,14 @@
 		seeds = append(seeds, fmt.Sprintf("%q", e.mesh))
 	}
 	text := fmt.Sprintf(`{
-  "instance": {"id": %q, "zone": "palermo"},
+  "instance": {"id": %q, "zone": %q},
   "caller": {"listen": "127.0.0.1:0"},
   "operator": {"listen": "127.0.0.1:0"},
   "mesh": {"listen": "127.0.0.1:0", "seeds": [%s],
     "tls": {"certFile": %q, "keyFile": %q, "caFile": %q}},
   "platform": {"url": "http://%s"},
   "shutdown": {"readinessDelay": "100ms", "grace": "20s"}%s
-}`, id, strings.Join(seeds, ","), files.Certificate, files.Key, files.Authority, s.address, more)
+}`, id, zone, strings.Join(seeds, ","), files.Certificate, files.Key, files.Authority, s.address, more)
 	path := filepath.Join(s.dir, id+".json")
 	assert.NilError(s.t, os.WriteFile(path, []byte(text), 0o600))
 	return path
@@ -113,10 +118,16 @@
 	return command
 }
 
-// start starts a tarragond process and waits until it serves.
+// start starts a tarragond process in Palermo and waits until it serves.
 func (s *site) start(id string) *entry {
 	s.t.Helper()
-	e := &entry{id: id, command: tarragond("run", "--config", s.settings(id, "")), exited: make(chan error, 1)}
+	return s.startIn("palermo", id)
+}
+
+// startIn starts a tarragond process and waits until it serves.
+func (s *site) startIn(zone, id string) *entry {
+	s.t.Helper()
+	e := &entry{id: id, command: tarragond("run", "--config", s.settingsIn(zone, id, "")), exited: make(chan error, 1)}
 	logs, err := e.command.StderrPipe()
 	assert.NilError(s.t, err)
 	assert.NilError(s.t, e.command.Start())
--- /dev/null
+++ b/cmd/tarragond/submissions_test.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/header"
+	"github.com/tarragonreach/tarragonreach/entry/gateway"
+)
+
+const submissions = 8
+
+// newServingSite starts entry instances that hold the first configuration.
+func newServingSite(t *testing.T, entries int) *site {
+	t.Helper()
+	s := newSite(t)
+	for i := range entries {
+		s.start(fmt.Sprintf("pa-%d", i))
+	}
+	s.apply(s.entries[0], firstDocument)
+	s.await("all to be ready", func() bool { return s.all(1, entries-1) })
+	return s
+}
+
+// ticket mints a ticket at an entry instance.
+func (e *entry) ticket(t *testing.T) string {
+	t.Helper()
+	got := e.send(t, http.MethodPost, "/v1/tickets")
+	assert.Equal(t, got.code, http.StatusCreated, got.body)
+	var minted gateway.Ticket
+	assert.NilError(t, json.Unmarshal([]byte(got.body), &minted))
+	return minted.Ticket
+}
+
+func TestOwnKeySentToTwoEntryInstancesRunsOnce(t *testing.T) {
+	t.Parallel()
+	s := newServingSite(t, 2)
+	for i := range submissions {
+		key := fmt.Sprintf("dossier-%d", i)
+		first := sendToAll(t, s.entries, http.MethodPost, "/s/terreni/order", header.IdempotencyKey, key)
+		assert.Equal(t, s.server.KeyRuns(key), 1, "%s: %v", key, first)
+		again := sendToAll(t, s.entries, http.MethodPost, "/s/terreni/order",
+			header.IdempotencyKey, key, header.Attempt, "2")
+		assert.Equal(t, s.server.KeyRuns(key), 1, "%s: %v", key, again)
+		for _, got := range append(first, again...) {
+			assert.Assert(t, got.verdict != "not-run", "%s: %v", key, got)
+		}
+	}
+}
+
+func TestTicketRunsOnceAndNeverWithoutItsMinter(t *testing.T) {
+	t.Parallel()
+	s := newServingSite(t, 3)
+	minter, others := s.entries[0], s.entries[1:]
+	var used []string
+	for range submissions {
+		key := minter.ticket(t)
+		used = append(used, key)
+		for attempt := range 2 {
+			answers := sendToAll(t, s.entries, http.MethodPost, "/s/terreni/order",
+				header.IdempotencyKey, key, header.Attempt, fmt.Sprint(attempt+1))
+			assert.Equal(t, s.server.KeyRuns(key), 1, "%v", answers)
+		}
+	}
+	unused := minter.ticket(t)
+	assert.NilError(t, minter.command.Process.Kill())
+	<-minter.exited
+	for _, got := range sendToAll(t, others, http.MethodPost, "/s/terreni/order", header.IdempotencyKey, unused) {
+		assert.Assert(t, got.code >= http.StatusBadRequest, "%v", got)
+	}
+	assert.Equal(t, s.server.KeyRuns(unused), 0)
+	for _, key := range used {
+		for _, got := range sendToAll(t, others, http.MethodPost, "/s/terreni/order",
+			header.IdempotencyKey, key, header.Attempt, "3") {
+			assert.Assert(t, got.verdict != "not-run", "the ticket ran: %v", got)
+		}
+		assert.Equal(t, s.server.KeyRuns(key), 1)
+	}
+}
