cmd/tarragond: prove that a frozen holder of the fleet's duty is fenced

Cause: fencing was proved against fakes; no process had been frozen with a write under way. Change: the test freezes the holder with SIGSTOP while the platform still holds its write, lets another take the duty over and act, delivers the write late and continues the old holder. An auditor reads the record all the time: one page for each instance, no more out of service than the budget, epochs never go back.

--- /dev/null
+++ b/cmd/tarragond/frozen_test.go
@@ -0,0 +1,245 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/label"
+	"github.com/tarragonreach/tarragonreach/api/operations"
+	"github.com/tarragonreach/tarragonreach/platform"
+)
+
+const (
+	poolSize       = 4
+	maxUnavailable = 1
+	auditInterval  = 5 * time.Millisecond
+	auditLimit     = 1000 // entries of one listing
+)
+
+const poolDocument = `{
+  "services": [{"name": "terreni", "slots": 8, "connections": 64}],
+  "classes": [{"name": "check", "priority": 1, "timeout": "5s", "repeatable": true}],
+  "pools": [{"name": "counter", "selector": "service=terreni", "min": 4, "budget": {"maxUnavailable": 1}}]
+}`
+
+// auditor reads the fleet record all the time and keeps what must not be.
+type auditor struct {
+	store  platform.Store
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+	epochs map[string]int64 // by page
+	faults []string
+	looks  int
+}
+
+func startAudit(t *testing.T, store platform.Store) *auditor {
+	ctx, cancel := context.WithCancel(t.Context())
+	a := &auditor{store: store, stop: cancel, epochs: map[string]int64{}}
+	a.done.Go(func() {
+		for ctx.Err() == nil {
+			a.look(ctx)
+			time.Sleep(auditInterval)
+		}
+	})
+	return a
+}
+
+// end stops the audit and fails the test for what it found.
+func (a *auditor) end(t *testing.T) {
+	t.Helper()
+	a.stop()
+	a.done.Wait()
+	assert.Assert(t, a.looks > 0)
+	assert.Equal(t, len(a.faults), 0, "%s", strings.Join(a.faults, "\n"))
+}
+
+func (a *auditor) fail(format string, args ...any) {
+	a.faults = append(a.faults, fmt.Sprintf(format, args...))
+}
+
+// look checks one listing, which is one moment of the store.
+func (a *auditor) look(ctx context.Context) {
+	listing, err := a.store.List(ctx, fleet.PagePrefix, "", auditLimit)
+	if err != nil {
+		return
+	}
+	a.looks++
+	pageOf := map[fleet.InstanceID]string{}
+	out := 0
+	for _, entry := range listing.Entries {
+		page := a.page(entry)
+		for _, record := range page.Records {
+			if other, twice := pageOf[record.ID]; twice {
+				a.fail("%s is recorded in %s and %s", record.ID, other, entry.Key)
+			}
+			pageOf[record.ID] = entry.Key
+			if record.Pool != "" && record.State != fleet.StateServing {
+				out++
+			}
+		}
+	}
+	if out > maxUnavailable {
+		a.fail("%d instances of the pool are out of service", out)
+	}
+}
+
+// page decodes a page and checks that its epoch never goes back.
+func (a *auditor) page(entry platform.Entry) fleet.Page {
+	var page fleet.Page
+	if err := json.Unmarshal(entry.Value, &page); err != nil {
+		a.fail("%s: %v", entry.Key, err)
+	}
+	if page.Epoch < a.epochs[entry.Key] {
+		a.fail("%s went back from epoch %d to %d", entry.Key, a.epochs[entry.Key], page.Epoch)
+	}
+	a.epochs[entry.Key] = max(a.epochs[entry.Key], page.Epoch)
+	return page
+}
+
+// newPoolSite starts two entry instances with a pool whose instances all serve.
+func newPoolSite(t *testing.T) *site {
+	t.Helper()
+	s := newSite(t)
+	var executors []fleet.Instance
+	for i := range poolSize {
+		executors = append(executors, fleet.Instance{
+			ID: fleet.InstanceID(fmt.Sprintf("terreni-%d", i)), Kind: fleet.KindBackendServer, Zone: "palermo",
+			Rack: fmt.Sprintf("r%d", i), Address: s.server.Address(), Labels: label.Set{fleet.LabelService: "terreni"},
+		})
+	}
+	s.platform.SetInstances(executors)
+	s.start("pa-0")
+	s.start("pa-1")
+	s.apply(s.entries[0], poolDocument)
+	s.await("both to be ready", func() bool { return s.all(1, 1) })
+	s.await("the pool to serve", func() bool { return s.inState(s.entries[0], fleet.StateServing) == poolSize })
+	return s
+}
+
+// stateOf returns the state of an instance of the pool as an entry instance shows it.
+func (s *site) stateOf(e *entry, i int) fleet.State {
+	instances, _ := getJSON[[]operations.InstanceStatus](e, operations.PathInstances)
+	for _, instance := range instances {
+		if string(instance.ID) == fmt.Sprintf("terreni-%d", i) {
+			return instance.State
+		}
+	}
+	return ""
+}
+
+// inState counts instances in a state as an entry instance shows them.
+func (s *site) inState(e *entry, state fleet.State) int {
+	instances, _ := getJSON[[]operations.InstanceStatus](e, operations.PathInstances)
+	n := 0
+	for _, instance := range instances {
+		if instance.State == state {
+			n++
+		}
+	}
+	return n
+}
+
+// epoch returns the epoch of the fleet's duty at an entry instance, 0 without it.
+func (e *entry) epoch() int64 {
+	for _, held := range e.status().Duties {
+		if held.Name == "fleet" {
+			return held.Epoch
+		}
+	}
+	return 0
+}
+
+// drain asks for the drain of an instance of the pool.
+func (s *site) drain(e *entry, i int) {
+	s.t.Helper()
+	s.change(e, i, "drain")
+}
+
+// undrain withdraws a drain.
+func (s *site) undrain(e *entry, i int) {
+	s.t.Helper()
+	s.change(e, i, "undrain")
+}
+
+func (s *site) change(e *entry, i int, operation string) {
+	s.t.Helper()
+	code, body := e.post(fmt.Sprintf("%s/terreni-%d/%s", operations.PathInstances, i, operation), `{"reason": "repair"}`)
+	assert.Equal(s.t, code, http.StatusOK, body)
+}
+
+// isDraining says whether a write makes an instance leave service.
+func isDraining(w storeWrite) bool {
+	var page fleet.Page
+	if !strings.HasPrefix(w.Key, fleet.PagePrefix) || json.Unmarshal(w.Value, &page) != nil {
+		return false
+	}
+	for _, record := range page.Records {
+		if record.State == fleet.StateDraining {
+			return true
+		}
+	}
+	return false
+}
+
+// TestFrozenHolderOfTheDutyIsFenced freezes the holder of a zone's duty with a
+// write under way, which arrives once another has taken the duty over.
+func TestFrozenHolderOfTheDutyIsFenced(t *testing.T) {
+	t.Parallel()
+	s := newPoolSite(t)
+	audit := startAudit(t, s.platform)
+	old, successor := s.entries[0], s.entries[1]
+	if successor.epoch() > 0 {
+		old, successor = successor, old
+	}
+	before := old.epoch()
+	assert.Assert(t, before > 0, "nobody holds the duty")
+
+	late := s.gate.arm(isDraining)
+	s.drain(old, 0)
+	<-late.arrived
+	assert.NilError(t, old.command.Process.Signal(syscall.SIGSTOP))
+	s.await("the duty to change hands", func() bool { return successor.epoch() > before })
+	s.drain(successor, 1)
+	s.await("the successor to drain the first", func() bool { return s.inState(successor, fleet.StateDraining) == 1 })
+	close(late.release)
+	assert.Assert(t, <-late.code >= http.StatusBadRequest, "the late write of the old holder took effect")
+	assert.NilError(t, old.command.Process.Signal(syscall.SIGCONT))
+
+	s.await("the old holder to follow", func() bool {
+		return old.epoch() == 0 && s.stateOf(old, 0) == fleet.StateDraining
+	})
+	s.checkExplained(successor, old.id)
+	s.undrain(old, 0)
+	s.await("the second to take its turn", func() bool { return s.stateOf(successor, 1) == fleet.StateDraining })
+	s.undrain(old, 1)
+	s.await("the pool to serve again", func() bool { return s.inState(successor, fleet.StateServing) == poolSize })
+	assert.Assert(t, successor.epoch() > before)
+	audit.end(t)
+}
+
+// checkExplained checks that the drain of the first instance was decided by the
+// successor, and by nobody else.
+func (s *site) checkExplained(successor *entry, old string) {
+	s.t.Helper()
+	explanations, ok := getJSON[[]operations.Explanation](successor, operations.PathExplain+"/instance/terreni-0")
+	assert.Assert(s.t, ok)
+	drains := 0
+	for _, e := range explanations {
+		if !strings.Contains(e.Decision, "drain") {
+			continue
+		}
+		assert.Assert(s.t, e.Instance != old, "%+v", e)
+		drains++
+	}
+	assert.Assert(s.t, drains > 0, "%+v", explanations)
+}
--- a/cmd/tarragond/site_test.go
+++ b/cmd/tarragond/site_test.go
@@ -14,7 +14,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/tarragonreach/tarragonreach/api/header"
-	"github.com/tarragonreach/tarragonreach/api/operations"
 )
 
 // writeGate is the platform's handler, and holds one write back on demand, as if
@@ -141,14 +140,3 @@
 	sending.Wait()
 	return answers
 }
-
-// reachable counts the peers that an entry instance reaches.
-func reachable(status operations.Status) int {
-	n := 0
-	for _, m := range status.Members {
-		if m.Reachable {
-			n++
-		}
-	}
-	return n
-}
