cmd/tarragond: prove leaving executors and waiting requests on processes

Cause: a leaving executor was proved in entry/gateway with a fake transport; the shutdown of a process was tried with one request. Change: one of two executors leaves by the platform's list, its readiness and its notice; a process is stopped with more requests than its executor has slots. Result: go test -race -run 'Leaving|RequestsThatWait' ./cmd/tarragond: passes in 3.9 s. Conclusion: no fault found.

--- /dev/null
+++ b/cmd/tarragond/leaving_test.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/api/label"
+	"github.com/tarragonreach/tarragonreach/entry/standin"
+)
+
+// requestsInARow is how many requests must all go elsewhere to show that an
+// executor gets no new work.
+const requestsInARow = 30
+
+// executorOf describes a stand-in server to the platform.
+func executorOf(id string, server *standin.Server, leaving bool) fleet.Instance {
+	return fleet.Instance{
+		ID: fleet.InstanceID(id), Kind: fleet.KindBackendServer, Zone: "palermo", Rack: "r0",
+		Address: server.Address(), Labels: label.Set{fleet.LabelService: "terreni"}, Leaving: leaving,
+	}
+}
+
+// TestLeavingExecutorGetsNoNewWork lets one of two executors leave in each of the
+// ways in which it can.
+func TestLeavingExecutorGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	for name, leave := range map[string]func(*site, *standin.Server){
+		"platform list": func(s *site, leaving *standin.Server) {
+			s.platform.SetInstances([]fleet.Instance{
+				executorOf("terreni-0", s.server, false), executorOf("terreni-1", leaving, true),
+			})
+		},
+		"readiness": func(_ *site, leaving *standin.Server) { leaving.SetReady(false) },
+		"notice": func(s *site, leaving *standin.Server) {
+			leaving.SetFault(standin.Leaving)
+			for range requestsInARow {
+				s.entries[0].ask("/s/terreni/hello")
+			}
+			leaving.SetFault(standin.None)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, leaving := newPairOfExecutors(t)
+			leave(s, leaving)
+			s.await("the executor to get no new work", func() bool {
+				before := leaving.TotalRuns()
+				for range requestsInARow {
+					code, body := s.entries[0].ask("/s/terreni/hello")
+					assert.Equal(t, code, http.StatusOK, body)
+				}
+				return leaving.TotalRuns() == before
+			})
+		})
+	}
+}
+
+// newPairOfExecutors starts an entry instance with two executors that both get work.
+func newPairOfExecutors(t *testing.T) (*site, *standin.Server) {
+	t.Helper()
+	s := newSite(t)
+	second, err := standin.Start("127.0.0.1:0", standin.Settings{})
+	assert.NilError(t, err)
+	t.Cleanup(func() { second.Close() })
+	s.platform.SetInstances([]fleet.Instance{
+		executorOf("terreni-0", s.server, false), executorOf("terreni-1", second, false),
+	})
+	e := s.start("pa-0")
+	s.apply(e, firstDocument)
+	s.await("both executors to get work", func() bool {
+		e.ask("/s/terreni/hello")
+		return s.server.TotalRuns() > 0 && second.TotalRuns() > 0
+	})
+	return s, second
+}
+
+// TestGracefulShutdownFinishesRequestsThatWait stops an entry instance with more
+// requests in progress than its executor has slots.
+func TestGracefulShutdownFinishesRequestsThatWait(t *testing.T) {
+	t.Parallel()
+	const requests = standin.DefaultSlots + 4
+	s := newServingSite(t, 1)
+	s.server.SetServiceTime(700 * time.Millisecond)
+	e := s.entries[0]
+	answers := make(chan answer, requests)
+	for i := range requests {
+		go func() { answers <- e.send(t, http.MethodPost, fmt.Sprintf("/s/terreni/slow/%d", i)) }()
+	}
+	s.await("all slots to be taken", func() bool { return s.server.TotalRuns() >= standin.DefaultSlots })
+	assert.NilError(t, e.command.Process.Signal(syscall.SIGTERM))
+	for range requests {
+		got := <-answers
+		assert.Assert(t, got.code == http.StatusOK && got.whole, "%+v", got)
+	}
+	assert.NilError(t, <-e.exited)
+}
