Wire requests' explanations, first copies and transport signals

Cause: these were built and not yet used by the program; lines of net/http about bytes on idle connections came past the structured log. Change: refusals of single requests are kept in a ring of their own for tarragonctl explain request; a duplicate's problem document tells of the first copy; the process's standard loggers write into the structured log.

--- a/cmd/tarragonctl/explain.go
+++ b/cmd/tarragonctl/explain.go
@@ -12,7 +12,7 @@
 	"github.com/tarragonreach/tarragonreach/api/operations"
 )
 
-var explainKinds = []string{"instance", "pool", "job", "maintenance-plan"}
+var explainKinds = []string{"instance", "pool", "job", "maintenance-plan", "request"}
 
 func explainCommand() *cli.Command {
 	return &cli.Command{
--- a/cmd/tarragond/run.go
+++ b/cmd/tarragond/run.go
@@ -58,6 +58,7 @@
 	if err != nil {
 		return err
 	}
+	n.TakeStandardLog()
 	if err := n.Start(ctx); err != nil {
 		return err
 	}
--- a/entry/gateway/problem.go
+++ b/entry/gateway/problem.go
@@ -9,6 +9,7 @@
 
 	"github.com/tarragonreach/tarragonreach/api/header"
 	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/entry/submission"
 )
 
 // problemType is the media type of RFC 9457.
@@ -24,6 +25,8 @@
 	Verdict string       `json:"verdict"`
 	// RequestID is absent where the request was refused before it got one.
 	RequestID string `json:"requestId,omitempty"`
+	// First tells of the first copy where this one is refused as a duplicate.
+	First *submission.FirstCopy `json:"first,omitempty"`
 	// RetryAfter is in seconds; absent where there is no advice.
 	RetryAfter int `json:"retryAfter,omitempty"`
 }
@@ -63,6 +66,7 @@
 		Code:       err.Code,
 		Verdict:    err.Verdict.String(),
 		RequestID:  requestID,
+		First:      submission.FirstCopyOf(err),
 		RetryAfter: retryAfterSeconds(err),
 	}
 	body, _ := json.Marshal(problem) // A struct of strings and numbers always marshals.
--- a/entry/logging/logging.go
+++ b/entry/logging/logging.go
@@ -4,7 +4,9 @@
 import (
 	"fmt"
 	"io"
+	"log"
 	"log/slog"
+	"strings"
 
 	"github.com/tarragonreach/tarragonreach/entry/settings"
 )
@@ -18,13 +20,13 @@
 // New returns a Log that writes to out as the settings say.
 func New(out io.Writer, s settings.Log, instance settings.Instance) (*Log, error) {
 	level := new(slog.LevelVar)
-	log := &Log{level: level}
-	if err := log.SetLevel(s.Level); err != nil {
+	l := &Log{level: level}
+	if err := l.SetLevel(s.Level); err != nil {
 		return nil, err
 	}
 	handler := newHandler(out, s.Format, &slog.HandlerOptions{Level: level})
-	log.Logger = slog.New(handler).With("instance", string(instance.ID), "zone", string(instance.Zone))
-	return log, nil
+	l.Logger = slog.New(handler).With("instance", string(instance.ID), "zone", string(instance.Zone))
+	return l, nil
 }
 
 func newHandler(out io.Writer, format string, options *slog.HandlerOptions) slog.Handler {
@@ -46,3 +48,26 @@
 	l.level.Set(level)
 	return nil
 }
+
+// unsolicited starts a line of net/http about bytes on an idle connection. The
+// transport to backend servers notices and counts them itself.
+const unsolicited = "Unsolicited response received on idle HTTP channel"
+
+// standardWriter passes lines of the standard logger on.
+type standardWriter struct{ logger *slog.Logger }
+
+// Write logs one line, without those that are counted elsewhere.
+func (w standardWriter) Write(line []byte) (int, error) {
+	text := strings.TrimSpace(string(line))
+	if !strings.HasPrefix(text, unsolicited) {
+		w.logger.Warn(text)
+	}
+	return len(line), nil
+}
+
+// TakeStandard makes the process's default and standard loggers write here.
+func (l *Log) TakeStandard() {
+	slog.SetDefault(l.Logger)
+	log.SetFlags(0)
+	log.SetOutput(standardWriter{l.Logger})
+}
--- a/entry/node/explainops.go
+++ b/entry/node/explainops.go
@@ -54,7 +54,7 @@
 // own returns this entry instance's decisions on a subject, the latest first.
 func (e *explainer) own(subject explain.Subject) []operations.Explanation {
 	out := []operations.Explanation{}
-	for _, record := range e.Ring.About(subject) {
+	for _, record := range e.about(subject) {
 		if len(out) == explainLimit {
 			break
 		}
@@ -63,6 +63,13 @@
 	return out
 }
 
+func (e *explainer) about(subject explain.Subject) []explain.Record {
+	if subject.Kind == explain.SubjectRequest {
+		return e.Requests.About(subject)
+	}
+	return e.Ring.About(subject)
+}
+
 func explanation(by fleet.InstanceID, r explain.Record) operations.Explanation {
 	out := operations.Explanation{
 		At: r.Last, Instance: string(by), Subject: string(r.Subject.Kind) + "/" + r.Subject.Name,
--- a/entry/node/parts.go
+++ b/entry/node/parts.go
@@ -39,6 +39,7 @@
 	RollOut   *config.RollOut
 	View      *fleetview.View
 	Ring      *explain.Ring
+	Requests  *requestRing
 	Directory *directory.Directory
 	Transport *backend.HTTPTransport
 	Keeper    *submission.Keeper
@@ -52,7 +53,7 @@
 func constructors() fx.Option {
 	return fx.Provide(
 		newLog, newMetrics, newStoreClient, newStore, newList, newPeers, newFollower, newConfigLog, newRollOut,
-		fleetview.New, newRing, newDirectory, newTransport, newKeeper, newGateway,
+		fleetview.New, newRing, newRequestRing, newDirectory, newTransport, newKeeper, newGateway,
 		newJobPages, newExecutorHealth, newOwnLoad,
 	)
 }
@@ -109,19 +110,37 @@
 	return explain.NewRing(explain.DefaultSize, explain.TallyMetrics{Scope: m.Scope.SubScope("decisions")})
 }
 
+// requestRing holds the decisions about single requests, apart from those about the
+// fleet, which a wave of refusals must not push out.
+type requestRing struct{ *explain.Ring }
+
+// requestRecords is how many decisions about requests are kept.
+const requestRecords = 1024
+
+func newRequestRing() *requestRing { return &requestRing{explain.NewRing(requestRecords, nil)} }
+
 func newDirectory(o Options, list *listCache, log *logging.Log) *directory.Directory {
 	return directory.New(directory.Options{
 		List: list, Interval: time.Duration(o.Settings.Platform.InstanceInterval), Logger: log.Logger,
 	})
 }
 
-func newTransport(o Options, m *metrics.Metrics) *backend.HTTPTransport {
+func newTransport(o Options, m *metrics.Metrics, log *logging.Log) *backend.HTTPTransport {
 	return backend.New(backend.Options{
 		BufferBytes: o.Settings.Gateway.BufferBytes, MaxAnswerBytes: o.Settings.Gateway.MaxAnswerBytes,
-		Scope: m.Scope.SubScope("backend"),
+		Scope: m.Scope.SubScope("backend"), Observe: func(s backend.Signal) { logSignal(log, s) },
 	})
 }
 
+// logSignal notes what a probe of an executor found.
+func logSignal(log *logging.Log, s backend.Signal) {
+	if s.Kind == backend.SignalUnreachable {
+		log.Warn("an executor answers on no connection", "executor", s.Executor)
+		return
+	}
+	log.Info("connections to an executor went silent", "executor", s.Executor, "connections", s.Connections)
+}
+
 func newKeeper(o Options, client *httpapi.Client, p *peers, m *metrics.Metrics) (*submission.Keeper, error) {
 	s := o.Settings.Gateway
 	keeper, err := submission.New(submission.Options{
@@ -136,7 +155,7 @@
 }
 
 func newGateway(o Options, d *directory.Directory, t *backend.HTTPTransport, k *submission.Keeper,
-	m *metrics.Metrics, log *logging.Log) *gateway.Gateway {
+	m *metrics.Metrics, requests *requestRing, log *logging.Log) *gateway.Gateway {
 	tuned := gateway.DefaultSettings()
 	tuned.DefaultTimeout = time.Duration(o.Settings.Gateway.DefaultTimeout)
 	tuned.MaxBodyBytes = o.Settings.Caller.MaxBodyBytes
@@ -144,7 +163,7 @@
 	tuned.MaxHeaderBytes = o.Settings.Caller.MaxHeaderBytes
 	tuned.ListenerGrace = time.Duration(o.Settings.Shutdown.ReadinessDelay)
 	return gateway.New(gateway.Options{
-		Self: o.Settings.Instance.ID, Zone: o.Settings.Instance.Zone, Directory: d, Transport: t, Guard: k,
+		Self: o.Settings.Instance.ID, Zone: o.Settings.Instance.Zone, Directory: d, Transport: t, Guard: k, Explain: requests.Record,
 		Scope: m.Scope.SubScope("gateway"), Logger: log.Logger, Settings: tuned,
 	})
 }
