--- a/entry/submission/options.go
+++ b/entry/submission/options.go
@@ -13,7 +13,7 @@
 // Defaults of Options.
 const (
 	DefaultTicketLifetime  = 10 * time.Minute
-	DefaultRetention       = 6 * time.Hour
+	DefaultRetention       = 24 * time.Hour
 	DefaultMemoryRetention = 10 * time.Minute
 	DefaultMaxRecords      = 64 << 10
 	DefaultMaxBodyBytes    = 8 << 20  // bytes, all answers together
@@ -27,7 +27,7 @@
 // Peers reaches the other entry instances.
 type Peers interface {
 	// Call sends a request to one peer and returns its answer. After an error
-	// the peer may have handled the request all the same.
+	// without the verdict NotRun the peer may have handled the request all the same.
 	Call(ctx context.Context, peer fleet.InstanceID, method string, payload []byte) ([]byte, error)
 }
 
