--- a/entry/fleetctl/apply.go
+++ b/entry/fleetctl/apply.go
@@ -157,9 +157,9 @@
 func describe(c change) string {
 	before, after := c.record, c.step.Record
 	if c.step.Forget {
-		return fmt.Sprintf("was %s in pool %q", before.State, before.Pool)
+		return "was " + standing(before)
 	}
-	line := fmt.Sprintf("%s in pool %q, was %s in pool %q", after.State, after.Pool, before.State, before.Pool)
+	line := standing(after) + ", was " + standing(before)
 	if after.Target != "" && after.Target != after.Pool {
 		line += fmt.Sprintf(", on its way to pool %q", after.Target)
 	}
@@ -169,6 +169,13 @@
 	return line
 }
 
+func standing(r fleet.Record) string {
+	if r.Pool == "" {
+		return string(r.State)
+	}
+	return fmt.Sprintf("%s in pool %q", r.State, r.Pool)
+}
+
 // inputs names what a step was decided from.
 func (r *round) inputs(m *member) []explain.Input {
 	return []explain.Input{
--- a/entry/fleetctl/controller.go
+++ b/entry/fleetctl/controller.go
@@ -65,8 +65,8 @@
 // is left is decided anew in the next one.
 func (c *Controller) Round(ctx context.Context, term Term) error {
 	config := c.Config()
-	if !term.Active() || config == nil {
-		return nil
+	if !term.Active() || config == nil || config.Revision == 0 {
+		return nil // without a configuration every instance would match no pool
 	}
 	if err := c.begin(ctx, term); err != nil {
 		return err
--- a/entry/fleetctl/controller_test.go
+++ b/entry/fleetctl/controller_test.go
@@ -164,3 +164,11 @@
 	r.rounds(10)
 	assert.Equal(t, r.inState(fleet.StateReleased), released, "no way back and forth")
 }
+
+func TestNothingIsDecidedWithoutAConfiguration(t *testing.T) {
+	r := newRig(t, object.Document{Pools: []object.Pool{poolOf("terreni", 1)}}, servers("terreni", 3)...)
+	r.rounds(1)
+	r.config = &object.Config{}
+	r.rounds(3)
+	assert.Equal(t, r.inState(fleet.StateServing), 3)
+}
