--- a/cmd/tarragond/changes_test.go
+++ b/cmd/tarragond/changes_test.go
@@ -55,6 +55,8 @@
 		s.await("the accepted change at both", func() bool { return s.all(revision+1, 1) })
 		for _, e := range s.entries {
 			assert.Equal(t, timeoutOf(e), 10*revision+accepted)
+			code, body := e.post(operations.PathConfigChanges, classDocument(revision, 10*revision+9))
+			assert.Equal(t, code, http.StatusConflict, "an edit of revision %d: %s", revision, body)
 		}
 	}
 }
--- /dev/null
+++ b/cmd/tarragond/reverts_test.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/entry/config"
+	"github.com/tarragonreach/tarragonreach/mesh"
+	"github.com/tarragonreach/tarragonreach/platform/memory"
+)
+
+const (
+	// manyChanges is more than the changes that a follower keeps one by one, so
+	// that it offers a snapshot to a peer that holds nothing.
+	manyChanges   = 530
+	documentBytes = 1 << 20
+)
+
+// TestSnapshotOfAnOlderRevisionIsNotTaken gives a follower what a peer offered
+// long ago, as a connection that was silent may deliver it.
+func TestSnapshotOfAnOlderRevisionIsNotTaken(t *testing.T) {
+	t.Parallel()
+	store := memory.New(time.Now)
+	source := config.NewFollower(store, config.Options{})
+	log := config.NewLog(store, source, config.LogOptions{})
+	accept := func(i int) {
+		name := fmt.Sprintf("tenant-%d", i)
+		change := object.Change{ID: name}
+		edit, err := object.Parse([]byte(fmt.Sprintf(`{"tenants": [{"name": %q}]}`, name)))
+		assert.NilError(t, err)
+		change.Put = edit.Put
+		_, err = log.Accept(t.Context(), config.WithBase(change, source.Current()))
+		assert.NilError(t, err)
+	}
+	for i := range manyChanges {
+		accept(i)
+	}
+	older := source.Read(config.Stream, 0, documentBytes)
+	assert.Assert(t, len(older) == 1 && older[0].Snapshot)
+	accept(manyChanges)
+
+	peer := config.NewFollower(store, config.Options{})
+	assert.NilError(t, peer.Merge(t.Context(), source.Read(config.Stream, 0, documentBytes)))
+	assert.Equal(t, int(peer.Current().Revision), manyChanges+1)
+	assert.NilError(t, peer.Merge(t.Context(), older))
+	assert.Equal(t, int(peer.Current().Revision), manyChanges+1)
+
+	// A peer that lies about the revision of its snapshot changes nothing either.
+	lie := mesh.Document{Stream: config.Stream, Version: manyChanges + 2, Snapshot: true, Body: older[0].Body}
+	_ = peer.Merge(t.Context(), []mesh.Document{lie})
+	assert.Equal(t, int(peer.Current().Revision), manyChanges+1)
+}
