--- a/cmd/tarragond/process_test.go
+++ b/cmd/tarragond/process_test.go
@@ -40,6 +40,7 @@
 // TestProcessesServeThroughKillsAndOutages runs three processes and takes away one
 // of them, then the platform.
 func TestProcessesServeThroughKillsAndOutages(t *testing.T) {
+	t.Parallel()
 	s := newSite(t)
 	for i := range 3 {
 		s.start(fmt.Sprintf("pa-%d", i))
