Share one reading of the instance list; divide the claims' rate

Cause: at the target every reading of the platform's list was 607 kB, 3.5 times a second at a duty's holder, against 2 KB/s in all; and the cap on claims was for each entry instance, 585 calls/s at 39 of them.

--- a/entry/node/parts.go
+++ b/entry/node/parts.go
@@ -89,7 +89,9 @@
 	return load
 }
 
-func newList(client *httpapi.Client) *listCache { return newListCache(client) }
+func newList(o Options, client *httpapi.Client) *listCache {
+	return newListCache(client, time.Duration(o.Settings.Platform.InstanceInterval))
+}
 
 func newPeers() *peers { return &peers{} }
 
@@ -141,12 +143,15 @@
 	log.Info("connections to an executor went silent", "executor", s.Executor, "connections", s.Connections)
 }
 
+// expectedEntryInstances divides the claims' rate until the others are known.
+const expectedEntryInstances = 8
+
 func newKeeper(o Options, client *httpapi.Client, p *peers, m *metrics.Metrics) (*submission.Keeper, error) {
 	s := o.Settings.Gateway
 	keeper, err := submission.New(submission.Options{
 		Self: o.Settings.Instance.ID, Store: client, Peers: p,
 		TicketLifetime: time.Duration(s.TicketLifetime), Retention: time.Duration(s.ClaimRetention),
-		CallsPerSecond: s.ClaimsPerSecond, Scope: m.Scope.SubScope("submissions"),
+		CallsPerSecond: s.ClaimsPerSecond / expectedEntryInstances, Scope: m.Scope.SubScope("submissions"),
 	})
 	if err != nil {
 		return nil, fmt.Errorf("prepare submissions: %w", err)
@@ -161,6 +166,8 @@
 	tuned.MaxBodyBytes = o.Settings.Caller.MaxBodyBytes
 	tuned.BufferBytes = o.Settings.Gateway.BufferBytes
 	tuned.MaxHeaderBytes = o.Settings.Caller.MaxHeaderBytes
+	tuned.MaxTenants = o.Settings.Metrics.MaxTenants
+	tuned.MaxClasses = o.Settings.Metrics.MaxClasses
 	tuned.ListenerGrace = time.Duration(o.Settings.Shutdown.ReadinessDelay)
 	return gateway.New(gateway.Options{
 		Self: o.Settings.Instance.ID, Zone: o.Settings.Instance.Zone, Directory: d, Transport: t, Guard: k, Explain: requests.Record,
--- a/entry/node/platform.go
+++ b/entry/node/platform.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/entry/settings"
@@ -10,25 +12,41 @@
 	"github.com/tarragonreach/tarragonreach/platform/httpapi"
 )
 
-// listCache remembers the last instance list, for readers that must not block.
+// listCache shares one reading of the instance list between all its readers, and
+// remembers the last one for readers that must not block.
 type listCache struct {
-	source platform.InstanceList
-	last   atomic.Pointer[[]fleet.Instance]
+	source   platform.InstanceList
+	interval time.Duration // between two readings
+
+	mu   sync.Mutex // held while the list is read
+	read time.Time
+	last atomic.Pointer[[]fleet.Instance]
 }
 
-func newListCache(source platform.InstanceList) *listCache {
-	l := &listCache{source: source}
+// freshShare is the part of the interval for which a reading serves others too. It is
+// below one, so that the reader that sets the pace always reads anew.
+const freshShare = 0.8
+
+func newListCache(source platform.InstanceList, interval time.Duration) *listCache {
+	l := &listCache{source: source, interval: interval}
 	l.last.Store(&[]fleet.Instance{})
 	return l
 }
 
-// Instances reads the list from the platform and remembers it.
+// Instances returns the list as it was read within the interval, or reads it. The
+// caller must not change it.
 func (l *listCache) Instances(ctx context.Context) ([]fleet.Instance, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Since(l.read) < time.Duration(freshShare*float64(l.interval)) {
+		return l.Last(), nil
+	}
 	instances, err := l.source.Instances(ctx)
 	if err != nil {
 		return nil, err
 	}
 	l.last.Store(&instances)
+	l.read = time.Now()
 	return instances, nil
 }
 
--- a/entry/node/status.go
+++ b/entry/node/status.go
@@ -56,13 +56,28 @@
 func (n *Node) observe(ctx context.Context) error {
 	ticker := time.NewTicker(observeInterval)
 	defer ticker.Stop()
+	sharedBy := 0
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
 			n.publishSummary()
+			sharedBy = n.divideClaims(sharedBy)
 			n.parts.Health.observe(n.parts.Gateway.Executors(), now)
 		}
 	}
 }
+
+// divideClaims gives this entry instance its part of the claims' rate. Members that
+// cannot be reached count too, since they go on making claims. It returns by how many
+// the rate is divided now.
+func (n *Node) divideClaims(before int) int {
+	now := len(n.parts.Peers.members()) + 1
+	if now == before {
+		return before
+	}
+	rate := n.parts.Options.Settings.Gateway.ClaimsPerSecond / float64(now)
+	n.parts.Keeper.SetBudget(rate, max(int(rate), 1))
+	return now
+}
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -81,12 +81,14 @@
 
 // Gateway bounds the request path of this entry instance.
 type Gateway struct {
-	BufferBytes     int64           `json:"bufferBytes"`     // bodies up to this size are buffered whole
-	MaxAnswerBytes  int64           `json:"maxAnswerBytes"`  // a longer answer is cut visibly
-	DefaultTimeout  object.Duration `json:"defaultTimeout"`  // for requests that name none
-	TicketLifetime  object.Duration `json:"ticketLifetime"`  // how long a ticket may be used
-	ClaimRetention  object.Duration `json:"claimRetention"`  // how long a caller's own key is remembered
-	ClaimsPerSecond float64         `json:"claimsPerSecond"` // store writes spent on claims at most
+	BufferBytes    int64           `json:"bufferBytes"`    // bodies up to this size are buffered whole
+	MaxAnswerBytes int64           `json:"maxAnswerBytes"` // a longer answer is cut visibly
+	DefaultTimeout object.Duration `json:"defaultTimeout"` // for requests that name none
+	TicketLifetime object.Duration `json:"ticketLifetime"` // how long a ticket may be used
+	ClaimRetention object.Duration `json:"claimRetention"` // how long a caller's own key is remembered
+	// ClaimsPerSecond bounds the store's writes for claims by all entry instances
+	// together; each takes an equal part.
+	ClaimsPerSecond float64 `json:"claimsPerSecond"`
 }
 
 // Fleet says which controllers this entry instance may run.
@@ -131,7 +133,7 @@
 	defaultRequestTimeout    = 30 * time.Second
 	defaultTicketLifetime    = 10 * time.Minute
 	defaultClaimRetention    = 24 * time.Hour
-	defaultClaimsPerSecond   = 15
+	defaultClaimsPerSecond   = 120
 	defaultReadinessDelay    = 3 * time.Second
 	defaultGrace             = 30 * time.Second
 	defaultMetricsTenants    = 250
