--- /dev/null
+++ b/cmd/tarragond/verdicts_test.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/header"
+	"github.com/tarragonreach/tarragonreach/entry/standin"
+)
+
+const (
+	verdictSeed      = 1
+	faultPasses      = 2 // how often each fault is switched on
+	requestsPerRound = 6
+)
+
+// executorFaults are the faults, each in a round of its own.
+var executorFaults = []standin.Fault{
+	standin.None, standin.FailFast, standin.Busy, standin.Stall, standin.Truncate, standin.TruncateChunked,
+	standin.Chunked, standin.PauseInBody, standin.MismatchedEcho, standin.Duplicate, standin.CloseReused,
+	standin.CloseAfterRun, standin.Late,
+}
+
+// sentRequest is a request with the answer that its caller received.
+type sentRequest struct {
+	id     string
+	method string
+	fault  standin.Fault
+	got    answer
+	runs   int // at both executors
+}
+
+// TestVerdictsHoldUnderFaultsOfTheExecutors sends requests through two processes
+// while both executors misbehave in every way, in an order drawn for each pass.
+func TestVerdictsHoldUnderFaultsOfTheExecutors(t *testing.T) {
+	t.Parallel()
+	s, second := newPairOfExecutors(t)
+	s.start("pa-1")
+	s.await("both to be ready", func() bool { return s.all(1, 1) })
+	random := rand.New(rand.NewPCG(verdictSeed, verdictSeed))
+	var sent []sentRequest
+	for pass := range faultPasses {
+		for _, i := range random.Perm(len(executorFaults)) {
+			s.server.SetFault(executorFaults[i])
+			second.SetFault(executorFaults[i])
+			round := pass*len(executorFaults) + i
+			sent = append(sent, s.sendRound(round, executorFaults[i])...)
+		}
+	}
+	counts := map[string]int{}
+	for _, request := range sent {
+		request.runs = s.server.Runs(request.id) + second.Runs(request.id)
+		request.check(t)
+		counts[request.got.verdict]++
+	}
+	for _, verdict := range []string{"ran", "not-run", "may-have-run"} {
+		assert.Assert(t, counts[verdict] > 0, "the rounds met no verdict %s: %v", verdict, counts)
+	}
+}
+
+// sendRound sends requests at the same moment, half of them not repeatable.
+func (s *site) sendRound(round int, fault standin.Fault) []sentRequest {
+	out := make([]sentRequest, requestsPerRound)
+	var sending sync.WaitGroup
+	for i := range out {
+		out[i] = sentRequest{id: fmt.Sprintf("r%d-%d", round, i), method: http.MethodGet, fault: fault}
+		if i%2 == 0 {
+			out[i].method = http.MethodPost
+		}
+		sending.Go(func() {
+			out[i].got = s.entries[i%len(s.entries)].send(s.t, out[i].method, "/s/terreni/work",
+				header.RequestID, out[i].id, header.Timeout, "1s")
+		})
+	}
+	sending.Wait()
+	return out
+}
+
+// check compares what the caller was told with what ran.
+func (r sentRequest) check(t *testing.T) {
+	t.Helper()
+	if r.got.verdict == "not-run" {
+		assert.Equal(t, r.runs, 0, "%+v", r)
+	}
+	if r.method == http.MethodPost {
+		assert.Assert(t, r.runs <= 1, "%+v", r)
+	}
+	if r.got.code == http.StatusOK && r.got.whole {
+		want := string(standin.Body(r.id, standin.DefaultAnswerBytes))
+		assert.Equal(t, r.got.body, want, "%+v", r)
+	}
+}
--- a/mesh/engine/engine.go
+++ b/mesh/engine/engine.go
@@ -154,6 +154,7 @@
 	e.members.forget(e.timing.Forget, now)
 	e.chooseLinks()
 	e.beat(now)
+	e.pushSummary(now)
 	e.dial(now)
 	return e.take()
 }
@@ -186,7 +187,10 @@
 		}
 		if l := e.links[record.ID]; l != nil && l.up {
 			member.LastHeard = l.lastHeard
-			member.Summary = l.summary
+			// A link that serves only calls carries no newer summaries.
+			if e.active(l, e.ticked) {
+				member.Summary = l.summary
+			}
 		}
 		members = append(members, member)
 	}
