cmd/tarragond: prove that an outage of the store refuses own keys and serves tickets

Cause: claims under an outage were proved in entry/submission only. Change: a test on two processes with the platform down.

--- a/cmd/tarragond/submissions_test.go
+++ b/cmd/tarragond/submissions_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/tarragonreach/tarragonreach/api/header"
 	"github.com/tarragonreach/tarragonreach/entry/gateway"
+	"github.com/tarragonreach/tarragonreach/platform/memory"
 )
 
 const submissions = 8
@@ -81,3 +82,21 @@
 		assert.Equal(t, s.server.KeyRuns(key), 1)
 	}
 }
+
+// TestStoreOutageRefusesOwnKeysAndServesTickets takes the platform away from both
+// entry instances.
+func TestStoreOutageRefusesOwnKeysAndServesTickets(t *testing.T) {
+	t.Parallel()
+	s := newServingSite(t, 2)
+	s.platform.SetFaults(memory.Faults{Down: true})
+	for i := range submissions {
+		key := fmt.Sprintf("dossier-%d", i)
+		for _, got := range sendToAll(t, s.entries, http.MethodPost, "/s/terreni/order", header.IdempotencyKey, key) {
+			assert.Equal(t, got.code, http.StatusServiceUnavailable, "%v", got)
+		}
+		assert.Equal(t, s.server.KeyRuns(key), 0)
+		ticket := s.entries[i%2].ticket(t)
+		answers := sendToAll(t, s.entries, http.MethodPost, "/s/terreni/order", header.IdempotencyKey, ticket)
+		assert.Equal(t, s.server.KeyRuns(ticket), 1, "%v", answers)
+	}
+}
