--- a/api/object/check_pools.go
+++ b/api/object/check_pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/tarragonreach/tarragonreach/api/label"
 )
@@ -49,6 +50,9 @@
 	c.checkWeight(key, "bufferWeight", p.BufferWeight)
 	c.checkBudget(key, "budget", p.Budget, p.Max)
 	c.checkBudget(key, "zoneBudget", p.ZoneBudget, p.Max)
+	if !slices.Contains([]string{"", FailureDomainRack, FailureDomainZone}, p.FailureDomain) {
+		c.fault(key, "failureDomain", "is %q, want %q or %q", p.FailureDomain, FailureDomainRack, FailureDomainZone)
+	}
 }
 
 func (c *checker) checkWeight(key Key, field string, weight float64) {
--- a/api/object/object.go
+++ b/api/object/object.go
@@ -107,6 +107,12 @@
 	MaxUnavailable *Amount `json:"maxUnavailable,omitempty"`
 }
 
+// The failure domains that a pool's size can survive the loss of.
+const (
+	FailureDomainRack = "rack"
+	FailureDomainZone = "zone"
+)
+
 // Pool is a group of instances with a common purpose.
 type Pool struct {
 	Name     string `json:"name"`
--- a/api/object/validate_test.go
+++ b/api/object/validate_test.go
@@ -53,6 +53,7 @@
 		{name: "budget above size", put: Document{Pools: []Pool{{Name: "p", Max: 3, Budget: Budget{MinHealthy: amount(4)}}}}, fault: "never has more than 3"},
 		{name: "frozen", put: Document{Pools: []Pool{{Name: "p", Budget: Budget{MinHealthy: percent(100)}}}}, warning: "no instance may ever be drained"},
 		{name: "min above max", put: Document{Pools: []Pool{{Name: "p", Min: 4, Max: 3}}}, fault: "above max 3"},
+		{name: "failure domain", put: Document{Pools: []Pool{{Name: "p", FailureDomain: "region"}}}, fault: "want \"rack\" or \"zone\""},
 		{name: "short", put: Document{Pools: []Pool{{Name: "p", Min: 4}}}, warning: "only 2 instances match"},
 		{name: "overlap", put: Document{Pools: []Pool{{Name: "p", Selector: "kind=cpu"}, {Name: "q", Selector: "kind"}}}, warning: "claims 1 instances that Pool/q claims too, such as w1"},
 		{name: "plan", put: Document{MaintenancePlans: []MaintenancePlan{{Name: "m", Period: 1, Duration: 2}}}, fault: "longer than the period"},
--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -91,10 +91,10 @@
 	}
 	s := Summary{}
 	var err error
-	if s.RollOut, err = f.changeConfig(loadCtx, after(o, changeShare)); err != nil {
+	if s.RollOut, err = f.changeConfig(ctx, after(o, changeShare)); err != nil {
 		return s, fmt.Errorf("configuration change: %w", err)
 	}
-	if s.Drain, err = f.drainOne(loadCtx, after(o, drainShare)); err != nil {
+	if s.Drain, err = f.drainOne(ctx, loadCtx, after(o, drainShare)); err != nil {
 		return s, fmt.Errorf("drain: %w", err)
 	}
 	<-done
--- a/entry/dev/scenario.go
+++ b/entry/dev/scenario.go
@@ -96,8 +96,9 @@
 	return RollOut{Revision: result.Revision, InForceEverywhere: object.Duration(took), StoreOffAfterAcceptance: true}, err
 }
 
-// drainOne drains an executor and counts the work that it gets afterwards.
-func (f *devFleet) drainOne(ctx context.Context, at time.Time) (Drain, error) {
+// drainOne drains an executor and counts the work that it gets afterwards while the
+// load lasts.
+func (f *devFleet) drainOne(ctx, loadCtx context.Context, at time.Time) (Drain, error) {
 	if err := sleepUntil(ctx, at); err != nil {
 		return Drain{}, err
 	}
@@ -116,11 +117,11 @@
 		return d, err
 	}
 	d.OutOfRouting = object.Duration(time.Since(began))
-	if err := sleepUntil(ctx, began.Add(drainCheck)); err != nil {
-		return d, nil
+	if err := sleepUntil(loadCtx, began.Add(drainCheck)); err != nil {
+		return d, ctx.Err()
 	}
 	before := target.server.TotalRuns()
-	<-ctx.Done()
+	<-loadCtx.Done()
 	d.RunsAfter = target.server.TotalRuns() - before
 	return d, nil
 }
--- /dev/null
+++ b/policy/placement/refusal.go
@@ -0,0 +1,61 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+)
+
+// refuse records why a task did not start. Room only shrinks for the later tasks
+// of the same job, so they share the refusal.
+func (p *planner) refuse(t Pending) {
+	refusal, known := p.full[t.Job]
+	if !known {
+		counts := p.countFilters(t)
+		refusal = Refusal{Job: t.Job, Never: counts.never(), Reason: counts.String()}
+		p.full[t.Job] = refusal
+	}
+	refusal.Index = t.Index
+	p.plan.Refusals = append(p.plan.Refusals, refusal)
+}
+
+// filterCounts says how many workers each filter turned away.
+type filterCounts struct {
+	workers    int
+	unmatched  int
+	unusable   int
+	avoided    int
+	tooSmall   int
+	full       int
+	sampleNeed fleet.Resources
+}
+
+func (p *planner) countFilters(t Pending) filterCounts {
+	c := filterCounts{workers: len(p.workers), sampleNeed: t.Need}
+	for _, n := range p.workers {
+		switch {
+		case !t.Selector.Matches(n.Labels):
+			c.unmatched++
+		case !t.Need.Fits(n.Capacity):
+			c.tooSmall++
+		case n.Unusable != "":
+			c.unusable++
+		case slices.Contains(t.Avoid, n.ID):
+			c.avoided++
+		default:
+			c.full++
+		}
+	}
+	return c
+}
+
+func (c filterCounts) never() bool { return c.unmatched+c.tooSmall == c.workers }
+
+// String names each filter with the number of workers that it turned away.
+func (c filterCounts) String() string {
+	return fmt.Sprintf("of %d workers %d do not match the selector, %d are too small for %dm CPU, %d MiB and %d accelerators, "+
+		"%d take no tasks, %d failed it before, %d are full",
+		c.workers, c.unmatched, c.tooSmall, c.sampleNeed.MilliCPU, c.sampleNeed.MemoryMiB, c.sampleNeed.Accelerators,
+		c.unusable, c.avoided, c.full)
+}
--- a/policy/placement/relief.go
+++ b/policy/placement/relief.go
@@ -245,6 +245,9 @@
 	return p.byCost(a, b)
 }
 
+// byCost orders victims by the least work lost.
+func (p *planner) byCost(a, b Task) int { return cmp.Compare(p.cost(a), p.cost(b)) }
+
 func (p *planner) overcommitReliefs(n *node, victims []Task) []Relief {
 	var reliefs []Relief
 	free := n.free
--- /dev/null
+++ b/policy/placement/score.go
@@ -0,0 +1,56 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+)
+
+// best returns the worker with the highest score that the task fits, or nil.
+func (p *planner) best(t Pending) *node {
+	if _, full := p.full[t.Job]; full && !t.Urgent {
+		return nil
+	}
+	var best *node
+	var bestScore float64
+	for _, n := range p.workers {
+		if !p.usable(t, n) || !t.Need.Fits(n.free) {
+			continue
+		}
+		if score := p.score(t, n); best == nil || score > bestScore {
+			best, bestScore = n, score
+		}
+	}
+	return best
+}
+
+func (p *planner) usable(t Pending, n *node) bool {
+	return n.Unusable == "" && t.Selector.Matches(n.Labels) && !slices.Contains(t.Avoid, n.ID)
+}
+
+const (
+	// trustWeight, fitWeight and spreadWeight balance the parts of a score.
+	trustWeight  = 4.0
+	fitWeight    = 2.0
+	spreadWeight = 1.0
+	// deviceWeight keeps tasks without accelerators off workers that have some.
+	deviceWeight = 3.0
+)
+
+// score prefers trusted workers, tight fits and racks with few tasks of the job.
+func (p *planner) score(t Pending, n *node) float64 {
+	score := trustWeight*n.Trust + fitWeight*fit(t.Need, n)
+	score -= spreadWeight * float64(p.starts[rackJob{n.Rack, t.Job}])
+	if t.Need.Accelerators == 0 && n.Capacity.Accelerators > 0 {
+		score -= deviceWeight
+	}
+	return score
+}
+
+// fit is the used part of the tighter of processors and memory after the start.
+func fit(need fleet.Resources, n *node) float64 {
+	left := n.free.Sub(need)
+	cpu := 1 - part(left.MilliCPU, n.Capacity.MilliCPU)
+	memory := 1 - part(left.MemoryMiB, n.Capacity.MemoryMiB)
+	return max(cpu, memory)
+}
