Build the directory anew only when something changed

Change: a poll that gives the very list held before builds nothing, unless an executor's own notice may have run out.

--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -99,12 +99,23 @@
 		d.listDown = failed
 		d.options.Logger.Info("instance list changed state", "down", failed, "error", err)
 	}
+	if d.unchanged(instances, failed) {
+		return
+	}
 	if !failed {
 		d.in.instances = instances
 	}
 	d.publish()
 }
 
+// unchanged reports whether a poll gives nothing to build a snapshot from: the list
+// is the very one that was read before, and no notice can have run out.
+func (d *Directory) unchanged(instances []fleet.Instance, failed bool) bool {
+	held := d.in.instances
+	same := len(instances) > 0 && len(instances) == len(held) && &instances[0] == &held[0]
+	return (failed || same) && len(d.in.notices) == 0
+}
+
 // SetConfig takes a newer configuration.
 func (d *Directory) SetConfig(config *object.Config) {
 	d.mu.Lock()
