cmd/tarragond: prove that a server's shutdown waits for its answers

Cause: a trial that closed the HTTP server at once stayed green, because the gateway's own wait covers all but the answer's last bytes. Change: a test that stops a server in the middle of an answer.

--- /dev/null
+++ b/cmd/tarragond/shutdown_test.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/entry/serve"
+)
+
+const (
+	answerPart = "part "
+	dialPause  = 5 * time.Millisecond
+)
+
+// TestServerShutdownWaitsForItsAnswers stops a server in the middle of an answer.
+func TestServerShutdownWaitsForItsAnswers(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	server, err := serve.Open(serve.Options{Name: "caller", Listen: "127.0.0.1:0", Handler: answerInParts(release)})
+	assert.NilError(t, err)
+	server.Start(func(err error) { t.Error(err) })
+	res, err := http.Get("http://" + server.Addr())
+	assert.NilError(t, err)
+	defer res.Body.Close()
+
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Shutdown(context.Background()) }()
+	waitUntilClosed(t, server.Addr())
+	close(release)
+	body, err := io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), answerPart+answerPart)
+	assert.NilError(t, <-stopped)
+}
+
+// answerInParts sends the second part of its answer after release is closed.
+func answerInParts(release <-chan struct{}) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, answerPart)
+		_ = http.NewResponseController(w).Flush()
+		<-release
+		_, _ = io.WriteString(w, answerPart)
+	})
+}
+
+// waitUntilClosed waits until the address takes no connection.
+func waitUntilClosed(t *testing.T, address string) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(dialPause) {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		_ = conn.Close()
+	}
+	t.Fatalf("%s still takes connections", address)
+}
