cmd/tarragond: prove claims under lost answers on processes

Cause: lost answers on claims were proved in entry/submission only. Change: a test on two processes, each submission sent three times to both.

--- a/cmd/tarragond/submissions_test.go
+++ b/cmd/tarragond/submissions_test.go
@@ -100,3 +100,22 @@
 		assert.Equal(t, s.server.KeyRuns(ticket), 1, "%v", answers)
 	}
 }
+
+// TestLostAnswersOnClaimsRunAtMostOnce lets the store lose answers of claims that
+// took effect.
+func TestLostAnswersOnClaimsRunAtMostOnce(t *testing.T) {
+	t.Parallel()
+	s := newServingSite(t, 2)
+	s.platform.SetFaults(memory.Faults{LostAnswerPercent: 50})
+	ran := 0
+	for i := range submissions {
+		key := fmt.Sprintf("dossier-%d", i)
+		for attempt := range 3 {
+			answers := sendToAll(t, s.entries, http.MethodPost, "/s/terreni/order",
+				header.IdempotencyKey, key, header.Attempt, fmt.Sprint(attempt+1))
+			assert.Assert(t, s.server.KeyRuns(key) <= 1, "%s: %v", key, answers)
+		}
+		ran += s.server.KeyRuns(key)
+	}
+	assert.Assert(t, ran > 0, "every submission was refused")
+}
