--- a/mesh/bench_test.go
+++ b/mesh/bench_test.go
@@ -163,3 +163,37 @@
 	b.ReportMetric(memory/1024, "KiB-memory")
 	b.ReportMetric(0, "ns/op")
 }
+
+// BenchmarkMeshSummaries measures what load summaries of 28 services add while
+// they change all the time, at the target size.
+func BenchmarkMeshSummaries(b *testing.B) {
+	const (
+		targetNodes   = 39
+		summaryBytes  = 28 * 16
+		settle        = 35 * time.Second
+		changesPerSec = 1
+	)
+	for range b.N {
+		nodes, _, stop := benchMesh(b, targetNodes, engine.DefaultTiming())
+		awaitMesh(b, nodes)
+		time.Sleep(settle)
+		start := measure(nodes)
+		time.Sleep(benchWindow)
+		idle := measure(nodes).minus(start)
+		start = measure(nodes)
+		for round := range int(benchWindow.Seconds()) * changesPerSec {
+			summary := make([]byte, summaryBytes)
+			summary[0] = byte(round + 1)
+			for _, n := range nodes {
+				assert.NilError(b, n.SetSummary(summary))
+			}
+			time.Sleep(time.Second / changesPerSec)
+		}
+		loaded := measure(nodes).minus(start)
+		stop()
+		share := 2 / float64(targetNodes) / benchWindow.Seconds()
+		b.ReportMetric(idle.wire()*share, "idle-B/s")
+		b.ReportMetric((loaded.wire()-idle.wire())*share, "summaries-B/s")
+		b.ReportMetric(0, "ns/op")
+	}
+}
