cmd/tarragond: prove that a drained executor gets no new work

Cause: an operator's drain was proved in entry/directory and entry/gateway only. Change: a case of the leaving test with a pool of two. Ruled out: with the pool's minimum at four the drain was refused, since instances that a pool lacks to its minimum count as out of service; that is as policy/budget says. Conclusion: no fault found.

--- a/cmd/tarragond/leaving_test.go
+++ b/cmd/tarragond/leaving_test.go
@@ -18,6 +18,10 @@
 // executor gets no new work.
 const requestsInARow = 30
 
+const pairDocument = `{
+  "pools": [{"name": "counter", "selector": "service=terreni", "min": 2, "budget": {"maxUnavailable": 1}}]
+}`
+
 // executorOf describes a stand-in server to the platform.
 func executorOf(id string, server *standin.Server, leaving bool) fleet.Instance {
 	return fleet.Instance{
@@ -37,6 +41,12 @@
 			})
 		},
 		"readiness": func(_ *site, leaving *standin.Server) { leaving.SetReady(false) },
+		"operator's drain": func(s *site, _ *standin.Server) {
+			s.apply(s.entries[0], pairDocument)
+			s.await("both to serve", func() bool { return s.inState(s.entries[0], fleet.StateServing) == 2 })
+			s.drain(s.entries[0], 1)
+			s.await("the drain", func() bool { return s.isOut(s.entries[0], 1) })
+		},
 		"notice": func(s *site, leaving *standin.Server) {
 			leaving.SetFault(standin.Leaving)
 			for range requestsInARow {
