Wait with a context in one place: backoff.Sleep

The waits that also end on a channel of their own (duty, standin, backend, memory's watch) stay, for they are other logic. Conclusion: same behaviour, one place to read.

--- a/entry/dev/scenario.go
+++ b/entry/dev/scenario.go
@@ -14,6 +14,7 @@
 	"github.com/tarragonreach/tarragonreach/api/object"
 	"github.com/tarragonreach/tarragonreach/api/operations"
 	"github.com/tarragonreach/tarragonreach/entry/node"
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/platform/memory"
 )
 
@@ -150,14 +151,7 @@
 }
 
 func sleepUntil(ctx context.Context, at time.Time) error {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
+	return backoff.Sleep(ctx, time.Until(at))
 }
 
 // post calls the operator listener of an entry instance, as an operator's tool does.
--- a/entry/fleetview/follow.go
+++ b/entry/fleetview/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/platform"
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
 )
 
 const (
@@ -37,7 +38,7 @@
 		if ctx.Err() == nil && pause == retryFirst {
 			slog.Warn("fleet record is not followed", "error", err)
 		}
-		sleep(ctx, pause/2+rand.N(pause))
+		_ = backoff.Sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, retryLast)
 	}
 	return ctx.Err()
@@ -100,7 +101,7 @@
 		v.take(events)
 		after = max(after, events.Revision)
 		if len(events.Events) == 0 {
-			sleep(ctx, idleWatchPause)
+			_ = backoff.Sleep(ctx, idleWatchPause)
 		}
 	}
 	return nil
@@ -124,12 +125,3 @@
 		}
 	})
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/policy/routing"
 )
 
@@ -92,12 +93,12 @@
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	g.ready.Store(false)
 	g.options.Logger.Info("gateway is draining", "grace", g.options.Settings.ListenerGrace)
-	if err := pause(ctx, g.options.Settings.ListenerGrace); err != nil {
+	if err := backoff.Sleep(ctx, g.options.Settings.ListenerGrace); err != nil {
 		return err
 	}
 	g.closing.Store(true)
 	for g.inFlight.sum() > 0 {
-		if err := pause(ctx, drainPoll); err != nil {
+		if err := backoff.Sleep(ctx, drainPoll); err != nil {
 			return err
 		}
 	}
@@ -106,15 +107,3 @@
 
 // drainPoll is the time between two looks at the work in progress.
 const drainPoll = 20 * time.Millisecond
-
-// pause waits for d, or returns the error of ctx.
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/entry/gateway/property_test.go
+++ b/entry/gateway/property_test.go
@@ -17,6 +17,7 @@
 	_ "github.com/tarragonreach/tarragonreach/api/rapidseed"
 	"github.com/tarragonreach/tarragonreach/api/verdict"
 	"github.com/tarragonreach/tarragonreach/entry/backend"
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
@@ -123,7 +124,7 @@
 		delay = 5 * time.Second
 	}
 	c.run(r.ID)
-	if pause(ctx, delay) != nil {
+	if backoff.Sleep(ctx, delay) != nil {
 		return fail(verdict.MayHaveRun, verdict.CodeTimeout)
 	}
 	switch b {
--- a/entry/gateway/retry.go
+++ b/entry/gateway/retry.go
@@ -6,6 +6,7 @@
 
 	"github.com/tarragonreach/tarragonreach/api/verdict"
 	"github.com/tarragonreach/tarragonreach/entry/dispatch"
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/policy/retry"
 )
 
@@ -32,7 +33,7 @@
 func (g *Gateway) acquireRetry(x *exchange, failed *dispatch.Executor, failure *verdict.Error) *slotLease {
 	x.request.Fresh = failure.Code == verdict.CodeTimeout || failure.Code == verdict.CodeConnectionLost
 	x.ctx = x.ctx.renewed()
-	if pause(x.ctx, retry.Pause(x.timeLeft(time.Now()), g.rng)) != nil {
+	if backoff.Sleep(x.ctx, retry.Pause(x.timeLeft(time.Now()), g.rng)) != nil {
 		return nil
 	}
 	lease, err := g.acquire(x, failed)
--- a/entry/submission/budget.go
+++ b/entry/submission/budget.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
 )
 
 // errBudget says that the calls of the store set aside for claims are used up.
@@ -42,7 +44,7 @@
 		reservation.CancelAt(now)
 		return &budgetError{after: delay}
 	}
-	if err := sleep(ctx, delay); err != nil {
+	if err := backoff.Sleep(ctx, delay); err != nil {
 		reservation.CancelAt(now)
 		return err
 	}
@@ -65,17 +67,3 @@
 	deadline, ok := ctx.Deadline()
 	return ok && now.Add(delay).After(deadline)
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/entry/submission/network_test.go
+++ b/entry/submission/network_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
 )
 
 var errCut = verdict.New(verdict.NotRun, verdict.CodeConnectFailed, "no way to the peer")
@@ -52,7 +53,7 @@
 	if handler == nil {
 		return nil, errCut
 	}
-	if err := sleep(ctx, latency); err != nil {
+	if err := backoff.Sleep(ctx, latency); err != nil {
 		return nil, err
 	}
 	answer, err := handler(context.Background(), e.self, payload)
