One loop for the rounds of fleetctl and jobctl; a Logger option for both

Cause: both controllers had the same Run loop and Term, and wrote their changes of state to the default logger, whatever logger their entry instance had. Change: entry/rounds holds the loop and Term; both controllers take a Logger (nil discards) and entry/node passes its own. A failure that the end of the context caused is still not logged by jobctl only, as before.

--- a/entry/fleetctl/apply.go
+++ b/entry/fleetctl/apply.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"log/slog"
 	"maps"
 	"slices"
 	"time"
@@ -81,7 +80,7 @@
 		return false
 	}
 	if err := r.Instances.Reboot(ctx, c.record.ID); err != nil {
-		slog.Warn("reboot was not taken", "instance", c.record.ID, "error", err)
+		r.Logger.Warn("reboot was not taken", "instance", c.record.ID, "error", err)
 		return false
 	}
 	return true
--- a/entry/fleetctl/controller.go
+++ b/entry/fleetctl/controller.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/explain"
 	"github.com/tarragonreach/tarragonreach/entry/fleetview"
+	"github.com/tarragonreach/tarragonreach/entry/rounds"
 	"github.com/tarragonreach/tarragonreach/policy/maintenance"
 )
 
@@ -43,22 +43,10 @@
 
 // Run makes rounds while the term is active, until ctx ends.
 func (c *Controller) Run(ctx context.Context, term Term) error {
-	ticker := time.NewTicker(RoundInterval)
-	defer ticker.Stop()
-	failing := false
-	for term.Active() {
-		err := c.Round(ctx, term)
-		if (err != nil) != failing {
-			failing = err != nil
-			slog.Info("fleet rounds", "zone", c.Zone, "epoch", term.Epoch(), "failing", failing, "error", err)
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
+	changed := func(err error) {
+		c.Logger.Info("fleet rounds", "zone", c.Zone, "epoch", term.Epoch(), "failing", err != nil, "error", err)
 	}
-	return nil
+	return rounds.Loop{Interval: RoundInterval, Round: c.Round, Changed: changed}.Run(ctx, term)
 }
 
 // Round decides once and applies what was decided. An error ends the round; what
--- a/entry/fleetctl/inputs.go
+++ b/entry/fleetctl/inputs.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"log/slog"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/explain"
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/api/object"
 	"github.com/tarragonreach/tarragonreach/entry/fleetview"
+	"github.com/tarragonreach/tarragonreach/entry/rounds"
 	"github.com/tarragonreach/tarragonreach/platform"
 	"github.com/tarragonreach/tarragonreach/policy/capacity"
 	"github.com/tarragonreach/tarragonreach/policy/lifecycle"
@@ -22,12 +24,7 @@
 )
 
 // Term is one term of a duty.
-type Term interface {
-	// Epoch grows with each term of the duty.
-	Epoch() int64
-	// Active reports whether the holder may still act by its own clock.
-	Active() bool
-}
+type Term = rounds.Term
 
 // Health tells what the request path knows of an instance.
 type Health interface {
@@ -70,8 +67,10 @@
 	Demand    Demand
 	Recorder  Recorder
 	Now       func() time.Time
-	Timings   lifecycle.Timings
-	Failures  maintenance.FailureLimits
+	// Logger gets changes of state; nil discards them.
+	Logger   *slog.Logger
+	Timings  lifecycle.Timings
+	Failures maintenance.FailureLimits
 	// Hysteresis and HalfLife shape how a pool's need follows its demand.
 	Hysteresis capacity.Hysteresis
 	HalfLife   time.Duration
@@ -88,6 +87,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
 	if o.Timings == (lifecycle.Timings{}) {
 		o.Timings = lifecycle.DefaultTimings()
 	}
--- a/entry/jobctl/controller.go
+++ b/entry/jobctl/controller.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/entry/rounds"
 	"github.com/tarragonreach/tarragonreach/policy/attribution"
 	"github.com/tarragonreach/tarragonreach/policy/estimate"
 )
@@ -32,6 +33,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
 	c := &Controller{
 		Options: o, estimator: estimate.New(maxJobsLearned), evidence: attribution.New(),
 		lastListed: map[fleet.InstanceID]time.Time{}, firstSeen: map[string]time.Time{},
@@ -43,22 +47,12 @@
 
 // Run makes rounds while the term is active, until ctx ends.
 func (c *Controller) Run(ctx context.Context, term Term) error {
-	ticker := time.NewTicker(RoundInterval)
-	defer ticker.Stop()
-	failing := false
-	for term.Active() {
-		err := c.Round(ctx, term)
-		if (err != nil) != failing && ctx.Err() == nil {
-			failing = err != nil
-			slog.Info("placement rounds", "zone", c.Zone, "epoch", term.Epoch(), "failing", failing, "error", err)
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
+	changed := func(err error) {
+		if ctx.Err() == nil {
+			c.Logger.Info("placement rounds", "zone", c.Zone, "epoch", term.Epoch(), "failing", err != nil, "error", err)
 		}
 	}
-	return nil
+	return rounds.Loop{Interval: RoundInterval, Round: c.Round, Changed: changed}.Run(ctx, term)
 }
 
 // Round follows the reports of the workers, then decides once and applies what was
--- a/entry/jobctl/options.go
+++ b/entry/jobctl/options.go
@@ -5,22 +5,19 @@
 package jobctl
 
 import (
+	"log/slog"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/explain"
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/api/object"
+	"github.com/tarragonreach/tarragonreach/entry/rounds"
 	"github.com/tarragonreach/tarragonreach/entry/storecache"
 	"github.com/tarragonreach/tarragonreach/platform"
 )
 
 // Term is one term of a duty.
-type Term interface {
-	// Epoch grows with each term of the duty; workers refuse lower ones.
-	Epoch() int64
-	// Active reports whether the holder may still act by its own clock.
-	Active() bool
-}
+type Term = rounds.Term
 
 // Recorder takes decision records.
 type Recorder interface {
@@ -41,6 +38,8 @@
 	Record   func(id fleet.InstanceID) (fleet.Record, bool)
 	Recorder Recorder
 	Now      func() time.Time
+	// Logger gets changes of state; nil discards them.
+	Logger *slog.Logger
 }
 
 // RoundInterval is the pause between two rounds. It leaves an urgent task three
--- a/entry/jobctl/pages.go
+++ b/entry/jobctl/pages.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log/slog"
 	"maps"
 	"slices"
 	"strconv"
@@ -61,7 +60,7 @@
 	for _, entry := range entries {
 		p, err := r.parse(entry)
 		if err != nil {
-			slog.Error("a job page cannot be read", "key", entry.Key, "error", err)
+			r.Logger.Error("a job page cannot be read", "key", entry.Key, "error", err)
 			continue
 		}
 		parsed[entry.Key] = p
--- a/entry/node/controllers.go
+++ b/entry/node/controllers.go
@@ -79,6 +79,7 @@
 	return fleetctl.New(fleetctl.Options{
 		Zone: p.Options.Settings.Instance.Zone, Store: store, View: p.View, List: p.List,
 		Instances: p.Client, Config: p.Follower.Current, Recorder: p.Ring, Work: work, Demand: demand{p}, Health: p.Health,
+		Logger: p.Log.Logger,
 	})
 }
 
@@ -86,7 +87,7 @@
 	p := c.parts
 	return jobctl.New(jobctl.Options{
 		Zone: p.Options.Settings.Instance.Zone, Store: store, Cache: p.JobPages, List: p.List, Workers: p.Client,
-		Config: p.Follower.Current, Recorder: p.Ring,
+		Config: p.Follower.Current, Recorder: p.Ring, Logger: p.Log.Logger,
 		Record: func(id fleet.InstanceID) (fleet.Record, bool) {
 			record, _, known := p.View.Snapshot().Find(id)
 			return record, known
