fleetview: a Logger option; doc comments on heap methods

Cause: a view wrote to the default logger; three exported methods of the admission heap had no doc comment. Change: fleetview.New takes WithLogger, entry/node passes its own logger; the heap methods are described.

--- a/entry/fleetview/follow.go
+++ b/entry/fleetview/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"math/rand/v2"
 	"time"
 
@@ -36,7 +35,7 @@
 			continue
 		}
 		if ctx.Err() == nil && pause == retryFirst {
-			slog.Warn("fleet record is not followed", "error", err)
+			v.logger.Warn("fleet record is not followed", "error", err)
 		}
 		_ = backoff.Sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, retryLast)
@@ -57,7 +56,7 @@
 		if after == "" {
 			first = part.Revision
 		}
-		pages = append(pages, parseAll(part.Entries)...)
+		pages = append(pages, v.parseAll(part.Entries)...)
 		if part.Next == "" {
 			break
 		}
@@ -77,12 +76,12 @@
 }
 
 // parseAll reads pages and leaves out the ones that can't be read.
-func parseAll(entries []platform.Entry) []PageEntry {
+func (v *View) parseAll(entries []platform.Entry) []PageEntry {
 	var pages []PageEntry
 	for _, entry := range entries {
 		page, err := parse(entry)
 		if err != nil {
-			slog.Error("unreadable page of the fleet record", "error", err)
+			v.logger.Error("unreadable page of the fleet record", "error", err)
 			continue
 		}
 		pages = append(pages, page)
@@ -114,7 +113,7 @@
 			entries = append(entries, event.Entry)
 		}
 	}
-	pages := parseAll(entries)
+	pages := v.parseAll(entries)
 	if len(pages) == 0 {
 		return
 	}
--- a/entry/fleetview/view.go
+++ b/entry/fleetview/view.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"maps"
 	"strings"
 	"sync"
@@ -18,11 +19,28 @@
 	snapshot atomic.Pointer[Snapshot]
 	writers  sync.Mutex
 	changed  chan struct{}
+	logger   *slog.Logger
+}
+
+// Option changes how a view works.
+type Option func(*View)
+
+// WithLogger sets the logger that gets changes of state. Without it, or with nil,
+// they are discarded.
+func WithLogger(logger *slog.Logger) Option {
+	return func(v *View) {
+		if logger != nil {
+			v.logger = logger
+		}
+	}
 }
 
 // New returns an empty view.
-func New() *View {
-	v := &View{changed: make(chan struct{}, 1)}
+func New(options ...Option) *View {
+	v := &View{changed: make(chan struct{}, 1), logger: slog.New(slog.DiscardHandler)}
+	for _, option := range options {
+		option(v)
+	}
 	v.snapshot.Store(&Snapshot{})
 	return v
 }
--- a/entry/fleetview/view_test.go
+++ b/entry/fleetview/view_test.go
@@ -1,9 +1,12 @@
 package fleetview
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -115,3 +118,13 @@
 		}
 	})
 }
+
+func TestUnreadablePagesAreLogged(t *testing.T) {
+	var log bytes.Buffer
+	unreadable := platform.Entry{Key: fleet.PagePrefix + "a/0", Value: []byte("{"), Revision: 1}
+	views := []*View{New(), New(WithLogger(nil)), New(WithLogger(slog.New(slog.NewTextHandler(&log, nil))))}
+	for _, view := range views {
+		assert.Equal(t, len(view.parseAll([]platform.Entry{unreadable})), 0)
+	}
+	assert.Equal(t, strings.Count(log.String(), "unreadable page"), 1)
+}
--- a/entry/node/parts.go
+++ b/entry/node/parts.go
@@ -53,7 +53,7 @@
 func constructors() fx.Option {
 	return fx.Provide(
 		newLog, newMetrics, newStoreClient, newStore, newList, newPeers, newFollower, newConfigLog, newRollOut,
-		fleetview.New, newRing, newRequestRing, newDirectory, newTransport, newKeeper, newGateway,
+		newView, newRing, newRequestRing, newDirectory, newTransport, newKeeper, newGateway,
 		newJobPages, newExecutorHealth, newOwnLoad,
 	)
 }
@@ -83,6 +83,10 @@
 	return storecache.New(store, fleet.JobPrefix)
 }
 
+func newView(log *logging.Log) *fleetview.View {
+	return fleetview.New(fleetview.WithLogger(log.Logger))
+}
+
 func newOwnLoad() *atomic.Pointer[routing.PeerLoad] {
 	load := new(atomic.Pointer[routing.PeerLoad])
 	load.Store(&routing.PeerLoad{})
--- a/policy/admission/level.go
+++ b/policy/admission/level.go
@@ -141,8 +141,10 @@
 // activeFlows is a heap of flows by start, then by sequence.
 type activeFlows[T any] []*flow[T]
 
+// Len is called by package heap.
 func (a activeFlows[T]) Len() int { return len(a) }
 
+// Less is called by package heap.
 func (a activeFlows[T]) Less(i, j int) bool {
 	if a[i].start != a[j].start {
 		return a[i].start < a[j].start
@@ -150,6 +152,7 @@
 	return a[i].sequence < a[j].sequence
 }
 
+// Swap is called by package heap.
 func (a activeFlows[T]) Swap(i, j int) {
 	a[i], a[j] = a[j], a[i]
 	a[i].index = i
