One list of hop-by-hop headers, in api/header

Cause: entry/backend and entry/gateway each held the list and the code that applies it. Change: header.CopyEndToEnd and header.DeleteHopByHop replace both. The names in a Connection header are read once for each message, where the gateway read them once for each header. Conclusion: same headers pass, one place to read.

--- /dev/null
+++ b/api/header/endtoend.go
@@ -0,0 +1,57 @@
+package header
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+}
+
+// CopyEndToEnd adds to dst the headers of src but the hop-by-hop ones. Values are
+// shared, not copied.
+func CopyEndToEnd(dst, src http.Header) {
+	named := connectionOptions(src)
+	for name, values := range src {
+		if !hopByHop[name] && !named[name] {
+			dst[name] = values
+		}
+	}
+}
+
+// DeleteHopByHop deletes the hop-by-hop headers of h.
+func DeleteHopByHop(h http.Header) {
+	for name := range connectionOptions(h) {
+		delete(h, name)
+	}
+	for name := range hopByHop {
+		delete(h, name)
+	}
+}
+
+// connectionOptions returns the headers that the Connection header of h names; nil
+// if it names none.
+func connectionOptions(h http.Header) map[string]bool {
+	var named map[string]bool
+	for _, line := range h["Connection"] {
+		for option := range strings.SplitSeq(line, ",") {
+			if named == nil {
+				named = make(map[string]bool)
+			}
+			name := textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(option))
+			named[name] = true
+		}
+	}
+	return named
+}
--- a/entry/backend/header.go
+++ b/entry/backend/header.go
@@ -3,47 +3,21 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/header"
 )
 
-// hopByHop are the headers that speak of one connection only (RFC 9110, 7.6.1).
-var hopByHop = map[string]bool{
-	"Connection":          true,
-	"Keep-Alive":          true,
-	"Proxy-Authenticate":  true,
-	"Proxy-Authorization": true,
-	"Proxy-Connection":    true,
-	"Te":                  true,
-	"Trailer":             true,
-	"Transfer-Encoding":   true,
-	"Upgrade":             true,
-}
-
 // entryOnly are the headers that only an entry instance may set on an answer.
 var entryOnly = []string{header.Verdict, header.NextTicket}
 
-// copyEndToEnd copies all headers but the hop-by-hop ones. The values are shared.
-func copyEndToEnd(from http.Header, extra int) http.Header {
-	to := make(http.Header, len(from)+extra)
-	for name, values := range from {
-		if !hopByHop[name] {
-			to[name] = values
-		}
-	}
-	for _, list := range from["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			to.Del(strings.TrimSpace(name))
-		}
-	}
-	return to
-}
+// addedHeaders is how many headers requestHeader adds at the most.
+const addedHeaders = 3
 
 // requestHeader returns the headers that the executor sees.
 func requestHeader(ctx context.Context, request *Request) http.Header {
-	h := copyEndToEnd(request.Header, 3)
+	h := make(http.Header, len(request.Header)+addedHeaders)
+	header.CopyEndToEnd(h, request.Header)
 	delete(h, "Content-Length")
 	delete(h, "Expect")
 	if _, ok := h["User-Agent"]; !ok {
@@ -60,14 +34,7 @@
 // answerHeader returns the headers that the caller may see; it changes h, which
 // belongs to this answer alone.
 func answerHeader(h http.Header) http.Header {
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for name := range hopByHop {
-		delete(h, name)
-	}
+	header.DeleteHopByHop(h)
 	for _, name := range entryOnly {
 		delete(h, name)
 	}
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -66,7 +66,7 @@
 // writeAnswerHeader writes status and headers with the verdict.
 func (g *Gateway) writeAnswerHeader(w http.ResponseWriter, x *exchange, answer *backend.Answer) {
 	h := w.Header()
-	copyHeaders(h, answer.Header)
+	header.CopyEndToEnd(h, answer.Header)
 	h[header.Verdict] = ranValue
 	h[header.RequestID] = []string{x.request.ID}
 	if length, _ := wholeLength(answer); length > 0 && h["Content-Length"] == nil {
