Send a pushed summary again only if the peer lacks it

Cause: each push was followed by the same summary in the next heartbeat, since the peer had not yet said that it holds it: 2,685 B/s of summaries at a node of 39.

--- a/mesh/engine/link.go
+++ b/mesh/engine/link.go
@@ -209,6 +209,7 @@
 	if e.summaryDue(l, now) {
 		heartbeat.Summary = e.summary
 		l.summarySent = e.summaryVersion
+		l.nextSummary = now.Add(e.summaryPeriod(l))
 	}
 	e.send(l.peer, heartbeat)
 }
@@ -219,25 +220,33 @@
 // carries the summary.
 func (e *Engine) pushSummary(now time.Time) {
 	for _, l := range e.sortedLinks() {
-		near := e.zone(l.peer) == e.members.own().Zone
-		if near && l.confirmed && e.active(l, now) && l.summarySent != e.summaryVersion {
+		if e.near(l) && l.confirmed && e.active(l, now) && l.summarySent != e.summaryVersion {
 			e.sendHeartbeat(l, true, now)
 		}
 	}
 }
 
-// summaryDue reports whether the peer lacks the newest summary and may get it
-// now: in the own zone at once, in another one after some heartbeats.
+// summaryDue reports whether the peer lacks the newest summary and may get it now. A
+// peer of the own zone gets a new one at once, and the same one again only when it
+// did not say in time that it holds it; one of another zone after some heartbeats.
 func (e *Engine) summaryDue(l *link, now time.Time) bool {
 	if l.summaryHeld == e.summaryVersion {
 		return false
 	}
-	if e.zone(l.peer) == e.members.own().Zone {
+	if e.near(l) && l.summarySent != e.summaryVersion {
 		return true
 	}
-	if now.Before(l.nextSummary) {
-		return false
+	return !now.Before(l.nextSummary)
+}
+
+// near reports whether the peer is of the own availability zone.
+func (e *Engine) near(l *link) bool { return e.zone(l.peer) == e.members.own().Zone }
+
+// summaryPeriod is the time after which a summary may be sent to the peer again. For
+// the own zone it is a heartbeat and a half, in which a peer has said what it holds.
+func (e *Engine) summaryPeriod(l *link) time.Duration {
+	if e.near(l) {
+		return e.timing.Heartbeat * 3 / 2
 	}
-	l.nextSummary = now.Add(farSummaryBeats * e.timing.Heartbeat)
-	return true
+	return farSummaryBeats * e.timing.Heartbeat
 }
