tools: work the list's cost out from compressed and unchanged readings

Cause: the page reckoned with the whole list each second. Change: the series compresses and reads a changed list; unchanged readings have their measured bytes; builds of the directory follow changes. Measured: to be printed by the next run of the command. Conclusion: that run renews docs/CAPACITY.md.

--- a/tools/capacity/budget.go
+++ b/tools/capacity/budget.go
@@ -13,11 +13,15 @@
 	// recordWritesPerDay are four states for each of 740 restarts, 25 failures and
 	// 63 maintenances (3,100 instances once in 49 days).
 	recordWritesPerDay = 4 * (740.0 + 25 + 63)
-	// listPollsPerSecond and those of a duty's holder, which polls for its rounds.
-	listPollsPerSecond   = 1.0
-	holderPollsPerSecond = listPollsPerSecond + 2 + 0.5
-	planRoundsPerSecond  = 0.5
-	placementPerSecond   = 2.0
+	// listPollsPerSecond are the readings of the platform's list, which all readers of a
+	// process share; unchangedPollBytes is the answer where the list did not change.
+	listPollsPerSecond = 1.0
+	unchangedPollBytes = 212.0
+	// listChangesPerDay are a leaving and a return for each restart, failure and
+	// maintenance.
+	listChangesPerDay   = 2 * (740.0 + 25 + 63)
+	planRoundsPerSecond = 0.5
+	placementPerSecond  = 2.0
 
 	boundMemoryKiB = 32 << 10
 	msPerCent      = 10.0 // milliseconds of work a second that are 1% of a core
@@ -71,8 +75,8 @@
 	tables := []budgetTable{
 		bytesBudget(at),
 		listBudget(at),
-		processorBudget("processor, any entry instance", at, listPollsPerSecond, false),
-		processorBudget("processor, a zone's duty holder", at, holderPollsPerSecond, true),
+		processorBudget("processor, any entry instance", at, false),
+		processorBudget("processor, a zone's duty holder", at, true),
 		memoryBudget(at),
 	}
 	return tables, missing
@@ -90,15 +94,16 @@
 
 func listBudget(at func(string) float64) budgetTable {
 	return budgetTable{title: "platform's list, received", unit: "B/s", bound: boundBytesPerSecond, lines: []budgetLine{
-		{"one poll a second", "m slope, w rate", at("list-bytes") * listPollsPerSecond},
+		{"one poll a second, unchanged", "m, BenchmarkConfigurationInstanceList", unchangedPollBytes * listPollsPerSecond},
+		{"changed lists, compressed", "m slope, w rate", at("list-bytes") * listChangesPerDay / secondsPerDay},
 	}}
 }
 
-func processorBudget(title string, at func(string) float64, polls float64, holder bool) budgetTable {
+func processorBudget(title string, at func(string) float64, holder bool) budgetTable {
 	t := budgetTable{title: title, unit: "% of a core", bound: boundProcessor, lines: []budgetLine{
 		{"mesh", "m", at("mesh-processor")},
-		{fmt.Sprintf("reading the platform's list, %s a second", number(polls)), "m slope, w rate", at("list-read") * polls / msPerCent},
-		{"building the directory, once a second", "m slope, w rate", at("directory-swap") / millisecondUs / msPerCent},
+		{"reading the platform's list when it changed", "m slope, w rate", at("list-read") * listChangesPerDay / secondsPerDay / msPerCent},
+		{"building the directory after each change", "m slope, w rate", at("directory-swap") / millisecondUs / msPerCent * (listChangesPerDay + changesPerDay) / secondsPerDay},
 		{"merging changes", "m slope, w rate", at("config-merge") / millisecondUs / msPerCent * changesPerDay / secondsPerDay},
 	}}
 	if holder {
--- a/tools/capacity/measure_fleet.go
+++ b/tools/capacity/measure_fleet.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -90,7 +92,8 @@
 	return []float64{float64(total), float64(largest), memory / kib}, nil
 }
 
-// listMeasurement encodes and reads the platform's list as each poll does.
+// listMeasurement compresses and reads the platform's list as a poll that finds it
+// changed does.
 func listMeasurement() measurement {
 	series := func(name, unit string) Series {
 		return Series{Name: name, Role: "instance list", Unit: unit, Per: "instances", Today: workersToday, Target: workersTarget}
@@ -107,12 +110,34 @@
 	if err != nil {
 		return nil, err
 	}
+	compressed, err := compress(body)
+	if err != nil {
+		return nil, err
+	}
 	var failed error
-	read := fastest(func() {
-		var list []fleet.Instance
-		failed = json.Unmarshal(body, &list)
-	})
-	return []float64{float64(len(body)), read / millisecondUs}, failed
+	read := fastest(func() { failed = readList(compressed) })
+	return []float64{float64(len(compressed)), read / millisecondUs}, failed
+}
+
+func compress(body []byte) ([]byte, error) {
+	out := &bytes.Buffer{}
+	w := gzip.NewWriter(out)
+	if _, err := w.Write(body); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+func readList(compressed []byte) error {
+	r, err := gzip.NewReader(bytes.NewReader(compressed))
+	if err != nil {
+		return err
+	}
+	var list []fleet.Instance
+	return json.NewDecoder(r).Decode(&list)
 }
 
 func instances(size int) []fleet.Instance {
