One piece for wrong input on both command lines: cmd/usage

Cause: tarragond and tarragonctl each had the usage error, its handler for subcommands, the root action and the two shared exit codes. Change: cmd/usage holds them; both commands call it. Conclusion: same behaviour, one place to read.

--- a/cmd/tarragonctl/client.go
+++ b/cmd/tarragonctl/client.go
@@ -15,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/tarragonreach/tarragonreach/api/operations"
+	"github.com/tarragonreach/tarragonreach/cmd/usage"
 )
 
 // client calls one operator listener.
@@ -74,7 +75,7 @@
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return "", &usageError{fmt.Sprintf("read the token file: %v", err)}
+		return "", usage.Errorf("read the token file: %v", err)
 	}
 	return strings.TrimSpace(string(text)), nil
 }
@@ -88,14 +89,14 @@
 	if certFile != "" {
 		cert, err := tls.LoadX509KeyPair(certFile, keyFile)
 		if err != nil {
-			return nil, &usageError{fmt.Sprintf("load the client certificate: %v", err)}
+			return nil, usage.Errorf("load the client certificate: %v", err)
 		}
 		config.Certificates = []tls.Certificate{cert}
 	}
 	if caFile != "" {
 		pem, err := os.ReadFile(caFile)
 		if err != nil {
-			return nil, &usageError{fmt.Sprintf("read the CA file: %v", err)}
+			return nil, usage.Errorf("read the CA file: %v", err)
 		}
 		config.RootCAs = x509.NewCertPool()
 		config.RootCAs.AppendCertsFromPEM(pem)
@@ -120,7 +121,7 @@
 func (c *client) call(ctx context.Context, method, path string, body []byte, out any) error {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return &usageError{fmt.Sprintf("server %q: %v", c.base, err)}
+		return usage.Errorf("server %q: %v", c.base, err)
 	}
 	if c.token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.token)
--- a/cmd/tarragonctl/config.go
+++ b/cmd/tarragonctl/config.go
@@ -14,6 +14,7 @@
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/api/operations"
+	"github.com/tarragonreach/tarragonreach/cmd/usage"
 )
 
 const defaultHistory = 20
@@ -71,7 +72,7 @@
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return &usageError{fmt.Sprintf("read the change: %v", err)}
+		return usage.Errorf("read the change: %v", err)
 	}
 	c, err := newClient(cmd)
 	if err != nil {
@@ -176,7 +177,7 @@
 	}
 	rollback := operations.Rollback{Reason: cmd.String("reason")}
 	if _, err := fmt.Sscan(text, &rollback.Revision); err != nil {
-		return &usageError{fmt.Sprintf("revision %q: want a number", text)}
+		return usage.Errorf("revision %q: want a number", text)
 	}
 	c, err := newClient(cmd)
 	if err != nil {
--- a/cmd/tarragonctl/exit.go
+++ b/cmd/tarragonctl/exit.go
@@ -3,22 +3,18 @@
 import (
 	"errors"
 	"net/http"
+
+	"github.com/tarragonreach/tarragonreach/cmd/usage"
 )
 
 // Exit codes; they are stable.
 const (
-	exitFailed      = 1
-	exitWrongInput  = 2
+	exitFailed      = usage.ExitFailed
+	exitWrongInput  = usage.ExitWrongInput
 	exitConflict    = 3
 	exitUnreachable = 4
 )
 
-// usageError is wrong input on the command line.
-type usageError struct{ text string }
-
-// Error returns what is wrong and what would be right.
-func (e *usageError) Error() string { return e.text }
-
 // unreachableError says that no entry instance answered.
 type unreachableError struct{ err error }
 
@@ -29,11 +25,11 @@
 func (e *unreachableError) Unwrap() error { return e.err }
 
 func exitCode(err error) int {
-	var usage *usageError
+	var wrong *usage.Error
 	var unreachable *unreachableError
 	var problem *problemError
 	switch {
-	case errors.As(err, &usage):
+	case errors.As(err, &wrong):
 		return exitWrongInput
 	case errors.As(err, &unreachable):
 		return exitUnreachable
--- a/cmd/tarragonctl/explain.go
+++ b/cmd/tarragonctl/explain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/url"
 	"slices"
 	"strings"
@@ -10,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/tarragonreach/tarragonreach/api/operations"
+	"github.com/tarragonreach/tarragonreach/cmd/usage"
 )
 
 var explainKinds = []string{"instance", "pool", "job", "maintenance-plan", "request"}
@@ -24,7 +24,7 @@
 func runExplain(ctx context.Context, cmd *cli.Command) error {
 	kind, name := cmd.Args().Get(0), cmd.Args().Get(1)
 	if cmd.Args().Len() != 2 || !slices.Contains(explainKinds, kind) {
-		return &usageError{fmt.Sprintf("explain: want one of %s and a name", strings.Join(explainKinds, ", "))}
+		return usage.Errorf("explain: want one of %s and a name", strings.Join(explainKinds, ", "))
 	}
 	c, err := newClient(cmd)
 	if err != nil {
--- a/cmd/tarragonctl/fleet.go
+++ b/cmd/tarragonctl/fleet.go
@@ -11,6 +11,7 @@
 
 	"github.com/tarragonreach/tarragonreach/api/label"
 	"github.com/tarragonreach/tarragonreach/api/operations"
+	"github.com/tarragonreach/tarragonreach/cmd/usage"
 )
 
 func poolCommand() *cli.Command {
@@ -102,13 +103,13 @@
 func runLabel(ctx context.Context, cmd *cli.Command) error {
 	args := cmd.Args().Slice()
 	if len(args) < 2 {
-		return &usageError{"label: want an instance and one or more KEY=VALUE"}
+		return &usage.Error{Text: "label: want an instance and one or more KEY=VALUE"}
 	}
 	labels := label.Set{}
 	for _, arg := range args[1:] {
 		key, value, ok := strings.Cut(arg, "=")
 		if !ok || key == "" {
-			return &usageError{fmt.Sprintf("label %q: want KEY=VALUE, or KEY= to remove it", arg)}
+			return usage.Errorf("label %q: want KEY=VALUE, or KEY= to remove it", arg)
 		}
 		labels[key] = value
 	}
--- a/cmd/tarragonctl/main.go
+++ b/cmd/tarragonctl/main.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/tarragonreach/tarragonreach/api/buildinfo"
+	"github.com/tarragonreach/tarragonreach/cmd/usage"
 )
 
 const (
@@ -30,18 +31,10 @@
 
 func newApp() *cli.Command {
 	app := newRootCommand()
-	reportUsageErrors(app)
+	usage.Report(app)
 	return app
 }
 
-// reportUsageErrors sets the handler of each command, for subcommands do not inherit it.
-func reportUsageErrors(cmd *cli.Command) {
-	cmd.OnUsageError = onUsageError
-	for _, sub := range cmd.Commands {
-		reportUsageErrors(sub)
-	}
-}
-
 func newRootCommand() *cli.Command {
 	return &cli.Command{
 		Name:                  "tarragonctl",
@@ -49,7 +42,7 @@
 		Version:               buildinfo.Version(),
 		EnableShellCompletion: true,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
-		Action:                runWithoutCommand,
+		Action:                usage.RunWithoutCommand,
 		Description: "Exit codes: 0 done, 1 failed, 2 wrong input, 3 conflict with another change, " +
 			"4 no entry instance answered.\n\nExamples:\n" +
 			"  tarragonctl --server 127.0.0.1:8081 status\n" +
@@ -75,15 +68,3 @@
 		},
 	}
 }
-
-// runWithoutCommand prints the help, or names a command that does not exist.
-func runWithoutCommand(_ context.Context, cmd *cli.Command) error {
-	if cmd.Args().Present() {
-		return &usageError{fmt.Sprintf("unknown command %q; see tarragonctl --help", cmd.Args().First())}
-	}
-	return cli.ShowRootCommandHelp(cmd)
-}
-
-func onUsageError(_ context.Context, cmd *cli.Command, err error, _ bool) error {
-	return &usageError{fmt.Sprintf("%v; see %s --help", err, cmd.FullName())}
-}
--- a/cmd/tarragonctl/output.go
+++ b/cmd/tarragonctl/output.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/tarragonreach/tarragonreach/cmd/usage"
 )
 
 const (
@@ -42,7 +44,7 @@
 	case outputTable:
 		return render(value).write(out)
 	default:
-		return &usageError{fmt.Sprintf("output %q: want table or json", format)}
+		return usage.Errorf("output %q: want table or json", format)
 	}
 }
 
--- a/cmd/tarragonctl/status.go
+++ b/cmd/tarragonctl/status.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/tarragonreach/tarragonreach/api/operations"
+	"github.com/tarragonreach/tarragonreach/cmd/usage"
 )
 
 func statusCommand() *cli.Command {
@@ -92,7 +93,7 @@
 
 func oneArgument(cmd *cli.Command, what string) (string, error) {
 	if cmd.Args().Len() != 1 {
-		return "", &usageError{fmt.Sprintf("%s: want one argument, %s", cmd.Name, what)}
+		return "", usage.Errorf("%s: want one argument, %s", cmd.Name, what)
 	}
 	return cmd.Args().First(), nil
 }
--- a/cmd/tarragond/dev.go
+++ b/cmd/tarragond/dev.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -11,6 +10,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/tarragonreach/tarragonreach/cmd/usage"
 	"github.com/tarragonreach/tarragonreach/entry/dev"
 )
 
@@ -35,7 +35,7 @@
 func runDev(ctx context.Context, cmd *cli.Command) error {
 	duration := cmd.Duration("duration")
 	if cmd.IsSet("duration") && duration < minDuration {
-		return &usageError{fmt.Sprintf("--duration %s: want at least %s", duration, minDuration)}
+		return usage.Errorf("--duration %s: want at least %s", duration, minDuration)
 	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/cmd/tarragond/keys.go
+++ b/cmd/tarragond/keys.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/cmd/usage"
 	"github.com/tarragonreach/tarragonreach/mesh/keys"
 )
 
@@ -41,7 +42,7 @@
 
 func runKeys(_ context.Context, cmd *cli.Command) error {
 	if !cmd.Args().Present() {
-		return &usageError{"keys: name one or more instances"}
+		return &usage.Error{Text: "keys: name one or more instances"}
 	}
 	dir := cmd.String("dir")
 	if err := os.MkdirAll(dir, keysDirMode); err != nil {
--- a/cmd/tarragond/main.go
+++ b/cmd/tarragond/main.go
@@ -10,13 +10,14 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/tarragonreach/tarragonreach/api/buildinfo"
+	"github.com/tarragonreach/tarragonreach/cmd/usage"
 	"github.com/tarragonreach/tarragonreach/entry/settings"
 )
 
 // Exit codes; they are stable.
 const (
-	exitFailed     = 1
-	exitWrongInput = 2
+	exitFailed     = usage.ExitFailed
+	exitWrongInput = usage.ExitWrongInput
 )
 
 func main() {
@@ -28,15 +29,9 @@
 	os.Exit(exitCode(err))
 }
 
-// usageError is wrong input on the command line.
-type usageError struct{ text string }
-
-// Error returns what is wrong and what would be right.
-func (e *usageError) Error() string { return e.text }
-
 func exitCode(err error) int {
-	var usage *usageError
-	if errors.As(err, &usage) || errors.Is(err, settings.ErrInvalid) {
+	var wrong *usage.Error
+	if errors.As(err, &wrong) || errors.Is(err, settings.ErrInvalid) {
 		return exitWrongInput
 	}
 	return exitFailed
@@ -44,20 +39,10 @@
 
 func newApp() *cli.Command {
 	app := newRootCommand()
-	reportUsageErrors(app)
+	usage.Report(app)
 	return app
 }
 
-// reportUsageErrors sets the handler of each command, for subcommands do not inherit it.
-func reportUsageErrors(cmd *cli.Command) {
-	cmd.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
-		return &usageError{fmt.Sprintf("%v; see %s --help", err, cmd.FullName())}
-	}
-	for _, sub := range cmd.Commands {
-		reportUsageErrors(sub)
-	}
-}
-
 func newRootCommand() *cli.Command {
 	return &cli.Command{
 		Name:                  "tarragond",
@@ -65,12 +50,7 @@
 		Version:               buildinfo.Version(),
 		EnableShellCompletion: true,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
-		Action: func(_ context.Context, cmd *cli.Command) error {
-			if cmd.Args().Present() {
-				return &usageError{fmt.Sprintf("unknown command %q; see tarragond --help", cmd.Args().First())}
-			}
-			return cli.ShowRootCommandHelp(cmd)
-		},
+		Action:                usage.RunWithoutCommand,
 		Description: "Exit codes: 0 done, 1 failed, 2 wrong input.\n\nExamples:\n" +
 			"  tarragond dev\n" +
 			"  tarragond dev --duration 10s --json\n" +
