Plain terms in comments and names

Cause: some comments and two names used images (storm, seat, heal, silent, hears of) that a newcomer has to guess at. Change: comments say what happens; storm is commonCause in policy/attribution, seat is poolZone in entry/fleetctl, in its tests too; DefaultQuantile has a doc comment of its own. Conclusion: no behaviour changed.

--- a/api/fleet/job.go
+++ b/api/fleet/job.go
@@ -25,7 +25,7 @@
 	TaskPending  TaskPhase = "pending"  // waits for a worker
 	TaskStarted  TaskPhase = "started"  // given to a worker
 	TaskDone     TaskPhase = "done"     // succeeded
-	TaskCanceled TaskPhase = "canceled" // stopped on an operator's wish
+	TaskCanceled TaskPhase = "canceled" // stopped on an operator's request
 )
 
 // TaskRecord is the record of one task of a job.
--- a/api/fleet/page.go
+++ b/api/fleet/page.go
@@ -53,7 +53,7 @@
 	return next
 }
 
-// DrainRequest is an operator's wish to take an instance out of its pool.
+// DrainRequest is an operator's request to take an instance out of its pool.
 type DrainRequest struct {
 	Reason string    `json:"reason"`
 	At     time.Time `json:"at"`
--- a/entry/backend/errors.go
+++ b/entry/backend/errors.go
@@ -24,7 +24,7 @@
 }
 
 // unwrittenError is the error of an exchange of which no byte was written. The
-// client leaves a connection alive only where it does not accept the request.
+// client keeps a connection open only where it does not accept the request.
 func unwrittenError(ctx context.Context, r *http.Request, isAlive bool, err error) *verdict.Error {
 	if isAlive && ctx.Err() == nil {
 		return badRequest(err)
--- a/entry/config/run.go
+++ b/entry/config/run.go
@@ -11,7 +11,7 @@
 
 // Pace of the reads from the store.
 const (
-	// watchWait ends a watch, so that one which has gone silent is found out.
+	// watchWait ends a watch, so that one which no longer delivers is noticed.
 	watchWait = 3 * time.Second
 	// readTimeout bounds one read of the log.
 	readTimeout = 5 * time.Second
--- a/entry/directory/build.go
+++ b/entry/directory/build.go
@@ -122,7 +122,7 @@
 
 // takesWork reports whether an instance of a pool is routed to. A failed one is, as
 // long as the platform lists it: the request path itself ejects it and finds out
-// when it has healed.
+// when it has recovered.
 func takesWork(state fleet.State) bool {
 	return state == fleet.StateServing || state == fleet.StateFailed
 }
--- a/entry/dispatch/executor.go
+++ b/entry/dispatch/executor.go
@@ -69,7 +69,7 @@
 func (e *Executor) Limit() int { return int(e.limit.Load()) }
 
 // AnsweredSince reports whether the executor has answered any request since t. One
-// that has is alive, so that an overdue answer is a slow one.
+// that has is reachable, so that an overdue answer is a slow one.
 func (e *Executor) AnsweredSince(t time.Time) bool { return e.answered.Load() >= t.UnixNano() }
 
 // tryAcquire takes a slot below the limit.
--- a/entry/duty/acquire.go
+++ b/entry/duty/acquire.go
@@ -58,7 +58,7 @@
 	return lease{id, term}, nil
 }
 
-// checkFree spares a lease while the duty is held.
+// checkFree avoids opening a lease while the duty is held.
 func (l *Lessee) checkFree(ctx context.Context, name string) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/entry/fleetctl/bench_test.go
+++ b/entry/fleetctl/bench_test.go
@@ -41,7 +41,7 @@
 			Budget: object.Budget{MaxUnavailable: percent(10)}, MoveWeight: 10, BufferWeight: 1,
 		})
 		for z := range targetZones {
-			demand[seat{name, zoneName(z)}] = 0.8 * perSeat
+			demand[poolZone{name, zoneName(z)}] = 0.8 * perSeat
 		}
 	}
 	document.MaintenancePlans = []object.MaintenancePlan{{
--- a/entry/fleetctl/inputs.go
+++ b/entry/fleetctl/inputs.go
@@ -78,7 +78,7 @@
 	Quantile float64
 	// GrantTTL is after what time an unused grant is taken back.
 	GrantTTL time.Duration
-	// ReplaceAfter is how long a failed instance keeps its seat in the plan.
+	// ReplaceAfter is how long a failed instance counts as one of its pool in the plan.
 	ReplaceAfter time.Duration
 }
 
--- a/entry/fleetctl/property_test.go
+++ b/entry/fleetctl/property_test.go
@@ -51,10 +51,10 @@
 	sequence int
 }
 
-type randomDemand map[seat]float64
+type randomDemand map[poolZone]float64
 
 func (d randomDemand) Demand(pool string, zone fleet.AvailabilityZone) (float64, bool) {
-	demand, known := d[seat{pool, zone}]
+	demand, known := d[poolZone{pool, zone}]
 	return demand, known
 }
 
@@ -196,7 +196,7 @@
 		"repair":   func(t *rapid.T) { m.store.down = false },
 		"outage":   func(t *rapid.T) { m.store.down = !m.store.down },
 		"demand": func(t *rapid.T) {
-			key := seat{rapid.SampledFrom([]string{"a", "b"}).Draw(t, "pool"), rapid.SampledFrom(fleetZones).Draw(t, "zone")}
+			key := poolZone{rapid.SampledFrom([]string{"a", "b"}).Draw(t, "pool"), rapid.SampledFrom(fleetZones).Draw(t, "zone")}
 			m.demand[key] = float64(rapid.IntRange(0, 5).Draw(t, "demand"))
 		},
 		"operate": func(t *rapid.T) { m.operate(t) },
--- a/entry/fleetctl/sizing.go
+++ b/entry/fleetctl/sizing.go
@@ -10,15 +10,15 @@
 // sizing follows the demand of each pool in each availability zone.
 type sizing struct {
 	options    Options
-	estimators map[seat]*capacity.Estimator
+	estimators map[poolZone]*capacity.Estimator
 	histories  map[string]*capacity.History // of the controller's own zone, by pool
 	joined     map[string]time.Time         // when each pool last got an instance
 	began      time.Time
 	sampled    time.Time
 }
 
-// seat is one pool in one availability zone.
-type seat struct {
+// poolZone is one pool in one availability zone.
+type poolZone struct {
 	pool string
 	zone fleet.AvailabilityZone
 }
@@ -26,7 +26,7 @@
 func newSizing(options Options) *sizing {
 	return &sizing{
 		options:    options,
-		estimators: make(map[seat]*capacity.Estimator),
+		estimators: make(map[poolZone]*capacity.Estimator),
 		histories:  make(map[string]*capacity.History),
 		joined:     make(map[string]time.Time),
 	}
@@ -47,12 +47,12 @@
 		for _, zone := range zones {
 			demand, known := s.options.Demand.Demand(pool.Name, zone)
 			if known {
-				s.observe(seat{pool.Name, zone}, demand, elapsed, now)
+				s.observe(poolZone{pool.Name, zone}, demand, elapsed, now)
 				total, anyKnown = total+demand, true
 			}
 		}
 		if anyKnown {
-			s.observe(seat{pool.Name, allZones}, total, elapsed, now)
+			s.observe(poolZone{pool.Name, allZones}, total, elapsed, now)
 		}
 	}
 }
@@ -60,15 +60,15 @@
 // allZones stands for the sum over the zones of a pool.
 const allZones fleet.AvailabilityZone = ""
 
-func (s *sizing) observe(key seat, demand float64, elapsed time.Duration, now time.Time) {
+func (s *sizing) observe(key poolZone, demand float64, elapsed time.Duration, now time.Time) {
 	if s.estimators[key] == nil {
 		s.estimators[key] = capacity.NewEstimator(s.options.HalfLife)
 	}
 	s.estimators[key].Observe(demand, elapsed, now)
 }
 
-// quantile returns the demand that a seat is sized for, and whether it is known.
-func (s *sizing) quantile(key seat) (float64, bool) {
+// quantile returns the demand that a pool is sized for, and whether it is known.
+func (s *sizing) quantile(key poolZone) (float64, bool) {
 	estimator := s.estimators[key]
 	if estimator == nil {
 		return 0, false
@@ -92,7 +92,7 @@
 	weights := make([]int, len(supply))
 	own, unknown := 0, 0
 	for i, zone := range supply {
-		demand, known := s.quantile(seat{pool.Name, zone.zone})
+		demand, known := s.quantile(poolZone{pool.Name, zone.zone})
 		demands[i] = capacity.ZoneDemand{Demand: demand, Limit: zone.eligible, LargestRack: zone.largestRack}
 		weights[i] = zone.eligible
 		if !known && zone.eligible > 0 {
@@ -103,7 +103,7 @@
 		}
 	}
 	least := capacity.Split(pool.Min, weights)[own]
-	total, known := s.quantile(seat{pool.Name, allZones})
+	total, known := s.quantile(poolZone{pool.Name, allZones})
 	fresh := now.Sub(s.began) < s.options.HalfLife
 	if !known || (fresh && held == 0) {
 		return least, false
--- a/entry/fleetview/follow.go
+++ b/entry/fleetview/follow.go
@@ -17,7 +17,7 @@
 	relistInterval = 30 * time.Minute
 	retryFirst     = 200 * time.Millisecond
 	retryLast      = 10 * time.Second
-	// idleWatchPause keeps a store whose watches return at once from being flooded.
+	// idleWatchPause bounds the rate of calls to a store whose watches return at once.
 	idleWatchPause = 20 * time.Millisecond
 )
 
--- a/entry/fleetview/view.go
+++ b/entry/fleetview/view.go
@@ -85,7 +85,7 @@
 	return fleet.AvailabilityZone(zone), nil
 }
 
-// draft is a snapshot in the making.
+// draft is a snapshot that is being built.
 type draft struct {
 	Snapshot
 	dirty bool
--- a/entry/gateway/parse.go
+++ b/entry/gateway/parse.go
@@ -78,8 +78,8 @@
 	return service, "/" + path
 }
 
-// parseClass takes the class; a silent class leaves repeatable to the method, and
-// without a class only safe methods are repeatable beside PUT and DELETE.
+// parseClass takes the class. A class that does not say whether its requests are
+// repeatable leaves that to the method, and without a class only safe methods are repeatable beside PUT and DELETE.
 func (g *Gateway) parseClass(x *exchange, t *table) *verdict.Error {
 	x.repeatable = idempotentMethod(x.request.Method)
 	name := x.incoming.Get(header.Class)
--- a/entry/gateway/reqctx.go
+++ b/entry/gateway/reqctx.go
@@ -54,7 +54,7 @@
 	c.cancel()
 }
 
-// overdue reports whether the watched executor has fallen silent.
+// overdue reports whether the watched executor has stopped answering.
 func (c *requestContext) overdue() bool {
 	e := c.watched.Load()
 	return e != nil && !e.AnsweredSince(c.watchedSince)
--- a/entry/gateway/send.go
+++ b/entry/gateway/send.go
@@ -175,7 +175,7 @@
 }
 
 // attemptDeadline leaves time for a retry where one is possible and likely to
-// finish, since the executor may have fallen silent.
+// finish, since the executor may have stopped answering.
 func (x *exchange) attemptDeadline(now time.Time) time.Time {
 	half := x.timeLeft(now) / 2
 	expected := x.service.live.RunTime(x.class.Name)
--- a/entry/metrics/metrics.go
+++ b/entry/metrics/metrics.go
@@ -27,7 +27,7 @@
 }
 
 // New returns metrics with a registry of their own, so that several entry
-// instances can stand in one process. onError hears of metrics that could not be
+// instances can stand in one process. onError is called for metrics that could not be
 // registered.
 func New(onError func(error)) *Metrics {
 	reporter := tallyprom.NewReporter(tallyprom.Options{
--- a/entry/node/health.go
+++ b/entry/node/health.go
@@ -10,7 +10,7 @@
 
 // unhealthyAfter is how long an executor must stay out of service by the request
 // path before its pool counts it as failed. It spans several trials of an executor
-// that heals by itself.
+// that recovers by itself.
 const unhealthyAfter = 30 * time.Second
 
 // executorHealth follows the request path's view of the executors for the fleet's
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -166,7 +166,7 @@
 // StopTimeout is how long Stop may take.
 func (n *Node) StopTimeout() time.Duration { return n.app.StopTimeout() }
 
-// Wait returns a channel that hears of a part's failure.
+// Wait returns a channel that receives a part's failure.
 func (n *Node) Wait() <-chan fx.ShutdownSignal { return n.app.Wait() }
 
 // CallerAddr returns the caller listener as host:port.
--- a/entry/serve/server.go
+++ b/entry/serve/server.go
@@ -55,7 +55,7 @@
 // Addr returns the bound address as host:port.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Start serves in the background. onFailure hears of an end that nobody asked for.
+// Start serves in the background. onFailure is called when the server ends without having been stopped.
 func (s *Server) Start(onFailure func(error)) {
 	go func() {
 		defer close(s.done)
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -147,7 +147,7 @@
 	textFormat = "text"
 )
 
-// Default returns the settings that hold where a file is silent.
+// Default returns the settings for every field that a file does not set.
 func Default() Settings {
 	return Settings{
 		Caller: Caller{
--- a/entry/storecache/storecache.go
+++ b/entry/storecache/storecache.go
@@ -18,7 +18,7 @@
 	// pageLimit is how many entries one listing asks for.
 	pageLimit = 64
 	// watchWait bounds one watch, after which the copy is read anew where the
-	// watch was silent, so that a watch that died is noticed.
+	// watch was silent, so that a failed watch is noticed.
 	watchWait = 30 * time.Second
 )
 
--- a/entry/submission/breaker.go
+++ b/entry/submission/breaker.go
@@ -16,7 +16,7 @@
 	breakerPause    = time.Second
 )
 
-// breaker spares callers the wait for a store that is out.
+// breaker refuses at once while the store does not answer.
 type breaker struct {
 	mu       sync.Mutex
 	failures int
--- a/policy/attribution/attribution.go
+++ b/policy/attribution/attribution.go
@@ -45,11 +45,11 @@
 	// priorFailures and priorTotal are what is assumed of a side without other results.
 	priorFailures = 0.2
 	priorTotal    = 2.0
-	// stormShare is the share of workers with failures above which nobody is
+	// commonCauseShare is the share of workers with failures above which nobody is
 	// blamed, since a common cause is likelier.
-	stormShare = 0.5
-	// stormMinWorkers is how many workers make a storm possible.
-	stormMinWorkers = 6
+	commonCauseShare = 0.5
+	// commonCauseMinWorkers is how few workers can show a common cause.
+	commonCauseMinWorkers = 6
 	// maxResults bounds the results held.
 	maxResults = 20_000
 )
--- a/policy/attribution/finding.go
+++ b/policy/attribution/finding.go
@@ -29,7 +29,7 @@
 
 func (e *Evidence) judgeWorker(v *Finding, attributed float64, own *tally) {
 	switch {
-	case e.storm():
+	case e.commonCause():
 		v.Reason = "most workers fail, a common cause is likelier"
 	case attributed < minFailures:
 		v.Reason = fmt.Sprintf("%.1f failures are its own, %.0f make a case", attributed, minFailures)
@@ -68,7 +68,7 @@
 
 func (e *Evidence) judgeJob(v *Finding, attributed float64, own *tally, racks int) {
 	switch {
-	case e.storm():
+	case e.commonCause():
 		v.Reason = "most workers fail, a common cause is likelier"
 	case own.succeeded > 0:
 		v.Reason = fmt.Sprintf("%d of its tasks succeeded", own.succeeded)
@@ -106,10 +106,10 @@
 	return attributed / float64(failed)
 }
 
-// storm reports whether so many workers fail that a common cause is likelier than
-// many faults of their own. A single hopeless job does not make a storm.
-func (e *Evidence) storm() bool {
-	if len(e.workers) < stormMinWorkers || len(e.jobs) < minDistinct {
+// commonCause reports whether so many workers fail that a common cause is likelier
+// than many faults of their own. A single hopeless job does not count as one.
+func (e *Evidence) commonCause() bool {
+	if len(e.workers) < commonCauseMinWorkers || len(e.jobs) < minDistinct {
 		return false
 	}
 	failing := 0
@@ -118,5 +118,5 @@
 			failing++
 		}
 	}
-	return float64(failing) > stormShare*float64(len(e.workers))
+	return float64(failing) > commonCauseShare*float64(len(e.workers))
 }
--- a/policy/capacity/estimator.go
+++ b/policy/capacity/estimator.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	// DefaultHalfLife and DefaultQuantile make a need follow the demand of about the
-	// last hour and a half.
+	// DefaultHalfLife is the time in which the weight of a sample halves. Together with
+	// DefaultQuantile it makes a need follow the demand of about the last hour and a half.
 	DefaultHalfLife = 20 * time.Minute
+	// DefaultQuantile is the share of the demand samples that a pool's size covers.
 	DefaultQuantile = 0.95
 )
 
--- a/policy/placement/relief.go
+++ b/policy/placement/relief.go
@@ -31,7 +31,7 @@
 	cost    time.Duration
 }
 
-// victim is a task that may make way, with the work that a checkpoint loses.
+// victim is a task that may be preempted, with the work that a checkpoint loses.
 type victim struct {
 	task *Task
 	cost time.Duration
--- a/policy/tasks/tasks.go
+++ b/policy/tasks/tasks.go
@@ -101,7 +101,7 @@
 	return next, changes
 }
 
-// ended returns the task after an ending. A stop was an operator's wish; all other
+// ended returns the task after an ending. A stop was requested by an operator; all other
 // endings but success make the task wait again.
 func ended(t fleet.TaskRecord, how Ending, now time.Time) fleet.TaskRecord {
 	t.Since = now
