One way to the labels that selectors see; ask for an address that peers can dial

Cause: the directory and the fleet's controllers merged labels in different orders, so a relabelled instance could serve by one and not by the other; and a mesh listener without a host passed check and failed at the start. Change: both use one function, in which operators cannot change what follows from the instance; check asks for mesh.advertise.

--- a/api/fleet/page.go
+++ b/api/fleet/page.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/label"
@@ -59,20 +60,29 @@
 	At     time.Time `json:"at"`
 }
 
-// EffectiveLabels returns the labels that selectors see: the platform's labels,
-// the ones derived from the instance, and over both the operators' own.
+// EffectiveLabels returns the labels that selectors see: the platform's labels, over
+// them the operators', and over both those that follow from the instance itself,
+// which no operator can change.
 func EffectiveLabels(instance Instance, operators label.Set) label.Set {
-	labels := make(label.Set, len(instance.Labels)+len(operators)+3)
-	for key, value := range instance.Labels {
-		labels[key] = value
-	}
+	labels := make(label.Set, len(instance.Labels)+len(operators)+derivedLabels)
+	maps.Copy(labels, instance.Labels)
+	maps.Copy(labels, operators)
 	labels[LabelKind] = string(instance.Kind)
 	labels[LabelZone] = string(instance.Zone)
 	if instance.Rack != "" {
 		labels[LabelRack] = instance.Rack
 	}
-	for key, value := range operators {
-		labels[key] = value
+	return labels
+}
+
+// ServingLabels returns the effective labels with the pool of the instance's record.
+func ServingLabels(instance Instance, record Record) label.Set {
+	labels := EffectiveLabels(instance, record.Labels)
+	if record.Pool != "" {
+		labels[LabelPool] = record.Pool
 	}
 	return labels
 }
+
+// derivedLabels is how many labels follow from an instance and its record.
+const derivedLabels = 4
--- a/entry/directory/build.go
+++ b/entry/directory/build.go
@@ -73,7 +73,7 @@
 		return NotBackend
 	}
 	record, recorded := in.records[instance.ID]
-	if !selector.Matches(labelsOf(instance, record)) {
+	if !selector.Matches(fleet.ServingLabels(instance, record)) {
 		return NoMatch
 	}
 	if instance.Leaving {
@@ -102,24 +102,6 @@
 	return Included
 }
 
-// labelsOf merges the platform's labels, the derived ones and the operators'.
-func labelsOf(instance fleet.Instance, record fleet.Record) label.Set {
-	labels := make(label.Set, len(instance.Labels)+len(record.Labels)+4)
-	for key, value := range instance.Labels {
-		labels[key] = value
-	}
-	for key, value := range record.Labels {
-		labels[key] = value
-	}
-	labels[fleet.LabelZone] = string(instance.Zone)
-	labels[fleet.LabelRack] = instance.Rack
-	labels[fleet.LabelKind] = string(instance.Kind)
-	if record.Pool != "" {
-		labels[fleet.LabelPool] = record.Pool
-	}
-	return labels
-}
-
 // takesWork reports whether an instance of a pool is routed to. A failed one is, as
 // long as the platform lists it: the request path itself ejects it and finds out
 // when it has recovered.
--- a/entry/jobctl/snapshot.go
+++ b/entry/jobctl/snapshot.go
@@ -32,12 +32,8 @@
 
 func (r *round) worker(i fleet.Instance, running []placement.Task) placement.Worker {
 	record, recorded := r.Record(i.ID)
-	labels := fleet.EffectiveLabels(i, record.Labels)
-	if record.Pool != "" {
-		labels = labels.With(fleet.LabelPool, record.Pool)
-	}
 	return placement.Worker{
-		ID: i.ID, Zone: i.Zone, Rack: i.Rack, Labels: labels, Capacity: i.Capacity, Tasks: running,
+		ID: i.ID, Zone: i.Zone, Rack: i.Rack, Labels: fleet.ServingLabels(i, record), Capacity: i.Capacity, Tasks: running,
 		Unusable: r.unusable(i, record, recorded), Trust: r.trust(i.ID),
 	}
 }
--- a/entry/settings/check.go
+++ b/entry/settings/check.go
@@ -37,9 +37,7 @@
 	c.address("/caller/listen", s.Caller.Listen)
 	c.address("/operator/listen", s.Operator.Listen)
 	c.address("/mesh/listen", s.Mesh.Listen)
-	if s.Mesh.Advertise != "" {
-		c.address("/mesh/advertise", s.Mesh.Advertise)
-	}
+	c.advertise(s.Mesh)
 	for i, seed := range s.Mesh.Seeds {
 		c.address("/mesh/seeds/"+strconv.Itoa(i), seed)
 	}
@@ -49,6 +47,18 @@
 	c.operatorAccess(s.Operator)
 }
 
+// advertise asks for an address that peers can dial where the listener names none.
+func (c checker) advertise(m Mesh) {
+	if m.Advertise != "" {
+		c.address("/mesh/advertise", m.Advertise)
+		return
+	}
+	host, _, err := net.SplitHostPort(m.Listen)
+	if err == nil && (host == "" || net.ParseIP(host).IsUnspecified()) {
+		c.doc.Report("/mesh/advertise", "is missing: want the host:port that peers dial, since mesh.listen names no host")
+	}
+}
+
 // operatorAccess keeps an operator listener without authentication off the network.
 func (c checker) operatorAccess(o Operator) {
 	if o.TokenFile != "" {
--- a/entry/settings/settings_test.go
+++ b/entry/settings/settings_test.go
@@ -18,7 +18,7 @@
 	return `{
   "instance": {"id": "pa-1", "zone": "palermo"}, // comments are fine
   "platform": {"url": "http://127.0.0.1:9"},
-  "mesh": {"tls": {"certFile": "` + key + `", "keyFile": "` + key + `", "caFile": "` + key + `"}}
+  "mesh": {"advertise": "10.0.0.1:8082", "tls": {"certFile": "` + key + `", "keyFile": "` + key + `", "caFile": "` + key + `"}}
 }`
 }
 
@@ -54,6 +54,7 @@
 		`5:20: log.level: "loud": want debug`,
 		`6:26: operator.listen: a listener beyond loopback needs`,
 		`1:1: mesh.tls: the mesh always uses mutual TLS`,
+		`1:1: mesh.advertise: is missing`,
 	} {
 		assert.ErrorContains(t, err, fault)
 	}
