--- a/entry/node/busy.go
+++ b/entry/node/busy.go
@@ -29,12 +29,14 @@
 // drained knows which draining backend servers of this availability zone have no
 // request of any entry instance in progress.
 type drained struct {
-	parts
-	idle atomic.Pointer[map[fleet.InstanceID]time.Time] // until when each counts as idle
+	draining  func() []fleet.InstanceID
+	executors busyExecutors
+	network   network
+	idle      atomic.Pointer[map[fleet.InstanceID]time.Time] // until when each counts as idle
 }
 
 func newDrained(p parts) *drained {
-	d := &drained{parts: p}
+	d := &drained{draining: p.draining, executors: p.Transport, network: p.Peers}
 	d.idle.Store(&map[fleet.InstanceID]time.Time{})
 	return d
 }
@@ -59,9 +61,10 @@
 	d.idle.Store(&idle)
 }
 
-func (d *drained) draining() []fleet.InstanceID {
+// draining lists the instances of this availability zone that drain.
+func (p parts) draining() []fleet.InstanceID {
 	var out []fleet.InstanceID
-	for _, located := range d.View.Snapshot().Records(d.Options.Settings.Instance.Zone) {
+	for _, located := range p.View.Snapshot().Records(p.Options.Settings.Instance.Zone) {
 		if located.State == fleet.StateDraining {
 			out = append(out, located.ID)
 		}
@@ -84,8 +87,8 @@
 			busy[id] = true
 		}
 	}
-	note(busyOf(d.Transport, draining), nil)
-	for _, m := range d.Peers.members() {
+	note(busyOf(d.executors, draining), nil)
+	for _, m := range d.network.members() {
 		asking.Go(func() { note(d.ask(ctx, m.ID, draining)) })
 	}
 	asking.Wait()
@@ -102,7 +105,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return callJSON[[]fleet.InstanceID](ctx, d.Peers, peer, busyMethod, payload)
+	return callJSON[[]fleet.InstanceID](ctx, d.network, peer, busyMethod, payload)
 }
 
 // serveBusy answers a peer's question.
--- /dev/null
+++ b/entry/node/busy_test.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/mesh"
+)
+
+// fakeNetwork answers for peers with the executors that each is busy with; a peer
+// without an entry does not answer.
+type fakeNetwork struct {
+	peers []fleet.InstanceID
+	busy  map[fleet.InstanceID][]fleet.InstanceID
+}
+
+func (f fakeNetwork) members() []mesh.Member {
+	var out []mesh.Member
+	for _, id := range f.peers {
+		out = append(out, mesh.Member{ID: id})
+	}
+	return out
+}
+
+func (f fakeNetwork) Call(_ context.Context, peer fleet.InstanceID, _ string, _ []byte) ([]byte, error) {
+	busy, answers := f.busy[peer]
+	if !answers {
+		return nil, errors.New("no answer")
+	}
+	return json.Marshal(busy)
+}
+
+// busySet is the executors that are busy here.
+type busySet map[fleet.InstanceID]bool
+
+func (b busySet) Busy(id fleet.InstanceID) bool { return b[id] }
+
+func TestDrainedServerIsIdleOnlyByTheWordOfAll(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		own  busySet
+		busy map[fleet.InstanceID][]fleet.InstanceID
+		want []fleet.InstanceID
+	}{
+		{"none is busy", nil, map[fleet.InstanceID][]fleet.InstanceID{"p": {}, "q": {}}, []fleet.InstanceID{"a", "b"}},
+		{"a peer is busy", nil, map[fleet.InstanceID][]fleet.InstanceID{"p": {"a"}, "q": {}}, []fleet.InstanceID{"b"}},
+		{"busy here", busySet{"b": true}, map[fleet.InstanceID][]fleet.InstanceID{"p": {}, "q": {}}, []fleet.InstanceID{"a"}},
+		{"a peer does not answer", nil, map[fleet.InstanceID][]fleet.InstanceID{"p": {}}, nil},
+	} {
+		d := &drained{
+			draining:  func() []fleet.InstanceID { return []fleet.InstanceID{"a", "b"} },
+			executors: tc.own,
+			network:   fakeNetwork{[]fleet.InstanceID{"p", "q"}, tc.busy},
+		}
+		d.look(t.Context())
+		got := slices.Sorted(maps.Keys(*d.idle.Load()))
+		assert.DeepEqual(t, got, tc.want)
+	}
+}
--- a/entry/node/gather.go
+++ b/entry/node/gather.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/mesh"
 )
 
 const (
@@ -16,9 +17,15 @@
 	gatherTimeout = 2 * time.Second
 )
 
+// network calls other entry instances.
+type network interface {
+	members() []mesh.Member
+	Call(ctx context.Context, peer fleet.InstanceID, method string, payload []byte) ([]byte, error)
+}
+
 // callAll runs a method on every reachable entry instance at once and returns the
 // answers. Peers that do not answer are left out.
-func callAll[T any](ctx context.Context, p *peers, method string, payload []byte) []T {
+func callAll[T any](ctx context.Context, p network, method string, payload []byte) []T {
 	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
 	defer cancel()
 	var mu sync.Mutex
@@ -43,7 +50,7 @@
 }
 
 // callJSON runs a method on one entry instance and decodes its answer.
-func callJSON[T any](ctx context.Context, p *peers, peer fleet.InstanceID, method string, payload []byte) (T, error) {
+func callJSON[T any](ctx context.Context, p network, peer fleet.InstanceID, method string, payload []byte) (T, error) {
 	var answer T
 	body, err := p.Call(ctx, peer, method, payload)
 	if err != nil {
--- a/entry/node/parts.go
+++ b/entry/node/parts.go
@@ -5,8 +5,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"go.uber.org/fx"
 
+	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/entry/backend"
 	"github.com/tarragonreach/tarragonreach/entry/config"
 	"github.com/tarragonreach/tarragonreach/entry/directory"
@@ -20,7 +21,6 @@
 	"github.com/tarragonreach/tarragonreach/platform/httpapi"
 	"github.com/tarragonreach/tarragonreach/platform/ratelimit"
 	"github.com/tarragonreach/tarragonreach/policy/routing"
-	"go.uber.org/fx"
 )
 
 // parts are the subsystems of an entry instance that do not open listeners.
