Join backend servers with their labels once for all services

Cause: each build of the directory merged the labels of every instance for every service: 71 ms at 3,100 instances and 28 services by the capacity command. Change: labels, records and notices are joined once, before the services. Measured, 6,400 instances and 28 services, same machine: 111 ms before, 21.7 ms after for a changed list; an unchanged one costs 1.2 us in both.

--- a/entry/directory/build.go
+++ b/entry/directory/build.go
@@ -32,21 +32,48 @@
 	if in.config == nil {
 		return snapshot
 	}
+	servers := in.servers(now)
 	for name, versioned := range in.config.Services {
-		snapshot.Services[name] = buildService(in, versioned.Spec, now)
+		snapshot.Services[name] = buildService(servers, versioned.Spec)
 	}
 	return snapshot
 }
 
-func buildService(in inputs, spec object.Service, now time.Time) *Service {
+// backendServer is a backend server with all that decides on its services.
+type backendServer struct {
+	fleet.Instance
+	record   fleet.Record
+	recorded bool
+	noticed  bool // it gave notice that it is leaving
+	labels   label.Set
+}
+
+// servers joins the backend servers with their records once for all services.
+func (in inputs) servers(now time.Time) []backendServer {
+	var out []backendServer
+	for _, instance := range in.instances {
+		if instance.Kind != fleet.KindBackendServer {
+			continue
+		}
+		record, recorded := in.records[instance.ID]
+		out = append(out, backendServer{
+			Instance: instance, record: record, recorded: recorded,
+			noticed: now.Before(in.notices[instance.ID].until), labels: fleet.ServingLabels(instance, record),
+		})
+	}
+	return out
+}
+
+func buildService(servers []backendServer, spec object.Service) *Service {
 	service := &Service{Spec: spec}
 	selector, err := selectorOf(spec)
 	if err != nil {
 		return service // Validation refuses such a selector; no endpoint is the safe reading.
 	}
-	for _, instance := range in.instances {
-		endpoint := Endpoint{ID: instance.ID, Address: instance.Address, Zone: instance.Zone}
-		switch in.exclusion(instance, spec, selector, now) {
+	for i := range servers {
+		server := &servers[i]
+		endpoint := Endpoint{ID: server.ID, Address: server.Address, Zone: server.Zone}
+		switch server.exclusion(spec, selector) {
 		case Included:
 			service.Endpoints = append(service.Endpoints, endpoint)
 		case OwnNotice:
@@ -67,24 +94,20 @@
 	return label.Parse(spec.Selector)
 }
 
-// exclusion returns why the instance is no endpoint of the service, or Included.
-func (in inputs) exclusion(instance fleet.Instance, spec object.Service, selector label.Selector, now time.Time) Exclusion {
-	if instance.Kind != fleet.KindBackendServer {
-		return NotBackend
-	}
-	record, recorded := in.records[instance.ID]
-	if !selector.Matches(fleet.ServingLabels(instance, record)) {
+// exclusion returns why the server is no endpoint of the service, or Included.
+func (s *backendServer) exclusion(spec object.Service, selector label.Selector) Exclusion {
+	if !selector.Matches(s.labels) {
 		return NoMatch
 	}
-	if instance.Leaving {
+	if s.Leaving {
 		return PlatformLeaving
 	}
-	if recorded {
-		if reason := recordExclusion(record, spec); reason != Included {
+	if s.recorded {
+		if reason := recordExclusion(s.record, spec); reason != Included {
 			return reason
 		}
 	}
-	if now.Before(in.notices[instance.ID].until) {
+	if s.noticed {
 		return OwnNotice
 	}
 	return Included
--- a/entry/directory/snapshot.go
+++ b/entry/directory/snapshot.go
@@ -40,7 +40,6 @@
 // The reasons against an instance as an endpoint.
 const (
 	Included        Exclusion = ""
-	NotBackend      Exclusion = "not-a-backend-server"
 	NoMatch         Exclusion = "selector-does-not-match"
 	OtherPool       Exclusion = "serves-in-another-pool"
 	PlatformLeaving Exclusion = "leaving-by-platform-list"
