--- a/entry/jobctl/snapshot.go
+++ b/entry/jobctl/snapshot.go
@@ -141,7 +141,7 @@
 	return placement.Pending{
 		Job: job.name, Tenant: job.spec.Tenant, Index: t.Index, Need: need, Selector: selector,
 		Urgent: job.spec.Urgent, Priority: r.config.Classes[job.spec.Class].Spec.Priority,
-		Deadline: job.spec.Deadline, Since: t.Since, Avoid: t.Avoid,
+		Deadline: job.spec.Deadline, Remaining: time.Duration(job.spec.RunTime), Since: t.Since, Avoid: t.Avoid,
 	}
 }
 
--- a/policy/placement/driver_test.go
+++ b/policy/placement/driver_test.go
@@ -18,6 +18,8 @@
 	usageLag   = 10 * time.Second
 	oomRestart = time.Minute // until a task killed for memory waits again
 	lossless   = 1.0
+	// declaredWork is what every batch declares as its run time, whatever it takes.
+	declaredWork = 30 * time.Minute
 )
 
 // real is a task as it truly is.
@@ -233,7 +235,7 @@
 		case r.waits(now):
 			s.Pending = append(s.Pending, Pending{
 				Job: r.job, Tenant: r.tenant, Index: i, Need: l.need(r), Urgent: r.urgent,
-				Deadline: at(r.deadline), Since: epoch.Add(r.waitFrom),
+				Deadline: at(r.deadline), Remaining: declaredWork, Since: epoch.Add(r.waitFrom),
 			})
 		case r.worker >= 0 && r.ended == 0:
 			s.Workers[r.worker].Tasks = append(s.Workers[r.worker].Tasks, Task{
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -58,11 +58,18 @@
 	Urgent   bool
 	Priority int
 	Deadline time.Time
-	Since    time.Time
+	// Remaining is the declared run time left, zero where none is declared.
+	Remaining time.Duration
+	Since     time.Time
 	// Avoid lists workers on which the task failed.
 	Avoid []fleet.InstanceID
 }
 
+// late reports whether the task would miss its deadline even if it started now.
+func (p Pending) late(now time.Time) bool {
+	return !p.Deadline.IsZero() && now.Add(p.Remaining).After(p.Deadline)
+}
+
 // Tenant is a tenant's quota and what its tasks hold, estimated.
 type Tenant struct {
 	Name  string
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -83,6 +83,16 @@
 	assert.Equal(t, len(Decide(s).Starts), 0, "room within a quota is not taken")
 }
 
+func TestTaskThatIsLateAnywayStandsBack(t *testing.T) {
+	late := pending("late", "a", res(16_000, 1))
+	late.Deadline, late.Remaining = now.Add(time.Minute), time.Hour
+	inTime := pending("in-time", "a", res(16_000, 1))
+	inTime.Deadline, inTime.Remaining = now.Add(2*time.Hour), time.Hour
+	plan := Decide(Snapshot{Now: now, Pending: []Pending{late, inTime}, Workers: []Worker{worker(0)}})
+	assert.Equal(t, len(plan.Starts), 1)
+	assert.Equal(t, plan.Starts[0].Pending.Job, "in-time")
+}
+
 func TestRefusalSaysWhetherTheTaskCanEverRun(t *testing.T) {
 	large := pending("large", "a", res(99_000, 1))
 	picky := pending("picky", "a", res(1, 1))
--- a/policy/placement/planner.go
+++ b/policy/placement/planner.go
@@ -54,7 +54,7 @@
 	for _, t := range s.Tenants {
 		p.tenants[t.Name] = &account{quota: t.Quota, held: t.Held}
 	}
-	slices.SortStableFunc(p.pending, byUrgency)
+	slices.SortStableFunc(p.pending, p.byUrgency)
 	return p
 }
 
@@ -66,14 +66,18 @@
 	return n
 }
 
-// byUrgency puts urgent tasks first, then higher priorities, then nearer
-// deadlines, then those that wait longest.
-func byUrgency(a, b Pending) int {
+// byUrgency puts urgent tasks first, then higher priorities, then those that can
+// still meet their deadline, then nearer deadlines, then those that wait longest. A
+// task that is late anyway would only make others late too.
+func (p *planner) byUrgency(a, b Pending) int {
+	lateA, lateB := a.late(p.now.Now), b.late(p.now.Now)
 	switch {
 	case a.Urgent != b.Urgent:
 		return boolOrder(a.Urgent)
 	case a.Priority != b.Priority:
 		return b.Priority - a.Priority
+	case lateA != lateB:
+		return boolOrder(lateB)
 	case !a.Deadline.Equal(b.Deadline):
 		return deadlineOrder(a, b)
 	default:
