Cancel and release jobs from the command line

Cause: an operator had to write a document to cancel a job or end its quarantine. Change: tarragonctl job cancel and job release change the one job on the revision that was just read.

--- a/api/object/object.go
+++ b/api/object/object.go
@@ -157,4 +157,6 @@
 	Deadline time.Time       `json:"deadline,omitzero"`
 	RunTime  Duration        `json:"runTime,omitempty"` // declared, often far from the truth
 	Canceled bool            `json:"canceled,omitempty"`
+	// Releases counts the times that an operator ended the job's quarantine.
+	Releases int `json:"releases,omitempty"`
 }
--- a/cmd/tarragonctl/fleet.go
+++ b/cmd/tarragonctl/fleet.go
@@ -40,15 +40,6 @@
 	}
 }
 
-func jobCommand() *cli.Command {
-	return &cli.Command{
-		Name: "job", Usage: "show jobs",
-		Commands: []*cli.Command{
-			{Name: "list", Usage: "list jobs", Action: listAction(operations.PathJobs, jobTable)},
-		},
-	}
-}
-
 // listAction reads a list from path and shows it.
 func listAction[T any](path string, render func([]T) *table) cli.ActionFunc {
 	return func(ctx context.Context, cmd *cli.Command) error {
