--- a/tools/capacity/measure_mesh.go
+++ b/tools/capacity/measure_mesh.go
@@ -22,7 +22,7 @@
 	changeBytes   = 700
 	// summaryBytes is the load summary of as many services as there are pools.
 	summaryBytes  = 16 * pools
-	summaryPeriod = time.Second
+	summaryPeriod = 2 * time.Second
 	formTimeout   = time.Minute
 
 	entryToday  = 8
