--- a/policy/lifecycle/lifecycle.go
+++ b/policy/lifecycle/lifecycle.go
@@ -171,6 +171,15 @@
 	return step
 }
 
+// whyUnhealthy names the reason of an instance that does not count as healthy: the
+// platform's list no longer has it, or it does not answer.
+func (s stepper) whyUnhealthy() explain.Reason {
+	if !s.seen.Listed {
+		return explain.ReasonAbsent
+	}
+	return explain.ReasonUnhealthy
+}
+
 func (s stepper) serving() Step {
 	switch {
 	case s.absent():
@@ -178,7 +187,7 @@
 	case s.seen.Leaving:
 		return s.become(fleet.StateDraining, explain.ActionDrain, explain.ReasonLeaving)
 	case !s.seen.Healthy:
-		return s.become(fleet.StateFailed, explain.ActionFail, explain.ReasonUnhealthy)
+		return s.become(fleet.StateFailed, explain.ActionFail, s.whyUnhealthy())
 	case s.record.DrainRequested != nil:
 		return s.drain("", explain.ReasonOperatorDrain)
 	case s.intent.Pool != s.record.Pool:
--- a/policy/lifecycle/lifecycle_test.go
+++ b/policy/lifecycle/lifecycle_test.go
@@ -58,6 +58,8 @@
 		{"maintenance takes its time", fleet.Record{State: fleet.StateMaintenance, Pool: "a", Reason: running}, well, inPoolA, "maintenance", "a", explain.ReasonMaintenanceRunning},
 		{"maintained serves again", fleet.Record{State: fleet.StateMaintenance, Pool: "a", Reason: running}, Observation{Listed: true, Healthy: true, InState: time.Hour}, inPoolA, "serving", "a", explain.ReasonMaintenanceDone},
 		{"maintenance that does not end has failed", fleet.Record{State: fleet.StateMaintenance, Pool: "a", Reason: running}, absentFor(3 * time.Hour), inPoolA, "failed", "a", explain.ReasonMaintenanceOverdue},
+		{"serving and ill fails", fleet.Record{State: fleet.StateServing, Pool: "a"}, ill, inPoolA, "failed", "a", explain.ReasonUnhealthy},
+		{"serving and just gone from the list fails", fleet.Record{State: fleet.StateServing, Pool: "a"}, Observation{AbsentFor: time.Second}, inPoolA, "failed", "a", explain.ReasonAbsent},
 		{"failed recovers", fleet.Record{State: fleet.StateFailed, Pool: "a"}, well, inPoolA, "serving", "a", explain.ReasonRecovered},
 		{"failed and unwanted is released", fleet.Record{State: fleet.StateFailed, Pool: "a"}, well, toB, "released", "", explain.ReasonRecovered},
 	} {
