--- a/api/label/label.go
+++ b/api/label/label.go
@@ -20,14 +20,6 @@
 	return strings.Join(parts, ",")
 }
 
-// With returns a copy of s that also holds key=value.
-func (s Set) With(key, value string) Set {
-	out := make(Set, len(s)+1)
-	maps.Copy(out, s)
-	out[key] = value
-	return out
-}
-
 // Operator compares a label with the values of a Requirement.
 type Operator uint8
 
--- a/entry/jobctl/snapshot.go
+++ b/entry/jobctl/snapshot.go
@@ -7,6 +7,7 @@
 	"github.com/tarragonreach/tarragonreach/api/explain"
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/api/label"
+	"github.com/tarragonreach/tarragonreach/policy/attribution"
 	"github.com/tarragonreach/tarragonreach/policy/placement"
 	"github.com/tarragonreach/tarragonreach/policy/tasks"
 )
@@ -32,21 +33,21 @@
 
 func (r *round) worker(i fleet.Instance, running []placement.Task) placement.Worker {
 	record, recorded := r.Record(i.ID)
+	finding := r.evidence.Worker(i.ID, r.now)
 	return placement.Worker{
 		ID: i.ID, Zone: i.Zone, Rack: i.Rack, Labels: fleet.ServingLabels(i, record), Capacity: i.Capacity, Tasks: running,
-		Unusable: r.unusable(i, record, recorded), Trust: r.trust(i.ID),
+		Unusable: r.unusable(i, record, recorded, finding), Trust: trust(finding),
 	}
 }
 
 // unusable says why a worker takes no tasks; empty where it does.
-func (r *round) unusable(i fleet.Instance, record fleet.Record, recorded bool) string {
+func (r *round) unusable(i fleet.Instance, record fleet.Record, recorded bool, finding attribution.Finding) string {
 	if i.Leaving {
 		return "leaving by the platform's list"
 	}
 	if recorded && record.State != fleet.StateServing {
 		return "is " + string(record.State)
 	}
-	finding := r.evidence.Worker(i.ID, r.now)
 	if !finding.Blamed {
 		return ""
 	}
@@ -54,9 +55,8 @@
 	return "set aside: " + finding.Reason
 }
 
-// trust is the share of a worker's failures that are not its own.
-func (r *round) trust(id fleet.InstanceID) float64 {
-	finding := r.evidence.Worker(id, r.now)
+// trust is the share of a worker's results that are no failures of its own.
+func trust(finding attribution.Finding) float64 {
 	total := finding.Failures + finding.Successes
 	if total == 0 {
 		return 1
--- a/entry/node/parts.go
+++ b/entry/node/parts.go
@@ -52,7 +52,7 @@
 // constructors build the parts in the order of their needs.
 func constructors() fx.Option {
 	return fx.Provide(
-		newLog, newMetrics, newStoreClient, newStore, newList, newPeers, newFollower, newConfigLog, newRollOut,
+		newLog, newMetrics, newClient, newStore, newList, newPeers, newFollower, newConfigLog, newRollOut,
 		newView, newRing, newRequestRing, newDirectory, newTransport, newKeeper, newGateway,
 		newJobPages, newExecutorHealth, newOwnLoad,
 	)
@@ -66,7 +66,9 @@
 	return metrics.New(func(err error) { log.Warn("a metric was not registered", "error", err) })
 }
 
-func newStoreClient(o Options) *httpapi.Client { return newClient(o.Settings) }
+func newClient(o Options) *httpapi.Client {
+	return httpapi.NewClient(o.Settings.Platform.URL, string(o.Settings.Instance.Zone))
+}
 
 // storeBurst is how many calls of each sort may go at once after a pause.
 const storeBurst = 20
--- a/entry/node/platform.go
+++ b/entry/node/platform.go
@@ -7,9 +7,7 @@
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
-	"github.com/tarragonreach/tarragonreach/entry/settings"
 	"github.com/tarragonreach/tarragonreach/platform"
-	"github.com/tarragonreach/tarragonreach/platform/httpapi"
 )
 
 // listCache shares one reading of the instance list between all its readers, and
@@ -52,7 +50,3 @@
 
 // Last returns the list as it was last read; the caller must not change it.
 func (l *listCache) Last() []fleet.Instance { return *l.last.Load() }
-
-func newClient(s settings.Settings) *httpapi.Client {
-	return httpapi.NewClient(s.Platform.URL, string(s.Instance.Zone))
-}
