--- a/cmd/tarragond/main.go
+++ b/cmd/tarragond/main.go
@@ -56,6 +56,6 @@
 			"  tarragond dev --duration 10s --json\n" +
 			"  tarragond check --config entry.json\n" +
 			"  tarragond run --config entry.json",
-		Commands: []*cli.Command{runCommand(), checkCommand(), keysCommand(), devCommand()},
+		Commands: []*cli.Command{runCommand(), serveCommand(), checkCommand(), keysCommand(), devCommand()},
 	}
 }
--- /dev/null
+++ b/cmd/tarragond/serve.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/tarragonreach/tarragonreach/entry/host"
+	"github.com/tarragonreach/tarragonreach/entry/logging"
+	"github.com/tarragonreach/tarragonreach/platform/nodefile"
+)
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "serve",
+		Usage:       "run jobs on the operators' machines",
+		Description: "Reads the settings file that the platform names in " + nodefile.EnvironmentVariable + ".",
+		Action:      func(ctx context.Context, _ *cli.Command) error { return runServe(ctx) },
+	}
+}
+
+// runServe runs until SIGTERM or SIGINT. SIGHUP checks the settings file again.
+func runServe(ctx context.Context) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
+	node, err := nodefile.Load()
+	if err != nil {
+		return err
+	}
+	out := logging.NewAsyncWriter(os.Stdout)
+	defer out.Close()
+	logger := slog.New(slog.NewJSONHandler(out, nil)).With("instance", string(node.ID), "zone", string(node.Zone))
+	app := host.New(node, logger)
+	if err := app.Start(ctx); err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	awaitStop(signals, logger)
+	stopCtx, cancel := context.WithTimeout(ctx, node.ShutdownGrace)
+	defer cancel()
+	if err := app.Stop(stopCtx); err != nil {
+		logger.Error("not stopped cleanly", "error", err)
+	}
+	return nil
+}
+
+// awaitStop returns on the signal to leave.
+func awaitStop(signals <-chan os.Signal, logger *slog.Logger) {
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			logger.Info("signal to leave", "signal", s.String())
+			return
+		}
+		reload(logger)
+	}
+}
+
+// reload reads the settings file again. Addresses and bounds are taken at the start
+// only, so that a changed file is checked and reported.
+func reload(logger *slog.Logger) {
+	node, err := nodefile.Load()
+	if err != nil {
+		logger.Error("settings not reloaded", "error", err)
+		return
+	}
+	logger.Info("settings reloaded", "store", node.StoreAddress, "zone", string(node.Zone))
+}
--- /dev/null
+++ b/entry/election/election.go
@@ -0,0 +1,225 @@
+// Package election lets one instance at a time have a duty. The holder's key lives
+// under a lease of the store; the revision at which the key was created is the
+// fencing token of the term, and rises with every term.
+package election
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/entry/follow"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+)
+
+const (
+	// leaseTTL bounds how long a duty is vacant after its holder died.
+	leaseTTL = 2500 * time.Millisecond
+	// renewEvery leaves room for three attempts within a TTL.
+	renewEvery = 700 * time.Millisecond
+	// callTimeout bounds one call to the store.
+	callTimeout = 1500 * time.Millisecond
+	// standBack is how long an instance waits for each duty that it has already, so
+	// that duties spread over instances.
+	standBack = 400 * time.Millisecond
+	// jitter spreads the candidates of one duty.
+	jitter = 150 * time.Millisecond
+	// pollEvery is how often candidates look whether a duty is vacant.
+	pollEvery = 100 * time.Millisecond
+)
+
+// Store is the part of the store that an election uses.
+type Store interface {
+	follow.Store
+	Get(ctx context.Context, key string) (kv.Item, error)
+	Txn(ctx context.Context, t kv.Txn) (kv.TxnResult, error)
+	Grant(ctx context.Context, ttl time.Duration) (kv.Lease, error)
+	KeepAlive(ctx context.Context, id kv.LeaseID) error
+	Revoke(ctx context.Context, id kv.LeaseID) error
+}
+
+// Term is one holding of a duty.
+type Term struct {
+	Duty  string
+	Token int64 // fencing token
+	// Revision is that of the holder's key. A write under the condition that the
+	// key still has it happens within the term.
+	Revision kv.Revision
+	lease    kv.LeaseID
+}
+
+// Condition holds as long as the term lasts.
+func (t Term) Condition() kv.Condition {
+	return kv.Condition{Key: layout.OwnerKey(t.Duty), Revision: t.Revision}
+}
+
+// Election keeps track of all duties for one instance.
+type Election struct {
+	store    Store
+	instance fleet.InstanceID
+	zone     fleet.AvailabilityZone
+	logger   *slog.Logger
+
+	mu      sync.Mutex
+	loaded  bool
+	holders map[string]bool // by key: present
+	held    int
+}
+
+// New returns an election for an instance.
+func New(store Store, instance fleet.InstanceID, zone fleet.AvailabilityZone, logger *slog.Logger) *Election {
+	return &Election{store: store, instance: instance, zone: zone, logger: logger, holders: map[string]bool{}}
+}
+
+// Follow keeps track of the duties until ctx ends.
+func (e *Election) Follow(ctx context.Context) {
+	f := follow.Follower{Store: e.store, Prefix: layout.OwnersPrefix, Apply: e.apply, Logger: e.logger}
+	f.Run(ctx)
+}
+
+func (e *Election) apply(c follow.Change) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c.Reset {
+		e.loaded = true
+		clear(e.holders)
+	}
+	for _, event := range c.Events {
+		e.holders[event.Key] = !event.Removed
+	}
+}
+
+func (e *Election) vacant(duty string) (vacant bool, held int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.loaded && !e.holders[layout.OwnerKey(duty)], e.held
+}
+
+func (e *Election) count(delta int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.held += delta
+}
+
+// Campaign holds the duty again and again until ctx ends. Each time, lead is called
+// with a context that ends with the term; the term is given up when lead returns.
+func (e *Election) Campaign(ctx context.Context, duty string, lead func(context.Context, Term)) {
+	for ctx.Err() == nil {
+		term, err := e.win(ctx, duty)
+		if err != nil {
+			continue // win waits by itself and ends with ctx
+		}
+		e.count(1)
+		e.logger.Info("duty taken", "duty", duty, "token", term.Token)
+		e.lead(ctx, term, lead)
+		e.count(-1)
+		e.logger.Info("duty given up", "duty", duty, "token", term.Token)
+	}
+}
+
+func (e *Election) lead(ctx context.Context, term Term, lead func(context.Context, Term)) {
+	termCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var renewing sync.WaitGroup
+	renewing.Go(func() { e.renew(termCtx, term, cancel) })
+	lead(termCtx, term)
+	cancel()
+	renewing.Wait()
+	e.revoke(term)
+}
+
+// revoke ends the term's lease, so that a successor need not wait for its end.
+func (e *Election) revoke(term Term) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	err := e.store.Revoke(ctx, term.lease)
+	if err != nil && !errors.Is(err, kv.ErrLeaseLost) {
+		e.logger.Warn("lease of a duty not ended", "duty", term.Duty, "error", err)
+	}
+}
+
+// renew keeps the term's lease until it is lost.
+func (e *Election) renew(ctx context.Context, term Term, lost func()) {
+	for backoff.Sleep(ctx, renewEvery) == nil {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := e.store.KeepAlive(callCtx, term.lease)
+		cancel()
+		if errors.Is(err, kv.ErrLeaseLost) {
+			e.logger.Warn("lease of a duty lost", "duty", term.Duty, "token", term.Token)
+			lost()
+			return
+		}
+	}
+}
+
+// win waits until the duty is vacant and takes it.
+func (e *Election) win(ctx context.Context, duty string) (Term, error) {
+	for {
+		if err := backoff.Sleep(ctx, pollEvery); err != nil {
+			return Term{}, err
+		}
+		vacant, held := e.vacant(duty)
+		if !vacant {
+			continue
+		}
+		delay := time.Duration(held)*standBack + rand.N(jitter)
+		if err := backoff.Sleep(ctx, delay); err != nil {
+			return Term{}, err
+		}
+		if vacant, _ = e.vacant(duty); !vacant {
+			continue
+		}
+		return e.claim(ctx, duty)
+	}
+}
+
+func (e *Election) claim(ctx context.Context, duty string) (Term, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	lease, err := e.store.Grant(ctx, leaseTTL)
+	if err != nil {
+		return Term{}, fmt.Errorf("lease for duty %s: %w", duty, err)
+	}
+	holder := layout.Holder{Instance: e.instance, Zone: e.zone, Term: fmt.Sprintf("%016x", rand.Uint64())}
+	value, err := layout.Encode(holder)
+	if err != nil {
+		return Term{}, err
+	}
+	key := layout.OwnerKey(duty)
+	result, err := e.store.Txn(ctx, kv.Txn{
+		Conditions: []kv.Condition{{Key: key}},
+		Puts:       []kv.Put{{Key: key, Value: value, Lease: lease.ID}},
+	})
+	if err == nil && result.Applied {
+		return Term{Duty: duty, Token: int64(result.Revision), Revision: result.Revision, lease: lease.ID}, nil
+	}
+	if err != nil && !kv.NotRun(err) {
+		return e.confirm(ctx, duty, holder, lease.ID)
+	}
+	return Term{}, fmt.Errorf("duty %s is taken: %w", duty, errors.Join(err, errTaken))
+}
+
+var errTaken = errors.New("another instance was first")
+
+// confirm finds out whether a claim without an answer took effect.
+func (e *Election) confirm(ctx context.Context, duty string, holder layout.Holder, lease kv.LeaseID) (Term, error) {
+	item, err := e.store.Get(ctx, layout.OwnerKey(duty))
+	if err != nil {
+		return Term{}, fmt.Errorf("duty %s: %w", duty, err)
+	}
+	found, err := layout.Decode[layout.Holder](item.Key, item.Value)
+	if err != nil {
+		return Term{}, err
+	}
+	if found.Term != holder.Term {
+		return Term{}, fmt.Errorf("duty %s: %w", duty, errTaken)
+	}
+	return Term{Duty: duty, Token: int64(item.Created), Revision: item.Revision, lease: lease}, nil
+}
--- /dev/null
+++ b/entry/follow/follow.go
@@ -0,0 +1,122 @@
+// Package follow keeps up with the changes under a prefix of the store.
+package follow
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+)
+
+// Store is the part of the store that a follower reads.
+type Store interface {
+	All(ctx context.Context, prefix string, read kv.Read) ([]kv.Item, kv.Revision, error)
+	Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Events, error)
+}
+
+const (
+	// watchWait bounds one watch, and so how long a silent connection goes unnoticed.
+	watchWait = 5 * time.Second
+	// watchSlack is how much later than asked the answer of a watch may come.
+	watchSlack = 1 * time.Second
+	// listTimeout bounds the listing of a prefix.
+	listTimeout = 3 * time.Second
+)
+
+// retry spaces calls to a store that fails.
+var retry = backoff.Policy{Base: 100 * time.Millisecond, Cap: time.Second}
+
+// Change is what a follower learnt. With Reset, Events holds all items as they
+// stand; what is missing among them is gone.
+type Change struct {
+	Reset  bool
+	Events []kv.Event
+}
+
+// Follower follows one prefix.
+type Follower struct {
+	Store  Store
+	Prefix string
+	// Pause is waited between two watches, so that frequent changes come together.
+	Pause time.Duration
+	// Apply takes in each change, in order. It is not called concurrently.
+	Apply  func(Change)
+	Logger *slog.Logger
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		after, err := f.list(ctx)
+		if err != nil {
+			failures = f.failed(ctx, failures, err)
+			continue
+		}
+		if failures > 0 {
+			f.Logger.Info("store answers again", "prefix", f.Prefix, "revision", int64(after), "failures", failures)
+		}
+		failures = 0
+		f.watch(ctx, after)
+	}
+}
+
+func (f *Follower) failed(ctx context.Context, failures int, err error) int {
+	failures++
+	if failures == 1 && ctx.Err() == nil {
+		f.Logger.Warn("store does not answer", "prefix", f.Prefix, "error", err)
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	_ = backoff.Sleep(ctx, retry.Delay(failures, random)) // the caller's loop looks at ctx
+	return failures
+}
+
+func (f *Follower) list(ctx context.Context) (kv.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	items, asOf, err := f.Store.All(ctx, f.Prefix, kv.Linearizable)
+	if err != nil {
+		return 0, err
+	}
+	events := make([]kv.Event, len(items))
+	for i, item := range items {
+		events[i] = kv.Event{Item: item}
+	}
+	f.Apply(Change{Reset: true, Events: events})
+	return asOf, nil
+}
+
+// watch passes changes on until the history is gone or ctx ends.
+func (f *Follower) watch(ctx context.Context, after kv.Revision) {
+	failures := 0
+	for ctx.Err() == nil {
+		events, err := f.watchOnce(ctx, after)
+		if errors.Is(err, kv.ErrCompacted) {
+			f.Logger.Info("history of the store is gone; listing again", "prefix", f.Prefix, "revision", int64(after))
+			return
+		}
+		if err != nil {
+			failures = f.failed(ctx, failures, err)
+			continue
+		}
+		if failures > 0 {
+			f.Logger.Info("store answers again", "prefix", f.Prefix, "revision", int64(events.AsOf), "failures", failures)
+		}
+		failures = 0
+		after = max(after, events.AsOf)
+		if len(events.Events) > 0 {
+			f.Apply(Change{Events: events.Events})
+			_ = backoff.Sleep(ctx, f.Pause) // the loop looks at ctx
+		}
+	}
+}
+
+func (f *Follower) watchOnce(ctx context.Context, after kv.Revision) (kv.Events, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	return f.Store.Watch(ctx, f.Prefix, after, watchWait)
+}
--- /dev/null
+++ b/entry/host/host.go
@@ -0,0 +1,224 @@
+// Package host assembles what one instance runs on the operators' machines: the
+// intake, the candidates for every duty, and the listeners.
+package host
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/entry/election"
+	"github.com/tarragonreach/tarragonreach/entry/follow"
+	"github.com/tarragonreach/tarragonreach/entry/intake"
+	"github.com/tarragonreach/tarragonreach/entry/metrics"
+	"github.com/tarragonreach/tarragonreach/entry/owner"
+	"github.com/tarragonreach/tarragonreach/platform/advice"
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
+	"github.com/tarragonreach/tarragonreach/platform/executor"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/platform/nodefile"
+	"github.com/tarragonreach/tarragonreach/platform/registry"
+	"github.com/tarragonreach/tarragonreach/policy/shard"
+)
+
+const (
+	// runLease is how long a run goes on without its owner. A dead executor's tasks
+	// wait as long before they start elsewhere.
+	runLease = 5 * time.Second
+	// readinessDelay is how long an instance that leaves goes on serving, so that
+	// the platform stops sending it connections: two probes missed, and a margin.
+	readinessDelay = 2300 * time.Millisecond
+	// exitMargin is left of the platform's grace for the end of the process.
+	exitMargin = 600 * time.Millisecond
+	// headerTimeout bounds how long the header of a request may take.
+	headerTimeout = 10 * time.Second
+	// idleTimeout keeps connections of callers open between requests.
+	idleTimeout = 60 * time.Second
+)
+
+// Host is one running instance.
+type Host struct {
+	node    nodefile.Node
+	store   *kv.Client
+	logger  *slog.Logger
+	metrics *metrics.Metrics
+	config  atomic.Pointer[cluster.Config]
+	leaving atomic.Bool
+
+	front  *http.Server
+	probes *http.Server
+
+	duties     context.CancelFunc
+	background context.CancelFunc
+	running    sync.WaitGroup // duties
+	following  sync.WaitGroup
+	services   map[cluster.Service]bool // that have a candidate here
+	election   *election.Election
+	dutyCtx    context.Context
+}
+
+// New returns the application of one instance.
+func New(node nodefile.Node, logger *slog.Logger) *fx.App {
+	return fx.New(
+		fx.NopLogger,
+		fx.Supply(node, logger),
+		fx.Provide(newMetrics, newHost),
+		fx.StopTimeout(node.ShutdownGrace),
+		fx.Invoke(func(lc fx.Lifecycle, h *Host) {
+			lc.Append(fx.Hook{OnStart: h.start, OnStop: h.stop})
+		}),
+	)
+}
+
+func newMetrics(logger *slog.Logger) *metrics.Metrics {
+	return metrics.New(func(err error) { logger.Warn("metric not registered", "error", err) })
+}
+
+func newHost(node nodefile.Node, logger *slog.Logger, m *metrics.Metrics) *Host {
+	h := &Host{
+		node: node, logger: logger, metrics: m,
+		store:    kv.New(node.StoreAddress),
+		services: map[cluster.Service]bool{},
+	}
+	h.election = election.New(h.store, node.ID, node.Zone, logger)
+	in := intake.New(h.store, h.config.Load, h.leaving.Load, logger, m.Scope.SubScope("intake"))
+	h.front = &http.Server{Handler: in.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	h.probes = &http.Server{Handler: h.probeHandler(), ReadHeaderTimeout: headerTimeout}
+	return h
+}
+
+func (h *Host) probeHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readiness", func(w http.ResponseWriter, _ *http.Request) {
+		if h.config.Load() == nil || h.leaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET /metrics", h.metrics)
+	return mux
+}
+
+func (h *Host) start(ctx context.Context) error {
+	var listen net.ListenConfig
+	for server, address := range map[*http.Server]string{h.front: h.node.FrontAddress, h.probes: h.node.ReadyAddress} {
+		listener, err := listen.Listen(ctx, "tcp", address)
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", address, err)
+		}
+		go h.serve(server, listener)
+	}
+	background, cancel := context.WithCancel(context.Background())
+	h.background = cancel
+	h.dutyCtx, h.duties = context.WithCancel(background)
+	h.following.Go(func() { h.election.Follow(background) })
+	h.following.Go(func() { h.followOperator(background) })
+	h.logger.Info("started", "front", h.node.FrontAddress, "store", h.node.StoreAddress)
+	return nil
+}
+
+func (h *Host) serve(server *http.Server, listener net.Listener) {
+	err := server.Serve(listener)
+	if err != nil && err != http.ErrServerClosed {
+		h.logger.Error("listener ended", "address", listener.Addr().String(), "error", err)
+	}
+}
+
+// followOperator keeps up with the operator's configuration.
+func (h *Host) followOperator(ctx context.Context) {
+	f := follow.Follower{Store: h.store, Prefix: registry.OperatorPrefix, Apply: h.applyOperator, Logger: h.logger}
+	f.Run(ctx)
+}
+
+func (h *Host) applyOperator(c follow.Change) {
+	for _, event := range c.Events {
+		if event.Key == registry.ConfigKey && !event.Removed {
+			h.takeConfig(event.Value, int64(event.Revision))
+		}
+	}
+}
+
+// takeConfig puts a configuration in force, unless a later one is already.
+func (h *Host) takeConfig(value []byte, revision int64) {
+	config, err := registry.Config(value)
+	if err != nil {
+		h.logger.Error("configuration left out", "revision", revision, "error", err)
+		return
+	}
+	current := h.config.Load()
+	if current != nil && config.Version <= current.Version {
+		return
+	}
+	h.config.Store(config)
+	h.logger.Info("configuration in force", "version", config.Version, "revision", revision, "queues", len(config.Queues))
+	for _, pool := range config.Pools {
+		if !pool.Spare {
+			h.campaign(pool.Service)
+		}
+	}
+}
+
+// campaign makes this instance a candidate for leading a service.
+func (h *Host) campaign(service cluster.Service) {
+	if h.services[service] {
+		return
+	}
+	h.services[service] = true
+	options := owner.Options{
+		Service: service,
+		Limits: shard.Limits{
+			RunLease:    min(runLease, h.node.MaxRunLease),
+			MaxRunLease: h.node.MaxRunLease,
+			StopTime:    h.node.StopTime,
+			FarFactor:   h.node.FarFactor,
+		},
+		Store:  h.store,
+		Dial:   dialExecutor,
+		Config: h.config.Load,
+		Logger: h.logger,
+		Scope:  h.metrics.Scope.SubScope("owner").Tagged(map[string]string{"service": string(service)}),
+	}
+	if h.node.AdviceAddress != "" {
+		options.Adviser = advice.New(h.node.AdviceAddress)
+	}
+	h.running.Go(func() {
+		h.election.Campaign(h.dutyCtx, string(service), func(ctx context.Context, term election.Term) {
+			owner.Lead(ctx, term, options)
+		})
+	})
+}
+
+func dialExecutor(id cluster.ExecutorID, address string) owner.Executor { return executor.New(id, address) }
+
+// stop leaves: readiness fails, duties are handed over, and callers are served
+// until the platform sends no more of them.
+func (h *Host) stop(ctx context.Context) error {
+	started := time.Now()
+	h.logger.Info("stopping")
+	h.leaving.Store(true)
+	h.duties()
+	h.running.Wait()
+	h.logger.Info("duties handed over", "ms", time.Since(started).Milliseconds())
+	if err := backoff.Sleep(ctx, readinessDelay-time.Since(started)); err != nil {
+		return fmt.Errorf("stopping: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.node.ShutdownGrace-exitMargin-time.Since(started))
+	defer cancel()
+	err := h.front.Shutdown(ctx)
+	h.background()
+	h.following.Wait()
+	_ = h.probes.Close() // nothing is left that a probe could wait for
+	if err != nil {
+		return fmt.Errorf("callers cut off: %w", err)
+	}
+	h.logger.Info("stopped", "ms", time.Since(started).Milliseconds())
+	return nil
+}
+
--- /dev/null
+++ b/entry/intake/intake.go
@@ -0,0 +1,189 @@
+// Package intake serves callers: it takes jobs in, shows and cancels them.
+//
+// A job is accepted only once it is stored. An answer 429 or 503 to a submission is
+// true: the job is not stored and never will be. Where that is not known, the
+// answer is 504.
+package intake
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/job"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/platform/submission"
+)
+
+// Store is the part of the store that the intake uses.
+type Store interface {
+	Get(ctx context.Context, key string) (kv.Item, error)
+	Txn(ctx context.Context, t kv.Txn) (kv.TxnResult, error)
+}
+
+// Config returns the operator's configuration in force, or nil.
+type Config func() *cluster.Config
+
+// Intake answers callers.
+type Intake struct {
+	store   Store
+	config  Config
+	logger  *slog.Logger
+	scope   tally.Scope
+	leaving func() bool
+}
+
+// New returns an intake. While leaving reports true, connections are closed after
+// their answer.
+func New(store Store, config Config, leaving func() bool, logger *slog.Logger, scope tally.Scope) *Intake {
+	return &Intake{store: store, config: config, logger: logger, scope: scope, leaving: leaving}
+}
+
+const (
+	// defaultDeadline is how long callers wait that do not say so.
+	defaultDeadline = 3 * time.Second
+	// deadlineMargin is how much earlier than the caller gives up it gets its answer.
+	deadlineMargin = 250 * time.Millisecond
+	// retryAfterOutage tells callers when to come back while the store is away.
+	retryAfterOutage = 1 * time.Second
+	// defaultMaxBody bounds bodies where the configuration does not.
+	defaultMaxBody = 256 << 10
+)
+
+// Handler returns the handler of the callers' listener.
+func (i *Intake) Handler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.NoRoute(i.serve)
+	return engine
+}
+
+// answer is what a caller gets.
+type answer struct {
+	status     int
+	body       any
+	retryAfter time.Duration
+	reason     string // for the log
+}
+
+func (i *Intake) serve(c *gin.Context) {
+	start := time.Now()
+	a, queue, id := i.dispatch(c)
+	if i.leaving() {
+		c.Header("Connection", "close")
+	}
+	if a.retryAfter > 0 {
+		c.Header("Retry-After", strconv.Itoa(int((a.retryAfter+time.Second-1)/time.Second)))
+	}
+	if a.body == nil {
+		c.Status(a.status)
+		c.Writer.WriteHeaderNow()
+	} else {
+		c.JSON(a.status, a.body)
+	}
+	i.record(c.Request, a, queue, id, time.Since(start))
+}
+
+func (i *Intake) record(r *http.Request, a answer, queue string, id job.ID, took time.Duration) {
+	scope := i.scope.Tagged(map[string]string{"queue": queue, "method": r.Method, "status": strconv.Itoa(a.status)})
+	scope.Histogram("request_seconds", tally.DefaultBuckets).RecordDuration(took)
+	if r.Method == http.MethodGet && a.status == http.StatusOK {
+		return // a question changes nothing
+	}
+	i.logger.Info("request", "method", r.Method, "job", string(id), "queue", queue, "status", a.status,
+		"reason", a.reason, "ms", took.Milliseconds(), "config", i.version())
+}
+
+func (i *Intake) version() int64 {
+	if c := i.config(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+func (i *Intake) dispatch(c *gin.Context) (answer, string, job.ID) {
+	config := i.config()
+	if config == nil {
+		return answer{status: http.StatusServiceUnavailable, retryAfter: retryAfterOutage, reason: "no configuration yet"}, "", ""
+	}
+	queue, found := config.Route(hostOf(c.Request), c.Request.URL.Path)
+	if !found {
+		return answer{status: http.StatusNotFound, reason: "no such queue"}, "", ""
+	}
+	ctx, cancel := context.WithTimeout(c.Request.Context(), deadlineOf(c.Request))
+	defer cancel()
+	rest := strings.TrimPrefix(c.Request.URL.Path, queue.Prefix)
+	if rest == "" && c.Request.Method == http.MethodGet {
+		return i.waiting(ctx, queue), queue.Name, ""
+	}
+	id, err := job.ParseID(rest)
+	if err != nil {
+		return answer{status: http.StatusNotFound, reason: err.Error()}, queue.Name, ""
+	}
+	return i.onJob(ctx, c, config, queue, id), queue.Name, id
+}
+
+func (i *Intake) onJob(ctx context.Context, c *gin.Context, config *cluster.Config, queue cluster.Queue, id job.ID) answer {
+	switch c.Request.Method {
+	case http.MethodPost:
+		definition, failed := readDefinition(c, config.Limits.MaxBodyBytes)
+		if failed != nil {
+			return *failed
+		}
+		return i.submit(ctx, queue, id, definition)
+	case http.MethodGet:
+		return i.show(ctx, id)
+	case http.MethodDelete:
+		return i.cancel(ctx, id)
+	default:
+		return answer{status: http.StatusMethodNotAllowed, reason: "method"}
+	}
+}
+
+func readDefinition(c *gin.Context, limit int64) (job.Definition, *answer) {
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return job.Definition{}, &answer{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
+	}
+	if err != nil {
+		return job.Definition{}, &answer{status: http.StatusBadRequest, reason: "body broke off"}
+	}
+	definition, err := submission.Decode(data)
+	if err != nil {
+		return job.Definition{}, &answer{status: http.StatusBadRequest, reason: err.Error(), body: gin.H{"error": err.Error()}}
+	}
+	return definition, nil
+}
+
+// hostOf returns the host that the caller named, without a port.
+func hostOf(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.Host)
+	if err != nil {
+		return r.Host // it has no port
+	}
+	return host
+}
+
+// deadlineOf returns how long the answer may take.
+func deadlineOf(r *http.Request) time.Duration {
+	ms, err := strconv.ParseFloat(r.Header.Get(submission.HeaderDeadline), 64)
+	wait := defaultDeadline
+	if err == nil && ms > 0 { // a header that is absent or malformed says nothing
+		wait = time.Duration(ms * float64(time.Millisecond))
+	}
+	return max(wait-deadlineMargin, wait/2)
+}
--- /dev/null
+++ b/entry/intake/jobs.go
@@ -0,0 +1,187 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/job"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/platform/submission"
+	"github.com/tarragonreach/tarragonreach/policy/shard"
+)
+
+const (
+	// attemptTimeout bounds one call to the store.
+	attemptTimeout = 1 * time.Second
+	// refusedAttempts is how often a call is made that the store refuses.
+	refusedAttempts = 3
+	// cancelAttempts bounds how often a job may change while it is being cancelled.
+	cancelAttempts = 5
+)
+
+// attempts spaces calls to a store that does not answer or refuses.
+var attempts = backoff.Policy{Base: 60 * time.Millisecond, Cap: 400 * time.Millisecond}
+
+var errUnknown = errors.New("the store's answer is lost")
+
+// write makes a write until its outcome is known or ctx ends. Its error wraps
+// errUnknown where an attempt may still take effect.
+func (i *Intake) write(ctx context.Context, t kv.Txn) (kv.TxnResult, error) {
+	random := backoff.NewRandom()
+	unknown, refused := false, 0
+	for attempt := 1; ; attempt++ {
+		result, err := i.attempt(ctx, t)
+		if err == nil {
+			return result, nil
+		}
+		if kv.NotRun(err) {
+			refused++
+		} else {
+			unknown = true
+		}
+		gaveUp := backoff.Sleep(ctx, attempts.Delay(attempt, random)) != nil
+		switch {
+		case gaveUp && unknown, refused >= refusedAttempts && unknown && gaveUp:
+			return kv.TxnResult{}, errors.Join(errUnknown, err)
+		case gaveUp, refused >= refusedAttempts && !unknown:
+			return kv.TxnResult{}, err
+		}
+	}
+}
+
+func (i *Intake) attempt(ctx context.Context, t kv.Txn) (kv.TxnResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return i.store.Txn(ctx, t)
+}
+
+// read reads a key, a few times if need be.
+func (i *Intake) read(ctx context.Context, key string) (kv.Item, error) {
+	random := backoff.NewRandom()
+	for attempt := 1; ; attempt++ {
+		callCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
+		item, err := i.store.Get(callCtx, key)
+		cancel()
+		if err == nil || errors.Is(err, kv.ErrNotFound) {
+			return item, err
+		}
+		if attempt == refusedAttempts || backoff.Sleep(ctx, attempts.Delay(attempt, random)) != nil {
+			return kv.Item{}, err
+		}
+	}
+}
+
+func unavailable(err error) answer {
+	return answer{status: http.StatusServiceUnavailable, retryAfter: retryAfterOutage, reason: err.Error()}
+}
+
+// failed answers for a write that did not succeed.
+func failed(err error) answer {
+	if errors.Is(err, errUnknown) {
+		return answer{status: http.StatusGatewayTimeout, reason: err.Error()}
+	}
+	return unavailable(err)
+}
+
+func (i *Intake) submit(ctx context.Context, queue cluster.Queue, id job.ID, d job.Definition) answer {
+	t, err := submitTxn(queue, id, d)
+	if err != nil {
+		return answer{status: http.StatusInternalServerError, reason: err.Error()}
+	}
+	result, err := i.write(ctx, t)
+	switch {
+	case err != nil:
+		return failed(err)
+	case result.Applied:
+		return answer{status: http.StatusOK, reason: "stored"}
+	default:
+		return answer{status: http.StatusOK, reason: "stored before"}
+	}
+}
+
+func submitTxn(queue cluster.Queue, id job.ID, d job.Definition) (kv.Txn, error) {
+	record, err := layout.Encode(shard.Record{ID: id, Queue: shard.TermsOf(queue), Accepted: time.Now(), Definition: d})
+	if err != nil {
+		return kv.Txn{}, err
+	}
+	state, err := layout.Encode(layout.State{Service: queue.Service, Queue: queue.Name, State: job.Queued})
+	if err != nil {
+		return kv.Txn{}, err
+	}
+	return kv.Txn{
+		Conditions: []kv.Condition{{Key: layout.JobKey(id)}},
+		Puts: []kv.Put{
+			{Key: layout.JobKey(id), Value: state},
+			{Key: layout.RecordKey(queue.Service, id), Value: record},
+		},
+	}, nil
+}
+
+var gone = answer{status: http.StatusGone, reason: "no such job"}
+
+func (i *Intake) show(ctx context.Context, id job.ID) answer {
+	item, err := i.read(ctx, layout.JobKey(id))
+	if errors.Is(err, kv.ErrNotFound) {
+		return gone
+	}
+	if err != nil {
+		return unavailable(err)
+	}
+	state, err := layout.Decode[layout.State](item.Key, item.Value)
+	if err != nil {
+		return answer{status: http.StatusInternalServerError, reason: err.Error()}
+	}
+	return answer{status: http.StatusOK, body: submission.StateBody{State: state.State}}
+}
+
+// cancel marks the job, under the condition that its state has not changed since
+// it was read, so that no mark outlives a job that has become final.
+func (i *Intake) cancel(ctx context.Context, id job.ID) answer {
+	for range cancelAttempts {
+		item, err := i.read(ctx, layout.JobKey(id))
+		if errors.Is(err, kv.ErrNotFound) {
+			return gone
+		}
+		if err != nil {
+			return unavailable(err)
+		}
+		state, err := layout.Decode[layout.State](item.Key, item.Value)
+		if err != nil {
+			return answer{status: http.StatusInternalServerError, reason: err.Error()}
+		}
+		if state.State.Final() {
+			return answer{status: http.StatusOK, reason: "final already: " + string(state.State)}
+		}
+		result, err := i.write(ctx, kv.Txn{
+			Conditions: []kv.Condition{{Key: item.Key, Revision: item.Revision}},
+			Puts:       []kv.Put{{Key: layout.CancelKey(state.Service, id), Value: []byte("{}")}},
+		})
+		if err != nil {
+			return failed(err)
+		}
+		if result.Applied {
+			return answer{status: http.StatusOK, reason: "cancelled"}
+		}
+	}
+	return answer{status: http.StatusServiceUnavailable, retryAfter: retryAfterOutage, reason: "the job keeps changing"}
+}
+
+func (i *Intake) waiting(ctx context.Context, queue cluster.Queue) answer {
+	item, err := i.read(ctx, layout.WaitingKey(queue.Service))
+	if errors.Is(err, kv.ErrNotFound) {
+		return answer{status: http.StatusOK, body: submission.WaitingBody{}}
+	}
+	if err != nil {
+		return unavailable(err)
+	}
+	counts, err := layout.Decode[layout.Waiting](item.Key, item.Value)
+	if err != nil {
+		return answer{status: http.StatusInternalServerError, reason: err.Error()}
+	}
+	return answer{status: http.StatusOK, body: submission.WaitingBody{Waiting: counts[queue.Name]}}
+}
--- /dev/null
+++ b/entry/logging/async.go
@@ -0,0 +1,62 @@
+package logging
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+// AsyncWriter passes lines on to a slower writer without ever blocking its callers.
+// Lines that find the queue full are dropped and counted.
+type AsyncWriter struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	done    sync.WaitGroup
+}
+
+// asyncLines is how many lines may wait; at about 200 bytes each, under a megabyte.
+const asyncLines = 4096
+
+// NewAsyncWriter returns a writer in front of out.
+func NewAsyncWriter(out io.Writer) *AsyncWriter {
+	w := &AsyncWriter{out: out, lines: make(chan []byte, asyncLines)}
+	w.done.Go(w.run)
+	return w
+}
+
+// Write queues a copy of the line. It never fails.
+func (w *AsyncWriter) Write(line []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were lost.
+func (w *AsyncWriter) Dropped() int64 { return w.dropped.Load() }
+
+// Close writes what waits and stops. Nothing may be written afterwards.
+func (w *AsyncWriter) Close() {
+	close(w.lines)
+	w.done.Wait()
+}
+
+// run gathers the lines that wait into one write.
+func (w *AsyncWriter) run() {
+	for line := range w.lines {
+		for more := true; more; {
+			select {
+			case next, open := <-w.lines:
+				line = append(line, next...)
+				more = open
+			default:
+				more = false
+			}
+		}
+		// There is nowhere left to report that the log itself can't be written.
+		_, _ = w.out.Write(line)
+	}
+}
--- /dev/null
+++ b/entry/owner/executors.go
@@ -0,0 +1,68 @@
+package owner
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/entry/follow"
+	"github.com/tarragonreach/tarragonreach/platform/registry"
+)
+
+const executorPrefix = registry.ExecutorPrefix
+
+// executorList is the executors of one service by their entries in the store.
+type executorList struct {
+	service cluster.Service
+	entries map[string]cluster.Executor
+	bad     map[string]bool // entries that were logged as unreadable
+	logger  *slog.Logger
+}
+
+func newExecutorList(service cluster.Service, logger *slog.Logger) *executorList {
+	return &executorList{service: service, entries: map[string]cluster.Executor{}, bad: map[string]bool{}, logger: logger}
+}
+
+// apply takes in a change and reports whether it concerns this service.
+func (l *executorList) apply(c follow.Change) bool {
+	changed := c.Reset
+	if c.Reset {
+		clear(l.entries)
+	}
+	for _, event := range c.Events {
+		if event.Removed {
+			_, known := l.entries[event.Key]
+			delete(l.entries, event.Key)
+			delete(l.bad, event.Key)
+			changed = changed || known
+			continue
+		}
+		changed = l.put(event.Key, event.Value) || changed
+	}
+	return changed
+}
+
+func (l *executorList) put(key string, value []byte) bool {
+	_, known := l.entries[key]
+	e, err := registry.Executor(key, value)
+	if err != nil || e.Service != l.service {
+		if err != nil && !l.bad[key] {
+			l.bad[key] = true
+			l.logger.Warn("executor entry left out", "error", err)
+		}
+		delete(l.entries, key)
+		return known
+	}
+	delete(l.bad, key)
+	l.entries[key] = e
+	return true
+}
+
+func (l *executorList) list() []cluster.Executor {
+	var list []cluster.Executor
+	for _, key := range slices.Sorted(maps.Keys(l.entries)) {
+		list = append(list, l.entries[key])
+	}
+	return list
+}
--- /dev/null
+++ b/entry/owner/load.go
@@ -0,0 +1,136 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/job"
+	"github.com/tarragonreach/tarragonreach/entry/follow"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/policy/shard"
+)
+
+// loadTimeout bounds the reading of a shard at takeover.
+const loadTimeout = 5 * time.Second
+
+func (o *Owner) shardPrefix() string { return layout.ShardPrefix(o.Service) }
+
+// load reads what earlier owners stored. The term is held already, so that no
+// earlier owner's write comes after it.
+func (o *Owner) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	if err := o.openChain(ctx); err != nil {
+		return err
+	}
+	progress, err := o.loadProgress(ctx)
+	if err != nil {
+		return err
+	}
+	items, _, err := o.Store.All(ctx, o.shardPrefix(), kv.Linearizable)
+	if err != nil {
+		return fmt.Errorf("records of %s: %w", o.Service, err)
+	}
+	executors, _, err := o.Store.All(ctx, executorPrefix, kv.Linearizable)
+	if err != nil {
+		return fmt.Errorf("executors of %s: %w", o.Service, err)
+	}
+	o.takeExecutors(executors)
+	now := time.Now()
+	for _, item := range items {
+		kind, name := layout.ParseShardKey(o.Service, item.Key)
+		if kind == layout.ItemRecord {
+			o.addRecord(item, progress[job.ID(name)], now)
+		}
+	}
+	o.applyJobs(follow.Change{Events: eventsOf(items)}, now)
+	o.Logger.Info("shard taken over", "jobs", o.shard.Jobs(), "begun", len(progress), "executors", len(executors))
+	return nil
+}
+
+func eventsOf(items []kv.Item) []kv.Event {
+	events := make([]kv.Event, len(items))
+	for i, item := range items {
+		events[i] = kv.Event{Item: item}
+	}
+	return events
+}
+
+func (o *Owner) takeExecutors(items []kv.Item) {
+	list := newExecutorList(o.Service, o.Logger)
+	list.apply(follow.Change{Reset: true, Events: eventsOf(items)})
+	o.shard.SetExecutors(list.list())
+}
+
+func (o *Owner) loadProgress(ctx context.Context) (map[job.ID]*shard.Progress, error) {
+	items, _, err := o.Store.All(ctx, layout.ProgressPrefix(o.Service), kv.Linearizable)
+	if err != nil {
+		return nil, fmt.Errorf("progress of %s: %w", o.Service, err)
+	}
+	all := map[job.ID]*shard.Progress{}
+	for _, item := range items {
+		p, err := layout.Decode[shard.Progress](item.Key, item.Value)
+		if err != nil {
+			return nil, err
+		}
+		all[job.ID(item.Key[len(layout.ProgressPrefix(o.Service)):])] = &p
+	}
+	return all, nil
+}
+
+func (o *Owner) addRecord(item kv.Item, p *shard.Progress, now time.Time) {
+	r, err := layout.Decode[shard.Record](item.Key, item.Value)
+	if err != nil {
+		o.Logger.Error("job left out", "error", err)
+		return
+	}
+	o.shard.AddJob(r, p, now)
+}
+
+// applyJobs takes in new records, cancellations and cordons. Removed entries are
+// this owner's own doing, but for cordons.
+func (o *Owner) applyJobs(c follow.Change, now time.Time) {
+	if c.Reset {
+		clear(o.cordoned)
+	}
+	var cancels []job.ID
+	for _, event := range c.Events {
+		kind, name := layout.ParseShardKey(o.Service, event.Key)
+		switch {
+		case kind == layout.ItemCordon:
+			o.cordon(cluster.ExecutorID(name), !event.Removed)
+		case event.Removed:
+		case kind == layout.ItemRecord:
+			if !o.finished[job.ID(name)] {
+				o.addRecord(event.Item, nil, now)
+			}
+		case kind == layout.ItemCancel:
+			cancels = append(cancels, job.ID(name))
+		}
+	}
+	o.shard.Cordon(o.cordoned)
+	for _, id := range cancels {
+		o.cancel(id)
+	}
+}
+
+func (o *Owner) cordon(id cluster.ExecutorID, on bool) {
+	if on {
+		o.cordoned[id] = true
+		return
+	}
+	delete(o.cordoned, id)
+}
+
+func (o *Owner) cancel(id job.ID) {
+	if o.shard.Cancel(id) {
+		o.Logger.Info("job cancelled", "job", string(id))
+		return
+	}
+	if o.finished[id] {
+		o.staleCancels = append(o.staleCancels, id)
+	}
+}
--- /dev/null
+++ b/entry/owner/write.go
@@ -0,0 +1,207 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/entry/layout"
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/policy/shard"
+)
+
+const (
+	// chainEntries is what each write needs beside its batch: the conditions of the
+	// term and of the chain, and the new link.
+	chainEntries = 3
+	// staleEntries bounds the cancellations of finished jobs that a write removes.
+	staleEntries = 4
+	// writeTimeout bounds one attempt of a write.
+	writeTimeout = 2 * time.Second
+)
+
+// writeRetry spaces attempts of the same write.
+var writeRetry = backoff.Policy{Base: 50 * time.Millisecond, Cap: 500 * time.Millisecond}
+
+// chain puts the writes of a shard in one order. Each write is made under the
+// condition that the chain's key has the revision of the write before it, so that
+// an attempt that takes effect late, after its answer was given up on, can't
+// overwrite a later one.
+type chain struct {
+	revision kv.Revision
+	nonce    string // of the write on its way
+}
+
+func (o *Owner) openChain(ctx context.Context) error {
+	items, _, err := o.Store.All(ctx, layout.ChainKey(o.Service), kv.Linearizable)
+	if err != nil {
+		return fmt.Errorf("chain of %s: %w", o.Service, err)
+	}
+	for _, item := range items {
+		if item.Key == layout.ChainKey(o.Service) {
+			o.chain.revision = item.Revision
+		}
+	}
+	return nil
+}
+
+// round stores the next batch, if there is one and no other is on its way.
+func (o *Owner) round(now time.Time) {
+	if o.writing || now.Sub(o.lastRound) < roundEvery || !o.shard.Pending() {
+		return
+	}
+	stale := o.staleCancels[:min(len(o.staleCancels), staleEntries)]
+	batch := o.shard.Batch(now, kv.MaxTxnEntries-chainEntries-len(stale))
+	if batch == nil {
+		return
+	}
+	o.lastRound = now
+	txn, err := o.encode(batch)
+	for _, id := range stale {
+		txn.Deletes = append(txn.Deletes, layout.CancelKey(o.Service, id))
+	}
+	o.staleCancels = o.staleCancels[len(stale):]
+	if err != nil {
+		o.Logger.Error("batch can't be stored; stepping down", "error", err)
+		o.lose()
+		return
+	}
+	o.writing = true
+	go o.write(txn, batch)
+}
+
+func (o *Owner) encode(b *shard.Batch) (kv.Txn, error) {
+	o.chain.nonce = fmt.Sprintf("%016x", rand.Uint64())
+	link, err := layout.Encode(layout.Link{Nonce: o.chain.nonce})
+	if err != nil {
+		return kv.Txn{}, err
+	}
+	key := layout.ChainKey(o.Service)
+	txn := kv.Txn{
+		Conditions: []kv.Condition{o.term.Condition(), {Key: key, Revision: o.chain.revision}},
+		Puts:       []kv.Put{{Key: key, Value: link}},
+	}
+	if b.Waiting != nil {
+		value, err := layout.Encode(layout.Waiting(b.Waiting))
+		if err != nil {
+			return kv.Txn{}, err
+		}
+		txn.Puts = append(txn.Puts, kv.Put{Key: layout.WaitingKey(o.Service), Value: value})
+	}
+	for _, w := range b.Jobs {
+		if err := o.encodeJob(&txn, w); err != nil {
+			return kv.Txn{}, err
+		}
+	}
+	return txn, nil
+}
+
+func (o *Owner) encodeJob(txn *kv.Txn, w shard.JobWrite) error {
+	if w.Show {
+		if err := o.encodeState(txn, w); err != nil {
+			return err
+		}
+	}
+	if w.Progress != nil {
+		value, err := layout.Encode(w.Progress)
+		if err != nil {
+			return err
+		}
+		txn.Puts = append(txn.Puts, kv.Put{Key: layout.ProgressKey(o.Service, w.ID), Value: value})
+		return nil
+	}
+	txn.Deletes = append(txn.Deletes, layout.RecordKey(o.Service, w.ID))
+	if w.HadStored {
+		txn.Deletes = append(txn.Deletes, layout.ProgressKey(o.Service, w.ID))
+	}
+	if w.Cancelled {
+		txn.Deletes = append(txn.Deletes, layout.CancelKey(o.Service, w.ID))
+	}
+	return nil
+}
+
+func (o *Owner) encodeState(txn *kv.Txn, w shard.JobWrite) error {
+	state := layout.State{Service: o.Service, Queue: w.Queue, State: w.State}
+	if w.State.Final() {
+		state.FinalAt = time.Now()
+	}
+	value, err := layout.Encode(state)
+	if err != nil {
+		return err
+	}
+	txn.Puts = append(txn.Puts, kv.Put{Key: layout.JobKey(w.ID), Value: value})
+	return nil
+}
+
+// write makes the same write until its outcome is known.
+func (o *Owner) write(txn kv.Txn, b *shard.Batch) {
+	random := backoff.NewRandom()
+	for attempt := 1; o.ctx.Err() == nil; attempt++ {
+		revision, outcome, err := o.attempt(txn)
+		switch outcome {
+		case written:
+			o.send(func(time.Time) { o.written(revision, b) })
+			return
+		case overtaken:
+			o.Logger.Warn("another owner has written; stepping down", "error", err)
+			o.lose()
+			return
+		}
+		if attempt == 1 {
+			o.Logger.Warn("store did not take a batch; trying again", "error", err)
+		}
+		_ = backoff.Sleep(o.ctx, writeRetry.Delay(attempt, random)) // the loop looks at ctx
+	}
+}
+
+type writeOutcome uint8
+
+const (
+	unclear writeOutcome = iota
+	written
+	overtaken
+)
+
+func (o *Owner) attempt(txn kv.Txn) (kv.Revision, writeOutcome, error) {
+	// Not the term's context: a write on its way when the term ends is waited for.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(o.ctx), writeTimeout)
+	defer cancel()
+	result, err := o.Store.Txn(ctx, txn)
+	if err != nil {
+		return 0, unclear, err
+	}
+	if result.Applied {
+		return result.Revision, written, nil
+	}
+	for _, item := range result.Current {
+		if item.Key != layout.ChainKey(o.Service) {
+			continue
+		}
+		link, err := layout.Decode[layout.Link](item.Key, item.Value)
+		if err == nil && link.Nonce == o.chain.nonce {
+			return item.Revision, written, nil // an earlier attempt took effect
+		}
+	}
+	return 0, overtaken, nil
+}
+
+// written takes in that a batch is durable.
+func (o *Owner) written(revision kv.Revision, b *shard.Batch) {
+	o.writing = false
+	o.chain.revision = revision
+	o.shard.Committed()
+	for _, w := range b.Jobs {
+		if w.State.Final() {
+			o.finished[w.ID] = true
+		}
+		if w.Show {
+			o.Logger.Info("job", "job", string(w.ID), "queue", w.Queue, "state", string(w.State), "revision", int64(revision))
+		}
+	}
+	for _, start := range b.Starts() {
+		o.Logger.Info("start", "task", start.Task.String(), "run", start.Run,
+			"executor", string(start.Executor), "until", start.UntilMs, "free_cpu", start.Free.MilliCPU)
+	}
+}
--- /dev/null
+++ b/policy/shard/advice.go
@@ -0,0 +1,76 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/job"
+)
+
+const (
+	// ticketMargin is how long before its end a ticket is no longer used, so that a
+	// start under it arrives in time.
+	ticketMargin = 300 * time.Millisecond
+	// adviceRetry spaces questions about a step without an answer.
+	adviceRetry = 300 * time.Millisecond
+	// adviceExecutors is how many executors one question names.
+	adviceExecutors = 30
+)
+
+// Question asks the advice service about a step.
+type Question struct {
+	Step      job.StepID
+	Executors []cluster.ExecutorID
+
+	step *step
+}
+
+// Questions returns what to ask the advice service now, most urgent first. Each is
+// open until QuestionAnswered.
+func (s *Shard) Questions(now time.Time) []Question {
+	var list []Question
+	for _, j := range s.startOrder(now) {
+		if j.Queue.Advice == nil {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, st := range o.steps {
+				if q, wanted := s.question(st, now); wanted {
+					list = append(list, q)
+				}
+			}
+		}
+	}
+	return list
+}
+
+func (s *Shard) question(st *step, now time.Time) (Question, bool) {
+	t := &st.tickets
+	if st.blocked > 0 || st.left == 0 || t.asking || now.Before(t.until) || now.Before(t.retryAt) {
+		return Question{}, false
+	}
+	q := Question{Step: st.id, step: st}
+	for _, e := range s.sortedExecutors() {
+		if e.usable(now) && len(q.Executors) < adviceExecutors {
+			q.Executors = append(q.Executors, e.ID)
+		}
+	}
+	if len(q.Executors) == 0 {
+		return Question{}, false
+	}
+	t.asking = true
+	return q, true
+}
+
+// QuestionAnswered takes in the tickets for a step, valid for a time from sentAt;
+// nil tickets mean that no answer came.
+func (s *Shard) QuestionAnswered(q Question, byExecutor map[cluster.ExecutorID]string, validity time.Duration, sentAt, now time.Time) {
+	q.step.tickets.asking = false
+	q.step.tickets.retryAt = now.Add(adviceRetry)
+	if byExecutor == nil {
+		return
+	}
+	q.step.tickets.byExecutor = byExecutor
+	q.step.tickets.until = sentAt.Add(validity - ticketMargin)
+	s.touched = true
+}
--- /dev/null
+++ b/policy/shard/executors.go
@@ -0,0 +1,122 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/job"
+)
+
+// executorState is one life of a machine as its owner knows it.
+type executorState struct {
+	cluster.Executor
+	listed   bool // in the latest list
+	drained  bool // was ever listed as draining
+	cordoned bool // to be emptied, by an operator's maintenance or a move
+	dead     bool // another executor answers at its address
+
+	used job.Resources
+	runs map[job.TaskID]*run
+	// strays are runs that it lists though none is due there.
+	strays map[strayKey]*stray
+
+	known    bool // has answered a look with our fencing token
+	clockMs  int64
+	clockAt  time.Time
+	grantOff bool // the last look with a lease got no answer
+	// leaseBound is when all that runs there has certainly ended, if nobody renews.
+	leaseBound time.Time
+
+	ordersInFlight int
+	looking        bool
+	lookAt         time.Time // not before
+	lastSeen       time.Time // last answer
+	misses         int       // looks and orders without an answer, in a row
+
+	appliedEnd int64 // ends up to here were taken in
+	seenEnd    int64 // ends up to here were acknowledged
+	ackedEnd   int64 // ends up to here the executor knows as acknowledged
+	pending    []pendingEnd
+
+	health health
+}
+
+// pendingEnd is an end whose effect is not durable yet.
+type pendingEnd struct {
+	sequence int64
+	job      *jobState
+	version  int64
+}
+
+type strayKey struct {
+	task job.TaskID
+	run  int
+}
+
+type stray struct {
+	inFlight bool
+	nextSend time.Time
+}
+
+func newExecutor(e cluster.Executor) *executorState {
+	return &executorState{Executor: e, runs: map[job.TaskID]*run{}, strays: map[strayKey]*stray{}}
+}
+
+// free is the room that nothing takes or may take.
+func (e *executorState) free() job.Resources { return e.Capacity.Sub(e.used) }
+
+func (e *executorState) take(r *run) {
+	e.runs[r.task.id] = r
+	e.used = e.used.Add(r.task.step.def.Room())
+}
+
+func (e *executorState) release(r *run) {
+	if e.runs[r.task.id] != r {
+		return
+	}
+	delete(e.runs, r.task.id)
+	e.used = e.used.Sub(r.task.step.def.Room())
+}
+
+// clock estimates the executor's clock; it is never ahead by more than the drift.
+func (e *executorState) clock(now time.Time) int64 {
+	return e.clockMs + now.Sub(e.clockAt).Milliseconds()
+}
+
+// extendBound notes that a lease of length d was sent at now.
+func (e *executorState) extendBound(now time.Time, d time.Duration) {
+	age := now.Sub(e.clockAt)
+	bound := now.Add(d + time.Duration(clockDrift*float64(d+age)) + leaseMargin)
+	if bound.After(e.leaseBound) {
+		e.leaseBound = bound
+	}
+}
+
+// acknowledge advances seenEnd over the ends whose effect is durable.
+func (e *executorState) acknowledge() {
+	for len(e.pending) > 0 {
+		first := e.pending[0]
+		if first.job != nil && first.job.durable < first.version {
+			return
+		}
+		e.seenEnd = first.sequence
+		e.pending = e.pending[1:]
+	}
+}
+
+// usable reports whether new runs may be placed there.
+func (e *executorState) usable(now time.Time) bool {
+	return e.listed && e.known && !e.Draining && !e.drained && !e.cordoned && !e.dead &&
+		e.misses == 0 && len(e.strays) == 0 && !e.health.suspect(now)
+}
+
+// countOf returns how many runs of a step the executor has.
+func (e *executorState) countOf(s *step) int {
+	n := 0
+	for _, r := range e.runs {
+		if r.task.step == s {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/policy/shard/jobs.go
@@ -0,0 +1,302 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/job"
+)
+
+// jobState is a job that is not final, or whose final state is not durable yet.
+type jobState struct {
+	Record
+	state     job.State
+	shown     job.State // the state that is durable
+	cancelled bool
+	failed    bool
+
+	// occurrences holds those that have begun to be due and are not over.
+	occurrences []*occurrence
+	over        []bool // by occurrence
+	next        int    // the first occurrence not created yet
+
+	chain time.Duration // longest chain of estimates
+
+	version int64 // rises with every change
+	durable int64 // the version that is stored
+	stored  bool  // whether progress was ever stored
+}
+
+type occurrence struct {
+	number int
+	steps  []*step
+	left   int // steps not done
+}
+
+type step struct {
+	id       job.StepID
+	def      *job.Step
+	job      *jobState
+	tasks    []*task
+	left     int // tasks not done
+	blocked  int // steps in After not done
+	failures int // of a gang as a whole
+	tickets  tickets
+}
+
+type tickets struct {
+	byExecutor map[cluster.ExecutorID]string
+	until      time.Time
+	asking     bool
+	retryAt    time.Time
+}
+
+type task struct {
+	id         job.TaskID
+	step       *step
+	run        int // the highest one decided
+	current    *run
+	done       bool
+	failures   int
+	checkpoint string
+	retryAt    time.Time
+	avoid      cluster.ExecutorID // where it failed last
+	lastEnd    time.Time
+}
+
+// phase says what is known of a run.
+type phase uint8
+
+const (
+	decided   phase = iota // not durable yet
+	ordered                // durable; the executor has not confirmed it
+	confirmed              // the executor has or had it
+	inherited              // decided by an earlier owner; nothing is known yet
+)
+
+// run is one start of a task, for as long as it may take room on its executor.
+type run struct {
+	task     *task
+	number   int
+	executor *executorState
+	phase    phase
+	untilMs  int64 // end of its first lease on the executor's clock
+	ticket   string
+
+	checkpoint string // from which it goes on
+
+	inFlight    bool // an order for it is on its way
+	sends       int  // start orders that may have arrived
+	tries       int  // start orders
+	nextSend    time.Time
+	confirmedAt time.Time
+	startedAt   time.Time // when the executor first had it, as far as known
+
+	stopping   bool
+	stopAnswer bool
+	percent    int
+	usage      int64
+	paced      int // percent that the executor was told; 100 at first
+	paceWanted int
+}
+
+func newJob(r Record) *jobState {
+	j := &jobState{Record: r, state: job.Queued, shown: job.Queued, version: 1, durable: 1}
+	j.over = make([]bool, r.Definition.Schedule.Occurrences())
+	j.chain = chainOf(r.Definition.Steps, func(s *job.Step, _ int) time.Duration { return s.Estimate })
+	return j
+}
+
+// chainOf returns the longest sum along the steps' order.
+func chainOf(steps []job.Step, cost func(s *job.Step, number int) time.Duration) time.Duration {
+	ends := make([]time.Duration, len(steps))
+	var longest time.Duration
+	for i := range steps {
+		var begin time.Duration
+		for _, before := range steps[i].After {
+			begin = max(begin, ends[before])
+		}
+		ends[i] = begin + cost(&steps[i], i)
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// createDue creates the occurrences whose time has come.
+func (j *jobState) createDue(now time.Time) {
+	for j.next < len(j.over) && !j.Definition.Schedule.Due(j.next).After(now) {
+		if !j.over[j.next] {
+			j.occurrences = append(j.occurrences, newOccurrence(j, j.next))
+		}
+		j.next++
+	}
+}
+
+// nextDue returns when the next occurrence has to be created, if any is left.
+func (j *jobState) nextDue() (time.Time, bool) {
+	if j.next >= len(j.over) {
+		return time.Time{}, false
+	}
+	return j.Definition.Schedule.Due(j.next), true
+}
+
+func newOccurrence(j *jobState, k int) *occurrence {
+	o := &occurrence{number: k, left: len(j.Definition.Steps)}
+	for i := range j.Definition.Steps {
+		def := &j.Definition.Steps[i]
+		s := &step{id: job.StepID{Job: j.ID, Occurrence: k, Step: i}, def: def, job: j, left: def.Count, blocked: len(def.After)}
+		s.tasks = make([]*task, def.Count)
+		for n := range s.tasks {
+			s.tasks[n] = &task{id: job.TaskID{StepID: s.id, Index: n}, step: s}
+		}
+		o.steps = append(o.steps, s)
+	}
+	return o
+}
+
+func (j *jobState) occurrence(k int) *occurrence {
+	i := slices.IndexFunc(j.occurrences, func(o *occurrence) bool { return o.number == k })
+	if i < 0 {
+		return nil
+	}
+	return j.occurrences[i]
+}
+
+func (j *jobState) task(id job.TaskID) *task {
+	o := j.occurrence(id.Occurrence)
+	if o == nil || id.Step >= len(o.steps) || id.Index >= len(o.steps[id.Step].tasks) {
+		return nil
+	}
+	return o.steps[id.Step].tasks[id.Index]
+}
+
+// restore takes in what an earlier owner stored.
+func (j *jobState) restore(p Progress, now time.Time) {
+	j.stored = true
+	for _, k := range p.Done {
+		if k < len(j.over) {
+			j.over[k] = true
+		}
+	}
+	j.createDue(now)
+	for _, tp := range p.Tasks {
+		t := j.task(job.TaskID{StepID: job.StepID{Job: j.ID, Occurrence: tp.Occurrence, Step: tp.Step}, Index: tp.Index})
+		if t == nil {
+			continue
+		}
+		j.state, j.shown = job.Running, job.Running
+		t.run, t.failures, t.checkpoint = tp.Run, tp.Failures, tp.Checkpoint
+		if t.step.def.Gang {
+			t.step.failures = max(t.step.failures, tp.Failures)
+		}
+		if tp.Done {
+			j.finishTask(t)
+		}
+	}
+}
+
+// finishTask marks a task as done and unblocks what waited for its step.
+func (j *jobState) finishTask(t *task) {
+	if t.done {
+		return
+	}
+	t.done = true
+	t.step.left--
+	if t.step.left > 0 {
+		return
+	}
+	o := j.occurrence(t.id.Occurrence)
+	o.left--
+	for _, s := range o.steps {
+		if slices.Contains(s.def.After, t.id.Step) {
+			s.blocked--
+		}
+	}
+}
+
+// closeOver drops the occurrences whose steps are all done and whose runs are gone.
+func (j *jobState) closeOver() {
+	j.occurrences = slices.DeleteFunc(j.occurrences, func(o *occurrence) bool {
+		if o.left > 0 || o.hasRuns() {
+			return false
+		}
+		j.over[o.number] = true
+		return true
+	})
+}
+
+func (o *occurrence) hasRuns() bool {
+	for _, s := range o.steps {
+		for _, t := range s.tasks {
+			if t.current != nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (j *jobState) hasRuns() bool {
+	return slices.ContainsFunc(j.occurrences, (*occurrence).hasRuns)
+}
+
+// ended reports whether the job needs no further start.
+func (j *jobState) ended() bool { return j.cancelled || j.failed }
+
+// settle moves the job to the final state that its runs allow.
+func (j *jobState) settle() {
+	switch {
+	case j.state.Final():
+		return
+	case j.cancelled:
+		if !j.hasRuns() {
+			j.become(job.Cancelled)
+		}
+	case j.failed:
+		if !j.hasRuns() {
+			j.become(job.Failed)
+		}
+	default:
+		j.closeOver()
+		if j.next == len(j.over) && len(j.occurrences) == 0 {
+			j.become(job.Completed)
+		}
+	}
+}
+
+func (j *jobState) become(s job.State) {
+	j.state = s
+	j.touch()
+}
+
+func (j *jobState) touch() { j.version++ }
+
+// begun reports whether any task has ever started.
+func (j *jobState) begun() bool { return j.state != job.Queued }
+
+// lasts reports whether the job runs until it is cancelled.
+func (j *jobState) lasts() bool {
+	return slices.ContainsFunc(j.Definition.Steps, func(s job.Step) bool { return s.LongRunning })
+}
+
+// deadline is when the objective of an unscheduled job ends.
+func (j *jobState) deadline() time.Time { return j.Accepted.Add(j.objective()) }
+
+func (j *jobState) objective() time.Duration {
+	return time.Duration(j.Queue.Stretch*float64(j.chain)) + j.Queue.TargetDuration
+}
+
+// remaining estimates the longest chain of work that is still to be done.
+func (j *jobState) remaining() time.Duration {
+	if len(j.occurrences) == 0 {
+		return j.chain
+	}
+	steps := j.occurrences[0].steps
+	return chainOf(j.Definition.Steps, func(s *job.Step, number int) time.Duration {
+		if steps[number].left == 0 {
+			return 0
+		}
+		return s.Estimate
+	})
+}
--- /dev/null
+++ b/policy/shard/orders.go
@@ -0,0 +1,285 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/execution"
+	"github.com/tarragonreach/tarragonreach/api/job"
+)
+
+// OrderKind says what an executor is told.
+type OrderKind uint8
+
+// The kinds of orders.
+const (
+	OrderStart OrderKind = iota
+	OrderStop
+	OrderPace
+)
+
+// String returns the kind's name in logs.
+func (k OrderKind) String() string {
+	switch k {
+	case OrderStart:
+		return "start"
+	case OrderStop:
+		return "stop"
+	default:
+		return "pace"
+	}
+}
+
+// Order is one call to an executor.
+type Order struct {
+	Kind     OrderKind
+	Executor cluster.Executor
+	Start    execution.Start // Kind OrderStart uses all of it, the others its RunRef
+	Percent  int             // OrderPace
+
+	run   *run
+	stray *stray
+}
+
+// Delivery says what is known of a call to an executor.
+type Delivery uint8
+
+// Deliveries of a call.
+const (
+	Answered  Delivery = iota
+	NotSent            // it certainly never reaches the executor
+	Ambiguous          // it may have been carried out, or may be seconds later
+)
+
+// Orders returns the orders to send now. Each is in flight until OrderAnswered.
+func (s *Shard) Orders(now time.Time) []Order {
+	if s.fenced {
+		return nil
+	}
+	var list []Order
+	for _, e := range s.executors {
+		if e.dead || e.Address == "" {
+			continue
+		}
+		list = s.executorOrders(list, e, now)
+	}
+	return list
+}
+
+func (s *Shard) executorOrders(list []Order, e *executorState, now time.Time) []Order {
+	room := ordersAtOnce - e.ordersInFlight
+	for _, r := range e.runs {
+		if room <= 0 {
+			return list
+		}
+		order, due := s.runOrder(r, now)
+		if due {
+			list = append(list, order)
+			e.ordersInFlight++
+			room--
+		}
+	}
+	for key, st := range e.strays {
+		if room <= 0 {
+			return list
+		}
+		if st.inFlight || now.Before(st.nextSend) {
+			continue
+		}
+		st.inFlight = true
+		ref := execution.RunRef{Task: key.task, Run: key.run}
+		list = append(list, Order{Kind: OrderStop, Executor: e.Executor, Start: execution.Start{RunRef: ref, Token: s.token}, stray: st})
+		e.ordersInFlight++
+		room--
+	}
+	return list
+}
+
+// runOrder returns the order that a run needs now, if any.
+func (s *Shard) runOrder(r *run, now time.Time) (Order, bool) {
+	if r.inFlight || r.phase == decided || now.Before(r.nextSend) {
+		return Order{}, false
+	}
+	order := Order{Executor: r.executor.Executor, run: r}
+	order.Start.RunRef = r.ref()
+	order.Start.Token = s.token
+	switch {
+	case r.stopping && r.phase == ordered && r.sends == 0:
+		s.void(r, now)
+		return Order{}, false
+	case r.stopping && r.stopAnswer:
+		return Order{}, false
+	case r.stopping:
+		order.Kind = OrderStop
+	case r.phase == ordered:
+		r.sends++
+		r.tries++
+		order.Kind = OrderStart
+		order.Start.Payload = r.task.step.job.Definition.Payload
+		order.Start.UntilMs = r.untilMs
+		order.Start.Checkpoint = r.checkpoint
+		order.Start.Ticket = r.ticket
+	case r.phase == confirmed && r.paceWanted != r.paced:
+		order.Kind = OrderPace
+		order.Percent = r.paceWanted
+	default:
+		return Order{}, false
+	}
+	r.inFlight = true
+	return order, true
+}
+
+func (r *run) ref() execution.RunRef { return execution.RunRef{Task: r.task.id, Run: r.number} }
+
+// OrderAnswered takes in what became of an order.
+func (s *Shard) OrderAnswered(o Order, d Delivery, reply execution.Reply, now time.Time) {
+	e := s.executors[o.Executor.ID]
+	if e == nil {
+		return
+	}
+	s.touched = true
+	e.ordersInFlight--
+	if d == Answered {
+		e.misses = 0
+	} else {
+		e.misses++
+	}
+	if d == Answered && reply.Refusal == execution.RefusedFence {
+		s.fenced = true
+		return
+	}
+	if d == Answered && reply.Refusal == execution.RefusedGone {
+		s.executorGone(e, now)
+		return
+	}
+	if o.stray != nil {
+		o.stray.inFlight = false
+		o.stray.nextSend = now.Add(resendEvery)
+		e.lookAt = now
+		return
+	}
+	r := o.run
+	r.inFlight = false
+	if e.runs[r.task.id] != r {
+		return // resolved meanwhile
+	}
+	switch o.Kind {
+	case OrderStart:
+		s.startAnswered(r, d, reply.Refusal, now)
+	case OrderStop:
+		s.stopAnswered(r, d, now)
+	case OrderPace:
+		if d == Answered && reply.Refusal == execution.NotRefused {
+			r.paced = o.Percent
+		}
+		r.nextSend = now.Add(paceEvery)
+	}
+}
+
+func (s *Shard) startAnswered(r *run, d Delivery, refusal execution.Refusal, now time.Time) {
+	r.nextSend = now.Add(resendEvery)
+	switch {
+	case r.phase == confirmed: // a look saw it first
+	case d == NotSent:
+		r.sends--
+		if r.sends == 0 && r.tries >= unsentTries {
+			s.void(r, now)
+		}
+	case d == Ambiguous:
+		if r.sends >= startSends {
+			s.stop(r)
+		}
+	case refusal == execution.NotRefused:
+		r.confirm(now)
+		r.startedAt = now
+	case refusal == execution.RefusedOld:
+		r.confirm(now) // a look tells how it ended
+	default:
+		s.startRefused(r, refusal, now)
+	}
+}
+
+// startRefused handles a start that certainly had no effect. Earlier sends without
+// an answer may still have one, so that the run is stopped first.
+func (s *Shard) startRefused(r *run, refusal execution.Refusal, now time.Time) {
+	e := r.executor
+	switch refusal {
+	case execution.RefusedOther:
+		e.health.failed(r.task.id.Job, now)
+	case execution.RefusedRoom:
+		e.lookAt = now
+	case execution.RefusedTicket:
+		r.task.step.tickets = tickets{}
+	}
+	if r.sends > 1 {
+		s.stop(r)
+		return
+	}
+	t := r.task
+	s.void(r, now)
+	t.retryAt = now.Add(retryAfterRefusal)
+	t.avoid = e.ID
+}
+
+func (r *run) confirm(now time.Time) {
+	r.phase = confirmed
+	r.confirmedAt = now
+	r.nextSend = time.Time{}
+}
+
+func (s *Shard) stopAnswered(r *run, d Delivery, now time.Time) {
+	r.nextSend = now.Add(resendEvery)
+	if d != Answered {
+		return
+	}
+	r.stopAnswer = true
+	r.confirm(now)
+	r.executor.lookAt = now
+}
+
+// void forgets a run that certainly never begins or has ended without effect.
+func (s *Shard) void(r *run, now time.Time) {
+	t := r.task
+	r.executor.release(r)
+	if t.current == r {
+		t.current = nil
+		t.lastEnd = now
+	}
+	j := t.step.job
+	j.touch()
+	j.settle()
+	s.touched = true
+}
+
+// executorGone ends all runs on an executor whose address another one has.
+func (s *Shard) executorGone(e *executorState, now time.Time) {
+	e.dead = true
+	for _, r := range e.sortedRuns() {
+		s.void(r, now)
+	}
+	clear(e.strays)
+}
+
+// expire ends the runs whose lease has certainly lapsed.
+func (s *Shard) expire(now time.Time) {
+	for _, e := range s.executors {
+		if len(e.runs) == 0 || !now.After(e.leaseBound) {
+			continue
+		}
+		for _, r := range e.sortedRuns() {
+			if r.phase != decided {
+				s.void(r, now)
+			}
+		}
+		clear(e.strays)
+	}
+}
+
+// taskOf returns the task of a run that an executor lists, or nil.
+func (s *Shard) taskOf(id job.TaskID) *task {
+	j := s.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	return j.task(id)
+}
--- /dev/null
+++ b/policy/shard/place.go
@@ -0,0 +1,204 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/job"
+)
+
+// Penalties of a placement, in shares of an executor's processor room.
+const (
+	penaltyFar       = 100.0 // not on the rack that holds the data
+	penaltyAvoid     = 50.0  // where the task failed last
+	penaltySameRack  = 10.0  // beside another lasting task of the step on the rack
+	penaltyDisturbed = 5.0   // a filler beside tasks that serve users
+)
+
+// place decides runs for the ready tasks of a step, as far as there is room. A
+// gang is placed whole or not at all.
+func (b *builder) place(st *step, ready []*task) []*run {
+	var runs []*run
+	rack := b.rackFor(st)
+	for _, t := range ready {
+		e := b.choose(t, rack)
+		if e == nil {
+			if st.def.Gang {
+				b.undo(runs)
+				return nil
+			}
+			break
+		}
+		runs = append(runs, b.decide(t, e))
+	}
+	if st.def.Gang {
+		alignRuns(runs)
+	}
+	return runs
+}
+
+func (b *builder) undo(runs []*run) {
+	for _, r := range runs {
+		r.executor.release(r)
+		r.task.current = nil
+		r.task.run--
+	}
+}
+
+// alignRuns gives all members of a gang the same run number and checkpoint.
+func alignRuns(runs []*run) {
+	highest := 0
+	for _, r := range runs {
+		highest = max(highest, r.number)
+	}
+	for _, r := range runs {
+		r.number, r.task.run = highest, highest
+		r.checkpoint = runs[0].checkpoint
+	}
+}
+
+// decide makes a run of the task on the executor.
+func (b *builder) decide(t *task, e *executorState) *run {
+	lease := b.shard.limits.RunLease
+	t.run++
+	r := &run{
+		task: t, number: t.run, executor: e, phase: decided,
+		untilMs:    e.clock(b.now) + lease.Milliseconds(),
+		checkpoint: t.checkpoint,
+		ticket:     t.step.tickets.byExecutor[e.ID],
+		paced:      100, paceWanted: 100,
+	}
+	e.extendBound(b.now, lease)
+	t.current = r
+	e.take(r)
+	return r
+}
+
+// choose returns the best executor for the task, or nil.
+func (b *builder) choose(t *task, rack string) *executorState {
+	var best *executorState
+	var bestCost float64
+	for _, e := range b.usable() {
+		if !b.allowed(t, e) || rack != "" && e.Rack() != rack {
+			continue
+		}
+		cost := placementCost(t, e)
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	return best
+}
+
+// usable returns the executors that may be given work, in a fixed order.
+func (b *builder) usable() []*executorState {
+	if b.candidates == nil {
+		for _, e := range b.shard.sortedExecutors() {
+			if e.usable(b.now) {
+				b.candidates = append(b.candidates, e)
+			}
+		}
+	}
+	return b.candidates
+}
+
+// allowed reports whether the executor has room and meets the step's conditions.
+func (b *builder) allowed(t *task, e *executorState) bool {
+	def := t.step.def
+	if !def.Room().Fits(e.free()) {
+		return false
+	}
+	if def.RequiredLabel != "" && !slices.Contains(e.Labels, def.RequiredLabel) {
+		return false
+	}
+	if def.MaxPerServer > 0 && e.countOf(t.step) >= def.MaxPerServer {
+		return false
+	}
+	return t.step.job.Queue.Advice == nil || t.step.ticketFor(e.ID, b.now)
+}
+
+// placementCost is lower for better executors: near the data, not where the task
+// failed last, lasting tasks apart from each other, and otherwise the emptiest.
+func placementCost(t *task, e *executorState) float64 {
+	def := t.step.def
+	cost := usedShare(e.used, e.Capacity)
+	if def.Affinity != "" && e.Rack() != def.Affinity {
+		cost += penaltyFar
+	}
+	if t.avoid == e.ID {
+		cost += penaltyAvoid
+	}
+	if def.LongRunning {
+		cost += penaltySameRack * float64(onRack(t.step, e.Rack()))
+	}
+	if def.Fills {
+		if _, serving := e.pressure(); serving {
+			cost += penaltyDisturbed
+		}
+	}
+	return cost
+}
+
+func usedShare(used, capacity job.Resources) float64 {
+	share := 0.0
+	if capacity.MilliCPU > 0 {
+		share = float64(used.MilliCPU) / float64(capacity.MilliCPU)
+	}
+	if capacity.MemoryMB > 0 {
+		share = max(share, float64(used.MemoryMB)/float64(capacity.MemoryMB))
+	}
+	return share
+}
+
+func onRack(st *step, rack string) int {
+	n := 0
+	for _, t := range st.tasks {
+		if t.current != nil && t.current.executor.Rack() == rack {
+			n++
+		}
+	}
+	return n
+}
+
+// rackFor returns the rack on which all tasks of a step that is slow over several
+// racks are placed, or "" where the step does not care or no rack has room.
+func (b *builder) rackFor(st *step) string {
+	if !st.def.SameRack {
+		return ""
+	}
+	for _, t := range st.tasks {
+		if t.current != nil {
+			return t.current.executor.Rack()
+		}
+	}
+	room := map[string]int{}
+	best := ""
+	for _, e := range b.usable() {
+		rack := e.Rack()
+		room[rack] += fitting(st.def.Room(), e.free())
+		if room[rack] >= st.def.Count && best == "" {
+			best = rack
+		}
+	}
+	return best
+}
+
+// fitting is how many tasks fit into the room.
+func fitting(need, room job.Resources) int {
+	n := int64(job.MaxTasks)
+	if need.MilliCPU > 0 {
+		n = min(n, room.MilliCPU/need.MilliCPU)
+	}
+	if need.MemoryMB > 0 {
+		n = min(n, room.MemoryMB/need.MemoryMB)
+	}
+	if need.GPU > 0 {
+		n = min(n, room.GPU/need.GPU)
+	}
+	return int(max(0, n))
+}
+
+func (s *step) ticketFor(id cluster.ExecutorID, now time.Time) bool {
+	return s.tickets.byExecutor[id] != "" && now.Before(s.tickets.until)
+}
--- /dev/null
+++ b/policy/shard/plan.go
@@ -0,0 +1,298 @@
+package shard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/job"
+)
+
+// Batch is what must become durable together, before its starts may be ordered.
+type Batch struct {
+	Jobs []JobWrite
+	// Waiting counts, by queue, the jobs for which nothing has started; nil leaves
+	// what is stored.
+	Waiting map[string]int
+
+	starts []*run
+}
+
+// JobWrite is the new durable state of one job.
+type JobWrite struct {
+	ID        job.ID
+	Queue     string
+	State     job.State
+	Show      bool      // the state callers are shown changes
+	Progress  *Progress // nil where the job is final
+	HadStored bool      // progress was stored before
+	Cancelled bool
+
+	job     *jobState
+	version int64
+}
+
+// StartNote describes one start of a batch for the log.
+type StartNote struct {
+	Task     job.TaskID
+	Run      int
+	Executor cluster.ExecutorID
+	UntilMs  int64         // end of its lease on the executor's clock
+	Free     job.Resources // left on the executor after the start
+}
+
+// Starts returns the starts that the batch decides.
+func (b *Batch) Starts() []StartNote {
+	notes := make([]StartNote, len(b.starts))
+	for i, r := range b.starts {
+		notes[i] = StartNote{r.task.id, r.number, r.executor.ID, r.untilMs, r.executor.free()}
+	}
+	return notes
+}
+
+const (
+	// finalEntries: the state, and the removal of record, progress and cancellation.
+	finalEntries = 4
+	// progressEntries: the progress and the state.
+	progressEntries = 2
+	// waitingEntries: the counts of waiting jobs.
+	waitingEntries = 1
+)
+
+// Batch returns what must be stored next, or nil. It plans the starts that fit. A
+// batch is open until Committed; there is one at a time.
+func (s *Shard) Batch(now time.Time, entries int) *Batch {
+	if s.pendingBatch != nil || s.fenced {
+		return nil
+	}
+	s.expire(now)
+	b := &builder{shard: s, now: now, left: entries, in: map[*jobState]bool{}}
+	b.addWaiting()
+	b.addChanged()
+	b.addStarts()
+	batch := b.finish()
+	if batch == nil {
+		s.touched = false
+		return nil
+	}
+	s.pendingBatch = batch
+	return batch
+}
+
+// Committed notes that the open batch is durable.
+func (s *Shard) Committed() {
+	b := s.pendingBatch
+	s.pendingBatch = nil
+	s.touched = true
+	for _, w := range b.Jobs {
+		w.job.durable = w.version
+		w.job.shown = w.State
+		w.job.stored = true
+		if w.State.Final() {
+			w.job.durable = w.job.version
+			delete(s.jobs, w.ID)
+		}
+	}
+	for _, r := range b.starts {
+		if r.phase == decided {
+			r.phase = ordered
+		}
+	}
+	for _, e := range s.executors {
+		e.acknowledge()
+	}
+}
+
+// Pending reports whether a batch may have something to store or to start.
+func (s *Shard) Pending() bool { return s.touched && s.pendingBatch == nil }
+
+type builder struct {
+	shard *Shard
+	now   time.Time
+	left  int // entries
+	in    map[*jobState]bool
+	jobs  []*jobState
+	batch Batch
+
+	candidates []*executorState
+}
+
+func (b *builder) addWaiting() {
+	s := b.shard
+	if !s.waitingDirty || b.now.Sub(s.waitingAt) < waitingEvery {
+		return
+	}
+	counts := map[string]int{}
+	for _, j := range s.jobs {
+		if !j.begun() && !j.ended() && j.Definition.Schedule.Count == 0 {
+			counts[j.Queue.Name]++
+		}
+	}
+	s.waitingDirty = false
+	s.waitingAt = b.now
+	b.batch.Waiting = counts
+	b.left -= waitingEntries
+}
+
+// add makes the job part of the batch; it reports false where there is no room.
+func (b *builder) add(j *jobState) bool {
+	if b.in[j] {
+		return true
+	}
+	cost := progressEntries
+	if j.state.Final() {
+		cost = finalEntries
+	}
+	if cost > b.left {
+		return false
+	}
+	b.left -= cost
+	b.in[j] = true
+	b.jobs = append(b.jobs, j)
+	return true
+}
+
+func (b *builder) addChanged() {
+	for _, j := range b.shard.sortedJobs() {
+		if j.version > j.durable {
+			b.add(j)
+		}
+	}
+}
+
+func (s *Shard) sortedJobs() []*jobState {
+	list := make([]*jobState, 0, len(s.jobs))
+	for _, j := range s.jobs {
+		list = append(list, j)
+	}
+	slices.SortFunc(list, func(x, y *jobState) int {
+		return cmp.Or(x.Accepted.Compare(y.Accepted), cmp.Compare(x.ID, y.ID))
+	})
+	return list
+}
+
+func (b *builder) addStarts() {
+	for _, j := range b.shard.startOrder(b.now) {
+		j.createDue(b.now)
+		for _, o := range j.occurrences {
+			for _, st := range o.steps {
+				if st.blocked == 0 && st.left > 0 {
+					b.startStep(st)
+				}
+			}
+		}
+	}
+}
+
+func (b *builder) startStep(st *step) {
+	var ready []*task
+	for _, t := range st.tasks {
+		if t.current == nil && !t.done && !b.now.Before(t.retryAt) {
+			ready = append(ready, t)
+		}
+	}
+	if len(ready) == 0 || st.def.Gang && len(ready) < len(st.tasks) {
+		return
+	}
+	if !b.in[st.job] && b.left < progressEntries {
+		return
+	}
+	runs := b.place(st, ready)
+	if len(runs) == 0 {
+		return
+	}
+	if st.job.state == job.Queued {
+		st.job.state = job.Running
+		b.shard.waitingDirty = true
+	}
+	st.job.touch()
+	b.add(st.job)
+	b.batch.starts = append(b.batch.starts, runs...)
+}
+
+func (b *builder) finish() *Batch {
+	if len(b.jobs) == 0 && b.batch.Waiting == nil {
+		return nil
+	}
+	for _, j := range b.jobs {
+		w := JobWrite{
+			ID: j.ID, Queue: j.Queue.Name, State: j.state, Show: j.state != j.shown,
+			HadStored: j.stored, Cancelled: j.cancelled, job: j, version: j.version,
+		}
+		if !j.state.Final() {
+			p := j.progress()
+			w.Progress = &p
+		}
+		b.batch.Jobs = append(b.batch.Jobs, w)
+	}
+	return &b.batch
+}
+
+// standing is how much a job can still earn; lower comes first.
+type standing int
+
+const (
+	standingLasting standing = iota // serves users already
+	standingInTime                  // can still meet its objective
+	standingLate                    // worth less, but something
+	standingTooLate                 // worth nothing to its caller
+)
+
+// tooLateFactor is how many objectives after its acceptance a job is worth nothing.
+const tooLateFactor = 3
+
+func (j *jobState) standing(now time.Time) standing {
+	if j.lasts() {
+		return standingLasting
+	}
+	if j.Definition.Schedule.Count > 0 {
+		return standingInTime
+	}
+	end := now.Add(j.remaining())
+	switch {
+	case !end.After(j.deadline()):
+		return standingInTime
+	case !end.After(j.Accepted.Add(tooLateFactor * j.objective())):
+		return standingLate
+	default:
+		return standingTooLate
+	}
+}
+
+type ranked struct {
+	job      *jobState
+	standing standing
+	begun    int // 0 where work is already invested
+}
+
+// startOrder returns the jobs in the order in which they may start tasks: lasting
+// ones, those that can still be in time, late ones; among equals by priority, begun
+// jobs before new ones, then by deadline.
+func (s *Shard) startOrder(now time.Time) []*jobState {
+	list := make([]ranked, 0, len(s.jobs))
+	for _, j := range s.jobs {
+		if j.ended() || j.state.Final() {
+			continue
+		}
+		r := ranked{job: j, standing: j.standing(now), begun: 1}
+		if j.begun() {
+			r.begun = 0
+		}
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(x, y ranked) int {
+		return cmp.Or(
+			cmp.Compare(x.standing, y.standing),
+			cmp.Compare(x.job.Queue.Priority, y.job.Queue.Priority),
+			cmp.Compare(x.begun, y.begun),
+			x.job.deadline().Compare(y.job.deadline()),
+			cmp.Compare(x.job.ID, y.job.ID),
+		)
+	})
+	jobs := make([]*jobState, len(list))
+	for i, r := range list {
+		jobs[i] = r.job
+	}
+	return jobs
+}
--- /dev/null
+++ b/policy/shard/record.go
@@ -0,0 +1,85 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/job"
+)
+
+// Record is an accepted job as it is stored. It never changes.
+type Record struct {
+	ID         job.ID         `json:"id"`
+	Queue      QueueTerms     `json:"queue"`
+	Accepted   time.Time      `json:"accepted"`
+	Definition job.Definition `json:"definition"`
+}
+
+// QueueTerms are the terms of a queue when the job was accepted.
+type QueueTerms struct {
+	Name           string          `json:"name"`
+	Priority       int             `json:"priority,omitempty"`
+	MaxAttempts    int             `json:"maxAttempts"`
+	Stretch        float64         `json:"stretch"`
+	TargetDuration time.Duration   `json:"target"`
+	Advice         *cluster.Advice `json:"advice,omitempty"`
+}
+
+// TermsOf returns the terms of a configured queue.
+func TermsOf(q cluster.Queue) QueueTerms {
+	return QueueTerms{
+		Name: q.Name, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
+		Stretch: q.Stretch, TargetDuration: q.TargetDuration, Advice: q.Advice,
+	}
+}
+
+// Progress is what must outlive the owner of a job that is not final.
+type Progress struct {
+	// Tasks holds the tasks that have had a run.
+	Tasks []TaskProgress `json:"tasks"`
+	// Done holds the occurrences that are over; their tasks are left out.
+	Done []int `json:"done,omitempty"`
+}
+
+// TaskProgress is the durable state of one task.
+type TaskProgress struct {
+	Occurrence int `json:"k,omitempty"`
+	Step       int `json:"s,omitempty"`
+	Index      int `json:"i,omitempty"`
+	Run        int `json:"r"` // the highest one decided
+	// Executor is where that run may be; empty once it is over.
+	Executor   cluster.ExecutorID `json:"e,omitempty"`
+	Done       bool               `json:"d,omitempty"`
+	Failures   int                `json:"f,omitempty"`
+	Checkpoint string             `json:"c,omitempty"`
+}
+
+func (j *jobState) progress() Progress {
+	var p Progress
+	for k, over := range j.over {
+		if over {
+			p.Done = append(p.Done, k)
+		}
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.run > 0 || t.done {
+					p.Tasks = append(p.Tasks, t.progress())
+				}
+			}
+		}
+	}
+	return p
+}
+
+func (t *task) progress() TaskProgress {
+	p := TaskProgress{
+		Occurrence: t.id.Occurrence, Step: t.id.Step, Index: t.id.Index,
+		Run: t.run, Done: t.done, Failures: t.failures, Checkpoint: t.checkpoint,
+	}
+	if t.current != nil {
+		p.Executor = t.current.executor.ID
+	}
+	return p
+}
--- /dev/null
+++ b/policy/shard/shard.go
@@ -0,0 +1,276 @@
+package shard
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/job"
+)
+
+const (
+	// clockDrift is how much slower an executor's clock may run: 2%, and a margin.
+	clockDrift = 0.03
+	// leaseMargin covers the rounding of times on the wire.
+	leaseMargin = 200 * time.Millisecond
+	// resendEvery spaces repeated orders without an answer.
+	resendEvery = 300 * time.Millisecond
+	// retryAfterRefusal spaces starts of a task that was refused room.
+	retryAfterRefusal = 200 * time.Millisecond
+	// retryAfterFailure spaces starts of a task that failed.
+	retryAfterFailure = 50 * time.Millisecond
+	// lookPause lets ends gather between two looks.
+	lookPause = 60 * time.Millisecond
+	// lookRetry spaces looks without an answer.
+	lookRetry = 300 * time.Millisecond
+	// lookWait is how long a look waits for an end; leases are renewed as often.
+	lookWait = 1500 * time.Millisecond
+	// ackDelay bounds how long an executor waits to hear that an end was taken in.
+	ackDelay = 1 * time.Second
+	// suspectFailures in a row make an executor suspect.
+	suspectFailures = 4
+	// suspectTime is how long a suspect gets no work before a trial.
+	suspectTime = 4 * time.Second
+	// waitingEvery bounds how often the counts of waiting jobs are stored.
+	waitingEvery = 1 * time.Second
+	// maxLookRetry bounds the pause between looks without an answer.
+	maxLookRetry = 2 * time.Second
+	// ordersAtOnce bounds the orders on their way to one executor.
+	ordersAtOnce = 4
+	// unsentTries is how often a start that can't be sent is tried.
+	unsentTries = 2
+	// startSends is how often a start is sent before it is given up and stopped.
+	startSends = 4
+)
+
+// Limits are the figures of a deployment.
+type Limits struct {
+	RunLease    time.Duration // asked for by each look and start
+	MaxRunLease time.Duration // the longest that an executor grants
+	StopTime    time.Duration // the longest that a stop takes
+	FarFactor   float64       // slowdown away from the data
+}
+
+// Shard is the state of one service. It is not safe for concurrent use.
+type Shard struct {
+	limits    Limits
+	token     int64 // fencing token
+	jobs      map[job.ID]*jobState
+	executors map[cluster.ExecutorID]*executorState
+	touched   bool // something changed that a new plan may use
+	fenced    bool
+
+	waiting      map[string]int // as stored last
+	waitingAt    time.Time
+	waitingDirty bool
+
+	pendingBatch *Batch
+}
+
+// New returns the shard of an owner with a fencing token.
+func New(limits Limits, token int64) *Shard {
+	return &Shard{
+		limits: limits, token: token,
+		jobs:      map[job.ID]*jobState{},
+		executors: map[cluster.ExecutorID]*executorState{},
+		waiting:   map[string]int{},
+	}
+}
+
+// Fenced reports whether an executor has seen a higher fencing token: the owner
+// must step down.
+func (s *Shard) Fenced() bool { return s.fenced }
+
+// Jobs returns how many jobs are not final.
+func (s *Shard) Jobs() int { return len(s.jobs) }
+
+// Has reports whether the job is known.
+func (s *Shard) Has(id job.ID) bool { return s.jobs[id] != nil }
+
+// AddJob takes in an accepted job, with what an earlier owner stored of it, if
+// anything. Known jobs are left as they are.
+func (s *Shard) AddJob(r Record, p *Progress, now time.Time) {
+	if s.jobs[r.ID] != nil {
+		return
+	}
+	j := newJob(r)
+	s.jobs[r.ID] = j
+	s.touched, s.waitingDirty = true, true
+	if p == nil {
+		j.createDue(now)
+		return
+	}
+	j.restore(*p, now)
+	s.inherit(j, *p, now)
+	j.settle()
+}
+
+// inherit adds the runs that an earlier owner may have begun.
+func (s *Shard) inherit(j *jobState, p Progress, now time.Time) {
+	for _, tp := range p.Tasks {
+		t := j.task(job.TaskID{StepID: job.StepID{Job: j.ID, Occurrence: tp.Occurrence, Step: tp.Step}, Index: tp.Index})
+		if t == nil || tp.Executor == "" {
+			continue
+		}
+		e := s.executors[tp.Executor]
+		if e == nil {
+			e = newExecutor(cluster.Executor{ID: tp.Executor})
+			s.executors[tp.Executor] = e
+		}
+		if e.leaseBound.IsZero() {
+			e.clockAt = now
+			e.extendBound(now, s.limits.MaxRunLease)
+		}
+		r := &run{task: t, number: tp.Run, executor: e, phase: inherited, paced: 100, paceWanted: 100}
+		t.current = r
+		e.take(r)
+	}
+}
+
+// Cancel ends a job; it reports whether the job is known.
+func (s *Shard) Cancel(id job.ID) bool {
+	j := s.jobs[id]
+	if j == nil {
+		return false
+	}
+	if j.cancelled || j.state.Final() {
+		return true
+	}
+	j.cancelled = true
+	s.touched, s.waitingDirty = true, true
+	s.stopAll(j)
+	j.settle()
+	return true
+}
+
+// stopAll stops all runs of a job.
+func (s *Shard) stopAll(j *jobState) {
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			for _, t := range st.tasks {
+				s.stop(t.current)
+			}
+		}
+	}
+}
+
+// stop asks for the end of a run. A run that nobody was told of is dropped at once.
+func (s *Shard) stop(r *run) {
+	if r == nil || r.stopping {
+		return
+	}
+	r.stopping = true
+	r.nextSend = time.Time{}
+}
+
+// SetExecutors takes in the latest list of the service's executors.
+func (s *Shard) SetExecutors(list []cluster.Executor) {
+	for _, e := range s.executors {
+		e.listed = false
+	}
+	for _, listed := range list {
+		e := s.executors[listed.ID]
+		if e == nil {
+			e = newExecutor(listed)
+			s.executors[listed.ID] = e
+		}
+		if listed.Draining && !e.drained {
+			e.drained = true
+		}
+		e.Executor = listed
+		e.listed = true
+	}
+	maps.DeleteFunc(s.executors, func(_ cluster.ExecutorID, e *executorState) bool {
+		return !e.listed && len(e.runs) == 0
+	})
+	s.touched = true
+	s.evacuate()
+}
+
+// Cordon sets which executors are to be emptied.
+func (s *Shard) Cordon(ids map[cluster.ExecutorID]bool) {
+	for _, e := range s.executors {
+		e.cordoned = ids[e.ID]
+	}
+	s.touched = true
+	s.evacuate()
+}
+
+// Empty reports whether nothing runs or may run on an executor of this shard.
+func (s *Shard) Empty(id cluster.ExecutorID) bool {
+	e := s.executors[id]
+	return e == nil || len(e.runs) == 0 && len(e.strays) == 0
+}
+
+// Queue takes in the present terms of a queue.
+func (s *Shard) Queue(q cluster.Queue) {
+	for _, j := range s.jobs {
+		if j.Queue.Name == q.Name {
+			j.Queue = TermsOf(q)
+		}
+	}
+}
+
+// evacuate stops lasting runs on executors that are about to leave, as far as
+// their steps may miss tasks.
+func (s *Shard) evacuate() {
+	for _, e := range s.sortedExecutors() {
+		if !e.drained && !e.cordoned {
+			continue
+		}
+		for _, r := range e.sortedRuns() {
+			if r.task.step.def.LongRunning && r.phase == confirmed && s.mayMove(r) {
+				s.stop(r)
+			}
+		}
+	}
+}
+
+// mayMove reports whether a lasting run may be taken away now.
+func (s *Shard) mayMove(r *run) bool {
+	if r.stopping {
+		return false
+	}
+	if r.executor.drained {
+		return true // it ends soon in any case
+	}
+	away := 0
+	for _, t := range r.task.step.tasks {
+		if t.current == nil || t.current.stopping || t.current.percent < 100 {
+			away++
+		}
+	}
+	return away < r.task.step.def.MayMiss
+}
+
+func (s *Shard) sortedExecutors() []*executorState {
+	ids := slices.Sorted(maps.Keys(s.executors))
+	list := make([]*executorState, 0, len(ids))
+	for _, id := range ids {
+		list = append(list, s.executors[id])
+	}
+	return list
+}
+
+func (e *executorState) sortedRuns() []*run {
+	list := slices.Collect(maps.Values(e.runs))
+	slices.SortFunc(list, func(a, b *run) int { return compareTasks(a.task.id, b.task.id) })
+	return list
+}
+
+func compareTasks(a, b job.TaskID) int {
+	switch {
+	case a.Job != b.Job:
+		if a.Job < b.Job {
+			return -1
+		}
+		return 1
+	case a.Occurrence != b.Occurrence:
+		return a.Occurrence - b.Occurrence
+	case a.Step != b.Step:
+		return a.Step - b.Step
+	default:
+		return a.Index - b.Index
+	}
+}
