--- /dev/null
+++ b/entry/fleetduty/fleetduty.go
@@ -0,0 +1,336 @@
+// Package fleetduty carries out what a fleet planner decides: it empties machines
+// through the owners of their services, and calls the machine service. One instance
+// at a time has this duty.
+package fleetduty
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/entry/election"
+	"github.com/tarragonreach/tarragonreach/entry/follow"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/platform/machines"
+	"github.com/tarragonreach/tarragonreach/platform/registry"
+	"github.com/tarragonreach/tarragonreach/policy/fleetplan"
+	"github.com/tarragonreach/tarragonreach/policy/shard"
+)
+
+// Duty is the name of the duty in the election.
+const Duty = "fleet"
+
+const (
+	// planEvery is the time between two plans, each of which reads the machine list.
+	planEvery = 300 * time.Millisecond
+	// callTimeout bounds one call.
+	callTimeout = 1500 * time.Millisecond
+	// loadPause gathers the loads of several owners.
+	loadPause = 100 * time.Millisecond
+	// holderMargin is added to the least time between two holders' orders.
+	holderMargin = 300 * time.Millisecond
+	// maxFences is after how many refusals of its token a holder steps down.
+	maxFences = 1
+)
+
+// Machines is the part of the machine service's client that the duty uses.
+type Machines interface {
+	List(ctx context.Context) ([]cluster.Machine, error)
+	Move(ctx context.Context, h machines.Holder, m cluster.MachineID, pool cluster.Service) (machines.Refusal, error)
+	Maintain(ctx context.Context, h machines.Holder, m cluster.MachineID, wave int64) (machines.Refusal, error)
+}
+
+// Options are what the duty needs.
+type Options struct {
+	Instance  string
+	Limits    fleetplan.Limits
+	HolderGap time.Duration // least time between the orders of two holders
+	Store     election.Store
+	Machines  Machines
+	Config    func() *cluster.Config
+	Logger    *slog.Logger
+}
+
+type event func()
+
+// Holder has the duty during one term.
+type Holder struct {
+	Options
+	term    election.Term
+	planner *fleetplan.Planner
+	events  chan event
+	ctx     context.Context
+	lose    context.CancelFunc
+
+	loads   map[cluster.Service]shard.Load
+	waves   map[int64]cluster.Wave
+	cordons map[cluster.ExecutorID]cluster.Service
+	fences  int
+}
+
+// Lead has the duty until ctx ends or the term is lost.
+func Lead(ctx context.Context, term election.Term, options Options) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	h := &Holder{
+		Options: options, term: term,
+		planner: fleetplan.New(options.Limits),
+		events:  make(chan event, 64),
+		ctx:     ctx, lose: cancel,
+		loads:   map[cluster.Service]shard.Load{},
+		waves:   map[int64]cluster.Wave{},
+		cordons: map[cluster.ExecutorID]cluster.Service{},
+	}
+	h.Logger = options.Logger.With("duty", Duty, "token", term.Token)
+	if err := h.load(ctx); err != nil {
+		h.Logger.Warn("duty not taken over", "error", err)
+		return
+	}
+	h.follow(ctx)
+	// The last holder may have given an order just now.
+	if backoff.Sleep(ctx, h.HolderGap+holderMargin) != nil {
+		return
+	}
+	h.loop(ctx)
+}
+
+// load reads what earlier holders stored.
+func (h *Holder) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	items, _, err := h.Store.All(ctx, layout.WavesPrefix, kv.Linearizable)
+	if err != nil {
+		return fmt.Errorf("waves: %w", err)
+	}
+	for _, item := range items {
+		var number int64
+		if _, err := fmt.Sscanf(item.Key, layout.WavesPrefix+"%d", &number); err != nil {
+			h.Logger.Warn("entry of a wave left out", "key", item.Key, "error", err)
+			continue
+		}
+		progress, err := layout.Decode[layout.WaveProgress](item.Key, item.Value)
+		if err != nil {
+			return err
+		}
+		h.planner.RestoreWave(number, progress.Done, progress.Reported)
+	}
+	return h.loadCordons(ctx)
+}
+
+func (h *Holder) loadCordons(ctx context.Context) error {
+	config := h.Config()
+	if config == nil {
+		return nil
+	}
+	for _, pool := range config.Pools {
+		prefix := layout.CordonKey(pool.Service, "")
+		items, _, err := h.Store.All(ctx, prefix, kv.Linearizable)
+		if err != nil {
+			return fmt.Errorf("cordons of %s: %w", pool.Service, err)
+		}
+		for _, item := range items {
+			h.cordons[cluster.ExecutorID(strings.TrimPrefix(item.Key, prefix))] = pool.Service
+		}
+	}
+	return nil
+}
+
+func (h *Holder) follow(ctx context.Context) {
+	waves := follow.Follower{Store: h.Store, Prefix: registry.WavePrefix, Logger: h.Logger, Apply: func(c follow.Change) {
+		h.send(func() { h.applyWaves(c) })
+	}}
+	go waves.Run(ctx)
+	loads := follow.Follower{Store: h.Store, Prefix: layout.LoadPrefix, Pause: loadPause, Logger: h.Logger, Apply: func(c follow.Change) {
+		h.send(func() { h.applyLoads(c) })
+	}}
+	go loads.Run(ctx)
+}
+
+func (h *Holder) send(e event) {
+	select {
+	case h.events <- e:
+	case <-h.ctx.Done():
+	}
+}
+
+func (h *Holder) applyWaves(c follow.Change) {
+	for _, event := range c.Events {
+		if event.Removed {
+			continue
+		}
+		wave, err := registry.Wave(event.Value)
+		if err != nil {
+			h.Logger.Error("wave left out", "key", event.Key, "error", err)
+			continue
+		}
+		h.waves[wave.Number] = wave
+		h.Logger.Info("wave", "wave", wave.Number, "machines", len(wave.Machines), "max_down", wave.MaxDown, "duration", wave.Duration.String())
+	}
+}
+
+func (h *Holder) applyLoads(c follow.Change) {
+	for _, event := range c.Events {
+		service := cluster.Service(strings.TrimPrefix(event.Key, layout.LoadPrefix))
+		if event.Removed {
+			delete(h.loads, service)
+			continue
+		}
+		load, err := layout.Decode[shard.Load](event.Key, event.Value)
+		if err != nil {
+			h.Logger.Error("load left out", "error", err)
+			continue
+		}
+		h.loads[service] = load
+	}
+}
+
+func (h *Holder) loop(ctx context.Context) {
+	ticker := time.NewTicker(planEvery)
+	defer ticker.Stop()
+	for h.fences < maxFences {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-h.events:
+			e()
+		case <-ticker.C:
+			h.plan(ctx)
+		}
+	}
+	h.Logger.Warn("the machine service has seen a higher fencing token; stepping down")
+}
+
+func (h *Holder) plan(ctx context.Context) {
+	config := h.Config()
+	if config == nil {
+		return
+	}
+	list, err := h.list(ctx)
+	if err != nil {
+		h.Logger.Warn("machines not listed", "error", err)
+		return
+	}
+	snapshot := fleetplan.Snapshot{Now: time.Now(), Machines: list, Pools: config.Pools, Loads: h.loads, Cordons: h.cordons}
+	for _, wave := range h.waves {
+		snapshot.Waves = append(snapshot.Waves, wave)
+	}
+	for _, action := range h.planner.Plan(snapshot) {
+		h.carryOut(ctx, action)
+	}
+}
+
+func (h *Holder) list(ctx context.Context) ([]cluster.Machine, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return h.Machines.List(ctx)
+}
+
+func (h *Holder) carryOut(ctx context.Context, a fleetplan.Action) {
+	var err error
+	outcome := ""
+	switch a.Kind {
+	case fleetplan.Cordon:
+		err = h.cordon(ctx, a)
+	case fleetplan.Uncordon:
+		err = h.uncordon(ctx, a)
+	case fleetplan.Report:
+		err = h.report(ctx, a)
+	default:
+		outcome, err = h.act(ctx, a)
+	}
+	h.Logger.Info("fleet action", "kind", a.Kind.String(), "machine", string(a.Machine), "executor", string(a.Executor),
+		"service", string(a.Service), "wave", a.Wave, "state", string(a.State), "reason", a.Reason, "outcome", outcome, "error", err)
+}
+
+func (h *Holder) txn(ctx context.Context, t kv.Txn) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	t.Conditions = append(t.Conditions, h.term.Condition())
+	result, err := h.Store.Txn(ctx, t)
+	if err == nil && !result.Applied {
+		h.lose()
+		return fmt.Errorf("the term is over")
+	}
+	return err
+}
+
+func (h *Holder) cordon(ctx context.Context, a fleetplan.Action) error {
+	key := layout.CordonKey(a.Service, a.Executor)
+	err := h.txn(ctx, kv.Txn{Puts: []kv.Put{{Key: key, Value: []byte("{}")}}})
+	h.cordons[a.Executor] = a.Service // also if unknown: it is taken back later
+	return err
+}
+
+func (h *Holder) uncordon(ctx context.Context, a fleetplan.Action) error {
+	err := h.txn(ctx, kv.Txn{Deletes: []string{layout.CordonKey(a.Service, a.Executor)}})
+	if err == nil {
+		delete(h.cordons, a.Executor)
+	}
+	return err
+}
+
+// report tells the operator the state of a wave, and stores it beside what is done.
+func (h *Holder) report(ctx context.Context, a fleetplan.Action) error {
+	status, err := registry.EncodeWaveStatus(a.State)
+	if err != nil {
+		return err
+	}
+	progress, err := layout.Encode(layout.WaveProgress{Done: h.planner.Done(a.Wave), Reported: a.State})
+	if err != nil {
+		return err
+	}
+	err = h.txn(ctx, kv.Txn{Puts: []kv.Put{
+		{Key: registry.WaveStatusKey(a.Wave), Value: status},
+		{Key: layout.WaveKey(a.Wave), Value: progress},
+	}})
+	if err != nil {
+		h.planner.Unreported(a.Wave)
+	}
+	return err
+}
+
+// act calls the machine service and feeds the outcome back.
+func (h *Holder) act(ctx context.Context, a fleetplan.Action) (string, error) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	holder := machines.Holder{Name: h.Instance, Token: h.term.Token}
+	var refusal machines.Refusal
+	var err error
+	if a.Kind == fleetplan.Maintain {
+		refusal, err = h.Machines.Maintain(callCtx, holder, a.Machine, a.Wave)
+	} else {
+		refusal, err = h.Machines.Move(callCtx, holder, a.Machine, a.Service)
+	}
+	if refusal == machines.RefusedFence {
+		h.fences++
+	}
+	h.planner.Answered(a, outcomeOf(refusal, err), time.Now())
+	if err != nil || refusal != machines.NotRefused || a.Kind != fleetplan.Maintain {
+		return string(refusal), err
+	}
+	return "done", h.storeWave(ctx, a.Wave)
+}
+
+func outcomeOf(refusal machines.Refusal, err error) fleetplan.Outcome {
+	switch {
+	case err != nil && !kv.NotRun(err):
+		return fleetplan.Unknown
+	case err != nil || refusal != machines.NotRefused:
+		return fleetplan.Refused
+	default:
+		return fleetplan.Agreed
+	}
+}
+
+func (h *Holder) storeWave(ctx context.Context, number int64) error {
+	progress, err := layout.Encode(layout.WaveProgress{Done: h.planner.Done(number), Reported: cluster.WaveRunning})
+	if err != nil {
+		return err
+	}
+	return h.txn(ctx, kv.Txn{Puts: []kv.Put{{Key: layout.WaveKey(number), Value: progress}}})
+}
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -19,10 +19,10 @@
 }
 
 const (
-	// watchWait bounds one watch, and so how long a silent connection goes unnoticed.
-	watchWait = 5 * time.Second
+	// defaultWait bounds one watch, and so how long a silent one goes unnoticed.
+	defaultWait = 2 * time.Second
 	// watchSlack is how much later than asked the answer of a watch may come.
-	watchSlack = 1 * time.Second
+	watchSlack = 600 * time.Millisecond
 	// listTimeout bounds the listing of a prefix.
 	listTimeout = 3 * time.Second
 )
@@ -43,6 +43,8 @@
 	Prefix string
 	// Pause is waited between two watches, so that frequent changes come together.
 	Pause time.Duration
+	// Wait bounds one watch; zero takes the default.
+	Wait time.Duration
 	// Apply takes in each change, in order. It is not called concurrently.
 	Apply  func(Change)
 	Logger *slog.Logger
@@ -116,7 +118,11 @@
 }
 
 func (f *Follower) watchOnce(ctx context.Context, after kv.Revision) (kv.Events, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	wait := f.Wait
+	if wait == 0 {
+		wait = defaultWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	return f.Store.Watch(ctx, f.Prefix, after, watchWait)
+	return f.Store.Watch(ctx, f.Prefix, after, wait)
 }
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -16,6 +16,7 @@
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/entry/election"
+	"github.com/tarragonreach/tarragonreach/entry/fleetduty"
 	"github.com/tarragonreach/tarragonreach/entry/follow"
 	"github.com/tarragonreach/tarragonreach/entry/intake"
 	"github.com/tarragonreach/tarragonreach/entry/metrics"
@@ -24,8 +25,10 @@
 	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/platform/executor"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/platform/machines"
 	"github.com/tarragonreach/tarragonreach/platform/nodefile"
 	"github.com/tarragonreach/tarragonreach/platform/registry"
+	"github.com/tarragonreach/tarragonreach/policy/fleetplan"
 	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
@@ -36,6 +39,9 @@
 	// readinessDelay is how long an instance that leaves goes on serving, so that
 	// the platform stops sending it connections: two probes missed, and a margin.
 	readinessDelay = 2300 * time.Millisecond
+	// operatorWait bounds how long a change of the operator goes unnoticed where a
+	// watch is silent; a configuration must be in force within 2 s.
+	operatorWait = 700 * time.Millisecond
 	// exitMargin is left of the platform's grace for the end of the process.
 	exitMargin = 600 * time.Millisecond
 	// headerTimeout bounds how long the header of a request may take.
@@ -120,6 +126,9 @@
 	h.dutyCtx, h.duties = context.WithCancel(background)
 	h.following.Go(func() { h.election.Follow(background) })
 	h.following.Go(func() { h.followOperator(background) })
+	if h.node.MachinesAddress != "" {
+		h.running.Go(h.campaignForFleet)
+	}
 	h.logger.Info("started", "front", h.node.FrontAddress, "store", h.node.StoreAddress)
 	return nil
 }
@@ -133,7 +142,7 @@
 
 // followOperator keeps up with the operator's configuration.
 func (h *Host) followOperator(ctx context.Context) {
-	f := follow.Follower{Store: h.store, Prefix: registry.OperatorPrefix, Apply: h.applyOperator, Logger: h.logger}
+	f := follow.Follower{Store: h.store, Prefix: registry.OperatorPrefix, Wait: operatorWait, Apply: h.applyOperator, Logger: h.logger}
 	f.Run(ctx)
 }
 
@@ -195,7 +204,25 @@
 	})
 }
 
-func dialExecutor(id cluster.ExecutorID, address string) owner.Executor { return executor.New(id, address) }
+// campaignForFleet makes this instance a candidate for the machines' duty.
+func (h *Host) campaignForFleet() {
+	options := fleetduty.Options{
+		Instance:  string(h.node.ID),
+		Limits:    fleetplan.Limits{MaintenanceTime: h.node.MaintenanceTime, MoveTime: h.node.MoveTime},
+		HolderGap: h.node.HolderGap,
+		Store:     h.store,
+		Machines:  machines.New(h.node.MachinesAddress),
+		Config:    h.config.Load,
+		Logger:    h.logger,
+	}
+	h.election.Campaign(h.dutyCtx, fleetduty.Duty, func(ctx context.Context, term election.Term) {
+		fleetduty.Lead(ctx, term, options)
+	})
+}
+
+func dialExecutor(id cluster.ExecutorID, address string) owner.Executor {
+	return executor.New(id, address)
+}
 
 // stop leaves: readiness fails, duties are handed over, and callers are served
 // until the platform sends no more of them.
@@ -221,4 +248,3 @@
 	h.logger.Info("stopped", "ms", time.Since(started).Milliseconds())
 	return nil
 }
-
--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -6,6 +6,8 @@
 //	shard/SERVICE/cancel/JOB      a cancellation that was acknowledged
 //	progress/SERVICE/JOB          shard.Progress of a job that is not final
 //	waiting/SERVICE               Waiting: counts of jobs for which nothing started
+//	load/SERVICE                  shard.Load: what the planner of the fleet goes by
+//	waves/N                       WaveProgress
 //	chain/SERVICE                 Link: the last write of an owner
 //	owners/DUTY                   Holder: who has a duty, under a lease
 package layout
@@ -13,6 +15,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -50,6 +53,24 @@
 // WaitingKey holds the counts of waiting jobs of a service's queues.
 func WaitingKey(s cluster.Service) string { return "waiting/" + string(s) }
 
+// LoadPrefix holds the loads of all services.
+const LoadPrefix = "load/"
+
+// LoadKey holds the load of a service.
+func LoadKey(s cluster.Service) string { return LoadPrefix + string(s) }
+
+// WaveKey holds how far a maintenance wave has come.
+func WaveKey(number int64) string { return "waves/" + strconv.FormatInt(number, 10) }
+
+// WavesPrefix holds how far all waves have come.
+const WavesPrefix = "waves/"
+
+// WaveProgress lists the machines of a wave whose maintenance has begun.
+type WaveProgress struct {
+	Done     []cluster.MachineID `json:"done"`
+	Reported cluster.WaveState   `json:"reported"`
+}
+
 // ChainKey holds the last link of a service's chain of writes.
 func ChainKey(s cluster.Service) string { return "chain/" + string(s) }
 
--- /dev/null
+++ b/policy/fleetplan/waves.go
@@ -0,0 +1,140 @@
+package fleetplan
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+)
+
+const (
+	// waveShare is the share of a wave's time within which it is to be over.
+	waveShare = 0.75
+	// emptyTime is how long it takes to empty a machine, roughly.
+	emptyTime = 2500 * time.Millisecond
+	// goneAfter is how long a machine must be missing from the list to be gone.
+	goneAfter = 3 * time.Second
+	// poolShareDown bounds the share of a pool's machines that a wave takes at once.
+	poolShareDown = 0.25
+)
+
+func (p *Planner) planWaves(v *view) []Action {
+	var actions []Action
+	for _, wave := range v.Waves {
+		w := p.wave(wave.Number, v.Now)
+		if w.reported == cluster.WaveCompleted {
+			continue
+		}
+		left := p.left(v, wave, w)
+		state := cluster.WaveRunning
+		if len(left) == 0 {
+			state = cluster.WaveCompleted
+		}
+		if state != w.reported {
+			w.reported = state
+			actions = append(actions, Action{Kind: Report, Wave: wave.Number, State: state})
+		}
+		actions = append(actions, p.advance(v, wave, w, left)...)
+	}
+	return actions
+}
+
+// left returns the machines of a wave whose maintenance has not begun and that are
+// not gone for good.
+func (p *Planner) left(v *view, wave cluster.Wave, w *waveState) []cluster.MachineID {
+	var left []cluster.MachineID
+	for _, id := range wave.Machines {
+		_, listed := v.byID[id]
+		switch {
+		case w.done[id]:
+		case listed:
+			delete(w.gone, id)
+			left = append(left, id)
+		case w.gone[id].IsZero():
+			w.gone[id] = v.Now
+			left = append(left, id)
+		case v.Now.Sub(w.gone[id]) < goneAfter:
+			left = append(left, id)
+		}
+	}
+	return left
+}
+
+// advance begins the maintenance of further machines of a wave.
+func (p *Planner) advance(v *view, wave cluster.Wave, w *waveState, left []cluster.MachineID) []Action {
+	down := p.underMaintenance(v, wave)
+	room := min(wave.MaxDown, p.pace(v, wave, w, len(left))) - down
+	var candidates []cluster.Machine
+	for _, id := range left {
+		m, listed := v.byID[id]
+		if listed && m.State == cluster.MachineUp && p.operations[id] == nil {
+			candidates = append(candidates, m)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b cluster.Machine) int {
+		return cmp.Compare(v.effort(a), v.effort(b))
+	})
+	var actions []Action
+	for _, m := range candidates {
+		if room <= 0 {
+			break
+		}
+		if !p.poolHasRoom(v, m.Pool) {
+			continue
+		}
+		room--
+		actions = append(actions, p.begin(v, m, operation{kind: Maintain, wave: wave.Number}, "maintenance")...)
+	}
+	return actions
+}
+
+// underMaintenance counts the machines of a wave that are down or may go down.
+func (p *Planner) underMaintenance(v *view, wave cluster.Wave) int {
+	n := 0
+	for _, id := range wave.Machines {
+		op := p.operations[id]
+		if op != nil && op.kind == Maintain || v.byID[id].State == cluster.MachineMaintenance {
+			n++
+		}
+	}
+	return n
+}
+
+// pace is how many machines have to be down at once for the wave to be over in time.
+func (p *Planner) pace(v *view, wave cluster.Wave, w *waveState, left int) int {
+	end := w.begun.Add(time.Duration(waveShare * float64(wave.Duration)))
+	remaining := end.Sub(v.Now)
+	each := p.limits.MaintenanceTime + emptyTime
+	if remaining <= each {
+		return wave.MaxDown
+	}
+	return int(math.Ceil(float64(left) * float64(each) / float64(remaining)))
+}
+
+// effort orders machines: off, empty, with short tasks only, with lasting ones.
+func (v *view) effort(m cluster.Machine) int {
+	if v.pools[m.Pool].Spare {
+		return 0
+	}
+	l, _ := v.load(m)
+	return 1 + l.Runs + lastingEffort*l.Lasting
+}
+
+// lastingEffort is how many short tasks weigh as much as one that must move.
+const lastingEffort = 10
+
+// poolHasRoom reports whether another machine of the pool may be taken.
+func (p *Planner) poolHasRoom(v *view, pool cluster.Service) bool {
+	if v.pools[pool].Spare {
+		return true
+	}
+	away := 0
+	for _, m := range v.members[pool] {
+		if p.operations[m.ID] != nil || m.State != cluster.MachineUp {
+			away++
+		}
+	}
+	return away < max(1, int(poolShareDown*float64(len(v.members[pool]))))
+}
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -15,6 +15,8 @@
 	// Waiting counts, by queue, the jobs for which nothing has started; nil leaves
 	// what is stored.
 	Waiting map[string]int
+	// Load is for the planner of the fleet; nil leaves what is stored.
+	Load *Load
 
 	starts []*run
 }
@@ -58,6 +60,8 @@
 	progressEntries = 2
 	// waitingEntries: the counts of waiting jobs.
 	waitingEntries = 1
+	// loadEntries: the load.
+	loadEntries = 1
 )
 
 // Batch returns what must be stored next, or nil. It plans the starts that fit. A
@@ -67,10 +71,11 @@
 		return nil
 	}
 	s.expire(now)
-	b := &builder{shard: s, now: now, left: entries, in: map[*jobState]bool{}}
+	b := &builder{shard: s, now: now, left: entries - loadEntries, in: map[*jobState]bool{}}
 	b.addWaiting()
 	b.addChanged()
 	b.addStarts()
+	b.addLoad()
 	batch := b.finish()
 	if batch == nil {
 		s.touched = false
@@ -211,8 +216,22 @@
 	b.batch.starts = append(b.batch.starts, runs...)
 }
 
+// addLoad stores the load as it stands after the starts.
+func (b *builder) addLoad() {
+	s := b.shard
+	if b.now.Sub(s.loadAt) < loadEvery {
+		return
+	}
+	load := s.load(b.now)
+	if load.same(s.lastLoad) {
+		return
+	}
+	s.loadAt, s.lastLoad = b.now, load
+	b.batch.Load = &load
+}
+
 func (b *builder) finish() *Batch {
-	if len(b.jobs) == 0 && b.batch.Waiting == nil {
+	if len(b.jobs) == 0 && b.batch.Waiting == nil && b.batch.Load == nil {
 		return nil
 	}
 	for _, j := range b.jobs {
--- a/policy/shard/record.go
+++ b/policy/shard/record.go
@@ -48,10 +48,12 @@
 	Index      int `json:"i,omitempty"`
 	Run        int `json:"r"` // the highest one decided
 	// Executor is where that run may be; empty once it is over.
-	Executor   cluster.ExecutorID `json:"e,omitempty"`
-	Done       bool               `json:"d,omitempty"`
-	Failures   int                `json:"f,omitempty"`
-	Checkpoint string             `json:"c,omitempty"`
+	Executor cluster.ExecutorID `json:"e,omitempty"`
+	// Address is that executor's; whoever answers there now tells its fate.
+	Address    string `json:"a,omitempty"`
+	Done       bool   `json:"d,omitempty"`
+	Failures   int    `json:"f,omitempty"`
+	Checkpoint string `json:"c,omitempty"`
 }
 
 func (j *jobState) progress() Progress {
@@ -80,6 +82,7 @@
 	}
 	if t.current != nil {
 		p.Executor = t.current.executor.ID
+		p.Address = t.current.executor.Address
 	}
 	return p
 }
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -65,6 +65,10 @@
 	waitingAt    time.Time
 	waitingDirty bool
 
+	loadAt      time.Time
+	lastLoad    Load // as stored last
+	arrivedWork int64
+
 	pendingBatch *Batch
 }
 
@@ -97,6 +101,7 @@
 	j := newJob(r)
 	s.jobs[r.ID] = j
 	s.touched, s.waitingDirty = true, true
+	s.arrivedWork += workOf(r)
 	if p == nil {
 		j.createDue(now)
 		return
@@ -115,7 +120,7 @@
 		}
 		e := s.executors[tp.Executor]
 		if e == nil {
-			e = newExecutor(cluster.Executor{ID: tp.Executor})
+			e = newExecutor(cluster.Executor{ID: tp.Executor, Address: tp.Address})
 			s.executors[tp.Executor] = e
 		}
 		if e.leaseBound.IsZero() {
