Move machines after the demand, and ahead of predicted peaks

Change: owners store their load with arrived work; the planner wants room for what runs, waits and arrives, learns the order of the peaks, takes idle machines from the spare pool and from other pools, and gives long idle ones back. Tasks are packed so that machines become empty.

--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -26,12 +26,14 @@
 const Duty = "fleet"
 
 const (
-	// planEvery is the time between two plans, each of which reads the machine list.
-	planEvery = 300 * time.Millisecond
+	// listEvery is the time between two readings of the machine list.
+	listEvery = 250 * time.Millisecond
+	// planEvery is the least time between two plans.
+	planEvery = 40 * time.Millisecond
 	// callTimeout bounds one call.
 	callTimeout = 1500 * time.Millisecond
 	// loadPause gathers the loads of several owners.
-	loadPause = 100 * time.Millisecond
+	loadPause = 20 * time.Millisecond
 	// holderMargin is added to the least time between two holders' orders.
 	holderMargin = 300 * time.Millisecond
 	// maxFences is after how many refusals of its token a holder steps down.
@@ -71,6 +73,10 @@
 	waves   map[int64]cluster.Wave
 	cordons map[cluster.ExecutorID]cluster.Service
 	fences  int
+
+	machines  []cluster.Machine // as listed last
+	listing   bool
+	plannedAt time.Time
 }
 
 // Lead has the duty until ctx ends or the term is lost.
@@ -190,7 +196,7 @@
 }
 
 func (h *Holder) loop(ctx context.Context) {
-	ticker := time.NewTicker(planEvery)
+	ticker := time.NewTicker(listEvery)
 	defer ticker.Stop()
 	for h.fences < maxFences {
 		select {
@@ -199,27 +205,47 @@
 		case e := <-h.events:
 			e()
 		case <-ticker.C:
+			h.refresh(ctx)
+		}
+		if h.machines != nil && time.Since(h.plannedAt) >= planEvery {
 			h.plan(ctx)
 		}
 	}
 	h.Logger.Warn("the machine service has seen a higher fencing token; stepping down")
 }
 
+// refresh reads the machine list, one reading at a time.
+func (h *Holder) refresh(ctx context.Context) {
+	if h.listing {
+		return
+	}
+	h.listing = true
+	go func() {
+		list, err := h.list(ctx)
+		h.send(func() {
+			h.listing = false
+			if err != nil {
+				h.Logger.Warn("machines not listed", "error", err)
+				return
+			}
+			h.machines = list
+		})
+	}()
+}
+
 func (h *Holder) plan(ctx context.Context) {
 	config := h.Config()
 	if config == nil {
 		return
 	}
-	list, err := h.list(ctx)
-	if err != nil {
-		h.Logger.Warn("machines not listed", "error", err)
-		return
-	}
-	snapshot := fleetplan.Snapshot{Now: time.Now(), Machines: list, Pools: config.Pools, Loads: h.loads, Cordons: h.cordons}
+	h.plannedAt = time.Now()
+	snapshot := fleetplan.Snapshot{Now: h.plannedAt, Machines: h.machines, Pools: config.Pools, Loads: h.loads, Cordons: h.cordons}
 	for _, wave := range h.waves {
 		snapshot.Waves = append(snapshot.Waves, wave)
 	}
-	for _, action := range h.planner.Plan(snapshot) {
+	actions := h.planner.Plan(snapshot)
+	h.setCordons(ctx, actions)
+	for _, action := range actions {
 		h.carryOut(ctx, action)
 	}
 }
@@ -231,22 +257,53 @@
 }
 
 func (h *Holder) carryOut(ctx context.Context, a fleetplan.Action) {
-	var err error
-	outcome := ""
 	switch a.Kind {
-	case fleetplan.Cordon:
-		err = h.cordon(ctx, a)
-	case fleetplan.Uncordon:
-		err = h.uncordon(ctx, a)
 	case fleetplan.Report:
-		err = h.report(ctx, a)
-	default:
-		outcome, err = h.act(ctx, a)
+		h.log(a, "", h.report(ctx, a))
+	case fleetplan.Maintain, fleetplan.Move:
+		go h.act(ctx, a)
+	default: // cordons were set together
 	}
+}
+
+func (h *Holder) log(a fleetplan.Action, outcome string, err error) {
 	h.Logger.Info("fleet action", "kind", a.Kind.String(), "machine", string(a.Machine), "executor", string(a.Executor),
 		"service", string(a.Service), "wave", a.Wave, "state", string(a.State), "reason", a.Reason, "outcome", outcome, "error", err)
 }
 
+// setCordons sets and takes back all cordons of a plan in one write each time.
+func (h *Holder) setCordons(ctx context.Context, actions []fleetplan.Action) {
+	var t kv.Txn
+	var lifted []cluster.ExecutorID
+	for _, a := range actions {
+		if t.Entries() == kv.MaxTxnEntries-1 {
+			break // the rest is planned again, or lifted later
+		}
+		key := layout.CordonKey(a.Service, a.Executor)
+		switch a.Kind {
+		case fleetplan.Cordon:
+			t.Puts = append(t.Puts, kv.Put{Key: key, Value: []byte("{}")})
+			h.cordons[a.Executor] = a.Service // also if unclear: it is taken back later
+		case fleetplan.Uncordon:
+			t.Deletes = append(t.Deletes, key)
+			lifted = append(lifted, a.Executor)
+		default:
+			continue
+		}
+		h.log(a, "", nil)
+	}
+	if t.Entries() == 0 {
+		return
+	}
+	if err := h.txn(ctx, t); err != nil {
+		h.Logger.Warn("cordons not stored", "entries", t.Entries(), "error", err)
+		return
+	}
+	for _, id := range lifted {
+		delete(h.cordons, id)
+	}
+}
+
 func (h *Holder) txn(ctx context.Context, t kv.Txn) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -259,21 +316,6 @@
 	return err
 }
 
-func (h *Holder) cordon(ctx context.Context, a fleetplan.Action) error {
-	key := layout.CordonKey(a.Service, a.Executor)
-	err := h.txn(ctx, kv.Txn{Puts: []kv.Put{{Key: key, Value: []byte("{}")}}})
-	h.cordons[a.Executor] = a.Service // also if unknown: it is taken back later
-	return err
-}
-
-func (h *Holder) uncordon(ctx context.Context, a fleetplan.Action) error {
-	err := h.txn(ctx, kv.Txn{Deletes: []string{layout.CordonKey(a.Service, a.Executor)}})
-	if err == nil {
-		delete(h.cordons, a.Executor)
-	}
-	return err
-}
-
 // report tells the operator the state of a wave, and stores it beside what is done.
 func (h *Holder) report(ctx context.Context, a fleetplan.Action) error {
 	status, err := registry.EncodeWaveStatus(a.State)
@@ -295,7 +337,7 @@
 }
 
 // act calls the machine service and feeds the outcome back.
-func (h *Holder) act(ctx context.Context, a fleetplan.Action) (string, error) {
+func (h *Holder) act(ctx context.Context, a fleetplan.Action) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	holder := machines.Holder{Name: h.Instance, Token: h.term.Token}
@@ -306,14 +348,17 @@
 	} else {
 		refusal, err = h.Machines.Move(callCtx, holder, a.Machine, a.Service)
 	}
-	if refusal == machines.RefusedFence {
-		h.fences++
-	}
-	h.planner.Answered(a, outcomeOf(refusal, err), time.Now())
-	if err != nil || refusal != machines.NotRefused || a.Kind != fleetplan.Maintain {
-		return string(refusal), err
-	}
-	return "done", h.storeWave(ctx, a.Wave)
+	h.send(func() {
+		h.log(a, string(refusal), err)
+		if refusal == machines.RefusedFence {
+			h.fences++
+		}
+		outcome := outcomeOf(refusal, err)
+		h.planner.Answered(a, outcome, time.Now())
+		if outcome == fleetplan.Agreed && a.Kind == fleetplan.Maintain {
+			h.storeWave(ctx, a.Wave)
+		}
+	})
 }
 
 func outcomeOf(refusal machines.Refusal, err error) fleetplan.Outcome {
@@ -327,10 +372,14 @@
 	}
 }
 
-func (h *Holder) storeWave(ctx context.Context, number int64) error {
+// storeWave stores which machines of a wave are done. A successor that reads an
+// older state asks again, which the machine service answers without doing anything.
+func (h *Holder) storeWave(ctx context.Context, number int64) {
 	progress, err := layout.Encode(layout.WaveProgress{Done: h.planner.Done(number), Reported: cluster.WaveRunning})
+	if err == nil {
+		err = h.txn(ctx, kv.Txn{Puts: []kv.Put{{Key: layout.WaveKey(number), Value: progress}}})
+	}
 	if err != nil {
-		return err
+		h.Logger.Warn("state of a wave not stored", "wave", number, "error", err)
 	}
-	return h.txn(ctx, kv.Txn{Puts: []kv.Put{{Key: layout.WaveKey(number), Value: progress}}})
 }
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -42,6 +42,10 @@
 	// operatorWait bounds how long a change of the operator goes unnoticed where a
 	// watch is silent; a configuration must be in force within 2 s.
 	operatorWait = 700 * time.Millisecond
+	// moveCost and machineSecondCost weigh moves against idle machines, as the
+	// operators price them.
+	moveCost          = 0.088
+	machineSecondCost = 0.078
 	// exitMargin is left of the platform's grace for the end of the process.
 	exitMargin = 600 * time.Millisecond
 	// headerTimeout bounds how long the header of a request may take.
@@ -207,8 +211,11 @@
 // campaignForFleet makes this instance a candidate for the machines' duty.
 func (h *Host) campaignForFleet() {
 	options := fleetduty.Options{
-		Instance:  string(h.node.ID),
-		Limits:    fleetplan.Limits{MaintenanceTime: h.node.MaintenanceTime, MoveTime: h.node.MoveTime},
+		Instance: string(h.node.ID),
+		Limits: fleetplan.Limits{
+			MaintenanceTime: h.node.MaintenanceTime, MoveTime: h.node.MoveTime,
+			MoveCost: moveCost, MachineSecondCost: machineSecondCost,
+		},
 		HolderGap: h.node.HolderGap,
 		Store:     h.store,
 		Machines:  machines.New(h.node.MachinesAddress),
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -57,7 +57,7 @@
 	// tickEvery bounds how late a timer of the shard is served.
 	tickEvery = 20 * time.Millisecond
 	// executorsPause gathers heartbeats, which change entries all the time.
-	executorsPause = 700 * time.Millisecond
+	executorsPause = 250 * time.Millisecond
 	// jobsPause gathers submissions that come at about the same time.
 	jobsPause = 10 * time.Millisecond
 	// orderTimeout bounds one order to an executor.
--- a/policy/fleetplan/fleetplan.go
+++ b/policy/fleetplan/fleetplan.go
@@ -17,6 +17,10 @@
 type Limits struct {
 	MaintenanceTime time.Duration // of one machine
 	MoveTime        time.Duration // of one machine
+	// MoveCost and MachineSecondCost weigh a change of pool against keeping a
+	// machine in a pool for a second.
+	MoveCost          float64
+	MachineSecondCost float64
 }
 
 // Snapshot is what is known of the fleet.
@@ -90,6 +94,7 @@
 	waves      map[int64]*waveState
 	idleSince  map[cluster.MachineID]time.Time
 	demand     map[cluster.Service]*demand
+	turns      *turns
 }
 
 // New returns a planner.
@@ -100,6 +105,7 @@
 		waves:      map[int64]*waveState{},
 		idleSince:  map[cluster.MachineID]time.Time{},
 		demand:     map[cluster.Service]*demand{},
+		turns:      newTurns(),
 	}
 }
 
--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -120,3 +120,13 @@
 	}
 	return n
 }
+
+// hasLasting reports whether any task runs there until its job is cancelled.
+func (e *executorState) hasLasting() bool {
+	for _, r := range e.runs {
+		if r.task.step.def.LongRunning {
+			return true
+		}
+	}
+	return false
+}
--- a/policy/shard/load.go
+++ b/policy/shard/load.go
@@ -23,14 +23,16 @@
 
 // ExecutorLoad is what runs or may run on one executor.
 type ExecutorLoad struct {
-	Runs     int   `json:"runs,omitempty"`
-	Lasting  int   `json:"lasting,omitempty"`
-	UsedCPU  int64 `json:"cpu,omitempty"`
-	Cordoned bool  `json:"cordoned,omitempty"` // gets no new work, as asked
+	Runs    int   `json:"runs,omitempty"`
+	Lasting int   `json:"lasting,omitempty"`
+	UsedCPU int64 `json:"cpu,omitempty"`
+	// LastingCPU is the part of UsedCPU that lasting tasks take.
+	LastingCPU int64 `json:"lastingCPU,omitempty"`
+	Cordoned   bool  `json:"cordoned,omitempty"` // gets no new work, as asked
 }
 
 // loadEvery bounds how often a load is stored.
-const loadEvery = 200 * time.Millisecond
+const loadEvery = 100 * time.Millisecond
 
 // load describes the service now.
 func (s *Shard) load(now time.Time) Load {
@@ -43,6 +45,7 @@
 		for _, r := range e.runs {
 			if r.task.step.def.LongRunning {
 				x.Lasting++
+				x.LastingCPU += r.task.step.def.Room().MilliCPU
 			}
 		}
 		l.Executors[e.ID] = x
--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -13,6 +13,7 @@
 	penaltyFar       = 100.0 // not on the rack that holds the data
 	penaltyAvoid     = 50.0  // where the task failed last
 	penaltySameRack  = 10.0  // beside another lasting task of the step on the rack
+	penaltyFresh     = 2.0   // a lasting task where no other one is yet
 	penaltyDisturbed = 5.0   // a filler beside tasks that serve users
 )
 
@@ -119,10 +120,16 @@
 }
 
 // placementCost is lower for better executors: near the data, not where the task
-// failed last, lasting tasks apart from each other, and otherwise the emptiest.
+// failed last, lasting tasks on few executors but apart from those of their step.
+// Otherwise the fullest executor is best, so that others stay empty and may move;
+// beside tasks that serve users the emptiest one is, since all work disturbs them.
 func placementCost(t *task, e *executorState) float64 {
 	def := t.step.def
-	cost := usedShare(e.used, e.Capacity)
+	_, serving := e.pressure()
+	cost := -usedShare(e.used, e.Capacity)
+	if serving || def.TargetLatency > 0 {
+		cost = usedShare(e.used, e.Capacity)
+	}
 	if def.Affinity != "" && e.Rack() != def.Affinity {
 		cost += penaltyFar
 	}
@@ -131,12 +138,13 @@
 	}
 	if def.LongRunning {
 		cost += penaltySameRack * float64(onRack(t.step, e.Rack()))
-	}
-	if def.Fills {
-		if _, serving := e.pressure(); serving {
-			cost += penaltyDisturbed
+		if !e.hasLasting() {
+			cost += penaltyFresh
 		}
 	}
+	if def.Fills && serving {
+		cost += penaltyDisturbed
+	}
 	return cost
 }
 
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -219,9 +219,10 @@
 // addLoad stores the load as it stands after the starts.
 func (b *builder) addLoad() {
 	s := b.shard
-	if b.now.Sub(s.loadAt) < loadEvery {
+	if b.now.Sub(s.loadAt) < loadEvery && !s.loadUrgent {
 		return
 	}
+	s.loadUrgent = false
 	load := s.load(b.now)
 	if load.same(s.lastLoad) {
 		return
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -67,6 +67,7 @@
 
 	loadAt      time.Time
 	lastLoad    Load // as stored last
+	loadUrgent  bool // a cordon was set or an executor under one became empty
 	arrivedWork int64
 
 	pendingBatch *Batch
@@ -196,7 +197,10 @@
 // Cordon sets which executors are to be emptied.
 func (s *Shard) Cordon(ids map[cluster.ExecutorID]bool) {
 	for _, e := range s.executors {
-		e.cordoned = ids[e.ID]
+		if e.cordoned != ids[e.ID] {
+			e.cordoned = ids[e.ID]
+			s.loadUrgent = true
+		}
 	}
 	s.touched = true
 	s.evacuate()
