Tell peaks from chance, and let expiring jobs go first

Cause: two large jobs within 0.7 s read as a peak of 21 machines; lasting tasks waited in pools shrunk below what max-per-server needs; late jobs fell past three objectives behind those still in time.

--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -77,6 +77,8 @@
 	machines  []cluster.Machine // as listed last
 	listing   bool
 	plannedAt time.Time
+	needs     string // as logged last
+	needsAt   time.Time
 }
 
 // Lead has the duty until ctx ends or the term is lost.
@@ -244,6 +246,7 @@
 		snapshot.Waves = append(snapshot.Waves, wave)
 	}
 	actions := h.planner.Plan(snapshot)
+	h.logNeeds()
 	h.setCordons(ctx, actions)
 	for _, action := range actions {
 		h.carryOut(ctx, action)
@@ -271,6 +274,19 @@
 		"service", string(a.Service), "wave", a.Wave, "state", string(a.State), "reason", a.Reason, "outcome", outcome, "error", err)
 }
 
+// needsEvery bounds how often the needs of the services are logged.
+const needsEvery = 500 * time.Millisecond
+
+// logNeeds writes what the services want, when it has changed.
+func (h *Holder) logNeeds() {
+	needs := h.planner.Needs()
+	if needs == h.needs || time.Since(h.needsAt) < needsEvery {
+		return
+	}
+	h.needs, h.needsAt = needs, time.Now()
+	h.Logger.Info("needs", "services", needs)
+}
+
 // setCordons sets and takes back all cordons of a plan in one write each time.
 func (h *Holder) setCordons(ctx context.Context, actions []fleetplan.Action) {
 	var t kv.Txn
--- a/policy/fleetplan/demand.go
+++ b/policy/fleetplan/demand.go
@@ -8,21 +8,23 @@
 
 const (
 	// rateWindow is over how long the present rate of arriving work is taken.
-	rateWindow = 700 * time.Millisecond
+	rateWindow = 1200 * time.Millisecond
 	// hotFactor is how far above its mean a service's rate must be for a peak.
 	hotFactor = 2.0
 	// coolFactor is how far below its mean the rate must fall for the peak to be over.
 	coolFactor = 0.7
-	// hotLeast is the least rate, in thousandths of a core, of a peak.
-	hotLeast = 4000
+	// hotJobs is the least number of jobs within the window of a peak: a few large
+	// jobs that come together by chance are none.
+	hotJobs = 4
 	// warmUp is how long a service is watched before peaks are told from its mean.
 	warmUp = 1 * time.Second
 )
 
-// sample is the work that has arrived by a time, in core-milliseconds.
+// sample is what has arrived by a time; work is in core-milliseconds.
 type sample struct {
 	at   time.Time
 	work int64
+	jobs int64
 }
 
 // demand follows the rate at which a service's work arrives.
@@ -32,6 +34,7 @@
 	first   sample
 	mean    float64
 	hot     bool
+	hotFrom sample
 }
 
 func (p *Planner) demandOf(service cluster.Service) *demand {
@@ -48,11 +51,11 @@
 	for service, load := range v.Loads {
 		d := p.demandOf(service)
 		p.turns.known[service] = true
-		if d.take(sample{v.Now, load.ArrivedWork}) {
+		if d.take(sample{v.Now, load.ArrivedWork, load.ArrivedJobs}) {
 			p.turns.begin(service, v.Now)
 		}
 		if d.hot {
-			p.turns.noteRate(service, d.rate)
+			p.turns.noteRate(service, rateBetween(d.hotFrom, d.samples[len(d.samples)-1]))
 		}
 	}
 }
@@ -72,8 +75,9 @@
 		return false
 	}
 	switch {
-	case !d.hot && d.rate > max(hotLeast, hotFactor*d.mean):
+	case !d.hot && d.rate > hotFactor*d.mean && s.jobs-d.samples[0].jobs >= hotJobs:
 		d.hot = true
+		d.hotFrom = d.samples[0]
 		return true
 	case d.hot && d.rate < coolFactor*d.mean:
 		d.hot = false
--- a/policy/fleetplan/fleetplan.go
+++ b/policy/fleetplan/fleetplan.go
@@ -95,6 +95,7 @@
 	idleSince  map[cluster.MachineID]time.Time
 	demand     map[cluster.Service]*demand
 	turns      *turns
+	lastNeeds  []need
 }
 
 // New returns a planner.
--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
@@ -42,6 +44,7 @@
 	}
 	p.observe(v)
 	needs := p.needs(v)
+	p.lastNeeds = needs
 	donors := p.donors(v, needs)
 	var actions []Action
 	begun := 0
@@ -59,6 +62,15 @@
 	return append(actions, p.giveBack(v, donors, movesAtOnce-begun)...)
 }
 
+// Needs describes what each service wanted of the last plan, for the log.
+func (p *Planner) Needs() string {
+	var b strings.Builder
+	for _, n := range p.lastNeeds {
+		fmt.Fprintf(&b, "%s want=%d have=%d waiting=%t; ", n.service, n.want, n.have, n.urgent)
+	}
+	return b.String()
+}
+
 // needs returns the needs of all services, the most urgent first.
 func (p *Planner) needs(v *view) []need {
 	room := v.machineCPU()
@@ -69,7 +81,7 @@
 			continue
 		}
 		cpu, urgent := p.wantedCPU(v, service)
-		want := max(leastMachines, int(math.Ceil(cpu/float64(room))))
+		want := max(leastMachines, v.Loads[service].LeastExecutors, int(math.Ceil(cpu/float64(room))))
 		list = append(list, need{service: service, want: want, have: p.have(v, service), urgent: urgent})
 	}
 	slices.SortStableFunc(list, func(a, b need) int {
@@ -95,7 +107,10 @@
 	}
 	d := p.demandOf(service)
 	present := used + waitingShare*float64(l.WaitingCPU) + comingShare*float64(l.ComingCPU)
-	arriving := lasting + rateMargin*d.rate
+	arriving := 0.0
+	if d.hot {
+		arriving = lasting + rateMargin*d.rate
+	}
 	predicted := 0.0
 	if p.turns.expects(service, v.Now, p.limits.MoveTime+leadMargin) {
 		predicted = lasting + rateMargin*p.turns.peak(service)
--- a/policy/fleetplan/turns.go
+++ b/policy/fleetplan/turns.go
@@ -24,7 +24,7 @@
 // apart, and predicts the next one.
 type turns struct {
 	history []turn
-	peaks   map[cluster.Service]float64 // highest rate seen, thousandths of a core
+	peaks   map[cluster.Service]float64 // rate of the last one, thousandths of a core
 	known   map[cluster.Service]bool
 }
 
@@ -45,11 +45,11 @@
 
 // noteRate takes in the rate of a service at its peak.
 func (t *turns) noteRate(service cluster.Service, rate float64) {
-	t.peaks[service] = max(t.peaks[service], rate)
+	t.peaks[service] = rate
 }
 
-// peak is the rate to expect of a service at its peak: its own highest one, or
-// that of the others where it has had none.
+// peak is the rate to expect of a service at its peak: that of its last one, or
+// the mean of the others where it has had none.
 func (t *turns) peak(service cluster.Service) float64 {
 	if own := t.peaks[service]; own > 0 {
 		return own
--- a/policy/shard/load.go
+++ b/policy/shard/load.go
@@ -17,8 +17,12 @@
 	WaitingWork int64 `json:"work"`
 	// ArrivedWork is the work of all jobs taken in during the term, in
 	// core-milliseconds; its growth is the demand.
-	ArrivedWork int64                               `json:"arrived"`
-	Executors   map[cluster.ExecutorID]ExecutorLoad `json:"executors"`
+	ArrivedWork int64 `json:"arrived"`
+	ArrivedJobs int64 `json:"arrivedJobs"`
+	// LeastExecutors is how many executors the lasting tasks need at least, since
+	// only so many of a step may run on one.
+	LeastExecutors int                                 `json:"least"`
+	Executors      map[cluster.ExecutorID]ExecutorLoad `json:"executors"`
 }
 
 // ExecutorLoad is what runs or may run on one executor.
@@ -36,7 +40,7 @@
 
 // load describes the service now.
 func (s *Shard) load(now time.Time) Load {
-	l := Load{ArrivedWork: s.arrivedWork, Executors: map[cluster.ExecutorID]ExecutorLoad{}}
+	l := Load{ArrivedWork: s.arrivedWork, ArrivedJobs: s.arrivedJobs, Executors: map[cluster.ExecutorID]ExecutorLoad{}}
 	for _, e := range s.executors {
 		if e.dead || !e.listed && len(e.runs) == 0 {
 			continue
@@ -61,6 +65,7 @@
 func (l *Load) addJob(j *jobState) {
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
+			l.LeastExecutors = max(l.LeastExecutors, st.leastExecutors())
 			for _, t := range st.tasks {
 				if t.done || t.current != nil {
 					continue
@@ -77,6 +82,14 @@
 	}
 }
 
+// leastExecutors is how many executors a lasting step needs.
+func (s *step) leastExecutors() int {
+	if !s.def.LongRunning || s.def.MaxPerServer == 0 {
+		return 0
+	}
+	return (s.def.Count + s.def.MaxPerServer - 1) / s.def.MaxPerServer
+}
+
 // workOf is the work of a job's steps in core-milliseconds.
 func workOf(r Record) int64 {
 	var work int64
@@ -88,7 +101,7 @@
 
 // same reports whether nothing that a planner goes by has changed.
 func (l Load) same(o Load) bool {
-	if l.WaitingCPU != o.WaitingCPU || l.ComingCPU != o.ComingCPU || l.ArrivedWork != o.ArrivedWork || len(l.Executors) != len(o.Executors) {
+	if l.WaitingCPU != o.WaitingCPU || l.ComingCPU != o.ComingCPU || l.ArrivedWork != o.ArrivedWork || l.LeastExecutors != o.LeastExecutors || len(l.Executors) != len(o.Executors) {
 		return false
 	}
 	for id, e := range l.Executors {
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -253,15 +253,20 @@
 type standing int
 
 const (
-	standingLasting standing = iota // serves users already
-	standingInTime                  // can still meet its objective
-	standingLate                    // worth less, but something
-	standingTooLate                 // worth nothing to its caller
+	standingLasting  standing = iota // serves users already
+	standingExpiring                 // late, and soon worth nothing
+	standingInTime                   // can still meet its objective
+	standingLate                     // worth less, but something
+	standingTooLate                  // worth nothing to its caller
 )
 
 // tooLateFactor is how many objectives after its acceptance a job is worth nothing.
 const tooLateFactor = 3
 
+// expiringSlack is how long before that a late job goes first: estimates are rough,
+// and tasks wait for each other.
+const expiringSlack = 1500 * time.Millisecond
+
 func (j *jobState) standing(now time.Time) standing {
 	if j.lasts() {
 		return standingLasting
@@ -270,11 +275,14 @@
 		return standingInTime
 	}
 	end := now.Add(j.remaining())
+	last := j.Accepted.Add(tooLateFactor * j.objective())
 	switch {
 	case !end.After(j.deadline()):
 		return standingInTime
-	case !end.After(j.Accepted.Add(tooLateFactor * j.objective())):
+	case !end.Add(expiringSlack).After(last):
 		return standingLate
+	case !end.After(last):
+		return standingExpiring
 	default:
 		return standingTooLate
 	}
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -66,9 +66,10 @@
 	waitingDirty bool
 
 	loadAt      time.Time
-	lastLoad    Load // as stored last
-	loadUrgent  bool // a cordon was set or an executor under one became empty
-	arrivedWork int64
+	lastLoad    Load  // as stored last
+	loadUrgent  bool  // a cordon was set or an executor under one became empty
+	arrivedWork int64 // core-milliseconds
+	arrivedJobs int64
 
 	pendingBatch *Batch
 }
@@ -103,6 +104,7 @@
 	s.jobs[r.ID] = j
 	s.touched, s.waitingDirty = true, true
 	s.arrivedWork += workOf(r)
+	s.arrivedJobs++
 	if p == nil {
 		j.createDue(now)
 		return
