Call machines for a peak as soon as it shows

Cause: the rate was taken over 1.2 s, so that a peak drew machines one by one. Change: the steepest rate over 0.25 s or more that holds five jobs; in its first 1.5 s a peak is taken to become as high as the last one.

--- a/policy/fleetplan/demand.go
+++ b/policy/fleetplan/demand.go
@@ -7,15 +7,21 @@
 )
 
 const (
-	// rateWindow is over how long the present rate of arriving work is taken.
+	// rateWindow is the longest time over which the present rate of arriving work is
+	// taken.
 	rateWindow = 1200 * time.Millisecond
+	// rateShortest is the shortest such time.
+	rateShortest = 250 * time.Millisecond
 	// hotFactor is how far above its mean a service's rate must be for a peak.
 	hotFactor = 2.0
 	// coolFactor is how far below its mean the rate must fall for the peak to be over.
 	coolFactor = 0.7
-	// hotJobs is the least number of jobs within the window of a peak: a few large
-	// jobs that come together by chance are none.
-	hotJobs = 4
+	// hotJobs is the least number of jobs from which a rate is taken: a few large
+	// jobs that come together by chance are no peak.
+	hotJobs = 5
+	// onset is how long after its beginning a peak is taken to become as high as the
+	// last one.
+	onset = 1500 * time.Millisecond
 	// warmUp is how long a service is watched before peaks are told from its mean.
 	warmUp = 1 * time.Second
 )
@@ -69,13 +75,13 @@
 	for len(d.samples) > 2 && s.at.Sub(d.samples[1].at) >= rateWindow {
 		d.samples = d.samples[1:]
 	}
-	d.rate = rateBetween(d.samples[0], s)
+	d.rate = d.steepest(s)
 	d.mean = rateBetween(d.first, s)
 	if s.at.Sub(d.first.at) < warmUp {
 		return false
 	}
 	switch {
-	case !d.hot && d.rate > hotFactor*d.mean && s.jobs-d.samples[0].jobs >= hotJobs:
+	case !d.hot && d.rate > hotFactor*d.mean:
 		d.hot = true
 		d.hotFrom = d.samples[0]
 		return true
@@ -85,6 +91,33 @@
 	return false
 }
 
+// expected is the rate to make room for, given that of the last peak.
+func (d *demand) expected(now time.Time, peak float64) float64 {
+	switch {
+	case !d.hot:
+		return 0
+	case now.Sub(d.hotFrom.at) < onset:
+		return max(d.rate, peak)
+	default:
+		return d.rate
+	}
+}
+
+// steepest is the highest rate up to s over any time within the window that holds
+// enough jobs, or zero.
+func (d *demand) steepest(s sample) float64 {
+	rate := 0.0
+	for _, from := range d.samples {
+		if s.jobs-from.jobs < hotJobs {
+			break
+		}
+		if s.at.Sub(from.at) >= rateShortest {
+			rate = max(rate, rateBetween(from, s))
+		}
+	}
+	return rate
+}
+
 // rateBetween is the rate between two samples in thousandths of a core.
 func rateBetween(a, b sample) float64 {
 	ms := b.at.Sub(a.at).Milliseconds()
--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -107,10 +107,7 @@
 	}
 	d := p.demandOf(service)
 	present := used + waitingShare*float64(l.WaitingCPU) + comingShare*float64(l.ComingCPU)
-	arriving := 0.0
-	if d.hot {
-		arriving = lasting + rateMargin*d.rate
-	}
+	arriving := lasting + rateMargin*d.expected(v.Now, p.turns.peak(service))
 	predicted := 0.0
 	if p.turns.expects(service, v.Now, p.limits.MoveTime+leadMargin) {
 		predicted = lasting + rateMargin*p.turns.peak(service)
