--- a/entry/owner/load.go
+++ b/entry/owner/load.go
@@ -62,7 +62,7 @@
 func (o *Owner) takeExecutors(items []kv.Item) {
 	list := newExecutorList(o.Service, o.Logger)
 	list.apply(follow.Change{Reset: true, Events: eventsOf(items)})
-	o.shard.SetExecutors(list.list())
+	o.shard.SetExecutors(list.list(), time.Now())
 }
 
 func (o *Owner) loadProgress(ctx context.Context) (map[job.ID]*shard.Progress, error) {
@@ -111,7 +111,7 @@
 			cancels = append(cancels, job.ID(name))
 		}
 	}
-	o.shard.Cordon(o.cordoned)
+	o.shard.Cordon(o.cordoned, now)
 	for _, id := range cancels {
 		o.cancel(id)
 	}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -127,7 +127,7 @@
 	f := follow.Follower{Store: o.Store, Prefix: executorPrefix, Pause: executorsPause, Logger: o.Logger, Apply: func(c follow.Change) {
 		if executors.apply(c) {
 			list := executors.list()
-			o.send(func(time.Time) { o.shard.SetExecutors(list) })
+			o.send(func(now time.Time) { o.shard.SetExecutors(list, now) })
 		}
 	}}
 	go f.Run(ctx)
--- a/policy/shard/looks.go
+++ b/policy/shard/looks.go
@@ -142,7 +142,7 @@
 		s.loadUrgent = true
 	}
 	s.pace(e, now)
-	s.evacuate()
+	s.evacuate(now)
 }
 
 func (s *Shard) applyRunning(e *executorState, row execution.Running, now time.Time) {
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -40,6 +40,9 @@
 	ordersAtOnce = 4
 	// unsentTries is how often a start that can't be sent is tried.
 	unsentTries = 2
+	// seenRecently is the age up to which an executor's answer counts as present; a
+	// look and its retry take less.
+	seenRecently = 2500 * time.Millisecond
 	// startSends is how often a start is sent before it is given up and stopped.
 	startSends = 4
 )
@@ -173,7 +176,7 @@
 }
 
 // SetExecutors takes in the latest list of the service's executors.
-func (s *Shard) SetExecutors(list []cluster.Executor) {
+func (s *Shard) SetExecutors(list []cluster.Executor, now time.Time) {
 	for _, e := range s.executors {
 		e.listed = false
 	}
@@ -193,11 +196,11 @@
 		return !e.listed && len(e.runs) == 0
 	})
 	s.touched = true
-	s.evacuate()
+	s.evacuate(now)
 }
 
 // Cordon sets which executors are to be emptied.
-func (s *Shard) Cordon(ids map[cluster.ExecutorID]bool) {
+func (s *Shard) Cordon(ids map[cluster.ExecutorID]bool, now time.Time) {
 	for _, e := range s.executors {
 		if e.cordoned != ids[e.ID] {
 			e.cordoned = ids[e.ID]
@@ -205,7 +208,7 @@
 		}
 	}
 	s.touched = true
-	s.evacuate()
+	s.evacuate(now)
 }
 
 // Empty reports whether nothing runs or may run on an executor of this shard.
@@ -225,13 +228,13 @@
 
 // evacuate stops lasting runs on executors that are about to leave, as far as
 // their steps may miss tasks.
-func (s *Shard) evacuate() {
+func (s *Shard) evacuate(now time.Time) {
 	for _, e := range s.sortedExecutors() {
 		if !e.drained && !e.cordoned {
 			continue
 		}
 		for _, r := range e.sortedRuns() {
-			if r.task.step.def.LongRunning && r.phase == confirmed && s.mayMove(r) {
+			if r.task.step.def.LongRunning && r.phase == confirmed && s.mayMove(r, now) {
 				s.stop(r)
 			}
 		}
@@ -239,7 +242,7 @@
 }
 
 // mayMove reports whether a lasting run may be taken away now.
-func (s *Shard) mayMove(r *run) bool {
+func (s *Shard) mayMove(r *run, now time.Time) bool {
 	if r.stopping {
 		return false
 	}
@@ -248,13 +251,21 @@
 	}
 	away := 0
 	for _, t := range r.task.step.tasks {
-		if t.current == nil || t.current.stopping || t.current.percent < 100 {
+		if !t.atWork(now) {
 			away++
 		}
 	}
 	return away < r.task.step.def.MayMiss
 }
 
+// atWork reports whether the task was seen at work just now. An executor that does
+// not answer may be gone, and its tasks with it.
+func (t *task) atWork(now time.Time) bool {
+	r := t.current
+	return r != nil && !r.stopping && r.phase == confirmed && r.percent >= 100 &&
+		r.executor.misses == 0 && now.Sub(r.executor.lastSeen) < seenRecently
+}
+
 func (s *Shard) sortedExecutors() []*executorState {
 	ids := slices.Sorted(maps.Keys(s.executors))
 	list := make([]*executorState, 0, len(ids))
