--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -34,6 +34,8 @@
 	callTimeout = 1500 * time.Millisecond
 	// loadPause gathers the loads of several owners.
 	loadPause = 20 * time.Millisecond
+	// loadWait bounds how long a load goes unnoticed where watches are silent.
+	loadWait = 400 * time.Millisecond
 	// holderMargin is added to the least time between two holders' orders.
 	holderMargin = 300 * time.Millisecond
 	// maxFences is after how many refusals of its token a holder steps down.
@@ -153,7 +155,7 @@
 		h.send(func() { h.applyWaves(c) })
 	}}
 	go waves.Run(ctx)
-	loads := follow.Follower{Store: h.Store, Prefix: layout.LoadPrefix, Pause: loadPause, Logger: h.Logger, Apply: func(c follow.Change) {
+	loads := follow.Follower{Store: h.Store, Prefix: layout.LoadPrefix, Pause: loadPause, Wait: loadWait, Logger: h.Logger, Apply: func(c follow.Change) {
 		h.send(func() { h.applyLoads(c) })
 	}}
 	go loads.Run(ctx)
@@ -176,6 +178,9 @@
 			h.Logger.Error("wave left out", "key", event.Key, "error", err)
 			continue
 		}
+		if _, known := h.waves[wave.Number]; known {
+			continue
+		}
 		h.waves[wave.Number] = wave
 		h.Logger.Info("wave", "wave", wave.Number, "machines", len(wave.Machines), "max_down", wave.MaxDown, "duration", wave.Duration.String())
 	}
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -19,10 +19,10 @@
 }
 
 const (
-	// defaultWait bounds one watch, and so how long a silent one goes unnoticed.
-	defaultWait = 2 * time.Second
+	// defaultWait bounds one watch.
+	defaultWait = 1 * time.Second
 	// watchSlack is how much later than asked the answer of a watch may come.
-	watchSlack = 600 * time.Millisecond
+	watchSlack = 400 * time.Millisecond
 	// listTimeout bounds the listing of a prefix.
 	listTimeout = 3 * time.Second
 )
@@ -43,7 +43,8 @@
 	Prefix string
 	// Pause is waited between two watches, so that frequent changes come together.
 	Pause time.Duration
-	// Wait bounds one watch; zero takes the default.
+	// Wait bounds one watch, and so how long changes go unnoticed where watches are
+	// silent; zero takes the default.
 	Wait time.Duration
 	// Apply takes in each change, in order. It is not called concurrently.
 	Apply  func(Change)
@@ -92,28 +93,25 @@
 	return asOf, nil
 }
 
-// watch passes changes on until the history is gone or ctx ends.
+// watch passes changes on until the history is gone, the watch stays silent, or ctx
+// ends. A watch may hear nothing though there are changes, which only a new listing
+// shows.
 func (f *Follower) watch(ctx context.Context, after kv.Revision) {
-	failures := 0
 	for ctx.Err() == nil {
 		events, err := f.watchOnce(ctx, after)
-		if errors.Is(err, kv.ErrCompacted) {
+		switch {
+		case errors.Is(err, kv.ErrCompacted):
 			f.Logger.Info("history of the store is gone; listing again", "prefix", f.Prefix, "revision", int64(after))
 			return
+		case err != nil && ctx.Err() == nil:
+			f.Logger.Warn("watch broke off; listing again", "prefix", f.Prefix, "revision", int64(after), "error", err)
+			return
+		case err != nil || len(events.Events) == 0:
+			return
 		}
-		if err != nil {
-			failures = f.failed(ctx, failures, err)
-			continue
-		}
-		if failures > 0 {
-			f.Logger.Info("store answers again", "prefix", f.Prefix, "revision", int64(events.AsOf), "failures", failures)
-		}
-		failures = 0
 		after = max(after, events.AsOf)
-		if len(events.Events) > 0 {
-			f.Apply(Change{Events: events.Events})
-			_ = backoff.Sleep(ctx, f.Pause) // the loop looks at ctx
-		}
+		f.Apply(Change{Events: events.Events})
+		_ = backoff.Sleep(ctx, f.Pause) // the loop looks at ctx
 	}
 }
 
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -60,6 +60,8 @@
 	executorsPause = 250 * time.Millisecond
 	// jobsPause gathers submissions that come at about the same time.
 	jobsPause = 10 * time.Millisecond
+	// jobsWait bounds how long a submission goes unnoticed where watches are silent.
+	jobsWait = 400 * time.Millisecond
 	// orderTimeout bounds one order to an executor.
 	orderTimeout = 600 * time.Millisecond
 	// lookSlack is how much later than asked the answer to a look may come.
@@ -131,7 +133,7 @@
 		}
 	}}
 	go f.Run(ctx)
-	jobs := follow.Follower{Store: o.Store, Prefix: o.shardPrefix(), Pause: jobsPause, Logger: o.Logger, Apply: func(c follow.Change) {
+	jobs := follow.Follower{Store: o.Store, Prefix: o.shardPrefix(), Pause: jobsPause, Wait: jobsWait, Logger: o.Logger, Apply: func(c follow.Change) {
 		o.send(func(now time.Time) { o.applyJobs(c, now) })
 	}}
 	go jobs.Run(ctx)
--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -15,8 +15,8 @@
 const (
 	// rateMargin is the room kept above the rate at which work arrives.
 	rateMargin = 1.15
-	// waitingShare is the share of the waiting tasks' need for which room is made.
-	waitingShare = 0.8
+	// lateShare is the share of the late tasks' need for which room is made.
+	lateShare = 0.8
 	// comingShare is the share of the coming tasks' need for which room is made.
 	comingShare = 0.3
 	// leadMargin is how much earlier than its move takes a machine is called for a
@@ -28,16 +28,8 @@
 	leastMachines = 2
 )
 
-// need is how many machines a service wants now.
-type need struct {
-	service cluster.Service
-	want    int
-	have    int // in the pool or on their way to it, less those that leave
-	urgent  bool
-}
-
 // planMoves begins moves between pools: to those that lack machines from the spare
-// pool and from pools whose machines stand idle, and back to the spare pool.
+// pool and from pools that have more than their share, and back to the spare pool.
 func (p *Planner) planMoves(v *view) []Action {
 	if v.spare == "" {
 		return nil
@@ -49,12 +41,11 @@
 	var actions []Action
 	begun := 0
 	for _, n := range needs {
-		for n.have < n.want && begun < movesAtOnce {
+		for lack := n.share - n.have; lack > 0 && begun < movesAtOnce; lack-- {
 			m, found := donors.take(n.service)
 			if !found {
-				return actions
+				break
 			}
-			n.have++
 			begun++
 			actions = append(actions, p.begin(v, m, operation{kind: Move, to: n.service}, "demand")...)
 		}
@@ -66,12 +57,13 @@
 func (p *Planner) Needs() string {
 	var b strings.Builder
 	for _, n := range p.lastNeeds {
-		fmt.Fprintf(&b, "%s want=%d have=%d waiting=%t; ", n.service, n.want, n.have, n.urgent)
+		fmt.Fprintf(&b, "%s in_time=%d all=%d share=%d have=%d; ", n.service, n.inTime, n.all, n.share, n.have)
 	}
 	return b.String()
 }
 
-// needs returns the needs of all services, the most urgent first.
+// needs returns the needs of all services with their shares, those that lack most
+// first.
 func (p *Planner) needs(v *view) []need {
 	room := v.machineCPU()
 	var list []need
@@ -80,39 +72,46 @@
 		if !configured || pool.Spare || room == 0 {
 			continue
 		}
-		cpu, urgent := p.wantedCPU(v, service)
-		want := max(leastMachines, v.Loads[service].LeastExecutors, int(math.Ceil(cpu/float64(room))))
-		list = append(list, need{service: service, want: want, have: p.have(v, service), urgent: urgent})
-	}
+		inTime, all := p.wantedCPU(v, service)
+		least := max(leastMachines, v.Loads[service].LeastExecutors)
+		list = append(list, need{
+			service: service,
+			inTime:  max(least, int(math.Ceil(inTime/float64(room)))),
+			all:     max(least, int(math.Ceil(all/float64(room)))),
+			least:   least,
+			have:    p.have(v, service),
+		})
+	}
+	share(list, v.usableMachines())
 	slices.SortStableFunc(list, func(a, b need) int {
-		if a.urgent != b.urgent {
-			if a.urgent {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(b.want-b.have, a.want-a.have)
+		return cmp.Compare(b.share-b.have, a.share-a.have)
 	})
 	return list
 }
 
-// wantedCPU is the processor room that a service needs now, or will by the time
-// that a machine called now has come.
-func (p *Planner) wantedCPU(v *view, service cluster.Service) (cpu float64, urgent bool) {
+// wantedCPU is the processor room that a service needs by the time that a machine
+// called now has come: for jobs that can be in time, and for all that are of use.
+func (p *Planner) wantedCPU(v *view, service cluster.Service) (inTime, all float64) {
 	l := v.Loads[service]
-	var used, lasting float64
-	for _, x := range l.Executors {
-		used += float64(x.UsedCPU)
-		lasting += float64(x.LastingCPU)
-	}
-	d := p.demandOf(service)
-	present := used + waitingShare*float64(l.WaitingCPU) + comingShare*float64(l.ComingCPU)
-	arriving := lasting + rateMargin*d.expected(v.Now, p.turns.peak(service))
-	predicted := 0.0
+	peak := p.turns.peak(service)
+	rate := p.demandOf(service).expected(v.Now, peak)
 	if p.turns.expects(service, v.Now, p.limits.MoveTime+leadMargin) {
-		predicted = lasting + rateMargin*p.turns.peak(service)
+		rate = max(rate, peak)
+	}
+	lasting := float64(l.LastingCPU)
+	inTime = lasting + max(rateMargin*rate, float64(l.InTimeCPU)+comingShare*float64(l.ComingCPU))
+	return inTime, inTime + lateShare*float64(l.LateCPU)
+}
+
+// usableMachines counts the machines that run, or may be made to.
+func (v *view) usableMachines() int {
+	n := 0
+	for _, m := range v.Machines {
+		if m.State == cluster.MachineUp || m.State == cluster.MachineMoving {
+			n++
+		}
 	}
-	return max(present, arriving, predicted), l.WaitingCPU > 0
+	return n
 }
 
 // have counts the machines of a pool that are or will be of use to it.
@@ -149,28 +148,34 @@
 type donors struct {
 	spare  []cluster.Machine
 	idle   []cluster.Machine       // of other pools, longest idle first
+	busy   []cluster.Machine       // of other pools with short tasks, fewest first
 	excess map[cluster.Service]int // how many a pool may give
 }
 
 func (p *Planner) donors(v *view, needs []need) *donors {
 	d := &donors{excess: map[cluster.Service]int{}}
 	for _, n := range needs {
-		d.excess[n.service] = n.have - n.want
+		d.excess[n.service] = n.have - n.share
 	}
 	for _, m := range v.Machines {
-		idle := m.State == cluster.MachineUp && p.operations[m.ID] == nil
+		l, known := v.load(m)
 		switch {
-		case !idle:
+		case m.State != cluster.MachineUp || p.operations[m.ID] != nil:
 			delete(p.idleSince, m.ID)
 		case m.Pool == v.spare:
 			d.spare = append(d.spare, m)
 		case p.standsIdle(v, m):
 			d.idle = append(d.idle, m)
+		case known && l.Lasting == 0 && !l.Cordoned:
+			d.busy = append(d.busy, m)
 		}
 	}
 	slices.SortStableFunc(d.idle, func(a, b cluster.Machine) int {
 		return p.idleSince[a.ID].Compare(p.idleSince[b.ID])
 	})
+	slices.SortStableFunc(d.busy, func(a, b cluster.Machine) int {
+		return cmp.Compare(v.effort(a), v.effort(b))
+	})
 	return d
 }
 
@@ -187,17 +192,25 @@
 	return true
 }
 
-// take returns a machine for a service.
+// take returns a machine for a service: a spare one, an idle one, or one that must
+// first finish its tasks.
 func (d *donors) take(service cluster.Service) (cluster.Machine, bool) {
 	if len(d.spare) > 0 {
 		m := d.spare[0]
 		d.spare = d.spare[1:]
 		return m, true
 	}
-	for i, m := range d.idle {
+	if m, found := d.takeFrom(&d.idle, service); found {
+		return m, true
+	}
+	return d.takeFrom(&d.busy, service)
+}
+
+func (d *donors) takeFrom(list *[]cluster.Machine, service cluster.Service) (cluster.Machine, bool) {
+	for i, m := range *list {
 		if m.Pool != service && d.excess[m.Pool] > 0 {
 			d.excess[m.Pool]--
-			d.idle = slices.Delete(d.idle, i, i+1)
+			*list = slices.Delete(*list, i, i+1)
 			return m, true
 		}
 	}
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -287,16 +287,24 @@
 	return time.Duration(j.Queue.Stretch*float64(j.chain)) + j.Queue.TargetDuration
 }
 
-// remaining estimates the longest chain of work that is still to be done.
+const (
+	// estimateMargin is by how much the slowest task of a step exceeds the estimate
+	// for one: estimates are rough, and tasks uneven.
+	estimateMargin = 1.25
+	// stepOverhead is the time from the end of a step to the start of the next one.
+	stepOverhead = 120 * time.Millisecond
+)
+
+// remaining estimates, with a margin, how long the steps still to be done take.
 func (j *jobState) remaining() time.Duration {
 	if len(j.occurrences) == 0 {
-		return j.chain
+		return time.Duration(estimateMargin * float64(j.chain))
 	}
 	steps := j.occurrences[0].steps
 	return chainOf(j.Definition.Steps, func(s *job.Step, number int) time.Duration {
 		if steps[number].left == 0 {
 			return 0
 		}
-		return s.Estimate
+		return time.Duration(estimateMargin*float64(s.Estimate)) + stepOverhead
 	})
 }
--- a/policy/shard/load.go
+++ b/policy/shard/load.go
@@ -1,20 +1,27 @@
 package shard
 
 import (
+	"reflect"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 )
 
-// Load is what an owner tells the planner of the fleet about its service.
+// Load is what an owner tells the planner of the fleet about its service. Needs
+// are in thousandths of a core.
 type Load struct {
-	// WaitingCPU is the need, in thousandths of a core, of tasks that could start now
-	// if there were room.
-	WaitingCPU int64 `json:"waiting"`
-	// ComingCPU is the need of tasks that wait for earlier steps of begun jobs.
+	// InTimeCPU is the need of what runs, or could start now if there were room, for
+	// jobs that can still meet their objective.
+	InTimeCPU int64 `json:"inTime"`
+	// LateCPU is the same for jobs that are late, but not too late to be of use.
+	LateCPU int64 `json:"late"`
+	// ComingCPU is the need of tasks that wait for earlier steps of begun jobs which
+	// can still meet their objective.
 	ComingCPU int64 `json:"coming"`
-	// WaitingWork is the work of all waiting and coming tasks, in core-milliseconds.
-	WaitingWork int64 `json:"work"`
+	// LastingCPU is the need of lasting tasks, running or not.
+	LastingCPU int64 `json:"lasting"`
+	// WaitingCPU is the part of all these that waits for room.
+	WaitingCPU int64 `json:"waiting"`
 	// ArrivedWork is the work of all jobs taken in during the term, in
 	// core-milliseconds; its growth is the demand.
 	ArrivedWork int64 `json:"arrived"`
@@ -27,12 +34,10 @@
 
 // ExecutorLoad is what runs or may run on one executor.
 type ExecutorLoad struct {
-	Runs    int   `json:"runs,omitempty"`
-	Lasting int   `json:"lasting,omitempty"`
-	UsedCPU int64 `json:"cpu,omitempty"`
-	// LastingCPU is the part of UsedCPU that lasting tasks take.
-	LastingCPU int64 `json:"lastingCPU,omitempty"`
-	Cordoned   bool  `json:"cordoned,omitempty"` // gets no new work, as asked
+	Runs     int   `json:"runs,omitempty"`
+	Lasting  int   `json:"lasting,omitempty"`
+	UsedCPU  int64 `json:"cpu,omitempty"`
+	Cordoned bool  `json:"cordoned,omitempty"` // gets no new work, as asked
 }
 
 // loadEvery bounds how often a load is stored.
@@ -49,39 +54,51 @@
 		for _, r := range e.runs {
 			if r.task.step.def.LongRunning {
 				x.Lasting++
-				x.LastingCPU += r.task.step.def.Room().MilliCPU
 			}
 		}
 		l.Executors[e.ID] = x
 	}
 	for _, j := range s.jobs {
-		if !j.ended() && !j.state.Final() && j.standing(now) != standingTooLate {
-			l.addJob(j)
+		if st := j.standing(now); !j.ended() && !j.state.Final() && st != standingTooLate {
+			l.addJob(j, st)
 		}
 	}
 	return l
 }
 
-func (l *Load) addJob(j *jobState) {
+func (l *Load) addJob(j *jobState, st standing) {
 	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			l.LeastExecutors = max(l.LeastExecutors, st.leastExecutors())
-			for _, t := range st.tasks {
-				if t.done || t.current != nil {
-					continue
-				}
-				need := st.def.Room().MilliCPU
-				l.WaitingWork += need * st.def.Estimate.Milliseconds() / 1000
-				if st.blocked == 0 {
-					l.WaitingCPU += need
-				} else if j.begun() {
-					l.ComingCPU += need
+		for _, s := range o.steps {
+			l.LeastExecutors = max(l.LeastExecutors, s.leastExecutors())
+			for _, t := range s.tasks {
+				if !t.done {
+					l.addTask(t, st)
 				}
 			}
 		}
 	}
 }
 
+func (l *Load) addTask(t *task, st standing) {
+	need := t.step.def.Room().MilliCPU
+	blocked := t.step.blocked > 0
+	if t.current == nil && !blocked {
+		l.WaitingCPU += need
+	}
+	switch {
+	case t.step.def.LongRunning:
+		l.LastingCPU += need
+	case blocked:
+		if st == standingInTime && t.step.job.begun() {
+			l.ComingCPU += need
+		}
+	case st == standingInTime:
+		l.InTimeCPU += need
+	default:
+		l.LateCPU += need
+	}
+}
+
 // leastExecutors is how many executors a lasting step needs.
 func (s *step) leastExecutors() int {
 	if !s.def.LongRunning || s.def.MaxPerServer == 0 {
@@ -100,14 +117,4 @@
 }
 
 // same reports whether nothing that a planner goes by has changed.
-func (l Load) same(o Load) bool {
-	if l.WaitingCPU != o.WaitingCPU || l.ComingCPU != o.ComingCPU || l.ArrivedWork != o.ArrivedWork || l.LeastExecutors != o.LeastExecutors || len(l.Executors) != len(o.Executors) {
-		return false
-	}
-	for id, e := range l.Executors {
-		if o.Executors[id] != e {
-			return false
-		}
-	}
-	return true
-}
+func (l Load) same(o Load) bool { return reflect.DeepEqual(l, o) }
