Shares of machines, no blind wait of a new fleet holder, leases of 1.8 s

Cause: after a loss of the fleet's holder nothing moved for 5.8 s; machines with late work kept the pool from services with jobs that can be in time; a machine under maintenance counted as of use, so that its lasting tasks had no place. Change: machines are divided by what can be in time first; a holder announces which machines it orders, and its successor leaves only these alone; expiring jobs get at most 15% of the room.

--- a/entry/election/election.go
+++ b/entry/election/election.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
@@ -21,11 +22,11 @@
 
 const (
 	// leaseTTL bounds how long a duty is vacant after its holder died.
-	leaseTTL = 2500 * time.Millisecond
+	leaseTTL = 1800 * time.Millisecond
 	// renewEvery leaves room for three attempts within a TTL.
-	renewEvery = 700 * time.Millisecond
+	renewEvery = 450 * time.Millisecond
 	// callTimeout bounds one call to the store.
-	callTimeout = 1500 * time.Millisecond
+	callTimeout = 1200 * time.Millisecond
 	// standBack is how long an instance waits for each duty that it has already, so
 	// that duties spread over instances.
 	standBack = 400 * time.Millisecond
@@ -53,6 +54,13 @@
 	// key still has it happens within the term.
 	Revision kv.Revision
 	lease    kv.LeaseID
+	renewed  *atomic.Int64 // when the lease was asked for last, if granted; Unix nanoseconds
+}
+
+// Lasting reports whether the lease can't have lapsed yet, unless the store took it
+// away. A holder that acts only then never acts beside its successor for long.
+func (t Term) Lasting(now time.Time) bool {
+	return now.Sub(time.Unix(0, t.renewed.Load())) < leaseTTL
 }
 
 // Condition holds as long as the term lasts.
@@ -148,9 +156,13 @@
 // renew keeps the term's lease until it is lost.
 func (e *Election) renew(ctx context.Context, term Term, lost func()) {
 	for backoff.Sleep(ctx, renewEvery) == nil {
+		asked := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := e.store.KeepAlive(callCtx, term.lease)
 		cancel()
+		if err == nil {
+			term.renewed.Store(asked.UnixNano())
+		}
 		if errors.Is(err, kv.ErrLeaseLost) {
 			e.logger.Warn("lease of a duty lost", "duty", term.Duty, "token", term.Token)
 			lost()
@@ -183,6 +195,8 @@
 func (e *Election) claim(ctx context.Context, duty string) (Term, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
+	renewed := &atomic.Int64{}
+	renewed.Store(time.Now().UnixNano())
 	lease, err := e.store.Grant(ctx, leaseTTL)
 	if err != nil {
 		return Term{}, fmt.Errorf("lease for duty %s: %w", duty, err)
@@ -198,10 +212,12 @@
 		Puts:       []kv.Put{{Key: key, Value: value, Lease: lease.ID}},
 	})
 	if err == nil && result.Applied {
-		return Term{Duty: duty, Token: int64(result.Revision), Revision: result.Revision, lease: lease.ID}, nil
+		return Term{Duty: duty, Token: int64(result.Revision), Revision: result.Revision, lease: lease.ID, renewed: renewed}, nil
 	}
 	if err != nil && !kv.NotRun(err) {
-		return e.confirm(ctx, duty, holder, lease.ID)
+		term, err := e.confirm(ctx, duty, holder, lease.ID)
+		term.renewed = renewed
+		return term, err
 	}
 	return Term{}, fmt.Errorf("duty %s is taken: %w", duty, errors.Join(err, errTaken))
 }
--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -7,6 +7,8 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -14,7 +16,6 @@
 	"github.com/tarragonreach/tarragonreach/entry/election"
 	"github.com/tarragonreach/tarragonreach/entry/follow"
 	"github.com/tarragonreach/tarragonreach/entry/layout"
-	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 	"github.com/tarragonreach/tarragonreach/platform/machines"
 	"github.com/tarragonreach/tarragonreach/platform/registry"
@@ -74,6 +75,7 @@
 	loads   map[cluster.Service]shard.Load
 	waves   map[int64]cluster.Wave
 	cordons map[cluster.ExecutorID]cluster.Service
+	ordered map[cluster.MachineID]time.Time // when an order was last given
 	fences  int
 
 	machines  []cluster.Machine // as listed last
@@ -95,6 +97,7 @@
 		loads:   map[cluster.Service]shard.Load{},
 		waves:   map[int64]cluster.Wave{},
 		cordons: map[cluster.ExecutorID]cluster.Service{},
+		ordered: map[cluster.MachineID]time.Time{},
 	}
 	h.Logger = options.Logger.With("duty", Duty, "token", term.Token)
 	if err := h.load(ctx); err != nil {
@@ -102,10 +105,6 @@
 		return
 	}
 	h.follow(ctx)
-	// The last holder may have given an order just now.
-	if backoff.Sleep(ctx, h.HolderGap+holderMargin) != nil {
-		return
-	}
 	h.loop(ctx)
 }
 
@@ -129,9 +128,29 @@
 		}
 		h.planner.RestoreWave(number, progress.Done, progress.Reported)
 	}
+	if err := h.loadOrders(ctx); err != nil {
+		return err
+	}
 	return h.loadCordons(ctx)
 }
 
+// loadOrders keeps the machines alone for which the last holder may have ordered
+// something just now.
+func (h *Holder) loadOrders(ctx context.Context) error {
+	items, _, err := h.Store.All(ctx, layout.FleetOrdersKey, kv.Linearizable)
+	if err != nil {
+		return fmt.Errorf("orders: %w", err)
+	}
+	for _, item := range items {
+		orders, err := layout.Decode[layout.FleetOrders](item.Key, item.Value)
+		if err != nil {
+			return err
+		}
+		h.planner.Reserve(orders.Machines, time.Now().Add(h.HolderGap+holderMargin))
+	}
+	return nil
+}
+
 func (h *Holder) loadCordons(ctx context.Context) error {
 	config := h.Config()
 	if config == nil {
@@ -250,9 +269,15 @@
 	for _, wave := range h.waves {
 		snapshot.Waves = append(snapshot.Waves, wave)
 	}
+	if !h.term.Lasting(h.plannedAt) {
+		return // a successor may be acting already
+	}
 	actions := h.planner.Plan(snapshot)
 	h.logNeeds()
 	h.setCordons(ctx, actions)
+	if !h.announce(ctx, actions) {
+		return
+	}
 	for _, action := range actions {
 		h.carryOut(ctx, action)
 	}
@@ -279,6 +304,37 @@
 		"service", string(a.Service), "wave", a.Wave, "state", string(a.State), "reason", a.Reason, "outcome", outcome, "error", err)
 }
 
+// announce stores for which machines orders follow, so that a successor leaves them
+// alone for a while. It reports whether they may be sent.
+func (h *Holder) announce(ctx context.Context, actions []fleetplan.Action) bool {
+	now := time.Now()
+	ordering := false
+	for _, a := range actions {
+		if a.Kind == fleetplan.Move || a.Kind == fleetplan.Maintain {
+			h.ordered[a.Machine] = now
+			ordering = true
+		}
+	}
+	if !ordering {
+		return true
+	}
+	maps.DeleteFunc(h.ordered, func(_ cluster.MachineID, at time.Time) bool { return now.Sub(at) > 2*h.HolderGap })
+	value, err := layout.Encode(layout.FleetOrders{Machines: slices.Sorted(maps.Keys(h.ordered))})
+	if err == nil {
+		err = h.txn(ctx, kv.Txn{Puts: []kv.Put{{Key: layout.FleetOrdersKey, Value: value}}})
+	}
+	if err == nil {
+		return true
+	}
+	h.Logger.Warn("orders not announced, and so not given", "error", err)
+	for _, a := range actions {
+		if a.Kind == fleetplan.Move || a.Kind == fleetplan.Maintain {
+			h.planner.Answered(a, fleetplan.Refused, now)
+		}
+	}
+	return false
+}
+
 // needsEvery bounds how often the needs of the services are logged.
 const needsEvery = 500 * time.Millisecond
 
--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -8,6 +8,7 @@
 //	waiting/SERVICE               Waiting: counts of jobs for which nothing started
 //	load/SERVICE                  shard.Load: what the planner of the fleet goes by
 //	waves/N                       WaveProgress
+//	orders/fleet                  FleetOrders
 //	chain/SERVICE                 Link: the last write of an owner
 //	owners/DUTY                   Holder: who has a duty, under a lease
 package layout
@@ -71,6 +72,14 @@
 	Reported cluster.WaveState   `json:"reported"`
 }
 
+// FleetOrdersKey holds the machines that the fleet's duty has ordered something for.
+const FleetOrdersKey = "orders/fleet"
+
+// FleetOrders lists the machines with orders of the last seconds.
+type FleetOrders struct {
+	Machines []cluster.MachineID `json:"machines"`
+}
+
 // ChainKey holds the last link of a service's chain of writes.
 func ChainKey(s cluster.Service) string { return "chain/" + string(s) }
 
--- a/policy/fleetplan/fleetplan.go
+++ b/policy/fleetplan/fleetplan.go
@@ -96,6 +96,7 @@
 	demand     map[cluster.Service]*demand
 	turns      *turns
 	lastNeeds  []need
+	reserved   map[cluster.MachineID]time.Time // not to be ordered before
 }
 
 // New returns a planner.
@@ -107,6 +108,7 @@
 		idleSince:  map[cluster.MachineID]time.Time{},
 		demand:     map[cluster.Service]*demand{},
 		turns:      newTurns(),
+		reserved:   map[cluster.MachineID]time.Time{},
 	}
 }
 
@@ -119,6 +121,14 @@
 	w.reported = reported
 }
 
+// Reserve keeps machines from any order until a time: an earlier holder of the duty
+// may have ordered something for them just now.
+func (p *Planner) Reserve(machines []cluster.MachineID, until time.Time) {
+	for _, m := range machines {
+		p.reserved[m] = until
+	}
+}
+
 // Done returns the machines of a wave whose maintenance has begun.
 func (p *Planner) Done(number int64) []cluster.MachineID {
 	return slices.Sorted(maps.Keys(p.waves[number].done))
@@ -244,7 +254,7 @@
 	for _, id := range slices.Sorted(maps.Keys(p.operations)) {
 		op := p.operations[id]
 		m := v.byID[id]
-		if !op.called.IsZero() || m.State != cluster.MachineUp || !v.emptied(m) {
+		if !op.called.IsZero() || m.State != cluster.MachineUp || !v.emptied(m) || v.Now.Before(p.reserved[id]) {
 			continue
 		}
 		op.called = v.Now
--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -114,18 +114,16 @@
 	return n
 }
 
-// have counts the machines of a pool that are or will be of use to it.
+// have counts the machines that are, or soon will be, of use to a service.
 func (p *Planner) have(v *view, service cluster.Service) int {
 	n := 0
 	for _, m := range v.members[service] {
-		op := p.operations[m.ID]
-		leaving := op != nil && op.kind == Move && op.to != service
-		if !leaving && m.State != cluster.MachineDown {
+		if p.operations[m.ID] == nil && (m.State == cluster.MachineUp || m.State == cluster.MachineMoving) {
 			n++
 		}
 	}
-	for id, op := range p.operations {
-		if op.kind == Move && op.to == service && v.byID[id].Pool != service {
+	for _, op := range p.operations {
+		if op.kind == Move && op.to == service {
 			n++
 		}
 	}
--- a/policy/fleetplan/waves.go
+++ b/policy/fleetplan/waves.go
@@ -113,17 +113,29 @@
 	return int(math.Ceil(float64(left) * float64(each) / float64(remaining)))
 }
 
-// effort orders machines: off, empty, with short tasks only, with lasting ones.
+// effort orders machines for maintenance: those that are off or empty, then those
+// with lasting tasks, which take longest to move, then by their short tasks, which
+// end by themselves.
 func (v *view) effort(m cluster.Machine) int {
-	if v.pools[m.Pool].Spare {
-		return 0
-	}
 	l, _ := v.load(m)
-	return 1 + l.Runs + lastingEffort*l.Lasting
+	switch {
+	case v.pools[m.Pool].Spare:
+		return effortOff
+	case l.Runs == 0:
+		return effortIdle
+	case l.Lasting > 0:
+		return effortLasting
+	default:
+		return effortBusy + l.Runs
+	}
 }
 
-// lastingEffort is how many short tasks weigh as much as one that must move.
-const lastingEffort = 10
+const (
+	effortOff = iota
+	effortIdle
+	effortLasting
+	effortBusy
+)
 
 // poolHasRoom reports whether another machine of the pool may be taken.
 func (p *Planner) poolHasRoom(v *view, pool cluster.Service) bool {
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -309,6 +309,7 @@
 		}
 		list = append(list, r)
 	}
+	s.limitExpiring(list)
 	slices.SortFunc(list, func(x, y ranked) int {
 		return cmp.Or(
 			cmp.Compare(x.standing, y.standing),
@@ -324,3 +325,53 @@
 	}
 	return jobs
 }
+
+// expiringShare bounds the share of the processor room for which late jobs go before
+// jobs that can still be in time.
+const expiringShare = 0.15
+
+// limitExpiring lets only so many expiring jobs go first, those closest to their
+// objective's end first: otherwise, under load beyond the room, each would make
+// another job late, which in turn would expire.
+func (s *Shard) limitExpiring(list []ranked) {
+	var expiring []*ranked
+	for i := range list {
+		if list[i].standing == standingExpiring {
+			expiring = append(expiring, &list[i])
+		}
+	}
+	slices.SortFunc(expiring, func(x, y *ranked) int {
+		return cmp.Or(x.job.deadline().Compare(y.job.deadline()), cmp.Compare(x.job.ID, y.job.ID))
+	})
+	room := expiringShare * float64(s.capacityCPU())
+	for _, r := range expiring {
+		room -= float64(r.job.openCPU())
+		if room < 0 {
+			r.standing = standingLate
+		}
+	}
+}
+
+// capacityCPU is the processor room of all executors in use.
+func (s *Shard) capacityCPU() int64 {
+	var sum int64
+	for _, e := range s.executors {
+		if e.listed {
+			sum += e.Capacity.MilliCPU
+		}
+	}
+	return sum
+}
+
+// openCPU is the need of the job's tasks that run or could start.
+func (j *jobState) openCPU() int64 {
+	var sum int64
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			if st.blocked == 0 {
+				sum += int64(st.left) * st.def.Room().MilliCPU
+			}
+		}
+	}
+	return sum
+}
