--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -193,6 +193,9 @@
 		if tp.Done {
 			j.finishTask(t)
 		}
+		if !t.step.def.LongRunning && tp.Failures >= j.Queue.MaxAttempts {
+			j.failed = true // its owner was lost before all its runs had ended
+		}
 	}
 }
 
--- /dev/null
+++ b/policy/shard/world_test.go
@@ -0,0 +1,627 @@
+package shard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/execution"
+	"github.com/tarragonreach/tarragonreach/api/job"
+	_ "github.com/tarragonreach/tarragonreach/api/rapidseed"
+)
+
+// world is a store, some executors and one owner at a time, in virtual time. Calls
+// may be lost, late, or answered late; owners are replaced and may go on as zombies.
+// Every start is checked against what must never happen.
+type world struct {
+	t         *rapid.T
+	now       time.Time
+	token     int64
+	owner     *ownerSim
+	zombies   []*ownerSim
+	jobs      map[job.ID]*storedJob
+	executors map[cluster.ExecutorID]*executorSim
+	lives     int
+	delayed   []delayedCall
+	submitted int
+}
+
+type storedJob struct {
+	record    Record
+	progress  *Progress
+	state     job.State
+	cancelled time.Time
+	// truth, as the executors saw it
+	doneNoted map[job.TaskID]bool
+	failNoted map[job.TaskID]int
+	doneEver  map[job.TaskID]bool
+}
+
+type ownerSim struct {
+	shard    *Shard
+	token    int64
+	batchDue time.Time
+	batch    *Batch
+	answers  []answerSim
+}
+
+// answerSim is an answer on its way to an owner.
+type answerSim struct {
+	at      time.Time
+	deliver func()
+}
+
+type delayedCall struct {
+	at  time.Time
+	run func()
+}
+
+type runSim struct {
+	ref     execution.RunRef
+	endsAt  time.Time
+	how     execution.How
+	need    job.Resources
+	stopsAt time.Time
+}
+
+type executorSim struct {
+	id       cluster.ExecutorID
+	address  string
+	capacity job.Resources
+	alive    bool
+	cut      bool
+	fence    int64
+	lease    int64   // until when what runs there may run, on its clock
+	rate     float64 // of its clock
+	born     time.Time
+	running  map[job.TaskID]*runSim
+	highest  map[job.TaskID]int // stopped or ended runs
+	ended    []execution.Ended
+	sequence int64
+	lapsed   map[execution.RunRef]bool
+}
+
+const (
+	testLease = 5 * time.Second
+	testStop  = 400 * time.Millisecond
+)
+
+var testLimits = Limits{RunLease: testLease, MaxRunLease: 10 * time.Second, StopTime: testStop, FarFactor: 2}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, now: time.Unix(1000, 0),
+		jobs: map[job.ID]*storedJob{}, executors: map[cluster.ExecutorID]*executorSim{},
+	}
+	for i := range 4 {
+		w.addExecutor(fmt.Sprintf("10.0.0.%d:80", i))
+	}
+	w.takeOver()
+	return w
+}
+
+func (w *world) addExecutor(address string) {
+	w.lives++
+	id := cluster.ExecutorID(fmt.Sprintf("i-%d", w.lives))
+	w.executors[id] = &executorSim{
+		id: id, address: address, alive: true, born: w.now,
+		rate:     rapid.SampledFrom([]float64{0.98, 1}).Draw(w.t, "clock rate"),
+		capacity: job.Resources{MilliCPU: 4000, MemoryMB: 4000},
+		running:  map[job.TaskID]*runSim{}, highest: map[job.TaskID]int{}, lapsed: map[execution.RunRef]bool{},
+	}
+}
+
+func (e *executorSim) clock(now time.Time) int64 {
+	return 1000 + int64(float64(now.Sub(e.born).Milliseconds())*e.rate)
+}
+
+func (w *world) list() []cluster.Executor {
+	var list []cluster.Executor
+	for _, e := range w.executors {
+		if e.alive && !e.cut {
+			list = append(list, cluster.Executor{ID: e.id, Address: e.address, Capacity: e.capacity, Labels: []string{"a", "r1-1"}})
+		}
+	}
+	return list
+}
+
+// takeOver makes a new owner from what is stored.
+func (w *world) takeOver() {
+	w.token++
+	o := &ownerSim{shard: New(testLimits, w.token), token: w.token}
+	w.owner = o
+	o.shard.SetExecutors(w.list(), w.now)
+	for _, id := range w.jobIDs() {
+		j := w.jobs[id]
+		if j.state.Final() {
+			continue
+		}
+		o.shard.AddJob(j.record, clone(j.progress), w.now)
+		if !j.cancelled.IsZero() {
+			o.shard.Cancel(id)
+		}
+	}
+}
+
+func clone(p *Progress) *Progress {
+	if p == nil {
+		return nil
+	}
+	c := Progress{Tasks: append([]TaskProgress(nil), p.Tasks...), Done: append([]int(nil), p.Done...)}
+	return &c
+}
+
+func (w *world) jobIDs() []job.ID {
+	var ids []job.ID
+	for i := range w.submitted {
+		ids = append(ids, testID(i))
+	}
+	return ids
+}
+
+func testID(i int) job.ID { return job.ID(fmt.Sprintf("%016x", i)) }
+
+func (w *world) submit() {
+	id := testID(w.submitted)
+	w.submitted++
+	var steps []job.Step
+	for i := range rapid.IntRange(1, 2).Draw(w.t, "steps") {
+		s := job.Step{
+			Count:         rapid.IntRange(1, 4).Draw(w.t, "tasks"),
+			Need:          job.Resources{MilliCPU: rapid.Int64Range(300, 1800).Draw(w.t, "cpu"), MemoryMB: 100},
+			Estimate:      500 * time.Millisecond,
+			Checkpointing: rapid.Bool().Draw(w.t, "checkpointing"),
+		}
+		if i > 0 {
+			s.After = []int{i - 1}
+		}
+		steps = append(steps, s)
+	}
+	if rapid.IntRange(0, 4).Draw(w.t, "lasting") == 0 {
+		steps = steps[:1]
+		steps[0].LongRunning = true
+		steps[0].MayMiss = 1
+	}
+	r := Record{
+		ID: id, Accepted: w.now, Definition: job.Definition{Payload: "p", Steps: steps},
+		Queue: QueueTerms{Name: "q", MaxAttempts: 2, Stretch: 2, TargetDuration: time.Second},
+	}
+	w.jobs[id] = &storedJob{
+		record: r, state: job.Queued,
+		doneNoted: map[job.TaskID]bool{}, failNoted: map[job.TaskID]int{}, doneEver: map[job.TaskID]bool{},
+	}
+	w.owner.shard.AddJob(r, nil, w.now)
+}
+
+func (w *world) cancel() {
+	if w.submitted == 0 {
+		return
+	}
+	id := testID(rapid.IntRange(0, w.submitted-1).Draw(w.t, "cancelled"))
+	j := w.jobs[id]
+	if j.state.Final() || !j.cancelled.IsZero() {
+		return
+	}
+	j.cancelled = w.now
+	w.owner.shard.Cancel(id)
+}
+
+// step lets time pass and everybody act.
+func (w *world) step(d time.Duration) {
+	const tick = 20 * time.Millisecond
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(tick) {
+		w.runDelayed()
+		for _, e := range w.executors {
+			w.pass(e)
+		}
+		for _, o := range append([]*ownerSim{w.owner}, w.zombies...) {
+			w.act(o)
+		}
+	}
+}
+
+func (w *world) runDelayed() {
+	var later []delayedCall
+	var due []delayedCall
+	for _, c := range w.delayed {
+		if c.at.After(w.now) {
+			later = append(later, c)
+		} else {
+			due = append(due, c)
+		}
+	}
+	w.delayed = later
+	for _, c := range due {
+		c.run()
+	}
+}
+
+func (w *world) act(o *ownerSim) {
+	var rest []answerSim
+	for _, a := range o.answers {
+		if a.at.After(w.now) {
+			rest = append(rest, a)
+			continue
+		}
+		a.deliver()
+	}
+	o.answers = rest
+	w.store(o)
+	for _, order := range o.shard.Orders(w.now) {
+		w.send(o, order)
+	}
+	for _, look := range o.shard.Looks(w.now) {
+		w.sendLook(o, look)
+	}
+}
+
+// store makes batches durable; those of an owner that was replaced are refused.
+func (w *world) store(o *ownerSim) {
+	if o.batch != nil {
+		if w.now.Before(o.batchDue) || o != w.owner {
+			return
+		}
+		w.apply(o.batch)
+		o.shard.Committed()
+		o.batch = nil
+	}
+	if b := o.shard.Batch(w.now, 29); b != nil {
+		o.batch = b
+		o.batchDue = w.now.Add(time.Duration(rapid.IntRange(0, 3).Draw(w.t, "store ticks")) * 20 * time.Millisecond)
+	}
+}
+
+func (w *world) apply(b *Batch) {
+	for _, write := range b.Jobs {
+		j := w.jobs[write.ID]
+		j.state = write.State
+		j.progress = clone(write.Progress)
+		if write.State == job.Completed {
+			w.checkCompleted(j)
+		}
+	}
+}
+
+func (w *world) checkCompleted(j *storedJob) {
+	for s, def := range j.record.Definition.Steps {
+		for i := range def.Count {
+			id := job.TaskID{StepID: job.StepID{Job: j.record.ID, Step: s}, Index: i}
+			if !j.doneEver[id] {
+				w.t.Fatalf("MIXED: %s shown as completed, %s never ended so", j.record.ID, id)
+			}
+		}
+	}
+}
+
+// fate is what becomes of one call.
+type fate int
+
+const (
+	fateFine fate = iota
+	fateAnswerLost
+	fateLate
+	fateNotSent
+)
+
+func (w *world) fate(e *executorSim) fate {
+	if e == nil || !e.alive || e.cut {
+		return rapid.SampledFrom([]fate{fateNotSent, fateNotSent + 1}).Draw(w.t, "unreachable")
+	}
+	n := rapid.IntRange(0, 19).Draw(w.t, "fate")
+	switch n {
+	case 0:
+		return fateAnswerLost
+	case 1:
+		return fateLate
+	case 2:
+		return fateNotSent
+	default:
+		return fateFine
+	}
+}
+
+// call makes a call with a fate; carry carries it out, answered gets what is known.
+func (w *world) call(o *ownerSim, id cluster.ExecutorID, carry func(e *executorSim), answered func(Delivery)) {
+	e := w.executors[id]
+	deliver := func(after time.Duration, d Delivery) {
+		o.answers = append(o.answers, answerSim{w.now.Add(after), func() { answered(d) }})
+	}
+	switch w.fate(e) {
+	case fateFine:
+		carry(e)
+		deliver(20*time.Millisecond, Answered)
+	case fateAnswerLost:
+		carry(e)
+		deliver(600*time.Millisecond, Ambiguous)
+	case fateLate:
+		late := time.Duration(rapid.IntRange(2, 12).Draw(w.t, "late")) * time.Second
+		w.delayed = append(w.delayed, delayedCall{w.now.Add(late), func() {
+			if e.alive {
+				carry(e)
+			}
+		}})
+		deliver(600*time.Millisecond, Ambiguous)
+	case fateNotSent:
+		deliver(20*time.Millisecond, NotSent)
+	default:
+		deliver(600*time.Millisecond, Ambiguous)
+	}
+}
+
+func (w *world) send(o *ownerSim, order Order) {
+	var reply execution.Reply
+	w.call(o, order.Executor.ID, func(e *executorSim) {
+		if order.Kind == OrderStart {
+			reply = w.start(e, order.Start)
+		} else {
+			reply = e.stop(order.Start.RunRef, order.Start.Token, w.now)
+		}
+	}, func(d Delivery) { o.shard.OrderAnswered(order, d, reply, w.now) })
+}
+
+func (w *world) sendLook(o *ownerSim, look LookOrder) {
+	var view execution.View
+	w.call(o, look.Executor.ID, func(e *executorSim) { view = w.look(e, look.Look) },
+		func(d Delivery) { o.shard.LookAnswered(look, d, view, w.now) })
+}
+
+// start carries out a start, and checks it.
+func (w *world) start(e *executorSim, s execution.Start) execution.Reply {
+	reply := execution.Reply{ClockMs: e.clock(w.now)}
+	if s.Token < e.fence {
+		reply.Refusal = execution.RefusedFence
+		return reply
+	}
+	e.fence = s.Token
+	if r := e.running[s.Task]; r != nil && r.ref.Run == s.Run {
+		return reply
+	}
+	if s.Run <= e.highest[s.Task] {
+		reply.Refusal = execution.RefusedOld
+		return reply
+	}
+	if s.UntilMs <= e.clock(w.now) {
+		reply.Refusal = execution.RefusedLate
+		return reply
+	}
+	w.checkStart(e, s)
+	def := w.jobs[s.Task.Job].record.Definition.Steps[s.Task.Step]
+	e.lease = max(e.lease, min(s.UntilMs, e.clock(w.now)+testLimits.MaxRunLease.Milliseconds()))
+	r := &runSim{ref: s.RunRef, need: def.Room()}
+	r.endsAt = w.now.Add(time.Duration(rapid.IntRange(5, 60).Draw(w.t, "run ticks")) * 20 * time.Millisecond)
+	r.how = execution.EndedDone
+	if def.LongRunning {
+		r.endsAt = w.now.Add(time.Hour)
+	}
+	if rapid.IntRange(0, 5).Draw(w.t, "fails") == 0 {
+		r.how = execution.EndedFailed
+	}
+	e.running[s.Task] = r
+	return reply
+}
+
+func (w *world) checkStart(e *executorSim, s execution.Start) {
+	for _, other := range w.executors {
+		if r := other.running[s.Task]; r != nil && other.alive {
+			w.t.Fatalf("TWICE: %s run %d starts on %s, run %d is on %s", s.Task, s.Run, e.id, r.ref.Run, other.id)
+		}
+	}
+	j := w.jobs[s.Task.Job]
+	if j.doneNoted[s.Task] {
+		w.t.Fatalf("TWICE: %s run %d starts on %s after its end was noted", s.Task, s.Run, e.id)
+	}
+	if j.failNoted[s.Task] >= j.record.Queue.MaxAttempts && !j.record.Definition.Steps[s.Task.Step].LongRunning {
+		w.t.Fatalf("BUDGET: %s run %d starts on %s after %d noted failures", s.Task, s.Run, e.id, j.failNoted[s.Task])
+	}
+	def := j.record.Definition.Steps[s.Task.Step]
+	for _, before := range def.After {
+		for i := range j.record.Definition.Steps[before].Count {
+			id := job.TaskID{StepID: job.StepID{Job: s.Task.Job, Step: before}, Index: i}
+			if !j.doneEver[id] {
+				w.t.Fatalf("ORDER: %s starts before %s is done", s.Task, id)
+			}
+		}
+	}
+	used := def.Room()
+	for _, r := range e.running {
+		used = used.Add(r.need)
+	}
+	if !used.Fits(e.capacity) {
+		w.t.Fatalf("LIMIT: %s run %d takes %s to %+v", s.Task, s.Run, e.id, used)
+	}
+	if !j.cancelled.IsZero() && w.now.Sub(j.cancelled) > 20*time.Second {
+		w.t.Fatalf("UNASKED: %s starts %s after its job was cancelled", s.Task, w.now.Sub(j.cancelled))
+	}
+}
+
+func (e *executorSim) stop(ref execution.RunRef, token int64, now time.Time) execution.Reply {
+	reply := execution.Reply{ClockMs: e.clock(now)}
+	if token < e.fence {
+		reply.Refusal = execution.RefusedFence
+		return reply
+	}
+	e.fence = token
+	e.highest[ref.Task] = max(e.highest[ref.Task], ref.Run)
+	if r := e.running[ref.Task]; r != nil && r.ref.Run <= ref.Run && r.stopsAt.IsZero() {
+		r.stopsAt = now.Add(testStop)
+	}
+	return reply
+}
+
+// look carries out a look; ends that it acknowledges are noted.
+func (w *world) look(e *executorSim, l execution.Look) execution.View {
+	view := execution.View{Reply: execution.Reply{ClockMs: e.clock(w.now)}}
+	if l.Token < e.fence {
+		view.Refusal = execution.RefusedFence
+		return view
+	}
+	e.fence = l.Token
+	for len(e.ended) > 0 && e.ended[0].Sequence <= l.SeenEnd {
+		w.note(e, e.ended[0])
+		e.ended = e.ended[1:]
+	}
+	e.lease = max(e.lease, min(l.UntilMs, e.clock(w.now)+testLimits.MaxRunLease.Milliseconds()))
+	for _, r := range e.running {
+		view.Running = append(view.Running, execution.Running{RunRef: r.ref, Percent: 100, Checkpoint: "c"})
+	}
+	view.Ended = append(view.Ended, e.ended...)
+	return view
+}
+
+func (w *world) note(e *executorSim, end execution.Ended) {
+	if e.lapsed[end.RunRef] {
+		return
+	}
+	j := w.jobs[end.Task.Job]
+	switch end.How {
+	case execution.EndedDone:
+		j.doneNoted[end.Task] = true
+	case execution.EndedFailed:
+		j.failNoted[end.Task]++
+	}
+}
+
+// pass ends what ends by itself.
+func (w *world) pass(e *executorSim) {
+	now := w.now
+	lapsed := e.clock(now) >= e.lease
+	for _, r := range e.running {
+		switch {
+		case lapsed:
+			w.end(e, r, execution.EndedLapsed)
+		case !r.stopsAt.IsZero() && !now.Before(r.stopsAt):
+			w.end(e, r, execution.EndedStopped)
+		case !now.Before(r.endsAt):
+			w.end(e, r, r.how)
+		}
+	}
+	if lapsed {
+		for _, end := range e.ended {
+			e.lapsed[end.RunRef] = true // taking note of it later binds nobody
+		}
+	}
+}
+
+func (w *world) end(e *executorSim, r *runSim, how execution.How) {
+	if how == execution.EndedDone {
+		w.jobs[r.ref.Task.Job].doneEver[r.ref.Task] = true
+	}
+	delete(e.running, r.ref.Task)
+	e.highest[r.ref.Task] = max(e.highest[r.ref.Task], r.ref.Run)
+	e.sequence++
+	e.ended = append(e.ended, execution.Ended{RunRef: r.ref, Sequence: e.sequence, How: how, Checkpoint: "c"})
+}
+
+func (w *world) pickExecutor(label string) *executorSim {
+	var alive []*executorSim
+	for i := 1; i <= w.lives; i++ {
+		e := w.executors[cluster.ExecutorID(fmt.Sprintf("i-%d", i))]
+		if e != nil && e.alive {
+			alive = append(alive, e)
+		}
+	}
+	if len(alive) == 0 {
+		return nil
+	}
+	return alive[rapid.IntRange(0, len(alive)-1).Draw(w.t, label)]
+}
+
+func (w *world) relist() { w.owner.shard.SetExecutors(w.list(), w.now) }
+
+// trouble does one random thing.
+func (w *world) trouble() {
+	switch rapid.IntRange(0, 9).Draw(w.t, "trouble") {
+	case 0, 1, 2, 3:
+		w.submit()
+	case 4:
+		w.cancel()
+	case 5: // an executor crashes; another life begins at its address
+		if e := w.pickExecutor("crashes"); e != nil {
+			e.alive = false
+			w.addExecutor(e.address)
+			w.relist()
+		}
+	case 6: // cut off, or back
+		if e := w.pickExecutor("cut"); e != nil {
+			e.cut = !e.cut
+			w.relist()
+		}
+	case 7: // the owner dies
+		w.takeOver()
+	case 8: // the owner freezes or is cut off, and goes on later
+		w.zombies = append(w.zombies, w.owner)
+		w.takeOver()
+		if len(w.zombies) > 2 {
+			w.zombies = w.zombies[1:]
+		}
+	case 9:
+		if e := w.pickExecutor("cordoned"); e != nil {
+			w.owner.shard.Cordon(map[cluster.ExecutorID]bool{e.id: true}, w.now)
+		}
+	}
+}
+
+func TestNothingForbiddenUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for range rapid.IntRange(10, 40).Draw(t, "troubles") {
+			w.trouble()
+			for range rapid.IntRange(1, 40).Draw(t, "pause") {
+				w.step(40 * time.Millisecond)
+			}
+		}
+		w.settle()
+	})
+}
+
+// settle heals everything, cancels the jobs that last, and checks that all jobs
+// become final in time.
+func (w *world) settle() {
+	w.zombies = nil
+	for _, e := range w.executors {
+		e.cut = false
+	}
+	w.owner.shard.Cordon(nil, w.now)
+	w.relist()
+	for id, j := range w.jobs {
+		if j.record.Definition.Steps[0].LongRunning && j.cancelled.IsZero() {
+			j.cancelled = w.now
+			w.owner.shard.Cancel(id)
+		}
+	}
+	for range 60 {
+		w.step(time.Second)
+	}
+	for id, j := range w.jobs {
+		if !j.state.Final() {
+			w.t.Fatalf("LOST: %s is %s a minute after all trouble: %s", id, j.state, w.describe(id))
+		}
+	}
+}
+
+// describe shows what keeps a job from going on.
+func (w *world) describe(id job.ID) string {
+	text := ""
+	if j := w.owner.shard.jobs[id]; j != nil {
+		text = fmt.Sprintf("state=%s cancelled=%t failed=%t version=%d durable=%d;", j.state, j.cancelled, j.failed, j.version, j.durable)
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				for _, t := range s.tasks {
+					text += fmt.Sprintf(" %s run=%d done=%t retry=%s", t.id, t.run, t.done, t.retryAt.Sub(w.now))
+					if r := t.current; r != nil {
+						text += fmt.Sprintf(" on=%s phase=%d stopping=%t answered=%t sends=%d inFlight=%t", r.executor.ID, r.phase, r.stopping, r.stopAnswer, r.sends, r.inFlight)
+					}
+					text += ";"
+				}
+			}
+		}
+	}
+	for _, e := range w.owner.shard.sortedExecutors() {
+		text += fmt.Sprintf("\n%s listed=%t known=%t cordoned=%t dead=%t misses=%d strays=%d runs=%d used=%+v pending=%d bound=%s looking=%t suspect=%t",
+			e.ID, e.listed, e.known, e.cordoned, e.dead, e.misses, len(e.strays), len(e.runs), e.used, len(e.pending), e.leaseBound.Sub(w.now), e.looking, e.health.suspect(w.now))
+	}
+	return fmt.Sprintf("%s\nfenced=%t touched=%t", text, w.owner.shard.fenced, w.owner.shard.touched)
+}
