A look that can't be sent no longer extends a lease

Ruled out: a stuck order (none was on its way), the successor's state. Test: TestTaskOfLostExecutorStartsAgainAfterItsLease failed before.

--- /dev/null
+++ b/policy/shard/lease_test.go
@@ -0,0 +1,88 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/execution"
+	"github.com/tarragonreach/tarragonreach/api/job"
+)
+
+// bench drives one shard by hand.
+type bench struct {
+	t   *testing.T
+	s   *Shard
+	now time.Time
+}
+
+func newBench(t *testing.T, executors ...cluster.Executor) *bench {
+	t.Helper()
+	b := &bench{t: t, s: New(testLimits, 7), now: time.Unix(1000, 0)}
+	b.s.SetExecutors(executors, b.now)
+	b.lookAll()
+	return b
+}
+
+func executorOf(id string) cluster.Executor {
+	return cluster.Executor{
+		ID: cluster.ExecutorID(id), Address: id + ":80",
+		Capacity: job.Resources{MilliCPU: 4000, MemoryMB: 4000}, Labels: []string{"a", "r1-1"},
+	}
+}
+
+// lookAll answers all looks that are due with an empty view.
+func (b *bench) lookAll() {
+	for _, look := range b.s.Looks(b.now) {
+		b.s.LookAnswered(look, Answered, execution.View{Reply: execution.Reply{ClockMs: 1000}}, b.now)
+	}
+}
+
+func (b *bench) submit(id job.ID, steps ...job.Step) {
+	b.s.AddJob(Record{
+		ID: id, Accepted: b.now, Definition: job.Definition{Steps: steps},
+		Queue: QueueTerms{Name: "q", MaxAttempts: 2, Stretch: 2, TargetDuration: time.Second},
+	}, nil, b.now)
+}
+
+// round plans, stores at once, and returns the orders.
+func (b *bench) round() []Order {
+	if b.s.Batch(b.now, 29) != nil {
+		b.s.Committed()
+	}
+	return b.s.Orders(b.now)
+}
+
+var oneTask = job.Step{Count: 1, Need: job.Resources{MilliCPU: 1000, MemoryMB: 100}, Estimate: time.Second}
+
+// An executor is lost for good, and connections to its address are refused. Each look
+// that can't even be sent must not push the end of its lease further away.
+func TestTaskOfLostExecutorStartsAgainAfterItsLease(t *testing.T) {
+	b := newBench(t, executorOf("i-1"))
+	b.submit("00000000000000aa", oneTask)
+	orders := b.round()
+	assert.Equal(t, len(orders), 1)
+	b.s.OrderAnswered(orders[0], Answered, execution.Reply{ClockMs: 1000}, b.now)
+
+	b.s.SetExecutors([]cluster.Executor{executorOf("i-2")}, b.now)
+	lost := b.now
+	for b.now.Sub(lost) < 2*testLease {
+		b.now = b.now.Add(50 * time.Millisecond)
+		for _, look := range b.s.Looks(b.now) {
+			if look.Executor.ID == "i-1" {
+				b.s.LookAnswered(look, NotSent, execution.View{}, b.now)
+				continue
+			}
+			b.s.LookAnswered(look, Answered, execution.View{Reply: execution.Reply{ClockMs: 1000}}, b.now)
+		}
+		for _, order := range b.round() {
+			assert.Equal(t, order.Executor.ID, cluster.ExecutorID("i-2"))
+			assert.Equal(t, order.Start.Run, 2)
+			assert.Assert(t, b.now.Sub(lost) > testLease, "started after %s", b.now.Sub(lost))
+			return
+		}
+	}
+	t.Fatalf("not started again within %s", b.now.Sub(lost))
+}
--- a/policy/shard/looks.go
+++ b/policy/shard/looks.go
@@ -12,6 +12,9 @@
 	Executor cluster.Executor
 	Look     execution.Look
 	SentAt   time.Time
+
+	boundBefore time.Time // the executor's lease bound before this look
+	boundAfter  time.Time
 }
 
 // Looks returns the looks to make now. Each is on its way until LookAnswered.
@@ -25,7 +28,10 @@
 			continue
 		}
 		e.looking = true
-		list = append(list, LookOrder{Executor: e.Executor, Look: s.look(e, now), SentAt: now})
+		order := LookOrder{Executor: e.Executor, SentAt: now, boundBefore: e.leaseBound}
+		order.Look = s.look(e, now)
+		order.boundAfter = e.leaseBound
+		list = append(list, order)
 	}
 	return list
 }
@@ -95,7 +101,10 @@
 	switch {
 	case d != Answered:
 		e.misses++
-		e.grantOff = e.grantOff || l.Look.UntilMs != 0 && d == Ambiguous
+		e.grantOff = true // a lease without an answer must not be pushed further
+		if d == NotSent && e.leaseBound.Equal(l.boundAfter) {
+			e.leaseBound = l.boundBefore
+		}
 		e.lookAt = now.Add(min(time.Duration(e.misses)*lookRetry, maxLookRetry))
 	case view.Refusal == execution.RefusedFence:
 		s.fenced = true
