--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -16,6 +16,7 @@
 	"github.com/tarragonreach/tarragonreach/entry/election"
 	"github.com/tarragonreach/tarragonreach/entry/follow"
 	"github.com/tarragonreach/tarragonreach/entry/layout"
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 	"github.com/tarragonreach/tarragonreach/platform/machines"
 	"github.com/tarragonreach/tarragonreach/platform/registry"
@@ -39,6 +40,11 @@
 	loadWait = 400 * time.Millisecond
 	// holderMargin is added to the least time between two holders' orders.
 	holderMargin = 300 * time.Millisecond
+	// txnAttempts is how often a write without an answer is tried.
+	txnAttempts = 3
+	// cordonsEvery is the time between two readings of the cordons in force: a write
+	// may take effect seconds after it was given up.
+	cordonsEvery = 5 * time.Second
 	// maxFences is after how many refusals of its token a holder steps down.
 	maxFences = 1
 )
@@ -81,7 +87,8 @@
 	machines  []cluster.Machine // as listed last
 	listing   bool
 	plannedAt time.Time
-	needs     string // as logged last
+	cordonsAt time.Time // when they were read last
+	needs     string    // as logged last
 	needsAt   time.Time
 }
 
@@ -131,7 +138,9 @@
 	if err := h.loadOrders(ctx); err != nil {
 		return err
 	}
-	return h.loadCordons(ctx)
+	cordons, err := h.loadCordons(ctx)
+	h.cordons = cordons
+	return err
 }
 
 // loadOrders keeps the machines alone for which the last holder may have ordered
@@ -151,22 +160,39 @@
 	return nil
 }
 
-func (h *Holder) loadCordons(ctx context.Context) error {
+func (h *Holder) loadCordons(ctx context.Context) (map[cluster.ExecutorID]cluster.Service, error) {
+	cordons := map[cluster.ExecutorID]cluster.Service{}
 	config := h.Config()
 	if config == nil {
-		return nil
+		return cordons, nil
 	}
 	for _, pool := range config.Pools {
 		prefix := layout.CordonKey(pool.Service, "")
 		items, _, err := h.Store.All(ctx, prefix, kv.Linearizable)
 		if err != nil {
-			return fmt.Errorf("cordons of %s: %w", pool.Service, err)
+			return cordons, fmt.Errorf("cordons of %s: %w", pool.Service, err)
 		}
 		for _, item := range items {
-			h.cordons[cluster.ExecutorID(strings.TrimPrefix(item.Key, prefix))] = pool.Service
+			cordons[cluster.ExecutorID(strings.TrimPrefix(item.Key, prefix))] = pool.Service
 		}
 	}
-	return nil
+	return cordons, nil
+}
+
+// syncCordons adds cordons that are in force though this holder does not know them;
+// the planner takes them back.
+func (h *Holder) syncCordons(ctx context.Context) {
+	h.cordonsAt = time.Now()
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+		defer cancel()
+		cordons, err := h.loadCordons(ctx)
+		if err != nil {
+			h.Logger.Warn("cordons not read", "error", err)
+			return
+		}
+		h.send(func() { maps.Copy(h.cordons, cordons) })
+	}()
 }
 
 func (h *Holder) follow(ctx context.Context) {
@@ -232,6 +258,9 @@
 			e()
 		case <-ticker.C:
 			h.refresh(ctx)
+			if time.Since(h.cordonsAt) >= cordonsEvery {
+				h.syncCordons(ctx)
+			}
 		}
 		if h.machines != nil && time.Since(h.plannedAt) >= planEvery {
 			h.plan(ctx)
@@ -381,18 +410,31 @@
 	}
 }
 
+// txn makes a write within the term. It tries a few times, since its answer may be
+// lost; the same write twice does no harm.
 func (h *Holder) txn(ctx context.Context, t kv.Txn) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	t.Conditions = append(t.Conditions, h.term.Condition())
-	result, err := h.Store.Txn(ctx, t)
-	if err == nil && !result.Applied {
-		h.lose()
-		return fmt.Errorf("the term is over")
+	var err error
+	for attempt := 1; attempt <= txnAttempts; attempt++ {
+		var result kv.TxnResult
+		result, err = h.attempt(ctx, t, attempt)
+		if err == nil && !result.Applied {
+			h.lose()
+			return fmt.Errorf("the term is over")
+		}
+		if err == nil {
+			return nil
+		}
 	}
 	return err
 }
 
+func (h *Holder) attempt(ctx context.Context, t kv.Txn, number int) (kv.TxnResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, backoff.DefaultTimeouts.Of(number))
+	defer cancel()
+	return h.Store.Txn(ctx, t)
+}
+
 // report tells the operator the state of a wave, and stores it beside what is done.
 func (h *Holder) report(ctx context.Context, a fleetplan.Action) error {
 	status, err := registry.EncodeWaveStatus(a.State)
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -21,6 +21,7 @@
 	"github.com/tarragonreach/tarragonreach/entry/intake"
 	"github.com/tarragonreach/tarragonreach/entry/metrics"
 	"github.com/tarragonreach/tarragonreach/entry/owner"
+	"github.com/tarragonreach/tarragonreach/entry/storehealth"
 	"github.com/tarragonreach/tarragonreach/platform/advice"
 	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/platform/executor"
@@ -57,7 +58,7 @@
 // Host is one running instance.
 type Host struct {
 	node    nodefile.Node
-	store   *kv.Client
+	store   *storehealth.Store
 	logger  *slog.Logger
 	metrics *metrics.Metrics
 	config  atomic.Pointer[cluster.Config]
@@ -95,9 +96,9 @@
 func newHost(node nodefile.Node, logger *slog.Logger, m *metrics.Metrics) *Host {
 	h := &Host{
 		node: node, logger: logger, metrics: m,
-		store:    kv.New(node.StoreAddress),
 		services: map[cluster.Service]bool{},
 	}
+	h.store = storehealth.New(kv.New(node.StoreAddress), h.storeChanged)
 	h.election = election.New(h.store, node.ID, node.Zone, logger)
 	in := intake.New(h.store, h.config.Load, h.leaving.Load, logger, m.Scope.SubScope("intake"))
 	h.front = &http.Server{Handler: in.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -105,6 +106,15 @@
 	return h
 }
 
+// storeChanged logs that the store went away or is back.
+func (h *Host) storeChanged(away bool, failures int) {
+	if away {
+		h.logger.Warn("store lost: submissions are refused", "failures", failures)
+		return
+	}
+	h.logger.Info("store regained", "failures", failures)
+}
+
 func (h *Host) probeHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /readiness", func(w http.ResponseWriter, _ *http.Request) {
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -29,6 +29,8 @@
 type Store interface {
 	Get(ctx context.Context, key string) (kv.Item, error)
 	Txn(ctx context.Context, t kv.Txn) (kv.TxnResult, error)
+	// Away reports whether the store has stopped answering this instance.
+	Away() (since time.Time, away bool)
 }
 
 // Config returns the operator's configuration in force, or nil.
--- a/entry/intake/jobs.go
+++ b/entry/intake/jobs.go
@@ -8,6 +8,7 @@
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/api/job"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
 	"github.com/tarragonreach/tarragonreach/entry/layout"
 	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
@@ -16,55 +17,61 @@
 )
 
 const (
-	// attemptTimeout bounds one call to the store.
-	attemptTimeout = 1 * time.Second
 	// refusedAttempts is how often a call is made that the store refuses.
-	refusedAttempts = 3
+	refusedAttempts = 4
 	// cancelAttempts bounds how often a job may change while it is being cancelled.
 	cancelAttempts = 5
 )
 
 // attempts spaces calls to a store that does not answer or refuses.
-var attempts = backoff.Policy{Base: 60 * time.Millisecond, Cap: 400 * time.Millisecond}
+var attempts = backoff.Policy{Base: 40 * time.Millisecond, Cap: 400 * time.Millisecond}
+
+// codeStoreAway is the reason of a write that was not tried.
+const codeStoreAway verdict.Code = "store-away"
 
 var errUnknown = errors.New("the store's answer is lost")
 
 // write makes a write until its outcome is known or ctx ends. Its error wraps
 // errUnknown where an attempt may still take effect.
 func (i *Intake) write(ctx context.Context, t kv.Txn) (kv.TxnResult, error) {
+	if since, away := i.store.Away(); away {
+		return kv.TxnResult{}, verdict.New(verdict.NotRun, codeStoreAway, "no answer since "+since.Format(time.RFC3339Nano))
+	}
 	random := backoff.NewRandom()
-	unknown, refused := false, 0
+	unknown := false
 	for attempt := 1; ; attempt++ {
-		result, err := i.attempt(ctx, t)
+		result, err := i.attempt(ctx, t, attempt)
 		if err == nil {
 			return result, nil
 		}
-		if kv.NotRun(err) {
-			refused++
-		} else {
-			unknown = true
-		}
-		gaveUp := backoff.Sleep(ctx, attempts.Delay(attempt, random)) != nil
-		switch {
-		case gaveUp && unknown, refused >= refusedAttempts && unknown && gaveUp:
-			return kv.TxnResult{}, errors.Join(errUnknown, err)
-		case gaveUp, refused >= refusedAttempts && !unknown:
+		unknown = unknown || !kv.NotRun(err)
+		if !unknown && attempt >= refusedAttempts {
 			return kv.TxnResult{}, err
 		}
+		if backoff.Sleep(ctx, attempts.Delay(attempt, random)) == nil {
+			continue
+		}
+		if unknown {
+			err = errors.Join(errUnknown, err)
+		}
+		return kv.TxnResult{}, err
 	}
 }
 
-func (i *Intake) attempt(ctx context.Context, t kv.Txn) (kv.TxnResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+func (i *Intake) attempt(ctx context.Context, t kv.Txn, number int) (kv.TxnResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, backoff.DefaultTimeouts.Of(number))
 	defer cancel()
 	return i.store.Txn(ctx, t)
 }
 
 // read reads a key, a few times if need be.
 func (i *Intake) read(ctx context.Context, key string) (kv.Item, error) {
+	if since, away := i.store.Away(); away {
+		return kv.Item{}, verdict.New(verdict.NotRun, codeStoreAway, "no answer since "+since.Format(time.RFC3339Nano))
+	}
 	random := backoff.NewRandom()
 	for attempt := 1; ; attempt++ {
-		callCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, backoff.DefaultTimeouts.Of(attempt))
 		item, err := i.store.Get(callCtx, key)
 		cancel()
 		if err == nil || errors.Is(err, kv.ErrNotFound) {
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -18,12 +18,10 @@
 	chainEntries = 3
 	// staleEntries bounds the cancellations of finished jobs that a write removes.
 	staleEntries = 4
-	// writeTimeout bounds one attempt of a write.
-	writeTimeout = 2 * time.Second
 )
 
 // writeRetry spaces attempts of the same write.
-var writeRetry = backoff.Policy{Base: 50 * time.Millisecond, Cap: 500 * time.Millisecond}
+var writeRetry = backoff.Policy{Base: 20 * time.Millisecond, Cap: 300 * time.Millisecond}
 
 // chain puts the writes of a shard in one order. Each write is made under the
 // condition that the chain's key has the revision of the write before it, so that
@@ -146,7 +144,7 @@
 func (o *Owner) write(txn kv.Txn, b *shard.Batch) {
 	random := backoff.NewRandom()
 	for attempt := 1; o.ctx.Err() == nil; attempt++ {
-		revision, outcome, err := o.attempt(txn)
+		revision, outcome, err := o.attempt(txn, attempt)
 		switch outcome {
 		case written:
 			o.send(func(time.Time) { o.written(revision, b) })
@@ -171,9 +169,9 @@
 	overtaken
 )
 
-func (o *Owner) attempt(txn kv.Txn) (kv.Revision, writeOutcome, error) {
+func (o *Owner) attempt(txn kv.Txn, number int) (kv.Revision, writeOutcome, error) {
 	// Not the term's context: a write on its way when the term ends is waited for.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(o.ctx), writeTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(o.ctx), backoff.DefaultTimeouts.Of(number))
 	defer cancel()
 	result, err := o.Store.Txn(ctx, txn)
 	if err != nil {
--- /dev/null
+++ b/entry/storehealth/storehealth.go
@@ -0,0 +1,110 @@
+// Package storehealth tells from the calls that an instance makes anyway whether
+// the store answers it, so that a call which would hang need not be made.
+package storehealth
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+)
+
+const (
+	// awayFailures is how many calls in a row must fail for the store to be away.
+	awayFailures = 4
+	// awayAfter is how long no call must have succeeded.
+	awayAfter = 600 * time.Millisecond
+)
+
+// Store passes calls on and watches their outcomes.
+type Store struct {
+	*kv.Client
+
+	mu       sync.Mutex
+	failures int // in a row
+	answered time.Time
+	since    time.Time // when the store went away; zero while it is there
+	notify   func(away bool, failures int)
+}
+
+// New returns a store in front of client. notify is called when the store goes away
+// and when it is back.
+func New(client *kv.Client, notify func(away bool, failures int)) *Store {
+	return &Store{Client: client, answered: time.Now(), notify: notify}
+}
+
+// Away reports whether the store has not answered for a while, and since when. It
+// is there again as soon as any call is answered.
+func (s *Store) Away() (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.since, !s.since.IsZero()
+}
+
+// observe notes the outcome of a call that began at begun.
+func (s *Store) observe(err error) {
+	if errors.Is(err, context.Canceled) {
+		return // the caller went away; it says nothing about the store
+	}
+	answered := err == nil || errors.Is(err, kv.ErrNotFound) || errors.Is(err, kv.ErrLeaseLost) || errors.Is(err, kv.ErrCompacted)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if answered {
+		s.back()
+		return
+	}
+	s.failures++
+	if s.since.IsZero() && s.failures >= awayFailures && time.Since(s.answered) >= awayAfter {
+		s.since = time.Now()
+		s.notify(true, s.failures)
+	}
+}
+
+func (s *Store) back() {
+	if !s.since.IsZero() {
+		s.notify(false, s.failures)
+	}
+	s.failures = 0
+	s.since = time.Time{}
+	s.answered = time.Now()
+}
+
+// Get implements the store.
+func (s *Store) Get(ctx context.Context, key string) (kv.Item, error) {
+	item, err := s.Client.Get(ctx, key)
+	s.observe(err)
+	return item, err
+}
+
+// All implements the store.
+func (s *Store) All(ctx context.Context, prefix string, read kv.Read) ([]kv.Item, kv.Revision, error) {
+	items, revision, err := s.Client.All(ctx, prefix, read)
+	s.observe(err)
+	return items, revision, err
+}
+
+// Watch implements the store. A watch without an answer counts for nothing: watches
+// may be silent while the store answers other calls.
+func (s *Store) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Events, error) {
+	events, err := s.Client.Watch(ctx, prefix, after, wait)
+	if err == nil {
+		s.observe(nil)
+	}
+	return events, err
+}
+
+// Txn implements the store.
+func (s *Store) Txn(ctx context.Context, t kv.Txn) (kv.TxnResult, error) {
+	result, err := s.Client.Txn(ctx, t)
+	s.observe(err)
+	return result, err
+}
+
+// KeepAlive implements the store.
+func (s *Store) KeepAlive(ctx context.Context, id kv.LeaseID) error {
+	err := s.Client.KeepAlive(ctx, id)
+	s.observe(err)
+	return err
+}
