Replan when time has passed; tidy modules; format

Cause: a scheduled job's first time, a retry or a lapsed lease raises no event, so that nothing was planned until another came. Test: TestScheduledJobStartsWhenDueWithoutAnyEvent.

--- a/api/job/job.go
+++ b/api/job/job.go
@@ -70,7 +70,7 @@
 	Gang          bool          `json:"gang,omitempty"`     // the tasks work only together
 	SameRack      bool          `json:"sameRack,omitempty"` // slower when spread over racks
 	RequiredLabel string        `json:"requiredLabel,omitempty"`
-	Affinity      string        `json:"affinity,omitempty"`    // rack that holds the data
+	Affinity      string        `json:"affinity,omitempty"`     // rack that holds the data
 	MaxPerServer  int           `json:"maxPerServer,omitempty"` // zero: no limit
 	Speculative   bool          `json:"speculative,omitempty"`
 	LongRunning   bool          `json:"longRunning,omitempty"` // runs until the job is cancelled
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -47,7 +47,7 @@
 
 // round stores the next batch, if there is one and no other is on its way.
 func (o *Owner) round(now time.Time) {
-	if o.writing || now.Sub(o.lastRound) < roundEvery || !o.shard.Pending() {
+	if o.writing || now.Sub(o.lastRound) < roundEvery || !o.shard.Pending(now) {
 		return
 	}
 	stale := o.staleCancels[:min(len(o.staleCancels), staleEntries)]
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -133,14 +133,6 @@
 	}
 }
 
-// nextDue returns when the next occurrence has to be created, if any is left.
-func (j *jobState) nextDue() (time.Time, bool) {
-	if j.next >= len(j.over) {
-		return time.Time{}, false
-	}
-	return j.Definition.Schedule.Due(j.next), true
-}
-
 func newOccurrence(j *jobState, k int) *occurrence {
 	o := &occurrence{number: k, left: len(j.Definition.Steps)}
 	for i := range j.Definition.Steps {
--- a/policy/shard/lease_test.go
+++ b/policy/shard/lease_test.go
@@ -86,3 +86,28 @@
 	}
 	t.Fatalf("not started again within %s", b.now.Sub(lost))
 }
+
+// A scheduled job has nothing to do until its first time comes; no event wakes the
+// shard then.
+func TestScheduledJobStartsWhenDueWithoutAnyEvent(t *testing.T) {
+	b := newBench(t, executorOf("i-1"))
+	due := b.now.Add(3 * time.Second)
+	b.s.AddJob(Record{
+		ID: "00000000000000ab", Accepted: b.now, Queue: QueueTerms{Name: "q", MaxAttempts: 2},
+		Definition: job.Definition{Steps: []job.Step{oneTask}, Schedule: job.Schedule{Count: 2, First: due, Interval: time.Second}},
+	}, nil, b.now)
+	for b.now.Before(due.Add(time.Second)) {
+		b.now = b.now.Add(20 * time.Millisecond)
+		if !b.s.Pending(b.now) {
+			continue
+		}
+		orders := b.round()
+		if len(orders) == 0 {
+			continue
+		}
+		assert.Assert(t, !b.now.Before(due), "started %s early", due.Sub(b.now))
+		assert.Assert(t, b.now.Sub(due) <= 2*replanEvery, "started %s late", b.now.Sub(due))
+		return
+	}
+	t.Fatal("never started")
+}
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -77,6 +77,7 @@
 	b.addStarts()
 	b.addLoad()
 	batch := b.finish()
+	s.planAt = now.Add(replanEvery)
 	if batch == nil {
 		s.touched = false
 		return nil
@@ -85,6 +86,10 @@
 	return batch
 }
 
+// replanEvery bounds how late the shard notices that time has passed: a task may be
+// tried again, a scheduled one is due, or a lease has lapsed.
+const replanEvery = 100 * time.Millisecond
+
 // Committed notes that the open batch is durable.
 func (s *Shard) Committed() {
 	b := s.pendingBatch
@@ -110,7 +115,10 @@
 }
 
 // Pending reports whether a batch may have something to store or to start.
-func (s *Shard) Pending() bool { return s.touched && s.pendingBatch == nil }
+func (s *Shard) Pending(now time.Time) bool {
+	due := s.touched || len(s.jobs) > 0 && !now.Before(s.planAt)
+	return due && s.pendingBatch == nil
+}
 
 type builder struct {
 	shard *Shard
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -61,7 +61,8 @@
 	token     int64 // fencing token
 	jobs      map[job.ID]*jobState
 	executors map[cluster.ExecutorID]*executorState
-	touched   bool // something changed that a new plan may use
+	touched   bool      // something changed that a new plan may use
+	planAt    time.Time // when to plan again, if nothing changes before
 	fenced    bool
 
 	waiting      map[string]int // as stored last
