--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -133,7 +133,7 @@
 		if err != nil {
 			return err
 		}
-		h.planner.RestoreWave(number, progress.Done, progress.Reported)
+		h.planner.RestoreWave(number, progress.Done, progress.Reported, progress.Begun)
 	}
 	if err := h.loadOrders(ctx); err != nil {
 		return err
@@ -441,7 +441,7 @@
 	if err != nil {
 		return err
 	}
-	progress, err := layout.Encode(layout.WaveProgress{Done: h.planner.Done(a.Wave), Reported: a.State})
+	progress, err := h.encodeWave(a.Wave, a.State)
 	if err != nil {
 		return err
 	}
@@ -491,10 +491,14 @@
 	}
 }
 
+func (h *Holder) encodeWave(number int64, state cluster.WaveState) ([]byte, error) {
+	return layout.Encode(layout.WaveProgress{Done: h.planner.Done(number), Reported: state, Begun: h.planner.Begun(number)})
+}
+
 // storeWave stores which machines of a wave are done. A successor that reads an
 // older state asks again, which the machine service answers without doing anything.
 func (h *Holder) storeWave(ctx context.Context, number int64) {
-	progress, err := layout.Encode(layout.WaveProgress{Done: h.planner.Done(number), Reported: cluster.WaveRunning})
+	progress, err := h.encodeWave(number, cluster.WaveRunning)
 	if err == nil {
 		err = h.txn(ctx, kv.Txn{Puts: []kv.Put{{Key: layout.WaveKey(number), Value: progress}}})
 	}
--- a/policy/fleetplan/fleetplan.go
+++ b/policy/fleetplan/fleetplan.go
@@ -113,8 +113,8 @@
 }
 
 // RestoreWave takes in what an earlier holder of the duty stored of a wave.
-func (p *Planner) RestoreWave(number int64, done []cluster.MachineID, reported cluster.WaveState) {
-	w := p.wave(number, time.Time{})
+func (p *Planner) RestoreWave(number int64, done []cluster.MachineID, reported cluster.WaveState, begun time.Time) {
+	w := p.wave(number, begun)
 	for _, m := range done {
 		w.done[m] = true
 	}
@@ -134,15 +134,15 @@
 	return slices.Sorted(maps.Keys(p.waves[number].done))
 }
 
+// Begun returns when a wave was first seen.
+func (p *Planner) Begun(number int64) time.Time { return p.waves[number].begun }
+
 func (p *Planner) wave(number int64, now time.Time) *waveState {
 	w := p.waves[number]
 	if w == nil {
 		w = &waveState{begun: now, done: map[cluster.MachineID]bool{}, gone: map[cluster.MachineID]time.Time{}}
 		p.waves[number] = w
 	}
-	if w.begun.IsZero() {
-		w.begun = now
-	}
 	return w
 }
 
