--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -380,7 +380,7 @@
 // setCordons sets and takes back all cordons of a plan in one write each time.
 func (h *Holder) setCordons(ctx context.Context, actions []fleetplan.Action) {
 	var t kv.Txn
-	var lifted []cluster.ExecutorID
+	var set, lifted []cluster.ExecutorID
 	for _, a := range actions {
 		if t.Entries() == kv.MaxTxnEntries-1 {
 			break // the rest is planned again, or lifted later
@@ -389,7 +389,8 @@
 		switch a.Kind {
 		case fleetplan.Cordon:
 			t.Puts = append(t.Puts, kv.Put{Key: key, Value: []byte("{}")})
-			h.cordons[a.Executor] = a.Service // also if unclear: it is taken back later
+			h.cordons[a.Executor] = a.Service
+			set = append(set, a.Executor)
 		case fleetplan.Uncordon:
 			t.Deletes = append(t.Deletes, key)
 			lifted = append(lifted, a.Executor)
@@ -403,6 +404,9 @@
 	}
 	if err := h.txn(ctx, t); err != nil {
 		h.Logger.Warn("cordons not stored", "entries", t.Entries(), "error", err)
+		for _, id := range set {
+			delete(h.cordons, id) // asked for again; a late effect shows when they are read
+		}
 		return
 	}
 	for _, id := range lifted {
--- a/policy/fleetplan/fleetplan.go
+++ b/policy/fleetplan/fleetplan.go
@@ -73,6 +73,8 @@
 	to    cluster.Service
 	life  cluster.ExecutorID // the executor before it
 	since time.Time
+	// reason is why, for the log.
+	reason string
 	// called is when the machine service was told, zero before.
 	called time.Time
 	// answered is whether it agreed.
@@ -198,7 +200,8 @@
 	p.settle(v)
 	var actions []Action
 	actions = append(actions, p.planWaves(v)...)
-	actions = append(actions, p.planMoves(v)...)
+	p.planMoves(v)
+	actions = append(actions, p.emptyOut(v)...)
 	actions = append(actions, p.carryOn(v)...)
 	actions = append(actions, p.releaseCordons(v)...)
 	return actions
@@ -237,15 +240,26 @@
 	lateCall = 13 * time.Second
 )
 
-// begin notes an operation and asks for the machine to be emptied.
-func (p *Planner) begin(v *view, m cluster.Machine, op operation, reason string) []Action {
+// begin notes an operation; carryOn then empties the machine.
+func (p *Planner) begin(v *view, m cluster.Machine, op operation, reason string) {
 	op.since = v.Now
 	op.life = m.Executor
+	op.reason = reason
 	p.operations[m.ID] = &op
-	if v.pools[m.Pool].Spare || m.Executor == "" || v.Cordons[m.Executor] != "" {
-		return nil
+}
+
+// emptyOut asks for the machines of operations to be emptied, until that is stored.
+func (p *Planner) emptyOut(v *view) []Action {
+	var actions []Action
+	for _, id := range slices.Sorted(maps.Keys(p.operations)) {
+		op := p.operations[id]
+		m := v.byID[id]
+		if !op.called.IsZero() || m.State != cluster.MachineUp || v.pools[m.Pool].Spare || op.life == "" || v.Cordons[op.life] != "" {
+			continue
+		}
+		actions = append(actions, Action{Kind: Cordon, Machine: id, Executor: op.life, Service: m.Pool, Wave: op.wave, Reason: op.reason})
 	}
-	return []Action{{Kind: Cordon, Machine: m.ID, Executor: m.Executor, Service: m.Pool, Wave: op.wave, Reason: reason}}
+	return actions
 }
 
 // carryOn calls the machine service for the machines that are empty.
--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -30,15 +30,14 @@
 
 // planMoves begins moves between pools: to those that lack machines from the spare
 // pool and from pools that have more than their share, and back to the spare pool.
-func (p *Planner) planMoves(v *view) []Action {
+func (p *Planner) planMoves(v *view) {
 	if v.spare == "" {
-		return nil
+		return
 	}
 	p.observe(v)
 	needs := p.needs(v)
 	p.lastNeeds = needs
 	donors := p.donors(v, needs)
-	var actions []Action
 	begun := 0
 	for _, n := range needs {
 		for lack := n.share - n.have; lack > 0 && begun < movesAtOnce; lack-- {
@@ -47,10 +46,10 @@
 				break
 			}
 			begun++
-			actions = append(actions, p.begin(v, m, operation{kind: Move, to: n.service}, "demand")...)
+			p.begin(v, m, operation{kind: Move, to: n.service}, "demand")
 		}
 	}
-	return append(actions, p.giveBack(v, donors, movesAtOnce-begun)...)
+	p.giveBack(v, donors, movesAtOnce-begun)
 }
 
 // Needs describes what each service wanted of the last plan, for the log.
@@ -217,9 +216,8 @@
 
 // giveBack moves machines to the spare pool that have stood idle for so long that
 // the moves there and back cost less than keeping them.
-func (p *Planner) giveBack(v *view, d *donors, room int) []Action {
+func (p *Planner) giveBack(v *view, d *donors, room int) {
 	wait := time.Duration(p.limits.MoveCost / p.limits.MachineSecondCost * float64(time.Second))
-	var actions []Action
 	for _, m := range d.idle {
 		if room <= 0 || v.Now.Sub(p.idleSince[m.ID]) < wait {
 			break // sorted by idle time
@@ -229,7 +227,6 @@
 		}
 		d.excess[m.Pool]--
 		room--
-		actions = append(actions, p.begin(v, m, operation{kind: Move, to: v.spare}, "idle")...)
+		p.begin(v, m, operation{kind: Move, to: v.spare}, "idle")
 	}
-	return actions
 }
--- a/policy/fleetplan/waves.go
+++ b/policy/fleetplan/waves.go
@@ -36,7 +36,7 @@
 			w.reported = state
 			actions = append(actions, Action{Kind: Report, Wave: wave.Number, State: state})
 		}
-		actions = append(actions, p.advance(v, wave, w, left)...)
+		p.advance(v, wave, w, left)
 	}
 	return actions
 }
@@ -63,7 +63,7 @@
 }
 
 // advance begins the maintenance of further machines of a wave.
-func (p *Planner) advance(v *view, wave cluster.Wave, w *waveState, left []cluster.MachineID) []Action {
+func (p *Planner) advance(v *view, wave cluster.Wave, w *waveState, left []cluster.MachineID) {
 	down := p.underMaintenance(v, wave)
 	room := min(wave.MaxDown, p.pace(v, wave, w, len(left))) - down
 	var candidates []cluster.Machine
@@ -76,7 +76,6 @@
 	slices.SortStableFunc(candidates, func(a, b cluster.Machine) int {
 		return cmp.Compare(v.effort(a), v.effort(b))
 	})
-	var actions []Action
 	for _, m := range candidates {
 		if room <= 0 {
 			break
@@ -85,9 +84,8 @@
 			continue
 		}
 		room--
-		actions = append(actions, p.begin(v, m, operation{kind: Maintain, wave: wave.Number}, "maintenance")...)
+		p.begin(v, m, operation{kind: Maintain, wave: wave.Number}, "maintenance")
 	}
-	return actions
 }
 
 // underMaintenance counts the machines of a wave that are down or may go down.
