--- a/cmd/tarragond/main.go
+++ b/cmd/tarragond/main.go
@@ -12,6 +12,7 @@
 	"github.com/tarragonreach/tarragonreach/api/buildinfo"
 	"github.com/tarragonreach/tarragonreach/cmd/usage"
 	"github.com/tarragonreach/tarragonreach/entry/settings"
+	"github.com/tarragonreach/tarragonreach/platform/nodefile"
 )
 
 // Exit codes; they are stable.
@@ -31,7 +32,7 @@
 
 func exitCode(err error) int {
 	var wrong *usage.Error
-	if errors.As(err, &wrong) || errors.Is(err, settings.ErrInvalid) {
+	if errors.As(err, &wrong) || errors.Is(err, settings.ErrInvalid) || errors.Is(err, nodefile.ErrInvalid) {
 		return exitWrongInput
 	}
 	return exitFailed
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -256,7 +256,8 @@
 			away++
 		}
 	}
-	return away < r.task.step.def.MayMiss
+	// A step that says nothing of missing tasks is moved one by one.
+	return away < max(1, r.task.step.def.MayMiss)
 }
 
 // atWork reports whether the task was seen at work just now. An executor that does
