Tests of served processes take ports that nobody else is given

Cause: TestWaveMaintainsEveryMachineOnce and TestConfigurationReachesAllAndNeverReverts failed once each in twelve runs: the log of one instance was empty, and another answered with a foreign configuration. A port found free with :0 was given to a process of another test before its own listened there. Ruled out: the follower of the configuration (the instance that answered was not the test's).

--- a/cmd/tarragond/serve_test.go
+++ b/cmd/tarragond/serve_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -55,12 +56,29 @@
 	return &operatorsSite{t: t, fleet: fleet}
 }
 
+// nextPort counts up from a range that the kernel gives to nobody by itself, so that
+// no other test or connection takes a port before its process listens there.
+var nextPort atomic.Int32
+
+const (
+	firstPort = 20000
+	portSpan  = 10000
+)
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	for range portSpan {
+		offset := (int32(os.Getpid())*64 + nextPort.Add(1)) % portSpan
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+offset)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue // taken by something else on this machine
+		}
+		assert.NilError(t, listener.Close())
+		return address
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 func (s *operatorsSite) start(name string) *servedNode {
