--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -56,15 +56,23 @@
 	Maintain(ctx context.Context, h machines.Holder, m cluster.MachineID, wave int64) (machines.Refusal, error)
 }
 
+// Store is the part of the store that the duty uses.
+type Store interface {
+	election.Store
+	Range(ctx context.Context, prefix, after string, read kv.Read) (kv.Page, error)
+}
+
 // Options are what the duty needs.
 type Options struct {
 	Instance  string
 	Limits    fleetplan.Limits
 	HolderGap time.Duration // least time between the orders of two holders
-	Store     election.Store
-	Machines  Machines
-	Config    func() *cluster.Config
-	Logger    *slog.Logger
+	// RetainFinal is how long callers may ask for a job after it has become final.
+	RetainFinal time.Duration
+	Store       Store
+	Machines    Machines
+	Config      func() *cluster.Config
+	Logger      *slog.Logger
 }
 
 type event func()
@@ -88,7 +96,8 @@
 	listing   bool
 	plannedAt time.Time
 	cordonsAt time.Time // when they were read last
-	needs     string    // as logged last
+	cleanedAt time.Time
+	needs     string // as logged last
 	needsAt   time.Time
 }
 
@@ -99,8 +108,8 @@
 	h := &Holder{
 		Options: options, term: term,
 		planner: fleetplan.New(options.Limits),
-		events:  make(chan event, 64),
-		ctx:     ctx, lose: cancel,
+		events:  make(chan event, 64), cleanedAt: time.Now(),
+		ctx: ctx, lose: cancel,
 		loads:   map[cluster.Service]shard.Load{},
 		waves:   map[int64]cluster.Wave{},
 		cordons: map[cluster.ExecutorID]cluster.Service{},
@@ -261,6 +270,9 @@
 			if time.Since(h.cordonsAt) >= cordonsEvery {
 				h.syncCordons(ctx)
 			}
+			if time.Since(h.cleanedAt) >= cleanupEvery {
+				h.cleanUp(ctx)
+			}
 		}
 		if h.machines != nil && time.Since(h.plannedAt) >= planEvery {
 			h.plan(ctx)
--- /dev/null
+++ b/entry/follow/follow_test.go
@@ -0,0 +1,83 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+)
+
+// scriptedStore answers watches as a test says; listings show items as they stand.
+type scriptedStore struct {
+	items   []kv.Item
+	lists   int
+	watches int
+	watch   func(number int, wait time.Duration) (kv.Events, error)
+}
+
+func (s *scriptedStore) All(context.Context, string, kv.Read) ([]kv.Item, kv.Revision, error) {
+	s.lists++
+	return s.items, kv.Revision(s.lists), nil
+}
+
+func (s *scriptedStore) Watch(ctx context.Context, _ string, _ kv.Revision, wait time.Duration) (kv.Events, error) {
+	s.watches++
+	return s.watch(s.watches, wait)
+}
+
+func runFollower(t *testing.T, store *scriptedStore, f Follower, d time.Duration) []Change {
+	t.Helper()
+	var changes []Change
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	defer cancel()
+	f.Store, f.Logger = store, slog.New(slog.DiscardHandler)
+	f.Apply = func(c Change) { changes = append(changes, c) }
+	f.Run(ctx)
+	return changes
+}
+
+// A watch hears nothing though there are changes: the next listing shows them, within
+// the wait that was asked for.
+func TestSilentWatchIsFollowedByAListing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{watch: func(_ int, wait time.Duration) (kv.Events, error) {
+			time.Sleep(wait)
+			return kv.Events{}, nil
+		}}
+		changes := runFollower(t, store, Follower{Wait: 500 * time.Millisecond}, 2100*time.Millisecond)
+		assert.Equal(t, len(changes), 5) // at 0, 0.5, 1, 1.5 and 2 s
+		assert.Assert(t, changes[4].Reset)
+	})
+}
+
+func TestLostHistoryIsFollowedByAListing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{watch: func(number int, wait time.Duration) (kv.Events, error) {
+			if number == 1 {
+				return kv.Events{}, kv.ErrCompacted
+			}
+			time.Sleep(wait)
+			return kv.Events{}, errors.New("cut")
+		}}
+		changes := runFollower(t, store, Follower{Wait: time.Second}, 900*time.Millisecond)
+		assert.Equal(t, len(changes), 2)
+		assert.Assert(t, changes[1].Reset)
+	})
+}
+
+// Frequent changes are gathered, so that calls do not grow with them.
+func TestPauseBoundsTheCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{watch: func(int, time.Duration) (kv.Events, error) {
+			return kv.Events{Events: []kv.Event{{}}, AsOf: 9}, nil
+		}}
+		runFollower(t, store, Follower{Pause: 250 * time.Millisecond}, 2*time.Second)
+		assert.Equal(t, store.watches, 8)
+	})
+}
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -226,11 +226,12 @@
 			MaintenanceTime: h.node.MaintenanceTime, MoveTime: h.node.MoveTime,
 			MoveCost: moveCost, MachineSecondCost: machineSecondCost,
 		},
-		HolderGap: h.node.HolderGap,
-		Store:     h.store,
-		Machines:  machines.New(h.node.MachinesAddress),
-		Config:    h.config.Load,
-		Logger:    h.logger,
+		HolderGap:   h.node.HolderGap,
+		RetainFinal: h.node.RetainFinal,
+		Store:       h.store,
+		Machines:    machines.New(h.node.MachinesAddress),
+		Config:      h.config.Load,
+		Logger:      h.logger,
 	}
 	h.election.Campaign(h.dutyCtx, fleetduty.Duty, func(ctx context.Context, term election.Term) {
 		fleetduty.Lead(ctx, term, options)
--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -28,8 +28,11 @@
 // OwnersPrefix holds the duties.
 const OwnersPrefix = "owners/"
 
+// JobsPrefix holds the states of all jobs.
+const JobsPrefix = "jobs/"
+
 // JobKey holds the State of a job.
-func JobKey(id job.ID) string { return "jobs/" + string(id) }
+func JobKey(id job.ID) string { return JobsPrefix + string(id) }
 
 // ShardPrefix holds the records and cancellations of a service's jobs.
 func ShardPrefix(s cluster.Service) string { return "shard/" + string(s) + "/" }
--- /dev/null
+++ b/entry/storehealth/storehealth_test.go
@@ -0,0 +1,53 @@
+package storehealth
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+)
+
+func TestStoreIsAwayAfterFailuresWithoutAnyAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var changes []bool
+		s := New(nil, func(away bool, _ int) { changes = append(changes, away) })
+		failure := errors.New("no answer")
+		for range 10 { // failures within a moment are no outage
+			s.observe(failure)
+		}
+		_, away := s.Away()
+		assert.Assert(t, !away)
+
+		time.Sleep(awayAfter)
+		s.observe(context.Canceled)
+		_, away = s.Away()
+		assert.Assert(t, !away)
+		s.observe(failure)
+		_, away = s.Away()
+		assert.Assert(t, away)
+
+		s.observe(kv.ErrNotFound) // an answer all the same
+		_, away = s.Away()
+		assert.Assert(t, !away)
+		assert.DeepEqual(t, changes, []bool{true, false})
+	})
+}
+
+func TestOneAnswerInSeveralKeepsTheStoreThere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(nil, func(bool, int) {})
+		for range 100 {
+			time.Sleep(200 * time.Millisecond)
+			s.observe(errors.New("no answer"))
+			s.observe(errors.New("no answer"))
+			s.observe(nil)
+		}
+		_, away := s.Away()
+		assert.Assert(t, !away)
+	})
+}
--- /dev/null
+++ b/policy/fleetplan/fleetplan_test.go
@@ -0,0 +1,330 @@
+package fleetplan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/job"
+	_ "github.com/tarragonreach/tarragonreach/api/rapidseed"
+	"github.com/tarragonreach/tarragonreach/policy/shard"
+)
+
+// yard is a fleet in virtual time: it carries out what the planner decides.
+type yard struct {
+	t        fataler
+	now      time.Time
+	planner  *Planner
+	pools    []cluster.Pool
+	machines map[cluster.MachineID]*cluster.Machine
+	order    []cluster.MachineID
+	loads    map[cluster.Service]shard.Load
+	cordons  map[cluster.ExecutorID]cluster.Service
+	waves    []cluster.Wave
+	back     map[cluster.MachineID]time.Time
+	lives    int
+	moves    int
+	begun    map[cluster.MachineID]int
+	reports  []cluster.WaveState
+}
+
+type fataler interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+var yardLimits = Limits{MaintenanceTime: 2 * time.Second, MoveTime: 1500 * time.Millisecond, MoveCost: 0.088, MachineSecondCost: 0.078}
+
+func newYard(t fataler, sizes map[cluster.Service]int, spare int) *yard {
+	y := &yard{
+		t: t, now: time.Unix(1000, 0), planner: New(yardLimits),
+		machines: map[cluster.MachineID]*cluster.Machine{}, loads: map[cluster.Service]shard.Load{},
+		cordons: map[cluster.ExecutorID]cluster.Service{}, back: map[cluster.MachineID]time.Time{}, begun: map[cluster.MachineID]int{},
+	}
+	for _, service := range []cluster.Service{"a", "b", "c", "d"} {
+		if n := sizes[service]; n > 0 {
+			y.pools = append(y.pools, cluster.Pool{Service: service})
+			y.add(service, n)
+			y.loads[service] = shard.Load{Executors: map[cluster.ExecutorID]shard.ExecutorLoad{}}
+		}
+	}
+	y.pools = append(y.pools, cluster.Pool{Service: "spare", Spare: true})
+	y.add("spare", spare)
+	y.refresh()
+	return y
+}
+
+func (y *yard) add(pool cluster.Service, n int) {
+	for range n {
+		id := cluster.MachineID(fmt.Sprintf("m-%02d", len(y.order)))
+		y.order = append(y.order, id)
+		m := &cluster.Machine{ID: id, Pool: pool, State: cluster.MachineUp, Capacity: job.Resources{MilliCPU: 16000}}
+		y.machines[id] = m
+		y.rise(m)
+	}
+}
+
+func (y *yard) rise(m *cluster.Machine) {
+	m.State = cluster.MachineUp
+	m.Executor = ""
+	if m.Pool != "spare" {
+		y.lives++
+		m.Executor = cluster.ExecutorID(fmt.Sprintf("i-%03d", y.lives))
+	}
+}
+
+// refresh makes the loads name the executors that there are, all idle.
+func (y *yard) refresh() {
+	for service, load := range y.loads {
+		executors := map[cluster.ExecutorID]shard.ExecutorLoad{}
+		for _, m := range y.machines {
+			if m.Pool == service && m.Executor != "" && m.State == cluster.MachineUp {
+				x := load.Executors[m.Executor]
+				x.Cordoned = y.cordons[m.Executor] != ""
+				executors[m.Executor] = x
+			}
+		}
+		load.Executors = executors
+		y.loads[service] = load
+	}
+}
+
+func (y *yard) snapshot() Snapshot {
+	s := Snapshot{Now: y.now, Pools: y.pools, Loads: y.loads, Waves: y.waves, Cordons: y.cordons}
+	for _, id := range y.order {
+		s.Machines = append(s.Machines, *y.machines[id])
+	}
+	return s
+}
+
+// step plans once and carries the actions out; refuse may refuse calls.
+func (y *yard) step(refuse func(Action) Outcome) {
+	for id, at := range y.back {
+		if !y.now.Before(at) {
+			delete(y.back, id)
+			y.rise(y.machines[id])
+		}
+	}
+	y.refresh()
+	for _, a := range y.planner.Plan(y.snapshot()) {
+		switch a.Kind {
+		case Cordon:
+			y.cordons[a.Executor] = a.Service
+		case Uncordon:
+			delete(y.cordons, a.Executor)
+		case Report:
+			y.reports = append(y.reports, a.State)
+		default:
+			y.call(a, refuse)
+		}
+	}
+	y.now = y.now.Add(100 * time.Millisecond)
+}
+
+func (y *yard) call(a Action, refuse func(Action) Outcome) {
+	y.t.Helper()
+	outcome := refuse(a)
+	if outcome == Refused {
+		y.planner.Answered(a, outcome, y.now)
+		return
+	}
+	m := y.machines[a.Machine]
+	if m.State != cluster.MachineUp {
+		y.t.Fatalf("%s of %s, which is %s", a.Kind, a.Machine, m.State)
+	}
+	if m.Executor != "" && y.cordons[m.Executor] == "" {
+		y.t.Fatalf("%s of %s, whose executor was not emptied", a.Kind, a.Machine)
+	}
+	if a.Kind == Maintain {
+		y.begun[a.Machine]++
+		m.State = cluster.MachineMaintenance
+		y.back[a.Machine] = y.now.Add(yardLimits.MaintenanceTime)
+		for _, wave := range y.waves {
+			if down := y.underMaintenance(wave); down > wave.MaxDown {
+				y.t.Fatalf("%d machines of a wave are down, %d may be", down, wave.MaxDown)
+			}
+		}
+	} else {
+		y.moves++
+		m.Pool = a.Service
+		m.State = cluster.MachineMoving
+		y.back[a.Machine] = y.now.Add(yardLimits.MoveTime)
+	}
+	y.planner.Answered(a, outcome, y.now)
+}
+
+func (y *yard) underMaintenance(wave cluster.Wave) int {
+	n := 0
+	for _, id := range wave.Machines {
+		if y.machines[id].State == cluster.MachineMaintenance {
+			n++
+		}
+	}
+	return n
+}
+
+func (y *yard) size(pool cluster.Service) int {
+	n := 0
+	for _, m := range y.machines {
+		if m.Pool == pool {
+			n++
+		}
+	}
+	return n
+}
+
+func agree(Action) Outcome { return Agreed }
+
+// A service's demand rises to what its pool can't hold: machines come from the spare
+// pool within a plan, and go back when it is over.
+func TestMachinesFollowTheDemandAndReturn(t *testing.T) {
+	y := newYard(t, map[cluster.Service]int{"a": 4, "b": 4}, 8)
+	y.loads["a"] = shard.Load{InTimeCPU: 9 * 16000, Executors: y.loads["a"].Executors}
+	y.step(agree)
+	y.step(agree)
+	assert.Equal(t, y.size("a"), 9)
+	y.loads["a"] = shard.Load{Executors: y.loads["a"].Executors}
+	for range 60 {
+		y.step(agree)
+	}
+	assert.Equal(t, y.size("a"), leastMachines)
+	assert.Equal(t, y.size("b"), leastMachines)
+}
+
+// Two services want more than there is: what can be in time is divided in proportion,
+// and late work gets nothing of it.
+func TestScarceMachinesGoToJobsThatCanBeInTime(t *testing.T) {
+	needs := []need{
+		{service: "a", least: 2, inTime: 22, all: 60},
+		{service: "b", least: 2, inTime: 12, all: 12},
+		{service: "c", least: 2, inTime: 2, all: 30},
+	}
+	share(needs, 21)
+	assert.Equal(t, needs[0].share+needs[1].share+needs[2].share, 21)
+	assert.Equal(t, needs[0].share, 12)
+	assert.Equal(t, needs[1].share, 7)
+	assert.Equal(t, needs[2].share, 2)
+}
+
+func TestSharesKeepToTheirBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var needs []need
+		least := 0
+		for range rapid.IntRange(1, 6).Draw(t, "services") {
+			n := need{least: rapid.IntRange(0, 4).Draw(t, "least")}
+			n.inTime = n.least + rapid.IntRange(0, 30).Draw(t, "in time")
+			n.all = n.inTime + rapid.IntRange(0, 30).Draw(t, "late")
+			least += n.least
+			needs = append(needs, n)
+		}
+		machines := least + rapid.IntRange(0, 80).Draw(t, "machines")
+		share(needs, machines)
+		total := 0
+		short := false
+		for _, n := range needs {
+			total += n.share
+			short = short || n.share < n.inTime
+			if n.share < n.least || n.share > n.all {
+				t.Fatalf("share %d of %+v", n.share, n)
+			}
+		}
+		if total > machines {
+			t.Fatalf("%d of %d machines shared", total, machines)
+		}
+		if short && total < machines {
+			t.Fatalf("%d machines left over while jobs wait", machines-total)
+		}
+	})
+}
+
+// A wave with refusals and lost answers takes each machine, never too many at once.
+func TestWaveTakesEachMachineWithinItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		y := newYard(t, map[cluster.Service]int{"a": 5, "b": 5}, 4)
+		wave := cluster.Wave{Number: 1, Duration: 30 * time.Second, MaxDown: rapid.IntRange(1, 4).Draw(t, "at once")}
+		for _, id := range y.order {
+			if rapid.Bool().Draw(t, "of the wave") {
+				wave.Machines = append(wave.Machines, id)
+			}
+		}
+		y.waves = []cluster.Wave{wave}
+		for range 1200 {
+			y.step(func(Action) Outcome {
+				return rapid.SampledFrom([]Outcome{Agreed, Agreed, Agreed, Refused, Unknown}).Draw(t, "outcome")
+			})
+		}
+		for _, id := range wave.Machines {
+			if y.begun[id] == 0 {
+				t.Fatalf("%s was never maintained", id)
+			}
+		}
+		if last := y.reports[len(y.reports)-1]; last != cluster.WaveCompleted {
+			t.Fatalf("the wave is reported as %s", last)
+		}
+	})
+}
+
+// A successor keeps the pace of a wave that is half over.
+func TestSuccessorKnowsWhenAWaveBegan(t *testing.T) {
+	y := newYard(t, map[cluster.Service]int{"a": 12}, 0)
+	wave := cluster.Wave{Number: 1, Duration: 20 * time.Second, MaxDown: 10, Machines: y.order[:6]}
+	y.waves = []cluster.Wave{wave}
+	fresh, late := New(yardLimits), New(yardLimits)
+	late.RestoreWave(1, nil, cluster.WaveRunning, y.now.Add(-13*time.Second))
+	for _, p := range []*Planner{fresh, late} {
+		p.Plan(y.snapshot())
+	}
+	assert.Assert(t, len(late.operations) > len(fresh.operations), "%d, %d", len(late.operations), len(fresh.operations))
+}
+
+// Machines for which an earlier holder may have ordered something are left alone.
+func TestReservedMachinesAreNotOrdered(t *testing.T) {
+	y := newYard(t, map[cluster.Service]int{"a": 2}, 2)
+	y.loads["a"] = shard.Load{InTimeCPU: 4 * 16000, Executors: y.loads["a"].Executors}
+	until := y.now.Add(3 * time.Second)
+	y.planner.Reserve(y.order, until)
+	for y.now.Before(until) {
+		y.step(agree)
+		assert.Equal(t, y.moves, 0)
+	}
+	y.step(agree)
+	assert.Equal(t, y.moves, 2)
+}
+
+// Demand goes by turns; once the order is known the next peak is expected in time.
+func TestTurnsPredictTheNextPeak(t *testing.T) {
+	turns := newTurns()
+	start := time.Unix(1000, 0)
+	for i, service := range []cluster.Service{"a", "b", "c", "a", "b"} {
+		turns.known[service] = true
+		turns.begin(service, start.Add(time.Duration(i)*4*time.Second))
+	}
+	next := start.Add(5 * 4 * time.Second)
+	lead := 2 * time.Second
+	assert.Assert(t, !turns.expects("c", next.Add(-3*time.Second), lead))
+	assert.Assert(t, turns.expects("c", next.Add(-time.Second), lead))
+	assert.Assert(t, !turns.expects("c", next.Add(overdue), lead))
+	assert.Assert(t, !turns.expects("a", next.Add(-time.Second), lead))
+}
+
+// Five jobs within half a second are a peak; two large ones are none.
+func TestPeaksAreToldFromChance(t *testing.T) {
+	arrivals := func(jobs, work int64) *demand {
+		d := &demand{}
+		now := time.Unix(1000, 0)
+		d.take(sample{at: now})
+		now = now.Add(5 * time.Second)
+		d.take(sample{at: now})
+		for i := range jobs {
+			now = now.Add(100 * time.Millisecond)
+			d.take(sample{at: now, work: (i + 1) * work, jobs: i + 1})
+		}
+		return d
+	}
+	assert.Assert(t, arrivals(6, 7000).hot)
+	assert.Assert(t, !arrivals(2, 60000).hot)
+}
