--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -16,7 +16,6 @@
 	"github.com/tarragonreach/tarragonreach/entry/election"
 	"github.com/tarragonreach/tarragonreach/entry/follow"
 	"github.com/tarragonreach/tarragonreach/entry/layout"
-	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 	"github.com/tarragonreach/tarragonreach/platform/machines"
 	"github.com/tarragonreach/tarragonreach/platform/registry"
@@ -60,6 +59,8 @@
 type Store interface {
 	election.Store
 	Range(ctx context.Context, prefix, after string, read kv.Read) (kv.Page, error)
+	// Timeout bounds an attempt of a write, counted from 1.
+	Timeout(attempt int) time.Duration
 }
 
 // Options are what the duty needs.
@@ -274,7 +275,7 @@
 				h.cleanUp(ctx)
 			}
 		}
-		if h.machines != nil && time.Since(h.plannedAt) >= planEvery {
+		if ctx.Err() == nil && h.machines != nil && time.Since(h.plannedAt) >= planEvery {
 			h.plan(ctx)
 		}
 	}
@@ -446,7 +447,7 @@
 }
 
 func (h *Holder) attempt(ctx context.Context, t kv.Txn, number int) (kv.TxnResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, backoff.DefaultTimeouts.Of(number))
+	ctx, cancel := context.WithTimeout(ctx, h.Store.Timeout(number))
 	defer cancel()
 	return h.Store.Txn(ctx, t)
 }
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -31,6 +31,8 @@
 	Txn(ctx context.Context, t kv.Txn) (kv.TxnResult, error)
 	// Away reports whether the store has stopped answering this instance.
 	Away() (since time.Time, away bool)
+	// Timeout bounds an attempt of a call, counted from 1.
+	Timeout(attempt int) time.Duration
 }
 
 // Config returns the operator's configuration in force, or nil.
--- a/entry/intake/jobs.go
+++ b/entry/intake/jobs.go
@@ -59,7 +59,7 @@
 }
 
 func (i *Intake) attempt(ctx context.Context, t kv.Txn, number int) (kv.TxnResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, backoff.DefaultTimeouts.Of(number))
+	ctx, cancel := context.WithTimeout(ctx, i.store.Timeout(number))
 	defer cancel()
 	return i.store.Txn(ctx, t)
 }
@@ -71,7 +71,7 @@
 	}
 	random := backoff.NewRandom()
 	for attempt := 1; ; attempt++ {
-		callCtx, cancel := context.WithTimeout(ctx, backoff.DefaultTimeouts.Of(attempt))
+		callCtx, cancel := context.WithTimeout(ctx, i.store.Timeout(attempt))
 		item, err := i.store.Get(callCtx, key)
 		cancel()
 		if err == nil || errors.Is(err, kv.ErrNotFound) {
--- a/entry/owner/load.go
+++ b/entry/owner/load.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
@@ -18,36 +20,50 @@
 
 func (o *Owner) shardPrefix() string { return layout.ShardPrefix(o.Service) }
 
-// load reads what earlier owners stored. The term is held already, so that no
+// stored is what earlier owners left of a shard.
+type stored struct {
+	chain     kv.Revision
+	progress  map[job.ID]*shard.Progress
+	items     []kv.Item
+	executors []kv.Item
+}
+
+// read reads all parts at once, since a slow store would make them add up.
+func (o *Owner) read(ctx context.Context) (stored, error) {
+	var s stored
+	var failures [4]error
+	var reads sync.WaitGroup
+	reads.Go(func() { s.chain, failures[0] = o.readChain(ctx) })
+	reads.Go(func() { s.progress, failures[1] = o.readProgress(ctx) })
+	reads.Go(func() { s.items, _, failures[2] = o.Store.All(ctx, o.shardPrefix(), kv.Linearizable) })
+	reads.Go(func() { s.executors, _, failures[3] = o.Store.All(ctx, executorPrefix, kv.Linearizable) })
+	reads.Wait()
+	if err := errors.Join(failures[:]...); err != nil {
+		return stored{}, fmt.Errorf("read the shard of %s: %w", o.Service, err)
+	}
+	return s, nil
+}
+
+// load takes in what earlier owners stored. The term is held already, so that no
 // earlier owner's write comes after it.
 func (o *Owner) load(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	if err := o.openChain(ctx); err != nil {
-		return err
-	}
-	progress, err := o.loadProgress(ctx)
+	s, err := o.read(ctx)
 	if err != nil {
 		return err
 	}
-	items, _, err := o.Store.All(ctx, o.shardPrefix(), kv.Linearizable)
-	if err != nil {
-		return fmt.Errorf("records of %s: %w", o.Service, err)
-	}
-	executors, _, err := o.Store.All(ctx, executorPrefix, kv.Linearizable)
-	if err != nil {
-		return fmt.Errorf("executors of %s: %w", o.Service, err)
-	}
-	o.takeExecutors(executors)
+	o.chain.revision = s.chain
+	o.takeExecutors(s.executors)
 	now := time.Now()
-	for _, item := range items {
+	for _, item := range s.items {
 		kind, name := layout.ParseShardKey(o.Service, item.Key)
 		if kind == layout.ItemRecord {
-			o.addRecord(item, progress[job.ID(name)], now)
+			o.addRecord(item, s.progress[job.ID(name)], now)
 		}
 	}
-	o.applyJobs(follow.Change{Events: eventsOf(items)}, now)
-	o.Logger.Info("shard taken over", "jobs", o.shard.Jobs(), "begun", len(progress), "executors", len(executors))
+	o.applyJobs(follow.Change{Events: eventsOf(s.items)}, now)
+	o.Logger.Info("shard taken over", "jobs", o.shard.Jobs(), "begun", len(s.progress), "executors", len(s.executors))
 	return nil
 }
 
@@ -65,7 +81,7 @@
 	o.shard.SetExecutors(list.list(), time.Now())
 }
 
-func (o *Owner) loadProgress(ctx context.Context) (map[job.ID]*shard.Progress, error) {
+func (o *Owner) readProgress(ctx context.Context) (map[job.ID]*shard.Progress, error) {
 	items, _, err := o.Store.All(ctx, layout.ProgressPrefix(o.Service), kv.Linearizable)
 	if err != nil {
 		return nil, fmt.Errorf("progress of %s: %w", o.Service, err)
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -39,11 +39,18 @@
 // Config returns the operator's configuration in force.
 type Config func() *cluster.Config
 
+// Store is the part of the store that an owner uses.
+type Store interface {
+	election.Store
+	// Timeout bounds an attempt of a write, counted from 1.
+	Timeout(attempt int) time.Duration
+}
+
 // Options are what an owner needs.
 type Options struct {
 	Service cluster.Service
 	Limits  shard.Limits
-	Store   election.Store
+	Store   Store
 	Dial    Dial
 	Adviser Adviser // nil where no queue needs advice
 	Config  Config
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -32,17 +33,13 @@
 	nonce    string // of the write on its way
 }
 
-func (o *Owner) openChain(ctx context.Context) error {
-	items, _, err := o.Store.All(ctx, layout.ChainKey(o.Service), kv.Linearizable)
-	if err != nil {
-		return fmt.Errorf("chain of %s: %w", o.Service, err)
-	}
-	for _, item := range items {
-		if item.Key == layout.ChainKey(o.Service) {
-			o.chain.revision = item.Revision
-		}
+// readChain returns the revision of the last write; zero before the first.
+func (o *Owner) readChain(ctx context.Context) (kv.Revision, error) {
+	item, err := o.Store.Get(ctx, layout.ChainKey(o.Service))
+	if errors.Is(err, kv.ErrNotFound) {
+		return 0, nil
 	}
-	return nil
+	return item.Revision, err
 }
 
 // round stores the next batch, if there is one and no other is on its way.
@@ -171,7 +168,7 @@
 
 func (o *Owner) attempt(txn kv.Txn, number int) (kv.Revision, writeOutcome, error) {
 	// Not the term's context: a write on its way when the term ends is waited for.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(o.ctx), backoff.DefaultTimeouts.Of(number))
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(o.ctx), o.Store.Timeout(number))
 	defer cancel()
 	result, err := o.Store.Txn(ctx, txn)
 	if err != nil {
--- a/entry/storehealth/storehealth.go
+++ b/entry/storehealth/storehealth.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 )
 
@@ -25,7 +26,8 @@
 	mu       sync.Mutex
 	failures int // in a row
 	answered time.Time
-	since    time.Time // when the store went away; zero while it is there
+	since    time.Time     // when the store went away; zero while it is there
+	latency  time.Duration // of writes that were answered, smoothed
 	notify   func(away bool, failures int)
 }
 
@@ -71,6 +73,31 @@
 	s.answered = time.Now()
 }
 
+const (
+	// latencyFactor is how many times the usual latency the first attempt waits.
+	latencyFactor = 3
+	// latencyWeight is the weight of the latest write in the usual latency. It is
+	// large, since the store turns slow at once.
+	latencyWeight = 0.5
+)
+
+// Timeout bounds an attempt of a write, counted from 1: a little more than the store
+// usually takes, and twice as long each time.
+func (s *Store) Timeout(attempt int) time.Duration {
+	s.mu.Lock()
+	usual := s.latency
+	s.mu.Unlock()
+	timeouts := backoff.DefaultTimeouts
+	timeouts.First = min(max(timeouts.First, latencyFactor*usual), timeouts.Cap)
+	return timeouts.Of(attempt)
+}
+
+func (s *Store) observeLatency(took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latency += time.Duration(latencyWeight * float64(took-s.latency))
+}
+
 // Get implements the store.
 func (s *Store) Get(ctx context.Context, key string) (kv.Item, error) {
 	item, err := s.Client.Get(ctx, key)
@@ -97,8 +124,12 @@
 
 // Txn implements the store.
 func (s *Store) Txn(ctx context.Context, t kv.Txn) (kv.TxnResult, error) {
+	begun := time.Now()
 	result, err := s.Client.Txn(ctx, t)
 	s.observe(err)
+	if err == nil {
+		s.observeLatency(time.Since(begun))
+	}
 	return result, err
 }
 
--- a/entry/storehealth/storehealth_test.go
+++ b/entry/storehealth/storehealth_test.go
@@ -51,3 +51,14 @@
 		assert.Assert(t, !away)
 	})
 }
+
+// A store that turns slow is waited for, instead of being asked again each time.
+func TestFirstAttemptWaitsForASlowStore(t *testing.T) {
+	s := New(nil, func(bool, int) {})
+	assert.Equal(t, s.Timeout(1), 250*time.Millisecond)
+	s.observeLatency(4 * time.Millisecond)
+	assert.Equal(t, s.Timeout(1), 250*time.Millisecond)
+	s.observeLatency(316 * time.Millisecond)
+	assert.Assert(t, s.Timeout(1) > 400*time.Millisecond)
+	assert.Equal(t, s.Timeout(9), 2*time.Second)
+}
