--- /dev/null
+++ b/policy/shard/rules_test.go
@@ -0,0 +1,264 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/execution"
+	"github.com/tarragonreach/tarragonreach/api/job"
+)
+
+// rackExecutor is an executor on a rack.
+func rackExecutor(id, rack string) cluster.Executor {
+	e := executorOf(id)
+	e.Labels = []string{"a", rack}
+	return e
+}
+
+// startAll stores, sends and confirms all starts, and returns them.
+func (b *bench) startAll() []Order {
+	var starts []Order
+	for range 20 {
+		for _, o := range b.round() {
+			if o.Kind == OrderStart {
+				starts = append(starts, o)
+			}
+			b.s.OrderAnswered(o, Answered, execution.Reply{ClockMs: 1000}, b.now)
+		}
+	}
+	return starts
+}
+
+// view lists all runs of an executor as at work, with their figures by image.
+func (b *bench) view(id string, usage map[string]int64) execution.View {
+	v := execution.View{Reply: execution.Reply{ClockMs: 1000 + b.now.Sub(time.Unix(1000, 0)).Milliseconds()}}
+	for _, r := range b.s.executors[cluster.ExecutorID(id)].sortedRuns() {
+		v.Running = append(v.Running, execution.Running{RunRef: r.ref(), Percent: 100, Usage: usage[r.task.step.def.Image]})
+	}
+	return v
+}
+
+// see answers the next look at an executor.
+func (b *bench) see(id string, v execution.View) {
+	b.t.Helper()
+	for range 100 {
+		b.now = b.now.Add(50 * time.Millisecond)
+		seen := false
+		for _, look := range b.s.Looks(b.now) {
+			if string(look.Executor.ID) == id {
+				b.s.LookAnswered(look, Answered, v, b.now)
+				seen = true
+				continue
+			}
+			b.s.LookAnswered(look, Answered, b.view(string(look.Executor.ID), nil), b.now)
+		}
+		if seen {
+			return
+		}
+	}
+	b.t.Fatalf("no look at %s", id)
+}
+
+func TestGangStartsWholeWithOneRunNumberOrNotAtAll(t *testing.T) {
+	b := newBench(t, executorOf("i-1"), executorOf("i-2"))
+	gang := oneTask
+	gang.Gang, gang.Count = true, 9 // 8 fit
+	b.submit("00000000000000aa", gang)
+	assert.Equal(t, len(b.startAll()), 0)
+	assert.Equal(t, b.s.executors["i-1"].used, job.Resources{})
+	gang.Count = 8
+	b.submit("00000000000000ab", gang)
+	starts := b.startAll()
+	assert.Equal(t, len(starts), 8)
+	for _, s := range starts {
+		assert.Equal(t, s.Start.Run, 1)
+	}
+}
+
+// One member of a gang ends broken, the others follow; all start again together.
+func TestBrokenGangStartsAgainTogether(t *testing.T) {
+	b := newBench(t, executorOf("i-1"))
+	gang := oneTask
+	gang.Gang, gang.Count = true, 2
+	b.submit("00000000000000aa", gang)
+	starts := b.startAll()
+	assert.Equal(t, len(starts), 2)
+	v := b.view("i-1", nil)
+	first := v.Running[0].RunRef
+	v.Running = v.Running[1:]
+	v.Ended = []execution.Ended{{RunRef: first, Sequence: 1, How: execution.EndedFailed}}
+	b.see("i-1", v)
+	assert.Equal(t, len(b.startAll()), 0) // the other member is still there
+	v = execution.View{Reply: v.Reply, Ended: []execution.Ended{{RunRef: starts[1].Start.RunRef, Sequence: 2, How: execution.EndedBroken}}}
+	if first == starts[1].Start.RunRef {
+		v.Ended[0].RunRef = starts[0].Start.RunRef
+	}
+	b.see("i-1", v)
+	b.now = b.now.Add(time.Second)
+	again := b.startAll()
+	assert.Equal(t, len(again), 2)
+	for _, s := range again {
+		assert.Equal(t, s.Start.Run, 2)
+	}
+}
+
+func TestStepsConditionsOfPlaceAreKept(t *testing.T) {
+	b := newBench(t, rackExecutor("i-1", "r1-1"), rackExecutor("i-2", "r1-2"))
+	labelled := oneTask
+	labelled.RequiredLabel, labelled.Count = "r1-2", 3
+	b.submit("00000000000000aa", labelled)
+	for _, s := range b.startAll() {
+		assert.Equal(t, s.Executor.ID, cluster.ExecutorID("i-2"))
+	}
+	spread := oneTask
+	spread.MaxPerServer, spread.Count, spread.Need.MilliCPU = 1, 3, 100
+	b.submit("00000000000000ab", spread)
+	assert.Equal(t, len(b.startAll()), 2)
+}
+
+func TestDataIsPreferredToEmptiness(t *testing.T) {
+	b := newBench(t, rackExecutor("i-1", "r1-1"), rackExecutor("i-2", "r1-2"))
+	near := oneTask
+	near.Affinity, near.Count = "r1-2", 4
+	b.submit("00000000000000aa", near)
+	starts := b.startAll()
+	assert.Equal(t, len(starts), 4)
+	for _, s := range starts {
+		assert.Equal(t, s.Executor.ID, cluster.ExecutorID("i-2"))
+	}
+}
+
+func TestDrainingAndCordonedExecutorsGetNoStart(t *testing.T) {
+	draining, cordoned := executorOf("i-1"), executorOf("i-2")
+	b := newBench(t, draining, cordoned)
+	draining.Draining = true
+	b.s.SetExecutors([]cluster.Executor{draining, cordoned}, b.now)
+	b.s.Cordon(map[cluster.ExecutorID]bool{"i-2": true}, b.now)
+	b.submit("00000000000000aa", oneTask)
+	assert.Equal(t, len(b.startAll()), 0)
+	// An entry that returns as ready is still that of an executor which leaves.
+	draining.Draining = false
+	b.s.SetExecutors([]cluster.Executor{draining, cordoned}, b.now)
+	assert.Equal(t, len(b.startAll()), 0)
+}
+
+// An executor of the step's third task goes dark: another one must not be moved, even
+// before the lease of the first has lapsed.
+func TestLastingTaskIsNotMovedWhileAnotherMayBeAway(t *testing.T) {
+	b := newBench(t, executorOf("i-1"), executorOf("i-2"), executorOf("i-3"))
+	lasting := job.Step{Count: 3, Need: job.Resources{MilliCPU: 1000}, LongRunning: true, MayMiss: 1, MaxPerServer: 1}
+	b.submit("00000000000000aa", lasting)
+	assert.Equal(t, len(b.startAll()), 3)
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		b.see(id, b.view(id, nil))
+	}
+	b.now = b.now.Add(20 * time.Millisecond)
+	for _, look := range b.s.Looks(b.now) {
+		d := Answered
+		if look.Executor.ID == "i-1" {
+			d = Ambiguous
+		}
+		b.s.LookAnswered(look, d, b.view(string(look.Executor.ID), nil), b.now)
+	}
+	b.s.Cordon(map[cluster.ExecutorID]bool{"i-2": true}, b.now)
+	for _, o := range b.round() {
+		assert.Assert(t, o.Kind != OrderStop, "%s is stopped", o.Start.Task)
+	}
+}
+
+func TestFillersAreSlowedBeforeServingTasksMissTheirTarget(t *testing.T) {
+	b := newBench(t, executorOf("i-1"))
+	serving := job.Step{Count: 1, Need: job.Resources{MilliCPU: 1000}, LongRunning: true, TargetLatency: 100 * time.Millisecond, Image: "serve"}
+	filler := job.Step{Count: 1, Need: job.Resources{MilliCPU: 9000}, Fills: true, Estimate: time.Minute, Image: "fill"}
+	b.submit("00000000000000aa", serving)
+	b.submit("00000000000000ab", filler)
+	assert.Equal(t, len(b.startAll()), 2) // a filler's processor need is not counted
+	paces := func(tail int64) int {
+		b.see("i-1", b.view("i-1", map[string]int64{"serve": tail}))
+		b.now = b.now.Add(paceEvery)
+		pace := -1
+		for _, o := range b.s.Orders(b.now) {
+			if o.Kind == OrderPace {
+				pace = o.Percent
+				b.s.OrderAnswered(o, Answered, execution.Reply{ClockMs: 1000}, b.now)
+			}
+		}
+		return pace
+	}
+	assert.Equal(t, paces(50), -1)
+	assert.Equal(t, paces(90), 50)
+	assert.Equal(t, paces(120), 0)
+	assert.Equal(t, paces(70), -1) // within the band nothing changes
+	assert.Equal(t, paces(40), paceStep)
+}
+
+func TestStartsOfAnAdvisedQueueCarryTheTicket(t *testing.T) {
+	b := newBench(t, executorOf("i-1"), executorOf("i-2"))
+	b.s.AddJob(Record{
+		ID: "00000000000000aa", Accepted: b.now, Definition: job.Definition{Steps: []job.Step{oneTask}},
+		Queue: QueueTerms{Name: "q", MaxAttempts: 2, Advice: &cluster.Advice{Validity: 3 * time.Second}},
+	}, nil, b.now)
+	assert.Equal(t, len(b.startAll()), 0)
+	questions := b.s.Questions(b.now)
+	assert.Equal(t, len(questions), 1)
+	assert.Equal(t, len(questions[0].Executors), 2)
+	assert.Equal(t, len(b.s.Questions(b.now)), 0) // it is on its way
+	b.s.QuestionAnswered(questions[0], map[cluster.ExecutorID]string{"i-2": "ticket"}, 3*time.Second, b.now, b.now)
+	starts := b.startAll()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Executor.ID, cluster.ExecutorID("i-2"))
+	assert.Equal(t, starts[0].Start.Ticket, "ticket")
+}
+
+// Under more load than the room holds, late jobs that are about to expire get a share
+// of it, and the rest goes to jobs that can be in time.
+func TestExpiringJobsDoNotPushAllOthersBack(t *testing.T) {
+	b := newBench(t, executorOf("i-1"))
+	for i := range 20 {
+		old := Record{
+			ID: job.ID("00000000000000a" + string(rune('a'+i%6)) + string(rune('0'+i/6))), Accepted: b.now.Add(-6 * time.Second),
+			Definition: job.Definition{Steps: []job.Step{oneTask}},
+			Queue:      QueueTerms{Name: "q", MaxAttempts: 2, Stretch: 1.6, TargetDuration: 600 * time.Millisecond},
+		}
+		old.ID = old.ID[1:]
+		b.s.AddJob(old, nil, b.now)
+		fresh := old
+		fresh.ID = job.ID("f" + string(old.ID[1:]))
+		fresh.Accepted = b.now
+		b.s.AddJob(fresh, nil, b.now)
+	}
+	starts := b.startAll()
+	assert.Equal(t, len(starts), 4)
+	inTime := 0
+	for _, s := range starts {
+		if s.Start.Task.Job[0] == 'f' {
+			inTime++
+		}
+	}
+	assert.Assert(t, inTime >= 3, "%d of 4 starts are in time", inTime)
+}
+
+// An executor that fails everything gets no more work for a while; a job that fails
+// everywhere does not make executors suspect.
+func TestSuspectExecutorIsLeftAlone(t *testing.T) {
+	b := newBench(t, executorOf("i-1"))
+	h := &b.s.executors["i-1"].health
+	for range 10 {
+		h.failed("00000000000000aa", b.now)
+	}
+	assert.Assert(t, !h.suspect(b.now))
+	for _, id := range []job.ID{"01", "02", "03"} {
+		h.failed(id, b.now)
+	}
+	assert.Assert(t, h.suspect(b.now))
+	b.submit("00000000000000ab", oneTask)
+	assert.Equal(t, len(b.startAll()), 0)
+	b.now = b.now.Add(suspectTime)
+	b.s.touched = true
+	assert.Equal(t, len(b.startAll()), 1)
+	h.failed("04", b.now) // the trial fails as well
+	assert.Assert(t, h.suspect(b.now))
+}
