--- a/policy/shard/rules_test.go
+++ b/policy/shard/rules_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -218,15 +219,15 @@
 func TestExpiringJobsDoNotPushAllOthersBack(t *testing.T) {
 	b := newBench(t, executorOf("i-1"))
 	for i := range 20 {
-		old := Record{
-			ID: job.ID("00000000000000a" + string(rune('a'+i%6)) + string(rune('0'+i/6))), Accepted: b.now.Add(-6 * time.Second),
+		late := Record{
+			ID: job.ID(fmt.Sprintf("a%015x", i)), Accepted: b.now.Add(-4500 * time.Millisecond),
 			Definition: job.Definition{Steps: []job.Step{oneTask}},
 			Queue:      QueueTerms{Name: "q", MaxAttempts: 2, Stretch: 1.6, TargetDuration: 600 * time.Millisecond},
 		}
-		old.ID = old.ID[1:]
-		b.s.AddJob(old, nil, b.now)
-		fresh := old
-		fresh.ID = job.ID("f" + string(old.ID[1:]))
+		b.s.AddJob(late, nil, b.now)
+		assert.Equal(t, b.s.jobs[late.ID].standing(b.now), standingExpiring)
+		fresh := late
+		fresh.ID = job.ID(fmt.Sprintf("f%015x", i))
 		fresh.Accepted = b.now
 		b.s.AddJob(fresh, nil, b.now)
 	}
