--- a/cmd/tarragond/main.go
+++ b/cmd/tarragond/main.go
@@ -55,8 +55,9 @@
 		Description: "Exit codes: 0 done, 1 failed, 2 wrong input.\n\nExamples:\n" +
 			"  tarragond dev\n" +
 			"  tarragond dev --duration 10s --json\n" +
+			"  tarragond dev-jobs --duration 5s\n" +
 			"  tarragond check --config entry.json\n" +
 			"  tarragond run --config entry.json",
-		Commands: []*cli.Command{runCommand(), serveCommand(), checkCommand(), keysCommand(), devCommand()},
+		Commands: []*cli.Command{runCommand(), serveCommand(), checkCommand(), keysCommand(), devCommand(), devJobsCommand()},
 	}
 }
--- a/cmd/tarragond/serve_test.go
+++ b/cmd/tarragond/serve_test.go
@@ -512,3 +512,16 @@
 		assert.Assert(t, strings.Contains(string(output), text), "%s", output)
 	}
 }
+
+func TestDevJobsKeepsItsPromises(t *testing.T) {
+	t.Parallel()
+	command := tarragond("dev-jobs", "--duration", "4s")
+	output, err := command.CombinedOutput()
+	assert.NilError(t, err, "%s", output)
+	var summary struct {
+		Accepted, Completed, Overlaps int
+	}
+	assert.NilError(t, json.Unmarshal(output, &summary), "%s", output)
+	assert.Assert(t, summary.Accepted > 0)
+	assert.Equal(t, summary.Overlaps, 0)
+}
--- a/entry/logging/async.go
+++ b/entry/logging/async.go
@@ -1,6 +1,7 @@
 package logging
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -35,9 +36,6 @@
 	return len(line), nil
 }
 
-// Dropped returns how many lines were lost.
-func (w *AsyncWriter) Dropped() int64 { return w.dropped.Load() }
-
 // Close writes what waits and stops. Nothing may be written afterwards.
 func (w *AsyncWriter) Close() {
 	close(w.lines)
@@ -56,6 +54,9 @@
 				more = false
 			}
 		}
+		if dropped := w.dropped.Swap(0); dropped > 0 {
+			line = fmt.Appendf(line, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n", dropped)
+		}
 		// There is nowhere left to report that the log itself can't be written.
 		_, _ = w.out.Write(line)
 	}
