--- a/entry/devjobs/devjobs.go
+++ b/entry/devjobs/devjobs.go
@@ -72,7 +72,6 @@
 	client  *http.Client
 	summary Summary
 	jobs    []string // paths of accepted jobs
-	waveAt  time.Time
 }
 
 // Run runs the fleet for a time and returns what came of it.
@@ -174,26 +173,25 @@
 	return response.StatusCode, string(text)
 }
 
-// load hands jobs in, with an outage at a third of the time and a wave at half.
+// load hands jobs in, with an outage at a third of the time and a wave at half. Both
+// come at their time also while a caller waits for its answer.
 func (f *fleet) load(ctx context.Context, duration time.Duration) error {
 	begun := time.Now()
-	outage, wave := begun.Add(duration/3), begun.Add(duration/2)
+	waved := make(chan error, 1)
+	outage := time.AfterFunc(duration/3, func() { f.standin.Store.SetDown(true) })
+	defer outage.Stop()
+	back := time.AfterFunc(duration/3+outageTime, func() { f.standin.Store.SetDown(false) })
+	defer back.Stop()
+	time.AfterFunc(duration/2, func() { waved <- f.beginWave() })
 	for i := 0; time.Since(begun) < duration; i++ {
-		now := time.Now()
-		f.standin.Store.SetDown(now.After(outage) && now.Before(outage.Add(outageTime)))
-		if now.After(wave) && f.waveAt.IsZero() {
-			f.waveAt = now
-			if err := f.beginWave(); err != nil {
-				return err
-			}
-		}
 		f.submit(ctx, i)
 		if err := backoff.Sleep(ctx, submitGap); err != nil {
 			return err
 		}
 	}
+	outage.Stop()
 	f.standin.Store.SetDown(false)
-	return nil
+	return <-waved
 }
 
 func (f *fleet) beginWave() error {
--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -77,7 +77,7 @@
 		store := &scriptedStore{watch: func(int, time.Duration) (kv.Events, error) {
 			return kv.Events{Events: []kv.Event{{}}, AsOf: 9}, nil
 		}}
-		runFollower(t, store, Follower{Pause: 250 * time.Millisecond}, 2*time.Second)
+		runFollower(t, store, Follower{Pause: 250 * time.Millisecond}, 1900*time.Millisecond)
 		assert.Equal(t, store.watches, 8)
 	})
 }
