--- /dev/null
+++ b/entry/fleetduty/actions.go
@@ -0,0 +1,196 @@
+package fleetduty
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/platform/machines"
+	"github.com/tarragonreach/tarragonreach/platform/registry"
+	"github.com/tarragonreach/tarragonreach/policy/fleetplan"
+)
+
+func (h *Holder) carryOut(ctx context.Context, a fleetplan.Action) {
+	switch a.Kind {
+	case fleetplan.Report:
+		h.log(a, "", h.report(ctx, a))
+	case fleetplan.Maintain, fleetplan.Move:
+		go h.act(ctx, a)
+	default: // cordons were set together
+	}
+}
+
+func (h *Holder) log(a fleetplan.Action, outcome string, err error) {
+	h.Logger.Info("fleet action", "kind", a.Kind.String(), "machine", string(a.Machine), "executor", string(a.Executor),
+		"service", string(a.Service), "wave", a.Wave, "state", string(a.State), "reason", a.Reason, "outcome", outcome, "error", err)
+}
+
+// announce stores for which machines orders follow, so that a successor leaves them
+// alone for a while. It reports whether they may be sent.
+func (h *Holder) announce(ctx context.Context, actions []fleetplan.Action) bool {
+	now := time.Now()
+	ordering := false
+	for _, a := range actions {
+		if a.Kind == fleetplan.Move || a.Kind == fleetplan.Maintain {
+			h.ordered[a.Machine] = now
+			ordering = true
+		}
+	}
+	if !ordering {
+		return true
+	}
+	maps.DeleteFunc(h.ordered, func(_ cluster.MachineID, at time.Time) bool { return now.Sub(at) > 2*h.HolderGap })
+	value, err := layout.Encode(layout.FleetOrders{Machines: slices.Sorted(maps.Keys(h.ordered))})
+	if err == nil {
+		err = h.txn(ctx, kv.Txn{Puts: []kv.Put{{Key: layout.FleetOrdersKey, Value: value}}})
+	}
+	if err == nil {
+		return true
+	}
+	h.Logger.Warn("orders not announced, and so not given", "error", err)
+	for _, a := range actions {
+		if a.Kind == fleetplan.Move || a.Kind == fleetplan.Maintain {
+			h.planner.Answered(a, fleetplan.Refused, now)
+		}
+	}
+	return false
+}
+
+// setCordons sets and takes back all cordons of a plan in one write each time.
+func (h *Holder) setCordons(ctx context.Context, actions []fleetplan.Action) {
+	var t kv.Txn
+	var set, lifted []cluster.ExecutorID
+	for _, a := range actions {
+		if t.Entries() == kv.MaxTxnEntries-1 {
+			break // the rest is planned again, or lifted later
+		}
+		key := layout.CordonKey(a.Service, a.Executor)
+		switch a.Kind {
+		case fleetplan.Cordon:
+			t.Puts = append(t.Puts, kv.Put{Key: key, Value: []byte("{}")})
+			h.cordons[a.Executor] = a.Service
+			set = append(set, a.Executor)
+		case fleetplan.Uncordon:
+			t.Deletes = append(t.Deletes, key)
+			lifted = append(lifted, a.Executor)
+		default:
+			continue
+		}
+		h.log(a, "", nil)
+	}
+	if t.Entries() == 0 {
+		return
+	}
+	if err := h.txn(ctx, t); err != nil {
+		h.Logger.Warn("cordons not stored", "entries", t.Entries(), "error", err)
+		for _, id := range set {
+			delete(h.cordons, id) // asked for again; a late effect shows when they are read
+		}
+		return
+	}
+	for _, id := range lifted {
+		delete(h.cordons, id)
+	}
+}
+
+// txn makes a write within the term. It tries a few times, since its answer may be
+// lost; the same write twice does no harm.
+func (h *Holder) txn(ctx context.Context, t kv.Txn) error {
+	t.Conditions = append(t.Conditions, h.term.Condition())
+	var err error
+	for attempt := 1; attempt <= txnAttempts; attempt++ {
+		var result kv.TxnResult
+		result, err = h.attempt(ctx, t, attempt)
+		if err == nil && !result.Applied {
+			h.lose()
+			return fmt.Errorf("the term is over")
+		}
+		if err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func (h *Holder) attempt(ctx context.Context, t kv.Txn, number int) (kv.TxnResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.Store.Timeout(number))
+	defer cancel()
+	return h.Store.Txn(ctx, t)
+}
+
+// report tells the operator the state of a wave, and stores it beside what is done.
+func (h *Holder) report(ctx context.Context, a fleetplan.Action) error {
+	status, err := registry.EncodeWaveStatus(a.State)
+	if err != nil {
+		return err
+	}
+	progress, err := h.encodeWave(a.Wave, a.State)
+	if err != nil {
+		return err
+	}
+	err = h.txn(ctx, kv.Txn{Puts: []kv.Put{
+		{Key: registry.WaveStatusKey(a.Wave), Value: status},
+		{Key: layout.WaveKey(a.Wave), Value: progress},
+	}})
+	if err != nil {
+		h.planner.Unreported(a.Wave)
+	}
+	return err
+}
+
+// act calls the machine service and feeds the outcome back.
+func (h *Holder) act(ctx context.Context, a fleetplan.Action) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	holder := machines.Holder{Name: h.Instance, Token: h.term.Token}
+	var refusal machines.Refusal
+	var err error
+	if a.Kind == fleetplan.Maintain {
+		refusal, err = h.Machines.Maintain(callCtx, holder, a.Machine, a.Wave)
+	} else {
+		refusal, err = h.Machines.Move(callCtx, holder, a.Machine, a.Service)
+	}
+	h.send(func() {
+		h.log(a, string(refusal), err)
+		if refusal == machines.RefusedFence {
+			h.fences++
+		}
+		outcome := outcomeOf(refusal, err)
+		h.planner.Answered(a, outcome, time.Now())
+		if outcome == fleetplan.Agreed && a.Kind == fleetplan.Maintain {
+			h.storeWave(ctx, a.Wave)
+		}
+	})
+}
+
+func outcomeOf(refusal machines.Refusal, err error) fleetplan.Outcome {
+	switch {
+	case err != nil && !kv.NotRun(err):
+		return fleetplan.Unknown
+	case err != nil || refusal != machines.NotRefused:
+		return fleetplan.Refused
+	default:
+		return fleetplan.Agreed
+	}
+}
+
+func (h *Holder) encodeWave(number int64, state cluster.WaveState) ([]byte, error) {
+	return layout.Encode(layout.WaveProgress{Done: h.planner.Done(number), Reported: state, Begun: h.planner.Begun(number)})
+}
+
+// storeWave stores which machines of a wave are done. A successor that reads an
+// older state asks again, which the machine service answers without doing anything.
+func (h *Holder) storeWave(ctx context.Context, number int64) {
+	progress, err := h.encodeWave(number, cluster.WaveRunning)
+	if err == nil {
+		err = h.txn(ctx, kv.Txn{Puts: []kv.Put{{Key: layout.WaveKey(number), Value: progress}}})
+	}
+	if err != nil {
+		h.Logger.Warn("state of a wave not stored", "wave", number, "error", err)
+	}
+}
--- /dev/null
+++ b/entry/fleetduty/load.go
@@ -0,0 +1,141 @@
+package fleetduty
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"strings"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/entry/follow"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/platform/registry"
+	"github.com/tarragonreach/tarragonreach/policy/shard"
+)
+
+// load reads what earlier holders stored.
+func (h *Holder) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	items, _, err := h.Store.All(ctx, layout.WavesPrefix, kv.Linearizable)
+	if err != nil {
+		return fmt.Errorf("waves: %w", err)
+	}
+	for _, item := range items {
+		var number int64
+		if _, err := fmt.Sscanf(item.Key, layout.WavesPrefix+"%d", &number); err != nil {
+			h.Logger.Warn("entry of a wave left out", "key", item.Key, "error", err)
+			continue
+		}
+		progress, err := layout.Decode[layout.WaveProgress](item.Key, item.Value)
+		if err != nil {
+			return err
+		}
+		h.planner.RestoreWave(number, progress.Done, progress.Reported, progress.Begun)
+	}
+	if err := h.loadOrders(ctx); err != nil {
+		return err
+	}
+	cordons, err := h.loadCordons(ctx)
+	h.cordons = cordons
+	return err
+}
+
+// loadOrders keeps the machines alone for which the last holder may have ordered
+// something just now.
+func (h *Holder) loadOrders(ctx context.Context) error {
+	items, _, err := h.Store.All(ctx, layout.FleetOrdersKey, kv.Linearizable)
+	if err != nil {
+		return fmt.Errorf("orders: %w", err)
+	}
+	for _, item := range items {
+		orders, err := layout.Decode[layout.FleetOrders](item.Key, item.Value)
+		if err != nil {
+			return err
+		}
+		h.planner.Reserve(orders.Machines, time.Now().Add(h.HolderGap+holderMargin))
+	}
+	return nil
+}
+
+func (h *Holder) loadCordons(ctx context.Context) (map[cluster.ExecutorID]cluster.Service, error) {
+	cordons := map[cluster.ExecutorID]cluster.Service{}
+	config := h.Config()
+	if config == nil {
+		return cordons, nil
+	}
+	for _, pool := range config.Pools {
+		prefix := layout.CordonKey(pool.Service, "")
+		items, _, err := h.Store.All(ctx, prefix, kv.Linearizable)
+		if err != nil {
+			return cordons, fmt.Errorf("cordons of %s: %w", pool.Service, err)
+		}
+		for _, item := range items {
+			cordons[cluster.ExecutorID(strings.TrimPrefix(item.Key, prefix))] = pool.Service
+		}
+	}
+	return cordons, nil
+}
+
+// syncCordons adds cordons that are in force though this holder does not know them;
+// the planner takes them back.
+func (h *Holder) syncCordons(ctx context.Context) {
+	h.cordonsAt = time.Now()
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+		defer cancel()
+		cordons, err := h.loadCordons(ctx)
+		if err != nil {
+			h.Logger.Warn("cordons not read", "error", err)
+			return
+		}
+		h.send(func() { maps.Copy(h.cordons, cordons) })
+	}()
+}
+
+func (h *Holder) follow(ctx context.Context) {
+	waves := follow.Follower{Store: h.Store, Prefix: registry.WavePrefix, Logger: h.Logger, Apply: func(c follow.Change) {
+		h.send(func() { h.applyWaves(c) })
+	}}
+	go waves.Run(ctx)
+	loads := follow.Follower{Store: h.Store, Prefix: layout.LoadPrefix, Pause: loadPause, Wait: loadWait, Logger: h.Logger, Apply: func(c follow.Change) {
+		h.send(func() { h.applyLoads(c) })
+	}}
+	go loads.Run(ctx)
+}
+
+func (h *Holder) applyWaves(c follow.Change) {
+	for _, event := range c.Events {
+		if event.Removed {
+			continue
+		}
+		wave, err := registry.Wave(event.Value)
+		if err != nil {
+			h.Logger.Error("wave left out", "key", event.Key, "error", err)
+			continue
+		}
+		if _, known := h.waves[wave.Number]; known {
+			continue
+		}
+		h.waves[wave.Number] = wave
+		h.Logger.Info("wave", "wave", wave.Number, "machines", len(wave.Machines), "max_down", wave.MaxDown, "duration", wave.Duration.String())
+	}
+}
+
+func (h *Holder) applyLoads(c follow.Change) {
+	for _, event := range c.Events {
+		service := cluster.Service(strings.TrimPrefix(event.Key, layout.LoadPrefix))
+		if event.Removed {
+			delete(h.loads, service)
+			continue
+		}
+		load, err := layout.Decode[shard.Load](event.Key, event.Value)
+		if err != nil {
+			h.Logger.Error("load left out", "error", err)
+			continue
+		}
+		h.loads[service] = load
+	}
+}
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -199,8 +199,6 @@
 		Limits: shard.Limits{
 			RunLease:    min(runLease, h.node.MaxRunLease),
 			MaxRunLease: h.node.MaxRunLease,
-			StopTime:    h.node.StopTime,
-			FarFactor:   h.node.FarFactor,
 		},
 		Store:  h.store,
 		Dial:   dialExecutor,
--- a/entry/intake/jobs.go
+++ b/entry/intake/jobs.go
@@ -131,17 +131,27 @@
 
 var gone = answer{status: http.StatusGone, reason: "no such job"}
 
-func (i *Intake) show(ctx context.Context, id job.ID) answer {
+// readState reads what callers are shown of a job, or returns the answer instead.
+func (i *Intake) readState(ctx context.Context, id job.ID) (kv.Item, layout.State, *answer) {
 	item, err := i.read(ctx, layout.JobKey(id))
 	if errors.Is(err, kv.ErrNotFound) {
-		return gone
+		return item, layout.State{}, &gone
 	}
 	if err != nil {
-		return unavailable(err)
+		a := unavailable(err)
+		return item, layout.State{}, &a
 	}
 	state, err := layout.Decode[layout.State](item.Key, item.Value)
 	if err != nil {
-		return answer{status: http.StatusInternalServerError, reason: err.Error()}
+		return item, state, &answer{status: http.StatusInternalServerError, reason: err.Error()}
+	}
+	return item, state, nil
+}
+
+func (i *Intake) show(ctx context.Context, id job.ID) answer {
+	_, state, failed := i.readState(ctx, id)
+	if failed != nil {
+		return *failed
 	}
 	return answer{status: http.StatusOK, body: submission.StateBody{State: state.State}}
 }
@@ -150,16 +160,9 @@
 // it was read, so that no mark outlives a job that has become final.
 func (i *Intake) cancel(ctx context.Context, id job.ID) answer {
 	for range cancelAttempts {
-		item, err := i.read(ctx, layout.JobKey(id))
-		if errors.Is(err, kv.ErrNotFound) {
-			return gone
-		}
-		if err != nil {
-			return unavailable(err)
-		}
-		state, err := layout.Decode[layout.State](item.Key, item.Value)
-		if err != nil {
-			return answer{status: http.StatusInternalServerError, reason: err.Error()}
+		item, state, unread := i.readState(ctx, id)
+		if unread != nil {
+			return *unread
 		}
 		if state.State.Final() {
 			return answer{status: http.StatusOK, reason: "final already: " + string(state.State)}
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -62,7 +62,6 @@
 	checkpoint string
 	retryAt    time.Time
 	avoid      cluster.ExecutorID // where it failed last
-	lastEnd    time.Time
 }
 
 // phase says what is known of a run.
--- a/policy/shard/looks.go
+++ b/policy/shard/looks.go
@@ -109,7 +109,7 @@
 	case view.Refusal == execution.RefusedFence:
 		s.fenced = true
 	case view.Refusal == execution.RefusedGone:
-		s.executorGone(e, now)
+		s.executorGone(e)
 	case view.Refusal != execution.NotRefused:
 		e.misses++
 		e.lookAt = now.Add(min(time.Duration(e.misses)*lookRetry, maxLookRetry))
@@ -181,7 +181,7 @@
 		}
 		certain := r.phase == inherited || r.phase == confirmed && sentAt.After(r.confirmedAt)
 		if certain {
-			s.void(r, now)
+			s.void(r)
 		}
 	}
 }
@@ -195,7 +195,7 @@
 	}
 	r := t.current
 	e.release(r)
-	t.current, t.lastEnd = nil, now
+	t.current = nil
 	j := t.step.job
 	j.touch()
 	if row.Checkpoint != "" && t.step.def.Checkpointing {
--- a/policy/shard/orders.go
+++ b/policy/shard/orders.go
@@ -105,7 +105,7 @@
 	order.Start.Token = s.token
 	switch {
 	case r.stopping && r.phase == ordered && r.sends == 0:
-		s.void(r, now)
+		s.void(r)
 		return Order{}, false
 	case r.stopping && r.stopAnswer:
 		return Order{}, false
@@ -149,7 +149,7 @@
 		return
 	}
 	if d == Answered && reply.Refusal == execution.RefusedGone {
-		s.executorGone(e, now)
+		s.executorGone(e)
 		return
 	}
 	if o.stray != nil {
@@ -183,7 +183,7 @@
 	case d == NotSent:
 		r.sends--
 		if r.sends == 0 && r.tries >= unsentTries {
-			s.void(r, now)
+			s.void(r)
 		}
 	case d == Ambiguous:
 		if r.sends >= startSends {
@@ -216,7 +216,7 @@
 		return
 	}
 	t := r.task
-	s.void(r, now)
+	s.void(r)
 	t.retryAt = now.Add(retryAfterRefusal)
 	t.avoid = e.ID
 }
@@ -238,12 +238,11 @@
 }
 
 // void forgets a run that certainly never begins or has ended without effect.
-func (s *Shard) void(r *run, now time.Time) {
+func (s *Shard) void(r *run) {
 	t := r.task
 	r.executor.release(r)
 	if t.current == r {
 		t.current = nil
-		t.lastEnd = now
 	}
 	j := t.step.job
 	j.touch()
@@ -252,10 +251,10 @@
 }
 
 // executorGone ends all runs on an executor whose address another one has.
-func (s *Shard) executorGone(e *executorState, now time.Time) {
+func (s *Shard) executorGone(e *executorState) {
 	e.dead = true
 	for _, r := range e.sortedRuns() {
-		s.void(r, now)
+		s.void(r)
 	}
 	clear(e.strays)
 }
@@ -268,7 +267,7 @@
 		}
 		for _, r := range e.sortedRuns() {
 			if r.phase != decided {
-				s.void(r, now)
+				s.void(r)
 			}
 		}
 		clear(e.strays)
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -51,8 +51,6 @@
 type Limits struct {
 	RunLease    time.Duration // asked for by each look and start
 	MaxRunLease time.Duration // the longest that an executor grants
-	StopTime    time.Duration // the longest that a stop takes
-	FarFactor   float64       // slowdown away from the data
 }
 
 // Shard is the state of one service. It is not safe for concurrent use.
--- a/policy/shard/world_test.go
+++ b/policy/shard/world_test.go
@@ -89,7 +89,7 @@
 	testStop  = 400 * time.Millisecond
 )
 
-var testLimits = Limits{RunLease: testLease, MaxRunLease: 10 * time.Second, StopTime: testStop, FarFactor: 2}
+var testLimits = Limits{RunLease: testLease, MaxRunLease: 10 * time.Second}
 
 func newWorld(t *rapid.T) *world {
 	w := &world{
