An owner renews leases of runs only while its term is certain enough

Cause: found by reading: an owner behind a zone's cut goes on renewing the runs on executors of its zone; a successor elsewhere can't reach these, takes their runs for gone after the longest lease (10.5 s), and starts them again: TWICE on a cut that lasts longer than that. Change: leases are renewed for MaxRunLease - RunLease (5 s) after the term was confirmed last, by a clock that counts suspension and ignores steps. Test: TestPredecessorsLastLeaseEndsBeforeItsSuccessorStartsAgain failed before; the world's replaced owners now sit on the other side of a cut.

--- a/entry/election/election.go
+++ b/entry/election/election.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/entry/follow"
 	"github.com/tarragonreach/tarragonreach/entry/layout"
@@ -54,13 +56,24 @@
 	// key still has it happens within the term.
 	Revision kv.Revision
 	lease    kv.LeaseID
-	renewed  *atomic.Int64 // when the lease was asked for last, if granted; Unix nanoseconds
+	renewed  *atomic.Int64 // when the last renewal that succeeded was asked for; clock nanoseconds
 }
 
+// Age is how long ago the term was certainly held. It counts while the machine is
+// suspended, and does not follow steps of the time of day.
+func (t Term) Age() time.Duration { return clock() - time.Duration(t.renewed.Load()) }
+
 // Lasting reports whether the lease can't have lapsed yet, unless the store took it
 // away. A holder that acts only then never acts beside its successor for long.
-func (t Term) Lasting(now time.Time) bool {
-	return now.Sub(time.Unix(0, t.renewed.Load())) < leaseTTL
+func (t Term) Lasting() bool { return t.Age() < leaseTTL }
+
+// clock reads a clock that runs on while the machine is suspended.
+func clock() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic(fmt.Sprintf("the boot-time clock can't be read: %v", err)) // Linux always has it
+	}
+	return time.Duration(ts.Nano())
 }
 
 // Condition holds as long as the term lasts.
@@ -156,12 +169,12 @@
 // renew keeps the term's lease until it is lost.
 func (e *Election) renew(ctx context.Context, term Term, lost func()) {
 	for backoff.Sleep(ctx, renewEvery) == nil {
-		asked := time.Now()
+		asked := clock()
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := e.store.KeepAlive(callCtx, term.lease)
 		cancel()
 		if err == nil {
-			term.renewed.Store(asked.UnixNano())
+			term.renewed.Store(int64(asked))
 		}
 		if errors.Is(err, kv.ErrLeaseLost) {
 			e.logger.Warn("lease of a duty lost", "duty", term.Duty, "token", term.Token)
@@ -196,7 +209,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
 	renewed := &atomic.Int64{}
-	renewed.Store(time.Now().UnixNano())
+	renewed.Store(int64(clock()))
 	lease, err := e.store.Grant(ctx, leaseTTL)
 	if err != nil {
 		return Term{}, fmt.Errorf("lease for duty %s: %w", duty, err)
--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -179,7 +179,7 @@
 	for _, wave := range h.waves {
 		snapshot.Waves = append(snapshot.Waves, wave)
 	}
-	if !h.term.Lasting(h.plannedAt) {
+	if !h.term.Lasting() {
 		return // a successor may be acting already
 	}
 	actions := h.planner.Plan(snapshot)
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -94,6 +94,7 @@
 	writing   bool
 	lastRound time.Time
 	version   int64 // of the configuration taken in
+	grants    bool  // whether leases of runs may be renewed
 
 	cordoned map[cluster.ExecutorID]bool
 	// finished holds the jobs that this owner has made final; an old event of the
@@ -187,6 +188,7 @@
 // act does what the shard wants done now.
 func (o *Owner) act(now time.Time) {
 	o.takeConfig()
+	o.allowGrants()
 	o.round(now)
 	for _, order := range o.shard.Orders(now) {
 		o.order(order)
@@ -201,6 +203,17 @@
 	}
 }
 
+// allowGrants lets leases of runs be renewed only while the term is certain enough.
+func (o *Owner) allowGrants() {
+	allowed := o.term.Age() < shard.GrantTime(o.Limits)
+	if allowed == o.grants {
+		return
+	}
+	o.grants = allowed
+	o.shard.AllowGrants(allowed)
+	o.Logger.Info("renewal of runs", "allowed", allowed, "term_age", o.term.Age().String())
+}
+
 // takeConfig passes the terms of the queues on when the configuration has changed.
 func (o *Owner) takeConfig() {
 	c := o.Config()
--- a/policy/shard/lease_test.go
+++ b/policy/shard/lease_test.go
@@ -111,3 +111,42 @@
 	}
 	t.Fatal("never started")
 }
+
+// An owner behind a cut reaches an executor that its successor does not. The last
+// lease that it grants must have lapsed, on a clock that is 2% slow, before the
+// successor takes the runs there for gone.
+func TestPredecessorsLastLeaseEndsBeforeItsSuccessorStartsAgain(t *testing.T) {
+	lasting := job.Step{Count: 1, Need: job.Resources{MilliCPU: 1000}, LongRunning: true}
+	old := newBench(t, executorOf("i-1"))
+	old.submit("00000000000000aa", lasting)
+	for _, o := range old.round() {
+		old.s.OrderAnswered(o, Answered, execution.Reply{ClockMs: 1000}, old.now)
+	}
+	takeover := old.now // at once after the term was confirmed last: the worst case
+	record := old.s.jobs["00000000000000aa"].Record
+	progress := old.s.jobs["00000000000000aa"].progress()
+	next := New(testLimits, 8)
+	next.SetExecutors(nil, takeover)
+	next.AddJob(record, &progress, takeover)
+	bound := next.executors["i-1"].leaseBound
+
+	granted := 0
+	for old.now.Sub(takeover) < 15*time.Second {
+		old.now = old.now.Add(100 * time.Millisecond)
+		old.s.AllowGrants(old.now.Sub(takeover) < GrantTime(testLimits))
+		for _, look := range old.s.Looks(old.now) {
+			clock := 1000 + int64(0.98*float64(old.now.Sub(takeover).Milliseconds()))
+			if look.Look.UntilMs > 0 {
+				granted++
+				left := time.Duration(float64(look.Look.UntilMs-clock)/0.98) * time.Millisecond
+				lapse := old.now.Add(left)
+				assert.Assert(t, !lapse.After(bound), "a lease granted %s after the takeover ends %s after the bound",
+					old.now.Sub(takeover), lapse.Sub(bound))
+			}
+			view := old.view("i-1", nil)
+			view.ClockMs = clock
+			old.s.LookAnswered(look, Answered, view, old.now)
+		}
+	}
+	assert.Assert(t, granted > 0)
+}
--- a/policy/shard/looks.go
+++ b/policy/shard/looks.go
@@ -59,7 +59,7 @@
 
 func (s *Shard) look(e *executorState, now time.Time) execution.Look {
 	look := execution.Look{Token: s.token, SeenEnd: e.seenEnd}
-	if !e.known || e.grantOff {
+	if !e.known || e.grantOff || s.grantsOff {
 		return look
 	}
 	if len(e.runs) > 0 {
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -62,6 +62,7 @@
 	touched   bool      // something changed that a new plan may use
 	planAt    time.Time // when to plan again, if nothing changes before
 	fenced    bool
+	grantsOff bool // the term is not confirmed: no lease of a run is renewed
 
 	waiting      map[string]int // as stored last
 	waitingAt    time.Time
@@ -90,6 +91,15 @@
 // must step down.
 func (s *Shard) Fenced() bool { return s.fenced }
 
+// GrantTime is how long after its term was last confirmed an owner may renew leases of
+// runs. A successor that can't reach an executor takes its runs for gone after the
+// longest lease, counted from its takeover; the last lease of its predecessor must
+// have lapsed by then.
+func GrantTime(l Limits) time.Duration { return l.MaxRunLease - l.RunLease }
+
+// AllowGrants says whether leases of runs may be renewed.
+func (s *Shard) AllowGrants(allowed bool) { s.grantsOff = !allowed }
+
 // Jobs returns how many jobs are not final.
 func (s *Shard) Jobs() int { return len(s.jobs) }
 
--- a/policy/shard/world_test.go
+++ b/policy/shard/world_test.go
@@ -41,6 +41,7 @@
 }
 
 type ownerSim struct {
+	replaced time.Time // when a successor took over; zero before
 	shard    *Shard
 	token    int64
 	batchDue time.Time
@@ -131,6 +132,9 @@
 // takeOver makes a new owner from what is stored.
 func (w *world) takeOver() {
 	w.token++
+	if w.owner != nil {
+		w.owner.replaced = w.now
+	}
 	o := &ownerSim{shard: New(testLimits, w.token), token: w.token}
 	w.owner = o
 	o.shard.SetExecutors(w.list(), w.now)
@@ -249,6 +253,7 @@
 		a.deliver()
 	}
 	o.answers = rest
+	o.shard.AllowGrants(o.replaced.IsZero() || w.now.Sub(o.replaced) < GrantTime(testLimits))
 	w.store(o)
 	for _, order := range o.shard.Orders(w.now) {
 		w.send(o, order)
@@ -306,8 +311,10 @@
 	fateNotSent
 )
 
-func (w *world) fate(e *executorSim) fate {
-	if e == nil || !e.alive || e.cut {
+// fate draws what becomes of a call. An owner that was replaced sits on the other
+// side of a cut: it reaches just the executors that its successor does not.
+func (w *world) fate(o *ownerSim, e *executorSim) fate {
+	if e == nil || !e.alive || e.cut == (o == w.owner) {
 		return rapid.SampledFrom([]fate{fateNotSent, fateNotSent + 1}).Draw(w.t, "unreachable")
 	}
 	n := rapid.IntRange(0, 19).Draw(w.t, "fate")
@@ -329,7 +336,7 @@
 	deliver := func(after time.Duration, d Delivery) {
 		o.answers = append(o.answers, answerSim{w.now.Add(after), func() { answered(d) }})
 	}
-	switch w.fate(e) {
+	switch w.fate(o, e) {
 	case fateFine:
 		carry(e)
 		deliver(20*time.Millisecond, Answered)
