--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -113,7 +113,7 @@
 		clients:  map[cluster.ExecutorID]Executor{},
 		events:   make(chan event, eventQueue),
 		cordoned: map[cluster.ExecutorID]bool{}, finished: map[job.ID]bool{},
-		ctx: ctx, lose: cancel,
+		ctx: ctx, lose: cancel, grants: true,
 	}
 	o.Logger = options.Logger.With("service", string(options.Service), "token", term.Token)
 	defer o.closeClients()
