A line after the log was closed is lost, not a crash

Cause: found by reading: a goroutine of a former owner that logs while the process ends would send on a closed channel, and the process would end by a panic. Test: TestLineAfterCloseIsLostWithoutHarm panicked before.

--- a/entry/logging/async.go
+++ b/entry/logging/async.go
@@ -12,6 +12,7 @@
 type AsyncWriter struct {
 	out     io.Writer
 	lines   chan []byte
+	stop    chan struct{}
 	dropped atomic.Int64
 	done    sync.WaitGroup
 }
@@ -21,7 +22,7 @@
 
 // NewAsyncWriter returns a writer in front of out.
 func NewAsyncWriter(out io.Writer) *AsyncWriter {
-	w := &AsyncWriter{out: out, lines: make(chan []byte, asyncLines)}
+	w := &AsyncWriter{out: out, lines: make(chan []byte, asyncLines), stop: make(chan struct{})}
 	w.done.Go(w.run)
 	return w
 }
@@ -36,28 +37,37 @@
 	return len(line), nil
 }
 
-// Close writes what waits and stops. Nothing may be written afterwards.
+// Close writes what waits and stops. Lines that come later are lost.
 func (w *AsyncWriter) Close() {
-	close(w.lines)
+	close(w.stop)
 	w.done.Wait()
 }
 
-// run gathers the lines that wait into one write.
 func (w *AsyncWriter) run() {
-	for line := range w.lines {
-		for more := true; more; {
-			select {
-			case next, open := <-w.lines:
-				line = append(line, next...)
-				more = open
-			default:
-				more = false
-			}
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(line)
+		case <-w.stop:
+			w.write(nil)
+			return
 		}
-		if dropped := w.dropped.Swap(0); dropped > 0 {
-			line = fmt.Appendf(line, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n", dropped)
+	}
+}
+
+// write gathers the lines that wait already into one write.
+func (w *AsyncWriter) write(line []byte) {
+	for waiting := true; waiting; {
+		select {
+		case next := <-w.lines:
+			line = append(line, next...)
+		default:
+			waiting = false
 		}
-		// There is nowhere left to report that the log itself can't be written.
-		_, _ = w.out.Write(line)
 	}
+	if dropped := w.dropped.Swap(0); dropped > 0 {
+		line = fmt.Appendf(line, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n", dropped)
+	}
+	// There is nowhere left to report that the log itself can't be written.
+	_, _ = w.out.Write(line)
 }
--- a/entry/logging/async_test.go
+++ b/entry/logging/async_test.go
@@ -40,3 +40,15 @@
 	assert.Assert(t, strings.Contains(text, `"msg":"log lines dropped"`))
 	assert.Assert(t, strings.Count(text, "\n") < lines)
 }
+
+// Work that ends after the log was closed may still write a line.
+func TestLineAfterCloseIsLostWithoutHarm(t *testing.T) {
+	out := &bytes.Buffer{}
+	w := NewAsyncWriter(out)
+	_, err := w.Write([]byte("before\n"))
+	assert.NilError(t, err)
+	w.Close()
+	_, err = w.Write([]byte("after\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, out.String(), "before\n")
+}
