A leaving owner hears at once that its last batch is stored

Cause: found by reading: with the term's context done, the event that ends the wait was dropped every other time, and the handover took 0.5 s longer.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -147,8 +147,14 @@
 	go jobs.Run(ctx)
 }
 
-// send hands an event to the loop, unless the term is over.
+// send hands an event to the loop, unless the term is over. An event that finds room
+// is taken even then: a leaving owner waits for the outcome of its last batch.
 func (o *Owner) send(e event) {
+	select {
+	case o.events <- e:
+		return
+	default:
+	}
 	select {
 	case o.events <- e:
 	case <-o.ctx.Done():
