Drop methods that nobody calls; take the existing source of randomness

Shard.Has and Empty, Config.Queue and Serves were left over from earlier shapes; entry/follow seeded a generator of its own beside backoff.NewRandom.

--- a/api/cluster/cluster.go
+++ b/api/cluster/cluster.go
@@ -142,26 +142,6 @@
 	return best, found
 }
 
-// Queue returns the queue of a name.
-func (c *Config) Queue(name string) (Queue, bool) {
-	for _, q := range c.Queues {
-		if q.Name == name {
-			return q, true
-		}
-	}
-	return Queue{}, false
-}
-
-// Serves reports whether any queue is sent to the service.
-func (c *Config) Serves(service Service, queue string) bool {
-	for _, q := range c.Queues {
-		if q.Name == queue && q.Service == service {
-			return true
-		}
-	}
-	return false
-}
-
 // Wave asks for the maintenance of machines, a few at a time.
 type Wave struct {
 	Number   int64
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/platform/backoff"
@@ -73,8 +72,7 @@
 	if failures == 1 && ctx.Err() == nil {
 		f.Logger.Warn("store does not answer", "prefix", f.Prefix, "error", err)
 	}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	_ = backoff.Sleep(ctx, retry.Delay(failures, random)) // the caller's loop looks at ctx
+	_ = backoff.Sleep(ctx, retry.Delay(failures, backoff.NewRandom())) // the caller's loop looks at ctx
 	return failures
 }
 
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -103,9 +103,6 @@
 // Jobs returns how many jobs are not final.
 func (s *Shard) Jobs() int { return len(s.jobs) }
 
-// Has reports whether the job is known.
-func (s *Shard) Has(id job.ID) bool { return s.jobs[id] != nil }
-
 // AddJob takes in an accepted job, with what an earlier owner stored of it, if
 // anything. Known jobs are left as they are.
 func (s *Shard) AddJob(r Record, p *Progress, now time.Time) {
@@ -220,12 +217,6 @@
 	s.evacuate(now)
 }
 
-// Empty reports whether nothing runs or may run on an executor of this shard.
-func (s *Shard) Empty(id cluster.ExecutorID) bool {
-	e := s.executors[id]
-	return e == nil || len(e.runs) == 0 && len(e.strays) == 0
-}
-
 // Queue takes in the present terms of a queue.
 func (s *Shard) Queue(q cluster.Queue) {
 	for _, j := range s.jobs {
