Machines move ahead of peaks over holder changes; late jobs give way to other services

Ruled out: the way of the loads from owner to planner (100 ms and a watch), machines missing from the shares.

Changes: height of a peak kept once it is over and expected while demand rises; EmptyForOthers stops the runs of late jobs where jobs of another service can be in time; evidence/fleet hands means, peaks and turns to the successor; old orders are taken off orders/fleet, whose writes now depend on the revision they replace; a rotation seen whole predicts the next one.

--- a/entry/fleetduty/actions.go
+++ b/entry/fleetduty/actions.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
@@ -30,37 +27,6 @@
 		"service", string(a.Service), "wave", a.Wave, "state", string(a.State), "reason", a.Reason, "outcome", outcome, "error", err)
 }
 
-// announce stores for which machines orders follow, so that a successor leaves them
-// alone for a while. It reports whether they may be sent.
-func (h *Holder) announce(ctx context.Context, actions []fleetplan.Action) bool {
-	now := time.Now()
-	ordering := false
-	for _, a := range actions {
-		if a.Kind == fleetplan.Move || a.Kind == fleetplan.Maintain {
-			h.ordered[a.Machine] = now
-			ordering = true
-		}
-	}
-	if !ordering {
-		return true
-	}
-	maps.DeleteFunc(h.ordered, func(_ cluster.MachineID, at time.Time) bool { return now.Sub(at) > 2*h.HolderGap })
-	value, err := layout.Encode(layout.FleetOrders{Machines: slices.Sorted(maps.Keys(h.ordered))})
-	if err == nil {
-		err = h.txn(ctx, kv.Txn{Puts: []kv.Put{{Key: layout.FleetOrdersKey, Value: value}}})
-	}
-	if err == nil {
-		return true
-	}
-	h.Logger.Warn("orders not announced, and so not given", "error", err)
-	for _, a := range actions {
-		if a.Kind == fleetplan.Move || a.Kind == fleetplan.Maintain {
-			h.planner.Answered(a, fleetplan.Refused, now)
-		}
-	}
-	return false
-}
-
 // setCordons sets and takes back all cordons of a plan in one write each time.
 func (h *Holder) setCordons(ctx context.Context, actions []fleetplan.Action) {
 	var t kv.Txn
@@ -72,7 +38,12 @@
 		key := layout.CordonKey(a.Service, a.Executor)
 		switch a.Kind {
 		case fleetplan.Cordon:
-			t.Puts = append(t.Puts, kv.Put{Key: key, Value: []byte("{}")})
+			value, err := layout.Encode(layout.Cordon{ForOthers: a.ForOthers})
+			if err != nil {
+				h.Logger.Error("cordon not set", "executor", string(a.Executor), "error", err)
+				continue
+			}
+			t.Puts = append(t.Puts, kv.Put{Key: key, Value: value})
 			h.cordons[a.Executor] = a.Service
 			set = append(set, a.Executor)
 		case fleetplan.Uncordon:
@@ -108,7 +79,7 @@
 		result, err = h.attempt(ctx, t, attempt)
 		if err == nil && !result.Applied {
 			h.lose()
-			return fmt.Errorf("the term is over")
+			return errTermOver
 		}
 		if err == nil {
 			return nil
--- /dev/null
+++ b/entry/fleetduty/evidence.go
@@ -0,0 +1,54 @@
+package fleetduty
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/entry/layout"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/policy/fleetplan"
+)
+
+// evidenceEvery is the time between two writes of what the planner has learned.
+const evidenceEvery = 2 * time.Second
+
+// loadEvidence takes in what the last holder's planner learned. Without it the
+// planner learns anew.
+func (h *Holder) loadEvidence(ctx context.Context) error {
+	item, err := h.Store.Get(ctx, layout.FleetEvidenceKey)
+	if errors.Is(err, kv.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("evidence: %w", err)
+	}
+	evidence, err := layout.Decode[fleetplan.Evidence](item.Key, item.Value)
+	if err != nil {
+		h.Logger.Error("evidence left out", "error", err)
+		return nil
+	}
+	h.planner.Restore(evidence)
+	return nil
+}
+
+// storeEvidence writes what the planner has learned, in the background: an older
+// state that takes effect late does no harm.
+func (h *Holder) storeEvidence(ctx context.Context) {
+	h.evidenceAt = time.Now()
+	value, err := layout.Encode(h.planner.Evidence())
+	if err != nil {
+		h.Logger.Error("evidence not stored", "error", err)
+		return
+	}
+	go func() {
+		t := kv.Txn{Conditions: []kv.Condition{h.term.Condition()}, Puts: []kv.Put{{Key: layout.FleetEvidenceKey, Value: value}}}
+		result, err := h.attempt(ctx, t, 1)
+		if err != nil {
+			h.Logger.Info("evidence not stored; the next write does it", "error", err)
+		} else if !result.Applied {
+			h.lose()
+		}
+	}()
+}
--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -52,6 +52,7 @@
 type Store interface {
 	election.Store
 	Range(ctx context.Context, prefix, after string, read kv.Read) (kv.Page, error)
+	Get(ctx context.Context, key string) (kv.Item, error)
 	// Timeout bounds an attempt of a write, counted from 1.
 	Timeout(attempt int) time.Duration
 }
@@ -83,7 +84,7 @@
 	loads   map[cluster.Service]shard.Load
 	waves   map[int64]cluster.Wave
 	cordons map[cluster.ExecutorID]cluster.Service
-	ordered map[cluster.MachineID]time.Time // when an order was last given
+	book    orderBook
 	fences  int
 
 	machines  []cluster.Machine // as listed last
@@ -91,8 +92,10 @@
 	plannedAt time.Time
 	cordonsAt time.Time // when they were read last
 	cleanedAt time.Time
-	needs     string // as logged last
-	needsAt   time.Time
+	// evidenceAt is when the planner's evidence was stored last.
+	evidenceAt time.Time
+	needs      string // as logged last
+	needsAt    time.Time
 }
 
 // Lead has the duty until ctx ends or the term is lost.
@@ -107,7 +110,7 @@
 		loads:   map[cluster.Service]shard.Load{},
 		waves:   map[int64]cluster.Wave{},
 		cordons: map[cluster.ExecutorID]cluster.Service{},
-		ordered: map[cluster.MachineID]time.Time{},
+		book:    orderBook{given: map[cluster.MachineID]time.Time{}, keep: options.HolderGap + holderMargin + callTimeout},
 	}
 	h.Logger = options.Logger.With("duty", Duty, "token", term.Token)
 	if err := h.load(ctx); err != nil {
@@ -136,6 +139,7 @@
 			e()
 		case <-ticker.C:
 			h.refresh(ctx)
+			h.keepRecords(ctx)
 			if time.Since(h.cordonsAt) >= cordonsEvery {
 				h.syncCordons(ctx)
 			}
@@ -150,6 +154,17 @@
 	h.Logger.Warn("the machine service has seen a higher fencing token; stepping down")
 }
 
+// keepRecords stores what a successor should know.
+func (h *Holder) keepRecords(ctx context.Context) {
+	if !h.term.Lasting() {
+		return
+	}
+	h.forgetOrders(ctx)
+	if time.Since(h.evidenceAt) >= evidenceEvery {
+		h.storeEvidence(ctx)
+	}
+}
+
 // refresh reads the machine list, one reading at a time.
 func (h *Holder) refresh(ctx context.Context) {
 	if h.listing {
--- a/entry/fleetduty/load.go
+++ b/entry/fleetduty/load.go
@@ -38,28 +38,14 @@
 	if err := h.loadOrders(ctx); err != nil {
 		return err
 	}
+	if err := h.loadEvidence(ctx); err != nil {
+		return err
+	}
 	cordons, err := h.loadCordons(ctx)
 	h.cordons = cordons
 	return err
 }
 
-// loadOrders keeps the machines alone for which the last holder may have ordered
-// something just now.
-func (h *Holder) loadOrders(ctx context.Context) error {
-	items, _, err := h.Store.All(ctx, layout.FleetOrdersKey, kv.Linearizable)
-	if err != nil {
-		return fmt.Errorf("orders: %w", err)
-	}
-	for _, item := range items {
-		orders, err := layout.Decode[layout.FleetOrders](item.Key, item.Value)
-		if err != nil {
-			return err
-		}
-		h.planner.Reserve(orders.Machines, time.Now().Add(h.HolderGap+holderMargin))
-	}
-	return nil
-}
-
 func (h *Holder) loadCordons(ctx context.Context) (map[cluster.ExecutorID]cluster.Service, error) {
 	cordons := map[cluster.ExecutorID]cluster.Service{}
 	config := h.Config()
--- /dev/null
+++ b/entry/fleetduty/orders.go
@@ -0,0 +1,151 @@
+package fleetduty
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/policy/fleetplan"
+)
+
+// errTermOver says that another instance may have the duty.
+var errTermOver = errors.New("the term is over")
+
+// orderBook is the stored list of machines with orders of the last moments. A
+// successor leaves them alone for as long as two holders' orders must be apart.
+type orderBook struct {
+	given    map[cluster.MachineID]time.Time // when an order was last given
+	revision kv.Revision                     // of the stored list, as far as known
+	keep     time.Duration                   // how long an order is listed
+}
+
+// forget drops old orders, and reports whether there were any.
+func (b *orderBook) forget(now time.Time) bool {
+	before := len(b.given)
+	maps.DeleteFunc(b.given, func(_ cluster.MachineID, at time.Time) bool { return now.Sub(at) > b.keep })
+	return len(b.given) < before
+}
+
+func (b *orderBook) encode() ([]byte, error) {
+	return layout.Encode(layout.FleetOrders{Machines: slices.Sorted(maps.Keys(b.given))})
+}
+
+// announce stores for which machines orders follow. It reports whether they may be
+// sent.
+func (h *Holder) announce(ctx context.Context, actions []fleetplan.Action) bool {
+	now := time.Now()
+	ordering := false
+	for _, a := range actions {
+		if a.Kind == fleetplan.Move || a.Kind == fleetplan.Maintain {
+			h.book.given[a.Machine] = now
+			ordering = true
+		}
+	}
+	if !ordering {
+		return true
+	}
+	h.book.forget(now)
+	err := h.storeOrders(ctx, txnAttempts)
+	if err == nil {
+		return true
+	}
+	h.Logger.Warn("orders not announced, and so not given", "error", err)
+	for _, a := range actions {
+		if a.Kind == fleetplan.Move || a.Kind == fleetplan.Maintain {
+			h.planner.Answered(a, fleetplan.Refused, now)
+		}
+	}
+	return false
+}
+
+// forgetOrders takes old orders off the stored list, so that a successor need not
+// wait because of them.
+func (h *Holder) forgetOrders(ctx context.Context) {
+	if !h.book.forget(time.Now()) {
+		return
+	}
+	if err := h.storeOrders(ctx, 1); err != nil {
+		h.Logger.Info("old orders not taken off the list; the next order does it", "error", err)
+	}
+}
+
+// storeOrders writes the list. It depends on the revision that it replaces: an
+// earlier write without an answer can't undo a later one.
+func (h *Holder) storeOrders(ctx context.Context, attempts int) error {
+	value, err := h.book.encode()
+	if err != nil {
+		return err
+	}
+	for attempt := 1; attempt <= attempts; attempt++ {
+		var result kv.TxnResult
+		result, err = h.attempt(ctx, kv.Txn{
+			Conditions: []kv.Condition{{Key: layout.FleetOrdersKey, Revision: h.book.revision}, h.term.Condition()},
+			Puts:       []kv.Put{{Key: layout.FleetOrdersKey, Value: value}},
+		}, attempt)
+		if err != nil {
+			continue
+		}
+		if result.Applied {
+			h.book.revision = result.Revision
+			return nil
+		}
+		var stored bool
+		if stored, err = h.ordersStand(result.Current, value); stored {
+			return nil
+		}
+		if errors.Is(err, errTermOver) {
+			h.lose()
+			return err
+		}
+	}
+	return err
+}
+
+// ordersStand reads the answer of a write whose conditions did not hold: it reports
+// whether the value is stored already, by an attempt whose answer was lost.
+func (h *Holder) ordersStand(current []kv.Item, value []byte) (bool, error) {
+	stands := kv.Item{}
+	ours := false
+	for _, item := range current {
+		switch item.Key {
+		case layout.FleetOrdersKey:
+			stands = item
+		case h.term.Condition().Key:
+			ours = item.Revision == h.term.Condition().Revision
+		}
+	}
+	if !ours {
+		return false, errTermOver
+	}
+	h.book.revision = stands.Revision
+	if bytes.Equal(stands.Value, value) {
+		return true, nil
+	}
+	return false, fmt.Errorf("list of orders was at another revision, %d", stands.Revision)
+}
+
+// loadOrders keeps the machines alone for which the last holder may have ordered
+// something just now.
+func (h *Holder) loadOrders(ctx context.Context) error {
+	item, err := h.Store.Get(ctx, layout.FleetOrdersKey)
+	if errors.Is(err, kv.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("orders: %w", err)
+	}
+	orders, err := layout.Decode[layout.FleetOrders](item.Key, item.Value)
+	if err != nil {
+		return err
+	}
+	h.book.revision = item.Revision
+	h.planner.Reserve(orders.Machines, time.Now().Add(h.HolderGap+holderMargin))
+	return nil
+}
--- /dev/null
+++ b/entry/fleetduty/orders_test.go
@@ -0,0 +1,157 @@
+package fleetduty
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/entry/election"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/policy/fleetplan"
+)
+
+var errNoAnswer = errors.New("no answer")
+
+// mapStore keeps items in memory; it may lose answers, and may hold writes back.
+type mapStore struct {
+	Store
+	items      map[string]kv.Item
+	revision   kv.Revision
+	loseAnswer bool
+	holdBack   bool
+	held       []kv.Txn
+}
+
+func (s *mapStore) Timeout(int) time.Duration { return time.Second }
+
+func (s *mapStore) Get(_ context.Context, key string) (kv.Item, error) {
+	if item, found := s.items[key]; found {
+		return item, nil
+	}
+	return kv.Item{}, kv.ErrNotFound
+}
+
+func (s *mapStore) Txn(_ context.Context, t kv.Txn) (kv.TxnResult, error) {
+	if s.holdBack {
+		s.held = append(s.held, t)
+		return kv.TxnResult{}, errNoAnswer
+	}
+	result := s.apply(t)
+	if s.loseAnswer {
+		s.loseAnswer = false
+		return kv.TxnResult{}, errNoAnswer
+	}
+	return result, nil
+}
+
+func (s *mapStore) apply(t kv.Txn) kv.TxnResult {
+	result := kv.TxnResult{Applied: true}
+	for _, c := range t.Conditions {
+		item, found := s.items[c.Key]
+		result.Applied = result.Applied && item.Revision == c.Revision
+		if found {
+			result.Current = append(result.Current, item)
+		}
+	}
+	if !result.Applied {
+		return result
+	}
+	s.revision++
+	for _, p := range t.Puts {
+		s.items[p.Key] = kv.Item{Key: p.Key, Value: p.Value, Revision: s.revision}
+	}
+	return kv.TxnResult{Applied: true, Revision: s.revision}
+}
+
+func (s *mapStore) listed(t *testing.T) []cluster.MachineID {
+	t.Helper()
+	orders, err := layout.Decode[layout.FleetOrders](layout.FleetOrdersKey, s.items[layout.FleetOrdersKey].Value)
+	assert.NilError(t, err)
+	return orders.Machines
+}
+
+func newTestHolder(s *mapStore) *Holder {
+	term := election.Term{Duty: Duty, Revision: 7}
+	s.items = map[string]kv.Item{layout.OwnerKey(Duty): {Key: layout.OwnerKey(Duty), Revision: 7}}
+	s.revision = 7
+	return &Holder{
+		Options: Options{Store: s, Logger: slog.New(slog.DiscardHandler), HolderGap: time.Second},
+		term:    term, planner: fleetplan.New(fleetplan.Limits{}),
+		book: orderBook{given: map[cluster.MachineID]time.Time{}, keep: time.Second},
+		lose: func() {},
+	}
+}
+
+func move(id cluster.MachineID) []fleetplan.Action {
+	return []fleetplan.Action{{Kind: fleetplan.Move, Machine: id}}
+}
+
+func TestAnnouncedOrdersAreListedUntilTheyAreOld(t *testing.T) {
+	s := &mapStore{}
+	h := newTestHolder(s)
+	assert.Assert(t, h.announce(t.Context(), move("m-1")))
+	h.forgetOrders(t.Context())
+	assert.DeepEqual(t, s.listed(t), []cluster.MachineID{"m-1"})
+	h.book.given["m-1"] = time.Now().Add(-2 * time.Second)
+	h.forgetOrders(t.Context())
+	assert.Equal(t, len(s.listed(t)), 0)
+}
+
+func TestLostAnswerOfAnAnnouncementIsFoundOut(t *testing.T) {
+	s := &mapStore{}
+	h := newTestHolder(s)
+	s.loseAnswer = true
+	assert.Assert(t, h.announce(t.Context(), move("m-1")))
+	assert.Assert(t, h.announce(t.Context(), move("m-2")))
+	assert.DeepEqual(t, s.listed(t), []cluster.MachineID{"m-1", "m-2"})
+}
+
+// A write without an answer that takes effect late must not take a later order off the
+// list.
+func TestLateWriteDoesNotUndoALaterAnnouncement(t *testing.T) {
+	s := &mapStore{}
+	h := newTestHolder(s)
+	assert.Assert(t, h.announce(t.Context(), move("m-1")))
+	h.book.given["m-1"] = time.Now().Add(-2 * time.Second)
+	s.holdBack = true
+	h.forgetOrders(t.Context())
+	s.holdBack = false
+	assert.Assert(t, h.announce(t.Context(), move("m-2")))
+	for _, late := range s.held {
+		s.apply(late)
+	}
+	assert.DeepEqual(t, s.listed(t), []cluster.MachineID{"m-2"})
+}
+
+func TestNoOrderIsAnnouncedOnceTheTermIsOver(t *testing.T) {
+	s := &mapStore{}
+	h := newTestHolder(s)
+	lost := false
+	h.lose = func() { lost = true }
+	s.items[layout.OwnerKey(Duty)] = kv.Item{Key: layout.OwnerKey(Duty), Revision: 9}
+	assert.Assert(t, !h.announce(t.Context(), move("m-1")))
+	assert.Assert(t, lost)
+}
+
+func TestSuccessorTakesTheEvidenceOver(t *testing.T) {
+	s := &mapStore{}
+	h := newTestHolder(s)
+	assert.NilError(t, h.loadEvidence(t.Context())) // none yet
+	evidence := fleetplan.Evidence{
+		Turns:    []fleetplan.Turn{{Service: "a", At: time.Unix(1000, 0).UTC()}},
+		Services: map[cluster.Service]fleetplan.Habit{"a": {Mean: 2000, Peak: 9000}},
+	}
+	h.planner.Restore(evidence)
+	value, err := layout.Encode(h.planner.Evidence())
+	assert.NilError(t, err)
+	s.apply(kv.Txn{Puts: []kv.Put{{Key: layout.FleetEvidenceKey, Value: value}}})
+	next := &Holder{Options: h.Options, planner: fleetplan.New(fleetplan.Limits{})}
+	assert.NilError(t, next.loadEvidence(t.Context()))
+	assert.DeepEqual(t, next.planner.Evidence(), evidence)
+}
--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -4,11 +4,13 @@
 //	jobs/JOB                      State: what callers are shown
 //	shard/SERVICE/job/JOB         shard.Record: a job that is not final
 //	shard/SERVICE/cancel/JOB      a cancellation that was acknowledged
+//	shard/SERVICE/cordon/EXECUTOR Cordon: an executor to be emptied
 //	progress/SERVICE/JOB          shard.Progress of a job that is not final
 //	waiting/SERVICE               Waiting: counts of jobs for which nothing started
 //	load/SERVICE                  shard.Load: what the planner of the fleet goes by
 //	waves/N                       WaveProgress
 //	orders/fleet                  FleetOrders
+//	evidence/fleet                fleetplan.Evidence: what was learned of the demand
 //	chain/SERVICE                 Link: the last write of an owner
 //	owners/DUTY                   Holder: who has a duty, under a lease
 package layout
@@ -48,6 +50,12 @@
 	return ShardPrefix(s) + "cordon/" + string(id)
 }
 
+// Cordon says how an executor is to be emptied.
+type Cordon struct {
+	// ForOthers is set where other services' jobs need the machine to be in time.
+	ForOthers bool `json:"forOthers,omitempty"`
+}
+
 // ProgressPrefix holds the progress of a service's jobs.
 func ProgressPrefix(s cluster.Service) string { return "progress/" + string(s) + "/" }
 
@@ -80,6 +88,9 @@
 // FleetOrdersKey holds the machines that the fleet's duty has ordered something for.
 const FleetOrdersKey = "orders/fleet"
 
+// FleetEvidenceKey holds what the planner of the fleet has learned.
+const FleetEvidenceKey = "evidence/fleet"
+
 // FleetOrders lists the machines with orders of the last seconds.
 type FleetOrders struct {
 	Machines []cluster.MachineID `json:"machines"`
--- a/entry/owner/load.go
+++ b/entry/owner/load.go
@@ -117,7 +117,7 @@
 		kind, name := layout.ParseShardKey(o.Service, event.Key)
 		switch {
 		case kind == layout.ItemCordon:
-			o.cordon(cluster.ExecutorID(name), !event.Removed)
+			o.cordon(cluster.ExecutorID(name), event)
 		case event.Removed:
 		case kind == layout.ItemRecord:
 			if !o.finished[job.ID(name)] {
@@ -133,12 +133,19 @@
 	}
 }
 
-func (o *Owner) cordon(id cluster.ExecutorID, on bool) {
-	if on {
-		o.cordoned[id] = true
+func (o *Owner) cordon(id cluster.ExecutorID, event kv.Event) {
+	if event.Removed {
+		delete(o.cordoned, id)
 		return
 	}
-	delete(o.cordoned, id)
+	cordon, err := layout.Decode[layout.Cordon](event.Key, event.Value)
+	if err != nil {
+		o.Logger.Error("cordon taken for one at leisure", "error", err)
+	}
+	o.cordoned[id] = shard.EmptyAtLeisure
+	if cordon.ForOthers {
+		o.cordoned[id] = shard.EmptyForOthers
+	}
 }
 
 func (o *Owner) cancel(id job.ID) {
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -96,7 +96,7 @@
 	version   int64 // of the configuration taken in
 	grants    bool  // whether leases of runs may be renewed
 
-	cordoned map[cluster.ExecutorID]bool
+	cordoned map[cluster.ExecutorID]shard.Emptying
 	// finished holds the jobs that this owner has made final; an old event of the
 	// store must not bring them back.
 	finished     map[job.ID]bool
@@ -112,7 +112,7 @@
 		shard:    shard.New(options.Limits, term.Token),
 		clients:  map[cluster.ExecutorID]Executor{},
 		events:   make(chan event, eventQueue),
-		cordoned: map[cluster.ExecutorID]bool{}, finished: map[job.ID]bool{},
+		cordoned: map[cluster.ExecutorID]shard.Emptying{}, finished: map[job.ID]bool{},
 		ctx: ctx, lose: cancel, grants: true,
 	}
 	o.Logger = options.Logger.With("service", string(options.Service), "token", term.Token)
--- a/policy/fleetplan/demand.go
+++ b/policy/fleetplan/demand.go
@@ -20,8 +20,13 @@
 	// jobs that come together by chance are no peak.
 	hotJobs = 5
 	// onset is how long after its beginning a peak is taken to become as high as the
-	// last one.
+	// last one, where the distance between peaks is not known yet.
 	onset = 1500 * time.Millisecond
+	// onsetShare is the same as a share of the distance between peaks: demand rises
+	// for half of a peak.
+	onsetShare = 0.4
+	// meanWeight is for how long a mean taken over from an earlier planner counts.
+	meanWeight = 10 * time.Second
 	// warmUp is how long a service is watched before peaks are told from its mean.
 	warmUp = 1 * time.Second
 )
@@ -39,8 +44,10 @@
 	rate    float64  // thousandths of a core
 	first   sample
 	mean    float64
+	earlier float64 // mean that an earlier planner, or owner, left
 	hot     bool
-	hotFrom sample
+	hotFrom time.Time
+	top     float64 // highest rate over a rateWindow in this peak
 }
 
 func (p *Planner) demandOf(service cluster.Service) *demand {
@@ -57,46 +64,77 @@
 	for service, load := range v.Loads {
 		d := p.demandOf(service)
 		p.turns.known[service] = true
-		if d.take(sample{v.Now, load.ArrivedWork, load.ArrivedJobs}) {
+		switch d.take(sample{v.Now, load.ArrivedWork, load.ArrivedJobs}) {
+		case peakBegins:
 			p.turns.begin(service, v.Now)
-		}
-		if d.hot {
-			p.turns.noteRate(service, rateBetween(d.hotFrom, d.samples[len(d.samples)-1]))
+		case peakEnds:
+			p.turns.noteHeight(service, d.top)
 		}
 	}
 }
 
-// take takes in a sample and reports whether a peak has begun.
-func (d *demand) take(s sample) bool {
+// change is what a sample says about a service's peak.
+type change uint8
+
+const (
+	noChange change = iota
+	peakBegins
+	peakEnds
+)
+
+// restart begins to count anew, as a new owner does; what was learned stays.
+func (d *demand) restart(s sample) {
+	*d = demand{first: s, earlier: d.mean, mean: d.mean, hot: d.hot, hotFrom: d.hotFrom, top: d.top}
+}
+
+// take takes in a sample and tells whether a peak has begun or ended.
+func (d *demand) take(s sample) change {
 	if n := len(d.samples); n > 0 && s.work < d.samples[n-1].work || d.first.at.IsZero() {
-		*d = demand{first: s} // a new owner counts from zero
+		d.restart(s)
 	}
 	d.samples = append(d.samples, s)
 	for len(d.samples) > 2 && s.at.Sub(d.samples[1].at) >= rateWindow {
 		d.samples = d.samples[1:]
 	}
 	d.rate = d.steepest(s)
-	d.mean = rateBetween(d.first, s)
+	d.mean = d.meanUntil(s)
 	if s.at.Sub(d.first.at) < warmUp {
-		return false
+		return noChange
 	}
 	switch {
 	case !d.hot && d.rate > hotFactor*d.mean:
 		d.hot = true
-		d.hotFrom = d.samples[0]
-		return true
+		d.hotFrom = d.samples[0].at
+		d.top = 0
+		return peakBegins
 	case d.hot && d.rate < coolFactor*d.mean:
 		d.hot = false
+		return peakEnds
+	}
+	if d.hot && s.at.Sub(d.samples[0].at) >= rateWindow {
+		d.top = max(d.top, rateBetween(d.samples[0], s))
+	}
+	return noChange
+}
+
+// meanUntil is the mean rate up to s, in which one taken over counts for meanWeight.
+func (d *demand) meanUntil(s sample) float64 {
+	measured := rateBetween(d.first, s)
+	if d.earlier == 0 {
+		return measured
 	}
-	return false
+	span := s.at.Sub(d.first.at).Seconds()
+	weight := meanWeight.Seconds()
+	return (d.earlier*weight + measured*span) / (weight + span)
 }
 
-// expected is the rate to make room for, given that of the last peak.
-func (d *demand) expected(now time.Time, peak float64) float64 {
+// expected is the rate to make room for. A peak is taken to become as high as the
+// last one during its rise.
+func (d *demand) expected(now time.Time, peak float64, rise time.Duration) float64 {
 	switch {
 	case !d.hot:
 		return 0
-	case now.Sub(d.hotFrom.at) < onset:
+	case now.Sub(d.hotFrom) < rise:
 		return max(d.rate, peak)
 	default:
 		return d.rate
--- /dev/null
+++ b/policy/fleetplan/evidence.go
@@ -0,0 +1,58 @@
+package fleetplan
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+)
+
+// Evidence is what a planner has learned of the demand, for its successor.
+type Evidence struct {
+	Turns    []Turn                    `json:"turns"`
+	Services map[cluster.Service]Habit `json:"services"`
+}
+
+// Turn is the beginning of one service's peak.
+type Turn struct {
+	Service cluster.Service `json:"service"`
+	At      time.Time       `json:"at"`
+}
+
+// Habit is what is known of one service's demand; rates are in thousandths of a core.
+type Habit struct {
+	Mean float64 `json:"mean"`
+	Peak float64 `json:"peak,omitempty"` // zero where none was seen
+	// HotFrom is when the peak that lasts began, zero between peaks.
+	HotFrom time.Time `json:"hotFrom,omitzero"`
+}
+
+// Evidence returns what the planner has learned.
+func (p *Planner) Evidence() Evidence {
+	e := Evidence{Turns: slices.Clone(p.turns.history), Services: map[cluster.Service]Habit{}}
+	for service, d := range p.demand {
+		habit := Habit{Mean: d.mean, Peak: p.turns.peaks[service]}
+		if d.hot {
+			habit.HotFrom = d.hotFrom
+			habit.Peak = max(habit.Peak, d.top)
+		}
+		e.Services[service] = habit
+	}
+	return e
+}
+
+// Restore takes in what an earlier planner learned.
+func (p *Planner) Restore(e Evidence) {
+	p.turns.history = slices.Clone(e.Turns)
+	for _, service := range slices.Sorted(maps.Keys(e.Services)) {
+		habit := e.Services[service]
+		p.turns.known[service] = true
+		p.turns.noteHeight(service, habit.Peak)
+		d := p.demandOf(service)
+		d.mean = habit.Mean
+		d.hot = !habit.HotFrom.IsZero()
+		d.hotFrom = habit.HotFrom
+		d.top = habit.Peak
+	}
+}
--- a/policy/fleetplan/fleetplan.go
+++ b/policy/fleetplan/fleetplan.go
@@ -63,7 +63,10 @@
 	Service  cluster.Service // of the cordon; the new pool of a move
 	Wave     int64
 	State    cluster.WaveState
-	Reason   string // for the log
+	// ForOthers is set on a Cordon where jobs of another service need the machine to
+	// be in time: late jobs give way.
+	ForOthers bool
+	Reason    string // for the log
 }
 
 // operation is what was begun with a machine.
@@ -75,6 +78,8 @@
 	since time.Time
 	// reason is why, for the log.
 	reason string
+	// forOthers is set where late jobs give way.
+	forOthers bool
 	// called is when the machine service was told, zero before.
 	called time.Time
 	// answered is whether it agreed.
@@ -257,7 +262,7 @@
 		if !op.called.IsZero() || m.State != cluster.MachineUp || v.pools[m.Pool].Spare || op.life == "" || v.Cordons[op.life] != "" {
 			continue
 		}
-		actions = append(actions, Action{Kind: Cordon, Machine: id, Executor: op.life, Service: m.Pool, Wave: op.wave, Reason: op.reason})
+		actions = append(actions, Action{Kind: Cordon, Machine: id, Executor: op.life, Service: m.Pool, Wave: op.wave, ForOthers: op.forOthers, Reason: op.reason})
 	}
 	return actions
 }
--- a/policy/fleetplan/fleetplan_test.go
+++ b/policy/fleetplan/fleetplan_test.go
@@ -328,3 +328,45 @@
 	assert.Assert(t, arrivals(6, 7000).hot)
 	assert.Assert(t, !arrivals(2, 60000).hot)
 }
+
+// A machine with tasks is wanted for jobs of another service: late jobs give way only
+// where those jobs can be in time.
+func TestLateJobsGiveWayOnlyToJobsInTime(t *testing.T) {
+	for _, inTime := range []bool{true, false} {
+		y := newYard(t, map[cluster.Service]int{"a": 4, "b": 12}, 0)
+		a := shard.Load{Executors: y.loads["a"].Executors}
+		if inTime {
+			a.InTimeCPU = 10 * 16000
+		} else {
+			a.LateCPU = 14 * 16000
+		}
+		y.loads["a"] = a
+		for id, x := range y.loads["b"].Executors {
+			x.Runs = 1
+			y.loads["b"].Executors[id] = x
+		}
+		cordons := 0
+		for _, action := range y.planner.Plan(y.snapshot()) {
+			if action.Kind == Cordon {
+				cordons++
+				assert.Equal(t, action.ForOthers, inTime)
+			}
+		}
+		assert.Assert(t, cordons > 0)
+	}
+}
+
+// A rotation that is seen for the first time ends: the service that began it is next.
+func TestTurnsPredictTheSecondRotation(t *testing.T) {
+	turns := newTurns()
+	start := time.Unix(1000, 0)
+	for i, service := range []cluster.Service{"a", "b", "c"} {
+		turns.known[service] = true
+		turns.begin(service, start.Add(time.Duration(i)*4*time.Second))
+	}
+	at, predicted := turns.next("a")
+	assert.Assert(t, predicted)
+	assert.Equal(t, at, start.Add(12*time.Second))
+	_, predicted = turns.next("b")
+	assert.Assert(t, !predicted)
+}
--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -46,7 +46,8 @@
 				break
 			}
 			begun++
-			p.begin(v, m, operation{kind: Move, to: n.service}, "demand")
+			missing := min(n.inTime, n.share) - (n.share - lack)
+			p.begin(v, m, operation{kind: Move, to: n.service, forOthers: missing > 0}, "demand")
 		}
 	}
 	p.giveBack(v, donors, movesAtOnce-begun)
@@ -93,7 +94,7 @@
 func (p *Planner) wantedCPU(v *view, service cluster.Service) (inTime, all float64) {
 	l := v.Loads[service]
 	peak := p.turns.peak(service)
-	rate := p.demandOf(service).expected(v.Now, peak)
+	rate := p.demandOf(service).expected(v.Now, peak, p.turns.rise())
 	if p.turns.expects(service, v.Now, p.limits.MoveTime+leadMargin) {
 		rate = max(rate, peak)
 	}
--- a/policy/fleetplan/turns.go
+++ b/policy/fleetplan/turns.go
@@ -1,6 +1,7 @@
 package fleetplan
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -14,17 +15,11 @@
 	turnsKept = 32
 )
 
-// turn is the beginning of one service's peak.
-type turn struct {
-	service cluster.Service
-	at      time.Time
-}
-
 // turns learns in which order services have their peaks and how far these are
 // apart, and predicts the next one.
 type turns struct {
-	history []turn
-	peaks   map[cluster.Service]float64 // rate of the last one, thousandths of a core
+	history []Turn
+	peaks   map[cluster.Service]float64 // highest rate of the last one, thousandths of a core
 	known   map[cluster.Service]bool
 }
 
@@ -34,18 +29,28 @@
 
 // begin notes that a peak has begun.
 func (t *turns) begin(service cluster.Service, at time.Time) {
-	if n := len(t.history); n > 0 && t.history[n-1].service == service {
+	if n := len(t.history); n > 0 && t.history[n-1].Service == service {
 		return // the same peak with a dip, or a single service's own rhythm
 	}
-	t.history = append(t.history, turn{service, at})
+	t.history = append(t.history, Turn{service, at})
 	if len(t.history) > turnsKept {
 		t.history = t.history[1:]
 	}
 }
 
-// noteRate takes in the rate of a service at its peak.
-func (t *turns) noteRate(service cluster.Service, rate float64) {
-	t.peaks[service] = rate
+// noteHeight takes in the highest rate of a service's peak that is over.
+func (t *turns) noteHeight(service cluster.Service, rate float64) {
+	if rate > 0 {
+		t.peaks[service] = rate
+	}
+}
+
+// rise is for how long demand grows once a peak has begun.
+func (t *turns) rise() time.Duration {
+	if len(t.history) < 2 {
+		return onset
+	}
+	return time.Duration(onsetShare * float64(t.medianGap()))
 }
 
 // peak is the rate to expect of a service at its peak: that of its last one, or
@@ -74,39 +79,62 @@
 	if len(t.history) < 2 {
 		return time.Time{}, false
 	}
-	last := t.history[len(t.history)-1]
-	if last.service == service {
+	follower, gap := t.following()
+	if follower != service {
 		return time.Time{}, false
 	}
+	return t.history[len(t.history)-1].At.Add(gap), true
+}
+
+// following returns the service that is likely to have the next peak, and the time
+// from the last one to it: the one that followed the last time; else, since each has
+// its turn, the only one without a peak so far; else the one whose peak is longest
+// ago. It is empty where none is likely.
+func (t *turns) following() (cluster.Service, time.Duration) {
+	last := t.history[len(t.history)-1]
 	for i := len(t.history) - 2; i >= 0; i-- {
-		if t.history[i].service != last.service {
-			continue
-		}
-		follower := t.history[i+1]
-		if follower.service != service {
-			return time.Time{}, false
+		if t.history[i].Service == last.Service {
+			follower := t.history[i+1]
+			return follower.Service, follower.At.Sub(t.history[i].At)
 		}
-		return last.at.Add(follower.at.Sub(t.history[i].at)), true
 	}
-	if t.onlyOneLeft(service) {
-		return last.at.Add(t.medianGap()), true
+	unseen := t.unseen()
+	switch {
+	case len(unseen) == 0:
+		return t.longestAgo(), t.medianGap()
+	case len(unseen) == 1 && len(t.history) > 1:
+		return unseen[0], t.medianGap()
+	default:
+		return "", 0
+	}
+}
+
+// unseen returns the services without a peak so far.
+func (t *turns) unseen() []cluster.Service {
+	var list []cluster.Service
+	for _, service := range slices.Sorted(maps.Keys(t.known)) {
+		if !slices.ContainsFunc(t.history, func(h Turn) bool { return h.Service == service }) {
+			list = append(list, service)
+		}
 	}
-	return time.Time{}, false
+	return list
 }
 
-// onlyOneLeft reports whether the service is the only one without a peak so far.
-func (t *turns) onlyOneLeft(service cluster.Service) bool {
-	seen := map[cluster.Service]bool{}
+// longestAgo returns the service whose last peak began before that of all others.
+func (t *turns) longestAgo() cluster.Service {
+	latest := map[cluster.Service]time.Time{}
 	for _, h := range t.history {
-		seen[h.service] = true
+		latest[h.Service] = h.At
 	}
-	return !seen[service] && len(seen) == len(t.known)-1 && len(seen) > 1
+	return slices.MinFunc(slices.Sorted(maps.Keys(latest)), func(a, b cluster.Service) int {
+		return latest[a].Compare(latest[b])
+	})
 }
 
 func (t *turns) medianGap() time.Duration {
 	var gaps []time.Duration
 	for i := 1; i < len(t.history); i++ {
-		gaps = append(gaps, t.history[i].at.Sub(t.history[i-1].at))
+		gaps = append(gaps, t.history[i].At.Sub(t.history[i-1].At))
 	}
 	slices.Sort(gaps)
 	return gaps[len(gaps)/2]
--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -7,12 +7,28 @@
 	"github.com/tarragonreach/tarragonreach/api/job"
 )
 
+// Emptying says whether and how an executor is to be emptied.
+type Emptying uint8
+
+const (
+	// NotEmptied executors may be given work.
+	NotEmptied Emptying = iota
+	// EmptyAtLeisure lets short runs end by themselves.
+	EmptyAtLeisure
+	// EmptyForOthers also stops the runs of late jobs: the machine is wanted for jobs
+	// of another service that can still be in time.
+	EmptyForOthers
+)
+
+// cordoned reports whether the executor is to be emptied.
+func (e *executorState) cordoned() bool { return e.emptying != NotEmptied }
+
 // executorState is one life of a machine as its owner knows it.
 type executorState struct {
 	cluster.Executor
 	listed   bool // in the latest list
 	drained  bool // was ever listed as draining
-	cordoned bool // to be emptied, by an operator's maintenance or a move
+	emptying Emptying
 	dead     bool // another executor answers at its address
 
 	used job.Resources
@@ -106,7 +122,7 @@
 
 // usable reports whether new runs may be placed there.
 func (e *executorState) usable(now time.Time) bool {
-	return e.listed && e.known && !e.Draining && !e.drained && !e.cordoned && !e.dead &&
+	return e.listed && e.known && !e.Draining && !e.drained && !e.cordoned() && !e.dead &&
 		e.misses == 0 && len(e.strays) == 0 && !e.health.suspect(now)
 }
 
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -290,15 +290,35 @@
 )
 
 // remaining estimates, with a margin, how long the steps still to be done take.
-func (j *jobState) remaining() time.Duration {
+func (j *jobState) remaining(now time.Time) time.Duration {
 	if len(j.occurrences) == 0 {
 		return time.Duration(estimateMargin * float64(j.chain))
 	}
 	steps := j.occurrences[0].steps
-	return chainOf(j.Definition.Steps, func(s *job.Step, number int) time.Duration {
-		if steps[number].left == 0 {
-			return 0
-		}
-		return time.Duration(estimateMargin*float64(s.Estimate)) + stepOverhead
+	return chainOf(j.Definition.Steps, func(_ *job.Step, number int) time.Duration {
+		return steps[number].remaining(now)
 	})
 }
+
+// remaining estimates, with a margin, how long the tasks of a step still take if all
+// could start now.
+func (s *step) remaining(now time.Time) time.Duration {
+	var longest time.Duration
+	for _, t := range s.tasks {
+		longest = max(longest, t.remaining(now))
+	}
+	return longest
+}
+
+// remaining estimates, with a margin, how long the task still takes if it could start
+// now.
+func (t *task) remaining(now time.Time) time.Duration {
+	if t.done {
+		return 0
+	}
+	whole := time.Duration(estimateMargin * float64(t.step.def.Estimate))
+	if r := t.current; r != nil && !r.startedAt.IsZero() && !r.stopping {
+		whole -= now.Sub(r.startedAt)
+	}
+	return max(0, whole) + stepOverhead
+}
--- a/policy/shard/load.go
+++ b/policy/shard/load.go
@@ -50,7 +50,7 @@
 		if e.dead || !e.listed && len(e.runs) == 0 {
 			continue
 		}
-		x := ExecutorLoad{Runs: len(e.runs) + len(e.strays), UsedCPU: e.used.MilliCPU, Cordoned: e.cordoned}
+		x := ExecutorLoad{Runs: len(e.runs) + len(e.strays), UsedCPU: e.used.MilliCPU, Cordoned: e.cordoned()}
 		for _, r := range e.runs {
 			if r.task.step.def.LongRunning {
 				x.Lasting++
--- a/policy/shard/looks.go
+++ b/policy/shard/looks.go
@@ -147,7 +147,7 @@
 		s.voidAbsent(e, l.SentAt, listed, now)
 	}
 	e.acknowledge()
-	if e.cordoned && len(e.runs) == 0 {
+	if e.cordoned() && len(e.runs) == 0 {
 		s.loadUrgent = true
 	}
 	s.pace(e, now)
--- a/policy/shard/order.go
+++ b/policy/shard/order.go
@@ -31,7 +31,7 @@
 	if j.Definition.Schedule.Count > 0 {
 		return standingInTime
 	}
-	end := now.Add(j.remaining())
+	end := now.Add(j.remaining(now))
 	last := j.Accepted.Add(tooLateFactor * j.objective())
 	switch {
 	case !end.After(j.deadline()):
--- a/policy/shard/rules_test.go
+++ b/policy/shard/rules_test.go
@@ -137,7 +137,7 @@
 	b := newBench(t, draining, cordoned)
 	draining.Draining = true
 	b.s.SetExecutors([]cluster.Executor{draining, cordoned}, b.now)
-	b.s.Cordon(map[cluster.ExecutorID]bool{"i-2": true}, b.now)
+	b.s.Cordon(map[cluster.ExecutorID]Emptying{"i-2": EmptyAtLeisure}, b.now)
 	b.submit("00000000000000aa", oneTask)
 	assert.Equal(t, len(b.startAll()), 0)
 	// An entry that returns as ready is still that of an executor which leaves.
@@ -164,7 +164,7 @@
 		}
 		b.s.LookAnswered(look, d, b.view(string(look.Executor.ID), nil), b.now)
 	}
-	b.s.Cordon(map[cluster.ExecutorID]bool{"i-2": true}, b.now)
+	b.s.Cordon(map[cluster.ExecutorID]Emptying{"i-2": EmptyAtLeisure}, b.now)
 	for _, o := range b.round() {
 		assert.Assert(t, o.Kind != OrderStop, "%s is stopped", o.Start.Task)
 	}
@@ -263,3 +263,54 @@
 	h.failed("04", b.now) // the trial fails as well
 	assert.Assert(t, h.suspect(b.now))
 }
+
+// Other services' jobs can be in time on a machine whose own jobs are late: those give
+// way where the machine is wanted for that, jobs in time and ends close by do not.
+func TestLateJobsGiveWayToOtherServices(t *testing.T) {
+	long := oneTask
+	long.Estimate = 2 * time.Second
+	for _, c := range []struct {
+		name     string
+		emptying Emptying
+		late     bool
+		atWork   time.Duration
+		stopped  bool
+	}{
+		{"late", EmptyForOthers, true, 0, true},
+		{"in time", EmptyForOthers, false, 0, false},
+		{"about to end", EmptyForOthers, true, 2300 * time.Millisecond, false},
+		{"at leisure", EmptyAtLeisure, true, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, executorOf("i-1"))
+			b.submit("00000000000000aa", long)
+			b.startAll()
+			b.see("i-1", b.view("i-1", nil))
+			r := b.s.executors["i-1"].sortedRuns()[0]
+			r.startedAt = b.now.Add(-c.atWork)
+			if c.late {
+				j := r.task.step.job
+				j.Accepted = b.now.Add(-j.objective())
+			}
+			b.s.Cordon(map[cluster.ExecutorID]Emptying{"i-1": c.emptying}, b.now)
+			assert.Equal(t, r.stopping, c.stopped)
+		})
+	}
+}
+
+// A job whose last tasks have run for a while has only the rest before it.
+func TestWorkDoneCountsForTheJobsEnd(t *testing.T) {
+	b := newBench(t, executorOf("i-1"))
+	long := oneTask
+	long.Estimate = 2 * time.Second
+	b.submit("00000000000000aa", long)
+	b.startAll()
+	b.see("i-1", b.view("i-1", nil))
+	r := b.s.executors["i-1"].sortedRuns()[0]
+	j := r.task.step.job
+	r.startedAt = b.now
+	j.Accepted = b.now.Add(time.Second - j.objective()) // a second is left, the task takes two
+	assert.Equal(t, j.standing(b.now), standingLate)
+	r.startedAt = b.now.Add(-1800 * time.Millisecond)
+	assert.Equal(t, j.standing(b.now), standingInTime)
+}
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -205,11 +205,11 @@
 	s.evacuate(now)
 }
 
-// Cordon sets which executors are to be emptied.
-func (s *Shard) Cordon(ids map[cluster.ExecutorID]bool, now time.Time) {
+// Cordon sets which executors are to be emptied, and how.
+func (s *Shard) Cordon(ids map[cluster.ExecutorID]Emptying, now time.Time) {
 	for _, e := range s.executors {
-		if e.cordoned != ids[e.ID] {
-			e.cordoned = ids[e.ID]
+		if e.emptying != ids[e.ID] {
+			e.emptying = ids[e.ID]
 			s.loadUrgent = true
 		}
 	}
@@ -227,20 +227,42 @@
 }
 
 // evacuate stops lasting runs on executors that are about to leave, as far as
-// their steps may miss tasks.
+// their steps may miss tasks, and runs that make room for other services.
 func (s *Shard) evacuate(now time.Time) {
 	for _, e := range s.sortedExecutors() {
-		if !e.drained && !e.cordoned {
+		if !e.drained && !e.cordoned() {
 			continue
 		}
 		for _, r := range e.sortedRuns() {
-			if r.task.step.def.LongRunning && r.phase == confirmed && s.mayMove(r, now) {
+			if r.phase == confirmed && s.shouldLeave(r, now) {
 				s.stop(r)
 			}
 		}
 	}
 }
 
+// shouldLeave reports whether a run on an executor that is emptied is stopped rather
+// than left to its end.
+func (s *Shard) shouldLeave(r *run, now time.Time) bool {
+	if r.task.step.def.LongRunning {
+		return s.mayMove(r, now)
+	}
+	return r.executor.emptying == EmptyForOthers && r.yields(now)
+}
+
+// shortRest is how much of a run may be left, by a careful estimate, for it to be let
+// end: a stop and a look after it take as long.
+const shortRest = 500 * time.Millisecond
+
+// yields reports whether the run makes room for another service: its job is late, and
+// the run not about to end.
+func (r *run) yields(now time.Time) bool {
+	if r.stopping || r.task.step.def.Gang {
+		return false
+	}
+	return r.task.remaining(now) > shortRest && r.task.step.job.standing(now) > standingInTime
+}
+
 // mayMove reports whether a lasting run may be taken away now.
 func (s *Shard) mayMove(r *run, now time.Time) bool {
 	if r.stopping {
--- a/policy/shard/world_test.go
+++ b/policy/shard/world_test.go
@@ -566,7 +566,7 @@
 		}
 	case 9:
 		if e := w.pickExecutor("cordoned"); e != nil {
-			w.owner.shard.Cordon(map[cluster.ExecutorID]bool{e.id: true}, w.now)
+			w.owner.shard.Cordon(map[cluster.ExecutorID]Emptying{e.id: rapid.SampledFrom([]Emptying{EmptyAtLeisure, EmptyForOthers}).Draw(w.t, "emptying")}, w.now)
 		}
 	}
 }
@@ -628,7 +628,7 @@
 	}
 	for _, e := range w.owner.shard.sortedExecutors() {
 		text += fmt.Sprintf("\n%s listed=%t known=%t cordoned=%t dead=%t misses=%d strays=%d runs=%d used=%+v pending=%d bound=%s looking=%t suspect=%t",
-			e.ID, e.listed, e.known, e.cordoned, e.dead, e.misses, len(e.strays), len(e.runs), e.used, len(e.pending), e.leaseBound.Sub(w.now), e.looking, e.health.suspect(w.now))
+			e.ID, e.listed, e.known, e.cordoned(), e.dead, e.misses, len(e.strays), len(e.runs), e.used, len(e.pending), e.leaseBound.Sub(w.now), e.looking, e.health.suspect(w.now))
 	}
 	return fmt.Sprintf("%s\nfenced=%t touched=%t", text, w.owner.shard.fenced, w.owner.shard.touched)
 }
