Successors go by the ages of orders; cordons stay until the owner has noticed

Changes: orders/fleet holds ages, brought up to date every 500 ms; a cordon goes once the owner no longer lists the executor; evidence is stored at the beginning and end of each peak; only runs with a second or more before them give way; a rotation seen whole predicts by its period.

--- a/entry/fleetduty/evidence.go
+++ b/entry/fleetduty/evidence.go
@@ -11,7 +11,7 @@
 	"github.com/tarragonreach/tarragonreach/policy/fleetplan"
 )
 
-// evidenceEvery is the time between two writes of what the planner has learned.
+// evidenceEvery is the longest time between two writes of what the planner has learned.
 const evidenceEvery = 2 * time.Second
 
 // loadEvidence takes in what the last holder's planner learned. Without it the
@@ -30,13 +30,14 @@
 		return nil
 	}
 	h.planner.Restore(evidence)
+	h.Logger.Info("evidence taken over", "turns", len(evidence.Turns), "services", evidence.Services, "revision", int64(item.Revision))
 	return nil
 }
 
 // storeEvidence writes what the planner has learned, in the background: an older
 // state that takes effect late does no harm.
 func (h *Holder) storeEvidence(ctx context.Context) {
-	h.evidenceAt = time.Now()
+	h.evidenceAt, h.evidenceNews = time.Now(), h.planner.EvidenceNews()
 	value, err := layout.Encode(h.planner.Evidence())
 	if err != nil {
 		h.Logger.Error("evidence not stored", "error", err)
--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -93,9 +93,10 @@
 	cordonsAt time.Time // when they were read last
 	cleanedAt time.Time
 	// evidenceAt is when the planner's evidence was stored last.
-	evidenceAt time.Time
-	needs      string // as logged last
-	needsAt    time.Time
+	evidenceAt   time.Time
+	evidenceNews int    // as stored last
+	needs        string // as logged last
+	needsAt      time.Time
 }
 
 // Lead has the duty until ctx ends or the term is lost.
@@ -110,7 +111,7 @@
 		loads:   map[cluster.Service]shard.Load{},
 		waves:   map[int64]cluster.Wave{},
 		cordons: map[cluster.ExecutorID]cluster.Service{},
-		book:    orderBook{given: map[cluster.MachineID]time.Time{}, keep: options.HolderGap + holderMargin + callTimeout},
+		book:    orderBook{given: map[cluster.MachineID]time.Time{}, keep: options.HolderGap + holderMargin},
 	}
 	h.Logger = options.Logger.With("duty", Duty, "token", term.Token)
 	if err := h.load(ctx); err != nil {
@@ -159,8 +160,8 @@
 	if !h.term.Lasting() {
 		return
 	}
-	h.forgetOrders(ctx)
-	if time.Since(h.evidenceAt) >= evidenceEvery {
+	h.updateOrders(ctx)
+	if h.planner.EvidenceNews() != h.evidenceNews || time.Since(h.evidenceAt) >= evidenceEvery {
 		h.storeEvidence(ctx)
 	}
 }
--- a/entry/fleetduty/orders.go
+++ b/entry/fleetduty/orders.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
@@ -19,22 +18,31 @@
 var errTermOver = errors.New("the term is over")
 
 // orderBook is the stored list of machines with orders of the last moments. A
-// successor leaves them alone for as long as two holders' orders must be apart.
+// successor leaves them alone for as long as two holders' orders must be apart. It goes
+// by the age of an order when the list was written, since clocks may differ.
 type orderBook struct {
 	given    map[cluster.MachineID]time.Time // when an order was last given
 	revision kv.Revision                     // of the stored list, as far as known
 	keep     time.Duration                   // how long an order is listed
+	stored   time.Time                       // when the list was written last
 }
 
-// forget drops old orders, and reports whether there were any.
-func (b *orderBook) forget(now time.Time) bool {
-	before := len(b.given)
-	maps.DeleteFunc(b.given, func(_ cluster.MachineID, at time.Time) bool { return now.Sub(at) > b.keep })
-	return len(b.given) < before
+// bookEvery is the time between two writes of the list while it holds orders.
+const bookEvery = 500 * time.Millisecond
+
+// due reports whether the ages in the stored list should be brought up to date.
+func (b *orderBook) due(now time.Time) bool {
+	return len(b.given) > 0 && now.Sub(b.stored) >= bookEvery
 }
 
-func (b *orderBook) encode() ([]byte, error) {
-	return layout.Encode(layout.FleetOrders{Machines: slices.Sorted(maps.Keys(b.given))})
+// entry returns the list as it is stored, without orders that are old.
+func (b *orderBook) entry(now time.Time) layout.FleetOrders {
+	maps.DeleteFunc(b.given, func(_ cluster.MachineID, at time.Time) bool { return now.Sub(at) > b.keep })
+	orders := layout.FleetOrders{AgesMs: map[cluster.MachineID]int64{}}
+	for machine, at := range b.given {
+		orders.AgesMs[machine] = now.Sub(at).Milliseconds()
+	}
+	return orders
 }
 
 // announce stores for which machines orders follow. It reports whether they may be
@@ -51,7 +59,6 @@
 	if !ordering {
 		return true
 	}
-	h.book.forget(now)
 	err := h.storeOrders(ctx, txnAttempts)
 	if err == nil {
 		return true
@@ -65,21 +72,22 @@
 	return false
 }
 
-// forgetOrders takes old orders off the stored list, so that a successor need not
-// wait because of them.
-func (h *Holder) forgetOrders(ctx context.Context) {
-	if !h.book.forget(time.Now()) {
+// updateOrders brings the ages in the stored list up to date, so that a successor need
+// not wait because of old orders.
+func (h *Holder) updateOrders(ctx context.Context) {
+	if !h.book.due(time.Now()) {
 		return
 	}
 	if err := h.storeOrders(ctx, 1); err != nil {
-		h.Logger.Info("old orders not taken off the list; the next order does it", "error", err)
+		h.Logger.Info("list of orders not updated; the next write does it", "error", err)
 	}
 }
 
 // storeOrders writes the list. It depends on the revision that it replaces: an
 // earlier write without an answer can't undo a later one.
 func (h *Holder) storeOrders(ctx context.Context, attempts int) error {
-	value, err := h.book.encode()
+	h.book.stored = time.Now()
+	value, err := layout.Encode(h.book.entry(h.book.stored))
 	if err != nil {
 		return err
 	}
@@ -146,6 +154,9 @@
 		return err
 	}
 	h.book.revision = item.Revision
-	h.planner.Reserve(orders.Machines, time.Now().Add(h.HolderGap+holderMargin))
+	free := time.Now().Add(h.HolderGap + holderMargin)
+	for machine, age := range orders.AgesMs {
+		h.planner.Reserve(machine, free.Add(-time.Duration(age)*time.Millisecond))
+	}
 	return nil
 }
--- a/entry/fleetduty/orders_test.go
+++ b/entry/fleetduty/orders_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -73,7 +75,7 @@
 	t.Helper()
 	orders, err := layout.Decode[layout.FleetOrders](layout.FleetOrdersKey, s.items[layout.FleetOrdersKey].Value)
 	assert.NilError(t, err)
-	return orders.Machines
+	return slices.Sorted(maps.Keys(orders.AgesMs))
 }
 
 func newTestHolder(s *mapStore) *Holder {
@@ -88,6 +90,12 @@
 	}
 }
 
+// age lets time pass since an order and the last write of the list.
+func (h *Holder) age(id cluster.MachineID, by time.Duration) {
+	h.book.given[id] = h.book.given[id].Add(-by)
+	h.book.stored = h.book.stored.Add(-by)
+}
+
 func move(id cluster.MachineID) []fleetplan.Action {
 	return []fleetplan.Action{{Kind: fleetplan.Move, Machine: id}}
 }
@@ -96,10 +104,10 @@
 	s := &mapStore{}
 	h := newTestHolder(s)
 	assert.Assert(t, h.announce(t.Context(), move("m-1")))
-	h.forgetOrders(t.Context())
+	h.updateOrders(t.Context()) // not due
 	assert.DeepEqual(t, s.listed(t), []cluster.MachineID{"m-1"})
-	h.book.given["m-1"] = time.Now().Add(-2 * time.Second)
-	h.forgetOrders(t.Context())
+	h.age("m-1", 2*time.Second)
+	h.updateOrders(t.Context())
 	assert.Equal(t, len(s.listed(t)), 0)
 }
 
@@ -118,9 +126,9 @@
 	s := &mapStore{}
 	h := newTestHolder(s)
 	assert.Assert(t, h.announce(t.Context(), move("m-1")))
-	h.book.given["m-1"] = time.Now().Add(-2 * time.Second)
+	h.age("m-1", 2*time.Second)
 	s.holdBack = true
-	h.forgetOrders(t.Context())
+	h.updateOrders(t.Context())
 	s.holdBack = false
 	assert.Assert(t, h.announce(t.Context(), move("m-2")))
 	for _, late := range s.held {
@@ -155,3 +163,16 @@
 	assert.NilError(t, next.loadEvidence(t.Context()))
 	assert.DeepEqual(t, next.planner.Evidence(), evidence)
 }
+
+// A successor waits for a machine only as long as its last order is young.
+func TestSuccessorGoesByTheAgesOfOrders(t *testing.T) {
+	s := &mapStore{}
+	h := newTestHolder(s)
+	assert.Assert(t, h.announce(t.Context(), move("m-1")))
+	h.age("m-1", 800*time.Millisecond)
+	assert.Assert(t, h.announce(t.Context(), move("m-2")))
+	orders, err := layout.Decode[layout.FleetOrders](layout.FleetOrdersKey, s.items[layout.FleetOrdersKey].Value)
+	assert.NilError(t, err)
+	assert.Assert(t, orders.AgesMs["m-1"] >= 800)
+	assert.Assert(t, orders.AgesMs["m-2"] < 800)
+}
--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -93,7 +93,8 @@
 
 // FleetOrders lists the machines with orders of the last seconds.
 type FleetOrders struct {
-	Machines []cluster.MachineID `json:"machines"`
+	// AgesMs is how old the last order was when the list was written, in milliseconds.
+	AgesMs map[cluster.MachineID]int64 `json:"agesMs"`
 }
 
 // ChainKey holds the last link of a service's chain of writes.
--- a/policy/fleetplan/demand.go
+++ b/policy/fleetplan/demand.go
@@ -27,7 +27,8 @@
 	onsetShare = 0.4
 	// meanWeight is for how long a mean taken over from an earlier planner counts.
 	meanWeight = 10 * time.Second
-	// warmUp is how long a service is watched before peaks are told from its mean.
+	// warmUp is how long a service is watched before peaks are told from its mean,
+	// unless an earlier mean is known.
 	warmUp = 1 * time.Second
 )
 
@@ -66,8 +67,10 @@
 		p.turns.known[service] = true
 		switch d.take(sample{v.Now, load.ArrivedWork, load.ArrivedJobs}) {
 		case peakBegins:
+			p.news++
 			p.turns.begin(service, v.Now)
 		case peakEnds:
+			p.news++
 			p.turns.noteHeight(service, d.top)
 		}
 	}
@@ -98,7 +101,7 @@
 	}
 	d.rate = d.steepest(s)
 	d.mean = d.meanUntil(s)
-	if s.at.Sub(d.first.at) < warmUp {
+	if d.earlier == 0 && s.at.Sub(d.first.at) < warmUp {
 		return noChange
 	}
 	switch {
@@ -107,7 +110,7 @@
 		d.hotFrom = d.samples[0].at
 		d.top = 0
 		return peakBegins
-	case d.hot && d.rate < coolFactor*d.mean:
+	case d.hot && d.rate < coolFactor*d.mean && s.at.Sub(d.first.at) >= warmUp:
 		d.hot = false
 		return peakEnds
 	}
--- a/policy/fleetplan/evidence.go
+++ b/policy/fleetplan/evidence.go
@@ -28,6 +28,9 @@
 	HotFrom time.Time `json:"hotFrom,omitzero"`
 }
 
+// EvidenceNews counts the beginnings and ends of peaks that were seen.
+func (p *Planner) EvidenceNews() int { return p.news }
+
 // Evidence returns what the planner has learned.
 func (p *Planner) Evidence() Evidence {
 	e := Evidence{Turns: slices.Clone(p.turns.history), Services: map[cluster.Service]Habit{}}
--- a/policy/fleetplan/fleetplan.go
+++ b/policy/fleetplan/fleetplan.go
@@ -102,6 +102,7 @@
 	idleSince  map[cluster.MachineID]time.Time
 	demand     map[cluster.Service]*demand
 	turns      *turns
+	news       int // beginnings and ends of peaks
 	lastNeeds  []need
 	reserved   map[cluster.MachineID]time.Time // not to be ordered before
 }
@@ -128,12 +129,10 @@
 	w.reported = reported
 }
 
-// Reserve keeps machines from any order until a time: an earlier holder of the duty
-// may have ordered something for them just now.
-func (p *Planner) Reserve(machines []cluster.MachineID, until time.Time) {
-	for _, m := range machines {
-		p.reserved[m] = until
-	}
+// Reserve keeps a machine from any order until a time: an earlier holder of the duty
+// may have ordered something for it just now.
+func (p *Planner) Reserve(machine cluster.MachineID, until time.Time) {
+	p.reserved[machine] = until
 }
 
 // Done returns the machines of a wave whose maintenance has begun.
@@ -160,6 +159,7 @@
 	pools   map[cluster.Service]cluster.Pool
 	spare   cluster.Service
 	members map[cluster.Service][]cluster.Machine
+	alive   map[cluster.ExecutorID]bool // executors of the machines as listed
 }
 
 func newView(s Snapshot) *view {
@@ -168,11 +168,13 @@
 		byID:     map[cluster.MachineID]cluster.Machine{},
 		pools:    map[cluster.Service]cluster.Pool{},
 		members:  map[cluster.Service][]cluster.Machine{},
+		alive:    map[cluster.ExecutorID]bool{},
 	}
 	slices.SortFunc(v.Machines, func(a, b cluster.Machine) int { return cmp.Compare(a.ID, b.ID) })
 	for _, m := range v.Machines {
 		v.byID[m.ID] = m
 		v.members[m.Pool] = append(v.members[m.Pool], m)
+		v.alive[m.Executor] = true
 	}
 	for _, pool := range s.Pools {
 		v.pools[pool.Service] = pool
@@ -282,7 +284,9 @@
 	return actions
 }
 
-// releaseCordons takes back the cordons of executors that nothing is planned for.
+// releaseCordons takes back the cordons of executors that nothing is planned for. One
+// that is gone stays under its cordon until its owner has noticed: otherwise the owner
+// would start tasks there.
 func (p *Planner) releaseCordons(v *view) []Action {
 	wanted := map[cluster.ExecutorID]bool{}
 	for _, op := range p.operations {
@@ -290,7 +294,8 @@
 	}
 	var actions []Action
 	for _, id := range slices.Sorted(maps.Keys(v.Cordons)) {
-		if !wanted[id] {
+		_, known := v.Loads[v.Cordons[id]].Executors[id]
+		if !wanted[id] && (!known || v.alive[id]) {
 			actions = append(actions, Action{Kind: Uncordon, Executor: id, Service: v.Cordons[id]})
 		}
 	}
--- a/policy/fleetplan/fleetplan_test.go
+++ b/policy/fleetplan/fleetplan_test.go
@@ -286,7 +286,9 @@
 	y := newYard(t, map[cluster.Service]int{"a": 2}, 2)
 	y.loads["a"] = shard.Load{InTimeCPU: 4 * 16000, Executors: y.loads["a"].Executors}
 	until := y.now.Add(3 * time.Second)
-	y.planner.Reserve(y.order, until)
+	for _, machine := range y.order {
+		y.planner.Reserve(machine, until)
+	}
 	for y.now.Before(until) {
 		y.step(agree)
 		assert.Equal(t, y.moves, 0)
@@ -370,3 +372,41 @@
 	_, predicted = turns.next("b")
 	assert.Assert(t, !predicted)
 }
+
+// A moved machine's old executor stays listed for a while: its owner must not get it
+// back meanwhile.
+func TestExecutorThatIsGoneStaysUnderItsCordon(t *testing.T) {
+	y := newYard(t, map[cluster.Service]int{"a": 2, "b": 3}, 0)
+	y.cordons["i-gone"] = "b"
+	y.cordons["i-001"] = "a" // lives, and nothing is planned for it
+	y.loads["b"].Executors["i-gone"] = shard.ExecutorLoad{Cordoned: true}
+	lifted := func() []cluster.ExecutorID {
+		var list []cluster.ExecutorID
+		for _, action := range y.planner.Plan(y.snapshot()) {
+			if action.Kind == Uncordon {
+				list = append(list, action.Executor)
+			}
+		}
+		return list
+	}
+	assert.DeepEqual(t, lifted(), []cluster.ExecutorID{"i-001"})
+	delete(y.loads["b"].Executors, "i-gone")
+	assert.DeepEqual(t, lifted(), []cluster.ExecutorID{"i-001", "i-gone"})
+}
+
+// A service gets a new owner, which counts from zero, in the middle of its peak, or a
+// peak begins just then: with the mean known it is seen within half a second.
+func TestPeakIsSeenThroughAChangeOfOwner(t *testing.T) {
+	for _, hot := range []bool{true, false} {
+		d := &demand{mean: 2000, hot: hot, hotFrom: time.Unix(999, 0)}
+		now := time.Unix(1000, 0)
+		begun := false
+		for i := range int64(6) {
+			d.take(sample{at: now, work: i * 2000, jobs: i * 2}) // 20,000 thousandths of a core
+			begun = begun || d.hot
+			assert.Assert(t, !hot || d.hot)
+			now = now.Add(100 * time.Millisecond)
+		}
+		assert.Assert(t, begun)
+	}
+}
--- a/policy/fleetplan/turns.go
+++ b/policy/fleetplan/turns.go
@@ -1,6 +1,7 @@
 package fleetplan
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -10,7 +11,7 @@
 
 const (
 	// overdue is how long a predicted peak is waited for after its time.
-	overdue = 1500 * time.Millisecond
+	overdue = 3 * time.Second
 	// turnsKept bounds the history of peaks.
 	turnsKept = 32
 )
@@ -79,33 +80,31 @@
 	if len(t.history) < 2 {
 		return time.Time{}, false
 	}
-	follower, gap := t.following()
-	if follower != service {
-		return time.Time{}, false
-	}
-	return t.history[len(t.history)-1].At.Add(gap), true
+	follower, at := t.following()
+	return at, follower == service
 }
 
-// following returns the service that is likely to have the next peak, and the time
-// from the last one to it: the one that followed the last time; else, since each has
-// its turn, the only one without a peak so far; else the one whose peak is longest
-// ago. It is empty where none is likely.
-func (t *turns) following() (cluster.Service, time.Duration) {
+// following returns the service that is likely to have the next peak, and when: the
+// one that followed the last time; else, since each has its turn, the only one without
+// a peak so far; else the one whose peak is longest ago, a whole rotation after that.
+// It is empty where none is likely.
+func (t *turns) following() (cluster.Service, time.Time) {
 	last := t.history[len(t.history)-1]
 	for i := len(t.history) - 2; i >= 0; i-- {
 		if t.history[i].Service == last.Service {
 			follower := t.history[i+1]
-			return follower.Service, follower.At.Sub(t.history[i].At)
+			return follower.Service, last.At.Add(follower.At.Sub(t.history[i].At))
 		}
 	}
 	unseen := t.unseen()
-	switch {
-	case len(unseen) == 0:
-		return t.longestAgo(), t.medianGap()
-	case len(unseen) == 1 && len(t.history) > 1:
-		return unseen[0], t.medianGap()
+	switch len(unseen) {
+	case 0:
+		oldest := t.longestAgo()
+		return oldest.Service, oldest.At.Add(time.Duration(len(t.known)) * t.medianGap())
+	case 1:
+		return unseen[0], last.At.Add(t.medianGap())
 	default:
-		return "", 0
+		return "", time.Time{}
 	}
 }
 
@@ -120,14 +119,14 @@
 	return list
 }
 
-// longestAgo returns the service whose last peak began before that of all others.
-func (t *turns) longestAgo() cluster.Service {
-	latest := map[cluster.Service]time.Time{}
+// longestAgo returns the last turn of the service that had its own before all others.
+func (t *turns) longestAgo() Turn {
+	latest := map[cluster.Service]Turn{}
 	for _, h := range t.history {
-		latest[h.Service] = h.At
+		latest[h.Service] = h
 	}
-	return slices.MinFunc(slices.Sorted(maps.Keys(latest)), func(a, b cluster.Service) int {
-		return latest[a].Compare(latest[b])
+	return slices.MinFunc(slices.Collect(maps.Values(latest)), func(a, b Turn) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Service, b.Service))
 	})
 }
 
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -251,8 +251,8 @@
 }
 
 // shortRest is how much of a run may be left, by a careful estimate, for it to be let
-// end: a stop and a look after it take as long.
-const shortRest = 500 * time.Millisecond
+// end: a stop and a look after it take half as long, and its work would be lost.
+const shortRest = 1 * time.Second
 
 // yields reports whether the run makes room for another service: its job is late, and
 // the run not about to end.
