--- a/policy/fleetplan/demand.go
+++ b/policy/fleetplan/demand.go
@@ -131,19 +131,25 @@
 	return (d.earlier*weight + measured*span) / (weight + span)
 }
 
-// expected is the rate to make room for. A peak is taken to become as high as the
-// last one during its rise.
-func (d *demand) expected(now time.Time, peak float64, rise time.Duration) float64 {
-	switch {
+// expected is the rate to make room for by the time that a machine called now has
+// come. A peak is taken to rise evenly to the height of the last one.
+func (d *demand) expected(now time.Time, peak float64, rise, lead time.Duration) float64 {
+	switch since := now.Sub(d.hotFrom); {
 	case !d.hot:
 		return 0
-	case now.Sub(d.hotFrom) < rise:
-		return max(d.rate, peak)
+	case since < rise:
+		return max(d.rate, peak*risen(since+lead, rise))
 	default:
 		return d.rate
 	}
 }
 
+// risen is the share of its height that a peak has reached some time after its
+// beginning.
+func risen(since, rise time.Duration) float64 {
+	return min(1, max(0, since.Seconds()/rise.Seconds()))
+}
+
 // steepest is the highest rate up to s over any time within the window that holds
 // enough jobs, or zero.
 func (d *demand) steepest(s sample) float64 {
--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -76,6 +76,7 @@
 		least := max(leastMachines, v.Loads[service].LeastExecutors)
 		list = append(list, need{
 			service: service,
+			late:    int(math.Ceil((all - inTime) / float64(room))),
 			inTime:  max(least, int(math.Ceil(inTime/float64(room)))),
 			all:     max(least, int(math.Ceil(all/float64(room)))),
 			least:   least,
@@ -94,9 +95,12 @@
 func (p *Planner) wantedCPU(v *view, service cluster.Service) (inTime, all float64) {
 	l := v.Loads[service]
 	peak := p.turns.peak(service)
-	rate := p.demandOf(service).expected(v.Now, peak, p.turns.rise())
-	if p.turns.expects(service, v.Now, p.limits.MoveTime+leadMargin) {
-		rate = max(rate, peak)
+	lead := p.limits.MoveTime + leadMargin
+	rise := p.turns.rise()
+	rate := p.demandOf(service).expected(v.Now, peak, rise, lead)
+	if at, predicted := p.turns.expects(service, v.Now, lead); predicted {
+		// Until the peak is seen no more is made ready than for its beginning.
+		rate = max(rate, peak*risen(min(lead, v.Now.Add(lead).Sub(at)), rise))
 	}
 	lasting := float64(l.LastingCPU)
 	inTime = lasting + max(rateMargin*rate, float64(l.InTimeCPU)+comingShare*float64(l.ComingCPU))
--- a/policy/fleetplan/turns.go
+++ b/policy/fleetplan/turns.go
@@ -68,10 +68,10 @@
 }
 
 // expects reports whether a peak of the service is predicted to begin within the
-// lead, or should have begun just now.
-func (t *turns) expects(service cluster.Service, now time.Time, lead time.Duration) bool {
+// lead, or should have begun just now, and when.
+func (t *turns) expects(service cluster.Service, now time.Time, lead time.Duration) (time.Time, bool) {
 	at, predicted := t.next(service)
-	return predicted && !now.Before(at.Add(-lead)) && now.Before(at.Add(overdue))
+	return at, predicted && !now.Before(at.Add(-lead)) && now.Before(at.Add(overdue))
 }
 
 // next predicts when the service's peak follows that of the service which had the
