Batches hold as many jobs as fit; a full one is followed at once

Ruled out: room by memory (15 tasks an executor as by processor), looks.

TestBurstIsStartedInFullBatches fails before.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -59,7 +59,7 @@
 }
 
 const (
-	// roundEvery is the least time between two batches.
+	// roundEvery is the least time between two batches, unless the last one was full.
 	roundEvery = 30 * time.Millisecond
 	// tickEvery bounds how late a timer of the shard is served.
 	tickEvery = 20 * time.Millisecond
@@ -93,6 +93,7 @@
 
 	writing   bool
 	lastRound time.Time
+	full      bool  // the last batch left something out
 	version   int64 // of the configuration taken in
 	grants    bool  // whether leases of runs may be renewed
 
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -44,7 +44,7 @@
 
 // round stores the next batch, if there is one and no other is on its way.
 func (o *Owner) round(now time.Time) {
-	if o.writing || now.Sub(o.lastRound) < roundEvery || !o.shard.Pending(now) {
+	if o.writing || !o.full && now.Sub(o.lastRound) < roundEvery || !o.shard.Pending(now) {
 		return
 	}
 	stale := o.staleCancels[:min(len(o.staleCancels), staleEntries)]
@@ -52,7 +52,7 @@
 	if batch == nil {
 		return
 	}
-	o.lastRound = now
+	o.lastRound, o.full = now, batch.Full
 	txn, err := o.encode(batch)
 	for _, id := range stale {
 		txn.Deletes = append(txn.Deletes, layout.CancelKey(o.Service, id))
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -17,6 +17,8 @@
 	Waiting map[string]int
 	// Load is for the planner of the fleet; nil leaves what is stored.
 	Load *Load
+	// Full is set where more was to be stored or started than had room.
+	Full bool
 
 	starts []*run
 }
@@ -35,6 +37,32 @@
 	version int64
 }
 
+// Entries is how many entries of a store's transaction the write takes: the progress
+// or else the removal of the record, of progress that was stored and of a cancellation;
+// and the state, where it changes.
+func (w JobWrite) Entries() int {
+	return entriesOf(w.State, w.Show, w.HadStored, w.Cancelled)
+}
+
+func entriesOf(state job.State, show, stored, cancelled bool) int {
+	n := 1
+	if show {
+		n++
+	}
+	if state.Final() && stored {
+		n++
+	}
+	if state.Final() && cancelled {
+		n++
+	}
+	return n
+}
+
+// entries is how many entries the job takes in a batch as it stands.
+func (j *jobState) entries() int {
+	return entriesOf(j.state, j.state != j.shown, j.stored, j.cancelled)
+}
+
 // StartNote describes one start of a batch for the log.
 type StartNote struct {
 	Task     job.TaskID
@@ -54,10 +82,6 @@
 }
 
 const (
-	// finalEntries: the state, and the removal of record, progress and cancellation.
-	finalEntries = 4
-	// progressEntries: the progress and the state.
-	progressEntries = 2
 	// waitingEntries: the counts of waiting jobs.
 	waitingEntries = 1
 	// loadEntries: the load.
@@ -148,21 +172,35 @@
 	b.left -= waitingEntries
 }
 
-// add makes the job part of the batch; it reports false where there is no room.
-func (b *builder) add(j *jobState) bool {
+// add makes the job part of the batch, if there is room.
+func (b *builder) add(j *jobState) {
 	if b.in[j] {
-		return true
-	}
-	cost := progressEntries
-	if j.state.Final() {
-		cost = finalEntries
+		return
 	}
+	cost := j.entries()
 	if cost > b.left {
-		return false
+		b.batch.Full = true
+		return
 	}
 	b.left -= cost
 	b.in[j] = true
 	b.jobs = append(b.jobs, j)
+}
+
+// roomToStart reports whether a start of the job fits: its progress, and its state
+// where that changes.
+func (b *builder) roomToStart(j *jobState) bool {
+	cost := 0
+	if !b.in[j] {
+		cost += j.entries()
+	}
+	if j.state == job.Queued {
+		cost++
+	}
+	if cost > b.left {
+		b.batch.Full = true
+		return false
+	}
 	return true
 }
 
@@ -208,7 +246,7 @@
 	if len(ready) == 0 || st.def.Gang && len(ready) < len(st.tasks) {
 		return
 	}
-	if !b.in[st.job] && b.left < progressEntries {
+	if !b.roomToStart(st.job) {
 		return
 	}
 	runs := b.place(st, ready)
@@ -218,6 +256,9 @@
 	if st.job.state == job.Queued {
 		st.job.state = job.Running
 		b.shard.waitingDirty = true
+		if b.in[st.job] {
+			b.left-- // its state is stored, too
+		}
 	}
 	st.job.touch()
 	b.add(st.job)
--- a/policy/shard/rules_test.go
+++ b/policy/shard/rules_test.go
@@ -314,3 +314,28 @@
 	r.startedAt = b.now.Add(-1800 * time.Millisecond)
 	assert.Equal(t, j.standing(b.now), standingInTime)
 }
+
+// A burst of jobs, more than a transaction holds: each batch is filled to the last
+// entry and says that more waits, so that the next one follows at once.
+func TestBurstIsStartedInFullBatches(t *testing.T) {
+	var executors []cluster.Executor
+	for i := range 10 {
+		executors = append(executors, executorOf(fmt.Sprintf("i-%d", i)))
+	}
+	b := newBench(t, executors...)
+	for i := range 40 {
+		b.submit(job.ID(fmt.Sprintf("%016x", i+1)), oneTask)
+	}
+	const entries = 29
+	started := 0
+	for batch := b.s.Batch(b.now, entries); batch != nil && len(batch.starts) > 0; batch = b.s.Batch(b.now, entries) {
+		assert.Assert(t, entriesOfBatch(batch) <= entries)
+		started += len(batch.starts)
+		assert.Equal(t, batch.Full, started < 40)
+		if batch.Full {
+			assert.Assert(t, len(batch.starts) >= (entries-loadEntries-waitingEntries)/2)
+		}
+		b.s.Committed()
+	}
+	assert.Equal(t, started, 40)
+}
--- a/policy/shard/world_test.go
+++ b/policy/shard/world_test.go
@@ -274,6 +274,9 @@
 		o.batch = nil
 	}
 	if b := o.shard.Batch(w.now, 29); b != nil {
+		if n := entriesOfBatch(b); n > 29 {
+			w.t.Fatalf("a batch of %d entries, 29 fit", n)
+		}
 		o.batch = b
 		o.batchDue = w.now.Add(time.Duration(rapid.IntRange(0, 3).Draw(w.t, "store ticks")) * 20 * time.Millisecond)
 	}
@@ -632,3 +635,17 @@
 	}
 	return fmt.Sprintf("%s\nfenced=%t touched=%t", text, w.owner.shard.fenced, w.owner.shard.touched)
 }
+
+func entriesOfBatch(b *Batch) int {
+	n := 0
+	if b.Load != nil {
+		n += loadEntries
+	}
+	if b.Waiting != nil {
+		n += waitingEntries
+	}
+	for _, w := range b.Jobs {
+		n += w.Entries()
+	}
+	return n
+}
