A new holder of the fleet's duty moves machines that the last one emptied at once

Its successor took the cordons back and set them again; a list of cordons read meanwhile brought taken-back ones back into its mind, so that 20 machines were never emptied until the next holder came at 35.2 s.

Changes: machines under a cordon in force may be moved at once; a list read beside a write of cordons is read again; a cordon whose removal has no answer does not count as in force. Tests fail before.

--- a/entry/fleetduty/actions.go
+++ b/entry/fleetduty/actions.go
@@ -57,11 +57,15 @@
 	if t.Entries() == 0 {
 		return
 	}
+	h.cordonWrites++
 	if err := h.txn(ctx, t); err != nil {
 		h.Logger.Warn("cordons not stored", "entries", t.Entries(), "error", err)
 		for _, id := range set {
 			delete(h.cordons, id) // asked for again; a late effect shows when they are read
 		}
+		for _, id := range lifted {
+			delete(h.cordons, id) // perhaps no longer in force; else that shows when they are read
+		}
 		return
 	}
 	for _, id := range lifted {
--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -91,7 +91,9 @@
 	listing   bool
 	plannedAt time.Time
 	cordonsAt time.Time // when they were read last
-	cleanedAt time.Time
+	// cordonWrites counts this holder's writes of cordons.
+	cordonWrites int
+	cleanedAt    time.Time
 	// evidenceAt is when the planner's evidence was stored last.
 	evidenceAt   time.Time
 	evidenceNews int    // as stored last
@@ -106,7 +108,7 @@
 	h := &Holder{
 		Options: options, term: term,
 		planner: fleetplan.New(options.Limits),
-		events:  make(chan event, 64), cleanedAt: time.Now(),
+		events:  make(chan event, 64), cleanedAt: time.Now(), cordonsAt: time.Now(),
 		ctx: ctx, lose: cancel,
 		loads:   map[cluster.Service]shard.Load{},
 		waves:   map[int64]cluster.Wave{},
--- a/entry/fleetduty/load.go
+++ b/entry/fleetduty/load.go
@@ -69,6 +69,7 @@
 // the planner takes them back.
 func (h *Holder) syncCordons(ctx context.Context) {
 	h.cordonsAt = time.Now()
+	writes := h.cordonWrites
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 		defer cancel()
@@ -77,10 +78,20 @@
 			h.Logger.Warn("cordons not read", "error", err)
 			return
 		}
-		h.send(func() { maps.Copy(h.cordons, cordons) })
+		h.send(func() { h.takeCordons(cordons, writes) })
 	}()
 }
 
+// takeCordons adds cordons that were read. Those read beside a write of this holder may
+// be out of date, and are read again soon.
+func (h *Holder) takeCordons(cordons map[cluster.ExecutorID]cluster.Service, writes int) {
+	if writes != h.cordonWrites {
+		h.cordonsAt = time.Time{}
+		return
+	}
+	maps.Copy(h.cordons, cordons)
+}
+
 func (h *Holder) follow(ctx context.Context) {
 	waves := follow.Follower{Store: h.Store, Prefix: registry.WavePrefix, Logger: h.Logger, Apply: func(c follow.Change) {
 		h.send(func() { h.applyWaves(c) })
--- a/entry/fleetduty/orders_test.go
+++ b/entry/fleetduty/orders_test.go
@@ -176,3 +176,27 @@
 	assert.Assert(t, orders.AgesMs["m-1"] >= 800)
 	assert.Assert(t, orders.AgesMs["m-2"] < 800)
 }
+
+// Cordons are read while this holder takes one back: what was read is out of date.
+func TestCordonsReadBesideAWriteAreReadAgain(t *testing.T) {
+	s := &mapStore{}
+	h := newTestHolder(s)
+	h.cordons = map[cluster.ExecutorID]cluster.Service{"i-1": "a"}
+	read := map[cluster.ExecutorID]cluster.Service{"i-1": "a"}
+	writes := h.cordonWrites
+	h.setCordons(t.Context(), []fleetplan.Action{{Kind: fleetplan.Uncordon, Executor: "i-1", Service: "a"}})
+	h.takeCordons(read, writes)
+	assert.Equal(t, len(h.cordons), 0)
+	assert.Assert(t, h.cordonsAt.IsZero())
+	h.takeCordons(read, h.cordonWrites) // a late effect shows later
+	assert.Equal(t, len(h.cordons), 1)
+}
+
+// A cordon is taken back without an answer: it must not count as in force.
+func TestCordonThatMayBeLiftedIsNotInForce(t *testing.T) {
+	s := &mapStore{holdBack: true}
+	h := newTestHolder(s)
+	h.cordons = map[cluster.ExecutorID]cluster.Service{"i-1": "a"}
+	h.setCordons(t.Context(), []fleetplan.Action{{Kind: fleetplan.Uncordon, Executor: "i-1", Service: "a"}})
+	assert.Equal(t, len(h.cordons), 0)
+}
--- a/policy/fleetplan/fleetplan_test.go
+++ b/policy/fleetplan/fleetplan_test.go
@@ -415,3 +415,27 @@
 		assert.Assert(t, begun)
 	}
 }
+
+// A new holder finds machines emptied by the last one: they move at once. One whose
+// cordon was just taken back may have got work since.
+func TestMachinesThatTheLastHolderEmptiedMoveAtOnce(t *testing.T) {
+	for _, inForce := range []bool{true, false} {
+		y := newYard(t, map[cluster.Service]int{"a": 2, "b": 6}, 0)
+		y.loads["a"] = shard.Load{InTimeCPU: 6 * 16000, Executors: y.loads["a"].Executors}
+		for id, x := range y.loads["b"].Executors {
+			x.Cordoned = true
+			y.loads["b"].Executors[id] = x
+			if inForce {
+				y.cordons[id] = "b"
+			}
+		}
+		moves := 0
+		for _, action := range y.planner.Plan(y.snapshot()) {
+			if action.Kind == Move {
+				moves++
+			}
+		}
+		assert.Equal(t, moves == 4, inForce, "%d moves", moves)
+		assert.Equal(t, moves == 0, !inForce, "%d moves", moves)
+	}
+}
--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
 const (
@@ -168,7 +169,7 @@
 			d.spare = append(d.spare, m)
 		case p.standsIdle(v, m):
 			d.idle = append(d.idle, m)
-		case known && l.Lasting == 0 && !l.Cordoned:
+		case known && l.Lasting == 0 && !v.released(m, l):
 			d.busy = append(d.busy, m)
 		}
 	}
@@ -184,7 +185,7 @@
 // standsIdle reports whether nothing runs on a machine, and notes since when.
 func (p *Planner) standsIdle(v *view, m cluster.Machine) bool {
 	l, known := v.load(m)
-	if !known || l.Runs > 0 || l.Cordoned {
+	if !known || l.Runs > 0 || v.released(m, l) {
 		delete(p.idleSince, m.ID)
 		return false
 	}
@@ -194,6 +195,12 @@
 	return true
 }
 
+// released reports whether the cordon of a machine's executor was taken back, which
+// its owner has not noticed yet. A cordon that an earlier holder left is in force.
+func (v *view) released(m cluster.Machine, l shard.ExecutorLoad) bool {
+	return l.Cordoned && v.Cordons[m.Executor] == ""
+}
+
 // take returns a machine for a service: a spare one, an idle one, or one that must
 // first finish its tasks.
 func (d *donors) take(service cluster.Service) (cluster.Machine, bool) {
