--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -13,7 +13,7 @@
 	penaltyFar       = 100.0 // not on the rack that holds the data
 	penaltyAvoid     = 50.0  // where the task failed last
 	penaltySameRack  = 10.0  // beside another lasting task of the step on the rack
-	penaltyFresh     = 2.0   // a lasting task where no other one is yet
+	penaltyFresh     = 15.0  // a lasting task where no other one is yet
 	penaltyDisturbed = 5.0   // a filler beside tasks that serve users
 )
 
