--- a/entry/fleetduty/evidence.go
+++ b/entry/fleetduty/evidence.go
@@ -37,8 +37,12 @@
 // storeEvidence writes what the planner has learned, in the background: an older
 // state that takes effect late does no harm.
 func (h *Holder) storeEvidence(ctx context.Context) {
+	evidence := h.planner.Evidence()
+	if news := h.planner.EvidenceNews(); news != h.evidenceNews {
+		h.Logger.Info("peak of demand began or ended", "turns", evidence.Turns, "services", evidence.Services)
+	}
 	h.evidenceAt, h.evidenceNews = time.Now(), h.planner.EvidenceNews()
-	value, err := layout.Encode(h.planner.Evidence())
+	value, err := layout.Encode(evidence)
 	if err != nil {
 		h.Logger.Error("evidence not stored", "error", err)
 		return
--- a/policy/fleetplan/fleetplan_test.go
+++ b/policy/fleetplan/fleetplan_test.go
@@ -439,3 +439,17 @@
 		assert.Equal(t, moves == 0, !inForce, "%d moves", moves)
 	}
 }
+
+// One turn is seen seconds late, after an outage: the rhythm of the others holds.
+func TestTurnSeenLateDoesNotShiftTheRhythm(t *testing.T) {
+	turns := newTurns()
+	start := time.Unix(1000, 0)
+	for i, late := range []time.Duration{300, -200, 6500, 100} {
+		service := cluster.Service(rune('a' + i))
+		turns.known[service] = true
+		turns.begin(service, start.Add(time.Duration(i)*10*time.Second+late*time.Millisecond))
+	}
+	at, predicted := turns.next("a")
+	assert.Assert(t, predicted)
+	assert.Assert(t, at.Sub(start.Add(40*time.Second)).Abs() <= time.Second, "%s", at.Sub(start))
+}
--- a/policy/fleetplan/turns.go
+++ b/policy/fleetplan/turns.go
@@ -13,7 +13,7 @@
 	// overdue is how long a predicted peak is waited for after its time.
 	overdue = 3 * time.Second
 	// turnsKept bounds the history of peaks.
-	turnsKept = 32
+	turnsKept = 12
 )
 
 // turns learns in which order services have their peaks and how far these are
@@ -51,7 +51,8 @@
 	if len(t.history) < 2 {
 		return onset
 	}
-	return time.Duration(onsetShare * float64(t.medianGap()))
+	_, gap := t.rhythm()
+	return time.Duration(onsetShare * float64(gap))
 }
 
 // peak is the rate to expect of a service at its peak: that of its last one, or
@@ -80,31 +81,31 @@
 	if len(t.history) < 2 {
 		return time.Time{}, false
 	}
-	follower, at := t.following()
-	return at, follower == service
+	if t.following() != service {
+		return time.Time{}, false
+	}
+	begin, gap := t.rhythm()
+	return begin.Add(time.Duration(len(t.history)) * gap), true
 }
 
-// following returns the service that is likely to have the next peak, and when: the
-// one that followed the last time; else, since each has its turn, the only one without
-// a peak so far; else the one whose peak is longest ago, a whole rotation after that.
-// It is empty where none is likely.
-func (t *turns) following() (cluster.Service, time.Time) {
+// following returns the service that is likely to have the next peak: the one that
+// followed the last time; else, since each has its turn, the only one without a peak so
+// far; else the one whose peak is longest ago. It is empty where none is likely.
+func (t *turns) following() cluster.Service {
 	last := t.history[len(t.history)-1]
 	for i := len(t.history) - 2; i >= 0; i-- {
 		if t.history[i].Service == last.Service {
-			follower := t.history[i+1]
-			return follower.Service, last.At.Add(follower.At.Sub(t.history[i].At))
+			return t.history[i+1].Service
 		}
 	}
 	unseen := t.unseen()
 	switch len(unseen) {
 	case 0:
-		oldest := t.longestAgo()
-		return oldest.Service, oldest.At.Add(time.Duration(len(t.known)) * t.medianGap())
+		return t.longestAgo().Service
 	case 1:
-		return unseen[0], last.At.Add(t.medianGap())
+		return unseen[0]
 	default:
-		return "", time.Time{}
+		return ""
 	}
 }
 
@@ -130,11 +131,26 @@
 	})
 }
 
-func (t *turns) medianGap() time.Duration {
-	var gaps []time.Duration
-	for i := 1; i < len(t.history); i++ {
-		gaps = append(gaps, t.history[i].At.Sub(t.history[i-1].At))
+// rhythm fits evenly spaced times to the turns, and returns the first one and their
+// distance. Medians over all pairs (the estimator of Theil and Sen) leave out a turn
+// that was seen late, after an outage.
+func (t *turns) rhythm() (begin time.Time, gap time.Duration) {
+	origin := t.history[0].At
+	var gaps, begins []time.Duration
+	for j := range t.history {
+		for i := range j {
+			gaps = append(gaps, t.history[j].At.Sub(t.history[i].At)/time.Duration(j-i))
+		}
 	}
-	slices.Sort(gaps)
-	return gaps[len(gaps)/2]
+	gap = median(gaps)
+	for i, turn := range t.history {
+		begins = append(begins, turn.At.Sub(origin)-time.Duration(i)*gap)
+	}
+	return origin.Add(median(begins)), gap
+}
+
+// median sorts a list that is not empty, and returns the middle.
+func median(list []time.Duration) time.Duration {
+	slices.Sort(list)
+	return (list[(len(list)-1)/2] + list[len(list)/2]) / 2
 }
