--- a/policy/fleetplan/fleetplan_test.go
+++ b/policy/fleetplan/fleetplan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -453,3 +454,14 @@
 	assert.Assert(t, predicted)
 	assert.Assert(t, at.Sub(start.Add(40*time.Second)).Abs() <= time.Second, "%s", at.Sub(start))
 }
+
+// Machines with lasting tasks take longest to empty, and may have to wait for a step
+// that misses tasks already: a wave begins with them.
+func TestWaveBeginsWithLastingTasks(t *testing.T) {
+	y := newYard(t, map[cluster.Service]int{"a": 8}, 4)
+	y.waves = []cluster.Wave{{Number: 1, Duration: 30 * time.Second, MaxDown: 2, Machines: y.order}}
+	lasting := y.machines[y.order[5]].Executor
+	y.loads["a"].Executors[lasting] = shard.ExecutorLoad{Runs: 1, Lasting: 1}
+	first := y.planner.Plan(y.snapshot())
+	assert.Assert(t, slices.ContainsFunc(first, func(a Action) bool { return a.Kind == Cordon && a.Executor == lasting }))
+}
--- a/policy/fleetplan/waves.go
+++ b/policy/fleetplan/waves.go
@@ -111,27 +111,27 @@
 	return int(math.Ceil(float64(left) * float64(each) / float64(remaining)))
 }
 
-// effort orders machines for maintenance: those that are off or empty, then those
-// with lasting tasks, which take longest to move, then by their short tasks, which
-// end by themselves.
+// effort orders machines for maintenance: those with lasting tasks first, which take
+// longest to empty and can't be emptied while other tasks of their steps are away; then
+// those that are off or empty, then by their short tasks, which end by themselves.
 func (v *view) effort(m cluster.Machine) int {
 	l, _ := v.load(m)
 	switch {
 	case v.pools[m.Pool].Spare:
 		return effortOff
-	case l.Runs == 0:
-		return effortIdle
 	case l.Lasting > 0:
 		return effortLasting
+	case l.Runs == 0:
+		return effortIdle
 	default:
 		return effortBusy + l.Runs
 	}
 }
 
 const (
-	effortOff = iota
+	effortLasting = iota
+	effortOff
 	effortIdle
-	effortLasting
 	effortBusy
 )
 
