--- a/policy/fleetplan/fleetplan_test.go
+++ b/policy/fleetplan/fleetplan_test.go
@@ -465,3 +465,16 @@
 	first := y.planner.Plan(y.snapshot())
 	assert.Assert(t, slices.ContainsFunc(first, func(a Action) bool { return a.Kind == Cordon && a.Executor == lasting }))
 }
+
+// The holder of the duty changes while a machine is emptied for a wave: its successor
+// goes on with that machine, rather than give it back.
+func TestSuccessorGoesOnWithMachinesThatAreEmptied(t *testing.T) {
+	y := newYard(t, map[cluster.Service]int{"a": 8}, 4)
+	y.waves = []cluster.Wave{{Number: 1, Duration: 30 * time.Second, MaxDown: 2, Machines: y.order}}
+	begun := y.machines[y.order[6]].Executor
+	y.cordons[begun] = "a"
+	for _, a := range y.planner.Plan(y.snapshot()) {
+		assert.Assert(t, a.Executor != begun || a.Kind != Uncordon)
+	}
+	assert.Assert(t, y.planner.operations[y.order[6]] != nil)
+}
--- a/policy/fleetplan/waves.go
+++ b/policy/fleetplan/waves.go
@@ -111,7 +111,8 @@
 	return int(math.Ceil(float64(left) * float64(each) / float64(remaining)))
 }
 
-// effort orders machines for maintenance: those with lasting tasks first, which take
+// effort orders machines for maintenance: first those that an earlier holder of the duty
+// has begun to empty; then those with lasting tasks, which take
 // longest to empty and can't be emptied while other tasks of their steps are away; then
 // those that are off or empty, then by their short tasks, which end by themselves.
 func (v *view) effort(m cluster.Machine) int {
@@ -119,6 +120,8 @@
 	switch {
 	case v.pools[m.Pool].Spare:
 		return effortOff
+	case v.Cordons[m.Executor] != "":
+		return effortBegun
 	case l.Lasting > 0:
 		return effortLasting
 	case l.Runs == 0:
@@ -129,7 +132,8 @@
 }
 
 const (
-	effortLasting = iota
+	effortBegun = iota
+	effortLasting
 	effortOff
 	effortIdle
 	effortBusy
