--- a/policy/shard/looks.go
+++ b/policy/shard/looks.go
@@ -69,6 +69,9 @@
 	if len(e.pending) == 0 && len(e.strays) == 0 && e.misses == 0 {
 		look.Wait = e.lookWait()
 	}
+	if s.evacuating {
+		look.Wait = min(look.Wait, evacuationLookWait)
+	}
 	return look
 }
 
--- a/policy/shard/rules_test.go
+++ b/policy/shard/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -339,3 +340,27 @@
 	}
 	assert.Equal(t, started, 40)
 }
+
+// Lasting tasks leave an executor one by one, each once the last one was seen at work
+// elsewhere: meanwhile looks don't wait for long.
+func TestEvacuationIsNotHeldUpByLongLooks(t *testing.T) {
+	b := newBench(t, executorOf("i-1"), executorOf("i-2"))
+	lasting := job.Step{Count: 4, Need: job.Resources{MilliCPU: 1000}, LongRunning: true, MayMiss: 1}
+	b.submit("00000000000000aa", lasting)
+	assert.Equal(t, len(b.startAll()), 4)
+	waits := func() []time.Duration {
+		var list []time.Duration
+		for range 40 {
+			b.now = b.now.Add(50 * time.Millisecond)
+			for _, look := range b.s.Looks(b.now) {
+				list = append(list, look.Look.Wait)
+				b.s.LookAnswered(look, Answered, b.view(string(look.Executor.ID), nil), b.now)
+			}
+		}
+		return list
+	}
+	assert.Assert(t, slices.Contains(waits(), lookWait))
+	from := b.s.sortedJobs()[0].occurrences[0].steps[0].tasks[0].current.executor.ID
+	b.s.Cordon(map[cluster.ExecutorID]Emptying{from: EmptyAtLeisure}, b.now)
+	assert.Assert(t, !slices.Contains(waits(), lookWait))
+}
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -26,6 +26,9 @@
 	lookRetry = 300 * time.Millisecond
 	// lookWait is how long a look waits for an end; leases are renewed as often.
 	lookWait = 1500 * time.Millisecond
+	// evacuationLookWait is the same while lasting tasks have to move: the next one may
+	// leave once the last one was seen at work elsewhere.
+	evacuationLookWait = 200 * time.Millisecond
 	// ackDelay bounds how long an executor waits to hear that an end was taken in.
 	ackDelay = 1 * time.Second
 	// suspectFailures in a row make an executor suspect.
@@ -70,6 +73,7 @@
 
 	loadAt      time.Time
 	lastLoad    Load  // as stored last
+	evacuating  bool  // lasting tasks have to leave an executor
 	loadUrgent  bool  // a cordon was set or an executor under one became empty
 	arrivedWork int64 // core-milliseconds
 	arrivedJobs int64
@@ -229,10 +233,12 @@
 // evacuate stops lasting runs on executors that are about to leave, as far as
 // their steps may miss tasks, and runs that make room for other services.
 func (s *Shard) evacuate(now time.Time) {
+	s.evacuating = false
 	for _, e := range s.sortedExecutors() {
 		if !e.drained && !e.cordoned() {
 			continue
 		}
+		s.evacuating = s.evacuating || e.hasLasting()
 		for _, r := range e.sortedRuns() {
 			if r.phase == confirmed && s.shouldLeave(r, now) {
 				s.stop(r)
