--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -25,6 +25,9 @@
 	leadMargin = 900 * time.Millisecond
 	// movesAtOnce bounds the moves begun by one plan.
 	movesAtOnce = 16
+	// restTime is how long a machine must have been idle to be moved for late jobs: the
+	// need of the others changes from moment to moment.
+	restTime = 700 * time.Millisecond
 	// leastMachines is how many machines every pool keeps.
 	leastMachines = 2
 )
@@ -42,13 +45,13 @@
 	begun := 0
 	for _, n := range needs {
 		for lack := n.share - n.have; lack > 0 && begun < movesAtOnce; lack-- {
-			m, found := donors.take(n.service)
+			inTime := min(n.inTime, n.share) > n.share-lack
+			m, found := donors.take(n.service, inTime)
 			if !found {
 				break
 			}
 			begun++
-			missing := min(n.inTime, n.share) - (n.share - lack)
-			p.begin(v, m, operation{kind: Move, to: n.service, forOthers: missing > 0}, "demand")
+			p.begin(v, m, operation{kind: Move, to: n.service, forOthers: inTime}, "demand")
 		}
 	}
 	p.giveBack(v, donors, movesAtOnce-begun)
@@ -150,7 +153,8 @@
 // donors are the machines that may change their pool, by pool.
 type donors struct {
 	spare  []cluster.Machine
-	idle   []cluster.Machine       // of other pools, longest idle first
+	rested []cluster.Machine       // of other pools, idle for restTime, longest first
+	idle   []cluster.Machine       // of other pools, idle for less, longest first
 	busy   []cluster.Machine       // of other pools with short tasks, fewest first
 	excess map[cluster.Service]int // how many a pool may give
 }
@@ -167,15 +171,17 @@
 			delete(p.idleSince, m.ID)
 		case m.Pool == v.spare:
 			d.spare = append(d.spare, m)
+		case p.standsIdle(v, m) && v.Now.Sub(p.idleSince[m.ID]) >= restTime:
+			d.rested = append(d.rested, m)
 		case p.standsIdle(v, m):
 			d.idle = append(d.idle, m)
 		case known && l.Lasting == 0 && !v.released(m, l):
 			d.busy = append(d.busy, m)
 		}
 	}
-	slices.SortStableFunc(d.idle, func(a, b cluster.Machine) int {
-		return p.idleSince[a.ID].Compare(p.idleSince[b.ID])
-	})
+	byIdleTime := func(a, b cluster.Machine) int { return p.idleSince[a.ID].Compare(p.idleSince[b.ID]) }
+	slices.SortStableFunc(d.rested, byIdleTime)
+	slices.SortStableFunc(d.idle, byIdleTime)
 	slices.SortStableFunc(d.busy, func(a, b cluster.Machine) int {
 		return cmp.Compare(v.effort(a), v.effort(b))
 	})
@@ -201,14 +207,17 @@
 	return l.Cordoned && v.Cordons[m.Executor] == ""
 }
 
-// take returns a machine for a service: a spare one, an idle one, or one that must
-// first finish its tasks.
-func (d *donors) take(service cluster.Service) (cluster.Machine, bool) {
+// take returns a machine for a service: a spare one, one that has stood idle, or, for
+// jobs that can be in time, one that is idle just now or must first finish its tasks.
+func (d *donors) take(service cluster.Service, inTime bool) (cluster.Machine, bool) {
 	if len(d.spare) > 0 {
 		m := d.spare[0]
 		d.spare = d.spare[1:]
 		return m, true
 	}
+	if m, found := d.takeFrom(&d.rested, service); found || !inTime {
+		return m, found
+	}
 	if m, found := d.takeFrom(&d.idle, service); found {
 		return m, true
 	}
@@ -230,7 +239,7 @@
 // the moves there and back cost less than keeping them.
 func (p *Planner) giveBack(v *view, d *donors, room int) {
 	wait := time.Duration(p.limits.MoveCost / p.limits.MachineSecondCost * float64(time.Second))
-	for _, m := range d.idle {
+	for _, m := range d.rested {
 		if room <= 0 || v.Now.Sub(p.idleSince[m.ID]) < wait {
 			break // sorted by idle time
 		}
--- a/policy/fleetplan/waves.go
+++ b/policy/fleetplan/waves.go
@@ -67,9 +67,10 @@
 	down := p.underMaintenance(v, wave)
 	room := min(wave.MaxDown, p.pace(v, wave, w, len(left))) - down
 	var candidates []cluster.Machine
+	urgent := p.urgent(v, wave, w)
 	for _, id := range left {
 		m, listed := v.byID[id]
-		if listed && m.State == cluster.MachineUp && p.operations[id] == nil {
+		if listed && m.State == cluster.MachineUp && p.free(id, urgent) {
 			candidates = append(candidates, m)
 		}
 	}
@@ -80,7 +81,7 @@
 		if room <= 0 {
 			break
 		}
-		if !p.poolHasRoom(v, m.Pool) {
+		if !urgent && !p.poolHasRoom(v, m.Pool) {
 			continue
 		}
 		room--
@@ -100,10 +101,30 @@
 	return n
 }
 
+// urgentTurns is how many times a machine's maintenance must still fit into a wave's
+// time for pools to be spared.
+const urgentTurns = 2
+
+// urgent reports whether a wave comes before pools and moves.
+func (p *Planner) urgent(v *view, wave cluster.Wave, w *waveState) bool {
+	return p.waveEnd(wave, w).Sub(v.Now) <= urgentTurns*(p.limits.MaintenanceTime+emptyTime)
+}
+
+// waveEnd is when a wave is to be over.
+func (p *Planner) waveEnd(wave cluster.Wave, w *waveState) time.Time {
+	return w.begun.Add(time.Duration(waveShare * float64(wave.Duration)))
+}
+
+// free reports whether the maintenance of a machine may begin; an urgent wave takes
+// it from a move that has not been called for.
+func (p *Planner) free(id cluster.MachineID, urgent bool) bool {
+	op := p.operations[id]
+	return op == nil || urgent && op.kind == Move && op.called.IsZero()
+}
+
 // pace is how many machines have to be down at once for the wave to be over in time.
 func (p *Planner) pace(v *view, wave cluster.Wave, w *waveState, left int) int {
-	end := w.begun.Add(time.Duration(waveShare * float64(wave.Duration)))
-	remaining := end.Sub(v.Now)
+	remaining := p.waveEnd(wave, w).Sub(v.Now)
 	each := p.limits.MaintenanceTime + emptyTime
 	if remaining <= each {
 		return wave.MaxDown
