Calls that hang through an outage end when the store is back

Change: storehealth ends calls that began before the store came back; followers ask again after 400 ms at most (1 s before).

TestHangingCallsEndWhenTheStoreIsBack.

--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -27,7 +27,7 @@
 )
 
 // retry spaces calls to a store that fails.
-var retry = backoff.Policy{Base: 100 * time.Millisecond, Cap: time.Second}
+var retry = backoff.Policy{Base: 100 * time.Millisecond, Cap: 400 * time.Millisecond}
 
 // Change is what a follower learnt. With Reset, Events holds all items as they
 // stand; what is missing among them is gone.
--- a/entry/storehealth/storehealth.go
+++ b/entry/storehealth/storehealth.go
@@ -29,12 +29,35 @@
 	since    time.Time     // when the store went away; zero while it is there
 	latency  time.Duration // of writes that were answered, smoothed
 	notify   func(away bool, failures int)
+	// outage ends when the store is back; calls that hang since before then are given
+	// up, for they never get an answer.
+	outage    context.Context
+	endOutage context.CancelFunc
 }
 
 // New returns a store in front of client. notify is called when the store goes away
 // and when it is back.
 func New(client *kv.Client, notify func(away bool, failures int)) *Store {
-	return &Store{Client: client, answered: time.Now(), notify: notify}
+	s := &Store{Client: client, answered: time.Now(), notify: notify}
+	s.outage, s.endOutage = context.WithCancel(context.Background())
+	return s
+}
+
+// errBack is why a call that hung through an outage was given up.
+var errBack = errors.New("the store is back and this call has hung since before")
+
+// untilBack returns a context for one call, which ends when the store comes back from
+// an outage that the call has seen, and a function that releases it.
+func (s *Store) untilBack(ctx context.Context) (context.Context, func()) {
+	s.mu.Lock()
+	outage := s.outage
+	s.mu.Unlock()
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(outage, func() { cancel(errBack) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
 }
 
 // Away reports whether the store has not answered for a while, and since when. It
@@ -67,6 +90,8 @@
 func (s *Store) back() {
 	if !s.since.IsZero() {
 		s.notify(false, s.failures)
+		s.endOutage()
+		s.outage, s.endOutage = context.WithCancel(context.Background())
 	}
 	s.failures = 0
 	s.since = time.Time{}
@@ -100,6 +125,8 @@
 
 // Get implements the store.
 func (s *Store) Get(ctx context.Context, key string) (kv.Item, error) {
+	ctx, release := s.untilBack(ctx)
+	defer release()
 	item, err := s.Client.Get(ctx, key)
 	s.observe(err)
 	return item, err
@@ -107,6 +134,8 @@
 
 // All implements the store.
 func (s *Store) All(ctx context.Context, prefix string, read kv.Read) ([]kv.Item, kv.Revision, error) {
+	ctx, release := s.untilBack(ctx)
+	defer release()
 	items, revision, err := s.Client.All(ctx, prefix, read)
 	s.observe(err)
 	return items, revision, err
@@ -115,6 +144,8 @@
 // Watch implements the store. A watch without an answer counts for nothing: watches
 // may be silent while the store answers other calls.
 func (s *Store) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Events, error) {
+	ctx, release := s.untilBack(ctx)
+	defer release()
 	events, err := s.Client.Watch(ctx, prefix, after, wait)
 	if err == nil {
 		s.observe(nil)
@@ -124,6 +155,8 @@
 
 // Txn implements the store.
 func (s *Store) Txn(ctx context.Context, t kv.Txn) (kv.TxnResult, error) {
+	ctx, release := s.untilBack(ctx)
+	defer release()
 	begun := time.Now()
 	result, err := s.Client.Txn(ctx, t)
 	s.observe(err)
@@ -135,6 +168,8 @@
 
 // KeepAlive implements the store.
 func (s *Store) KeepAlive(ctx context.Context, id kv.LeaseID) error {
+	ctx, release := s.untilBack(ctx)
+	defer release()
 	err := s.Client.KeepAlive(ctx, id)
 	s.observe(err)
 	return err
--- a/entry/storehealth/storehealth_test.go
+++ b/entry/storehealth/storehealth_test.go
@@ -62,3 +62,31 @@
 	assert.Assert(t, s.Timeout(1) > 400*time.Millisecond)
 	assert.Equal(t, s.Timeout(9), 2*time.Second)
 }
+
+// The store is silent for a while: a call of that time never gets an answer, and is given
+// up as soon as another one is answered. Calls that begin afterwards are not.
+func TestHangingCallsEndWhenTheStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(nil, func(bool, int) {})
+		before, release := s.untilBack(t.Context())
+		defer release()
+		time.Sleep(awayAfter)
+		for range awayFailures {
+			s.observe(errors.New("no answer"))
+		}
+		during, releaseDuring := s.untilBack(t.Context())
+		defer releaseDuring()
+		synctest.Wait()
+		assert.NilError(t, before.Err())
+		assert.NilError(t, during.Err())
+		s.observe(nil)
+		synctest.Wait()
+		assert.ErrorIs(t, context.Cause(before), errBack)
+		assert.ErrorIs(t, context.Cause(during), errBack)
+		after, releaseAfter := s.untilBack(t.Context())
+		defer releaseAfter()
+		s.observe(nil)
+		synctest.Wait()
+		assert.NilError(t, after.Err())
+	})
+}
