--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -140,6 +140,7 @@
 	h.dutyCtx, h.duties = context.WithCancel(background)
 	h.following.Go(func() { h.election.Follow(background) })
 	h.following.Go(func() { h.followOperator(background) })
+	h.following.Go(func() { h.store.Probe(background) })
 	if h.node.MachinesAddress != "" {
 		h.running.Go(h.campaignForFleet)
 	}
--- a/entry/storehealth/storehealth.go
+++ b/entry/storehealth/storehealth.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/tarragonreach/tarragonreach/entry/layout"
 	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 )
@@ -68,6 +69,39 @@
 	return s.since, !s.since.IsZero()
 }
 
+const (
+	// probeEvery is the time between two probes while the store is away: so late an
+	// instance notices that it is back.
+	probeEvery = 150 * time.Millisecond
+	// probeTimeout bounds a probe. It leaves room for a store that is slow.
+	probeTimeout = 900 * time.Millisecond
+	// probeKey is read; whether it exists does not matter.
+	probeKey = layout.OwnersPrefix + "fleet"
+)
+
+// Probe asks the store, while it is away, whether it is back, until ctx ends. An
+// instance that has little to ask of the store would learn so late otherwise.
+func (s *Store) Probe(ctx context.Context) {
+	ticker := time.NewTicker(probeEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if _, away := s.Away(); away {
+			go s.probe(ctx) // not waited for: a probe may hang
+		}
+	}
+}
+
+func (s *Store) probe(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, _ = s.Get(ctx, probeKey) // Get notes the outcome
+}
+
 // observe notes the outcome of a call that began at begun.
 func (s *Store) observe(err error) {
 	if errors.Is(err, context.Canceled) {
--- a/entry/storehealth/storehealth_test.go
+++ b/entry/storehealth/storehealth_test.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -90,3 +94,34 @@
 		assert.NilError(t, after.Err())
 	})
 }
+
+// An instance that makes no other call learns within a moment that the store is back,
+// though its earlier calls hang.
+func TestProbesFindOutThatTheStoreIsBack(t *testing.T) {
+	var silent atomic.Bool
+	silent.Store(true)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if silent.Load() {
+			<-r.Context().Done()
+			return
+		}
+		w.WriteHeader(http.StatusNotFound)
+	}))
+	defer server.Close()
+	back := make(chan struct{})
+	s := New(kv.New(strings.TrimPrefix(server.URL, "http://")), func(away bool, _ int) {
+		if !away {
+			close(back)
+		}
+	})
+	s.answered = time.Now().Add(-awayAfter)
+	for range awayFailures {
+		s.observe(errors.New("no answer"))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go s.Probe(ctx)
+	time.Sleep(2 * probeEvery)
+	silent.Store(false)
+	<-back
+}
