Executors on which tasks stand still get no work for a while

Half of an executor's runs, of two jobs or more, take over 3.5 times their estimate: it gets no work for 3 s, and those runs are stopped as far as others have room. Each stop's order is logged with its reason.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -304,7 +304,7 @@
 		return
 	}
 	o.Logger.Info("order", "kind", order.Kind.String(), "task", order.Start.Task.String(), "run", order.Start.Run,
-		"executor", string(order.Executor.ID), "until", order.Start.UntilMs, "outcome", outcome(reply, err))
+		"executor", string(order.Executor.ID), "until", order.Start.UntilMs, "reason", string(order.Reason), "outcome", outcome(reply, err))
 }
 
 func outcome(reply execution.Reply, err error) string {
--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -55,6 +55,8 @@
 	pending    []pendingEnd
 
 	health health
+	// stalledUntil is until when it gets no work since tasks stood still there.
+	stalledUntil time.Time
 }
 
 // pendingEnd is an end whose effect is not durable yet.
@@ -123,7 +125,7 @@
 // usable reports whether new runs may be placed there.
 func (e *executorState) usable(now time.Time) bool {
 	return e.listed && e.known && !e.Draining && !e.drained && !e.cordoned() && !e.dead &&
-		e.misses == 0 && len(e.strays) == 0 && !e.health.suspect(now)
+		e.misses == 0 && len(e.strays) == 0 && !e.health.suspect(now) && !now.Before(e.stalledUntil)
 }
 
 // countOf returns how many runs of a step the executor has.
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -93,6 +93,7 @@
 	startedAt   time.Time // when the executor first had it, as far as known
 
 	stopping   bool
+	stopReason StopReason
 	stopAnswer bool
 	percent    int
 	usage      int64
--- a/policy/shard/looks.go
+++ b/policy/shard/looks.go
@@ -154,6 +154,7 @@
 		s.loadUrgent = true
 	}
 	s.pace(e, now)
+	s.judgePace(e, now)
 	s.evacuate(now)
 }
 
@@ -258,6 +259,6 @@
 	if failures >= j.Queue.MaxAttempts && !j.cancelled {
 		j.failed = true
 		s.waitingDirty = true
-		s.stopAll(j)
+		s.stopAll(j, StopJobFailed)
 	}
 }
--- a/policy/shard/orders.go
+++ b/policy/shard/orders.go
@@ -36,6 +36,7 @@
 	Executor cluster.Executor
 	Start    execution.Start // Kind OrderStart uses all of it, the others its RunRef
 	Percent  int             // OrderPace
+	Reason   StopReason      // OrderStop
 
 	run   *run
 	stray *stray
@@ -88,7 +89,7 @@
 		}
 		st.inFlight = true
 		ref := execution.RunRef{Task: key.task, Run: key.run}
-		list = append(list, Order{Kind: OrderStop, Executor: e.Executor, Start: execution.Start{RunRef: ref, Token: s.token}, stray: st})
+		list = append(list, Order{Kind: OrderStop, Executor: e.Executor, Start: execution.Start{RunRef: ref, Token: s.token}, Reason: StopStray, stray: st})
 		e.ordersInFlight++
 		room--
 	}
@@ -111,6 +112,7 @@
 		return Order{}, false
 	case r.stopping:
 		order.Kind = OrderStop
+		order.Reason = r.stopReason
 	case r.phase == ordered:
 		r.sends++
 		r.tries++
@@ -187,7 +189,7 @@
 		}
 	case d == Ambiguous:
 		if r.sends >= startSends {
-			s.stop(r)
+			s.stop(r, StopUnanswered)
 		}
 	case refusal == execution.NotRefused:
 		r.confirm(now)
@@ -212,7 +214,7 @@
 		r.task.step.tickets = tickets{}
 	}
 	if r.sends > 1 {
-		s.stop(r)
+		s.stop(r, StopUnanswered)
 		return
 	}
 	t := r.task
--- a/policy/shard/rules_test.go
+++ b/policy/shard/rules_test.go
@@ -364,3 +364,43 @@
 	b.s.Cordon(map[cluster.ExecutorID]Emptying{from: EmptyAtLeisure}, b.now)
 	assert.Assert(t, !slices.Contains(waits(), lookWait))
 }
+
+// Tasks of two jobs stand still on one executor: they go elsewhere, and it gets no work
+// for a while. One job alone may have a wrong estimate, and without room elsewhere its
+// runs are left.
+func TestRunsLeaveAnExecutorOnWhichTasksStandStill(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		jobs    int
+		room    bool
+		stopped int
+	}{
+		{"two jobs", 2, true, 4},
+		{"one job", 1, true, 0},
+		{"no room elsewhere", 2, false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, executorOf("i-1"))
+			step := oneTask
+			step.Count = 4 / c.jobs
+			for i := range c.jobs {
+				b.submit(job.ID(fmt.Sprintf("%016x", i+1)), step)
+			}
+			assert.Equal(t, len(b.startAll()), 4)
+			if c.room {
+				b.s.SetExecutors([]cluster.Executor{executorOf("i-1"), executorOf("i-2")}, b.now)
+				b.see("i-2", b.view("i-2", nil))
+			}
+			b.now = b.now.Add(4 * time.Second)
+			b.see("i-1", b.view("i-1", nil))
+			stopped := 0
+			for _, r := range b.s.executors["i-1"].sortedRuns() {
+				if r.stopping {
+					stopped++
+				}
+			}
+			assert.Equal(t, stopped, c.stopped)
+			assert.Equal(t, b.s.executors["i-1"].usable(b.now), c.jobs == 1)
+		})
+	}
+}
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -160,28 +160,41 @@
 	}
 	j.cancelled = true
 	s.touched, s.waitingDirty = true, true
-	s.stopAll(j)
+	s.stopAll(j, StopCancelled)
 	j.settle()
 	return true
 }
 
 // stopAll stops all runs of a job.
-func (s *Shard) stopAll(j *jobState) {
+func (s *Shard) stopAll(j *jobState, reason StopReason) {
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
-				s.stop(t.current)
+				s.stop(t.current, reason)
 			}
 		}
 	}
 }
 
+// StopReason says why a run is stopped, for the log.
+type StopReason string
+
+// Reasons to stop a run.
+const (
+	StopCancelled  StopReason = "cancelled"   // its job was
+	StopJobFailed  StopReason = "job-failed"  // another task failed too often
+	StopEvacuated  StopReason = "evacuated"   // its executor is to be emptied
+	StopStalled    StopReason = "stalled"     // tasks stand still there
+	StopUnanswered StopReason = "unanswered"  // whether it began is not known
+	StopStray      StopReason = "not-started" // nobody of this term started it
+)
+
 // stop asks for the end of a run. A run that nobody was told of is dropped at once.
-func (s *Shard) stop(r *run) {
+func (s *Shard) stop(r *run, reason StopReason) {
 	if r == nil || r.stopping {
 		return
 	}
-	r.stopping = true
+	r.stopping, r.stopReason = true, reason
 	r.nextSend = time.Time{}
 }
 
@@ -241,7 +254,7 @@
 		s.evacuating = s.evacuating || e.hasLasting()
 		for _, r := range e.sortedRuns() {
 			if r.phase == confirmed && s.shouldLeave(r, now) {
-				s.stop(r)
+				s.stop(r, StopEvacuated)
 			}
 		}
 	}
