--- a/entry/fleetduty/evidence.go
+++ b/entry/fleetduty/evidence.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/entry/layout"
@@ -17,20 +15,16 @@
 // loadEvidence takes in what the last holder's planner learned. Without it the
 // planner learns anew.
 func (h *Holder) loadEvidence(ctx context.Context) error {
-	item, err := h.Store.Get(ctx, layout.FleetEvidenceKey)
-	if errors.Is(err, kv.ErrNotFound) {
-		return nil
-	}
-	if err != nil {
-		return fmt.Errorf("evidence: %w", err)
-	}
-	evidence, err := layout.Decode[fleetplan.Evidence](item.Key, item.Value)
-	if err != nil {
+	evidence, revision, err := read[fleetplan.Evidence](ctx, h.Store, layout.FleetEvidenceKey)
+	if err != nil && revision != 0 {
 		h.Logger.Error("evidence left out", "error", err)
 		return nil
 	}
+	if err != nil || revision == 0 {
+		return err
+	}
 	h.planner.Restore(evidence)
-	h.Logger.Info("evidence taken over", "turns", len(evidence.Turns), "services", evidence.Services, "revision", int64(item.Revision))
+	h.Logger.Info("evidence taken over", "turns", len(evidence.Turns), "services", evidence.Services, "revision", int64(revision))
 	return nil
 }
 
--- a/entry/fleetduty/orders.go
+++ b/entry/fleetduty/orders.go
@@ -142,18 +142,11 @@
 // loadOrders keeps the machines alone for which the last holder may have ordered
 // something just now.
 func (h *Holder) loadOrders(ctx context.Context) error {
-	item, err := h.Store.Get(ctx, layout.FleetOrdersKey)
-	if errors.Is(err, kv.ErrNotFound) {
-		return nil
-	}
-	if err != nil {
-		return fmt.Errorf("orders: %w", err)
-	}
-	orders, err := layout.Decode[layout.FleetOrders](item.Key, item.Value)
+	orders, revision, err := read[layout.FleetOrders](ctx, h.Store, layout.FleetOrdersKey)
 	if err != nil {
 		return err
 	}
-	h.book.revision = item.Revision
+	h.book.revision = revision
 	free := time.Now().Add(h.HolderGap + holderMargin)
 	for machine, age := range orders.AgesMs {
 		h.planner.Reserve(machine, free.Add(-time.Duration(age)*time.Millisecond))
--- a/policy/fleetplan/fleetplan_test.go
+++ b/policy/fleetplan/fleetplan_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -243,46 +242,6 @@
 	})
 }
 
-// A wave with refusals and lost answers takes each machine, never too many at once.
-func TestWaveTakesEachMachineWithinItsBounds(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		y := newYard(t, map[cluster.Service]int{"a": 5, "b": 5}, 4)
-		wave := cluster.Wave{Number: 1, Duration: 30 * time.Second, MaxDown: rapid.IntRange(1, 4).Draw(t, "at once")}
-		for _, id := range y.order {
-			if rapid.Bool().Draw(t, "of the wave") {
-				wave.Machines = append(wave.Machines, id)
-			}
-		}
-		y.waves = []cluster.Wave{wave}
-		for range 1200 {
-			y.step(func(Action) Outcome {
-				return rapid.SampledFrom([]Outcome{Agreed, Agreed, Agreed, Refused, Unknown}).Draw(t, "outcome")
-			})
-		}
-		for _, id := range wave.Machines {
-			if y.begun[id] == 0 {
-				t.Fatalf("%s was never maintained", id)
-			}
-		}
-		if last := y.reports[len(y.reports)-1]; last != cluster.WaveCompleted {
-			t.Fatalf("the wave is reported as %s", last)
-		}
-	})
-}
-
-// A successor keeps the pace of a wave that is half over.
-func TestSuccessorKnowsWhenAWaveBegan(t *testing.T) {
-	y := newYard(t, map[cluster.Service]int{"a": 12}, 0)
-	wave := cluster.Wave{Number: 1, Duration: 20 * time.Second, MaxDown: 10, Machines: y.order[:6]}
-	y.waves = []cluster.Wave{wave}
-	fresh, late := New(yardLimits), New(yardLimits)
-	late.RestoreWave(1, nil, cluster.WaveRunning, y.now.Add(-13*time.Second))
-	for _, p := range []*Planner{fresh, late} {
-		p.Plan(y.snapshot())
-	}
-	assert.Assert(t, len(late.operations) > len(fresh.operations), "%d, %d", len(late.operations), len(fresh.operations))
-}
-
 // Machines for which an earlier holder may have ordered something are left alone.
 func TestReservedMachinesAreNotOrdered(t *testing.T) {
 	y := newYard(t, map[cluster.Service]int{"a": 2}, 2)
@@ -299,44 +258,6 @@
 	assert.Equal(t, y.moves, 2)
 }
 
-// Demand goes by turns; once the order is known the next peak is expected in time.
-func TestTurnsPredictTheNextPeak(t *testing.T) {
-	turns := newTurns()
-	start := time.Unix(1000, 0)
-	for i, service := range []cluster.Service{"a", "b", "c", "a", "b"} {
-		turns.known[service] = true
-		turns.begin(service, start.Add(time.Duration(i)*4*time.Second))
-	}
-	next := start.Add(5 * 4 * time.Second)
-	lead := 2 * time.Second
-	expects := func(service cluster.Service, at time.Time) bool {
-		_, expected := turns.expects(service, at, lead)
-		return expected
-	}
-	assert.Assert(t, !expects("c", next.Add(-3*time.Second)))
-	assert.Assert(t, expects("c", next.Add(-time.Second)))
-	assert.Assert(t, !expects("c", next.Add(overdue)))
-	assert.Assert(t, !expects("a", next.Add(-time.Second)))
-}
-
-// Five jobs within half a second are a peak; two large ones are none.
-func TestPeaksAreToldFromChance(t *testing.T) {
-	arrivals := func(jobs, work int64) *demand {
-		d := &demand{}
-		now := time.Unix(1000, 0)
-		d.take(sample{at: now})
-		now = now.Add(5 * time.Second)
-		d.take(sample{at: now})
-		for i := range jobs {
-			now = now.Add(100 * time.Millisecond)
-			d.take(sample{at: now, work: (i + 1) * work, jobs: i + 1})
-		}
-		return d
-	}
-	assert.Assert(t, arrivals(6, 7000).hot)
-	assert.Assert(t, !arrivals(2, 60000).hot)
-}
-
 // A machine with tasks is wanted for jobs of another service: it is emptied, and its
 // late jobs give way, only where those jobs can be in time.
 func TestLateJobsGiveWayOnlyToJobsInTime(t *testing.T) {
@@ -364,21 +285,6 @@
 	}
 }
 
-// A rotation that is seen for the first time ends: the service that began it is next.
-func TestTurnsPredictTheSecondRotation(t *testing.T) {
-	turns := newTurns()
-	start := time.Unix(1000, 0)
-	for i, service := range []cluster.Service{"a", "b", "c"} {
-		turns.known[service] = true
-		turns.begin(service, start.Add(time.Duration(i)*4*time.Second))
-	}
-	at, predicted := turns.next("a")
-	assert.Assert(t, predicted)
-	assert.Equal(t, at, start.Add(12*time.Second))
-	_, predicted = turns.next("b")
-	assert.Assert(t, !predicted)
-}
-
 // A moved machine's old executor stays listed for a while: its owner must not get it
 // back meanwhile.
 func TestExecutorThatIsGoneStaysUnderItsCordon(t *testing.T) {
@@ -400,23 +306,6 @@
 	assert.DeepEqual(t, lifted(), []cluster.ExecutorID{"i-001", "i-gone"})
 }
 
-// A service gets a new owner, which counts from zero, in the middle of its peak, or a
-// peak begins just then: with the mean known it is seen within half a second.
-func TestPeakIsSeenThroughAChangeOfOwner(t *testing.T) {
-	for _, hot := range []bool{true, false} {
-		d := &demand{mean: 2000, hot: hot, hotFrom: time.Unix(999, 0)}
-		now := time.Unix(1000, 0)
-		begun := false
-		for i := range int64(6) {
-			d.take(sample{at: now, work: i * 2000, jobs: i * 2}) // 20,000 thousandths of a core
-			begun = begun || d.hot
-			assert.Assert(t, !hot || d.hot)
-			now = now.Add(100 * time.Millisecond)
-		}
-		assert.Assert(t, begun)
-	}
-}
-
 // A new holder finds machines emptied by the last one: they move at once. One whose
 // cordon was just taken back may have got work since.
 func TestMachinesThatTheLastHolderEmptiedMoveAtOnce(t *testing.T) {
@@ -441,44 +330,6 @@
 	}
 }
 
-// One turn is seen seconds late, after an outage: the rhythm of the others holds.
-func TestTurnSeenLateDoesNotShiftTheRhythm(t *testing.T) {
-	turns := newTurns()
-	start := time.Unix(1000, 0)
-	for i, late := range []time.Duration{300, -200, 6500, 100} {
-		service := cluster.Service(rune('a' + i))
-		turns.known[service] = true
-		turns.begin(service, start.Add(time.Duration(i)*10*time.Second+late*time.Millisecond))
-	}
-	at, predicted := turns.next("a")
-	assert.Assert(t, predicted)
-	assert.Assert(t, at.Sub(start.Add(40*time.Second)).Abs() <= time.Second, "%s", at.Sub(start))
-}
-
-// Machines with lasting tasks take longest to empty, and may have to wait for a step
-// that misses tasks already: a wave begins with them.
-func TestWaveBeginsWithLastingTasks(t *testing.T) {
-	y := newYard(t, map[cluster.Service]int{"a": 8}, 4)
-	y.waves = []cluster.Wave{{Number: 1, Duration: 30 * time.Second, MaxDown: 2, Machines: y.order}}
-	lasting := y.machines[y.order[5]].Executor
-	y.loads["a"].Executors[lasting] = shard.ExecutorLoad{Runs: 1, Lasting: 1}
-	first := y.planner.Plan(y.snapshot())
-	assert.Assert(t, slices.ContainsFunc(first, func(a Action) bool { return a.Kind == Cordon && a.Executor == lasting }))
-}
-
-// The holder of the duty changes while a machine is emptied for a wave: its successor
-// goes on with that machine, rather than give it back.
-func TestSuccessorGoesOnWithMachinesThatAreEmptied(t *testing.T) {
-	y := newYard(t, map[cluster.Service]int{"a": 8}, 4)
-	y.waves = []cluster.Wave{{Number: 1, Duration: 30 * time.Second, MaxDown: 2, Machines: y.order}}
-	begun := y.machines[y.order[6]].Executor
-	y.cordons[begun] = "a"
-	for _, a := range y.planner.Plan(y.snapshot()) {
-		assert.Assert(t, a.Executor != begun || a.Kind != Uncordon)
-	}
-	assert.Assert(t, y.planner.operations[y.order[6]] != nil)
-}
-
 // Late jobs get machines that have been idle for a while, and none that work or were
 // just left by a passing dip of another service's need.
 func TestLateJobsTakeOnlyRestedMachines(t *testing.T) {
@@ -498,23 +349,3 @@
 	}
 	assert.Equal(t, y.moves, 4)
 }
-
-// Machines of a wave keep being moved after the demand: as its time runs out, those that
-// are emptied for a move are maintained instead.
-func TestUrgentWaveTakesMachinesFromMoves(t *testing.T) {
-	y := newYard(t, map[cluster.Service]int{"a": 2, "b": 6}, 0)
-	y.waves = []cluster.Wave{{Number: 1, Duration: 20 * time.Second, MaxDown: 2, Machines: y.order[2:4]}}
-	y.planner.RestoreWave(1, nil, cluster.WaveRunning, y.now.Add(-8*time.Second))
-	y.loads["a"] = shard.Load{InTimeCPU: 6 * 16000, Executors: y.loads["a"].Executors}
-	for id, x := range y.loads["b"].Executors {
-		x.Runs = 1
-		y.loads["b"].Executors[id] = x
-	}
-	for _, m := range y.order[2:6] {
-		y.planner.operations[m] = &operation{kind: Move, to: "a", life: y.machines[m].Executor, since: y.now}
-	}
-	y.planner.Plan(y.snapshot())
-	for _, m := range y.order[2:4] {
-		assert.Equal(t, y.planner.operations[m].kind, Maintain)
-	}
-}
--- /dev/null
+++ b/policy/fleetplan/turns_test.go
@@ -0,0 +1,94 @@
+package fleetplan
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+)
+
+// Demand goes by turns; once the order is known the next peak is expected in time.
+func TestTurnsPredictTheNextPeak(t *testing.T) {
+	turns := newTurns()
+	start := time.Unix(1000, 0)
+	for i, service := range []cluster.Service{"a", "b", "c", "a", "b"} {
+		turns.known[service] = true
+		turns.begin(service, start.Add(time.Duration(i)*4*time.Second))
+	}
+	next := start.Add(5 * 4 * time.Second)
+	lead := 2 * time.Second
+	expects := func(service cluster.Service, at time.Time) bool {
+		_, expected := turns.expects(service, at, lead)
+		return expected
+	}
+	assert.Assert(t, !expects("c", next.Add(-3*time.Second)))
+	assert.Assert(t, expects("c", next.Add(-time.Second)))
+	assert.Assert(t, !expects("c", next.Add(overdue)))
+	assert.Assert(t, !expects("a", next.Add(-time.Second)))
+}
+
+// Five jobs within half a second are a peak; two large ones are none.
+func TestPeaksAreToldFromChance(t *testing.T) {
+	arrivals := func(jobs, work int64) *demand {
+		d := &demand{}
+		now := time.Unix(1000, 0)
+		d.take(sample{at: now})
+		now = now.Add(5 * time.Second)
+		d.take(sample{at: now})
+		for i := range jobs {
+			now = now.Add(100 * time.Millisecond)
+			d.take(sample{at: now, work: (i + 1) * work, jobs: i + 1})
+		}
+		return d
+	}
+	assert.Assert(t, arrivals(6, 7000).hot)
+	assert.Assert(t, !arrivals(2, 60000).hot)
+}
+
+// A rotation that is seen for the first time ends: the service that began it is next.
+func TestTurnsPredictTheSecondRotation(t *testing.T) {
+	turns := newTurns()
+	start := time.Unix(1000, 0)
+	for i, service := range []cluster.Service{"a", "b", "c"} {
+		turns.known[service] = true
+		turns.begin(service, start.Add(time.Duration(i)*4*time.Second))
+	}
+	at, predicted := turns.next("a")
+	assert.Assert(t, predicted)
+	assert.Equal(t, at, start.Add(12*time.Second))
+	_, predicted = turns.next("b")
+	assert.Assert(t, !predicted)
+}
+
+// A service gets a new owner, which counts from zero, in the middle of its peak, or a
+// peak begins just then: with the mean known it is seen within half a second.
+func TestPeakIsSeenThroughAChangeOfOwner(t *testing.T) {
+	for _, hot := range []bool{true, false} {
+		d := &demand{mean: 2000, hot: hot, hotFrom: time.Unix(999, 0)}
+		now := time.Unix(1000, 0)
+		begun := false
+		for i := range int64(6) {
+			d.take(sample{at: now, work: i * 2000, jobs: i * 2}) // 20,000 thousandths of a core
+			begun = begun || d.hot
+			assert.Assert(t, !hot || d.hot)
+			now = now.Add(100 * time.Millisecond)
+		}
+		assert.Assert(t, begun)
+	}
+}
+
+// One turn is seen seconds late, after an outage: the rhythm of the others holds.
+func TestTurnSeenLateDoesNotShiftTheRhythm(t *testing.T) {
+	turns := newTurns()
+	start := time.Unix(1000, 0)
+	for i, late := range []time.Duration{300, -200, 6500, 100} {
+		service := cluster.Service(rune('a' + i))
+		turns.known[service] = true
+		turns.begin(service, start.Add(time.Duration(i)*10*time.Second+late*time.Millisecond))
+	}
+	at, predicted := turns.next("a")
+	assert.Assert(t, predicted)
+	assert.Assert(t, at.Sub(start.Add(40*time.Second)).Abs() <= time.Second, "%s", at.Sub(start))
+}
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -176,19 +176,6 @@
 	}
 }
 
-// StopReason says why a run is stopped, for the log.
-type StopReason string
-
-// Reasons to stop a run.
-const (
-	StopCancelled  StopReason = "cancelled"   // its job was
-	StopJobFailed  StopReason = "job-failed"  // another task failed too often
-	StopEvacuated  StopReason = "evacuated"   // its executor is to be emptied
-	StopStalled    StopReason = "stalled"     // tasks stand still there
-	StopUnanswered StopReason = "unanswered"  // whether it began is not known
-	StopStray      StopReason = "not-started" // nobody of this term started it
-)
-
 // stop asks for the end of a run. A run that nobody was told of is dropped at once.
 func (s *Shard) stop(r *run, reason StopReason) {
 	if r == nil || r.stopping {
@@ -243,71 +230,6 @@
 	}
 }
 
-// evacuate stops lasting runs on executors that are about to leave, as far as
-// their steps may miss tasks, and runs that make room for other services.
-func (s *Shard) evacuate(now time.Time) {
-	s.evacuating = false
-	for _, e := range s.sortedExecutors() {
-		if !e.drained && !e.cordoned() {
-			continue
-		}
-		s.evacuating = s.evacuating || e.hasLasting()
-		for _, r := range e.sortedRuns() {
-			if r.phase == confirmed && s.shouldLeave(r, now) {
-				s.stop(r, StopEvacuated)
-			}
-		}
-	}
-}
-
-// shouldLeave reports whether a run on an executor that is emptied is stopped rather
-// than left to its end.
-func (s *Shard) shouldLeave(r *run, now time.Time) bool {
-	if r.task.step.def.LongRunning {
-		return s.mayMove(r, now)
-	}
-	return r.executor.emptying == EmptyForOthers && r.yields(now)
-}
-
-// shortRest is how much of a run may be left, by a careful estimate, for it to be let
-// end: a stop and a look after it take half as long, and its work would be lost.
-const shortRest = 1 * time.Second
-
-// yields reports whether the run makes room for another service: its job is late, and
-// the run not about to end.
-func (r *run) yields(now time.Time) bool {
-	if r.stopping || r.task.step.def.Gang {
-		return false
-	}
-	return r.task.remaining(now) > shortRest && r.task.step.job.standing(now) > standingInTime
-}
-
-// mayMove reports whether a lasting run may be taken away now.
-func (s *Shard) mayMove(r *run, now time.Time) bool {
-	if r.stopping {
-		return false
-	}
-	if r.executor.drained {
-		return true // it ends soon in any case
-	}
-	away := 0
-	for _, t := range r.task.step.tasks {
-		if !t.atWork(now) {
-			away++
-		}
-	}
-	// A step that says nothing of missing tasks is moved one by one.
-	return away < max(1, r.task.step.def.MayMiss)
-}
-
-// atWork reports whether the task was seen at work just now. An executor that does
-// not answer may be gone, and its tasks with it.
-func (t *task) atWork(now time.Time) bool {
-	r := t.current
-	return r != nil && !r.stopping && r.phase == confirmed && r.percent >= 100 &&
-		r.executor.misses == 0 && now.Sub(r.executor.lastSeen) < seenRecently
-}
-
 func (s *Shard) sortedExecutors() []*executorState {
 	ids := slices.Sorted(maps.Keys(s.executors))
 	list := make([]*executorState, 0, len(ids))
