A restarted instance releases the duties of its earlier process

Ruled out: shorter leases, which a slow store would let lapse.

Safe, since the earlier process is gone: one runs a role. Were it still there, it would have lost its term as by a lapsed lease: its writes depend on the key, its orders carry a lower token.

--- a/entry/election/election.go
+++ b/entry/election/election.go
@@ -101,13 +101,20 @@
 
 // Follow keeps track of the duties until ctx ends.
 func (e *Election) Follow(ctx context.Context) {
-	f := follow.Follower{Store: e.store, Prefix: layout.OwnersPrefix, Apply: e.apply, Logger: e.logger}
+	apply := func(c follow.Change) {
+		if first := e.apply(c); first {
+			go e.releaseLeftOver(ctx, c.Events)
+		}
+	}
+	f := follow.Follower{Store: e.store, Prefix: layout.OwnersPrefix, Apply: apply, Logger: e.logger}
 	f.Run(ctx)
 }
 
-func (e *Election) apply(c follow.Change) {
+// apply takes a change in, and reports whether it was the first listing.
+func (e *Election) apply(c follow.Change) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	first := c.Reset && !e.loaded
 	if c.Reset {
 		e.loaded = true
 		clear(e.holders)
@@ -115,6 +122,33 @@
 	for _, event := range c.Events {
 		e.holders[event.Key] = !event.Removed
 	}
+	return first
+}
+
+// releaseLeftOver removes the keys that an earlier process of this instance left: it is
+// gone, and nobody need wait until its leases lapse. Were it still there, it would lose
+// the duty as by a lapsed lease.
+func (e *Election) releaseLeftOver(ctx context.Context, events []kv.Event) {
+	for _, event := range events {
+		holder, err := layout.Decode[layout.Holder](event.Key, event.Value)
+		if err != nil {
+			e.logger.Error("holder of a duty can't be read", "key", event.Key, "error", err)
+			continue
+		}
+		if holder.Instance == e.instance {
+			e.release(ctx, event.Item)
+		}
+	}
+}
+
+func (e *Election) release(ctx context.Context, left kv.Item) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	result, err := e.store.Txn(ctx, kv.Txn{
+		Conditions: []kv.Condition{{Key: left.Key, Revision: left.Revision}},
+		Deletes:    []string{left.Key},
+	})
+	e.logger.Info("duty of an earlier process released", "key", left.Key, "token", int64(left.Created), "applied", result.Applied, "error", err)
 }
 
 func (e *Election) vacant(duty string) (vacant bool, held int) {
--- /dev/null
+++ b/entry/election/election_test.go
@@ -0,0 +1,65 @@
+package election
+
+import (
+	"context"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/platform/standin"
+)
+
+// A process is killed while it has a duty, and started again at once: it need not wait
+// for the lease of its earlier life. Other instances leave that key alone.
+func TestRestartedInstanceReleasesItsEarlierDuties(t *testing.T) {
+	store := standin.NewStore()
+	server := httptest.NewServer(store)
+	defer server.Close()
+	holder, err := layout.Encode(layout.Holder{Instance: "n-1", Term: "earlier"})
+	assert.NilError(t, err)
+	left := store.Put(layout.OwnerKey("fleet"), holder)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	begin := func(instance fleet.InstanceID) (*Election, <-chan Term) {
+		e := New(kv.New(strings.TrimPrefix(server.URL, "http://")), instance, "a", slog.New(slog.DiscardHandler))
+		terms := make(chan Term, 1)
+		go e.Follow(ctx)
+		go e.Campaign(ctx, "fleet", func(ctx context.Context, term Term) {
+			terms <- term
+			<-ctx.Done()
+		})
+		return e, terms
+	}
+	other, _ := begin("n-2")
+	for loaded := false; !loaded; time.Sleep(time.Millisecond) {
+		other.mu.Lock()
+		loaded = other.loaded
+		other.mu.Unlock()
+	}
+	item, found := store.Get(layout.OwnerKey("fleet"))
+	assert.Assert(t, found)
+	assert.Equal(t, item.Revision, left)
+
+	// Whoever wins now, it is a term after the one that was left.
+	_, terms := begin("n-1")
+	for {
+		item, found := store.Get(layout.OwnerKey("fleet"))
+		if found && item.Revision > left {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	select {
+	case term := <-terms:
+		assert.Assert(t, term.Revision > left)
+	default:
+	}
+}
