--- a/policy/fleetplan/evidence.go
+++ b/policy/fleetplan/evidence.go
@@ -23,9 +23,11 @@
 // Habit is what is known of one service's demand; rates are in thousandths of a core.
 type Habit struct {
 	Mean float64 `json:"mean"`
-	Peak float64 `json:"peak,omitempty"` // zero where none was seen
+	Peak float64 `json:"peak,omitempty"` // of the last one that is over, zero where none is
 	// HotFrom is when the peak that lasts began, zero between peaks.
 	HotFrom time.Time `json:"hotFrom,omitzero"`
+	// Top is the highest rate so far in the peak that lasts.
+	Top float64 `json:"top,omitempty"`
 }
 
 // EvidenceNews counts the beginnings and ends of peaks that were seen.
@@ -37,8 +39,7 @@
 	for service, d := range p.demand {
 		habit := Habit{Mean: d.mean, Peak: p.turns.peaks[service]}
 		if d.hot {
-			habit.HotFrom = d.hotFrom
-			habit.Peak = max(habit.Peak, d.top)
+			habit.HotFrom, habit.Top = d.hotFrom, d.top
 		}
 		e.Services[service] = habit
 	}
@@ -56,6 +57,6 @@
 		d.mean = habit.Mean
 		d.hot = !habit.HotFrom.IsZero()
 		d.hotFrom = habit.HotFrom
-		d.top = habit.Peak
+		d.top = habit.Top
 	}
 }
--- a/policy/fleetplan/turns_test.go
+++ b/policy/fleetplan/turns_test.go
@@ -92,3 +92,18 @@
 	assert.Assert(t, predicted)
 	assert.Assert(t, at.Sub(start.Add(40*time.Second)).Abs() <= time.Second, "%s", at.Sub(start))
 }
+
+// The duty changes its holder while a first peak rises: what it has reached so far is not
+// its height.
+func TestRisingPeakIsHandedOverAsSuch(t *testing.T) {
+	p := New(yardLimits)
+	now := time.Unix(1000, 0)
+	p.turns.known["a"], p.turns.known["b"] = true, true
+	p.demandOf("b")
+	p.turns.noteHeight("b", 600_000)
+	*p.demandOf("a") = demand{mean: 9_000, hot: true, hotFrom: now, top: 110_000}
+	next := New(yardLimits)
+	next.Restore(p.Evidence())
+	assert.Equal(t, next.turns.peak("a"), 600_000.0)
+	assert.Equal(t, next.demandOf("a").top, 110_000.0)
+}
