--- a/entry/storehealth/storehealth_test.go
+++ b/entry/storehealth/storehealth_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 )
 
@@ -59,9 +60,9 @@
 // A store that turns slow is waited for, instead of being asked again each time.
 func TestFirstAttemptWaitsForASlowStore(t *testing.T) {
 	s := New(nil, func(bool, int) {})
-	assert.Equal(t, s.Timeout(1), 250*time.Millisecond)
+	assert.Equal(t, s.Timeout(1), backoff.DefaultTimeouts.First)
 	s.observeLatency(4 * time.Millisecond)
-	assert.Equal(t, s.Timeout(1), 250*time.Millisecond)
+	assert.Equal(t, s.Timeout(1), backoff.DefaultTimeouts.First)
 	s.observeLatency(316 * time.Millisecond)
 	assert.Assert(t, s.Timeout(1) > 400*time.Millisecond)
 	assert.Equal(t, s.Timeout(9), 2*time.Second)
