Evidence out of order can't upset the needs

From reading the change again: turns that clocks out of step have put at one time made the rise zero, and the need not a number. TestEvidenceOutOfOrderIsHarmless.

--- a/policy/fleetplan/demand.go
+++ b/policy/fleetplan/demand.go
@@ -19,8 +19,8 @@
 	// hotJobs is the least number of jobs from which a rate is taken: a few large
 	// jobs that come together by chance are no peak.
 	hotJobs = 5
-	// onset is how long after its beginning a peak is taken to become as high as the
-	// last one, where the distance between peaks is not known yet.
+	// onset is how long demand rises to the height of the last peak at least, and where
+	// the distance between peaks is not known yet.
 	onset = 1500 * time.Millisecond
 	// onsetShare is the same as a share of the distance between peaks: demand rises
 	// for half of a peak.
--- a/policy/fleetplan/turns.go
+++ b/policy/fleetplan/turns.go
@@ -46,13 +46,14 @@
 	}
 }
 
-// rise is for how long demand grows once a peak has begun.
+// rise is for how long demand grows once a peak has begun, at least onset: turns that
+// clocks out of step have put together say nothing.
 func (t *turns) rise() time.Duration {
 	if len(t.history) < 2 {
 		return onset
 	}
 	_, gap := t.rhythm()
-	return time.Duration(onsetShare * float64(gap))
+	return max(onset, time.Duration(onsetShare*float64(gap)))
 }
 
 // peak is the rate to expect of a service at its peak: that of its last one, or
--- a/policy/fleetplan/turns_test.go
+++ b/policy/fleetplan/turns_test.go
@@ -107,3 +107,22 @@
 	assert.Equal(t, next.turns.peak("a"), 600_000.0)
 	assert.Equal(t, next.demandOf("a").top, 110_000.0)
 }
+
+// Evidence of a holder whose clock differed, or that can't be true, must not upset the
+// needs.
+func TestEvidenceOutOfOrderIsHarmless(t *testing.T) {
+	at := time.Unix(1000, 0)
+	for _, gap := range []time.Duration{0, -10 * time.Second, time.Nanosecond} {
+		y := newYard(t, map[cluster.Service]int{"a": 4, "b": 4}, 8)
+		y.planner.Restore(Evidence{
+			Turns:    []Turn{{"a", at}, {"b", at.Add(gap)}, {"a", at.Add(2 * gap)}},
+			Services: map[cluster.Service]Habit{"a": {Mean: 1000, Peak: 64_000, HotFrom: y.now}, "b": {Mean: 1000, Peak: 64_000}},
+		})
+		for range 50 {
+			y.step(agree)
+			for _, n := range y.planner.lastNeeds {
+				assert.Assert(t, n.inTime >= 0 && n.inTime <= 16, "%+v", n)
+			}
+		}
+	}
+}
--- a/policy/fleetplan/waves.go
+++ b/policy/fleetplan/waves.go
@@ -70,7 +70,7 @@
 	urgent := p.urgent(v, wave, w)
 	for _, id := range left {
 		m, listed := v.byID[id]
-		if listed && m.State == cluster.MachineUp && p.free(id, urgent) {
+		if listed && m.State == cluster.MachineUp && p.mayMaintain(id, urgent) {
 			candidates = append(candidates, m)
 		}
 	}
@@ -115,9 +115,9 @@
 	return w.begun.Add(time.Duration(waveShare * float64(wave.Duration)))
 }
 
-// free reports whether the maintenance of a machine may begin; an urgent wave takes
+// mayMaintain reports whether the maintenance of a machine may begin; an urgent wave takes
 // it from a move that has not been called for.
-func (p *Planner) free(id cluster.MachineID, urgent bool) bool {
+func (p *Planner) mayMaintain(id cluster.MachineID, urgent bool) bool {
 	op := p.operations[id]
 	return op == nil || urgent && op.kind == Move && op.called.IsZero()
 }
