--- a/policy/fleetplan/turns_test.go
+++ b/policy/fleetplan/turns_test.go
@@ -118,6 +118,7 @@
 			Turns:    []Turn{{"a", at}, {"b", at.Add(gap)}, {"a", at.Add(2 * gap)}},
 			Services: map[cluster.Service]Habit{"a": {Mean: 1000, Peak: 64_000, HotFrom: y.now}, "b": {Mean: 1000, Peak: 64_000}},
 		})
+		assert.Assert(t, y.planner.turns.rise() >= onset)
 		for range 50 {
 			y.step(agree)
 			for _, n := range y.planner.lastNeeds {
