Orders of the last moments are known beyond the next holder of the fleet's duty

From reading the change again: a new holder's first list left out its predecessor's orders, so that a third one within three seconds could order for the same machine. TestOrdersAreKnownBeyondTheNextHolder fails before.

--- a/entry/fleetduty/orders.go
+++ b/entry/fleetduty/orders.go
@@ -147,9 +147,11 @@
 		return err
 	}
 	h.book.revision = revision
-	free := time.Now().Add(h.HolderGap + holderMargin)
+	now := time.Now()
 	for machine, age := range orders.AgesMs {
-		h.planner.Reserve(machine, free.Add(-time.Duration(age)*time.Millisecond))
+		ordered := now.Add(-time.Duration(age) * time.Millisecond)
+		h.book.given[machine] = ordered // for a successor that comes soon
+		h.planner.Reserve(machine, ordered.Add(h.HolderGap+holderMargin))
 	}
 	return nil
 }
--- a/entry/fleetduty/orders_test.go
+++ b/entry/fleetduty/orders_test.go
@@ -200,3 +200,16 @@
 	h.setCordons(t.Context(), []fleetplan.Action{{Kind: fleetplan.Uncordon, Executor: "i-1", Service: "a"}})
 	assert.Equal(t, len(h.cordons), 0)
 }
+
+// Two holders follow each other within a moment: the third one still knows of the first
+// one's orders.
+func TestOrdersAreKnownBeyondTheNextHolder(t *testing.T) {
+	s := &mapStore{}
+	first := newTestHolder(s)
+	assert.Assert(t, first.announce(t.Context(), move("m-1")))
+	second := *first
+	second.book = orderBook{given: map[cluster.MachineID]time.Time{}, keep: time.Second}
+	assert.NilError(t, second.loadOrders(t.Context()))
+	assert.Assert(t, second.announce(t.Context(), move("m-2")))
+	assert.DeepEqual(t, s.listed(t), []cluster.MachineID{"m-1", "m-2"})
+}
--- a/entry/storehealth/storehealth.go
+++ b/entry/storehealth/storehealth.go
@@ -102,7 +102,7 @@
 	_, _ = s.Get(ctx, probeKey) // Get notes the outcome
 }
 
-// observe notes the outcome of a call that began at begun.
+// observe notes the outcome of a call.
 func (s *Store) observe(err error) {
 	if errors.Is(err, context.Canceled) {
 		return // the caller went away; it says nothing about the store
