--- a/cmd/tarragond/serve_test.go
+++ b/cmd/tarragond/serve_test.go
@@ -227,6 +227,14 @@
 	return ""
 }
 
+// assertStarts checks how often each task was started.
+func (s *operatorsSite) assertStarts(times int) {
+	s.t.Helper()
+	for task, count := range s.fleet.Starts() {
+		assert.Equal(s.t, count, times, task)
+	}
+}
+
 func (s *operatorsSite) awaitState(i int, state string) {
 	s.t.Helper()
 	s.await(fmt.Sprintf("job %d to be %s", i, state), func() bool { return s.state(i) == state })
@@ -265,9 +273,7 @@
 	s.submit(1, 3, false) // a duplicate stays one job
 	s.awaitState(1, "completed")
 	assert.Equal(t, len(s.fleet.Starts()), 3)
-	for task, count := range s.fleet.Starts() {
-		assert.Equal(t, count, 1, task)
-	}
+	s.assertStarts(1)
 	for _, tc := range []struct {
 		method, path, body string
 		status             int
@@ -319,9 +325,7 @@
 	assert.NilError(t, owner.command.Process.Kill())
 	s.remove(owner)
 	s.awaitState(1, "completed")
-	for task, count := range s.fleet.Starts() {
-		assert.Equal(t, count, 1, task)
-	}
+	s.assertStarts(1)
 }
 
 // A frozen owner that wakes after its successor took over is fenced off.
@@ -340,9 +344,7 @@
 	s.submit(3, 6, false)
 	s.awaitState(3, "completed")
 	assert.Equal(t, s.fleet.Overlaps(), 0)
-	for task, count := range s.fleet.Starts() {
-		assert.Equal(t, count, 1, task)
-	}
+	s.assertStarts(1)
 }
 
 func TestTerminatedOwnerHandsOverAndCutsNobodyOff(t *testing.T) {
@@ -389,9 +391,7 @@
 	s.awaitState(1, "completed")
 	status, _, _ := s.nodes[0].ask(http.MethodGet, jobPath(1000+refused), "")
 	assert.Equal(t, status, http.StatusGone)
-	for task, count := range s.fleet.Starts() {
-		assert.Equal(t, count, 1, task)
-	}
+	s.assertStarts(1)
 }
 
 func TestLostAnswersOfTheStoreDoNoHarm(t *testing.T) {
@@ -403,9 +403,7 @@
 		s.submit(i, 3, false)
 		s.awaitState(i, "completed")
 	}
-	for task, count := range s.fleet.Starts() {
-		assert.Equal(t, count, 1, task)
-	}
+	s.assertStarts(1)
 }
 
 func TestSilentWatchesDelayWorkButLoseNone(t *testing.T) {
@@ -445,9 +443,7 @@
 	s.startAll("pa-0")
 	s.submit(1, 1, false)
 	s.awaitState(1, "failed")
-	for task, count := range s.fleet.Starts() {
-		assert.Equal(t, count, 3, task)
-	}
+	s.assertStarts(3)
 }
 
 // A wave takes every machine once, with lasting tasks on them, and is then reported.
--- a/entry/fleetduty/actions.go
+++ b/entry/fleetduty/actions.go
@@ -58,18 +58,16 @@
 		return
 	}
 	h.cordonWrites++
-	if err := h.txn(ctx, t); err != nil {
-		h.Logger.Warn("cordons not stored", "entries", t.Entries(), "error", err)
-		for _, id := range set {
-			delete(h.cordons, id) // asked for again; a late effect shows when they are read
-		}
-		for _, id := range lifted {
-			delete(h.cordons, id) // perhaps no longer in force; else that shows when they are read
-		}
+	err := h.txn(ctx, t)
+	for _, id := range lifted {
+		delete(h.cordons, id) // where the write failed, perhaps still in force: that shows when they are read
+	}
+	if err == nil {
 		return
 	}
-	for _, id := range lifted {
-		delete(h.cordons, id)
+	h.Logger.Warn("cordons not stored", "entries", t.Entries(), "error", err)
+	for _, id := range set {
+		delete(h.cordons, id) // asked for again; a late effect shows when they are read
 	}
 }
 
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -36,6 +36,15 @@
 	Events []kv.Event
 }
 
+// Listing returns all items of a prefix as a change.
+func Listing(items []kv.Item) Change {
+	events := make([]kv.Event, len(items))
+	for i, item := range items {
+		events[i] = kv.Event{Item: item}
+	}
+	return Change{Reset: true, Events: events}
+}
+
 // Follower follows one prefix.
 type Follower struct {
 	Store  Store
@@ -83,11 +92,7 @@
 	if err != nil {
 		return 0, err
 	}
-	events := make([]kv.Event, len(items))
-	for i, item := range items {
-		events[i] = kv.Event{Item: item}
-	}
-	f.Apply(Change{Reset: true, Events: events})
+	f.Apply(Listing(items))
 	return asOf, nil
 }
 
--- a/entry/owner/load.go
+++ b/entry/owner/load.go
@@ -55,29 +55,14 @@
 	}
 	o.chain.revision = s.chain
 	o.takeExecutors(s.executors)
-	now := time.Now()
-	for _, item := range s.items {
-		kind, name := layout.ParseShardKey(o.Service, item.Key)
-		if kind == layout.ItemRecord {
-			o.addRecord(item, s.progress[job.ID(name)], now)
-		}
-	}
-	o.applyJobs(follow.Change{Events: eventsOf(s.items)}, now)
+	o.applyJobs(follow.Listing(s.items), s.progress, time.Now())
 	o.Logger.Info("shard taken over", "jobs", o.shard.Jobs(), "begun", len(s.progress), "executors", len(s.executors))
 	return nil
 }
 
-func eventsOf(items []kv.Item) []kv.Event {
-	events := make([]kv.Event, len(items))
-	for i, item := range items {
-		events[i] = kv.Event{Item: item}
-	}
-	return events
-}
-
 func (o *Owner) takeExecutors(items []kv.Item) {
 	list := newExecutorList(o.Service, o.Logger)
-	list.apply(follow.Change{Reset: true, Events: eventsOf(items)})
+	list.apply(follow.Listing(items))
 	o.shard.SetExecutors(list.list(), time.Now())
 }
 
@@ -106,9 +91,9 @@
 	o.shard.AddJob(r, p, now)
 }
 
-// applyJobs takes in new records, cancellations and cordons. Removed entries are
-// this owner's own doing, but for cordons.
-func (o *Owner) applyJobs(c follow.Change, now time.Time) {
+// applyJobs takes in new records, those that earlier owners began with their progress,
+// cancellations and cordons. Removed entries are this owner's own doing, but for cordons.
+func (o *Owner) applyJobs(c follow.Change, begun map[job.ID]*shard.Progress, now time.Time) {
 	if c.Reset {
 		clear(o.cordoned)
 	}
@@ -121,7 +106,7 @@
 		case event.Removed:
 		case kind == layout.ItemRecord:
 			if !o.finished[job.ID(name)] {
-				o.addRecord(event.Item, nil, now)
+				o.addRecord(event.Item, begun[job.ID(name)], now)
 			}
 		case kind == layout.ItemCancel:
 			cancels = append(cancels, job.ID(name))
--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -70,13 +70,14 @@
 // first.
 func (p *Planner) needs(v *view) []need {
 	room := v.machineCPU()
+	rise := p.turns.rise()
 	var list []need
 	for _, service := range slices.Sorted(maps.Keys(v.Loads)) {
 		pool, configured := v.pools[service]
 		if !configured || pool.Spare || room == 0 {
 			continue
 		}
-		inTime, all := p.wantedCPU(v, service)
+		inTime, all := p.wantedCPU(v, service, rise)
 		least := max(leastMachines, v.Loads[service].LeastExecutors)
 		list = append(list, need{
 			service: service,
@@ -95,12 +96,12 @@
 }
 
 // wantedCPU is the processor room that a service needs by the time that a machine
-// called now has come: for jobs that can be in time, and for all that are of use.
-func (p *Planner) wantedCPU(v *view, service cluster.Service) (inTime, all float64) {
+// called now has come: for jobs that can be in time, and for all that are of use. Peaks
+// grow for as long as rise.
+func (p *Planner) wantedCPU(v *view, service cluster.Service, rise time.Duration) (inTime, all float64) {
 	l := v.Loads[service]
 	peak := p.turns.peak(service)
 	lead := p.limits.MoveTime + leadMargin
-	rise := p.turns.rise()
 	rate := p.demandOf(service).expected(v.Now, peak, rise, lead)
 	if at, predicted := p.turns.expects(service, v.Now, lead); predicted {
 		// Until the peak is seen no more is made ready than for its beginning.
@@ -171,10 +172,12 @@
 			delete(p.idleSince, m.ID)
 		case m.Pool == v.spare:
 			d.spare = append(d.spare, m)
-		case p.standsIdle(v, m) && v.Now.Sub(p.idleSince[m.ID]) >= restTime:
-			d.rested = append(d.rested, m)
 		case p.standsIdle(v, m):
-			d.idle = append(d.idle, m)
+			list := &d.idle
+			if v.Now.Sub(p.idleSince[m.ID]) >= restTime {
+				list = &d.rested
+			}
+			*list = append(*list, m)
 		case known && l.Lasting == 0 && !v.released(m, l):
 			d.busy = append(d.busy, m)
 		}
