Demand: the rate of jobs times their mean size in place of the work of a few jobs

Change: the rate is that of the jobs over the shortest time that holds eight of them (five at least), times the mean size of all; the job that ends the time is not counted. Lasting jobs no longer count as arrivals. The mean size is handed over.

--- a/entry/owner/bench_test.go
+++ b/entry/owner/bench_test.go
@@ -27,9 +27,9 @@
 // The load of a peak of the larger deployments: jobs of many short tasks on the pool
 // of one service.
 const (
-	peakExecutors = 80
+	peakExecutors = 200
 	peakJobsPerS  = 100
-	peakTasks     = 8
+	peakTasks     = 12
 	peakRunTime   = 800 * time.Millisecond
 	peakService   = cluster.Service("peak")
 )
@@ -83,7 +83,7 @@
 	record, err := layout.Encode(shard.Record{
 		ID: id, Accepted: time.Now(), Queue: shard.QueueTerms{Name: "peak", MaxAttempts: 2, Stretch: 2, TargetDuration: time.Second},
 		Definition: job.Definition{Payload: "p", Steps: []job.Step{{
-			Count: peakTasks, Need: job.Resources{MilliCPU: 300, MemoryMB: 300}, Estimate: peakRunTime,
+			Count: peakTasks, Need: job.Resources{MilliCPU: 3100, MemoryMB: 300}, Estimate: peakRunTime,
 		}}},
 	})
 	if err != nil {
--- a/policy/fleetplan/demand.go
+++ b/policy/fleetplan/demand.go
@@ -1,15 +1,16 @@
 package fleetplan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 )
 
 const (
-	// rateWindow is the longest time over which the present rate of arriving work is
+	// rateWindow is the longest time over which the present rate of arriving jobs is
 	// taken.
-	rateWindow = 1200 * time.Millisecond
+	rateWindow = 2400 * time.Millisecond
 	// rateShortest is the shortest such time.
 	rateShortest = 250 * time.Millisecond
 	// hotFactor is how far above its mean a service's rate must be for a peak.
@@ -19,6 +20,12 @@
 	// hotJobs is the least number of jobs from which a rate is taken: a few large
 	// jobs that come together by chance are no peak.
 	hotJobs = 5
+	// rateJobs is the number of jobs over which the present rate is taken, as far as
+	// they came within rateWindow.
+	rateJobs = 8
+	// sizeWeight is for how many jobs a mean size taken over from an earlier planner
+	// counts.
+	sizeWeight = 20.0
 	// onset is how long demand rises to the height of the last peak at least, and where
 	// the distance between peaks is not known yet.
 	onset = 1500 * time.Millisecond
@@ -39,16 +46,19 @@
 	jobs int64
 }
 
-// demand follows the rate at which a service's work arrives.
+// demand follows the rate at which a service's work arrives: jobs a second, times their
+// mean size. Sizes differ so much that the work of a few jobs says little.
 type demand struct {
-	samples []sample // of the last rateWindow
-	rate    float64  // thousandths of a core
-	first   sample
-	mean    float64
-	earlier float64 // mean that an earlier planner, or owner, left
-	hot     bool
-	hotFrom time.Time
-	top     float64 // highest rate over a rateWindow in this peak
+	samples    []sample // of the last rateWindow
+	rate       float64  // thousandths of a core
+	size       float64  // mean work of a job, core-milliseconds
+	first      sample
+	mean       float64
+	sizeBefore float64 // mean size that an earlier planner, or owner, left
+	earlier    float64 // mean that an earlier planner, or owner, left
+	hot        bool
+	hotFrom    time.Time
+	top        float64 // highest rate over a rateWindow in this peak
 }
 
 func (p *Planner) demandOf(service cluster.Service) *demand {
@@ -87,7 +97,7 @@
 
 // restart begins to count anew, as a new owner does; what was learned stays.
 func (d *demand) restart(s sample) {
-	*d = demand{first: s, earlier: d.mean, mean: d.mean, hot: d.hot, hotFrom: d.hotFrom, top: d.top}
+	*d = demand{first: s, earlier: d.mean, mean: d.mean, sizeBefore: d.size, size: d.size, hot: d.hot, hotFrom: d.hotFrom, top: d.top}
 }
 
 // take takes in a sample and tells whether a peak has begun or ended.
@@ -99,7 +109,9 @@
 	for len(d.samples) > 2 && s.at.Sub(d.samples[1].at) >= rateWindow {
 		d.samples = d.samples[1:]
 	}
-	d.rate = d.steepest(s)
+	d.size = d.sizeUntil(s)
+	from, jobsPerS := d.recent(s)
+	d.rate = jobsPerS * d.size
 	d.mean = d.meanUntil(s)
 	if d.earlier == 0 && s.at.Sub(d.first.at) < warmUp {
 		return noChange
@@ -107,19 +119,34 @@
 	switch {
 	case !d.hot && d.rate > hotFactor*d.mean:
 		d.hot = true
-		d.hotFrom = d.samples[0].at
+		d.hotFrom = from.at
 		d.top = 0
 		return peakBegins
 	case d.hot && d.rate < coolFactor*d.mean && s.at.Sub(d.first.at) >= warmUp:
 		d.hot = false
 		return peakEnds
 	}
-	if d.hot && s.at.Sub(d.samples[0].at) >= rateWindow {
-		d.top = max(d.top, rateBetween(d.samples[0], s))
+	if d.hot && s.at.Sub(d.hotFrom) >= rateWindow {
+		d.top = max(d.top, jobRate(d.samples[0], s)*d.size)
 	}
 	return noChange
 }
 
+// sizeUntil is the mean work of a job up to s, in which one taken over counts for
+// sizeWeight jobs.
+func (d *demand) sizeUntil(s sample) float64 {
+	jobs := float64(s.jobs - d.first.jobs)
+	work := float64(s.work - d.first.work)
+	if d.sizeBefore > 0 {
+		jobs += sizeWeight
+		work += sizeWeight * d.sizeBefore
+	}
+	if jobs == 0 {
+		return 0
+	}
+	return work / jobs
+}
+
 // meanUntil is the mean rate up to s, in which one taken over counts for meanWeight.
 func (d *demand) meanUntil(s sample) float64 {
 	measured := rateBetween(d.first, s)
@@ -150,19 +177,27 @@
 	return min(1, max(0, since.Seconds()/rise.Seconds()))
 }
 
-// steepest is the highest rate up to s over any time within the window that holds
-// enough jobs, or zero.
-func (d *demand) steepest(s sample) float64 {
-	rate := 0.0
-	for _, from := range d.samples {
-		if s.jobs-from.jobs < hotJobs {
-			break
-		}
-		if s.at.Sub(from.at) >= rateShortest {
-			rate = max(rate, rateBetween(from, s))
+// recent is the rate of arriving jobs over the shortest time up to s that holds rateJobs,
+// or at least hotJobs, and where that time begins. With less it is zero.
+func (d *demand) recent(s sample) (from sample, jobsPerS float64) {
+	for _, enough := range []int64{rateJobs, hotJobs} {
+		for _, x := range slices.Backward(d.samples) {
+			if s.jobs-x.jobs >= enough && s.at.Sub(x.at) >= rateShortest {
+				return x, jobRate(x, s)
+			}
 		}
 	}
-	return rate
+	return d.samples[0], 0
+}
+
+// jobRate is the rate of arriving jobs between two samples. The window ends with a job,
+// which therefore says nothing about the rate.
+func jobRate(a, b sample) float64 {
+	span := b.at.Sub(a.at).Seconds()
+	if span <= 0 {
+		return 0
+	}
+	return float64(max(0, b.jobs-a.jobs-1)) / span
 }
 
 // rateBetween is the rate between two samples in thousandths of a core.
--- a/policy/fleetplan/evidence.go
+++ b/policy/fleetplan/evidence.go
@@ -23,6 +23,8 @@
 // Habit is what is known of one service's demand; rates are in thousandths of a core.
 type Habit struct {
 	Mean float64 `json:"mean"`
+	// Size is the mean work of a job, in core-milliseconds.
+	Size float64 `json:"size"`
 	Peak float64 `json:"peak,omitempty"` // of the last one that is over, zero where none is
 	// HotFrom is when the peak that lasts began, zero between peaks.
 	HotFrom time.Time `json:"hotFrom,omitzero"`
@@ -37,7 +39,7 @@
 func (p *Planner) Evidence() Evidence {
 	e := Evidence{Turns: slices.Clone(p.turns.history), Services: map[cluster.Service]Habit{}}
 	for service, d := range p.demand {
-		habit := Habit{Mean: d.mean, Peak: p.turns.peaks[service]}
+		habit := Habit{Mean: d.mean, Size: d.size, Peak: p.turns.peaks[service]}
 		if d.hot {
 			habit.HotFrom, habit.Top = d.hotFrom, d.top
 		}
@@ -55,6 +57,7 @@
 		p.turns.noteHeight(service, habit.Peak)
 		d := p.demandOf(service)
 		d.mean = habit.Mean
+		d.size = habit.Size
 		d.hot = !habit.HotFrom.IsZero()
 		d.hotFrom = habit.HotFrom
 		d.top = habit.Top
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -119,8 +119,10 @@
 	j := newJob(r)
 	s.jobs[r.ID] = j
 	s.touched, s.waitingDirty = true, true
-	s.arrivedWork += workOf(r)
-	s.arrivedJobs++
+	if !j.lasts() {
+		s.arrivedWork += workOf(r)
+		s.arrivedJobs++
+	}
 	if p == nil {
 		j.createDue(now)
 		return
