--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -27,6 +27,8 @@
 	version int64 // rises with every change
 	durable int64 // the version that is stored
 	stored  bool  // whether progress was ever stored
+	// changedAt is since when a change waits to become durable; zero where none does.
+	changedAt time.Time
 }
 
 type occurrence struct {
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -97,8 +97,10 @@
 	s.expire(now)
 	b := &builder{shard: s, now: now, left: entries - loadEntries, in: map[*jobState]bool{}}
 	b.addWaiting()
-	b.addChanged()
+	b.addFinal()
+	b.addOverdue()
 	b.addStarts()
+	b.addChanged()
 	b.addLoad()
 	batch := b.finish()
 	s.planAt = now.Add(replanEvery)
@@ -121,6 +123,7 @@
 	s.touched = true
 	for _, w := range b.Jobs {
 		w.job.durable = w.version
+		w.job.changedAt = time.Time{}
 		w.job.shown = w.State
 		w.job.stored = true
 		if w.State.Final() {
@@ -205,23 +208,53 @@
 	return true
 }
 
+// addFinal adds the jobs that have become final: their callers wait for that.
+func (b *builder) addFinal() {
+	b.addWhere(func(j *jobState) bool { return j.state.Final() })
+}
+
+// addOverdue adds the jobs whose changes have waited long: executors list their ends
+// again until they are durable.
+func (b *builder) addOverdue() {
+	b.addWhere(func(j *jobState) bool { return b.now.Sub(j.changedAt) > changeWait })
+}
+
+// addChanged adds what else has changed, as far as there is room beside starts.
 func (b *builder) addChanged() {
-	for _, j := range b.shard.sortedJobs() {
-		if j.version > j.durable {
+	b.addWhere(func(*jobState) bool { return true })
+}
+
+// changeWait is how long the change of a job may wait for starts of others.
+const changeWait = 150 * time.Millisecond
+
+func (b *builder) addWhere(due func(*jobState) bool) {
+	for _, j := range b.changed() {
+		if due(j) {
 			b.add(j)
 		}
 	}
 }
 
-func (s *Shard) sortedJobs() []*jobState {
-	list := make([]*jobState, 0, len(s.jobs))
-	for _, j := range s.jobs {
+// changed returns the jobs with changes that are not durable, in a fixed order.
+func (b *builder) changed() []*jobState {
+	list := make([]*jobState, 0, len(b.shard.jobs))
+	for _, j := range b.shard.jobs {
+		if j.version == j.durable {
+			continue
+		}
+		if j.changedAt.IsZero() {
+			j.changedAt = b.now
+		}
 		list = append(list, j)
 	}
+	sortJobs(list)
+	return list
+}
+
+func sortJobs(list []*jobState) {
 	slices.SortFunc(list, func(x, y *jobState) int {
 		return cmp.Or(x.Accepted.Compare(y.Accepted), cmp.Compare(x.ID, y.ID))
 	})
-	return list
 }
 
 func (b *builder) addStarts() {
--- a/policy/shard/rules_test.go
+++ b/policy/shard/rules_test.go
@@ -360,7 +360,7 @@
 		return list
 	}
 	assert.Assert(t, slices.Contains(waits(), lookWait))
-	from := b.s.sortedJobs()[0].occurrences[0].steps[0].tasks[0].current.executor.ID
+	from := anyJob(b.s).occurrences[0].steps[0].tasks[0].current.executor.ID
 	b.s.Cordon(map[cluster.ExecutorID]Emptying{from: EmptyAtLeisure}, b.now)
 	assert.Assert(t, !slices.Contains(waits(), lookWait))
 }
@@ -404,3 +404,11 @@
 		})
 	}
 }
+
+// anyJob returns a job of a shard that has one.
+func anyJob(s *Shard) *jobState {
+	for _, j := range s.jobs {
+		return j
+	}
+	return nil
+}
