Owners: the term's age is read every 20 ms, not at every event; cheaper planning under overload

Under overload each round asked all executors for room for each waiting task. Change: the term's age is read again after 20 ms, or where the time of day and the steady clock differ in their pace (a suspended machine). A need for which no executor had room is not asked for again in the same batch. Evacuation follows looks by 20 ms at most.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -93,9 +93,10 @@
 
 	writing   bool
 	lastRound time.Time
-	full      bool  // the last batch left something out
-	version   int64 // of the configuration taken in
-	grants    bool  // whether leases of runs may be renewed
+	full      bool      // the last batch left something out
+	version   int64     // of the configuration taken in
+	grants    bool      // whether leases of runs may be renewed
+	grantsAt  time.Time // when that was checked last
 
 	cordoned map[cluster.ExecutorID]shard.Emptying
 	// finished holds the jobs that this owner has made final; an old event of the
@@ -196,7 +197,7 @@
 func (o *Owner) act(now time.Time) {
 	o.shard.Alive(now)
 	o.takeConfig()
-	o.allowGrants()
+	o.allowGrants(now)
 	o.round(now)
 	for _, order := range o.shard.Orders(now) {
 		o.order(order)
@@ -211,8 +212,28 @@
 	}
 }
 
+const (
+	// grantsEvery spaces the checks of the term's age, each of which is a system call.
+	grantsEvery = 20 * time.Millisecond
+	// suspension is the least difference between the time of day and the steady clock
+	// that is taken for a suspended machine, or a step of the time of day.
+	suspension = 100 * time.Millisecond
+)
+
+// termCheckDue reports whether the term's age has to be read again: some time has passed,
+// or the machine may have been suspended, which the steady clock does not count.
+func termCheckDue(last, now time.Time) bool {
+	steady := now.Sub(last)
+	ofDay := now.Round(0).Sub(last.Round(0))
+	return steady >= grantsEvery || (ofDay-steady).Abs() >= suspension
+}
+
 // allowGrants lets leases of runs be renewed only while the term is certain enough.
-func (o *Owner) allowGrants() {
+func (o *Owner) allowGrants(now time.Time) {
+	if !termCheckDue(o.grantsAt, now) {
+		return
+	}
+	o.grantsAt = now
 	allowed := o.term.Age() < shard.GrantTime(o.Limits)
 	if allowed == o.grants {
 		return
--- a/policy/shard/evacuate.go
+++ b/policy/shard/evacuate.go
@@ -16,10 +16,14 @@
 	StopStray      StopReason = "not-started" // nobody of this term started it
 )
 
+// evacuateEvery is the least time between two searches after looks.
+const evacuateEvery = 20 * time.Millisecond
+
 // evacuate stops lasting runs on executors that are about to leave, as far as
 // their steps may miss tasks, and runs that make room for other services.
 func (s *Shard) evacuate(now time.Time) {
-	s.evacuating = false
+	s.evacuating, s.evacuateDue = false, false
+	s.evacuatedAt = now
 	for _, e := range s.leaving {
 		s.evacuating = s.evacuating || e.hasLasting()
 		for _, r := range e.sortedRuns() {
--- a/policy/shard/looks.go
+++ b/policy/shard/looks.go
@@ -157,7 +157,7 @@
 	}
 	s.pace(e, now)
 	s.judgePace(e, now)
-	s.evacuate(now)
+	s.evacuateDue = true
 }
 
 func (s *Shard) applyRunning(e *executorState, row execution.Running, now time.Time) {
--- a/policy/shard/orders.go
+++ b/policy/shard/orders.go
@@ -57,6 +57,9 @@
 	if s.fenced {
 		return nil
 	}
+	if s.evacuateDue && now.Sub(s.evacuatedAt) >= evacuateEvery {
+		s.evacuate(now)
+	}
 	var list []Order
 	for _, e := range s.executors {
 		if e.dead || e.Address == "" || now.Before(e.ordersAt) {
--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -40,6 +40,7 @@
 }
 
 func (b *builder) undo(runs []*run) {
+	b.noRoom = nil // the room that the runs took is there again
 	for _, r := range runs {
 		r.executor.release(r)
 		r.task.current = nil
@@ -78,9 +79,17 @@
 
 // choose returns the best executor for the task, or nil.
 func (b *builder) choose(t *task, rack string) *executorState {
+	if b.isWithoutRoom(t.step.def) {
+		return nil
+	}
 	var best *executorState
 	var bestCost float64
+	fits := false
 	for _, e := range b.usable() {
+		if !t.step.def.Room().Fits(e.free()) {
+			continue
+		}
+		fits = true
 		if !b.allowed(t, e) || rack != "" && e.Rack() != rack {
 			continue
 		}
@@ -89,9 +98,19 @@
 			best, bestCost = e, cost
 		}
 	}
+	if !fits {
+		b.noRoom = append(b.noRoom, t.step.def.Room())
+	}
 	return best
 }
 
+// isWithoutRoom reports whether no executor had room for as much or less in this batch.
+// Room only shrinks while a batch is planned.
+func (b *builder) isWithoutRoom(def *job.Step) bool {
+	need := def.Room()
+	return slices.ContainsFunc(b.noRoom, func(failed job.Resources) bool { return failed.Fits(need) })
+}
+
 // usable returns the executors that may be given work, in a fixed order.
 func (b *builder) usable() []*executorState {
 	if b.candidates == nil {
@@ -104,12 +123,9 @@
 	return b.candidates
 }
 
-// allowed reports whether the executor has room and meets the step's conditions.
+// allowed reports whether the executor meets the step's conditions, room aside.
 func (b *builder) allowed(t *task, e *executorState) bool {
 	def := t.step.def
-	if !def.Room().Fits(e.free()) {
-		return false
-	}
 	if def.RequiredLabel != "" && !slices.Contains(e.Labels, def.RequiredLabel) {
 		return false
 	}
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -157,6 +157,8 @@
 	batch Batch
 
 	candidates []*executorState
+	// noRoom lists needs for which no executor had room.
+	noRoom []job.Resources
 }
 
 func (b *builder) addWaiting() {
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -72,10 +72,12 @@
 	waitingDirty bool
 
 	loadAt      time.Time
-	lastLoad    Load             // as stored last
-	aliveAt     time.Time        // when the shard was called last
-	stalledAt   time.Time        // when it was called again after a long gap
-	evacuating  bool             // lasting tasks have to leave an executor
+	lastLoad    Load      // as stored last
+	aliveAt     time.Time // when the shard was called last
+	stalledAt   time.Time // when it was called again after a long gap
+	evacuating  bool      // lasting tasks have to leave an executor
+	evacuateDue bool      // a look may allow another lasting task to leave
+	evacuatedAt time.Time
 	leaving     []*executorState // that are to be emptied, or leave by themselves
 	loadUrgent  bool             // a cordon was set or an executor under one became empty
 	arrivedWork int64            // core-milliseconds
