Machines that are being given back are kept where demand rises

Hypothesis: a pool that gives machines back and needs them again at once moves others in, 2.4 s later and for two moves. Change: a lacking service first takes back what it was about to give to the spare pool.

--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -45,6 +45,9 @@
 	begun := 0
 	for _, n := range needs {
 		for lack := n.share - n.have; lack > 0 && begun < movesAtOnce; lack-- {
+			if p.reclaim(v, n.service) {
+				continue
+			}
 			inTime := min(n.inTime, n.share) > n.share-lack
 			m, found := donors.take(n.service, inTime)
 			if !found {
@@ -254,3 +257,16 @@
 		p.begin(v, m, operation{kind: Move, to: v.spare}, "idle")
 	}
 }
+
+// reclaim keeps a machine that was to be given back and is still being emptied: it is of
+// use at once. It reports whether there was one.
+func (p *Planner) reclaim(v *view, service cluster.Service) bool {
+	for _, m := range v.members[service] {
+		op := p.operations[m.ID]
+		if op != nil && op.kind == Move && op.to == v.spare && op.called.IsZero() {
+			delete(p.operations, m.ID)
+			return true
+		}
+	}
+	return false
+}
