A first peak is taken to go on rising until a machine called now has come

Change: as long as a machine takes to come, the rate of a peak without precedent is taken to go on growing as it has, by 2.5 times at most. The replay of turns gave work 1,000 times too large to the planner, which hid such errors; it gives core-milliseconds now, with the same bounds.

--- a/policy/fleetplan/demand.go
+++ b/policy/fleetplan/demand.go
@@ -159,11 +159,14 @@
 }
 
 // expected is the rate to make room for by the time that a machine called now has
-// come. A peak is taken to rise evenly to the height of the last one.
+// come. A peak is taken to rise evenly to the height of the last one; one without a
+// precedent to go on rising as it has so far.
 func (d *demand) expected(now time.Time, peak float64, rise, lead time.Duration) float64 {
 	switch since := now.Sub(d.hotFrom); {
 	case !d.hot:
 		return 0
+	case peak == 0 && since < lead:
+		return d.rate * grown(since, lead)
 	case since < rise:
 		return max(d.rate, peak*risen(since+lead, rise))
 	default:
@@ -171,6 +174,18 @@
 	}
 }
 
+// mostGrowth bounds how far a rise is taken to go on: its first moments say little.
+const mostGrowth = 2.5
+
+// grown is how many times its present rate a peak that has risen evenly since its
+// beginning has after a further time.
+func grown(since, further time.Duration) float64 {
+	if since <= 0 {
+		return mostGrowth
+	}
+	return min(mostGrowth, 1+further.Seconds()/since.Seconds())
+}
+
 // risen is the share of its height that a peak has reached some time after its
 // beginning.
 func risen(since, rise time.Duration) float64 {
--- a/policy/fleetplan/replay_test.go
+++ b/policy/fleetplan/replay_test.go
@@ -114,7 +114,7 @@
 		inTime, late := r.serve(service)
 		l := r.loads[service]
 		l.InTimeCPU, l.LateCPU = int64(16000*inTime), int64(16000*late)
-		l.ArrivedWork = int64(1000 * r.arrived[service])
+		l.ArrivedWork = int64(r.arrived[service])
 		l.ArrivedJobs = int64(1000 * r.arrived[service] / replayJobWork / 1000)
 		r.refreshBusy(l)
 		r.loads[service] = l
--- a/policy/fleetplan/turns_test.go
+++ b/policy/fleetplan/turns_test.go
@@ -127,3 +127,20 @@
 		}
 	}
 }
+
+// The first peak of all has no precedent: it is taken to go on rising until a machine
+// called now has come, by no more than mostGrowth; one with a precedent by its height.
+func TestPeakWithoutPrecedentIsTakenToGoOnRising(t *testing.T) {
+	begun := time.Unix(1000, 0)
+	d := demand{hot: true, hotFrom: begun, rate: 1000}
+	lead := 2400 * time.Millisecond
+	at := func(since time.Duration, peak float64) float64 {
+		return d.expected(begun.Add(since), peak, onset, lead)
+	}
+	assert.Equal(t, at(100*time.Millisecond, 0), mostGrowth*1000)
+	assert.Equal(t, at(2*time.Second, 0), 2200.0)
+	assert.Equal(t, at(lead, 0), 1000.0)
+	assert.Equal(t, at(time.Second, 1500), 1500.0)
+	d.hot = false
+	assert.Equal(t, at(time.Second, 0), 0.0)
+}
