Log writes hold whole lines that a pipe passes on in one piece

Change: a write gathers whole lines up to 4,096 bytes. Test: TestWritesHoldWholeLinesThatAPipeTakesInOnePiece.

--- a/entry/logging/async.go
+++ b/entry/logging/async.go
@@ -55,19 +55,35 @@
 	}
 }
 
-// write gathers the lines that wait already into one write.
+// atomicWrite is the most that a pipe takes in one piece: PIPE_BUF of Linux.
+const atomicWrite = 4096
+
+// write writes a line and those that wait already. Several lines share a write as long
+// as a pipe passes them on in one piece.
 func (w *AsyncWriter) write(line []byte) {
-	for waiting := true; waiting; {
+	for {
 		select {
 		case next := <-w.lines:
+			if len(line)+len(next) > atomicWrite {
+				w.flush(line)
+				line = nil
+			}
 			line = append(line, next...)
+			continue
 		default:
-			waiting = false
 		}
+		break
 	}
+	w.flush(line)
 	if dropped := w.dropped.Swap(0); dropped > 0 {
-		line = fmt.Appendf(line, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n", dropped)
+		w.flush(fmt.Appendf(nil, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n", dropped))
+	}
+}
+
+func (w *AsyncWriter) flush(lines []byte) {
+	if len(lines) == 0 {
+		return
 	}
 	// There is nowhere left to report that the log itself can't be written.
-	_, _ = w.out.Write(line)
+	_, _ = w.out.Write(lines)
 }
--- a/entry/logging/async_test.go
+++ b/entry/logging/async_test.go
@@ -52,3 +52,31 @@
 	assert.NilError(t, err)
 	assert.Equal(t, out.String(), "before\n")
 }
+
+// pieces keeps what each write held.
+type pieces struct{ list []string }
+
+func (p *pieces) Write(data []byte) (int, error) {
+	p.list = append(p.list, string(data))
+	return len(data), nil
+}
+
+// A pipe passes larger writes on in pieces, between which other processes' lines may come.
+func TestWritesHoldWholeLinesThatAPipeTakesInOnePiece(t *testing.T) {
+	out := &pieces{}
+	w := &AsyncWriter{out: out, lines: make(chan []byte, asyncLines)}
+	const lines = 200
+	for i := range lines {
+		_, err := fmt.Fprintf(w, "%s %d\n", strings.Repeat("x", 37*i%900), i)
+		assert.NilError(t, err)
+	}
+	w.write(nil)
+	text := ""
+	for _, piece := range out.list {
+		assert.Assert(t, len(piece) <= atomicWrite)
+		assert.Assert(t, strings.HasSuffix(piece, "\n"))
+		text += piece
+	}
+	assert.Equal(t, strings.Count(text, "\n"), lines)
+	assert.Assert(t, len(out.list) < lines)
+}
