--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -40,7 +40,7 @@
 	// maxLookRetry bounds the pause between looks without an answer.
 	maxLookRetry = 2 * time.Second
 	// ordersAtOnce bounds the orders on their way to one executor.
-	ordersAtOnce = 4
+	ordersAtOnce = 2
 	// unsentTries is how often a start that can't be sent is tried.
 	unsentTries = 2
 	// seenRecently is the age up to which an executor's answer counts as present; a
