Only notable peaks are turns

Change: a peak counts as a turn, with its height, once it exceeds what the machines that each pool keeps can serve and a quarter of the highest peak known; it begins where it was first seen.

--- a/policy/fleetplan/demand.go
+++ b/policy/fleetplan/demand.go
@@ -57,6 +57,7 @@
 	sizeBefore float64 // mean size that an earlier planner, or owner, left
 	earlier    float64 // mean that an earlier planner, or owner, left
 	hot        bool
+	notable    bool // the peak that lasts counts as a turn
 	hotFrom    time.Time
 	top        float64 // highest rate over a rateWindow in this peak
 }
@@ -75,17 +76,30 @@
 	for service, load := range v.Loads {
 		d := p.demandOf(service)
 		p.turns.known[service] = true
-		switch d.take(sample{v.Now, load.ArrivedWork, load.ArrivedJobs}) {
-		case peakBegins:
+		ended := d.take(sample{v.Now, load.ArrivedWork, load.ArrivedJobs}) == peakEnds
+		if d.hot && !d.notable && d.rate >= p.notableRate(v) {
+			d.notable = true
 			p.news++
-			p.turns.begin(service, v.Now)
-		case peakEnds:
+			p.turns.begin(service, d.hotFrom)
+		}
+		if ended && d.notable {
+			d.notable = false
 			p.news++
 			p.turns.noteHeight(service, d.top)
 		}
 	}
 }
 
+// notableShare is the share of the highest peak that another one must reach to count.
+const notableShare = 0.25
+
+// notableRate is the rate from which a peak counts as a turn: one that the machines
+// which each pool keeps can serve needs no plan, and a small one says nothing of others.
+func (p *Planner) notableRate(v *view) float64 {
+	kept := float64(leastMachines * v.machineCPU())
+	return max(kept, notableShare*p.turns.highest())
+}
+
 // change is what a sample says about a service's peak.
 type change uint8
 
@@ -97,7 +111,7 @@
 
 // restart begins to count anew, as a new owner does; what was learned stays.
 func (d *demand) restart(s sample) {
-	*d = demand{first: s, earlier: d.mean, mean: d.mean, sizeBefore: d.size, size: d.size, hot: d.hot, hotFrom: d.hotFrom, top: d.top}
+	*d = demand{first: s, earlier: d.mean, mean: d.mean, sizeBefore: d.size, size: d.size, hot: d.hot, notable: d.notable, hotFrom: d.hotFrom, top: d.top}
 }
 
 // take takes in a sample and tells whether a peak has begun or ended.
--- a/policy/fleetplan/evidence.go
+++ b/policy/fleetplan/evidence.go
@@ -40,7 +40,7 @@
 	e := Evidence{Turns: slices.Clone(p.turns.history), Services: map[cluster.Service]Habit{}}
 	for service, d := range p.demand {
 		habit := Habit{Mean: d.mean, Size: d.size, Peak: p.turns.peaks[service]}
-		if d.hot {
+		if d.notable {
 			habit.HotFrom, habit.Top = d.hotFrom, d.top
 		}
 		e.Services[service] = habit
@@ -59,6 +59,7 @@
 		d.mean = habit.Mean
 		d.size = habit.Size
 		d.hot = !habit.HotFrom.IsZero()
+		d.notable = d.hot
 		d.hotFrom = habit.HotFrom
 		d.top = habit.Top
 	}
--- a/policy/fleetplan/turns.go
+++ b/policy/fleetplan/turns.go
@@ -46,6 +46,15 @@
 	}
 }
 
+// highest is the height of the highest peak known.
+func (t *turns) highest() float64 {
+	top := 0.0
+	for _, rate := range t.peaks {
+		top = max(top, rate)
+	}
+	return top
+}
+
 // rise is for how long demand grows once a peak has begun, at least onset: turns that
 // clocks out of step have put together say nothing.
 func (t *turns) rise() time.Duration {
--- a/policy/fleetplan/turns_test.go
+++ b/policy/fleetplan/turns_test.go
@@ -101,7 +101,7 @@
 	p.turns.known["a"], p.turns.known["b"] = true, true
 	p.demandOf("b")
 	p.turns.noteHeight("b", 600_000)
-	*p.demandOf("a") = demand{mean: 9_000, hot: true, hotFrom: now, top: 110_000}
+	*p.demandOf("a") = demand{mean: 9_000, hot: true, notable: true, hotFrom: now, top: 110_000}
 	next := New(yardLimits)
 	next.Restore(p.Evidence())
 	assert.Equal(t, next.turns.peak("a"), 600_000.0)
@@ -144,3 +144,32 @@
 	d.hot = false
 	assert.Equal(t, at(time.Second, 0), 0.0)
 }
+
+// Five small jobs come together by chance, in a service whose demand is a small share of
+// the others': no turn, and no height to expect of its next peak.
+func TestSmallPeaksAreNoTurns(t *testing.T) {
+	y := newYard(t, map[cluster.Service]int{"a": 8, "b": 8}, 8)
+	p := y.planner
+	p.turns.noteHeight("a", 20*16000)
+	arrive := func(service cluster.Service, jobs, size int64) {
+		for range jobs {
+			load := y.loads[service]
+			load.ArrivedJobs++
+			load.ArrivedWork += size
+			y.loads[service] = load
+			y.step(agree)
+		}
+	}
+	for range 50 {
+		y.step(agree)
+	}
+	arrive("b", 8, 2000)
+	assert.Assert(t, p.demandOf("b").hot)
+	for range 100 {
+		y.step(agree)
+	}
+	assert.Equal(t, len(p.turns.history), 0)
+	assert.Equal(t, p.turns.peaks["b"], 0.0)
+	arrive("b", 16, 200_000)
+	assert.Equal(t, len(p.turns.history), 1)
+}
