Executors that refuse looks, or have no address, lose their runs with their lease

Cause, found by reading: an executor that refuses looks got its lease bound pushed further with each of them, so that its tasks never started elsewhere; one without an address is never looked at and could not prove silent. Change: a refused look counts as one without an answer, and no lease is asked for until one is answered. Test: TestTaskOfRefusingExecutorStartsAgainAfterItsLease fails without the change.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -220,17 +220,18 @@
 	suspension = 100 * time.Millisecond
 )
 
-// termCheckDue reports whether the term's age has to be read again: some time has passed,
-// or the machine may have been suspended, which the steady clock does not count.
-func termCheckDue(last, now time.Time) bool {
-	steady := now.Sub(last)
-	ofDay := now.Round(0).Sub(last.Round(0))
+// termCheckDue reports whether the term's age has to be read again: some time has passed
+// by the steady clock, or the machine may have been suspended, which that clock does not
+// count and the time of day does.
+func termCheckDue(steady, ofDay time.Duration) bool {
 	return steady >= grantsEvery || (ofDay-steady).Abs() >= suspension
 }
 
 // allowGrants lets leases of runs be renewed only while the term is certain enough.
 func (o *Owner) allowGrants(now time.Time) {
-	if !termCheckDue(o.grantsAt, now) {
+	steady := now.Sub(o.grantsAt)
+	ofDay := now.Round(0).Sub(o.grantsAt.Round(0)) // without the steady clock
+	if !termCheckDue(steady, ofDay) {
 		return
 	}
 	o.grantsAt = now
--- a/policy/fleetplan/demand.go
+++ b/policy/fleetplan/demand.go
@@ -76,7 +76,7 @@
 	for service, load := range v.Loads {
 		d := p.demandOf(service)
 		p.turns.known[service] = true
-		ended := d.take(sample{v.Now, load.ArrivedWork, load.ArrivedJobs}) == peakEnds
+		ended := d.take(sample{v.Now, load.ArrivedWork, load.ArrivedJobs})
 		if d.hot && !d.notable && d.rate >= p.notableRate(v) {
 			d.notable = true
 			p.news++
@@ -100,22 +100,18 @@
 	return max(kept, notableShare*p.turns.highest())
 }
 
-// change is what a sample says about a service's peak.
-type change uint8
-
-const (
-	noChange change = iota
-	peakBegins
-	peakEnds
-)
-
 // restart begins to count anew, as a new owner does; what was learned stays.
 func (d *demand) restart(s sample) {
-	*d = demand{first: s, earlier: d.mean, mean: d.mean, sizeBefore: d.size, size: d.size, hot: d.hot, notable: d.notable, hotFrom: d.hotFrom, top: d.top}
+	*d = demand{
+		first:   s,
+		earlier: d.mean, mean: d.mean,
+		sizeBefore: d.size, size: d.size,
+		hot: d.hot, notable: d.notable, hotFrom: d.hotFrom, top: d.top,
+	}
 }
 
-// take takes in a sample and tells whether a peak has begun or ended.
-func (d *demand) take(s sample) change {
+// take takes in a sample and tells whether a peak has ended.
+func (d *demand) take(s sample) (ended bool) {
 	if n := len(d.samples); n > 0 && s.work < d.samples[n-1].work || d.first.at.IsZero() {
 		d.restart(s)
 	}
@@ -128,22 +124,22 @@
 	d.rate = jobsPerS * d.size
 	d.mean = d.meanUntil(s)
 	if d.earlier == 0 && s.at.Sub(d.first.at) < warmUp {
-		return noChange
+		return false
 	}
 	switch {
 	case !d.hot && d.rate > hotFactor*d.mean:
 		d.hot = true
 		d.hotFrom = from.at
 		d.top = 0
-		return peakBegins
+		return false
 	case d.hot && d.rate < coolFactor*d.mean && s.at.Sub(d.first.at) >= warmUp:
 		d.hot = false
-		return peakEnds
+		return true
 	}
 	if d.hot && s.at.Sub(d.hotFrom) >= rateWindow {
 		d.top = max(d.top, jobRate(d.samples[0], s)*d.size)
 	}
-	return noChange
+	return false
 }
 
 // sizeUntil is the mean work of a job up to s, in which one taken over counts for
--- a/policy/shard/lease_test.go
+++ b/policy/shard/lease_test.go
@@ -150,3 +150,32 @@
 	}
 	assert.Assert(t, granted > 0)
 }
+
+// An executor is up and answers that it can't do anything: no look shows what became of its
+// runs. They are over with their lease.
+func TestTaskOfRefusingExecutorStartsAgainAfterItsLease(t *testing.T) {
+	b := newBench(t, executorOf("i-1"))
+	b.submit("00000000000000aa", oneTask)
+	for _, order := range b.round() {
+		b.s.OrderAnswered(order, Answered, execution.Reply{ClockMs: 1000}, b.now)
+	}
+	b.s.SetExecutors([]cluster.Executor{executorOf("i-1"), executorOf("i-2")}, b.now)
+	refused := b.now
+	for b.now.Sub(refused) < 3*testLease {
+		b.now = b.now.Add(50 * time.Millisecond)
+		b.s.Alive(b.now)
+		for _, look := range b.s.Looks(b.now) {
+			reply := execution.Reply{ClockMs: 1000}
+			if look.Executor.ID == "i-1" {
+				reply.Refusal = execution.RefusedOther
+			}
+			b.s.LookAnswered(look, Answered, execution.View{Reply: reply}, b.now)
+		}
+		for _, order := range b.round() {
+			assert.Equal(t, order.Executor.ID, cluster.ExecutorID("i-2"))
+			assert.Assert(t, b.now.Sub(refused) > testLease, "started after %s", b.now.Sub(refused))
+			return
+		}
+	}
+	t.Fatalf("not started again within %s", b.now.Sub(refused))
+}
--- a/policy/shard/looks.go
+++ b/policy/shard/looks.go
@@ -117,6 +117,8 @@
 		s.executorGone(e)
 	case view.Refusal != execution.NotRefused:
 		e.misses++
+		e.missedLook = l.SentAt
+		e.grantOff = true // a lease that was refused must not be waited for
 		e.lookAt = now.Add(min(time.Duration(e.misses)*lookRetry, maxLookRetry))
 	default:
 		s.take(e, l, view, now)
--- a/policy/shard/orders.go
+++ b/policy/shard/orders.go
@@ -297,9 +297,12 @@
 	}
 }
 
-// silent reports whether the last look at the executor got no answer, and not because
-// this instance was too slow to read it.
+// silent reports whether the last look at the executor showed nothing, and not because
+// this instance was too slow to read the answer. Nobody can look at one without address.
 func (s *Shard) silent(e *executorState) bool {
+	if e.Address == "" {
+		return true
+	}
 	return !e.looking && e.misses > 0 && e.missedLook.After(s.stalledAt)
 }
 
