--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -195,7 +195,9 @@
 
 // act does what the shard wants done now.
 func (o *Owner) act(now time.Time) {
-	o.shard.Alive(now)
+	if gap := o.shard.Alive(now); gap > 0 {
+		o.Logger.Warn("no processor time for a while: unanswered looks are made again", "gap_ms", gap.Milliseconds())
+	}
 	o.takeConfig()
 	o.allowGrants(now)
 	o.round(now)
--- a/policy/shard/lease_test.go
+++ b/policy/shard/lease_test.go
@@ -151,6 +151,33 @@
 	assert.Assert(t, granted > 0)
 }
 
+// The owner did not run between a look and its answer: the answer may have come and not been
+// read, and proves nothing. The next look, made without a gap, does.
+func TestLookAcrossAGapProvesNoSilence(t *testing.T) {
+	b := newBench(t, executorOf("i-1"))
+	b.submit("00000000000000aa", oneTask)
+	for _, order := range b.round() {
+		b.s.OrderAnswered(order, Answered, execution.Reply{ClockMs: 1000}, b.now)
+	}
+	b.s.Alive(b.now)
+	e := b.s.executors["i-1"]
+	looks := b.s.Looks(b.now)
+	b.now = b.now.Add(20 * time.Second)
+	assert.Equal(t, b.s.Alive(b.now), 20*time.Second)
+	b.s.LookAnswered(looks[0], Ambiguous, execution.View{}, b.now)
+	b.s.expire(b.now)
+	assert.Equal(t, len(e.runs), 1)
+	for range 20 {
+		b.now = b.now.Add(100 * time.Millisecond)
+		assert.Equal(t, b.s.Alive(b.now), time.Duration(0))
+		for _, look := range b.s.Looks(b.now) {
+			b.s.LookAnswered(look, Ambiguous, execution.View{}, b.now)
+		}
+	}
+	b.s.expire(b.now)
+	assert.Equal(t, len(e.runs), 0)
+}
+
 // An executor is up and answers that it can't do anything: no look shows what became of its
 // runs. They are over with their lease.
 func TestTaskOfRefusingExecutorStartsAgainAfterItsLease(t *testing.T) {
