--- a/policy/shard/lease_test.go
+++ b/policy/shard/lease_test.go
@@ -159,6 +159,7 @@
 	for _, order := range b.round() {
 		b.s.OrderAnswered(order, Answered, execution.Reply{ClockMs: 1000}, b.now)
 	}
+	b.now = b.now.Add(lookPause)
 	b.s.Alive(b.now)
 	e := b.s.executors["i-1"]
 	looks := b.s.Looks(b.now)
