--- a/entry/election/election.go
+++ b/entry/election/election.go
@@ -235,7 +235,7 @@
 		if !vacant {
 			continue
 		}
-		delay := e.standBack(held) + rand.N(jitter)
+		delay := e.deference(held) + rand.N(jitter)
 		if err := backoff.Sleep(ctx, delay); err != nil {
 			return Term{}, err
 		}
@@ -246,9 +246,9 @@
 	}
 }
 
-// standBack is how long this instance leaves a vacant duty to others that have fewer
+// deference is how long this instance leaves a vacant duty to others that have fewer
 // duties, or more processor room.
-func (e *Election) standBack(held int) time.Duration {
+func (e *Election) deference(held int) time.Duration {
 	delay := time.Duration(held) * standBack
 	if e.cores < ampleCores {
 		delay += scantStandBack
--- a/entry/election/election_test.go
+++ b/entry/election/election_test.go
@@ -53,6 +53,6 @@
 func TestInstancesWithLittleProcessorRoomComeLast(t *testing.T) {
 	ample := New(nil, "n-1", "a", 0.8, slog.New(slog.DiscardHandler))
 	scant := New(nil, "n-2", "a", 0.19, slog.New(slog.DiscardHandler))
-	assert.Assert(t, scant.standBack(0) > ample.standBack(2))
-	assert.Assert(t, ample.standBack(0) == 0)
+	assert.Assert(t, scant.deference(0) > ample.deference(2))
+	assert.Assert(t, ample.deference(0) == 0)
 }
--- a/policy/fleetplan/demand.go
+++ b/policy/fleetplan/demand.go
@@ -1,7 +1,6 @@
 package fleetplan
 
 import (
-	"slices"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
@@ -142,21 +141,6 @@
 	return false
 }
 
-// sizeUntil is the mean work of a job up to s, in which one taken over counts for
-// sizeWeight jobs.
-func (d *demand) sizeUntil(s sample) float64 {
-	jobs := float64(s.jobs - d.first.jobs)
-	work := float64(s.work - d.first.work)
-	if d.sizeBefore > 0 {
-		jobs += sizeWeight
-		work += sizeWeight * d.sizeBefore
-	}
-	if jobs == 0 {
-		return 0
-	}
-	return work / jobs
-}
-
 // meanUntil is the mean rate up to s, in which one taken over counts for meanWeight.
 func (d *demand) meanUntil(s sample) float64 {
 	measured := rateBetween(d.first, s)
@@ -202,29 +186,6 @@
 	return min(1, max(0, since.Seconds()/rise.Seconds()))
 }
 
-// recent is the rate of arriving jobs over the shortest time up to s that holds rateJobs,
-// or at least hotJobs, and where that time begins. With less it is zero.
-func (d *demand) recent(s sample) (from sample, jobsPerS float64) {
-	for _, enough := range []int64{rateJobs, hotJobs} {
-		for _, x := range slices.Backward(d.samples) {
-			if s.jobs-x.jobs >= enough && s.at.Sub(x.at) >= rateShortest {
-				return x, jobRate(x, s)
-			}
-		}
-	}
-	return d.samples[0], 0
-}
-
-// jobRate is the rate of arriving jobs between two samples. The window ends with a job,
-// which therefore says nothing about the rate.
-func jobRate(a, b sample) float64 {
-	span := b.at.Sub(a.at).Seconds()
-	if span <= 0 {
-		return 0
-	}
-	return float64(max(0, b.jobs-a.jobs-1)) / span
-}
-
 // rateBetween is the rate between two samples in thousandths of a core.
 func rateBetween(a, b sample) float64 {
 	ms := b.at.Sub(a.at).Milliseconds()
--- /dev/null
+++ b/policy/shard/silence.go
@@ -0,0 +1,47 @@
+package shard
+
+import "time"
+
+// expire ends the runs whose lease has certainly lapsed on executors that are silent.
+// One that answers tells itself what became of them.
+func (s *Shard) expire(now time.Time) {
+	for _, e := range s.executors {
+		if len(e.runs) == 0 || !now.After(e.leaseBound) || !s.silent(e) {
+			continue
+		}
+		for _, r := range e.sortedRuns() {
+			if r.phase != decided {
+				s.void(r)
+			}
+		}
+		clear(e.strays)
+	}
+}
+
+// silent reports whether the last look at the executor showed nothing, and not because
+// this instance was too slow to read the answer. Nobody can look at one without address.
+func (s *Shard) silent(e *executorState) bool {
+	if e.Address == "" {
+		return true
+	}
+	return !e.looking && e.misses > 0 && e.missedLook.After(s.stalledAt)
+}
+
+// stallGap is how late the shard may be called for answers to be read in time.
+const stallGap = 300 * time.Millisecond
+
+// Alive notes that the shard is being called. It is told so often that a long gap, which
+// is returned, means that this instance was short of processor time, or suspended.
+func (s *Shard) Alive(now time.Time) (gap time.Duration) {
+	first := s.aliveAt.IsZero()
+	gap = now.Sub(s.aliveAt)
+	s.aliveAt = now
+	if !first && gap <= stallGap {
+		return 0
+	}
+	s.stalledAt = now
+	if first {
+		return 0
+	}
+	return gap
+}
