A batch collects the changed jobs once; the log writer's loop without a jump

Found on reading the change again: Batch collected and sorted the jobs with changes three times, on an owner's hot path. Jobs that starts change are part of the batch already, so that one list serves. Behaviour is unchanged; the tests keep their assertions.

--- a/entry/logging/async.go
+++ b/entry/logging/async.go
@@ -61,7 +61,7 @@
 // write writes a line and those that wait already. Several lines share a write as long
 // as a pipe passes them on in one piece.
 func (w *AsyncWriter) write(line []byte) {
-	for {
+	for waiting := true; waiting; {
 		select {
 		case next := <-w.lines:
 			if len(line)+len(next) > atomicWrite {
@@ -69,10 +69,9 @@
 				line = nil
 			}
 			line = append(line, next...)
-			continue
 		default:
+			waiting = false
 		}
-		break
 	}
 	w.flush(line)
 	if dropped := w.dropped.Swap(0); dropped > 0 {
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -96,11 +96,12 @@
 	}
 	s.expire(now)
 	b := &builder{shard: s, now: now, left: entries - loadEntries, in: map[*jobState]bool{}}
+	changed := b.changed()
 	b.addWaiting()
-	b.addFinal()
-	b.addOverdue()
+	b.addFinal(changed)
+	b.addOverdue(changed)
 	b.addStarts()
-	b.addChanged()
+	b.addRest(changed)
 	b.addLoad()
 	batch := b.finish()
 	s.planAt = now.Add(replanEvery)
@@ -211,32 +212,34 @@
 }
 
 // addFinal adds the jobs that have become final: their callers wait for that.
-func (b *builder) addFinal() {
-	b.addWhere(func(j *jobState) bool { return j.state.Final() })
-}
-
-// addOverdue adds the jobs whose changes have waited long: executors list their ends
-// again until they are durable.
-func (b *builder) addOverdue() {
-	b.addWhere(func(j *jobState) bool { return b.now.Sub(j.changedAt) > changeWait })
-}
-
-// addChanged adds what else has changed, as far as there is room beside starts.
-func (b *builder) addChanged() {
-	b.addWhere(func(*jobState) bool { return true })
+func (b *builder) addFinal(changed []*jobState) {
+	for _, j := range changed {
+		if j.state.Final() {
+			b.add(j)
+		}
+	}
 }
 
 // changeWait is how long the change of a job may wait for starts of others.
 const changeWait = 150 * time.Millisecond
 
-func (b *builder) addWhere(due func(*jobState) bool) {
-	for _, j := range b.changed() {
-		if due(j) {
+// addOverdue adds the jobs whose changes have waited long: executors list their ends
+// again until they are durable.
+func (b *builder) addOverdue(changed []*jobState) {
+	for _, j := range changed {
+		if b.now.Sub(j.changedAt) > changeWait {
 			b.add(j)
 		}
 	}
 }
 
+// addRest adds what else has changed, as far as there is room beside starts.
+func (b *builder) addRest(changed []*jobState) {
+	for _, j := range changed {
+		b.add(j)
+	}
+}
+
 // changed returns the jobs with changes that are not durable, in a fixed order.
 func (b *builder) changed() []*jobState {
 	list := make([]*jobState, 0, len(b.shard.jobs))
@@ -249,14 +252,10 @@
 		}
 		list = append(list, j)
 	}
-	sortJobs(list)
-	return list
-}
-
-func sortJobs(list []*jobState) {
 	slices.SortFunc(list, func(x, y *jobState) int {
 		return cmp.Or(x.Accepted.Compare(y.Accepted), cmp.Compare(x.ID, y.ID))
 	})
+	return list
 }
 
 func (b *builder) addStarts() {
