Election: a test in which duties that fall vacant together pile up on one instance (red)

Cause: a candidate leaves a duty to others by the number of duties that it *has*. The campaigns for different duties run side by side and all look before the first has won.

Evidence: five requests for a lease by one instance within 79 ms in the record; the test draws instances that start within 0.2 s, and fails at its first schedule: one of them holds fleet, a and b while others with as much processor room hold nothing.

--- /dev/null
+++ b/entry/election/spread_test.go
@@ -0,0 +1,235 @@
+package election
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	_ "github.com/tarragonreach/tarragonreach/api/rapidseed"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+)
+
+// storeLatency is how long each call to the store of these tests takes.
+const storeLatency = 4 * time.Millisecond
+
+// memoryStore is a store in memory, for virtual time. Its leases never lapse.
+type memoryStore struct {
+	mu       sync.Mutex
+	revision kv.Revision
+	leases   kv.LeaseID
+	items    map[string]kv.Item
+	events   []kv.Event
+	changed  chan struct{}
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{items: map[string]kv.Item{}, changed: make(chan struct{})}
+}
+
+func (s *memoryStore) note(e kv.Event) {
+	s.events = append(s.events, e)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *memoryStore) All(_ context.Context, prefix string, _ kv.Read) ([]kv.Item, kv.Revision, error) {
+	time.Sleep(storeLatency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var items []kv.Item
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, item)
+		}
+	}
+	return items, s.revision, nil
+}
+
+func (s *memoryStore) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Events, error) {
+	time.Sleep(storeLatency)
+	deadline := time.After(wait)
+	for {
+		s.mu.Lock()
+		answer := kv.Events{AsOf: s.revision}
+		for _, e := range s.events {
+			if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+				answer.Events = append(answer.Events, e)
+			}
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if len(answer.Events) > 0 {
+			return answer, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return answer, nil
+		case <-ctx.Done():
+			return kv.Events{}, ctx.Err()
+		}
+	}
+}
+
+func (s *memoryStore) Get(_ context.Context, key string) (kv.Item, error) {
+	time.Sleep(storeLatency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	item, found := s.items[key]
+	if !found {
+		return kv.Item{}, kv.ErrNotFound
+	}
+	return item, nil
+}
+
+func (s *memoryStore) Txn(_ context.Context, t kv.Txn) (kv.TxnResult, error) {
+	time.Sleep(storeLatency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range t.Conditions {
+		if s.items[c.Key].Revision != c.Revision {
+			return kv.TxnResult{Current: []kv.Item{s.items[c.Key]}}, nil
+		}
+	}
+	s.revision++
+	for _, p := range t.Puts {
+		item := kv.Item{Key: p.Key, Value: p.Value, Revision: s.revision, Created: s.revision, Lease: p.Lease}
+		s.items[p.Key] = item
+		s.note(kv.Event{Item: item})
+	}
+	for _, key := range t.Deletes {
+		s.remove(key)
+	}
+	return kv.TxnResult{Applied: true, Revision: s.revision}, nil
+}
+
+func (s *memoryStore) remove(key string) {
+	delete(s.items, key)
+	s.note(kv.Event{Item: kv.Item{Key: key, Revision: s.revision}, Removed: true})
+}
+
+func (s *memoryStore) Grant(_ context.Context, ttl time.Duration) (kv.Lease, error) {
+	time.Sleep(storeLatency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases++
+	return kv.Lease{ID: s.leases, TTL: ttl}, nil
+}
+
+func (s *memoryStore) KeepAlive(context.Context, kv.LeaseID) error {
+	time.Sleep(storeLatency)
+	return nil
+}
+
+func (s *memoryStore) Revoke(_ context.Context, id kv.LeaseID) error {
+	time.Sleep(storeLatency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, item := range s.items {
+		if item.Lease == id {
+			s.revision++
+			s.remove(key)
+		}
+	}
+	return nil
+}
+
+var testDuties = []string{"fleet", "a", "b", "c", "d"}
+
+// candidate is an instance that campaigns for all duties.
+type candidate struct {
+	id     string
+	cores  float64
+	begins time.Duration // after the first one
+
+	mu   sync.Mutex
+	held []string
+}
+
+func (c *candidate) run(ctx context.Context, store Store) {
+	time.Sleep(c.begins)
+	e := New(store, fleet.InstanceID(c.id), "z", c.cores, slog.New(slog.DiscardHandler))
+	var running sync.WaitGroup
+	running.Go(func() { e.Follow(ctx) })
+	for _, duty := range testDuties {
+		running.Go(func() {
+			e.Campaign(ctx, duty, func(ctx context.Context, _ Term) {
+				c.mu.Lock()
+				c.held = append(c.held, duty)
+				c.mu.Unlock()
+				<-ctx.Done()
+			})
+		})
+	}
+	running.Wait()
+}
+
+func (c *candidate) duties() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.held)
+}
+
+// settle lets the candidates campaign for a time and returns who holds what then.
+func settle(t *testing.T, candidates []*candidate, d time.Duration) map[string][]string {
+	held := map[string][]string{}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newMemoryStore()
+		var running sync.WaitGroup
+		for _, c := range candidates {
+			running.Go(func() { c.run(ctx, store) })
+		}
+		time.Sleep(d)
+		for _, c := range candidates {
+			held[c.id] = c.duties()
+		}
+		cancel()
+		running.Wait()
+	})
+	return held
+}
+
+// incident agrisportello-sched-grown inc1: all instances are lost and start again within
+// 0.2 s, and the first of them took three services at once, whose jobs it could not start.
+func TestDutiesVacantTogetherGoToDifferentInstances(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		var candidates []*candidate
+		add := func(kind string, cores float64, count int) {
+			for i := range count {
+				begins := time.Duration(rapid.IntRange(0, 200).Draw(r, "begins")) * time.Millisecond
+				candidates = append(candidates, &candidate{id: fmt.Sprintf("%s-%d", kind, i), cores: cores, begins: begins})
+			}
+		}
+		add("ample", 0.8, rapid.IntRange(len(testDuties), 8).Draw(r, "ample"))
+		add("scant", 0.19, rapid.IntRange(0, 8).Draw(r, "scant"))
+		taken := 0
+		for id, duties := range settle(t, candidates, 2*time.Second) {
+			taken += len(duties)
+			if len(duties) > 1 {
+				r.Fatalf("%s holds %v", id, duties)
+			}
+			if strings.HasPrefix(id, "scant") && len(duties) > 0 {
+				r.Fatalf("%s with little processor room holds %v", id, duties)
+			}
+		}
+		assert.Equal(r, taken, len(testDuties))
+	})
+}
+
+// The only instance that is left takes all duties, within two seconds.
+func TestLastInstanceTakesAllDuties(t *testing.T) {
+	alone := &candidate{id: "alone", cores: 0.8}
+	held := settle(t, []*candidate{alone}, 2*time.Second)
+	assert.Equal(t, len(held["alone"]), len(testDuties))
+}
