Election: an instance claims one duty after another, and waits longer for each it has

Cause: the campaigns of one instance for different duties looked at the number of duties it held all at once, before the first of them had won.

Change: one claim at a time for each instance; after a claim the next campaign looks again whether it is its turn. The wait counts from the moment the duty fell vacant, and no longer from when the campaign happened to look.

--- a/entry/election/election.go
+++ b/entry/election/election.go
@@ -29,8 +29,8 @@
 	renewEvery = 450 * time.Millisecond
 	// callTimeout bounds one call to the store.
 	callTimeout = 1200 * time.Millisecond
-	// standBack is how long an instance waits for each duty that it has already, so
-	// that duties spread over instances.
+	// standBack is how long an instance leaves a vacant duty to others for each duty
+	// that it has already, so that duties spread over instances.
 	standBack = 400 * time.Millisecond
 	// ampleCores is the processor room with which an instance leads a service through
 	// a peak.
@@ -95,21 +95,25 @@
 	logger   *slog.Logger
 	cores    float64
 
-	mu      sync.Mutex
-	loaded  bool
-	holders map[string]bool // by key: present
-	held    int
+	vacancies *vacancies
+	// claiming holds a token while a duty is being claimed: the next claim must know
+	// whether this one succeeded.
+	claiming chan struct{}
+	held     atomic.Int64
 }
 
 // New returns an election for an instance with some processor cores, or a share of one.
 func New(store Store, instance fleet.InstanceID, zone fleet.AvailabilityZone, cores float64, logger *slog.Logger) *Election {
-	return &Election{store: store, instance: instance, zone: zone, cores: cores, logger: logger, holders: map[string]bool{}}
+	return &Election{
+		store: store, instance: instance, zone: zone, cores: cores, logger: logger,
+		vacancies: newVacancies(), claiming: make(chan struct{}, 1),
+	}
 }
 
 // Follow keeps track of the duties until ctx ends.
 func (e *Election) Follow(ctx context.Context) {
 	apply := func(c follow.Change) {
-		if first := e.apply(c); first {
+		if first := e.vacancies.apply(c, time.Now()); first {
 			go e.releaseLeftOver(ctx, c.Events)
 		}
 	}
@@ -117,21 +121,6 @@
 	f.Run(ctx)
 }
 
-// apply takes a change in, and reports whether it was the first listing.
-func (e *Election) apply(c follow.Change) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	first := c.Reset && !e.loaded
-	if c.Reset {
-		e.loaded = true
-		clear(e.holders)
-	}
-	for _, event := range c.Events {
-		e.holders[event.Key] = !event.Removed
-	}
-	return first
-}
-
 // releaseLeftOver removes the keys that an earlier process of this instance left: it is
 // gone, and nobody need wait until its leases lapse. Were it still there, it would lose
 // the duty as by a lapsed lease.
@@ -158,18 +147,6 @@
 	e.logger.Info("duty of an earlier process released", "key", left.Key, "token", int64(left.Created), "applied", result.Applied, "error", err)
 }
 
-func (e *Election) vacant(duty string) (vacant bool, held int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.loaded && !e.holders[layout.OwnerKey(duty)], e.held
-}
-
-func (e *Election) count(delta int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.held += delta
-}
-
 // Campaign holds the duty again and again until ctx ends. Each time, lead is called
 // with a context that ends with the term; the term is given up when lead returns.
 func (e *Election) Campaign(ctx context.Context, duty string, lead func(context.Context, Term)) {
@@ -178,10 +155,9 @@
 		if err != nil {
 			continue // win waits by itself and ends with ctx
 		}
-		e.count(1)
-		e.logger.Info("duty taken", "duty", duty, "token", term.Token)
+		e.logger.Info("duty taken", "duty", duty, "token", term.Token, "held", e.held.Load())
 		e.lead(ctx, term, lead)
-		e.count(-1)
+		e.held.Add(-1)
 		e.logger.Info("duty given up", "duty", duty, "token", term.Token)
 	}
 }
@@ -225,27 +201,51 @@
 	}
 }
 
-// win waits until the duty is vacant and takes it.
+// win waits until it is this instance's turn to take the duty, and takes it.
 func (e *Election) win(ctx context.Context, duty string) (Term, error) {
+	hesitation := rand.N(jitter)
+	pause := pollEvery
 	for {
-		if err := backoff.Sleep(ctx, pollEvery); err != nil {
-			return Term{}, err
-		}
-		vacant, held := e.vacant(duty)
-		if !vacant {
-			continue
-		}
-		delay := e.deference(held) + rand.N(jitter)
-		if err := backoff.Sleep(ctx, delay); err != nil {
+		if err := backoff.Sleep(ctx, pause); err != nil {
 			return Term{}, err
 		}
-		if vacant, _ = e.vacant(duty); !vacant {
-			continue
+		wait, vacant := e.turn(duty, hesitation)
+		switch {
+		case !vacant:
+			pause = pollEvery
+		case wait > 0:
+			pause = min(wait, pollEvery)
+		default:
+			return e.claimInTurn(ctx, duty, hesitation)
 		}
-		return e.claim(ctx, duty)
 	}
 }
 
+// turn returns how long this instance still leaves a vacant duty to others.
+func (e *Election) turn(duty string, hesitation time.Duration) (wait time.Duration, vacant bool) {
+	since, vacant := e.vacancies.since(layout.OwnerKey(duty))
+	return e.deference(int(e.held.Load())) + hesitation - time.Since(since), vacant
+}
+
+// claimInTurn claims the duty after the claims of others by this instance that are on
+// their way, if it is still its turn then: each duty that it has makes it wait longer.
+func (e *Election) claimInTurn(ctx context.Context, duty string, hesitation time.Duration) (Term, error) {
+	select {
+	case e.claiming <- struct{}{}:
+	case <-ctx.Done():
+		return Term{}, ctx.Err()
+	}
+	defer func() { <-e.claiming }()
+	if wait, vacant := e.turn(duty, hesitation); !vacant || wait > 0 {
+		return Term{}, errNotItsTurn
+	}
+	term, err := e.claim(ctx, duty)
+	if err == nil {
+		e.held.Add(1)
+	}
+	return term, err
+}
+
 // deference is how long this instance leaves a vacant duty to others that have fewer
 // duties, or more processor room.
 func (e *Election) deference(held int) time.Duration {
@@ -286,7 +286,10 @@
 	return Term{}, fmt.Errorf("duty %s is taken: %w", duty, errors.Join(err, errTaken))
 }
 
-var errTaken = errors.New("another instance was first")
+var (
+	errTaken      = errors.New("another instance was first")
+	errNotItsTurn = errors.New("another duty was taken meanwhile")
+)
 
 // confirm finds out whether a claim without an answer took effect.
 func (e *Election) confirm(ctx context.Context, duty string, holder layout.Holder, lease kv.LeaseID) (Term, error) {
