Election: the wait for a vacant duty counts from when it could be campaigned for

Cause: at a first start the services are learned from the configuration 0.6 s after the listing of the duties, so that the wait of all instances was over before it began.

Change: the wait counts from the vacancy, or from the beginning of the campaign if that is later.

--- a/entry/election/election.go
+++ b/entry/election/election.go
@@ -150,8 +150,9 @@
 // Campaign holds the duty again and again until ctx ends. Each time, lead is called
 // with a context that ends with the term; the term is given up when lead returns.
 func (e *Election) Campaign(ctx context.Context, duty string, lead func(context.Context, Term)) {
+	c := campaign{duty: duty, since: time.Now()}
 	for ctx.Err() == nil {
-		term, err := e.win(ctx, duty)
+		term, err := e.win(ctx, c)
 		if err != nil {
 			continue // win waits by itself and ends with ctx
 		}
@@ -201,45 +202,56 @@
 	}
 }
 
+// campaign is the candidacy of this instance for a duty.
+type campaign struct {
+	duty string
+	// since is when it began. The others learn of a duty at about the same time, which
+	// may be long after it fell vacant.
+	since time.Time
+}
+
 // win waits until it is this instance's turn to take the duty, and takes it.
-func (e *Election) win(ctx context.Context, duty string) (Term, error) {
+func (e *Election) win(ctx context.Context, c campaign) (Term, error) {
 	hesitation := rand.N(jitter)
 	pause := pollEvery
 	for {
 		if err := backoff.Sleep(ctx, pause); err != nil {
 			return Term{}, err
 		}
-		wait, vacant := e.turn(duty, hesitation)
+		wait, vacant := e.turn(c, hesitation)
 		switch {
 		case !vacant:
 			pause = pollEvery
 		case wait > 0:
 			pause = min(wait, pollEvery)
 		default:
-			return e.claimInTurn(ctx, duty, hesitation)
+			return e.claimInTurn(ctx, c, hesitation)
 		}
 	}
 }
 
 // turn returns how long this instance still leaves a vacant duty to others.
-func (e *Election) turn(duty string, hesitation time.Duration) (wait time.Duration, vacant bool) {
-	since, vacant := e.vacancies.since(layout.OwnerKey(duty))
+func (e *Election) turn(c campaign, hesitation time.Duration) (wait time.Duration, vacant bool) {
+	since, vacant := e.vacancies.since(layout.OwnerKey(c.duty))
+	if since.Before(c.since) {
+		since = c.since
+	}
 	return e.deference(int(e.held.Load())) + hesitation - time.Since(since), vacant
 }
 
 // claimInTurn claims the duty after the claims of others by this instance that are on
 // their way, if it is still its turn then: each duty that it has makes it wait longer.
-func (e *Election) claimInTurn(ctx context.Context, duty string, hesitation time.Duration) (Term, error) {
+func (e *Election) claimInTurn(ctx context.Context, c campaign, hesitation time.Duration) (Term, error) {
 	select {
 	case e.claiming <- struct{}{}:
 	case <-ctx.Done():
 		return Term{}, ctx.Err()
 	}
 	defer func() { <-e.claiming }()
-	if wait, vacant := e.turn(duty, hesitation); !vacant || wait > 0 {
+	if wait, vacant := e.turn(c, hesitation); !vacant || wait > 0 {
 		return Term{}, errNotItsTurn
 	}
-	term, err := e.claim(ctx, duty)
+	term, err := e.claim(ctx, c.duty)
 	if err == nil {
 		e.held.Add(1)
 	}
