Test: a refused stop ends nothing (red)

An order that the executor refuses as unhealthy (429, 503) or malformed has had no effect, but a refused stop counted as carried out: it was not sent again, and the next look could void a run whose start was still on its way.

--- /dev/null
+++ b/policy/shard/held_test.go
@@ -0,0 +1,53 @@
+package shard
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/execution"
+)
+
+// ordersOf returns the orders of one kind that are due now.
+func (b *bench) ordersOf(kind OrderKind) []Order {
+	var list []Order
+	for _, o := range b.round() {
+		if o.Kind == kind {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// An executor that refuses a stop has done nothing: it is told again until it agrees.
+func TestRefusedStopIsSentAgain(t *testing.T) {
+	b := newBench(t, executorOf("i-1"))
+	lasting := oneTask
+	lasting.LongRunning = true
+	b.submit("00000000000000aa", lasting)
+	assert.Equal(t, len(b.startAll()), 1)
+	b.s.Cancel("00000000000000aa")
+	stops := b.ordersOf(OrderStop)
+	assert.Equal(t, len(stops), 1)
+	b.s.OrderAnswered(stops[0], Answered, execution.Reply{Refusal: execution.RefusedOther}, b.now)
+	b.now = b.now.Add(2 * resendEvery)
+	assert.Equal(t, len(b.ordersOf(OrderStop)), 1)
+}
+
+// A start without an answer may still arrive after a refused stop: its task stays where
+// it is.
+func TestRefusedStopFreesNoTask(t *testing.T) {
+	b := newBench(t, executorOf("i-1"))
+	b.submit("00000000000000aa", oneTask)
+	for range startSends {
+		starts := b.ordersOf(OrderStart)
+		assert.Equal(t, len(starts), 1)
+		b.s.OrderAnswered(starts[0], Ambiguous, execution.Reply{}, b.now)
+		b.now = b.now.Add(resendEvery)
+	}
+	stops := b.ordersOf(OrderStop)
+	assert.Equal(t, len(stops), 1)
+	b.s.OrderAnswered(stops[0], Answered, execution.Reply{Refusal: execution.RefusedOther}, b.now)
+	b.see("i-1", execution.View{Reply: execution.Reply{ClockMs: 1000}})
+	assert.Equal(t, len(b.s.executors["i-1"].runs), 1)
+}
