A stop that the executor refuses is sent again

Callers saw (possible, not seen in the record): a cancelled job that is never final and whose task runs on; a lasting task that never leaves an executor which is emptied; a second run of a task whose first start arrives late. Cause: stopAnswered looked at the delivery only, and took a refusal by an unhealthy executor for its consent. Change: a stop refused with RefusedOther is repeated like one without an answer. TestRefusedStopIsSentAgain and TestRefusedStopFreesNoTask failed before and pass now.

--- a/policy/shard/orders.go
+++ b/policy/shard/orders.go
@@ -189,7 +189,7 @@
 	case OrderStart:
 		s.startAnswered(r, d, reply.Refusal, now)
 	case OrderStop:
-		s.stopAnswered(r, d, now)
+		s.stopAnswered(r, d, reply.Refusal, now)
 	case OrderPace:
 		if d == Answered && reply.Refusal == execution.NotRefused {
 			r.paced = o.Percent
@@ -249,9 +249,10 @@
 	r.nextSend = time.Time{}
 }
 
-func (s *Shard) stopAnswered(r *run, d Delivery, now time.Time) {
+// stopAnswered notes that the executor lets the run end, unless it did nothing.
+func (s *Shard) stopAnswered(r *run, d Delivery, refusal execution.Refusal, now time.Time) {
 	r.nextSend = now.Add(resendEvery)
-	if d != Answered {
+	if d != Answered || refusal == execution.RefusedOther {
 		return
 	}
 	r.stopAnswer = true
