Test: a step that names an earlier one twice never starts (red)

A list with an entry twice is accepted, and its step stays blocked for good, and the job with it.

The test fails: 0 starts of the second step instead of 1.

--- a/policy/shard/held_test.go
+++ b/policy/shard/held_test.go
@@ -51,3 +51,17 @@
 	b.see("i-1", execution.View{Reply: execution.Reply{ClockMs: 1000}})
 	assert.Equal(t, len(b.s.executors["i-1"].runs), 1)
 }
+
+// A caller may name an earlier step twice: the step begins when that one is done.
+func TestStepThatNamesAnEarlierOneTwiceStarts(t *testing.T) {
+	b := newBench(t, executorOf("i-1"))
+	second := oneTask
+	second.After = []int{0, 0}
+	b.submit("00000000000000aa", oneTask, second)
+	assert.Equal(t, len(b.startAll()), 1)
+	v := b.view("i-1", nil)
+	v.Ended = []execution.Ended{{RunRef: v.Running[0].RunRef, Sequence: 1, How: execution.EndedDone}}
+	v.Running = nil
+	b.see("i-1", v)
+	assert.Equal(t, len(b.startAll()), 1)
+}
