A step that names an earlier one twice starts

Callers saw (possible, not seen in the record): an accepted job whose later step never starts. Cause: the count of unfinished earlier steps counted entries of the list, its decrement steps. Change: the count is over distinct steps. TestStepThatNamesAnEarlierOneTwiceStarts failed before and passes now.

--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -141,7 +141,7 @@
 	o := &occurrence{number: k, left: len(j.Definition.Steps)}
 	for i := range j.Definition.Steps {
 		def := &j.Definition.Steps[i]
-		s := &step{id: job.StepID{Job: j.ID, Occurrence: k, Step: i}, def: def, job: j, left: def.Count, blocked: len(def.After)}
+		s := &step{id: job.StepID{Job: j.ID, Occurrence: k, Step: i}, def: def, job: j, left: def.Count, blocked: earlierSteps(def)}
 		s.tasks = make([]*task, def.Count)
 		for n := range s.tasks {
 			s.tasks[n] = &task{id: job.TaskID{StepID: s.id, Index: n}, step: s}
@@ -151,6 +151,12 @@
 	return o
 }
 
+// earlierSteps is how many steps must be done first; a caller may name one twice.
+func earlierSteps(def *job.Step) int {
+	after := slices.Sorted(slices.Values(def.After))
+	return len(slices.Compact(after))
+}
+
 func (j *jobState) occurrence(k int) *occurrence {
 	i := slices.IndexFunc(j.occurrences, func(o *occurrence) bool { return o.number == k })
 	if i < 0 {
