Test: a rack is chosen on which a step may not run (red)

Where its executors lack the label that the step requires, or may each take fewer of its tasks, a gang waits for good though another rack would take it.

--- a/policy/shard/held_test.go
+++ b/policy/shard/held_test.go
@@ -5,7 +5,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/api/execution"
+	"github.com/tarragonreach/tarragonreach/api/job"
 )
 
 // ordersOf returns the orders of one kind that are due now.
@@ -65,3 +67,30 @@
 	b.see("i-1", v)
 	assert.Equal(t, len(b.startAll()), 1)
 }
+
+// A step that is to stay on one rack goes to one whose executors meet its conditions.
+func TestRackOfAStepHasExecutorsThatItMayUse(t *testing.T) {
+	labelled := rackExecutor("i-2", "r1-2")
+	labelled.Labels = append(labelled.Labels, "b")
+	byLabel, bySpread := oneTask, oneTask
+	byLabel.RequiredLabel = "b"
+	bySpread.MaxPerServer = 1
+	for name, c := range map[string]struct {
+		step      job.Step
+		executors []cluster.Executor
+	}{
+		"label":          {byLabel, []cluster.Executor{rackExecutor("i-1", "r1-1"), labelled}},
+		"max per server": {bySpread, []cluster.Executor{rackExecutor("i-1", "r1-1"), rackExecutor("i-2", "r1-2"), rackExecutor("i-3", "r1-2")}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, c.executors...)
+			c.step.SameRack, c.step.Gang, c.step.Count = true, true, 2
+			b.submit("00000000000000aa", c.step)
+			starts := b.startAll()
+			assert.Equal(t, len(starts), 2)
+			for _, s := range starts {
+				assert.Equal(t, s.Executor.Rack(), "r1-2")
+			}
+		})
+	}
+}
