A rack is chosen for a step by the room that it may use

Callers saw (possible, not seen in the record; no site in use asks for one rack): an accepted job that never starts. Cause: rackFor counted the room of all executors on a rack, place then refused those without the label, beyond max-per-server or without a ticket. Change: rackFor counts the tasks that may be placed. TestRackOfAStepHasExecutorsThatItMayUse failed before and passes now.

--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -200,7 +200,7 @@
 	best := ""
 	for _, e := range b.usable() {
 		rack := e.Rack()
-		room[rack] += fitting(st.def.Room(), e.free())
+		room[rack] += b.roomFor(st, e)
 		if room[rack] >= st.def.Count && best == "" {
 			best = rack
 		}
@@ -208,6 +208,18 @@
 	return best
 }
 
+// roomFor is how many further tasks of the step may be placed on the executor.
+func (b *builder) roomFor(st *step, e *executorState) int {
+	if !b.allowed(st.tasks[0], e) {
+		return 0
+	}
+	n := fitting(st.def.Room(), e.free())
+	if most := st.def.MaxPerServer; most > 0 {
+		n = min(n, most-e.countOf(st))
+	}
+	return n
+}
+
 // fitting is how many tasks fit into the room.
 func fitting(need, room job.Resources) int {
 	n := int64(job.MaxTasks)
