Test: a lasting task waits for a rack that stays full (red)

Tasks that last never make room there, so that one which finds none waits for good, though other racks would take it; to be spread over racks only makes it slower.

TestLastingTaskStartsOnAnotherRackWhereItsOwnIsFull fails: 0 starts instead of 1. The test beside it, that short tasks wait, passes, and bounds the change.

--- a/policy/shard/held_test.go
+++ b/policy/shard/held_test.go
@@ -94,3 +94,29 @@
 		})
 	}
 }
+
+// A lasting task does not wait for room beside the others of its step, which never end.
+func TestLastingTaskStartsOnAnotherRackWhereItsOwnIsFull(t *testing.T) {
+	b := newBench(t, rackExecutor("i-1", "r1-1"))
+	step := oneTask
+	step.LongRunning, step.SameRack, step.Count = true, true, 5 // 4 fit
+	b.submit("00000000000000aa", step)
+	assert.Equal(t, len(b.startAll()), 4)
+	b.s.SetExecutors([]cluster.Executor{rackExecutor("i-1", "r1-1"), rackExecutor("i-2", "r1-2")}, b.now)
+	b.see("i-2", execution.View{Reply: execution.Reply{ClockMs: 1000}})
+	starts := b.startAll()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Executor.ID, cluster.ExecutorID("i-2"))
+}
+
+// Short tasks of a step that is to stay on one rack do wait there: others end soon.
+func TestShortTaskWaitsForRoomOnTheRackOfItsStep(t *testing.T) {
+	b := newBench(t, rackExecutor("i-1", "r1-1"))
+	step := oneTask
+	step.SameRack, step.Count = true, 5 // 4 fit
+	b.submit("00000000000000aa", step)
+	assert.Equal(t, len(b.startAll()), 4)
+	b.s.SetExecutors([]cluster.Executor{rackExecutor("i-1", "r1-1"), rackExecutor("i-2", "r1-2")}, b.now)
+	b.see("i-2", execution.View{Reply: execution.Reply{ClockMs: 1000}})
+	assert.Equal(t, len(b.startAll()), 0)
+}
