A lasting task does not wait for a rack that stays full

Callers saw (possible, not seen in the record; no site in use asks for one rack): a lasting task that is not at work again after its executor was lost. Cause: rackFor held all tasks of a step to the rack of those that run. Change: lasting tasks go elsewhere where no executor of that rack may take one; short ones still wait, since what runs there ends. TestLastingTaskStartsOnAnotherRackWhereItsOwnIsFull failed before and passes now.

--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -186,14 +186,14 @@
 }
 
 // rackFor returns the rack on which all tasks of a step that is slow over several
-// racks are placed, or "" where the step does not care or no rack has room.
+// racks are placed, or "" where the step does not care or no rack has room for them.
 func (b *builder) rackFor(st *step) string {
 	if !st.def.SameRack {
 		return ""
 	}
 	for _, t := range st.tasks {
 		if t.current != nil {
-			return t.current.executor.Rack()
+			return b.rackBeside(st, t.current.executor.Rack())
 		}
 	}
 	room := map[string]int{}
@@ -208,6 +208,18 @@
 	return best
 }
 
+// rackBeside returns the rack of a step's other tasks, or "" where it is full of work
+// that need not end.
+func (b *builder) rackBeside(st *step, rack string) string {
+	full := !slices.ContainsFunc(b.usable(), func(e *executorState) bool {
+		return e.Rack() == rack && b.roomFor(st, e) > 0
+	})
+	if full && st.def.LongRunning {
+		return ""
+	}
+	return rack
+}
+
 // roomFor is how many further tasks of the step may be placed on the executor.
 func (b *builder) roomFor(st *step, e *executorState) int {
 	if !b.allowed(st.tasks[0], e) {
