Test: advice is asked on the same 30 executors for ever (red)

A step that none of them may run is asked about again and again, on the same 30, and never starts, though others of its pool may run it.

The test fails: not started within 10 s of virtual time.

--- a/policy/shard/held_test.go
+++ b/policy/shard/held_test.go
@@ -1,7 +1,10 @@
 package shard
 
 import (
+	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -120,3 +123,34 @@
 	b.see("i-2", execution.View{Reply: execution.Reply{ClockMs: 1000}})
 	assert.Equal(t, len(b.startAll()), 0)
 }
+
+// A step that few executors may run finds one, however many there are: a question names
+// only some of them.
+func TestAdviceIsAskedOnAllExecutors(t *testing.T) {
+	var executors []cluster.Executor
+	for i := range 3 * adviceExecutors {
+		executors = append(executors, executorOf(fmt.Sprintf("i-%03d", i)))
+	}
+	good := executors[len(executors)-1].ID
+	b := newBench(t, executors...)
+	const validity = 2 * time.Second
+	b.s.AddJob(Record{
+		ID: "00000000000000aa", Accepted: b.now, Definition: job.Definition{Steps: []job.Step{oneTask}},
+		Queue: QueueTerms{Name: "q", MaxAttempts: 2, Advice: &cluster.Advice{Validity: validity}},
+	}, nil, b.now)
+	for range 100 {
+		for _, q := range b.s.Questions(b.now) {
+			tickets := map[cluster.ExecutorID]string{}
+			if slices.Contains(q.Executors, good) {
+				tickets[good] = "ticket"
+			}
+			b.s.QuestionAnswered(q, tickets, validity, b.now, b.now)
+		}
+		if starts := b.ordersOf(OrderStart); len(starts) > 0 {
+			assert.Equal(t, starts[0].Executor.ID, good)
+			return
+		}
+		b.now = b.now.Add(100 * time.Millisecond)
+	}
+	t.Fatal("never started")
+}
