Advice is asked on all executors in turn

Callers saw (possible, not seen in the record; no site in use has a queue with advice): an accepted job that never starts. Cause: each question named the first 30 usable executors by ID. Change: questions go on where the last one ended, and an answer without any ticket counts as none where it left executors out; where all were named it holds for its validity, as before. TestAdviceIsAskedOnAllExecutors failed before and passes now.

--- a/policy/shard/advice.go
+++ b/policy/shard/advice.go
@@ -22,7 +22,8 @@
 	Step      job.StepID
 	Executors []cluster.ExecutorID
 
-	step *step
+	step   *step
+	others bool // there are executors that it does not name
 }
 
 // Questions returns what to ask the advice service now, most urgent first. Each is
@@ -49,25 +50,37 @@
 	if st.blocked > 0 || st.left == 0 || t.asking || now.Before(t.until) || now.Before(t.retryAt) {
 		return Question{}, false
 	}
-	q := Question{Step: st.id, step: st}
-	for _, e := range s.sortedExecutors() {
-		if e.usable(now) && len(q.Executors) < adviceExecutors {
-			q.Executors = append(q.Executors, e.ID)
-		}
-	}
-	if len(q.Executors) == 0 {
+	usable := s.usableExecutors(now)
+	if len(usable) == 0 {
 		return Question{}, false
 	}
+	q := Question{Step: st.id, step: st}
+	for i := range min(len(usable), adviceExecutors) {
+		q.Executors = append(q.Executors, usable[(t.asked+i)%len(usable)])
+	}
+	q.others = len(usable) > len(q.Executors)
+	t.asked = (t.asked + len(q.Executors)) % len(usable)
 	t.asking = true
 	return q, true
 }
 
+// usableExecutors returns the executors that may be given work, in a fixed order.
+func (s *Shard) usableExecutors(now time.Time) []cluster.ExecutorID {
+	var ids []cluster.ExecutorID
+	for _, e := range s.sortedExecutors() {
+		if e.usable(now) {
+			ids = append(ids, e.ID)
+		}
+	}
+	return ids
+}
+
 // QuestionAnswered takes in the tickets for a step, valid for a time from sentAt;
 // nil tickets mean that no answer came.
 func (s *Shard) QuestionAnswered(q Question, byExecutor map[cluster.ExecutorID]string, validity time.Duration, sentAt, now time.Time) {
 	q.step.tickets.asking = false
 	q.step.tickets.retryAt = now.Add(adviceRetry)
-	if byExecutor == nil {
+	if byExecutor == nil || len(byExecutor) == 0 && q.others {
 		return
 	}
 	q.step.tickets.byExecutor = byExecutor
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -52,6 +52,7 @@
 	byExecutor map[cluster.ExecutorID]string
 	until      time.Time
 	asking     bool
+	asked      int // position after the last executor that a question named
 	retryAt    time.Time
 }
 
