Test: a job handed in again under an old ID is not planned (red)

The state of a final job is removed after three times the time that callers may ask for it; a submission of its ID is then accepted anew, and its record is dropped for as long as the owner leads.

The test fails: 0 jobs known instead of 1.

--- /dev/null
+++ b/entry/owner/again_test.go
@@ -0,0 +1,52 @@
+package owner
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/job"
+	"github.com/tarragonreach/tarragonreach/entry/follow"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/policy/shard"
+)
+
+const testService = cluster.Service("svc")
+
+func testOwner() *Owner {
+	return &Owner{
+		Options: Options{Service: testService, Logger: slog.New(slog.DiscardHandler)},
+		shard:   shard.New(shard.Limits{RunLease: 5 * time.Second, MaxRunLease: 10 * time.Second}, 1),
+
+		cordoned: map[cluster.ExecutorID]shard.Emptying{}, finished: map[job.ID]bool{},
+	}
+}
+
+// recordAt is a change that brings the record of a job.
+func recordAt(t *testing.T, id job.ID, revision kv.Revision) follow.Change {
+	t.Helper()
+	value, err := layout.Encode(shard.Record{ID: id, Accepted: time.Now(), Definition: job.Definition{Steps: []job.Step{{Count: 1}}}})
+	assert.NilError(t, err)
+	item := kv.Item{Key: layout.RecordKey(testService, id), Value: value, Revision: revision, Created: revision}
+	return follow.Change{Events: []kv.Event{{Item: item}}}
+}
+
+// A job is final, its state is removed after its time, and its ID is handed in again: the
+// new job is planned. An old event of the first one brings nothing back.
+func TestJobHandedInAgainAfterItsRemovalIsPlanned(t *testing.T) {
+	const id = job.ID("00000000000000aa")
+	const final, again = kv.Revision(9), kv.Revision(12)
+	o := testOwner()
+	o.applyJobs(recordAt(t, id, final-4), nil, time.Now())
+	o.cancel(id)
+	o.written(final, o.shard.Batch(time.Now(), kv.MaxTxnEntries))
+	assert.Equal(t, o.shard.Jobs(), 0)
+	o.applyJobs(recordAt(t, id, final-4), nil, time.Now())
+	assert.Equal(t, o.shard.Jobs(), 0)
+	o.applyJobs(recordAt(t, id, again), nil, time.Now())
+	assert.Equal(t, o.shard.Jobs(), 1)
+}
