A job handed in again after its removal is planned

Callers saw (possible, not seen in the record: it takes six minutes where states are kept for two): a submission answered 200, and a job that stays queued. Cause: the owner dropped records by ID. Change: it drops those that are no newer than its write that made the job final. The test's map changes its type with the code's; what it asserts stays. TestJobHandedInAgainAfterItsRemovalIsPlanned failed before and passes now.

--- a/entry/owner/load.go
+++ b/entry/owner/load.go
@@ -105,7 +105,8 @@
 			o.cordon(cluster.ExecutorID(name), event)
 		case event.Removed:
 		case kind == layout.ItemRecord:
-			if !o.finished[job.ID(name)] {
+			// A record after the job became final is a job of its own, handed in anew.
+			if event.Revision > o.finished[job.ID(name)] {
 				o.addRecord(event.Item, begun[job.ID(name)], now)
 			}
 		case kind == layout.ItemCancel:
@@ -138,7 +139,7 @@
 		o.Logger.Info("job cancelled", "job", string(id))
 		return
 	}
-	if o.finished[id] {
+	if _, final := o.finished[id]; final {
 		o.staleCancels = append(o.staleCancels, id)
 	}
 }
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -99,9 +99,9 @@
 	grantsAt  time.Time // when that was checked last
 
 	cordoned map[cluster.ExecutorID]shard.Emptying
-	// finished holds the jobs that this owner has made final; an old event of the
-	// store must not bring them back.
-	finished     map[job.ID]bool
+	// finished holds the jobs that this owner has made final, with the revision of that
+	// write; an old event of the store must not bring them back.
+	finished     map[job.ID]kv.Revision
 	staleCancels []job.ID // cancellations of jobs that were final
 }
 
@@ -114,7 +114,7 @@
 		shard:    shard.New(options.Limits, term.Token),
 		clients:  map[cluster.ExecutorID]Executor{},
 		events:   make(chan event, eventQueue),
-		cordoned: map[cluster.ExecutorID]shard.Emptying{}, finished: map[job.ID]bool{},
+		cordoned: map[cluster.ExecutorID]shard.Emptying{}, finished: map[job.ID]kv.Revision{},
 		ctx: ctx, lose: cancel, grants: true,
 	}
 	o.Logger = options.Logger.With("service", string(options.Service), "token", term.Token)
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -196,7 +196,7 @@
 	o.shard.Committed()
 	for _, w := range b.Jobs {
 		if w.State.Final() {
-			o.finished[w.ID] = true
+			o.finished[w.ID] = revision
 		}
 		if w.Show {
 			o.Logger.Info("job", "job", string(w.ID), "queue", w.Queue, "state", string(w.State), "revision", int64(revision))
