--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -10,18 +10,23 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 )
 
 // scriptedStore answers watches as a test says; listings show items as they stand.
 type scriptedStore struct {
 	items   []kv.Item
+	listing time.Duration // how long one takes
 	lists   int
 	watches int
 	watch   func(number int, wait time.Duration) (kv.Events, error)
 }
 
-func (s *scriptedStore) All(context.Context, string, kv.Read) ([]kv.Item, kv.Revision, error) {
+func (s *scriptedStore) All(ctx context.Context, _ string, _ kv.Read) ([]kv.Item, kv.Revision, error) {
+	if err := backoff.Sleep(ctx, s.listing); err != nil {
+		return nil, 0, err
+	}
 	s.lists++
 	return s.items, kv.Revision(s.lists), nil
 }
@@ -81,3 +86,16 @@
 		assert.Equal(t, store.watches, 8)
 	})
 }
+
+// A prefix with many entries, on a slow link or from a slow store, takes long to list; what
+// is under it is learnt all the same.
+func TestLongListingIsNotGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{listing: 20 * time.Second, watch: func(_ int, wait time.Duration) (kv.Events, error) {
+			time.Sleep(wait)
+			return kv.Events{}, nil
+		}}
+		changes := runFollower(t, store, Follower{}, time.Minute)
+		assert.Assert(t, len(changes) > 0)
+	})
+}
