--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -13,6 +13,7 @@
 
 // Store is the part of the store that a follower reads.
 type Store interface {
+	// All returns all items; it bounds the time of each of its calls by itself.
 	All(ctx context.Context, prefix string, read kv.Read) ([]kv.Item, kv.Revision, error)
 	Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Events, error)
 }
@@ -22,8 +23,6 @@
 	defaultWait = 1 * time.Second
 	// watchSlack is how much later than asked the answer of a watch may come.
 	watchSlack = 400 * time.Millisecond
-	// listTimeout bounds the listing of a prefix.
-	listTimeout = 3 * time.Second
 )
 
 // retry spaces calls to a store that fails.
@@ -86,8 +85,6 @@
 }
 
 func (f *Follower) list(ctx context.Context) (kv.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
 	items, asOf, err := f.Store.All(ctx, f.Prefix, kv.Linearizable)
 	if err != nil {
 		return 0, err
--- a/entry/owner/load.go
+++ b/entry/owner/load.go
@@ -15,8 +15,9 @@
 	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
-// loadTimeout bounds the reading of a shard at takeover.
-const loadTimeout = 5 * time.Second
+// chainTimeout bounds the reading of a shard's chain at takeover. Its listings take as
+// long as they are, and are bounded page by page.
+const chainTimeout = 5 * time.Second
 
 func (o *Owner) shardPrefix() string { return layout.ShardPrefix(o.Service) }
 
@@ -47,8 +48,6 @@
 // load takes in what earlier owners stored. The term is held already, so that no
 // earlier owner's write comes after it.
 func (o *Owner) load(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
 	s, err := o.read(ctx)
 	if err != nil {
 		return err
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -35,6 +35,8 @@
 
 // readChain returns the revision of the last write; zero before the first.
 func (o *Owner) readChain(ctx context.Context) (kv.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, chainTimeout)
+	defer cancel()
 	item, err := o.Store.Get(ctx, layout.ChainKey(o.Service))
 	if errors.Is(err, kv.ErrNotFound) {
 		return 0, nil
--- a/entry/storehealth/storehealth.go
+++ b/entry/storehealth/storehealth.go
@@ -166,15 +166,6 @@
 	return item, err
 }
 
-// All implements the store.
-func (s *Store) All(ctx context.Context, prefix string, read kv.Read) ([]kv.Item, kv.Revision, error) {
-	ctx, release := s.untilBack(ctx)
-	defer release()
-	items, revision, err := s.Client.All(ctx, prefix, read)
-	s.observe(err)
-	return items, revision, err
-}
-
 // Watch implements the store. A watch without an answer counts for nothing: watches
 // may be silent while the store answers other calls.
 func (s *Store) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Events, error) {
