Jobs are put in order for advice only where a queue needs it

Callers see (suspected as a part of the incident; its record does not say what the owner's processor time went into): starts come the later, the longer the backlog of their service. Cause: Questions ordered all jobs after each event of the owner, wherever the settings name an advice service. Change: the shard knows which of its jobs need advice; without one there is nothing to do, with some the search is made at most every 50 ms.

--- a/policy/shard/advice.go
+++ b/policy/shard/advice.go
@@ -15,8 +15,20 @@
 	adviceRetry = 300 * time.Millisecond
 	// adviceExecutors is how many executors one question names.
 	adviceExecutors = 30
+	// questionsEvery is the least time between two searches for steps that need advice,
+	// each of which puts the jobs in order.
+	questionsEvery = 50 * time.Millisecond
 )
 
+// noteAdvice notes whether the job's steps need advice.
+func (s *Shard) noteAdvice(j *jobState) {
+	if j.Queue.Advice == nil {
+		delete(s.advised, j.ID)
+		return
+	}
+	s.advised[j.ID] = true
+}
+
 // Question asks the advice service about a step.
 type Question struct {
 	Step      job.StepID
@@ -29,6 +41,10 @@
 // Questions returns what to ask the advice service now, most urgent first. Each is
 // open until QuestionAnswered.
 func (s *Shard) Questions(now time.Time) []Question {
+	if len(s.advised) == 0 || now.Before(s.questionsAt) {
+		return nil
+	}
+	s.questionsAt = now.Add(questionsEvery)
 	var list []Question
 	for _, j := range s.startOrder(now) {
 		if j.Queue.Advice == nil {
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -130,6 +130,7 @@
 		if w.State.Final() {
 			w.job.durable = w.job.version
 			delete(s.jobs, w.ID)
+			delete(s.advised, w.ID)
 		}
 	}
 	for _, r := range b.starts {
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -61,6 +61,7 @@
 	limits    Limits
 	token     int64 // fencing token
 	jobs      map[job.ID]*jobState
+	advised   map[job.ID]bool // of these, the ones whose steps need advice
 	executors map[cluster.ExecutorID]*executorState
 	touched   bool      // something changed that a new plan may use
 	planAt    time.Time // when to plan again, if nothing changes before
@@ -84,6 +85,8 @@
 	arrivedJobs int64
 
 	pendingBatch *Batch
+
+	questionsAt time.Time // when to look again for steps that need advice
 }
 
 // New returns the shard of an owner with a fencing token.
@@ -91,6 +94,7 @@
 	return &Shard{
 		limits: limits, token: token,
 		jobs:      map[job.ID]*jobState{},
+		advised:   map[job.ID]bool{},
 		executors: map[cluster.ExecutorID]*executorState{},
 		waiting:   map[string]int{},
 	}
@@ -120,6 +124,7 @@
 	}
 	j := newJob(r)
 	s.jobs[r.ID] = j
+	s.noteAdvice(j)
 	s.touched, s.waitingDirty = true, true
 	if !j.lasts() {
 		s.arrivedWork += workOf(r)
@@ -246,6 +251,7 @@
 	for _, j := range s.jobs {
 		if j.Queue.Name == q.Name {
 			j.Queue = TermsOf(q)
+			s.noteAdvice(j)
 		}
 	}
 }
