--- a/entry/owner/load.go
+++ b/entry/owner/load.go
@@ -15,8 +15,9 @@
 	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
-// loadTimeout bounds the reading of a shard at takeover.
-const loadTimeout = 5 * time.Second
+// chainTimeout bounds the reading of a shard's chain at takeover. Its listings take as
+// long as they are, and are bounded page by page.
+const chainTimeout = 5 * time.Second
 
 func (o *Owner) shardPrefix() string { return layout.ShardPrefix(o.Service) }
 
@@ -47,8 +48,6 @@
 // load takes in what earlier owners stored. The term is held already, so that no
 // earlier owner's write comes after it.
 func (o *Owner) load(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
 	s, err := o.read(ctx)
 	if err != nil {
 		return err
@@ -105,7 +104,8 @@
 			o.cordon(cluster.ExecutorID(name), event)
 		case event.Removed:
 		case kind == layout.ItemRecord:
-			if !o.finished[job.ID(name)] {
+			// A record after the job became final is a job of its own, handed in anew.
+			if event.Revision > o.finished[job.ID(name)] {
 				o.addRecord(event.Item, begun[job.ID(name)], now)
 			}
 		case kind == layout.ItemCancel:
@@ -138,7 +138,7 @@
 		o.Logger.Info("job cancelled", "job", string(id))
 		return
 	}
-	if o.finished[id] {
+	if _, final := o.finished[id]; final {
 		o.staleCancels = append(o.staleCancels, id)
 	}
 }
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -35,6 +35,8 @@
 
 // readChain returns the revision of the last write; zero before the first.
 func (o *Owner) readChain(ctx context.Context) (kv.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, chainTimeout)
+	defer cancel()
 	item, err := o.Store.Get(ctx, layout.ChainKey(o.Service))
 	if errors.Is(err, kv.ErrNotFound) {
 		return 0, nil
@@ -196,7 +198,7 @@
 	o.shard.Committed()
 	for _, w := range b.Jobs {
 		if w.State.Final() {
-			o.finished[w.ID] = true
+			o.finished[w.ID] = revision
 		}
 		if w.Show {
 			o.Logger.Info("job", "job", string(w.ID), "queue", w.Queue, "state", string(w.State), "revision", int64(revision))
