Owners: a batch spends less on jobs that can't start now

Cause: a batch looked through the tasks of every job whose need was known to find no room, and of every job once it was full; compared jobs by five keys each, with times computed anew; and sorted the executors each time.

Change: steps without room and jobs without an entry left are passed over first; keys of the order are computed once; the sorted executors are kept until one comes or goes; a need without room replaces the larger ones.

--- a/policy/shard/order.go
+++ b/policy/shard/order.go
@@ -45,10 +45,30 @@
 	}
 }
 
+// ranked is a job with what its place in the order depends on.
 type ranked struct {
 	job      *jobState
 	standing standing
-	begun    int // 0 where work is already invested
+	begun    bool  // work is already invested
+	deadline int64 // nanoseconds since 1970
+}
+
+// compareRanked puts jobs that start earlier first.
+func compareRanked(x, y ranked) int {
+	switch {
+	case x.standing != y.standing:
+		return cmp.Compare(x.standing, y.standing)
+	case x.job.Queue.Priority != y.job.Queue.Priority:
+		return cmp.Compare(x.job.Queue.Priority, y.job.Queue.Priority)
+	case x.begun != y.begun && x.begun:
+		return -1
+	case x.begun != y.begun:
+		return 1
+	case x.deadline != y.deadline:
+		return cmp.Compare(x.deadline, y.deadline)
+	default:
+		return cmp.Compare(x.job.ID, y.job.ID)
+	}
 }
 
 // startOrder returns the jobs in the order in which they may start tasks: lasting
@@ -60,22 +80,10 @@
 		if j.ended() || j.state.Final() {
 			continue
 		}
-		r := ranked{job: j, standing: j.standing(now), begun: 1}
-		if j.begun() {
-			r.begun = 0
-		}
-		list = append(list, r)
+		list = append(list, ranked{job: j, standing: j.standing(now), begun: j.begun(), deadline: j.deadline().UnixNano()})
 	}
 	s.limitExpiring(list)
-	slices.SortFunc(list, func(x, y ranked) int {
-		return cmp.Or(
-			cmp.Compare(x.standing, y.standing),
-			cmp.Compare(x.job.Queue.Priority, y.job.Queue.Priority),
-			cmp.Compare(x.begun, y.begun),
-			x.job.deadline().Compare(y.job.deadline()),
-			cmp.Compare(x.job.ID, y.job.ID),
-		)
-	})
+	slices.SortFunc(list, compareRanked)
 	jobs := make([]*jobState, len(list))
 	for i, r := range list {
 		jobs[i] = r.job
--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -99,11 +99,17 @@
 		}
 	}
 	if !fits {
-		b.noRoom = append(b.noRoom, t.step.def.Room())
+		b.noteNoRoom(t.step.def.Room())
 	}
 	return best
 }
 
+// noteNoRoom notes a need for which no executor has room; larger ones need no note.
+func (b *builder) noteNoRoom(need job.Resources) {
+	b.noRoom = slices.DeleteFunc(b.noRoom, need.Fits)
+	b.noRoom = append(b.noRoom, need)
+}
+
 // isWithoutRoom reports whether no executor had room for as much or less in this batch.
 // Room only shrinks while a batch is planned.
 func (b *builder) isWithoutRoom(def *job.Step) bool {
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -262,6 +262,9 @@
 func (b *builder) addStarts() {
 	for _, j := range b.shard.startOrder(b.now) {
 		j.createDue(b.now)
+		if b.isClosedTo(j) {
+			continue
+		}
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
 				if st.blocked == 0 && st.left > 0 {
@@ -272,7 +275,15 @@
 	}
 }
 
+// isClosedTo reports whether the batch is known to have no entry left for the job.
+func (b *builder) isClosedTo(j *jobState) bool {
+	return b.batch.Full && b.left <= 0 && !b.in[j]
+}
+
 func (b *builder) startStep(st *step) {
+	if b.isWithoutRoom(st.def) {
+		return
+	}
 	var ready []*task
 	for _, t := range st.tasks {
 		if t.current == nil && !t.done && !b.now.Before(t.retryAt) {
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -63,8 +63,9 @@
 	jobs      map[job.ID]*jobState
 	advised   map[job.ID]bool // of these, the ones whose steps need advice
 	executors map[cluster.ExecutorID]*executorState
-	touched   bool      // something changed that a new plan may use
-	planAt    time.Time // when to plan again, if nothing changes before
+	sorted    []*executorState // by ID; nil after a change of executors
+	touched   bool             // something changed that a new plan may use
+	planAt    time.Time        // when to plan again, if nothing changes before
 	fenced    bool
 	grantsOff bool // the term is not confirmed: no lease of a run is renewed
 
@@ -150,6 +151,7 @@
 		if e == nil {
 			e = newExecutor(cluster.Executor{ID: tp.Executor, Address: tp.Address})
 			s.executors[tp.Executor] = e
+			s.sorted = nil
 		}
 		if e.leaseBound.IsZero() {
 			e.clockAt = now
@@ -208,6 +210,7 @@
 		if e == nil {
 			e = newExecutor(listed)
 			s.executors[listed.ID] = e
+			s.sorted = nil
 		}
 		if listed.Draining && !e.drained {
 			e.drained = true
@@ -218,6 +221,7 @@
 	maps.DeleteFunc(s.executors, func(_ cluster.ExecutorID, e *executorState) bool {
 		return !e.listed && len(e.runs) == 0
 	})
+	s.sorted = nil
 	s.touched = true
 	s.noteLeaving()
 	s.evacuate(now)
@@ -256,13 +260,16 @@
 	}
 }
 
+// sortedExecutors returns the executors by ID; the list must not be changed.
 func (s *Shard) sortedExecutors() []*executorState {
-	ids := slices.Sorted(maps.Keys(s.executors))
-	list := make([]*executorState, 0, len(ids))
-	for _, id := range ids {
-		list = append(list, s.executors[id])
+	if s.sorted != nil {
+		return s.sorted
 	}
-	return list
+	s.sorted = make([]*executorState, 0, len(s.executors))
+	for _, id := range slices.Sorted(maps.Keys(s.executors)) {
+		s.sorted = append(s.sorted, s.executors[id])
+	}
+	return s.sorted
 }
 
 func (e *executorState) sortedRuns() []*run {
