The shard can say why an accepted job has nothing running

Shard.Waiting examines the jobs and gives a reason for each that has nothing running (no usable executor, no room, held by a limit, start unsettled, store away, owner short of processor time, not its turn, not examined), counts the tasks that wait though usable executors have room for all of them together, and since when, and how full the batches were. It names up to 32 jobs, in turn, and compares at most 20,000 times. Tasks that would take each other's room are not counted: under a steady load there is always room for some task. Runs are counted by step and job where executors count them; the world test checks these counts at every step.

--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -97,14 +97,16 @@
 	e.wake()
 	e.runs[r.task.id] = r
 	e.used = e.used.Add(r.task.step.def.Room())
-	e.count(r.task.step.def, 1)
+	e.count(r.task.step, 1)
 }
 
-func (e *executorState) count(def *job.Step, by int) {
-	if def.LongRunning {
+func (e *executorState) count(st *step, by int) {
+	st.runs += by
+	st.job.runs += by
+	if st.def.LongRunning {
 		e.lasting += by
 	}
-	if def.TargetLatency > 0 {
+	if st.def.TargetLatency > 0 {
 		e.serving += by
 	}
 }
@@ -115,7 +117,7 @@
 	}
 	delete(e.runs, r.task.id)
 	e.used = e.used.Sub(r.task.step.def.Room())
-	e.count(r.task.step.def, -1)
+	e.count(r.task.step, -1)
 }
 
 // clock estimates the executor's clock; it is never ahead by more than the drift.
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -27,6 +27,11 @@
 	version int64 // rises with every change
 	durable int64 // the version that is stored
 	stored  bool  // whether progress was ever stored
+	runs    int   // of all its tasks
+	// idleSince and fitsSince are since when, as far as reports have found, nothing of it
+	// runs, and tasks of it wait though they fit.
+	idleSince time.Time
+	fitsSince time.Time
 	// changedAt is since when a change waits to become durable; zero where none does.
 	changedAt time.Time
 }
@@ -43,6 +48,7 @@
 	job      *jobState
 	tasks    []*task
 	left     int // tasks not done
+	runs     int // of its tasks that may take room somewhere
 	blocked  int // steps in After not done
 	failures int // of a gang as a whole
 	tickets  tickets
--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		fits = true
-		if !b.allowed(t, e) || rack != "" && e.Rack() != rack {
+		if !t.step.allows(e, b.now) || rack != "" && e.Rack() != rack {
 			continue
 		}
 		cost := placementCost(t, e)
@@ -123,16 +123,15 @@
 	return b.candidates
 }
 
-// allowed reports whether the executor meets the step's conditions, room aside.
-func (b *builder) allowed(t *task, e *executorState) bool {
-	def := t.step.def
-	if def.RequiredLabel != "" && !slices.Contains(e.Labels, def.RequiredLabel) {
+// allows reports whether the executor meets the step's conditions, room aside.
+func (s *step) allows(e *executorState, now time.Time) bool {
+	if s.def.RequiredLabel != "" && !slices.Contains(e.Labels, s.def.RequiredLabel) {
 		return false
 	}
-	if def.MaxPerServer > 0 && e.countOf(t.step) >= def.MaxPerServer {
+	if s.def.MaxPerServer > 0 && e.countOf(s) >= s.def.MaxPerServer {
 		return false
 	}
-	return t.step.job.Queue.Advice == nil || t.step.ticketFor(e.ID, b.now)
+	return s.job.Queue.Advice == nil || s.ticketFor(e.ID, now)
 }
 
 // placementCost is lower for better executors: near the data, not where the task
@@ -222,12 +221,18 @@
 
 // roomFor is how many further tasks of the step may be placed on the executor.
 func (b *builder) roomFor(st *step, e *executorState) int {
-	if !b.allowed(st.tasks[0], e) {
+	if !st.allows(e, b.now) {
 		return 0
 	}
-	n := fitting(st.def.Room(), e.free())
-	if most := st.def.MaxPerServer; most > 0 {
-		n = min(n, most-e.countOf(st))
+	return st.roomOn(e, e.free())
+}
+
+// roomOn is how many further tasks of the step fit into the room on an executor that it
+// allows.
+func (s *step) roomOn(e *executorState, room job.Resources) int {
+	n := fitting(s.def.Room(), room)
+	if most := s.def.MaxPerServer; most > 0 {
+		n = min(n, most-e.countOf(s))
 	}
 	return n
 }
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -110,6 +110,7 @@
 		return nil
 	}
 	s.pendingBatch = batch
+	s.pipeline.open(now, batch.Full)
 	return batch
 }
 
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -86,6 +86,8 @@
 
 	pendingBatch *Batch
 
+	pipeline    pipeline
+	namedLast   job.ID    // the last job that a report named
 	questionsAt time.Time // when to look again for steps that need advice
 }
 
--- a/policy/shard/world_test.go
+++ b/policy/shard/world_test.go
@@ -272,6 +272,7 @@
 	for _, look := range o.shard.Looks(w.now) {
 		w.sendLook(o, look)
 	}
+	checkRunCounts(w.t, o.shard)
 }
 
 // store makes batches durable; those of an owner that was replaced are refused.
