The owner says once a second which jobs wait, why, and how late it is itself

A line 'jobs wait' at most once a second while a job, or a task that fits, has waited for 3 s, or the store has told nothing of the jobs for as long; gauges all the time. While a shard is being read, its owner says that its jobs are not read back.

--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -204,6 +204,7 @@
 		Store:  h.store,
 		Dial:   dialExecutor,
 		Config: h.config.Load,
+		Cores:  h.node.Cores,
 		Logger: h.logger,
 		Scope:  h.metrics.Scope.SubScope("owner").Tagged(map[string]string{"service": string(service)}),
 	}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -54,6 +54,7 @@
 	Dial    Dial
 	Adviser Adviser // nil where no queue needs advice
 	Config  Config
+	Cores   float64 // processor room of the instance; zero where it is not known
 	Logger  *slog.Logger
 	Scope   tally.Scope
 }
@@ -98,6 +99,8 @@
 	grants    bool      // whether leases of runs may be renewed
 	grantsAt  time.Time // when that was checked last
 
+	delays delays
+
 	cordoned map[cluster.ExecutorID]shard.Emptying
 	// finished holds the jobs that this owner has made final, with the revision of that
 	// write; an old event of the store must not bring them back.
@@ -119,10 +122,17 @@
 	}
 	o.Logger = options.Logger.With("service", string(options.Service), "token", term.Token)
 	defer o.closeClients()
-	if err := o.load(ctx); err != nil {
+	now := time.Now()
+	o.delays = delays{ledSince: now, reportedAt: now, heardAt: now}
+	o.processorUsed() // from here on
+	done := o.tellReading(ctx)
+	err := o.load(ctx)
+	done()
+	if err != nil {
 		o.Logger.Warn("shard not taken over", "error", err)
 		return
 	}
+	defer o.measure(shard.Report{}, 0) // another instance reports from now on
 	o.follow(ctx)
 	o.loop(ctx)
 }
@@ -144,7 +154,10 @@
 	}}
 	go f.Run(ctx)
 	jobs := follow.Follower{Store: o.Store, Prefix: o.shardPrefix(), Pause: jobsPause, Wait: jobsWait, Logger: o.Logger, Apply: func(c follow.Change) {
-		o.send(func(now time.Time) { o.applyJobs(c, nil, now) })
+		o.send(func(now time.Time) {
+			o.delays.heardAt = now
+			o.applyJobs(c, nil, now)
+		})
 	}}
 	go jobs.Run(ctx)
 }
@@ -152,6 +165,7 @@
 // send hands an event to the loop, unless the term is over. An event that finds room
 // is taken even then: a leaving owner waits for the outcome of its last batch.
 func (o *Owner) send(e event) {
+	e = o.timed(e)
 	select {
 	case o.events <- e:
 		return
@@ -207,6 +221,7 @@
 	for _, look := range o.shard.Looks(now) {
 		o.look(look)
 	}
+	o.report(now)
 	if o.Adviser != nil {
 		for _, q := range o.shard.Questions(now) {
 			o.ask(q)
