Test: each answer makes an owner plan its whole backlog again (red)

Cause: a plan that finds nothing to store or start does not count as a round, so that the next answer of an executor, a fraction of a millisecond later, makes another one.

The test fails: the second answer at the same moment plans again.

--- /dev/null
+++ b/entry/owner/rounds_test.go
@@ -0,0 +1,41 @@
+package owner
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/job"
+	"github.com/tarragonreach/tarragonreach/policy/shard"
+)
+
+// waitingOwner leads a service with a backlog and no executor.
+func waitingOwner(t *testing.T, jobs int, now time.Time) *Owner {
+	t.Helper()
+	o := testOwner()
+	o.Logger = slog.New(slog.DiscardHandler)
+	for i := range jobs {
+		id := job.ID([]byte{'0' + byte(i/100), '0' + byte(i/10%10), '0' + byte(i%10)})
+		definition := job.Definition{Steps: []job.Step{{Count: 8, Estimate: time.Second}}}
+		o.shard.AddJob(shard.Record{ID: id, Accepted: now, Definition: definition}, nil, now)
+	}
+	for o.shard.Batch(now, 29) != nil {
+		o.shard.Committed()
+	}
+	return o
+}
+
+// replay agrisportello-sched-grown fresh-9769: each answer of an executor made the owner
+// plan its whole backlog again, though the last plan had found nothing to start.
+func TestAnswersDoNotPlanTheBacklogAgainAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o := waitingOwner(t, 500, now)
+	o.shard.SetExecutors(nil, now) // as an answer does
+	o.round(now)
+	assert.Assert(t, !o.shard.Pending(now), "the first answer makes a plan")
+	o.shard.SetExecutors(nil, now)
+	o.round(now)
+	assert.Assert(t, o.shard.Pending(now), "a second answer at the same moment makes another one")
+}
