Owners: a round that finds nothing is not made again at the next answer

Change: after a round that found nothing the next one waits eight times as long as it took, 30 ms at most; after a full batch none, else 30 ms, as before. With few jobs that is a fraction of a millisecond, with 2,000 jobs an eighth of the owner's time.

TestEmptyRoundsLeaveTimeForAnswers replays a thousand answers a second on a backlog that takes 2 ms to look through.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -93,8 +93,7 @@
 	lose    context.CancelFunc
 
 	writing   bool
-	lastRound time.Time
-	full      bool      // the last batch left something out
+	nextRound time.Time // not before
 	version   int64     // of the configuration taken in
 	grants    bool      // whether leases of runs may be renewed
 	grantsAt  time.Time // when that was checked last
--- a/entry/owner/rounds_test.go
+++ b/entry/owner/rounds_test.go
@@ -39,3 +39,20 @@
 	o.round(now)
 	assert.Assert(t, o.shard.Pending(now), "a second answer at the same moment makes another one")
 }
+
+// A thousand answers a second, and a backlog that takes 2 ms to look through: an eighth of
+// the time at most goes to rounds that find nothing. Full batches follow each other.
+func TestEmptyRoundsLeaveTimeForAnswers(t *testing.T) {
+	const took = 2 * time.Millisecond
+	spent, next := time.Duration(0), time.Duration(0)
+	for at := time.Duration(0); at < time.Second; at += time.Millisecond {
+		if at >= next {
+			spent += took
+			next = at + took + pauseAfter(nil, took)
+		}
+	}
+	assert.Assert(t, spent <= time.Second/8, "%v of a second", spent)
+	assert.Equal(t, pauseAfter(nil, time.Second), roundEvery)
+	assert.Equal(t, pauseAfter(&shard.Batch{Full: true}, took), time.Duration(0))
+	assert.Equal(t, pauseAfter(&shard.Batch{}, took), roundEvery)
+}
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -17,6 +17,9 @@
 	// chainEntries is what each write needs beside its batch: the conditions of the
 	// term and of the chain, and the new link.
 	chainEntries = 3
+	// emptyRoundPause is how many times as long as a round that found nothing took the
+	// next one waits.
+	emptyRoundPause = 8
 	// staleEntries bounds the cancellations of finished jobs that a write removes.
 	staleEntries = 4
 )
@@ -46,15 +49,17 @@
 
 // round stores the next batch, if there is one and no other is on its way.
 func (o *Owner) round(now time.Time) {
-	if o.writing || !o.full && now.Sub(o.lastRound) < roundEvery || !o.shard.Pending(now) {
+	if o.writing || now.Before(o.nextRound) || !o.shard.Pending(now) {
 		return
 	}
 	stale := o.staleCancels[:min(len(o.staleCancels), staleEntries)]
+	began := time.Now()
 	batch := o.shard.Batch(now, kv.MaxTxnEntries-chainEntries-len(stale))
+	took := time.Since(began)
+	o.nextRound = now.Add(took + pauseAfter(batch, took))
 	if batch == nil {
 		return
 	}
-	o.lastRound, o.full = now, batch.Full
 	txn, err := o.encode(batch)
 	for _, id := range stale {
 		txn.Deletes = append(txn.Deletes, layout.CancelKey(o.Service, id))
@@ -69,6 +74,20 @@
 	go o.write(txn, batch)
 }
 
+// pauseAfter is how long to wait after a round that took so long to plan. One that found
+// nothing is not made again at once: it looks through all jobs, and the answers that make
+// room need time, too.
+func pauseAfter(batch *shard.Batch, took time.Duration) time.Duration {
+	switch {
+	case batch == nil:
+		return min(roundEvery, emptyRoundPause*took)
+	case batch.Full:
+		return 0
+	default:
+		return roundEvery
+	}
+}
+
 func (o *Owner) encode(b *shard.Batch) (kv.Txn, error) {
 	o.chain.nonce = fmt.Sprintf("%016x", rand.Uint64())
 	link, err := layout.Encode(layout.Link{Nonce: o.chain.nonce})
