Owners: jobs are kept by their deadlines and not sorted for each plan

Change: a queue by deadline, kept as jobs come and go; a plan walks through it once and groups the jobs by standing, priority and whether they have begun. The order is the same. All queues' terms are taken in at once.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -267,9 +267,7 @@
 		return
 	}
 	o.version = c.Version
-	for _, q := range c.Queues {
-		o.shard.Queue(q)
-	}
+	o.shard.Queues(c.Queues)
 }
 
 // finishWait bounds how long a leaving owner waits for its last batch.
--- /dev/null
+++ b/policy/shard/deadlines.go
@@ -0,0 +1,39 @@
+package shard
+
+import (
+	"cmp"
+	"slices"
+)
+
+// deadlineQueue holds jobs by their deadlines, so that a plan need not sort them.
+type deadlineQueue struct {
+	jobs []*jobState
+}
+
+func compareDeadlines(x, y *jobState) int {
+	if x.queuedFor != y.queuedFor {
+		return cmp.Compare(x.queuedFor, y.queuedFor)
+	}
+	return cmp.Compare(x.ID, y.ID)
+}
+
+func (q *deadlineQueue) add(j *jobState) {
+	j.queuedFor = j.deadline().UnixNano()
+	at, _ := slices.BinarySearchFunc(q.jobs, j, compareDeadlines)
+	q.jobs = slices.Insert(q.jobs, at, j)
+}
+
+func (q *deadlineQueue) remove(j *jobState) {
+	at, found := slices.BinarySearchFunc(q.jobs, j, compareDeadlines)
+	if found {
+		q.jobs = slices.Delete(q.jobs, at, at+1)
+	}
+}
+
+// renew takes in that deadlines have changed.
+func (q *deadlineQueue) renew() {
+	for _, j := range q.jobs {
+		j.queuedFor = j.deadline().UnixNano()
+	}
+	slices.SortFunc(q.jobs, compareDeadlines)
+}
--- a/policy/shard/held_test.go
+++ b/policy/shard/held_test.go
@@ -229,3 +229,26 @@
 	}
 	assert.Equal(t, testing.AllocsPerRun(10, func() { b.s.Questions(b.now) }), 0.0)
 }
+
+// A changed objective changes the order of the jobs that wait already.
+func TestChangedTermsOfAQueueChangeTheOrder(t *testing.T) {
+	b := newBench(t, executorOf("i-1"))
+	b.submit("00000000000000aa", oneTask)
+	b.submit("00000000000000ab", oneTask)
+	first, second := b.s.jobs["00000000000000aa"], b.s.jobs["00000000000000ab"]
+	first.Queue.Name, second.Queue.Name = "patient", "urgent"
+	b.s.Queues([]cluster.Queue{
+		{Name: "patient", MaxAttempts: 2, Stretch: 2, TargetDuration: time.Hour},
+		{Name: "urgent", MaxAttempts: 2, Stretch: 2, TargetDuration: 10 * time.Second},
+	})
+	assert.DeepEqual(t, idsOf(b.s.startOrder(b.now)), []job.ID{second.ID, first.ID})
+	assert.Equal(t, len(b.startAll()), 2)
+}
+
+func idsOf(jobs []*jobState) []job.ID {
+	ids := make([]job.ID, len(jobs))
+	for i, j := range jobs {
+		ids[i] = j.ID
+	}
+	return ids
+}
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -24,6 +24,9 @@
 	chain time.Duration // longest chain of estimates
 	whole time.Duration // what remains of it before anything has started, with a margin
 
+	lasting   bool  // it runs until it is cancelled
+	queuedFor int64 // deadline by which it is queued, nanoseconds since 1970
+
 	version int64 // rises with every change
 	durable int64 // the version that is stored
 	stored  bool  // whether progress was ever stored
@@ -113,6 +116,7 @@
 
 func newJob(r Record) *jobState {
 	j := &jobState{Record: r, state: job.Queued, shown: job.Queued, version: 1, durable: 1}
+	j.lasting = slices.ContainsFunc(r.Definition.Steps, func(s job.Step) bool { return s.LongRunning })
 	j.over = make([]bool, r.Definition.Schedule.Occurrences())
 	j.chain = chainOf(r.Definition.Steps, func(s *job.Step, _ int) time.Duration { return s.Estimate })
 	j.whole = chainOf(r.Definition.Steps, func(s *job.Step, _ int) time.Duration { return withMargin(s.Estimate) + stepOverhead })
@@ -288,9 +292,7 @@
 func (j *jobState) begun() bool { return j.state != job.Queued }
 
 // lasts reports whether the job runs until it is cancelled.
-func (j *jobState) lasts() bool {
-	return slices.ContainsFunc(j.Definition.Steps, func(s job.Step) bool { return s.LongRunning })
-}
+func (j *jobState) lasts() bool { return j.lasting }
 
 // deadline is when the objective of an unscheduled job ends.
 func (j *jobState) deadline() time.Time { return j.Accepted.Add(j.objective()) }
--- a/policy/shard/order.go
+++ b/policy/shard/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -45,78 +46,59 @@
 	}
 }
 
-// ranked is a job with what its place in the order depends on.
-type ranked struct {
-	job      *jobState
+// rank is the part of a job's place in the order that changes with time; among equals the
+// earlier deadline comes first.
+type rank struct {
 	standing standing
-	begun    bool  // work is already invested
-	deadline int64 // nanoseconds since 1970
+	priority int
+	waits    int // 0 where work is already invested
 }
 
-// compareRanked puts jobs that start earlier first.
-func compareRanked(x, y ranked) int {
-	switch {
-	case x.standing != y.standing:
-		return cmp.Compare(x.standing, y.standing)
-	case x.job.Queue.Priority != y.job.Queue.Priority:
-		return cmp.Compare(x.job.Queue.Priority, y.job.Queue.Priority)
-	case x.begun != y.begun && x.begun:
-		return -1
-	case x.begun != y.begun:
-		return 1
-	case x.deadline != y.deadline:
-		return cmp.Compare(x.deadline, y.deadline)
-	default:
-		return cmp.Compare(x.job.ID, y.job.ID)
-	}
+func compareRank(x, y rank) int {
+	return cmp.Or(
+		cmp.Compare(x.standing, y.standing),
+		cmp.Compare(x.priority, y.priority),
+		cmp.Compare(x.waits, y.waits),
+	)
 }
 
 // startOrder returns the jobs in the order in which they may start tasks: lasting
 // ones, those that can still be in time, late ones; among equals by priority, begun
 // jobs before new ones, then by deadline.
 func (s *Shard) startOrder(now time.Time) []*jobState {
-	list := make([]ranked, 0, len(s.jobs))
-	for _, j := range s.jobs {
+	groups := map[rank][]*jobState{}
+	expiring := expiringShare * float64(s.capacityCPU())
+	count := 0
+	for _, j := range s.queue.jobs {
 		if j.ended() || j.state.Final() {
 			continue
 		}
-		list = append(list, ranked{job: j, standing: j.standing(now), begun: j.begun(), deadline: j.deadline().UnixNano()})
+		r := rank{standing: j.standing(now), priority: j.Queue.Priority, waits: 1}
+		if j.begun() {
+			r.waits = 0
+		}
+		if r.standing == standingExpiring {
+			expiring -= float64(j.openCPU())
+			if expiring < 0 {
+				r.standing = standingLate
+			}
+		}
+		groups[r] = append(groups[r], j)
+		count++
 	}
-	s.limitExpiring(list)
-	slices.SortFunc(list, compareRanked)
-	jobs := make([]*jobState, len(list))
-	for i, r := range list {
-		jobs[i] = r.job
+	ranks := slices.SortedFunc(maps.Keys(groups), compareRank)
+	jobs := make([]*jobState, 0, count)
+	for _, r := range ranks {
+		jobs = append(jobs, groups[r]...)
 	}
 	return jobs
 }
 
 // expiringShare bounds the share of the processor room for which late jobs go before
-// jobs that can still be in time.
+// jobs that can still be in time, those closest to their objective's end first: otherwise,
+// under load beyond the room, each would make another job late, which in turn would expire.
 const expiringShare = 0.15
 
-// limitExpiring lets only so many expiring jobs go first, those closest to their
-// objective's end first: otherwise, under load beyond the room, each would make
-// another job late, which in turn would expire.
-func (s *Shard) limitExpiring(list []ranked) {
-	var expiring []*ranked
-	for i := range list {
-		if list[i].standing == standingExpiring {
-			expiring = append(expiring, &list[i])
-		}
-	}
-	slices.SortFunc(expiring, func(x, y *ranked) int {
-		return cmp.Or(x.job.deadline().Compare(y.job.deadline()), cmp.Compare(x.job.ID, y.job.ID))
-	})
-	room := expiringShare * float64(s.capacityCPU())
-	for _, r := range expiring {
-		room -= float64(r.job.openCPU())
-		if room < 0 {
-			r.standing = standingLate
-		}
-	}
-}
-
 // capacityCPU is the processor room of all executors in use.
 func (s *Shard) capacityCPU() int64 {
 	var sum int64
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -131,6 +131,7 @@
 		if w.State.Final() {
 			w.job.durable = w.job.version
 			delete(s.jobs, w.ID)
+			s.queue.remove(w.job)
 			delete(s.advised, w.ID)
 		}
 	}
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -61,6 +61,7 @@
 	limits    Limits
 	token     int64 // fencing token
 	jobs      map[job.ID]*jobState
+	queue     deadlineQueue   // the same jobs
 	advised   map[job.ID]bool // of these, the ones whose steps need advice
 	executors map[cluster.ExecutorID]*executorState
 	sorted    []*executorState // by ID; nil after a change of executors
@@ -127,6 +128,7 @@
 	}
 	j := newJob(r)
 	s.jobs[r.ID] = j
+	s.queue.add(j)
 	s.noteAdvice(j)
 	s.touched, s.waitingDirty = true, true
 	if !j.lasts() {
@@ -252,14 +254,19 @@
 	s.evacuate(now)
 }
 
-// Queue takes in the present terms of a queue.
-func (s *Shard) Queue(q cluster.Queue) {
+// Queues takes in the present terms of the queues. Jobs of one that is missing keep theirs.
+func (s *Shard) Queues(list []cluster.Queue) {
+	terms := make(map[string]QueueTerms, len(list))
+	for _, q := range list {
+		terms[q.Name] = TermsOf(q)
+	}
 	for _, j := range s.jobs {
-		if j.Queue.Name == q.Name {
-			j.Queue = TermsOf(q)
+		if present, found := terms[j.Queue.Name]; found {
+			j.Queue = present
 			s.noteAdvice(j)
 		}
 	}
+	s.queue.renew()
 }
 
 // sortedExecutors returns the executors by ID; the list must not be changed.
