policy/shard: a property that tasks start in time once all is calm

RULES.md, LOST, bounds how long an accepted job may have nothing running while there is room for it: 3 s, once 4 s before them were calm. TestNothingForbiddenUnderFaults only checks that all jobs are final a minute after all trouble. The new property judges each job against that bound at any time, under executors that crash, leave, are dark, refuse, fail all or crawl; calls that are lost or late; owners killed, frozen, starved or without a store, and their successors; silent watches, cordons and changed queues. A task whose last run may go on unseen on an executor that is gone is left out until the lease that its owner has to assume has lapsed (10.5 s after a takeover).

The world of the existing tests answers 421 for an executor that is gone and 503 for one that refuses; in the schedules of those tests neither occurs.

--- a/policy/shard/world_test.go
+++ b/policy/shard/world_test.go
@@ -30,6 +30,8 @@
 	// calm worlds have no fault but owners short of processor time. An end that was
 	// listed binds there as if it had been acknowledged.
 	calm bool
+	// live is set where each task must also start in time.
+	live *liveSim
 }
 
 type storedJob struct {
@@ -88,6 +90,7 @@
 	sequence int64
 	lapsed   map[execution.RunRef]bool
 	noted    map[execution.RunRef]bool
+	faults   executorFaults
 }
 
 const (
@@ -130,7 +133,7 @@
 	var list []cluster.Executor
 	for _, e := range w.executors {
 		if e.alive && !e.cut {
-			list = append(list, cluster.Executor{ID: e.id, Address: e.address, Capacity: e.capacity, Labels: []string{"a", "r1-1"}})
+			list = append(list, cluster.Executor{ID: e.id, Address: e.address, Capacity: e.capacity, Labels: []string{"a", "r1-1"}, Draining: e.faults.draining})
 		}
 	}
 	return list
@@ -264,8 +267,10 @@
 		a.deliver()
 	}
 	o.answers = rest
-	o.shard.AllowGrants(o.replaced.IsZero() || w.now.Sub(o.replaced) < GrantTime(testLimits))
-	w.store(o)
+	o.shard.AllowGrants(w.termIsRecent(o))
+	if w.live == nil || w.live.round(w, o) {
+		w.store(o)
+	}
 	for _, order := range o.shard.Orders(w.now) {
 		w.send(o, order)
 	}
@@ -274,6 +279,15 @@
 	}
 }
 
+// termIsRecent reports whether the owner may renew leases of runs.
+func (w *world) termIsRecent(o *ownerSim) bool {
+	lost := o.replaced
+	if lost.IsZero() && w.live != nil {
+		lost = w.live.storeDownSince
+	}
+	return lost.IsZero() || w.now.Sub(lost) < GrantTime(testLimits)
+}
+
 // store makes batches durable; those of an owner that was replaced are refused.
 func (w *world) store(o *ownerSim) {
 	if o.batch != nil {
@@ -294,6 +308,11 @@
 }
 
 func (w *world) apply(b *Batch) {
+	for _, r := range b.starts {
+		if w.live != nil {
+			w.live.lastHost[r.task.id] = w.executors[r.executor.ID]
+		}
+	}
 	for _, write := range b.Jobs {
 		j := w.jobs[write.ID]
 		j.state = write.State
@@ -331,6 +350,9 @@
 	if w.calm {
 		return fateFine
 	}
+	if w.live != nil {
+		return w.live.fate(w, o, e)
+	}
 	if e == nil || !e.alive || e.cut == (o == w.owner) {
 		return rapid.SampledFrom([]fate{fateNotSent, fateNotSent + 1}).Draw(w.t, "unreachable")
 	}
@@ -385,6 +407,9 @@
 func (w *world) send(o *ownerSim, order Order) {
 	var reply execution.Reply
 	w.call(o, order.Executor.ID, func(e *executorSim) {
+		if reply.Refusal = w.refusal(e); reply.Refusal != execution.NotRefused {
+			return
+		}
 		if order.Kind == OrderStart {
 			reply = w.start(e, order.Start)
 		} else {
@@ -395,8 +420,23 @@
 
 func (w *world) sendLook(o *ownerSim, look LookOrder) {
 	var view execution.View
-	w.call(o, look.Executor.ID, func(e *executorSim) { view = w.look(e, look.Look) },
-		func(d Delivery) { o.shard.LookAnswered(look, d, view, w.now) })
+	w.call(o, look.Executor.ID, func(e *executorSim) {
+		if view.Refusal = w.refusal(e); view.Refusal == execution.NotRefused {
+			view = w.look(e, look.Look)
+		}
+	}, func(d Delivery) { o.shard.LookAnswered(look, d, view, w.now) })
+}
+
+// refusal is what an executor answers whatever it is asked.
+func (w *world) refusal(e *executorSim) execution.Refusal {
+	switch {
+	case !e.alive:
+		return execution.RefusedGone
+	case e.faults.refusing:
+		return execution.RefusedOther
+	default:
+		return execution.NotRefused
+	}
 }
 
 // start carries out a start, and checks it.
@@ -430,6 +470,9 @@
 	if rapid.IntRange(0, 5).Draw(w.t, "fails") == 0 {
 		r.how = execution.EndedFailed
 	}
+	if w.live != nil {
+		w.live.fillIn(w, e, r, def)
+	}
 	e.running[s.Task] = r
 	return reply
 }
@@ -549,6 +592,9 @@
 	delete(e.running, r.ref.Task)
 	e.highest[r.ref.Task] = max(e.highest[r.ref.Task], r.ref.Run)
 	e.sequence++
+	if w.live != nil {
+		w.live.lastEnd[r.ref.Task] = w.now
+	}
 	e.ended = append(e.ended, execution.Ended{RunRef: r.ref, Sequence: e.sequence, How: how, Checkpoint: "c"})
 }
 
