--- /dev/null
+++ b/entry/host/network_test.go
@@ -0,0 +1,146 @@
+package host_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// network connects clients and servers in memory, so that they run in virtual time.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*memoryListener
+	cuts      map[route]bool
+	conns     map[route][]net.Conn
+}
+
+// route is from a machine, or all where empty, to an address.
+type route struct{ from, to string }
+
+func newNetwork() *network {
+	return &network{listeners: map[string]*memoryListener{}, cuts: map[route]bool{}, conns: map[route][]net.Conn{}}
+}
+
+type memoryListener struct {
+	address string
+	accepts chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+	network *network
+}
+
+type memoryAddress string
+
+func (memoryAddress) Network() string  { return "memory" }
+func (a memoryAddress) String() string { return string(a) }
+
+func (n *network) listen(address string) net.Listener {
+	l := &memoryListener{address: address, accepts: make(chan net.Conn), closed: make(chan struct{}), network: n}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[address] = l
+	return l
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepts:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	l.network.mu.Lock()
+	defer l.network.mu.Unlock()
+	if l.network.listeners[l.address] == l {
+		delete(l.network.listeners, l.address)
+	}
+	return nil
+}
+
+func (l *memoryListener) Addr() net.Addr { return memoryAddress(l.address) }
+
+// silence is how long a connection to nobody is tried.
+const silence = 1 * time.Second
+
+var errSilent = errors.New("nobody answers")
+
+// dial returns how a machine opens connections.
+func (n *network) dial(from string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		n.mu.Lock()
+		cut := n.cuts[route{from, address}] || n.cuts[route{"", address}]
+		l := n.listeners[address]
+		n.mu.Unlock()
+		failed := func(err error) error {
+			return &net.OpError{Op: "dial", Net: "memory", Addr: memoryAddress(address), Err: err}
+		}
+		if cut {
+			select {
+			case <-ctx.Done():
+				return nil, failed(ctx.Err())
+			case <-time.After(silence):
+				return nil, failed(errSilent)
+			}
+		}
+		if l == nil {
+			return nil, failed(errors.New("connection refused"))
+		}
+		client, server := net.Pipe()
+		select {
+		case l.accepts <- server:
+		case <-l.closed:
+			return nil, failed(errors.New("connection refused"))
+		case <-ctx.Done():
+			return nil, failed(ctx.Err())
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.conns[route{from, address}] = append(n.conns[route{from, address}], client)
+		return client, nil
+	}
+}
+
+// cut lets nothing through from a machine, or all where from is empty, to an address.
+func (n *network) cut(from, to string) {
+	n.mu.Lock()
+	n.cuts[route{from, to}] = true
+	var broken []net.Conn
+	for r, conns := range n.conns {
+		if (from == "" || r.from == from) && r.to == to {
+			broken = append(broken, conns...)
+			delete(n.conns, r)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range broken {
+		_ = c.Close() // a pipe's end closes always
+	}
+}
+
+func (n *network) mend(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cuts, route{from, to})
+}
+
+// vanish ends all connections of a machine.
+func (n *network) vanish(from string) {
+	n.mu.Lock()
+	var broken []net.Conn
+	for r, conns := range n.conns {
+		if r.from == from {
+			broken = append(broken, conns...)
+			delete(n.conns, r)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range broken {
+		_ = c.Close() // a pipe's end closes always
+	}
+}
