--- a/policy/shard/liveness_test.go
+++ b/policy/shard/liveness_test.go
@@ -22,6 +22,8 @@
 	calmBefore  = 4 * time.Second
 	lastingRest = 6 * time.Second
 	judgeEvery  = 100 * time.Millisecond
+	// workOff is long enough for one executor to do all that a schedule hands in.
+	workOff = 10 * time.Minute
 )
 
 // executorFaults are what is wrong with an executor.
@@ -47,6 +49,9 @@
 	hopeless map[job.ID]bool
 	due      map[job.ID]time.Time
 	cordoned map[cluster.ExecutorID]Emptying
+	small    bool // no job needs most of an executor
+	doable   bool // no job that can't be done
+	quiet    bool // no job lasts, so that an idle owner hears nothing
 
 	noisyUntil     time.Time // calls are lost or late until then
 	muteUntil      time.Time // watches are silent until then
@@ -59,8 +64,14 @@
 	w := newWorld(t)
 	w.live = &liveSim{
 		calmSince: w.now, owedSince: map[job.TaskID]time.Time{}, lastEnd: map[job.TaskID]time.Time{}, lastHost: map[job.TaskID]*executorSim{}, goneAt: map[*executorSim]time.Time{},
+		small:    rapid.Bool().Draw(t, "small jobs"),
+		quiet:    rapid.Bool().Draw(t, "without lasting jobs"),
 		hopeless: map[job.ID]bool{}, due: map[job.ID]time.Time{}, cordoned: map[cluster.ExecutorID]Emptying{},
 	}
+	for i := range rapid.IntRange(0, 3).Draw(t, "executors fewer") {
+		delete(w.executors, cluster.ExecutorID(fmt.Sprintf("i-%d", i+1)))
+	}
+	w.relist()
 	return w
 }
 
@@ -348,7 +359,7 @@
 	case rapid.IntRange(0, 7).Draw(w.t, "timed") == 0:
 		l.due[id] = w.now.Add(time.Duration(rapid.IntRange(0, 8000).Draw(w.t, "due ms")) * time.Millisecond)
 		r.Definition.Schedule = job.Schedule{Count: 1, First: l.due[id], Interval: time.Second}
-	case rapid.IntRange(0, 7).Draw(w.t, "hopeless") == 0:
+	case !l.doable && rapid.IntRange(0, 7).Draw(w.t, "hopeless") == 0:
 		l.hopeless[id] = true
 	}
 	stored := &storedJob{
@@ -374,12 +385,15 @@
 			MaxPerServer:  rapid.SampledFrom([]int{0, 0, 0, 1, 2}).Draw(w.t, "max per server"),
 			SameRack:      rapid.IntRange(0, 5).Draw(w.t, "same rack") == 0,
 		}
+		if !w.live.small && rapid.IntRange(0, 3).Draw(w.t, "large") == 0 {
+			s.Need.MilliCPU = rapid.Int64Range(2000, 4000).Draw(w.t, "large cpu")
+		}
 		if i > 0 {
 			s.After = []int{rapid.IntRange(0, i-1).Draw(w.t, "after")}
 		}
 		steps = append(steps, s)
 	}
-	if rapid.IntRange(0, 5).Draw(w.t, "lasting") == 0 {
+	if !w.live.quiet && rapid.IntRange(0, 5).Draw(w.t, "lasting") == 0 {
 		steps = steps[:1]
 		steps[0].LongRunning, steps[0].MayMiss = true, 1
 		steps[0].Need = job.Resources{MilliCPU: 200, MemoryMB: 100}
@@ -432,6 +446,14 @@
 	}
 }
 
+func (w *world) setFaultEverywhere(kind int) {
+	for _, e := range w.executors {
+		if e.alive {
+			w.setFault(e, kind)
+		}
+	}
+}
+
 func (w *world) setCordon(ids map[cluster.ExecutorID]Emptying) {
 	w.live.cordoned = ids
 	w.hears(func() { w.owner.shard.Cordon(w.live.cordoned, w.now) })
@@ -455,10 +477,13 @@
 	case 7: // the terms of the queue change
 		w.owner.shard.Queue(cluster.Queue{Name: "q", MaxAttempts: 2, Stretch: 3, TargetDuration: w.ms("target", 4000), Priority: 1})
 		return
-	case 8, 9, 10, 11: // an executor's fault begins or ends
+	case 8, 9, 10, 11: // an executor's fault begins or ends, or that of all
 		if e := w.pickExecutor("faulty"); e != nil {
 			w.setFault(e, kind-8)
 		}
+		if rapid.IntRange(0, 2).Draw(w.t, "everywhere") == 0 {
+			w.setFaultEverywhere(kind - 8)
+		}
 	case 12:
 		if e := w.pickExecutor("crashes"); e != nil {
 			w.crash(e, true)
@@ -555,7 +580,7 @@
 		}
 	}
 	open := w.jobIDs()
-	for end := w.now.Add(20 * time.Second); len(open) > 0 && w.now.Before(end); {
+	for end := w.now.Add(workOff); len(open) > 0 && w.now.Before(end); {
 		w.liveStep(time.Second)
 		open = slices.DeleteFunc(open, func(id job.ID) bool { return w.jobs[id].state.Final() })
 	}
@@ -567,12 +592,15 @@
 // Whatever went wrong before, a task whose turn has come and that has room runs within
 // the bound once all is calm.
 func TestNoTaskWaitsWhereThereIsRoomOnceCalm(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newLiveWorld(t)
-		for range rapid.IntRange(5, 30).Draw(t, "troubles") {
-			w.liveTrouble()
-			w.liveStep(w.ms("pause", 1500))
-		}
-		w.liveSettle()
-	})
+	rapid.Check(t, func(t *rapid.T) { playLive(newLiveWorld(t), true) })
+}
+
+// playLive plays a schedule; doable leaves out jobs that can't be done.
+func playLive(w *world, doable bool) {
+	w.live.doable = doable
+	for range rapid.IntRange(5, 30).Draw(w.t, "troubles") {
+		w.liveTrouble()
+		w.liveStep(w.ms("pause", rapid.SampledFrom([]int{1000, 1000, 4000}).Draw(w.t, "longest pause")))
+	}
+	w.liveSettle()
 }
