entry/host: two owners in a row, and instances that die while the store is down

Three more troubles for the schedules: an owner and then its successor die, all instances die and come back while the store is down, an owner dies together with an executor.

--- a/entry/host/liveness_test.go
+++ b/entry/host/liveness_test.go
@@ -508,6 +508,24 @@
 		s.store.Put(key, []byte(`{"forOthers":true}`))
 		s.pass(2*time.Second, true)
 		s.store.Delete(key)
+	case 15: // an owner dies, and so does its successor
+		service := e.Report.Service
+		for range 2 {
+			s.killOwner(service)
+			s.pass(s.between(time.Second, 4*time.Second), true)
+		}
+		s.restartDead()
+	case 16: // all instances die while the store is down, and are back before it is
+		s.store.SetDown(true)
+		s.pass(s.between(0, 2*time.Second), true)
+		s.restartAll()
+		s.pass(s.between(0, 3*time.Second), true)
+		s.store.SetDown(false)
+	case 17: // an owner and an executor of its service die at once
+		s.killOwner(e.Report.Service)
+		s.crash(n, true)
+		s.pass(time.Second, true)
+		s.restartDead()
 	}
 	s.troubled = false
 	s.calmSince = time.Now()
@@ -516,9 +534,33 @@
 const (
 	troubleAllKilled = iota
 	troubleStoreDown
-	troubleKinds = 15
+	troubleKinds = 18
 )
 
+// killOwner kills the instance that leads a service, if any does.
+func (s *liveSite) killOwner(service cluster.Service) {
+	item, found := s.store.Get(layout.OwnerKey(string(service)))
+	if !found {
+		return
+	}
+	holder, err := layout.Decode[layout.Holder](item.Key, item.Value)
+	if err != nil {
+		panic(err)
+	}
+	for _, i := range s.instances {
+		if i.id == string(holder.Instance) {
+			s.logf("%s, owner of %s, dies", i.id, service)
+			i.kill()
+		}
+	}
+}
+
+func (s *liveSite) restartDead() {
+	for _, i := range s.instances {
+		i.restart()
+	}
+}
+
 // restartAll kills all instances at once; all are back within 0.3 s.
 func (s *liveSite) restartAll() {
 	var kills sync.WaitGroup
--- a/policy/shard/liveness_test.go
+++ b/policy/shard/liveness_test.go
@@ -57,7 +57,6 @@
 	muteUntil      time.Time // watches are silent until then
 	listAt         time.Time // what happens until then is heard then, by a listing
 	storeDownSince time.Time
-	crawlPause     time.Duration
 }
 
 func newLiveWorld(t *rapid.T) *world {
