--- a/policy/shard/advice.go
+++ b/policy/shard/advice.go
@@ -72,7 +72,7 @@
 	}
 	q := Question{Step: st.id, step: st}
 	for i := range min(len(usable), adviceExecutors) {
-		q.Executors = append(q.Executors, usable[(t.asked+i)%len(usable)])
+		q.Executors = append(q.Executors, usable[(t.asked+i)%len(usable)].ID)
 	}
 	q.others = len(usable) > len(q.Executors)
 	t.asked = (t.asked + len(q.Executors)) % len(usable)
@@ -80,17 +80,6 @@
 	return q, true
 }
 
-// usableExecutors returns the executors that may be given work, in a fixed order.
-func (s *Shard) usableExecutors(now time.Time) []cluster.ExecutorID {
-	var ids []cluster.ExecutorID
-	for _, e := range s.sortedExecutors() {
-		if e.usable(now) {
-			ids = append(ids, e.ID)
-		}
-	}
-	return ids
-}
-
 // QuestionAnswered takes in the tickets for a step, valid for a time from sentAt;
 // nil tickets mean that no answer came.
 func (s *Shard) QuestionAnswered(q Question, byExecutor map[cluster.ExecutorID]string, validity time.Duration, sentAt, now time.Time) {
--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -120,11 +120,7 @@
 // usable returns the executors that may be given work, in a fixed order.
 func (b *builder) usable() []*executorState {
 	if b.candidates == nil {
-		for _, e := range b.shard.sortedExecutors() {
-			if e.usable(b.now) {
-				b.candidates = append(b.candidates, e)
-			}
-		}
+		b.candidates = b.shard.usableExecutors(b.now)
 	}
 	return b.candidates
 }
--- a/policy/shard/stall.go
+++ b/policy/shard/stall.go
@@ -62,8 +62,8 @@
 // those that were stopped for the same reason and are not placed yet.
 func (s *Shard) fitsElsewhere(r *run, now time.Time) bool {
 	room := -s.leavingStalled()
-	for _, e := range s.sortedExecutors() {
-		if e != r.executor && e.usable(now) {
+	for _, e := range s.usableExecutors(now) {
+		if e != r.executor {
 			room += fitting(r.task.step.def.Room(), e.free())
 		}
 	}
--- a/policy/shard/waiting.go
+++ b/policy/shard/waiting.go
@@ -140,10 +140,8 @@
 	case short:
 		w.fitting = ReasonOwnerSlow
 	}
-	for _, e := range s.executors {
-		if e.usable(now) {
-			w.usable = append(w.usable, candidate{e, e.free()})
-		}
+	for _, e := range s.usableExecutors(now) {
+		w.usable = append(w.usable, candidate{e, e.free()})
 	}
 	w.findMost()
 	return w
