Owners: advice is asked for again once none of its executors is left

What callers saw (by reading): a step whose tickets name executors that are gone starts nowhere until the tickets end. Change: the question is asked again once none of them is listed. TestStepAsksAgainOnceItsExecutorsAreGone failed before and passes now.

--- a/policy/shard/advice.go
+++ b/policy/shard/advice.go
@@ -63,7 +63,10 @@
 
 func (s *Shard) question(st *step, now time.Time) (Question, bool) {
 	t := &st.tickets
-	if st.blocked > 0 || st.left == 0 || t.asking || now.Before(t.until) || now.Before(t.retryAt) {
+	if st.blocked > 0 || st.left == 0 || t.asking || now.Before(t.retryAt) {
+		return Question{}, false
+	}
+	if now.Before(t.until) && !s.lost(t) {
 		return Question{}, false
 	}
 	usable := s.usableExecutors(now)
@@ -80,6 +83,16 @@
 	return q, true
 }
 
+// lost reports whether none of the executors that the tickets are for is listed any more.
+func (s *Shard) lost(t *tickets) bool {
+	for id := range t.byExecutor {
+		if e := s.executors[id]; e != nil && e.listed {
+			return false
+		}
+	}
+	return len(t.byExecutor) > 0
+}
+
 // QuestionAnswered takes in the tickets for a step, valid for a time from sentAt;
 // nil tickets mean that no answer came.
 func (s *Shard) QuestionAnswered(q Question, byExecutor map[cluster.ExecutorID]string, validity time.Duration, sentAt, now time.Time) {
