A demand told to peers covers the load

The headroom that usually bears the difference was missing, so the queue grew to 53 and requests were refused. The bound of the late summaries shows the fault; it isn't its cause.

Change: Hold compares the load itself, not its rounded figure. It keeps a told demand while the load is at most half a slot above it, and 1.5 slots or 20% below it. The old band was three slots wide for a load of 4, so that small callers also kept a slot too many.

--- a/entry/dispatch/demand.go
+++ b/entry/dispatch/demand.go
@@ -12,6 +12,8 @@
 	demandTime = 2 * time.Second
 	// unknownRunTime stands for the run time of a class that has not run yet.
 	unknownRunTime = 10 * time.Millisecond
+	// leastLoad is the load that counts as none, in slots.
+	leastLoad = 0.01
 )
 
 // demand averages the load offered, in slots.
@@ -49,11 +51,3 @@
 
 // average returns the load in slots.
 func (d *demand) average() float64 { return math.Float64frombits(d.load.Load()) }
-
-// slotsFor returns the whole slots that a load takes.
-func slotsFor(load float64) int {
-	if load < 0.01 {
-		return 0
-	}
-	return int(math.Ceil(load))
-}
--- a/entry/dispatch/driver_entry_test.go
+++ b/entry/dispatch/driver_entry_test.go
@@ -149,7 +149,7 @@
 // it for the division.
 func (d *driver) share(entries []*fakeEntry, executors func(*fakeEntry) []*fakeExecutor) {
 	for _, e := range entries {
-		e.told = e.demand()
+		e.told = e.demand(0)
 		e.heard = map[*fakeEntry]routing.Demand{e: e.told}
 		for _, peer := range entries {
 			e.heard[peer] = routing.Demand{Peer: peer.name, Zone: peer.zone}
@@ -157,8 +157,7 @@
 	}
 	for _, e := range entries {
 		d.every(summaryInterval, func() {
-			own := e.demand()
-			own.Slots = routing.Hold(e.told.Slots, own.Slots)
+			own := e.demand(e.told.Slots)
 			e.heard[e] = routing.Lesser(e.told, own)
 			e.told = own
 			for _, peer := range entries {
@@ -187,8 +186,9 @@
 	}
 }
 
-func (e *fakeEntry) demand() routing.Demand {
-	return routing.Demand{Peer: e.name, Zone: e.zone, Slots: e.service.Demand(), Known: true}
+// demand returns what the entry instance tells after the demand that it told last.
+func (e *fakeEntry) demand(last int) routing.Demand {
+	return routing.Demand{Peer: e.name, Zone: e.zone, Slots: routing.Hold(last, e.service.Load()), Known: true}
 }
 
 func (e *fakeEntry) divide(executors []*fakeExecutor, demands []routing.Demand) {
--- a/entry/dispatch/service.go
+++ b/entry/dispatch/service.go
@@ -86,8 +86,15 @@
 	return n
 }
 
-// Demand returns the slots that the load offered here takes on average.
-func (s *Service) Demand() int { return slotsFor(s.classes.load(math.MinInt64)) }
+// Load returns the slots that the load offered here takes on average, or zero where it
+// has faded away.
+func (s *Service) Load() float64 {
+	load := s.classes.load(math.MinInt64)
+	if load < leastLoad {
+		return 0
+	}
+	return load
+}
 
 // Executors returns the executors in routing; the slice must not be changed.
 func (s *Service) Executors() []*Executor { return s.members.Load().all }
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -25,7 +25,7 @@
 	next := routing.PeerLoad{Peer: string(g.options.Self)}
 	for name, entry := range g.table.Load().services {
 		last := demandOf(g.told, name, next.Peer).Slots
-		demand := routing.Hold(last, entry.live.Demand())
+		demand := routing.Hold(last, entry.live.Load())
 		if demand > 0 {
 			next.Services = append(next.Services, routing.ServiceLoad{Service: name, Demand: demand})
 		}
--- a/policy/routing/divide.go
+++ b/policy/routing/divide.go
@@ -244,20 +244,23 @@
 	return sum
 }
 
-// heldChange is the part by which a demand must change before it is told anew.
-const heldChange = 0.2
+const (
+	// heldFall is the part by which a load must fall below the demand told last before
+	// it is told anew, and heldFallSlots the least such fall in slots.
+	heldFall      = 0.2
+	heldFallSlots = 1.5
+	// heldRise is how far a load may be above the demand told last, in slots.
+	heldRise = 0.5
+)
 
-// Hold returns the demand to tell peers: the last one as long as the present one
-// is close to it, so that the division stays put under a steady load.
-func Hold(last, now int) int {
-	if last == 0 || now == 0 {
-		return now
-	}
-	change := max(last-now, now-last)
-	if float64(change) <= max(1, heldChange*float64(last)) {
+// Hold returns the demand to tell peers for a load in slots: the last one as long as
+// the load is close to it, so that the division stays put under a steady load.
+func Hold(last int, load float64) int {
+	rise := load - float64(last)
+	if last > 0 && load > 0 && rise <= heldRise && -rise <= max(heldFallSlots, heldFall*float64(last)) {
 		return last
 	}
-	return now
+	return int(math.Ceil(load))
 }
 
 // Lesser returns the smaller of the two demands that an entry instance told its
--- a/policy/routing/divide_test.go
+++ b/policy/routing/divide_test.go
@@ -105,3 +105,30 @@
 		})
 	})
 }
+
+// TestHeldDemandCoversTheLoad was red while a load could stay above the demand that
+// was told: without headroom the queue then grows until requests are refused.
+func TestHeldDemandCoversTheLoad(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		last := rapid.IntRange(0, 100).Draw(t, "last")
+		load := rapid.Float64Range(0, 100).Draw(t, "load")
+		told := Hold(last, load)
+		assert.Assert(t, float64(told) >= load-heldRise, "told %d for a load of %.2f", told, load)
+		excess := max(1, heldFallSlots, heldFall*float64(told))
+		assert.Assert(t, float64(told)-load <= excess, "told %d for a load of %.2f", told, load)
+		assert.Equal(t, Hold(told, load), told, "the same load is told anew")
+	})
+}
+
+func TestHold(t *testing.T) {
+	for _, c := range []struct {
+		last int
+		load float64
+		want int
+	}{
+		{0, 0, 0}, {0, 0.3, 1}, {3, 0, 0}, {4, 4.4, 4}, {4, 4.6, 5}, {9, 9.6, 10},
+		{5, 3.6, 5}, {5, 3.4, 4}, {50, 41, 50}, {50, 39.5, 40}, {50, 50.6, 51},
+	} {
+		assert.Equal(t, Hold(c.last, c.load), c.want, "last %d, load %.1f", c.last, c.load)
+	}
+}
