The fake executor of the request path's tests serves its queue in order

Cause, by a trace of TestOverloadKeepsGoodput: a Batch of 3.97 s ran into its caller's deadline at executor b (8 slots); its entry instance released the slot and sent the next Check, which waited there. When another request ended, the fake executor reported the end first, so that the next request was sent and started before the waiting one was looked at: 336 requests overtook one Check, until it was late. No queue of an executor does so.

Change: the fake executor starts the one that waits longest, then reports the end. Loads, bounds and what is counted stay; the number of requests above the slots is the same as before, only their order is not.

--- a/entry/dispatch/driver_test.go
+++ b/entry/dispatch/driver_test.go
@@ -4,8 +4,11 @@
 	"container/heap"
 	"math"
 	"math/rand/v2"
+	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/api/verdict"
 	"github.com/tarragonreach/tarragonreach/policy/retry"
@@ -194,16 +197,16 @@
 		if e.lost {
 			return
 		}
-		if e.down {
-			done(verdict.MayHaveRun, verdict.CodeConnectionLost)
-		} else {
-			done(verdict.Ran, "")
-		}
 		if len(e.waiting) > 0 && e.running < e.slots {
 			next := e.waiting[0]
 			e.waiting = e.waiting[1:]
 			next()
 		}
+		if e.down {
+			done(verdict.MayHaveRun, verdict.CodeConnectionLost)
+		} else {
+			done(verdict.Ran, "")
+		}
 	})
 }
 
@@ -220,3 +223,22 @@
 		RunTime:    s.RunTime(c.workload.class),
 	}) == retry.None && s.SpendRetry()
 }
+
+// TestFakeExecutorServesItsQueueInOrder was red while a request that was sent at the
+// end of another one overtook those that waited at the executor.
+func TestFakeExecutorServesItsQueueInOrder(t *testing.T) {
+	d := newDriver(seed)
+	d.addExecutors(1, 1, "z1")
+	var order []string
+	send := func(name string, then func()) {
+		c := &call{driver: d, runTime: time.Second}
+		d.executors[0].send(c, func(verdict.Verdict, verdict.Code) {
+			order = append(order, name)
+			then()
+		})
+	}
+	send("first", func() { send("newcomer", func() {}) })
+	send("waiting", func() {})
+	d.run(time.Minute)
+	assert.DeepEqual(t, order, []string{"first", "waiting", "newcomer"})
+}
