A spilled demand takes slots from all availability zones evenly

What is heard of another zone may be 10 s old, so the entry instances of the lost zone still asked for up to 7 slots each; at those of z0 this took their whole headroom, while the other zones kept theirs.

Change: spilled slots come from the zones with the most free slots.

--- a/policy/routing/divide.go
+++ b/policy/routing/divide.go
@@ -154,20 +154,23 @@
 	}
 }
 
-// spill gives free slots of any availability zone to unmet demands.
+// spill gives free slots of any availability zone to unmet demands. They come from
+// the zones with the most free slots, so that no zone loses its headroom alone.
 func (d *division) spill() {
-	free := 0
-	for _, z := range d.zones {
-		free += z.free
+	free := make([]int, len(d.zones))
+	for i, z := range d.zones {
+		free[i] = z.free
 	}
-	for p, slots := range MaxMin(free, d.wants) {
+	for p, slots := range MaxMin(total(free), d.wants) {
+		if slots == 0 {
+			continue
+		}
 		d.wants[p] -= slots
+		left := MaxMin(total(free)-slots, free)
 		for i := range d.zones {
-			z := &d.zones[i]
-			part := min(slots, z.free)
-			z.give(p, part)
-			slots -= part
+			d.zones[i].give(p, free[i]-left[i])
 		}
+		free = left
 	}
 }
 
--- a/policy/routing/divide_test.go
+++ b/policy/routing/divide_test.go
@@ -132,3 +132,18 @@
 		assert.Equal(t, Hold(c.last, c.load), c.want, "last %d, load %.1f", c.last, c.load)
 	}
 }
+
+// TestSpillLeavesAllZonesEvenHeadroom was red while a spilled demand took all free slots
+// of the first availability zone by name before those of the next.
+func TestSpillLeavesAllZonesEvenHeadroom(t *testing.T) {
+	executors := []Slots{{"z1", 12}, {"z2", 12}, {"z3", 12}}
+	demands := []Demand{
+		{Peer: "a", Zone: "z1", Slots: 9, Known: true},
+		{Peer: "b", Zone: "z2", Slots: 9, Known: true},
+		{Peer: "c", Zone: "z3", Slots: 9, Known: true},
+		{Peer: "homeless", Zone: "z4", Slots: 6, Known: true},
+	}
+	assert.DeepEqual(t, Divide(executors, demands, "homeless"), []int{2, 2, 2})
+	assert.DeepEqual(t, Divide(executors, demands, "a"), []int{10, 0, 0})
+	assert.DeepEqual(t, Divide(executors, demands, "c"), []int{0, 0, 10})
+}
