A large change of load is told to peers at once

What callers saw: when the busiest caller moved to another entry instance, 25 to 42 of 80 slots stood idle for some 6 s while requests waited.

Outside these spans 2 to 6 slots were idle.

Change: a summary is due after 2 s, or as soon as the load has left the headroom of the demand told and peers have heard of the last one (0.5 s). A grown demand counts in the own division 0.5 s after it was told, not at the next summary 2 s later. Both rules stand once, in policy/routing, and the test's driver uses them: before, the driver had a copy of the interval, and its own demand counted at once, because a summary to itself with no lag overwrote the held-back one; the gateway's counted 2 s later.

Costs: more summaries while the load swings; none while it is steady. Not measured in bytes.

--- a/entry/dispatch/driver_entry_test.go
+++ b/entry/dispatch/driver_entry_test.go
@@ -13,8 +13,6 @@
 const (
 	// divideInterval is the time between two divisions at an entry instance.
 	divideInterval = 250 * time.Millisecond
-	// summaryInterval is the time for which an entry instance keeps to a summary.
-	summaryInterval = 2 * time.Second
 	// nearLag is how long a changed summary takes to peers of the own zone, at most:
 	// the engine of the mesh pushes it at its next look at its timers, each 200 ms.
 	nearLag = 250 * time.Millisecond
@@ -32,7 +30,9 @@
 	reached map[fleet.InstanceID]*fakeExecutor
 	cut     func(*fakeExecutor) bool // nothing arrives there
 	heard   map[*fakeEntry]routing.Demand
+	before  routing.Demand // told before the last one
 	told    routing.Demand
+	toldAt  time.Duration
 }
 
 // addEntry adds an entry instance that ticks and follows its executors.
@@ -144,27 +144,33 @@
 	return Failed
 }
 
-// share divides the executors' slots as entry instances do. Each refreshes its
-// summary each summaryInterval; every peer hears it after a lag of its own and uses
-// it for the division.
+// share divides the executors' slots as entry instances do. Each renews its
+// summary when it is due; every peer hears it after a lag of its own and uses it for
+// the division.
 func (d *driver) share(entries []*fakeEntry, executors func(*fakeEntry) []*fakeExecutor) {
 	for _, e := range entries {
 		e.told = e.demand(0)
+		e.before = e.told
 		e.heard = map[*fakeEntry]routing.Demand{e: e.told}
 		for _, peer := range entries {
 			e.heard[peer] = routing.Demand{Peer: peer.name, Zone: peer.zone}
 		}
 	}
 	for _, e := range entries {
-		d.every(summaryInterval, func() {
+		d.every(divideInterval, func() {
+			if !routing.Due(e.told.Slots, e.service.Load(), d.now-e.toldAt) {
+				return
+			}
 			own := e.demand(e.told.Slots)
-			e.heard[e] = routing.Lesser(e.told, own)
-			e.told = own
+			e.before, e.told, e.toldAt = e.told, own, d.now
 			for _, peer := range entries {
-				d.after(d.summaryLag(e, peer), func() { peer.heard[e] = own })
+				if peer != e {
+					d.after(d.summaryLag(e, peer), func() { peer.heard[e] = own })
+				}
 			}
 		})
 		d.every(divideInterval, func() {
+			e.heard[e] = routing.Own(e.before, e.told, d.now-e.toldAt)
 			var demands []routing.Demand
 			for _, peer := range entries {
 				demands = append(demands, e.heard[peer])
@@ -176,14 +182,10 @@
 
 // summaryLag is the time until a peer hears a summary.
 func (d *driver) summaryLag(from, to *fakeEntry) time.Duration {
-	switch {
-	case from == to:
-		return 0
-	case from.zone == to.zone:
+	if from.zone == to.zone {
 		return time.Duration(d.rng.Int64N(int64(nearLag)))
-	default:
-		return time.Duration(d.rng.Int64N(int64(farLag)))
 	}
+	return time.Duration(d.rng.Int64N(int64(farLag)))
 }
 
 // demand returns what the entry instance tells after the demand that it told last.
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -9,17 +9,13 @@
 	"github.com/tarragonreach/tarragonreach/policy/routing"
 )
 
-// summaryInterval is the time for which a summary is kept. It is no shorter than the
-// time until all peers of the availability zone have heard of it.
-const summaryInterval = 2 * time.Second
-
 // LoadSummary returns this entry instance's load for its peers. It may be called
-// often; the summary changes each summaryInterval at most.
+// often; the summary changes only when it is due.
 func (g *Gateway) LoadSummary() routing.PeerLoad {
 	g.peersMu.Lock()
 	defer g.peersMu.Unlock()
 	now := time.Now()
-	if g.told.Peer != "" && now.Sub(g.toldAt) < summaryInterval {
+	if g.told.Peer != "" && !g.summaryDue(now.Sub(g.toldAt)) {
 		return g.told
 	}
 	next := routing.PeerLoad{Peer: string(g.options.Self)}
@@ -35,6 +31,16 @@
 	return next
 }
 
+// summaryDue reports whether the summary is due at its age; the lock is held.
+func (g *Gateway) summaryDue(age time.Duration) bool {
+	due := routing.Due(0, 0, age)
+	for name, entry := range g.table.Load().services {
+		last := demandOf(g.told, name, g.told.Peer).Slots
+		due = due || routing.Due(last, entry.live.Load(), age)
+	}
+	return due
+}
+
 // SetPeerLoads takes the newest summaries of all reachable peers and divides the
 // slots afresh.
 func (g *Gateway) SetPeerLoads(peers []routing.PeerLoad) {
@@ -47,7 +53,7 @@
 // demands returns the demand of every listed entry instance; the lock is held.
 func (g *Gateway) demands(snapshot *directory.Snapshot, service string) []routing.Demand {
 	self := string(g.options.Self)
-	own := routing.Lesser(demandOf(g.toldBefore, service, self), demandOf(g.told, service, self))
+	own := routing.Own(demandOf(g.toldBefore, service, self), demandOf(g.told, service, self), time.Since(g.toldAt))
 	demands := []routing.Demand{own}
 	demands[0].Zone = g.options.Zone
 	for _, instance := range snapshot.EntryInstances {
--- a/entry/gateway/peers_test.go
+++ b/entry/gateway/peers_test.go
@@ -52,7 +52,30 @@
 			g.tick(time.Now(), false)
 		}
 		assert.Equal(t, len(g.LoadSummary().Services), 0, "peers have only just heard the first")
-		time.Sleep(summaryInterval)
+		time.Sleep(routing.SummaryInterval)
 		assert.Equal(t, g.LoadSummary().Services[0].Service, "sportello")
 	})
 }
+
+// TestSummaryFollowsALargeChangeAtOnce was red while each summary was kept for two
+// seconds, so that slots stayed with an entry instance that had lost its callers.
+func TestSummaryFollowsALargeChangeAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, _ := newTestGateway(answering, nil)
+		g.LoadSummary()
+		time.Sleep(routing.HearingTime)
+		for range 100 {
+			for range 20 {
+				call(g, "GET", "/s/sportello/x", "")
+			}
+			time.Sleep(10 * time.Millisecond)
+			g.tick(time.Now(), false)
+		}
+		told := g.LoadSummary()
+		assert.Equal(t, len(told.Services), 1)
+		demands := func() int { return g.demands(g.table.Load().snapshot, "sportello")[0].Slots }
+		assert.Equal(t, demands(), 0, "counted before the peers have heard of it")
+		time.Sleep(routing.HearingTime)
+		assert.Equal(t, demands(), told.Services[0].Demand)
+	})
+}
--- a/policy/routing/divide.go
+++ b/policy/routing/divide.go
@@ -246,32 +246,3 @@
 	}
 	return sum
 }
-
-const (
-	// heldFall is the part by which a load must fall below the demand told last before
-	// it is told anew, and heldFallSlots the least such fall in slots.
-	heldFall      = 0.2
-	heldFallSlots = 1.5
-	// heldRise is how far a load may be above the demand told last, in slots.
-	heldRise = 0.5
-)
-
-// Hold returns the demand to tell peers for a load in slots: the last one as long as
-// the load is close to it, so that the division stays put under a steady load.
-func Hold(last int, load float64) int {
-	rise := load - float64(last)
-	if last > 0 && load > 0 && rise <= heldRise && -rise <= max(heldFallSlots, heldFall*float64(last)) {
-		return last
-	}
-	return int(math.Ceil(load))
-}
-
-// Lesser returns the smaller of the two demands that an entry instance told its
-// peers last. Its own division rests on it: a demand that has grown counts once
-// every peer has heard of it, one that has fallen at once.
-func Lesser(before, last Demand) Demand {
-	if before.Slots < last.Slots {
-		return before
-	}
-	return last
-}
--- a/policy/routing/divide_test.go
+++ b/policy/routing/divide_test.go
@@ -147,3 +147,25 @@
 	assert.DeepEqual(t, Divide(executors, demands, "a"), []int{10, 0, 0})
 	assert.DeepEqual(t, Divide(executors, demands, "c"), []int{0, 0, 10})
 }
+
+func TestDemandIsDue(t *testing.T) {
+	for _, c := range []struct {
+		last int
+		load float64
+		age  time.Duration
+		want bool
+	}{
+		{4, 4, SummaryInterval, true}, {4, 7, HearingTime, false}, {4, 9, HearingTime, true},
+		{4, 9, HearingTime - 1, false}, {58, 45, HearingTime, false}, {58, 40, HearingTime, true},
+		{0, 1, HearingTime, false}, {0, 3, HearingTime, true},
+	} {
+		assert.Equal(t, Due(c.last, c.load, c.age), c.want, "told %d, load %.0f, age %s", c.last, c.load, c.age)
+	}
+}
+
+func TestOwnDemandGrowsOncePeersHaveHeard(t *testing.T) {
+	small, large := Demand{Slots: 2}, Demand{Slots: 9}
+	assert.Equal(t, Own(small, large, 0), small)
+	assert.Equal(t, Own(small, large, HearingTime), large)
+	assert.Equal(t, Own(large, small, 0), small)
+}
