--- a/mesh/bench_test.go
+++ b/mesh/bench_test.go
@@ -171,8 +171,8 @@
 		targetNodes  = 39
 		summaryBytes = 28 * 16
 		settle       = 35 * time.Second
-		// changeEvery is how often an entry instance changes its summary at most: it
-		// keeps to each for this long.
+		// changeEvery is how often an entry instance changes its summary at most while
+		// its loads stay within the headroom of what it told.
 		changeEvery = 2 * time.Second
 	)
 	for range b.N {
