--- a/policy/routing/divide_test.go
+++ b/policy/routing/divide_test.go
@@ -132,3 +132,40 @@
 		assert.Equal(t, Hold(c.last, c.load), c.want, "last %d, load %.1f", c.last, c.load)
 	}
 }
+
+// TestSpillLeavesAllZonesEvenHeadroom was red while a spilled demand took all free slots
+// of the first availability zone by name before those of the next.
+func TestSpillLeavesAllZonesEvenHeadroom(t *testing.T) {
+	executors := []Slots{{"z1", 12}, {"z2", 12}, {"z3", 12}}
+	demands := []Demand{
+		{Peer: "a", Zone: "z1", Slots: 9, Known: true},
+		{Peer: "b", Zone: "z2", Slots: 9, Known: true},
+		{Peer: "c", Zone: "z3", Slots: 9, Known: true},
+		{Peer: "homeless", Zone: "z4", Slots: 6, Known: true},
+	}
+	assert.DeepEqual(t, Divide(executors, demands, "homeless"), []int{2, 2, 2})
+	assert.DeepEqual(t, Divide(executors, demands, "a"), []int{10, 0, 0})
+	assert.DeepEqual(t, Divide(executors, demands, "c"), []int{0, 0, 10})
+}
+
+func TestDemandIsDue(t *testing.T) {
+	for _, c := range []struct {
+		last int
+		load float64
+		age  time.Duration
+		want bool
+	}{
+		{4, 4, SummaryInterval, true}, {4, 7, HearingTime, false}, {4, 9, HearingTime, true},
+		{4, 9, HearingTime - 1, false}, {58, 45, HearingTime, false}, {58, 40, HearingTime, true},
+		{0, 1, HearingTime, false}, {0, 3, HearingTime, true},
+	} {
+		assert.Equal(t, Due(c.last, c.load, c.age), c.want, "told %d, load %.0f, age %s", c.last, c.load, c.age)
+	}
+}
+
+func TestOwnDemandGrowsOncePeersHaveHeard(t *testing.T) {
+	small, large := Demand{Slots: 2}, Demand{Slots: 9}
+	assert.Equal(t, Own(small, large, 0), small)
+	assert.Equal(t, Own(small, large, HearingTime), large)
+	assert.Equal(t, Own(large, small, 0), small)
+}
