--- a/policy/fleetplan/demand.go
+++ b/policy/fleetplan/demand.go
@@ -57,6 +57,7 @@
 	earlier    float64 // mean that an earlier planner, or owner, left
 	hot        bool
 	notable    bool // the peak that lasts counts as a turn
+	resumed    bool // the peak that lasts continues a turn after a dip
 	hotFrom    time.Time
 	top        float64 // highest rate over a rateWindow in this peak
 }
@@ -75,11 +76,17 @@
 	for service, load := range v.Loads {
 		d := p.demandOf(service)
 		p.turns.known[service] = true
+		before := d.hot
 		ended := d.take(sample{v.Now, load.ArrivedWork, load.ArrivedJobs})
+		if d.hot && !before {
+			p.resume(service, d)
+		}
 		if d.hot && !d.notable && d.rate >= p.notableRate(v) {
 			d.notable = true
 			p.news++
-			p.turns.begin(service, d.hotFrom)
+			if !d.resumed {
+				p.turns.begin(service, d.hotFrom)
+			}
 		}
 		if ended && d.notable {
 			d.notable = false
@@ -89,6 +96,17 @@
 	}
 }
 
+// resume joins a peak that has just begun to the turn that it continues after a dip: its
+// rise is over, and its height is that of the whole turn.
+func (p *Planner) resume(service cluster.Service, d *demand) {
+	turn, found := p.turns.continues(service, d.hotFrom)
+	d.resumed = found
+	if found {
+		d.hotFrom = turn.At
+		d.top = p.turns.peaks[service]
+	}
+}
+
 // notableShare is the share of the highest peak that another one must reach to count.
 const notableShare = 0.25
 
@@ -105,7 +123,7 @@
 		first:   s,
 		earlier: d.mean, mean: d.mean,
 		sizeBefore: d.size, size: d.size,
-		hot: d.hot, notable: d.notable, hotFrom: d.hotFrom, top: d.top,
+		hot: d.hot, notable: d.notable, resumed: d.resumed, hotFrom: d.hotFrom, top: d.top,
 	}
 }
 
--- a/policy/fleetplan/turns.go
+++ b/policy/fleetplan/turns.go
@@ -14,6 +14,9 @@
 	overdue = 3 * time.Second
 	// turnsKept bounds the history of peaks.
 	turnsKept = 12
+	// turnShare is how long a turn lasts at most, with dips, as a share of the distance
+	// between turns: they overlap, and a service's next one is two distances away or more.
+	turnShare = 1.5
 )
 
 // turns learns in which order services have their peaks and how far these are
@@ -39,6 +42,23 @@
 	}
 }
 
+// continues returns the turn of the service to which demand that rises at a time still
+// belongs, after a dip.
+func (t *turns) continues(service cluster.Service, at time.Time) (Turn, bool) {
+	if len(t.history) < 2 {
+		return Turn{}, false
+	}
+	_, gap := t.rhythm()
+	length := time.Duration(turnShare * float64(gap))
+	for _, h := range slices.Backward(t.history) {
+		if h.Service == service {
+			since := at.Sub(h.At)
+			return h, since >= 0 && since < length
+		}
+	}
+	return Turn{}, false
+}
+
 // noteHeight takes in the highest rate of a service's peak that is over.
 func (t *turns) noteHeight(service cluster.Service, rate float64) {
 	if rate > 0 {
