--- a/policy/fleetplan/demand.go
+++ b/policy/fleetplan/demand.go
@@ -1,6 +1,8 @@
 package fleetplan
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
@@ -50,6 +52,7 @@
 type demand struct {
 	samples    []sample // of the last rateWindow
 	rate       float64  // thousandths of a core
+	sustained  float64  // the same, over a rateWindow
 	size       float64  // mean work of a job, core-milliseconds
 	first      sample
 	mean       float64
@@ -60,6 +63,7 @@
 	resumed    bool // the peak that lasts continues a turn after a dip
 	hotFrom    time.Time
 	top        float64 // highest rate over a rateWindow in this peak
+	most       float64 // highest rate in this peak
 }
 
 func (p *Planner) demandOf(service cluster.Service) *demand {
@@ -73,27 +77,43 @@
 
 // observe takes in the loads, and notes where peaks begin.
 func (p *Planner) observe(v *view) {
+	ended := map[cluster.Service]bool{}
 	for service, load := range v.Loads {
 		d := p.demandOf(service)
 		p.turns.known[service] = true
 		before := d.hot
-		ended := d.take(sample{v.Now, load.ArrivedWork, load.ArrivedJobs})
+		ended[service] = d.take(sample{v.Now, load.ArrivedWork, load.ArrivedJobs})
 		if d.hot && !before {
 			p.resume(service, d)
 		}
-		if d.hot && !d.notable && d.rate >= p.notableRate(v) {
-			d.notable = true
-			p.news++
-			if !d.resumed {
-				p.turns.begin(service, d.hotFrom)
-			}
-		}
-		if ended && d.notable {
-			d.notable = false
-			p.news++
-			p.turns.noteHeight(service, d.top)
+	}
+	notable := p.notableRate(v)
+	for _, service := range slices.Sorted(maps.Keys(v.Loads)) {
+		p.noteTurn(service, notable, ended[service])
+	}
+}
+
+// noteTurn notes that a service's peak has become a turn, or is over. A turn that demand
+// of others has come to exceed by far is withdrawn: what it began with was chance.
+func (p *Planner) noteTurn(service cluster.Service, notable float64, ended bool) {
+	d := p.demandOf(service)
+	switch {
+	case d.notable && !d.resumed && max(d.top, d.most) < notable:
+		p.turns.withdraw(service, d.hotFrom)
+	case ended && d.notable:
+		p.turns.noteHeight(service, d.top)
+	case d.hot && !d.notable && d.rate >= notable:
+		if !d.resumed {
+			p.turns.begin(service, d.hotFrom)
 		}
+		d.notable = true
+		p.news++
+		return
+	default:
+		return
 	}
+	d.notable = false
+	p.news++
 }
 
 // resume joins a peak that has just begun to the turn that it continues after a dip: its
@@ -112,9 +132,15 @@
 
 // notableRate is the rate from which a peak counts as a turn: one that the machines
 // which each pool keeps can serve needs no plan, and a small one says nothing of others.
+// Demand that lasts counts like the peaks that are over: before the first of them there
+// is nothing else to tell chance from a peak by.
 func (p *Planner) notableRate(v *view) float64 {
 	kept := float64(leastMachines * v.machineCPU())
-	return max(kept, notableShare*p.turns.highest())
+	highest := p.turns.highest()
+	for service := range v.Loads {
+		highest = max(highest, p.demandOf(service).sustained)
+	}
+	return max(kept, notableShare*highest)
 }
 
 // restart begins to count anew, as a new owner does; what was learned stays.
@@ -123,7 +149,7 @@
 		first:   s,
 		earlier: d.mean, mean: d.mean,
 		sizeBefore: d.size, size: d.size,
-		hot: d.hot, notable: d.notable, resumed: d.resumed, hotFrom: d.hotFrom, top: d.top,
+		hot: d.hot, notable: d.notable, resumed: d.resumed, hotFrom: d.hotFrom, top: d.top, most: d.most,
 	}
 }
 
@@ -139,6 +165,7 @@
 	d.size = d.sizeUntil(s)
 	from, jobsPerS := d.recent(s)
 	d.rate = jobsPerS * d.size
+	d.sustained = jobRate(d.samples[0], s) * d.size
 	d.mean = d.meanUntil(s)
 	if d.earlier == 0 && s.at.Sub(d.first.at) < warmUp {
 		return false
@@ -148,13 +175,17 @@
 		d.hot = true
 		d.hotFrom = from.at
 		d.top = 0
+		d.most = d.rate
 		return false
 	case d.hot && d.rate < coolFactor*d.mean && s.at.Sub(d.first.at) >= warmUp:
 		d.hot = false
 		return true
 	}
+	if d.hot {
+		d.most = max(d.most, d.rate)
+	}
 	if d.hot && s.at.Sub(d.hotFrom) >= rateWindow {
-		d.top = max(d.top, jobRate(d.samples[0], s)*d.size)
+		d.top = max(d.top, d.sustained)
 	}
 	return false
 }
--- a/policy/fleetplan/evidence.go
+++ b/policy/fleetplan/evidence.go
@@ -30,6 +30,8 @@
 	HotFrom time.Time `json:"hotFrom,omitzero"`
 	// Top is the highest rate so far in the peak that lasts.
 	Top float64 `json:"top,omitempty"`
+	// Most is the same, over however short a time.
+	Most float64 `json:"most,omitempty"`
 }
 
 // EvidenceNews counts the beginnings and ends of peaks that were seen.
@@ -41,7 +43,7 @@
 	for service, d := range p.demand {
 		habit := Habit{Mean: d.mean, Size: d.size, Peak: p.turns.peaks[service]}
 		if d.notable {
-			habit.HotFrom, habit.Top = d.hotFrom, d.top
+			habit.HotFrom, habit.Top, habit.Most = d.hotFrom, d.top, d.most
 		}
 		e.Services[service] = habit
 	}
@@ -62,5 +64,6 @@
 		d.notable = d.hot
 		d.hotFrom = habit.HotFrom
 		d.top = habit.Top
+		d.most = habit.Most
 	}
 }
--- a/policy/fleetplan/falseturns_test.go
+++ b/policy/fleetplan/falseturns_test.go
@@ -128,3 +128,19 @@
 		assert.Equal(t, most, leastMachines, "from %s", begin)
 	}
 }
+
+// The duty changes its holder while the first peak rises: its successor, which has measured
+// nothing yet, keeps the turn.
+func TestSuccessorKeepsTheTurnOfARisingPeak(t *testing.T) {
+	a := newArrivals(t, inTurn)
+	a.run(2*time.Second, func(time.Duration) {})
+	seen := a.planner.turns.history
+	assert.Equal(t, len(seen), 1)
+	successor := New(yardLimits)
+	successor.Restore(a.planner.Evidence())
+	a.planner = successor
+	for range 3 {
+		a.step(agree)
+		assert.DeepEqual(t, a.planner.turns.history, seen)
+	}
+}
--- a/policy/fleetplan/turns.go
+++ b/policy/fleetplan/turns.go
@@ -42,6 +42,11 @@
 	}
 }
 
+// withdraw forgets a turn that was none.
+func (t *turns) withdraw(service cluster.Service, at time.Time) {
+	t.history = slices.DeleteFunc(t.history, func(h Turn) bool { return h.Service == service && h.At.Equal(at) })
+}
+
 // continues returns the turn of the service to which demand that rises at a time still
 // belongs, after a dip.
 func (t *turns) continues(service cluster.Service, at time.Time) (Turn, bool) {
