--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -146,40 +146,23 @@
 	}
 }
 
-// takesWork reports whether new runs may be placed there, if its runs don't fail.
-func (e *executorState) takesWork(now time.Time) bool {
-	return e.listed && e.known && !e.Draining && !e.drained && !e.cordoned() && !e.dead &&
-		e.misses == 0 && len(e.strays) == 0 && !now.Before(e.stalledUntil)
-}
-
 // usable reports whether new runs may be placed there.
 func (e *executorState) usable(now time.Time) bool {
-	return e.takesWork(now) && !e.health.suspect(now)
+	return e.listed && e.known && !e.Draining && !e.drained && !e.cordoned() && !e.dead &&
+		e.misses == 0 && len(e.strays) == 0 && !e.health.suspect(now) && !now.Before(e.stalledUntil)
 }
 
-// usableExecutors returns the executors on which new runs may be placed, by ID. Where
-// failures make most of them suspect, the jobs are at fault rather than the executors, and
-// suspects are used, too.
+// usableExecutors returns the executors on which new runs may be placed, by ID.
 func (s *Shard) usableExecutors(now time.Time) []*executorState {
-	var all, sound []*executorState
+	var list []*executorState
 	for _, e := range s.sortedExecutors() {
-		if !e.takesWork(now) {
-			continue
+		if e.usable(now) {
+			list = append(list, e)
 		}
-		all = append(all, e)
-		if !e.health.suspect(now) {
-			sound = append(sound, e)
-		}
-	}
-	if len(all) >= comparedExecutors && 2*len(sound) < len(all) {
-		return all
 	}
-	return sound
+	return list
 }
 
-// comparedExecutors is from how many executors on their failures are compared.
-const comparedExecutors = 2
-
 // countOf returns how many runs of a step the executor has.
 func (e *executorState) countOf(s *step) int {
 	n := 0
--- a/policy/shard/looks.go
+++ b/policy/shard/looks.go
@@ -127,9 +127,6 @@
 
 // take takes in what an executor lists.
 func (s *Shard) take(e *executorState, l LookOrder, view execution.View, now time.Time) {
-	if !e.known {
-		e.leaseBound = now.Add(s.limits.predecessorsLease())
-	}
 	e.misses, e.grantOff, e.known = 0, false, true
 	e.clockMs, e.clockAt, e.lastSeen = view.ClockMs, now, now
 	e.ackedEnd = max(e.ackedEnd, l.Look.SeenEnd)
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -56,13 +56,6 @@
 	MaxRunLease time.Duration // the longest that an executor grants
 }
 
-// predecessorsLease is how long runs of earlier owners may last from when an executor has
-// answered with a new owner's token, after which it takes no lease of theirs: what each of
-// them asks for, as long as by its idea of the executor's clock.
-func (l Limits) predecessorsLease() time.Duration {
-	return l.RunLease + time.Duration(clockDrift*float64(l.RunLease+l.MaxRunLease)) + leaseMargin
-}
-
 // Shard is the state of one service. It is not safe for concurrent use.
 type Shard struct {
 	limits    Limits
