Test: duties pile up after the store refused their claims (red)

Found by review: the wait for a vacant duty counts from the vacancy, so that it is over for all duties once claims were refused for about a second; whoever claims first then takes several.

--- a/entry/election/spread_test.go
+++ b/entry/election/spread_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	_ "github.com/tarragonreach/tarragonreach/api/rapidseed"
+	"github.com/tarragonreach/tarragonreach/api/verdict"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 )
 
@@ -187,10 +188,15 @@
 
 // settle lets the candidates campaign for a time and returns who holds what then.
 func settle(t *testing.T, candidates []*candidate, d time.Duration) map[string][]string {
+	return settleOn(t, candidates, d, func(s *memoryStore) Store { return s })
+}
+
+// settleOn is settle on a store that a test puts before the one in memory.
+func settleOn(t *testing.T, candidates []*candidate, d time.Duration, before func(*memoryStore) Store) map[string][]string {
 	held := map[string][]string{}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		store := newMemoryStore()
+		store := before(newMemoryStore())
 		var running sync.WaitGroup
 		for _, c := range candidates {
 			running.Go(func() { c.run(ctx, store) })
@@ -239,3 +245,37 @@
 	held := settle(t, []*candidate{alone}, 2*time.Second)
 	assert.Equal(t, len(held["alone"]), len(testDuties))
 }
+
+// refusingStore refuses all writes for a time, as one whose rate is used up does.
+type refusingStore struct {
+	*memoryStore
+	until time.Time
+}
+
+var errRefused = verdict.New(verdict.NotRun, "refused", "no writes for now")
+
+func (s refusingStore) Grant(ctx context.Context, ttl time.Duration) (kv.Lease, error) {
+	if time.Now().Before(s.until) {
+		return kv.Lease{}, errRefused
+	}
+	return s.memoryStore.Grant(ctx, ttl)
+}
+
+// The store refuses writes until every instance has waited for its turn at all duties.
+func TestDutiesThatCouldNotBeClaimedGoToDifferentInstances(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		refused := time.Duration(rapid.IntRange(0, 4000).Draw(r, "refused ms")) * time.Millisecond
+		var candidates []*candidate
+		for i := range 8 {
+			begins := time.Duration(rapid.IntRange(0, 200).Draw(r, "begins")) * time.Millisecond
+			candidates = append(candidates, &candidate{id: fmt.Sprint(i), cores: 0.8, begins: begins})
+		}
+		for id, duties := range settleOn(t, candidates, refused+2*time.Second, func(s *memoryStore) Store {
+			return refusingStore{s, time.Now().Add(refused)}
+		}) {
+			if len(duties) > 1 {
+				r.Fatalf("%s holds %v", id, duties)
+			}
+		}
+	})
+}
