--- a/entry/election/election.go
+++ b/entry/election/election.go
@@ -100,6 +100,8 @@
 	// whether this one succeeded.
 	claiming chan struct{}
 	held     atomic.Int64
+	// won is when this instance took a duty last.
+	won atomic.Pointer[time.Time]
 }
 
 // New returns an election for an instance with some processor cores, or a share of one.
@@ -230,13 +232,19 @@
 	}
 }
 
-// turn returns how long this instance still leaves a vacant duty to others.
+// turn returns how long this instance still leaves a vacant duty to others: by how long it
+// is vacant, and after each duty that this instance takes, since claims may have been
+// refused for longer than the others wait.
 func (e *Election) turn(c campaign, hesitation time.Duration) (wait time.Duration, vacant bool) {
 	since, vacant := e.vacancies.since(layout.OwnerKey(c.duty))
 	if since.Before(c.since) {
 		since = c.since
 	}
-	return e.deference(int(e.held.Load())) + hesitation - time.Since(since), vacant
+	wait = e.deference(int(e.held.Load())) + hesitation - time.Since(since)
+	if won := e.won.Load(); won != nil {
+		wait = max(wait, standBack-time.Since(*won))
+	}
+	return wait, vacant
 }
 
 // claimInTurn claims the duty after the claims of others by this instance that are on
@@ -254,6 +262,8 @@
 	term, err := e.claim(ctx, c.duty)
 	if err == nil {
 		e.held.Add(1)
+		now := time.Now()
+		e.won.Store(&now)
 	}
 	return term, err
 }
