--- a/entry/owner/again_test.go
+++ b/entry/owner/again_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"bytes"
 	"log/slog"
 	"testing"
 	"time"
@@ -50,3 +51,18 @@
 	o.applyJobs(recordAt(t, id, again), nil, time.Now())
 	assert.Equal(t, o.shard.Jobs(), 1)
 }
+
+// A listing brings all records again after each watch that heard nothing: those that are
+// known must cost little.
+func TestKnownRecordsAreNotReadAgain(t *testing.T) {
+	o := testOwner()
+	listing := recordAt(t, "00000000000000aa", 7)
+	o.applyJobs(listing, nil, time.Now())
+	listing.Events[0].Value = []byte("not to be read")
+	listing.Reset = true
+	var log bytes.Buffer
+	o.Logger = slog.New(slog.NewTextHandler(&log, nil))
+	o.applyJobs(listing, nil, time.Now())
+	assert.Equal(t, log.String(), "")
+	assert.Equal(t, o.shard.Jobs(), 1)
+}
--- a/entry/owner/load.go
+++ b/entry/owner/load.go
@@ -81,7 +81,10 @@
 	return all, nil
 }
 
-func (o *Owner) addRecord(item kv.Item, p *shard.Progress, now time.Time) {
+func (o *Owner) addRecord(id job.ID, item kv.Item, p *shard.Progress, now time.Time) {
+	if o.shard.Knows(id) {
+		return // listed again
+	}
 	r, err := layout.Decode[shard.Record](item.Key, item.Value)
 	if err != nil {
 		o.Logger.Error("job left out", "error", err)
@@ -106,7 +109,7 @@
 		case kind == layout.ItemRecord:
 			// A record after the job became final is a job of its own, handed in anew.
 			if event.Revision > o.finished[job.ID(name)] {
-				o.addRecord(event.Item, begun[job.ID(name)], now)
+				o.addRecord(job.ID(name), event.Item, begun[job.ID(name)], now)
 			}
 		case kind == layout.ItemCancel:
 			cancels = append(cancels, job.ID(name))
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -20,6 +20,8 @@
 	// emptyRoundPause is how many times as long as a round that found nothing took the
 	// next one waits.
 	emptyRoundPause = 8
+	// emptyRoundMost bounds that wait: time alone makes plans possible, too.
+	emptyRoundMost = 100 * time.Millisecond
 	// staleEntries bounds the cancellations of finished jobs that a write removes.
 	staleEntries = 4
 )
@@ -76,11 +78,11 @@
 
 // pauseAfter is how long to wait after a round that took so long to plan. One that found
 // nothing is not made again at once: it looks through all jobs, and the answers that make
-// room need time, too.
+// room need time, too. A full batch left something out, which may start at once.
 func pauseAfter(batch *shard.Batch, took time.Duration) time.Duration {
 	switch {
 	case batch == nil:
-		return min(roundEvery, emptyRoundPause*took)
+		return min(emptyRoundMost, emptyRoundPause*took)
 	case batch.Full:
 		return 0
 	default:
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -320,12 +320,12 @@
 	if b.now.Sub(s.loadAt) < loadEvery && !s.loadUrgent {
 		return
 	}
-	s.loadUrgent = false
+	s.loadUrgent, s.loadAt = false, b.now
 	load := s.load(b.now)
 	if load.same(s.lastLoad) {
 		return
 	}
-	s.loadAt, s.lastLoad = b.now, load
+	s.lastLoad = load
 	b.batch.Load = &load
 }
 
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -117,6 +117,9 @@
 // AllowGrants says whether leases of runs may be renewed.
 func (s *Shard) AllowGrants(allowed bool) { s.grantsOff = !allowed }
 
+// Knows reports whether a job was taken in and is not final.
+func (s *Shard) Knows(id job.ID) bool { return s.jobs[id] != nil }
+
 // Jobs returns how many jobs are not final.
 func (s *Shard) Jobs() int { return len(s.jobs) }
 
