Tests of refused stops share their setup

Two tests written side by side began with the same seven lines. Their assertions stay; the setup now asks that the only order is a stop, which one of them did not.

--- a/policy/shard/held_test.go
+++ b/policy/shard/held_test.go
@@ -24,17 +24,26 @@
 	return list
 }
 
-// An executor that refuses a stop has done nothing: it is told again until it agrees.
-func TestRefusedStopIsSentAgain(t *testing.T) {
+// newBenchWithRefusedStop has the lasting task of a cancelled job at work on i-1, which has
+// refused to stop it.
+func newBenchWithRefusedStop(t *testing.T) *bench {
+	t.Helper()
 	b := newBench(t, executorOf("i-1"))
 	lasting := oneTask
 	lasting.LongRunning = true
 	b.submit("00000000000000aa", lasting)
 	assert.Equal(t, len(b.startAll()), 1)
 	b.s.Cancel("00000000000000aa")
-	stops := b.ordersOf(OrderStop)
-	assert.Equal(t, len(stops), 1)
-	b.s.OrderAnswered(stops[0], Answered, execution.Reply{Refusal: execution.RefusedOther}, b.now)
+	orders := b.round()
+	assert.Equal(t, len(orders), 1)
+	assert.Equal(t, orders[0].Kind, OrderStop)
+	b.s.OrderAnswered(orders[0], Answered, execution.Reply{Refusal: execution.RefusedOther}, b.now)
+	return b
+}
+
+// An executor that refuses a stop has done nothing: it is told again until it agrees.
+func TestRefusedStopIsSentAgain(t *testing.T) {
+	b := newBenchWithRefusedStop(t)
 	b.now = b.now.Add(2 * resendEvery)
 	assert.Equal(t, len(b.ordersOf(OrderStop)), 1)
 }
--- a/policy/shard/stuck_test.go
+++ b/policy/shard/stuck_test.go
@@ -15,15 +15,7 @@
 
 // An unhealthy executor answers a stop with 503, and has done nothing.
 func TestRefusedStopIsSentUntilItIsCarriedOut(t *testing.T) {
-	b := newBench(t, executorOf("i-1"))
-	lasting := oneTask
-	lasting.LongRunning = true
-	b.submit("00000000000000aa", lasting)
-	assert.Equal(t, len(b.startAll()), 1)
-	b.s.Cancel("00000000000000aa")
-	stops := b.round()
-	assert.Equal(t, len(stops), 1)
-	b.s.OrderAnswered(stops[0], Answered, execution.Reply{Refusal: execution.RefusedOther}, b.now)
+	b := newBenchWithRefusedStop(t)
 	again := 0
 	for range 100 {
 		b.see("i-1", b.view("i-1", nil)) // it is still there
