Fleet planner: no conclusion from a late result, an old list or an earlier cordon

While the store is slow, a plan waits for its writes and results queue; an accepted move that the list had shown already then counted as accepted maintenance: MIXED. A late refusal dropped a call in progress and revoked its cordon. - A new executor after a call without response was taken for maintenance, though the old one may have crashed. The list must have shown the machine under maintenance; else the call is repeated. - A machine counted as removed 3 s after one list lacked it, by the clock, while no further list came. Now that time lies between two lists. The load must name the cordon in force. - An accepted move was taken for done without effect after 3 s by the clock, also if no list had come since. No call is made by a list older than 3 s.

--- a/entry/fleetduty/actions.go
+++ b/entry/fleetduty/actions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
@@ -38,13 +39,15 @@
 		key := layout.CordonKey(a.Service, a.Executor)
 		switch a.Kind {
 		case fleetplan.Cordon:
-			value, err := layout.Encode(layout.Cordon{Preempt: a.Preempt})
+			h.cordonsSet++
+			id := fmt.Sprintf("%d-%d", h.term.Token, h.cordonsSet)
+			value, err := layout.Encode(layout.Cordon{ID: id, Preempt: a.Preempt})
 			if err != nil {
 				h.Logger.Error("cordon not set", "executor", string(a.Executor), "error", err)
 				continue
 			}
 			t.Puts = append(t.Puts, kv.Put{Key: key, Value: value})
-			h.cordons[a.Executor] = a.Service
+			h.cordons[a.Executor] = fleetplan.ActiveCordon{Service: a.Service, ID: id}
 			set = append(set, a.Executor)
 		case fleetplan.Uncordon:
 			t.Deletes = append(t.Deletes, key)
--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -86,17 +86,19 @@
 
 	loads          map[cluster.Service]shard.Load
 	waves          map[int64]cluster.Wave
-	cordons        map[cluster.ExecutorID]cluster.Service
+	cordons        map[cluster.ExecutorID]fleetplan.ActiveCordon
 	recent         recentCommands
 	fencedRefusals int
 
 	listedMachines []cluster.Machine // as last listed; nil before the first list
+	listedAt       time.Time         // when that list was requested
 	listing        bool              // a call that lists the machines is in progress
 	plannedAt      time.Time
 	cordonsReadAt  time.Time // start of the last read of the stored cordons
 	// cordonWrites counts this holder's writes of cordons, so that it can detect one that is
 	// made while the stored cordons are being read.
 	cordonWrites int
+	cordonsSet   int // cordons that this holder has set, for their IDs
 	cleanedUpAt  time.Time
 	// historyStoredAt is when the planner's demand history was last stored.
 	historyStoredAt   time.Time
@@ -116,7 +118,7 @@
 		ctx: ctx, stepDown: cancel,
 		loads:   map[cluster.Service]shard.Load{},
 		waves:   map[int64]cluster.Wave{},
-		cordons: map[cluster.ExecutorID]cluster.Service{},
+		cordons: map[cluster.ExecutorID]fleetplan.ActiveCordon{},
 		recent:  recentCommands{sentAt: map[cluster.MachineID]time.Time{}, retention: options.HolderGap + holderMargin},
 	}
 	h.Logger = options.Logger.With("duty", Duty, "token", term.Token)
@@ -178,6 +180,7 @@
 		return
 	}
 	h.listing = true
+	requestedAt := time.Now()
 	go func() {
 		list, err := h.list(ctx)
 		h.send(func() {
@@ -186,7 +189,7 @@
 				h.Logger.Warn("machines not listed", "error", err)
 				return
 			}
-			h.listedMachines = list
+			h.listedMachines, h.listedAt = list, requestedAt
 		})
 	}()
 }
@@ -197,7 +200,7 @@
 		return
 	}
 	h.plannedAt = time.Now()
-	snapshot := fleetplan.Snapshot{Now: h.plannedAt, Machines: h.listedMachines, Pools: config.Pools, Loads: h.loads, Cordons: h.cordons}
+	snapshot := fleetplan.Snapshot{Now: h.plannedAt, Machines: h.listedMachines, ListedAt: h.listedAt, Pools: config.Pools, Loads: h.loads, Cordons: h.cordons}
 	for _, wave := range h.waves {
 		snapshot.Waves = append(snapshot.Waves, wave)
 	}
--- a/entry/fleetduty/holder_test.go
+++ b/entry/fleetduty/holder_test.go
@@ -165,8 +165,8 @@
 func TestCordonsReadDuringAWriteAreReadAgain(t *testing.T) {
 	s := newTestStore(t)
 	h := newTestHolder(s)
-	h.cordons = map[cluster.ExecutorID]cluster.Service{"i-1": "a"}
-	stored := map[cluster.ExecutorID]cluster.Service{"i-1": "a"}
+	h.cordons = map[cluster.ExecutorID]fleetplan.ActiveCordon{"i-1": {Service: "a"}}
+	stored := map[cluster.ExecutorID]fleetplan.ActiveCordon{"i-1": {Service: "a"}}
 	writes := h.cordonWrites
 	h.setCordons(t.Context(), []fleetplan.Action{{Kind: fleetplan.Uncordon, Executor: "i-1", Service: "a"}})
 	h.addCordons(stored, writes)
@@ -181,7 +181,7 @@
 	s := newTestStore(t)
 	h := newTestHolder(s)
 	s.delayWrites = true
-	h.cordons = map[cluster.ExecutorID]cluster.Service{"i-1": "a"}
+	h.cordons = map[cluster.ExecutorID]fleetplan.ActiveCordon{"i-1": {Service: "a"}}
 	h.setCordons(t.Context(), []fleetplan.Action{{Kind: fleetplan.Uncordon, Executor: "i-1", Service: "a"}})
 	assert.Equal(t, len(h.cordons), 0)
 }
--- a/entry/fleetduty/load.go
+++ b/entry/fleetduty/load.go
@@ -12,6 +12,7 @@
 	"github.com/tarragonreach/tarragonreach/entry/layout"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 	"github.com/tarragonreach/tarragonreach/platform/registry"
+	"github.com/tarragonreach/tarragonreach/policy/fleetplan"
 	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
@@ -46,8 +47,8 @@
 	return err
 }
 
-func (h *Holder) loadCordons(ctx context.Context) (map[cluster.ExecutorID]cluster.Service, error) {
-	cordons := map[cluster.ExecutorID]cluster.Service{}
+func (h *Holder) loadCordons(ctx context.Context) (map[cluster.ExecutorID]fleetplan.ActiveCordon, error) {
+	cordons := map[cluster.ExecutorID]fleetplan.ActiveCordon{}
 	config := h.Config()
 	if config == nil {
 		return cordons, nil
@@ -59,7 +60,12 @@
 			return cordons, fmt.Errorf("list cordons of %s: %w", pool.Service, err)
 		}
 		for _, item := range items {
-			cordons[cluster.ExecutorID(strings.TrimPrefix(item.Key, prefix))] = pool.Service
+			cordon, err := layout.Decode[layout.Cordon](item.Key, item.Value)
+			if err != nil {
+				h.Logger.Error("cordon not readable", "error", err)
+			}
+			executor := cluster.ExecutorID(strings.TrimPrefix(item.Key, prefix))
+			cordons[executor] = fleetplan.ActiveCordon{Service: pool.Service, ID: cordon.ID}
 		}
 	}
 	return cordons, nil
@@ -84,7 +90,7 @@
 
 // addCordons adds cordons that were read. If this holder wrote cordons during the read, the
 // result may be out of date, and they are read again soon.
-func (h *Holder) addCordons(cordons map[cluster.ExecutorID]cluster.Service, writes int) {
+func (h *Holder) addCordons(cordons map[cluster.ExecutorID]fleetplan.ActiveCordon, writes int) {
 	if writes != h.cordonWrites {
 		h.cordonsReadAt = time.Time{}
 		return
--- a/policy/fleetplan/fleetplan.go
+++ b/policy/fleetplan/fleetplan.go
@@ -27,10 +27,18 @@
 type Snapshot struct {
 	Now      time.Time
 	Machines []cluster.Machine
+	// ListedAt is when the list of machines was requested: it shows no older state.
+	ListedAt time.Time
 	Pools    []cluster.Pool
 	Loads    map[cluster.Service]shard.Load
 	Waves    []cluster.Wave
-	Cordons  map[cluster.ExecutorID]cluster.Service // those in force, with the service of the executor
+	Cordons  map[cluster.ExecutorID]ActiveCordon // those in force
+}
+
+// ActiveCordon is a cordon in force.
+type ActiveCordon struct {
+	Service cluster.Service // of the executor
+	ID      string          // as shard.Cordon.ID
 }
 
 // ActionKind is what an action does.
@@ -67,6 +75,8 @@
 	// time: late jobs on it are then preempted.
 	Preempt bool
 	Reason  string // for the log
+
+	operation *operation // that a Maintain or Move belongs to
 }
 
 // operation is a maintenance or a move that was started for a machine.
@@ -84,6 +94,9 @@
 	calledAt time.Time
 	// accepted is set once the machine service has accepted the call.
 	accepted bool
+	// underMaintenance is set once the list has shown the machine under maintenance after
+	// the call.
+	underMaintenance bool
 }
 
 // waveState is the progress of a wave.
@@ -186,6 +199,12 @@
 	return v
 }
 
+// cordoned reports whether a cordon of the executor is in force.
+func (v *view) cordoned(id cluster.ExecutorID) bool {
+	_, cordoned := v.Cordons[id]
+	return cordoned
+}
+
 // load returns what runs on a machine, and whether its owner lists the executor.
 func (v *view) load(m cluster.Machine) (shard.ExecutorLoad, bool) {
 	l, known := v.Loads[m.Pool].Executors[m.Executor]
@@ -193,13 +212,15 @@
 }
 
 // evacuated reports whether nothing runs on the machine and its owner will start nothing
-// there.
+// there. The owner must have confirmed this very cordon: after an earlier one was revoked it
+// may have started tasks that its last stored load does not show.
 func (v *view) evacuated(m cluster.Machine) bool {
 	if v.pools[m.Pool].Spare || m.Executor == "" {
 		return true
 	}
 	l, known := v.load(m)
-	return known && l.Cordoned && l.Runs == 0
+	cordon, cordoned := v.Cordons[m.Executor]
+	return known && cordoned && l.Cordoned && l.CordonID == cordon.ID && l.Runs == 0
 }
 
 // Plan returns the actions to carry out now.
@@ -220,30 +241,42 @@
 func (p *Planner) finishOperations(v *view) {
 	for id, op := range p.operations {
 		m, listed := v.byID[id]
+		op.noteState(m)
 		switch {
-		case !listed:
+		case !listed && op.calledAt.IsZero():
 			delete(p.operations, id)
 		case m.State == cluster.MachineUp && m.Executor != "" && m.Executor != op.executor:
-			if op.kind == Maintain && !op.calledAt.IsZero() {
+			if op.underMaintenance {
 				p.waves[op.wave].maintenanceStarted[id] = true
 			}
 			delete(p.operations, id)
 		case op.kind == Move && m.Pool == op.to && m.State == cluster.MachineUp:
 			delete(p.operations, id)
-		case op.accepted && m.State == cluster.MachineUp && v.Now.Sub(op.calledAt) > maxListLag+p.limits.MaintenanceTime:
+		case op.accepted && m.State == cluster.MachineUp && v.ListedAt.Sub(op.calledAt) > maxListLag+p.limits.MaintenanceTime:
 			delete(p.operations, id) // assumed done; the list shows no new executor that would confirm it
 		case op.calledAt.IsZero() && v.Now.Sub(op.startedAt) > evacuationTimeout:
 			delete(p.operations, id) // it can't be evacuated now
-		case !op.calledAt.IsZero() && !op.accepted && v.Now.Sub(op.calledAt) > callExpiry:
+		case !op.calledAt.IsZero() && (!op.accepted || !listed) && v.Now.Sub(op.calledAt) > callExpiry:
 			delete(p.operations, id) // the call can no longer take effect
 		}
 	}
 }
 
+// noteState records that the machine was seen under maintenance. A new executor alone proves
+// nothing: the old one may have crashed.
+func (op *operation) noteState(m cluster.Machine) {
+	if op.kind == Maintain && !op.calledAt.IsZero() && m.State == cluster.MachineMaintenance {
+		op.underMaintenance = true
+	}
+}
+
 const (
 	// maxListLag is how long the machine list may lag behind the responses of the machine
 	// service.
 	maxListLag = 1 * time.Second
+	// maxListAge is the age of the machine list from which no calls are made: a machine may
+	// have a new executor that is not cordoned.
+	maxListAge = 3 * time.Second
 	// evacuationTimeout is how long an operation waits for its machine to be evacuated; the
 	// machine gets no new work meanwhile, so the operation is then dropped.
 	evacuationTimeout = 12 * time.Second
@@ -268,7 +301,7 @@
 	for _, id := range slices.Sorted(maps.Keys(p.operations)) {
 		op := p.operations[id]
 		m := v.byID[id]
-		if !op.calledAt.IsZero() || m.State != cluster.MachineUp || v.pools[m.Pool].Spare || op.executor == "" || v.Cordons[op.executor] != "" {
+		if !op.calledAt.IsZero() || m.State != cluster.MachineUp || v.pools[m.Pool].Spare || op.executor == "" || v.cordoned(op.executor) {
 			continue
 		}
 		actions = append(actions, Action{Kind: Cordon, Machine: id, Executor: op.executor, Service: m.Pool, Wave: op.wave, Preempt: op.preempt, Reason: op.reason})
@@ -278,6 +311,9 @@
 
 // issueCalls returns the calls to the machine service for evacuated machines.
 func (p *Planner) issueCalls(v *view) []Action {
+	if v.Now.Sub(v.ListedAt) > maxListAge {
+		return nil
+	}
 	var actions []Action
 	for _, id := range slices.Sorted(maps.Keys(p.operations)) {
 		op := p.operations[id]
@@ -286,7 +322,7 @@
 			continue
 		}
 		op.calledAt = v.Now
-		actions = append(actions, Action{Kind: op.kind, Machine: id, Executor: m.Executor, Service: op.to, Wave: op.wave, Reason: "empty"})
+		actions = append(actions, Action{Kind: op.kind, Machine: id, Executor: m.Executor, Service: op.to, Wave: op.wave, Reason: "empty", operation: op})
 	}
 	return actions
 }
@@ -301,9 +337,10 @@
 	}
 	var actions []Action
 	for _, id := range slices.Sorted(maps.Keys(v.Cordons)) {
-		_, known := v.Loads[v.Cordons[id]].Executors[id]
+		service := v.Cordons[id].Service
+		_, known := v.Loads[service].Executors[id]
 		if !wanted[id] && (!known || v.listedExecutors[id]) {
-			actions = append(actions, Action{Kind: Uncordon, Executor: id, Service: v.Cordons[id]})
+			actions = append(actions, Action{Kind: Uncordon, Executor: id, Service: service})
 		}
 	}
 	return actions
@@ -323,18 +360,19 @@
 	Unknown          // the call may have had an effect, or may have one seconds later
 )
 
-// HandleResult applies the outcome of a Maintain or Move.
+// HandleResult applies the outcome of a Maintain or Move. The result may come after the list
+// has shown the effect of the call, when another operation of the machine is in progress.
 func (p *Planner) HandleResult(a Action, o Outcome, now time.Time) {
+	if a.Kind == Maintain && o == Accepted {
+		p.waves[a.Wave].maintenanceStarted[a.Machine] = true
+	}
 	op := p.operations[a.Machine]
-	if op == nil {
+	if op == nil || op != a.operation {
 		return
 	}
 	switch o {
 	case Accepted:
 		op.accepted = true
-		if op.kind == Maintain {
-			p.waves[op.wave].maintenanceStarted[a.Machine] = true
-		}
 	case Refused:
 		delete(p.operations, a.Machine)
 	case Unknown:
--- a/policy/fleetplan/fleetplan_test.go
+++ b/policy/fleetplan/fleetplan_test.go
@@ -23,7 +23,8 @@
 	machines      map[cluster.MachineID]*cluster.Machine
 	ids           []cluster.MachineID
 	loads         map[cluster.Service]shard.Load
-	cordons       map[cluster.ExecutorID]cluster.Service
+	cordons       map[cluster.ExecutorID]ActiveCordon
+	cordonsSet    int
 	waves         []cluster.Wave
 	upAt          map[cluster.MachineID]time.Time
 	executorCount int
@@ -43,7 +44,7 @@
 	f := &simFleet{
 		t: t, now: time.Unix(1000, 0), planner: New(testLimits),
 		machines: map[cluster.MachineID]*cluster.Machine{}, loads: map[cluster.Service]shard.Load{},
-		cordons: map[cluster.ExecutorID]cluster.Service{}, upAt: map[cluster.MachineID]time.Time{}, maintained: map[cluster.MachineID]int{},
+		cordons: map[cluster.ExecutorID]ActiveCordon{}, upAt: map[cluster.MachineID]time.Time{}, maintained: map[cluster.MachineID]int{},
 	}
 	for _, service := range []cluster.Service{"a", "b", "c", "d"} {
 		if n := sizes[service]; n > 0 {
@@ -84,7 +85,8 @@
 		for _, m := range f.machines {
 			if m.Pool == service && m.Executor != "" && m.State == cluster.MachineUp {
 				x := load.Executors[m.Executor]
-				x.Cordoned = f.cordons[m.Executor] != ""
+				cordon, cordoned := f.cordons[m.Executor]
+				x.Cordoned, x.CordonID = cordoned, cordon.ID
 				executors[m.Executor] = x
 			}
 		}
@@ -94,7 +96,7 @@
 }
 
 func (f *simFleet) snapshot() Snapshot {
-	s := Snapshot{Now: f.now, Pools: f.pools, Loads: f.loads, Waves: f.waves, Cordons: f.cordons}
+	s := Snapshot{Now: f.now, ListedAt: f.now, Pools: f.pools, Loads: f.loads, Waves: f.waves, Cordons: f.cordons}
 	for _, id := range f.ids {
 		s.Machines = append(s.Machines, *f.machines[id])
 	}
@@ -113,7 +115,8 @@
 	for _, a := range f.planner.Plan(f.snapshot()) {
 		switch a.Kind {
 		case Cordon:
-			f.cordons[a.Executor] = a.Service
+			f.cordonsSet++
+			f.cordons[a.Executor] = ActiveCordon{a.Service, fmt.Sprint(f.cordonsSet)}
 		case Uncordon:
 			delete(f.cordons, a.Executor)
 		case Report:
@@ -136,7 +139,7 @@
 	if m.State != cluster.MachineUp {
 		f.t.Fatalf("%s of %s, which is %s", a.Kind, a.Machine, m.State)
 	}
-	if m.Executor != "" && f.cordons[m.Executor] == "" {
+	if m.Executor != "" && f.cordons[m.Executor].ID == "" {
 		f.t.Fatalf("%s of %s, whose executor was not evacuated", a.Kind, a.Machine)
 	}
 	if a.Kind == Maintain {
@@ -289,8 +292,8 @@
 // until its owner has dropped it.
 func TestLostExecutorStaysCordoned(t *testing.T) {
 	f := newSimFleet(t, map[cluster.Service]int{"a": 2, "b": 3}, 0)
-	f.cordons["i-lost"] = "b"
-	f.cordons["i-001"] = "a" // exists, and has no operation
+	f.cordons["i-lost"] = ActiveCordon{"b", "1"}
+	f.cordons["i-001"] = ActiveCordon{"a", "2"} // exists, and has no operation
 	f.loads["b"].Executors["i-lost"] = shard.ExecutorLoad{Cordoned: true}
 	uncordoned := func() []cluster.ExecutorID {
 		var list []cluster.ExecutorID
@@ -313,10 +316,10 @@
 		f := newSimFleet(t, map[cluster.Service]int{"a": 2, "b": 6}, 0)
 		f.loads["a"] = shard.Load{InTimeCPU: 6 * 16000, Executors: f.loads["a"].Executors}
 		for id, x := range f.loads["b"].Executors {
-			x.Cordoned = true
+			x.Cordoned, x.CordonID = true, "1"
 			f.loads["b"].Executors[id] = x
 			if inForce {
-				f.cordons[id] = "b"
+				f.cordons[id] = ActiveCordon{"b", "1"}
 			}
 		}
 		moves := 0
--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -211,7 +211,7 @@
 // cordonReleased reports whether the cordon of a machine's executor was revoked but its
 // owner still applies it. A cordon set by an earlier holder of the duty remains in force.
 func (v *view) cordonReleased(m cluster.Machine, l shard.ExecutorLoad) bool {
-	return l.Cordoned && v.Cordons[m.Executor] == ""
+	return l.Cordoned && !v.cordoned(m.Executor)
 }
 
 // take returns a machine for a service: a spare one, one that has been idle for
--- a/policy/fleetplan/replay_test.go
+++ b/policy/fleetplan/replay_test.go
@@ -74,7 +74,7 @@
 	}
 	for _, id := range r.ids {
 		m := r.machines[id]
-		if m.Pool == service && m.State == cluster.MachineUp && m.Executor != "" && r.cordons[m.Executor] == "" && capacity < waiting {
+		if m.Pool == service && m.State == cluster.MachineUp && m.Executor != "" && r.cordons[m.Executor].ID == "" && capacity < waiting {
 			capacity += replayTick.Seconds()
 			r.busyUntil[m.Executor] = r.now.Add(replayTaskTime)
 		}
--- a/policy/fleetplan/waves.go
+++ b/policy/fleetplan/waves.go
@@ -14,8 +14,9 @@
 	waveShare = 0.75
 	// evacuationTime is the approximate time that it takes to evacuate a machine.
 	evacuationTime = 2500 * time.Millisecond
-	// missingTimeout is how long a machine must be missing from the list to count as
-	// removed.
+	// missingTimeout is how long a machine must be missing from the lists to count as
+	// removed. It is the time between two lists: while no new list arrives, an incomplete one
+	// proves nothing.
 	missingTimeout = 3 * time.Second
 	// maxPoolShareDown is the share of a pool's machines that may be unavailable after a
 	// wave has taken another one, unless the wave is urgent; one machine is always allowed.
@@ -55,9 +56,9 @@
 			delete(w.missingSince, id)
 			remaining = append(remaining, id)
 		case w.missingSince[id].IsZero():
-			w.missingSince[id] = v.Now
+			w.missingSince[id] = v.ListedAt
 			remaining = append(remaining, id)
-		case v.Now.Sub(w.missingSince[id]) < missingTimeout:
+		case v.ListedAt.Sub(w.missingSince[id]) < missingTimeout:
 			remaining = append(remaining, id)
 		}
 	}
@@ -145,7 +146,7 @@
 	switch {
 	case v.pools[m.Pool].Spare:
 		return rankSpare
-	case v.Cordons[m.Executor] != "":
+	case v.cordoned(m.Executor):
 		return rankCordoned
 	case l.LongRunning > 0:
 		return rankLongRunning
--- a/policy/fleetplan/waves_test.go
+++ b/policy/fleetplan/waves_test.go
@@ -72,7 +72,7 @@
 	f := newSimFleet(t, map[cluster.Service]int{"a": 8}, 4)
 	f.waves = []cluster.Wave{{Number: 1, Duration: 30 * time.Second, MaxDown: 2, Machines: f.ids}}
 	evacuating := f.machines[f.ids[6]].Executor
-	f.cordons[evacuating] = "a"
+	f.cordons[evacuating] = ActiveCordon{"a", "1"}
 	for _, a := range f.planner.Plan(f.snapshot()) {
 		assert.Assert(t, a.Executor != evacuating || a.Kind != Uncordon)
 	}
