--- a/entry/gateway/halfopen_test.go
+++ b/entry/gateway/halfopen_test.go
@@ -22,8 +22,10 @@
 	halfOpenCallers   = 16
 	halfOpenShare     = 0.3
 	halfOpenTimeout   = 10 * time.Second
-	halfOpenWarmUp    = 500 * time.Millisecond
 	halfOpenMaxWait   = time.Minute
+	// halfOpenMinConnections is how many connections each executor has before some become
+	// half-open: halfOpenShare of two is one.
+	halfOpenMinConnections = 2
 )
 
 // halfOpenResult is the result of a run in which connections become half-open.
@@ -34,8 +36,38 @@
 
 // runHalfOpen makes connections half-open under load and waits until they are replaced.
 func runHalfOpen(tb testing.TB, naive bool) halfOpenResult {
+	tb.Helper()
 	l, servers := newStandinFleet(tb, naive)
 	defer l.stop()
+	return runHalfOpenOn(tb, l, servers, func(r *halfOpenResult) bool {
+		return atomic.LoadInt64(&r.succeeded) >= halfOpenCallers && fewestConnections(servers) >= halfOpenMinConnections
+	})
+}
+
+// fewestConnections returns the number of connections of the executor that has the fewest.
+func fewestConnections(servers []*standin.Server) int {
+	fewest := servers[0].Connections()
+	for _, s := range servers {
+		fewest = min(fewest, s.Connections())
+	}
+	return fewest
+}
+
+// waitUntil waits until the condition holds.
+func waitUntil(tb testing.TB, condition func() bool) {
+	tb.Helper()
+	for start := time.Now(); !condition(); time.Sleep(time.Millisecond) {
+		if time.Since(start) > halfOpenMaxWait {
+			tb.Error("condition not reached")
+			return
+		}
+	}
+}
+
+// runHalfOpenOn sends requests, makes connections half-open once ready reports true, and
+// waits until they are replaced.
+func runHalfOpenOn(tb testing.TB, l *loopback, servers []*standin.Server, ready func(*halfOpenResult) bool) halfOpenResult {
+	tb.Helper()
 	var r halfOpenResult
 	var done atomic.Bool
 	var callers sync.WaitGroup
@@ -50,7 +82,7 @@
 			}
 		})
 	}
-	time.Sleep(halfOpenWarmUp)
+	waitUntil(tb, func() bool { return ready(&r) })
 	for _, s := range servers {
 		r.halfOpened += int64(s.MakeHalfOpen(halfOpenShare))
 	}
@@ -119,6 +151,18 @@
 	assert.Assert(t, r.replaced < halfOpenMaxWait, "half-open connections are left")
 }
 
+// Connections become half-open before any response has shown how long requests take.
+func TestHalfOpenConnectionsBeforeTheFirstResponseLoseNoRequest(t *testing.T) {
+	l, servers := newStandinFleet(t, false)
+	defer l.stop()
+	for _, s := range servers {
+		s.SetServiceTime(time.Second)
+	}
+	r := runHalfOpenOn(t, l, servers, func(*halfOpenResult) bool { return fewestConnections(servers) >= halfOpenMinConnections })
+	assert.Assert(t, r.halfOpened > 0)
+	assert.Equal(t, r.lost, int64(0), "lost, besides %d that succeeded", r.succeeded)
+}
+
 func BenchmarkRequestPathHalfOpen(b *testing.B) {
 	comparePolicyAndNaive(b, func(b *testing.B, naive bool) {
 		r := runHalfOpen(b, naive)
