Unreached executors: the list carries ages, for owners in new processes

Cause: TestAcceptedJobsRunDespiteRapidTakeovers failed once in 14 runs and once in 60 on: three tasks of an executor lost at 6.2 s were not running at 23.8 s. The last owner was a process that had been restarted, so that it had not observed the term that the list names, and counted the longest lease from its own takeover again. Change: the list also says how long ago the term had begun at least when it was written; it is written once a second while it is not empty. A successor takes the longer of this and its own observation.

--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -25,6 +25,7 @@
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/api/job"
+	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
 // OwnersPrefix is the prefix of the holders of all duties.
@@ -132,9 +133,8 @@
 // whose response was lost took effect.
 type WriteMarker struct {
 	Nonce string `json:"nonce"`
-	// Unreached is a shard.Unreached: the executors with inherited runs that no owner has
-	// reached since the term with the given token began.
-	Unreached map[cluster.ExecutorID]int64 `json:"unreached,omitempty"`
+	// Unreached lists the executors with inherited runs that the owner has not reached.
+	Unreached shard.Unreached `json:"unreached,omitempty"`
 }
 
 // ShardItem is the kind of an entry under a ShardPrefix.
--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -59,9 +59,7 @@
 	// leaseBound is when the leases of all runs there have certainly expired, unless
 	// they are renewed.
 	leaseBound time.Time
-	// unreachedSince is set with inherited runs: the token of the first of the owners up to
-	// this one that have not reached the executor.
-	unreachedSince int64
+	unreached  unreachedExecutor
 
 	commandsInFlight int
 	// commandsAt is the time before which no run needs a command; markDue resets it.
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -22,7 +21,8 @@
 	// Full is set if writes or starts were left out for lack of entries.
 	Full bool
 
-	starts []*run
+	starts    []*run
+	plannedAt time.Time
 }
 
 // JobWrite is the new durable state of one job.
@@ -126,7 +126,7 @@
 	b := s.pendingBatch
 	s.pendingBatch = nil
 	s.dirty = true
-	s.unreached.stored = b.Unreached
+	s.unreached.stored, s.unreached.storedAt = b.Unreached, b.plannedAt
 	for _, w := range b.Jobs {
 		w.job.durableVersion = w.version
 		w.job.changedAt = time.Time{}
@@ -338,9 +338,9 @@
 }
 
 func (b *builder) build() *Batch {
-	b.batch.Unreached = b.shard.currentlyUnreached()
-	unreachedChanged := !maps.Equal(b.batch.Unreached, b.shard.unreached.stored)
-	if len(b.jobs) == 0 && b.batch.Waiting == nil && b.batch.Load == nil && !unreachedChanged {
+	b.batch.Unreached = b.shard.currentlyUnreached(b.now)
+	unreachedDue := b.shard.unreached.due(b.batch.Unreached, b.now)
+	if len(b.jobs) == 0 && b.batch.Waiting == nil && b.batch.Load == nil && !unreachedDue {
 		return nil
 	}
 	for _, j := range b.jobs {
@@ -354,5 +354,6 @@
 		}
 		b.batch.Jobs = append(b.batch.Jobs, w)
 	}
+	b.batch.plannedAt = b.now
 	return &b.batch
 }
