Fleet holder: the loop waits for no write

Cause: the loop wrote cordons, announcements and waves itself, handled one event between two plans, and stored a wave's progress once for each accepted maintenance (118 at once). With slow answers it planned once a second from loads up to four seconds old: its log repeats the same needs from 10.6 to 14.3 s. Change: one write of each kind in the background; what is planned meanwhile goes into the next one. Queued events are handled before each plan. The progress of all waves goes into one write. Tests: TestPlanningGoesOnWhileWritesAreInProgress (a store that holds its answers back), TestProgressOfAWaveIsStoredTogether (118 accepted at once, one write).

--- a/entry/fleetduty/actions.go
+++ b/entry/fleetduty/actions.go
@@ -9,31 +9,43 @@
 	"github.com/tarragonreach/tarragonreach/entry/layout"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 	"github.com/tarragonreach/tarragonreach/platform/machines"
-	"github.com/tarragonreach/tarragonreach/platform/registry"
 	"github.com/tarragonreach/tarragonreach/policy/fleetplan"
 )
 
-func (h *Holder) execute(ctx context.Context, a fleetplan.Action) {
-	switch a.Kind {
-	case fleetplan.Report:
-		h.logAction(a, "", h.reportWave(ctx, a))
-	case fleetplan.Maintain, fleetplan.Move:
-		go h.callMachineService(ctx, a)
-	default: // setCordons has handled cordons
-	}
-}
-
 func (h *Holder) logAction(a fleetplan.Action, outcome string, err error) {
 	h.Logger.Info("fleet action", "kind", a.Kind.String(), "machine", string(a.Machine), "executor", string(a.Executor),
 		"service", string(a.Service), "wave", a.Wave, "state", string(a.State), "reason", a.Reason, "outcome", outcome, "error", err)
 }
 
-// setCordons sets and revokes the cordons of a plan in one write.
+// cordonChanges are the changes of cordons in one write.
+type cordonChanges struct {
+	txn          kv.Txn
+	set, revoked []cluster.ExecutorID
+}
+
+// setCordons starts to set and revoke the cordons of a plan in one write, unless another one
+// is in progress: the planner repeats them. New cordons count as in force at once, revoked
+// ones until the write is over.
 func (h *Holder) setCordons(ctx context.Context, actions []fleetplan.Action) {
-	var t kv.Txn
-	var set, revoked []cluster.ExecutorID
+	if h.writingCordons {
+		return
+	}
+	changes := h.collectCordons(actions)
+	if changes.txn.Entries() == 0 {
+		return
+	}
+	h.writingCordons = true
+	h.cordonWrites++
+	go func() {
+		err := h.txn(ctx, changes.txn)
+		h.send(func() { h.finishCordons(changes, err) })
+	}()
+}
+
+func (h *Holder) collectCordons(actions []fleetplan.Action) cordonChanges {
+	var c cordonChanges
 	for _, a := range actions {
-		if t.Entries() == kv.MaxTxnEntries-1 {
+		if c.txn.Entries() == kv.MaxTxnEntries-1 {
 			break // the next plan covers the rest
 		}
 		key := layout.CordonKey(a.Service, a.Executor)
@@ -46,30 +58,31 @@
 				h.Logger.Error("cordon not set", "executor", string(a.Executor), "error", err)
 				continue
 			}
-			t.Puts = append(t.Puts, kv.Put{Key: key, Value: value})
+			c.txn.Puts = append(c.txn.Puts, kv.Put{Key: key, Value: value})
 			h.cordons[a.Executor] = fleetplan.ActiveCordon{Service: a.Service, ID: id}
-			set = append(set, a.Executor)
+			c.set = append(c.set, a.Executor)
 		case fleetplan.Uncordon:
-			t.Deletes = append(t.Deletes, key)
-			revoked = append(revoked, a.Executor)
+			c.txn.Deletes = append(c.txn.Deletes, key)
+			c.revoked = append(c.revoked, a.Executor)
 		default:
 			continue
 		}
 		h.logAction(a, "", nil)
 	}
-	if t.Entries() == 0 {
-		return
-	}
+	return c
+}
+
+func (h *Holder) finishCordons(c cordonChanges, err error) {
+	h.writingCordons = false
 	h.cordonWrites++
-	err := h.txn(ctx, t)
-	for _, id := range revoked {
+	for _, id := range c.revoked {
 		delete(h.cordons, id) // if the write failed, the cordon may still be stored: syncCordons finds it
 	}
 	if err == nil {
 		return
 	}
-	h.Logger.Warn("cordons not stored", "entries", t.Entries(), "error", err)
-	for _, id := range set {
+	h.Logger.Warn("cordons not stored", "entries", c.txn.Entries(), "error", err)
+	for _, id := range c.set {
 		delete(h.cordons, id) // planned again; if the write takes effect late, syncCordons finds it
 	}
 }
@@ -99,27 +112,6 @@
 	return h.Store.Txn(ctx, t)
 }
 
-// reportWave publishes the state of a wave to the operator and stores it with the wave's
-// progress.
-func (h *Holder) reportWave(ctx context.Context, a fleetplan.Action) error {
-	status, err := registry.EncodeWaveStatus(a.State)
-	if err != nil {
-		return err
-	}
-	progress, err := h.encodeWave(a.Wave, a.State)
-	if err != nil {
-		return err
-	}
-	err = h.txn(ctx, kv.Txn{Puts: []kv.Put{
-		{Key: registry.WaveStatusKey(a.Wave), Value: status},
-		{Key: layout.WaveKey(a.Wave), Value: progress},
-	}})
-	if err != nil {
-		h.planner.WaveReportFailed(a.Wave)
-	}
-	return err
-}
-
 // callMachineService sends a command to the machine service and passes its outcome to the
 // planner.
 func (h *Holder) callMachineService(ctx context.Context, a fleetplan.Action) {
@@ -141,7 +133,7 @@
 		outcome := outcomeOf(refusal, err)
 		h.planner.HandleResult(a, outcome, time.Now())
 		if outcome == fleetplan.Accepted && a.Kind == fleetplan.Maintain {
-			h.storeWave(ctx, a.Wave)
+			h.waveWrites.changed[a.Wave] = true
 		}
 	})
 }
@@ -156,19 +148,3 @@
 		return fleetplan.Accepted
 	}
 }
-
-func (h *Holder) encodeWave(number int64, state cluster.WaveState) ([]byte, error) {
-	return layout.Encode(layout.WaveProgress{MaintenanceStarted: h.planner.WaveMachinesStarted(number), Reported: state, StartedAt: h.planner.WaveStartedAt(number)})
-}
-
-// storeWave stores for which machines of a wave the maintenance has started. A successor
-// that loads an older state repeats the command, which then has no effect.
-func (h *Holder) storeWave(ctx context.Context, number int64) {
-	progress, err := h.encodeWave(number, cluster.WaveRunning)
-	if err == nil {
-		err = h.txn(ctx, kv.Txn{Puts: []kv.Put{{Key: layout.WaveKey(number), Value: progress}}})
-	}
-	if err != nil {
-		h.Logger.Warn("state of a wave not stored", "wave", number, "error", err)
-	}
-}
--- a/entry/fleetduty/commands.go
+++ b/entry/fleetduty/commands.go
@@ -46,71 +46,107 @@
 	return commands
 }
 
-// announceCommands stores which machines are about to get a command. It reports whether the
-// commands may be sent.
-func (h *Holder) announceCommands(ctx context.Context, actions []fleetplan.Action) bool {
-	now := time.Now()
-	sending := false
+// queueCommands queues the commands of a plan.
+func (h *Holder) queueCommands(actions []fleetplan.Action) {
 	for _, a := range actions {
 		if a.Kind == fleetplan.Move || a.Kind == fleetplan.Maintain {
-			h.recent.sentAt[a.Machine] = now
-			sending = true
+			h.queued = append(h.queued, a)
 		}
 	}
-	if !sending {
-		return true
+}
+
+// announceQueued starts to store which machines are about to get the queued commands, unless
+// a write of the list is in progress. The commands are sent when the list is stored.
+func (h *Holder) announceQueued(ctx context.Context) {
+	if h.announcing || len(h.queued) == 0 {
+		return
 	}
-	err := h.storeRecentCommands(ctx, txnAttempts)
-	if err == nil {
-		return true
+	commands := h.queued
+	h.queued = nil
+	now := time.Now()
+	for _, a := range commands {
+		h.recent.sentAt[a.Machine] = now
 	}
-	h.Logger.Warn("commands not announced, so not sent", "error", err)
-	for _, a := range actions {
-		if a.Kind == fleetplan.Move || a.Kind == fleetplan.Maintain {
-			h.planner.HandleResult(a, fleetplan.Refused, now)
+	h.storeRecentCommands(ctx, txnAttempts, func(err error) { h.sendAnnounced(ctx, commands, err) })
+}
+
+// sendAnnounced sends commands whose announcement has ended with err.
+func (h *Holder) sendAnnounced(ctx context.Context, commands []fleetplan.Action, err error) {
+	if err == nil {
+		for _, a := range commands {
+			go h.callMachineService(ctx, a)
 		}
+		return
+	}
+	h.Logger.Warn("commands not announced, so not sent", "commands", len(commands), "error", err)
+	for _, a := range commands {
+		h.planner.HandleResult(a, fleetplan.Refused, time.Now())
 	}
-	return false
 }
 
 // refreshRecentCommands updates the ages in the stored list, so that a successor does not
 // wait because of old commands.
 func (h *Holder) refreshRecentCommands(ctx context.Context) {
-	if !h.recent.due(time.Now()) {
+	if h.announcing || !h.recent.due(time.Now()) {
 		return
 	}
-	if err := h.storeRecentCommands(ctx, 1); err != nil {
-		h.Logger.Info("recent commands not stored; retrying with the next write", "error", err)
-	}
+	h.storeRecentCommands(ctx, 1, func(err error) {
+		if err != nil {
+			h.Logger.Info("recent commands not stored; retrying with the next write", "error", err)
+		}
+	})
 }
 
-// storeRecentCommands writes the list under the condition that it still has the last known
-// revision, so that an earlier write whose outcome is unknown can't revert a later one.
-func (h *Holder) storeRecentCommands(ctx context.Context, attempts int) error {
+// storeRecentCommands starts a write of the list and calls done with its outcome. The write
+// has the condition that the list still has the last known revision, so that an earlier
+// write whose outcome is unknown can't revert a later one.
+func (h *Holder) storeRecentCommands(ctx context.Context, attempts int, done func(error)) {
 	h.recent.storedAt = time.Now()
 	value, err := layout.Encode(h.recent.entry(h.recent.storedAt))
 	if err != nil {
-		return err
+		done(err)
+		return
 	}
+	h.announcing = true
+	write := listWrite{value: value, revision: h.recent.revision}
+	go func() {
+		err := h.writeList(ctx, &write, attempts)
+		h.send(func() {
+			h.announcing = false
+			h.recent.revision = write.revision
+			if errors.Is(err, errTermOver) {
+				h.stepDown()
+			}
+			done(err)
+		})
+	}()
+}
+
+// listWrite is one write of the list of recent commands.
+type listWrite struct {
+	value    []byte
+	revision kv.Revision // last known revision of the stored list
+}
+
+// writeList attempts the write until its outcome is known, and updates its revision.
+func (h *Holder) writeList(ctx context.Context, w *listWrite, attempts int) error {
+	var err error
 	for attempt := 1; attempt <= attempts; attempt++ {
 		var result kv.TxnResult
 		result, err = h.attempt(ctx, kv.Txn{
-			Conditions: []kv.Condition{{Key: layout.RecentCommandsKey, Revision: h.recent.revision}, h.term.Condition()},
-			Puts:       []kv.Put{{Key: layout.RecentCommandsKey, Value: value}},
+			Conditions: []kv.Condition{{Key: layout.RecentCommandsKey, Revision: w.revision}, h.term.Condition()},
+			Puts:       []kv.Put{{Key: layout.RecentCommandsKey, Value: w.value}},
 		}, attempt)
 		if err != nil {
 			continue
 		}
 		if result.Applied {
-			h.recent.revision = result.Revision
+			w.revision = result.Revision
 			return nil
 		}
 		var stored bool
-		if stored, err = h.alreadyStored(result.Current, value); stored {
-			return nil
-		}
-		if errors.Is(err, errTermOver) {
-			h.stepDown()
+		stored, err = h.alreadyStored(result.Current, w)
+		if stored || errors.Is(err, errTermOver) {
 			return err
 		}
 	}
@@ -120,7 +156,7 @@
 // alreadyStored examines the current items of a write whose conditions failed. It reports
 // whether the value is stored already, by an attempt whose response was lost, and updates
 // the last known revision of the list.
-func (h *Holder) alreadyStored(current []kv.Item, value []byte) (bool, error) {
+func (h *Holder) alreadyStored(current []kv.Item, w *listWrite) (bool, error) {
 	found := kv.Item{}
 	termHeld := false
 	for _, item := range current {
@@ -134,8 +170,8 @@
 	if !termHeld {
 		return false, errTermOver
 	}
-	h.recent.revision = found.Revision
-	if bytes.Equal(found.Value, value) {
+	w.revision = found.Revision
+	if bytes.Equal(found.Value, w.value) {
 		return true, nil
 	}
 	return false, fmt.Errorf("stored list of recent commands has another revision, %d", found.Revision)
--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -1,6 +1,10 @@
 // Package fleetduty carries out what a fleet planner decides: it evacuates machines through
 // cordons, which the owners of their services act on, and sends commands to the machine
 // service. One instance at a time has this duty.
+//
+// The loop of a holder makes no call itself, so that it goes on planning from new lists and
+// loads while the store is slow. There is one write of each kind in progress at a time: of
+// cordons, of recent commands, and of waves. What is planned meanwhile goes into the next one.
 package fleetduty
 
 import (
@@ -88,6 +92,9 @@
 	waves          map[int64]cluster.Wave
 	cordons        map[cluster.ExecutorID]fleetplan.ActiveCordon
 	recent         recentCommands
+	queued         []fleetplan.Action // commands to announce and then send
+	announcing     bool               // a write of the recent commands is in progress
+	waveWrites     waveWrites
 	fencedRefusals int
 
 	listedMachines []cluster.Machine // as last listed; nil before the first list
@@ -95,11 +102,12 @@
 	listing        bool              // a call that lists the machines is in progress
 	plannedAt      time.Time
 	cordonsReadAt  time.Time // start of the last read of the stored cordons
-	// cordonWrites counts this holder's writes of cordons, so that it can detect one that is
-	// made while the stored cordons are being read.
-	cordonWrites int
-	cordonsSet   int // cordons that this holder has set, for their IDs
-	cleanedUpAt  time.Time
+	// cordonWrites counts the starts and ends of this holder's writes of cordons, so that it
+	// can detect one that is made while the stored cordons are being read.
+	cordonWrites   int
+	writingCordons bool // a write of cordons is in progress
+	cordonsSet     int  // cordons that this holder has set, for their IDs
+	cleanedUpAt    time.Time
 	// historyStoredAt is when the planner's demand history was last stored.
 	historyStoredAt   time.Time
 	storedPeakChanges int // the planner's PeakChanges at that time
@@ -116,10 +124,11 @@
 		planner: fleetplan.New(options.Limits),
 		events:  make(chan event, 64), cleanedUpAt: time.Now(), cordonsReadAt: time.Now(),
 		ctx: ctx, stepDown: cancel,
-		loads:   map[cluster.Service]shard.Load{},
-		waves:   map[int64]cluster.Wave{},
-		cordons: map[cluster.ExecutorID]fleetplan.ActiveCordon{},
-		recent:  recentCommands{sentAt: map[cluster.MachineID]time.Time{}, retention: options.HolderGap + holderMargin},
+		loads:      map[cluster.Service]shard.Load{},
+		waves:      map[int64]cluster.Wave{},
+		cordons:    map[cluster.ExecutorID]fleetplan.ActiveCordon{},
+		waveWrites: newWaveWrites(),
+		recent:     recentCommands{sentAt: map[cluster.MachineID]time.Time{}, retention: options.HolderGap + holderMargin},
 	}
 	h.Logger = options.Logger.With("duty", Duty, "token", term.Token)
 	if err := h.load(ctx); err != nil {
@@ -146,6 +155,7 @@
 			return
 		case e := <-h.events:
 			e()
+			h.drain()
 		case <-ticker.C:
 			h.refreshMachines(ctx)
 			h.storeRecords(ctx)
@@ -163,12 +173,25 @@
 	h.Logger.Warn("the machine service has seen a higher fencing token; stepping down")
 }
 
+// drain handles the events that are queued already, so that a plan is made from all of them.
+func (h *Holder) drain() {
+	for range cap(h.events) {
+		select {
+		case e := <-h.events:
+			e()
+		default:
+			return
+		}
+	}
+}
+
 // storeRecords stores the state that a successor loads, when it is due.
 func (h *Holder) storeRecords(ctx context.Context) {
 	if !h.term.LeaseValid() {
 		return
 	}
 	h.refreshRecentCommands(ctx)
+	h.storeWaves(ctx)
 	if h.planner.PeakChanges() != h.storedPeakChanges || time.Since(h.historyStoredAt) >= historyInterval {
 		h.storeDemandHistory(ctx)
 	}
@@ -210,12 +233,9 @@
 	actions := h.planner.Plan(snapshot)
 	h.logNeeds()
 	h.setCordons(ctx, actions)
-	if !h.announceCommands(ctx, actions) {
-		return
-	}
-	for _, action := range actions {
-		h.execute(ctx, action)
-	}
+	h.queueCommands(actions)
+	h.announceQueued(ctx)
+	h.reportWaves(ctx, actions)
 }
 
 func (h *Holder) list(ctx context.Context) ([]cluster.Machine, error) {
--- a/entry/fleetduty/holder_test.go
+++ b/entry/fleetduty/holder_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"maps"
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,10 +18,13 @@
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/entry/election"
+	"github.com/tarragonreach/tarragonreach/entry/follow"
 	"github.com/tarragonreach/tarragonreach/entry/layout"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/platform/machines"
 	"github.com/tarragonreach/tarragonreach/platform/standin"
 	"github.com/tarragonreach/tarragonreach/policy/fleetplan"
+	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
 var errNoResponse = errors.New("no response")
@@ -65,9 +71,10 @@
 func newTestHolder(s *testStore) *Holder {
 	term := election.Term{Duty: Duty, Revision: s.standIn.Put(layout.OwnerKey(Duty), []byte("{}"))}
 	return &Holder{
-		Options: Options{Store: s, Logger: slog.New(slog.DiscardHandler), HolderGap: time.Second},
+		Options: Options{Store: s, Machines: &fakeMachines{moved: map[cluster.MachineID]bool{}}, Logger: slog.New(slog.DiscardHandler), HolderGap: time.Second},
 		term:    term, planner: fleetplan.New(fleetplan.Limits{}),
-		recent:   recentCommands{sentAt: map[cluster.MachineID]time.Time{}, retention: time.Minute},
+		recent: recentCommands{sentAt: map[cluster.MachineID]time.Time{}, retention: time.Minute},
+		events: make(chan event, 64), ctx: context.Background(), waveWrites: newWaveWrites(),
 		stepDown: func() {},
 	}
 }
@@ -78,6 +85,55 @@
 	h.recent.storedAt = h.recent.storedAt.Add(-by)
 }
 
+// finishWrites handles events until no write is in progress.
+func (h *Holder) finishWrites() {
+	for h.announcing || h.writingCordons || h.waveWrites.writing {
+		(<-h.events)()
+	}
+}
+
+// announce announces commands and reports whether they were sent.
+func (h *Holder) announce(t *testing.T, actions []fleetplan.Action) bool {
+	t.Helper()
+	h.queueCommands(actions)
+	h.announceQueued(t.Context())
+	h.finishWrites()
+	sent := h.Machines.(*fakeMachines)
+	deadline := time.Now().Add(100 * time.Millisecond)
+	for time.Now().Before(deadline) {
+		if sent.called(actions[0].Machine) {
+			return true
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return false
+}
+
+// fakeMachines is a machine service that accepts all commands.
+type fakeMachines struct {
+	mu    sync.Mutex
+	moved map[cluster.MachineID]bool
+}
+
+func (f *fakeMachines) List(context.Context) ([]cluster.Machine, error) { return nil, nil }
+
+func (f *fakeMachines) Move(_ context.Context, _ machines.Holder, m cluster.MachineID, _ cluster.Service) (machines.Refusal, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.moved[m] = true
+	return machines.NotRefused, nil
+}
+
+func (f *fakeMachines) Maintain(context.Context, machines.Holder, cluster.MachineID, int64) (machines.Refusal, error) {
+	return machines.NotRefused, nil
+}
+
+func (f *fakeMachines) called(m cluster.MachineID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.moved[m]
+}
+
 func moveAction(id cluster.MachineID) []fleetplan.Action {
 	return []fleetplan.Action{{Kind: fleetplan.Move, Machine: id}}
 }
@@ -85,11 +141,13 @@
 func TestAnnouncedCommandsAreListedUntilExpired(t *testing.T) {
 	s := newTestStore(t)
 	h := newTestHolder(s)
-	assert.Assert(t, h.announceCommands(t.Context(), moveAction("m-1")))
-	h.refreshRecentCommands(t.Context()) // not due
+	assert.Assert(t, h.announce(t, moveAction("m-1")))
+	h.refreshRecentCommands(t.Context())
+	h.finishWrites() // not due
 	assert.DeepEqual(t, s.listedMachines(t), []cluster.MachineID{"m-1"})
 	h.age("m-1", 2*time.Minute)
 	h.refreshRecentCommands(t.Context())
+	h.finishWrites()
 	assert.Equal(t, len(s.listedMachines(t)), 0)
 }
 
@@ -97,8 +155,8 @@
 	s := newTestStore(t)
 	h := newTestHolder(s)
 	s.standIn.LoseResponses(1)
-	assert.Assert(t, h.announceCommands(t.Context(), moveAction("m-1")))
-	assert.Assert(t, h.announceCommands(t.Context(), moveAction("m-2")))
+	assert.Assert(t, h.announce(t, moveAction("m-1")))
+	assert.Assert(t, h.announce(t, moveAction("m-2")))
 	assert.DeepEqual(t, s.listedMachines(t), []cluster.MachineID{"m-1", "m-2"})
 }
 
@@ -107,12 +165,13 @@
 func TestLateWriteDoesNotRevertALaterAnnouncement(t *testing.T) {
 	s := newTestStore(t)
 	h := newTestHolder(s)
-	assert.Assert(t, h.announceCommands(t.Context(), moveAction("m-1")))
+	assert.Assert(t, h.announce(t, moveAction("m-1")))
 	h.age("m-1", 2*time.Minute)
 	s.delayWrites = true
 	h.refreshRecentCommands(t.Context())
+	h.finishWrites()
 	s.delayWrites = false
-	assert.Assert(t, h.announceCommands(t.Context(), moveAction("m-2")))
+	assert.Assert(t, h.announce(t, moveAction("m-2")))
 	for _, late := range s.delayed {
 		result, err := s.Txn(t.Context(), late)
 		assert.NilError(t, err)
@@ -127,7 +186,7 @@
 	steppedDown := false
 	h.stepDown = func() { steppedDown = true }
 	s.standIn.Put(layout.OwnerKey(Duty), []byte("{}"))
-	assert.Assert(t, !h.announceCommands(t.Context(), moveAction("m-1")))
+	assert.Assert(t, !h.announce(t, moveAction("m-1")))
 	assert.Assert(t, steppedDown)
 }
 
@@ -152,9 +211,9 @@
 func TestStoredListHoldsTheAgesOfCommands(t *testing.T) {
 	s := newTestStore(t)
 	h := newTestHolder(s)
-	assert.Assert(t, h.announceCommands(t.Context(), moveAction("m-1")))
+	assert.Assert(t, h.announce(t, moveAction("m-1")))
 	h.age("m-1", 800*time.Millisecond)
-	assert.Assert(t, h.announceCommands(t.Context(), moveAction("m-2")))
+	assert.Assert(t, h.announce(t, moveAction("m-2")))
 	commands := s.recentCommands(t)
 	assert.Assert(t, commands.AgesMs["m-1"] >= 800)
 	assert.Assert(t, commands.AgesMs["m-2"] < 800)
@@ -169,6 +228,7 @@
 	stored := map[cluster.ExecutorID]fleetplan.ActiveCordon{"i-1": {Service: "a"}}
 	writes := h.cordonWrites
 	h.setCordons(t.Context(), []fleetplan.Action{{Kind: fleetplan.Uncordon, Executor: "i-1", Service: "a"}})
+	h.finishWrites()
 	h.addCordons(stored, writes)
 	assert.Equal(t, len(h.cordons), 0)
 	assert.Assert(t, h.cordonsReadAt.IsZero())
@@ -183,6 +243,7 @@
 	s.delayWrites = true
 	h.cordons = map[cluster.ExecutorID]fleetplan.ActiveCordon{"i-1": {Service: "a"}}
 	h.setCordons(t.Context(), []fleetplan.Action{{Kind: fleetplan.Uncordon, Executor: "i-1", Service: "a"}})
+	h.finishWrites()
 	assert.Equal(t, len(h.cordons), 0)
 }
 
@@ -191,10 +252,81 @@
 func TestCommandsStayListedAcrossTwoTakeovers(t *testing.T) {
 	s := newTestStore(t)
 	first := newTestHolder(s)
-	assert.Assert(t, first.announceCommands(t.Context(), moveAction("m-1")))
+	assert.Assert(t, first.announce(t, moveAction("m-1")))
 	second := *first
 	second.recent = recentCommands{sentAt: map[cluster.MachineID]time.Time{}, retention: time.Minute}
 	assert.NilError(t, second.loadRecentCommands(t.Context()))
-	assert.Assert(t, second.announceCommands(t.Context(), moveAction("m-2")))
+	assert.Assert(t, second.announce(t, moveAction("m-2")))
 	assert.DeepEqual(t, s.listedMachines(t), []cluster.MachineID{"m-1", "m-2"})
 }
+
+// blockedStore holds writes back until release is closed.
+type blockedStore struct {
+	*testStore
+	release chan struct{}
+	writes  atomic.Int64
+}
+
+func (s *blockedStore) Txn(ctx context.Context, t kv.Txn) (kv.TxnResult, error) {
+	s.writes.Add(1)
+	<-s.release
+	return s.testStore.Txn(ctx, t)
+}
+
+// The store takes long for each write: the holder goes on to read loads and lists and to plan,
+// one write of each kind is in progress at a time, and what was planned meanwhile follows.
+func TestPlanningGoesOnWhileWritesAreInProgress(t *testing.T) {
+	inner := newTestStore(t)
+	s := &blockedStore{testStore: inner, release: make(chan struct{})}
+	h := newTestHolder(inner)
+	h.Store = s
+	h.loads = map[cluster.Service]shard.Load{}
+	h.cordons = map[cluster.ExecutorID]fleetplan.ActiveCordon{}
+	h.planner.RestoreWave(1, nil, cluster.WaveRunning, time.Unix(1000, 0))
+	for i, machine := range []cluster.MachineID{"m-1", "m-2"} {
+		executor := cluster.ExecutorID(fmt.Sprint("i-", i))
+		h.setCordons(t.Context(), []fleetplan.Action{{Kind: fleetplan.Cordon, Executor: executor, Service: "a"}})
+		h.queueCommands(moveAction(machine))
+		h.announceQueued(t.Context())
+		h.reportWaves(t.Context(), []fleetplan.Action{{Kind: fleetplan.Report, Wave: 1, State: cluster.WaveRunning}})
+	}
+	load, err := layout.Encode(shard.Load{InTimeCPU: 1})
+	assert.NilError(t, err)
+	h.send(func() {
+		h.applyLoads(follow.Change{Events: []kv.Event{{Item: kv.Item{Key: layout.LoadKey("a"), Value: load}}}})
+	})
+	h.drain()
+	assert.Equal(t, h.loads["a"].InTimeCPU, int64(1))
+	assert.Equal(t, len(h.cordons), 1)
+	assert.Equal(t, len(h.queued), 1)
+	close(s.release)
+	h.finishWrites()
+	assert.Equal(t, s.writes.Load(), int64(3))
+	h.announceQueued(t.Context())
+	h.finishWrites()
+	assert.DeepEqual(t, inner.listedMachines(t), []cluster.MachineID{"m-1", "m-2"})
+}
+
+// 118 maintenances are accepted at about the same time: their progress is stored in few writes.
+func TestProgressOfAWaveIsStoredTogether(t *testing.T) {
+	inner := newTestStore(t)
+	s := &blockedStore{testStore: inner, release: make(chan struct{})}
+	close(s.release)
+	h := newTestHolder(inner)
+	h.Store = s
+	h.planner.RestoreWave(1, nil, cluster.WaveRunning, time.Unix(1000, 0))
+	const accepted = 118
+	for i := range accepted {
+		a := fleetplan.Action{Kind: fleetplan.Maintain, Machine: cluster.MachineID(fmt.Sprint("m-", i)), Wave: 1}
+		go h.callMachineService(t.Context(), a)
+	}
+	for range accepted {
+		(<-h.events)()
+	}
+	h.storeWaves(t.Context())
+	h.finishWrites()
+	assert.Equal(t, s.writes.Load(), int64(1))
+	progress, _, err := read[layout.WaveProgress](t.Context(), inner, layout.WaveKey(1))
+	assert.NilError(t, err)
+	assert.Equal(t, len(progress.MaintenanceStarted), accepted)
+}
--- a/policy/fleetplan/fleetplan.go
+++ b/policy/fleetplan/fleetplan.go
@@ -154,6 +154,12 @@
 	return slices.Sorted(maps.Keys(p.waves[number].maintenanceStarted))
 }
 
+// WaveReported returns the state of a wave that was last reported to the operator, or
+// WaveRunning if there is none.
+func (p *Planner) WaveReported(number int64) cluster.WaveState {
+	return cmp.Or(p.waves[number].reported, cluster.WaveRunning)
+}
+
 // WaveStartedAt returns when a wave was first seen.
 func (p *Planner) WaveStartedAt(number int64) time.Time { return p.waves[number].startedAt }
 
