Fleet planner: expected jobs get machines after those that are there

Cause: the need for a predicted or extrapolated rate and the need of present jobs were one figure, and both services were cut back in proportion. Change: machines go to present jobs first, then to expected ones, then to late ones; the needs that are logged name `present`. Tests: TestExpectedJobsComeAfterPresentOnes; TestSharesKeepToTheirBounds draws both.

--- a/policy/fleetplan/fleetplan_test.go
+++ b/policy/fleetplan/fleetplan_test.go
@@ -213,13 +213,26 @@
 	assert.Equal(t, needs[2].share, 5) // its minimum and lateReserve
 }
 
+// A peak of a is expected and does not come. The jobs of b that are there get the machines,
+// and a only what is left.
+func TestExpectedJobsComeAfterPresentOnes(t *testing.T) {
+	needs := []need{
+		{service: "a", minimum: 2, present: 2, inTime: 40, all: 40},
+		{service: "b", minimum: 2, present: 20, inTime: 20, all: 20},
+	}
+	allocate(needs, 24)
+	assert.Equal(t, needs[1].share, 20)
+	assert.Equal(t, needs[0].share, 4)
+}
+
 func TestSharesKeepToTheirBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var needs []need
 		minimums := 0
 		for range rapid.IntRange(1, 6).Draw(t, "services") {
 			n := need{minimum: rapid.IntRange(0, 4).Draw(t, "minimum")}
-			n.inTime = n.minimum + rapid.IntRange(0, 30).Draw(t, "in time")
+			n.present = n.minimum + rapid.IntRange(0, 20).Draw(t, "present")
+			n.inTime = n.present + rapid.IntRange(0, 20).Draw(t, "expected")
 			n.late = rapid.IntRange(0, 30).Draw(t, "late")
 			n.all = n.inTime + n.late
 			minimums += n.minimum
--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -64,7 +64,7 @@
 func (p *Planner) Needs() string {
 	var b strings.Builder
 	for _, n := range p.lastNeeds {
-		fmt.Fprintf(&b, "%s in_time=%d all=%d share=%d have=%d; ", n.service, n.inTime, n.all, n.share, n.have)
+		fmt.Fprintf(&b, "%s present=%d in_time=%d all=%d share=%d have=%d; ", n.service, n.present, n.inTime, n.all, n.share, n.have)
 	}
 	return b.String()
 }
@@ -80,13 +80,14 @@
 		if !configured || pool.Spare || machineCPU == 0 {
 			continue
 		}
-		inTime, all := p.wantedCPU(v, service, riseTime)
+		wanted := p.wantedCPU(v, service, riseTime)
 		minimum := max(minPoolMachines, v.Loads[service].MinExecutors)
 		list = append(list, need{
 			service: service,
-			late:    int(math.Ceil((all - inTime) / float64(machineCPU))),
-			inTime:  max(minimum, int(math.Ceil(inTime/float64(machineCPU)))),
-			all:     max(minimum, int(math.Ceil(all/float64(machineCPU)))),
+			late:    int(math.Ceil((wanted.all - wanted.inTime) / float64(machineCPU))),
+			present: max(minimum, int(math.Ceil(wanted.present/float64(machineCPU)))),
+			inTime:  max(minimum, int(math.Ceil(wanted.inTime/float64(machineCPU)))),
+			all:     max(minimum, int(math.Ceil(wanted.all/float64(machineCPU)))),
 			minimum: minimum,
 			have:    p.have(v, service),
 		})
@@ -98,10 +99,13 @@
 	return list
 }
 
-// wantedCPU returns the CPU capacity in thousandths of a core that a service needs when a
-// machine requested now becomes usable: for jobs that can be in time, and for all jobs,
-// late ones included. Demand rises to its peak rate within riseTime.
-func (p *Planner) wantedCPU(v *view, service cluster.Service, riseTime time.Duration) (inTime, all float64) {
+// wantedCPU is the CPU capacity in thousandths of a core that a service needs; the fields
+// correspond to those of need.
+type wantedCPU struct{ present, inTime, all float64 }
+
+// wantedCPU returns the CPU capacity that a service needs when a machine requested now
+// becomes usable. Demand rises to its peak rate within riseTime.
+func (p *Planner) wantedCPU(v *view, service cluster.Service, riseTime time.Duration) wantedCPU {
 	l := v.Loads[service]
 	peakRate := p.peaks.expectedPeakRate(service)
 	lead := p.limits.MoveTime + leadMargin
@@ -112,8 +116,9 @@
 		rate = max(rate, peakRate*riseFraction(min(lead, v.Now.Add(lead).Sub(at)), riseTime))
 	}
 	longRunning := float64(l.LongRunningCPU)
-	inTime = longRunning + max(rateMargin*rate, float64(l.InTimeCPU)+blockedShare*float64(l.BlockedCPU))
-	return inTime, inTime + lateShare*float64(l.LateCPU)
+	present := float64(l.InTimeCPU) + blockedShare*float64(l.BlockedCPU)
+	inTime := longRunning + max(rateMargin*rate, present)
+	return wantedCPU{present: longRunning + present, inTime: inTime, all: inTime + lateShare*float64(l.LateCPU)}
 }
 
 // usableMachines counts the machines that are up or are moving between pools.
