Demand: nothing is learned across a gap in what owners or the planner could see

Changes: the planner takes a sample only when the loads were read again; after a pause of over 1 s between two readings, or a gap that the owner reports (no contact with the store, or a batch that took longer than 1 s), the rate is measured anew, and for one rate window no peak starts or ends. Tests, red before: TestSteadyDemandHasNoPeaksAcrossOutages, TestPeaksAreLearnedAcrossOutages (three outages of 4.5 s within steady demand and within a sequence of peaks), TestArrivalsAfterAnOwnersGapAreNoPeak.

--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -89,6 +89,7 @@
 	stepDown context.CancelFunc
 
 	loads          map[cluster.Service]shard.Load
+	loadsReadAt    time.Time // when the store last delivered a listing or changes of them
 	waves          map[int64]cluster.Wave
 	cordons        map[cluster.ExecutorID]fleetplan.ActiveCordon
 	recent         recentCommands
@@ -223,7 +224,7 @@
 		return
 	}
 	h.plannedAt = time.Now()
-	snapshot := fleetplan.Snapshot{Now: h.plannedAt, Machines: h.listedMachines, ListedAt: h.listedAt, Pools: config.Pools, Loads: h.loads, Cordons: h.cordons}
+	snapshot := fleetplan.Snapshot{Now: h.plannedAt, Machines: h.listedMachines, ListedAt: h.listedAt, Pools: config.Pools, Loads: h.loads, LoadsReadAt: h.loadsReadAt, Cordons: h.cordons}
 	for _, wave := range h.waves {
 		snapshot.Waves = append(snapshot.Waves, wave)
 	}
--- a/entry/fleetduty/load.go
+++ b/entry/fleetduty/load.go
@@ -128,6 +128,7 @@
 }
 
 func (h *Holder) applyLoads(c follow.Change) {
+	h.loadsReadAt = time.Now()
 	for _, event := range c.Events {
 		service := cluster.Service(strings.TrimPrefix(event.Key, layout.LoadPrefix))
 		if event.Removed {
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -155,6 +155,7 @@
 	go f.Run(ctx)
 	jobs := follow.Follower{Store: o.Store, Prefix: o.shardPrefix(), Pause: jobsPause, Wait: jobsWait, Logger: o.Logger, Apply: func(c follow.Change) {
 		o.send(func(now time.Time) {
+			o.shard.NoteObservation(now.Sub(o.delays.lastContact))
 			o.delays.lastContact = now
 			o.applyJobs(c, nil, now)
 		})
--- a/policy/fleetplan/beliefs_test.go
+++ b/policy/fleetplan/beliefs_test.go
@@ -125,7 +125,7 @@
 	f.runOwners()
 	f.refreshList()
 	f.deliverResults()
-	s := Snapshot{Now: f.now, Machines: slices.Clone(f.list), ListedAt: f.listed, Pools: f.pools, Loads: f.stored, Waves: f.waves, Cordons: f.cordons}
+	s := Snapshot{Now: f.now, Machines: slices.Clone(f.list), ListedAt: f.listed, Pools: f.pools, Loads: f.stored, LoadsReadAt: f.now, Waves: f.waves, Cordons: f.cordons}
 	for _, a := range f.planner.Plan(s) {
 		f.apply(a)
 	}
--- a/policy/fleetplan/demand.go
+++ b/policy/fleetplan/demand.go
@@ -54,6 +54,10 @@
 // mean work of a job. The work of jobs differs so much that the work of a few jobs is a
 // poor estimate.
 type demand struct {
+	gaps int64 // shard.Load.ObservationGaps, as of the last sample
+	// blindUntil is the time until which the samples don't show the rate: they begin after an
+	// observation gap.
+	blindUntil        time.Time
 	samples           []sample // of the last rateWindow
 	rate              float64  // thousandths of a core
 	sustained         float64  // rate over a whole rateWindow
@@ -80,14 +84,24 @@
 }
 
 // observe adds the loads to the demand of their services and records when peaks start
-// and end.
+// and end, if the loads were read again since the last plan.
 func (p *Planner) observe(v *view) {
+	if !v.LoadsReadAt.After(p.loadsReadAt) {
+		return // nothing is known of the time since then
+	}
+	missed := !p.loadsReadAt.IsZero() && v.LoadsReadAt.Sub(p.loadsReadAt) > maxLoadsPause
+	p.loadsReadAt = v.LoadsReadAt
 	ended := map[cluster.Service]bool{}
 	for service, load := range v.Loads {
 		d := p.demandOf(service)
 		p.peaks.services[service] = true
 		wasInPeak := d.inPeak
-		ended[service] = d.addSample(sample{v.Now, load.ArrivedWork, load.ArrivedJobs})
+		s := sample{v.LoadsReadAt, load.ArrivedWork, load.ArrivedJobs}
+		if missed || load.ObservationGaps != d.gaps {
+			d.gaps = load.ObservationGaps
+			d.skipGap(s)
+		}
+		ended[service] = d.addSample(s)
 		if d.inPeak && !wasInPeak {
 			p.resumePeak(service, d)
 		}
@@ -156,10 +170,23 @@
 		first:         s,
 		priorMeanRate: d.meanRate, meanRate: d.meanRate,
 		priorJobWork: d.meanJobWork, meanJobWork: d.meanJobWork,
+		gaps: d.gaps, blindUntil: d.blindUntil,
 		inPeak: d.inPeak, significant: d.significant, resumed: d.resumed, peakSince: d.peakSince, peakSustainedRate: d.peakSustainedRate, peakMaxRate: d.peakMaxRate,
 	}
 }
 
+// skipGap starts to measure the rate anew after a time in which arrivals were not observed:
+// those that were counted at once afterwards are no peak. A peak that had begun before goes
+// on unchanged until the rate is known again.
+func (d *demand) skipGap(s sample) {
+	d.samples = d.samples[:0]
+	d.blindUntil = s.at.Add(rateWindow)
+}
+
+// maxLoadsPause is the longest time between two readings of the loads from which the rate of
+// arriving jobs can be derived.
+const maxLoadsPause = 1 * time.Second
+
 // addSample adds a sample and reports whether it ended a peak.
 func (d *demand) addSample(s sample) (ended bool) {
 	if n := len(d.samples); n > 0 && s.work < d.samples[n-1].work || d.first.at.IsZero() {
@@ -172,9 +199,12 @@
 	d.meanJobWork = d.meanJobWorkAt(s)
 	from, jobsPerS := d.recentJobRate(s)
 	d.rate = jobsPerS * d.meanJobWork
-	d.sustained = jobRate(d.samples[0], s) * d.meanJobWork
+	d.sustained = 0
+	if !s.at.Before(d.blindUntil) {
+		d.sustained = jobRate(d.samples[0], s) * d.meanJobWork
+	}
 	d.meanRate = d.meanRateAt(s)
-	if d.priorMeanRate == 0 && s.at.Sub(d.first.at) < warmUp {
+	if d.priorMeanRate == 0 && s.at.Sub(d.first.at) < warmUp || s.at.Before(d.blindUntil) {
 		return false
 	}
 	switch {
--- a/policy/fleetplan/falsepeaks_test.go
+++ b/policy/fleetplan/falsepeaks_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
 const (
@@ -30,6 +32,8 @@
 	rate    func(service cluster.Service, since time.Duration) float64
 	jobWork map[cluster.Service]float64
 	arrived map[cluster.Service]float64
+	// outage reports whether loads can be neither published nor read; nil means never.
+	outage func(since time.Duration) bool
 }
 
 func newDemandFeed(t testingT, rate func(cluster.Service, time.Duration) float64) *demandFeed {
@@ -44,10 +48,20 @@
 // run feeds the planner until a time, and calls afterPlan after each plan.
 func (feed *demandFeed) run(until time.Duration, afterPlan func(since time.Duration)) {
 	for since := -idleBefore; since < until; since += replayTick {
+		published := feed.outage == nil || !feed.outage(since)
+		switch {
+		case published:
+			feed.loadsOutageSince = time.Time{}
+		case feed.loadsOutageSince.IsZero():
+			feed.loadsOutageSince = feed.now
+		}
 		for _, service := range replayServices {
 			if since >= 0 {
 				feed.arrived[service] += 16000 * feed.rate(service, since) * replayTick.Seconds()
 			}
+			if !published {
+				continue
+			}
 			l := feed.loads[service]
 			l.ArrivedJobs = int64(feed.arrived[service] / feed.jobWork[service])
 			l.ArrivedWork = l.ArrivedJobs * int64(feed.jobWork[service])
@@ -149,3 +163,73 @@
 		assert.DeepEqual(t, feed.planner.peaks.starts, seen)
 	}
 }
+
+// outagesAt returns whether the store is unavailable, for 4.5 s from each of the times on.
+func outagesAt(starts ...time.Duration) func(since time.Duration) bool {
+	return func(since time.Duration) bool {
+		return slices.ContainsFunc(starts, func(from time.Duration) bool {
+			return since >= from && since < from+4500*time.Millisecond
+		})
+	}
+}
+
+// The planner sees no arrivals during an outage and then all at once: no peak starts or ends
+// with that.
+func TestSteadyDemandHasNoPeaksAcrossOutages(t *testing.T) {
+	feed := newDemandFeed(t, func(cluster.Service, time.Duration) float64 { return 6 })
+	feed.outage = outagesAt(20*time.Second, 27*time.Second, 36*time.Second)
+	before := 0
+	feed.run(50*time.Second, func(since time.Duration) {
+		if since < 20*time.Second {
+			before = feed.planner.peakChanges
+		}
+	})
+	assert.Equal(t, feed.planner.peakChanges, before, "%v", feed.planner.peaks.starts)
+}
+
+// Peaks beside outages are learned as high as they are, and not as starting together.
+func TestPeaksAreLearnedAcrossOutages(t *testing.T) {
+	feed := newDemandFeed(t, sequentialPeaks)
+	feed.outage = outagesAt(2*time.Second, 10*time.Second, 17*time.Second)
+	feed.run(30*time.Second, func(time.Duration) {})
+	for service, rate := range feed.planner.peaks.lastRates {
+		assert.Assert(t, rate < 1.3*replayPeakMachines*16000, "%s: %.0f machines", service, rate/16000)
+	}
+	for i, start := range feed.planner.peaks.starts {
+		for _, other := range feed.planner.peaks.starts[:i] {
+			assert.Assert(t, !start.At.Equal(other.At), "peaks of %s and %s start together", start.Service, other.Service)
+		}
+	}
+}
+
+// An owner reports that it could not publish its arrivals for a while, though the planner
+// could read.
+func TestArrivalsAfterAnOwnersGapAreNoPeak(t *testing.T) {
+	for _, reported := range []bool{true, false} {
+		d := &demand{}
+		p := New(testLimits)
+		p.demand["a"] = d
+		load := shard.Load{Executors: map[cluster.ExecutorID]shard.ExecutorLoad{}}
+		now := time.Unix(1000, 0)
+		plan := func(jobs int64) {
+			load.ArrivedJobs += jobs
+			load.ArrivedWork += 16_000 * jobs
+			p.observe(newView(Snapshot{Now: now, LoadsReadAt: now, Loads: map[cluster.Service]shard.Load{"a": load}}))
+			now = now.Add(100 * time.Millisecond)
+		}
+		for range 100 {
+			plan(1)
+		}
+		for range 30 {
+			plan(0) // the owner's write takes 3 s
+		}
+		if reported {
+			load.ObservationGaps++
+		}
+		plan(30)
+		for range 30 {
+			plan(1)
+		}
+		assert.Equal(t, d.peakMaxRate == 0, reported)
+	}
+}
--- a/policy/fleetplan/fleetplan.go
+++ b/policy/fleetplan/fleetplan.go
@@ -31,8 +31,10 @@
 	ListedAt time.Time
 	Pools    []cluster.Pool
 	Loads    map[cluster.Service]shard.Load
-	Waves    []cluster.Wave
-	Cordons  map[cluster.ExecutorID]ActiveCordon // those in force
+	// LoadsReadAt is when the store was last known to hold no newer loads.
+	LoadsReadAt time.Time
+	Waves       []cluster.Wave
+	Cordons     map[cluster.ExecutorID]ActiveCordon // those in force
 }
 
 // ActiveCordon is a cordon in force.
@@ -119,6 +121,7 @@
 	peakChanges   int // starts and ends of peaks
 	lastNeeds     []need
 	reservedUntil map[cluster.MachineID]time.Time // no calls before
+	loadsReadAt   time.Time                       // as Snapshot.LoadsReadAt, of the last plan
 }
 
 // New returns a planner.
--- a/policy/fleetplan/fleetplan_test.go
+++ b/policy/fleetplan/fleetplan_test.go
@@ -31,6 +31,8 @@
 	moves         int
 	maintained    map[cluster.MachineID]int
 	reports       []cluster.WaveState
+	// loadsOutageSince is since when no loads can be read; zero if they can.
+	loadsOutageSince time.Time
 }
 
 type testingT interface {
@@ -95,8 +97,16 @@
 	}
 }
 
+// loadsReadAt returns when the loads were last read.
+func (f *simFleet) loadsReadAt() time.Time {
+	if f.loadsOutageSince.IsZero() {
+		return f.now
+	}
+	return f.loadsOutageSince
+}
+
 func (f *simFleet) snapshot() Snapshot {
-	s := Snapshot{Now: f.now, ListedAt: f.now, Pools: f.pools, Loads: f.loads, Waves: f.waves, Cordons: f.cordons}
+	s := Snapshot{Now: f.now, ListedAt: f.now, Pools: f.pools, Loads: f.loads, LoadsReadAt: f.loadsReadAt(), Waves: f.waves, Cordons: f.cordons}
 	for _, id := range f.ids {
 		s.Machines = append(s.Machines, *f.machines[id])
 	}
--- a/policy/shard/load.go
+++ b/policy/shard/load.go
@@ -26,6 +26,10 @@
 	// core-milliseconds; its growth is the demand. ArrivedJobs is their number.
 	ArrivedWork int64 `json:"arrived"`
 	ArrivedJobs int64 `json:"arrivedJobs"`
+	// ObservationGaps counts the times in which the owner could not see arrivals, or not
+	// publish them, for longer than maxObservationGap. What arrived then counts at once
+	// afterwards, which says nothing about the present rate.
+	ObservationGaps int64 `json:"gaps,omitempty"`
 	// MinExecutors is the minimum number of executors for the long-running tasks, given
 	// how many tasks of a step may run on one.
 	MinExecutors int                                 `json:"least"`
@@ -42,12 +46,24 @@
 	CordonID string `json:"cordonID,omitempty"`
 }
 
+// maxObservationGap is the longest time between two observations of the arriving jobs from
+// which their rate can be derived.
+const maxObservationGap = 1 * time.Second
+
+// NoteObservation records that arriving jobs are seen again after the given time without any
+// contact with the store.
+func (s *Shard) NoteObservation(after time.Duration) {
+	if after > maxObservationGap {
+		s.observationGaps++
+	}
+}
+
 // loadInterval is the minimum time between two writes of the load, except urgent ones.
 const loadInterval = 100 * time.Millisecond
 
 // load returns the present load of the service.
 func (s *Shard) load(now time.Time) Load {
-	l := Load{ArrivedWork: s.arrivedWork, ArrivedJobs: s.arrivedJobs, Executors: map[cluster.ExecutorID]ExecutorLoad{}}
+	l := Load{ArrivedWork: s.arrivedWork, ArrivedJobs: s.arrivedJobs, ObservationGaps: s.observationGaps, Executors: map[cluster.ExecutorID]ExecutorLoad{}}
 	for _, e := range s.executors {
 		if e.replaced || !e.listed && len(e.runs) == 0 {
 			continue
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -98,6 +98,10 @@
 		return nil
 	}
 	s.expireRuns(now)
+	if s.batchCommitted {
+		s.batchCommitted = false
+		s.NoteObservation(now.Sub(s.batchStats.openedAt)) // no load was published meanwhile
+	}
 	b := &builder{shard: s, now: now, entriesLeft: maxEntries - loadEntries, included: map[*jobState]bool{}}
 	changed := b.changed()
 	b.addWaiting()
@@ -125,6 +129,7 @@
 func (s *Shard) Committed() {
 	b := s.pendingBatch
 	s.pendingBatch = nil
+	s.batchCommitted = true
 	s.dirty = true
 	s.unreached.stored, s.unreached.storedAt = b.Unreached, b.plannedAt
 	for _, w := range b.Jobs {
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -87,6 +87,10 @@
 	loadUrgent     bool             // a cordon changed or a cordoned executor became empty
 	arrivedWork    int64            // core-milliseconds, of the short jobs added in this term
 	arrivedJobs    int64
+	// observationGaps is as Load.ObservationGaps; batchCommitted is set until the next batch
+	// is planned.
+	observationGaps int64
+	batchCommitted  bool
 
 	pendingBatch *Batch
 
