Fleet planner: a peak in progress comes before a predicted one

Change: present jobs, then those of peaks in progress, then those of predicted peaks. Machines with tasks are evacuated only for the first two. Test: TestExpectedJobsComeAfterPresentOnes has all three.

--- a/policy/fleetplan/fleetplan_test.go
+++ b/policy/fleetplan/fleetplan_test.go
@@ -223,16 +223,18 @@
 	assert.Equal(t, needs[2].share, 5) // its minimum and lateReserve
 }
 
-// A peak of a is expected and does not come. The jobs of b that are there get the machines,
-// and a only what is left.
+// A peak of a is predicted and does not come; one of c is rising. The jobs of b that are there
+// get their machines, c what it will need, and a only what is left.
 func TestExpectedJobsComeAfterPresentOnes(t *testing.T) {
 	needs := []need{
-		{service: "a", minimum: 2, present: 2, inTime: 40, all: 40},
-		{service: "b", minimum: 2, present: 20, inTime: 20, all: 20},
+		{service: "a", minimum: 2, present: 2, rising: 2, inTime: 40, all: 40},
+		{service: "b", minimum: 2, present: 20, rising: 20, inTime: 20, all: 20},
+		{service: "c", minimum: 2, present: 4, rising: 12, inTime: 12, all: 12},
 	}
-	allocate(needs, 24)
+	allocate(needs, 42)
 	assert.Equal(t, needs[1].share, 20)
-	assert.Equal(t, needs[0].share, 4)
+	assert.Equal(t, needs[2].share, 12)
+	assert.Equal(t, needs[0].share, 10) // lateReserve serves nobody here
 }
 
 func TestSharesKeepToTheirBounds(t *testing.T) {
@@ -242,7 +244,8 @@
 		for range rapid.IntRange(1, 6).Draw(t, "services") {
 			n := need{minimum: rapid.IntRange(0, 4).Draw(t, "minimum")}
 			n.present = n.minimum + rapid.IntRange(0, 20).Draw(t, "present")
-			n.inTime = n.present + rapid.IntRange(0, 20).Draw(t, "expected")
+			n.rising = n.present + rapid.IntRange(0, 20).Draw(t, "rising")
+			n.inTime = n.rising + rapid.IntRange(0, 20).Draw(t, "expected")
 			n.late = rapid.IntRange(0, 30).Draw(t, "late")
 			n.all = n.inTime + n.late
 			minimums += n.minimum
--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -48,7 +48,7 @@
 			if p.cancelReturn(v, n.service) {
 				continue
 			}
-			inTime := min(n.inTime, n.share) > n.share-missing
+			inTime := min(n.rising, n.share) > n.share-missing
 			m, found := donors.take(n.service, inTime)
 			if !found {
 				break
@@ -64,7 +64,7 @@
 func (p *Planner) Needs() string {
 	var b strings.Builder
 	for _, n := range p.lastNeeds {
-		fmt.Fprintf(&b, "%s present=%d in_time=%d all=%d share=%d have=%d; ", n.service, n.present, n.inTime, n.all, n.share, n.have)
+		fmt.Fprintf(&b, "%s present=%d rising=%d in_time=%d all=%d share=%d have=%d; ", n.service, n.present, n.rising, n.inTime, n.all, n.share, n.have)
 	}
 	return b.String()
 }
@@ -86,6 +86,7 @@
 			service: service,
 			late:    int(math.Ceil((wanted.all - wanted.inTime) / float64(machineCPU))),
 			present: max(minimum, int(math.Ceil(wanted.present/float64(machineCPU)))),
+			rising:  max(minimum, int(math.Ceil(wanted.rising/float64(machineCPU)))),
 			inTime:  max(minimum, int(math.Ceil(wanted.inTime/float64(machineCPU)))),
 			all:     max(minimum, int(math.Ceil(wanted.all/float64(machineCPU)))),
 			minimum: minimum,
@@ -101,7 +102,7 @@
 
 // wantedCPU is the CPU capacity in thousandths of a core that a service needs; the fields
 // correspond to those of need.
-type wantedCPU struct{ present, inTime, all float64 }
+type wantedCPU struct{ present, rising, inTime, all float64 }
 
 // wantedCPU returns the CPU capacity that a service needs when a machine requested now
 // becomes usable. Demand rises to its peak rate within riseTime.
@@ -110,6 +111,7 @@
 	peakRate := p.peaks.expectedPeakRate(service)
 	lead := p.limits.MoveTime + leadMargin
 	rate := p.demandOf(service).expectedRate(v.Now, peakRate, riseTime, lead)
+	risingRate := rate
 	if at, predicted := p.peaks.dueWithin(service, v.Now, lead); predicted {
 		// Until the peak is detected, machines are prepared at most for the rate that it
 		// reaches within lead of its start.
@@ -118,7 +120,12 @@
 	longRunning := float64(l.LongRunningCPU)
 	present := float64(l.InTimeCPU) + blockedShare*float64(l.BlockedCPU)
 	inTime := longRunning + max(rateMargin*rate, present)
-	return wantedCPU{present: longRunning + present, inTime: inTime, all: inTime + lateShare*float64(l.LateCPU)}
+	return wantedCPU{
+		present: longRunning + present,
+		rising:  longRunning + max(rateMargin*risingRate, present),
+		inTime:  inTime,
+		all:     inTime + lateShare*float64(l.LateCPU),
+	}
 }
 
 // usableMachines counts the machines that are up or are moving between pools.
--- a/policy/fleetplan/share.go
+++ b/policy/fleetplan/share.go
@@ -8,7 +8,8 @@
 	minimum int // below which its long-running tasks don't fit
 	late    int // for late jobs alone
 	present int // for the jobs that are there and can still be in time
-	inTime  int // for those and the ones expected to arrive
+	rising  int // for those and the ones that a peak in progress will bring
+	inTime  int // for those and the ones of a predicted peak
 	all     int // for late jobs, too
 	have    int // in the pool or on their way to it, less those that leave
 	share   int // machines allocated to it
@@ -19,10 +20,10 @@
 const lateReserve = 0.15
 
 // allocate sets the share of each need. Jobs that can still be in time come before late
-// ones of any service, except for lateReserve, and those that are there before expected
-// ones: a peak that does not come must not hold machines that others have work for. Where
-// there are too few machines, all services are cut back in proportion to what they need
-// above their minimum.
+// ones of any service, except for lateReserve. Those that are there come first, then those of
+// peaks in progress, then those of predicted peaks: a peak that does not come must not hold
+// machines that others have work for. Where there are too few machines, all services are cut
+// back in proportion to what they need above their minimum.
 func allocate(needs []need, machines int) {
 	remaining := machines
 	for i := range needs {
@@ -33,6 +34,7 @@
 	remaining -= forLate
 	remaining += raiseShares(needs, forLate, func(n need) int { return n.minimum + n.late })
 	remaining = raiseShares(needs, remaining, func(n need) int { return n.present })
+	remaining = raiseShares(needs, remaining, func(n need) int { return n.rising })
 	remaining = raiseShares(needs, remaining, func(n need) int { return n.inTime })
 	raiseShares(needs, remaining, func(n need) int { return n.all })
 }
