Load: what tasks take up on an executor, by whichever resource runs out

Cause: owners reported needs as a sum of processors; memory, and what is left over on executors because another task does not fit, were left out, though placement checks them. Change: a task counts as the executor's CPU capacity divided by how many such tasks fit on an executor of mean capacity. Tests, red before: TestLoadOfAMemoryBoundPoolCountsItsExecutors, TestOccupiedCPU.

--- a/policy/shard/load.go
+++ b/policy/shard/load.go
@@ -5,10 +5,12 @@
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/job"
 )
 
 // Load is what an owner reports to the fleet planner about its service. CPU amounts are in
-// thousandths of a core.
+// thousandths of a core. The need of a task is the share of an executor that it takes up by
+// the resource of which it needs most, given as CPU; see occupiedCPU.
 type Load struct {
 	// InTimeCPU is the need of tasks that run, or could start now if there were enough
 	// capacity, of jobs that can still meet their objective.
@@ -73,29 +75,58 @@
 			Cordoned: e.cordoned(), CordonID: e.cordon.ID,
 		}
 	}
+	capacity := s.meanCapacity()
 	for _, j := range s.jobs {
 		if u := j.urgency(now); !j.terminating() && !j.state.Final() && u != urgencyTooLate {
-			l.addJob(j, u)
+			l.addJob(j, u, capacity)
 		}
 	}
 	return l
 }
 
-func (l *Load) addJob(j *jobState, u urgency) {
+// meanCapacity returns the mean capacity of the listed executors; zero if there are none.
+func (s *Shard) meanCapacity() job.Resources {
+	var sum job.Resources
+	var n int64
+	for _, e := range s.executors {
+		if e.listed {
+			sum = sum.Add(e.Capacity)
+			n++
+		}
+	}
+	if n == 0 {
+		return job.Resources{}
+	}
+	return job.Resources{MilliCPU: sum.MilliCPU / n, MemoryMB: sum.MemoryMB / n, GPU: sum.GPU / n}
+}
+
+// occupiedCPU returns the CPU capacity that a task with the given need takes up on an
+// executor of the given capacity: the capacity divided by how many such tasks fit. That
+// includes the CPU capacity that is left over because the memory is used up, or because it
+// is too little for another task.
+func occupiedCPU(need, capacity job.Resources) int64 {
+	fits := int64(fitCount(need, capacity))
+	if capacity.MilliCPU == 0 || fits == 0 || fits == job.MaxTasks {
+		return need.MilliCPU
+	}
+	return max(need.MilliCPU, capacity.MilliCPU/fits)
+}
+
+func (l *Load) addJob(j *jobState, u urgency, capacity job.Resources) {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			l.MinExecutors = max(l.MinExecutors, s.minExecutors())
+			need := occupiedCPU(s.def.Reservation(), capacity)
 			for _, t := range s.tasks {
 				if !t.done {
-					l.addTask(t, u)
+					l.addTask(t, u, need)
 				}
 			}
 		}
 	}
 }
 
-func (l *Load) addTask(t *task, u urgency) {
-	need := t.step.def.Reservation().MilliCPU
+func (l *Load) addTask(t *task, u urgency, need int64) {
 	blocked := t.step.blockers > 0
 	if t.current == nil && !blocked {
 		l.WaitingCPU += need
