--- a/entry/fleetduty/actions.go
+++ b/entry/fleetduty/actions.go
@@ -113,8 +113,16 @@
 }
 
 // callMachineService sends a command to the machine service and passes its outcome to the
-// planner.
+// planner. The instance may have been suspended since the command was announced, so that the
+// term is checked once more.
 func (h *Holder) callMachineService(ctx context.Context, a fleetplan.Action) {
+	if !h.leaseValid() {
+		h.send(func() {
+			h.logAction(a, "term-over", nil)
+			h.planner.HandleResult(a, fleetplan.Refused, time.Now())
+		})
+		return
+	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	holder := machines.Holder{Name: h.Instance, Token: h.term.Token}
--- a/entry/fleetduty/cleanup.go
+++ b/entry/fleetduty/cleanup.go
@@ -56,9 +56,9 @@
 	for i, item := range items {
 		state, err := layout.Decode[layout.State](item.Key, item.Value)
 		if err != nil {
-			return removed, err
+			h.Logger.Error("state of a job not readable", "error", err)
 		}
-		if state.State.Final() && !state.FinalAt.IsZero() && state.FinalAt.Before(before) {
+		if err == nil && state.State.Final() && !state.FinalAt.IsZero() && state.FinalAt.Before(before) {
 			t.Conditions = append(t.Conditions, kv.Condition{Key: item.Key, Revision: item.Revision})
 			t.Deletes = append(t.Deletes, item.Key)
 		}
--- a/entry/fleetduty/commands.go
+++ b/entry/fleetduty/commands.go
@@ -181,11 +181,16 @@
 // command recently.
 func (h *Holder) loadRecentCommands(ctx context.Context) error {
 	commands, revision, err := read[layout.RecentCommands](ctx, h.Store, layout.RecentCommandsKey)
-	if err != nil {
+	if err != nil && revision == 0 {
 		return err
 	}
 	h.recent.revision = revision
 	now := time.Now()
+	if err != nil {
+		h.Logger.Error("recent commands not readable: no machine gets a command for a while", "error", err)
+		h.planner.ReserveAll(now.Add(h.HolderGap + holderMargin))
+		return nil
+	}
 	for machine, age := range commands.AgesMs {
 		sentAt := now.Add(-time.Duration(age) * time.Millisecond)
 		h.recent.sentAt[machine] = sentAt // stays listed in case of another takeover soon
--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -82,11 +82,14 @@
 // Holder carries out the duty during one term.
 type Holder struct {
 	Options
-	term     election.Term
-	planner  *fleetplan.Planner
-	events   chan event
-	ctx      context.Context
-	stepDown context.CancelFunc
+	term election.Term
+	// leaseValid reports whether a successor can't be acting yet, by a clock that also counts
+	// time in which the machine is suspended.
+	leaseValid func() bool
+	planner    *fleetplan.Planner
+	events     chan event
+	ctx        context.Context
+	stepDown   context.CancelFunc
 
 	loads          map[cluster.Service]shard.Load
 	loadsReadAt    time.Time // when the store last delivered a listing or changes of them
@@ -121,7 +124,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h := &Holder{
-		Options: options, term: term,
+		Options: options, term: term, leaseValid: term.LeaseValid,
 		planner: fleetplan.New(options.Limits),
 		events:  make(chan event, 64), cleanedUpAt: time.Now(), cordonsReadAt: time.Now(),
 		ctx: ctx, stepDown: cancel,
@@ -188,7 +191,7 @@
 
 // storeRecords stores the state that a successor loads, when it is due.
 func (h *Holder) storeRecords(ctx context.Context) {
-	if !h.term.LeaseValid() {
+	if !h.leaseValid() {
 		return
 	}
 	h.refreshRecentCommands(ctx)
@@ -228,7 +231,7 @@
 	for _, wave := range h.waves {
 		snapshot.Waves = append(snapshot.Waves, wave)
 	}
-	if !h.term.LeaseValid() {
+	if !h.leaseValid() {
 		return // a successor may be acting already
 	}
 	actions := h.planner.Plan(snapshot)
--- a/entry/fleetduty/holder_test.go
+++ b/entry/fleetduty/holder_test.go
@@ -75,7 +75,7 @@
 		term:    term, planner: fleetplan.New(fleetplan.Limits{}),
 		recent: recentCommands{sentAt: map[cluster.MachineID]time.Time{}, retention: time.Minute},
 		events: make(chan event, 64), ctx: context.Background(), waveWrites: newWaveWrites(),
-		stepDown: func() {},
+		stepDown: func() {}, leaseValid: func() bool { return true },
 	}
 }
 
@@ -330,3 +330,31 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(progress.MaintenanceStarted), accepted)
 }
+
+// The instance is suspended after a command was announced: its term is over when it goes on,
+// and a successor may have revoked the machine's cordon. The command must not be sent.
+func TestCommandIsNotSentAfterASuspension(t *testing.T) {
+	s := newTestStore(t)
+	h := newTestHolder(s)
+	h.leaseValid = func() bool { return false }
+	h.callMachineService(t.Context(), moveAction("m-1")[0])
+	assert.Assert(t, !h.Machines.(*fakeMachines).called("m-1"))
+}
+
+// Unreadable stored entries must not keep every instance from taking the duty over.
+func TestUnreadableEntriesDoNotStopTheDuty(t *testing.T) {
+	s := newTestStore(t)
+	for _, key := range []string{layout.WaveKey(1), layout.RecentCommandsKey, layout.DemandHistoryKey, layout.CordonKey("a", "i-1")} {
+		s.standIn.Put(key, []byte("{not JSON"))
+	}
+	progress, err := layout.Encode(layout.WaveProgress{MaintenanceStarted: []cluster.MachineID{"m-1"}, Reported: cluster.WaveRunning})
+	assert.NilError(t, err)
+	s.standIn.Put(layout.WaveKey(2), progress)
+	h := newTestHolder(s)
+	h.Config = func() *cluster.Config { return &cluster.Config{Pools: []cluster.Pool{{Service: "a"}}} }
+	assert.NilError(t, h.load(t.Context()))
+	assert.DeepEqual(t, h.planner.WaveMachinesStarted(2), []cluster.MachineID{"m-1"})
+	_, cordoned := h.cordons["i-1"]
+	assert.Assert(t, cordoned, "a cordon that is not readable holds all the same")
+	assert.Assert(t, h.announce(t, moveAction("m-2")), "the list of recent commands is written anew")
+}
--- a/entry/fleetduty/load.go
+++ b/entry/fleetduty/load.go
@@ -32,7 +32,9 @@
 		}
 		progress, err := layout.Decode[layout.WaveProgress](item.Key, item.Value)
 		if err != nil {
-			return err
+			// Maintenance that has started is requested again, which has no effect.
+			h.Logger.Error("wave progress skipped: not readable", "error", err)
+			continue
 		}
 		h.planner.RestoreWave(number, progress.MaintenanceStarted, progress.Reported, progress.StartedAt)
 	}
--- a/entry/owner/load.go
+++ b/entry/owner/load.go
@@ -25,7 +25,7 @@
 type storedShard struct {
 	marker    layout.WriteMarker
 	lastWrite kv.Revision
-	progress  map[job.ID]*shard.Progress
+	progress  storedProgress
 	items     []kv.Item
 	executors []kv.Item
 }
@@ -56,8 +56,9 @@
 	o.writes.revision = s.lastWrite
 	o.shard.RestoreUnreached(s.marker.Unreached, o.term.Began)
 	o.loadExecutors(s.executors)
-	o.applyJobs(follow.Listing(s.items), s.progress, time.Now())
-	o.Logger.Info("shard taken over", "jobs", o.shard.Jobs(), "begun", len(s.progress), "executors", len(s.executors))
+	o.unreadable = s.progress.unreadable
+	o.applyJobs(follow.Listing(s.items), s.progress.byJob, time.Now())
+	o.Logger.Info("shard taken over", "jobs", o.shard.Jobs(), "begun", len(s.progress.byJob), "executors", len(s.executors))
 	return nil
 }
 
@@ -67,25 +68,39 @@
 	o.shard.SetExecutors(list.list(), time.Now())
 }
 
-func (o *Owner) readProgress(ctx context.Context) (map[job.ID]*shard.Progress, error) {
+// storedProgress is the progress of a service's jobs that an earlier owner stored.
+type storedProgress struct {
+	byJob map[job.ID]*shard.Progress
+	// unreadable holds the jobs whose progress can't be decoded. What runs of them is not
+	// known, so that nothing of them may be started.
+	unreadable map[job.ID]bool
+}
+
+func (o *Owner) readProgress(ctx context.Context) (storedProgress, error) {
 	items, _, err := o.Store.All(ctx, layout.ProgressPrefix(o.Service), kv.Linearizable)
 	if err != nil {
-		return nil, fmt.Errorf("read progress of %s: %w", o.Service, err)
+		return storedProgress{}, fmt.Errorf("read progress of %s: %w", o.Service, err)
 	}
-	all := map[job.ID]*shard.Progress{}
+	all := storedProgress{byJob: map[job.ID]*shard.Progress{}, unreadable: map[job.ID]bool{}}
 	for _, item := range items {
+		id := job.ID(item.Key[len(layout.ProgressPrefix(o.Service)):])
 		p, err := layout.Decode[shard.Progress](item.Key, item.Value)
+		if err == nil {
+			err = p.Check()
+		}
 		if err != nil {
-			return nil, err
+			o.Logger.Error("job skipped: progress not readable", "job", string(id), "error", err)
+			all.unreadable[id] = true
+			continue
 		}
-		all[job.ID(item.Key[len(layout.ProgressPrefix(o.Service)):])] = &p
+		all.byJob[id] = &p
 	}
 	return all, nil
 }
 
 func (o *Owner) addRecord(id job.ID, item kv.Item, p *shard.Progress, now time.Time) {
-	if o.shard.HasJob(id) {
-		return // a listing repeats the records of tracked jobs
+	if o.shard.HasJob(id) || o.unreadable[id] {
+		return // a listing repeats the records of tracked and of skipped jobs
 	}
 	r, err := layout.Decode[shard.Record](item.Key, item.Value)
 	if err != nil {
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -105,7 +105,8 @@
 	// finished holds the jobs that this owner has made final, with the revision of that
 	// write, so that an older event of the store does not add them again.
 	finished     map[job.ID]kv.Revision
-	staleCancels []job.ID // jobs whose cancellation arrived after they were final
+	unreadable   map[job.ID]bool // as storedProgress.unreadable
+	staleCancels []job.ID        // jobs whose cancellation arrived after they were final
 }
 
 // Lead leads the service until ctx ends or the term is lost.
--- a/policy/fleetplan/fleetplan.go
+++ b/policy/fleetplan/fleetplan.go
@@ -112,16 +112,17 @@
 // Planner plans the actions of a fleet, and keeps the started operations and the learned
 // demand between two snapshots.
 type Planner struct {
-	limits        Limits
-	operations    map[cluster.MachineID]*operation
-	waves         map[int64]*waveState
-	idleSince     map[cluster.MachineID]time.Time
-	demand        map[cluster.Service]*demand
-	peaks         *peakSequence
-	peakChanges   int // starts and ends of peaks
-	lastNeeds     []need
-	reservedUntil map[cluster.MachineID]time.Time // no calls before
-	loadsReadAt   time.Time                       // as Snapshot.LoadsReadAt, of the last plan
+	limits           Limits
+	operations       map[cluster.MachineID]*operation
+	waves            map[int64]*waveState
+	idleSince        map[cluster.MachineID]time.Time
+	demand           map[cluster.Service]*demand
+	peaks            *peakSequence
+	peakChanges      int // starts and ends of peaks
+	lastNeeds        []need
+	reservedUntil    map[cluster.MachineID]time.Time // no calls before
+	allReservedUntil time.Time                       // no calls for any machine before
+	loadsReadAt      time.Time                       // as Snapshot.LoadsReadAt, of the last plan
 }
 
 // New returns a planner.
@@ -152,6 +153,10 @@
 	p.reservedUntil[machine] = until
 }
 
+// ReserveAll prevents calls for all machines until the given time: it is not known which of
+// them an earlier holder of the duty has called.
+func (p *Planner) ReserveAll(until time.Time) { p.allReservedUntil = until }
+
 // WaveMachinesStarted returns the machines of a wave whose maintenance has started.
 func (p *Planner) WaveMachinesStarted(number int64) []cluster.MachineID {
 	return slices.Sorted(maps.Keys(p.waves[number].maintenanceStarted))
@@ -320,7 +325,7 @@
 
 // issueCalls returns the calls to the machine service for evacuated machines.
 func (p *Planner) issueCalls(v *view) []Action {
-	if v.Now.Sub(v.ListedAt) > maxListAge {
+	if v.Now.Sub(v.ListedAt) > maxListAge || v.Now.Before(p.allReservedUntil) {
 		return nil
 	}
 	var actions []Action
--- a/policy/shard/record.go
+++ b/policy/shard/record.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
@@ -58,6 +59,21 @@
 	Checkpoint string `json:"c,omitempty"`
 }
 
+// Check returns an error if a number in the progress is out of range.
+func (p Progress) Check() error {
+	for _, t := range p.Tasks {
+		if t.Occurrence < 0 || t.Step < 0 || t.Index < 0 || t.Run < 0 || t.Failures < 0 {
+			return fmt.Errorf("progress of task %d.%d.%d: negative number", t.Occurrence, t.Step, t.Index)
+		}
+	}
+	for _, occurrence := range p.Done {
+		if occurrence < 0 {
+			return fmt.Errorf("progress of occurrence %d: negative number", occurrence)
+		}
+	}
+	return nil
+}
+
 func (j *jobState) progress() Progress {
 	var p Progress
 	for number, finished := range j.finished {
