Callers in an outage: other instances first, and attempts that outlast it

Changes: an instance to which the store does not respond is not ready, so that the platform sends callers to others; if none is ready, it uses all. Retry-After is half the outage's age, 1 to 4 s, with chance.

--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -116,10 +116,18 @@
 	h.logger.Info("store regained", "failures", failures)
 }
 
+// ready reports whether the platform should send callers here. While the store does not
+// respond to this instance, it can only refuse them, and others may be able to serve them. If
+// no instance is ready, the platform sends callers to all of them.
+func (h *Host) ready() bool {
+	_, unavailable := h.store.Unavailable()
+	return h.config.Load() != nil && !h.leaving.Load() && !unavailable
+}
+
 func (h *Host) probeHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /readiness", func(w http.ResponseWriter, _ *http.Request) {
-		if h.config.Load() == nil || h.leaving.Load() {
+		if !h.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -60,8 +60,8 @@
 	defaultDeadline = 3 * time.Second
 	// deadlineMargin is how long before the caller's deadline the response is sent.
 	deadlineMargin = 250 * time.Millisecond
-	// retryAfterUnavailable is the Retry-After of all responses of 503.
-	retryAfterUnavailable = 1 * time.Second
+	// defaultRetryAfter is the Retry-After of responses of 503 while the store responds.
+	defaultRetryAfter = 1 * time.Second
 	// defaultMaxBody bounds bodies, in bytes, if the configuration does not.
 	defaultMaxBody = 256 << 10
 )
@@ -120,7 +120,7 @@
 func (i *Intake) dispatch(c *gin.Context) (response, string, job.ID) {
 	config := i.config()
 	if config == nil {
-		return response{status: http.StatusServiceUnavailable, retryAfter: retryAfterUnavailable, reason: "no configuration yet"}, "", ""
+		return response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "no configuration yet"}, "", ""
 	}
 	queue, found := config.Route(hostOf(c.Request), c.Request.URL.Path)
 	if !found {
--- a/entry/intake/jobs.go
+++ b/entry/intake/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 	"github.com/tarragonreach/tarragonreach/platform/submission"
+	"github.com/tarragonreach/tarragonreach/policy/retry"
 	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
@@ -30,14 +32,23 @@
 // is unavailable.
 const codeStoreUnavailable verdict.Code = "store-away"
 
+// checkStore returns an error while the store does not respond to this instance.
+func (i *Intake) checkStore() error {
+	since, unavailable := i.store.Unavailable()
+	if !unavailable {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, codeStoreUnavailable, "no answer since "+since.Format(time.RFC3339Nano))
+}
+
 var errOutcomeUnknown = errors.New("the store's answer is lost")
 
 // write repeats a write until it gets a result, the store has refused all of refusedAttempts
 // attempts, or ctx ends. Its error wraps errOutcomeUnknown if an attempt may have taken effect
 // or may still do so.
 func (i *Intake) write(ctx context.Context, t kv.Txn) (kv.TxnResult, error) {
-	if since, unavailable := i.store.Unavailable(); unavailable {
-		return kv.TxnResult{}, verdict.New(verdict.NotRun, codeStoreUnavailable, "no answer since "+since.Format(time.RFC3339Nano))
+	if err := i.checkStore(); err != nil {
+		return kv.TxnResult{}, err
 	}
 	random := backoff.NewRandom()
 	outcomeUnknown := false
@@ -68,8 +79,8 @@
 
 // read reads a key with up to refusedAttempts attempts.
 func (i *Intake) read(ctx context.Context, key string) (kv.Item, error) {
-	if since, unavailable := i.store.Unavailable(); unavailable {
-		return kv.Item{}, verdict.New(verdict.NotRun, codeStoreUnavailable, "no answer since "+since.Format(time.RFC3339Nano))
+	if err := i.checkStore(); err != nil {
+		return kv.Item{}, err
 	}
 	random := backoff.NewRandom()
 	for attempt := 1; ; attempt++ {
@@ -85,17 +96,26 @@
 	}
 }
 
-func unavailableResponse(err error) response {
-	return response{status: http.StatusServiceUnavailable, retryAfter: retryAfterUnavailable, reason: err.Error()}
+func (i *Intake) unavailableResponse(err error) response {
+	return response{status: http.StatusServiceUnavailable, retryAfter: i.retryAfter(), reason: err.Error()}
+}
+
+// retryAfter returns when a caller that is refused for lack of the store should come back.
+func (i *Intake) retryAfter() time.Duration {
+	since, unavailable := i.store.Unavailable()
+	if !unavailable {
+		return defaultRetryAfter
+	}
+	return retry.AfterOutage(time.Since(since), rand.Float64())
 }
 
 // writeFailure returns the response for a write that did not succeed: 504 if its outcome is
 // unknown, else 503.
-func writeFailure(err error) response {
+func (i *Intake) writeFailure(err error) response {
 	if errors.Is(err, errOutcomeUnknown) {
 		return response{status: http.StatusGatewayTimeout, reason: err.Error()}
 	}
-	return unavailableResponse(err)
+	return i.unavailableResponse(err)
 }
 
 func (i *Intake) submit(ctx context.Context, queue cluster.Queue, id job.ID, d job.Definition) response {
@@ -106,7 +126,7 @@
 	result, err := i.write(ctx, t)
 	switch {
 	case err != nil:
-		return writeFailure(err)
+		return i.writeFailure(err)
 	case result.Applied:
 		return response{status: http.StatusOK, reason: "stored"}
 	default:
@@ -142,7 +162,7 @@
 		return item, layout.State{}, &noSuchJob
 	}
 	if err != nil {
-		resp := unavailableResponse(err)
+		resp := i.unavailableResponse(err)
 		return item, layout.State{}, &resp
 	}
 	state, err := layout.Decode[layout.State](item.Key, item.Value)
@@ -176,13 +196,13 @@
 			Puts:       []kv.Put{{Key: layout.CancelKey(state.Service, id), Value: []byte("{}")}},
 		})
 		if err != nil {
-			return writeFailure(err)
+			return i.writeFailure(err)
 		}
 		if result.Applied {
 			return response{status: http.StatusOK, reason: "cancelled"}
 		}
 	}
-	return response{status: http.StatusServiceUnavailable, retryAfter: retryAfterUnavailable, reason: "the job keeps changing"}
+	return response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "the job keeps changing"}
 }
 
 func (i *Intake) waitingCount(ctx context.Context, queue cluster.Queue) response {
@@ -191,7 +211,7 @@
 		return response{status: http.StatusOK, body: submission.WaitingBody{}}
 	}
 	if err != nil {
-		return unavailableResponse(err)
+		return i.unavailableResponse(err)
 	}
 	counts, err := layout.Decode[layout.Waiting](item.Key, item.Value)
 	if err != nil {
