--- a/policy/fleetplan/waves.go
+++ b/policy/fleetplan/waves.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -23,6 +24,50 @@
 	maxPoolShareDown = 0.25
 )
 
+// waveState is the progress of a wave.
+type waveState struct {
+	startedAt          time.Time
+	maintenanceStarted map[cluster.MachineID]bool
+	reported           cluster.WaveState
+	missingSince       map[cluster.MachineID]time.Time // since when a machine is not in the list
+}
+
+// RestoreWave loads the progress of a wave that an earlier holder of the duty stored.
+func (p *Planner) RestoreWave(number int64, maintenanceStarted []cluster.MachineID, reported cluster.WaveState, startedAt time.Time) {
+	w := p.wave(number, startedAt)
+	for _, m := range maintenanceStarted {
+		w.maintenanceStarted[m] = true
+	}
+	w.reported = reported
+}
+
+// WaveMachinesStarted returns the machines of a wave whose maintenance has started.
+func (p *Planner) WaveMachinesStarted(number int64) []cluster.MachineID {
+	return slices.Sorted(maps.Keys(p.waves[number].maintenanceStarted))
+}
+
+// WaveReported returns the state of a wave that was last reported to the operator, or
+// WaveRunning if there is none.
+func (p *Planner) WaveReported(number int64) cluster.WaveState {
+	return cmp.Or(p.waves[number].reported, cluster.WaveRunning)
+}
+
+// WaveStartedAt returns when a wave was first seen.
+func (p *Planner) WaveStartedAt(number int64) time.Time { return p.waves[number].startedAt }
+
+func (p *Planner) wave(number int64, now time.Time) *waveState {
+	w := p.waves[number]
+	if w == nil {
+		w = &waveState{startedAt: now, maintenanceStarted: map[cluster.MachineID]bool{}, missingSince: map[cluster.MachineID]time.Time{}}
+		p.waves[number] = w
+	}
+	return w
+}
+
+// WaveReportFailed records that the state of a wave did not reach the operator; the next
+// plan reports it again.
+func (p *Planner) WaveReportFailed(number int64) { p.waves[number].reported = "" }
+
 func (p *Planner) planWaves(v *view) []Action {
 	var actions []Action
 	for _, wave := range v.Waves {
