--- a/entry/fleetduty/holder_test.go
+++ b/entry/fleetduty/holder_test.go
@@ -9,7 +9,6 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -71,7 +70,7 @@
 func newTestHolder(s *testStore) *Holder {
 	term := election.Term{Duty: Duty, Revision: s.standIn.Put(layout.OwnerKey(Duty), []byte("{}"))}
 	return &Holder{
-		Options: Options{Store: s, Machines: &fakeMachines{moved: map[cluster.MachineID]bool{}}, Logger: slog.New(slog.DiscardHandler), HolderGap: time.Second},
+		Options: Options{Store: s, Machines: newFakeMachines(), Logger: slog.New(slog.DiscardHandler), HolderGap: time.Second},
 		term:    term, planner: fleetplan.New(fleetplan.Limits{}),
 		recent: recentCommands{sentAt: map[cluster.MachineID]time.Time{}, retention: time.Minute},
 		events: make(chan event, 64), ctx: context.Background(), waveWrites: newWaveWrites(),
@@ -92,35 +91,25 @@
 	}
 }
 
-// announce announces commands and reports whether they were sent.
-func (h *Holder) announce(t *testing.T, actions []fleetplan.Action) bool {
+// announce announces commands and waits until the first of them was sent.
+func (h *Holder) announce(t *testing.T, actions []fleetplan.Action) {
 	t.Helper()
 	h.queueCommands(actions)
 	h.announceQueued(t.Context())
 	h.finishWrites()
-	sent := h.Machines.(*fakeMachines)
-	deadline := time.Now().Add(100 * time.Millisecond)
-	for time.Now().Before(deadline) {
-		if sent.called(actions[0].Machine) {
-			return true
-		}
-		time.Sleep(time.Millisecond)
-	}
-	return false
+	assert.Equal(t, <-h.Machines.(*fakeMachines).moves, actions[0].Machine)
 }
 
-// fakeMachines is a machine service that accepts all commands.
-type fakeMachines struct {
-	mu    sync.Mutex
-	moved map[cluster.MachineID]bool
-}
+// fakeMachines is a machine service that accepts all commands. moves holds the machines of the
+// moves in the order of the calls.
+type fakeMachines struct{ moves chan cluster.MachineID }
+
+func newFakeMachines() *fakeMachines { return &fakeMachines{make(chan cluster.MachineID, 16)} }
 
 func (f *fakeMachines) List(context.Context) ([]cluster.Machine, error) { return nil, nil }
 
 func (f *fakeMachines) Move(_ context.Context, _ machines.Holder, m cluster.MachineID, _ cluster.Service) (machines.Refusal, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.moved[m] = true
+	f.moves <- m
 	return machines.NotRefused, nil
 }
 
@@ -128,12 +117,6 @@
 	return machines.NotRefused, nil
 }
 
-func (f *fakeMachines) called(m cluster.MachineID) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.moved[m]
-}
-
 func moveAction(id cluster.MachineID) []fleetplan.Action {
 	return []fleetplan.Action{{Kind: fleetplan.Move, Machine: id}}
 }
@@ -141,7 +124,7 @@
 func TestAnnouncedCommandsAreListedUntilExpired(t *testing.T) {
 	s := newTestStore(t)
 	h := newTestHolder(s)
-	assert.Assert(t, h.announce(t, moveAction("m-1")))
+	h.announce(t, moveAction("m-1"))
 	h.refreshRecentCommands(t.Context())
 	h.finishWrites() // not due
 	assert.DeepEqual(t, s.listedMachines(t), []cluster.MachineID{"m-1"})
@@ -155,8 +138,8 @@
 	s := newTestStore(t)
 	h := newTestHolder(s)
 	s.standIn.LoseResponses(1)
-	assert.Assert(t, h.announce(t, moveAction("m-1")))
-	assert.Assert(t, h.announce(t, moveAction("m-2")))
+	h.announce(t, moveAction("m-1"))
+	h.announce(t, moveAction("m-2"))
 	assert.DeepEqual(t, s.listedMachines(t), []cluster.MachineID{"m-1", "m-2"})
 }
 
@@ -165,13 +148,13 @@
 func TestLateWriteDoesNotRevertALaterAnnouncement(t *testing.T) {
 	s := newTestStore(t)
 	h := newTestHolder(s)
-	assert.Assert(t, h.announce(t, moveAction("m-1")))
+	h.announce(t, moveAction("m-1"))
 	h.age("m-1", 2*time.Minute)
 	s.delayWrites = true
 	h.refreshRecentCommands(t.Context())
 	h.finishWrites()
 	s.delayWrites = false
-	assert.Assert(t, h.announce(t, moveAction("m-2")))
+	h.announce(t, moveAction("m-2"))
 	for _, late := range s.delayed {
 		result, err := s.Txn(t.Context(), late)
 		assert.NilError(t, err)
@@ -186,8 +169,11 @@
 	steppedDown := false
 	h.stepDown = func() { steppedDown = true }
 	s.standIn.Put(layout.OwnerKey(Duty), []byte("{}"))
-	assert.Assert(t, !h.announce(t, moveAction("m-1")))
+	h.queueCommands(moveAction("m-1"))
+	h.announceQueued(t.Context())
+	h.finishWrites()
 	assert.Assert(t, steppedDown)
+	assert.Equal(t, len(h.Machines.(*fakeMachines).moves), 0)
 }
 
 func TestSuccessorLoadsTheDemandHistory(t *testing.T) {
@@ -211,9 +197,9 @@
 func TestStoredListHoldsTheAgesOfCommands(t *testing.T) {
 	s := newTestStore(t)
 	h := newTestHolder(s)
-	assert.Assert(t, h.announce(t, moveAction("m-1")))
+	h.announce(t, moveAction("m-1"))
 	h.age("m-1", 800*time.Millisecond)
-	assert.Assert(t, h.announce(t, moveAction("m-2")))
+	h.announce(t, moveAction("m-2"))
 	commands := s.recentCommands(t)
 	assert.Assert(t, commands.AgesMs["m-1"] >= 800)
 	assert.Assert(t, commands.AgesMs["m-2"] < 800)
@@ -252,11 +238,11 @@
 func TestCommandsStayListedAcrossTwoTakeovers(t *testing.T) {
 	s := newTestStore(t)
 	first := newTestHolder(s)
-	assert.Assert(t, first.announce(t, moveAction("m-1")))
+	first.announce(t, moveAction("m-1"))
 	second := *first
 	second.recent = recentCommands{sentAt: map[cluster.MachineID]time.Time{}, retention: time.Minute}
 	assert.NilError(t, second.loadRecentCommands(t.Context()))
-	assert.Assert(t, second.announce(t, moveAction("m-2")))
+	second.announce(t, moveAction("m-2"))
 	assert.DeepEqual(t, s.listedMachines(t), []cluster.MachineID{"m-1", "m-2"})
 }
 
@@ -338,7 +324,7 @@
 	h := newTestHolder(s)
 	h.leaseValid = func() bool { return false }
 	h.callMachineService(t.Context(), moveAction("m-1")[0])
-	assert.Assert(t, !h.Machines.(*fakeMachines).called("m-1"))
+	assert.Equal(t, len(h.Machines.(*fakeMachines).moves), 0)
 }
 
 // Unreadable stored entries must not keep every instance from taking the duty over.
@@ -356,5 +342,5 @@
 	assert.DeepEqual(t, h.planner.WaveMachinesStarted(2), []cluster.MachineID{"m-1"})
 	_, cordoned := h.cordons["i-1"]
 	assert.Assert(t, cordoned, "a cordon that is not readable holds all the same")
-	assert.Assert(t, h.announce(t, moveAction("m-2")), "the list of recent commands is written anew")
+	h.announce(t, moveAction("m-2"))
 }
