Owners: a task of an executor that has ended starts again by the machine list

Cause: an owner that can't reach an executor with inherited runs knows nothing of the leases there, and waits for the longest one from its own takeover, 10.5 s. Where the executor is lost at about the time at which its owner is lost, the task has no run for that long; the rule allows about 10 s after the last disruption.

Change: an executor is one life of its machine. While an executor with runs does not respond, its owner reads the platform's machine list every 0.5 s, and takes the executor for ended if two lists in a row, requested 1 s or more after it was first known, have it on no machine. Without a list the leases count as before.

--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -220,6 +220,9 @@
 	if h.node.AdviceAddress != "" {
 		options.Adviser = advice.New(h.node.AdviceAddress)
 	}
+	if h.node.MachinesAddress != "" {
+		options.Machines = machines.New(h.node.MachinesAddress)
+	}
 	h.campaigns.Go(func() {
 		h.election.Campaign(h.dutyCtx, string(service), func(ctx context.Context, term election.Term) {
 			owner.Lead(ctx, term, options)
--- /dev/null
+++ b/entry/owner/machinelist.go
@@ -0,0 +1,51 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/policy/shard"
+)
+
+const (
+	// machineListInterval is the minimum time between two requests for the machine list.
+	machineListInterval = 500 * time.Millisecond
+	// machineListTimeout bounds one request for the machine list, of all its pages.
+	machineListTimeout = 1500 * time.Millisecond
+)
+
+// machineListRequests is the state of an owner's requests for the machine list.
+type machineListRequests struct {
+	inFlight    bool
+	requestedAt time.Time // when the last one was sent
+}
+
+// requestMachineList requests the machine list in the background if it could show that
+// unresponsive executors have ended. There is one request at a time.
+func (o *Owner) requestMachineList(now time.Time) {
+	if o.Machines == nil || o.machineList.inFlight || now.Sub(o.machineList.requestedAt) < machineListInterval || !o.shard.NeedsMachineList() {
+		return
+	}
+	o.machineList = machineListRequests{inFlight: true, requestedAt: now}
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, machineListTimeout)
+		defer cancel()
+		machines, err := o.Machines.List(ctx)
+		o.send(func(now time.Time) { o.handleMachineList(machines, err, now) })
+	}()
+}
+
+// handleMachineList applies a machine list. Without one, the runs on executors that have ended
+// are discarded when their leases have expired.
+func (o *Owner) handleMachineList(machines []cluster.Machine, err error, now time.Time) {
+	o.machineList.inFlight = false
+	if err != nil {
+		o.Logger.Warn("machines not listed; leases of unresponsive executors have to expire", "error", err)
+		return
+	}
+	list := shard.NewMachineList(machines, o.machineList.requestedAt)
+	for _, id := range o.shard.ApplyMachineList(list) {
+		o.Logger.Info("executor has ended: no machine has it", "executor", string(id), "list_age_ms", now.Sub(list.RequestedAt).Milliseconds())
+	}
+}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -34,6 +34,11 @@
 	RequestTickets(ctx context.Context, step job.StepID, executors []cluster.ExecutorID) (advice.Tickets, error)
 }
 
+// Machines is the part of the machine service's client that an owner uses.
+type Machines interface {
+	List(ctx context.Context) ([]cluster.Machine, error)
+}
+
 // Dial returns a client of an executor.
 type Dial func(id cluster.ExecutorID, address string) Executor
 
@@ -54,10 +59,12 @@
 	Store   Store
 	Dial    Dial
 	Adviser Adviser // nil where no queue needs advice
-	Config  Config
-	Cores   float64 // CPU capacity of the instance in cores; zero if unknown
-	Logger  *slog.Logger
-	Scope   tally.Scope
+	// Machines shows which executors have ended; nil where the platform lists no machines.
+	Machines Machines
+	Config   Config
+	Cores    float64 // CPU capacity of the instance in cores; zero if unknown
+	Logger   *slog.Logger
+	Scope    tally.Scope
 }
 
 const (
@@ -100,6 +107,8 @@
 	renewalCheckedAt time.Time // when renewalAllowed was last checked
 
 	delays delays
+	// machineList is the state of the requests for the machine list.
+	machineList machineListRequests
 
 	cordons map[cluster.ExecutorID]shard.Cordon
 	// finished holds the jobs that this owner has made final, with the revision of that
@@ -225,6 +234,7 @@
 	for _, poll := range o.shard.Polls(now) {
 		o.poll(poll)
 	}
+	o.requestMachineList(now)
 	o.report(now)
 	if o.Adviser != nil {
 		for _, request := range o.shard.AdviceRequests(now) {
--- a/policy/shard/commands.go
+++ b/policy/shard/commands.go
@@ -175,7 +175,7 @@
 		return
 	}
 	if delivery == Responded && reply.Refusal == execution.RefusedWrongExecutor {
-		s.markReplaced(e)
+		s.discardAll(e)
 		return
 	}
 	if cmd.orphan != nil {
@@ -278,9 +278,11 @@
 	s.dirty = true
 }
 
-// markReplaced discards all runs on an executor whose address now belongs to another one.
-func (s *Shard) markReplaced(e *executorState) {
+// discardAll discards all runs on an executor that has ended: another one responds at its
+// address, or its machine has another one or none. It gets no calls any more.
+func (s *Shard) discardAll(e *executorState) {
 	e.replaced = true
+	s.dirty = true
 	for _, r := range e.sortedRuns() {
 		s.discard(r)
 	}
--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -39,7 +39,9 @@
 	listed       bool // in the latest list
 	everDraining bool // was ever listed as draining
 	cordon       Cordon
-	replaced     bool // another executor responds at its address
+	replaced     bool // it has ended: another executor has its address or its machine, or none has
+	knownSince   time.Time
+	missingLists int // machine lists in a row that lack it while it does not respond
 
 	used job.Resources
 	runs map[job.TaskID]*run
@@ -101,8 +103,8 @@
 	nextSend time.Time
 }
 
-func newExecutor(e cluster.Executor) *executorState {
-	return &executorState{Executor: e, runs: map[job.TaskID]*run{}, orphans: map[orphanKey]*orphan{}}
+func newExecutor(e cluster.Executor, now time.Time) *executorState {
+	return &executorState{Executor: e, knownSince: now, runs: map[job.TaskID]*run{}, orphans: map[orphanKey]*orphan{}}
 }
 
 // markDue notes that a run or an orphan may need a command now.
--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -119,7 +119,7 @@
 	case response.Refusal == execution.RefusedFenced:
 		s.fenced = true
 	case response.Refusal == execution.RefusedWrongExecutor:
-		s.markReplaced(e)
+		s.discardAll(e)
 	case response.Refusal != execution.NotRefused:
 		e.failedCalls++
 		e.lastFailedPoll = poll.SentAt
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -161,7 +161,7 @@
 		}
 		e := s.executors[tp.Executor]
 		if e == nil {
-			e = newExecutor(cluster.Executor{ID: tp.Executor, Address: tp.Address})
+			e = newExecutor(cluster.Executor{ID: tp.Executor, Address: tp.Address}, now)
 			s.executors[tp.Executor] = e
 			s.sorted = nil
 		}
@@ -220,7 +220,7 @@
 	for _, listed := range list {
 		e := s.executors[listed.ID]
 		if e == nil {
-			e = newExecutor(listed)
+			e = newExecutor(listed, now)
 			s.executors[listed.ID] = e
 			s.sorted = nil
 		}
