Fleet planner: a move is dropped when long-running tasks start on its machine

Cause: the planner takes machines without long-running tasks. Where such tasks start before their owner applies the cordon, the move stayed planned, and the owner stopped them for it, 0.9 s after their start.

Change: an operation that moves a machine ends, before its call, once the load shows long-running tasks there; its cordon is revoked with it.

--- a/policy/fleetplan/operations.go
+++ b/policy/fleetplan/operations.go
@@ -46,6 +46,8 @@
 			delete(p.operations, id)
 		case op.accepted && m.State == cluster.MachineUp && v.ListedAt.Sub(op.calledAt) > maxListLag+p.limits.MaintenanceTime:
 			delete(p.operations, id) // assumed done; the list shows no new executor that would confirm it
+		case op.kind == Move && op.calledAt.IsZero() && v.runsLongRunning(m):
+			delete(p.operations, id) // such tasks have started there meanwhile, and would be stopped
 		case op.calledAt.IsZero() && v.Now.Sub(op.startedAt) > evacuationTimeout:
 			delete(p.operations, id) // it can't be evacuated now
 		case !op.calledAt.IsZero() && (!op.accepted || !listed) && v.Now.Sub(op.calledAt) > callExpiry:
--- a/policy/fleetplan/returns_test.go
+++ b/policy/fleetplan/returns_test.go
@@ -41,3 +41,23 @@
 	assert.Equal(t, f.moves, movesBefore)
 	assert.Equal(t, f.poolSize("a"), 8)
 }
+
+// Long-running tasks start on a machine before its owner applies the cordon for a move: they
+// stay, and the machine with them.
+func TestMoveIsDroppedWhenLongRunningTasksStartOnTheMachine(t *testing.T) {
+	f := newSimFleet(t, map[cluster.Service]int{"a": 2, "b": 6}, 0)
+	f.loads["a"] = shard.Load{InTimeCPU: 6 * 16000, Executors: f.loads["a"].Executors}
+	for id, x := range f.loads["b"].Executors {
+		x.Runs = 1
+		f.loads["b"].Executors[id] = x
+	}
+	f.step(accept)
+	assert.Assert(t, len(f.cordons) > 0)
+	for id, x := range f.loads["b"].Executors {
+		x.Runs, x.LongRunning = 2, 1
+		f.loads["b"].Executors[id] = x
+	}
+	f.step(accept)
+	assert.Equal(t, len(f.cordons), 0)
+	assert.Equal(t, f.moves, 0)
+}
--- a/policy/fleetplan/view.go
+++ b/policy/fleetplan/view.go
@@ -53,6 +53,12 @@
 	return l, known
 }
 
+// runsLongRunning reports whether long-running tasks run on a machine.
+func (v *view) runsLongRunning(m cluster.Machine) bool {
+	l, _ := v.load(m)
+	return l.LongRunning > 0
+}
+
 // evacuated reports whether nothing runs on the machine and its owner will start nothing
 // there. The owner must have confirmed this very cordon: after an earlier one was revoked it
 // may have started tasks that its last stored load does not show.
