Owners: long-running tasks and cordons that leave them no executor

Callers saw: LOST, a long-running task that does not run with room for it, where the executors of its service are cordoned for moves and maintenance.

Cause: (1) a run on a cordoned executor was stopped whether or not its task had anywhere to go. (2) A task without a run found no executor while the cordoned ones, kept by short tasks that last long or by long-running ones, had free capacity; and these may not be evacuated while another task of their step has no run, so both waited, for up to 12 s and then again.

Change: a long-running run on a cordoned executor is stopped only if a usable one has capacity for its task. A long-running task that finds no capacity for 2 s starts on a cordoned executor that has runs, unless a load has shown it as empty under this cordon: from then on its machine may be taken away.

--- a/policy/shard/evacuate.go
+++ b/policy/shard/evacuate.go
@@ -25,10 +25,14 @@
 func (s *Shard) evacuate(now time.Time) {
 	s.evacuating, s.evacuateDue = false, false
 	s.evacuatedAt = now
+	if len(s.leaving) == 0 {
+		return
+	}
+	destinations := s.usableExecutors(now)
 	for _, e := range s.leaving {
 		s.evacuating = s.evacuating || e.hasLongRunning()
 		for _, r := range e.sortedRuns() {
-			if r.phase == confirmed && s.shouldEvacuate(r, now) {
+			if r.phase == confirmed && s.shouldEvacuate(r, destinations, now) {
 				s.stop(r, StopEvacuated)
 			}
 		}
@@ -36,10 +40,10 @@
 }
 
 // shouldEvacuate reports whether a run on a leaving executor is stopped now rather than
-// left to complete.
-func (s *Shard) shouldEvacuate(r *run, now time.Time) bool {
+// left to complete; destinations are the executors on which its task may start again.
+func (s *Shard) shouldEvacuate(r *run, destinations []*executorState, now time.Time) bool {
 	if r.task.step.def.LongRunning {
-		return s.mayEvacuate(r, now)
+		return s.mayEvacuate(r, destinations, now)
 	}
 	return r.executor.cordon.Evacuation == EvacuatePreempting && r.preemptible(now)
 }
@@ -59,13 +63,16 @@
 }
 
 // mayEvacuate reports whether a long-running run may be stopped now.
-func (s *Shard) mayEvacuate(r *run, now time.Time) bool {
+func (s *Shard) mayEvacuate(r *run, destinations []*executorState, now time.Time) bool {
 	if r.stopping {
 		return false
 	}
 	if r.executor.everDraining {
 		return true // the executor stops it soon in any case
 	}
+	if !s.hasDestination(r, destinations, now) {
+		return false
+	}
 	unavailable := 0
 	for _, t := range r.task.step.tasks {
 		if !t.available(now) {
@@ -76,6 +83,19 @@
 	return unavailable < max(1, r.task.step.def.MaxUnavailable)
 }
 
+// hasDestination reports whether the destinations have capacity for the run's task besides the
+// tasks that are being evacuated.
+func (s *Shard) hasDestination(r *run, destinations []*executorState, now time.Time) bool {
+	st := r.task.step
+	capacity := 0
+	for _, e := range destinations {
+		if st.allows(e, now) {
+			capacity += st.capacityOn(e, e.free())
+		}
+	}
+	return capacity > s.countStops(StopEvacuated)
+}
+
 // available reports whether the task was recently seen running at full speed. If its
 // executor does not respond, the executor and the task may be lost.
 func (t *task) available(now time.Time) bool {
--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -39,9 +39,11 @@
 	listed       bool // in the latest list
 	everDraining bool // was ever listed as draining
 	cordon       Cordon
-	replaced     bool // it has ended: another executor has its address or its machine, or none has
-	knownSince   time.Time
-	missingLists int // machine lists in a row that lack it while it does not respond
+	// reportedEmpty is set once a load has shown it without runs under the present cordon.
+	reportedEmpty bool
+	replaced      bool // it has ended: another executor has its address or its machine, or none has
+	knownSince    time.Time
+	missingLists  int // machine lists in a row that lack it while it does not respond
 
 	used job.Resources
 	runs map[job.TaskID]*run
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -75,6 +75,8 @@
 	checkpoint string
 	retryAt    time.Time
 	avoid      cluster.ExecutorID // where it last failed, stalled or was refused
+	// unplacedSince is since when a long-running task has found no capacity; otherwise zero.
+	unplacedSince time.Time
 }
 
 // phase is what is known about a run.
--- /dev/null
+++ b/policy/shard/lastresort.go
@@ -0,0 +1,32 @@
+package shard
+
+import "time"
+
+// lastResortAfter is how long a long-running task finds no capacity before it may start on a
+// cordoned executor: an executor that is on its way to the service is better.
+const lastResortAfter = 2 * time.Second
+
+// lastResort returns the best cordoned executor for a long-running task that has found no
+// capacity for lastResortAfter, or nil. The planner then drops the move that the executor is
+// cordoned for; a maintenance waits until the task has a destination.
+func (b *builder) lastResort(t *task, rack string) *executorState {
+	if !t.step.def.LongRunning {
+		return nil
+	}
+	if t.unplacedSince.IsZero() {
+		t.unplacedSince = b.now
+	}
+	if b.now.Sub(t.unplacedSince) < lastResortAfter {
+		return nil
+	}
+	cordoned := b.shard.executorsWith((*executorState).staysWithRuns)
+	best, _ := b.bestOf(cordoned, t, rack)
+	return best
+}
+
+// staysWithRuns reports whether a cordoned executor certainly stays for as long as it has
+// runs. One that was reported as empty may be taken away at any moment.
+func (e *executorState) staysWithRuns() bool {
+	return e.cordoned() && len(e.runs) > 0 && !e.reportedEmpty &&
+		e.listed && e.polled && !e.Draining && !e.everDraining && !e.replaced && e.failedCalls == 0 && len(e.orphans) == 0
+}
--- a/policy/shard/load.go
+++ b/policy/shard/load.go
@@ -70,8 +70,10 @@
 		if e.replaced || !e.listed && len(e.runs) == 0 {
 			continue
 		}
+		runs := len(e.runs) + len(e.orphans)
+		e.reportedEmpty = e.reportedEmpty || e.cordoned() && runs == 0
 		l.Executors[e.ID] = ExecutorLoad{
-			Runs: len(e.runs) + len(e.orphans), LongRunning: e.longRunning, UsedCPU: e.used.MilliCPU,
+			Runs: runs, LongRunning: e.longRunning, UsedCPU: e.used.MilliCPU,
 			Cordoned: e.cordoned(), CordonID: e.cordon.ID,
 		}
 	}
--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -74,6 +74,7 @@
 	}
 	e.extendLeaseBound(b.now, lease)
 	t.current = r
+	t.unplacedSince = time.Time{}
 	e.addRun(r)
 	return r
 }
@@ -90,11 +91,12 @@
 			b.noteUnplaceable(t.step.def.Reservation())
 		}
 	}
-	if !t.mayBeTrial(b.now) {
-		return nil
+	if t.mayBeTrial(b.now) {
+		if best, _ := b.bestOf(b.trialCandidates(), t, rack); best != nil {
+			return best
+		}
 	}
-	best, _ := b.bestOf(b.trialCandidates(), t, rack)
-	return best
+	return b.lastResort(t, rack)
 }
 
 // bestOf returns the executor of the list with the lowest placement cost for the task, or
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -296,7 +296,7 @@
 }
 
 func (b *builder) startStep(st *step) {
-	if b.isUnplaceable(st.def) && len(b.trialCandidates()) == 0 {
+	if b.isUnplaceable(st.def) && len(b.trialCandidates()) == 0 && !st.def.LongRunning {
 		return
 	}
 	var ready []*task
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -255,6 +255,7 @@
 	for _, e := range s.executors {
 		if e.cordon != cordons[e.ID] {
 			e.cordon = cordons[e.ID]
+			e.reportedEmpty = false
 			s.loadUrgent = true
 		}
 	}
--- a/policy/shard/stall.go
+++ b/policy/shard/stall.go
@@ -61,7 +61,7 @@
 // fitsElsewhere reports whether other executors have capacity for the run's task besides
 // the tasks of runs that are being stopped for the same reason.
 func (s *Shard) fitsElsewhere(r *run, now time.Time) bool {
-	capacity := -s.countStallStops()
+	capacity := -s.countStops(StopStalled)
 	for _, e := range s.usableExecutors(now) {
 		if e != r.executor {
 			capacity += fitCount(r.task.step.def.Reservation(), e.free())
@@ -70,12 +70,12 @@
 	return capacity > 0
 }
 
-// countStallStops returns how many runs are being stopped on stalled executors.
-func (s *Shard) countStallStops() int {
+// countStops returns how many runs are being stopped for a reason.
+func (s *Shard) countStops(reason StopReason) int {
 	n := 0
 	for _, e := range s.executors {
 		for _, r := range e.runs {
-			if r.stopping && r.stopReason == StopStalled {
+			if r.stopping && r.stopReason == reason {
 				n++
 			}
 		}
