Machine lists: a response of the executor voids earlier ones; implausible lists count for nothing

Cause: the count of lists without an executor was reset by a list only. Refused calls of an unhealthy executor counted as no response. A list with executors of other services only ended each executor that missed a call.

Change: only calls without any response count, each response resets the lists, and a list that lacks all executors that responded shortly before it was requested is ignored.

--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -43,7 +43,6 @@
 	reportedEmpty bool
 	replaced      bool // it has ended: another executor has its address or its machine, or none has
 	knownSince    time.Time
-	missingLists  int // machine lists in a row that lack it while it does not respond
 
 	used job.Resources
 	runs map[job.TaskID]*run
@@ -67,12 +66,17 @@
 
 	commandsInFlight int
 	// commandsAt is the time before which no run needs a command; markDue resets it.
-	commandsAt     time.Time
-	polling        bool
-	pollAt         time.Time // earliest time of the next poll
-	lastResponse   time.Time // when the last successful poll response came
-	failedCalls    int       // failed polls and commands in a row
-	lastFailedPoll time.Time // when the last failed poll was sent
+	commandsAt   time.Time
+	polling      bool
+	pollAt       time.Time // earliest time of the next poll
+	lastResponse time.Time // when the last successful poll response came
+	failedCalls  int       // failed polls and commands in a row
+	// unansweredCalls is the number of calls without a response since the last one with a
+	// response, be it a refusal; missingLists is the number of machine lists since then that
+	// lack the executor.
+	unansweredCalls int
+	missingLists    int
+	lastFailedPoll  time.Time // when the last failed poll was sent
 
 	appliedSequence int64 // completions up to here were applied
 	durableSequence int64 // completions up to here are durable, to be acknowledged
@@ -109,6 +113,15 @@
 	return &executorState{Executor: e, knownSince: now, runs: map[job.TaskID]*run{}, orphans: map[orphanKey]*orphan{}}
 }
 
+// recordCall records whether a call got a response.
+func (e *executorState) recordCall(delivery Delivery) {
+	if delivery == Responded {
+		e.unansweredCalls, e.missingLists = 0, 0
+		return
+	}
+	e.unansweredCalls++
+}
+
 // markDue notes that a run or an orphan may need a command now.
 func (e *executorState) markDue() { e.commandsAt = time.Time{} }
 
--- a/policy/shard/machinelist.go
+++ b/policy/shard/machinelist.go
@@ -47,24 +47,27 @@
 
 // mayHaveEnded reports whether the executor has runs but did not respond to the last call.
 func (e *executorState) mayHaveEnded() bool {
-	return len(e.runs) > 0 && !e.replaced && (e.failedCalls > 0 || e.Address == "")
+	return len(e.runs) > 0 && !e.replaced && (e.unansweredCalls > 0 || e.Address == "")
 }
 
 // ApplyMachineList discards the runs on unresponsive executors that have ended, and returns
 // these executors. Without a list, the runs are discarded when their leases have certainly
 // expired.
 func (s *Shard) ApplyMachineList(list MachineList) (ended []cluster.ExecutorID) {
-	if len(list.Executors) == 0 {
-		return nil // more likely a fault of the list than the end of all executors
+	if !s.plausible(list) {
+		return nil
 	}
 	for _, e := range s.sortedExecutors() {
 		if list.RequestedAt.Before(e.knownSince.Add(maxMachineListLag)) {
 			continue
 		}
-		if list.Executors[e.ID] || !e.mayHaveEnded() {
+		if list.Executors[e.ID] {
 			e.missingLists = 0
 			continue
 		}
+		if !e.mayHaveEnded() {
+			continue
+		}
 		e.missingLists++
 		if e.missingLists >= endedAfterLists {
 			s.discardAll(e)
@@ -73,3 +76,20 @@
 	}
 	return ended
 }
+
+// plausible reports whether the list has an executor that responded shortly before it was
+// requested, if there is one. A list without any is truncated rather than right.
+func (s *Shard) plausible(list MachineList) bool {
+	responding := false
+	for _, e := range s.executors {
+		responds := !e.replaced && e.unansweredCalls == 0 && list.RequestedAt.Sub(e.lastResponse) <= maxResponseAge
+		if !responds || list.RequestedAt.Before(e.knownSince.Add(maxMachineListLag)) {
+			continue
+		}
+		if list.Executors[e.ID] {
+			return true
+		}
+		responding = true
+	}
+	return !responding && len(list.Executors) > 0
+}
--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -105,6 +105,7 @@
 		return
 	}
 	e.polling = false
+	e.recordCall(delivery)
 	s.dirty = true
 	e.markDue()
 	switch {
