Advice is requested for suspect executors, too

Callers saw a long-running or short task of a queue with advice that never starts: adviceRequest named the healthy executors only, so that a suspect executor never got the ticket that its trial run needs. Where the advice service permits suspect executors only, and no short job without advice clears the suspicion, the task waited for ever.

Suspect executors now follow the healthy ones in the requests. TestAdvisedStepStartsOnSuspectExecutors was red before.

--- a/policy/shard/advice.go
+++ b/policy/shard/advice.go
@@ -62,7 +62,7 @@
 }
 
 // adviceRequest returns the request that the step needs now, if any. Requests for a step
-// go through the usable executors in turn.
+// go through the candidates in turn.
 func (s *Shard) adviceRequest(st *step, now time.Time) (AdviceRequest, bool) {
 	t := &st.tickets
 	if st.blockers > 0 || st.tasksLeft == 0 || t.requested || now.Before(t.retryAt) {
@@ -71,20 +71,27 @@
 	if now.Before(t.validUntil) && !s.ticketsObsolete(t) {
 		return AdviceRequest{}, false
 	}
-	usable := s.usableExecutors(now)
-	if len(usable) == 0 {
+	candidates := s.adviceCandidates(now)
+	if len(candidates) == 0 {
 		return AdviceRequest{}, false
 	}
 	r := AdviceRequest{Step: st.id, step: st}
-	for i := range min(len(usable), maxAdviceExecutors) {
-		r.Executors = append(r.Executors, usable[(t.nextExecutor+i)%len(usable)].ID)
+	for i := range min(len(candidates), maxAdviceExecutors) {
+		r.Executors = append(r.Executors, candidates[(t.nextExecutor+i)%len(candidates)].ID)
 	}
-	r.partial = len(usable) > len(r.Executors)
-	t.nextExecutor = (t.nextExecutor + len(r.Executors)) % len(usable)
+	r.partial = len(candidates) > len(r.Executors)
+	t.nextExecutor = (t.nextExecutor + len(r.Executors)) % len(candidates)
 	t.requested = true
 	return r, true
 }
 
+// adviceCandidates returns the executors that requests name, by health and ID. Suspect ones
+// are among them, since a trial run needs a ticket, too.
+func (s *Shard) adviceCandidates(now time.Time) []*executorState {
+	suspect := s.executorsWith(func(e *executorState) bool { return e.available(now) && e.health.suspect() })
+	return append(s.usableExecutors(now), suspect...)
+}
+
 // ticketsObsolete reports whether there are tickets and none of their executors is listed
 // any more.
 func (s *Shard) ticketsObsolete(t *tickets) bool {
--- a/policy/shard/stuck_test.go
+++ b/policy/shard/stuck_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -321,3 +322,43 @@
 	}
 	return h.storeAndCommand()
 }
+
+// All executors that the advice service permits are suspect: a request must name them, since
+// no other executor may run the step.
+func TestAdvisedStepStartsOnSuspectExecutors(t *testing.T) {
+	for name, executors := range map[string][]cluster.Executor{
+		"all executors are suspect":       {newExecutorNamed("i-1")},
+		"another executor is not suspect": {newExecutorNamed("i-1"), newExecutorNamed("i-2")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, executors...)
+			h.makeSuspect("i-1")
+			longRunning := oneTask
+			longRunning.LongRunning = true
+			h.shard.AddJob(Record{
+				ID: "00000000000000aa", Accepted: h.now, Definition: job.Definition{Steps: []job.Step{longRunning}},
+				Queue: QueuePolicy{Name: "q", MaxAttempts: 2, Advice: &cluster.Advice{Validity: time.Second}},
+			}, nil, h.now)
+			started := false
+			for begin := h.now; h.now.Sub(begin) < longRunningBound && !started; h.now = h.now.Add(20 * time.Millisecond) {
+				h.pollAll()
+				for _, request := range h.shard.AdviceRequests(h.now) {
+					tickets := map[cluster.ExecutorID]string{}
+					if slices.Contains(request.Executors, "i-1") {
+						tickets["i-1"] = "ticket"
+					}
+					h.shard.HandleAdvice(request, tickets, time.Second, h.now, h.now)
+				}
+				started = len(h.storeAndCommand()) > 0
+			}
+			assert.Assert(t, started, "no advice is requested for the suspect executor")
+		})
+	}
+}
+
+// makeSuspect lets runs of several jobs fail on an executor.
+func (h *harness) makeSuspect(id cluster.ExecutorID) {
+	for i := range suspectFailures {
+		h.shard.executors[id].health.recordFailure(testID(i), h.now)
+	}
+}
