A gang may run on suspect executors, as one trial

Callers saw a gang that never starts once jobs that always fail have made all executors suspect: mayBeTrial refused gangs, and without other short jobs nothing clears the suspicion. TestTasksStartWhileAllExecutorsAreSuspect/gang was red before; the long-running tasks of the same test started.

All runs of a gang now count as one trial together, on the executors whose pause is over.

--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -22,8 +22,12 @@
 func (b *builder) place(st *step, ready []*task) []*run {
 	var runs []*run
 	rack := b.rackFor(st)
+	var gangTrials []*executorState
+	if st.def.Gang {
+		gangTrials = slices.Clone(b.trialCandidates())
+	}
 	for _, t := range ready {
-		e := b.chooseExecutor(t, rack)
+		e := b.chooseExecutor(t, rack, gangTrials)
 		if e == nil {
 			if st.def.Gang {
 				b.revert(runs)
@@ -79,8 +83,8 @@
 }
 
 // chooseExecutor returns the best executor for the task, or nil: a healthy one, or else a
-// suspect one for a trial run.
-func (b *builder) chooseExecutor(t *task, rack string) *executorState {
+// suspect one for a trial run. The runs of a gang are one trial together, on gangTrials.
+func (b *builder) chooseExecutor(t *task, rack string, gangTrials []*executorState) *executorState {
 	if !b.isUnplaceable(t.step.def) {
 		best, fits := b.bestOf(b.usable(), t, rack)
 		if best != nil {
@@ -90,11 +94,16 @@
 			b.noteUnplaceable(t.step.def.Reservation())
 		}
 	}
-	if !t.mayBeTrial(b.now) {
-		return nil
+	if t.mayBeTrial(b.now) {
+		trials := gangTrials
+		if !t.step.def.Gang {
+			trials = b.trialCandidates()
+		}
+		if best, _ := b.bestOf(trials, t, rack); best != nil {
+			return best
+		}
 	}
-	best, _ := b.bestOf(b.trialCandidates(), t, rack)
-	return best
+	return nil
 }
 
 // bestOf returns the executor of the list with the lowest placement cost for the task, or
@@ -128,12 +137,8 @@
 	return b.trials
 }
 
-// mayBeTrial reports whether the task may use up an attempt on a suspect executor. A gang
-// may not, since one member's failure ends them all.
+// mayBeTrial reports whether the task may use up an attempt on a suspect executor.
 func (t *task) mayBeTrial(now time.Time) bool {
-	if t.step.def.Gang {
-		return false
-	}
 	return t.failures == 0 || !now.Before(t.retryAt.Add(retryOnSuspect))
 }
 
--- a/policy/shard/stuck_test.go
+++ b/policy/shard/stuck_test.go
@@ -362,3 +362,34 @@
 		h.shard.executors[id].health.recordFailure(testID(i), h.now)
 	}
 }
+
+// All executors are suspect after jobs that fail everywhere, and no short job is left that
+// could clear the suspicion: tasks of any kind must start nevertheless.
+func TestTasksStartWhileAllExecutorsAreSuspect(t *testing.T) {
+	longRunning, gang, spread := oneTask, oneTask, oneTask
+	longRunning.LongRunning, longRunning.Count = true, 3
+	gang.Gang, gang.Count = true, 3
+	spread.LongRunning, spread.Count, spread.MaxPerServer = true, 2, 1
+	for name, step := range map[string]job.Step{"long-running": longRunning, "long-running, spread": spread, "gang": gang} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, newExecutorNamed("i-1"), newExecutorNamed("i-2"))
+			h.makeSuspect("i-1")
+			h.makeSuspect("i-2")
+			h.submit("00000000000000aa", step)
+			assert.Equal(t, h.startsWithin(longRunningBound), step.Count)
+		})
+	}
+}
+
+// startsWithin returns how many runs start within d; all polls are answered.
+func (h *harness) startsWithin(d time.Duration) int {
+	starts := 0
+	for end := h.now.Add(d); h.now.Before(end); h.now = h.now.Add(50 * time.Millisecond) {
+		h.shard.Tick(h.now)
+		for _, poll := range h.shard.Polls(h.now) {
+			h.shard.HandlePollResult(poll, Responded, h.listRuns(string(poll.Executor.ID), nil), h.now)
+		}
+		starts += len(h.startAll())
+	}
+	return starts
+}
