Stalled executors are the last resort of long-running tasks

Callers saw a long-running task without a run beside free executors: each of them had overdue runs of two jobs whose estimates were far too low. Each poll extended the pause of such an executor, for as long as these runs lasted. TestLongRunningTaskStartsBesideOverdueRuns was red before.

A long-running task for which no other executor has capacity is now placed on a stalled one. Other tasks still wait for the end of the pause.

--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -176,8 +176,14 @@
 
 // available reports whether new runs may be placed there, apart from its health.
 func (e *executorState) available(now time.Time) bool {
+	return e.acceptsRuns() && !now.Before(e.stalledUntil)
+}
+
+// acceptsRuns reports whether new runs may be placed there, apart from its health and from
+// tasks that stalled there.
+func (e *executorState) acceptsRuns() bool {
 	return e.listed && e.polled && !e.Draining && !e.everDraining && !e.cordoned() && !e.replaced &&
-		e.failedCalls == 0 && len(e.orphans) == 0 && !now.Before(e.stalledUntil)
+		e.failedCalls == 0 && len(e.orphans) == 0
 }
 
 // usable reports whether new runs may be placed there without restriction.
--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -83,7 +83,8 @@
 }
 
 // chooseExecutor returns the best executor for the task, or nil: a healthy one, or else a
-// suspect one for a trial run. The runs of a gang are one trial together, on gangTrials.
+// suspect one for a trial run, or else, for a long-running task, a stalled one. The runs of a
+// gang are one trial together, on gangTrials.
 func (b *builder) chooseExecutor(t *task, rack string, gangTrials []*executorState) *executorState {
 	if !b.isUnplaceable(t.step.def) {
 		best, fits := b.bestOf(b.usable(), t, rack)
@@ -103,7 +104,23 @@
 			return best
 		}
 	}
-	return nil
+	if !t.step.def.LongRunning {
+		return nil
+	}
+	best, _ := b.bestOf(b.stalledExecutors(), t, rack)
+	return best
+}
+
+// stalledExecutors returns the executors that get no other work because tasks stalled there,
+// by ID. They are the last resort of long-running tasks: whether the tasks stalled or their
+// estimates were too low is not certain, and may remain so for as long as they run.
+func (b *builder) stalledExecutors() []*executorState {
+	if b.stalled == nil {
+		b.stalled = b.shard.executorsWith(func(e *executorState) bool {
+			return e.acceptsRuns() && b.now.Before(e.stalledUntil)
+		})
+	}
+	return b.stalled
 }
 
 // bestOf returns the executor of the list with the lowest placement cost for the task, or
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -173,6 +173,7 @@
 	candidates   []*executorState
 	trials       []*executorState // suspect executors, for trial runs
 	trialsListed bool
+	stalled      []*executorState // executors on which tasks stalled, for long-running tasks
 	// unplaceable lists needs for which no executor had capacity; see isUnplaceable.
 	unplaceable []job.Resources
 }
@@ -296,7 +297,7 @@
 }
 
 func (b *builder) startStep(st *step) {
-	if b.isUnplaceable(st.def) && len(b.trialCandidates()) == 0 {
+	if b.isUnplaceable(st.def) && len(b.trialCandidates()) == 0 && !st.def.LongRunning {
 		return
 	}
 	var ready []*task
--- a/policy/shard/stuck_test.go
+++ b/policy/shard/stuck_test.go
@@ -393,3 +393,18 @@
 	}
 	return starts
 }
+
+// Each executor has overdue runs of two jobs whose estimates are far too low. A long-running
+// task fits beside them: it must start, since these runs may last long.
+func TestLongRunningTaskStartsBesideOverdueRuns(t *testing.T) {
+	h := newHarness(t, newExecutorNamed("i-1"))
+	underestimated := oneTask
+	underestimated.Estimate = 100 * time.Millisecond
+	h.submit("00000000000000aa", underestimated)
+	h.submit("00000000000000ab", underestimated)
+	assert.Equal(t, h.startsWithin(2*minOverdue), 2)
+	longRunning := oneTask
+	longRunning.LongRunning = true
+	h.submit("00000000000000ac", longRunning)
+	assert.Equal(t, h.startsWithin(longRunningBound), 1)
+}
