A slowed owner gives up lost runs of long-running tasks

Callers saw long-running tasks of a lost executor without a run for as long as their owner was slowed: with gaps of 320 ms several times a second, each poll that timed out spanned a gap, and one that was refused at once was sent at the very time of the Tick after the gap. Neither counted as a failed poll, so that the runs were kept although their leases had expired.

A failed poll without a gap shows that no completion came unread. A long-running task has no completion: its run is over once the lease has certainly expired, whatever an unread response said. It is discarded then as soon as polls fail. Runs of other tasks are discarded as before.

--- a/policy/shard/expiry.go
+++ b/policy/shard/expiry.go
@@ -4,17 +4,24 @@
 
 // expireRuns discards the runs on unresponsive executors whose leases have certainly
 // expired. The poll responses of other executors show what became of their runs.
+//
+// A run of a long-running task is discarded as soon as polls fail: a response that came
+// unread can't hold a completion of the task, since it has none.
 func (s *Shard) expireRuns(now time.Time) {
 	for _, e := range s.sortedExecutors() {
-		if len(e.runs) == 0 || !now.After(e.leaseBound) || !s.unresponsive(e) {
+		if len(e.runs) == 0 || !now.After(e.leaseBound) {
 			continue
 		}
+		unresponsive := s.unresponsive(e)
 		for _, r := range e.sortedRuns() {
-			if r.phase != decided {
+			lost := unresponsive || r.task.step.def.LongRunning && e.failedCalls > 0
+			if r.phase != decided && lost {
 				s.discard(r)
 			}
 		}
-		clear(e.orphans)
+		if unresponsive {
+			clear(e.orphans)
+		}
 	}
 }
 
--- a/policy/shard/stuck_test.go
+++ b/policy/shard/stuck_test.go
@@ -408,3 +408,55 @@
 	h.submit("00000000000000ac", longRunning)
 	assert.Equal(t, h.startsWithin(longRunningBound), 1)
 }
+
+// An owner is slowed for long: it gets no processor time for a little over maxTickGap,
+// several times a second. A long-running task of an executor that is lost meanwhile must
+// start elsewhere: its lease there has expired.
+func TestLongRunningTaskOfLostExecutorRestartsWhileTheOwnerIsSlowed(t *testing.T) {
+	for name, delivery := range map[string]Delivery{"polls time out": Ambiguous, "polls are refused": NotSent} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, newExecutorNamed("i-1"))
+			longRunning := oneTask
+			longRunning.LongRunning = true
+			h.submit("00000000000000aa", longRunning)
+			assert.Equal(t, h.startsWithin(time.Second), 1)
+			h.shard.SetExecutors([]cluster.Executor{newExecutorNamed("i-1"), newExecutorNamed("i-2")}, h.now)
+			lost := h.now
+			restarted := false
+			var open []Poll
+			for h.now.Sub(lost) < longRunningBound && !restarted {
+				h.now = h.now.Add(maxTickGap + 20*time.Millisecond)
+				for range 2 { // events that are handled without a gap
+					h.shard.Tick(h.now)
+					open = h.failPollsOf("i-1", open, delivery)
+					restarted = restarted || len(h.commandsOf(CommandStart)) > 0
+					h.now = h.now.Add(50 * time.Millisecond)
+				}
+			}
+			assert.Assert(t, restarted, "not restarted after %s", h.now.Sub(lost))
+		})
+	}
+}
+
+// failPollsOf sends the due polls. Those of the lost executor fail as soon as the call times
+// out or is refused; it returns those that are still open.
+func (h *harness) failPollsOf(lost cluster.ExecutorID, open []Poll, delivery Delivery) []Poll {
+	timeout := testCallTimeout
+	if delivery == NotSent {
+		timeout = 0
+	}
+	for _, poll := range h.shard.Polls(h.now) {
+		if poll.Executor.ID == lost {
+			open = append(open, poll)
+			continue
+		}
+		h.shard.HandlePollResult(poll, Responded, h.listRuns(string(poll.Executor.ID), nil), h.now)
+	}
+	return slices.DeleteFunc(open, func(poll Poll) bool {
+		if h.now.Sub(poll.SentAt) < poll.Request.Wait+timeout {
+			return false
+		}
+		h.shard.HandlePollResult(poll, delivery, execution.PollResponse{}, h.now)
+		return true
+	})
+}
