Virtual-time test of long-running tasks under faults that last

The liveness rule holds for long-running tasks only while no executor has a fault, and the random jobs gave them no constraints. The new test gives them labels, maxima per executor, racks, data near a rack and queues with advice, beside jobs that always fail, and adds: executors that are restarted behind a cut, lost or listed as draining for a while, that refuse starts only; owners that are slowed or replaced in quick succession; a slow store; cordons and faults of executors that last. Each long-running task that fits twice on executors without faults must have a run 9 s after the last change; while an owner is slowed, too. The safety checks are unchanged, and starts are checked for their ticket besides.

--- a/policy/shard/liveness_test.go
+++ b/policy/shard/liveness_test.go
@@ -36,9 +36,13 @@
 	failing     bool // all its runs fail
 	stalled     bool // its runs make no progress
 	draining    bool
+	// refusingStarts is set while it refuses starts as unhealthy, but no other calls.
+	refusingStarts bool
 }
 
-func (f executorFaults) any() bool { return f.unreachable || f.refusing || f.failing || f.stalled }
+func (f executorFaults) any() bool {
+	return f.unreachable || f.refusing || f.failing || f.stalled || f.refusingStarts
+}
 
 // livenessSim is the part of a world that checks whether tasks start in time.
 type livenessSim struct {
@@ -60,6 +64,9 @@
 	watchStalledUntil time.Time // the owner's watches are stalled until then
 	relistAt          time.Time // changes before this time are observed then, by a listing
 	storeDownSince    time.Time
+	storeSlowUntil    time.Time
+
+	longRunning *longRunningSim // nil unless the test checks long-running tasks above all
 }
 
 func newLivenessWorld(t *rapid.T) *world {
@@ -136,8 +143,7 @@
 
 // disturbed reports whether there is any fault now.
 func (w *world) disturbed() bool {
-	l := w.liveness
-	if w.now.Before(l.callFaultsUntil) || w.now.Before(l.watchStalledUntil) || w.now.Before(l.relistAt) || !l.storeDownSince.IsZero() || w.now.Before(w.owner.pausedUntil) {
+	if w.disturbedApartFromExecutors() {
 		return true
 	}
 	for _, e := range w.executors {
@@ -148,6 +154,14 @@
 	return false
 }
 
+// disturbedApartFromExecutors reports whether there is now a fault of the store, of the
+// owner, of its watches or of its calls.
+func (w *world) disturbedApartFromExecutors() bool {
+	l := w.liveness
+	return w.now.Before(l.callFaultsUntil) || w.now.Before(l.watchStalledUntil) || w.now.Before(l.relistAt) ||
+		!l.storeDownSince.IsZero() || w.now.Before(l.storeSlowUntil) || w.now.Before(w.owner.pausedUntil)
+}
+
 // checkStartTimes fails the test if the liveness rule is violated.
 func (w *world) checkStartTimes() {
 	l := w.liveness
@@ -265,30 +279,35 @@
 
 // acceptsWork reports whether an executor may be given work.
 func (w *world) acceptsWork(e *executorSim) bool {
-	return e.alive && !e.faults.draining && w.liveness.cordoned[e.id] == NotEvacuated
+	return e.alive && !e.faults.draining && !e.drained && w.liveness.cordoned[e.id] == NotEvacuated
 }
 
 // capacityFor returns how many times a task fits, by what the executors really run.
 func (w *world) capacityFor(task job.TaskID, def job.Step) int {
 	n := 0
 	for _, e := range w.executors {
-		if !w.acceptsWork(e) {
-			continue
-		}
-		_, free := e.usage()
-		fits := fitCount(def.Reservation(), free)
-		if def.MaxPerServer > 0 {
-			running := 0
-			for other := range e.running {
-				if other.StepID == task.StepID {
-					running++
-				}
+		n += w.capacityOn(e, task, def)
+	}
+	return n
+}
+
+// capacityOn returns how many times a task fits on an executor, by what it really runs.
+func (w *world) capacityOn(e *executorSim, task job.TaskID, def job.Step) int {
+	if !w.acceptsWork(e) || !w.allows(e, task.StepID, def) {
+		return 0
+	}
+	_, free := e.usage()
+	fits := fitCount(def.Reservation(), free)
+	if def.MaxPerServer > 0 {
+		running := 0
+		for other := range e.running {
+			if other.StepID == task.StepID {
+				running++
 			}
-			fits = min(fits, max(0, def.MaxPerServer-running))
 		}
-		n += fits
+		fits = min(fits, max(0, def.MaxPerServer-running))
 	}
-	return n
+	return fits
 }
 
 // halfUsed reports whether at least half of all capacity is in use.
@@ -308,6 +327,10 @@
 func (w *world) checkedStep(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); {
 		w.step(min(checkInterval, end.Sub(w.now)))
+		if w.liveness.longRunning != nil {
+			w.checkLongRunning()
+			continue
+		}
 		w.checkStartTimes()
 	}
 }
@@ -354,6 +377,9 @@
 		Definition: job.Definition{Payload: "p", Steps: w.drawSteps()},
 		Queue:      QueuePolicy{Name: "q", MaxAttempts: 2, Stretch: 2, TargetDuration: time.Second, Priority: rapid.IntRange(0, 2).Draw(w.t, "priority")},
 	}
+	if l.longRunning != nil && rapid.IntRange(0, 3).Draw(w.t, "advised") == 0 {
+		r.Queue.Name, r.Queue.Advice = "advised", &cluster.Advice{Validity: ticketValidity}
+	}
 	switch {
 	case r.Definition.Steps[0].LongRunning:
 	case rapid.IntRange(0, 7).Draw(w.t, "scheduled") == 0:
@@ -375,6 +401,9 @@
 }
 
 func (w *world) drawSteps() []job.Step {
+	if w.liveness.longRunning != nil && rapid.Bool().Draw(w.t, "long-running job") {
+		return []job.Step{w.drawLongRunningStep()}
+	}
 	var steps []job.Step
 	for i := range rapid.IntRange(1, 3).Draw(w.t, "steps") {
 		s := job.Step{
@@ -548,9 +577,10 @@
 func (w *world) heal() {
 	l := w.liveness
 	l.callFaultsUntil, l.watchStalledUntil = time.Time{}, time.Time{}
-	l.storeDownSince = time.Time{}
+	l.storeDownSince, l.storeSlowUntil = time.Time{}, time.Time{}
 	for _, e := range w.executors {
 		e.partitioned = false
+		e.faults.refusingStarts = false
 		for kind, active := range []bool{e.faults.unreachable, e.faults.refusing, e.faults.failing, e.faults.stalled} {
 			if active && e.alive {
 				w.setFault(e, kind)
--- a/policy/shard/world_test.go
+++ b/policy/shard/world_test.go
@@ -93,6 +93,8 @@
 	id            cluster.ExecutorID
 	address       string
 	capacity      job.Resources
+	otherRack     bool // on the second rack, and of the second kind
+	drained       bool // was listed as draining, and so gets no work any more
 	alive         bool
 	partitioned   bool
 	fence         int64
@@ -141,6 +143,14 @@
 	}
 }
 
+// labels returns the executor's kind and its rack.
+func (e *executorSim) labels() []string {
+	if e.otherRack {
+		return []string{"b", "r1-2"}
+	}
+	return []string{"a", "r1-1"}
+}
+
 func (e *executorSim) clock(now time.Time) int64 {
 	return 1000 + int64(float64(now.Sub(e.startedAt).Milliseconds())*e.clockRate)
 }
@@ -149,7 +159,7 @@
 	var list []cluster.Executor
 	for _, e := range w.executors {
 		if e.alive && !e.partitioned {
-			list = append(list, cluster.Executor{ID: e.id, Address: e.address, Capacity: e.capacity, Labels: []string{"a", "r1-1"}, Draining: e.faults.draining})
+			list = append(list, cluster.Executor{ID: e.id, Address: e.address, Capacity: e.capacity, Labels: e.labels(), Draining: e.faults.draining})
 		}
 	}
 	return list
@@ -295,6 +305,9 @@
 	for _, cmd := range o.shard.Commands(w.now) {
 		w.sendCommand(o, cmd)
 	}
+	for _, request := range o.shard.AdviceRequests(w.now) {
+		w.sendAdviceRequest(o, request)
+	}
 	for _, poll := range o.shard.Polls(w.now) {
 		w.sendPoll(o, poll)
 	}
@@ -326,6 +339,9 @@
 		}
 		o.batch = b
 		o.batchDue = w.now.Add(time.Duration(rapid.IntRange(0, 3).Draw(w.t, "store ticks")) * 20 * time.Millisecond)
+		if w.liveness != nil && w.now.Before(w.liveness.storeSlowUntil) {
+			o.batchDue = o.batchDue.Add(w.randomTicks("slow store", 2000))
+		}
 	}
 }
 
@@ -493,6 +509,14 @@
 		reply.Refusal = execution.RefusedLeaseExpired
 		return reply
 	}
+	if e.faults.refusingStarts {
+		reply.Refusal = execution.RefusedOther
+		return reply
+	}
+	if !w.ticketValid(e, s) {
+		reply.Refusal = execution.RefusedTicket
+		return reply
+	}
 	w.checkStart(e, s)
 	def := w.jobs[s.Task.Job].record.Definition.Steps[s.Task.Step]
 	e.lease = max(e.lease, min(s.UntilMs, e.clock(w.now)+testLimits.MaxRunLease.Milliseconds()))
@@ -753,7 +777,7 @@
 func (w *world) describe(id job.ID) string {
 	text := ""
 	if j := w.owner.shard.jobs[id]; j != nil {
-		text = fmt.Sprintf("state=%s cancelled=%t failed=%t version=%d durable=%d;", j.state, j.cancelled, j.failed, j.version, j.durableVersion)
+		text = fmt.Sprintf("queue=%s steps=%+v state=%s cancelled=%t failed=%t version=%d durable=%d;", j.Queue.Name, j.Definition.Steps, j.state, j.cancelled, j.failed, j.version, j.durableVersion)
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				for _, t := range s.tasks {
