--- a/policy/shard/lastresort.go
+++ b/policy/shard/lastresort.go
@@ -6,13 +6,17 @@
 // cordoned executor: an executor that is on its way to the service is better.
 const lastResortAfter = 2 * time.Second
 
-// lastResort returns the best cordoned executor for a long-running task that has found no
-// capacity for lastResortAfter, or nil. The planner then drops the move that the executor is
-// cordoned for; a maintenance waits until the task has a destination.
+// lastResort returns the best executor for a long-running task that finds no capacity on
+// others, or nil: a stalled one, or, once the task has waited for lastResortAfter, a cordoned
+// one. The planner then drops the move that the executor is cordoned for; a maintenance waits
+// until the task has a destination.
 func (b *builder) lastResort(t *task, rack string) *executorState {
 	if !t.step.def.LongRunning {
 		return nil
 	}
+	if best, _ := b.bestOf(b.stalledExecutors(), t, rack); best != nil {
+		return best
+	}
 	if t.unplacedSince.IsZero() {
 		t.unplacedSince = b.now
 	}
@@ -24,6 +28,18 @@
 	return best
 }
 
+// stalledExecutors returns the executors that get no other work because tasks stalled there,
+// by ID. They are the last resort of long-running tasks: whether the tasks stalled or their
+// estimates were too low is not certain, and may remain so for as long as they run.
+func (b *builder) stalledExecutors() []*executorState {
+	if b.stalled == nil {
+		b.stalled = b.shard.executorsWith(func(e *executorState) bool {
+			return e.acceptsRuns() && b.now.Before(e.stalledUntil)
+		})
+	}
+	return b.stalled
+}
+
 // staysWithRuns reports whether a cordoned executor certainly stays for as long as it has
 // runs. One that was reported as empty may be taken away at any moment.
 func (e *executorState) staysWithRuns() bool {
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -173,6 +173,7 @@
 	candidates   []*executorState
 	trials       []*executorState // suspect executors, for trial runs
 	trialsListed bool
+	stalled      []*executorState // executors on which tasks stalled, for long-running tasks
 	// unplaceable lists needs for which no executor had capacity; see isUnplaceable.
 	unplaceable []job.Resources
 }
--- a/policy/shard/stuck_test.go
+++ b/policy/shard/stuck_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -321,3 +322,128 @@
 	}
 	return h.storeAndCommand()
 }
+
+// All executors that the advice service permits are suspect: a request must name them, since
+// no other executor may run the step.
+func TestAdvisedStepStartsOnSuspectExecutors(t *testing.T) {
+	for name, executors := range map[string][]cluster.Executor{
+		"all executors are suspect":       {newExecutorNamed("i-1")},
+		"another executor is not suspect": {newExecutorNamed("i-1"), newExecutorNamed("i-2")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, executors...)
+			h.makeSuspect("i-1")
+			longRunning := oneTask
+			longRunning.LongRunning = true
+			h.shard.AddJob(Record{
+				ID: "00000000000000aa", Accepted: h.now, Definition: job.Definition{Steps: []job.Step{longRunning}},
+				Queue: QueuePolicy{Name: "q", MaxAttempts: 2, Advice: &cluster.Advice{Validity: time.Second}},
+			}, nil, h.now)
+			started := false
+			for begin := h.now; h.now.Sub(begin) < longRunningBound && !started; h.now = h.now.Add(20 * time.Millisecond) {
+				h.pollAll()
+				for _, request := range h.shard.AdviceRequests(h.now) {
+					tickets := map[cluster.ExecutorID]string{}
+					if slices.Contains(request.Executors, "i-1") {
+						tickets["i-1"] = "ticket"
+					}
+					h.shard.HandleAdvice(request, tickets, time.Second, h.now, h.now)
+				}
+				started = len(h.storeAndCommand()) > 0
+			}
+			assert.Assert(t, started, "no advice is requested for the suspect executor")
+		})
+	}
+}
+
+// makeSuspect lets runs of several jobs fail on an executor.
+func (h *harness) makeSuspect(id cluster.ExecutorID) {
+	for i := range suspectFailures {
+		h.shard.executors[id].health.recordFailure(testID(i), h.now)
+	}
+}
+
+// All executors are suspect after jobs that fail everywhere, and no short job is left that
+// could clear the suspicion: tasks of any kind must start nevertheless.
+func TestTasksStartWhileAllExecutorsAreSuspect(t *testing.T) {
+	longRunning, gang, spread := oneTask, oneTask, oneTask
+	longRunning.LongRunning, longRunning.Count = true, 3
+	gang.Gang, gang.Count = true, 3
+	spread.LongRunning, spread.Count, spread.MaxPerServer = true, 2, 1
+	for name, step := range map[string]job.Step{"long-running": longRunning, "long-running, spread": spread, "gang": gang} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, newExecutorNamed("i-1"), newExecutorNamed("i-2"))
+			h.makeSuspect("i-1")
+			h.makeSuspect("i-2")
+			h.submit("00000000000000aa", step)
+			assert.Equal(t, len(h.startsWithin(longRunningBound)), step.Count)
+		})
+	}
+}
+
+// Each executor has overdue runs of two jobs whose estimates are far too low. A long-running
+// task fits beside them: it must start, since these runs may last long.
+func TestLongRunningTaskStartsBesideOverdueRuns(t *testing.T) {
+	h := newHarness(t, newExecutorNamed("i-1"))
+	underestimated := oneTask
+	underestimated.Estimate = 100 * time.Millisecond
+	h.submit("00000000000000aa", underestimated)
+	h.submit("00000000000000ab", underestimated)
+	assert.Equal(t, len(h.startsWithin(2*minOverdue)), 2)
+	longRunning := oneTask
+	longRunning.LongRunning = true
+	h.submit("00000000000000ac", longRunning)
+	assert.Equal(t, len(h.startsWithin(longRunningBound)), 1)
+}
+
+// An owner is slowed for long: it gets no processor time for a little over maxTickGap,
+// several times a second. A long-running task of an executor that is lost meanwhile must
+// start elsewhere: its lease there has expired.
+func TestLongRunningTaskOfLostExecutorRestartsWhileTheOwnerIsSlowed(t *testing.T) {
+	for name, delivery := range map[string]Delivery{"polls time out": Ambiguous, "polls are refused": NotSent} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, newExecutorNamed("i-1"))
+			longRunning := oneTask
+			longRunning.LongRunning = true
+			h.submit("00000000000000aa", longRunning)
+			assert.Equal(t, len(h.startsWithin(time.Second)), 1)
+			h.shard.SetExecutors([]cluster.Executor{newExecutorNamed("i-1"), newExecutorNamed("i-2")}, h.now)
+			lost := h.now
+			restarted := false
+			var open []Poll
+			for h.now.Sub(lost) < longRunningBound && !restarted {
+				h.now = h.now.Add(maxTickGap + 20*time.Millisecond)
+				for range 2 { // events that are handled without a gap
+					h.shard.Tick(h.now)
+					open = h.failPollsOf("i-1", open, delivery)
+					restarted = restarted || len(h.commandsOf(CommandStart)) > 0
+					h.now = h.now.Add(50 * time.Millisecond)
+				}
+			}
+			assert.Assert(t, restarted, "not restarted after %s", h.now.Sub(lost))
+		})
+	}
+}
+
+// failPollsOf sends the due polls. Those of the lost executor fail as soon as the call times
+// out or is refused; it returns those that are still open.
+func (h *harness) failPollsOf(lost cluster.ExecutorID, open []Poll, delivery Delivery) []Poll {
+	timeout := testCallTimeout
+	if delivery == NotSent {
+		timeout = 0
+	}
+	for _, poll := range h.shard.Polls(h.now) {
+		if poll.Executor.ID == lost {
+			open = append(open, poll)
+			continue
+		}
+		h.shard.HandlePollResult(poll, Responded, h.listRuns(string(poll.Executor.ID), nil), h.now)
+	}
+	return slices.DeleteFunc(open, func(poll Poll) bool {
+		if h.now.Sub(poll.SentAt) < poll.Request.Wait+timeout {
+			return false
+		}
+		h.shard.HandlePollResult(poll, delivery, execution.PollResponse{}, h.now)
+		return true
+	})
+}
