Unusable executors are counted by reason, and logged if that lasts

Change: the conditions of a usable executor stand once, as a typed reason (policy/shard/usability.go); available and usable follow from it. The report counts the listed executors and the unusable ones by reason, for the line "jobs wait" and as gauges.

Evidence: a property test compares available and usable with the former expression over random states of an executor; table tests give each reason. Decisions are unchanged.

--- a/entry/owner/report.go
+++ b/entry/owner/report.go
@@ -46,9 +46,9 @@
 	}
 }
 
-// report measures once per reportInterval which jobs wait and for which reasons. It logs
-// them if a job or a schedulable task has waited for longWait, or if the last contact with
-// the store was that long ago.
+// report measures once per reportInterval which jobs wait and for which reasons, and which
+// executors are unusable. It logs the jobs if one of them or a schedulable task has waited
+// for longWait, or if the last contact with the store was that long ago.
 func (o *Owner) report(now time.Time) {
 	period := now.Sub(o.delays.reportedAt)
 	if period < reportInterval {
@@ -60,6 +60,7 @@
 	overloaded := delay >= overloadedDelay || o.Cores > 0 && used.Seconds() >= overloadedCPUShare*o.Cores*period.Seconds()
 	r := o.shard.Waiting(now, overloaded)
 	o.measure(r, delay)
+	o.logUsabilityChanges(r.Executors.Changes, now)
 	sinceContact := now.Sub(o.delays.lastContact)
 	if max(r.Oldest, r.SchedulableOldest, sinceContact) < longWait {
 		return
@@ -68,7 +69,8 @@
 		"jobs", r.Jobs, "oldest_ms", r.Oldest.Milliseconds(), "why", reasonsOf(r), "named", samplesOf(r),
 		"fitting_tasks", r.Schedulable, "fitting_oldest_ms", r.SchedulableOldest.Milliseconds(),
 		"late_ms", delay.Milliseconds(), "batches", r.Batches, "batches_full", r.Full, "storing_ms", r.Storing.Milliseconds(),
-		"processor_ms", used.Milliseconds(), "period_ms", period.Milliseconds())
+		"processor_ms", used.Milliseconds(), "period_ms", period.Milliseconds(),
+		"executors", r.Executors.Listed, "unusable", r.Executors.Unusable)
 }
 
 // reasonEntry is the part of a log line about the jobs that wait for one reason.
@@ -106,6 +108,7 @@
 	o.Scope.Gauge("fitting_oldest_seconds").Update(r.SchedulableOldest.Seconds())
 	o.Scope.Gauge("late_seconds").Update(delay.Seconds())
 	o.Scope.Gauge("full_batches_share").Update(float64(r.Full) / float64(max(1, r.Batches)))
+	o.measureExecutors(r.Executors)
 }
 
 // cpuTimeUsed returns the CPU time that the whole process used since the last call.
--- a/entry/owner/report_test.go
+++ b/entry/owner/report_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,17 +26,32 @@
 	ByReason       map[shard.Reason]reasonEntry `json:"why"`
 	Samples        map[shard.Reason][]job.ID    `json:"named"`
 	DelayMs        int64                        `json:"late_ms"`
+	Executors      int                          `json:"executors"`
+	Unusable       map[shard.UnusableReason]int `json:"unusable"`
 }
 
 func waitingLines(t *testing.T, log *bytes.Buffer) []waitingLine {
 	t.Helper()
-	var lines []waitingLine
-	for decoder := json.NewDecoder(log); decoder.More(); {
-		var line waitingLine
-		assert.NilError(t, decoder.Decode(&line))
-		if line.Message == "jobs wait" {
-			lines = append(lines, line)
+	return linesOf[waitingLine](t, log, "jobs wait")
+}
+
+// linesOf returns the lines with one of the messages.
+func linesOf[line any](t *testing.T, log *bytes.Buffer, messages ...string) []line {
+	t.Helper()
+	var lines []line
+	for decoder := json.NewDecoder(bytes.NewReader(log.Bytes())); decoder.More(); {
+		var raw json.RawMessage
+		assert.NilError(t, decoder.Decode(&raw))
+		var header struct {
+			Message string `json:"msg"`
+		}
+		assert.NilError(t, json.Unmarshal(raw, &header))
+		if !slices.Contains(messages, header.Message) {
+			continue
 		}
+		var l line
+		assert.NilError(t, json.Unmarshal(raw, &l))
+		lines = append(lines, l)
 	}
 	return lines
 }
@@ -50,7 +66,7 @@
 }
 
 // gauge returns the value of a gauge by its name and reason, or -1 if there is none.
-func gauge(scope tally.TestScope, name string, reason shard.Reason) float64 {
+func gauge[reasonType ~string](scope tally.TestScope, name string, reason reasonType) float64 {
 	for _, g := range scope.Snapshot().Gauges() {
 		if g.Name() == name && g.Tags()["reason"] == string(reason) {
 			return g.Value()
--- /dev/null
+++ b/entry/owner/usability.go
@@ -0,0 +1,33 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/policy/shard"
+)
+
+// logUsabilityChanges logs the executors that have been unusable for longer than the longest
+// run lease, and those of them for which that is over.
+func (o *Owner) logUsabilityChanges(changes []shard.UsabilityChange, now time.Time) {
+	for _, c := range changes {
+		logger := o.Logger.With("executor", string(c.Executor), "reason", string(c.Reason),
+			"since", c.Since.UTC().Format(time.RFC3339Nano), "unusable_ms", now.Sub(c.Since).Milliseconds())
+		switch c.State {
+		case shard.UnusableForLong:
+			logger.Warn("executor unusable")
+		case shard.UsableAgain:
+			logger.Info("executor usable again")
+		case shard.NoLongerListed:
+			logger.Info("unusable executor no longer listed")
+		}
+	}
+}
+
+// measureExecutors sets the gauges of the listed and the unusable executors.
+func (o *Owner) measureExecutors(r shard.ExecutorReport) {
+	o.Scope.Gauge("listed_executors").Update(float64(r.Listed))
+	for _, reason := range shard.UnusableReasons {
+		scope := o.Scope.Tagged(map[string]string{"reason": string(reason)})
+		scope.Gauge("unusable_executors").Update(float64(r.Unusable[reason]))
+	}
+}
--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -174,15 +174,6 @@
 	}
 }
 
-// available reports whether new runs may be placed there, apart from its health.
-func (e *executorState) available(now time.Time) bool {
-	return e.listed && e.polled && !e.Draining && !e.everDraining && !e.cordoned() && !e.replaced &&
-		e.failedCalls == 0 && len(e.orphans) == 0 && !now.Before(e.stalledUntil)
-}
-
-// usable reports whether new runs may be placed there without restriction.
-func (e *executorState) usable(now time.Time) bool { return e.available(now) && !e.health.suspect() }
-
 // allowsTrial reports whether a trial run may be placed there: the executor is suspect, its
 // pause is over, and no other short run there may still show whether it is healthy.
 func (e *executorState) allowsTrial(now time.Time) bool {
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -94,6 +94,8 @@
 
 	pendingBatch *Batch
 
+	unusable unusablePeriods
+
 	batchStats       batchStats
 	lastSample       job.ID    // the last job among the samples of the last report
 	nextAdviceSearch time.Time // when to search again for steps that need advice
--- a/policy/shard/waiting.go
+++ b/policy/shard/waiting.go
@@ -49,7 +49,8 @@
 	maxReportChecks = 20_000
 )
 
-// Report describes the jobs that are due and have no running task, and why.
+// Report describes the jobs that are due and have no running task, and why, and which
+// executors are unusable.
 type Report struct {
 	Jobs     int                    // jobs without a running task
 	Oldest   time.Duration          // longest time that one of them has waited
@@ -65,6 +66,7 @@
 	// set; Storing is the age of the open batch.
 	Batches, Full int
 	Storing       time.Duration
+	Executors     ExecutorReport
 }
 
 // ReasonCount counts the jobs that wait for one reason, with the one that has waited
@@ -89,8 +91,9 @@
 	s.openedAt = now
 }
 
-// Waiting reports on the jobs that have no running task; overloaded is whether the owner is
-// CPU-starved. Its cost grows with the number of jobs: call it at most once a second.
+// Waiting reports on the jobs that have no running task and on the executors; overloaded is
+// whether the owner is CPU-starved. Its cost grows with the numbers of jobs and executors:
+// call it at most once a second.
 func (s *Shard) Waiting(now time.Time, overloaded bool) Report {
 	b := newReportBuilder(s, now, overloaded)
 	for _, j := range s.jobs {
@@ -100,6 +103,7 @@
 	r := b.report
 	r.Batches, r.Full, r.Storing = s.batchStats.total, s.batchStats.full, s.openBatchAge(now)
 	s.batchStats = batchStats{openedAt: s.batchStats.openedAt}
+	r.Executors = s.executorReport(now)
 	return r
 }
 
