--- a/policy/shard/lastresort.go
+++ b/policy/shard/lastresort.go
@@ -34,7 +34,7 @@
 func (b *builder) stalledExecutors() []*executorState {
 	if b.stalled == nil {
 		b.stalled = b.shard.executorsWith(func(e *executorState) bool {
-			return e.acceptsRuns() && b.now.Before(e.stalledUntil)
+			return e.unavailableReason(b.now) == UnusableStalled
 		})
 	}
 	return b.stalled
