Readiness probes no longer set the response times of requests without a class

Callers saw: a request without a class that takes longer than 1 s (one that may not be repeated: 3 s) is cut although it runs. A POST of 6 s got 502 connection-lost, may-have-run, "the response is overdue and its connection was closed as half-open".

Cause: the readiness probes of entry/gateway have no class, and neither have such requests. The transport took the few milliseconds of a probe for the slowest recent response of that class.

Change: probes have a class of their own, whose name no configured class may have.

--- a/entry/gateway/probe.go
+++ b/entry/gateway/probe.go
@@ -23,6 +23,9 @@
 	// maxProbeRate bounds the probes per second; the interval grows with the number of
 	// executors to stay below it.
 	maxProbeRate = 6
+	// probeClass is the class of probes in the transport, which no caller's request has, so
+	// that their times do not count as response times of callers' requests.
+	probeClass = "readiness probe"
 )
 
 // prober probes the readiness of executors. If an executor responds that it is not ready,
@@ -115,7 +118,7 @@
 	if path == "" {
 		path = backend.DefaultReadinessPath
 	}
-	request := &backend.Request{ID: newRequestID(), Method: http.MethodGet, Path: path, Header: http.Header{}}
+	request := &backend.Request{ID: newRequestID(), Method: http.MethodGet, Path: path, Header: http.Header{}, Class: probeClass}
 	request.Header.Set(header.Timeout, probeTimeout.String())
 	response, err := p.gateway.options.Transport.Send(ctx, target, request)
 	discard(response)
