--- a/policy/shard/machinelist_test.go
+++ b/policy/shard/machinelist_test.go
@@ -176,15 +176,15 @@
 	assert.Equal(t, len(h.shard.executors["i-1"].runs), 1)
 }
 
-// failPoll lets the next poll of i-1 fail, by the given delivery and refusal, and responds to the
-// polls of other executors.
-func (h *harness) failPoll(delivery Delivery, refusal execution.Refusal) {
+// failPoll lets the next poll of the executor fail, by the given delivery and refusal, and
+// responds to the polls of others.
+func (h *harness) failPoll(id string, delivery Delivery, refusal execution.Refusal) {
 	h.t.Helper()
 	for range 100 {
 		h.now = h.now.Add(50 * time.Millisecond)
 		failed := false
 		for _, poll := range h.shard.Polls(h.now) {
-			if poll.Executor.ID == "i-1" {
+			if string(poll.Executor.ID) == id {
 				h.shard.HandlePollResult(poll, delivery, execution.PollResponse{Reply: execution.Reply{ClockMs: 1000, Refusal: refusal}}, h.now)
 				failed = true
 				continue
@@ -195,7 +195,7 @@
 			return
 		}
 	}
-	h.t.Fatalf("no poll of i-1")
+	h.t.Fatalf("no poll of %s", id)
 }
 
 // A list that lacks a machine for once is no evidence: the pages of a list are not a snapshot. An
@@ -206,7 +206,7 @@
 	h.respondToPoll("i-1", h.listRuns("i-1", nil))
 	assert.Assert(t, !h.shard.NeedsMachineList()) // no list is requested while it responds
 	h.now = h.now.Add(time.Minute)
-	h.failPoll(Ambiguous, execution.NotRefused)
+	h.failPoll("i-1", Ambiguous, execution.NotRefused)
 	h.shard.ApplyMachineList(NewMachineList(machinesOf("i-2"), h.now))
 	assert.Equal(t, len(h.shard.executors["i-1"].runs), 1, "one list ended the executor")
 }
@@ -215,7 +215,7 @@
 // about it, and must not end its runs.
 func TestExecutorThatRefusesPollsNeedsNoMachineList(t *testing.T) {
 	h := startedOnUnresponsive(t)
-	h.failPoll(Responded, execution.RefusedOther)
+	h.failPoll("i-1", Responded, execution.RefusedOther)
 	assert.Assert(t, !h.shard.NeedsMachineList(), "a list is requested for an executor that responds")
 	for range endedAfterLists {
 		h.shard.ApplyMachineList(NewMachineList(machinesOf("i-2"), h.now))
--- a/policy/shard/usability_test.go
+++ b/policy/shard/usability_test.go
@@ -13,33 +13,6 @@
 	"github.com/tarragonreach/tarragonreach/api/job"
 )
 
-// makeSuspect makes an executor suspect by failures of several jobs.
-func (h *harness) makeSuspect(id string) {
-	for i := range suspectFailures {
-		h.shard.executors[cluster.ExecutorID(id)].health.recordFailure(testID(i+1), h.now)
-	}
-}
-
-// failPoll fails the next poll of the executor, and responds to those of others.
-func (h *harness) failPoll(id string) {
-	h.t.Helper()
-	for range 100 {
-		h.now = h.now.Add(50 * time.Millisecond)
-		failed := false
-		for _, poll := range h.shard.Polls(h.now) {
-			delivery := Responded
-			if string(poll.Executor.ID) == id {
-				delivery, failed = Ambiguous, true
-			}
-			h.shard.HandlePollResult(poll, delivery, h.listRuns(string(poll.Executor.ID), nil), h.now)
-		}
-		if failed {
-			return
-		}
-	}
-	h.t.Fatalf("executor %s is not polled", id)
-}
-
 func drainingExecutor(id string) cluster.Executor {
 	e := newExecutorNamed(id)
 	e.Draining = true
@@ -54,8 +27,15 @@
 	}{
 		{"usable", func(*harness) {}, ""},
 		{"new", func(h *harness) { h.shard.executors["i-1"].polled = false }, UnusableNotPolled},
-		{"poll fails", func(h *harness) { h.submit(testID(1), oneTask); h.startAll(); h.failPoll("i-1") }, UnusableCallsFail},
-		{"first poll fails", func(h *harness) { h.shard.executors["i-1"].polled = false; h.failPoll("i-1") }, UnusableCallsFail},
+		{"poll fails", func(h *harness) {
+			h.submit(testID(1), oneTask)
+			h.startAll()
+			h.failPoll("i-1", Ambiguous, execution.NotRefused)
+		}, UnusableCallsFail},
+		{"first poll fails", func(h *harness) {
+			h.shard.executors["i-1"].polled = false
+			h.failPoll("i-1", Ambiguous, execution.NotRefused)
+		}, UnusableCallsFail},
 		{"draining", func(h *harness) {
 			h.shard.SetExecutors([]cluster.Executor{drainingExecutor("i-1"), newExecutorNamed("i-2")}, h.now)
 		}, UnusableDraining},
@@ -66,7 +46,7 @@
 		{"cordoned", func(h *harness) {
 			h.shard.SetCordons(cordons(map[cluster.ExecutorID]Evacuation{"i-1": EvacuateGracefully}), h.now)
 		}, UnusableCordoned},
-		{"replaced", func(h *harness) { h.shard.markReplaced(h.shard.executors["i-1"]) }, UnusableReplaced},
+		{"replaced", func(h *harness) { h.shard.discardAll(h.shard.executors["i-1"]) }, UnusableReplaced},
 		{"orphans", func(h *harness) {
 			h.now = h.now.Add(maxClockAge)
 			response := h.listRuns("i-1", nil)
@@ -101,7 +81,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
 		draw := func(label string) bool { return rapid.Bool().Draw(t, label) }
-		e := newExecutor(newExecutorNamed("i-1"))
+		e := newExecutor(newExecutorNamed("i-1"), now)
 		e.listed, e.polled, e.Draining = draw("listed"), draw("polled"), draw("draining")
 		e.everDraining, e.replaced = draw("ever draining"), draw("replaced")
 		e.cordon.Evacuation = rapid.SampledFrom([]Evacuation{NotEvacuated, EvacuateGracefully, EvacuatePreempting}).Draw(t, "cordon")
