Fleet planner: a wave leaves each pool machines for its tasks

Cause: an urgent wave took any number of a pool's machines. When the others were lost, the last one stayed cordoned: its long-running tasks had nowhere to go, the operation was dropped after 12 s and started again in the same plan, and no pool had a machine to spare.

Change: also an urgent wave leaves half of a pool's machines, and the only one of a pool if long-running tasks run there; a machine that could not be evacuated is not chosen for 3 s; a pool without a usable machine whose tasks wait gets those back that were not called yet.

Evidence: both tests were red before (3 of 3 machines cordoned; the last one cordoned again).

--- a/policy/fleetplan/fleetplan.go
+++ b/policy/fleetplan/fleetplan.go
@@ -81,29 +81,33 @@
 // Planner plans the actions of a fleet, and keeps the started operations and the learned
 // demand between two snapshots.
 type Planner struct {
-	limits           Limits
-	operations       map[cluster.MachineID]*operation
-	waves            map[int64]*waveState
-	idleSince        map[cluster.MachineID]time.Time
-	demand           map[cluster.Service]*demand
-	peaks            *peakSequence
-	peakChanges      int // starts and ends of peaks
-	lastNeeds        []need
-	reservedUntil    map[cluster.MachineID]time.Time // no calls before
-	allReservedUntil time.Time                       // no calls for any machine before
-	loadsReadAt      time.Time                       // as Snapshot.LoadsReadAt, of the last plan
+	limits      Limits
+	operations  map[cluster.MachineID]*operation
+	waves       map[int64]*waveState
+	idleSince   map[cluster.MachineID]time.Time
+	demand      map[cluster.Service]*demand
+	peaks       *peakSequence
+	peakChanges int // starts and ends of peaks
+	lastNeeds   []need
+	// notEvacuatedUntil is the time before which no maintenance of a machine starts, since it
+	// could not be evacuated for the last one.
+	notEvacuatedUntil map[cluster.MachineID]time.Time
+	reservedUntil     map[cluster.MachineID]time.Time // no calls before
+	allReservedUntil  time.Time                       // no calls for any machine before
+	loadsReadAt       time.Time                       // as Snapshot.LoadsReadAt, of the last plan
 }
 
 // New returns a planner.
 func New(limits Limits) *Planner {
 	return &Planner{
-		limits:        limits,
-		operations:    map[cluster.MachineID]*operation{},
-		waves:         map[int64]*waveState{},
-		idleSince:     map[cluster.MachineID]time.Time{},
-		demand:        map[cluster.Service]*demand{},
-		peaks:         newPeakSequence(),
-		reservedUntil: map[cluster.MachineID]time.Time{},
+		limits:            limits,
+		operations:        map[cluster.MachineID]*operation{},
+		waves:             map[int64]*waveState{},
+		idleSince:         map[cluster.MachineID]time.Time{},
+		demand:            map[cluster.Service]*demand{},
+		peaks:             newPeakSequence(),
+		notEvacuatedUntil: map[cluster.MachineID]time.Time{},
+		reservedUntil:     map[cluster.MachineID]time.Time{},
 	}
 }
 
@@ -121,6 +125,7 @@
 func (p *Planner) Plan(s Snapshot) []Action {
 	v := newView(s)
 	p.finishOperations(v)
+	p.giveBackLastMachines(v)
 	var actions []Action
 	actions = append(actions, p.planWaves(v)...)
 	p.planMoves(v)
--- a/policy/fleetplan/operations.go
+++ b/policy/fleetplan/operations.go
@@ -50,12 +50,30 @@
 			delete(p.operations, id) // such tasks have started there meanwhile, and would be stopped
 		case op.calledAt.IsZero() && v.Now.Sub(op.startedAt) > evacuationTimeout:
 			delete(p.operations, id) // it can't be evacuated now
+			p.notEvacuatedUntil[id] = v.Now.Add(evacuationPause)
 		case !op.calledAt.IsZero() && (!op.accepted || !listed) && v.Now.Sub(op.calledAt) > callExpiry:
 			delete(p.operations, id) // the call can no longer take effect
 		}
 	}
 }
 
+// giveBackLastMachines drops operations of pools without a usable machine whose tasks wait:
+// the other machines of the pool may have been lost since the operations were started.
+func (p *Planner) giveBackLastMachines(v *view) {
+	for service, load := range v.Loads {
+		if load.WaitingCPU == 0 || p.usableInPool(v, service) > 0 {
+			continue
+		}
+		for _, m := range v.members[service] {
+			op := p.operations[m.ID]
+			if op != nil && op.calledAt.IsZero() && !v.evacuated(m) && v.Now.Sub(op.startedAt) >= lastMachinePatience {
+				delete(p.operations, m.ID)
+				p.notEvacuatedUntil[m.ID] = v.Now.Add(evacuationPause)
+			}
+		}
+	}
+}
+
 // noteState records that the machine was seen under maintenance. A new executor alone proves
 // nothing: the old one may have crashed.
 func (op *operation) noteState(m cluster.Machine) {
@@ -74,6 +92,12 @@
 	// evacuationTimeout is how long an operation waits for its machine to be evacuated; the
 	// machine gets no new work meanwhile, so the operation is then dropped.
 	evacuationTimeout = 12 * time.Second
+	// lastMachinePatience is how long an operation may keep the last machine of a pool from
+	// tasks that wait.
+	lastMachinePatience = 2 * time.Second
+	// evacuationPause is how long a machine that could not be evacuated is not chosen for
+	// maintenance: its tasks need that time to spread again.
+	evacuationPause = 3 * time.Second
 	// callExpiry is the time after which a call without a response can no longer be
 	// carried out.
 	callExpiry = 13 * time.Second
--- a/policy/fleetplan/waves.go
+++ b/policy/fleetplan/waves.go
@@ -20,8 +20,10 @@
 	// proves nothing.
 	missingTimeout = 3 * time.Second
 	// maxPoolShareDown is the share of a pool's machines that may be unavailable after a
-	// wave has taken another one, unless the wave is urgent; one machine is always allowed.
+	// wave has taken another one; one machine is always allowed.
 	maxPoolShareDown = 0.25
+	// maxUrgentPoolShareDown is the same for an urgent wave.
+	maxUrgentPoolShareDown = 0.5
 )
 
 // waveState is the progress of a wave.
@@ -118,7 +120,7 @@
 	urgent := p.urgent(v, wave, w)
 	for _, id := range remaining {
 		m, listed := v.byID[id]
-		if listed && m.State == cluster.MachineUp && p.mayMaintain(id, urgent) {
+		if listed && m.State == cluster.MachineUp && p.mayMaintain(v, id, urgent) {
 			candidates = append(candidates, m)
 		}
 	}
@@ -129,7 +131,7 @@
 		if allowed <= 0 {
 			break
 		}
-		if !urgent && !p.poolAllowsMaintenance(v, m.Pool) {
+		if p.operations[m.ID] == nil && !p.poolAllowsMaintenance(v, m, urgent) {
 			continue
 		}
 		allowed--
@@ -165,7 +167,10 @@
 
 // mayMaintain reports whether the maintenance of a machine may start; an urgent wave
 // replaces a move for which the machine service has not been called yet.
-func (p *Planner) mayMaintain(id cluster.MachineID, urgent bool) bool {
+func (p *Planner) mayMaintain(v *view, id cluster.MachineID, urgent bool) bool {
+	if v.Now.Before(p.notEvacuatedUntil[id]) {
+		return false
+	}
 	op := p.operations[id]
 	return op == nil || urgent && op.kind == Move && op.calledAt.IsZero()
 }
@@ -210,16 +215,32 @@
 	rankBusy
 )
 
-// poolAllowsMaintenance reports whether another machine of the pool may be maintained.
-func (p *Planner) poolAllowsMaintenance(v *view, pool cluster.Service) bool {
-	if v.pools[pool].Spare {
+// poolAllowsMaintenance reports whether a further machine of its pool may be maintained. Also
+// in an urgent wave a pool keeps machines for its tasks: long-running ones can't leave a
+// machine that has no other to go to.
+func (p *Planner) poolAllowsMaintenance(v *view, m cluster.Machine, urgent bool) bool {
+	if v.pools[m.Pool].Spare {
 		return true
 	}
-	unavailable := 0
+	share := maxPoolShareDown
+	if urgent {
+		share = maxUrgentPoolShareDown
+	}
+	size := len(v.members[m.Pool])
+	if size == 1 {
+		return !v.runsLongRunning(m)
+	}
+	unavailable := size - p.usableInPool(v, m.Pool)
+	return unavailable < max(1, int(share*float64(size)))
+}
+
+// usableInPool counts the machines of a pool that are up and without an operation.
+func (p *Planner) usableInPool(v *view, pool cluster.Service) int {
+	n := 0
 	for _, m := range v.members[pool] {
-		if p.operations[m.ID] != nil || m.State != cluster.MachineUp {
-			unavailable++
+		if p.operations[m.ID] == nil && m.State == cluster.MachineUp {
+			n++
 		}
 	}
-	return unavailable < max(1, int(maxPoolShareDown*float64(len(v.members[pool]))))
+	return n
 }
--- a/policy/fleetplan/waves_test.go
+++ b/policy/fleetplan/waves_test.go
@@ -1,6 +1,7 @@
 package fleetplan
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -98,3 +99,61 @@
 		assert.Equal(t, f.planner.operations[m].kind, Maintain)
 	}
 }
+
+// An urgent wave wants all machines at once, and long-running tasks keep them from being
+// evacuated: each pool keeps machines for its tasks, and those that can't be evacuated are given back.
+func TestUrgentWaveLeavesMachinesToEachPool(t *testing.T) {
+	f := newSimFleet(t, map[cluster.Service]int{"a": 3, "b": 8}, 0)
+	f.waves = []cluster.Wave{{Number: 1, Duration: time.Second, MaxDown: len(f.ids), Machines: f.ids}}
+	for _, load := range f.loads {
+		for id := range load.Executors {
+			load.Executors[id] = shard.ExecutorLoad{Runs: 1, LongRunning: 1}
+		}
+	}
+	givenBack := 0
+	for range 300 {
+		before := maps.Clone(f.cordons)
+		f.step(accept)
+		for id := range before {
+			if _, cordoned := f.cordons[id]; !cordoned {
+				givenBack++
+			}
+		}
+		cordoned := map[cluster.Service]int{}
+		for _, c := range f.cordons {
+			cordoned[c.Service]++
+		}
+		assert.Assert(t, cordoned["a"] <= 1, "%d of 3 machines are cordoned", cordoned["a"])
+		assert.Assert(t, cordoned["b"] <= 4, "%d of 8 machines are cordoned", cordoned["b"])
+	}
+	assert.Assert(t, givenBack > 0)
+	assert.Assert(t, len(f.reports) == 0 || f.reports[len(f.reports)-1] == cluster.WaveRunning)
+}
+
+// A pool's other machines are lost while its last one is cordoned for a wave: tasks wait, so that it is
+// given back. It is not cordoned again before its long-running tasks have somewhere to go.
+func TestLastMachineOfAPoolIsGivenBackToWaitingTasks(t *testing.T) {
+	f := newSimFleet(t, map[cluster.Service]int{"a": 2, "b": 4}, 0)
+	last := f.machines[f.ids[0]]
+	f.waves = []cluster.Wave{{Number: 1, Duration: 30 * time.Second, MaxDown: 1, Machines: f.ids[:1]}}
+	f.loads["a"].Executors[last.Executor] = shard.ExecutorLoad{Runs: 1, LongRunning: 1}
+	f.step(accept)
+	assert.Assert(t, f.cordons[last.Executor].ID != "")
+	lost := f.ids[1]
+	delete(f.machines, lost)
+	f.ids = slices.DeleteFunc(f.ids, func(id cluster.MachineID) bool { return id == lost })
+	load := f.loads["a"]
+	load.WaitingCPU = 1000
+	f.loads["a"] = load
+	for id, x := range f.loads["b"].Executors { // no machine can be spared
+		x.Runs, x.LongRunning = 1, 1
+		f.loads["b"].Executors[id] = x
+	}
+	for range 25 {
+		f.step(accept)
+	}
+	for range 100 {
+		f.step(accept)
+		assert.Equal(t, f.cordons[last.Executor].ID, "")
+	}
+}
