tarragond run: one SIGTERM no longer counts as two

Callers saw: at a SIGTERM the process sometimes ended at once, exit code 1, "graceful shutdown interrupted by a second signal" and "a component of the entry instance failed", and requests in progress got no response (EOF).

Cause: runNode waits for a signal or for fx's App.Wait, which was meant to report failed parts. It also reports SIGTERM and SIGINT, to which fx subscribes itself. Where App.Wait was read first, the same signal was still in the channel of signals and was taken for the second one.

Change: a node has its own channel, which is closed when a part has failed.

--- a/cmd/tarragond/run.go
+++ b/cmd/tarragond/run.go
@@ -66,7 +66,7 @@
 	select {
 	case <-signals:
 		return stopNode(ctx, n, signals)
-	case <-n.Wait():
+	case <-n.Failed():
 		return errors.Join(errComponentFailed, stopNode(ctx, n, signals))
 	}
 }
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"time"
 
 	"go.uber.org/dig"
@@ -29,12 +30,13 @@
 	// controllers manages the availability zone while this entry instance holds the
 	// duty.
 	controllers *controllers
+	failed      chan struct{} // closed when a part has failed
 }
 
 // New builds an entry instance and opens its listeners, which serve nothing before
 // Start. The error names the listener, key or setting at fault.
 func New(o Options) (*Node, error) {
-	n := &Node{}
+	n := &Node{failed: make(chan struct{})}
 	n.app = fx.New(
 		fx.Supply(o),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -61,10 +63,10 @@
 }
 
 // compose opens the listeners and registers the start and stop stages.
-func (n *Node) compose(lc fx.Lifecycle, shutdowner fx.Shutdowner, p parts) error {
+func (n *Node) compose(lc fx.Lifecycle, p parts) error {
 	n.parts = p
 	n.controllers = newControllers(p)
-	n.loops = newLoopGroup(p.Log.Logger, func() { _ = shutdowner.Shutdown(fx.ExitCode(1)) })
+	n.loops = newLoopGroup(p.Log.Logger, sync.OnceFunc(func() { close(n.failed) }))
 	if err := n.openListeners(p); err != nil {
 		return err
 	}
@@ -167,8 +169,9 @@
 // StopTimeout is how long Stop may take.
 func (n *Node) StopTimeout() time.Duration { return n.app.StopTimeout() }
 
-// Wait returns a channel that receives a shutdown signal when a part has failed.
-func (n *Node) Wait() <-chan fx.ShutdownSignal { return n.app.Wait() }
+// Failed returns a channel that is closed when a part has failed. Signals to the process
+// do not close it.
+func (n *Node) Failed() <-chan struct{} { return n.failed }
 
 // CallerAddr returns the caller listener as host:port.
 func (n *Node) CallerAddr() string { return n.caller.Addr() }
