--- a/cmd/tarragond/process_test.go
+++ b/cmd/tarragond/process_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -14,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/tarragonreach/tarragonreach/api/header"
 	"github.com/tarragonreach/tarragonreach/platform/memory"
 )
 
@@ -83,27 +85,31 @@
 		code, body := e.get("/s/terreni/slow")
 		responses <- response{code, body}
 	}()
-	s.await("the request to run", func() bool { return s.server.TotalRuns() > before || s.server.Connections() > 0 })
-	time.Sleep(100 * time.Millisecond)
+	s.await("the request to run", func() bool { return s.server.TotalRuns() > before })
 	assert.NilError(t, e.command.Process.Signal(syscall.SIGTERM))
 	got := <-responses
 	assert.Equal(t, got.code, http.StatusOK, got.body)
 	assert.NilError(t, <-e.exited)
 }
 
+// TestSecondSignalStopsAtOnce sends the second signal while a graceful shutdown waits for a
+// request in progress. The process must end without completing the request.
 func TestSecondSignalStopsAtOnce(t *testing.T) {
 	s := newSite(t)
 	e := s.start("pa-0")
 	s.apply(e, firstDocument)
 	s.await("the entry instance to be ready", func() bool { return s.allReady(1, 0) })
 	s.server.SetServiceTime(time.Hour)
-	go e.get("/s/terreni/slow")
-	time.Sleep(200 * time.Millisecond)
+	responses := make(chan response, 1)
+	go func() { responses <- e.send(t, http.MethodGet, "/s/terreni/slow", header.Timeout, "10m") }()
+	s.await("the request to run", func() bool { return s.server.TotalRuns() > 0 })
 	assert.NilError(t, e.command.Process.Signal(syscall.SIGTERM))
-	time.Sleep(300 * time.Millisecond)
+	s.await("the shutdown to begin", func() bool { return slices.Contains(e.status().NotReady, "shutting down") })
 	assert.NilError(t, e.command.Process.Signal(syscall.SIGTERM))
 	err := <-e.exited
 	assert.ErrorContains(t, err, "exit status 1")
+	assert.Equal(t, e.failure, failurePrefix+errStoppedAtOnce.Error())
+	assert.Equal(t, <-responses, response{}, "the request was not in progress")
 }
 
 func TestWrongInputExitsWithAClearError(t *testing.T) {
--- a/cmd/tarragond/site_test.go
+++ b/cmd/tarragond/site_test.go
@@ -45,8 +45,12 @@
 	operator string
 	mesh     string
 	exited   chan error
+	failure  string // the error that the process printed; set before exited receives
 }
 
+// failurePrefix begins the line of the error with which a process ends.
+const failurePrefix = "tarragond: "
+
 func newSite(t *testing.T) *site {
 	t.Helper()
 	s := &site{t: t, dir: t.TempDir(), platform: memory.New(time.Now)}
@@ -132,7 +136,8 @@
 }
 
 // readLogs reads the listener addresses from the "serving" line and then closes
-// serving. At the end of the log it waits for the process.
+// serving, and it reads the error with which the process ends. At the end of the log it
+// waits for the process.
 func (e *entry) readLogs(logs io.Reader, serving chan<- struct{}) {
 	lines := bufio.NewScanner(logs)
 	for lines.Scan() {
@@ -141,6 +146,9 @@
 			e.callers, e.operator, e.mesh = line.Callers, line.Operators, line.Mesh
 			close(serving)
 		}
+		if strings.HasPrefix(lines.Text(), failurePrefix) {
+			e.failure = lines.Text()
+		}
 	}
 	e.exited <- e.command.Wait()
 }
