--- a/policy/fleetplan/operations.go
+++ b/policy/fleetplan/operations.go
@@ -60,6 +60,7 @@
 // giveBackLastMachines drops operations of pools without a usable machine whose tasks wait:
 // the other machines of the pool may have been lost since the operations were started.
 func (p *Planner) giveBackLastMachines(v *view) {
+	maps.DeleteFunc(p.notEvacuatedUntil, func(_ cluster.MachineID, until time.Time) bool { return !v.Now.Before(until) })
 	for service, load := range v.Loads {
 		if load.WaitingCPU == 0 || p.usableInPool(v, service) > 0 {
 			continue
--- a/policy/fleetplan/waves.go
+++ b/policy/fleetplan/waves.go
@@ -120,7 +120,7 @@
 	urgent := p.urgent(v, wave, w)
 	for _, id := range remaining {
 		m, listed := v.byID[id]
-		if listed && m.State == cluster.MachineUp && p.mayMaintain(v, id, urgent) {
+		if listed && m.State == cluster.MachineUp && p.mayMaintain(id, urgent) {
 			candidates = append(candidates, m)
 		}
 	}
@@ -167,8 +167,8 @@
 
 // mayMaintain reports whether the maintenance of a machine may start; an urgent wave
 // replaces a move for which the machine service has not been called yet.
-func (p *Planner) mayMaintain(v *view, id cluster.MachineID, urgent bool) bool {
-	if v.Now.Before(p.notEvacuatedUntil[id]) {
+func (p *Planner) mayMaintain(id cluster.MachineID, urgent bool) bool {
+	if _, paused := p.notEvacuatedUntil[id]; paused {
 		return false
 	}
 	op := p.operations[id]
