A long-running task leaves executors where it repeatedly fails

Callers saw a long-running task that is sent every 200 ms to an executor that refuses starts as unhealthy, for as long as it does so, though others have capacity. Three ways led there: the executor is on the rack of the task's data, whose penalty exceeds that of the last failure; it is the only one with capacity on the rack of the task's step; or two such executors alternate, since a task remembers the last one only. The same holds for an executor that fails each run. It never becomes suspect, because the failures of one job count once; and suspect executors that would run the task come after it.

A long-running step now avoids an executor for 5 s after two failures there, unless there is no other.

--- a/policy/shard/commands.go
+++ b/policy/shard/commands.go
@@ -233,6 +233,7 @@
 	switch refusal {
 	case execution.RefusedOther:
 		e.health.recordFailure(r.task.id.Job, now)
+		r.task.step.noteFailure(e.ID, now)
 	case execution.RefusedCapacity:
 		e.pollAt = now
 	case execution.RefusedTicket:
--- a/policy/shard/health.go
+++ b/policy/shard/health.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/api/job"
 )
 
@@ -72,3 +73,41 @@
 
 // trialDue reports whether a suspect executor may get a trial run.
 func (h *health) trialDue(now time.Time) bool { return h.isSuspect && !now.Before(h.trialAt) }
+
+const (
+	// failureMemory is how long a long-running step avoids an executor on which its starts or
+	// runs failed.
+	failureMemory = 5 * time.Second
+	// repeatedFailures is how many failures, each within failureMemory of the previous one,
+	// make the step avoid the executor: a single one may be the task's own fault.
+	repeatedFailures = 2
+)
+
+// stepFailures counts the starts and runs of a long-running step that failed on one executor.
+type stepFailures struct {
+	count int
+	at    time.Time // of the last one
+}
+
+// noteFailure records that a start or a run of a long-running task of the step failed on an
+// executor. The failures of one job alone don't make an executor suspect.
+func (s *step) noteFailure(id cluster.ExecutorID, now time.Time) {
+	if !s.def.LongRunning {
+		return
+	}
+	if s.failuresOn == nil {
+		s.failuresOn = map[cluster.ExecutorID]stepFailures{}
+	}
+	f := s.failuresOn[id]
+	if now.Sub(f.at) > failureMemory {
+		f.count = 0
+	}
+	s.failuresOn[id] = stepFailures{count: f.count + 1, at: now}
+}
+
+// failsOn reports whether starts or runs of the long-running step repeatedly failed on the
+// executor within failureMemory.
+func (s *step) failsOn(id cluster.ExecutorID, now time.Time) bool {
+	f := s.failuresOn[id]
+	return f.count >= repeatedFailures && now.Sub(f.at) <= failureMemory
+}
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -55,6 +55,8 @@
 	blockers  int // steps in After that are not done
 	failures  int // of the whole gang; 0 for other steps
 	tickets   tickets
+	// failuresOn holds the failures of a long-running step by executor.
+	failuresOn map[cluster.ExecutorID]stepFailures
 }
 
 type tickets struct {
--- a/policy/shard/lastresort_test.go
+++ b/policy/shard/lastresort_test.go
@@ -25,10 +25,7 @@
 func (h *harness) startsWithin(d time.Duration) []Command {
 	var starts []Command
 	for end := h.now.Add(d); h.now.Before(end); h.now = h.now.Add(50 * time.Millisecond) {
-		h.shard.Tick(h.now)
-		for _, poll := range h.shard.Polls(h.now) {
-			h.shard.HandlePollResult(poll, Responded, h.listRuns(string(poll.Executor.ID), nil), h.now)
-		}
+		h.pollListingRuns()
 		starts = append(starts, h.startAll()...)
 	}
 	return starts
--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,6 +11,7 @@
 
 // Penalties of a placement, in the unit of usedShare: 1 is a whole executor.
 const (
+	penaltyRepeatedFailure  = 1e6   // where the step repeatedly failed; exceeds all others
 	penaltyRemoteData       = 100.0 // not on the rack that holds the task's data
 	penaltyLastFailure      = 50.0  // on the executor where the task last failed
 	penaltySameRack         = 10.0  // for each task of the same long-running step on the rack
@@ -84,28 +86,49 @@
 }
 
 // chooseExecutor returns the best executor for the task, or nil: a healthy one, or else a
-// suspect one for a trial run, or else, for a long-running task, a stalled one. The runs of a
-// gang are one trial together, on gangTrials.
+// suspect one for a trial run, or else, for a long-running task, a last resort. An executor
+// on which the step repeatedly failed is chosen only if there is no other. The runs of a gang
+// are one trial together, on gangTrials.
 func (b *builder) chooseExecutor(t *task, rack string, gangTrials []*executorState) *executorState {
-	if !b.isUnplaceable(t.step.def) {
-		best, fits := b.bestOf(b.usable(), t, rack)
-		if best != nil {
-			return best
-		}
-		if !fits {
-			b.noteUnplaceable(t.step.def.Reservation())
-		}
+	best := b.healthyExecutor(t, rack)
+	if b.suits(best, t) {
+		return best
 	}
 	if t.mayBeTrial(b.now) {
 		trials := gangTrials
 		if !t.step.def.Gang {
 			trials = b.trialCandidates()
 		}
-		if best, _ := b.bestOf(trials, t, rack); best != nil {
-			return best
+		trial, _ := b.bestOf(trials, t, rack)
+		if b.suits(trial, t) {
+			return trial
 		}
+		best = cmp.Or(best, trial)
+	}
+	resort := b.lastResort(t, rack)
+	if b.suits(resort, t) {
+		return resort
 	}
-	return b.lastResort(t, rack)
+	return cmp.Or(best, resort)
+}
+
+// suits reports whether there is an executor and the task's step has not repeatedly failed
+// there.
+func (b *builder) suits(e *executorState, t *task) bool {
+	return e != nil && !t.step.failsOn(e.ID, b.now)
+}
+
+// healthyExecutor returns the best executor for the task among those without restriction, or
+// nil.
+func (b *builder) healthyExecutor(t *task, rack string) *executorState {
+	if b.isUnplaceable(t.step.def) {
+		return nil
+	}
+	best, fits := b.bestOf(b.usable(), t, rack)
+	if !fits {
+		b.noteUnplaceable(t.step.def.Reservation())
+	}
+	return best
 }
 
 // bestOf returns the executor of the list with the lowest placement cost for the task, or
@@ -121,6 +144,9 @@
 			continue
 		}
 		cost := placementCost(t, e)
+		if t.step.failsOn(e.ID, b.now) {
+			cost += penaltyRepeatedFailure
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -266,9 +292,10 @@
 	return rack
 }
 
-// capacityFor returns how many further tasks of the step may be placed on the executor.
+// capacityFor returns how many further tasks of the step may be placed on the executor; none
+// where the step repeatedly failed.
 func (b *builder) capacityFor(st *step, e *executorState) int {
-	if !st.allows(e, b.now) {
+	if !st.allows(e, b.now) || st.failsOn(e.ID, b.now) {
 		return 0
 	}
 	return st.capacityOn(e, e.free())
--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -281,6 +281,7 @@
 	t.retryAt = now.Add(retryAfterFailure)
 	t.avoid = e.ID
 	if t.step.def.LongRunning {
+		t.step.noteFailure(e.ID, now)
 		return
 	}
 	e.health.recordFailure(t.id.Job, now)
--- a/policy/shard/stuck_test.go
+++ b/policy/shard/stuck_test.go
@@ -447,3 +447,69 @@
 		return true
 	})
 }
+
+// Executors respond to polls, but refuse each start or fail each run, and go on doing so. A
+// long-running task prefers them by the constraints of its step: it must start on another
+// executor nevertheless.
+func TestLongRunningTaskLeavesExecutorsThatFail(t *testing.T) {
+	near, far := executorOnRack("i-1", "r1-1"), executorOnRack("i-2", "r1-2")
+	affinity, sameRack, longRunning := oneTask, oneTask, oneTask
+	affinity.Affinity = "r1-1"
+	sameRack.SameRack, sameRack.Count, sameRack.MaxPerServer = true, 2, 1
+	for name, c := range map[string]struct {
+		step      job.Step
+		executors []cluster.Executor
+		broken    []cluster.ExecutorID
+		suspect   cluster.ExecutorID
+	}{
+		"near its data":            {affinity, []cluster.Executor{near, far}, []cluster.ExecutorID{"i-1"}, ""},
+		"on the rack of its step":  {sameRack, []cluster.Executor{executorOnRack("i-0", "r1-1"), near, far}, []cluster.ExecutorID{"i-1"}, ""},
+		"two of three":             {longRunning, []cluster.Executor{near, executorOnRack("i-12", "r1-1"), far}, []cluster.ExecutorID{"i-1", "i-12"}, ""},
+		"the others are suspect":   {longRunning, []cluster.Executor{near, far}, []cluster.ExecutorID{"i-1"}, "i-2"},
+		"the only executor, again": {longRunning, []cluster.Executor{near}, nil, ""},
+	} {
+		c.step.LongRunning = true
+		for failure, result := range map[string]func(h *harness, cmd Command){
+			"refused starts": (*harness).refuseStart, "failed runs": (*harness).failRun,
+		} {
+			t.Run(name+", "+failure, func(t *testing.T) {
+				h := newHarness(t, c.executors...)
+				if c.suspect != "" {
+					h.makeSuspect(c.suspect)
+				}
+				h.submit("00000000000000aa", c.step)
+				for end := h.now.Add(longRunningBound); h.now.Before(end); h.now = h.now.Add(50 * time.Millisecond) {
+					h.pollListingRuns()
+					for _, cmd := range h.storeAndCommand() {
+						if slices.Contains(c.broken, cmd.Executor.ID) {
+							result(h, cmd)
+							continue
+						}
+						h.shard.HandleCommandResult(cmd, Responded, execution.Reply{ClockMs: 1000}, h.now)
+					}
+				}
+				step := anyJob(h.shard).occurrences[0].steps[0]
+				assert.Equal(t, step.runs, c.step.Count)
+			})
+		}
+	}
+}
+
+func (h *harness) refuseStart(cmd Command) {
+	h.shard.HandleCommandResult(cmd, Responded, execution.Reply{Refusal: execution.RefusedOther}, h.now)
+}
+
+// failRun lets a run start, and fail before the next poll.
+func (h *harness) failRun(cmd Command) {
+	h.shard.HandleCommandResult(cmd, Responded, execution.Reply{ClockMs: 1000}, h.now)
+	e := h.shard.executors[cmd.Executor.ID]
+	h.shard.applyCompletion(e, execution.Ended{RunRef: cmd.Start.RunRef, Sequence: e.appliedSequence + 1, Reason: execution.EndedFailed}, h.now)
+}
+
+// pollListingRuns responds to all due polls with lists of the runs.
+func (h *harness) pollListingRuns() {
+	h.shard.Tick(h.now)
+	for _, poll := range h.shard.Polls(h.now) {
+		h.shard.HandlePollResult(poll, Responded, h.listRuns(string(poll.Executor.ID), nil), h.now)
+	}
+}
