Long-running tasks without a live run are reported one by one, with the reason

Change: the report counts the due long-running tasks without a live run (confirmed, not being stopped, on an executor that responds), with the reason of each and the longest time. Up to 8 of the oldest are described: task, run number, executor, age of the last contact, time until the leases there have certainly expired.

Decisions are unchanged.

--- a/entry/owner/report.go
+++ b/entry/owner/report.go
@@ -46,9 +46,10 @@
 	}
 }
 
-// report measures once per reportInterval which jobs wait and for which reasons, and which
-// executors are unusable. It logs the jobs if one of them or a schedulable task has waited
-// for longWait, or if the last contact with the store was that long ago.
+// report measures once per reportInterval which jobs wait and for which reasons, which
+// long-running tasks have no live run, and which executors are unusable. It logs the jobs if
+// one of them or a schedulable task has waited for longWait, or if the last contact with the
+// store was that long ago.
 func (o *Owner) report(now time.Time) {
 	period := now.Sub(o.delays.reportedAt)
 	if period < reportInterval {
@@ -61,6 +62,7 @@
 	r := o.shard.Waiting(now, overloaded)
 	o.measure(r, delay)
 	o.logUsabilityChanges(r.Executors.Changes, now)
+	o.logLongRunning(r, delay)
 	sinceContact := now.Sub(o.delays.lastContact)
 	if max(r.Oldest, r.SchedulableOldest, sinceContact) < longWait {
 		return
@@ -109,6 +111,7 @@
 	o.Scope.Gauge("late_seconds").Update(delay.Seconds())
 	o.Scope.Gauge("full_batches_share").Update(float64(r.Full) / float64(max(1, r.Batches)))
 	o.measureExecutors(r.Executors)
+	o.measureLongRunning(r.LongRunning)
 }
 
 // cpuTimeUsed returns the CPU time that the whole process used since the last call.
--- a/entry/owner/usability_test.go
+++ b/entry/owner/usability_test.go
@@ -24,12 +24,17 @@
 
 // reportFor reports for the given time, and responds to polls without runs or completions.
 func reportFor(o *Owner, d time.Duration) {
+	pollFor(o, d, shard.Responded, func(shard.Poll) execution.PollResponse { return execution.PollResponse{} })
+}
+
+// pollFor reports for the given time; all polls have the same result.
+func pollFor(o *Owner, d time.Duration, delivery shard.Delivery, respond func(shard.Poll) execution.PollResponse) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		time.Sleep(tickInterval)
 		now := time.Now()
 		o.delays.lastContact = now
 		for _, poll := range o.shard.Polls(now) {
-			o.shard.HandlePollResult(poll, shard.Responded, execution.PollResponse{}, now)
+			o.shard.HandlePollResult(poll, delivery, respond(poll), now)
 		}
 		o.report(now)
 	}
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -75,6 +75,9 @@
 	checkpoint string
 	retryAt    time.Time
 	avoid      cluster.ExecutorID // where it last failed, stalled or was refused
+	// missingSince is since when a long-running task has had no live run; zero if it has one.
+	// Waiting sets it.
+	missingSince time.Time
 }
 
 // phase is what is known about a run.
--- a/policy/shard/waiting.go
+++ b/policy/shard/waiting.go
@@ -49,8 +49,8 @@
 	maxReportChecks = 20_000
 )
 
-// Report describes the jobs that are due and have no running task, and why, and which
-// executors are unusable.
+// Report describes the jobs that are due and have no running task, and why, the long-running
+// tasks without a live run, and the unusable executors.
 type Report struct {
 	Jobs     int                    // jobs without a running task
 	Oldest   time.Duration          // longest time that one of them has waited
@@ -66,6 +66,7 @@
 	// set; Storing is the age of the open batch.
 	Batches, Full int
 	Storing       time.Duration
+	LongRunning   LongRunningReport
 	Executors     ExecutorReport
 }
 
@@ -91,9 +92,9 @@
 	s.openedAt = now
 }
 
-// Waiting reports on the jobs that have no running task and on the executors; overloaded is
-// whether the owner is CPU-starved. Its cost grows with the numbers of jobs and executors:
-// call it at most once a second.
+// Waiting reports on the jobs that have no running task, on the long-running tasks and on the
+// executors; overloaded is whether the owner is CPU-starved. Its cost grows with the numbers of
+// jobs, long-running tasks and executors: call it at most once a second.
 func (s *Shard) Waiting(now time.Time, overloaded bool) Report {
 	b := newReportBuilder(s, now, overloaded)
 	for _, j := range s.jobs {
@@ -139,6 +140,7 @@
 func newReportBuilder(s *Shard, now time.Time, overloaded bool) *reportBuilder {
 	b := &reportBuilder{shard: s, now: now, checksLeft: maxReportChecks, schedulableReason: ReasonNotItsTurn, samples: map[job.ID]Reason{}}
 	b.report = Report{ByReason: map[Reason]ReasonCount{}, Samples: map[job.ID]Reason{}}
+	b.report.LongRunning.ByReason = map[Reason]int{}
 	switch {
 	case s.openBatchAge(now) >= storeUnavailableAfter:
 		b.schedulableReason = ReasonStoreUnavailable
@@ -175,6 +177,7 @@
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			n, stepReason := b.examineStep(st)
+			b.examineLongRunning(st, n, stepReason)
 			fits += n
 			if reason == "" || stepReason == b.schedulableReason {
 				reason = stepReason
--- a/policy/shard/world_test.go
+++ b/policy/shard/world_test.go
@@ -68,6 +68,7 @@
 	batch       *Batch
 	responses   []responseSim
 	pausedUntil time.Time // gets no processor time until then; responses are read later
+	reportedAt  time.Time
 }
 
 // responseSim is a response on its way to an owner.
@@ -299,6 +300,7 @@
 		w.sendPoll(o, poll)
 	}
 	checkRunCounts(w.t, o.shard)
+	o.checkReport(w.t, w.now)
 }
 
 // mayRenewLeases reports whether the owner may renew leases of runs.
