--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -79,6 +79,9 @@
 	avoid      cluster.ExecutorID // where it last failed, stalled or was refused
 	// unplacedSince is since when a long-running task has found no capacity; otherwise zero.
 	unplacedSince time.Time
+	// missingSince is since when a long-running task has had no live run; zero if it has one.
+	// Waiting sets it.
+	missingSince time.Time
 }
 
 // phase is what is known about a run.
--- a/policy/shard/lastresort_test.go
+++ b/policy/shard/lastresort_test.go
@@ -10,8 +10,6 @@
 	"github.com/tarragonreach/tarragonreach/api/job"
 )
 
-var longRunningTask = job.Step{Count: 1, Need: job.Resources{MilliCPU: 1000, MemoryMB: 100}, LongRunning: true, MaxUnavailable: 1}
-
 func cordon(ids ...cluster.ExecutorID) map[cluster.ExecutorID]Cordon {
 	list := map[cluster.ExecutorID]Cordon{}
 	for _, id := range ids {
--- a/policy/shard/longrunning_test.go
+++ b/policy/shard/longrunning_test.go
@@ -1,13 +1,10 @@
 package shard
 
 import (
-	"fmt"
-	"slices"
-	"strconv"
-	"strings"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
@@ -15,322 +12,244 @@
 	"github.com/tarragonreach/tarragonreach/api/job"
 )
 
-// The rule for long-running tasks: each has a run within longRunningBound after the last
-// fault began or ended and after it lost its last run, provided that it fits twice into the
-// free capacity of executors without faults that its constraints allow. It is stricter than
-// the liveness rule in that faults of executors may last.
-const longRunningBound = 9 * time.Second
-
-const (
-	// ticketValidity is how long the tickets of the advised queue are valid.
-	ticketValidity = 3 * time.Second
-	// adviceTime is how long the advice service takes.
-	adviceTime = 100 * time.Millisecond
-	// slowedPause is how long a slowed owner gets no processor time, and slowedWork how long
-	// it gets some between two pauses.
-	slowedPause = maxTickGap + 20*time.Millisecond
-	slowedWork  = 80 * time.Millisecond
-)
-
-// longRunningSim is the part of a liveness world that checks long-running tasks.
-type longRunningSim struct {
-	lastFault    time.Time                // when a fault last began or ended
-	missingSince map[job.TaskID]time.Time // since when a task should have a run
-	cutAt        map[*executorSim]time.Time
-	// lastExecutor is the executor of the last run that a batch stored.
-	lastExecutor map[job.TaskID]*executorSim
-	lastTakeover time.Time
-	slowedUntil  time.Time // the owner gets no processor time repeatedly until then
-}
-
-func newLongRunningWorld(t *rapid.T) *world {
-	w := newLivenessWorld(t)
-	w.liveness.longRunning = &longRunningSim{
-		lastFault: w.now, missingSince: map[job.TaskID]time.Time{}, cutAt: map[*executorSim]time.Time{}, lastExecutor: map[job.TaskID]*executorSim{},
-	}
-	w.liveness.noFailingJobs = rapid.Bool().Draw(t, "no failing jobs")
-	for i := range rapid.IntRange(2, 5).Draw(t, "executors added") {
-		w.addExecutor(fmt.Sprintf("10.0.2.%d:80", i))
-	}
-	for _, e := range w.sortedExecutors() {
-		e.otherRack = rapid.Bool().Draw(t, "other rack")
-	}
-	w.refreshExecutors()
-	return w
-}
-
-// sortedExecutors returns the executors in the order in which they were added.
-func (w *world) sortedExecutors() []*executorSim {
-	var list []*executorSim
-	for i := 1; i <= w.executorsAdded; i++ {
-		if e := w.executors[cluster.ExecutorID(fmt.Sprintf("i-%d", i))]; e != nil {
-			list = append(list, e)
-		}
-	}
-	return list
-}
-
-func (w *world) drawLongRunningStep() job.Step {
-	return job.Step{
-		LongRunning:    true,
-		Count:          rapid.IntRange(1, 6).Draw(w.t, "long-running tasks"),
-		Need:           job.Resources{MilliCPU: rapid.Int64Range(100, 1200).Draw(w.t, "long-running cpu"), MemoryMB: rapid.Int64Range(50, 1200).Draw(w.t, "long-running memory")},
-		MaxUnavailable: rapid.IntRange(0, 2).Draw(w.t, "max unavailable"),
-		MaxPerServer:   rapid.SampledFrom([]int{0, 1, 1, 2}).Draw(w.t, "long-running max per server"),
-		BestEffort:     rapid.IntRange(0, 3).Draw(w.t, "best effort") == 0,
-		SameRack:       rapid.IntRange(0, 4).Draw(w.t, "long-running same rack") == 0,
-		RequiredLabel:  rapid.SampledFrom([]string{"", "", "", "a", "r1-2"}).Draw(w.t, "label"),
-		Checkpointing:  rapid.Bool().Draw(w.t, "long-running checkpointing"),
-		Affinity:       rapid.SampledFrom([]string{"", "", "r1-1"}).Draw(w.t, "affinity"),
-	}
-}
-
-// allows reports whether an executor meets the constraints of a step, capacity and
-// MaxPerServer aside.
-func (w *world) allows(e *executorSim, id job.StepID, def job.Step) bool {
-	if def.RequiredLabel != "" && !slices.Contains(e.labels(), def.RequiredLabel) {
-		return false
-	}
-	return w.jobs[id.Job].record.Queue.Advice == nil || advisable(e.id)
-}
-
-// advisable reports whether the advice service permits steps of the advised queue on an
-// executor.
-func advisable(id cluster.ExecutorID) bool {
-	number, err := strconv.Atoi(strings.TrimPrefix(string(id), "i-"))
-	return err == nil && number%3 != 0
-}
-
-// sendAdviceRequest sends a request to the advice service, which always responds.
-func (w *world) sendAdviceRequest(o *ownerSim, request AdviceRequest) {
-	sentAt := w.now
-	byExecutor := map[cluster.ExecutorID]string{}
-	for _, id := range request.Executors {
-		if advisable(id) {
-			byExecutor[id] = fmt.Sprint(id, " ", sentAt.Add(ticketValidity).UnixMilli())
-		}
-	}
-	o.responses = append(o.responses, responseSim{w.now.Add(adviceTime), func() {
-		o.shard.HandleAdvice(request, byExecutor, ticketValidity, sentAt, w.now)
-	}})
-}
-
-// ticketValid reports whether a start has a valid ticket or needs none.
-func (w *world) ticketValid(e *executorSim, s execution.Start) bool {
-	if w.jobs[s.Task.Job].record.Queue.Advice == nil {
-		return true
-	}
-	id, validUntil, _ := strings.Cut(s.Ticket, " ")
-	until, err := strconv.ParseInt(validUntil, 10, 64)
-	return err == nil && id == string(e.id) && w.now.UnixMilli() < until+adviceTime.Milliseconds()
-}
-
-// checkLongRunning fails the test if the rule for long-running tasks is violated.
-func (w *world) checkLongRunning() {
-	sim := w.liveness.longRunning
-	if w.disturbedApartFromExecutors() && !w.onlySlowed() {
-		sim.lastFault = w.now
-	}
-	for _, id := range w.jobIDs() {
-		j := w.jobs[id]
-		for s, def := range j.record.Definition.Steps {
-			for i := range def.Count {
-				w.checkLongRunningTask(j, job.TaskID{StepID: job.StepID{Job: id, Step: s}, Index: i}, def)
-			}
-		}
-	}
-}
-
-// onlySlowed reports whether the only fault apart from those of executors is that the owner
-// repeatedly gets no processor time for a moment. The rule holds for it.
-func (w *world) onlySlowed() bool {
-	pausedUntil := w.owner.pausedUntil
-	if !w.now.Before(w.liveness.longRunning.slowedUntil) || pausedUntil.Sub(w.now) > slowedPause {
-		return false
-	}
-	w.owner.pausedUntil = time.Time{}
-	otherFault := w.disturbedApartFromExecutors()
-	w.owner.pausedUntil = pausedUntil
-	return !otherFault
-}
-
-func (w *world) checkLongRunningTask(j *storedJob, id job.TaskID, def job.Step) {
-	sim := w.liveness.longRunning
-	due := def.LongRunning && !j.state.Final() && j.cancelledAt.IsZero()
-	if !due || w.isRunning(id) || w.mayRunBehindCut(id) || w.faultlessCapacityFor(id, def) < 2 {
-		delete(sim.missingSince, id)
-		return
-	}
-	if sim.missingSince[id].IsZero() {
-		sim.missingSince[id] = w.now
-	}
-	since := sim.missingSince[id]
-	if sim.lastFault.After(since) {
-		since = sim.lastFault
-	}
-	if w.now.Sub(since) > longRunningBound {
-		w.t.Fatalf("LOST: long-running %s has no run for %s, no fault began or ended for %s: %+v\n%s", id, w.now.Sub(sim.missingSince[id]), w.now.Sub(sim.lastFault), def, w.describe(id.Job))
-	}
-}
-
-// faultlessCapacityFor returns how many times a task fits on executors without faults.
-func (w *world) faultlessCapacityFor(id job.TaskID, def job.Step) int {
-	n := 0
-	for _, e := range w.executors {
-		if e.faults.any() || e.partitioned {
+var longRunningTask = job.Step{Count: 1, Need: job.Resources{MilliCPU: 1000, MemoryMB: 100}, LongRunning: true}
+
+// longRunningSteps returns a step of long-running tasks.
+func longRunningSteps(count int) job.Step {
+	step := longRunningTask
+	step.Count = count
+	return step
+}
+
+// reportLongRunning reports on the long-running tasks.
+func (h *harness) reportLongRunning() LongRunningReport {
+	return h.shard.Waiting(h.now, false).LongRunning
+}
+
+// longRunningCase is a job of long-running tasks, and the reasons that a report gives for
+// those without a live run.
+type longRunningCase struct {
+	name       string
+	step       job.Step
+	before     func(h *harness) // runs before the job is added
+	after      func(h *harness) // runs after the job is added
+	overloaded bool             // the owner is CPU-starved
+	want       map[Reason]int
+}
+
+func longRunningCases() []longRunningCase {
+	large, gang, spread := longRunningTask, longRunningSteps(5), longRunningSteps(3)
+	large.Need.MilliCPU = 5000 // of 4000
+	gang.Gang = true           // 4 fit
+	spread.MaxPerServer = 1
+	nothing := func(*harness) {}
+	start := func(h *harness) { h.startAll() }
+	return []longRunningCase{
+		{"running", longRunningSteps(4), nothing, start, false, map[Reason]int{}},
+		{"schedulable", longRunningTask, nothing, nothing, false, map[Reason]int{ReasonNotItsTurn: 1}},
+		{"schedulable, owner overloaded", longRunningTask, nothing, nothing, true, map[Reason]int{ReasonOwnerOverloaded: 1}},
+		{"some schedulable", longRunningSteps(6), nothing, nothing, false, map[Reason]int{ReasonNotItsTurn: 4, ReasonNoCapacity: 2}},
+		{"some running", longRunningSteps(6), nothing, start, false, map[Reason]int{ReasonNoCapacity: 2}},
+		{"maximum per executor", spread, nothing, nothing, false, map[Reason]int{ReasonNotItsTurn: 1, ReasonLimited: 2}},
+		{"maximum per executor, some running", spread, nothing, start, false, map[Reason]int{ReasonLimited: 2}},
+		{"gang, not all fit", gang, nothing, nothing, false, map[Reason]int{ReasonNoCapacity: 5}},
+		{"too large", large, nothing, nothing, false, map[Reason]int{ReasonNoCapacity: 1}},
+		{"no executor", longRunningTask, func(h *harness) { h.shard.SetExecutors(nil, h.now) }, nothing, false, map[Reason]int{ReasonNoExecutor: 1}},
+		{"suspect executor", longRunningTask, func(h *harness) { h.makeSuspect("i-1") }, nothing, false, map[Reason]int{ReasonNoExecutor: 1}},
+		{"pause after a failure", longRunningTask, nothing, func(h *harness) {
+			h.shard.jobs["00000000000000aa"].occurrences[0].steps[0].tasks[0].retryAt = h.now.Add(time.Minute)
+		}, false, map[Reason]int{ReasonLimited: 1}},
+		{"unconfirmed start", longRunningTask, nothing, func(h *harness) { h.storeAndCommand() }, false, map[Reason]int{ReasonUnconfirmed: 1}},
+		{"start not stored", longRunningTask, nothing, func(h *harness) {
+			h.shard.Batch(h.now, 29)
+			h.now = h.now.Add(storeUnavailableAfter)
+		}, false, map[Reason]int{ReasonStoreUnavailable: 1}},
+		{"being stopped", longRunningTask, nothing, func(h *harness) {
+			h.startAll()
+			h.shard.SetExecutors([]cluster.Executor{drainingExecutor("i-1")}, h.now)
+		}, false, map[Reason]int{ReasonUnconfirmed: 1}},
+		{"executor unreachable", longRunningSteps(2), nothing, func(h *harness) {
+			h.startAll()
+			h.failPoll("i-1", Ambiguous, execution.NotRefused)
+		}, false, map[Reason]int{ReasonExecutorUnreachable: 2}},
+		{"cancelled", longRunningTask, nothing, func(h *harness) { h.shard.Cancel("00000000000000aa") }, false, map[Reason]int{}},
+		{"short task", oneTask, nothing, nothing, false, map[Reason]int{}},
+	}
+}
+
+func TestReportGivesTheReasonWhyLongRunningTasksDoNotRun(t *testing.T) {
+	for _, c := range longRunningCases() {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, newExecutorNamed("i-1"))
+			c.before(h)
+			h.submit("00000000000000aa", c.step)
+			c.after(h)
+			r := h.shard.Waiting(h.now, c.overloaded).LongRunning
+			assert.DeepEqual(t, r.ByReason, c.want)
+			checkLongRunningReport(t, r)
+		})
+	}
+}
+
+// A long-running step that depends on another one is not due before that is done.
+func TestReportOmitsBlockedLongRunningTasks(t *testing.T) {
+	h := newHarness(t)
+	blocked := longRunningTask
+	blocked.After = []int{0}
+	h.submit("00000000000000aa", oneTask, blocked)
+	assert.Equal(t, h.reportLongRunning().Tasks, 0)
+}
+
+// An executor is lost for good. The report describes its task, whose job has other running
+// tasks, until the leases there have certainly expired and the task runs elsewhere.
+func TestReportDescribesTheTaskOfALostExecutor(t *testing.T) {
+	h := newHarness(t, newExecutorNamed("i-1"), newExecutorNamed("i-2"))
+	step := longRunningSteps(2)
+	step.MaxPerServer = 1
+	h.submit("00000000000000aa", step)
+	assert.Equal(t, len(h.startAll()), 2)
+	h.respondToPoll("i-1", h.listRuns("i-1", nil))
+	contact := h.now
+	lost := h.shard.executors["i-1"].sortedRuns()[0].task.id
+	h.shard.SetExecutors([]cluster.Executor{newExecutorNamed("i-2"), newExecutorNamed("i-3")}, h.now)
+	described := 0
+	for h.now.Sub(contact) < 2*testLimits.MaxRunLease && len(h.commandsOfLost("i-1")) == 0 {
+		h.now = h.now.Add(50 * time.Millisecond)
+		r := h.reportLongRunning()
+		if r.Tasks == 0 {
 			continue
 		}
-		n += w.capacityOn(e, id, def)
-	}
-	return n
-}
-
-// mayRunBehindCut reports whether a task's last run was on an executor that is cut off and, by
-// the owner's information, may still run there: until the longest possible lease has expired.
-func (w *world) mayRunBehindCut(id job.TaskID) bool {
-	e := w.liveness.longRunning.lastExecutor[id]
-	if e == nil || !e.alive || !e.faults.unreachable && !e.partitioned {
-		return false
-	}
-	own := w.liveness.longRunning.cutAt[e].Add(maxLeaseTime(testLimits.RunLease))
-	inherited := w.liveness.longRunning.lastTakeover.Add(maxLeaseTime(testLimits.MaxRunLease))
-	return w.now.Before(own) || w.now.Before(inherited)
-}
-
-// injectLongRunningFault injects a fault of the liveness world, or one of those that leave
-// long-running tasks without a run.
-func (w *world) injectLongRunningFault() {
-	l := w.liveness
-	switch rapid.IntRange(0, 15).Draw(w.t, "long-running fault") {
-	case 0: // an executor is restarted behind a cut at the same address
-		if e := w.pickExecutor("restarted behind a cut"); e != nil {
-			e.faults.unreachable = true
-			w.after(w.randomTicks("restart", 6000), func() { w.restartBehindCut(e) })
-		}
-	case 1: // the owner is slowed: it repeatedly gets no processor time
-		w.starve(w.randomTicks("slowed", 30000))
-	case 2: // the owner is replaced in quick succession
-		for range rapid.IntRange(2, 4).Draw(w.t, "takeovers") {
-			w.zombies = append(w.zombies, w.owner)
-			w.livenessTakeOver()
-			w.checkedStep(w.randomTicks("term", 2000))
-		}
-		w.zombies = w.zombies[max(0, len(w.zombies)-2):]
-	case 3: // several executors are cordoned for long
-		ids := map[cluster.ExecutorID]Evacuation{}
-		for range rapid.IntRange(1, 3).Draw(w.t, "cordons") {
-			if e := w.pickExecutor("cordoned for long"); e != nil {
-				ids[e.id] = EvacuateGracefully
-			}
-		}
-		w.setCordon(ids)
-	case 4: // an executor is listed as draining for a while
-		if e := w.pickExecutor("draining for a while"); e != nil && !e.faults.draining {
-			e.faults.draining, e.drained = true, true
-			w.refreshWhenObserved()
-			w.after(w.randomTicks("draining", 4000), func() {
-				e.faults.draining = false
-				w.refreshWhenObserved()
-			})
+		described++
+		missing := h.now.Sub(contact)
+		assert.DeepEqual(t, r, LongRunningReport{
+			Tasks: 1, Oldest: missing, ByReason: map[Reason]int{ReasonExecutorUnreachable: 1},
+			Samples: []LongRunningSample{{
+				Task: lost, Reason: ReasonExecutorUnreachable, Missing: missing, Run: 1, Executor: "i-1", Contacted: true, LastContact: missing,
+				LeaseLeft: h.shard.executors["i-1"].leaseBound.Sub(h.now),
+			}},
+		})
+		assert.Assert(t, r.Samples[0].LeaseLeft > -2*replanInterval, "the task is not started after the leases have expired")
+	}
+	assert.Assert(t, described > 10, "the task was described %d times", described)
+	assert.Equal(t, len(h.startAll()), 0) // confirms the start elsewhere
+}
+
+// commandsOfLost advances the shard as storeAndCommandWithout, with responses that list the
+// runs, and responds to the commands that it returns.
+func (h *harness) commandsOfLost(lost cluster.ExecutorID) []Command {
+	h.shard.Tick(h.now)
+	for _, poll := range h.shard.Polls(h.now) {
+		delivery := Responded
+		if poll.Executor.ID == lost {
+			delivery = NotSent
 		}
-	case 5: // jobs that always fail make executors suspect
-		for range rapid.IntRange(4, 16).Draw(w.t, "failing jobs") {
-			if l.storeDownSince.IsZero() {
-				w.submitSingleTask(true)
-			}
+		h.shard.HandlePollResult(poll, delivery, h.listRuns(string(poll.Executor.ID), nil), h.now)
+	}
+	commands := h.storeAndCommand()
+	for _, c := range commands {
+		h.shard.HandleCommandResult(c, Responded, execution.Reply{ClockMs: 1000}, h.now)
+	}
+	return commands
+}
+
+// A new owner can't reach the executor of an inherited run: it has had no contact, and counts
+// the time without a live run from its takeover.
+func TestReportDescribesAnInheritedRun(t *testing.T) {
+	h := &harness{t: t, shard: New(testLimits, 8), now: time.Unix(1000, 0)}
+	h.shard.SetExecutors([]cluster.Executor{newExecutorNamed("i-2")}, h.now)
+	h.shard.AddJob(Record{
+		ID: "00000000000000aa", Accepted: h.now.Add(-time.Hour), Definition: job.Definition{Steps: []job.Step{longRunningTask}},
+		Queue: QueuePolicy{Name: "q", MaxAttempts: 2, Stretch: 2, TargetDuration: time.Second},
+	}, &Progress{Tasks: []TaskProgress{{Run: 3, Executor: "i-1", Address: "i-1:80"}}}, h.now)
+	sample := LongRunningSample{
+		Task: job.TaskID{StepID: job.StepID{Job: "00000000000000aa"}}, Reason: ReasonUnconfirmed, Run: 3, Executor: "i-1",
+		LeaseLeft: maxLeaseTime(testLimits.MaxRunLease),
+	}
+	assert.DeepEqual(t, h.reportLongRunning().Samples, []LongRunningSample{sample})
+	h.storeAndCommandWithout("i-1")
+	h.now = h.now.Add(time.Second)
+	h.storeAndCommandWithout("i-1")
+	sample.Reason, sample.Missing = ReasonExecutorUnreachable, time.Second
+	sample.LeaseLeft -= time.Second
+	assert.DeepEqual(t, h.reportLongRunning().Samples, []LongRunningSample{sample})
+}
+
+// The leases on a lost executor have expired, but the store is unavailable.
+func TestReportNamesTheStoreOnceTheLeasesHaveExpired(t *testing.T) {
+	h := newHarness(t, newExecutorNamed("i-1"))
+	h.submit("00000000000000aa", longRunningTask)
+	h.startAll()
+	h.failPoll("i-1", Ambiguous, execution.NotRefused)
+	h.submit("00000000000000ab", oneTask)
+	assert.Assert(t, h.shard.Batch(h.now, 29) != nil)
+	h.now = h.now.Add(storeUnavailableAfter)
+	assert.DeepEqual(t, h.reportLongRunning().ByReason, map[Reason]int{ReasonExecutorUnreachable: 1})
+	h.now = h.shard.executors["i-1"].leaseBound.Add(time.Millisecond)
+	assert.DeepEqual(t, h.reportLongRunning().ByReason, map[Reason]int{ReasonStoreUnavailable: 1})
+}
+
+// The executor has not been polled for long when the task starts there: its confirmation
+// counts as contact.
+func TestTaskThatStartsOnALongIdleExecutorIsLive(t *testing.T) {
+	h := newHarness(t, newExecutorNamed("i-1"))
+	h.now = h.now.Add(maxClockAge / 2)
+	h.submit("00000000000000aa", longRunningTask)
+	h.startAll()
+	assert.Equal(t, h.reportLongRunning().Tasks, 0)
+	h.now = h.now.Add(maxResponseAge)
+	assert.DeepEqual(t, h.reportLongRunning().ByReason, map[Reason]int{ReasonExecutorUnreachable: 1})
+}
+
+// The samples are those that have waited longest, however many tasks wait.
+func TestLongRunningSamplesAreTheOldest(t *testing.T) {
+	h := newHarness(t)
+	const jobs = 3 * maxLongRunningSamples
+	for i := range jobs {
+		h.submit(testID(i+1), longRunningSteps(2))
+		h.now = h.now.Add(time.Second)
+	}
+	r := h.reportLongRunning()
+	assert.Equal(t, r.Tasks, 2*jobs)
+	assert.Equal(t, len(r.Samples), maxLongRunningSamples)
+	for i, sample := range r.Samples {
+		assert.Equal(t, sample.Task, job.TaskID{StepID: job.StepID{Job: testID(i/2 + 1)}, Index: i % 2})
+		assert.Equal(t, sample.Missing, time.Duration(jobs-i/2)*time.Second)
+	}
+	checkLongRunningReport(t, r)
+}
+
+// checkLongRunningReport fails the test if a report on long-running tasks contradicts itself.
+func checkLongRunningReport(t rapid.TB, r LongRunningReport) {
+	t.Helper()
+	tasks := 0
+	for reason, n := range r.ByReason {
+		if reason == "" {
+			t.Fatalf("%d tasks without a reason", n)
 		}
-	case 6:
-		l.storeSlowUntil = w.now.Add(w.randomTicks("store slow", 6000))
-	case 7:
-		if e := w.pickExecutor("refuses starts"); e != nil {
-			e.faults.refusingStarts = !e.faults.refusingStarts
-		}
-	case 8: // an executor is lost, and another one starts elsewhere
-		if e := w.pickExecutor("lost"); e != nil {
-			w.crash(e, false)
-			w.addExecutor(fmt.Sprintf("10.0.3.%d:80", w.executorsAdded))
-			w.refreshWhenObserved()
-		}
-	default:
-		w.injectLivenessFault()
+		tasks += n
 	}
-	w.noteCuts()
-	l.faultFreeSince, l.longRunning.lastFault = w.now, w.now
-}
-
-// restartBehindCut replaces an executor that is cut off by one at its address that is cut off
-// for a while, too.
-func (w *world) restartBehindCut(e *executorSim) {
-	if !e.alive {
-		return
+	if tasks != r.Tasks || len(r.Samples) != min(r.Tasks, maxLongRunningSamples) {
+		t.Fatalf("%d tasks, %d by reason, %d samples", r.Tasks, tasks, len(r.Samples))
 	}
-	w.crash(e, true)
-	successor := w.executors[cluster.ExecutorID(fmt.Sprintf("i-%d", w.executorsAdded))]
-	successor.faults.unreachable = true
-	w.after(w.randomTicks("still cut", 6000), func() {
-		successor.faults.unreachable = false
-		w.liveness.faultFreeSince, w.liveness.longRunning.lastFault = w.now, w.now
-	})
-	w.noteCuts()
-	w.liveness.faultFreeSince, w.liveness.longRunning.lastFault = w.now, w.now
-}
-
-// noteCuts records when executors were cut off.
-func (w *world) noteCuts() {
-	cutAt := w.liveness.longRunning.cutAt
-	for _, e := range w.executors {
-		if !e.faults.unreachable && !e.partitioned {
-			delete(cutAt, e)
-		} else if cutAt[e].IsZero() {
-			cutAt[e] = w.now
-		}
+	if len(r.Samples) > 0 && r.Samples[0].Missing != r.Oldest {
+		t.Fatalf("the first sample has had no live run for %s, the oldest for %s", r.Samples[0].Missing, r.Oldest)
 	}
 }
 
-// starve slows the owner for d: it gets processor time for short intervals only.
-func (w *world) starve(d time.Duration) {
-	slowed := w.owner
-	if w.now.Before(w.liveness.longRunning.slowedUntil) {
-		return // two overlapping sequences of pauses would leave no time between them
-	}
-	w.liveness.longRunning.slowedUntil = w.now.Add(d)
-	for at := time.Duration(0); at < d; at += slowedPause + slowedWork {
-		w.after(at, func() { slowed.pausedUntil = w.now.Add(slowedPause) })
-	}
-}
-
-// healSome ends all faults but those of some executors and, perhaps, cordons.
-func (w *world) healSome() {
-	faults := map[*executorSim]executorFaults{}
-	for _, e := range w.sortedExecutors() {
-		if e.alive && e.faults.any() && rapid.IntRange(0, 2).Draw(w.t, "fault lasts") == 0 {
-			faults[e] = e.faults
-		}
+// checkReport reports once a second, as an owner does, and fails the test if the report
+// contradicts itself.
+func (o *ownerSim) checkReport(t *rapid.T, now time.Time) {
+	if now.Sub(o.reportedAt) < time.Second {
+		return
 	}
-	cordoned := w.liveness.cordoned
-	w.heal()
-	for e, f := range faults {
-		draining := e.faults.draining
-		e.faults = f
-		e.faults.draining = draining
+	o.reportedAt = now
+	r := o.shard.Waiting(now, false)
+	checkLongRunningReport(t, r.LongRunning)
+	unusable := 0
+	for _, n := range r.Executors.Unusable {
+		unusable += n
 	}
-	if rapid.Bool().Draw(w.t, "cordons last") {
-		w.setCordon(cordoned)
+	if usable := len(o.shard.usableExecutors(now)); usable+unusable != r.Executors.Listed {
+		t.Fatalf("%d usable and %d unusable executors, %d listed", usable, unusable, r.Executors.Listed)
 	}
-	w.noteCuts()
-	w.liveness.longRunning.lastFault = w.now
-}
-
-// After any sequence of faults, and while faults of some executors and cordons last, each
-// long-running task that fits has a run within longRunningBound.
-func TestLongRunningTasksRunOnceFaultsEnd(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newLongRunningWorld(t)
-		for range rapid.IntRange(5, 25).Draw(t, "faults") {
-			w.injectLongRunningFault()
-			w.checkedStep(w.randomTicks("pause", rapid.SampledFrom([]int{1000, 1000, 4000}).Draw(t, "longest pause")))
-		}
-		w.healSome()
-		w.checkedStep(2*longRunningBound + startBound)
-	})
 }
--- a/policy/shard/world_test.go
+++ b/policy/shard/world_test.go
@@ -69,6 +69,7 @@
 	responses   []responseSim
 	pausedUntil time.Time // gets no processor time until then; responses are read later
 	listedAt    time.Time // when it last requested the machine list
+	reportedAt  time.Time
 }
 
 // responseSim is a response on its way to an owner.
@@ -314,6 +315,7 @@
 	}
 	w.listMachines(o)
 	checkRunCounts(w.t, o.shard)
+	o.checkReport(w.t, w.now)
 }
 
 // mayRenewLeases reports whether the owner may renew leases of runs.
