Owners: a response discards what earlier machine lists said of an executor

Only a list reset the count. While the executor responds no list is requested, so that one incomplete list stayed counted for any time, and a single further one, minutes later, ended a living executor. Refusals of an unhealthy executor counted as missing responses, too.

Change: each response resets the count, and only a call without a response makes an executor a candidate.

--- a/policy/shard/commands.go
+++ b/policy/shard/commands.go
@@ -165,6 +165,7 @@
 	s.dirty = true
 	e.markDue()
 	e.commandsInFlight--
+	e.noteDelivery(delivery)
 	if delivery == Responded {
 		e.failedCalls = 0
 	} else {
--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -41,7 +41,8 @@
 	cordon       Cordon
 	replaced     bool // it has ended: another executor has its address or its machine, or none has
 	knownSince   time.Time
-	missingLists int // machine lists in a row that lack it while it does not respond
+	unresponsive bool // the last call got no response
+	missingLists int  // machine lists that lack it, since its last response
 
 	used job.Resources
 	runs map[job.TaskID]*run
--- a/policy/shard/machinelist.go
+++ b/policy/shard/machinelist.go
@@ -47,7 +47,16 @@
 
 // mayHaveEnded reports whether the executor has runs but did not respond to the last call.
 func (e *executorState) mayHaveEnded() bool {
-	return len(e.runs) > 0 && !e.replaced && (e.failedCalls > 0 || e.Address == "")
+	return len(e.runs) > 0 && !e.replaced && (e.unresponsive || e.Address == "")
+}
+
+// noteDelivery records whether the executor responded to a call. A response shows that it had not
+// ended when earlier lists lacked it.
+func (e *executorState) noteDelivery(d Delivery) {
+	e.unresponsive = d != Responded
+	if d == Responded {
+		e.missingLists = 0
+	}
 }
 
 // ApplyMachineList discards the runs on unresponsive executors that have ended, and returns
--- a/policy/shard/machinelist_test.go
+++ b/policy/shard/machinelist_test.go
@@ -18,10 +18,13 @@
 // listMachines requests the machine list for an owner that needs it. The list names all living
 // executors, partitioned or not, except those that started within its lag.
 func (w *world) listMachines(o *ownerSim) {
-	if !o.shard.NeedsMachineList() || w.now.Sub(o.listedAt) < testListInterval {
+	if w.machineLists == machineListsAbsent || !o.shard.NeedsMachineList() || w.now.Sub(o.listedAt) < testListInterval {
 		return
 	}
 	o.listedAt = w.now
+	if w.machineLists == machineListsUnreliable && rapid.IntRange(0, 3).Draw(w.t, "no machine list") == 0 {
+		return
+	}
 	lag := w.randomTicks("machine list lag", int(maxMachineListLag.Milliseconds()))
 	list := MachineList{Executors: map[cluster.ExecutorID]bool{}, RequestedAt: w.now}
 	for _, e := range w.executors {
@@ -29,10 +32,35 @@
 			list.Executors[e.id] = true
 		}
 	}
+	if w.machineLists == machineListsUnreliable {
+		w.omitOne(list)
+	}
 	respond := func() { o.shard.ApplyMachineList(list) }
 	o.responses = append(o.responses, responseSim{w.now.Add(w.randomTicks("machine list", 200)), respond})
 }
 
+// machineLists is what the machine lists of a world are like.
+type machineLists uint8
+
+const (
+	machineListsComplete   machineLists = iota
+	machineListsAbsent                  // there is no machine service, or it is down
+	machineListsUnreliable              // some requests fail, and some lists lack a machine for once
+)
+
+// minOmissionGap is the minimum time between two lists that lack the same living executor.
+const minOmissionGap = 3 * time.Second
+
+// omitOne removes a random executor from the list, unless a recent list lacked it.
+func (w *world) omitOne(list MachineList) {
+	e := w.pickExecutor("omitted")
+	if e == nil || w.now.Sub(e.omittedAt) < minOmissionGap {
+		return
+	}
+	e.omittedAt = w.now
+	delete(list.Executors, e.id)
+}
+
 // loseExecutorWithRuns ends one executor that has runs, for good.
 func (w *world) loseExecutorWithRuns() {
 	for _, e := range w.owner.shard.sortedExecutors() {
@@ -76,29 +104,34 @@
 // An executor is lost for good at about the time at which its owner is lost too. The successor
 // has never reached it, and the leases there may last for long.
 func TestLongRunningTaskOfExecutorLostWithItsOwnerStartsAgainInTime(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newLivenessWorld(t)
-		w.addExecutor("10.0.2.1:80")
-		w.refreshExecutors()
-		j := w.submitLongRunning(job.Step{Count: 3, Need: job.Resources{MilliCPU: 200, MemoryMB: 100}, Estimate: time.Second, MaxUnavailable: 1})
-		w.step(3 * time.Second)
-		w.loseExecutorWithRuns()
-		lostAt := w.now
-		for range rapid.IntRange(1, 2).Draw(t, "takeovers") {
-			w.step(w.randomTicks("until the owner is lost", 2000))
-			w.livenessTakeOver()
-		}
-		due := lostAt.Add(longRunningPause)
-		if calm := w.now.Add(faultFreePeriod); calm.After(due) {
-			due = calm
-		}
-		for w.missingTasks(j) > 0 {
-			w.step(checkInterval)
-			if w.now.Sub(due) > startBound {
-				t.Fatalf("LOST: %d tasks do not run %s after their executor was lost: %s", w.missingTasks(j), w.now.Sub(lostAt), w.describe(j.record.ID))
-			}
+	rapid.Check(t, func(t *rapid.T) { loseExecutorWithItsOwner(t, machineListsComplete) })
+}
+
+// loseExecutorWithItsOwner checks that the tasks of an executor that is lost for good at about the
+// time of a takeover start again within the liveness rule.
+func loseExecutorWithItsOwner(t *rapid.T, lists machineLists) {
+	w := newLivenessWorld(t)
+	w.machineLists = lists
+	w.addExecutor("10.0.2.1:80")
+	w.refreshExecutors()
+	j := w.submitLongRunning(job.Step{Count: 3, Need: job.Resources{MilliCPU: 200, MemoryMB: 100}, Estimate: time.Second, MaxUnavailable: 1})
+	w.step(3 * time.Second)
+	w.loseExecutorWithRuns()
+	lostAt := w.now
+	for range rapid.IntRange(1, 2).Draw(t, "takeovers") {
+		w.step(w.randomTicks("until the owner is lost", 2000))
+		w.livenessTakeOver()
+	}
+	due := lostAt.Add(longRunningPause)
+	if calm := w.now.Add(faultFreePeriod); calm.After(due) {
+		due = calm
+	}
+	for w.missingTasks(j) > 0 {
+		w.step(checkInterval)
+		if w.now.Sub(due) > startBound {
+			t.Fatalf("LOST: %d tasks do not run %s after their executor was lost: %s", w.missingTasks(j), w.now.Sub(lostAt), w.describe(j.record.ID))
 		}
-	})
+	}
 }
 
 // startedOnUnresponsive returns a harness at whose executor i-1 a task was started and which then
--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -107,6 +107,7 @@
 	e.polling = false
 	s.dirty = true
 	e.markDue()
+	e.noteDelivery(delivery)
 	switch {
 	case delivery != Responded:
 		e.failedCalls++
--- a/policy/shard/world_test.go
+++ b/policy/shard/world_test.go
@@ -42,7 +42,8 @@
 	sent           *[]string // commands in the order in which they were sent; nil if not recorded
 	// faultFree worlds have no faults except CPU-starved owners. A completion counts as
 	// acknowledged there as soon as it is listed.
-	faultFree bool
+	faultFree    bool
+	machineLists machineLists
 	// liveness is set if the test also checks that each task starts in time.
 	liveness  *livenessSim
 	unreached Unreached           // as stored with the last batch
@@ -107,6 +108,7 @@
 	leaseExpired  map[execution.RunRef]bool
 	acked         map[execution.RunRef]bool
 	faults        executorFaults
+	omittedAt     time.Time // when a machine list last lacked it although it was alive
 }
 
 const (
