Owners: a machine list without any responding executor of the service ends none

Cause: a list was distrusted only if it had no executor at all. One that has executors, but none of this service (truncated, or a service whose executors are on no machine), ended each executor that missed a call at the time of two such lists, while others responded.

Evidence: TestMachineListWithoutAnyRespondingExecutorEndsNone failed.

Change: if executors of the service respond, the list must name one of them.

--- a/policy/shard/machinelist.go
+++ b/policy/shard/machinelist.go
@@ -50,6 +50,12 @@
 	return len(e.runs) > 0 && !e.replaced && (e.unresponsive || e.Address == "")
 }
 
+// knownToLists reports whether a machine list requested at the given time names the executor,
+// unless it has ended.
+func (e *executorState) knownToLists(requestedAt time.Time) bool {
+	return !requestedAt.Before(e.knownSince.Add(maxMachineListLag))
+}
+
 // noteDelivery records whether the executor responded to a call. A response shows that it had not
 // ended when earlier lists lacked it.
 func (e *executorState) noteDelivery(d Delivery) {
@@ -63,11 +69,11 @@
 // these executors. Without a list, the runs are discarded when their leases have certainly
 // expired.
 func (s *Shard) ApplyMachineList(list MachineList) (ended []cluster.ExecutorID) {
-	if len(list.Executors) == 0 {
-		return nil // more likely a fault of the list than the end of all executors
+	if !s.plausible(list) {
+		return nil
 	}
 	for _, e := range s.sortedExecutors() {
-		if list.RequestedAt.Before(e.knownSince.Add(maxMachineListLag)) {
+		if !e.knownToLists(list.RequestedAt) {
 			continue
 		}
 		if list.Executors[e.ID] || !e.mayHaveEnded() {
@@ -82,3 +88,22 @@
 	}
 	return ended
 }
+
+// plausible reports whether the list can be that of all machines: it names at least one of the
+// service's executors that respond, if there are any.
+func (s *Shard) plausible(list MachineList) bool {
+	if len(list.Executors) == 0 {
+		return false
+	}
+	responding := 0
+	for _, e := range s.executors {
+		if !e.polled || e.unresponsive || e.replaced || !e.knownToLists(list.RequestedAt) {
+			continue
+		}
+		if list.Executors[e.ID] {
+			return true
+		}
+		responding++
+	}
+	return responding == 0
+}
--- a/policy/shard/machinelist_review_test.go
+++ b/policy/shard/machinelist_review_test.go
@@ -57,6 +57,16 @@
 	assert.Equal(t, len(h.shard.executors["i-1"].runs), 1)
 }
 
+// The machine list has none of the service's executors, though some respond: it is partial, or the
+// executors of this service are not on machines.
+func TestMachineListWithoutAnyRespondingExecutorEndsNone(t *testing.T) {
+	h := startedOnUnresponsive(t)
+	for range endedAfterLists {
+		h.shard.ApplyMachineList(NewMachineList(machinesOf("other-1", "other-2"), h.now))
+	}
+	assert.Equal(t, len(h.shard.executors["i-1"].runs), 1)
+}
+
 // As TestSafetyRulesHoldUnderFaults, with machine lists that lack a living executor for once: the
 // pages of a list are not a snapshot.
 func TestSafetyRulesHoldWithUnreliableMachineLists(t *testing.T) {
