Owners: no machine list is requested before it counts

Cause: a list that is requested within 1 s after an executor became known says nothing about it, but was requested: two readings of all pages for each takeover with an unresponsive executor, of a rate that all instances share.

Change: NeedsMachineList takes the time of the request.

--- a/policy/shard/machinelist.go
+++ b/policy/shard/machinelist.go
@@ -34,11 +34,11 @@
 	return list
 }
 
-// NeedsMachineList reports whether a machine list could show that runs are over: their
-// executor does not respond.
-func (s *Shard) NeedsMachineList() bool {
+// NeedsMachineList reports whether a machine list that is requested now could show that runs are
+// over: their executor does not respond.
+func (s *Shard) NeedsMachineList(now time.Time) bool {
 	for _, e := range s.executors {
-		if e.mayHaveEnded() {
+		if e.mayHaveEnded() && e.knownToLists(now) {
 			return true
 		}
 	}
--- a/policy/shard/machinelist_review_test.go
+++ b/policy/shard/machinelist_review_test.go
@@ -38,7 +38,7 @@
 	h := startedOnUnresponsive(t)
 	h.shard.ApplyMachineList(NewMachineList(machinesOf("i-2"), h.now))
 	h.respondToPoll("i-1", h.listRuns("i-1", nil))
-	assert.Assert(t, !h.shard.NeedsMachineList()) // no list is requested while it responds
+	assert.Assert(t, !h.shard.NeedsMachineList(h.now)) // no list is requested while it responds
 	h.now = h.now.Add(time.Minute)
 	h.failPoll(Ambiguous, execution.NotRefused)
 	h.shard.ApplyMachineList(NewMachineList(machinesOf("i-2"), h.now))
@@ -50,7 +50,7 @@
 func TestExecutorThatRefusesPollsNeedsNoMachineList(t *testing.T) {
 	h := startedOnUnresponsive(t)
 	h.failPoll(Responded, execution.RefusedOther)
-	assert.Assert(t, !h.shard.NeedsMachineList(), "a list is requested for an executor that responds")
+	assert.Assert(t, !h.shard.NeedsMachineList(h.now), "a list is requested for an executor that responds")
 	for range endedAfterLists {
 		h.shard.ApplyMachineList(NewMachineList(machinesOf("i-2"), h.now))
 	}
--- a/policy/shard/machinelist_test.go
+++ b/policy/shard/machinelist_test.go
@@ -18,7 +18,7 @@
 // listMachines requests the machine list for an owner that needs it. The list names all living
 // executors, partitioned or not, except those that started within its lag.
 func (w *world) listMachines(o *ownerSim) {
-	if w.machineLists == machineListsAbsent || !o.shard.NeedsMachineList() || w.now.Sub(o.listedAt) < testListInterval {
+	if w.machineLists == machineListsAbsent || !o.shard.NeedsMachineList(w.now) || w.now.Sub(o.listedAt) < testListInterval {
 		return
 	}
 	o.listedAt = w.now
@@ -179,7 +179,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			h := startedOnUnresponsive(t)
-			assert.Assert(t, h.shard.NeedsMachineList())
+			assert.Assert(t, h.shard.NeedsMachineList(h.now))
 			for _, machines := range tt.lists {
 				h.shard.ApplyMachineList(NewMachineList(machines, h.now.Add(-tt.age)))
 			}
@@ -192,7 +192,7 @@
 			assert.Equal(t, len(cmds), 1)
 			assert.Equal(t, cmds[0].Executor.ID, cluster.ExecutorID("i-2"))
 			assert.Equal(t, cmds[0].Start.Run, 2)
-			assert.Assert(t, !h.shard.NeedsMachineList())
+			assert.Assert(t, !h.shard.NeedsMachineList(h.now))
 		})
 	}
 }
