--- a/policy/shard/machinelist.go
+++ b/policy/shard/machinelist.go
@@ -34,11 +34,11 @@
 	return list
 }
 
-// NeedsMachineList reports whether a machine list could show that runs are over: their
-// executor does not respond.
-func (s *Shard) NeedsMachineList() bool {
+// NeedsMachineList reports whether a machine list that is requested now could show that runs
+// are over: their executor does not respond.
+func (s *Shard) NeedsMachineList(now time.Time) bool {
 	for _, e := range s.executors {
-		if e.mayHaveEnded() {
+		if e.mayHaveEnded() && e.knownToLists(now) {
 			return true
 		}
 	}
@@ -50,6 +50,12 @@
 	return len(e.runs) > 0 && !e.replaced && (e.unansweredCalls > 0 || e.Address == "")
 }
 
+// knownToLists reports whether a list that is requested at the given time would have the
+// executor, if it lives.
+func (e *executorState) knownToLists(requestedAt time.Time) bool {
+	return !requestedAt.Before(e.knownSince.Add(maxMachineListLag))
+}
+
 // ApplyMachineList discards the runs on unresponsive executors that have ended, and returns
 // these executors. Without a list, the runs are discarded when their leases have certainly
 // expired.
@@ -58,7 +64,7 @@
 		return nil
 	}
 	for _, e := range s.sortedExecutors() {
-		if list.RequestedAt.Before(e.knownSince.Add(maxMachineListLag)) {
+		if !e.knownToLists(list.RequestedAt) {
 			continue
 		}
 		if list.Executors[e.ID] {
@@ -83,7 +89,7 @@
 	responding := false
 	for _, e := range s.executors {
 		responds := !e.replaced && e.unansweredCalls == 0 && list.RequestedAt.Sub(e.lastResponse) <= maxResponseAge
-		if !responds || list.RequestedAt.Before(e.knownSince.Add(maxMachineListLag)) {
+		if !responds || !e.knownToLists(list.RequestedAt) {
 			continue
 		}
 		if list.Executors[e.ID] {
