Test: the wait of a long-running step counts from when its dependencies are done

A mutation of the report that counted it from the acceptance of the job passed all tests.

Run: go test -race ./policy/shard/... ./entry/owner/..., green.

--- a/policy/shard/longrunning_test.go
+++ b/policy/shard/longrunning_test.go
@@ -91,13 +91,22 @@
 	}
 }
 
-// A long-running step that depends on another one is not due before that is done.
+// A long-running step that depends on another one is not due before that is done; its time
+// without a live run counts from the first report that finds it due.
 func TestReportOmitsBlockedLongRunningTasks(t *testing.T) {
-	h := newHarness(t)
+	h := newHarness(t, newExecutorNamed("i-1"))
 	blocked := longRunningTask
 	blocked.After = []int{0}
 	h.submit("00000000000000aa", oneTask, blocked)
+	assert.Equal(t, len(h.startAll()), 1)
+	h.now = h.now.Add(2 * time.Second)
 	assert.Equal(t, h.reportLongRunning().Tasks, 0)
+	response := h.listRuns("i-1", nil)
+	response.Ended, response.Running = []execution.Ended{{RunRef: response.Running[0].RunRef, Sequence: 1, Reason: execution.EndedDone}}, nil
+	h.respondToPoll("i-1", response)
+	r := h.reportLongRunning()
+	assert.Equal(t, r.Tasks, 1)
+	assert.Equal(t, r.Oldest, time.Duration(0))
 }
 
 // An executor is lost for good. The report describes its task, whose job has other running
