--- a/entry/owner/report.go
+++ b/entry/owner/report.go
@@ -62,6 +62,7 @@
 	r := o.shard.Waiting(now, overloaded)
 	o.measure(r, delay)
 	o.logUsabilityChanges(r.Executors.Changes, now)
+	o.logSuspicions(r.Executors.Suspicions, now)
 	o.logLongRunning(r, delay)
 	sinceContact := now.Sub(o.delays.lastContact)
 	if max(r.Oldest, r.SchedulableOldest, sinceContact) < longWait {
--- a/entry/owner/usability.go
+++ b/entry/owner/usability.go
@@ -23,6 +23,20 @@
 	}
 }
 
+// logSuspicions logs the executors that became suspect since the last report, with the jobs
+// that failed there, and those for which a successful run has cleared the suspicion.
+func (o *Owner) logSuspicions(changes []shard.SuspicionChange, now time.Time) {
+	for _, c := range changes {
+		logger := o.Logger.With("executor", string(c.Executor), "since", c.Since.UTC().Format(time.RFC3339Nano),
+			"suspect_ms", now.Sub(c.Since).Milliseconds(), "failed_jobs", c.FailedJobs)
+		if c.Cleared {
+			logger.Info("executor no longer suspect")
+			continue
+		}
+		logger.Warn("executor suspect")
+	}
+}
+
 // measureExecutors sets the gauges of the listed and the unusable executors.
 func (o *Owner) measureExecutors(r shard.ExecutorReport) {
 	o.Scope.Gauge("listed_executors").Update(float64(r.Listed))
--- a/entry/owner/usability_test.go
+++ b/entry/owner/usability_test.go
@@ -78,3 +78,55 @@
 		assert.DeepEqual(t, lines[0].Unusable, map[shard.UnusableReason]int{shard.UnusableNotPolled: 2, shard.UnusableDraining: 1})
 	})
 }
+
+// suspicionLine is a log line about the health of an executor.
+type suspicionLine struct {
+	Message    string             `json:"msg"`
+	Executor   cluster.ExecutorID `json:"executor"`
+	Since      time.Time          `json:"since"`
+	SuspectMs  int64              `json:"suspect_ms"`
+	FailedJobs []job.ID           `json:"failed_jobs"`
+}
+
+// The runs of four jobs fail on an executor, and then one succeeds: both is in the log by the
+// next report.
+func TestSuspectExecutorIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, log, _ := reportingOwner()
+		o.shard.SetExecutors([]cluster.Executor{{ID: "i-1", Address: "i-1:80", Capacity: job.Resources{MilliCPU: 1000}}}, time.Now())
+		reportFor(o, 200*time.Millisecond) // the executor is polled
+		failed := []job.ID{"00000000000000a1", "00000000000000a2", "00000000000000a3", "00000000000000a4"}
+		for i, id := range failed {
+			endJob(o, id, execution.EndedFailed, int64(i+1))
+		}
+		suspectAt := time.Now().UTC()
+		reportFor(o, 2*time.Second)
+		endJob(o, "00000000000000a5", execution.EndedDone, 5)
+		reportFor(o, 2*time.Second)
+		lines := linesOf[suspicionLine](t, log, "executor suspect", "executor no longer suspect")
+		assert.Equal(t, len(lines), 2)
+		for i, message := range []string{"executor suspect", "executor no longer suspect"} {
+			assert.Equal(t, lines[i].Message, message)
+			assert.Equal(t, lines[i].Executor, cluster.ExecutorID("i-1"))
+			assert.Equal(t, lines[i].Since, suspectAt)
+			assert.DeepEqual(t, lines[i].FailedJobs, failed)
+		}
+		assert.Assert(t, lines[0].SuspectMs <= reportInterval.Milliseconds())
+		assert.Assert(t, lines[1].SuspectMs >= (2*time.Second).Milliseconds())
+	})
+}
+
+// endJob adds a job of one task, which may fail once, and starts and ends its run.
+func endJob(o *Owner, id job.ID, reason execution.EndReason, sequence int64) {
+	definition := job.Definition{Steps: []job.Step{{Count: 1, Need: job.Resources{MilliCPU: 1000}, Estimate: time.Second}}}
+	queue := shard.QueuePolicy{Name: "q", MaxAttempts: 1}
+	o.shard.AddJob(shard.Record{ID: id, Accepted: time.Now(), Definition: definition, Queue: queue}, nil, time.Now())
+	ended := execution.Ended{RunRef: startBatch(o)[0].RunRef, Sequence: sequence, Reason: reason}
+	for {
+		time.Sleep(tickInterval)
+		for _, poll := range o.shard.Polls(time.Now()) {
+			o.shard.HandlePollResult(poll, shard.Responded, execution.PollResponse{Ended: []execution.Ended{ended}}, time.Now())
+			return
+		}
+	}
+}
--- a/policy/shard/health.go
+++ b/policy/shard/health.go
@@ -31,6 +31,7 @@
 	failures   int    // failures in a row; consecutive ones of one job count once
 	lastFailed job.ID // the job that failed last
 	isSuspect  bool
+	suspicions suspicions
 	trialAt    time.Time     // when a suspect executor may get its next trial run
 	trialPause time.Duration // the last pause before a trial run
 }
@@ -47,8 +48,10 @@
 	}
 	h.lastFailed = id
 	h.failures++
+	h.suspicions.noteFailure(id)
 	if h.failures >= suspectFailures {
 		h.isSuspect = true
+		h.suspicions.begin(now)
 		h.trialPause = minTrialPause
 		h.trialAt = now.Add(h.trialPause)
 	}
@@ -65,7 +68,10 @@
 }
 
 // recordSuccess clears the suspicion.
-func (h *health) recordSuccess() { *h = health{} }
+func (h *health) recordSuccess() {
+	h.suspicions.end()
+	*h = health{suspicions: h.suspicions}
+}
 
 // suspect reports whether the executor gets trial runs only.
 func (h *health) suspect() bool { return h.isSuspect }
--- a/policy/shard/usability.go
+++ b/policy/shard/usability.go
@@ -93,6 +93,9 @@
 	// Changes lists the executors that have been unusable for longer than the longest run
 	// lease, each once, and once more when that is over.
 	Changes []UsabilityChange
+	// Suspicions lists the executors that became suspect or were cleared since the last
+	// report.
+	Suspicions []SuspicionChange
 }
 
 // UsabilityChange is the news that an executor has been unusable for long, or no longer is.
@@ -129,6 +132,7 @@
 	}
 	s.unusable.observe(reasons, now)
 	r.Changes = s.unusable.changes(s.isListed, now.Add(-s.limits.MaxRunLease))
+	r.Suspicions = s.suspicionChanges()
 	return r
 }
 
