Owners: all long-running tasks of a step use the last resort at once, suspect executors too

(2) The waiting time for the last resort counted for each task, and the first one that found none ended the search: the tasks of a step would have started 2 s apart.

Change: suspect executors count as a last resort; the time is that of the step.

--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -55,6 +55,9 @@
 	blockers  int // steps in After that are not done
 	failures  int // of the whole gang; 0 for other steps
 	tickets   tickets
+	// unplacedSince is since when ready tasks of a long-running step have found no capacity;
+	// zero if there are none.
+	unplacedSince time.Time
 	// failuresOn holds the failures of a long-running step by executor.
 	failuresOn map[cluster.ExecutorID]stepFailures
 }
@@ -77,8 +80,6 @@
 	checkpoint string
 	retryAt    time.Time
 	avoid      cluster.ExecutorID // where it last failed, stalled or was refused
-	// unplacedSince is since when a long-running task has found no capacity; otherwise zero.
-	unplacedSince time.Time
 	// missingSince is since when a long-running task has had no live run; zero if it has one.
 	// Waiting sets it.
 	missingSince time.Time
--- a/policy/shard/lastresort.go
+++ b/policy/shard/lastresort.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// lastResortAfter is how long a long-running task finds no capacity before it may start on a
-// cordoned executor: an executor that is on its way to the service is better.
+// lastResortAfter is how long long-running tasks find no capacity before they may start on a
+// cordoned or suspect executor: one that is on its way to the service is better.
 const lastResortAfter = 2 * time.Second
 
 // lastResort returns the best executor for a long-running task that finds no capacity on
-// others, or nil: a stalled one, or, once the task has waited for lastResortAfter, a cordoned
-// one. The planner then drops the move that the executor is cordoned for; a maintenance waits
-// until the task has a destination.
+// others, or nil: a stalled one, or, once tasks of its step have waited for lastResortAfter, a suspect
+// one on which short runs last, or a cordoned one. The planner then drops the move that the
+// executor is cordoned for; a maintenance waits until the task has a destination.
 func (b *builder) lastResort(t *task, rack string) *executorState {
 	if !t.step.def.LongRunning {
 		return nil
@@ -17,14 +17,16 @@
 	if best, _ := b.bestOf(b.stalledExecutors(), t, rack); best != nil {
 		return best
 	}
-	if t.unplacedSince.IsZero() {
-		t.unplacedSince = b.now
+	if t.step.unplacedSince.IsZero() {
+		t.step.unplacedSince = b.now
 	}
-	if b.now.Sub(t.unplacedSince) < lastResortAfter {
+	if b.now.Sub(t.step.unplacedSince) < lastResortAfter {
 		return nil
 	}
-	cordoned := b.shard.executorsWith((*executorState).staysWithRuns)
-	best, _ := b.bestOf(cordoned, t, rack)
+	others := b.shard.executorsWith(func(e *executorState) bool {
+		return e.staysWithRuns() || e.unusableReason(b.now) == UnusableSuspect
+	})
+	best, _ := b.bestOf(others, t, rack)
 	return best
 }
 
--- a/policy/shard/lastresort_test.go
+++ b/policy/shard/lastresort_test.go
@@ -77,3 +77,17 @@
 	h.shard.SetCordons(map[cluster.ExecutorID]Cordon{"i-1": {ID: "2", Evacuation: EvacuateGracefully}}, h.now)
 	assert.Assert(t, e.staysWithRuns())
 }
+
+// All executors became suspect while a short task lasts on each: no trial run is due before these
+// end. A long-running task must not wait for them.
+func TestLongRunningTaskStartsOnSuspectExecutorsBesideLastingTasks(t *testing.T) {
+	h := newHarness(t, newExecutorNamed("i-1"), newExecutorNamed("i-2"))
+	lasting := oneTask
+	lasting.Estimate, lasting.Count, lasting.MaxPerServer = time.Minute, 2, 1
+	h.submit("00000000000000ab", lasting)
+	assert.Equal(t, len(h.startAll()), 2)
+	h.makeSuspect("i-1")
+	h.makeSuspect("i-2")
+	h.submit("00000000000000aa", longRunningSteps(2))
+	assert.Equal(t, len(h.startsWithin(lastResortAfter+time.Second)), 2)
+}
--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -42,6 +42,9 @@
 	if st.def.Gang {
 		alignRuns(runs)
 	}
+	if len(runs) == len(ready) {
+		st.unplacedSince = time.Time{}
+	}
 	return runs
 }
 
@@ -80,7 +83,6 @@
 	}
 	e.extendLeaseBound(b.now, lease)
 	t.current = r
-	t.unplacedSince = time.Time{}
 	e.addRun(r)
 	return r
 }
--- a/policy/shard/suspicions_test.go
+++ b/policy/shard/suspicions_test.go
@@ -67,7 +67,7 @@
 	}
 	h := newHarness(t, list...)
 	for _, e := range list {
-		h.makeSuspect(string(e.ID))
+		h.makeSuspect(e.ID)
 	}
 	listed := map[cluster.ExecutorID]int{}
 	for range 4 {
