Only a quarter of a pool is replaced for being unusable

An owner that is cut off from its executors reports all of them as unusable. Now up to a quarter of the pool, and one machine at least, is left out of the count: the pool grows from 8 to 10.

TestFewMachinesAreReplacedWhereAllAreUnusable was red before. go test -race ./policy/fleetplan green.

--- a/policy/fleetplan/fleetplan_test.go
+++ b/policy/fleetplan/fleetplan_test.go
@@ -428,3 +428,20 @@
 	}
 	assert.Equal(t, f.poolSize("a"), 4)
 }
+
+// An owner reaches none of its executors, as when it is cut off itself: only a share of the
+// pool is replaced.
+func TestFewMachinesAreReplacedWhereAllAreUnusable(t *testing.T) {
+	f := newSimFleet(t, map[cluster.Service]int{"a": 8}, 8)
+	load := f.loads["a"]
+	load.MinExecutors = 8
+	f.loads["a"] = load
+	for range 300 {
+		for id, x := range f.loads["a"].Executors {
+			x.Unusable = true
+			f.loads["a"].Executors[id] = x
+		}
+		f.step(accept)
+	}
+	assert.Equal(t, f.poolSize("a"), 10)
+}
--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -140,16 +140,22 @@
 	return n
 }
 
-// have counts the machines that a service can use now or as soon as their move is over, less
-// those that its owner has not been able to use for unusableTime.
+// have counts the machines that a service can use now or as soon as their move is over. It
+// leaves out those that the owner has not been able to use for unusableTime, up to
+// maxReplacedShare of the pool.
 func (p *Planner) have(v *view, service cluster.Service) int {
-	n := 0
+	n, unusable := 0, 0
 	for _, m := range v.members[service] {
 		inPool := m.State == cluster.MachineUp || m.State == cluster.MachineMoving
-		if inPool && p.operations[m.ID] == nil && !p.longUnusable(m.Executor, v.Now) {
-			n++
+		if !inPool || p.operations[m.ID] != nil {
+			continue
+		}
+		n++
+		if p.longUnusable(m.Executor, v.Now) {
+			unusable++
 		}
 	}
+	n -= min(unusable, max(1, int(maxReplacedShare*float64(len(v.members[service])))))
 	for _, op := range p.operations {
 		if op.kind == Move && op.to == service {
 			n++
@@ -162,6 +168,10 @@
 // its place. A new executor is polled within that time.
 const unusableTime = 6 * time.Second
 
+// maxReplacedShare is the share of a pool up to which unusable machines are replaced; one
+// always is. Where more are unusable, the cause is more likely with their owner.
+const maxReplacedShare = 0.25
+
 // trackUnusable records since when owners can't use the executors of machines that are up: an
 // owner reports that it can't, or does not list the executor at all. It forgets all while the
 // loads can't be read.
