--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -60,7 +60,8 @@
 	return d
 }
 
-// Snapshot returns the newest snapshot; it is never nil.
+// Snapshot returns the newest snapshot that all subscribers have been called with; it is
+// never nil.
 func (d *Directory) Snapshot() *Snapshot { return d.snapshot.Load() }
 
 // Subscribe calls fn with the current snapshot and with each later one, one call at a
@@ -136,8 +137,8 @@
 	d.publish()
 }
 
-// publish builds a snapshot, and stores it and calls the subscribers if it differs from
-// the last one; the lock is held.
+// publish builds a snapshot, and calls the subscribers and then stores it if it differs
+// from the last one; the lock is held.
 func (d *Directory) publish() {
 	now := time.Now()
 	d.dropExpiredNotices(now)
@@ -145,8 +146,8 @@
 	if equal(snapshot, d.snapshot.Load()) {
 		return
 	}
-	d.snapshot.Store(snapshot)
 	for _, fn := range d.subscribers {
 		fn(snapshot)
 	}
+	d.snapshot.Store(snapshot)
 }
--- a/entry/directory/directory_test.go
+++ b/entry/directory/directory_test.go
@@ -64,6 +64,27 @@
 	assert.DeepEqual(t, endpointIDs(d, "svc"), []string{"a", "b", "c"}) // Labels set by operators override those of the platform.
 }
 
+// TestSnapshotIsVisibleOnceSubscribersHaveIt holds a subscriber up and reads the snapshot
+// meanwhile: whoever reads that a service has endpoints must be able to send requests to
+// it through the subscribers.
+func TestSnapshotIsVisibleOnceSubscribersHaveIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Options{List: &fakeList{}})
+		release := make(chan struct{})
+		d.Subscribe(func(s *Snapshot) {
+			if s.Services["svc"] != nil {
+				<-release
+			}
+		})
+		go d.SetConfig(configOf(object.Service{Name: "svc"}))
+		synctest.Wait()
+		assert.Assert(t, d.Snapshot().Services["svc"] == nil)
+		close(release)
+		synctest.Wait()
+		assert.Assert(t, d.Snapshot().Services["svc"] != nil)
+	})
+}
+
 func TestUnavailableListKeepsTheLastList(t *testing.T) {
 	list := &fakeList{instances: []fleet.Instance{server("a", label.Set{fleet.LabelService: "svc"})}}
 	d := New(Options{List: list})
