Half-open connections before the first response: repeatable requests get a bound

Callers saw: of the first 16 repeatable requests 4 or 5 were lost after their whole deadline of 10 s, when connections became half-open before an executor's first response of their class.

Cause: overdueAfter had no bound for them, since the slowest response time of the class was read once, when the request was sent, and was then unknown.

Change, for requests that may be repeated only: - A request sent before the first response is bounded by the responses that arrive while it waits. The bound doesn't grow afterwards, so that the detection of one half-open connection doesn't delay that of the next. - The first attempt is overdue after half of its time at the latest, so that a retry can complete, where that is at least twice the slowest recent response of its class at the executor. Before the first response there, it is so where the class is known at other executors. Slow classes and classes without any response are spared. - The last attempt, on a new connection, is never overdue: ending it can only lose the request. A request that may not be repeated keeps its bounds. The number of attempts and the retry budget are unchanged. The half-open tests print why requests were lost.

--- a/entry/backend/backend.go
+++ b/entry/backend/backend.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 )
@@ -40,6 +41,12 @@
 	// NewConnection requires a connection opened for this attempt. It is set when an
 	// earlier attempt at the same request used a connection that was half-open.
 	NewConnection bool
+	// OverdueAfter is how long the response to a repeatable request may take so that time
+	// for another attempt is left; zero means no such bound. It has no effect on a class
+	// whose responses are expected to take more than half as long.
+	OverdueAfter time.Duration
+	// RunTime is the mean time of the class at all executors; zero means unknown.
+	RunTime time.Duration
 }
 
 // Response is the response of a backend server. A body up to the buffer limit is
--- a/entry/backend/connection.go
+++ b/entry/backend/connection.go
@@ -37,12 +37,6 @@
 	closed   atomic.Bool
 }
 
-// pendingResponse describes the response that an exchange waits for.
-type pendingResponse struct {
-	slowest    time.Duration // decaying maximum response time of the class; zero if unknown
-	repeatable bool          // the request may be repeated
-}
-
 // Read returns the connection to its pool when the client waits for bytes after the
 // response is read completely. Only then is the client's read buffer known to be empty, so
 // that a duplicate response is never taken for the response to the next request.
@@ -113,7 +107,7 @@
 }
 
 // isOverdue reports whether the current exchange has waited for bytes for longer than
-// overdueAfter.
+// its response may take.
 func (c *connection) isOverdue(now, minimum time.Duration, corroborated bool) bool {
 	if !c.inUse.Load() || !c.reading.Load() {
 		return false
@@ -122,7 +116,7 @@
 	if pending == nil {
 		return false
 	}
-	limit := overdueAfter(minimum, pending.slowest, pending.repeatable, corroborated)
+	limit := pending.overdueAfter(minimum, corroborated)
 	return limit > 0 && c.idleFor(now) > limit
 }
 
--- a/entry/backend/halfopen_test.go
+++ b/entry/backend/halfopen_test.go
@@ -91,6 +91,68 @@
 	assert.NilError(t, err)
 }
 
+// startOnHalfOpenConnection sends a request on a connection that is half-open from its
+// start, and returns the channel that receives the request's error. Later connections
+// work.
+func startOnHalfOpenConnection(t *testing.T, transport *backend.HTTPTransport, server *standin.Server, target backend.Target, r *backend.Request) <-chan error {
+	t.Helper()
+	server.Freeze()
+	result := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		_, err := transport.Send(ctx, target, r)
+		result <- err
+	}()
+	waitFor(t, func() bool { return server.HalfOpenConnections() == 1 })
+	server.Thaw()
+	return result
+}
+
+// The connection is half-open before the executor has sent any response of the class. The
+// first response of another request bounds the time of the one that waits.
+func TestFirstResponseRevealsAnEarlierHalfOpenConnection(t *testing.T) {
+	server, target := startServer(t, standin.Settings{})
+	transport := newTransport(t, fastOptions(nil))
+	earlier := request(http.MethodGet, "earlier")
+	earlier.Repeatable = true
+	result := startOnHalfOpenConnection(t, transport, server, target, earlier)
+	later := request(http.MethodGet, "later")
+	later.NewConnection = true
+	_, err := transport.Send(t.Context(), target, later)
+	assert.NilError(t, err)
+	err = <-result
+	assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+	assert.Equal(t, verdict.CodeOf(err), verdict.CodeConnectionLost)
+}
+
+// A retry on a new connection is the last attempt. It is not ended because its response
+// takes longer than recent ones.
+func TestLastAttemptIsNotOverdue(t *testing.T) {
+	server, target := startServer(t, standin.Settings{})
+	options := fastOptions(nil)
+	options.MinOverdueAfter = time.Millisecond
+	transport := newTransport(t, options)
+	_, err := transport.Send(t.Context(), target, request(http.MethodGet, "fast"))
+	assert.NilError(t, err)
+	server.SetServiceTime(time.Second)
+	r := request(http.MethodGet, "slow")
+	r.Repeatable, r.NewConnection = true, true
+	_, err = transport.Send(t.Context(), target, r)
+	assert.NilError(t, err)
+}
+
+// The executor never sends a response of the class; the class is known at other executors.
+func TestRequestBoundsItsOwnFirstResponse(t *testing.T) {
+	server, target := startServer(t, standin.Settings{})
+	transport := newTransport(t, fastOptions(nil))
+	r := request(http.MethodGet, "a")
+	r.Repeatable, r.OverdueAfter, r.RunTime = true, 100*time.Millisecond, time.Millisecond
+	err := <-startOnHalfOpenConnection(t, transport, server, target, r)
+	assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+	assert.Equal(t, verdict.CodeOf(err), verdict.CodeConnectionLost)
+}
+
 func TestUnreachableExecutorIsSignalled(t *testing.T) {
 	server, target := startServer(t, standin.Settings{})
 	signals := make(chan backend.Signal, 100)
--- a/entry/backend/transport.go
+++ b/entry/backend/transport.go
@@ -123,7 +123,7 @@
 // exchange sends the request on a reserved connection and reads the response.
 func (t *HTTPTransport) exchange(ctx context.Context, c *connection, request *Request) (*Response, error) {
 	times := c.pool.times.of(request.Class)
-	pending := &pendingResponse{slowest: times.load(), repeatable: request.Repeatable}
+	pending := newPendingResponse(times, request)
 	writtenBefore := c.written.Load()
 	r, err := newHTTPRequest(ctx, c.pool.target, request, c, pending)
 	if err != nil {
--- a/entry/dispatch/service.go
+++ b/entry/dispatch/service.go
@@ -163,10 +163,16 @@
 	}
 }
 
+// ClassRunTime returns the average time of a request of the class in a slot, or zero if
+// none has completed.
+func (s *Service) ClassRunTime(class string) time.Duration {
+	return s.classes.get(class).runTime.Value()
+}
+
 // RunTime returns the expected time of a request of the class in a slot: the average of
 // the class, else of the service, or zero if no request has completed.
 func (s *Service) RunTime(class string) time.Duration {
-	if classRunTime := s.classes.get(class).runTime.Value(); classRunTime > 0 {
+	if classRunTime := s.ClassRunTime(class); classRunTime > 0 {
 		return classRunTime
 	}
 	return s.runTime.Value()
--- a/entry/gateway/halfopen_test.go
+++ b/entry/gateway/halfopen_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -32,10 +34,24 @@
 type halfOpenResult struct {
 	halfOpened, succeeded, lost int64
 	replaced                    time.Duration // until no half-open connection was left
+
+	mu     sync.Mutex
+	losses map[string]int // by reason
+}
+
+// addLoss counts a lost request.
+func (r *halfOpenResult) addLoss(reason error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.losses == nil {
+		r.losses = map[string]int{}
+	}
+	r.lost++
+	r.losses[reason.Error()]++
 }
 
 // runHalfOpen makes connections half-open under load and waits until they are replaced.
-func runHalfOpen(tb testing.TB, naive bool) halfOpenResult {
+func runHalfOpen(tb testing.TB, naive bool) *halfOpenResult {
 	tb.Helper()
 	l, servers := newStandinFleet(tb, naive)
 	defer l.stop()
@@ -66,23 +82,23 @@
 
 // runHalfOpenOn sends requests, makes connections half-open once ready reports true, and
 // waits until they are replaced.
-func runHalfOpenOn(tb testing.TB, l *loopback, servers []*standin.Server, ready func(*halfOpenResult) bool) halfOpenResult {
+func runHalfOpenOn(tb testing.TB, l *loopback, servers []*standin.Server, ready func(*halfOpenResult) bool) *halfOpenResult {
 	tb.Helper()
-	var r halfOpenResult
+	r := new(halfOpenResult)
 	var done atomic.Bool
 	var callers sync.WaitGroup
 	for range halfOpenCallers {
 		callers.Go(func() {
 			for !done.Load() {
-				if succeedsOnce(l.gateway.URL) {
-					atomic.AddInt64(&r.succeeded, 1)
+				if err := sendOnce(l.gateway.URL); err != nil {
+					r.addLoss(err)
 				} else {
-					atomic.AddInt64(&r.lost, 1)
+					atomic.AddInt64(&r.succeeded, 1)
 				}
 			}
 		})
 	}
-	waitUntil(tb, func() bool { return ready(&r) })
+	waitUntil(tb, func() bool { return ready(r) })
 	for _, s := range servers {
 		r.halfOpened += int64(s.MakeHalfOpen(halfOpenShare))
 	}
@@ -130,24 +146,31 @@
 
 var halfOpenClient = &http.Client{Timeout: halfOpenTimeout, Transport: newClientTransport()}
 
-// succeedsOnce sends one repeatable request and reports whether a response with status
+// sendOnce sends one repeatable request. It returns an error unless a response with status
 // 200 arrived in time.
-func succeedsOnce(url string) bool {
+func sendOnce(url string) error {
 	r, _ := http.NewRequest(http.MethodGet, url+"/s/sportello/x", nil)
 	r.Header.Set(header.Class, "check")
 	r.Header.Set(header.Timeout, halfOpenTimeout.String())
 	response, err := halfOpenClient.Do(r)
 	if err != nil {
-		return false
+		return errors.Unwrap(err) // Without the address, so that equal reasons are counted together.
 	}
 	defer response.Body.Close()
-	return response.StatusCode == http.StatusOK
+	if response.StatusCode == http.StatusOK {
+		return nil
+	}
+	var problem Problem
+	if err := json.NewDecoder(response.Body).Decode(&problem); err != nil {
+		return fmt.Errorf("status %d: %w", response.StatusCode, err)
+	}
+	return fmt.Errorf("status %d, %s: %s", response.StatusCode, problem.Code, problem.Detail)
 }
 
 func TestNoRepeatableRequestIsLostToHalfOpenConnections(t *testing.T) {
 	r := runHalfOpen(t, false)
 	assert.Assert(t, r.halfOpened > 0)
-	assert.Equal(t, r.lost, int64(0), "lost, besides %d that succeeded", r.succeeded)
+	assert.Equal(t, r.lost, int64(0), "lost, besides %d that succeeded: %v", r.succeeded, r.losses)
 	assert.Assert(t, r.replaced < halfOpenMaxWait, "half-open connections are left")
 }
 
@@ -160,7 +183,7 @@
 	}
 	r := runHalfOpenOn(t, l, servers, func(*halfOpenResult) bool { return fewestConnections(servers) >= halfOpenMinConnections })
 	assert.Assert(t, r.halfOpened > 0)
-	assert.Equal(t, r.lost, int64(0), "lost, besides %d that succeeded", r.succeeded)
+	assert.Equal(t, r.lost, int64(0), "lost, besides %d that succeeded: %v", r.succeeded, r.losses)
 }
 
 func BenchmarkRequestPathHalfOpen(b *testing.B) {
--- a/entry/gateway/send.go
+++ b/entry/gateway/send.go
@@ -145,7 +145,11 @@
 	lease.started = now
 	executor := lease.executor
 	x.request.Header = x.outgoingHeader()
-	if deadline := x.attemptDeadline(now); deadline.Before(x.deadline) {
+	deadline := x.attemptDeadline(now)
+	x.request.RunTime = x.service.live.ClassRunTime(x.class.Name)
+	x.request.OverdueAfter = 0
+	if deadline.Before(x.deadline) {
+		x.request.OverdueAfter = deadline.Sub(now)
 		x.ctx.watch(executor, now, deadline)
 	}
 	response, err := g.options.Transport.Send(x.ctx, x.target(executor), &x.request)
