--- a/entry/owner/machinelist.go
+++ b/entry/owner/machinelist.go
@@ -24,7 +24,11 @@
 // requestMachineList requests the machine list in the background if it could show that
 // unresponsive executors have ended. There is one request at a time.
 func (o *Owner) requestMachineList(now time.Time) {
-	if o.Machines == nil || o.machineList.inFlight || now.Sub(o.machineList.requestedAt) < machineListInterval || !o.shard.NeedsMachineList(now) {
+	if o.Machines == nil || o.machineList.inFlight {
+		return
+	}
+	due := now.Sub(o.machineList.requestedAt) >= machineListInterval
+	if !due || !o.shard.NeedsMachineList(now) {
 		return
 	}
 	o.machineList = machineListRequests{inFlight: true, requestedAt: now}
--- a/policy/shard/commands.go
+++ b/policy/shard/commands.go
@@ -64,7 +64,7 @@
 	}
 	var list []Command
 	for _, e := range s.sortedExecutors() {
-		if e.replaced || e.Address == "" || now.Before(e.commandsAt) {
+		if e.ended || e.Address == "" || now.Before(e.commandsAt) {
 			continue
 		}
 		list = s.executorCommands(list, e, now)
@@ -283,7 +283,7 @@
 // discardAll discards all runs on an executor that has ended: another one responds at its
 // address, or its machine has another one or none. It gets no calls any more.
 func (s *Shard) discardAll(e *executorState) {
-	e.replaced = true
+	e.ended = true
 	s.dirty = true
 	for _, r := range e.sortedRuns() {
 		s.discard(r)
--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -41,7 +41,7 @@
 	cordon       Cordon
 	// reportedEmpty is set once a load has shown it without runs under the present cordon.
 	reportedEmpty bool
-	replaced      bool // it has ended: another executor has its address or its machine, or none has
+	ended         bool // it has ended: another executor has its address or its machine, or none has
 	knownSince    time.Time
 
 	used job.Resources
--- a/policy/shard/lastresort.go
+++ b/policy/shard/lastresort.go
@@ -7,9 +7,9 @@
 const lastResortAfter = 2 * time.Second
 
 // lastResort returns the best executor for a long-running task that finds no capacity on
-// others, or nil: a stalled one, or, once tasks of its step have waited for lastResortAfter, a suspect
-// one on which short runs last, or a cordoned one. The planner then drops the move that the
-// executor is cordoned for; a maintenance waits until the task has a destination.
+// others, or nil: a stalled one, or, once tasks of its step have waited for lastResortAfter, a
+// suspect one on which short runs last, or a cordoned one. The planner then drops the move
+// that the executor is cordoned for; a maintenance waits until the task has a destination.
 func (b *builder) lastResort(t *task, rack string) *executorState {
 	if !t.step.def.LongRunning {
 		return nil
--- a/policy/shard/load.go
+++ b/policy/shard/load.go
@@ -70,7 +70,7 @@
 func (s *Shard) load(now time.Time) Load {
 	l := Load{ArrivedWork: s.arrivedWork, ArrivedJobs: s.arrivedJobs, ObservationGaps: s.observationGaps, Executors: map[cluster.ExecutorID]ExecutorLoad{}}
 	for _, e := range s.executors {
-		if e.replaced || !e.listed && len(e.runs) == 0 {
+		if e.ended || !e.listed && len(e.runs) == 0 {
 			continue
 		}
 		runs := len(e.runs) + len(e.orphans)
--- a/policy/shard/machinelist.go
+++ b/policy/shard/machinelist.go
@@ -18,8 +18,10 @@
 // executor is one life of its machine: one that no machine has any more has ended, and
 // nothing runs there. A partitioned executor remains listed.
 type MachineList struct {
-	Executors   map[cluster.ExecutorID]bool
-	RequestedAt time.Time // the list shows no older state, except by maxMachineListLag
+	Executors map[cluster.ExecutorID]bool
+	// RequestedAt is when the list was requested. It shows the state at that time or later, but
+	// may still lack executors that started up to maxMachineListLag before.
+	RequestedAt time.Time
 }
 
 // NewMachineList returns the list of the executors of all machines, requested at the given
@@ -45,9 +47,10 @@
 	return false
 }
 
-// mayHaveEnded reports whether the executor has runs but did not respond to the last call.
+// mayHaveEnded reports whether the executor has runs but did not respond to the last call, or
+// can't be called for lack of an address.
 func (e *executorState) mayHaveEnded() bool {
-	return len(e.runs) > 0 && !e.replaced && (e.unansweredCalls > 0 || e.Address == "")
+	return len(e.runs) > 0 && !e.ended && (e.unansweredCalls > 0 || e.Address == "")
 }
 
 // knownToLists reports whether a list that is requested at the given time would have the
@@ -88,7 +91,7 @@
 func (s *Shard) plausible(list MachineList) bool {
 	responding := false
 	for _, e := range s.executors {
-		responds := !e.replaced && e.unansweredCalls == 0 && list.RequestedAt.Sub(e.lastResponse) <= maxResponseAge
+		responds := !e.ended && e.unansweredCalls == 0 && list.RequestedAt.Sub(e.lastResponse) <= maxResponseAge
 		if !responds || !e.knownToLists(list.RequestedAt) {
 			continue
 		}
--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -24,7 +24,7 @@
 	}
 	var list []Poll
 	for _, e := range s.sortedExecutors() {
-		if e.polling || e.replaced || e.Address == "" || now.Before(e.pollAt) || !e.wantsPoll(now) {
+		if e.polling || e.ended || e.Address == "" || now.Before(e.pollAt) || !e.wantsPoll(now) {
 			continue
 		}
 		e.polling = true
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -116,9 +116,9 @@
 func (s *Shard) Fenced() bool { return s.fenced }
 
 // LeaseRenewalWindow returns how long an owner may renew leases of runs after its term was
-// last confirmed. A successor that can't reach an executor considers the runs there lost
-// after the longest lease, counted from the takeover; the last lease that its
-// predecessor renewed must have expired by then.
+// last confirmed. A successor that can't reach an executor, and does not know that it has
+// ended, considers the runs there lost after the longest lease, counted from the takeover; the
+// last lease that its predecessor renewed must have expired by then.
 func LeaseRenewalWindow(l Limits) time.Duration { return l.MaxRunLease - l.RunLease }
 
 // AllowLeaseRenewal sets whether polls may renew leases of runs.
--- a/policy/shard/unreached.go
+++ b/policy/shard/unreached.go
@@ -85,7 +85,7 @@
 func (s *Shard) currentlyUnreached(now time.Time) Unreached {
 	var list Unreached
 	for _, e := range s.executors {
-		if e.unreached.term == 0 || e.polled || e.replaced || e.failedCalls == 0 && !s.unreached.listed(e.ID) {
+		if e.unreached.term == 0 || e.polled || e.ended || e.failedCalls == 0 && !s.unreached.listed(e.ID) {
 			continue
 		}
 		if list == nil {
--- a/policy/shard/usability.go
+++ b/policy/shard/usability.go
@@ -15,8 +15,8 @@
 const (
 	// UnusableUnlisted: it is not in the latest list of the service's executors.
 	UnusableUnlisted UnusableReason = "not-listed"
-	// UnusableReplaced: it has ended; another executor has its address or its machine, or none.
-	UnusableReplaced UnusableReason = "replaced"
+	// UnusableEnded: another executor has its address or its machine, or none has.
+	UnusableEnded UnusableReason = "ended"
 	// UnusableDraining: it is listed as draining, or once was.
 	UnusableDraining UnusableReason = "draining"
 	// UnusableCallsFail: the last poll or command failed.
@@ -35,7 +35,7 @@
 
 // UnusableReasons lists the reasons for which a listed executor may be unusable.
 var UnusableReasons = []UnusableReason{
-	UnusableReplaced, UnusableDraining, UnusableCordoned, UnusableCallsFail,
+	UnusableEnded, UnusableDraining, UnusableCordoned, UnusableCallsFail,
 	UnusableNotPolled, UnusableOrphans, UnusableStalled, UnusableSuspect,
 }
 
@@ -45,8 +45,8 @@
 	switch {
 	case !e.listed:
 		return UnusableUnlisted
-	case e.replaced:
-		return UnusableReplaced
+	case e.ended:
+		return UnusableEnded
 	case e.Draining || e.everDraining:
 		return UnusableDraining
 	case e.failedCalls > 0:
--- a/policy/shard/usability_test.go
+++ b/policy/shard/usability_test.go
@@ -46,7 +46,7 @@
 		{"cordoned", func(h *harness) {
 			h.shard.SetCordons(cordons(map[cluster.ExecutorID]Evacuation{"i-1": EvacuateGracefully}), h.now)
 		}, UnusableCordoned},
-		{"replaced", func(h *harness) { h.shard.discardAll(h.shard.executors["i-1"]) }, UnusableReplaced},
+		{"ended", func(h *harness) { h.shard.discardAll(h.shard.executors["i-1"]) }, UnusableEnded},
 		{"orphans", func(h *harness) {
 			h.now = h.now.Add(maxClockAge)
 			response := h.listRuns("i-1", nil)
@@ -83,7 +83,7 @@
 		draw := func(label string) bool { return rapid.Bool().Draw(t, label) }
 		e := newExecutor(newExecutorNamed("i-1"), now)
 		e.listed, e.polled, e.Draining = draw("listed"), draw("polled"), draw("draining")
-		e.everDraining, e.replaced = draw("ever draining"), draw("replaced")
+		e.everDraining, e.ended = draw("ever draining"), draw("ended")
 		e.cordon.Evacuation = rapid.SampledFrom([]Evacuation{NotEvacuated, EvacuateGracefully, EvacuatePreempting}).Draw(t, "cordon")
 		e.failedCalls = rapid.IntRange(0, 2).Draw(t, "failed calls")
 		if draw("orphans") {
@@ -91,7 +91,7 @@
 		}
 		e.stalledUntil = now.Add(time.Duration(rapid.IntRange(-1, 1).Draw(t, "stalled until")))
 		e.health.isSuspect = draw("suspect")
-		available := e.listed && e.polled && !e.Draining && !e.everDraining && e.cordon.Evacuation == NotEvacuated && !e.replaced &&
+		available := e.listed && e.polled && !e.Draining && !e.everDraining && e.cordon.Evacuation == NotEvacuated && !e.ended &&
 			e.failedCalls == 0 && len(e.orphans) == 0 && !now.Before(e.stalledUntil)
 		assert.Equal(t, e.available(now), available)
 		assert.Equal(t, e.usable(now), available && !e.health.isSuspect)
--- a/policy/shard/world_test.go
+++ b/policy/shard/world_test.go
@@ -797,8 +797,8 @@
 		}
 	}
 	for _, e := range w.owner.shard.sortedExecutors() {
-		text += fmt.Sprintf("\n%s listed=%t polled=%t cordoned=%t replaced=%t failedCalls=%d orphans=%d runs=%d used=%+v pending=%d leaseBound=%s polling=%t suspect=%t",
-			e.ID, e.listed, e.polled, e.cordoned(), e.replaced, e.failedCalls, len(e.orphans), len(e.runs), e.used, len(e.pending), e.leaseBound.Sub(w.now), e.polling, e.health.suspect())
+		text += fmt.Sprintf("\n%s listed=%t polled=%t cordoned=%t ended=%t failedCalls=%d orphans=%d runs=%d used=%+v pending=%d leaseBound=%s polling=%t suspect=%t",
+			e.ID, e.listed, e.polled, e.cordoned(), e.ended, e.failedCalls, len(e.orphans), len(e.runs), e.used, len(e.pending), e.leaseBound.Sub(w.now), e.polling, e.health.suspect())
 	}
 	return fmt.Sprintf("%s\nfenced=%t dirty=%t", text, w.owner.shard.fenced, w.owner.shard.dirty)
 }
