Owners: destinations of evacuated tasks are looked up once, and only where a task may leave

Cause, by reading: every 20 ms, for each long-running run on a cordoned executor, the stops of all runs were counted and the capacity of all executors summed, before the cheap check of the step.

Change: the check of the step comes first; executors and stops are read once a pass, and the sum ends when it suffices. Decisions are the same.

--- a/policy/shard/evacuate.go
+++ b/policy/shard/evacuate.go
@@ -28,11 +28,11 @@
 	if len(s.leaving) == 0 {
 		return
 	}
-	destinations := s.usableExecutors(now)
+	d := &destinations{shard: s, now: now}
 	for _, e := range s.leaving {
 		s.evacuating = s.evacuating || e.hasLongRunning()
 		for _, r := range e.sortedRuns() {
-			if r.phase == confirmed && s.shouldEvacuate(r, destinations, now) {
+			if r.phase == confirmed && s.shouldEvacuate(r, d, now) {
 				s.stop(r, StopEvacuated)
 			}
 		}
@@ -40,10 +40,10 @@
 }
 
 // shouldEvacuate reports whether a run on a leaving executor is stopped now rather than
-// left to complete; destinations are the executors on which its task may start again.
-func (s *Shard) shouldEvacuate(r *run, destinations []*executorState, now time.Time) bool {
+// left to complete.
+func (s *Shard) shouldEvacuate(r *run, d *destinations, now time.Time) bool {
 	if r.task.step.def.LongRunning {
-		return s.mayEvacuate(r, destinations, now)
+		return s.mayEvacuate(r, d, now)
 	}
 	return r.executor.cordon.Evacuation == EvacuatePreempting && r.preemptible(now)
 }
@@ -63,16 +63,13 @@
 }
 
 // mayEvacuate reports whether a long-running run may be stopped now.
-func (s *Shard) mayEvacuate(r *run, destinations []*executorState, now time.Time) bool {
+func (s *Shard) mayEvacuate(r *run, d *destinations, now time.Time) bool {
 	if r.stopping {
 		return false
 	}
 	if r.executor.everDraining {
 		return true // the executor stops it soon in any case
 	}
-	if !s.hasDestination(r, destinations, now) {
-		return false
-	}
 	unavailable := 0
 	for _, t := range r.task.step.tasks {
 		if !t.available(now) {
@@ -80,20 +77,38 @@
 		}
 	}
 	// The tasks of a step without MaxUnavailable are moved one by one.
-	return unavailable < max(1, r.task.step.def.MaxUnavailable)
+	return unavailable < max(1, r.task.step.def.MaxUnavailable) && d.take(r.task.step)
+}
+
+// destinations are the executors on which evacuated tasks may start again. They are looked up
+// when the first task needs one.
+type destinations struct {
+	shard     *Shard
+	now       time.Time
+	known     bool
+	executors []*executorState
+	taken     int // tasks that are being evacuated and need a destination
 }
 
-// hasDestination reports whether the destinations have capacity for the run's task besides the
-// tasks that are being evacuated.
-func (s *Shard) hasDestination(r *run, destinations []*executorState, now time.Time) bool {
-	st := r.task.step
+// take reports whether there is capacity for a task of the step besides the tasks that are
+// being evacuated, and counts it among them if so.
+func (d *destinations) take(st *step) bool {
+	if !d.known {
+		d.executors = d.shard.usableExecutors(d.now)
+		d.taken = d.shard.countStops(StopEvacuated)
+		d.known = true
+	}
 	capacity := 0
-	for _, e := range destinations {
-		if st.allows(e, now) {
+	for _, e := range d.executors {
+		if st.allows(e, d.now) {
 			capacity += st.capacityOn(e, e.free())
 		}
+		if capacity > d.taken {
+			d.taken++
+			return true
+		}
 	}
-	return capacity > s.countStops(StopEvacuated)
+	return false
 }
 
 // available reports whether the task was recently seen running at full speed. If its
