Configuration: no queue is refused as unknown by a configuration that may be outdated

Cause: an instance knows when its configuration was last confirmed, and logged it, but no decision asked for that.

Change: the follower tells whether its configuration is recent, and lets a request wait for the next answered read. A queue that is unknown to an outdated configuration is refused with 503 and Retry-After, not 404. Known queues are served as before.

Conclusion: closes the remaining way to a false 404; whether it is what the users saw can't be told.

--- a/entry/host/config_test.go
+++ b/entry/host/config_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 	_ "github.com/tarragonreach/tarragonreach/api/rapidseed"
+	"github.com/tarragonreach/tarragonreach/entry/intake"
 	"github.com/tarragonreach/tarragonreach/entry/operatorconfig"
 	"github.com/tarragonreach/tarragonreach/entry/storehealth"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
@@ -142,46 +143,111 @@
 }
 
 func configDelayViolation(disruptions []disruption) string {
-	network := newNetwork()
-	store := &faultyStore{Store: standin.NewStore()}
-	server := store.serve(network)
-	fleet := standin.Fleet{Store: store.Store}
-	version := int64(0)
-	configure := func() {
-		version++
-		pool := standin.PoolSpec{Service: "terreni", Prefix: fmt.Sprintf("/terreni-%d/", version)}
-		if err := fleet.Configure([]standin.PoolSpec{pool}, version); err != nil {
-			panic(err)
-		}
-	}
-	configure()
-	follower, stop := followConfig(network)
-	defer func() {
-		_ = server.Close() // ends all calls
-		stop()
-	}()
-	time.Sleep(configDelay)
+	o := newConfigOperator()
+	defer o.stop()
 	for _, d := range disruptions {
-		store.begin(d.spell)
+		o.store.begin(d.spell)
 		time.Sleep(d.duration / 2)
-		configure()
+		o.configure()
 		time.Sleep(d.duration / 2)
-		store.begin(storeSpell{})
+		o.store.begin(storeSpell{})
 		time.Sleep(d.pause)
-		configure()
+		o.configure()
 		time.Sleep(configDelay)
-		if inForce := follower.Current().Version; inForce != version {
-			return fmt.Sprintf("%+v: version %d is in force, want %d", d, inForce, version)
+		if inForce := o.follower.Current().Version; inForce != o.version {
+			return fmt.Sprintf("%+v: version %d is in force, want %d", d, inForce, o.version)
 		}
-		if age := follower.Age(); age > configDelay {
+		if age := o.follower.Age(); age > configDelay {
 			return fmt.Sprintf("%+v: the configuration was confirmed %v ago", d, age)
 		}
 	}
 	return ""
 }
 
+// While the store does not respond to an instance, and right after it does again, the instance
+// refuses no queue as unknown that was added longer ago than a configuration may take to be in
+// force.
+func TestAddedQueueIsNotUnknownToAnInstanceThatTheStoreRejects(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		disruptions := rapid.SliceOfN(rapid.Custom(drawDisruption), 1, 3).Draw(rt, "disruptions")
+		var violation string
+		synctest.Test(t, func(*testing.T) { violation = unknownQueueViolation(disruptions) })
+		assert.Equal(rt, violation, "")
+	})
+}
+
+func unknownQueueViolation(disruptions []disruption) string {
+	const interval = 100 * time.Millisecond
+	o := newConfigOperator()
+	defer o.stop()
+	for _, d := range disruptions {
+		o.store.begin(d.spell)
+		o.configure()
+		time.Sleep(2 * configDelay)
+		for waited := time.Duration(0); waited < d.duration; waited += interval {
+			if o.newestQueueUnknown() {
+				return fmt.Sprintf("%+v: unknown %v after the change", d, 2*configDelay+waited)
+			}
+			time.Sleep(interval)
+		}
+		o.store.begin(storeSpell{})
+		if o.newestQueueUnknown() {
+			return fmt.Sprintf("%+v: unknown after the disruption", d)
+		}
+		time.Sleep(2 * configDelay)
+	}
+	return ""
+}
+
+// configOperator changes the configuration of an instance and makes requests to it.
+type configOperator struct {
+	store    *faultyStore
+	fleet    standin.Fleet
+	version  int64
+	follower *operatorconfig.Follower
+	handler  http.Handler
+	stop     func()
+}
+
+func newConfigOperator() *configOperator {
+	network := newNetwork()
+	store := &faultyStore{Store: standin.NewStore()}
+	server := store.serve(network)
+	o := &configOperator{store: store, fleet: standin.Fleet{Store: store.Store}}
+	o.configure()
+	follower, health, stop := followConfig(network)
+	o.follower = follower
+	o.handler = intake.New(health, follower, func() bool { return false }, slog.New(slog.DiscardHandler), tally.NoopScope).Handler()
+	o.stop = func() {
+		_ = server.Close() // ends all calls
+		stop()
+	}
+	time.Sleep(configDelay)
+	return o
+}
+
+// configure replaces the queue by a new one.
+func (o *configOperator) configure() {
+	o.version++
+	pool := standin.PoolSpec{Service: "terreni", Prefix: o.newestPrefix()}
+	if err := o.fleet.Configure([]standin.PoolSpec{pool}, o.version); err != nil {
+		panic(err)
+	}
+}
+
+func (o *configOperator) newestPrefix() string { return fmt.Sprintf("/terreni-%d/", o.version) }
+
+// newestQueueUnknown reports whether the instance says that the newest queue does not exist.
+func (o *configOperator) newestQueueUnknown() bool {
+	request := httptest.NewRequest(http.MethodGet, o.newestPrefix(), nil)
+	request.Host = standin.Host
+	response := httptest.NewRecorder()
+	o.handler.ServeHTTP(response, request)
+	return response.Code == http.StatusNotFound
+}
+
 // followConfig starts a follower as an instance does, and returns a function that stops it.
-func followConfig(n *network) (*operatorconfig.Follower, func()) {
+func followConfig(n *network) (*operatorconfig.Follower, *storehealth.Store, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	dial := n.dial("front-0")
 	store := storehealth.New(kv.NewWithDial(storeAddress, dial), func(bool, int) {})
@@ -190,7 +256,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { store.Probe(ctx) })
 	running.Go(func() { follower.Run(ctx) })
-	return follower, func() {
+	return follower, store, func() {
 		cancel()
 		running.Wait()
 		store.CloseIdle()
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -43,6 +43,10 @@
 	Current() *cluster.Config
 	// Age returns for how long the configuration in force may have been outdated.
 	Age() time.Duration
+	// Recent reports whether it can lack no change that has to be in force by now.
+	Recent() bool
+	// AwaitRecent waits for that until ctx ends, and reports whether it is so.
+	AwaitRecent(ctx context.Context) bool
 }
 
 // Intake handles requests of callers.
@@ -67,6 +71,8 @@
 	deadlineMargin = 250 * time.Millisecond
 	// defaultRetryAfter is the Retry-After of responses of 503 while the store responds.
 	defaultRetryAfter = 1 * time.Second
+	// maxConfigWait bounds how long a request waits for a recent configuration.
+	maxConfigWait = 600 * time.Millisecond
 	// defaultMaxBody bounds bodies, in bytes, if the configuration does not.
 	defaultMaxBody = 256 << 10
 )
@@ -123,16 +129,19 @@
 }
 
 func (i *Intake) dispatch(c *gin.Context) (response, string, job.ID) {
-	config := i.config.Current()
+	ctx, cancel := context.WithTimeout(c.Request.Context(), deadlineOf(c.Request))
+	defer cancel()
+	config, recent := i.configuration(ctx)
 	if config == nil {
 		return response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "no configuration yet"}, "", ""
 	}
 	queue, found := config.Route(hostOf(c.Request), c.Request.URL.Path)
+	if !found && !recent {
+		return response{status: http.StatusServiceUnavailable, retryAfter: i.retryAfter(), reason: "no such queue by an outdated configuration"}, "", ""
+	}
 	if !found {
 		return response{status: http.StatusNotFound, reason: "no such queue"}, "", ""
 	}
-	ctx, cancel := context.WithTimeout(c.Request.Context(), deadlineOf(c.Request))
-	defer cancel()
 	rest := strings.TrimPrefix(c.Request.URL.Path, queue.Prefix)
 	if rest == "" && c.Request.Method == http.MethodGet {
 		return i.waitingCount(ctx, queue), queue.Name, ""
@@ -144,6 +153,21 @@
 	return i.dispatchJob(ctx, c, config, queue, id), queue.Name, id
 }
 
+// configuration returns the configuration to decide a request by, nil if there is none, and
+// whether it is recent. An outdated one is waited for only while the store responds.
+func (i *Intake) configuration(ctx context.Context) (config *cluster.Config, recent bool) {
+	if i.config.Recent() {
+		return i.config.Current(), true
+	}
+	if _, unavailable := i.store.Unavailable(); unavailable || i.config.Current() == nil {
+		return i.config.Current(), false
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxConfigWait)
+	defer cancel()
+	recent = i.config.AwaitRecent(ctx)
+	return i.config.Current(), recent
+}
+
 func (i *Intake) dispatchJob(ctx context.Context, c *gin.Context, config *cluster.Config, queue cluster.Queue, id job.ID) response {
 	switch c.Request.Method {
 	case http.MethodPost:
--- a/entry/operatorconfig/operatorconfig.go
+++ b/entry/operatorconfig/operatorconfig.go
@@ -30,12 +30,14 @@
 	CloseIdle()
 }
 
-// Shares of the time within which a configuration must be in force. Together they stay below one
-// half, so that one lost response is made up for within half of that time.
+// Shares of the time within which a configuration must be in force. Together the first two stay
+// below one half, so that one lost response is made up for within half of that time.
 const (
 	readIntervalShare = 0.3
 	overdueShare      = 0.15
 	readTimeoutShare  = 1.5
+	// recentShare bounds the age of a configuration that counts as recent.
+	recentShare = 0.75
 )
 
 // minSpacing bounds the rate of reads, whatever the operators ask for.
@@ -61,6 +63,7 @@
 	readInterval time.Duration // between two reads that are answered
 	overdue      time.Duration // after which a read without a response is followed by another
 	readTimeout  time.Duration
+	recentAge    time.Duration // up to which a configuration counts as recent
 
 	config atomic.Pointer[cluster.Config]
 
@@ -68,10 +71,14 @@
 	// revision is the newest revision of the store up to which changes were applied.
 	revision kv.Revision
 	// decoded is the revision of the newest value that was decoded, be it readable or not.
-	decoded kv.Revision
-	// confirmed is when the newest read that was answered had been sent; nil before the first.
-	confirmed atomic.Pointer[time.Time]
-	known     chan struct{} // closed by the first answered read
+	decoded   kv.Revision
+	confirmed atomic.Pointer[confirmation]
+}
+
+// confirmation is the newest answered read.
+type confirmation struct {
+	sent time.Time     // when it was sent; zero before the first
+	next chan struct{} // closed by the next one
 }
 
 type followerMetrics struct {
@@ -85,15 +92,17 @@
 // puts in force, never concurrently.
 func New(store Store, applyWithin time.Duration, changed func(*cluster.Config), logger *slog.Logger, scope tally.Scope) *Follower {
 	share := func(x float64) time.Duration { return max(minSpacing, time.Duration(x*float64(applyWithin))) }
-	return &Follower{
+	f := &Follower{
 		store: store, changed: changed, logger: logger,
 		readInterval: share(readIntervalShare), overdue: share(overdueShare), readTimeout: share(readTimeoutShare),
-		known: make(chan struct{}),
+		recentAge: share(recentShare),
 		metrics: followerMetrics{
 			version: scope.Gauge("version"), overdue: scope.Counter("overdue_reads"),
 			age: scope.Histogram("age_seconds", tally.DefaultBuckets),
 		},
 	}
+	f.confirmed.Store(&confirmation{next: make(chan struct{})})
+	return f
 }
 
 // Current returns the configuration in force, or nil if there is none yet.
@@ -101,12 +110,35 @@
 
 // Age returns for how long the configuration in force may have been outdated: the time since
 // the newest answered read of it was sent. It is zero before the first one.
-func (f *Follower) Age() time.Duration {
-	confirmed := f.confirmed.Load()
-	if confirmed == nil {
+func (f *Follower) Age() time.Duration { return f.confirmed.Load().age() }
+
+func (c *confirmation) age() time.Duration {
+	if c.sent.IsZero() {
 		return 0
 	}
-	return time.Since(*confirmed)
+	return time.Since(c.sent)
+}
+
+// Recent reports whether the configuration in force certainly contains each change that was
+// acknowledged longer ago than a configuration may take to be in force.
+func (f *Follower) Recent() bool { return f.recent(f.confirmed.Load()) }
+
+func (f *Follower) recent(c *confirmation) bool { return !c.sent.IsZero() && c.age() <= f.recentAge }
+
+// AwaitRecent waits until the configuration in force is recent or ctx ends, and reports whether
+// it is recent.
+func (f *Follower) AwaitRecent(ctx context.Context) bool {
+	for {
+		c := f.confirmed.Load()
+		if f.recent(c) {
+			return true
+		}
+		select {
+		case <-c.next:
+		case <-ctx.Done():
+			return false
+		}
+	}
 }
 
 // Run follows the configuration until ctx ends.
@@ -173,20 +205,21 @@
 // f.mu.
 func (f *Follower) confirm(sent time.Time) {
 	last := f.confirmed.Load()
-	if last == nil {
-		close(f.known)
-	}
-	if last == nil || last.Before(sent) {
-		f.confirmed.Store(&sent)
-		f.metrics.age.RecordDuration(time.Since(sent))
+	if !sent.After(last.sent) {
+		return
 	}
+	f.confirmed.Store(&confirmation{sent: sent, next: make(chan struct{})})
+	close(last.next)
+	f.metrics.age.RecordDuration(time.Since(sent))
 }
 
 // watchAll applies changes as they come until ctx ends.
 func (f *Follower) watchAll(ctx context.Context) {
-	select {
-	case <-f.known:
-	case <-ctx.Done():
+	if c := f.confirmed.Load(); c.sent.IsZero() {
+		select {
+		case <-c.next: // the first answered read
+		case <-ctx.Done():
+		}
 	}
 	failures := 0
 	for ctx.Err() == nil {
