Store: a call that times out closes the idle connections

Cause: when the connections of an instance go silent for good, each retry of a call takes another idle one, which has gone silent as well, and waits for its timeout there.

Change: a call that times out closes the connections that no call uses, so that the next attempt opens one. A listing, watch or write in progress is not disturbed.

Evidence: TestIdleConnectionsThatWentSilentAreTriedOnce, eight idle connections: the second attempt failed before, and succeeds now.

--- a/entry/host/silentconnections_test.go
+++ b/entry/host/silentconnections_test.go
@@ -58,3 +58,34 @@
 	health.CloseIdle()
 	return terms
 }
+
+// Many connections of an instance to the store are idle when all go silent: a call succeeds at its
+// second attempt, not only once each of them has been tried.
+func TestIdleConnectionsThatWentSilentAreTriedOnce(t *testing.T) {
+	const idle = 8
+	synctest.Test(t, func(t *testing.T) {
+		network := newNetwork()
+		store := &faultyStore{Store: standin.NewStore()}
+		server := store.serve(network)
+		health := storehealth.New(kv.NewWithDial(storeAddress, network.dial("front-0")), func(bool, int) {})
+		defer func() {
+			_ = server.Close() // ends all calls
+			health.CloseIdle()
+		}()
+		get := func(timeout time.Duration) error {
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			_, err := health.Get(ctx, "a")
+			return err
+		}
+		var calls sync.WaitGroup
+		for range idle {
+			calls.Go(func() { _ = get(time.Second) }) // opens a connection
+		}
+		calls.Wait()
+		store.begin(storeSpell{fault: connectionsSilent})
+		time.Sleep(time.Millisecond)
+		assert.ErrorIs(t, get(health.Timeout(1)), context.DeadlineExceeded)
+		assert.ErrorIs(t, get(health.Timeout(2)), kv.ErrNotFound)
+	})
+}
--- a/entry/storehealth/storehealth.go
+++ b/entry/storehealth/storehealth.go
@@ -116,6 +116,9 @@
 		s.recordResponse(sent)
 		return
 	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		s.CloseIdle() // they may have gone silent like the one of this call
+	}
 	s.failures++
 	if s.unavailableSince.IsZero() && s.failures >= unavailableFailures && time.Since(s.lastResponse) >= unavailableAfter {
 		s.unavailableSince = time.Now()
