--- a/entry/owner/usability.go
+++ b/entry/owner/usability.go
@@ -51,6 +51,15 @@
 	}
 }
 
+// logGivenUp logs the runs that were given up without a completion, and counts them.
+func (o *Owner) logGivenUp() {
+	for _, n := range o.shard.TakeGiveUpNotes() {
+		o.Scope.Tagged(map[string]string{"reason": string(n.Reason)}).Counter("runs_given_up").Inc(1)
+		o.Logger.Info("run given up", "task", n.Task.String(), "run", n.Run, "executor", string(n.Executor),
+			"reason", string(n.Reason), "applied_ends", n.Applied, "acked_ends", n.Acked)
+	}
+}
+
 // measureExecutors sets the gauges of the listed and the unusable executors.
 func (o *Owner) measureExecutors(r shard.ExecutorReport) {
 	o.Scope.Gauge("listed_executors").Update(float64(r.Listed))
--- a/policy/shard/commands.go
+++ b/policy/shard/commands.go
@@ -132,7 +132,7 @@
 	cmd.Start.Token = s.token
 	switch {
 	case r.stopping && r.phase == unconfirmed && r.startSends == 0:
-		s.discard(r)
+		s.discard(r, GivenUpUnsent)
 		return Command{}, false
 	case r.stopping && r.stopAcknowledged:
 		return Command{}, false
@@ -221,7 +221,7 @@
 	case delivery == NotSent:
 		r.startSends--
 		if r.startSends == 0 && r.startAttempts >= maxUnsentStarts {
-			s.discard(r)
+			s.discard(r, GivenUpUnsent)
 		}
 	case delivery == Ambiguous:
 		if r.startSends >= maxStartSends {
@@ -255,7 +255,7 @@
 		return
 	}
 	t := r.task
-	s.discard(r)
+	s.discard(r, GivenUpRefused)
 	t.retryAt = now.Add(retryAfterRefusal)
 	t.avoid = e.ID
 }
@@ -279,7 +279,8 @@
 
 // discard removes a run that will certainly not start, or that is over without a completion
 // to apply.
-func (s *Shard) discard(r *run) {
+func (s *Shard) discard(r *run, reason GiveUpReason) {
+	s.noteGivenUp(r, reason)
 	t := r.task
 	r.executor.removeRun(r)
 	if t.current == r {
@@ -300,7 +301,7 @@
 	e.ended = true
 	s.dirty = true
 	for _, r := range e.sortedRuns() {
-		s.discard(r)
+		s.discard(r, GivenUpEnded)
 	}
 	clear(e.orphans)
 }
--- a/policy/shard/crashes_test.go
+++ b/policy/shard/crashes_test.go
@@ -204,7 +204,7 @@
 	h.shard.SetExecutors(busy, h.now)
 	assert.Equal(t, len(h.startsWithin(emptyExecutorPatience-500*time.Millisecond)), 0)
 	ended := h.shard.executors["i-3"].sortedRuns()[0]
-	h.shard.discard(ended)
+	h.shard.discard(ended, GivenUpEnded)
 	ended.task.retryAt = h.now.Add(time.Hour)
 	starts := h.startAll()
 	assert.Equal(t, len(starts), 1)
--- a/policy/shard/expiry.go
+++ b/policy/shard/expiry.go
@@ -19,7 +19,7 @@
 		for _, r := range e.sortedRuns() {
 			lost := unresponsive || r.task.step.def.LongRunning && e.failedCalls > 0
 			if r.phase != decided && lost {
-				s.discard(r)
+				s.discard(r, GivenUpExpired)
 			}
 		}
 		if unresponsive {
--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -207,7 +207,7 @@
 		}
 		certain := r.phase == inherited || r.phase == confirmed && sentAt.After(r.confirmedAt)
 		if certain {
-			s.discard(r)
+			s.discard(r, GivenUpAbsent)
 		}
 	}
 }
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -102,6 +102,7 @@
 	crashingTaskFound bool
 	crashingUntil     time.Time
 	crashNotes        []CrashNote
+	givenUp           []GiveUpNote
 
 	unusable unusablePeriods
 
--- a/policy/shard/waiting_test.go
+++ b/policy/shard/waiting_test.go
@@ -58,7 +58,7 @@
 	h.shard.Batch(h.now, 29)
 	delete(h.shard.jobs, "00000000000000ab")
 	for _, r := range h.shard.executors["i-1"].sortedRuns() {
-		h.shard.discard(r)
+		h.shard.discard(r, GivenUpEnded)
 	}
 	h.now = h.now.Add(storeUnavailableAfter)
 }
