Platform: an incarnation of an executor, by its ID and birth

The platform's new term: an executor may start again under its ID, and says in its entry and in its lists of runs when it was born. cluster.Incarnation is made where these are decoded; nothing uses it yet.

--- a/api/cluster/cluster.go
+++ b/api/cluster/cluster.go
@@ -10,8 +10,8 @@
 	"github.com/tarragonreach/tarragonreach/api/job"
 )
 
-// ExecutorID identifies one incarnation of the executor on a machine; a restarted
-// executor has a new ID.
+// ExecutorID identifies an executor. An executor that crashes may start again under the same ID;
+// Incarnation tells the two apart.
 type ExecutorID string
 
 // MachineID identifies a machine; it stays the same when its executor restarts.
@@ -23,6 +23,7 @@
 // Executor is an executor's report about itself.
 type Executor struct {
 	ID       ExecutorID
+	Born     Birth
 	Service  Service
 	Address  string // host:port
 	Zone     fleet.AvailabilityZone
@@ -37,6 +38,9 @@
 	ClockMs int64
 }
 
+// Incarnation returns the incarnation that the report is about.
+func (e Executor) Incarnation() Incarnation { return Incarnation{ID: e.ID, Born: e.Born} }
+
 // Rack returns the rack among the labels, or "".
 func (e Executor) Rack() string { return rackOf(e.Labels) }
 
@@ -73,7 +77,7 @@
 	Zone     fleet.AvailabilityZone
 	Labels   []string
 	Capacity job.Resources
-	Executor ExecutorID // its current executor; empty while it has none
+	Executor ExecutorID // its current executor, in whatever incarnation; empty while it has none
 }
 
 // Rack returns the rack among the labels, or "".
--- a/api/execution/execution.go
+++ b/api/execution/execution.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/api/job"
 )
 
@@ -84,6 +85,8 @@
 // PollResponse lists the runs of an executor.
 type PollResponse struct {
 	Reply
+	// From is the incarnation whose runs these are; the zero value if the call was refused.
+	From    cluster.Incarnation
 	Running []Running
 	Ended   []Ended
 }
