--- a/policy/shard/world_test.go
+++ b/policy/shard/world_test.go
@@ -53,6 +53,7 @@
 	liveness  *livenessSim
 	unreached Unreached           // as stored with the last batch
 	termBegan map[int64]time.Time // by token
+	restarts  *restarts           // nil if no executor starts again under its ID
 }
 
 type storedJob struct {
@@ -99,6 +100,7 @@
 
 type executorSim struct {
 	id            cluster.ExecutorID
+	born          cluster.Birth
 	address       string
 	capacity      job.Resources
 	shrinks       []capacityShrink
@@ -145,8 +147,12 @@
 func (w *world) addExecutor(address string) {
 	w.executorsAdded++
 	id := cluster.ExecutorID(fmt.Sprintf("i-%d", w.executorsAdded))
-	w.executors[id] = &executorSim{
-		id: id, address: address, alive: true, startedAt: w.now,
+	w.executors[id] = w.newExecutorSim(id, address)
+}
+
+func (w *world) newExecutorSim(id cluster.ExecutorID, address string) *executorSim {
+	return &executorSim{
+		id: id, address: address, alive: true, born: cluster.Birth(w.now.UnixMilli()), startedAt: w.now,
 		clockRate: rapid.SampledFrom([]float64{0.98, 1}).Draw(w.t, "clock rate"),
 		capacity:  job.Resources{MilliCPU: 4000, MemoryMB: 4000},
 		running:   map[job.TaskID]*runSim{}, highestClosed: map[job.TaskID]int{}, leaseExpired: map[execution.RunRef]bool{}, acked: map[execution.RunRef]bool{},
@@ -168,13 +174,22 @@
 func (w *world) listExecutors() []cluster.Executor {
 	var list []cluster.Executor
 	for _, e := range w.executors {
+		if former, stale := w.restarts.formerEntry(e.id, w.now); stale {
+			list = append(list, former)
+			continue
+		}
 		if e.alive && !e.partitioned {
-			list = append(list, cluster.Executor{ID: e.id, Address: e.address, Capacity: e.capacity, Labels: e.labels(), Draining: e.faults.draining})
+			list = append(list, e.entry())
 		}
 	}
 	return list
 }
 
+// entry returns the executor's report about itself.
+func (e *executorSim) entry() cluster.Executor {
+	return cluster.Executor{ID: e.id, Born: e.born, Address: e.address, Capacity: e.capacity, Labels: e.labels(), Draining: e.faults.draining}
+}
+
 // replaceOwner makes a new owner from the stored state.
 func (w *world) replaceOwner() {
 	w.token++
@@ -451,7 +466,7 @@
 	case callDelayed:
 		delay := time.Duration(rapid.IntRange(2, 12).Draw(w.t, "delay")) * time.Second
 		w.timers = append(w.timers, timer{w.now.Add(delay), func() {
-			if e.alive {
+			if e := w.latest(e); e.alive {
 				w.executeLate(func() { execute(e) })
 			}
 		}})
@@ -614,7 +629,7 @@
 
 // executePoll executes a poll, with the acknowledgements that it contains.
 func (w *world) executePoll(e *executorSim, request execution.PollRequest) execution.PollResponse {
-	response := execution.PollResponse{Reply: execution.Reply{ClockMs: e.clock(w.now)}}
+	response := execution.PollResponse{Reply: execution.Reply{ClockMs: e.clock(w.now)}, From: cluster.Incarnation{ID: e.id, Born: e.born}}
 	if request.Token < e.fence {
 		response.Refusal = execution.RefusedFenced
 		return response
@@ -715,7 +730,11 @@
 
 // injectFault submits or cancels a job, or injects one random fault.
 func (w *world) injectFault() {
-	switch rapid.IntRange(0, 9).Draw(w.t, "fault") {
+	kinds := 9
+	if w.restarts != nil {
+		kinds = 11
+	}
+	switch rapid.IntRange(0, kinds).Draw(w.t, "fault") {
 	case 0, 1, 2, 3:
 		w.submit()
 	case 4:
@@ -743,6 +762,10 @@
 		if e := w.pickExecutor("cordoned"); e != nil {
 			w.owner.shard.SetCordons(cordons(map[cluster.ExecutorID]Evacuation{e.id: rapid.SampledFrom([]Evacuation{EvacuateGracefully, EvacuatePreempting}).Draw(w.t, "evacuation")}), w.now)
 		}
+	case 10, 11:
+		if e := w.pickExecutor("starts again"); e != nil {
+			w.startAgain(e)
+		}
 	}
 }
 
