Owners: what is kept of an executor is kept by incarnation, and each one is fenced off from calls to earlier ones

Cause: an ID stood for two lives. Numbers of ends, clock, runs, health, tickets, crash evidence and stored progress were kept by executor ID. The later incarnation numbers its ends from 1; they were passed over and acknowledged by the numbers of the former one, and the absent runs were started again. Class: an identity that no longer identifies.

Change: a state for each incarnation; the former one's runs are settled by the list of the later one, polled with a fencing token above all calls to the former (the revision of a later write of the term). Acknowledgements are sent only when each start is known to have arrived in this incarnation, and starts carry a token above the acknowledgements sent before. A reply whose clock is not the incarnation's counts as lost.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -95,7 +95,7 @@
 	term     election.Term
 	shard    *shard.Shard
 	writes   writeSequence
-	clients  map[cluster.ExecutorID]Executor
+	clients  map[cluster.ExecutorID]executorClient
 	events   chan event
 	ctx      context.Context
 	stepDown context.CancelFunc
@@ -125,7 +125,7 @@
 	o := &Owner{
 		Options: options, term: term,
 		shard:   shard.New(options.Limits, term.Token),
-		clients: map[cluster.ExecutorID]Executor{},
+		clients: map[cluster.ExecutorID]executorClient{},
 		events:  make(chan event, eventQueueSize),
 		cordons: map[cluster.ExecutorID]shard.Cordon{}, finished: map[job.ID]kv.Revision{},
 		ctx: ctx, stepDown: cancel, renewalAllowed: true,
@@ -304,12 +304,25 @@
 	}
 }
 
+// executorClient is the client of one incarnation of an executor.
+type executorClient struct {
+	Executor
+	born    cluster.Birth
+	address string
+}
+
+// client returns the client of an executor. A later incarnation, or one that has moved, gets
+// connections of its own.
 func (o *Owner) client(e cluster.Executor) Executor {
-	client := o.clients[e.ID]
-	if client == nil {
-		client = o.Dial(e.ID, e.Address)
-		o.clients[e.ID] = client
+	client, known := o.clients[e.ID]
+	if known && client.born == e.Born && client.address == e.Address {
+		return client
+	}
+	if known {
+		client.Close()
 	}
+	client = executorClient{o.Dial(e.ID, e.Address), e.Born, e.Address}
+	o.clients[e.ID] = client
 	return client
 }
 
--- a/entry/owner/report.go
+++ b/entry/owner/report.go
@@ -52,6 +52,7 @@
 // store was that long ago.
 func (o *Owner) report(now time.Time) {
 	o.logCrashes()
+	o.logRestarts()
 	o.logGivenUp()
 	period := now.Sub(o.delays.reportedAt)
 	if period < reportInterval {
--- a/entry/owner/usability.go
+++ b/entry/owner/usability.go
@@ -51,6 +51,15 @@
 	}
 }
 
+// logRestarts logs the executors that have started again under their IDs, and counts them.
+func (o *Owner) logRestarts() {
+	for _, n := range o.shard.TakeRestartNotes() {
+		o.Scope.Tagged(map[string]string{"evidence": string(n.Evidence)}).Counter("executor_restarts").Inc(1)
+		o.Logger.Info("executor started again", "executor", string(n.Executor), "former_born", int64(n.Former),
+			"born", int64(n.Born), "evidence", string(n.Evidence), "runs", n.Runs)
+	}
+}
+
 // logGivenUp logs the runs that were given up without a completion, and counts them.
 func (o *Owner) logGivenUp() {
 	for _, n := range o.shard.TakeGiveUpNotes() {
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -227,6 +227,7 @@
 func (o *Owner) commitBatch(revision kv.Revision, b *shard.Batch) {
 	o.writing = false
 	o.writes.revision = revision
+	o.shard.NoteRevision(int64(revision))
 	o.shard.Committed()
 	for _, w := range b.Jobs {
 		if w.State.Final() {
--- a/policy/fleetplan/fleetplan.go
+++ b/policy/fleetplan/fleetplan.go
@@ -85,7 +85,7 @@
 	operations    map[cluster.MachineID]*operation
 	waves         map[int64]*waveState
 	idleSince     map[cluster.MachineID]time.Time
-	unusableSince map[cluster.ExecutorID]time.Time // since when owners can't use executors
+	unusableSince map[cluster.Incarnation]time.Time // since when owners can't use executors
 	demand        map[cluster.Service]*demand
 	peaks         *peakSequence
 	peakChanges   int // starts and ends of peaks
--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -151,7 +151,7 @@
 			continue
 		}
 		n++
-		if p.longUnusable(m.Executor, v.Now) {
+		if p.longUnusable(v.incarnation(m), v.Now) {
 			unusable++
 		}
 	}
@@ -176,15 +176,16 @@
 // owner reports that it can't, or does not list the executor at all. It forgets all while the
 // loads can't be read.
 func (p *Planner) trackUnusable(v *view) {
-	since := map[cluster.ExecutorID]time.Time{}
+	since := map[cluster.Incarnation]time.Time{}
 	if v.Now.Sub(v.LoadsReadAt) <= maxLoadsPause {
 		for _, m := range v.Machines {
 			if !v.unusable(m) {
 				continue
 			}
-			since[m.Executor] = v.Now
-			if at, known := p.unusableSince[m.Executor]; known {
-				since[m.Executor] = at
+			executor := v.incarnation(m)
+			since[executor] = v.Now
+			if at, known := p.unusableSince[executor]; known {
+				since[executor] = at
 			}
 		}
 	}
@@ -202,8 +203,8 @@
 }
 
 // longUnusable reports whether an executor has been unusable for unusableTime.
-func (p *Planner) longUnusable(id cluster.ExecutorID, now time.Time) bool {
-	at, unusable := p.unusableSince[id]
+func (p *Planner) longUnusable(executor cluster.Incarnation, now time.Time) bool {
+	at, unusable := p.unusableSince[executor]
 	return unusable && now.Sub(at) >= unusableTime
 }
 
--- a/policy/fleetplan/view.go
+++ b/policy/fleetplan/view.go
@@ -53,6 +53,12 @@
 	return l, known
 }
 
+// incarnation returns which incarnation of its executor a machine has, as far as the owner knows.
+func (v *view) incarnation(m cluster.Machine) cluster.Incarnation {
+	l, _ := v.load(m)
+	return cluster.Incarnation{ID: m.Executor, Born: l.Born}
+}
+
 // runsLongRunning reports whether long-running tasks run on a machine.
 func (v *view) runsLongRunning(m cluster.Machine) bool {
 	l, _ := v.load(m)
--- a/policy/shard/advice.go
+++ b/policy/shard/advice.go
@@ -34,8 +34,9 @@
 	Step      job.StepID
 	Executors []cluster.ExecutorID
 
-	step    *step
-	partial bool // more executors are usable than the request names
+	step         *step
+	incarnations []cluster.Incarnation // of the executors when the request was made
+	partial      bool                  // more executors are usable than the request names
 }
 
 // AdviceRequests returns the requests to send to the advice service now, most urgent first.
@@ -77,7 +78,9 @@
 	}
 	r := AdviceRequest{Step: st.id, step: st}
 	for i := range min(len(candidates), maxAdviceExecutors) {
-		r.Executors = append(r.Executors, candidates[(t.nextExecutor+i)%len(candidates)].ID)
+		e := candidates[(t.nextExecutor+i)%len(candidates)]
+		r.Executors = append(r.Executors, e.ID)
+		r.incarnations = append(r.incarnations, e.Incarnation())
 	}
 	r.partial = len(candidates) > len(r.Executors)
 	t.nextExecutor = (t.nextExecutor + len(r.Executors)) % len(candidates)
@@ -95,8 +98,8 @@
 // ticketsObsolete reports whether there are tickets and none of their executors is listed
 // any more.
 func (s *Shard) ticketsObsolete(t *tickets) bool {
-	for id := range t.byExecutor {
-		if e := s.executors[id]; e != nil && e.listed {
+	for executor := range t.byExecutor {
+		if e := s.executors[executor.ID]; e != nil && e.listed && e.Incarnation() == executor {
 			return false
 		}
 	}
@@ -111,7 +114,13 @@
 	if byExecutor == nil || len(byExecutor) == 0 && r.partial {
 		return
 	}
-	r.step.tickets.byExecutor = byExecutor
+	// A ticket is valid in one incarnation only.
+	r.step.tickets.byExecutor = make(map[cluster.Incarnation]string, len(byExecutor))
+	for _, executor := range r.incarnations {
+		if ticket, found := byExecutor[executor.ID]; found {
+			r.step.tickets.byExecutor[executor] = ticket
+		}
+	}
 	r.step.tickets.validUntil = sentAt.Add(validity - ticketMargin)
 	s.dirty = true
 }
--- a/policy/shard/commands.go
+++ b/policy/shard/commands.go
@@ -42,6 +42,10 @@
 
 	run    *run
 	orphan *orphan
+	target *executorState
+	sentAt time.Time
+	// sentBefore is when the start had been sent last before.
+	sentBefore time.Time
 }
 
 // Delivery is what is known about the delivery of a call to an executor.
@@ -64,7 +68,7 @@
 	}
 	var list []Command
 	for _, e := range s.sortedExecutors() {
-		if e.ended || e.Address == "" || now.Before(e.commandsAt) {
+		if e.ended || e.Address == "" || now.Before(e.commandsAt) || len(e.runs)+len(e.orphans) == 0 || e.doubted() || !s.hasToken(e) {
 			continue
 		}
 		list = s.executorCommands(list, e, now)
@@ -112,7 +116,7 @@
 		}
 		o.inFlight = true
 		ref := execution.RunRef{Task: key.task, Run: key.run}
-		list = append(list, Command{Kind: CommandStop, Executor: e.Executor, Start: execution.Start{RunRef: ref, Token: s.token}, Reason: StopOrphan, orphan: o})
+		list = append(list, Command{Kind: CommandStop, Executor: e.Executor, Start: execution.Start{RunRef: ref, Token: e.token}, Reason: StopOrphan, orphan: o, target: e, sentAt: now})
 		e.commandsInFlight++
 		slots--
 	}
@@ -127,9 +131,9 @@
 	if r.phase == unconfirmed && !r.stopping && r.executor.overcommitted() {
 		s.stop(r, StopNoCapacity)
 	}
-	cmd := Command{Executor: r.executor.Executor, run: r}
+	cmd := Command{Executor: r.executor.Executor, run: r, target: r.executor, sentAt: now}
 	cmd.Start.RunRef = r.ref()
-	cmd.Start.Token = s.token
+	cmd.Start.Token = r.executor.token
 	switch {
 	case r.stopping && r.phase == unconfirmed && r.startSends == 0:
 		s.discard(r, GivenUpUnsent)
@@ -140,9 +144,14 @@
 		cmd.Kind = CommandStop
 		cmd.Reason = r.stopReason
 	case r.phase == unconfirmed:
+		if r.executor.awaitsPoll() || !s.hasStartToken(r.executor) {
+			return Command{}, false
+		}
+		cmd.Start.Token = r.executor.token
 		if r.startAttempts == 0 {
 			r.sentAt = now
 		}
+		cmd.sentBefore, r.lastSentAt = r.lastSentAt, now
 		r.startSends++
 		r.startAttempts++
 		cmd.Kind = CommandStart
@@ -164,21 +173,33 @@
 
 // HandleCommandResult handles the result of a command.
 func (s *Shard) HandleCommandResult(cmd Command, delivery Delivery, reply execution.Reply, now time.Time) {
-	e := s.executors[cmd.Executor.ID]
-	if e == nil {
-		return
+	e := cmd.target
+	if s.executors[e.ID] != e {
+		return // the list of a later incarnation shows what became of its runs
 	}
 	s.dirty = true
 	e.markDue()
 	e.commandsInFlight--
+	if delivery == Responded && !e.expectsClock(reply.ClockMs, cmd.sentAt, now) {
+		s.doubt(e, now)
+		s.applyCommandResult(cmd, Ambiguous, execution.Reply{}, now)
+		return
+	}
 	e.recordCall(delivery, reply.Refusal, now)
 	if delivery == Responded {
 		s.noteAlive(e, reply.ClockMs)
 		e.failedCalls = 0
 	} else {
+		if e.failedCalls == 0 {
+			e.pollAnew(now)
+		}
 		e.failedCalls++
 	}
 	if delivery == Responded && reply.Refusal == execution.RefusedFenced {
+		if cmd.Start.Token < e.token {
+			cmd.sendAgain()
+			return
+		}
 		s.fenced = true
 		return
 	}
@@ -189,6 +210,26 @@
 		s.discardAll(e)
 		return
 	}
+	s.applyCommandResult(cmd, delivery, reply, now)
+}
+
+// sendAgain lets a command be sent again that a later call of the same owner has overtaken and
+// fenced off, so that it was not carried out.
+func (c Command) sendAgain() {
+	if c.orphan != nil {
+		c.orphan.inFlight, c.orphan.nextSend = false, time.Time{}
+		return
+	}
+	c.run.inFlight, c.run.nextSend = false, time.Time{}
+	if c.Kind == CommandStart {
+		c.run.startSends--
+		c.run.startAttempts--
+	}
+}
+
+// applyCommandResult applies the result of a command to its run or orphan.
+func (s *Shard) applyCommandResult(cmd Command, delivery Delivery, reply execution.Reply, now time.Time) {
+	e := cmd.target
 	if cmd.orphan != nil {
 		cmd.orphan.inFlight = false
 		cmd.orphan.nextSend = now.Add(resendInterval)
@@ -202,6 +243,9 @@
 	}
 	switch cmd.Kind {
 	case CommandStart:
+		if delivery == NotSent {
+			r.lastSentAt = cmd.sentBefore
+		}
 		r.noteStartResult(delivery, reply, now)
 		s.handleStartResult(r, delivery, reply.Refusal, now)
 	case CommandStop:
@@ -224,6 +268,7 @@
 			s.discard(r, GivenUpUnsent)
 		}
 	case delivery == Ambiguous:
+		r.unanswered = true
 		if r.startSends >= maxStartSends {
 			s.stop(r, StopUnanswered)
 		}
@@ -244,7 +289,7 @@
 	switch refusal {
 	case execution.RefusedOther:
 		e.health.recordFailure(r.task.id.Job, now)
-		r.task.step.noteFailure(e.ID, now)
+		r.task.step.noteFailure(e.Incarnation(), now)
 	case execution.RefusedCapacity:
 		e.pollAt = now
 	case execution.RefusedTicket:
@@ -257,7 +302,7 @@
 	t := r.task
 	s.discard(r, GivenUpRefused)
 	t.retryAt = now.Add(retryAfterRefusal)
-	t.avoid = e.ID
+	t.avoid = e.Incarnation()
 }
 
 func (r *run) confirm(now time.Time) {
@@ -293,9 +338,13 @@
 }
 
 // discardAll discards all runs on an executor that has ended: another one responds at its
-// address, or its machine has another one or none. It gets no calls any more.
+// address, its machine has another one or none, or it has started again. It gets no calls any more.
 func (s *Shard) discardAll(e *executorState) {
-	if !e.ended {
+	for _, f := range e.former {
+		s.discardAll(f)
+	}
+	e.former = nil
+	if !e.ended || e.superseded {
 		s.recordCrash(e)
 	}
 	e.ended = true
--- a/policy/shard/evacuate.go
+++ b/policy/shard/evacuate.go
@@ -15,6 +15,9 @@
 	StopNoCapacity StopReason = "no-room"     // its executor shrank before the start was confirmed
 	StopDoneBefore StopReason = "done-before" // an earlier run completed the task
 	StopOrphan     StopReason = "not-started" // an orphan: this owner did not start it
+	// StopOrphanElsewhere is the reason for a run that was not sent yet: an orphan of its task
+	// is still at work on another executor.
+	StopOrphanElsewhere StopReason = "orphan-elsewhere"
 )
 
 // evacuateInterval is the minimum time before a poll result triggers another search for
@@ -117,5 +120,5 @@
 func (t *task) available(now time.Time) bool {
 	r := t.current
 	return r != nil && !r.stopping && r.phase == confirmed && r.percent >= 100 &&
-		r.executor.failedCalls == 0 && now.Sub(r.executor.lastResponse) < maxResponseAge
+		!r.executor.ended && r.executor.failedCalls == 0 && now.Sub(r.executor.lastResponse) < maxResponseAge
 }
--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -33,13 +33,22 @@
 // cordoned reports whether the executor is evacuated and gets no new work.
 func (e *executorState) cordoned() bool { return e.cordon.Evacuation != NotEvacuated }
 
-// executorState is the owner's view of one executor. A machine that restarts is a new
-// executor.
+// executorState is the owner's view of one incarnation of an executor.
 type executorState struct {
 	cluster.Executor
-	listed       bool // in the latest list
-	everDraining bool // was ever listed as draining
-	cordon       Cordon
+	// token is the fencing token of all calls to it; zero until there is one above outdatedToken,
+	// up to which calls to earlier incarnations may be on their way.
+	token         int64
+	outdatedToken int64
+	ackToken      int64 // the highest token of a poll with an acknowledgement
+	restarted     bool  // there was an earlier incarnation
+	superseded    bool  // there is a later incarnation
+	supersededAt  time.Time
+	doubtedAt     time.Time        // when a reply last seemed to come from another one; zero after a poll
+	former        []*executorState // earlier incarnations, the earliest first, whose runs are not settled
+	listed        bool             // in the latest list
+	everDraining  bool             // was ever listed as draining
+	cordon        Cordon
 	// reportedEmpty is set once a load has shown it without runs under the present cordon.
 	reportedEmpty bool
 	ended         bool // it has ended: another executor has its address or its machine, or none has
@@ -59,7 +68,8 @@
 	polled        bool  // has responded to a poll with our fencing token
 	clockMs       int64 // the executor's clock at clockAt, as of its last poll response
 	clockAt       time.Time
-	renewalPaused bool // the last poll failed: no lease renewal until one succeeds
+	clockSentAt   time.Time // when the poll with that response was sent
+	renewalPaused bool      // the last poll failed: no lease renewal until one succeeds
 	// leaseBound is when the leases of all runs there have certainly expired, unless
 	// they are renewed.
 	leaseBound time.Time
--- a/policy/shard/expiry.go
+++ b/policy/shard/expiry.go
@@ -1,6 +1,9 @@
 package shard
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // expireRuns discards the runs on unresponsive executors whose leases have certainly
 // expired. The poll responses of other executors show what became of their runs.
@@ -9,16 +12,18 @@
 // unread can't hold a completion of the task, since it has none.
 func (s *Shard) expireRuns(now time.Time) {
 	for _, e := range s.sortedExecutors() {
+		s.expireFormer(e, now)
 		if len(e.runs) == 0 || !now.After(e.leaseBound) {
 			continue
 		}
 		unresponsive := s.unresponsive(e)
-		if unresponsive && !e.listed {
+		mayLast := slices.ContainsFunc(e.runOrder, func(r *run) bool { return r.leaseMayLast(s.limits, now) })
+		if unresponsive && !e.listed && !mayLast {
 			s.recordCrash(e)
 		}
 		for _, r := range e.sortedRuns() {
 			lost := unresponsive || r.task.step.def.LongRunning && e.failedCalls > 0
-			if r.phase != decided && lost {
+			if r.phase != decided && lost && !r.leaseMayLast(s.limits, now) {
 				s.discard(r, GivenUpExpired)
 			}
 		}
--- a/policy/shard/health.go
+++ b/policy/shard/health.go
@@ -97,23 +97,23 @@
 
 // noteFailure records that a start or a run of a long-running task of the step failed on an
 // executor. The failures of one job alone don't make an executor suspect.
-func (s *step) noteFailure(id cluster.ExecutorID, now time.Time) {
+func (s *step) noteFailure(executor cluster.Incarnation, now time.Time) {
 	if !s.def.LongRunning {
 		return
 	}
 	if s.failuresOn == nil {
-		s.failuresOn = map[cluster.ExecutorID]stepFailures{}
+		s.failuresOn = map[cluster.Incarnation]stepFailures{}
 	}
-	f := s.failuresOn[id]
+	f := s.failuresOn[executor]
 	if now.Sub(f.at) > failureMemory {
 		f.count = 0
 	}
-	s.failuresOn[id] = stepFailures{count: f.count + 1, at: now}
+	s.failuresOn[executor] = stepFailures{count: f.count + 1, at: now}
 }
 
 // failsOn reports whether starts or runs of the long-running step repeatedly failed on the
 // executor within failureMemory.
-func (s *step) failsOn(id cluster.ExecutorID, now time.Time) bool {
-	f := s.failuresOn[id]
+func (s *step) failsOn(executor cluster.Incarnation, now time.Time) bool {
+	f := s.failuresOn[executor]
 	return f.count >= repeatedFailures && now.Sub(f.at) <= failureMemory
 }
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -59,11 +59,11 @@
 	// zero if there are none.
 	unplacedSince time.Time
 	// failuresOn holds the failures of a long-running step by executor.
-	failuresOn map[cluster.ExecutorID]stepFailures
+	failuresOn map[cluster.Incarnation]stepFailures
 }
 
 type tickets struct {
-	byExecutor   map[cluster.ExecutorID]string
+	byExecutor   map[cluster.Incarnation]string
 	validUntil   time.Time
 	requested    bool
 	nextExecutor int // position after the last executor that a request named
@@ -80,7 +80,7 @@
 	checkpoint string
 	retryAt    time.Time
 	crashes    crashRecord
-	avoid      cluster.ExecutorID // where it last failed, stalled or was refused
+	avoid      cluster.Incarnation // where it last failed, stalled or was refused
 	// missingSince is since when a long-running task has had no live run; zero if it has one.
 	// Waiting sets it.
 	missingSince time.Time
@@ -109,12 +109,14 @@
 
 	inFlight      bool      // a command for it is in flight
 	sentAt        time.Time // when the start was first sent; zero if it was not, or by another owner
+	lastSentAt    time.Time // when the start was last sent
 	startSends    int       // start commands that may have arrived
 	startAttempts int       // start commands, including those that were not sent
 	nextSend      time.Time
 	confirmedAt   time.Time
 	startedAt     time.Time // when the executor was first known to have it
 	presentMs     int64     // the same on the executor's clock; zero if it is not known to have it
+	unanswered    bool      // a start of it got no response, and may be carried out late
 	brokeOff      bool      // its start was broken off at once, without a response
 	trial         bool      // isolated, to find out whether its task crashes executors
 
--- a/policy/shard/load.go
+++ b/policy/shard/load.go
@@ -40,10 +40,12 @@
 
 // ExecutorLoad describes what runs or may run on one executor.
 type ExecutorLoad struct {
-	Runs        int   `json:"runs,omitempty"`
-	LongRunning int   `json:"lasting,omitempty"`
-	UsedCPU     int64 `json:"cpu,omitempty"`
-	Cordoned    bool  `json:"cordoned,omitempty"` // gets no new work, by the planner's cordon
+	// Born tells the incarnation of the executor.
+	Born        cluster.Birth `json:"born,omitempty"`
+	Runs        int           `json:"runs,omitempty"`
+	LongRunning int           `json:"lasting,omitempty"`
+	UsedCPU     int64         `json:"cpu,omitempty"`
+	Cordoned    bool          `json:"cordoned,omitempty"` // gets no new work, by the planner's cordon
 	// CordonID is the ID of that cordon.
 	CordonID string `json:"cordonID,omitempty"`
 	// Unusable is set if the executor gets no new work for another reason than that cordon:
@@ -70,13 +72,13 @@
 func (s *Shard) load(now time.Time) Load {
 	l := Load{ArrivedWork: s.arrivedWork, ArrivedJobs: s.arrivedJobs, ObservationGaps: s.observationGaps, Executors: map[cluster.ExecutorID]ExecutorLoad{}}
 	for _, e := range s.executors {
-		if e.ended || !e.listed && len(e.runs) == 0 {
+		runs := len(e.runs) + len(e.orphans) + e.formerRuns()
+		if e.ended || !e.listed && runs == 0 {
 			continue
 		}
-		runs := len(e.runs) + len(e.orphans)
 		e.reportedEmpty = e.reportedEmpty || e.cordoned() && runs == 0
 		l.Executors[e.ID] = ExecutorLoad{
-			Runs: runs, LongRunning: e.longRunning, UsedCPU: e.used.MilliCPU,
+			Born: e.Born, Runs: runs, LongRunning: e.longRunning, UsedCPU: e.used.MilliCPU,
 			Cordoned: e.cordoned(), CordonID: e.cordon.ID,
 			Unusable: e.inherentReason() != "",
 		}
--- a/policy/shard/longrunning.go
+++ b/policy/shard/longrunning.go
@@ -167,7 +167,7 @@
 // unreachable reports whether the last call to the run's executor failed, or the last contact
 // is too old to show that the run still exists.
 func (r *run) unreachable(now time.Time) bool {
-	if r.executor.Address == "" || r.executor.failedCalls > 0 {
+	if r.executor.ended || r.executor.Address == "" || r.executor.failedCalls > 0 {
 		return true
 	}
 	return r.phase == confirmed && now.Sub(r.lastContact()) >= maxResponseAge
--- a/policy/shard/machinelist.go
+++ b/policy/shard/machinelist.go
@@ -14,9 +14,9 @@
 	endedAfterLists = 2
 )
 
-// MachineList holds the current executor of each machine, as the platform lists it. An
-// executor is one life of its machine: one that no machine has any more has ended, and
-// nothing runs there. A partitioned executor remains listed.
+// MachineList holds the current executor of each machine, as the platform lists it. One that no
+// machine has any more has ended, and nothing runs there. A partitioned executor remains listed. The
+// list does not say which incarnation it has.
 type MachineList struct {
 	Executors map[cluster.ExecutorID]bool
 	// RequestedAt is when the list was requested. It shows the state at that time or later, but
@@ -50,13 +50,17 @@
 // mayHaveEnded reports whether the executor has runs but did not respond to the last call, or
 // can't be called for lack of an address.
 func (e *executorState) mayHaveEnded() bool {
-	return len(e.runs) > 0 && !e.ended && (e.unansweredCalls > 0 || e.Address == "")
+	return len(e.runs)+e.formerRuns() > 0 && !e.ended && (e.unansweredCalls > 0 || e.Address == "")
 }
 
 // knownToLists reports whether a list that is requested at the given time would have the
 // executor, if it lives.
 func (e *executorState) knownToLists(requestedAt time.Time) bool {
-	return !requestedAt.Before(e.knownSince.Add(maxMachineListLag))
+	since := e.knownSince
+	if e.doubtedAt.After(since) {
+		since = e.doubtedAt
+	}
+	return !requestedAt.Before(since.Add(maxMachineListLag))
 }
 
 // ApplyMachineList discards the runs on unresponsive executors that have ended, and returns
@@ -77,6 +81,9 @@
 		if !e.mayHaveEnded() {
 			continue
 		}
+		if e.mayHaveArrivedSince(list.RequestedAt.Add(-maxMachineListLag)) {
+			continue // the executor may have started again since, and have the run
+		}
 		e.missingLists++
 		if e.missingLists >= endedAfterLists {
 			s.discardAll(e)
--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -78,7 +78,7 @@
 		task: t, number: t.lastRun, executor: e, phase: decided,
 		untilMs:    e.clock(b.now) + lease.Milliseconds(),
 		checkpoint: t.checkpoint,
-		ticket:     t.step.tickets.byExecutor[e.ID],
+		ticket:     t.step.tickets.byExecutor[e.Incarnation()],
 		throttle:   100, wantedThrottle: 100,
 	}
 	e.extendLeaseBound(b.now, lease)
@@ -118,7 +118,7 @@
 // suits reports whether there is an executor and the task's step has not repeatedly failed
 // there.
 func (b *builder) suits(e *executorState, t *task) bool {
-	return e != nil && !t.step.failsOn(e.ID, b.now)
+	return e != nil && !t.step.failsOn(e.Incarnation(), b.now)
 }
 
 // healthyExecutor returns the best executor for the task among those without restriction, or
@@ -147,7 +147,7 @@
 			continue
 		}
 		cost := placementCost(t, e)
-		if t.step.failsOn(e.ID, b.now) {
+		if t.step.failsOn(e.Incarnation(), b.now) {
 			cost += penaltyRepeatedFailure
 		}
 		if best == nil || cost < bestCost {
@@ -205,7 +205,7 @@
 	if s.def.MaxPerServer > 0 && e.runsOf(s) >= s.def.MaxPerServer {
 		return false
 	}
-	return s.job.Queue.Advice == nil || s.hasTicket(e.ID, now)
+	return s.job.Queue.Advice == nil || s.hasTicket(e.Incarnation(), now)
 }
 
 // placementCost returns a cost that is lower for better executors: near the task's data,
@@ -224,7 +224,7 @@
 	if def.Affinity != "" && e.Rack() != def.Affinity {
 		cost += penaltyRemoteData
 	}
-	if t.avoid == e.ID {
+	if t.avoid == e.Incarnation() {
 		cost += penaltyLastFailure
 	}
 	if def.LongRunning {
@@ -300,7 +300,7 @@
 // capacityFor returns how many further tasks of the step may be placed on the executor; none
 // where the step repeatedly failed.
 func (b *builder) capacityFor(st *step, e *executorState) int {
-	if !st.allows(e, b.now) || st.failsOn(e.ID, b.now) {
+	if !st.allows(e, b.now) || st.failsOn(e.Incarnation(), b.now) {
 		return 0
 	}
 	return st.capacityOn(e, e.free())
@@ -332,6 +332,6 @@
 }
 
 // hasTicket reports whether the step has a valid advice ticket for the executor.
-func (s *step) hasTicket(id cluster.ExecutorID, now time.Time) bool {
-	return s.tickets.byExecutor[id] != "" && now.Before(s.tickets.validUntil)
+func (s *step) hasTicket(executor cluster.Incarnation, now time.Time) bool {
+	return s.tickets.byExecutor[executor] != "" && now.Before(s.tickets.validUntil)
 }
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -350,7 +350,7 @@
 func (b *builder) build() *Batch {
 	b.batch.Unreached = b.shard.currentlyUnreached(b.now)
 	unreachedDue := b.shard.unreached.due(b.batch.Unreached, b.now)
-	if len(b.jobs) == 0 && b.batch.Waiting == nil && b.batch.Load == nil && !unreachedDue {
+	if len(b.jobs) == 0 && b.batch.Waiting == nil && b.batch.Load == nil && !unreachedDue && !b.shard.tokenWanted {
 		return nil
 	}
 	for _, j := range b.jobs {
--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -5,6 +5,7 @@
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/api/execution"
+	"github.com/tarragonreach/tarragonreach/api/job"
 )
 
 // Poll is one poll of an executor.
@@ -13,6 +14,7 @@
 	Request  execution.PollRequest
 	SentAt   time.Time
 
+	target           *executorState
 	leaseBoundBefore time.Time // the executor's leaseBound before this poll
 	leaseBoundAfter  time.Time
 }
@@ -24,12 +26,15 @@
 	}
 	var list []Poll
 	for _, e := range s.sortedExecutors() {
-		if e.polling || e.ended || e.Address == "" || now.Before(e.pollAt) || !e.wantsPoll(now) {
+		if e.polling || e.ended || e.Address == "" || now.Before(e.pollAt) || !e.wantsPoll(now) || !s.hasToken(e) {
 			continue
 		}
 		e.polling = true
-		poll := Poll{Executor: e.Executor, SentAt: now, leaseBoundBefore: e.leaseBound}
+		poll := Poll{Executor: e.Executor, SentAt: now, target: e, leaseBoundBefore: e.leaseBound}
 		poll.Request = s.pollRequest(e, now)
+		if poll.Request.AckedThrough > 0 {
+			e.ackToken = poll.Request.Token
+		}
 		poll.leaseBoundAfter = e.leaseBound
 		list = append(list, poll)
 	}
@@ -45,7 +50,8 @@
 		// acknowledged.
 		return now.Sub(e.lastResponse) > ackDelay
 	case !e.polled || e.failedCalls > 0:
-		return e.listed || len(e.runs) > 0
+		// A restarted executor is fenced off at once from calls to its former incarnation.
+		return e.listed || e.restarted || len(e.runs) > 0
 	case len(e.orphans) > 0:
 		return true
 	case e.durableSequence > e.ackedSequence && len(e.runs) == 0:
@@ -62,7 +68,10 @@
 }
 
 func (s *Shard) pollRequest(e *executorState, now time.Time) execution.PollRequest {
-	request := execution.PollRequest{Token: s.token, AckedThrough: e.durableSequence}
+	request := execution.PollRequest{Token: e.token}
+	if e.mayAcknowledge() {
+		request.AckedThrough = e.durableSequence
+	}
 	if !e.polled || e.renewalPaused || s.renewalDisabled || s.unreached.listed(e.ID) {
 		return request
 	}
@@ -103,11 +112,18 @@
 
 // HandlePollResult handles the result of a poll.
 func (s *Shard) HandlePollResult(poll Poll, delivery Delivery, response execution.PollResponse, now time.Time) {
-	e := s.executors[poll.Executor.ID]
-	if e == nil {
+	e := poll.target
+	if s.executors[e.ID] != e {
+		s.applyLatePoll(e, delivery, response, now)
 		return
 	}
+	if delivery != Responded && poll.SentAt.Before(e.clockSentAt) {
+		return // a later poll has been answered
+	}
 	e.polling = false
+	if delivery == Responded && response.Refusal == execution.NotRefused && !s.identify(e, response.From, now) {
+		return
+	}
 	e.recordCall(delivery, response.Refusal, now)
 	s.dirty = true
 	e.markDue()
@@ -120,6 +136,12 @@
 			e.leaseBound = poll.leaseBoundBefore
 		}
 		e.pollAt = now.Add(min(time.Duration(e.failedCalls)*pollRetry, maxPollRetry))
+	case response.Refusal == execution.RefusedFenced && poll.Request.Token < e.token:
+		// overtaken by a later call of this owner, and so not carried out
+		if e.leaseBound.Equal(poll.leaseBoundAfter) {
+			e.leaseBound = poll.leaseBoundBefore
+		}
+		e.pollAt = now
 	case response.Refusal == execution.RefusedFenced:
 		s.fenced = true
 	case response.Refusal == execution.RefusedWrongExecutor:
@@ -139,9 +161,16 @@
 	if !e.polled {
 		// The poll has fenced off earlier owners, and this one has renewed nothing there yet.
 		e.leaseBound = now.Add(maxLeaseTime(s.limits.RunLease))
+		if e.restarted || e.bornLately(now) {
+			// A call to an earlier incarnation may have arrived, with an end by another clock.
+			e.leaseBound = now.Add(maxLeaseTime(s.limits.MaxRunLease))
+		}
 	}
-	e.failedCalls, e.renewalPaused, e.polled = 0, false, true
-	e.clockMs, e.clockAt, e.lastResponse = response.ClockMs, now, now
+	if len(e.former) > 0 && len(response.Ended) < execution.MaxEnded {
+		s.settleFormer(e, response)
+	}
+	e.failedCalls, e.renewalPaused, e.polled, e.doubtedAt = 0, false, true, time.Time{}
+	e.clockMs, e.clockAt, e.clockSentAt, e.lastResponse = response.ClockMs, now, poll.SentAt, now
 	e.ackedSequence = max(e.ackedSequence, poll.Request.AckedThrough)
 	e.pollAt = now
 	if len(response.Ended) > 0 {
@@ -180,6 +209,7 @@
 	r := e.runs[row.Task]
 	if r == nil || r.number != row.Run {
 		e.orphans[orphanKey{row.Task, row.Run}] = &orphan{}
+		s.awaitOrphan(row.Task, now)
 		return
 	}
 	if r.phase != confirmed && !r.stopping {
@@ -197,6 +227,21 @@
 	}
 }
 
+// awaitOrphan lets a task wait until a run of it that an executor lists, but that is not expected
+// there, has been stopped.
+func (s *Shard) awaitOrphan(id job.TaskID, now time.Time) {
+	t := s.taskOf(id)
+	if t == nil {
+		return
+	}
+	if until := now.Add(orphanStopTime); until.After(t.retryAt) {
+		t.retryAt = until
+	}
+	if r := t.current; r != nil && r.startSends == 0 && (r.phase == decided || r.phase == unconfirmed) {
+		s.stop(r, StopOrphanElsewhere)
+	}
+}
+
 // discardAbsent discards the runs that the response lists neither as running nor as
 // ended, if its poll was sent after they were confirmed or their earlier owner was
 // fenced off.
@@ -287,9 +332,9 @@
 		return // completed by an earlier run
 	}
 	t.retryAt = now.Add(retryAfterFailure)
-	t.avoid = e.ID
+	t.avoid = e.Incarnation()
 	if t.step.def.LongRunning {
-		t.step.noteFailure(e.ID, now)
+		t.step.noteFailure(e.Incarnation(), now)
 		return
 	}
 	e.health.recordFailure(t.id.Job, now)
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -21,6 +21,9 @@
 	retryAfterRefusal = 200 * time.Millisecond
 	// retryAfterFailure is the time before a task that failed is started again.
 	retryAfterFailure = 50 * time.Millisecond
+	// orphanStopTime is how long after an executor has listed a run that is not expected there its
+	// task is not started: the run has to be stopped first.
+	orphanStopTime = 1 * time.Second
 	// pollPause is the pause between two polls that lets completions accumulate.
 	pollPause = 60 * time.Millisecond
 	// pollRetry is the pause after a failed poll, for each failed call in a row.
@@ -60,11 +63,14 @@
 // Shard is the state of one service. It is not safe for concurrent use.
 type Shard struct {
 	limits          Limits
-	token           int64 // fencing token
+	token           int64 // fencing token of the term
+	latestToken     int64 // the highest one known that belongs to this term; see NoteRevision
+	tokenWanted     bool  // an executor needs a higher one
 	jobs            map[job.ID]*jobState
-	queue           deadlineQueue   // the same jobs, by deadline
-	advised         map[job.ID]bool // the jobs whose steps need advice
-	executors       map[cluster.ExecutorID]*executorState
+	queue           deadlineQueue                         // the same jobs, by deadline
+	advised         map[job.ID]bool                       // the jobs whose steps need advice
+	executors       map[cluster.ExecutorID]*executorState // the latest incarnations
+	retired         map[cluster.ExecutorID]retiredIncarnation
 	sorted          []*executorState // by ID; nil after a change of executors
 	dirty           bool             // something changed that may allow new starts or writes
 	planAt          time.Time        // when to plan again if nothing changes before
@@ -103,6 +109,7 @@
 	crashingUntil     time.Time
 	crashNotes        []CrashNote
 	givenUp           []GiveUpNote
+	restartNotes      []RestartNote
 
 	unusable unusablePeriods
 
@@ -114,10 +121,11 @@
 // New returns an empty shard for an owner with the given fencing token.
 func New(limits Limits, token int64) *Shard {
 	return &Shard{
-		limits: limits, token: token,
+		limits: limits, token: token, latestToken: token,
 		jobs:      map[job.ID]*jobState{},
 		advised:   map[job.ID]bool{},
 		executors: map[cluster.ExecutorID]*executorState{},
+		retired:   map[cluster.ExecutorID]retiredIncarnation{},
 		suspects:  map[*task]bool{},
 	}
 }
@@ -173,12 +181,7 @@
 		if t == nil || tp.Executor == "" {
 			continue
 		}
-		e := s.executors[tp.Executor]
-		if e == nil {
-			e = newExecutor(cluster.Executor{ID: tp.Executor, Address: tp.Address}, now)
-			s.executors[tp.Executor] = e
-			s.sorted = nil
-		}
+		e := s.holder(tp, now)
 		if e.leaseBound.IsZero() {
 			s.inheritLeases(e, now)
 		}
@@ -232,20 +235,15 @@
 		e.listed = false
 	}
 	for _, listed := range list {
-		e := s.executors[listed.ID]
-		if e == nil {
-			e = newExecutor(listed, now)
-			s.executors[listed.ID] = e
-			s.sorted = nil
-		}
-		if listed.Draining && !e.everDraining {
-			e.everDraining = true
-		}
-		e.Executor = listed
-		e.listed = true
+		s.applyEntry(listed, now)
 	}
+	s.forgetRetired(now)
 	maps.DeleteFunc(s.executors, func(_ cluster.ExecutorID, e *executorState) bool {
-		return !e.listed && len(e.runs) == 0
+		unused := !e.listed && len(e.runs) == 0 && len(e.former) == 0
+		if unused {
+			s.retire(e, now)
+		}
+		return unused
 	})
 	s.sorted = nil
 	s.dirty = true
--- a/policy/shard/stall.go
+++ b/policy/shard/stall.go
@@ -52,7 +52,7 @@
 	e.stalledUntil = now.Add(stalledPause)
 	for _, r := range overdue {
 		if s.fitsElsewhere(r, now) {
-			r.task.avoid = e.ID
+			r.task.avoid = e.Incarnation()
 			s.stop(r, StopStalled)
 		}
 	}
--- a/policy/shard/usability.go
+++ b/policy/shard/usability.go
@@ -131,7 +131,7 @@
 // executorReport reports on the listed executors.
 func (s *Shard) executorReport(now time.Time) ExecutorReport {
 	r := ExecutorReport{Unusable: map[UnusableReason]int{}}
-	reasons := map[cluster.ExecutorID]UnusableReason{}
+	reasons := map[cluster.Incarnation]UnusableReason{}
 	for _, e := range s.sortedExecutors() {
 		if !e.listed {
 			continue
@@ -139,7 +139,7 @@
 		r.Listed++
 		if reason := e.unusableReason(now); reason != "" {
 			r.Unusable[reason]++
-			reasons[e.ID] = reason
+			reasons[e.Incarnation()] = reason
 		}
 	}
 	s.unusable.observe(reasons, now)
@@ -148,9 +148,9 @@
 	return r
 }
 
-func (s *Shard) isListed(id cluster.ExecutorID) bool {
-	e := s.executors[id]
-	return e != nil && e.listed
+func (s *Shard) isListed(executor cluster.Incarnation) bool {
+	e := s.executors[executor.ID]
+	return e != nil && e.listed && e.Incarnation() == executor
 }
 
 // unusablePeriod is a time in which every report has found an executor unusable.
@@ -163,37 +163,37 @@
 
 // unusablePeriods holds the periods of the executors that were unusable at the last report,
 // and those whose end has yet to be reported.
-type unusablePeriods map[cluster.ExecutorID]*unusablePeriod
+type unusablePeriods map[cluster.Incarnation]*unusablePeriod
 
 // observe records which executors are unusable now, with the reasons.
-func (u *unusablePeriods) observe(reasons map[cluster.ExecutorID]UnusableReason, now time.Time) {
+func (u *unusablePeriods) observe(reasons map[cluster.Incarnation]UnusableReason, now time.Time) {
 	if *u == nil {
 		*u = unusablePeriods{}
 	}
-	for id, reason := range reasons {
-		if (*u)[id] == nil {
-			(*u)[id] = &unusablePeriod{since: now}
+	for executor, reason := range reasons {
+		if (*u)[executor] == nil {
+			(*u)[executor] = &unusablePeriod{since: now}
 		}
-		(*u)[id].reason = reason
+		(*u)[executor].reason = reason
 	}
-	for id, p := range *u {
-		p.ended = reasons[id] == ""
+	for executor, p := range *u {
+		p.ended = reasons[executor] == ""
 	}
-	maps.DeleteFunc(*u, func(_ cluster.ExecutorID, p *unusablePeriod) bool { return p.ended && !p.reported })
+	maps.DeleteFunc(*u, func(_ cluster.Incarnation, p *unusablePeriod) bool { return p.ended && !p.reported })
 }
 
 // changes returns the periods that began before the given time and the ends of those that
 // were returned earlier, at most maxReportChanges of them, by executor.
-func (u unusablePeriods) changes(listed func(cluster.ExecutorID) bool, before time.Time) []UsabilityChange {
+func (u unusablePeriods) changes(listed func(cluster.Incarnation) bool, before time.Time) []UsabilityChange {
 	var list []UsabilityChange
-	for _, id := range slices.Sorted(maps.Keys(u)) {
+	for _, executor := range slices.SortedFunc(maps.Keys(u), cluster.Incarnation.Compare) {
 		if len(list) == maxReportChanges {
 			break
 		}
-		p := u[id]
-		change := UsabilityChange{Executor: id, Reason: p.reason, Since: p.since}
+		p := u[executor]
+		change := UsabilityChange{Executor: executor.ID, Reason: p.reason, Since: p.since}
 		switch {
-		case p.ended && listed(id):
+		case p.ended && listed(executor):
 			change.State = UsableAgain
 		case p.ended:
 			change.State = NoLongerListed
@@ -205,7 +205,7 @@
 		list = append(list, change)
 		p.reported = true
 		if p.ended {
-			delete(u, id)
+			delete(u, executor)
 		}
 	}
 	return list
