Planner: a maintenance that was seen ends when its machine is up, whatever executor it has

Cause: a maintenance without a response to its call was taken for done only by another executor ID, or after 13 s. An executor may now start again under the ID that it had.

Change: once the list has shown the machine under maintenance after the call, the machine being up again ends the operation.

Evidence: TestMaintenanceEndsThoughTheExecutorKeepsItsID failed before (the wave is not reported as completed within 6 s) and passes.

--- a/policy/fleetplan/operations.go
+++ b/policy/fleetplan/operations.go
@@ -42,6 +42,10 @@
 				p.waves[op.wave].maintenanceStarted[id] = true
 			}
 			delete(p.operations, id)
+		case op.underMaintenance && m.State == cluster.MachineUp:
+			// It is over, and the executor started again under its ID.
+			p.waves[op.wave].maintenanceStarted[id] = true
+			delete(p.operations, id)
 		case op.kind == Move && m.Pool == op.to && m.State == cluster.MachineUp:
 			delete(p.operations, id)
 		case op.accepted && m.State == cluster.MachineUp && v.ListedAt.Sub(op.calledAt) > maxListLag+p.limits.MaintenanceTime:
--- a/policy/fleetplan/uncertain_test.go
+++ b/policy/fleetplan/uncertain_test.go
@@ -259,6 +259,40 @@
 	assert.Assert(t, !slices.Contains(f.reports, cluster.WaveCompleted))
 }
 
+// The response to a maintenance call was lost, the list shows the machine under maintenance, and its
+// executor starts again under the ID that it had: the maintenance is over, and is not repeated.
+func TestMaintenanceEndsThoughTheExecutorKeepsItsID(t *testing.T) {
+	f := newSimFleet(t, map[cluster.Service]int{"a": 3, "b": 3}, 0)
+	f.waves = []cluster.Wave{{Number: 1, Duration: 20 * time.Second, MaxDown: 1, Machines: f.ids[:1]}}
+	calls := 0
+	var called time.Time
+	for range 60 {
+		f.refreshLoads()
+		m := f.machines[f.ids[0]]
+		if !called.IsZero() {
+			m.State = cluster.MachineUp
+			if f.now.Sub(called) < f.planner.limits.MaintenanceTime {
+				m.State = cluster.MachineMaintenance
+			}
+		}
+		for _, a := range f.planner.Plan(f.snapshot()) {
+			switch a.Kind {
+			case Cordon:
+				f.cordons[a.Executor] = ActiveCordon{a.Service, "1"}
+			case Report:
+				f.reports = append(f.reports, a.State)
+			case Maintain:
+				calls++
+				called = f.now
+				f.planner.HandleResult(a, Unknown, f.now)
+			}
+		}
+		f.now = f.now.Add(100 * time.Millisecond)
+	}
+	assert.Equal(t, calls, 1)
+	assert.Assert(t, slices.Contains(f.reports, cluster.WaveCompleted))
+}
+
 // A list is incomplete, and no further one arrives for a while: the missing machine does not
 // count as removed.
 func TestMachineMissingFromTheOnlyListIsNotRemoved(t *testing.T) {
