Owners: a run that is not known to have started is stopped while an orphan of its task is at work

Change: the run that is not confirmed is stopped, whether or not its start was sent before, and the task waits until the orphan is gone.

--- a/policy/shard/evacuate.go
+++ b/policy/shard/evacuate.go
@@ -15,8 +15,8 @@
 	StopNoCapacity StopReason = "no-room"     // its executor shrank before the start was confirmed
 	StopDoneBefore StopReason = "done-before" // an earlier run completed the task
 	StopOrphan     StopReason = "not-started" // an orphan: this owner did not start it
-	// StopOrphanElsewhere is the reason for a run that was not sent yet: an orphan of its task
-	// is still at work on another executor.
+	// StopOrphanElsewhere is the reason for a run that is not known to have started: an orphan of
+	// its task is still at work.
 	StopOrphanElsewhere StopReason = "orphan-elsewhere"
 )
 
--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -237,7 +237,7 @@
 	if until := now.Add(orphanStopTime); until.After(t.retryAt) {
 		t.retryAt = until
 	}
-	if r := t.current; r != nil && r.startSends == 0 && (r.phase == decided || r.phase == unconfirmed) {
+	if r := t.current; r != nil && (r.phase == decided || r.phase == unconfirmed) {
 		s.stop(r, StopOrphanElsewhere)
 	}
 }
