Owners: a completion that is listed again is acknowledged only when it is durable

Cause, found by tracing a schedule of the model with restarts (TWICE: run 2 starts after the completion of run 1 was acknowledged): an executor without runs that leaves the list is forgotten, with the completions that are being stored. Listed again, it repeats them; they no longer match a run, counted as late, and were acknowledged at once. An owner that took over before the store had them started the task again. This needs no restart of the executor: a store that lapses entries and stalls is enough.

Change: a completion of a job that is not final is acknowledged once the job's present version is durable, whether or not it still matches a run.

--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -287,18 +287,19 @@
 // applyLateCompletion applies the completion of a run that was given up. If its work
 // was done nevertheless, its task needs no further run.
 func (s *Shard) applyLateCompletion(e *executorState, row execution.Ended, t *task) {
-	counts := t != nil && row.Reason == execution.EndedDone && !t.done && !t.step.def.LongRunning && !t.step.def.Gang
-	if !counts {
-		e.pending = append(e.pending, pendingCompletion{sequence: row.Sequence})
-		return
-	}
-	j := t.step.job
-	j.markChanged()
-	j.finishTask(t)
-	s.stop(t.current, StopDoneBefore)
-	j.finalise()
-	s.dirty = true
-	e.pending = append(e.pending, pendingCompletion{sequence: row.Sequence, job: j, version: j.version})
+	if t != nil && row.Reason == execution.EndedDone && !t.done && !t.step.def.LongRunning && !t.step.def.Gang {
+		t.step.job.markChanged()
+		t.step.job.finishTask(t)
+		s.stop(t.current, StopDoneBefore)
+		t.step.job.finalise()
+		s.dirty = true
+	}
+	pending := pendingCompletion{sequence: row.Sequence}
+	if j := s.jobs[row.Task.Job]; j != nil {
+		// It may have been applied before, and be listed again before that is durable.
+		pending.job, pending.version = j, j.version
+	}
+	e.pending = append(e.pending, pending)
 }
 
 // setCheckpoint stores a checkpoint; that of a gang member applies to all members.
--- a/policy/shard/starts_test.go
+++ b/policy/shard/starts_test.go
@@ -266,3 +266,32 @@
 	}
 	return ids
 }
+
+// An executor leaves the list and is listed again while the completion of its run is being stored, and lists
+// it once more: it is acknowledged only when it is durable.
+func TestCompletionThatIsListedAgainIsAcknowledgedOnceDurable(t *testing.T) {
+	h := newHarness(t, newExecutorNamed("i-1"))
+	h.submit("00000000000000aa", oneTask)
+	h.startAll()
+	ended := h.listRuns("i-1", nil)
+	ended.Ended = []execution.Ended{{RunRef: ended.Running[0].RunRef, Sequence: 1, Reason: execution.EndedDone}}
+	ended.Running = nil
+	h.respondToPoll("i-1", ended)
+	batch := h.shard.Batch(h.now, 29)
+	assert.Assert(t, batch != nil)
+	h.shard.SetExecutors(nil, h.now)
+	h.shard.SetExecutors([]cluster.Executor{newExecutorNamed("i-1")}, h.now)
+	h.respondToPoll("i-1", ended)
+	for range 50 {
+		h.now = h.now.Add(100 * time.Millisecond)
+		for _, poll := range h.shard.Polls(h.now) {
+			assert.Equal(t, poll.Request.AckedThrough, int64(0))
+			h.shard.HandlePollResult(poll, Responded, ended, h.now)
+		}
+	}
+	h.shard.Committed()
+	h.now = h.now.Add(2 * ackDelay)
+	polls := h.shard.Polls(h.now)
+	assert.Equal(t, len(polls), 1)
+	assert.Equal(t, polls[0].Request.AckedThrough, int64(1))
+}
