Crashing tasks and start times in a model whose executors start again under their IDs

A reply of another incarnation counted as a start that was broken off at once, which is evidence that its task crashes executors; it no longer does.

--- a/policy/shard/commands.go
+++ b/policy/shard/commands.go
@@ -210,6 +210,9 @@
 		s.discardAll(e)
 		return
 	}
+	if r := cmd.run; r != nil && cmd.Kind == CommandStart && e.runs[r.task.id] == r {
+		r.noteStartResult(delivery, reply, now)
+	}
 	s.applyCommandResult(cmd, delivery, reply, now)
 }
 
@@ -246,7 +249,6 @@
 		if delivery == NotSent {
 			r.lastSentAt = cmd.sentBefore
 		}
-		r.noteStartResult(delivery, reply, now)
 		s.handleStartResult(r, delivery, reply.Refusal, now)
 	case CommandStop:
 		s.handleStopResult(r, delivery, reply.Refusal, now)
