--- a/cmd/tarragond/serve_test.go
+++ b/cmd/tarragond/serve_test.go
@@ -440,6 +440,27 @@
 	s.awaitJobState(1, "completed")
 }
 
+// Executors crash and start again under their IDs, at the same address and at others, while jobs run.
+func TestExecutorsThatStartAgainUnderTheirIDsRunNoTaskTwice(t *testing.T) {
+	t.Parallel()
+	s := newServeSite(t, 150*time.Millisecond, terreni)
+	s.startAll("pa-0", "pa-1")
+	const jobs = 8
+	for i := range jobs {
+		s.submit(i, 6, false)
+		for n, e := range s.fleet.Executors() {
+			if n%2 == i%2 {
+				s.fleet.Restart(e.Registration.ID, i%3 != 0)
+			}
+		}
+	}
+	for i := range jobs {
+		s.awaitJobState(i, "completed")
+	}
+	assert.Equal(t, s.fleet.Overlaps(), 0)
+	assert.Equal(t, s.fleet.Repeats(), 0)
+}
+
 func TestAlwaysFailingJobIsPublishedAsFailed(t *testing.T) {
 	t.Parallel()
 	s := newServeSite(t, 50*time.Millisecond, terreni)
--- a/entry/host/liveness_test.go
+++ b/entry/host/liveness_test.go
@@ -177,6 +177,7 @@
 	s.executorCount++
 	e := &simExecutor{Executor: standin.NewExecutor(cluster.Executor{
 		ID: cluster.ExecutorID(fmt.Sprintf("i-%d", s.executorCount)), Service: service, Address: address,
+		Born: cluster.Birth(time.Now().UnixMilli()),
 		Zone: "palermo", Capacity: executorCapacity, Labels: []string{"a", "r1-1"},
 	}, runTime)}
 	e.server = s.serve(address, e)
@@ -184,6 +185,21 @@
 	s.register(e)
 }
 
+// startAgain crashes an executor and starts it again under its ID after a while.
+func (s *simulation) startAgain(i int) {
+	former := s.executors[i]
+	_ = former.server.Close() // a crash loses requests in progress
+	former.Stop()
+	time.Sleep(s.randomDuration(time.Millisecond, 2*time.Second))
+	registration := former.Registration
+	registration.Born = cluster.Birth(time.Now().UnixMilli())
+	e := &simExecutor{Executor: standin.NewExecutor(registration, runTime), unreachable: former.unreachable}
+	e.server = s.serve(registration.Address, e)
+	s.lostExecutors = append(s.lostExecutors, former)
+	s.executors[i] = e
+	s.register(e)
+}
+
 func (s *simulation) register(e *simExecutor) {
 	key, value, err := e.Entry()
 	if err != nil {
@@ -517,6 +533,9 @@
 		s.crash(n, true)
 		s.advance(time.Second, true)
 		s.restartKilled()
+	case 18: // an executor starts again under its ID
+		s.startAgain(n)
+		s.advance(s.randomDuration(100*time.Millisecond, 2*time.Second), true)
 	}
 	s.faultActive = false
 	s.faultFreeSince = time.Now()
@@ -525,7 +544,7 @@
 const (
 	faultAllKilled = iota
 	faultStoreDown
-	faultKinds = 18
+	faultKinds = 19
 )
 
 // killOwner kills the instance that leads a service, if any does.
