--- a/policy/shard/crashes_test.go
+++ b/policy/shard/crashes_test.go
@@ -144,7 +144,7 @@
 // crashExecutor lets the executor end, as the response of another one at its address shows.
 func (h *harness) crashExecutor(id cluster.ExecutorID) {
 	e := h.shard.executors[id]
-	h.shard.HandlePollResult(Poll{Executor: e.Executor, target: e}, Responded, execution.PollResponse{Reply: execution.Reply{Refusal: execution.RefusedWrongExecutor}}, h.now)
+	h.shard.HandlePollResult(Poll{Executor: e.Executor, target: e, SentAt: h.now}, Responded, execution.PollResponse{Reply: execution.Reply{Refusal: execution.RefusedWrongExecutor}}, h.now)
 	h.now = h.now.Add(replanInterval)
 }
 
--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -117,8 +117,8 @@
 		s.applyLatePoll(e, delivery, response, now)
 		return
 	}
-	if delivery != Responded && poll.SentAt.Before(e.clockSentAt) {
-		return // a later poll has been answered
+	if poll.SentAt.Before(e.clockSentAt) {
+		return // a later poll has been answered, and shows more
 	}
 	e.polling = false
 	if delivery == Responded && response.Refusal == execution.NotRefused && !s.identify(e, response.From, now) {
@@ -129,33 +129,40 @@
 	e.markDue()
 	switch {
 	case delivery != Responded:
-		e.failedCalls++
-		e.lastFailedPoll = poll.SentAt
-		e.renewalPaused = true // don't extend leaseBound while the executor does not respond
-		if delivery == NotSent && e.leaseBound.Equal(poll.leaseBoundAfter) {
-			e.leaseBound = poll.leaseBoundBefore
+		if delivery == NotSent {
+			e.undoRenewal(poll)
 		}
-		e.pollAt = now.Add(min(time.Duration(e.failedCalls)*pollRetry, maxPollRetry))
+		e.notePollFailure(poll, now)
 	case response.Refusal == execution.RefusedFenced && poll.Request.Token < e.token:
-		// overtaken by a later call of this owner, and so not carried out
-		if e.leaseBound.Equal(poll.leaseBoundAfter) {
-			e.leaseBound = poll.leaseBoundBefore
-		}
+		e.undoRenewal(poll) // a later call of this owner has overtaken and fenced it off
 		e.pollAt = now
 	case response.Refusal == execution.RefusedFenced:
 		s.fenced = true
 	case response.Refusal == execution.RefusedWrongExecutor:
 		s.discardAll(e)
 	case response.Refusal != execution.NotRefused:
-		e.failedCalls++
-		e.lastFailedPoll = poll.SentAt
-		e.renewalPaused = true // don't extend leaseBound while the executor refuses polls
-		e.pollAt = now.Add(min(time.Duration(e.failedCalls)*pollRetry, maxPollRetry))
+		e.notePollFailure(poll, now)
 	default:
 		s.applyPollResponse(e, poll, response, now)
 	}
 }
 
+// notePollFailure records a poll that the executor did not carry out, as far as is known. No lease is
+// renewed until one succeeds, so that leaseBound is not extended meanwhile.
+func (e *executorState) notePollFailure(poll Poll, now time.Time) {
+	e.failedCalls++
+	e.lastFailedPoll = poll.SentAt
+	e.renewalPaused = true
+	e.pollAt = now.Add(min(time.Duration(e.failedCalls)*pollRetry, maxPollRetry))
+}
+
+// undoRenewal takes back what a poll that was certainly not carried out has added to leaseBound.
+func (e *executorState) undoRenewal(poll Poll) {
+	if e.leaseBound.Equal(poll.leaseBoundAfter) {
+		e.leaseBound = poll.leaseBoundBefore
+	}
+}
+
 // applyPollResponse applies the runs and completions that an executor lists.
 func (s *Shard) applyPollResponse(e *executorState, poll Poll, response execution.PollResponse, now time.Time) {
 	if !e.polled {
@@ -256,104 +263,3 @@
 		}
 	}
 }
-
-// applyCompletion applies one completion.
-func (s *Shard) applyCompletion(e *executorState, row execution.Ended, now time.Time) {
-	t := s.taskOf(row.Task)
-	if t == nil || t.current == nil || t.current.number != row.Run || t.current.executor != e {
-		s.applyLateCompletion(e, row, t)
-		return
-	}
-	r := t.current
-	e.removeRun(r)
-	t.current = nil
-	j := t.step.job
-	j.markChanged()
-	t.clearOfCrashes() // the executor outlived the run
-	if row.Checkpoint != "" && t.step.def.Checkpointing {
-		t.setCheckpoint(row.Checkpoint)
-	}
-	switch row.Reason {
-	case execution.EndedDone:
-		s.applyDone(e, t)
-	case execution.EndedFailed:
-		s.applyFailed(e, t, now)
-	}
-	j.finalise()
-	s.dirty = true
-	e.pending = append(e.pending, pendingCompletion{sequence: row.Sequence, job: j, version: j.version})
-}
-
-// applyLateCompletion applies the completion of a run that was given up. If its work
-// was done nevertheless, its task needs no further run.
-func (s *Shard) applyLateCompletion(e *executorState, row execution.Ended, t *task) {
-	if t != nil && row.Reason == execution.EndedDone && !t.done && !t.step.def.LongRunning && !t.step.def.Gang {
-		t.step.job.markChanged()
-		t.step.job.finishTask(t)
-		s.stop(t.current, StopDoneBefore)
-		t.step.job.finalise()
-		s.dirty = true
-	}
-	pending := pendingCompletion{sequence: row.Sequence}
-	if j := s.jobs[row.Task.Job]; j != nil {
-		// It may have been applied before, and be listed again before that is durable.
-		pending.job, pending.version = j, j.version
-	}
-	e.pending = append(e.pending, pending)
-}
-
-// setCheckpoint stores a checkpoint; that of a gang member applies to all members.
-func (t *task) setCheckpoint(value string) {
-	t.checkpoint = value
-	if !t.step.def.Gang {
-		return
-	}
-	for _, member := range t.step.tasks {
-		member.checkpoint = value
-	}
-}
-
-func (s *Shard) applyDone(e *executorState, t *task) {
-	if t.step.def.LongRunning {
-		return
-	}
-	e.health.recordSuccess()
-	j := t.step.job
-	if !t.step.def.Gang {
-		j.finishTask(t)
-		return
-	}
-	for _, member := range t.step.tasks {
-		j.finishTask(member)
-	}
-}
-
-func (s *Shard) applyFailed(e *executorState, t *task, now time.Time) {
-	if t.done {
-		return // completed by an earlier run
-	}
-	t.retryAt = now.Add(retryAfterFailure)
-	t.avoid = e.Incarnation()
-	if t.step.def.LongRunning {
-		t.step.noteFailure(e.Incarnation(), now)
-		return
-	}
-	e.health.recordFailure(t.id.Job, now)
-	t.failures++
-	failures := t.failures
-	if t.step.def.Gang {
-		t.step.failures++
-		failures = t.step.failures
-	}
-	j := t.step.job
-	if failures >= j.Queue.MaxAttempts && !j.cancelled {
-		s.failJob(j)
-	}
-}
-
-// failJob gives a job up: its runs are stopped, and it starts no others.
-func (s *Shard) failJob(j *jobState) {
-	j.failed = true
-	s.waitingDirty = true
-	s.stopAll(j, StopJobFailed)
-}
