--- a/policy/shard/commands.go
+++ b/policy/shard/commands.go
@@ -303,7 +303,7 @@
 	}
 	t := r.task
 	s.discard(r, GivenUpRefused)
-	t.retryAt = now.Add(retryAfterRefusal)
+	t.delayRetry(now.Add(retryAfterRefusal))
 	t.avoid = e.Incarnation()
 }
 
--- a/policy/shard/completions.go
+++ b/policy/shard/completions.go
@@ -81,7 +81,7 @@
 	if t.done {
 		return // completed by an earlier run
 	}
-	t.retryAt = now.Add(retryAfterFailure)
+	t.delayRetry(now.Add(retryAfterFailure))
 	t.avoid = e.Incarnation()
 	if t.step.def.LongRunning {
 		t.step.noteFailure(e.Incarnation(), now)
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -86,6 +86,13 @@
 	missingSince time.Time
 }
 
+// delayRetry lets the task's next run start at the given time at the earliest.
+func (t *task) delayRetry(until time.Time) {
+	if until.After(t.retryAt) {
+		t.retryAt = until
+	}
+}
+
 // phase is what is known about a run.
 type phase uint8
 
--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -241,9 +241,7 @@
 	if t == nil {
 		return
 	}
-	if until := now.Add(orphanStopTime); until.After(t.retryAt) {
-		t.retryAt = until
-	}
+	t.delayRetry(now.Add(orphanStopTime))
 	if r := t.current; r != nil && (r.phase == decided || r.phase == unconfirmed) {
 		s.stop(r, StopOrphanElsewhere)
 	}
