Owners: starts that were not sent to a failing executor are made elsewhere

Where births are known nothing is started on an executor whose last call failed. Once a poll has failed as well they are given up, and start elsewhere.

Evidence: TestStartThatWasNotSentToAFailingExecutorIsMadeElsewhere failed before (none within 1 s).

--- a/policy/shard/commands.go
+++ b/policy/shard/commands.go
@@ -144,7 +144,11 @@
 		cmd.Kind = CommandStop
 		cmd.Reason = r.stopReason
 	case r.phase == unconfirmed:
-		if r.executor.awaitsPoll() || !s.hasStartToken(r.executor) {
+		if r.executor.awaitsPoll() {
+			s.giveUpUnsent(r)
+			return Command{}, false
+		}
+		if !s.hasStartToken(r.executor) {
 			return Command{}, false
 		}
 		cmd.Start.Token = r.executor.token
@@ -169,6 +173,14 @@
 	return cmd, true
 }
 
+// giveUpUnsent discards a run whose start was never sent, once a poll of its executor has failed as
+// well as another call: its task can start elsewhere.
+func (s *Shard) giveUpUnsent(r *run) {
+	if r.startAttempts == 0 && r.executor.failedCalls > 1 {
+		s.discard(r, GivenUpUnsent)
+	}
+}
+
 func (r *run) ref() execution.RunRef { return execution.RunRef{Task: r.task.id, Run: r.number} }
 
 // HandleCommandResult handles the result of a command.
--- a/policy/shard/incarnations_test.go
+++ b/policy/shard/incarnations_test.go
@@ -355,6 +355,38 @@
 	assert.Equal(t, h.second.running[0].Run, 2)
 }
 
+// An executor fails right after starts were decided there: those that were not sent yet are not held
+// back until leases expire, but start elsewhere.
+func TestStartThatWasNotSentToAFailingExecutorIsMadeElsewhere(t *testing.T) {
+	h := newRestartedHarness(t)
+	many := oneTask
+	many.Count = 3
+	h.submit("00000000000000ab", many)
+	starts := h.storeAndCommand()
+	assert.Equal(t, len(starts), maxCommandsInFlight)
+	other := newExecutorNamed("i-2")
+	other.Born = longAgo
+	h.shard.SetExecutors([]cluster.Executor{h.entry, other}, h.now)
+	for _, cmd := range starts {
+		h.shard.HandleCommandResult(cmd, Ambiguous, execution.Reply{}, h.now)
+	}
+	elsewhere := 0
+	for deadline := h.now.Add(time.Second); h.now.Before(deadline); h.now = h.now.Add(50 * time.Millisecond) {
+		for _, poll := range h.shard.Polls(h.now) {
+			delivery, from := Ambiguous, cluster.Incarnation{}
+			if poll.Executor.ID == "i-2" {
+				delivery, from = Responded, other.Incarnation()
+			}
+			h.shard.HandlePollResult(poll, delivery, execution.PollResponse{Reply: execution.Reply{ClockMs: 1000}, From: from}, h.now)
+		}
+		for _, cmd := range h.storeAndCommand() {
+			assert.Equal(t, cmd.Executor.ID, cluster.ExecutorID("i-2"))
+			elsewhere++
+		}
+	}
+	assert.Equal(t, elsewhere, 1)
+}
+
 // A start without a response may have reached a later incarnation, where the lease that it asks for
 // counts by another clock: its task waits for the longest one.
 func TestUnansweredStartMayHoldTheLongestLease(t *testing.T) {
