--- a/policy/shard/commands.go
+++ b/policy/shard/commands.go
@@ -68,14 +68,21 @@
 	}
 	var list []Command
 	for _, e := range s.sortedExecutors() {
-		if e.ended || e.Address == "" || now.Before(e.commandsAt) || len(e.runs)+len(e.orphans) == 0 || e.doubted() || !s.hasToken(e) {
-			continue
+		if s.mayNeedCommands(e, now) {
+			list = s.executorCommands(list, e, now)
 		}
-		list = s.executorCommands(list, e, now)
 	}
 	return list
 }
 
+// mayNeedCommands reports whether the executor may be sent commands and may need one.
+func (s *Shard) mayNeedCommands(e *executorState, now time.Time) bool {
+	if e.ended || e.Address == "" || now.Before(e.commandsAt) || len(e.runs)+len(e.orphans) == 0 {
+		return false
+	}
+	return !e.doubted() && s.hasToken(e)
+}
+
 // commandRescan is the longest time between two searches of an executor's runs for
 // commands.
 const commandRescan = 500 * time.Millisecond
@@ -197,25 +204,16 @@
 		s.applyCommandResult(cmd, Ambiguous, execution.Reply{}, now)
 		return
 	}
-	e.recordCall(delivery, reply.Refusal, now)
-	if delivery == Responded {
-		s.noteAlive(e, reply.ClockMs)
-		e.failedCalls = 0
-	} else {
-		if e.failedCalls == 0 {
-			e.pollAnew(now)
-		}
-		e.failedCalls++
-	}
-	if delivery == Responded && reply.Refusal == execution.RefusedFenced {
-		if cmd.Start.Token < e.token {
-			cmd.sendAgain()
-			return
-		}
+	s.noteCommandDelivery(e, delivery, reply, now)
+	switch {
+	case delivery != Responded:
+	case reply.Refusal == execution.RefusedFenced && cmd.Start.Token < e.token:
+		cmd.sendAgain()
+		return
+	case reply.Refusal == execution.RefusedFenced:
 		s.fenced = true
 		return
-	}
-	if delivery == Responded && reply.Refusal == execution.RefusedWrongExecutor {
+	case reply.Refusal == execution.RefusedWrongExecutor:
 		if cmd.Kind == CommandStart {
 			cmd.run.startSends-- // this one has certainly not arrived
 		}
@@ -228,6 +226,20 @@
 	s.applyCommandResult(cmd, delivery, reply, now)
 }
 
+// noteCommandDelivery records whether a command got a response of its executor.
+func (s *Shard) noteCommandDelivery(e *executorState, delivery Delivery, reply execution.Reply, now time.Time) {
+	e.recordCall(delivery, reply.Refusal, now)
+	if delivery == Responded {
+		s.noteAlive(e, reply.ClockMs)
+		e.failedCalls = 0
+		return
+	}
+	if e.failedCalls == 0 {
+		e.pollAnew(now)
+	}
+	e.failedCalls++
+}
+
 // sendAgain lets a command be sent again that a later call of the same owner has overtaken and
 // fenced off, so that it was not carried out.
 func (c Command) sendAgain() {
