--- a/api/cluster/incarnation.go
+++ b/api/cluster/incarnation.go
@@ -1,11 +1,22 @@
 package cluster
 
-import "cmp"
+import (
+	"cmp"
+	"fmt"
+)
 
 // Birth is the Unix time in milliseconds at which an executor started. Zero means unknown: some
 // platforms do not say it, and give a restarted executor another ID.
 type Birth int64
 
+// NewBirth returns the birth that a message states, or an error if it is not above zero.
+func NewBirth(unixMs int64) (Birth, error) {
+	if unixMs <= 0 {
+		return 0, fmt.Errorf("born %d: want above 0", unixMs)
+	}
+	return Birth(unixMs), nil
+}
+
 // Incarnation identifies one life of an executor: what runs there, the numbers of its completions,
 // its clock, the fencing tokens that it has seen and its tickets end with it.
 type Incarnation struct {
--- a/entry/host/config_test.go
+++ b/entry/host/config_test.go
@@ -131,17 +131,22 @@
 	return d
 }
 
-// Whatever call is in flight when the store recovers, a configuration is in force within
-// configDelay of the recovery and its acknowledgement.
-func TestConfigurationIsInForceSoonAfterTheStoreRecovers(t *testing.T) {
+// checkDisruptions checks in virtual time that no drawn disruptions yield a violation.
+func checkDisruptions(t *testing.T, violationOf func([]disruption) string) {
 	rapid.Check(t, func(rt *rapid.T) {
 		disruptions := rapid.SliceOfN(rapid.Custom(drawDisruption), 1, 3).Draw(rt, "disruptions")
 		var violation string
-		synctest.Test(t, func(*testing.T) { violation = configDelayViolation(disruptions) })
+		synctest.Test(t, func(*testing.T) { violation = violationOf(disruptions) })
 		assert.Equal(rt, violation, "")
 	})
 }
 
+// Whatever call is in flight when the store recovers, a configuration is in force within
+// configDelay of the recovery and its acknowledgement.
+func TestConfigurationIsInForceSoonAfterTheStoreRecovers(t *testing.T) {
+	checkDisruptions(t, configDelayViolation)
+}
+
 func configDelayViolation(disruptions []disruption) string {
 	o := newConfigOperator()
 	defer o.stop()
@@ -168,12 +173,7 @@
 // refuses no queue as unknown that was added longer ago than a configuration may take to be in
 // force.
 func TestAddedQueueIsNotUnknownToAnInstanceThatTheStoreRejects(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		disruptions := rapid.SliceOfN(rapid.Custom(drawDisruption), 1, 3).Draw(rt, "disruptions")
-		var violation string
-		synctest.Test(t, func(*testing.T) { violation = unknownQueueViolation(disruptions) })
-		assert.Equal(rt, violation, "")
-	})
+	checkDisruptions(t, unknownQueueViolation)
 }
 
 func unknownQueueViolation(disruptions []disruption) string {
--- a/policy/shard/commands.go
+++ b/policy/shard/commands.go
@@ -370,7 +370,7 @@
 		s.discardAll(f)
 	}
 	e.former = nil
-	if !e.ended || e.superseded {
+	if !e.ended || e.superseded() {
 		s.recordCrash(e)
 	}
 	e.ended = true
--- a/policy/shard/crashes.go
+++ b/policy/shard/crashes.go
@@ -153,7 +153,7 @@
 
 // mayHaveStarted reports whether the executor may have started the run.
 func (r *run) mayHaveStarted() bool {
-	return r.phase == confirmed || r.phase == inherited || r.phase == unconfirmed && r.startSends > 0
+	return r.phase == confirmed || r.phase == inherited || r.awaitsConfirmation()
 }
 
 // survived reports whether the executor has lived for survivalTime since it was first known to
--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -40,10 +40,9 @@
 	// up to which calls to earlier incarnations may be on their way.
 	token         int64
 	outdatedToken int64
-	ackToken      int64 // the highest token of a poll with an acknowledgement
-	restarted     bool  // there was an earlier incarnation
-	superseded    bool  // there is a later incarnation
-	supersededAt  time.Time
+	ackToken      int64            // the highest token of a poll with an acknowledgement
+	restarted     bool             // there was an earlier incarnation
+	supersededAt  time.Time        // when a later incarnation was learned of; zero if there is none
 	doubtedAt     time.Time        // when a reply last seemed to come from another one; zero after a poll
 	former        []*executorState // earlier incarnations, the earliest first, whose runs are not settled
 	listed        bool             // in the latest list
--- a/policy/shard/incarnations.go
+++ b/policy/shard/incarnations.go
@@ -124,8 +124,7 @@
 	if len(former.runs) > 0 {
 		e.former = append(e.former, former)
 	}
-	former.ended, former.superseded, former.supersededAt, former.listed = true, true, now, false
-	clear(former.orphans)
+	former.supersede(now)
 	s.executors[next.ID] = e
 	s.sorted = nil
 	s.dirty = true
@@ -133,6 +132,16 @@
 	return e
 }
 
+// supersede notes that there is a later incarnation. The executor gets no calls any more, and its runs
+// are settled with the later one.
+func (e *executorState) supersede(now time.Time) {
+	e.ended, e.listed, e.supersededAt = true, false, now
+	clear(e.orphans)
+}
+
+// superseded reports whether there is a later incarnation.
+func (e *executorState) superseded() bool { return !e.supersededAt.IsZero() }
+
 // identify compares the incarnation that has responded to a poll with that of the executor's
 // state. It reports whether the response is about the latter; a later one replaces it.
 func (s *Shard) identify(e *executorState, from cluster.Incarnation, now time.Time) bool {
@@ -177,7 +186,7 @@
 		}
 	}
 	f := newExecutor(unlisted, now)
-	f.ended, f.superseded, f.supersededAt = true, true, now
+	f.supersede(now)
 	e.former = append(e.former, f)
 	e.restarted = true
 	return f
--- a/policy/shard/inflight.go
+++ b/policy/shard/inflight.go
@@ -74,7 +74,7 @@
 		return true // the platform gives a restarted executor another ID
 	}
 	for _, r := range e.runs {
-		if r.phase == unconfirmed && r.startSends > 0 {
+		if r.awaitsConfirmation() {
 			return false
 		}
 	}
@@ -130,13 +130,12 @@
 // not known, may have arrived at a later incarnation of the executor.
 func (e *executorState) mayHaveArrivedSince(at time.Time) bool {
 	return e.Born != 0 && slices.ContainsFunc(e.runOrder, func(r *run) bool {
-		return r.phase == unconfirmed && r.startSends > 0 && r.lastSentAt.After(at)
+		return r.awaitsConfirmation() && r.lastSentAt.After(at)
 	})
 }
 
 // leaseMayLast reports whether the run may be at work at a later incarnation, where its lease counts by
 // another clock: its start was sent, has no response, and may have arrived there.
 func (r *run) leaseMayLast(limits Limits, now time.Time) bool {
-	sent := r.executor.Born != 0 && r.phase == unconfirmed && r.startSends > 0
-	return sent && now.Sub(r.lastSentAt) <= maxLeaseTime(limits.MaxRunLease)
+	return r.executor.Born != 0 && r.awaitsConfirmation() && now.Sub(r.lastSentAt) <= maxLeaseTime(limits.MaxRunLease)
 }
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -136,6 +136,9 @@
 	wantedThrottle   int
 }
 
+// awaitsConfirmation reports whether a start of the run may have arrived, but is not known to have.
+func (r *run) awaitsConfirmation() bool { return r.phase == unconfirmed && r.startSends > 0 }
+
 func newJob(r Record) *jobState {
 	j := &jobState{Record: r, state: job.Queued, published: job.Queued, version: 1, durableVersion: 1}
 	j.longRunning = slices.ContainsFunc(r.Definition.Steps, func(s job.Step) bool { return s.LongRunning })
