--- a/api/cluster/cluster.go
+++ b/api/cluster/cluster.go
@@ -94,6 +94,7 @@
 	Stretch        float64 // factor on a job's critical path; see Objective
 	TargetDuration time.Duration
 	Advice         *Advice // nil where any executor may run the queue's steps
+	Public         bool    // callers need no API key
 }
 
 // Objective returns the time within which a job with the given critical path should
@@ -131,8 +132,13 @@
 	Queues  []Queue
 	Pools   []Pool
 	Limits  RequestLimits
-	// Skipped lists the entries that could not be read, with the reason.
+	// Tenancy is set if calls of queues that are not public need the API key of a tenant.
+	Tenancy bool
+	Tenants []Tenant
+	// Skipped lists the entries, and the parts of entries, that are not in force, with the reason.
 	Skipped []string
+
+	keys map[keyDigest]int // positions in Tenants of the holders of the API keys
 }
 
 // Route returns the queue of a request and whether there is one: the queue of the host
--- /dev/null
+++ b/api/cluster/tenant.go
@@ -0,0 +1,58 @@
+package cluster
+
+import (
+	"crypto/sha256"
+
+	"github.com/tarragonreach/tarragonreach/api/job"
+)
+
+// TenantName identifies a tenant. It is empty for work that belongs to no tenant: that of public
+// queues, and what was accepted before the operator configured tenants.
+type TenantName string
+
+// Tenant is an organisation whose callers share the capacity with others.
+type Tenant struct {
+	Name TenantName
+	// Weight is the tenant's share when capacity is scarce, relative to that of others, and the
+	// number of jobs a second that the tenant may expect to be served. It is above zero.
+	Weight float64
+	// Limit bounds what the tenant may have running on all executors of all services together. A
+	// resource that is zero is not limited.
+	Limit job.Resources
+}
+
+// keyDigest stands for an API key. Keys are kept as digests only, so that they can't get into a
+// log or an error, and so that the time of a lookup does not depend on how many characters of a
+// key were right.
+type keyDigest [sha256.Size]byte
+
+// AddTenant adds a tenant with its API keys. A key that an earlier tenant holds stays with that
+// one; AddTenant returns how many there are of these.
+func (c *Config) AddTenant(t Tenant, keys []string) (held int) {
+	c.Tenants = append(c.Tenants, t)
+	if c.keys == nil {
+		c.keys = map[keyDigest]int{}
+	}
+	position := len(c.Tenants) - 1
+	for _, key := range keys {
+		digest := keyDigest(sha256.Sum256([]byte(key)))
+		holder, found := c.keys[digest]
+		switch {
+		case key == "":
+		case !found:
+			c.keys[digest] = position
+		case holder != position:
+			held++
+		}
+	}
+	return held
+}
+
+// Authenticate returns the tenant that holds an API key, and whether there is one.
+func (c *Config) Authenticate(key string) (Tenant, bool) {
+	position, found := c.keys[keyDigest(sha256.Sum256([]byte(key)))]
+	if !found {
+		return Tenant{}, false
+	}
+	return c.Tenants[position], true
+}
--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -115,6 +115,8 @@
 	Service cluster.Service `json:"service"`
 	Queue   string          `json:"queue"`
 	State   job.State       `json:"state"`
+	// Tenant is whose job it is; empty for jobs without a tenant.
+	Tenant cluster.TenantName `json:"tenant,omitempty"`
 	// FinalAt is when the state became final; old final entries are removed.
 	FinalAt time.Time `json:"finalAt,omitzero"`
 }
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -277,7 +277,7 @@
 	o.Logger.Info("renewal of run leases", "allowed", allowed, "term_age", o.term.Age().String())
 }
 
-// applyConfig passes the queues to the shard when the configuration has changed.
+// applyConfig passes the queues and tenants to the shard when the configuration has changed.
 func (o *Owner) applyConfig() {
 	c := o.Config()
 	if c == nil || c.Version == o.configVersion {
@@ -285,6 +285,9 @@
 	}
 	o.configVersion = c.Version
 	o.shard.SetQueues(c.Queues)
+	if c.Tenancy {
+		o.shard.SetTenants(c.Tenants)
+	}
 }
 
 // lastBatchTimeout bounds how long a leaving owner waits for its last batch.
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -159,7 +159,7 @@
 }
 
 func (o *Owner) encodeState(txn *kv.Txn, w shard.JobWrite) error {
-	state := layout.State{Service: o.Service, Queue: w.Queue, State: w.State}
+	state := layout.State{Service: o.Service, Queue: w.Queue, Tenant: w.Tenant, State: w.State}
 	if w.State.Final() {
 		state.FinalAt = time.Now()
 	}
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -29,6 +29,7 @@
 type JobWrite struct {
 	ID           job.ID
 	Queue        string
+	Tenant       cluster.TenantName
 	State        job.State
 	StateChanged bool      // the state that callers read changes
 	Progress     *Progress // nil if the job is final
@@ -355,7 +356,7 @@
 	}
 	for _, j := range b.jobs {
 		w := JobWrite{
-			ID: j.ID, Queue: j.Queue.Name, State: j.state, StateChanged: j.state != j.published,
+			ID: j.ID, Queue: j.Queue.Name, Tenant: j.Tenant, State: j.state, StateChanged: j.state != j.published,
 			HadProgress: j.progressStored, Cancelled: j.cancelled, job: j, version: j.version,
 		}
 		if !j.state.Final() {
--- a/policy/shard/record.go
+++ b/policy/shard/record.go
@@ -10,10 +10,12 @@
 
 // Record is an accepted job as stored. The stored record never changes.
 type Record struct {
-	ID         job.ID         `json:"id"`
-	Queue      QueuePolicy    `json:"queue"`
-	Accepted   time.Time      `json:"accepted"`
-	Definition job.Definition `json:"definition"`
+	ID    job.ID      `json:"id"`
+	Queue QueuePolicy `json:"queue"`
+	// Tenant is whose job it is; empty for jobs without a tenant.
+	Tenant     cluster.TenantName `json:"tenant,omitempty"`
+	Accepted   time.Time          `json:"accepted"`
+	Definition job.Definition     `json:"definition"`
 }
 
 // QueuePolicy holds the parameters of a queue. A stored record has those at the time of its
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -68,6 +68,7 @@
 	tokenWanted     bool  // an executor needs a higher one
 	jobs            map[job.ID]*jobState
 	queue           deadlineQueue                         // the same jobs, by deadline
+	tenants         map[cluster.TenantName]cluster.Tenant // as the operator configured them last
 	advised         map[job.ID]bool                       // the jobs whose steps need advice
 	executors       map[cluster.ExecutorID]*executorState // the latest incarnations
 	retired         map[cluster.ExecutorID]retiredIncarnation
@@ -292,6 +293,15 @@
 	s.queue.refresh()
 }
 
+// SetTenants applies the present tenants of the operator's configuration.
+func (s *Shard) SetTenants(list []cluster.Tenant) {
+	s.tenants = make(map[cluster.TenantName]cluster.Tenant, len(list))
+	for _, t := range list {
+		s.tenants[t.Name] = t
+	}
+	s.dirty = true
+}
+
 // sortedExecutors returns the executors by ID; callers must not change the list.
 func (s *Shard) sortedExecutors() []*executorState {
 	if s.sorted != nil {
