Planner: spare machines that nobody needs are maintained ahead of the wave's pace

A wave kept 7 to 18 machines down through each peak of demand, although up to half of the fleet had stood in the spare pool before. Half of the spare machines that no service lacks may now be under maintenance at once.

--- a/policy/fleetplan/waves.go
+++ b/policy/fleetplan/waves.go
@@ -137,6 +137,45 @@
 		allowed--
 		p.startOperation(v, m, operation{kind: Maintain, wave: wave.Number}, "maintenance")
 	}
+	p.maintainSurplus(v, wave, candidates)
+}
+
+// surplusShare is the share of the spare machines that no service lacks which may be under
+// maintenance ahead of time; the others remain for a sudden rise of demand.
+const surplusShare = 0.5
+
+// maintainSurplus starts the maintenance of spare machines ahead of the wave's pace, as far as no
+// service lacks machines: the wave then takes fewer machines from the services at their peaks.
+func (p *Planner) maintainSurplus(v *view, wave cluster.Wave, candidates []cluster.Machine) {
+	allowed := min(maxMovesPerPlan, wave.MaxDown-p.underMaintenance(v, wave), p.surplus(v))
+	for _, m := range candidates {
+		if allowed <= 0 {
+			return
+		}
+		if m.Pool == v.spare && p.operations[m.ID] == nil {
+			allowed--
+			p.startOperation(v, m, operation{kind: Maintain, wave: wave.Number}, "maintenance ahead of time")
+		}
+	}
+}
+
+// surplus returns how many further spare machines may be under maintenance ahead of time.
+func (p *Planner) surplus(v *view) int {
+	if v.spare == "" {
+		return 0
+	}
+	usable, unusable := 0, 0
+	for _, m := range v.members[v.spare] {
+		if m.State == cluster.MachineUp && p.operations[m.ID] == nil {
+			usable++
+		} else if m.State == cluster.MachineMaintenance || p.operations[m.ID] != nil {
+			unusable++
+		}
+	}
+	for _, n := range p.lastNeeds {
+		usable -= max(0, n.share-n.have)
+	}
+	return int(surplusShare*float64(usable+unusable)) - unusable
 }
 
 // underMaintenance counts the machines of a wave that are down or may go down.
--- a/policy/fleetplan/waves_test.go
+++ b/policy/fleetplan/waves_test.go
@@ -157,3 +157,27 @@
 		assert.Equal(t, f.cordons[last.Executor].ID, "")
 	}
 }
+
+// Of 20 spare machines that nobody needs, a wave with much time left maintains half at once: at
+// its pace alone it would take two, and machines of the services' pools at their next peaks.
+func TestWaveMaintainsSpareMachinesThatNobodyNeeds(t *testing.T) {
+	f := newSimFleet(t, map[cluster.Service]int{"a": 4}, 20)
+	f.waves = []cluster.Wave{{Number: 1, Duration: 60 * time.Second, MaxDown: 12, Machines: f.ids}}
+	f.planner.Plan(f.snapshot())
+	ahead := 0
+	for id, op := range f.planner.operations {
+		if op.kind == Maintain && f.machines[id].Pool == "spare" {
+			ahead++
+		}
+	}
+	assert.Equal(t, ahead, 10)
+}
+
+// Spare machines that services lack are not maintained ahead of time.
+func TestWaveLeavesSpareMachinesToServicesThatLackThem(t *testing.T) {
+	f := newSimFleet(t, map[cluster.Service]int{"a": 4}, 20)
+	f.waves = []cluster.Wave{{Number: 1, Duration: 60 * time.Second, MaxDown: 12, Machines: f.ids}}
+	f.planner.lastNeeds = []need{{service: "a", share: 24, have: 4}}
+	v := newView(f.snapshot())
+	assert.Equal(t, f.planner.surplus(v), 0)
+}
