policy/shard: rates of tenants, and shares when capacity is scarce

One tenant could take the capacity of all others by sending more, since the start order knows deadlines only.

Each tenant has a token bucket of its weight in jobs per second, by time of acceptance. A job beyond it is excess, and starts after all jobs within the rates. Where the work of a rank does not fit into the free capacity, the next job belongs to the tenant with the smallest weighted dominant share. What rounding to whole jobs gives a tenant beyond its share is carried over. Excess work counts as late in the load, not as an arrival, and has a reason of its own among the waiting jobs. Without tenants the order is as before.

--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -159,6 +159,7 @@
 func (e *executorState) countRun(st *step, by int) {
 	st.runs += by
 	st.job.runs += by
+	st.job.share.countRun(st, by)
 	if st.def.LongRunning {
 		e.longRunning += by
 	}
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -25,8 +25,13 @@
 	initialRemaining time.Duration // the same with margins: the remaining time before the first start
 
 	longRunning   bool  // runs until it is cancelled
+	excess        bool  // beyond the rate of its tenant; decided once
 	queueDeadline int64 // the deadline that orders the queue, nanoseconds since 1970
 
+	share *tenantShare // of its tenant
+	// initialReady is the need of the steps that depend on no other, unless the job is scheduled.
+	initialReady job.Resources
+
 	version        int64 // increases with every change
 	durableVersion int64 // the latest version that is stored
 	progressStored bool  // whether progress was ever stored
@@ -144,6 +149,9 @@
 	j.longRunning = slices.ContainsFunc(r.Definition.Steps, func(s job.Step) bool { return s.LongRunning })
 	j.finished = make([]bool, r.Definition.Schedule.Occurrences())
 	j.criticalPath = criticalPath(r.Definition.Steps, func(s *job.Step, _ int) time.Duration { return s.Estimate })
+	if r.Definition.Schedule.Count == 0 {
+		j.initialReady = initialReady(r.Definition.Steps)
+	}
 	j.initialRemaining = criticalPath(r.Definition.Steps, func(s *job.Step, _ int) time.Duration { return withMargin(s.Estimate) + stepOverhead })
 	return j
 }
--- a/policy/shard/load.go
+++ b/policy/shard/load.go
@@ -15,8 +15,11 @@
 	// InTimeCPU is the need of tasks that run, or could start now if there were enough
 	// capacity, of jobs that can still meet their objective.
 	InTimeCPU int64 `json:"inTime"`
-	// LateCPU is the same for jobs that are late, but not too late to be of any use.
+	// LateCPU is the same for jobs that are late, but not too late to be of any use, and for
+	// excess jobs.
 	LateCPU int64 `json:"late"`
+	// ExcessCPU is the part of LateCPU for excess jobs: those beyond the rates of their tenants.
+	ExcessCPU int64 `json:"excess,omitempty"`
 	// BlockedCPU is the need of tasks that wait for earlier steps, of started jobs that
 	// can still meet their objective.
 	BlockedCPU int64 `json:"coming"`
@@ -24,7 +27,7 @@
 	LongRunningCPU int64 `json:"lasting"`
 	// WaitingCPU is the part of these amounts for tasks that could start now but have no run.
 	WaitingCPU int64 `json:"waiting"`
-	// ArrivedWork is the work of all short jobs added during the term, in
+	// ArrivedWork is the work of all short jobs added during the term, except excess ones, in
 	// core-milliseconds; its growth is the demand. ArrivedJobs is their number.
 	ArrivedWork int64 `json:"arrived"`
 	ArrivedJobs int64 `json:"arrivedJobs"`
@@ -148,6 +151,9 @@
 		}
 	case u == urgencyInTime:
 		l.InTimeCPU += need
+	case u == urgencyExcess:
+		l.ExcessCPU += need
+		l.LateCPU += need
 	default:
 		l.LateCPU += need
 	}
--- a/policy/shard/order.go
+++ b/policy/shard/order.go
@@ -16,6 +16,7 @@
 	urgencyExpiring                   // late, and soon too late
 	urgencyInTime                     // can still meet its objective
 	urgencyLate                       // misses its objective, but is still of some use
+	urgencyExcess                     // beyond the rate of its tenant, and of some use
 	urgencyTooLate                    // of no use to its caller any more
 )
 
@@ -28,6 +29,15 @@
 const expiringSlack = 1500 * time.Millisecond
 
 func (j *jobState) urgency(now time.Time) urgency {
+	u := j.urgencyWithinRate(now)
+	if j.excess && u != urgencyTooLate {
+		return urgencyExcess
+	}
+	return u
+}
+
+// urgencyWithinRate returns the urgency that the job has if it is not excess.
+func (j *jobState) urgencyWithinRate(now time.Time) urgency {
 	if j.isLongRunning() {
 		return urgencyLongRunning
 	}
@@ -65,7 +75,8 @@
 }
 
 // startOrder returns the jobs in the order in which they may start tasks: by urgency, by
-// priority, started jobs before new ones, then by deadline.
+// priority, started jobs before new ones, then by deadline. Where tenants are configured and the work
+// of a rank does not fit into the free capacity, it is ordered by their shares.
 func (s *Shard) startOrder(now time.Time) []*jobState {
 	groups := map[rank][]*jobState{}
 	expiringCPULeft := expiringShare * float64(s.capacityCPU())
@@ -89,12 +100,25 @@
 	}
 	ranks := slices.SortedFunc(maps.Keys(groups), compareRank)
 	jobs := make([]*jobState, 0, count)
+	if s.sharesApply() {
+		return s.orderByShares(jobs, ranks, groups, now)
+	}
 	for _, r := range ranks {
 		jobs = append(jobs, groups[r]...)
 	}
 	return jobs
 }
 
+// orderByShares appends the jobs of all ranks.
+func (s *Shard) orderByShares(jobs []*jobState, ranks []rank, groups map[rank][]*jobState, now time.Time) []*jobState {
+	order := s.newShareOrder(now)
+	defer order.done()
+	for _, r := range ranks {
+		jobs = order.appendRank(jobs, groups[r], r.urgency)
+	}
+	return jobs
+}
+
 // expiringShare is the share of CPU capacity up to which expiring jobs, the earliest
 // deadline first, go before jobs that can still be in time. Without this bound, under load
 // beyond the capacity, each would make another job late, which in turn would expire.
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -103,6 +102,8 @@
 		s.batchCommitted = false
 		s.NoteObservation(now.Sub(s.batchStats.openedAt)) // no load was published meanwhile
 	}
+	s.decideExcess(now)
+	s.updateCarry(now)
 	b := &builder{shard: s, now: now, entriesLeft: maxEntries - loadEntries, included: map[*jobState]bool{}}
 	changed := b.changed()
 	b.addWaiting()
@@ -271,9 +272,7 @@
 		}
 		list = append(list, j)
 	}
-	slices.SortFunc(list, func(x, y *jobState) int {
-		return cmp.Or(x.Accepted.Compare(y.Accepted), cmp.Compare(x.ID, y.ID))
-	})
+	slices.SortFunc(list, compareAcceptance)
 	return list
 }
 
--- a/policy/shard/replay_test.go
+++ b/policy/shard/replay_test.go
@@ -47,11 +47,11 @@
 // too late or never.
 type outcomes struct{ inTime, late, tooLate int }
 
-func (c *outcomes) add(took time.Duration) {
+func (c *outcomes) add(took, objective time.Duration) {
 	switch {
-	case took <= replayObjective:
+	case took <= objective:
 		c.inTime++
-	case took <= tooLateFactor*replayObjective:
+	case took <= tooLateFactor*objective:
 		c.late++
 	default:
 		c.tooLate++
@@ -70,7 +70,7 @@
 			}
 		}
 		freeAt[earliest] = max(freeAt[earliest], at) + replayTaskTime
-		c.add(freeAt[earliest] - at)
+		c.add(freeAt[earliest]-at, replayObjective)
 	}
 	return c
 }
@@ -83,49 +83,138 @@
 
 // playShard plays the arrivals through a shard, which learns of completions by polls.
 func playShard(t *testing.T, arrivals []time.Duration) outcomes {
+	var jobs []replayedJob
+	for _, at := range arrivals {
+		jobs = append(jobs, replayedJob{at: at, steps: []job.Step{oneTask}})
+	}
+	return *playJobs(t, replaySlots, jobs, nil).outcomes[""]
+}
+
+// replayedJob is a job that arrives at a time after the begin of the replay.
+type replayedJob struct {
+	at     time.Duration
+	tenant cluster.TenantName
+
+	steps []job.Step
+}
+
+// objective returns the objective of a job whose steps follow each other, as that of replayObjective.
+func (j replayedJob) objective() time.Duration {
+	return 2*time.Duration(len(j.steps))*replayTaskTime + time.Second
+}
+
+// replay plays jobs through a shard.
+type replay struct {
+	*harness
+	begin    time.Time
+	running  map[cluster.ExecutorID][]replayedRun
+	sequence map[cluster.ExecutorID]int64
+	jobs     map[job.ID]replayedJob
+	accepted map[job.ID]time.Time
+	tasks    map[job.ID]int // tasks that have not ended
+	outcomes map[cluster.TenantName]*outcomes
+	work     map[cluster.TenantName]time.Duration // done from measuredFrom to peakDuration
+
+	measuredFrom time.Duration
+}
+
+// measureFrom returns when the work of the tenants starts to be measured: the peak has filled all
+// executors, and the jobs that started before have ended.
+func measureFrom(jobs []replayedJob) time.Duration {
+	return time.Second + time.Duration(len(jobs[0].steps))*replayTaskTime
+}
+
+// playJobs plays jobs in the order of their arrival, on executors with the given number of slots for
+// tasks and with the given tenants configured.
+func playJobs(t *testing.T, slots int, jobs []replayedJob, tenants []cluster.Tenant) *replay {
 	var executors []cluster.Executor
-	for i := range replaySlots / 4 {
+	for i := range slots / 4 {
 		executors = append(executors, newExecutorNamed(fmt.Sprintf("i-%02d", i)))
 	}
-	h := newHarness(t, executors...)
-	begin := h.now
-	running := map[cluster.ExecutorID][]replayedRun{}
-	sequence := map[cluster.ExecutorID]int64{}
-	accepted := map[job.ID]time.Time{}
-	var result outcomes
-	for h.now.Sub(begin) < replayDuration+20*time.Second {
-		for len(arrivals) > 0 && begin.Add(arrivals[0]).Before(h.now) {
-			id := job.ID(fmt.Sprintf("%016x", len(accepted)+1))
-			accepted[id] = h.now
-			h.submit(id, oneTask)
-			arrivals = arrivals[1:]
+	r := &replay{
+		harness: newHarness(t, executors...),
+		running: map[cluster.ExecutorID][]replayedRun{}, sequence: map[cluster.ExecutorID]int64{},
+		jobs: map[job.ID]replayedJob{}, accepted: map[job.ID]time.Time{}, tasks: map[job.ID]int{},
+		outcomes: map[cluster.TenantName]*outcomes{}, work: map[cluster.TenantName]time.Duration{},
+	}
+	r.begin, r.measuredFrom = r.now, measureFrom(jobs)
+	if tenants != nil {
+		r.shard.SetTenants(tenants)
+	}
+	for r.now.Sub(r.begin) < replayDuration+20*time.Second {
+		for len(jobs) > 0 && r.begin.Add(jobs[0].at).Before(r.now) {
+			r.accept(jobs[0])
+			jobs = jobs[1:]
+		}
+		r.tick()
+		r.now = r.now.Add(replayTick)
+	}
+	for id := range r.tasks {
+		r.count(id, replayDuration)
+	}
+	return r
+}
+
+func (r *replay) accept(j replayedJob) {
+	id := job.ID(fmt.Sprintf("%016x", len(r.jobs)+1))
+	r.jobs[id], r.accepted[id] = j, r.now
+	for _, s := range j.steps {
+		r.tasks[id] += s.Count
+	}
+	r.shard.AddJob(Record{
+		ID: id, Tenant: j.tenant, Accepted: r.now, Definition: job.Definition{Steps: j.steps},
+		Queue: QueuePolicy{Name: "q", MaxAttempts: 2, Stretch: 2, TargetDuration: time.Second},
+	}, nil, r.now)
+}
+
+func (r *replay) count(id job.ID, took time.Duration) {
+	j := r.jobs[id]
+	if r.outcomes[j.tenant] == nil {
+		r.outcomes[j.tenant] = &outcomes{}
+	}
+	r.outcomes[j.tenant].add(took, j.objective())
+}
+
+// tick stores a batch, executes its commands, and answers the polls.
+func (r *replay) tick() {
+	for _, cmd := range r.storeAndCommand() {
+		assert.Equal(r.t, cmd.Kind, CommandStart)
+		r.running[cmd.Executor.ID] = append(r.running[cmd.Executor.ID], replayedRun{cmd.Start.RunRef, r.now.Add(replayTaskTime)})
+		r.shard.HandleCommandResult(cmd, Responded, execution.Reply{ClockMs: 1000}, r.now)
+	}
+	for _, poll := range r.shard.Polls(r.now) {
+		r.shard.HandlePollResult(poll, Responded, r.respond(poll.Executor.ID), r.now)
+	}
+	if at := r.now.Sub(r.begin); at < r.measuredFrom || at >= peakDuration {
+		return
+	}
+	for _, list := range r.running {
+		for _, run := range list {
+			r.work[r.jobs[run.ref.Task.Job].tenant] += replayTick
 		}
-		for _, cmd := range h.storeAndCommand() {
-			assert.Equal(t, cmd.Kind, CommandStart)
-			running[cmd.Executor.ID] = append(running[cmd.Executor.ID], replayedRun{cmd.Start.RunRef, h.now.Add(replayTaskTime)})
-			h.shard.HandleCommandResult(cmd, Responded, execution.Reply{ClockMs: 1000}, h.now)
+	}
+}
+
+// respond returns the response of an executor to a poll.
+func (r *replay) respond(id cluster.ExecutorID) execution.PollResponse {
+	response := execution.PollResponse{Reply: execution.Reply{ClockMs: 1000}}
+	var stillRunning []replayedRun
+	for _, run := range r.running[id] {
+		if r.now.Before(run.end) {
+			stillRunning = append(stillRunning, run)
+			response.Running = append(response.Running, execution.Running{RunRef: run.ref, Percent: 100})
+			continue
 		}
-		for _, poll := range h.shard.Polls(h.now) {
-			id := poll.Executor.ID
-			response := execution.PollResponse{Reply: execution.Reply{ClockMs: 1000}}
-			var stillRunning []replayedRun
-			for _, r := range running[id] {
-				if h.now.Before(r.end) {
-					stillRunning = append(stillRunning, r)
-					response.Running = append(response.Running, execution.Running{RunRef: r.ref, Percent: 100})
-					continue
-				}
-				sequence[id]++
-				response.Ended = append(response.Ended, execution.Ended{RunRef: r.ref, Sequence: sequence[id], Reason: execution.EndedDone})
-				result.add(h.now.Sub(accepted[r.ref.Task.Job]))
-			}
-			running[id] = stillRunning
-			h.shard.HandlePollResult(poll, Responded, response, h.now)
+		r.sequence[id]++
+		response.Ended = append(response.Ended, execution.Ended{RunRef: run.ref, Sequence: r.sequence[id], Reason: execution.EndedDone})
+		owner := run.ref.Task.Job
+		if r.tasks[owner]--; r.tasks[owner] == 0 {
+			delete(r.tasks, owner)
+			r.count(owner, r.now.Sub(r.accepted[owner]))
 		}
-		h.now = h.now.Add(replayTick)
 	}
-	result.tooLate += len(accepted) - result.inTime - result.late - result.tooLate
-	return result
+	r.running[id] = stillRunning
+	return response
 }
 
 // During a peak beyond the capacity, a FIFO queue makes nearly all jobs late once it is as
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -69,6 +69,12 @@
 	jobs            map[job.ID]*jobState
 	queue           deadlineQueue                         // the same jobs, by deadline
 	tenants         map[cluster.TenantName]cluster.Tenant // as the operator configured them last
+	shares          map[cluster.TenantName]*tenantShare   // of the tenants that had jobs in this term
+	shareList       []*tenantShare                        // the same, in the order of their first jobs
+	undecided       []*jobState                           // jobs of which decideExcess has yet to decide
+	observedAt      time.Time                             // jobs added now were accepted after that; zero during a takeover
+	order           shareOrder                            // reused by each ordering
+	carryAt         time.Time                             // when updateCarry was called last
 	advised         map[job.ID]bool                       // the jobs whose steps need advice
 	executors       map[cluster.ExecutorID]*executorState // the latest incarnations
 	retired         map[cluster.ExecutorID]retiredIncarnation
@@ -125,6 +131,7 @@
 		limits: limits, token: token, latestToken: token,
 		jobs:      map[job.ID]*jobState{},
 		advised:   map[job.ID]bool{},
+		shares:    map[cluster.TenantName]*tenantShare{},
 		executors: map[cluster.ExecutorID]*executorState{},
 		retired:   map[cluster.ExecutorID]retiredIncarnation{},
 		suspects:  map[*task]bool{},
@@ -157,14 +164,12 @@
 		return
 	}
 	j := newJob(r)
+	j.share = s.shareOf(r.Tenant)
+	s.undecided = append(s.undecided, j)
 	s.jobs[r.ID] = j
 	s.queue.add(j)
 	s.updateAdvised(j)
 	s.dirty, s.waitingDirty = true, true
-	if !j.isLongRunning() {
-		s.arrivedWork += workOf(r)
-		s.arrivedJobs++
-	}
 	if p == nil {
 		j.createDue(now)
 		return
@@ -293,12 +298,16 @@
 	s.queue.refresh()
 }
 
-// SetTenants applies the present tenants of the operator's configuration.
+// SetTenants applies the present tenants of the operator's configuration. Changed weights apply to
+// the rates of jobs that are added later.
 func (s *Shard) SetTenants(list []cluster.Tenant) {
 	s.tenants = make(map[cluster.TenantName]cluster.Tenant, len(list))
 	for _, t := range list {
 		s.tenants[t.Name] = t
 	}
+	for _, t := range s.shareList {
+		s.configureShare(t)
+	}
 	s.dirty = true
 }
 
--- a/policy/shard/waiting.go
+++ b/policy/shard/waiting.go
@@ -27,6 +27,9 @@
 	ReasonOwnerOverloaded Reason = "owner-short-of-time"
 	// ReasonNotItsTurn: it is schedulable, but other jobs go first.
 	ReasonNotItsTurn Reason = "not-its-turn"
+	// ReasonBeyondRate: it is beyond the rate of its tenant, and usable executors lack free capacity
+	// or other jobs go first.
+	ReasonBeyondRate Reason = "beyond-rate"
 	// ReasonNotExamined: more jobs wait than one report examines.
 	ReasonNotExamined Reason = "not-examined"
 )
@@ -34,7 +37,7 @@
 // Reasons lists all reasons.
 var Reasons = []Reason{
 	ReasonNoExecutor, ReasonNoCapacity, ReasonLimited, ReasonUnconfirmed,
-	ReasonStoreUnavailable, ReasonOwnerOverloaded, ReasonNotItsTurn, ReasonNotExamined,
+	ReasonStoreUnavailable, ReasonOwnerOverloaded, ReasonNotItsTurn, ReasonBeyondRate, ReasonNotExamined,
 }
 
 const (
@@ -68,6 +71,7 @@
 	Storing       time.Duration
 	LongRunning   LongRunningReport
 	Executors     ExecutorReport
+	Tenants       []TenantReport // by name; none if the operator configured none
 }
 
 // ReasonCount counts the jobs that wait for one reason, with the one that has waited
@@ -96,6 +100,7 @@
 // executors; overloaded is whether the owner is CPU-starved. Its cost grows with the numbers of
 // jobs, long-running tasks and executors: call it at most once a second.
 func (s *Shard) Waiting(now time.Time, overloaded bool) Report {
+	s.decideExcess(now)
 	b := newReportBuilder(s, now, overloaded)
 	for _, j := range s.jobs {
 		b.examine(j)
@@ -105,6 +110,7 @@
 	r.Batches, r.Full, r.Storing = s.batchStats.total, s.batchStats.full, s.openBatchAge(now)
 	s.batchStats = batchStats{openedAt: s.batchStats.openedAt}
 	r.Executors = s.executorReport(now)
+	r.Tenants = s.tenantReports()
 	return r
 }
 
@@ -185,6 +191,9 @@
 		}
 	}
 	b.noteSchedulable(j, fits)
+	if j.excess && (reason == ReasonNoCapacity || reason == ReasonNotItsTurn) {
+		reason = ReasonBeyondRate
+	}
 	switch {
 	case j.runs > 0 && !j.isRunning():
 		b.noteIdle(j, ReasonUnconfirmed)
