policy/fleetplan: excess jobs get only machines that no other service needs

LateCPU includes the need of excess jobs, and late jobs have a reserve that comes before jobs in time: excess jobs of one service took machines from work within the rates of another.

The need of excess jobs is left out of the reserve, and is met after that of late jobs of all services.

--- a/policy/fleetplan/fleetplan_test.go
+++ b/policy/fleetplan/fleetplan_test.go
@@ -445,3 +445,28 @@
 	}
 	assert.Equal(t, f.poolSize("a"), 10)
 }
+
+// Jobs beyond the rates of their tenants get machines only where no other service needs them for work
+// within the rates, be it in time or late: nothing of lateReserve either.
+func TestExcessJobsTakeNoMachineThatOthersNeed(t *testing.T) {
+	excess := shard.Load{LateCPU: 20 * 16000, ExcessCPU: 20 * 16000}
+	for _, c := range []struct {
+		name  string
+		other shard.Load
+		moves int
+	}{
+		{"in time", shard.Load{InTimeCPU: 10 * 16000}, 0},
+		{"late", shard.Load{LateCPU: 12 * 16000}, 0}, // lateShare of it
+		{"nothing", shard.Load{}, 8},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newSimFleet(t, map[cluster.Service]int{"a": 2, "b": 10}, 0)
+			excess.Executors, c.other.Executors = f.loads["a"].Executors, f.loads["b"].Executors
+			f.loads["a"], f.loads["b"] = excess, c.other
+			for range 12 {
+				f.step(accept)
+			}
+			assert.Equal(t, f.moves, c.moves)
+		})
+	}
+}
--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -85,10 +85,11 @@
 		minimum := max(minPoolMachines, v.Loads[service].MinExecutors)
 		list = append(list, need{
 			service: service,
-			late:    int(math.Ceil((wanted.all - wanted.inTime) / float64(machineCPU))),
+			late:    int(math.Ceil((wanted.inRate - wanted.inTime) / float64(machineCPU))),
 			present: max(minimum, int(math.Ceil(wanted.present/float64(machineCPU)))),
 			rising:  max(minimum, int(math.Ceil(wanted.rising/float64(machineCPU)))),
 			inTime:  max(minimum, int(math.Ceil(wanted.inTime/float64(machineCPU)))),
+			inRate:  max(minimum, int(math.Ceil(wanted.inRate/float64(machineCPU)))),
 			all:     max(minimum, int(math.Ceil(wanted.all/float64(machineCPU)))),
 			minimum: minimum,
 			have:    p.have(v, service),
@@ -103,7 +104,7 @@
 
 // wantedCPU is the CPU capacity in thousandths of a core that a service needs; the fields
 // correspond to those of need.
-type wantedCPU struct{ present, rising, inTime, all float64 }
+type wantedCPU struct{ present, rising, inTime, inRate, all float64 }
 
 // wantedCPU returns the CPU capacity that a service needs when a machine requested now
 // becomes usable. Demand rises to its peak rate within riseTime.
@@ -125,6 +126,7 @@
 		present: longRunning + present,
 		rising:  longRunning + max(rateMargin*risingRate, present),
 		inTime:  inTime,
+		inRate:  inTime + lateShare*float64(l.LateCPU-l.ExcessCPU),
 		all:     inTime + lateShare*float64(l.LateCPU),
 	}
 }
--- a/policy/fleetplan/share.go
+++ b/policy/fleetplan/share.go
@@ -6,11 +6,12 @@
 type need struct {
 	service cluster.Service
 	minimum int // below which its long-running tasks don't fit
-	late    int // for late jobs alone
+	late    int // for late jobs alone, without excess ones
 	present int // for the jobs that are there and can still be in time
 	rising  int // for those and the ones that a peak in progress will bring
 	inTime  int // for those and the ones of a predicted peak
-	all     int // for late jobs, too
+	inRate  int // for late jobs, too
+	all     int // for excess jobs, too
 	have    int // in the pool or on their way to it, less those that leave
 	share   int // machines allocated to it
 }
@@ -22,7 +23,8 @@
 // allocate sets the share of each need. Jobs that can still be in time come before late
 // ones of any service, except for lateReserve. Those that are there come first, then those of
 // peaks in progress, then those of predicted peaks: a peak that does not come must not hold
-// machines that others have work for. Where there are too few machines, all services are cut
+// machines that others have work for. Jobs beyond the rates of their tenants come last, and get
+// nothing of lateReserve. Where there are too few machines, all services are cut
 // back in proportion to what they need above their minimum.
 func allocate(needs []need, machines int) {
 	remaining := machines
@@ -36,6 +38,7 @@
 	remaining = raiseShares(needs, remaining, func(n need) int { return n.present })
 	remaining = raiseShares(needs, remaining, func(n need) int { return n.rising })
 	remaining = raiseShares(needs, remaining, func(n need) int { return n.inTime })
+	remaining = raiseShares(needs, remaining, func(n need) int { return n.inRate })
 	raiseShares(needs, remaining, func(n need) int { return n.all })
 }
 
