entry/owner: metrics of rates and shares by tenant

The owner counts the jobs of each tenant within and beyond its rate, and reports its share and weight. It passes the tenants to the shard before the first jobs of a term are decided, and tells it of each contact with the store, from which rates are derived despite clocks that differ. If the field tenants leaves the configuration, shares end.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -103,10 +103,13 @@
 	writing          bool
 	nextBatch        time.Time // earliest time of the next batch
 	configVersion    int64     // version of the configuration that was applied last
+	tenancy          bool      // whether that configuration has tenants
 	renewalAllowed   bool      // whether leases of runs may be renewed
 	renewalCheckedAt time.Time // when renewalAllowed was last checked
 
 	delays delays
+	// reportedTenants holds the tenants of the last report.
+	reportedTenants map[cluster.TenantName]bool
 	// machineList is the state of the requests for the machine list.
 	machineList machineListRequests
 
@@ -142,6 +145,7 @@
 		o.Logger.Warn("shard not taken over", "error", err)
 		return
 	}
+	o.applyConfig()                    // before the first jobs: their excess is decided by it
 	defer o.measure(shard.Report{}, 0) // resets the gauges: another instance reports after this term
 	o.follow(ctx)
 	o.loop(ctx)
@@ -166,6 +170,7 @@
 	jobs := follow.Follower{Store: o.Store, Prefix: o.shardPrefix(), Pause: jobsPause, Wait: jobsWait, Logger: o.Logger, Apply: func(c follow.Change) {
 		o.send(func(now time.Time) {
 			o.shard.NoteObservation(now.Sub(o.delays.lastContact))
+			o.shard.NoteContact(o.delays.lastContact, now)
 			o.delays.lastContact = now
 			o.applyJobs(c, nil, now)
 		})
@@ -285,9 +290,10 @@
 	}
 	o.configVersion = c.Version
 	o.shard.SetQueues(c.Queues)
-	if c.Tenancy {
+	if c.Tenancy || o.tenancy {
 		o.shard.SetTenants(c.Tenants)
 	}
+	o.tenancy = c.Tenancy
 }
 
 // lastBatchTimeout bounds how long a leaving owner waits for its last batch.
--- a/entry/owner/report.go
+++ b/entry/owner/report.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/api/job"
 	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/policy/shard"
@@ -116,6 +117,29 @@
 	o.Scope.Gauge("full_batches_share").Update(float64(r.Full) / float64(max(1, r.Batches)))
 	o.measureExecutors(r.Executors)
 	o.measureLongRunning(r.LongRunning)
+	o.measureTenants(r.Tenants)
+}
+
+// measureTenants counts the jobs by tenant and sets the gauges of the tenants. Those of tenants that
+// the last report had and this one lacks are reset.
+func (o *Owner) measureTenants(reports []shard.TenantReport) {
+	reported := make(map[cluster.TenantName]bool, len(reports))
+	for _, r := range reports {
+		reported[r.Tenant] = true
+		scope := o.Scope.Tagged(map[string]string{"tenant": string(r.Tenant)})
+		scope.Tagged(map[string]string{"rate": "within"}).Counter("tenant_jobs").Inc(r.WithinRate)
+		scope.Tagged(map[string]string{"rate": "beyond"}).Counter("tenant_jobs").Inc(r.BeyondRate)
+		scope.Gauge("tenant_share").Update(r.Share)
+		scope.Gauge("tenant_weight").Update(r.Weight)
+	}
+	for tenant := range o.reportedTenants {
+		if !reported[tenant] {
+			scope := o.Scope.Tagged(map[string]string{"tenant": string(tenant)})
+			scope.Gauge("tenant_share").Update(0)
+			scope.Gauge("tenant_weight").Update(0)
+		}
+	}
+	o.reportedTenants = reported
 }
 
 // cpuTimeUsed returns the CPU time that the whole process used since the last call.
