policy/shard: bounds of a tenant's carry refer to all tenants that use the service

For a moment only the surging tenant's work waited.

The bounds refer to the mean of all tenants that use the service or wait. Work beyond the rates is owed nothing for waiting.

--- a/policy/shard/shares.go
+++ b/policy/shard/shares.go
@@ -121,8 +121,7 @@
 	return free
 }
 
-// updateCarry adds the time since the last update to the carries. The tenants that contended in
-// the last order are compared with each other.
+// updateCarry adds the time since the last update to the carries.
 func (s *Shard) updateCarry(now time.Time) {
 	period := min(now.Sub(s.carryAt), maxCarryPeriod).Seconds()
 	s.carryAt = now
@@ -130,47 +129,62 @@
 		return
 	}
 	capacity := s.listedCapacity()
-	var shares, weights float64
+	var contending, active weightedShares
 	for _, t := range s.shareList {
+		share := dominantShare(t.used, capacity)
 		if t.contending {
-			shares += dominantShare(t.used, capacity)
-			weights += t.weight
+			contending.add(share, t.weight)
+		}
+		if t.contending || share > 0 {
+			active.add(share, t.weight)
 		}
-	}
-	mean := 0.0
-	if weights > 0 {
-		mean = shares / weights
 	}
 	for _, t := range s.shareList {
-		t.addCarry(dominantShare(t.used, capacity)/t.weight-mean, mean, period)
+		if contending.weights > 0 {
+			t.addCarry(dominantShare(t.used, capacity)/t.weight-contending.mean(), active.mean(), period)
+		} else {
+			t.fadeCarry(period)
+		}
 		t.contending = false
 	}
 }
 
-// addCarry adds a deviation from the mean over a period. A tenant whose work does not wait gains no
-// claim by using less.
+// weightedShares is the sum of the dominant shares and weights of some tenants.
+type weightedShares struct{ shares, weights float64 }
+
+func (w *weightedShares) add(share, weight float64) {
+	w.shares += share
+	w.weights += weight
+}
+
+func (w *weightedShares) mean() float64 { return w.shares / w.weights }
+
+// fadeCarry lets what the tenant carried end within about carryTime.
+func (t *tenantShare) fadeCarry(period float64) {
+	t.carry *= max(0, 1-period/carryTime.Seconds())
+}
+
+// addCarry adds the deviation of a tenant's weighted share, over a period, from the mean of the tenants
+// that contend. The bounds refer to the mean of all that use the service or contend. A tenant whose work
+// does not wait gains no claim by using less.
 func (t *tenantShare) addCarry(deviation, mean, period float64) {
-	unit := carryTime.Seconds()
-	faded := t.carry * max(0, 1-period/unit)
-	least := -maxDeficit * mean * unit
-	switch {
-	case mean == 0: // no work waits
-		t.carry = faded
-		return
-	case !t.contending:
-		least = min(0, faded)
+	unit := mean * carryTime.Seconds()
+	least := -maxDeficit * unit
+	if !t.contending {
+		if t.carry < 0 {
+			t.fadeCarry(period)
+		}
+		least = min(0, t.carry)
 	}
-	t.carry = min(max(t.carry+deviation*period, least), maxSurplus*mean*unit)
+	t.carry = min(max(t.carry+deviation*period, least), maxSurplus*unit)
 }
 
 // shareOrder orders the jobs of one service by the shares of their tenants.
 type shareOrder struct {
-	capacity job.Resources // of the service
-	free     job.Resources // left by the jobs that are in the order already
-	// contended is set once the work of a rank within the rates did not fit.
-	contended bool
-	turns     turns          // of the tenants with jobs of the present rank
-	touched   []*tenantShare // those with jobs in the order
+	capacity job.Resources  // of the service
+	free     job.Resources  // left by the jobs that are in the order already
+	turns    turns          // of the tenants with jobs of the present rank
+	touched  []*tenantShare // those with jobs in the order
 }
 
 // rankedJob is a job with what its place in the order depends on.
@@ -247,13 +261,12 @@
 	o.turns = o.turns[:0]
 }
 
-// noteContention marks the tenants with jobs of a rank that does not fit, unless the rank is beyond the
-// rates of its tenants and others within their rates wait, too.
+// noteContention marks the tenants with jobs of a rank that does not fit. Work beyond the rates gets what
+// is left, and its tenants are owed nothing for waiting.
 func (o *shareOrder) noteContention(u urgency) {
-	if u == urgencyTooLate || u == urgencyExcess && o.contended {
+	if u >= urgencyExcess {
 		return
 	}
-	o.contended = true
 	for _, first := range o.turns {
 		first.share.contending = true
 	}
--- a/policy/shard/shares_replay_test.go
+++ b/policy/shard/shares_replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -101,7 +102,7 @@
 // As above, in a peak that exceeds the capacity by a quarter. The peak begins together with the surge.
 func TestSurgeOfOneTenantInAPeakSlightlyBeyondTheCapacity(t *testing.T) {
 	for seed := range uint64(3) {
-		checkSurge(t, 50, seed+1)
+		t.Run(fmt.Sprint(seed+1), func(t *testing.T) { checkSurge(t, 50, seed+1) })
 	}
 }
 
