--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -197,6 +197,7 @@
 		Limits: shard.Limits{
 			RunLease:    min(runLease, h.node.MaxRunLease),
 			MaxRunLease: h.node.MaxRunLease,
+			Rate:        shard.RateAllowance{Window: h.node.RateWindow, Overage: h.node.RateOverage, Jobs: h.node.RateSlack},
 		},
 		Store:  h.store,
 		Dial:   dialExecutor,
--- a/policy/shard/rate.go
+++ b/policy/shard/rate.go
@@ -16,11 +16,27 @@
 // tokenRounding is the part of a token up to which rounded times may fall short of a whole one.
 const tokenRounding = 1e-6
 
+// RateAllowance is how far the jobs of a tenant may exceed its rate in a burst.
+type RateAllowance struct {
+	// Window is the time whose jobs a burst may bring at once; zero means one second.
+	Window time.Duration
+	// Overage is the share by which they may exceed the rate, and Jobs how many there may be besides.
+	Overage float64
+	Jobs    float64
+}
+
+// defaultRateWindow is the window where the operator sets none.
+const defaultRateWindow = 1 * time.Second
+
+// burst returns how many jobs a tenant with the given rate may submit at once; at least one.
+func (a RateAllowance) burst(rate float64) float64 {
+	window := cmp.Or(a.Window, defaultRateWindow)
+	return max(1, rate*window.Seconds()*(1+a.Overage)+a.Jobs)
+}
+
 // take takes a token for a job of the given time, and reports whether there was one. The bucket
-// gains rate tokens a second, and holds those of one second, but at least one. A time before the
-// last one adds no tokens.
-func (b *tokenBucket) take(at time.Time, rate float64) bool {
-	burst := max(1, rate)
+// gains rate tokens a second up to the burst. A time before the last one adds no tokens.
+func (b *tokenBucket) take(at time.Time, rate, burst float64) bool {
 	switch {
 	case b.at.IsZero():
 		b.tokens, b.at = burst, at
@@ -70,7 +86,7 @@
 	}
 	for _, j := range list {
 		if t := j.share; t.configured && j.hasRate() {
-			j.excess = !t.bucket.take(clampTime(j.Accepted, s.observedAt, latest), t.weight)
+			j.excess = !t.bucket.take(clampTime(j.Accepted, s.observedAt, latest), t.weight, s.limits.Rate.burst(t.weight))
 		}
 		s.countArrival(j, takeover)
 	}
--- a/policy/shard/rate_test.go
+++ b/policy/shard/rate_test.go
@@ -204,3 +204,11 @@
 	}
 	return ids
 }
+
+// A peak of a queue lasts several seconds: with the burst of one second, most jobs of tenants that send
+// no more than their part of a peak would count as excess.
+func TestBurstCoversTheWindowOfTheOperator(t *testing.T) {
+	assert.Equal(t, RateAllowance{}.burst(2), 2.0)
+	assert.Equal(t, RateAllowance{}.burst(0.2), 1.0)
+	assert.Equal(t, RateAllowance{Window: 5 * time.Second, Overage: 0.1, Jobs: 20}.burst(2), 31.0)
+}
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -54,10 +54,11 @@
 	maxClockAge = 30 * time.Second
 )
 
-// Limits holds the durations of run leases.
+// Limits holds the durations of run leases, and the allowance of the tenants' rates.
 type Limits struct {
 	RunLease    time.Duration // requested by each poll and start
 	MaxRunLease time.Duration // the longest lease that an executor grants
+	Rate        RateAllowance
 }
 
 // Shard is the state of one service. It is not safe for concurrent use.
