--- a/entry/election/election.go
+++ b/entry/election/election.go
@@ -13,9 +13,8 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/entry/bootclock"
 	"github.com/tarragonreach/tarragonreach/entry/follow"
 	"github.com/tarragonreach/tarragonreach/entry/layout"
 	"github.com/tarragonreach/tarragonreach/platform/backoff"
@@ -94,15 +93,8 @@
 // A holder that acts only while it is valid overlaps with its successor only briefly.
 func (t Term) LeaseValid() bool { return t.Age() < leaseTTL }
 
-// clock returns the boot-time clock, which also counts time in which the machine is
-// suspended.
-func clock() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		panic(fmt.Sprintf("the boot-time clock can't be read: %v", err)) // Linux always has it
-	}
-	return time.Duration(ts.Nano())
-}
+// clock counts time in which the machine is suspended.
+var clock = bootclock.Now
 
 // Condition returns a condition that holds as long as the term lasts.
 func (t Term) Condition() kv.Condition {
