Intake: callers of queues that are not public need an API key

Only where the configuration has tenants: 401 without a valid key, decided by a recent configuration only, else 503. The tenant is stored with the job; another tenant's job is 410, and 409 for a repeated submission, by the state that the failed condition returns. An instance that can't confirm its configuration while keys are needed is not ready.

The age of the configuration was measured on the monotonic clock, which stands still while a machine is suspended: an instance that resumed took an old configuration for a recent one. It is now the larger of the times by the monotonic and the boot clock. With tenants and strict revocation, a recent configuration is also confirmed within 0.8 of the time that a revocation may take, and reads are as frequent as the shorter of the two bounds needs.

--- a/entry/host/config_test.go
+++ b/entry/host/config_test.go
@@ -252,7 +252,7 @@
 	dial := n.dial("front-0")
 	store := storehealth.New(kv.NewWithDial(storeAddress, dial), func(bool, int) {})
 	reads := storehealth.NewDedicated(kv.NewWithDial(storeAddress, dial), store)
-	follower := operatorconfig.New(reads, 2*configDelay, func(*cluster.Config) {}, slog.New(slog.DiscardHandler), tally.NoopScope)
+	follower := operatorconfig.New(reads, operatorconfig.Options{ApplyWithin: 2 * configDelay, BootClock: virtualBootClock()}, func(*cluster.Config) {}, slog.New(slog.DiscardHandler), tally.NoopScope)
 	var running sync.WaitGroup
 	running.Go(func() { store.Probe(ctx) })
 	running.Go(func() { follower.Run(ctx) })
@@ -262,3 +262,9 @@
 		store.CloseIdle()
 	}
 }
+
+// virtualBootClock returns the boot clock of a machine that is never suspended, in virtual time.
+func virtualBootClock() func() time.Duration {
+	booted := time.Now()
+	return func() time.Duration { return time.Since(booted) }
+}
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -60,6 +60,8 @@
 	metrics *metrics.Metrics
 	config  *operatorconfig.Follower
 	leaving atomic.Bool
+	// unconfirmed is set while API keys can't be accepted, since the configuration is not recent.
+	unconfirmed atomic.Bool
 
 	front  *http.Server
 	probes *http.Server
@@ -96,8 +98,8 @@
 		services: map[cluster.Service]bool{},
 	}
 	h.store = storehealth.New(kv.New(node.StoreAddress), h.logStoreChange)
-	h.config = operatorconfig.New(storehealth.NewDedicated(kv.New(node.StoreAddress), h.store), node.ConfigApply,
-		h.campaignForServices, logger, m.Scope.SubScope("config"))
+	h.config = operatorconfig.New(storehealth.NewDedicated(kv.New(node.StoreAddress), h.store),
+		operatorconfig.Options{ApplyWithin: node.ConfigApply, RevokeWithin: node.RevokeWithin}, h.campaignForServices, logger, m.Scope.SubScope("config"))
 	h.election = election.New(h.store, node.ID, node.Zone, node.Cores, logger)
 	in := intake.New(h.store, h.config, h.leaving.Load, logger, m.Scope.SubScope("intake"))
 	h.front = &http.Server{Handler: in.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -115,11 +117,24 @@
 }
 
 // ready reports whether the platform should send callers here. While the store does not
-// respond to this instance, it can only refuse them, and others may be able to serve them. If
-// no instance is ready, the platform sends callers to all of them.
+// respond to this instance, or while it needs a confirmed configuration to accept API keys and has
+// none, it can only refuse them, and others may be able to serve them. If no instance is ready, the
+// platform sends callers to all of them.
 func (h *Host) ready() bool {
 	_, unavailable := h.store.Unavailable()
-	return h.config.Current() != nil && !h.leaving.Load() && !unavailable
+	k := h.config.Knowledge()
+	return k.Config != nil && h.confirmed(k) && !h.leaving.Load() && !unavailable
+}
+
+// confirmed reports whether requests can be decided by the configuration, and logs changes of that.
+// Reads are sent at least once in half of the bound, so that single late responses don't change it,
+// and the first confirmed read after a disruption does.
+func (h *Host) confirmed(k operatorconfig.Knowledge) bool {
+	confirmed := k.Recent || k.Config == nil || !k.Config.Tenancy
+	if h.unconfirmed.Swap(!confirmed) == confirmed {
+		h.logger.Warn("confirmation of the configuration", "confirmed", confirmed, "config_age_ms", k.Age.Milliseconds())
+	}
+	return confirmed
 }
 
 func (h *Host) probeHandler() http.Handler {
--- a/entry/host/liveness_test.go
+++ b/entry/host/liveness_test.go
@@ -249,7 +249,7 @@
 	e := election.New(store, fleet.InstanceID(i.id), "palermo", i.cores, logger)
 	services := map[cluster.Service]bool{}
 	reads := storehealth.NewDedicated(kv.NewWithDial(storeAddress, dial), store)
-	i.config = operatorconfig.New(reads, 2*configDelay, func(config *cluster.Config) {
+	i.config = operatorconfig.New(reads, operatorconfig.Options{ApplyWithin: 2 * configDelay, BootClock: virtualBootClock()}, func(config *cluster.Config) {
 		for _, pool := range config.Pools {
 			if !services[pool.Service] {
 				services[pool.Service] = true
--- /dev/null
+++ b/entry/intake/identity.go
@@ -0,0 +1,112 @@
+package intake
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
+	"github.com/tarragonreach/tarragonreach/entry/operatorconfig"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/platform/submission"
+)
+
+// Reasons for which a request is refused because of its caller's identity. The errors of
+// submission.APIKey are further ones.
+const (
+	reasonUnknownKey   = "unknown key"
+	reasonNotRecent    = "configuration not recent"
+	reasonOtherTenants = "job of another tenant"
+)
+
+// caller is who makes a request, and through which queue.
+type caller struct {
+	queue   cluster.Queue
+	tenancy bool               // the configuration has tenants; without them all jobs are accessible
+	tenant  cluster.TenantName // empty on a public queue, and without tenancy
+}
+
+// identify returns who makes a request to a queue, or the refusal. With tenants, nothing is decided
+// by a configuration that is not recent: a key may have been added or removed since, and a queue may
+// not be public any more.
+func (i *Intake) identify(k operatorconfig.Knowledge, queue cluster.Queue, header http.Header) (caller, *response) {
+	c := caller{queue: queue, tenancy: k.Config.Tenancy}
+	if !c.tenancy {
+		return c, nil
+	}
+	if !k.Recent {
+		return c, &response{status: http.StatusServiceUnavailable, retryAfter: i.retryAfter(), reason: reasonNotRecent, refusal: reasonNotRecent}
+	}
+	if queue.Public {
+		return c, nil
+	}
+	key, err := submission.APIKey(header)
+	if err != nil {
+		return c, unauthorized(err.Error())
+	}
+	tenant, found := k.Config.Authenticate(key)
+	if !found {
+		return c, unauthorized(reasonUnknownKey)
+	}
+	c.tenant = tenant.Name
+	return c, nil
+}
+
+func unauthorized(reason string) *response {
+	return &response{status: http.StatusUnauthorized, reason: reason, refusal: reason}
+}
+
+// mayAccess reports whether the caller may read and cancel a job. Jobs without a tenant are
+// accessible to all, and jobs of a queue that has become public also through that queue.
+func (c caller) mayAccess(s layout.State) bool {
+	return !c.tenancy || s.Tenant == "" || s.Tenant == c.tenant || c.queue.Public && s.Queue == c.queue.Name
+}
+
+// repeated returns the response to a submission of an ID that exists already. current are the items
+// of the failed condition.
+func (c caller) repeated(key string, current []kv.Item) response {
+	if !c.tenancy {
+		return response{status: http.StatusOK, reason: "stored before"}
+	}
+	state, err := stateIn(key, current)
+	if err != nil { // whose job it is, is unknown
+		return response{status: http.StatusGatewayTimeout, reason: err.Error()}
+	}
+	if !c.mayAccess(state) {
+		return response{status: http.StatusConflict, reason: reasonOtherTenants, refusal: reasonOtherTenants}
+	}
+	return response{status: http.StatusOK, reason: "stored before"}
+}
+
+var errNoState = errors.New("the store's answer lacks the stored state")
+
+func stateIn(key string, items []kv.Item) (layout.State, error) {
+	for _, item := range items {
+		if item.Key == key {
+			return layout.Decode[layout.State](item.Key, item.Value)
+		}
+	}
+	return layout.State{}, fmt.Errorf("%s: %w", key, errNoState)
+}
+
+// noTenant is the tenant of metrics of requests that belong to none.
+const noTenant = "none"
+
+// recordTenant records the metrics of a request by tenant.
+func (i *Intake) recordTenant(r record) {
+	if !r.caller.tenancy {
+		return
+	}
+	tenant := string(r.caller.tenant)
+	if tenant == "" {
+		tenant = noTenant
+	}
+	scope := i.scope.Tagged(map[string]string{"tenant": tenant})
+	scope.Histogram("tenant_request_seconds", tally.DefaultBuckets).RecordDuration(r.took)
+	if r.response.refusal != "" {
+		scope.Tagged(map[string]string{"queue": r.caller.queue.Name, "reason": r.response.refusal}).Counter("refusals").Inc(1)
+	}
+}
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -22,6 +22,7 @@
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/api/job"
+	"github.com/tarragonreach/tarragonreach/entry/operatorconfig"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 	"github.com/tarragonreach/tarragonreach/platform/submission"
 )
@@ -39,14 +40,10 @@
 
 // Configuration is the operator's configuration as this instance knows it.
 type Configuration interface {
-	// Current returns the configuration in force, or nil.
-	Current() *cluster.Config
-	// Age returns for how long the configuration in force may have been outdated.
-	Age() time.Duration
-	// Recent reports whether it can lack no change that has to be in force by now.
-	Recent() bool
-	// AwaitRecent waits for that until ctx ends, and reports whether it is so.
-	AwaitRecent(ctx context.Context) bool
+	// Knowledge returns the present knowledge.
+	Knowledge() operatorconfig.Knowledge
+	// AwaitRecent waits until it is recent or ctx ends, and returns the knowledge then.
+	AwaitRecent(ctx context.Context) operatorconfig.Knowledge
 }
 
 // Intake handles requests of callers.
@@ -91,95 +88,122 @@
 	body       any
 	retryAfter time.Duration
 	reason     string // for the log
+	refusal    string // why the caller's identity does not allow the request; empty otherwise
+}
+
+// record describes a request that was handled, for the log and the metrics.
+type record struct {
+	method    string
+	caller    caller
+	job       job.ID
+	response  response
+	took      time.Duration
+	knowledge operatorconfig.Knowledge // by which it was decided
 }
 
 func (i *Intake) serve(c *gin.Context) {
 	start := time.Now()
-	resp, queue, id := i.dispatch(c)
+	r := record{method: c.Request.Method}
+	resp := i.dispatch(c, &r)
 	if i.leaving() {
 		c.Header("Connection", "close")
 	}
 	if resp.retryAfter > 0 {
 		c.Header("Retry-After", strconv.Itoa(int((resp.retryAfter+time.Second-1)/time.Second)))
 	}
+	if resp.status == http.StatusUnauthorized {
+		c.Header("WWW-Authenticate", submission.AuthorizationScheme)
+	}
 	if resp.body == nil {
 		c.Status(resp.status)
 		c.Writer.WriteHeaderNow()
 	} else {
 		c.JSON(resp.status, resp.body)
 	}
-	i.recordRequest(c.Request, resp, queue, id, time.Since(start))
+	r.response, r.took = resp, time.Since(start)
+	i.recordRequest(r)
 }
 
-func (i *Intake) recordRequest(r *http.Request, resp response, queue string, id job.ID, took time.Duration) {
-	scope := i.scope.Tagged(map[string]string{"queue": queue, "method": r.Method, "status": strconv.Itoa(resp.status)})
-	scope.Histogram("request_seconds", tally.DefaultBuckets).RecordDuration(took)
-	if r.Method == http.MethodGet && resp.status == http.StatusOK {
+func (i *Intake) recordRequest(r record) {
+	queue := r.caller.queue.Name
+	scope := i.scope.Tagged(map[string]string{"queue": queue, "method": r.method, "status": strconv.Itoa(r.response.status)})
+	scope.Histogram("request_seconds", tally.DefaultBuckets).RecordDuration(r.took)
+	i.recordTenant(r)
+	if r.method == http.MethodGet && r.response.status == http.StatusOK {
 		return // not logged: a successful read changes nothing
 	}
-	i.logger.Info("request", "method", r.Method, "job", string(id), "queue", queue, "status", resp.status,
-		"reason", resp.reason, "ms", took.Milliseconds(), "config", i.version(), "config_age_ms", i.config.Age().Milliseconds())
-}
-
-func (i *Intake) version() int64 {
-	if c := i.config.Current(); c != nil {
-		return c.Version
+	var version int64
+	if r.knowledge.Config != nil {
+		version = r.knowledge.Config.Version
+	}
+	attributes := []any{"method", r.method, "job", string(r.job), "queue", queue, "status", r.response.status,
+		"reason", r.response.reason, "ms", r.took.Milliseconds(), "config", version, "config_age_ms", r.knowledge.Age.Milliseconds()}
+	if r.caller.tenancy {
+		attributes = append(attributes, "tenant", string(r.caller.tenant))
 	}
-	return 0
+	i.logger.Info("request", attributes...)
 }
 
-func (i *Intake) dispatch(c *gin.Context) (response, string, job.ID) {
+// dispatch handles a request, and records by which knowledge, whose it is and which job it is about.
+func (i *Intake) dispatch(c *gin.Context, r *record) response {
 	ctx, cancel := context.WithTimeout(c.Request.Context(), deadlineOf(c.Request))
 	defer cancel()
-	config, recent := i.configuration(ctx)
-	if config == nil {
-		return response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "no configuration yet"}, "", ""
+	k := i.knowledge(ctx)
+	r.knowledge = k
+	if k.Config == nil {
+		return response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "no configuration yet"}
 	}
-	queue, found := config.Route(hostOf(c.Request), c.Request.URL.Path)
-	if !found && !recent {
-		return response{status: http.StatusServiceUnavailable, retryAfter: i.retryAfter(), reason: "no such queue by an outdated configuration"}, "", ""
+	queue, found := k.Config.Route(hostOf(c.Request), c.Request.URL.Path)
+	if !found && !k.Recent {
+		return response{status: http.StatusServiceUnavailable, retryAfter: i.retryAfter(), reason: "no such queue by an outdated configuration"}
 	}
 	if !found {
-		return response{status: http.StatusNotFound, reason: "no such queue"}, "", ""
+		return response{status: http.StatusNotFound, reason: "no such queue"}
+	}
+	who, refusal := i.identify(k, queue, c.Request.Header)
+	r.caller = who
+	if refusal != nil {
+		return *refusal
 	}
 	rest := strings.TrimPrefix(c.Request.URL.Path, queue.Prefix)
 	if rest == "" && c.Request.Method == http.MethodGet {
-		return i.waitingCount(ctx, queue), queue.Name, ""
+		return i.waitingCount(ctx, queue)
 	}
 	id, err := job.ParseID(rest)
 	if err != nil {
-		return response{status: http.StatusNotFound, reason: err.Error()}, queue.Name, ""
+		return response{status: http.StatusNotFound, reason: err.Error()}
 	}
-	return i.dispatchJob(ctx, c, config, queue, id), queue.Name, id
+	r.job = id
+	return i.dispatchJob(ctx, c, k.Config.Limits, who, id)
 }
 
-// configuration returns the configuration to decide a request by, nil if there is none, and
-// whether it is recent. An outdated one is waited for only while the store responds.
-func (i *Intake) configuration(ctx context.Context) (config *cluster.Config, recent bool) {
-	if i.config.Recent() {
-		return i.config.Current(), true
+// knowledge returns the knowledge to decide a request by. A recent one is waited for only while the
+// store responds.
+func (i *Intake) knowledge(ctx context.Context) operatorconfig.Knowledge {
+	k := i.config.Knowledge()
+	if k.Recent || k.Config == nil {
+		return k
 	}
-	if _, unavailable := i.store.Unavailable(); unavailable || i.config.Current() == nil {
-		return i.config.Current(), false
+	if _, unavailable := i.store.Unavailable(); unavailable {
+		return k
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxConfigWait)
 	defer cancel()
-	recent = i.config.AwaitRecent(ctx)
-	return i.config.Current(), recent
+	return i.config.AwaitRecent(ctx)
 }
 
-func (i *Intake) dispatchJob(ctx context.Context, c *gin.Context, config *cluster.Config, queue cluster.Queue, id job.ID) response {
+func (i *Intake) dispatchJob(ctx context.Context, c *gin.Context, limits cluster.RequestLimits, who caller, id job.ID) response {
 	switch c.Request.Method {
 	case http.MethodPost:
-		definition, failure := readDefinition(c, config.Limits.MaxBodyBytes)
+		definition, failure := readDefinition(c, limits.MaxBodyBytes)
 		if failure != nil {
 			return *failure
 		}
-		return i.submit(ctx, queue, id, definition)
+		return i.submit(ctx, who, id, definition)
 	case http.MethodGet:
-		return i.jobState(ctx, id)
+		return i.jobState(ctx, who, id)
 	case http.MethodDelete:
-		return i.cancel(ctx, id)
+		return i.cancel(ctx, who, id)
 	default:
 		return response{status: http.StatusMethodNotAllowed, reason: "method"}
 	}
--- a/entry/intake/jobs.go
+++ b/entry/intake/jobs.go
@@ -118,8 +118,8 @@
 	return i.unavailableResponse(err)
 }
 
-func (i *Intake) submit(ctx context.Context, queue cluster.Queue, id job.ID, d job.Definition) response {
-	t, err := submitTxn(queue, id, d)
+func (i *Intake) submit(ctx context.Context, who caller, id job.ID, d job.Definition) response {
+	t, err := submitTxn(who, id, d)
 	if err != nil {
 		return response{status: http.StatusInternalServerError, reason: err.Error()}
 	}
@@ -130,16 +130,19 @@
 	case result.Applied:
 		return response{status: http.StatusOK, reason: "stored"}
 	default:
-		return response{status: http.StatusOK, reason: "stored before"}
+		return who.repeated(layout.JobKey(id), result.Current)
 	}
 }
 
-func submitTxn(queue cluster.Queue, id job.ID, d job.Definition) (kv.Txn, error) {
-	record, err := layout.Encode(shard.Record{ID: id, Queue: shard.QueuePolicyOf(queue), Accepted: time.Now(), Definition: d})
+func submitTxn(who caller, id job.ID, d job.Definition) (kv.Txn, error) {
+	queue := who.queue
+	record, err := layout.Encode(shard.Record{
+		ID: id, Queue: shard.QueuePolicyOf(queue), Tenant: who.tenant, Accepted: time.Now(), Definition: d,
+	})
 	if err != nil {
 		return kv.Txn{}, err
 	}
-	state, err := layout.Encode(layout.State{Service: queue.Service, Queue: queue.Name, State: job.Queued})
+	state, err := layout.Encode(layout.State{Service: queue.Service, Queue: queue.Name, Tenant: who.tenant, State: job.Queued})
 	if err != nil {
 		return kv.Txn{}, err
 	}
@@ -154,9 +157,13 @@
 
 var noSuchJob = response{status: http.StatusGone, reason: "no such job"}
 
-// readState reads the published state of a job. If there is none or it can't be read, the
-// response to the caller is not nil.
-func (i *Intake) readState(ctx context.Context, id job.ID) (kv.Item, layout.State, *response) {
+// othersJob is the response to a request for a job that the caller may not access. The caller can't
+// tell it from noSuchJob.
+var othersJob = response{status: http.StatusGone, reason: reasonOtherTenants, refusal: reasonOtherTenants}
+
+// readState reads the published state of a job. If there is none, if it can't be read or the caller
+// may not access it, the response to the caller is not nil.
+func (i *Intake) readState(ctx context.Context, who caller, id job.ID) (kv.Item, layout.State, *response) {
 	item, err := i.read(ctx, layout.JobKey(id))
 	if errors.Is(err, kv.ErrNotFound) {
 		return item, layout.State{}, &noSuchJob
@@ -169,11 +176,14 @@
 	if err != nil {
 		return item, state, &response{status: http.StatusInternalServerError, reason: err.Error()}
 	}
+	if !who.mayAccess(state) {
+		return item, state, &othersJob
+	}
 	return item, state, nil
 }
 
-func (i *Intake) jobState(ctx context.Context, id job.ID) response {
-	_, state, failure := i.readState(ctx, id)
+func (i *Intake) jobState(ctx context.Context, who caller, id job.ID) response {
+	_, state, failure := i.readState(ctx, who, id)
 	if failure != nil {
 		return *failure
 	}
@@ -182,9 +192,9 @@
 
 // cancel stores a cancellation of the job, under the condition that the job's state has not
 // changed since it was read, so that none is stored for a job that has become final.
-func (i *Intake) cancel(ctx context.Context, id job.ID) response {
+func (i *Intake) cancel(ctx context.Context, who caller, id job.ID) response {
 	for range cancelAttempts {
-		item, state, failure := i.readState(ctx, id)
+		item, state, failure := i.readState(ctx, who, id)
 		if failure != nil {
 			return *failure
 		}
--- a/entry/operatorconfig/operatorconfig.go
+++ b/entry/operatorconfig/operatorconfig.go
@@ -5,6 +5,9 @@
 // knowledge can get: one is sent regularly, and the next one on a connection of its own as soon as
 // the last one is overdue. What was in flight when a disruption of the store began or ended
 // therefore delays nothing.
+//
+// Requests that need an API key are decided only by a configuration that was confirmed recently
+// (Knowledge). The age of a confirmation counts time in which the machine was suspended.
 package operatorconfig
 
 import (
@@ -17,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/entry/bootclock"
 	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 	"github.com/tarragonreach/tarragonreach/platform/registry"
@@ -40,6 +44,10 @@
 	recentShare = 0.75
 )
 
+// strictShare is the part of the time within which a key must be revoked that the age of a
+// configuration may reach. The rest covers clocks that run at different rates.
+const strictShare = 0.8
+
 // minSpacing bounds the rate of reads, whatever the operators ask for.
 const minSpacing = 20 * time.Millisecond
 
@@ -53,17 +61,54 @@
 // watchRetry spaces watches that fail.
 var watchRetry = backoff.Policy{Base: 100 * time.Millisecond, Cap: 400 * time.Millisecond}
 
-// Follower follows the operator's configuration. Its methods may be called concurrently.
-type Follower struct {
-	store   Store
-	changed func(*cluster.Config)
-	logger  *slog.Logger
-	metrics followerMetrics
+// Options are the settings of a follower.
+type Options struct {
+	// ApplyWithin is the time within which a configuration must be in force.
+	ApplyWithin time.Duration
+	// RevokeWithin is the time after which a removed API key must not be accepted by any instance,
+	// whatever happened to it; zero where revocation is not strict. It has an effect only while a
+	// configuration with tenants is in force.
+	RevokeWithin time.Duration
+	// BootClock counts time in which the machine is suspended; nil for that of the machine.
+	BootClock func() time.Duration
+}
 
+// timing is how often a configuration is read, and how old a recent one may be.
+type timing struct {
 	readInterval time.Duration // between two reads that are answered
 	overdue      time.Duration // after which a read without a response is followed by another
 	readTimeout  time.Duration
 	recentAge    time.Duration // up to which a configuration counts as recent
+}
+
+func newTiming(applyWithin time.Duration) timing {
+	share := func(x float64) time.Duration { return max(minSpacing, time.Duration(x*float64(applyWithin))) }
+	return timing{
+		readInterval: share(readIntervalShare), overdue: share(overdueShare), readTimeout: share(readTimeoutShare),
+		recentAge: share(recentShare),
+	}
+}
+
+// newTenancyTiming returns the timing while a configuration with tenants is in force.
+func newTenancyTiming(applyWithin, revokeWithin time.Duration) timing {
+	if revokeWithin <= 0 {
+		return newTiming(applyWithin)
+	}
+	t := newTiming(min(applyWithin, revokeWithin))
+	t.recentAge = min(newTiming(applyWithin).recentAge, time.Duration(strictShare*float64(revokeWithin)))
+	return t
+}
+
+// Follower follows the operator's configuration. Its methods may be called concurrently.
+type Follower struct {
+	store     Store
+	changed   func(*cluster.Config)
+	logger    *slog.Logger
+	metrics   followerMetrics
+	bootClock func() time.Duration
+
+	withoutTenancy timing
+	withTenancy    timing
 
 	config atomic.Pointer[cluster.Config]
 
@@ -75,68 +120,105 @@
 	confirmed atomic.Pointer[confirmation]
 }
 
+// instant is a point in time on the clocks of an instance.
+type instant struct {
+	monotonic time.Time
+	boot      time.Duration
+}
+
 // confirmation is the newest answered read.
 type confirmation struct {
-	sent time.Time     // when it was sent; zero before the first
+	sent instant       // when it was sent; zero before the first
 	next chan struct{} // closed by the next one
 }
 
+func (c *confirmation) exists() bool { return !c.sent.monotonic.IsZero() }
+
 type followerMetrics struct {
 	version tally.Gauge
 	overdue tally.Counter // reads without a response in time
 	age     tally.Histogram
 }
 
-// New returns a follower that has each configuration in force within half of applyWithin after
+// New returns a follower that has each configuration in force within half of o.ApplyWithin after
 // its acknowledgement, while the store responds. It calls changed with each configuration that it
 // puts in force, never concurrently.
-func New(store Store, applyWithin time.Duration, changed func(*cluster.Config), logger *slog.Logger, scope tally.Scope) *Follower {
-	share := func(x float64) time.Duration { return max(minSpacing, time.Duration(x*float64(applyWithin))) }
+func New(store Store, o Options, changed func(*cluster.Config), logger *slog.Logger, scope tally.Scope) *Follower {
 	f := &Follower{
-		store: store, changed: changed, logger: logger,
-		readInterval: share(readIntervalShare), overdue: share(overdueShare), readTimeout: share(readTimeoutShare),
-		recentAge: share(recentShare),
+		store: store, changed: changed, logger: logger, bootClock: o.BootClock,
+		withoutTenancy: newTiming(o.ApplyWithin),
+		withTenancy:    newTenancyTiming(o.ApplyWithin, o.RevokeWithin),
 		metrics: followerMetrics{
 			version: scope.Gauge("version"), overdue: scope.Counter("overdue_reads"),
 			age: scope.Histogram("age_seconds", tally.DefaultBuckets),
 		},
 	}
+	if f.bootClock == nil {
+		f.bootClock = bootclock.Now
+	}
 	f.confirmed.Store(&confirmation{next: make(chan struct{})})
 	return f
 }
 
+// timing returns the timing that a configuration needs, which may be nil.
+func (f *Follower) timing(config *cluster.Config) timing {
+	if config != nil && config.Tenancy {
+		return f.withTenancy
+	}
+	return f.withoutTenancy
+}
+
 // Current returns the configuration in force, or nil if there is none yet.
 func (f *Follower) Current() *cluster.Config { return f.config.Load() }
 
-// Age returns for how long the configuration in force may have been outdated: the time since
-// the newest answered read of it was sent. It is zero before the first one.
-func (f *Follower) Age() time.Duration { return f.confirmed.Load().age() }
+// Knowledge is what an instance knows of the operator's configuration at one moment.
+type Knowledge struct {
+	Config *cluster.Config // in force; nil before the first
+	// Age is for how long Config may have been outdated: the time since the newest answered read
+	// of it was sent. It is zero before the first one.
+	Age time.Duration
+	// Recent is set if Config certainly contains each change that was acknowledged longer ago than
+	// a configuration may take to be in force and, where it has tenants and revocation is strict,
+	// longer ago than the revocation of a key may take.
+	Recent bool
+}
 
-func (c *confirmation) age() time.Duration {
-	if c.sent.IsZero() {
-		return 0
-	}
-	return time.Since(c.sent)
+// Knowledge returns the present knowledge. The clocks are read last: a request that was received
+// before the call may be decided by the result, however long the caller is interrupted.
+func (f *Follower) Knowledge() Knowledge {
+	c := f.confirmed.Load()
+	config := f.config.Load() // loaded later, so it contains what the confirming read found
+	age := f.ageOf(c)
+	return Knowledge{Config: config, Age: age, Recent: c.exists() && age <= f.timing(config).recentAge}
 }
 
-// Recent reports whether the configuration in force certainly contains each change that was
-// acknowledged longer ago than a configuration may take to be in force.
-func (f *Follower) Recent() bool { return f.recent(f.confirmed.Load()) }
+// Age returns the age of the present knowledge.
+func (f *Follower) Age() time.Duration { return f.ageOf(f.confirmed.Load()) }
 
-func (f *Follower) recent(c *confirmation) bool { return !c.sent.IsZero() && c.age() <= f.recentAge }
+func (f *Follower) now() instant { return instant{monotonic: time.Now(), boot: f.bootClock()} }
+
+// ageOf returns the time since a confirming read was sent, by the clock that advanced further: the
+// monotonic clock stands still while the machine is suspended.
+func (f *Follower) ageOf(c *confirmation) time.Duration {
+	if !c.exists() {
+		return 0
+	}
+	return max(time.Since(c.sent.monotonic), f.bootClock()-c.sent.boot)
+}
 
-// AwaitRecent waits until the configuration in force is recent or ctx ends, and reports whether
-// it is recent.
-func (f *Follower) AwaitRecent(ctx context.Context) bool {
+// AwaitRecent waits until the configuration in force is recent or ctx ends, and returns the
+// knowledge then.
+func (f *Follower) AwaitRecent(ctx context.Context) Knowledge {
 	for {
-		c := f.confirmed.Load()
-		if f.recent(c) {
-			return true
+		next := f.confirmed.Load().next
+		k := f.Knowledge()
+		if k.Recent {
+			return k
 		}
 		select {
-		case <-c.next:
+		case <-next:
 		case <-ctx.Done():
-			return false
+			return f.Knowledge()
 		}
 	}
 }
@@ -153,23 +235,24 @@
 // readAll reads the configuration regularly until ctx ends.
 func (f *Follower) readAll(ctx context.Context, running *sync.WaitGroup) {
 	for ctx.Err() == nil {
-		sent := time.Now()
+		sent := f.now()
+		timing := f.timing(f.Current())
 		answered := make(chan struct{})
 		running.Go(func() {
-			if f.read(ctx, sent) {
+			if f.read(ctx, sent, timing.readTimeout) {
 				close(answered)
 			}
 		})
-		if f.awaitAnswer(ctx, answered) {
-			_ = backoff.Sleep(ctx, f.readInterval-time.Since(sent)) // the loop checks ctx
+		if f.awaitAnswer(ctx, answered, timing.overdue) {
+			_ = backoff.Sleep(ctx, timing.readInterval-time.Since(sent.monotonic)) // the loop checks ctx
 		}
 	}
 }
 
 // awaitAnswer waits until a read is answered, and reports whether that happened before it was
 // overdue. Connections that no call uses are closed otherwise, so that the next read opens one.
-func (f *Follower) awaitAnswer(ctx context.Context, answered <-chan struct{}) bool {
-	timer := time.NewTimer(f.overdue)
+func (f *Follower) awaitAnswer(ctx context.Context, answered <-chan struct{}, overdue time.Duration) bool {
+	timer := time.NewTimer(overdue)
 	defer timer.Stop()
 	select {
 	case <-answered:
@@ -184,8 +267,8 @@
 }
 
 // read reads the configuration once and applies it, and reports whether the read was answered.
-func (f *Follower) read(ctx context.Context, sent time.Time) bool {
-	ctx, cancel := context.WithTimeout(ctx, f.readTimeout)
+func (f *Follower) read(ctx context.Context, sent instant, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	page, err := f.store.Range(ctx, registry.ConfigKey, "", kv.Linearizable)
 	if err != nil {
@@ -203,19 +286,19 @@
 
 // confirm records that a read that was sent at the given time was answered. The caller holds
 // f.mu.
-func (f *Follower) confirm(sent time.Time) {
+func (f *Follower) confirm(sent instant) {
 	last := f.confirmed.Load()
-	if !sent.After(last.sent) {
+	if !sent.monotonic.After(last.sent.monotonic) {
 		return
 	}
 	f.confirmed.Store(&confirmation{sent: sent, next: make(chan struct{})})
 	close(last.next)
-	f.metrics.age.RecordDuration(time.Since(sent))
+	f.metrics.age.RecordDuration(time.Since(sent.monotonic))
 }
 
 // watchAll applies changes as they come until ctx ends.
 func (f *Follower) watchAll(ctx context.Context) {
-	if c := f.confirmed.Load(); c.sent.IsZero() {
+	if c := f.confirmed.Load(); !c.exists() {
 		select {
 		case <-c.next: // the first answered read
 		case <-ctx.Done():
