--- a/api/cluster/cluster.go
+++ b/api/cluster/cluster.go
@@ -138,7 +138,8 @@
 	// Skipped lists the entries, and the parts of entries, that are not in force, with the reason.
 	Skipped []string
 
-	keys map[keyDigest]int // positions in Tenants of the holders of the API keys
+	keys  map[keyDigest]int  // positions in Tenants of the holders of the API keys
+	names map[TenantName]int // positions in Tenants
 }
 
 // Route returns the queue of a request and whether there is one: the queue of the host
--- a/api/cluster/tenant.go
+++ b/api/cluster/tenant.go
@@ -26,14 +26,19 @@
 // key were right.
 type keyDigest [sha256.Size]byte
 
-// AddTenant adds a tenant with its API keys. A key that an earlier tenant holds stays with that
-// one; AddTenant returns how many there are of these.
-func (c *Config) AddTenant(t Tenant, keys []string) (held int) {
-	c.Tenants = append(c.Tenants, t)
+// AddTenant adds a tenant with its API keys, or adds the keys to the tenant of that name if there is
+// one; its weight and limit stay then. A key that an earlier tenant holds stays with that one;
+// AddTenant returns how many there are of these, and whether the tenant was added.
+func (c *Config) AddTenant(t Tenant, keys []string) (held int, added bool) {
 	if c.keys == nil {
-		c.keys = map[keyDigest]int{}
+		c.keys, c.names = map[keyDigest]int{}, map[TenantName]int{}
+	}
+	position, listed := c.names[t.Name]
+	if added = !listed; added {
+		position = len(c.Tenants)
+		c.Tenants = append(c.Tenants, t)
+		c.names[t.Name] = position
 	}
-	position := len(c.Tenants) - 1
 	for _, key := range keys {
 		digest := keyDigest(sha256.Sum256([]byte(key)))
 		holder, found := c.keys[digest]
@@ -45,7 +50,7 @@
 			held++
 		}
 	}
-	return held
+	return held, added
 }
 
 // Authenticate returns the tenant that holds an API key, and whether there is one.
