--- a/entry/layout/golden_test.go
+++ b/entry/layout/golden_test.go
@@ -16,7 +16,10 @@
 
 var goldenTime = time.Date(2026, 3, 4, 5, 6, 7, 8_000_000, time.UTC)
 
-const goldenJob job.ID = "0123456789abcdef"
+const (
+	goldenJob       job.ID = "0123456789abcdef"
+	goldenTenantJob job.ID = "fedcba9876543210"
+)
 
 // goldenStep has no zero field.
 var goldenStep = job.Step{
@@ -43,6 +46,11 @@
 			Schedule: job.Schedule{Count: 8, First: goldenTime.Add(time.Hour), Interval: 9 * time.Minute},
 		},
 	}},
+	{JobKey(goldenTenantJob), State{Service: "batch", Queue: "nightly", State: job.Queued, Tenant: "north"}},
+	{RecordKey("batch", goldenTenantJob), shard.Record{
+		ID: goldenTenantJob, Queue: shard.QueuePolicy{Name: "nightly"}, Tenant: "north", Accepted: goldenTime,
+		Definition: job.Definition{Steps: []job.Step{{Count: 1}}},
+	}},
 	{CordonKey("batch", "e-1"), Cordon{Preempt: true}},
 	{ProgressKey("batch", goldenJob), shard.Progress{
 		Tasks: []shard.TaskProgress{{
@@ -75,7 +83,7 @@
 
 // TestStoredEntriesKeepTheirForm guards against renamed keys and JSON fields, with which a
 // new version would not find what an older one stored. The file was written by commit 81f8b51,
-// but for the marker with unreached executors, which is newer.
+// but for the marker with unreached executors and the job with a tenant, which are newer.
 func TestStoredEntriesKeepTheirForm(t *testing.T) {
 	stored := goldentest.ReadEntries(t, "testdata/store.txt")
 	assert.Equal(t, len(stored), len(goldenEntries))
