--- a/entry/operatorconfig/operatorconfig.go
+++ b/entry/operatorconfig/operatorconfig.go
@@ -244,7 +244,8 @@
 			}
 		})
 		if f.awaitAnswer(ctx, answered, timing.overdue) {
-			_ = backoff.Sleep(ctx, timing.readInterval-time.Since(sent.monotonic)) // the loop checks ctx
+			interval := f.timing(f.Current()).readInterval // the read may have brought tenants
+			_ = backoff.Sleep(ctx, interval-time.Since(sent.monotonic)) // the loop checks ctx
 		}
 	}
 }
--- /dev/null
+++ b/entry/operatorconfig/operatorconfig_test.go
@@ -0,0 +1,168 @@
+package operatorconfig
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/platform/registry"
+)
+
+const applyWithin = 3 * time.Second
+
+// fakeStore returns one configuration. Its watches bring nothing.
+type fakeStore struct {
+	value string
+	reads atomic.Int64
+	down  atomic.Bool
+}
+
+func (s *fakeStore) Range(ctx context.Context, _, _ string, _ kv.Consistency) (kv.Page, error) {
+	s.reads.Add(1)
+	if s.down.Load() {
+		<-ctx.Done()
+		return kv.Page{}, ctx.Err()
+	}
+	return kv.Page{Items: []kv.Item{{Key: registry.ConfigKey, Value: []byte(s.value), Revision: 1}}, AsOf: 1}, nil
+}
+
+func (s *fakeStore) Watch(ctx context.Context, _ string, _ kv.Revision, wait time.Duration) (kv.Events, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return kv.Events{}, ctx.Err()
+}
+
+func (s *fakeStore) CloseIdle() {}
+
+// bootClock is virtual time, and the time for which the machine was suspended.
+type bootClock struct {
+	booted    time.Time
+	suspended atomic.Int64
+	reads     atomic.Int64
+	stopped   atomic.Bool
+}
+
+func (c *bootClock) now() time.Duration {
+	c.reads.Add(1)
+	if c.stopped.Load() {
+		return 0
+	}
+	return time.Since(c.booted) + time.Duration(c.suspended.Load())
+}
+
+// run runs a follower in virtual time while check runs.
+func run(t *testing.T, value string, revokeWithin time.Duration, check func(t *testing.T, f *Follower, s *fakeStore, c *bootClock)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		store, clock := &fakeStore{value: value}, &bootClock{booted: time.Now()}
+		options := Options{ApplyWithin: applyWithin, RevokeWithin: revokeWithin, BootClock: clock.now}
+		f := New(store, options, func(*cluster.Config) {}, slog.New(slog.DiscardHandler), tally.NoopScope)
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { f.Run(ctx) })
+		synctest.Wait()
+		check(t, f, store, clock)
+		cancel()
+		running.Wait()
+	})
+}
+
+const (
+	withTenants    = `{"version":1,"tenants":[{"name":"north","api-keys":["k"]}]}`
+	withoutTenants = `{"version":1}`
+)
+
+// A configuration that was read before a suspension must not count as recent after it, although no
+// monotonic time has passed; the next answered read makes it recent again.
+func TestSuspensionAgesTheConfiguration(t *testing.T) {
+	run(t, withTenants, 5*time.Second, func(t *testing.T, f *Follower, _ *fakeStore, c *bootClock) {
+		assert.Assert(t, f.Knowledge().Recent)
+		c.suspended.Store(int64(time.Hour))
+		assert.Assert(t, !f.Knowledge().Recent)
+		assert.Equal(t, f.Age(), time.Hour)
+		time.Sleep(applyWithin / 2)
+		assert.Assert(t, f.Knowledge().Recent)
+	})
+}
+
+// A boot clock that stands still, as that of the machine does in virtual time, must not hide the age.
+func TestMonotonicTimeAgesTheConfiguration(t *testing.T) {
+	run(t, withTenants, 5*time.Second, func(t *testing.T, f *Follower, s *fakeStore, c *bootClock) {
+		c.stopped.Store(true)
+		s.down.Store(true)
+		time.Sleep(2 * applyWithin)
+		assert.Equal(t, f.Age(), 2*applyWithin)
+		assert.Assert(t, !f.Knowledge().Recent)
+	})
+}
+
+// A key must not be accepted later than its revocation may take, whichever of the bounds is shorter,
+// and must be accepted while reads are answered.
+func TestBoundsOfARecentConfiguration(t *testing.T) {
+	for _, c := range []struct {
+		value  string
+		revoke time.Duration
+		recent time.Duration // up to which age
+	}{
+		{withTenants, 0, 2250 * time.Millisecond},
+		{withTenants, 5 * time.Second, 2250 * time.Millisecond},
+		{withTenants, 2 * time.Second, 1600 * time.Millisecond},
+		{withTenants, 500 * time.Millisecond, 400 * time.Millisecond},
+		{withoutTenants, 500 * time.Millisecond, 2250 * time.Millisecond},
+	} {
+		run(t, c.value, c.revoke, func(t *testing.T, f *Follower, s *fakeStore, _ *bootClock) {
+			for range 100 {
+				time.Sleep(37 * time.Millisecond)
+				assert.Assert(t, f.Knowledge().Recent, "%+v: age %v", c, f.Age())
+			}
+			s.down.Store(true)
+			time.Sleep(c.recent - f.Age())
+			assert.Assert(t, f.Knowledge().Recent, "%+v", c)
+			time.Sleep(time.Millisecond)
+			assert.Assert(t, !f.Knowledge().Recent, "%+v", c)
+		})
+	}
+}
+
+// Without tenants, a bound of revocation must cause no further read.
+func TestBoundOfRevocationCausesNoReadsWithoutTenants(t *testing.T) {
+	reads := func(value string, revokeWithin time.Duration) (count int64) {
+		run(t, value, revokeWithin, func(t *testing.T, _ *Follower, s *fakeStore, _ *bootClock) {
+			time.Sleep(time.Minute)
+			count = s.reads.Load()
+		})
+		return count
+	}
+	usual := reads(withoutTenants, 0)
+	assert.Equal(t, reads(withoutTenants, 500*time.Millisecond), usual)
+	assert.Equal(t, reads(withTenants, 5*time.Second), usual)
+	assert.Assert(t, reads(withTenants, 500*time.Millisecond) > usual)
+}
+
+// Each request asks for the knowledge once, on instances with a fifth of a core.
+func TestKnowledgeReadsTheBootClockOnce(t *testing.T) {
+	run(t, withTenants, 5*time.Second, func(t *testing.T, f *Follower, _ *fakeStore, c *bootClock) {
+		before := c.reads.Load()
+		f.Knowledge()
+		assert.Equal(t, c.reads.Load()-before, int64(1))
+	})
+}
+
+func BenchmarkKnowledge(b *testing.B) {
+	f := New(&fakeStore{}, Options{ApplyWithin: applyWithin}, func(*cluster.Config) {}, slog.New(slog.DiscardHandler), tally.NoopScope)
+	f.confirm(f.now())
+	for b.Loop() {
+		f.Knowledge()
+	}
+}
