Revocation: property of added and removed keys under drawn faults

The store is slow, silent, refuses, loses answers or answers no reads; the instance is suspended, with the boot clock ahead of the monotonic one, and reads its clock late. The stand-in of the store reads bodies of calls that it leaves without a response, so that it notices the end of the connection, and configures tenants.

--- a/entry/host/config_test.go
+++ b/entry/host/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -38,7 +39,9 @@
 	storeRefuses
 	watchesSilent     // watches return no events
 	connectionsSilent // connections that were open at the beginning never respond again
-	storeFaults       // number of faults
+	storeFaults       // number of faults that drawDisruption draws
+	responsesLost     // calls take effect and get no response
+	readsSilent       // reads and watches, also those in progress, get no response; writes do
 )
 
 type storeSpell struct {
@@ -47,6 +50,11 @@
 	began   time.Time
 }
 
+// silences reports whether a call that began before the spell gets no response.
+func (s storeSpell) silences(r *http.Request) bool {
+	return s.fault == readsSilent && r.Method == http.MethodGet
+}
+
 // faultyStore serves a stand-in store through spells of faults.
 type faultyStore struct {
 	*standin.Store
@@ -87,15 +95,24 @@
 	silent := opened.Before(s.silentSince)
 	s.mu.Unlock()
 	switch {
-	case silent || spell.fault == storeSilent:
-		<-r.Context().Done()
+	case silent || spell.fault == storeSilent, spell.silences(r):
+		hang(r)
 	case spell.fault == storeRefuses:
 		w.WriteHeader(http.StatusServiceUnavailable)
+	case spell.fault == responsesLost:
+		s.Store.ServeHTTP(httptest.NewRecorder(), r)
+		hang(r)
 	default:
 		s.respondLate(w, r, spell.latency)
 	}
 }
 
+// hang waits until the caller disconnects, which the server notices once the body has been read.
+func hang(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // the caller may have disconnected
+	<-r.Context().Done()
+}
+
 // respondLate sends the present response after a while.
 func (s *faultyStore) respondLate(w http.ResponseWriter, r *http.Request, latency time.Duration) {
 	recorder := httptest.NewRecorder()
@@ -105,6 +122,13 @@
 		return
 	case <-time.After(latency + time.Millisecond):
 	}
+	s.mu.Lock()
+	spell := s.spell
+	s.mu.Unlock()
+	if spell.silences(r) {
+		hang(r)
+		return
+	}
 	w.WriteHeader(recorder.Code)
 	_, _ = w.Write(recorder.Body.Bytes()) // the caller may have disconnected
 }
--- a/entry/operatorconfig/operatorconfig.go
+++ b/entry/operatorconfig/operatorconfig.go
@@ -244,7 +244,8 @@
 			}
 		})
 		if f.awaitAnswer(ctx, answered, timing.overdue) {
-			interval := f.timing(f.Current()).readInterval // the read may have brought tenants
+			// The read may have brought the first configuration with tenants.
+			interval := f.timing(f.Current()).readInterval
 			_ = backoff.Sleep(ctx, interval-time.Since(sent.monotonic)) // the loop checks ctx
 		}
 	}
