--- a/entry/host/ready_test.go
+++ b/entry/host/ready_test.go
@@ -56,3 +56,44 @@
 		call()
 	}
 }
+
+// An instance that can't confirm a configuration with tenants can only refuse callers, and is not
+// ready; it is ready again with the next confirmed read. Without tenants it stays ready.
+func TestInstanceWithoutARecentConfigurationWithTenantsIsNotReady(t *testing.T) {
+	store := standin.NewStore()
+	server := httptest.NewServer(store)
+	defer server.Close()
+	fleet := standin.Fleet{Store: store}
+	pools := []standin.PoolSpec{{Service: "terreni", Prefix: "/terreni/", Spare: true}}
+	logger := slog.New(slog.DiscardHandler)
+	const apply = 200 * time.Millisecond
+	h := newHost(nodefile.Node{ID: "n-1", StoreAddress: strings.TrimPrefix(server.URL, "http://"), ConfigApply: apply}, logger, newMetrics(logger))
+	follow := func(version int64) { // until this version is in force
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var following sync.WaitGroup
+		following.Go(func() { h.config.Run(ctx) })
+		for h.config.Current() == nil || h.config.Current().Version < version || !h.config.Knowledge().Recent {
+			runtime.Gosched()
+		}
+		cancel()
+		following.Wait()
+	}
+	assert.NilError(t, fleet.Configure(pools, 1))
+	follow(1)
+	time.Sleep(apply)
+	assert.Assert(t, h.ready(), "without tenants")
+	assert.NilError(t, fleet.ConfigureTenants(pools, []standin.TenantSpec{}, 2))
+	follow(2)
+	for h.ready() {
+		runtime.Gosched() // until the configuration is not recent any more
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var following sync.WaitGroup
+	following.Go(func() { h.config.Run(ctx) })
+	for !h.ready() {
+		runtime.Gosched()
+	}
+	cancel()
+	following.Wait()
+}
