--- a/cmd/tarragond/devjobs.go
+++ b/cmd/tarragond/devjobs.go
@@ -22,14 +22,15 @@
 
 // errGuaranteeBroken is the error of a run that broke a guarantee; the printed summary
 // shows which.
-var errGuaranteeBroken = errors.New("no job was accepted, an accepted job was not completed, runs of a task overlapped, or the wave was not completed")
+var errGuaranteeBroken = errors.New("no job was accepted, an accepted job was not completed, runs of a task overlapped, the wave was not completed, or an API key was accepted or refused in spite of the configuration")
 
 func devJobsCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "dev-jobs",
 		Usage: "run jobs on a small fleet with a stand-in for the operators' platform in one process",
-		Description: "Submits jobs while the store is unavailable for a short time and machines undergo maintenance, prints one JSON " +
-			"summary, and exits 0 only if every accepted job and the maintenance completed and no runs of a task overlapped.",
+		Description: "Submits jobs of two tenants while the store is unavailable for a short time, an API key is removed and machines undergo " +
+			"maintenance, prints one JSON summary, and exits 0 only if every accepted job and the maintenance completed, no runs of a " +
+			"task overlapped and API keys were accepted as configured.",
 		Flags: []cli.Flag{
 			&cli.DurationFlag{Name: "duration", Value: defaultJobsDuration, Usage: "how long jobs are submitted"},
 			&cli.StringFlag{Name: "log-level", Value: "error", Usage: "debug, info, warn or error"},
--- a/cmd/tarragond/serve_test.go
+++ b/cmd/tarragond/serve_test.go
@@ -543,9 +543,12 @@
 	output, err := command.CombinedOutput()
 	assert.NilError(t, err, "%s", output)
 	var summary struct {
-		Accepted, Completed, Overlaps int
+		Accepted, Completed, Overlaps                        int
+		FormerKeyRefused, FormerKeyAccepted, ValidKeyRefused int
 	}
 	assert.NilError(t, json.Unmarshal(output, &summary), "%s", output)
 	assert.Assert(t, summary.Accepted > 0)
 	assert.Equal(t, summary.Overlaps, 0)
+	assert.Equal(t, summary.FormerKeyAccepted, 0)
+	assert.Equal(t, summary.ValidKeyRefused, 0)
 }
--- a/entry/devjobs/devjobs.go
+++ b/entry/devjobs/devjobs.go
@@ -1,17 +1,19 @@
 // Package devjobs runs a small fleet in one process: a stand-in for the operators'
 // platform, three entry instances, and a caller that submits jobs while the store is
-// unavailable for a short time and machines undergo maintenance.
+// unavailable for a short time, an API key is removed and machines undergo maintenance.
 package devjobs
 
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/fx"
@@ -23,6 +25,7 @@
 	"github.com/tarragonreach/tarragonreach/platform/nodefile"
 	"github.com/tarragonreach/tarragonreach/platform/registry"
 	"github.com/tarragonreach/tarragonreach/platform/standin"
+	"github.com/tarragonreach/tarragonreach/platform/submission"
 )
 
 const (
@@ -45,6 +48,28 @@
 	{Service: "sportello", Machines: 4, Spare: true},
 }
 
+// The API keys of the two tenants. The former key is removed while jobs are submitted.
+const (
+	trapaniKey    = "dev-trapani-2"
+	formerKey     = "dev-trapani-1"
+	magnoliaKey   = "dev-magnolia-1"
+	formerKeyUses = 6 // one in so many submissions has the former key
+)
+
+// Versions of the configuration: before and after the removal of the former key.
+const (
+	versionWithFormerKey    = 2
+	versionWithoutFormerKey = 3
+)
+
+func tenants(version int64) []standin.TenantSpec {
+	trapani := standin.TenantSpec{Name: "trapani", Keys: []string{trapaniKey}}
+	if version < versionWithoutFormerKey {
+		trapani.Keys = append(trapani.Keys, formerKey)
+	}
+	return []standin.TenantSpec{trapani, {Name: "magnolia", Keys: []string{magnoliaKey}}}
+}
+
 // Summary is the result of a run.
 type Summary struct {
 	Accepted  int `json:"accepted"`
@@ -58,12 +83,20 @@
 	Overlaps        int               `json:"overlaps"`
 	Wave            cluster.WaveState `json:"wave"`
 	MachineCommands int               `json:"machineOrders"`
+	// FormerKeyRefused counts submissions with the removed API key that got 401, and
+	// FormerKeyAccepted those that were accepted though they were sent later than a configuration
+	// may take to be in force. ValidKeyRefused counts submissions with valid keys that got 401.
+	FormerKeyRefused  int `json:"formerKeyRefused"`
+	FormerKeyAccepted int `json:"formerKeyAccepted"`
+	ValidKeyRefused   int `json:"validKeyRefused"`
 }
 
 // GuaranteesHeld reports whether at least one job was accepted, all accepted jobs
-// completed, no runs of a task overlapped and the wave completed.
+// completed, no runs of a task overlapped, the wave completed, and API keys were
+// accepted as configured.
 func (s Summary) GuaranteesHeld() bool {
-	return s.Accepted > 0 && s.Completed >= s.Accepted && s.Overlaps == 0 && s.Wave == cluster.WaveCompleted
+	return s.FormerKeyAccepted == 0 && s.ValidKeyRefused == 0 &&
+		s.Accepted > 0 && s.Completed >= s.Accepted && s.Overlaps == 0 && s.Wave == cluster.WaveCompleted
 }
 
 // fleet is the running development fleet with its caller.
@@ -72,9 +105,18 @@
 	fronts  []string
 	client  *http.Client
 	summary Summary
-	jobs    []string // paths of accepted jobs
+	jobs    []acceptedJob
+	// configApply is the time within which a configuration must be in force.
+	configApply time.Duration
+	// formerKeyRemoved is when the removal of the former key was acknowledged, in nanoseconds of
+	// Unix time; zero before.
+	formerKeyRemoved atomic.Int64
+	removalBegan     atomic.Bool
 }
 
+// acceptedJob is a job with a present key of its tenant.
+type acceptedJob struct{ path, key string }
+
 // Run starts the fleet, submits jobs for the given duration and returns the summary.
 func Run(ctx context.Context, duration time.Duration, logger *slog.Logger) (Summary, error) {
 	platform, err := standin.NewFleet(pools, runTime)
@@ -82,6 +124,9 @@
 		return Summary{}, err
 	}
 	defer platform.Close()
+	if err := platform.ConfigureTenants(pools, tenants(versionWithFormerKey), versionWithFormerKey); err != nil {
+		return Summary{}, err
+	}
 	f := &fleet{standin: platform, client: &http.Client{Timeout: callTimeout}}
 	stop, err := f.startInstances(ctx, logger)
 	defer stop()
@@ -124,6 +169,7 @@
 		if err != nil {
 			return stop, err
 		}
+		f.configApply = node.ConfigApply
 		app := host.New(node, logger.With("instance", name))
 		if err := app.Start(ctx); err != nil {
 			return stop, fmt.Errorf("start %s: %w", name, err)
@@ -147,7 +193,7 @@
 // awaitReady waits until the first instance has the queues of the configuration.
 func (f *fleet) awaitReady(ctx context.Context) error {
 	for {
-		if status, _ := f.call(ctx, http.MethodGet, f.fronts[0], "/terreni/", ""); status == http.StatusOK {
+		if status, _ := f.call(ctx, http.MethodGet, f.fronts[0], "/terreni/", trapaniKey, ""); status == http.StatusOK {
 			return nil
 		}
 		if err := backoff.Sleep(ctx, callInterval); err != nil {
@@ -156,12 +202,13 @@
 	}
 }
 
-func (f *fleet) call(ctx context.Context, method, front, path, body string) (int, string) {
+func (f *fleet) call(ctx context.Context, method, front, path, key, body string) (int, string) {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+front+path, strings.NewReader(body))
 	if err != nil {
 		return 0, err.Error()
 	}
 	request.Host = standin.Host
+	request.Header.Set(submission.HeaderAuthorization, submission.AuthorizationScheme+" "+key)
 	response, err := f.client.Do(request)
 	if err != nil {
 		return 0, err.Error()
@@ -174,12 +221,14 @@
 	return response.StatusCode, string(text)
 }
 
-// runLoad submits jobs, with a store outage after a third of the duration and a wave
-// after half of it. Timers start the outage and the wave, so that a pending submission
-// does not delay them.
+// runLoad submits jobs, with the removal of an API key after a quarter of the duration, a
+// store outage after a third and a wave after half of it. Timers start them, so that a
+// pending submission does not delay them.
 func (f *fleet) runLoad(ctx context.Context, duration time.Duration) error {
 	started := time.Now()
 	waveResult := make(chan error, 1)
+	removal := make(chan error, 1)
+	time.AfterFunc(duration/4, func() { removal <- f.removeFormerKey() })
 	outage := time.AfterFunc(duration/3, func() { f.standin.Store.SetDown(true) })
 	defer outage.Stop()
 	recovery := time.AfterFunc(duration/3+outageDuration, func() { f.standin.Store.SetDown(false) })
@@ -193,7 +242,14 @@
 	}
 	outage.Stop()
 	f.standin.Store.SetDown(false)
-	return <-waveResult
+	return errors.Join(<-removal, <-waveResult)
+}
+
+func (f *fleet) removeFormerKey() error {
+	f.removalBegan.Store(true)
+	err := f.standin.ConfigureTenants(pools, tenants(versionWithoutFormerKey), versionWithoutFormerKey)
+	f.formerKeyRemoved.Store(time.Now().UnixNano())
+	return err
 }
 
 func (f *fleet) createWave() error {
@@ -204,14 +260,32 @@
 	return f.standin.CreateWave(1, machines, waveDuration, 1)
 }
 
+// submit submits a job of one of the tenants.
 func (f *fleet) submit(ctx context.Context, i int) {
 	path := fmt.Sprintf("%s%016x", pools[i%2].Prefix, i)
 	body := standin.SubmissionBody(tasksPerJob, job.Resources{MilliCPU: 1000, MemoryMB: 256}, runTime, false)
-	status, _ := f.call(ctx, http.MethodPost, f.fronts[i%len(f.fronts)], path, body)
+	readKey := []string{trapaniKey, magnoliaKey}[i%2]
+	key := readKey
+	former := i%formerKeyUses == 0 // its tenant is trapani, since formerKeyUses is even
+	if former {
+		key = formerKey
+	}
+	removed := f.formerKeyRemoved.Load()
+	overdue := removed != 0 && time.Since(time.Unix(0, removed)) > f.configApply
+	status, _ := f.call(ctx, http.MethodPost, f.fronts[i%len(f.fronts)], path, key, body)
 	switch status {
 	case http.StatusOK:
 		f.summary.Accepted++
-		f.jobs = append(f.jobs, path)
+		f.jobs = append(f.jobs, acceptedJob{path, readKey})
+		if former && overdue {
+			f.summary.FormerKeyAccepted++
+		}
+	case http.StatusUnauthorized:
+		if former && f.removalBegan.Load() {
+			f.summary.FormerKeyRefused++
+		} else {
+			f.summary.ValidKeyRefused++
+		}
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		f.summary.Refused++
 	default:
@@ -224,10 +298,10 @@
 func (f *fleet) awaitCompletion(ctx context.Context) {
 	incomplete := f.jobs
 	for deadline := time.Now().Add(completionTimeout); time.Now().Before(deadline); {
-		var remaining []string
-		for _, path := range incomplete {
-			if f.jobState(ctx, path) != job.Completed {
-				remaining = append(remaining, path)
+		var remaining []acceptedJob
+		for _, accepted := range incomplete {
+			if f.jobState(ctx, accepted) != job.Completed {
+				remaining = append(remaining, accepted)
 			}
 		}
 		incomplete = remaining
@@ -241,8 +315,8 @@
 	}
 }
 
-func (f *fleet) jobState(ctx context.Context, path string) job.State {
-	status, text := f.call(ctx, http.MethodGet, f.fronts[0], path, "")
+func (f *fleet) jobState(ctx context.Context, accepted acceptedJob) job.State {
+	status, text := f.call(ctx, http.MethodGet, f.fronts[0], accepted.path, accepted.key, "")
 	if status != http.StatusOK {
 		return ""
 	}
