entry/layout: the key of a tenant's ledger

Names of tenants may have any characters and lengths, but keys of the store have at most 200 bytes: names are escaped, and replaced by their hash if they are too long.

--- a/entry/layout/golden_test.go
+++ b/entry/layout/golden_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/tarragonreach/tarragonreach/api/goldentest"
 	"github.com/tarragonreach/tarragonreach/api/job"
 	"github.com/tarragonreach/tarragonreach/policy/fleetplan"
+	"github.com/tarragonreach/tarragonreach/policy/quota"
 	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
@@ -70,12 +72,19 @@
 	}},
 	{LastWriteKey("batch"), WriteMarker{Nonce: "nonce"}},
 	{LastWriteKey("unreached"), WriteMarker{Nonce: "nonce", Unreached: shard.Unreached{"e-1": {Term: 15, AgeMs: 16}}}},
+	{QuotaKey("north, south/1"), quota.Ledger{
+		Tenant: "north, south/1", Limit: job.Resources{MilliCPU: 1, MemoryMB: 2, GPU: 3},
+		Services: map[cluster.Service]quota.Allotment{"batch": {
+			Portion: job.Resources{MilliCPU: 4, MemoryMB: 5, GPU: 6}, Demand: job.Resources{MilliCPU: 7, MemoryMB: 8, GPU: 9},
+			Task: job.Resources{MilliCPU: 10, MemoryMB: 11, GPU: 12}, Turn: 13,
+		}},
+	}},
 	{OwnerKey("batch"), Holder{Instance: "entry-1", Zone: "palermo", Term: "term"}},
 }
 
 // TestStoredEntriesKeepTheirForm guards against renamed keys and JSON fields, with which a
 // new version would not find what an older one stored. The file was written by commit 81f8b51,
-// but for the marker with unreached executors, which is newer.
+// but for the marker with unreached executors and the ledger, which are newer.
 func TestStoredEntriesKeepTheirForm(t *testing.T) {
 	stored := goldentest.ReadEntries(t, "testdata/store.txt")
 	assert.Equal(t, len(stored), len(goldenEntries))
@@ -105,3 +114,17 @@
 		assert.Equal(t, name, "a", key)
 	}
 }
+
+// Names of tenants have any characters and lengths: each needs a key of its own that the store takes.
+func TestKeysOfLedgersAreShortAndDistinct(t *testing.T) {
+	long := strings.Repeat("ü", 300)
+	names := []cluster.TenantName{"a", "a/b", "a%2Fb", "a b", "#", cluster.TenantName(long), cluster.TenantName(long + "x"), "../x"}
+	keys := map[string]bool{}
+	for _, name := range names {
+		key := QuotaKey(name)
+		assert.Assert(t, len(key) <= maxKeyBytes, key)
+		assert.Equal(t, strings.Count(key, "/"), 1, key)
+		keys[key] = true
+	}
+	assert.Equal(t, len(keys), len(names))
+}
--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -12,12 +12,16 @@
 //	orders/fleet                  RecentCommands
 //	evidence/fleet                fleetplan.DemandHistory
 //	chain/SERVICE                 WriteMarker: the last write of an owner
+//	quota/TENANT                  quota.Ledger: the limit of a tenant, divided among the services
 //	owners/DUTY                   Holder: the instance that holds a duty, under a lease
 package layout
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -107,6 +111,24 @@
 // LastWriteKey returns the key of the WriteMarker of the last write of a service's owner.
 func LastWriteKey(s cluster.Service) string { return "chain/" + string(s) }
 
+// QuotaPrefix is the prefix of the ledgers of all tenants.
+const QuotaPrefix = "quota/"
+
+// maxKeyBytes is the store's maximum length of a key.
+const maxKeyBytes = 200
+
+// QuotaKey returns the key of a tenant's ledger. A tenant's name may have any characters and any
+// length: it is escaped, and replaced by its hash if it is too long. No escaped name begins like a
+// hash, and the ledger holds the name.
+func QuotaKey(tenant cluster.TenantName) string {
+	key := QuotaPrefix + url.PathEscape(string(tenant))
+	if len(key) <= maxKeyBytes {
+		return key
+	}
+	digest := sha256.Sum256([]byte(tenant))
+	return QuotaPrefix + "#" + hex.EncodeToString(digest[:])
+}
+
 // OwnerKey returns the key of a duty's Holder.
 func OwnerKey(duty string) string { return OwnersPrefix + duty }
 
