policy/shard: starts stay within what a tenant may use of the service

A tenant's limit holds over all services, and each has a portion of it. The shard counts what may be running of each tenant, from the decision to start until a run is known to be over, with inherited runs and orphans, and starts nothing beyond what its owner says is usable. A start that only the portion keeps waiting is reported, so that the owner can claim more, and keeps later ones of its tenant waiting. Jobs that wait for this have the reason tenant-limit.

The world model now runs two services that share the ledgers of two tenants under all faults.

--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -159,6 +159,9 @@
 func (e *executorState) countRun(st *step, by int) {
 	st.runs += by
 	st.job.runs += by
+	if u := st.job.use; u != nil {
+		u.used = u.used.Add(multiply(st.def.Need, by))
+	}
 	if st.def.LongRunning {
 		e.longRunning += by
 	}
--- a/policy/shard/isolation.go
+++ b/policy/shard/isolation.go
@@ -57,7 +57,7 @@
 	if len(b.shard.suspects) == 0 && b.shard.reserved == 0 {
 		return
 	}
-	waiting := b.shard.waitingSuspects(b.now)
+	waiting := b.withinPortions(b.shard.waitingSuspects(b.now))
 	usable := b.shard.usableExecutors(b.now)
 	limit := max(1, int(trialShare*float64(len(usable))))
 	b.reserve(waiting, usable, limit)
@@ -69,7 +69,7 @@
 		if !b.startFits(t.step.job) {
 			return
 		}
-		if e := b.trialExecutor(t, usable, groupSize); e != nil {
+		if e := b.trialExecutor(t, usable, groupSize); e != nil && b.mayStart(t) {
 			b.startTrial(t, e)
 		}
 	}
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -11,6 +11,7 @@
 // jobState is a job that is not final, or whose final state is not durable yet.
 type jobState struct {
 	Record
+	use       *tenantUse // of the job's tenant; nil without one
 	state     job.State
 	published job.State // the durable state, which callers read
 	cancelled bool
--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -50,7 +50,7 @@
 
 // revert removes runs that were decided in this batch.
 func (b *builder) revert(runs []*run) {
-	b.unplaceable = nil // the capacity of the runs is free again
+	b.unplaceable, b.roomless = nil, nil // the capacity of the runs is free again
 	for _, r := range runs {
 		r.executor.removeRun(r)
 		r.task.current = nil
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -103,6 +103,7 @@
 		s.batchCommitted = false
 		s.NoteObservation(now.Sub(s.batchStats.openedAt)) // no load was published meanwhile
 	}
+	s.resetBlocked()
 	b := &builder{shard: s, now: now, entriesLeft: maxEntries - loadEntries, included: map[*jobState]bool{}}
 	changed := b.changed()
 	b.addWaiting()
@@ -110,6 +111,7 @@
 	b.addDelayed(changed)
 	b.startSuspects()
 	b.addStarts()
+	b.boundBlocked()
 	b.addRest(changed)
 	b.addLoad()
 	batch := b.build()
@@ -178,6 +180,8 @@
 	stalled      []*executorState // executors on which tasks stalled, for long-running tasks
 	// unplaceable lists needs for which no executor had capacity; see isUnplaceable.
 	unplaceable []job.Resources
+	// roomless lists needs for which no listed executor had capacity, usable or not; see hasRoom.
+	roomless []job.Resources
 }
 
 func (b *builder) addWaiting() {
@@ -280,7 +284,7 @@
 func (b *builder) addStarts() {
 	for _, j := range b.shard.startOrder(b.now) {
 		j.createDue(b.now)
-		if b.isFullFor(j) {
+		if b.isFullFor(j) || b.skip(j) {
 			continue
 		}
 		for _, o := range j.occurrences {
@@ -314,9 +318,17 @@
 	if !b.startFits(st.job) {
 		return
 	}
-	if runs := b.place(st, ready); len(runs) > 0 {
+	admitted := b.withinPortion(st, ready)
+	var runs []*run
+	if len(admitted) > 0 {
+		runs = b.place(st, admitted)
+	}
+	if len(runs) > 0 {
 		b.addRuns(st, runs)
 	}
+	if len(admitted) < len(ready) {
+		b.noteBlocked(st, ready, admitted, len(runs))
+	}
 }
 
 // addRuns adds the starts of a step's runs to the batch.
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -69,6 +69,9 @@
 	jobs            map[job.ID]*jobState
 	queue           deadlineQueue                         // the same jobs, by deadline
 	tenants         map[cluster.TenantName]cluster.Tenant // as the operator configured them last
+	uses            map[cluster.TenantName]*tenantUse     // of the tenants that have had jobs or limits
+	blocked         []*tenantUse                          // those that the last batch kept from starting tasks
+	orphaned        []*tenantUse                          // those with orphans, possibly repeated
 	advised         map[job.ID]bool                       // the jobs whose steps need advice
 	executors       map[cluster.ExecutorID]*executorState // the latest incarnations
 	retired         map[cluster.ExecutorID]retiredIncarnation
@@ -128,6 +131,7 @@
 		executors: map[cluster.ExecutorID]*executorState{},
 		retired:   map[cluster.ExecutorID]retiredIncarnation{},
 		suspects:  map[*task]bool{},
+		uses:      map[cluster.TenantName]*tenantUse{},
 	}
 }
 
@@ -157,6 +161,7 @@
 		return
 	}
 	j := newJob(r)
+	j.use = s.tenantUse(r.Tenant)
 	s.jobs[r.ID] = j
 	s.queue.add(j)
 	s.updateAdvised(j)
--- a/policy/shard/waiting.go
+++ b/policy/shard/waiting.go
@@ -19,6 +19,9 @@
 	// ReasonLimited: a limit keeps its tasks from starting: the pause after a failure, the
 	// maximum per executor, a missing ticket, or unready members of a gang.
 	ReasonLimited Reason = "held-by-a-limit"
+	// ReasonTenantLimit: its tenant has as much running as its limit, or what this service has of
+	// it, allows.
+	ReasonTenantLimit Reason = "tenant-limit"
 	// ReasonUnconfirmed: it has runs, but each is unconfirmed or being stopped.
 	ReasonUnconfirmed Reason = "start-unsettled"
 	// ReasonStoreUnavailable: it is schedulable, but the store has not stored the last batch.
@@ -33,7 +36,7 @@
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
-	ReasonNoExecutor, ReasonNoCapacity, ReasonLimited, ReasonUnconfirmed,
+	ReasonNoExecutor, ReasonNoCapacity, ReasonLimited, ReasonTenantLimit, ReasonUnconfirmed,
 	ReasonStoreUnavailable, ReasonOwnerOverloaded, ReasonNotItsTurn, ReasonNotExamined,
 }
 
@@ -133,6 +136,7 @@
 	checksExhausted   bool          // more checks would have been needed
 	schedulableReason Reason        // why schedulable tasks wait
 	report            Report
+	portions          map[*tenantUse]job.Resources // reserved for waiting tasks
 	samples           map[job.ID]Reason
 	sampleIDs         []job.ID // sorted: the first ones after the last sample of the last report
 }
@@ -269,6 +273,9 @@
 	case !st.def.Reservation().Fits(b.maxFree):
 		return 0, ReasonNoCapacity
 	}
+	if n = b.withinPortion(st, n); n == 0 {
+		return 0, ReasonTenantLimit
+	}
 	return b.fitTasks(st, n)
 }
 
@@ -286,6 +293,7 @@
 	if fits < n {
 		b.updateMaxFree()
 	}
+	b.notePortion(st, fits)
 	switch {
 	case fits > 0:
 		return fits, b.schedulableReason
--- a/policy/shard/world_test.go
+++ b/policy/shard/world_test.go
@@ -27,6 +27,7 @@
 //     after three executors have crashed under it.
 //   - ORDER: a task starts before the steps that it depends on are done.
 //   - LIMIT: the runs on an executor exceed its capacity.
+//   - QUOTA: the runs of a tenant in all worlds that share its ledger exceed its limit.
 //   - UNASKED: a task starts long after its job was cancelled.
 //   - LOST: a task does not start, or a job does not become final, within a bound.
 type world struct {
@@ -57,6 +58,7 @@
 	unreached Unreached           // as stored with the last batch
 	termBegan map[int64]time.Time // by token
 	restarts  *restarts           // nil if no executor starts again under its ID
+	tenants   *tenantsSim         // nil if jobs belong to no tenants
 }
 
 type storedJob struct {
@@ -81,6 +83,7 @@
 	pausedUntil time.Time // gets no processor time until then; responses are read later
 	listedAt    time.Time // when it last requested the machine list
 	reportedAt  time.Time
+	ledgers     *ledgersSim // nil if jobs belong to no tenants
 }
 
 // responseSim is a response on its way to an owner.
@@ -217,6 +220,7 @@
 		return at, known
 	})
 	o.shard.SetExecutors(w.listExecutors(), w.now)
+	w.tenants.lead(w, o)
 	for _, id := range w.jobIDs() {
 		j := w.jobs[id]
 		if j.state.Final() {
@@ -269,7 +273,7 @@
 		steps[0].MaxUnavailable = 1
 	}
 	r := Record{
-		ID: id, Accepted: w.now, Definition: job.Definition{Payload: "p", Steps: steps},
+		ID: id, Tenant: w.tenants.draw(w), Accepted: w.now, Definition: job.Definition{Payload: "p", Steps: steps},
 		Queue: QueuePolicy{Name: "q", MaxAttempts: 2, Stretch: 2, TargetDuration: time.Second},
 	}
 	w.jobs[id] = &storedJob{
@@ -340,6 +344,7 @@
 	if w.liveness == nil || w.liveness.mayWrite(w, o) {
 		w.storeBatch(o)
 	}
+	w.tenants.storeLedgers(w, o)
 	for _, cmd := range o.shard.Commands(w.now) {
 		w.sendCommand(o, cmd)
 	}
@@ -352,6 +357,7 @@
 	w.listMachines(o)
 	w.noteGivenUp(o)
 	checkRunCounts(w.t, o.shard)
+	checkTenantUses(w.t, o.shard)
 	o.checkReport(w.t, w.now)
 }
 
@@ -577,6 +583,7 @@
 	unforeseen := w.unforeseen(e, s)
 	if !unforeseen {
 		w.checkStart(e, s)
+		w.tenants.checkStart(w, s)
 	}
 	def := w.jobs[s.Task.Job].record.Definition.Steps[s.Task.Step]
 	e.lease = max(e.lease, min(s.UntilMs, e.clock(w.now)+testLimits.MaxRunLease.Milliseconds()))
@@ -828,6 +835,15 @@
 // healAndFinish ends all faults, cancels the long-running jobs, and checks that all jobs
 // become final within a minute.
 func (w *world) healAndFinish() {
+	w.endFaults()
+	for range 60 {
+		w.step(time.Second)
+	}
+	w.checkFinal()
+}
+
+// endFaults ends all faults and cancels the long-running jobs.
+func (w *world) endFaults() {
 	w.zombies = nil
 	for _, e := range w.executors {
 		e.partitioned = false
@@ -840,12 +856,13 @@
 			w.owner.shard.Cancel(id)
 		}
 	}
-	for range 60 {
-		w.step(time.Second)
-	}
+}
+
+// checkFinal checks that all jobs are final a minute after the last fault.
+func (w *world) checkFinal() {
 	for id, j := range w.jobs {
 		if !j.state.Final() {
-			w.t.Fatalf("LOST: job %s is %s a minute after the last fault: %s", id, j.state, w.describe(id))
+			w.t.Fatalf("LOST: job %s is %s a minute after the last fault: %s%s", id, j.state, w.describe(id), w.tenants.describe(w, id))
 		}
 	}
 }
