entry/owner: an owner reads, follows and writes the ledgers of tenants with limits

While the configuration limits tenants, an owner reads the ledgers at takeover with the other reads, follows them, and writes the changes that policy/quota plans beside its batches: one write at a time, under the conditions on its term and on each ledger's revision, repeated until it is answered. Without limits it does none of this.

--- a/entry/owner/load.go
+++ b/entry/owner/load.go
@@ -28,17 +28,27 @@
 	progress  storedProgress
 	items     []kv.Item
 	executors []kv.Item
+	config    *cluster.Config // if it limits tenants; nil otherwise, and then there are no ledgers
+	ledgers   []kv.Item
 }
 
 // read reads all parts concurrently, since their latencies would add up on a slow store.
 func (o *Owner) read(ctx context.Context) (storedShard, error) {
 	var s storedShard
-	var errs [4]error
+	if o.Config != nil {
+		if c := o.Config(); limitsTenants(c) {
+			s.config = c
+		}
+	}
+	var errs [5]error
 	var reads sync.WaitGroup
 	reads.Go(func() { s.marker, s.lastWrite, errs[0] = o.readLastWrite(ctx) })
 	reads.Go(func() { s.progress, errs[1] = o.readProgress(ctx) })
 	reads.Go(func() { s.items, _, errs[2] = o.Store.All(ctx, o.shardPrefix(), kv.Linearizable) })
 	reads.Go(func() { s.executors, _, errs[3] = o.Store.All(ctx, executorPrefix, kv.Linearizable) })
+	if s.config != nil {
+		reads.Go(func() { s.ledgers, _, errs[4] = o.Store.All(ctx, layout.QuotaPrefix, kv.Linearizable) })
+	}
 	reads.Wait()
 	if err := errors.Join(errs[:]...); err != nil {
 		return storedShard{}, fmt.Errorf("read the shard of %s: %w", o.Service, err)
@@ -58,6 +68,10 @@
 	o.loadExecutors(s.executors)
 	o.unreadable = s.progress.unreadable
 	o.applyJobs(follow.Listing(s.items), s.progress.byJob, time.Now())
+	if s.config != nil {
+		o.applyTenants(s.config)
+		o.applyLedgers(follow.Listing(s.ledgers))
+	}
 	o.Logger.Info("shard taken over", "jobs", o.shard.Jobs(), "begun", len(s.progress.byJob), "executors", len(s.executors))
 	return nil
 }
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -106,7 +106,8 @@
 	renewalAllowed   bool      // whether leases of runs may be renewed
 	renewalCheckedAt time.Time // when renewalAllowed was last checked
 
-	delays delays
+	delays  delays
+	ledgers ledgers
 	// machineList is the state of the requests for the machine list.
 	machineList machineListRequests
 
@@ -143,6 +144,7 @@
 		return
 	}
 	defer o.measure(shard.Report{}, 0) // resets the gauges: another instance reports after this term
+	defer o.resetLedgerGauges()
 	o.follow(ctx)
 	o.loop(ctx)
 }
@@ -228,6 +230,7 @@
 	o.applyConfig()
 	o.updateLeaseRenewal(now)
 	o.storeNextBatch(now)
+	o.storeLedgers(now)
 	for _, command := range o.shard.Commands(now) {
 		o.sendCommand(command)
 	}
@@ -288,6 +291,7 @@
 	if c.Tenancy {
 		o.shard.SetTenants(c.Tenants)
 	}
+	o.applyTenants(c)
 }
 
 // lastBatchTimeout bounds how long a leaving owner waits for its last batch.
--- a/entry/owner/report.go
+++ b/entry/owner/report.go
@@ -64,6 +64,7 @@
 	overloaded := delay >= overloadedDelay || o.Cores > 0 && used.Seconds() >= overloadedCPUShare*o.Cores*period.Seconds()
 	r := o.shard.Waiting(now, overloaded)
 	o.measure(r, delay)
+	o.reportLedgers()
 	o.logUsabilityChanges(r.Executors.Changes, now)
 	o.logSuspicions(r.Executors.Suspicions, now)
 	o.logLongRunning(r, delay)
