--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -107,7 +107,8 @@
 	renewalAllowed   bool      // whether leases of runs may be renewed
 	renewalCheckedAt time.Time // when renewalAllowed was last checked
 
-	delays delays
+	delays  delays
+	ledgers ledgers
 	// reportedTenants holds the tenants of the last report.
 	reportedTenants map[cluster.TenantName]bool
 	// machineList is the state of the requests for the machine list.
@@ -147,6 +148,7 @@
 	}
 	o.applyConfig()                    // before the first jobs: their excess is decided by it
 	defer o.measure(shard.Report{}, 0) // resets the gauges: another instance reports after this term
+	defer o.resetLedgerGauges()
 	o.follow(ctx)
 	o.loop(ctx)
 }
@@ -233,6 +235,7 @@
 	o.applyConfig()
 	o.updateLeaseRenewal(now)
 	o.storeNextBatch(now)
+	o.storeLedgers(now)
 	for _, command := range o.shard.Commands(now) {
 		o.sendCommand(command)
 	}
@@ -294,6 +297,7 @@
 		o.shard.SetTenants(c.Tenants)
 	}
 	o.tenancy = c.Tenancy
+	o.applyTenants(c)
 }
 
 // lastBatchTimeout bounds how long a leaving owner waits for its last batch.
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -76,6 +76,9 @@
 	observedAt      time.Time                             // jobs added now were accepted after that; zero during a takeover
 	order           shareOrder                            // reused by each ordering
 	carryAt         time.Time                             // when updateCarry was called last
+	uses            map[cluster.TenantName]*tenantUse     // of the tenants that have had jobs or limits
+	blocked         []*tenantUse                          // those that the last batch kept from starting tasks
+	orphaned        []*tenantUse                          // those with orphans, possibly repeated
 	advised         map[job.ID]bool                       // the jobs whose steps need advice
 	executors       map[cluster.ExecutorID]*executorState // the latest incarnations
 	retired         map[cluster.ExecutorID]retiredIncarnation
@@ -136,6 +139,7 @@
 		executors: map[cluster.ExecutorID]*executorState{},
 		retired:   map[cluster.ExecutorID]retiredIncarnation{},
 		suspects:  map[*task]bool{},
+		uses:      map[cluster.TenantName]*tenantUse{},
 	}
 }
 
@@ -167,6 +171,7 @@
 	j := newJob(r)
 	j.share = s.shareOf(r.Tenant)
 	s.undecided = append(s.undecided, j)
+	j.use = s.tenantUse(r.Tenant)
 	s.jobs[r.ID] = j
 	s.queue.add(j)
 	s.updateAdvised(j)
