--- a/policy/shard/quota_test.go
+++ b/policy/shard/quota_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
