Shard: estimate how long new jobs wait, and publish it while jobs would start too late

The intake has no means to tell a caller at once that a job would start too late. The owner now forecasts the waits of new jobs by queue, objective and task size, from the runs that end and the jobs that go first, and stores them with its batches under admission/SERVICE, at most four times a second and only where the operator has configured tenants. The rates and limits of tenants are simple ones for now.

--- a/entry/layout/golden_test.go
+++ b/entry/layout/golden_test.go
@@ -70,12 +70,18 @@
 	}},
 	{LastWriteKey("batch"), WriteMarker{Nonce: "nonce"}},
 	{LastWriteKey("unreached"), WriteMarker{Nonce: "nonce", Unreached: shard.Unreached{"e-1": {Term: 15, AgeMs: 16}}}},
+	{AdmissionKey("batch"), shard.Admission{
+		Token: 18, Sequence: 19, AtMs: 20, CapacityMs: 21,
+		Queues:  map[string]shard.QueueWait{"nightly": {Objectives: []int64{22, 23}, Sizes: []int64{24}, WaitMs: []int64{25, 26}, MemoryPerCore: 27}},
+		LimitMs: map[cluster.TenantName]int64{"palermo": 28}, Excess: map[cluster.TenantName]int{"trapani": 29},
+	}},
+	{JobKey("rejected"), State{Service: "batch", Queue: "nightly", Tenant: "palermo", State: job.Cancelled, FinalAt: goldenTime, Rejected: &Rejection{At: goldenTime, Told: goldenTime.Add(time.Hour)}}},
 	{OwnerKey("batch"), Holder{Instance: "entry-1", Zone: "palermo", Term: "term"}},
 }
 
 // TestStoredEntriesKeepTheirForm guards against renamed keys and JSON fields, with which a
 // new version would not find what an older one stored. The file was written by commit 81f8b51,
-// but for the marker with unreached executors, which is newer.
+// but for the marker with unreached executors, the admission and the rejected job, which are newer.
 func TestStoredEntriesKeepTheirForm(t *testing.T) {
 	stored := goldentest.ReadEntries(t, "testdata/store.txt")
 	assert.Equal(t, len(stored), len(goldenEntries))
@@ -89,10 +95,10 @@
 	task := job.TaskID{StepID: job.StepID{Job: goldenJob, Occurrence: 1, Step: 2}, Index: 3}
 	assert.DeepEqual(t, []string{
 		CancelKey("batch", goldenJob), ShardPrefix("batch"), ProgressPrefix("batch"),
-		OwnersPrefix, JobsPrefix, LoadPrefix, WavesPrefix, task.String(),
+		OwnersPrefix, JobsPrefix, LoadPrefix, AdmissionPrefix, WavesPrefix, task.String(),
 	}, []string{
 		"shard/batch/cancel/0123456789abcdef", "shard/batch/", "progress/batch/",
-		"owners/", "jobs/", "load/", "waves/", "0123456789abcdef.1.2.3",
+		"owners/", "jobs/", "load/", "admission/", "waves/", "0123456789abcdef.1.2.3",
 	})
 	assert.DeepEqual(t, []job.State{job.Queued, job.Running, job.Failed, job.Cancelled},
 		[]job.State{"queued", "running", "failed", "cancelled"})
--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -7,6 +7,7 @@
 //	shard/SERVICE/cordon/EXECUTOR Cordon: an executor to evacuate
 //	progress/SERVICE/JOB          shard.Progress of a job that is not final
 //	waiting/SERVICE               Waiting: counts of jobs of which nothing has started
+//	admission/SERVICE             shard.Admission: how long new jobs would wait
 //	load/SERVICE                  shard.Load: input of the fleet planner
 //	waves/N                       WaveProgress
 //	orders/fleet                  RecentCommands
@@ -76,6 +77,12 @@
 // LoadKey returns the key of a service's load.
 func LoadKey(s cluster.Service) string { return LoadPrefix + string(s) }
 
+// AdmissionPrefix is the prefix of the admissions of all services.
+const AdmissionPrefix = "admission/"
+
+// AdmissionKey returns the key of a service's shard.Admission.
+func AdmissionKey(s cluster.Service) string { return AdmissionPrefix + string(s) }
+
 // WaveKey returns the key of the WaveProgress of a maintenance wave.
 func WaveKey(number int64) string { return "waves/" + strconv.FormatInt(number, 10) }
 
@@ -119,6 +126,17 @@
 	Tenant cluster.TenantName `json:"tenant,omitempty"`
 	// FinalAt is when the state became final; old final entries are removed.
 	FinalAt time.Time `json:"finalAt,omitzero"`
+	// Rejected is set if there is no job: its submission was rejected, and no attempt of it from
+	// before may take effect any more. State is then final, so that the entry is removed like others.
+	Rejected *Rejection `json:"rejected,omitempty"`
+}
+
+// Rejection is what a caller was told whose job was rejected.
+type Rejection struct {
+	// At is when it was rejected.
+	At time.Time `json:"at"`
+	// Told is when the caller should come back.
+	Told time.Time `json:"told"`
 }
 
 // Waiting counts by queue the jobs of which nothing has started.
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -285,6 +285,7 @@
 	}
 	o.configVersion = c.Version
 	o.shard.SetQueues(c.Queues)
+	o.shard.SetAdmission(c.Tenancy)
 	if c.Tenancy {
 		o.shard.SetTenants(c.Tenants)
 	}
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -126,6 +126,13 @@
 		}
 		txn.Puts = append(txn.Puts, kv.Put{Key: layout.LoadKey(o.Service), Value: value})
 	}
+	if b.Admission != nil {
+		value, err := layout.Encode(b.Admission)
+		if err != nil {
+			return kv.Txn{}, err
+		}
+		txn.Puts = append(txn.Puts, kv.Put{Key: layout.AdmissionKey(o.Service), Value: value})
+	}
 	for _, w := range b.Jobs {
 		if err := o.encodeJob(&txn, w); err != nil {
 			return kv.Txn{}, err
--- a/policy/shard/completions.go
+++ b/policy/shard/completions.go
@@ -16,6 +16,9 @@
 	r := t.current
 	e.removeRun(r)
 	t.current = nil
+	if row.Reason == execution.EndedDone {
+		s.noteCompletion(r, now)
+	}
 	j := t.step.job
 	j.markChanged()
 	t.clearOfCrashes() // the executor outlived the run
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -16,6 +16,8 @@
 	Waiting map[string]int
 	// Load is the input of the fleet planner; nil keeps what is stored.
 	Load *Load
+	// Admission is published for the instances; nil keeps what is stored.
+	Admission *Admission
 	// Unreached is stored with the write marker.
 	Unreached Unreached
 	// Full is set if writes or starts were left out for lack of entries.
@@ -105,11 +107,13 @@
 	}
 	b := &builder{shard: s, now: now, entriesLeft: maxEntries - loadEntries, included: map[*jobState]bool{}}
 	changed := b.changed()
+	b.reserveAdmission()
 	b.addWaiting()
 	b.addFinal(changed)
 	b.addDelayed(changed)
 	b.startSuspects()
 	b.addStarts()
+	b.addAdmission()
 	b.addRest(changed)
 	b.addLoad()
 	batch := b.build()
@@ -159,7 +163,7 @@
 
 // Pending reports whether Batch may have something to store or to start.
 func (s *Shard) Pending(now time.Time) bool {
-	due := s.dirty || len(s.jobs) > 0 && !now.Before(s.planAt)
+	due := s.dirty || len(s.jobs) > 0 && !now.Before(s.planAt) || s.admission.pending(now)
 	return due && s.pendingBatch == nil
 }
 
@@ -351,7 +355,7 @@
 func (b *builder) build() *Batch {
 	b.batch.Unreached = b.shard.currentlyUnreached(b.now)
 	unreachedDue := b.shard.unreached.due(b.batch.Unreached, b.now)
-	if len(b.jobs) == 0 && b.batch.Waiting == nil && b.batch.Load == nil && !unreachedDue && !b.shard.tokenWanted {
+	if len(b.jobs) == 0 && b.batch.Waiting == nil && b.batch.Load == nil && b.batch.Admission == nil && !unreachedDue && !b.shard.tokenWanted {
 		return nil
 	}
 	for _, j := range b.jobs {
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -114,6 +114,7 @@
 
 	unusable unusablePeriods
 
+	admission        admissionState
 	batchStats       batchStats
 	lastSample       job.ID    // the last job among the samples of the last report
 	nextAdviceSearch time.Time // when to search again for steps that need advice
@@ -160,6 +161,7 @@
 	s.jobs[r.ID] = j
 	s.queue.add(j)
 	s.updateAdvised(j)
+	s.noteArrival(j, now)
 	s.dirty, s.waitingDirty = true, true
 	if !j.isLongRunning() {
 		s.arrivedWork += workOf(r)
