Intake: reject at once jobs that would start too late

Every instance follows admission/ while tenants are configured and decides without a call. A rejection is stored under the job's key before the caller is told, so that an earlier attempt whose outcome is unknown can't take effect afterwards; a caller that comes back replaces it.

--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -15,6 +15,7 @@
 	"go.uber.org/fx"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/entry/admissions"
 	"github.com/tarragonreach/tarragonreach/entry/election"
 	"github.com/tarragonreach/tarragonreach/entry/fleetduty"
 	"github.com/tarragonreach/tarragonreach/entry/intake"
@@ -71,6 +72,7 @@
 	services       map[cluster.Service]bool // that this instance campaigns for
 	election       *election.Election
 	dutyCtx        context.Context
+	admissions     *admissions.Follower
 }
 
 // New returns the application of one instance.
@@ -99,7 +101,9 @@
 	h.config = operatorconfig.New(storehealth.NewDedicated(kv.New(node.StoreAddress), h.store), node.ConfigApply,
 		h.campaignForServices, logger, m.Scope.SubScope("config"))
 	h.election = election.New(h.store, node.ID, node.Zone, node.Cores, logger)
+	h.admissions = admissions.New(h.store, h.election, logger)
 	in := intake.New(h.store, h.config, h.leaving.Load, logger, m.Scope.SubScope("intake"))
+	in.SetAdmissions(h.admissions)
 	h.front = &http.Server{Handler: in.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	h.probes = &http.Server{Handler: h.probeHandler(), ReadHeaderTimeout: headerTimeout}
 	return h
@@ -148,6 +152,7 @@
 	h.followers.Go(func() { h.election.Follow(background) })
 	h.followers.Go(func() { h.config.Run(background) })
 	h.followers.Go(func() { h.store.Probe(background) })
+	h.followers.Go(func() { h.admissions.Run(background) })
 	if h.node.MachinesAddress != "" {
 		h.campaigns.Go(h.campaignForFleet)
 	}
@@ -164,6 +169,7 @@
 
 // campaignForServices makes this instance a candidate for leading the services of a configuration.
 func (h *Host) campaignForServices(config *cluster.Config) {
+	h.admissions.Enable(config.Tenancy)
 	for _, pool := range config.Pools {
 		if !pool.Spare {
 			h.campaign(pool.Service)
--- /dev/null
+++ b/entry/intake/admission.go
@@ -0,0 +1,181 @@
+package intake
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/job"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/policy/admit"
+	"github.com/tarragonreach/tarragonreach/policy/shard"
+)
+
+// Admissions is what this instance knows about the waits of new jobs.
+type Admissions interface {
+	// Known returns what is known about a service, or nil.
+	Known(service cluster.Service) *admit.Knowledge
+}
+
+// SetAdmissions lets the intake reject jobs that would start too late. Without it, all are
+// accepted. It must be called before the handler is used.
+func (i *Intake) SetAdmissions(a Admissions) { i.admissions = a }
+
+const (
+	// maxReplacements bounds how often a rejection may be renewed while the job that it stands
+	// for is being stored.
+	maxReplacements = 3
+	// rejectionSettled is the age from which a rejection may be replaced by the job: a request
+	// that arrived before it must not store the job after its caller was told that it never
+	// runs. It is below the shortest Retry-After, and above the difference of instances' clocks.
+	rejectionSettled = 750 * time.Millisecond
+)
+
+// arrivalKey is the key of the time at which a request arrived, in its context.
+type arrivalKey struct{}
+
+func withArrival(r *http.Request, at time.Time) *http.Request {
+	return r.WithContext(context.WithValue(r.Context(), arrivalKey{}, at))
+}
+
+// arrivalOf returns when the request of a context arrived.
+func arrivalOf(ctx context.Context) time.Time {
+	if at, known := ctx.Value(arrivalKey{}).(time.Time); known {
+		return at
+	}
+	return time.Now()
+}
+
+// candidate is a job that a caller submits.
+type candidate struct {
+	queue      cluster.Queue
+	tenant     cluster.TenantName
+	id         job.ID
+	definition job.Definition
+}
+
+func (c candidate) request() admit.Request {
+	r := admit.Request{ID: c.id, Queue: c.queue.Name, Tenant: c.tenant, Need: c.definition.Steps[0].Reservation()}
+	r.Objective, r.Slack = shard.StartSlack(c.definition, shard.QueuePolicyOf(c.queue))
+	return r
+}
+
+// checkAdmission returns the response to a job that is rejected, or that is stored already. If it
+// returns none, the job has to be stored, on condition that its key has the returned revision.
+//
+// A rejection is final only once it is stored under the job's key: an earlier attempt of the same
+// submission whose outcome is not known, perhaps of another instance, then finds the key and can't
+// take effect any more. If the rejection can't be stored, the job is accepted if it can be.
+func (i *Intake) checkAdmission(ctx context.Context, c candidate) (*response, kv.Revision) {
+	if i.admissions == nil || !shard.Rejectable(c.definition) {
+		return nil, 0
+	}
+	k := i.admissions.Known(c.queue.Service)
+	if k == nil {
+		return nil, 0
+	}
+	if _, unavailable := i.store.Unavailable(); unavailable {
+		return nil, 0
+	}
+	r := c.request()
+	d := admit.Decide(k, r, time.Now())
+	if !d.Rejected {
+		return nil, 0
+	}
+	stored, result := i.storeRejection(ctx, c, d, 0)
+	if stored {
+		return i.rejected(c, d), 0
+	}
+	item, state, found := currentState(result, c.id)
+	switch {
+	case !found:
+		return nil, 0
+	case state.Rejected == nil:
+		return &response{status: http.StatusOK, reason: "stored before"}, 0
+	}
+	switch admit.ReturnOf(state.Rejected.Told, arrivalOf(ctx)) {
+	case admit.TooEarly:
+		return i.rejected(c, admit.Early(d, state.Rejected.Told, time.Now())), 0
+	case admit.InWindow:
+		r.Returned = true
+		d = admit.Decide(k, r, time.Now())
+	}
+	if !d.Rejected {
+		return nil, item.Revision
+	}
+	if stored, _ = i.storeRejection(ctx, c, d, item.Revision); !stored {
+		return nil, item.Revision
+	}
+	return i.rejected(c, d), 0
+}
+
+// storeRejection stores a rejection under the job's key, on condition that the key has the given
+// revision. There is one attempt: the job is rather accepted than kept waiting.
+func (i *Intake) storeRejection(ctx context.Context, c candidate, d admit.Decision, revision kv.Revision) (stored bool, result kv.TxnResult) {
+	now := time.Now()
+	value, err := layout.Encode(layout.State{
+		Service: c.queue.Service, Queue: c.queue.Name, Tenant: c.tenant, State: job.Cancelled, FinalAt: now,
+		Rejected: &layout.Rejection{At: now, Told: now.Add(d.RetryAfter)},
+	})
+	if err != nil {
+		return false, kv.TxnResult{}
+	}
+	result, err = i.attempt(ctx, kv.Txn{
+		Conditions: []kv.Condition{{Key: layout.JobKey(c.id), Revision: revision}},
+		Puts:       []kv.Put{{Key: layout.JobKey(c.id), Value: value}},
+	}, 1)
+	return err == nil && result.Applied, result
+}
+
+// currentState returns the state of a job that kept a write from being applied, if it is readable.
+func currentState(result kv.TxnResult, id job.ID) (kv.Item, layout.State, bool) {
+	for _, item := range result.Current {
+		if item.Key != layout.JobKey(id) {
+			continue
+		}
+		state, err := layout.Decode[layout.State](item.Key, item.Value)
+		return item, state, err == nil
+	}
+	return kv.Item{}, layout.State{}, false
+}
+
+// replaceRejection repeats a write that found a rejection under the job's key, so that the job
+// replaces it. A request that arrived before the rejection is rejected like the one that got it.
+func (i *Intake) replaceRejection(ctx context.Context, c candidate, t kv.Txn, result kv.TxnResult) (kv.TxnResult, *response) {
+	for range maxReplacements {
+		item, state, found := currentState(result, c.id)
+		if result.Applied || !found || state.Rejected == nil {
+			return result, nil
+		}
+		if arrivalOf(ctx).Before(state.Rejected.At.Add(rejectionSettled)) {
+			return result, i.rejected(c, admit.Early(admit.Decision{}, state.Rejected.Told, time.Now()))
+		}
+		t.Conditions = []kv.Condition{{Key: item.Key, Revision: item.Revision}}
+		var err error
+		if result, err = i.write(ctx, t); err != nil {
+			failure := i.writeFailure(err)
+			return result, &failure
+		}
+	}
+	if _, state, found := currentState(result, c.id); !result.Applied && found && state.Rejected != nil {
+		return result, &response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "rejected elsewhere at the same time"}
+	}
+	return result, nil
+}
+
+// rejected logs and counts a rejection and returns its response.
+func (i *Intake) rejected(c candidate, d admit.Decision) *response {
+	tags := map[string]string{"queue": c.queue.Name, "tenant": string(c.tenant), "reason": string(d.Reason)}
+	scope := i.scope.Tagged(tags)
+	scope.Counter("rejections").Inc(1)
+	scope.Histogram("rejection_knowledge_age_seconds", tally.DefaultBuckets).RecordDuration(d.Age)
+	i.logger.Info("rejected", "job", string(c.id), "queue", c.queue.Name, "tenant", string(c.tenant), "reason", string(d.Reason),
+		"knowledge_age_ms", d.Age.Milliseconds(), "wait_ms", d.Wait.Milliseconds(), "slack_ms", d.Slack.Milliseconds(),
+		"retry_after_s", strconv.Itoa(int(d.RetryAfter/time.Second)))
+	return &response{status: http.StatusTooManyRequests, retryAfter: d.RetryAfter, reason: string(d.Reason)}
+}
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -56,6 +56,8 @@
 	logger  *slog.Logger
 	scope   tally.Scope
 	leaving func() bool
+	// admissions is nil if no job is rejected for lack of capacity.
+	admissions Admissions
 }
 
 // New returns an intake. While leaving reports true, connections are closed after the
@@ -95,6 +97,7 @@
 
 func (i *Intake) serve(c *gin.Context) {
 	start := time.Now()
+	c.Request = withArrival(c.Request, start)
 	resp, queue, id := i.dispatch(c)
 	if i.leaving() {
 		c.Header("Connection", "close")
--- a/entry/intake/jobs.go
+++ b/entry/intake/jobs.go
@@ -123,10 +123,20 @@
 	if err != nil {
 		return response{status: http.StatusInternalServerError, reason: err.Error()}
 	}
+	c := candidate{queue: queue, id: id, definition: d}
+	rejection, revision := i.checkAdmission(ctx, c)
+	if rejection != nil {
+		return *rejection
+	}
+	t.Conditions[0].Revision = revision
 	result, err := i.write(ctx, t)
-	switch {
-	case err != nil:
+	if err != nil {
 		return i.writeFailure(err)
+	}
+	result, failure := i.replaceRejection(ctx, c, t, result)
+	switch {
+	case failure != nil:
+		return *failure
 	case result.Applied:
 		return response{status: http.StatusOK, reason: "stored"}
 	default:
@@ -169,6 +179,9 @@
 	if err != nil {
 		return item, state, &response{status: http.StatusInternalServerError, reason: err.Error()}
 	}
+	if state.Rejected != nil {
+		return item, state, &noSuchJob
+	}
 	return item, state, nil
 }
 
