--- a/entry/intake/admission.go
+++ b/entry/intake/admission.go
@@ -30,10 +30,8 @@
 	// maxReplacements bounds how often a rejection may be renewed while the job that it stands
 	// for is being stored.
 	maxReplacements = 3
-	// rejectionSettled is the age from which a rejection may be replaced by the job: a request
-	// that arrived before it must not store the job after its caller was told that it never
-	// runs. It is below the shortest Retry-After, and above the difference of instances' clocks.
-	rejectionSettled = 750 * time.Millisecond
+	// rejectionTimeout bounds the write of a rejection.
+	rejectionTimeout = 400 * time.Millisecond
 )
 
 // arrivalKey is the key of the time at which a request arrived, in its context.
@@ -87,7 +85,7 @@
 	if !d.Rejected {
 		return nil, 0
 	}
-	stored, result := i.storeRejection(ctx, c, d, 0)
+	stored, result, _ := i.storeRejection(ctx, c, d, 0)
 	if stored {
 		return i.rejected(c, d), 0
 	}
@@ -97,10 +95,12 @@
 		return nil, 0
 	case state.Rejected == nil:
 		return &response{status: http.StatusOK, reason: "stored before"}, 0
+	case !state.Rejected.Settled(arrivalOf(ctx)):
+		return nil, 0 // the write of the job finds the rejection
 	}
 	switch admit.ReturnOf(state.Rejected.Told, arrivalOf(ctx)) {
 	case admit.TooEarly:
-		return i.rejected(c, admit.Early(d, state.Rejected.Told, time.Now())), 0
+		d = admit.Early(d, state.Rejected.Told, time.Now())
 	case admit.InWindow:
 		r.Returned = true
 		d = admit.Decide(k, r, time.Now())
@@ -108,28 +108,31 @@
 	if !d.Rejected {
 		return nil, item.Revision
 	}
-	if stored, _ = i.storeRejection(ctx, c, d, item.Revision); !stored {
+	if stored, _, _ = i.storeRejection(ctx, c, d, item.Revision); !stored {
 		return nil, item.Revision
 	}
 	return i.rejected(c, d), 0
 }
 
 // storeRejection stores a rejection under the job's key, on condition that the key has the given
-// revision. There is one attempt: the job is rather accepted than kept waiting.
-func (i *Intake) storeRejection(ctx context.Context, c candidate, d admit.Decision, revision kv.Revision) (stored bool, result kv.TxnResult) {
+// revision. There is one attempt: the job is rather accepted than kept waiting. A rejection that is
+// there already is replaced, too, so that no other request that is being handled can replace it.
+func (i *Intake) storeRejection(ctx context.Context, c candidate, d admit.Decision, revision kv.Revision) (stored bool, result kv.TxnResult, err error) {
 	now := time.Now()
 	value, err := layout.Encode(layout.State{
 		Service: c.queue.Service, Queue: c.queue.Name, Tenant: c.tenant, State: job.Cancelled, FinalAt: now,
 		Rejected: &layout.Rejection{At: now, Told: now.Add(d.RetryAfter)},
 	})
 	if err != nil {
-		return false, kv.TxnResult{}
+		return false, result, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, rejectionTimeout)
+	defer cancel()
 	result, err = i.attempt(ctx, kv.Txn{
 		Conditions: []kv.Condition{{Key: layout.JobKey(c.id), Revision: revision}},
 		Puts:       []kv.Put{{Key: layout.JobKey(c.id), Value: value}},
 	}, 1)
-	return err == nil && result.Applied, result
+	return err == nil && result.Applied, result, err
 }
 
 // currentState returns the state of a job that kept a write from being applied, if it is readable.
@@ -145,27 +148,36 @@
 }
 
 // replaceRejection repeats a write that found a rejection under the job's key, so that the job
-// replaces it. A request that arrived before the rejection is rejected like the one that got it.
+// replaces it. A request that may have arrived before the rejection is rejected like the one that
+// got it.
 func (i *Intake) replaceRejection(ctx context.Context, c candidate, t kv.Txn, result kv.TxnResult) (kv.TxnResult, *response) {
+	var err error
 	for range maxReplacements {
 		item, state, found := currentState(result, c.id)
 		if result.Applied || !found || state.Rejected == nil {
 			return result, nil
 		}
-		if arrivalOf(ctx).Before(state.Rejected.At.Add(rejectionSettled)) {
-			return result, i.rejected(c, admit.Early(admit.Decision{}, state.Rejected.Told, time.Now()))
+		if state.Rejected.Settled(arrivalOf(ctx)) {
+			t.Conditions = []kv.Condition{{Key: item.Key, Revision: item.Revision}}
+			if result, err = i.write(ctx, t); err != nil {
+				failure := i.writeFailure(err)
+				return result, &failure
+			}
+			continue
+		}
+		d := admit.Early(admit.Decision{}, state.Rejected.Told, time.Now())
+		var stored bool
+		if stored, result, err = i.storeRejection(ctx, c, d, item.Revision); stored {
+			return result, i.rejected(c, d)
 		}
-		t.Conditions = []kv.Condition{{Key: item.Key, Revision: item.Revision}}
-		var err error
-		if result, err = i.write(ctx, t); err != nil {
-			failure := i.writeFailure(err)
-			return result, &failure
+		if err != nil {
+			break
 		}
 	}
-	if _, state, found := currentState(result, c.id); !result.Applied && found && state.Rejected != nil {
-		return result, &response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "rejected elsewhere at the same time"}
+	if _, state, found := currentState(result, c.id); err == nil && (result.Applied || !found || state.Rejected == nil) {
+		return result, nil
 	}
-	return result, nil
+	return result, &response{status: http.StatusGatewayTimeout, reason: "rejected elsewhere at the same time"}
 }
 
 // rejected logs and counts a rejection and returns its response.
--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -195,6 +195,18 @@
 	return v, nil
 }
 
+// rejectionSettled is the age from which a rejection may be replaced by its job. A request from
+// before the rejection must not store the job after its caller was told that it never runs. It is
+// below the shortest Retry-After, and above the time that the write of a rejection may take and the
+// difference of instances' clocks.
+const rejectionSettled = 750 * time.Millisecond
+
+// Settled reports whether a request that arrived at the given time certainly came after the
+// rejection, so that the job may replace it.
+func (r Rejection) Settled(arrived time.Time) bool {
+	return !arrived.Before(r.At.Add(rejectionSettled))
+}
+
 // Encode returns the stored form of a value of this package or of a record.
 func Encode(v any) ([]byte, error) {
 	data, err := json.Marshal(v)
