--- a/policy/shard/admissionestimate.go
+++ b/policy/shard/admissionestimate.go
@@ -29,8 +29,8 @@
 	// of the capacity, from which on the service counts as pressed; pressedHold is for how long it
 	// does so after that.
 	pressedWait = 200 * time.Millisecond
-	pressedLoad = 1.2
-	pressedTime = 2 * time.Second
+	pressedLoad = 1.5
+	pressedTime = 1 * time.Second
 	pressedHold = 2 * time.Second
 	// burstTime is for how long jobs are expected at the highest rate: the time until the next
 	// Admission has reached all instances.
@@ -68,8 +68,8 @@
 	steps   map[*step]*aheadStep
 	jobs    []*aheadJob // that go before a new one, or may
 	queues  map[string]*queueSample
-	blocked  bool          // ready work within the rates has no room
-	oldest   time.Duration // longest wait of a job that can be in time and has not started
+	blocked bool          // ready work within the rates has no room
+	oldest  time.Duration // longest wait of a job that can be in time and has not started
 }
 
 // estimateAdmission returns the present waits; full is whether the batch left starts out.
@@ -80,15 +80,16 @@
 	}
 	s.forgetFinal()
 	st.recent.forget(now)
-	if !st.enabled || now.Sub(st.since) < admissionWarmUp {
-		return Admission{}
-	}
 	e := &estimate{
 		shard: s, now: now, full: full, factor: st.durationFactor(now), usable: s.usableExecutors(now),
 		steps: map[*step]*aheadStep{}, queues: map[string]*queueSample{},
 	}
-	e.collectJobs()
 	e.noteCapacity()
+	if !st.enabled || now.Sub(st.since) < admissionWarmUp {
+		return Admission{}
+	}
+	e.collectJobs()
+	e.noteBlocked()
 	e.notePressure()
 	var a Admission
 	e.addLimits(&a)
@@ -100,22 +101,27 @@
 	return a
 }
 
-// noteCapacity records the usable capacity, and since when work within the rates waits for it.
+// noteCapacity records the usable capacity.
 func (e *estimate) noteCapacity() {
-	st := &e.shard.admission
-	if len(e.usable) > 0 {
-		st.usableCPU = 0
-		for _, x := range e.usable {
-			st.usableCPU += x.Capacity.MilliCPU
-		}
+	if len(e.usable) == 0 {
+		return // what it was last counts
 	}
-	if e.blocked {
-		st.busyUntil = e.now.Add(busyHold)
+	st := &e.shard.admission
+	st.usableCPU = 0
+	for _, x := range e.usable {
+		st.usableCPU += x.Capacity.MilliCPU
 	}
-	switch {
-	case !e.blocked:
+}
+
+// noteBlocked records since when work within the rates waits for capacity.
+func (e *estimate) noteBlocked() {
+	st := &e.shard.admission
+	if !e.blocked {
 		st.saturatedAt = time.Time{}
-	case st.saturatedAt.IsZero():
+		return
+	}
+	st.busyUntil = e.now.Add(busyHold)
+	if st.saturatedAt.IsZero() {
 		st.saturatedAt = e.now
 	}
 }
@@ -294,7 +300,7 @@
 		}
 		list[name] = w
 	}
-	f.run(e.jobs)
+	f.run(e.jobs, e.full)
 	for name, w := range list {
 		for _, p := range probes[name] {
 			w.WaitMs = append(w.WaitMs, p.wait.Milliseconds())
--- a/policy/shard/admissionwait.go
+++ b/policy/shard/admissionwait.go
@@ -92,12 +92,15 @@
 	free   []job.Resources // by executor
 	events forecastEvents
 	ready  []*aheadStep // in start order
-	probes []*probe
+	// smallest is a lower bound of the CPU needs of the ready tasks.
+	smallest int64
+	probes   []*probe
 }
 
 // run plays the forecast until all probes have started, and sets their waits. What has not started
-// by waitHorizon counts with it.
-func (f *forecast) run(jobs []*aheadJob) {
+// by waitHorizon counts with it. placeable is set if ready tasks may find room at once: otherwise
+// the batch has just found none for them.
+func (f *forecast) run(jobs []*aheadJob, placeable bool) {
 	heap.Init(&f.events)
 	for _, j := range jobs {
 		for _, st := range j.steps {
@@ -107,7 +110,9 @@
 		}
 	}
 	for i := range f.free {
-		f.start(i)
+		if placeable {
+			f.start(i)
+		}
 	}
 	for range maxForecastEvents {
 		if len(f.events) == 0 || f.now > waitHorizon || !slices.ContainsFunc(f.probes, func(p *probe) bool { return !p.done }) {
@@ -136,6 +141,9 @@
 }
 
 func (f *forecast) add(st *aheadStep) {
+	if len(f.ready) == 0 || st.need.MilliCPU < f.smallest {
+		f.smallest = st.need.MilliCPU
+	}
 	at, _ := slices.BinarySearchFunc(f.ready, st, func(a, b *aheadStep) int { return cmp.Or(a.compare(b), -1) })
 	f.ready = slices.Insert(f.ready, at, st)
 }
@@ -143,39 +151,49 @@
 // arrive adds a job, and starts what fits on the free capacity.
 func (f *forecast) arrive(j *aheadJob) {
 	for _, st := range j.steps {
-		if st.waiting == 0 {
-			continue
-		}
-		for _, i := range f.fullestFirst() {
-			f.startStep(st, i)
-		}
 		if st.waiting > 0 {
-			f.add(st)
+			f.startAnywhere(st)
 		}
 	}
 }
 
-// fullestFirst returns the executors by free CPU, as tasks are placed.
-func (f *forecast) fullestFirst() []int {
-	order := make([]int, len(f.free))
-	for i := range order {
-		order[i] = i
+// startAnywhere starts the waiting tasks of a step on any executor; the others are ready.
+func (f *forecast) startAnywhere(st *aheadStep) {
+	for i := range f.free {
+		if st.waiting == 0 {
+			return
+		}
+		f.startStep(st, i)
+	}
+	if st.waiting > 0 {
+		f.add(st)
 	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(f.free[a].MilliCPU, f.free[b].MilliCPU) })
-	return order
 }
 
 // start starts the ready tasks that fit on the executor, in order.
 func (f *forecast) start(executor int) {
-	again := false
+	emptied := false
+	var begun []*aheadStep // whose job had not started
 	for _, st := range f.ready {
-		again = f.startStep(st, executor) || again
+		if f.free[executor].MilliCPU < f.smallest {
+			break
+		}
+		started := st.job.started
+		if !f.startStep(st, executor) {
+			continue
+		}
+		emptied = emptied || st.waiting == 0
+		if !started && st.waiting > 0 {
+			begun = append(begun, st)
+		}
 	}
-	if !again {
-		return
+	if emptied {
+		f.ready = slices.DeleteFunc(f.ready, func(st *aheadStep) bool { return st.waiting == 0 })
+	}
+	for _, st := range begun { // they go before those of jobs that have not started
+		f.ready = slices.DeleteFunc(f.ready, func(other *aheadStep) bool { return other == st })
+		f.add(st)
 	}
-	f.ready = slices.DeleteFunc(f.ready, func(st *aheadStep) bool { return st.waiting == 0 })
-	slices.SortStableFunc(f.ready, (*aheadStep).compare) // jobs that have started move forward
 }
 
 // startStep starts the waiting tasks of a step that fit on the executor, and reports whether there
@@ -220,13 +238,9 @@
 		}
 		if next.blockers--; next.blockers == 0 {
 			next.waiting = next.left
-			f.add(next)
-			for i := range f.free {
-				f.startStep(next, i)
-			}
+			f.startAnywhere(next)
 		}
 	}
-	f.ready = slices.DeleteFunc(f.ready, func(st *aheadStep) bool { return st.waiting == 0 })
 }
 
 // longest returns the keys of the longest waits, at most n.
