--- a/entry/intake/admission.go
+++ b/entry/intake/admission.go
@@ -63,8 +63,8 @@
 	return r
 }
 
-// checkAdmission returns the response to a job that is rejected, or that is stored already. If it
-// returns none, the job has to be stored, on condition that its key has the returned revision.
+// checkAdmission returns the response to a job that is rejected. If it returns none, the job has to
+// be stored, on condition that its key has the returned revision.
 //
 // A rejection is final only once it is stored under the job's key: an earlier attempt of the same
 // submission whose outcome is not known, perhaps of another instance, then finds the key and can't
@@ -90,13 +90,8 @@
 		return i.rejected(c, d), 0
 	}
 	item, state, found := currentState(result, c.id)
-	switch {
-	case !found:
-		return nil, 0
-	case state.Rejected == nil:
-		return &response{status: http.StatusOK, reason: "stored before"}, 0
-	case !state.Rejected.Settled(arrivalOf(ctx)):
-		return nil, 0 // the write of the job finds the rejection
+	if !found || state.Rejected == nil || !state.Rejected.Settled(arrivalOf(ctx)) {
+		return nil, 0 // the write of the job finds what is stored, and is answered accordingly
 	}
 	switch admit.ReturnOf(state.Rejected.Told, arrivalOf(ctx)) {
 	case admit.TooEarly:
