--- a/policy/shard/admissionestimate.go
+++ b/policy/shard/admissionestimate.go
@@ -25,13 +25,13 @@
 	// probeLead is when the jobs arrive whose waits are forecast: the mean age of an Admission
 	// when it is used.
 	probeLead = 150 * time.Millisecond
-	// pressedWait is the wait of a job, and pressedLoad the work of the last pressedTime as a share
-	// of the capacity, from which on the service counts as pressed; pressedHold is for how long it
-	// does so after that.
-	pressedWait = 200 * time.Millisecond
-	pressedLoad = 1.5
-	pressedTime = 1 * time.Second
-	pressedHold = 2 * time.Second
+	// pressedWait is the wait of a job, and pressedLoad the work of the last second as a share of
+	// the capacity, from which on the service counts as pressed; for the last two seconds the
+	// share is pressedLongLoad. pressedHold is for how long it does so after that.
+	pressedWait     = 200 * time.Millisecond
+	pressedLoad     = 1.7
+	pressedLongLoad = 1.45
+	pressedHold     = 2 * time.Second
 	// burstTime is for how long jobs are expected at the highest rate: the time until the next
 	// Admission has reached all instances.
 	burstTime = 400 * time.Millisecond
@@ -130,22 +130,25 @@
 // more work arrived lately than the capacity can do. A few jobs at once don't make a peak.
 func (e *estimate) notePressure() {
 	st := &e.shard.admission
-	begins := e.oldest >= pressedWait && e.arrivedWork() >= pressedLoad*float64(st.usableCPU)
+	capacity := float64(st.usableCPU)
+	above := e.arrivedWork(rateTime) >= pressedLoad*capacity || e.arrivedWork(2*rateTime) >= pressedLongLoad*capacity
+	begins := e.oldest >= pressedWait && above
 	continues := e.now.Before(st.pressedUntil) && e.oldest >= pressedWait/2
 	if e.blocked && (begins || continues) {
 		st.pressedUntil = e.now.Add(pressedHold)
 	}
 }
 
-// arrivedWork returns the work that arrived in the last pressedTime, thousandths of a core.
-func (e *estimate) arrivedWork() float64 {
+// arrivedWork returns the work that arrived in the given time up to now, a second: thousandths of a
+// core.
+func (e *estimate) arrivedWork(over time.Duration) float64 {
 	var work int64
 	for _, j := range e.shard.admission.recent {
-		if e.now.Sub(j.at) <= pressedTime {
+		if e.now.Sub(j.at) <= over {
 			work += workOf(j.Record)
 		}
 	}
-	return e.factor * float64(work) / pressedTime.Seconds()
+	return e.factor * float64(work) / over.Seconds()
 }
 
 // collectJobs collects the jobs that go before a new one within its tenant's rate: those within
