--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -1,7 +1,8 @@
 // Package intake is the callers' API: it accepts jobs, returns their states and cancels
 // them.
 //
-// A job is accepted only once it is stored. A response of 429 or 503 to a submission
+// A job is accepted only once it is stored. Where the operator has configured tenants, a short job
+// that would start too late is rejected. A response of 429 or 503 to a submission
 // guarantees that the job is not stored and never will be. If the outcome is unknown, the
 // response is 504.
 package intake
@@ -53,6 +54,8 @@
 	logger  *slog.Logger
 	scope   tally.Scope
 	leaving func() bool
+	// admissions is nil if no job is rejected for lack of capacity.
+	admissions Admissions
 }
 
 // New returns an intake. While leaving reports true, connections are closed after the
@@ -103,6 +106,7 @@
 
 func (i *Intake) serve(c *gin.Context) {
 	start := time.Now()
+	c.Request = withArrival(c.Request, start)
 	r := record{method: c.Request.Method}
 	resp := i.dispatch(c, &r)
 	if i.leaving() {
--- a/entry/intake/jobs.go
+++ b/entry/intake/jobs.go
@@ -123,10 +123,20 @@
 	if err != nil {
 		return response{status: http.StatusInternalServerError, reason: err.Error()}
 	}
+	c := candidate{queue: who.queue, tenant: who.tenant, id: id, definition: d}
+	rejection, revision := i.checkAdmission(ctx, c)
+	if rejection != nil {
+		return *rejection
+	}
+	t.Conditions[0].Revision = revision
 	result, err := i.write(ctx, t)
-	switch {
-	case err != nil:
+	if err != nil {
 		return i.writeFailure(err)
+	}
+	result, failure := i.replaceRejection(ctx, c, t, result)
+	switch {
+	case failure != nil:
+		return *failure
 	case result.Applied:
 		return response{status: http.StatusOK, reason: "stored"}
 	default:
@@ -179,6 +189,9 @@
 	if !who.mayAccess(state) {
 		return item, state, &othersJob
 	}
+	if state.Rejected != nil {
+		return item, state, &noSuchJob
+	}
 	return item, state, nil
 }
 
--- a/entry/layout/golden_test.go
+++ b/entry/layout/golden_test.go
@@ -87,12 +87,19 @@
 			Task: job.Resources{MilliCPU: 10, MemoryMB: 11, GPU: 12}, Turn: 13,
 		}},
 	}},
+	{AdmissionKey("batch"), shard.Admission{
+		Token: 18, Sequence: 19, AtMs: 20, CapacityMs: 21,
+		Queues:  map[string]shard.QueueWait{"nightly": {Objectives: []int64{22, 23}, Sizes: []int64{24}, WaitMs: []int64{25, 26}, MemoryPerCore: 27}},
+		LimitMs: map[cluster.TenantName]int64{"palermo": 28}, Excess: map[cluster.TenantName]int{"trapani": 29},
+	}},
+	{JobKey("rejected"), State{Service: "batch", Queue: "nightly", Tenant: "palermo", State: job.Cancelled, FinalAt: goldenTime, Rejected: &Rejection{At: goldenTime, Told: goldenTime.Add(time.Hour)}}},
 	{OwnerKey("batch"), Holder{Instance: "entry-1", Zone: "palermo", Term: "term"}},
 }
 
 // TestStoredEntriesKeepTheirForm guards against renamed keys and JSON fields, with which a
 // new version would not find what an older one stored. The file was written by commit 81f8b51,
-// but for the marker with unreached executors, the job with a tenant and the ledger, which are newer.
+// but for the marker with unreached executors, the jobs with a tenant, the ledger and the admission,
+// which are newer.
 func TestStoredEntriesKeepTheirForm(t *testing.T) {
 	stored := goldentest.ReadEntries(t, "testdata/store.txt")
 	assert.Equal(t, len(stored), len(goldenEntries))
@@ -106,10 +113,10 @@
 	task := job.TaskID{StepID: job.StepID{Job: goldenJob, Occurrence: 1, Step: 2}, Index: 3}
 	assert.DeepEqual(t, []string{
 		CancelKey("batch", goldenJob), ShardPrefix("batch"), ProgressPrefix("batch"),
-		OwnersPrefix, JobsPrefix, LoadPrefix, WavesPrefix, task.String(),
+		OwnersPrefix, JobsPrefix, LoadPrefix, AdmissionPrefix, WavesPrefix, task.String(),
 	}, []string{
 		"shard/batch/cancel/0123456789abcdef", "shard/batch/", "progress/batch/",
-		"owners/", "jobs/", "load/", "waves/", "0123456789abcdef.1.2.3",
+		"owners/", "jobs/", "load/", "admission/", "waves/", "0123456789abcdef.1.2.3",
 	})
 	assert.DeepEqual(t, []job.State{job.Queued, job.Running, job.Failed, job.Cancelled},
 		[]job.State{"queued", "running", "failed", "cancelled"})
--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -7,6 +7,7 @@
 //	shard/SERVICE/cordon/EXECUTOR Cordon: an executor to evacuate
 //	progress/SERVICE/JOB          shard.Progress of a job that is not final
 //	waiting/SERVICE               Waiting: counts of jobs of which nothing has started
+//	admission/SERVICE             shard.Admission: how long new jobs would wait
 //	load/SERVICE                  shard.Load: input of the fleet planner
 //	waves/N                       WaveProgress
 //	orders/fleet                  RecentCommands
@@ -80,6 +81,12 @@
 // LoadKey returns the key of a service's load.
 func LoadKey(s cluster.Service) string { return LoadPrefix + string(s) }
 
+// AdmissionPrefix is the prefix of the admissions of all services.
+const AdmissionPrefix = "admission/"
+
+// AdmissionKey returns the key of a service's shard.Admission.
+func AdmissionKey(s cluster.Service) string { return AdmissionPrefix + string(s) }
+
 // WaveKey returns the key of the WaveProgress of a maintenance wave.
 func WaveKey(number int64) string { return "waves/" + strconv.FormatInt(number, 10) }
 
@@ -141,6 +148,17 @@
 	Tenant cluster.TenantName `json:"tenant,omitempty"`
 	// FinalAt is when the state became final; old final entries are removed.
 	FinalAt time.Time `json:"finalAt,omitzero"`
+	// Rejected is set if there is no job: its submission was rejected, and no attempt of it from
+	// before may take effect any more. State is then final, so that the entry is removed like others.
+	Rejected *Rejection `json:"rejected,omitempty"`
+}
+
+// Rejection is what a caller was told whose job was rejected.
+type Rejection struct {
+	// At is when it was rejected.
+	At time.Time `json:"at"`
+	// Told is when the caller should come back.
+	Told time.Time `json:"told"`
 }
 
 // Waiting counts by queue the jobs of which nothing has started.
@@ -199,6 +217,18 @@
 	return v, nil
 }
 
+// rejectionSettled is the age from which a rejection may be replaced by its job. A request from
+// before the rejection must not store the job after its caller was told that it never runs. It is
+// below the shortest Retry-After, and above the time that the write of a rejection may take and the
+// difference of instances' clocks.
+const rejectionSettled = 750 * time.Millisecond
+
+// Settled reports whether a request that arrived at the given time certainly came after the
+// rejection, so that the job may replace it.
+func (r Rejection) Settled(arrived time.Time) bool {
+	return !arrived.Before(r.At.Add(rejectionSettled))
+}
+
 // Encode returns the stored form of a value of this package or of a record.
 func Encode(v any) ([]byte, error) {
 	data, err := json.Marshal(v)
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -293,6 +293,7 @@
 	}
 	o.configVersion = c.Version
 	o.shard.SetQueues(c.Queues)
+	o.shard.SetAdmission(c.Tenancy)
 	if c.Tenancy || o.tenancy {
 		o.shard.SetTenants(c.Tenants)
 	}
--- a/policy/shard/rate.go
+++ b/policy/shard/rate.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
 )
 
 // tokenBucket admits jobs at the rate of a tenant. Its time is that of acceptance, within the
@@ -89,6 +91,7 @@
 			j.excess = !t.bucket.take(clampTime(j.Accepted, s.observedAt, latest), t.weight, s.limits.Rate.burst(t.weight))
 		}
 		s.countArrival(j, takeover)
+		s.noteArrival(j, now)
 	}
 	for _, t := range s.shareList {
 		t.bucket.at = clampTime(t.bucket.at, time.Time{}, now) // during a takeover, another clock may have been ahead
@@ -96,6 +99,15 @@
 	s.observedAt = now
 }
 
+// burstUsed reports whether a further job of the tenant would be beyond its rate.
+func (s *Shard) burstUsed(tenant cluster.TenantName, now time.Time) bool {
+	t := s.shares[tenant]
+	if t == nil || t.bucket.at.IsZero() {
+		return false
+	}
+	return t.bucket.tokens+t.weight*max(0, now.Sub(t.bucket.at).Seconds()) < 1
+}
+
 // hasRate reports whether the job counts for the rate of its tenant.
 func (j *jobState) hasRate() bool { return !j.isLongRunning() && j.Definition.Schedule.Count == 0 }
 
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -124,6 +124,7 @@
 
 	unusable unusablePeriods
 
+	admission        admissionState
 	batchStats       batchStats
 	lastSample       job.ID    // the last job among the samples of the last report
 	nextAdviceSearch time.Time // when to search again for steps that need advice
