--- a/entry/intake/admission_test.go
+++ b/entry/intake/admission_test.go
@@ -18,7 +18,6 @@
 	"pgregory.net/rapid"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
-	"github.com/tarragonreach/tarragonreach/api/job"
 	_ "github.com/tarragonreach/tarragonreach/api/rapidseed"
 	"github.com/tarragonreach/tarragonreach/entry/layout"
 	"github.com/tarragonreach/tarragonreach/entry/operatorconfig"
