Placement: learned run times, forecasts, reservations for large tasks, best fit for uneven work

Small tasks that arrive all the time leave gaps that large tasks can't use. Placement now learns how run times relate to estimates, forecasts when capacity becomes free, holds room for large steps that find none in one place, and chooses executors so that places for large tasks last. It decides as before where no need is far larger than the typical one.

--- a/policy/shard/completions.go
+++ b/policy/shard/completions.go
@@ -24,6 +24,7 @@
 	}
 	switch row.Reason {
 	case execution.EndedDone:
+		s.learnRunTime(r, now)
 		s.applyDone(e, t)
 	case execution.EndedFailed:
 		s.applyFailed(e, t, now)
--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -89,6 +89,8 @@
 	aliveMs         int64     // the latest time on its clock at which it is known to have lived
 	trials          int       // runs there that are isolated
 	reserved        bool      // for the trial of a suspect; see isolation.go
+	hold            *hold     // keeps room for a large task; nil if none does
+	heldSince       time.Time // when the present or last period of holds began; see mayHold
 	failingSince    time.Time // when the first of the unanswered calls failed; zero if there are none
 	lastFailedPoll  time.Time // when the last failed poll was sent
 
--- a/policy/shard/incarnations.go
+++ b/policy/shard/incarnations.go
@@ -223,6 +223,7 @@
 	r.startSends = max(1, r.startSends)
 	r.inFlight, r.stopAcknowledged = false, false
 	r.presentMs, r.startedAt, r.nextSend = 0, time.Time{}, time.Time{}
+	r.expectedEnd = time.Time{}
 	e.addRun(r)
 }
 
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -58,6 +58,12 @@
 	// unplacedSince is since when ready tasks of a long-running step have found no capacity;
 	// zero if there are none.
 	unplacedSince time.Time
+	// reservedSince is when room was first held for its tasks; heldBackAt is when a batch last
+	// refused them room that is held for another step.
+	reservedSince time.Time
+	reservation   *reservation // nil if no room is held
+	heldBackAt    time.Time
+	backfillTimes [2]expectedTime // near its data, and away from it
 	// failuresOn holds the failures of a long-running step by executor.
 	failuresOn map[cluster.Incarnation]stepFailures
 }
@@ -121,6 +127,7 @@
 	startAttempts int       // start commands, including those that were not sent
 	nextSend      time.Time
 	confirmedAt   time.Time
+	expectedEnd   time.Time // see Shard.expectedEnd
 	startedAt     time.Time // when the executor was first known to have it
 	presentMs     int64     // the same on the executor's clock; zero if it is not known to have it
 	unanswered    bool      // a start of it got no response, and may be carried out late
--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -17,6 +17,8 @@
 	penaltySameRack         = 10.0  // for each task of the same long-running step on the rack
 	penaltyFirstLongRunning = 15.0  // a long-running task on an executor that has none
 	penaltyBesideServing    = 5.0   // a best-effort task beside tasks that serve users
+	penaltyHeld             = 4.0   // on an executor that is held for another step
+	penaltyLostPlace        = 2.0   // for each place for a large task that the placement uses up
 )
 
 // place decides runs for the ready tasks of a step, as far as capacity allows. A gang
@@ -35,6 +37,7 @@
 				b.revert(runs)
 				return nil
 			}
+			b.considerReservation(st)
 			break
 		}
 		runs = append(runs, b.decide(t, e))
@@ -84,6 +87,7 @@
 	e.extendLeaseBound(b.now, lease)
 	t.current = r
 	t.crashes.trial = false
+	b.useHeld(t, e)
 	e.addRun(r)
 	return r
 }
@@ -124,22 +128,33 @@
 // healthyExecutor returns the best executor for the task among those without restriction, or
 // nil.
 func (b *builder) healthyExecutor(t *task, rack string) *executorState {
-	if b.isUnplaceable(t.step.def) {
+	if b.isUnplaceable(t.step) {
 		return nil
 	}
+	b.refusedByHold, b.refusedBySlack = false, false
 	best, fits := b.bestOf(b.usable(), t, rack)
-	if !fits {
-		b.noteUnplaceable(t.step.def.Reservation())
+	if !fits && !(b.refusedByHold && t.step.def.Gang) {
+		b.noteUnplaceable(t.step)
+	}
+	if best == nil && b.refusedByHold {
+		t.step.heldBackAt = b.now
 	}
 	return best
 }
 
 // bestOf returns the executor of the list with the lowest placement cost for the task, or
-// nil; fits reports whether any has capacity for it, whatever the step's constraints.
+// nil; fits reports whether any has capacity for it that is not held, whatever the step's
+// constraints.
 func (b *builder) bestOf(list []*executorState, t *task, rack string) (best *executorState, fits bool) {
 	var bestCost float64
+	need := t.step.def.Reservation()
 	for _, e := range list {
-		if !t.step.def.Reservation().Fits(e.free()) {
+		if !need.Fits(e.free()) {
+			continue
+		}
+		if !b.mayUse(e, t.step) {
+			b.refusedByHold = true
+			b.refusedBySlack = b.refusedBySlack || !e.hold.reservation.firm
 			continue
 		}
 		fits = true
@@ -147,6 +162,9 @@
 			continue
 		}
 		cost := placementCost(t, e)
+		if len(b.uneven.references) > 0 && !t.step.def.LongRunning {
+			cost += b.unevenCost(t, need, e)
+		}
 		if t.step.failsOn(e.Incarnation(), b.now) {
 			cost += penaltyRepeatedFailure
 		}
@@ -173,30 +191,66 @@
 	return t.failures == 0 || !now.Before(t.retryAt.Add(retryOnSuspect))
 }
 
-// noteUnplaceable records a need for which no executor has capacity; it replaces larger
-// ones.
-func (b *builder) noteUnplaceable(need job.Resources) {
-	b.unplaceable = slices.DeleteFunc(b.unplaceable, need.Fits)
-	b.unplaceable = append(b.unplaceable, need)
+// unplaceable is a need for which no executor had capacity. If there was some that is held for
+// another step, runTime is how long the capacity was needed, and latestStart when the job had to start,
+// if that counted; otherwise they are zero.
+type unplaceable struct {
+	need        job.Resources
+	runTime     time.Duration
+	latestStart time.Time
+}
+
+// noteUnplaceable records a step for which no executor has capacity; it replaces those that
+// need more.
+func (b *builder) noteUnplaceable(st *step) {
+	failed := unplaceable{need: st.def.Reservation()}
+	if b.refusedByHold {
+		failed.runTime = b.backfillTime(st, st.def.Affinity != "")
+		if b.refusedBySlack {
+			failed.latestStart = b.latestStart(st)
+		}
+	}
+	b.unplaceable = slices.DeleteFunc(b.unplaceable, func(other unplaceable) bool {
+		return failed.need.Fits(other.need) && failed.runTime <= other.runTime && !failed.latestStart.After(other.latestStart)
+	})
+	b.unplaceable = append(b.unplaceable, failed)
 }
 
 // isUnplaceable reports whether no executor had capacity for the step's need, or for a
-// smaller one, earlier in this batch: free capacity only shrinks while a batch is planned.
-func (b *builder) isUnplaceable(def *job.Step) bool {
-	need := def.Reservation()
-	return slices.ContainsFunc(b.unplaceable, func(failed job.Resources) bool { return failed.Fits(need) })
+// smaller one, earlier in this batch: free capacity only shrinks while a batch is planned, and
+// what is held stays so.
+func (b *builder) isUnplaceable(st *step) bool {
+	need := st.def.Reservation()
+	for _, failed := range b.unplaceable {
+		if !failed.need.Fits(need) {
+			continue
+		}
+		if failed.runTime == 0 {
+			return true
+		}
+		if st.reservation != nil || st.def.LongRunning || !failed.latestStart.IsZero() && failed.latestStart.After(b.latestStart(st)) {
+			continue
+		}
+		if failed.runTime <= b.backfillTime(st, false) {
+			st.heldBackAt = b.now
+			return true
+		}
+	}
+	return false
 }
 
 // usable returns the executors that may be given work, by ID.
 func (b *builder) usable() []*executorState {
 	if b.candidates == nil {
-		b.candidates = b.shard.executorsWith(func(e *executorState) bool {
-			return e.usable(b.now) && !e.reserved && e.trials == 0
-		})
+		b.candidates = b.shard.executorsWith(b.mayBeGivenWork)
 	}
 	return b.candidates
 }
 
+func (b *builder) mayBeGivenWork(e *executorState) bool {
+	return e.usable(b.now) && !e.reserved && e.trials == 0
+}
+
 // allows reports whether the executor meets the step's constraints, capacity aside.
 func (s *step) allows(e *executorState, now time.Time) bool {
 	if s.def.RequiredLabel != "" && !slices.Contains(e.Labels, s.def.RequiredLabel) {
@@ -239,6 +293,16 @@
 	return cost
 }
 
+// unevenCost returns the part of the placement cost that counts only where some tasks need far
+// more than others.
+func (b *builder) unevenCost(t *task, need job.Resources, e *executorState) float64 {
+	cost := b.uneven.fragmentationCost(need, e.free(), e.Capacity)
+	if e.hold != nil && e.hold.reservation.step != t.step {
+		cost += penaltyHeld
+	}
+	return cost
+}
+
 // usedShare returns the larger of the used shares of processor and memory.
 func usedShare(used, capacity job.Resources) float64 {
 	share := 0.0
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -177,7 +177,16 @@
 	trialsListed bool
 	stalled      []*executorState // executors on which tasks stalled, for long-running tasks
 	// unplaceable lists needs for which no executor had capacity; see isUnplaceable.
-	unplaceable []job.Resources
+	unplaceable []unplaceable
+
+	uneven          unevenness
+	reserved        bool // this batch has made a reservation
+	searches        int  // for a reservation
+	refusedByHold   bool // the last search for an executor found one that is held
+	refusedBySlack  bool // the same, held for a step that has not had its turn
+	releases        []expectedRelease
+	latestStartStep *step // that latestStartTime is about
+	latestStartTime time.Time
 }
 
 func (b *builder) addWaiting() {
@@ -278,6 +287,9 @@
 }
 
 func (b *builder) addStarts() {
+	b.shard.plannedAt = b.now
+	b.resumeReservations()
+	defer b.closeReservations()
 	for _, j := range b.shard.startOrder(b.now) {
 		j.createDue(b.now)
 		if b.isFullFor(j) {
@@ -299,7 +311,8 @@
 }
 
 func (b *builder) startStep(st *step) {
-	if b.isUnplaceable(st.def) && len(b.trialCandidates()) == 0 && !st.def.LongRunning {
+	if b.isUnplaceable(st) && len(b.trialCandidates()) == 0 && !st.def.LongRunning {
+		b.considerReservation(st)
 		return
 	}
 	var ready []*task
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -74,6 +74,7 @@
 	retired         map[cluster.ExecutorID]retiredIncarnation
 	sorted          []*executorState // by ID; nil after a change of executors
 	dirty           bool             // something changed that may allow new starts or writes
+	plannedAt       time.Time        // when starts were planned last
 	planAt          time.Time        // when to plan again if nothing changes before
 	fenced          bool
 	renewalDisabled bool // leases of runs must not be renewed: the term is not confirmed
@@ -114,6 +115,11 @@
 
 	unusable unusablePeriods
 
+	needs             needMix
+	runTimes          runTimes
+	reservations      []*reservation // the oldest first
+	reservationCounts ReservationCounts
+
 	batchStats       batchStats
 	lastSample       job.ID    // the last job among the samples of the last report
 	nextAdviceSearch time.Time // when to search again for steps that need advice
@@ -128,6 +134,7 @@
 		executors: map[cluster.ExecutorID]*executorState{},
 		retired:   map[cluster.ExecutorID]retiredIncarnation{},
 		suspects:  map[*task]bool{},
+		needs:     needMix{factor: largeFactor},
 	}
 }
 
@@ -160,6 +167,7 @@
 	s.jobs[r.ID] = j
 	s.queue.add(j)
 	s.updateAdvised(j)
+	s.needs.note(j, now)
 	s.dirty, s.waitingDirty = true, true
 	if !j.isLongRunning() {
 		s.arrivedWork += workOf(r)
--- a/policy/shard/waiting.go
+++ b/policy/shard/waiting.go
@@ -16,6 +16,8 @@
 	ReasonNoExecutor Reason = "no-usable-executor"
 	// ReasonNoCapacity: the usable executors lack free capacity.
 	ReasonNoCapacity Reason = "no-room"
+	// ReasonReserved: free capacity is held for the larger tasks of another job.
+	ReasonReserved Reason = "reserved-for-larger"
 	// ReasonLimited: a limit keeps its tasks from starting: the pause after a failure, the
 	// maximum per executor, a missing ticket, or unready members of a gang.
 	ReasonLimited Reason = "held-by-a-limit"
@@ -33,7 +35,7 @@
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
-	ReasonNoExecutor, ReasonNoCapacity, ReasonLimited, ReasonUnconfirmed,
+	ReasonNoExecutor, ReasonNoCapacity, ReasonReserved, ReasonLimited, ReasonUnconfirmed,
 	ReasonStoreUnavailable, ReasonOwnerOverloaded, ReasonNotItsTurn, ReasonNotExamined,
 }
 
@@ -67,6 +69,7 @@
 	Batches, Full int
 	Storing       time.Duration
 	LongRunning   LongRunningReport
+	Reservation   ReservationReport
 	Executors     ExecutorReport
 }
 
@@ -105,6 +108,7 @@
 	r.Batches, r.Full, r.Storing = s.batchStats.total, s.batchStats.full, s.openBatchAge(now)
 	s.batchStats = batchStats{openedAt: s.batchStats.openedAt}
 	r.Executors = s.executorReport(now)
+	r.Reservation = s.reservationReport()
 	return r
 }
 
@@ -268,6 +272,8 @@
 		return 0, ReasonLimited
 	case !st.def.Reservation().Fits(b.maxFree):
 		return 0, ReasonNoCapacity
+	case len(b.shard.reservations) > 0 && !st.heldBackAt.IsZero() && st.heldBackAt.Equal(b.shard.plannedAt):
+		return 0, ReasonReserved
 	}
 	return b.fitTasks(st, n)
 }
