--- a/entry/owner/report.go
+++ b/entry/owner/report.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/api/job"
 	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/policy/shard"
@@ -76,7 +77,39 @@
 		"fitting_tasks", r.Schedulable, "fitting_oldest_ms", r.SchedulableOldest.Milliseconds(),
 		"late_ms", delay.Milliseconds(), "batches", r.Batches, "batches_full", r.Full, "storing_ms", r.Storing.Milliseconds(),
 		"processor_ms", used.Milliseconds(), "period_ms", period.Milliseconds(),
-		"executors", r.Executors.Listed, "unusable", r.Executors.Unusable)
+		"executors", r.Executors.Listed, "unusable", r.Executors.Unusable, "reserved", reservationsOf(r.Reservation, now))
+}
+
+// reservationEntry is the part of a log line about the room that is held for one step.
+type reservationEntry struct {
+	Job       job.ID               `json:"job"`
+	Step      int                  `json:"step"`
+	Need      job.Resources        `json:"need"`
+	Executors []cluster.ExecutorID `json:"executors"`
+	HeldMs    int64                `json:"held_ms"`
+	UntilMs   int64                `json:"until_ms"` // until its last task is expected to start
+}
+
+func reservationsOf(r shard.ReservationReport, now time.Time) []reservationEntry {
+	var entries []reservationEntry
+	for _, n := range r.Present {
+		entries = append(entries, reservationEntry{
+			n.Job, n.Step, n.Need, n.Executors, now.Sub(n.Since).Milliseconds(), n.Until.Sub(now).Milliseconds(),
+		})
+	}
+	return entries
+}
+
+// measureReservations counts the reservations and sets the gauges of the present ones.
+func (o *Owner) measureReservations(r shard.ReservationReport) {
+	executors := 0
+	for _, n := range r.Present {
+		executors += len(n.Executors)
+	}
+	o.Scope.Gauge("held_executors").Update(float64(executors))
+	for event, n := range map[string]int{"held": r.Held, "used": r.Used, "given_up": r.GivenUp} {
+		o.Scope.Tagged(map[string]string{"event": event}).Counter("reservations").Inc(int64(n))
+	}
 }
 
 // reasonEntry is the part of a log line about the jobs that wait for one reason.
@@ -115,6 +148,7 @@
 	o.Scope.Gauge("late_seconds").Update(delay.Seconds())
 	o.Scope.Gauge("full_batches_share").Update(float64(r.Full) / float64(max(1, r.Batches)))
 	o.measureExecutors(r.Executors)
+	o.measureReservations(r.Reservation)
 	o.measureLongRunning(r.LongRunning)
 }
 
--- a/policy/shard/needs.go
+++ b/policy/shard/needs.go
@@ -9,15 +9,19 @@
 
 const (
 	// largeFactor is how many times the typical need a need must exceed to be large: room for a
-	// smaller one is left by the end of one or two typical tasks.
-	largeFactor = 2
+	// smaller one is left by the end of two or three typical tasks. Needs from 3 to 13 cores, as the
+	// target deployments have, are even work: with a factor of 2 their largest counted as large
+	// whenever some smaller ones came in a row.
+	largeFactor = 2.5
+	// minNeedJobs is the number of jobs from which a need may count as large.
+	minNeedJobs = 8
 	// minLargeShare is the minimum share of an executor of a large need. Smaller ones seldom wait
 	// for want of room in one place.
 	minLargeShare = 0.25
 	// needMemory is how long the largest needs are remembered at least; at most twice as long.
 	needMemory = 10 * time.Second
 	// typicalNeedTasks is the number of tasks over which the typical need is averaged.
-	typicalNeedTasks = 300
+	typicalNeedTasks = 1000
 )
 
 // needMix tells whether the work is uneven: whether some tasks need far more than the typical one.
@@ -25,6 +29,7 @@
 type needMix struct {
 	factor float64 // largeFactor
 	weight float64
+	jobs   int
 	// logCPU and logMemory are the decaying means of the logarithms of the needs of short tasks.
 	logCPU, logMemory float64
 	recent, earlier   largestNeeds
@@ -46,6 +51,7 @@
 // note records the needs of a job.
 func (m *needMix) note(j *jobState, now time.Time) {
 	m.advance(now)
+	m.jobs++
 	for i := range j.Definition.Steps {
 		def := &j.Definition.Steps[i]
 		if def.LongRunning {
@@ -84,6 +90,9 @@
 		minCPU:    max(minLargeShare*float64(capacity.MilliCPU), m.factor*math.Exp(m.logCPU)),
 		minMemory: max(minLargeShare*float64(capacity.MemoryMB), m.factor*math.Exp(m.logMemory)),
 	}
+	if m.jobs < minNeedJobs {
+		return u
+	}
 	largest := m.recent
 	largest.add(m.earlier.byCPU)
 	largest.add(m.earlier.byMemory)
--- a/policy/shard/reservation.go
+++ b/policy/shard/reservation.go
@@ -309,7 +309,7 @@
 	}
 	latest := since.Add(maxHold)
 	j := st.job
-	if inTime := j.deadline().Add(-j.remaining(b.now)); j.Definition.Schedule.Count == 0 && inTime.Before(latest) {
+	if inTime := b.latestStart(st); j.Definition.Schedule.Count == 0 && inTime.Before(latest) {
 		return inTime
 	}
 	return latest
--- a/policy/shard/runtimes.go
+++ b/policy/shard/runtimes.go
@@ -19,8 +19,8 @@
 	remoteSlowdown = 3
 	// ratioBuckets is the number of classes of a distribution, ratioBucketsPerDoubling of them for
 	// each doubling of the ratio, from minRatio on.
-	ratioBuckets            = 32
-	ratioBucketsPerDoubling = 4
+	ratioBuckets            = 56
+	ratioBucketsPerDoubling = 8
 	minRatio                = 0.125
 )
 
--- a/policy/shard/uneven_replay_test.go
+++ b/policy/shard/uneven_replay_test.go
@@ -16,18 +16,20 @@
 
 // unevenLoad is a load of small and large jobs, which is replayed with one shard without a network.
 type unevenLoad struct {
-	executors   int
-	capacity    job.Resources
-	racks       int
-	load        float64 // of the scarcest resource, by the true run times
-	largeShare  float64 // of that load, by large jobs
-	small       func(r *rand.Rand) job.Step
-	large       func(r *rand.Rand) job.Step
-	misestimate bool // true run times are 20% to 90% off the estimate, and a few tasks far slower
-	images      int  // if set, estimates are wrong by image, of which there are so many
-	affinity    bool // the data of each job is on one rack
-	duration    time.Duration
-	fault       func(h *harness, at time.Duration) // called with each tick
+	executors int
+	capacity  job.Resources
+	racks     int
+	// otherCapacity is that of every second executor, if set.
+	otherCapacity job.Resources
+	load          float64 // of the scarcest resource, by the true run times
+	largeShare    float64 // of that load, by large jobs
+	small         func(r *rand.Rand) job.Step
+	large         func(r *rand.Rand) job.Step
+	misestimate   bool // true run times are 20% to 90% off the estimate, and a few tasks far slower
+	images        int  // if set, estimates are wrong by image, of which there are so many
+	affinity      bool // the data of each job is on one rack
+	duration      time.Duration
+	fault         func(h *harness, at time.Duration) // called with each tick
 }
 
 const (
@@ -161,6 +163,9 @@
 	for i := range l.executors {
 		e := newExecutorNamed(fmt.Sprintf("i-%02d", i))
 		e.Capacity = l.capacity
+		if i%2 == 1 && l.otherCapacity.MilliCPU > 0 {
+			e.Capacity = l.otherCapacity
+		}
 		e.Labels = []string{"a", fmt.Sprintf("r%d-1", 1+i%max(1, l.racks))}
 		executors = append(executors, e)
 	}
