--- a/policy/shard/overload_bench_test.go
+++ b/policy/shard/overload_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"syscall"
 	"testing"
 	"time"
 
@@ -28,8 +29,61 @@
 	b.ReportMetric(float64(w.started)/float64(b.N), "starts/cycle")
 }
 
+// readyTasks is the number of tasks that wait for room in BenchmarkStartOfReadyTasks.
+const readyTasks = 10_000
+
+// BenchmarkStartOfReadyTasks measures what a start costs an owner, from the completion that makes
+// room for it to its command, while readyTasks wait. Uneven work has large tasks beside small ones.
+func BenchmarkStartOfReadyTasks(b *testing.B) {
+	for _, executors := range []int{85, 500} {
+		for name, large := range map[string]bool{"even": false, "uneven": true} {
+			b.Run(fmt.Sprintf("%d/%s", executors, name), func(b *testing.B) {
+				w := newLoadedBench(executors, bigExecutor, func(w *overloadBench) {
+					for w.waiting() < readyTasks {
+						w.submitReady(large && w.submitted%5 == 0)
+					}
+				})
+				b.ResetTimer()
+				before, processor := w.started, processorTime(b)
+				for b.Loop() {
+					w.cycle()
+				}
+				starts := w.started - before
+				b.ReportMetric(float64((processorTime(b)-processor).Microseconds())/float64(max(1, starts)), "cpu-us/start")
+				b.ReportMetric(float64(starts)/float64(b.N), "starts/cycle")
+			})
+		}
+	}
+}
+
+// processorTime returns the processor time of the process, which depends less on what else the
+// machine does than elapsed time.
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// waiting returns the number of tasks without a run; all steps of this load may start at once.
+func (w *overloadBench) waiting() int { return w.tasks - w.started }
+
+// submitReady submits a job of one step: 8 tasks of 3 to 13 cores, or 2 of 40.
+func (w *overloadBench) submitReady(large bool) {
+	w.submitted++
+	step := job.Step{Count: 8, Need: job.Resources{MilliCPU: int64(3000 + 1000*(w.submitted%11)), MemoryMB: 8000}, Estimate: time.Second}
+	if large {
+		step.Count, step.Need = 2, job.Resources{MilliCPU: 40_000, MemoryMB: 150_000}
+	}
+	w.tasks += step.Count
+	w.submit(job.ID(fmt.Sprintf("%016x", w.submitted)), step)
+}
+
 type overloadBench struct {
 	*harness
+	tasks     int
+	refill    func(w *overloadBench)
 	submitted int
 	started   int
 	sequence  map[string]int64
@@ -37,20 +91,36 @@
 }
 
 func newOverloadBench(b *testing.B) *overloadBench {
-	w := &overloadBench{harness: &harness{shard: New(testLimits, 7), now: time.Unix(1000, 0)}, sequence: map[string]int64{}}
+	w := newLoadedBench(overloadExecutors, job.Resources{MilliCPU: 4000, MemoryMB: 4000}, func(w *overloadBench) {
+		missing := overloadJobs - w.shard.Jobs()
+		if w.submitted > 0 {
+			missing = min(missing, 1)
+		}
+		for range missing {
+			w.submitNext()
+		}
+	})
+	b.ResetTimer()
+	return w
+}
+
+// newLoadedBench returns a bench whose executors are full.
+func newLoadedBench(count int, capacity job.Resources, refill func(*overloadBench)) *overloadBench {
+	w := &overloadBench{
+		harness: &harness{shard: New(testLimits, 7), now: time.Unix(1000, 0)}, sequence: map[string]int64{}, refill: refill,
+	}
 	var executors []cluster.Executor
-	for i := range overloadExecutors {
-		executors = append(executors, newExecutorNamed(fmt.Sprintf("i-%d", i)))
+	for i := range count {
+		e := newExecutorNamed(fmt.Sprintf("i-%d", i))
+		e.Capacity = capacity
+		executors = append(executors, e)
 	}
 	w.shard.SetExecutors(executors, w.now)
 	w.pollAll()
-	for range overloadJobs {
-		w.submitNext()
-	}
-	for range 100 {
+	w.refill(w)
+	for range 100 + count {
 		w.startDue()
 	}
-	b.ResetTimer()
 	return w
 }
 
@@ -85,9 +155,7 @@
 		w.running = w.running[1:]
 		w.endRun(cmd)
 	}
-	if w.shard.Jobs() < overloadJobs {
-		w.submitNext()
-	}
+	w.refill(w)
 	w.startDue()
 }
 
--- a/policy/shard/reservation.go
+++ b/policy/shard/reservation.go
@@ -22,7 +22,10 @@
 	// maxHeldShare is the part of the usable executors that may be held; at least one may.
 	maxHeldShare = 0.25
 	// maxReservationSearches bounds the searches of one batch.
-	maxReservationSearches = 3
+	maxReservationSearches = 2
+	// maxForecasts bounds the executors for which one search makes a forecast; the next search
+	// continues with the others.
+	maxForecasts = 100
 	// backfillQuantile is the share of the runs of a kind that end before a hold begins if they
 	// are started for that reason.
 	backfillQuantile = 0.9
@@ -265,7 +268,15 @@
 	if max(local, remote) == unknownRunTime {
 		return nil
 	}
-	for _, e := range b.usable() {
+	usable := b.usable()
+	forecasts := 0
+	start := b.shard.searchFrom % max(1, len(usable))
+	for i := range usable {
+		if forecasts == maxForecasts {
+			b.shard.searchFrom = start + i
+			break
+		}
+		e := usable[(start+i)%len(usable)]
 		if !need.Fits(e.Capacity) || !e.mayHold(b.now) || !st.allows(e, b.now) || rack != "" && e.Rack() != rack {
 			continue
 		}
@@ -276,6 +287,7 @@
 		if e.hold != nil {
 			continue
 		}
+		forecasts++
 		by := latestStart
 		if len(best) == n {
 			if latest := best[n-1].ends.Add(-runTime); latest.Before(by) {
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -119,6 +119,7 @@
 	runTimes          runTimes
 	reservations      []*reservation // the oldest first
 	reservationCounts ReservationCounts
+	searchFrom        int // the position in the usable executors at which the next search starts
 
 	batchStats       batchStats
 	lastSample       job.ID    // the last job among the samples of the last report
