--- a/entry/owner/report_test.go
+++ b/entry/owner/report_test.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/api/job"
 	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
@@ -152,3 +153,23 @@
 		assert.Equal(t, lines[3].LedMs, int64(4000))
 	})
 }
+
+// A small job that waits for room held for a larger one must be explained: the log names the larger
+// job, and the metrics count the reservation.
+func TestReservationsAreReported(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o, _, scope := reportingOwner()
+	note := shard.ReservationNote{Job: "00000000000000aa", Executors: []cluster.ExecutorID{"i-1", "i-2"}, Since: now.Add(-time.Second), Until: now.Add(time.Second)}
+	report := shard.ReservationReport{Present: []shard.ReservationNote{note}, ReservationCounts: shard.ReservationCounts{Held: 3, Used: 1, GivenUp: 1}}
+	o.measureReservations(report)
+	assert.Equal(t, gauge(scope, "held_executors", ""), 2.0)
+	for _, c := range scope.Snapshot().Counters() {
+		want := map[string]int64{"held": 3, "used": 1, "given_up": 1}[c.Tags()["event"]]
+		assert.Equal(t, c.Value(), want, c.Tags()["event"])
+	}
+	entries := reservationsOf(report, now)
+	assert.Equal(t, len(entries), 1)
+	assert.Equal(t, entries[0].Job, job.ID("00000000000000aa"))
+	assert.Equal(t, entries[0].HeldMs, int64(1000))
+	assert.Equal(t, entries[0].UntilMs, int64(1000))
+}
