--- a/policy/shard/waiting.go
+++ b/policy/shard/waiting.go
@@ -16,6 +16,8 @@
 	ReasonNoExecutor Reason = "no-usable-executor"
 	// ReasonNoCapacity: the usable executors lack free capacity.
 	ReasonNoCapacity Reason = "no-room"
+	// ReasonReserved: free capacity is held for the larger tasks of another job.
+	ReasonReserved Reason = "reserved-for-larger"
 	// ReasonLimited: a limit keeps its tasks from starting: the pause after a failure, the
 	// maximum per executor, a missing ticket, or unready members of a gang.
 	ReasonLimited Reason = "held-by-a-limit"
@@ -39,7 +41,7 @@
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
-	ReasonNoExecutor, ReasonNoCapacity, ReasonLimited, ReasonTenantLimit, ReasonUnconfirmed,
+	ReasonNoExecutor, ReasonNoCapacity, ReasonReserved, ReasonLimited, ReasonTenantLimit, ReasonUnconfirmed,
 	ReasonStoreUnavailable, ReasonOwnerOverloaded, ReasonNotItsTurn, ReasonBeyondRate, ReasonNotExamined,
 }
 
@@ -73,6 +75,7 @@
 	Batches, Full int
 	Storing       time.Duration
 	LongRunning   LongRunningReport
+	Reservation   ReservationReport
 	Executors     ExecutorReport
 	Tenants       []TenantReport // by name; none if the operator configured none
 }
@@ -114,6 +117,7 @@
 	s.batchStats = batchStats{openedAt: s.batchStats.openedAt}
 	r.Executors = s.executorReport(now)
 	r.Tenants = s.tenantReports()
+	r.Reservation = s.reservationReport()
 	return r
 }
 
@@ -281,6 +285,8 @@
 		return 0, ReasonLimited
 	case !st.def.Reservation().Fits(b.maxFree):
 		return 0, ReasonNoCapacity
+	case len(b.shard.reservations) > 0 && !st.heldBackAt.IsZero() && st.heldBackAt.Equal(b.shard.plannedAt):
+		return 0, ReasonReserved
 	}
 	if n = b.withinPortion(st, n); n == 0 {
 		return 0, ReasonTenantLimit
