--- a/policy/shard/forecast.go
+++ b/policy/shard/forecast.go
@@ -8,9 +8,12 @@
 )
 
 const (
-	// endQuantile is the share of the runs of a kind that end by the time at which their capacity is
-	// expected to be free.
+	// endQuantile is the share of the runs of a kind that end within the run time that a waiting
+	// task is expected to take.
 	endQuantile = 0.7
+	// releaseQuantile is the share of the runs of a kind that end by the time at which their capacity
+	// is expected to be free. Room for a large task takes the ends of several runs.
+	releaseQuantile = 0.9
 	// stopTime is how long a run that is being stopped is expected to take up its capacity.
 	stopTime = 500 * time.Millisecond
 )
@@ -25,14 +28,14 @@
 	case def.LongRunning || r.throttle < 100:
 		return time.Time{}, false
 	case r.startedAt.IsZero():
-		total := s.runTime(r.task.step, r.task.step.remoteFrom(r.executor), 0, endQuantile)
+		total := s.runTime(r.task.step, r.task.step.remoteFrom(r.executor), 0, releaseQuantile)
 		return now.Add(total), total != unknownRunTime
 	}
 	if r.expectedEnd.After(now) {
 		return r.expectedEnd, true
 	}
 	elapsed := now.Sub(r.startedAt)
-	total := s.runTime(r.task.step, r.task.step.remoteFrom(r.executor), elapsed, endQuantile)
+	total := s.runTime(r.task.step, r.task.step.remoteFrom(r.executor), elapsed, releaseQuantile)
 	if total == unknownRunTime {
 		return time.Time{}, false
 	}
