--- a/policy/quota/world_test.go
+++ b/policy/quota/world_test.go
@@ -338,7 +338,7 @@
 func TestTenantUnderHalfOfItsLimitGetsWhatItNeedsWithinASecond(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.Int64Range(120, 400).Draw(t, "limit")
-		w := newWorld(t, cores(limit), "a", "b", "c", "d")
+		w := newWorld(t, cores(limit), serviceNames(rapid.SampledFrom([]int{4, 10, 40}).Draw(t, "services"))...)
 		for range rapid.IntRange(0, 6).Draw(t, "earlier bursts") {
 			s := rapid.SampledFrom(w.services).Draw(t, "earlier")
 			s.submit(rapid.IntRange(1, 100).Draw(t, "tasks"), cores(rapid.Int64Range(1, 13).Draw(t, "earlier cores")))
@@ -408,14 +408,18 @@
 	}
 }
 
-// rotatePeaks lets up to eight of the services have a peak twice.
-func rotatePeaks(services int, share float64) *world {
+func serviceNames(n int) []cluster.Service {
 	var names []cluster.Service
-	for i := range services {
+	for i := range n {
 		names = append(names, cluster.Service(fmt.Sprintf("service-%d", i)))
 	}
+	return names
+}
+
+// rotatePeaks lets up to eight of the services have a peak twice.
+func rotatePeaks(services int, share float64) *world {
 	const limit, peak, base = 400, 15, 1
-	w := newWorld(nil, cores(limit), names...)
+	w := newWorld(nil, cores(limit), serviceNames(services)...)
 	random := rand.New(rand.NewPCG(1, 2))
 	const tick = 50 * time.Millisecond
 	// Runs take 0.3 s in the mean and 5 cores.
