--- a/policy/quota/book.go
+++ b/policy/quota/book.go
@@ -69,7 +69,9 @@
 	others vector    // the portions of the other services together
 	wanted vector    // what the other services demand beyond their portions
 
-	use     Use
+	use, plannedUse Use // now, and when the account was planned last
+	// settled is set if the last plan would have the same result, were the use the same.
+	settled bool
 	pending *Allotment // as in the write in progress
 	// bound holds the amounts that this service may use while the demands exceed the limit; they
 	// are math.MaxInt64 for the resources of which that is not so.
@@ -78,6 +80,8 @@
 	ampleSince  time.Time // since when the portion has been far more than needed; zero if it is not
 	satisfiedAt time.Time // since when the published demand is met; zero if it is not
 	demandAt    time.Time // when the demand was planned last
+	lackedSince time.Time // since when other services have lacked something; zero if they don't
+	changedAt   time.Time // when a change was planned last that was not refused
 	usable      Usable    // as reported last
 }
 
@@ -154,7 +158,7 @@
 }
 
 func (a *account) setLedger(l Ledger, service cluster.Service) {
-	a.ledger, a.own = l, l.Services[service]
+	a.ledger, a.own, a.settled = l, l.Services[service], false
 	a.others, a.wanted = vector{}, vector{}
 	for name, allotment := range l.Services {
 		if name == service {
@@ -183,6 +187,11 @@
 
 // refresh notes whether what may be used of the tenant's limit has changed.
 func (b *Book) refresh(a *account) {
+	a.settled = false
+	b.noteUsable(a)
+}
+
+func (b *Book) noteUsable(a *account) {
 	if usable := b.usable(a); usable != a.usable {
 		a.usable = usable
 		b.changed[a.name] = true
@@ -244,7 +253,11 @@
 // Refused records that a condition of the planned changes did not hold, so that none of them was or
 // will be stored unless what is stored now shows it. The caller passes the present ledgers to
 // SetLedger before.
-func (b *Book) Refused() { b.takePlanned() }
+func (b *Book) Refused() {
+	for _, c := range b.takePlanned() {
+		b.accounts[c.Ledger.Tenant].changedAt = time.Time{}
+	}
+}
 
 func (b *Book) takePlanned() []Change {
 	planned := b.planned
