--- a/policy/shard/quota_faults_test.go
+++ b/policy/shard/quota_faults_test.go
@@ -272,6 +272,7 @@
 // ledgers are lost or late, and the limits change: two services together never start more of a tenant
 // than its limit, and every job becomes final afterwards.
 func TestTenantLimitsHoldUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		s, worlds := newTenantWorlds(t)
 		for range rapid.IntRange(5, 30).Draw(t, "faults") {
--- a/policy/shard/shares_replay_test.go
+++ b/policy/shard/shares_replay_test.go
@@ -92,6 +92,7 @@
 // A tenant sends seven times its usual, in peaks of three quarters to one and a half times the
 // capacity: without rates, its jobs would make most jobs of the others late.
 func TestSurgeOfOneTenantMakesNoJobOfOthersLate(t *testing.T) {
+	t.Parallel()
 	for _, rate := range []float64{30, 36, 40, 44, 60} {
 		for seed := range uint64(3) {
 			checkSurge(t, rate, seed+1)
@@ -101,6 +102,7 @@
 
 // As above, in a peak that exceeds the capacity by a quarter. The peak begins together with the surge.
 func TestSurgeOfOneTenantInAPeakSlightlyBeyondTheCapacity(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint(seed+1), func(t *testing.T) { checkSurge(t, 50, seed+1) })
 	}
@@ -140,6 +142,7 @@
 // Fairness must not make everybody late, nor favor the same tenants whenever shares of whole jobs
 // have to be rounded: few tenants, with jobs of one task up to two steps of four.
 func TestSharesAreKeptThroughAPeak(t *testing.T) {
+	t.Parallel()
 	list := []replayedTenant{{10, 10}, {10, 7}, {20, 12}, {40, 31}}
 	for _, shape := range []struct{ tasks, steps int }{{1, 1}, {4, 1}, {2, 2}, {4, 2}} {
 		for seed := range uint64(3) {
@@ -150,6 +153,7 @@
 
 // As above, with twenty tenants, of whom the smallest have half a slot each.
 func TestSharesOfManyTenantsAreKeptThroughAPeak(t *testing.T) {
+	t.Parallel()
 	weights := []float64{1, 1, 1, 2, 2, 2, 3, 3, 3, 4, 4, 4, 5, 5, 6, 6, 7, 7, 8, 9}
 	const sum = 83
 	for seed := range uint64(3) {
--- a/policy/shard/uneven_test.go
+++ b/policy/shard/uneven_test.go
@@ -94,17 +94,20 @@
 // By the former rule, small tasks fill every gap, and large ones wait until many of them happen to
 // end at once on one executor.
 func TestLargeTasksStartInTimeBesideAStreamOfSmallOnes(t *testing.T) {
+	t.Parallel()
 	compareRules(t, streamLoad()).requireGain(t)
 }
 
 // Estimates that are wrong must not mislead the forecasts for long.
 func TestLargeTasksStartInTimeWithWrongEstimates(t *testing.T) {
+	t.Parallel()
 	compareRules(t, misestimatedLoad()).requireGain(t)
 }
 
 // The same where estimates are wrong for each step in another way, so that the run times of others
 // tell nothing about it but the spread.
 func TestLargeTasksStartInTimeWithEstimatesThatCannotBeLearned(t *testing.T) {
+	t.Parallel()
 	l := misestimatedLoad()
 	l.images = 0
 	compareRules(t, l).requireGain(t)
@@ -112,11 +115,13 @@
 
 // Gaps are as much of memory as of processors.
 func TestLargeTasksStartInTimeWhereMemoryIsScarce(t *testing.T) {
+	t.Parallel()
 	compareRules(t, memoryBoundLoad()).requireGain(t)
 }
 
 // Large tasks that find no room on the rack of their data take three times as long elsewhere.
 func TestLargeTasksStartInTimeNearTheirData(t *testing.T) {
+	t.Parallel()
 	compareRules(t, rackLoad()).requireGain(t)
 }
 
