--- a/policy/admit/admit.go
+++ b/policy/admit/admit.go
@@ -36,13 +36,13 @@
 	// maxAhead is how far the owner's clock may be ahead of the instance's.
 	maxAhead = 500 * time.Millisecond
 	// marginBase is how far the wait of a new job must exceed its slack, at least.
-	marginBase = 100 * time.Millisecond
+	marginBase = 50 * time.Millisecond
 	// marginSpread is up to how much further, depending on the job: that lets the accepted share
 	// fall evenly as the wait grows, instead of from all to nothing on all instances at once.
-	marginSpread = 200 * time.Millisecond
+	marginSpread = 150 * time.Millisecond
 	// marginReturned is the margin of a job that comes back when its caller was told; it exceeds
 	// that of every new job.
-	marginReturned = 350 * time.Millisecond
+	marginReturned = 250 * time.Millisecond
 	// startOverhead is the time from the acceptance of a job to its first start beside its wait
 	// for capacity: the write, its way to the owner, the batch and the command.
 	startOverhead = 100 * time.Millisecond
--- a/policy/shard/admission.go
+++ b/policy/shard/admission.go
@@ -221,8 +221,7 @@
 
 // publish completes an Admission and reports whether it has to be published.
 func (st *admissionState) publish(a *Admission, token int64, now time.Time) bool {
-	changed := a.Rejects() != st.published.Rejects() ||
-		len(a.Queues) != len(st.published.Queues) || len(a.LimitMs) != len(st.published.LimitMs) || len(a.Excess) != len(st.published.Excess)
+	changed := len(a.Queues) != len(st.published.Queues) || len(a.LimitMs) != len(st.published.LimitMs) || st.differs(a)
 	age := now.Sub(st.publishedAt)
 	switch {
 	case !a.Rejects() && !st.published.Rejects():
@@ -230,7 +229,7 @@
 	case a.Rejects() != st.published.Rejects(): // at once
 	case age < admissionSpacing:
 		return false
-	case age < admissionRefresh && !changed && !st.differs(a):
+	case age < admissionRefresh && !changed:
 		return false
 	}
 	st.noteEpisode(a.Rejects(), now)
@@ -243,21 +242,27 @@
 const admissionStep = 50 * time.Millisecond
 
 func (st *admissionState) differs(a *Admission) bool {
-	far := func(x, y int64) bool { return max(x-y, y-x) >= admissionStep.Milliseconds() }
 	for queue, w := range a.Queues {
-		last := st.published.Queues[queue]
-		if slices.CompareFunc(w.WaitMs, last.WaitMs, func(x, y int64) int { return map[bool]int{true: 1}[far(x, y)] }) != 0 {
+		last := st.published.Queues[queue].WaitMs
+		if len(w.WaitMs) != len(last) {
 			return true
 		}
+		for i, ms := range w.WaitMs {
+			if farApart(ms, last[i]) {
+				return true
+			}
+		}
 	}
 	for tenant, ms := range a.LimitMs {
-		if far(ms, st.published.LimitMs[tenant]) {
+		if farApart(ms, st.published.LimitMs[tenant]) {
 			return true
 		}
 	}
 	return !maps.Equal(a.Excess, st.published.Excess)
 }
 
+func farApart(x, y int64) bool { return max(x-y, y-x) >= admissionStep.Milliseconds() }
+
 // noteEpisode records when a rejection begins and how long it took when it ends.
 func (st *admissionState) noteEpisode(rejects bool, now time.Time) {
 	switch {
--- a/policy/shard/admissionrates.go
+++ b/policy/shard/admissionrates.go
@@ -11,13 +11,11 @@
 // workWindow sums up work over the last windowBuckets × windowBucket.
 type workWindow struct {
 	buckets [windowBuckets]workSum
-	first   int64 // number of the bucket of the first work
 }
 
 type workSum struct {
 	number   int64 // of the bucket, in windowBucket since 1970
 	count    int64
-	cpu      int64   // thousandths of a core that the runs held
 	expected float64 // core-milliseconds by the estimates
 	actual   float64 // core-milliseconds as observed
 }
@@ -36,7 +34,6 @@
 		*b = workSum{number: number}
 	}
 	b.count++
-	b.cpu += cpu
 	b.expected += coreMilliseconds(cpu, expected)
 	b.actual += coreMilliseconds(cpu, actual)
 }
@@ -48,7 +45,6 @@
 	for _, b := range w.buckets {
 		if b.number > last-int64(over/windowBucket) && b.number <= last {
 			total.count += b.count
-			total.cpu += b.cpu
 			total.expected += b.expected
 			total.actual += b.actual
 		}
--- a/policy/shard/admissiontenants.go
+++ b/policy/shard/admissiontenants.go
@@ -11,7 +11,7 @@
 	// excessDelay is how long work within the rates must have waited for capacity before excess
 	// jobs are rejected, and excessHold is how long they are rejected after it has not.
 	excessDelay = 200 * time.Millisecond
-	excessHold  = 500 * time.Millisecond
+	excessHold  = 200 * time.Millisecond
 	// excessMargin is by which factor a tenant must exceed its rate to have jobs rejected.
 	excessMargin = 1.1
 )
