--- a/entry/admissions/admissions_test.go
+++ b/entry/admissions/admissions_test.go
@@ -28,6 +28,12 @@
 
 func newWatchedStore() *watchedStore { return &watchedStore{changed: make(chan struct{})} }
 
+func (s *watchedStore) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 func (s *watchedStore) put(value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -113,10 +119,10 @@
 	runFollower(t, func(f *Follower, store *watchedStore, _ terms) {
 		f.Enable(false)
 		time.Sleep(time.Minute)
-		assert.Equal(t, store.calls, 0)
+		assert.Equal(t, store.callCount(), 0)
 		f.Enable(true)
 		time.Sleep(time.Minute)
-		assert.Assert(t, store.calls <= 10, "%d calls", store.calls)
+		assert.Assert(t, store.callCount() <= 10, "%d calls", store.callCount())
 	})
 }
 
--- a/policy/admit/replay_test.go
+++ b/policy/admit/replay_test.go
@@ -381,16 +381,32 @@
 // In peaks of twice the capacity, jobs are accepted that start too late if all are, and jobs are
 // rejected in vain if the waits are overestimated.
 func TestAcceptedJobsAreInTimeThroughPeaks(t *testing.T) {
-	forEachSeed(t, func(t *testing.T, seed uint64) {
-		l := load{share: peaks, duration: 30 * time.Second, error: exact}
-		all, with := newReplay(t, l, false, seed).run(), newReplay(t, l, true, seed).run()
-		t.Logf("accepting all: %+v", all)
-		t.Logf("rejecting:     %+v; %.3f of the accepted in time", with, with.inTimeShare())
-		assert.Assert(t, with.inTimeShare() >= 0.95)
-		assert.Assert(t, with.inTime >= all.inTime)
-		assert.Equal(t, with.rejectedWhileFree, 0)
-		assert.Assert(t, with.rejections > 0)
-	})
+	forEachSeed(t, func(t *testing.T, seed uint64) { replayPeaks(t, seed, 30*time.Second) })
+}
+
+// A single peak that comes without warning has the largest share of jobs that are accepted before
+// the owner can tell it from a burst.
+func TestAcceptedJobsAreInTimeThroughOnePeak(t *testing.T) {
+	for _, seed := range []uint64{0, 1, 3} {
+		replayPeaks(t, seed, 12*time.Second)
+	}
+}
+
+// The load of seed 2 misses the bound; see KNOWN-RED.txt.
+func TestAcceptedJobsAreInTimeThroughOnePeakUnderSeed2(t *testing.T) {
+	replayPeaks(t, 2, 12*time.Second)
+}
+
+func replayPeaks(t *testing.T, seed uint64, duration time.Duration) {
+	t.Helper()
+	l := load{share: peaks, duration: duration, error: exact}
+	all, with := newReplay(t, l, false, seed).run(), newReplay(t, l, true, seed).run()
+	t.Logf("accepting all: %+v", all)
+	t.Logf("rejecting:     %+v; %.3f of the accepted in time", with, with.inTimeShare())
+	assert.Assert(t, with.inTime >= all.inTime)
+	assert.Equal(t, with.rejectedWhileFree, 0)
+	assert.Assert(t, with.rejections > 0)
+	assert.Assert(t, with.inTimeShare() >= 0.95)
 }
 
 // Estimates that are off by 20% to 90% must not make the rejections worse than none.
