Admission: jobs are rejected for lack of capacity only while the fleet has no more machines for their service

The planner now states for which services it has allocated all that there is; owners that get no such statement within 1.5 s reject only for tenants' own limits.

--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -115,6 +115,7 @@
 	// historyStoredAt is when the planner's demand history was last stored.
 	historyStoredAt   time.Time
 	storedPeakChanges int // the planner's PeakChanges at that time
+	exhausted         exhaustedServices
 	loggedNeeds       string
 	needsLoggedAt     time.Time
 }
@@ -236,6 +237,7 @@
 	}
 	actions := h.planner.Plan(snapshot)
 	h.logNeeds()
+	h.publishExhausted(ctx)
 	h.setCordons(ctx, actions)
 	h.queueCommands(actions)
 	h.announceQueued(ctx)
--- a/entry/layout/golden_test.go
+++ b/entry/layout/golden_test.go
@@ -93,13 +93,14 @@
 		LimitMs: map[cluster.TenantName]int64{"palermo": 28}, Excess: map[cluster.TenantName]int{"trapani": 29},
 	}},
 	{JobKey("rejected"), State{Service: "batch", Queue: "nightly", Tenant: "palermo", State: job.Cancelled, FinalAt: goldenTime, Rejected: &Rejection{At: goldenTime, Told: goldenTime.Add(time.Hour)}}},
+	{ExhaustedKey("batch"), Exhausted{AtMs: 30}},
 	{OwnerKey("batch"), Holder{Instance: "entry-1", Zone: "palermo", Term: "term"}},
 }
 
 // TestStoredEntriesKeepTheirForm guards against renamed keys and JSON fields, with which a
 // new version would not find what an older one stored. The file was written by commit 81f8b51,
-// but for the marker with unreached executors, the jobs with a tenant, the ledger and the admission,
-// which are newer.
+// but for the marker with unreached executors, the jobs with a tenant, the ledger, the admission
+// and the exhausted service, which are newer.
 func TestStoredEntriesKeepTheirForm(t *testing.T) {
 	stored := goldentest.ReadEntries(t, "testdata/store.txt")
 	assert.Equal(t, len(stored), len(goldenEntries))
@@ -123,6 +124,7 @@
 	assert.Equal(t, cluster.WaveCompleted, cluster.WaveState("completed"))
 	for key, want := range map[string]ShardItem{
 		"shard/batch/job/a": ItemRecord, "shard/batch/cancel/a": ItemCancel, "shard/batch/cordon/a": ItemCordon,
+		"shard/batch/exhausted/a": ItemExhausted,
 	} {
 		kind, name := ParseShardKey("batch", key)
 		assert.Equal(t, kind, want, key)
--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -5,6 +5,7 @@
 //	shard/SERVICE/job/JOB         shard.Record: a job that is not final
 //	shard/SERVICE/cancel/JOB      a cancellation that was acknowledged
 //	shard/SERVICE/cordon/EXECUTOR Cordon: an executor to evacuate
+//	shard/SERVICE/exhausted/fleet Exhausted: the fleet has no more machines for the service
 //	progress/SERVICE/JOB          shard.Progress of a job that is not final
 //	waiting/SERVICE               Waiting: counts of jobs of which nothing has started
 //	admission/SERVICE             shard.Admission: how long new jobs would wait
@@ -58,6 +59,15 @@
 	return ShardPrefix(s) + "cordon/" + string(id)
 }
 
+// ExhaustedKey returns the key of the Exhausted of a service.
+func ExhaustedKey(s cluster.Service) string { return ShardPrefix(s) + "exhausted/fleet" }
+
+// Exhausted states that the fleet planner has no more machines for a service. The planner renews it
+// while that is so, and removes it afterwards.
+type Exhausted struct {
+	AtMs int64 `json:"atMs"` // when it was written, Unix milliseconds
+}
+
 // Cordon specifies how an executor is evacuated.
 type Cordon struct {
 	// ID distinguishes the cordon from others of the same executor.
@@ -188,6 +198,7 @@
 	ItemRecord
 	ItemCancel
 	ItemCordon
+	ItemExhausted
 )
 
 // ParseShardKey splits a key under the ShardPrefix of a service into kind and name.
@@ -203,6 +214,8 @@
 		return ItemCancel, name
 	case "cordon":
 		return ItemCordon, name
+	case "exhausted":
+		return ItemExhausted, name
 	default:
 		return ItemUnknown, ""
 	}
--- a/entry/owner/load.go
+++ b/entry/owner/load.go
@@ -135,6 +135,8 @@
 	for _, event := range c.Events {
 		kind, name := layout.ParseShardKey(o.Service, event.Key)
 		switch {
+		case kind == layout.ItemExhausted:
+			o.applyExhausted(event, now)
 		case kind == layout.ItemCordon:
 			o.applyCordon(cluster.ExecutorID(name), event)
 		case event.Removed:
@@ -169,6 +171,25 @@
 	o.cordons[id] = shard.Cordon{ID: cordon.ID, Evacuation: evacuation}
 }
 
+// maxExhaustedAge is the age from which a statement of the fleet planner counts for nothing: it may
+// come from a planner that is lost. The clocks of the instances may differ.
+const maxExhaustedAge = 3 * time.Second
+
+func (o *Owner) applyExhausted(event kv.Event, now time.Time) {
+	if event.Removed {
+		o.shard.NoteFleetExhausted(time.Time{})
+		return
+	}
+	exhausted, err := layout.Decode[layout.Exhausted](event.Key, event.Value)
+	if err != nil {
+		o.Logger.Error("statement of the fleet planner not readable", "error", err)
+		return
+	}
+	if now.Sub(time.UnixMilli(exhausted.AtMs)).Abs() <= maxExhaustedAge {
+		o.shard.NoteFleetExhausted(now)
+	}
+}
+
 func (o *Owner) cancel(id job.ID) {
 	if o.shard.Cancel(id) {
 		o.Logger.Info("job cancelled", "job", string(id))
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -294,6 +294,7 @@
 	o.configVersion = c.Version
 	o.shard.SetQueues(c.Queues)
 	o.shard.SetAdmission(c.Tenancy)
+	o.shard.SetPoolGrows(o.Machines != nil)
 	if c.Tenancy || o.tenancy {
 		o.shard.SetTenants(c.Tenants)
 	}
--- a/policy/fleetplan/fleetplan_test.go
+++ b/policy/fleetplan/fleetplan_test.go
@@ -470,3 +470,19 @@
 		})
 	}
 }
+
+// Owners reject jobs of services that the planner calls exhausted: that must not include one whose need
+// the fleet can meet, though its machines have yet to come.
+func TestServiceIsExhaustedOnlyWhereTheFleetHasNoMoreMachines(t *testing.T) {
+	f := newSimFleet(t, map[cluster.Service]int{"a": 4, "b": 4}, 4)
+	cpu := int64(f.machines[f.ids[0]].Capacity.MilliCPU)
+	load := f.loads["a"]
+	load.InTimeCPU = 8 * cpu
+	f.loads["a"] = load
+	f.planner.Plan(f.snapshot())
+	assert.Equal(t, len(f.planner.Exhausted()), 0)
+	load.InTimeCPU = 20 * cpu
+	f.loads["a"] = load
+	f.planner.Plan(f.snapshot())
+	assert.DeepEqual(t, f.planner.Exhausted(), []cluster.Service{"a"})
+}
--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -61,6 +61,19 @@
 	p.returnIdle(v, donors, maxMovesPerPlan-started)
 }
 
+// Exhausted returns the services that the last plan allocated fewer machines than the work needs that
+// is there or is arriving and can still be in time: the fleet has no more.
+func (p *Planner) Exhausted() []cluster.Service {
+	var list []cluster.Service
+	for _, n := range p.lastNeeds {
+		if n.share < n.rising {
+			list = append(list, n.service)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // Needs formats each service's need in the last plan for the log.
 func (p *Planner) Needs() string {
 	var b strings.Builder
--- a/policy/shard/admission.go
+++ b/policy/shard/admission.go
@@ -166,6 +166,8 @@
 // admissionState is what the shard remembers for its estimates.
 type admissionState struct {
 	enabled     bool
+	poolGrows   bool      // see SetPoolGrows
+	exhaustedAt time.Time // see NoteFleetExhausted
 	since       time.Time // of the first estimate
 	evaluatedAt time.Time
 	publishedAt time.Time
@@ -189,6 +191,23 @@
 // configured tenants.
 func (s *Shard) SetAdmission(enabled bool) { s.admission.enabled = enabled }
 
+// SetPoolGrows sets whether a fleet planner moves machines to the service's pool. Jobs are then rejected
+// for lack of capacity only while the planner has no more: until that is so, the pool grows with the work
+// that is accepted, and rejections would keep it small.
+func (s *Shard) SetPoolGrows(grows bool) { s.admission.poolGrows = grows }
+
+// NoteFleetExhausted records when the fleet planner last stated that it has no more machines for the
+// service; zero if it has.
+func (s *Shard) NoteFleetExhausted(at time.Time) { s.admission.exhaustedAt = at }
+
+// exhaustedTime is how long a statement of the planner counts. It is renewed more often.
+const exhaustedTime = 1500 * time.Millisecond
+
+// exhausted reports whether no machines can be added to the pool.
+func (a *admissionState) exhausted(now time.Time) bool {
+	return !a.poolGrows || !a.exhaustedAt.IsZero() && now.Sub(a.exhaustedAt) < exhaustedTime
+}
+
 // due reports whether the waits have to be estimated.
 func (a *admissionState) due(now time.Time) bool {
 	return a.enabled && now.Sub(a.evaluatedAt) >= admissionInterval ||
--- a/policy/shard/admission_test.go
+++ b/policy/shard/admission_test.go
@@ -192,6 +192,24 @@
 	assert.Equal(t, limits["large"], int64(0))
 }
 
+// Rejections by the present size of a pool keep it from growing with its work: they hide the demand for
+// machines. Where a planner moves machines, jobs are rejected only while it states that it has no more,
+// and a statement that is not renewed expires.
+func TestJobsAreRejectedOnlyWhileThePoolCannotGrow(t *testing.T) {
+	h := newAdmissionHarness(t, true)
+	h.shard.SetPoolGrows(true)
+	h.play(4*time.Second, 2, "")
+	list, _ := h.published()
+	assert.Equal(t, len(list), 0)
+	h.shard.NoteFleetExhausted(h.now)
+	h.play(time.Second, 2, "")
+	list, _ = h.published()
+	assert.Assert(t, len(list) > 0 && len(list[len(list)-1].Queues) > 0)
+	h.play(time.Second, 2, "")
+	list, _ = h.published()
+	assert.Assert(t, !list[len(list)-1].Rejects())
+}
+
 // BenchmarkAdmissionUnderOverload measures one estimate of the waits with a long queue.
 func BenchmarkAdmissionUnderOverload(b *testing.B) {
 	w := newOverloadBench(b, 0, 0)
--- a/policy/shard/admissionestimate.go
+++ b/policy/shard/admissionestimate.go
@@ -92,8 +92,10 @@
 	e.notePressure()
 	var a Admission
 	e.addLimits(&a)
-	e.addQueues(&a) // the forecast uses up the jobs
-	e.addExcess(&a)
+	if st.exhausted(now) {
+		e.addQueues(&a) // the forecast uses up the jobs
+		e.addExcess(&a)
+	}
 	if a.Rejects() {
 		a.CapacityMs = e.capacityIn(a).Milliseconds()
 	}
