Shard: prepared starts for a store outage

While the store does not respond, an owner starts nothing, and jobs whose first step ends in that time wait for its end. Progress now also names a run and an executor for the tasks of the steps that come next. While a batch has been open for 100 ms, the owner sends such a start if it is durable and the blockers have ended. Its lease ends at the latest MaxRunLease after the last confirmation of the term. Only where tenants are configured.

--- a/entry/layout/golden_test.go
+++ b/entry/layout/golden_test.go
@@ -51,6 +51,9 @@
 		}},
 		Done: []int{6, 7},
 	}},
+	{ProgressKey("prepared", goldenJob), shard.Progress{
+		Tasks: []shard.TaskProgress{{Step: 1, Index: 2, Run: 3, Executor: "e-1", Born: 4, Address: "10.0.0.1:1", Prepared: true}},
+	}},
 	{WaitingKey("batch"), Waiting{"nightly": 1, "urgent": 2}},
 	{LoadKey("batch"), shard.Load{
 		InTimeCPU: 1, LateCPU: 2, BlockedCPU: 3, LongRunningCPU: 4, WaitingCPU: 5, ArrivedWork: 6, ArrivedJobs: 7,
@@ -75,7 +78,8 @@
 
 // TestStoredEntriesKeepTheirForm guards against renamed keys and JSON fields, with which a
 // new version would not find what an older one stored. The file was written by commit 81f8b51,
-// but for the marker with unreached executors, which is newer.
+// but for the marker with unreached executors and the progress with a prepared start, which are
+// newer.
 func TestStoredEntriesKeepTheirForm(t *testing.T) {
 	stored := goldentest.ReadEntries(t, "testdata/store.txt")
 	assert.Equal(t, len(stored), len(goldenEntries))
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -268,6 +268,7 @@
 		return
 	}
 	o.renewalCheckedAt = now
+	o.shard.ConfirmTerm(now.Add(-o.term.Age()))
 	allowed := o.term.Age() < shard.LeaseRenewalWindow(o.Limits)
 	if allowed == o.renewalAllowed {
 		return
--- a/entry/owner/report.go
+++ b/entry/owner/report.go
@@ -54,6 +54,7 @@
 	o.logCrashes()
 	o.logRestarts()
 	o.logGivenUp()
+	o.logPrepared()
 	period := now.Sub(o.delays.reportedAt)
 	if period < reportInterval {
 		return
--- a/policy/shard/commands.go
+++ b/policy/shard/commands.go
@@ -66,6 +66,7 @@
 	if s.evacuateDue && now.Sub(s.evacuatedAt) >= evacuateInterval {
 		s.evacuate(now)
 	}
+	s.usePrepared(now)
 	var list []Command
 	for _, e := range s.sortedExecutors() {
 		if s.mayNeedCommands(e, now) {
--- a/policy/shard/crashes.go
+++ b/policy/shard/crashes.go
@@ -153,7 +153,7 @@
 
 // mayHaveStarted reports whether the executor may have started the run.
 func (r *run) mayHaveStarted() bool {
-	return r.phase == confirmed || r.phase == inherited || r.awaitsConfirmation()
+	return r.phase == confirmed || r.phase == inherited && !r.prepared || r.awaitsConfirmation()
 }
 
 // survived reports whether the executor has lived for survivalTime since it was first known to
--- a/policy/shard/givenup.go
+++ b/policy/shard/givenup.go
@@ -16,6 +16,8 @@
 	GivenUpAbsent  GiveUpReason = "not-listed"     // the executor lists it neither as running nor as ended
 	GivenUpEnded   GiveUpReason = "executor-ended" // its executor has ended
 	GivenUpExpired GiveUpReason = "lease-expired"  // its executor does not respond, and all leases there have expired
+	// GivenUpPrepared: an earlier owner prepared its start, and the executor does not list it.
+	GivenUpPrepared GiveUpReason = "prepared-only"
 )
 
 // GiveUpNote describes a run that was given up, with what is known of its executor's completions.
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -81,6 +81,7 @@
 	retryAt    time.Time
 	crashes    crashRecord
 	avoid      cluster.Incarnation // where it last failed, stalled or was refused
+	prepared   *preparedStart      // nil if there is none
 	// missingSince is since when a long-running task has had no live run; zero if it has one.
 	// Waiting sets it.
 	missingSince time.Time
@@ -126,6 +127,7 @@
 	unanswered    bool      // a start of it got no response, and may be carried out late
 	brokeOff      bool      // its start was broken off at once, without a response
 	trial         bool      // isolated, to find out whether its task crashes executors
+	prepared      bool      // inherited as a prepared start, which may never have been sent
 
 	stopping         bool
 	stopReason       StopReason
--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -73,6 +73,7 @@
 // decide creates a run of the task on the executor.
 func (b *builder) decide(t *task, e *executorState) *run {
 	lease := b.shard.limits.RunLease
+	b.shard.supersede(t)
 	t.lastRun++
 	r := &run{
 		task: t, number: t.lastRun, executor: e, phase: decided,
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -355,6 +355,7 @@
 		return nil
 	}
 	for _, j := range b.jobs {
+		b.prepare(j)
 		w := JobWrite{
 			ID: j.ID, Queue: j.Queue.Name, Tenant: j.Tenant, State: j.state, StateChanged: j.state != j.published,
 			HadProgress: j.progressStored, Cancelled: j.cancelled, job: j, version: j.version,
--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -33,7 +33,7 @@
 		poll := Poll{Executor: e.Executor, SentAt: now, target: e, leaseBoundBefore: e.leaseBound}
 		poll.Request = s.pollRequest(e, now)
 		if poll.Request.AckedThrough > 0 {
-			e.ackToken = poll.Request.Token
+			e.noteAcknowledgement(poll.Request.Token)
 		}
 		poll.leaseBoundAfter = e.leaseBound
 		list = append(list, poll)
@@ -69,7 +69,7 @@
 
 func (s *Shard) pollRequest(e *executorState, now time.Time) execution.PollRequest {
 	request := execution.PollRequest{Token: e.token}
-	if e.mayAcknowledge() {
+	if e.mayAcknowledge() && (!s.preparesStarts() || e.durableSequence > e.ackedSequence) {
 		request.AckedThrough = e.durableSequence
 	}
 	if !e.polled || e.renewalPaused || s.renewalDisabled || s.unreached.listed(e.ID) {
@@ -131,6 +131,7 @@
 	case delivery != Responded:
 		if delivery == NotSent {
 			e.undoRenewal(poll)
+			s.settleAcknowledgement(e, poll)
 		}
 		e.notePollFailure(poll, now)
 	case response.Refusal == execution.RefusedFenced && poll.Request.Token < e.token:
@@ -179,6 +180,7 @@
 	e.failedCalls, e.renewalPaused, e.polled, e.doubtedAt = 0, false, true, time.Time{}
 	e.clockMs, e.clockAt, e.clockSentAt, e.lastResponse = response.ClockMs, now, poll.SentAt, now
 	e.ackedSequence = max(e.ackedSequence, poll.Request.AckedThrough)
+	s.settleAcknowledgement(e, poll)
 	e.pollAt = now
 	if len(response.Ended) > 0 {
 		e.pollAt = now.Add(pollPause)
@@ -256,7 +258,10 @@
 			continue
 		}
 		certain := r.phase == inherited || r.phase == confirmed && sentAt.After(r.confirmedAt)
-		if certain {
+		switch {
+		case certain && r.mayBeUnsent():
+			s.discard(r, GivenUpPrepared)
+		case certain:
 			s.discard(r, GivenUpAbsent)
 		}
 	}
--- a/policy/shard/record.go
+++ b/policy/shard/record.go
@@ -66,6 +66,9 @@
 	Crashes       int  `json:"x,omitempty"`
 	CrashEvidence int  `json:"xe,omitempty"`
 	Trial         bool `json:"xt,omitempty"`
+	// Prepared is set if the run was written ahead, and was not sent when this was written. It may
+	// have been sent since, and its step may still be blocked.
+	Prepared bool `json:"p,omitempty"`
 }
 
 // Check returns an error if a number in the progress is out of range.
@@ -74,6 +77,9 @@
 		if t.Occurrence < 0 || t.Step < 0 || t.Index < 0 || t.Run < 0 || t.Failures < 0 || t.Crashes < 0 || t.CrashEvidence < 0 || t.Born < 0 {
 			return fmt.Errorf("progress of task %d.%d.%d: negative number", t.Occurrence, t.Step, t.Index)
 		}
+		if t.Prepared && (t.Executor == "" || t.Run == 0 || t.Done) {
+			return fmt.Errorf("progress of task %d.%d.%d: prepared start without a run to come", t.Occurrence, t.Step, t.Index)
+		}
 	}
 	for _, occurrence := range p.Done {
 		if occurrence < 0 {
@@ -108,9 +114,17 @@
 		Run: t.lastRun, Done: t.done, Failures: t.failures, Checkpoint: t.checkpoint,
 		Crashes: t.crashes.crashes, CrashEvidence: t.crashes.evidence, Trial: t.crashes.trial,
 	}
-	if t.current != nil {
-		p.Executor, p.Born = t.current.executor.ID, t.current.executor.Born
-		p.Address = t.current.executor.Address
+	switch {
+	case t.current != nil:
+		p.setExecutor(t.current.executor)
+		p.Prepared = t.current.mayBeUnsent() && !t.done
+	case t.prepared != nil && !t.done:
+		p.setExecutor(t.prepared.executor)
+		p.Prepared = true
 	}
 	return p
 }
+
+func (p *TaskProgress) setExecutor(e *executorState) {
+	p.Executor, p.Born, p.Address = e.ID, e.Born, e.Address
+}
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -113,6 +113,7 @@
 	restartNotes      []RestartNote
 
 	unusable unusablePeriods
+	prepared preparedStarts
 
 	batchStats       batchStats
 	lastSample       job.ID    // the last job among the samples of the last report
@@ -186,7 +187,7 @@
 		if e.leaseBound.IsZero() {
 			s.inheritLeases(e, now)
 		}
-		r := &run{task: t, number: tp.Run, executor: e, phase: inherited, throttle: 100, wantedThrottle: 100}
+		r := &run{task: t, number: tp.Run, executor: e, phase: inherited, throttle: 100, wantedThrottle: 100, prepared: tp.Prepared}
 		t.current = r
 		e.addRun(r)
 	}
