--- a/policy/shard/overload_bench_test.go
+++ b/policy/shard/overload_bench_test.go
@@ -21,7 +21,15 @@
 // BenchmarkBatchCycleUnderOverload measures one batch cycle of an owner: polls that return
 // completions, a batch, and the commands for its starts.
 func BenchmarkBatchCycleUnderOverload(b *testing.B) {
-	w := newOverloadBench(b)
+	newOverloadBench(b, false).run(b)
+}
+
+// BenchmarkBatchCycleWithPreparedStarts measures the same with the preparation of starts.
+func BenchmarkBatchCycleWithPreparedStarts(b *testing.B) {
+	newOverloadBench(b, true).run(b)
+}
+
+func (w *overloadBench) run(b *testing.B) {
 	for b.Loop() {
 		w.cycle()
 	}
@@ -36,13 +44,16 @@
 	running   []Command
 }
 
-func newOverloadBench(b *testing.B) *overloadBench {
+func newOverloadBench(b *testing.B, prepared bool) *overloadBench {
 	w := &overloadBench{harness: &harness{shard: New(testLimits, 7), now: time.Unix(1000, 0)}, sequence: map[string]int64{}}
 	var executors []cluster.Executor
 	for i := range overloadExecutors {
 		executors = append(executors, newExecutorNamed(fmt.Sprintf("i-%d", i)))
 	}
 	w.shard.SetExecutors(executors, w.now)
+	if prepared {
+		w.shard.SetTenants(nil)
+	}
 	w.pollAll()
 	for range overloadJobs {
 		w.submitNext()
