--- a/policy/shard/world_test.go
+++ b/policy/shard/world_test.go
@@ -57,6 +57,8 @@
 	unreached Unreached           // as stored with the last batch
 	termBegan map[int64]time.Time // by token
 	restarts  *restarts           // nil if no executor starts again under its ID
+	limits    Limits
+	outages   *storeOutages // nil unless starts are prepared and owners are cut off from the store
 }
 
 type storedJob struct {
@@ -72,15 +74,18 @@
 }
 
 type ownerSim struct {
-	replacedAt  time.Time // when a successor took over; zero if none has
-	shard       *Shard
-	token       int64
-	batchDue    time.Time
-	batch       *Batch
-	responses   []responseSim
-	pausedUntil time.Time // gets no processor time until then; responses are read later
-	listedAt    time.Time // when it last requested the machine list
-	reportedAt  time.Time
+	replacedAt time.Time // when a successor took over; zero if none has
+	shard      *Shard
+	token      int64
+	batchDue   time.Time
+	batch      *Batch
+	// batchApplied is set once the store has applied the batch, though the owner may not know.
+	batchApplied bool
+	cutOffSince  time.Time // since when the store does not respond to it; zero if it does
+	responses    []responseSim
+	pausedUntil  time.Time // gets no processor time until then; responses are read later
+	listedAt     time.Time // when it last requested the machine list
+	reportedAt   time.Time
 }
 
 // responseSim is a response on its way to an owner.
@@ -147,7 +152,7 @@
 	w := &world{
 		t: t, now: time.Unix(1000, 0),
 		jobs: map[job.ID]*storedJob{}, executors: map[cluster.ExecutorID]*executorSim{},
-		termBegan: map[int64]time.Time{},
+		termBegan: map[int64]time.Time{}, limits: testLimits,
 	}
 	for i := range 4 {
 		w.addExecutor(fmt.Sprintf("10.0.0.%d:80", i))
@@ -209,7 +214,10 @@
 	if w.owner != nil {
 		w.owner.replacedAt = w.now
 	}
-	o := &ownerSim{shard: New(testLimits, w.token), token: w.token}
+	o := &ownerSim{shard: New(w.limits, w.token), token: w.token}
+	if w.outages != nil {
+		o.shard.SetTenants(nil)
+	}
 	w.owner = o
 	w.termBegan[w.token] = w.now
 	o.shard.RestoreUnreached(maps.Clone(w.unreached), func(token int64) (time.Time, bool) {
@@ -251,7 +259,11 @@
 	id := testID(w.submitted)
 	w.submitted++
 	var steps []job.Step
-	for i := range rapid.IntRange(1, 2).Draw(w.t, "steps") {
+	fewest, most := 1, 2
+	if w.outages != nil {
+		fewest, most = 2, 3
+	}
+	for i := range rapid.IntRange(fewest, most).Draw(w.t, "steps") {
 		s := job.Step{
 			Count:         rapid.IntRange(1, 4).Draw(w.t, "tasks"),
 			Need:          job.Resources{MilliCPU: rapid.Int64Range(300, 1800).Draw(w.t, "cpu"), MemoryMB: 100},
@@ -337,6 +349,7 @@
 	}
 	o.responses = pending
 	o.shard.AllowLeaseRenewal(w.mayRenewLeases(o))
+	w.outages.confirmTerm(w, o)
 	if w.liveness == nil || w.liveness.mayWrite(w, o) {
 		w.storeBatch(o)
 	}
@@ -361,17 +374,23 @@
 	if since.IsZero() && w.liveness != nil {
 		since = w.liveness.storeDownSince
 	}
-	return since.IsZero() || w.now.Sub(since) < LeaseRenewalWindow(testLimits)
+	if !o.cutOffSince.IsZero() {
+		since = o.cutOffSince // no later than the end of its term
+	}
+	return since.IsZero() || w.now.Sub(since) < LeaseRenewalWindow(w.limits)
 }
 
 // storeBatch makes batches durable, except those of replaced owners.
 func (w *world) storeBatch(o *ownerSim) {
 	if o.batch != nil {
-		if w.now.Before(o.batchDue) || o != w.owner {
+		if w.now.Before(o.batchDue) || o != w.owner || !o.cutOffSince.IsZero() {
 			return
 		}
-		w.applyBatch(o.batch)
-		w.revision++
+		if !o.batchApplied {
+			w.applyBatch(o.batch)
+			w.revision++
+		}
+		o.batchApplied = false
 		o.shard.NoteRevision(w.revision)
 		o.shard.Committed()
 		o.batch = nil
@@ -579,9 +598,12 @@
 		w.checkStart(e, s)
 	}
 	def := w.jobs[s.Task.Job].record.Definition.Steps[s.Task.Step]
-	e.lease = max(e.lease, min(s.UntilMs, e.clock(w.now)+testLimits.MaxRunLease.Milliseconds()))
+	e.lease = max(e.lease, min(s.UntilMs, e.clock(w.now)+w.limits.MaxRunLease.Milliseconds()))
 	r := &runSim{ref: s.RunRef, need: def.Reservation(), startedAt: w.now, late: w.executingLate, unforeseen: unforeseen}
 	r.endsAt = w.now.Add(time.Duration(rapid.IntRange(5, 60).Draw(w.t, "run ticks")) * 20 * time.Millisecond)
+	if w.outages != nil {
+		r.endsAt = w.now.Add(w.randomTicks("long run", 3000))
+	}
 	r.endReason = execution.EndedDone
 	if def.LongRunning {
 		r.endsAt = w.now.Add(time.Hour)
@@ -659,7 +681,7 @@
 		w.acknowledge(e, e.ended[0])
 		e.ended = e.ended[1:]
 	}
-	e.lease = max(e.lease, min(request.UntilMs, e.clock(w.now)+testLimits.MaxRunLease.Milliseconds()))
+	e.lease = max(e.lease, min(request.UntilMs, e.clock(w.now)+w.limits.MaxRunLease.Milliseconds()))
 	for _, r := range e.sortedRunning() {
 		response.Running = append(response.Running, execution.Running{RunRef: r.ref, Percent: 100, Checkpoint: "c"})
 	}
@@ -753,6 +775,10 @@
 
 // injectFault submits or cancels a job, or injects one random fault.
 func (w *world) injectFault() {
+	if w.outages != nil && rapid.IntRange(0, 2).Draw(w.t, "outage") == 0 {
+		w.outages.injectFault(w)
+		return
+	}
 	kinds := 9
 	if w.restarts != nil {
 		kinds = 11
@@ -829,6 +855,7 @@
 // become final within a minute.
 func (w *world) healAndFinish() {
 	w.zombies = nil
+	w.owner.cutOffSince, w.owner.pausedUntil = time.Time{}, time.Time{}
 	for _, e := range w.executors {
 		e.partitioned = false
 	}
