--- a/policy/shard/prepared_world_test.go
+++ b/policy/shard/prepared_world_test.go
@@ -27,6 +27,8 @@
 		o.shard.ConfirmTerm(o.cutOffSince)
 	case !o.replacedAt.IsZero():
 		o.shard.ConfirmTerm(o.replacedAt)
+	case w.liveness != nil && !w.liveness.storeDownSince.IsZero():
+		o.shard.ConfirmTerm(w.liveness.storeDownSince)
 	default:
 		o.shard.ConfirmTerm(w.now)
 	}
@@ -162,3 +164,13 @@
 	}
 	t.Logf("%d prepared starts were used", used)
 }
+
+// Prepared starts must not keep a task from starting within the bound once all faults have ended.
+func TestTasksStartWithinBoundWithPreparedStarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newLivenessWorld(t)
+		w.outages = &storeOutages{}
+		w.livenessTakeOver()
+		runSchedule(w, true)
+	})
+}
