Shard: starts of the open batch that were written ahead need not wait for it

The first batch that the store does not take decides the starts of the steps that were just unblocked, which hid their prepared ones: with few jobs, none was used. A decision for the prepared executor now keeps the number of the durable record, and is sent when the store is silent.

--- a/entry/owner/bench_test.go
+++ b/entry/owner/bench_test.go
@@ -62,7 +62,9 @@
 	b.ReportMetric(0, "ns/op")
 }
 
-func lead(ctx context.Context, address string) {
+func lead(ctx context.Context, address string) { leadWith(ctx, address, nil, tally.NoopScope) }
+
+func leadWith(ctx context.Context, address string, config *cluster.Config, scope tally.Scope) {
 	logger := slog.New(slog.DiscardHandler)
 	store := storehealth.New(kv.New(address), func(bool, int) {})
 	e := election.New(store, "bench", fleet.AvailabilityZone("palermo"), 1, logger)
@@ -71,8 +73,8 @@
 		Limits:  shard.Limits{RunLease: 5 * time.Second, MaxRunLease: 10 * time.Second},
 		Store:   store,
 		Dial:    func(id cluster.ExecutorID, address string) owner.Executor { return executor.New(id, address) },
-		Config:  func() *cluster.Config { return nil },
-		Logger:  logger, Scope: tally.NoopScope,
+		Config:  func() *cluster.Config { return config },
+		Logger:  logger, Scope: scope,
 	}
 	go e.Follow(ctx)
 	go e.Campaign(ctx, string(peakService), func(ctx context.Context, term election.Term) { owner.Lead(ctx, term, options) })
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -128,6 +128,7 @@
 	brokeOff      bool      // its start was broken off at once, without a response
 	trial         bool      // isolated, to find out whether its task crashes executors
 	prepared      bool      // inherited as a prepared start, which may never have been sent
+	writtenAhead  bool      // decided as the task's prepared start, which is durable
 
 	stopping         bool
 	stopReason       StopReason
--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -73,14 +73,16 @@
 // decide creates a run of the task on the executor.
 func (b *builder) decide(t *task, e *executorState) *run {
 	lease := b.shard.limits.RunLease
-	b.shard.supersede(t)
-	t.lastRun++
+	ahead := b.shard.takePrepared(t, e)
+	if !ahead {
+		t.lastRun++
+	}
 	r := &run{
 		task: t, number: t.lastRun, executor: e, phase: decided,
 		untilMs:    e.clock(b.now) + lease.Milliseconds(),
 		checkpoint: t.checkpoint,
 		ticket:     t.step.tickets.byExecutor[e.Incarnation()],
-		throttle:   100, wantedThrottle: 100,
+		throttle:   100, wantedThrottle: 100, writtenAhead: ahead,
 	}
 	e.extendLeaseBound(b.now, lease)
 	t.current = r
--- a/policy/shard/prepared.go
+++ b/policy/shard/prepared.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
@@ -146,6 +147,21 @@
 	}
 }
 
+// takePrepared ends the preparation of a task that is started by a decision. It reports whether the
+// run is the prepared one: on the same executor, and durable; its number then stays.
+func (s *Shard) takePrepared(t *task, e *executorState) bool {
+	p := t.prepared
+	if p == nil {
+		return false
+	}
+	if p.executor != e || t.step.job.durableVersion < p.version {
+		s.supersede(t)
+		return false
+	}
+	t.prepared = nil
+	return true
+}
+
 // preparedPlaces are the executors on which the tasks of a step may be prepared to start.
 type preparedPlaces struct {
 	builder  *builder
@@ -275,6 +291,7 @@
 	}
 	s.prepared.searchedAt = now
 	lease := s.preparedLease(now)
+	s.sendDecided(lease, now)
 	if !s.hasPreparedReady(lease, now) {
 		return
 	}
@@ -330,18 +347,49 @@
 // with a lease of the given length.
 func (s *Shard) mayUsePrepared(t *task, lease time.Duration, now time.Time) bool {
 	p := t.prepared
-	e := p.executor
-	switch {
-	case t.step.job.durableVersion < p.version:
+	if t.step.job.durableVersion < p.version {
 		return false // a successor would not know of it
-	case now.Before(t.retryAt) || t.crashes.suspect():
-		return false
-	case withMargin(t.step.def.Estimate) > lease:
+	}
+	if now.Before(t.retryAt) || !t.step.allows(p.executor, now) || !t.step.def.Reservation().Fits(p.executor.free()) {
 		return false
-	case !s.remains(e) || !e.acceptsPrepared(now) || s.mayBeListedUnreached(e.ID):
+	}
+	return s.mayStartAhead(t, p.executor, lease, now)
+}
+
+// mayStartAhead reports whether a start of the task that is written ahead may be sent to the executor
+// before the open batch is durable, room and the limits of the step aside.
+func (s *Shard) mayStartAhead(t *task, e *executorState, lease time.Duration, now time.Time) bool {
+	if t.crashes.suspect() || withMargin(t.step.def.Estimate) > lease || s.mayBeListedUnreached(e.ID) {
 		return false
-	default:
-		return t.step.allows(e, now) && t.step.def.Reservation().Fits(e.free()) && e.token != 0 && s.hasStartToken(e)
+	}
+	return s.remains(e) && e.acceptsPrepared(now) && e.token != 0 && s.hasStartToken(e)
+}
+
+// sendDecided lets those starts of the open batch be sent that were written ahead. They are taken out
+// of the batch, which has their runs all the same.
+func (s *Shard) sendDecided(lease time.Duration, now time.Time) {
+	b := s.pendingBatch
+	b.starts = slices.DeleteFunc(b.starts, func(r *run) bool {
+		e := r.executor
+		kept := r.writtenAhead && r.phase == decided && !r.stopping && e.runs[r.task.id] == r
+		if !kept || !s.mayStartAhead(r.task, e, lease, now) {
+			return false
+		}
+		r.phase = unconfirmed
+		e.markDue()
+		s.noteUsed(r, min(s.limits.RunLease, lease), now)
+		return true
+	})
+}
+
+// noteUsed sets the lease of a start that is sent ahead of the store, and notes it for the log.
+func (s *Shard) noteUsed(r *run, lease time.Duration, now time.Time) {
+	e := r.executor
+	r.untilMs = e.clock(now) + lease.Milliseconds()
+	e.extendLeaseBound(now, lease)
+	s.prepared.counts.Used++
+	if len(s.prepared.notes) < maxPreparedNotes {
+		s.prepared.notes = append(s.prepared.notes, StartNote{r.task.id, r.number, e.ID, r.untilMs, e.free()})
 	}
 }
 
@@ -361,24 +409,18 @@
 // startPrepared starts a task by its prepared start, whose run and executor are durable.
 func (s *Shard) startPrepared(t *task, longest time.Duration, now time.Time) {
 	p, e := t.prepared, t.prepared.executor
-	lease := min(s.limits.RunLease, longest)
 	r := &run{
 		task: t, number: p.number, executor: e, phase: unconfirmed,
-		untilMs:    e.clock(now) + lease.Milliseconds(),
 		checkpoint: t.checkpoint,
 		throttle:   100, wantedThrottle: 100,
 	}
-	e.extendLeaseBound(now, lease)
 	t.prepared = nil
 	t.current = r
 	t.crashes.trial = false
 	e.addRun(r)
 	t.step.job.markChanged()
 	s.dirty = true
-	s.prepared.counts.Used++
-	if len(s.prepared.notes) < maxPreparedNotes {
-		s.prepared.notes = append(s.prepared.notes, StartNote{t.id, r.number, e.ID, r.untilMs, e.free()})
-	}
+	s.noteUsed(r, min(s.limits.RunLease, longest), now)
 }
 
 // noteAcknowledgement records that a poll with an acknowledgement is sent.
--- a/policy/shard/prepared_test.go
+++ b/policy/shard/prepared_test.go
@@ -133,12 +133,13 @@
 	assert.Equal(t, len(prepared(next.Jobs[0].Progress)), 0)
 }
 
-// Guards against starts beside the store's while it responds: the task gets the next number, and the
-// prepared start is superseded.
+// Guards against starts beside the store's while it responds, and against one number on two executors:
+// a task that is placed elsewhere gets the next one.
 func TestPreparedStartIsSupersededByAStoredOne(t *testing.T) {
 	h := newPreparedHarness(t, testLimits)
 	h.end(0, execution.EndedDone, time.Second)
 	assert.Equal(t, len(h.settle()), 0)
+	h.shard.SetCordons(cordons(map[cluster.ExecutorID]Evacuation{prepared(h.stored)[0].Executor: EvacuateGracefully}), h.now)
 	batch := h.shard.Batch(h.now, 29)
 	assert.Equal(t, len(batch.starts), 2)
 	assert.Equal(t, batch.starts[0].number, 2)
@@ -146,6 +147,29 @@
 	assert.Equal(t, counts, PreparedCounts{Prepared: 2, Superseded: 2})
 }
 
+// The batch that is open when the store falls silent has already decided the starts of a step. Those
+// that are as written ahead need not wait for it, and are sent once.
+func TestDecidedStartsThatWereWrittenAheadDoNotWait(t *testing.T) {
+	h := newPreparedHarness(t, testLimits)
+	h.end(0, execution.EndedDone, time.Second)
+	batch := h.shard.Batch(h.now, 29)
+	assert.Equal(t, len(batch.starts), 2)
+	assert.Equal(t, len(h.settle()), 0)
+	h.now = h.now.Add(storeSilentAfter)
+	starts := h.settle()
+	assert.Equal(t, len(starts), 2)
+	for i, tp := range prepared(h.stored) {
+		assert.Equal(t, starts[i].Start.Run, tp.Run)
+		assert.Equal(t, starts[i].Executor.ID, tp.Executor)
+	}
+	h.shard.Committed()
+	assert.Equal(t, len(batch.Starts()), 0)
+	h.now = h.now.Add(resendInterval)
+	assert.Equal(t, len(h.settle()), 0)
+	_, counts := h.shard.TakePreparedNotes()
+	assert.Equal(t, counts, PreparedCounts{Prepared: 2, Used: 2})
+}
+
 // Guards against two runs of a task: of a prepared start that the open batch replaces, neither the
 // former nor the new one may be sent, since it is not known which of them a successor will read.
 func TestPreparedStartOfAnOpenBatchIsNotUsed(t *testing.T) {
