--- a/policy/shard/prepared.go
+++ b/policy/shard/prepared.go
@@ -97,7 +97,7 @@
 			continue
 		}
 		if p := t.prepared; p != nil {
-			if b.shard.remains(p.executor) {
+			if p.executor.remains() {
 				left--
 				continue
 			}
@@ -134,8 +134,8 @@
 }
 
 // remains reports whether starts that were prepared for the executor may still be used one day.
-func (s *Shard) remains(e *executorState) bool {
-	return s.executors[e.ID] == e && e.listed && !e.ended && !e.everDraining && !e.cordoned()
+func (e *executorState) remains() bool {
+	return e.listed && !e.ended && !e.everDraining && !e.cordoned()
 }
 
 // supersede drops the prepared start of a task, if there is one. The next write of its job must be
@@ -362,7 +362,7 @@
 	if t.crashes.suspect() || withMargin(t.step.def.Estimate) > lease || s.mayBeListedUnreached(e.ID) {
 		return false
 	}
-	return s.remains(e) && e.acceptsPrepared(now) && e.token != 0 && s.hasStartToken(e)
+	return s.executors[e.ID] == e && e.acceptsPrepared(now) && e.token != 0 && s.hasStartToken(e)
 }
 
 // sendDecided lets those starts of the open batch be sent that were written ahead. They are taken out
--- a/policy/shard/record.go
+++ b/policy/shard/record.go
@@ -99,15 +99,37 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
-				if t.lastRun > 0 || t.done {
-					p.Tasks = append(p.Tasks, t.progress())
+				if !t.hasProgress() {
+					continue
 				}
+				if p.Tasks == nil {
+					p.Tasks = make([]TaskProgress, 0, j.countProgress())
+				}
+				p.Tasks = append(p.Tasks, t.progress())
 			}
 		}
 	}
 	return p
 }
 
+// hasProgress reports whether the task has had a run, has a prepared one, or is done.
+func (t *task) hasProgress() bool { return t.lastRun > 0 || t.done }
+
+// countProgress returns how many tasks have progress, so that their list is allocated once.
+func (j *jobState) countProgress() int {
+	n := 0
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.hasProgress() {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
 func (t *task) progress() TaskProgress {
 	p := TaskProgress{
 		Occurrence: t.id.Occurrence, Step: t.id.Step, Index: t.id.Index,
