--- a/policy/shard/overload_bench_test.go
+++ b/policy/shard/overload_bench_test.go
@@ -23,7 +23,17 @@
 // BenchmarkBatchCycleUnderOverload measures one batch cycle of an owner: polls that return
 // completions, a batch, and the commands for its starts.
 func BenchmarkBatchCycleUnderOverload(b *testing.B) {
+	newOverloadBench(b, 0, 0).run(b)
+}
+
+// BenchmarkBatchCycleWithPreparedStarts measures the same with the preparation of starts.
+func BenchmarkBatchCycleWithPreparedStarts(b *testing.B) {
 	w := newOverloadBench(b, 0, 0)
+	w.shard.SetTenants(nil)
+	w.run(b)
+}
+
+func (w *overloadBench) run(b *testing.B) {
 	for b.Loop() {
 		w.cycle()
 	}
