--- a/cmd/tarragond/serve.go
+++ b/cmd/tarragond/serve.go
@@ -20,12 +20,17 @@
 		Name:        "serve",
 		Usage:       "run jobs on the operators' machines",
 		Description: "Reads the settings file that the platform names in " + nodefile.EnvironmentVariable + ".",
-		Action:      func(ctx context.Context, _ *cli.Command) error { return runServe(ctx) },
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "reject-late", Usage: "reject jobs of tenants at once that would start too late, with 429 and Retry-After"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return runServe(ctx, host.Options{RejectLate: c.Bool("reject-late")})
+		},
 	}
 }
 
 // runServe runs until SIGTERM or SIGINT. On SIGHUP it only checks the settings file.
-func runServe(ctx context.Context) error {
+func runServe(ctx context.Context, options host.Options) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	signal.Ignore(syscall.SIGPIPE)
@@ -36,7 +41,7 @@
 	out := logging.NewAsyncWriter(os.Stdout)
 	defer out.Close()
 	logger := slog.New(slog.NewJSONHandler(out, nil)).With("instance", string(node.ID), "zone", string(node.Zone))
-	app := host.New(node, logger)
+	app := host.New(node, options, logger)
 	if err := app.Start(ctx); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
--- a/entry/devjobs/devjobs.go
+++ b/entry/devjobs/devjobs.go
@@ -170,7 +170,7 @@
 			return stop, err
 		}
 		f.configApply = node.ConfigApply
-		app := host.New(node, logger.With("instance", name))
+		app := host.New(node, host.Options{RejectLate: true}, logger.With("instance", name))
 		if err := app.Start(ctx); err != nil {
 			return stop, fmt.Errorf("start %s: %w", name, err)
 		}
--- a/entry/fleetduty/exhausted.go
+++ b/entry/fleetduty/exhausted.go
@@ -31,7 +31,7 @@
 // expires with the last one.
 func (h *Holder) publishExhausted(ctx context.Context) {
 	config := h.Config()
-	if config == nil || !config.Tenancy || h.exhausted.storing {
+	if config == nil || !config.Tenancy || !h.RejectLate || h.exhausted.storing {
 		return
 	}
 	services := h.planner.Exhausted()
--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -70,10 +70,12 @@
 	HolderGap time.Duration // minimum time between the commands of two holders to a machine
 	// RetainFinal is how long callers may read a job's state after it has become final.
 	RetainFinal time.Duration
-	Store       Store
-	Machines    Machines
-	Config      func() *cluster.Config
-	Logger      *slog.Logger
+	// RejectLate lets the holder state for which services there are no more machines.
+	RejectLate bool
+	Store      Store
+	Machines   Machines
+	Config     func() *cluster.Config
+	Logger     *slog.Logger
 }
 
 // event runs on the goroutine of the loop.
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -53,9 +53,17 @@
 	idleTimeout = 60 * time.Second
 )
 
+// Options are what a deployment chooses besides the platform's settings.
+type Options struct {
+	// RejectLate lets submissions be rejected whose jobs would start too late, where the operator has
+	// configured tenants; see docs/design/admission-control.md.
+	RejectLate bool
+}
+
 // Host is one running instance.
 type Host struct {
 	node    nodefile.Node
+	options Options
 	store   *storehealth.Store
 	logger  *slog.Logger
 	metrics *metrics.Metrics
@@ -78,10 +86,10 @@
 }
 
 // New returns the application of one instance.
-func New(node nodefile.Node, logger *slog.Logger) *fx.App {
+func New(node nodefile.Node, options Options, logger *slog.Logger) *fx.App {
 	return fx.New(
 		fx.NopLogger,
-		fx.Supply(node, logger),
+		fx.Supply(node, options, logger),
 		fx.Provide(newMetrics, newHost),
 		fx.StopTimeout(node.ShutdownGrace),
 		fx.Invoke(func(lc fx.Lifecycle, h *Host) {
@@ -94,9 +102,9 @@
 	return metrics.New(func(err error) { logger.Warn("metric not registered", "error", err) })
 }
 
-func newHost(node nodefile.Node, logger *slog.Logger, m *metrics.Metrics) *Host {
+func newHost(node nodefile.Node, options Options, logger *slog.Logger, m *metrics.Metrics) *Host {
 	h := &Host{
-		node: node, logger: logger, metrics: m,
+		node: node, options: options, logger: logger, metrics: m,
 		services: map[cluster.Service]bool{},
 	}
 	h.store = storehealth.New(kv.New(node.StoreAddress), h.logStoreChange)
@@ -184,7 +192,7 @@
 
 // campaignForServices makes this instance a candidate for leading the services of a configuration.
 func (h *Host) campaignForServices(config *cluster.Config) {
-	h.admissions.Enable(config.Tenancy)
+	h.admissions.Enable(config.Tenancy && h.options.RejectLate)
 	for _, pool := range config.Pools {
 		if !pool.Spare {
 			h.campaign(pool.Service)
@@ -205,12 +213,13 @@
 			MaxRunLease: h.node.MaxRunLease,
 			Rate:        shard.RateAllowance{Window: h.node.RateWindow, Overage: h.node.RateOverage, Jobs: h.node.RateSlack},
 		},
-		Store:  h.store,
-		Dial:   dialExecutor,
-		Config: h.config.Current,
-		Cores:  h.node.Cores,
-		Logger: h.logger,
-		Scope:  h.metrics.Scope.SubScope("owner").Tagged(map[string]string{"service": string(service)}),
+		Store:      h.store,
+		Dial:       dialExecutor,
+		RejectLate: h.options.RejectLate,
+		Config:     h.config.Current,
+		Cores:      h.node.Cores,
+		Logger:     h.logger,
+		Scope:      h.metrics.Scope.SubScope("owner").Tagged(map[string]string{"service": string(service)}),
 	}
 	if h.node.AdviceAddress != "" {
 		options.Adviser = advice.New(h.node.AdviceAddress)
@@ -234,6 +243,7 @@
 			MoveCost: moveCost, MachineSecondCost: machineSecondCost,
 		},
 		HolderGap:   h.node.HolderGap,
+		RejectLate:  h.options.RejectLate,
 		RetainFinal: h.node.RetainFinal,
 		Store:       h.store,
 		Machines:    machines.New(h.node.MachinesAddress),
--- a/entry/host/keysecrecy_test.go
+++ b/entry/host/keysecrecy_test.go
@@ -29,7 +29,7 @@
 	var seen bytes.Buffer
 	logger := slog.New(slog.NewJSONHandler(&seen, &slog.HandlerOptions{Level: slog.LevelDebug}))
 	metrics := newMetrics(logger)
-	h := newHost(nodefile.Node{ID: "n-1", StoreAddress: strings.TrimPrefix(server.URL, "http://"), ConfigApply: time.Minute}, logger, metrics)
+	h := newHost(nodefile.Node{ID: "n-1", StoreAddress: strings.TrimPrefix(server.URL, "http://"), ConfigApply: time.Minute}, Options{}, logger, metrics)
 	store.Put(registry.ConfigKey, []byte(`{"version":2,"tenants":[{"name":"north","api-keys":[`+malformed))
 	ctx, cancel := context.WithCancel(t.Context())
 	var following sync.WaitGroup
--- a/entry/host/ready_test.go
+++ b/entry/host/ready_test.go
@@ -24,7 +24,7 @@
 	server := httptest.NewServer(store)
 	defer server.Close()
 	logger := slog.New(slog.DiscardHandler)
-	h := newHost(nodefile.Node{ID: "n-1", StoreAddress: strings.TrimPrefix(server.URL, "http://"), ConfigApply: time.Second}, logger, newMetrics(logger))
+	h := newHost(nodefile.Node{ID: "n-1", StoreAddress: strings.TrimPrefix(server.URL, "http://"), ConfigApply: time.Second}, Options{}, logger, newMetrics(logger))
 	probe := func() int {
 		recorder := httptest.NewRecorder()
 		h.probes.Handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/readiness", nil))
@@ -67,7 +67,7 @@
 	pools := []standin.PoolSpec{{Service: "terreni", Prefix: "/terreni/", Spare: true}}
 	logger := slog.New(slog.DiscardHandler)
 	const apply = 200 * time.Millisecond
-	h := newHost(nodefile.Node{ID: "n-1", StoreAddress: strings.TrimPrefix(server.URL, "http://"), ConfigApply: apply}, logger, newMetrics(logger))
+	h := newHost(nodefile.Node{ID: "n-1", StoreAddress: strings.TrimPrefix(server.URL, "http://"), ConfigApply: apply}, Options{}, logger, newMetrics(logger))
 	follow := func(version int64) { // until this version is in force
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -62,9 +62,12 @@
 	// Machines shows which executors have ended; nil where the platform lists no machines.
 	Machines Machines
 	Config   Config
-	Cores    float64 // CPU capacity of the instance in cores; zero if unknown
-	Logger   *slog.Logger
-	Scope    tally.Scope
+	// RejectLate lets the owner publish how long new jobs wait, so that instances reject those that
+	// would start too late.
+	RejectLate bool
+	Cores      float64 // CPU capacity of the instance in cores; zero if unknown
+	Logger     *slog.Logger
+	Scope      tally.Scope
 }
 
 const (
@@ -294,7 +297,7 @@
 	}
 	o.configVersion = c.Version
 	o.shard.SetQueues(c.Queues)
-	o.shard.SetAdmission(c.Tenancy)
+	o.shard.SetAdmission(c.Tenancy && o.RejectLate)
 	o.shard.SetPoolGrows(o.Machines != nil)
 	if c.Tenancy || o.tenancy {
 		o.shard.SetTenants(c.Tenants)
