--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -164,20 +164,22 @@
 	if !found {
 		return response{status: http.StatusNotFound, reason: "no such queue"}
 	}
+	rest := strings.TrimPrefix(c.Request.URL.Path, queue.Prefix)
+	id, err := job.ParseID(rest)
+	if err == nil {
+		r.job = id // also for the log of a refusal
+	}
 	who, refusal := i.identify(k, queue, c.Request.Header)
 	r.caller = who
 	if refusal != nil {
 		return *refusal
 	}
-	rest := strings.TrimPrefix(c.Request.URL.Path, queue.Prefix)
 	if rest == "" && c.Request.Method == http.MethodGet {
 		return i.waitingCount(ctx, queue)
 	}
-	id, err := job.ParseID(rest)
 	if err != nil {
 		return response{status: http.StatusNotFound, reason: err.Error()}
 	}
-	r.job = id
 	return i.dispatchJob(ctx, c, k.Config.Limits, who, id)
 }
 
