--- a/entry/owner/prepared_test.go
+++ b/entry/owner/prepared_test.go
@@ -66,6 +66,13 @@
 	}
 	assert.Equal(t, startsOf(testFleet, 1), tasks)
 	assert.Equal(t, testFleet.Repeats(), 0)
+	used := int64(0)
+	for _, c := range scope.Snapshot().Counters() {
+		if c.Name() == "prepared_starts" && c.Tags()["what"] == "used" {
+			used = c.Value()
+		}
+	}
+	assert.Equal(t, used, int64(tasks))
 }
 
 func submitTwoSteps(t *testing.T, client *kv.Client, id job.ID, tasks int) {
