--- a/policy/shard/admission_test.go
+++ b/policy/shard/admission_test.go
@@ -95,6 +95,7 @@
 
 // Without tenants in the configuration, the batches are those of a shard that never estimates.
 func TestAdmissionChangesNothingElse(t *testing.T) {
+	t.Parallel()
 	var batches [2][]string
 	for i, enabled := range []bool{false, true} {
 		h := newAdmissionHarness(t, enabled)
@@ -112,6 +113,7 @@
 }
 
 func TestAdmissionIsPublishedWhileItRejects(t *testing.T) {
+	t.Parallel()
 	h := newAdmissionHarness(t, true)
 	h.play(1900*time.Millisecond, 0, "")
 	h.play(4*time.Second, 2, "")
@@ -139,6 +141,7 @@
 
 // A new owner knows neither the executors nor the rates yet: it rejects nothing at first.
 func TestNewOwnerRejectsNothingAtFirst(t *testing.T) {
+	t.Parallel()
 	h := newAdmissionHarness(t, true)
 	h.play(admissionWarmUp, 8, "")
 	list, _ := h.published()
@@ -148,6 +151,7 @@
 // Without executors a few jobs wait for them; those that could not start in time after their return
 // are rejected.
 func TestWithoutExecutorsOnlyTheBacklogCounts(t *testing.T) {
+	t.Parallel()
 	h := newAdmissionHarness(t, true)
 	h.play(1500*time.Millisecond, 0, "")
 	for _, e := range h.shard.executors {
@@ -163,6 +167,7 @@
 
 // Long-running tasks never free their capacity.
 func TestLongRunningTasksFreeNoCapacity(t *testing.T) {
+	t.Parallel()
 	h := newAdmissionHarness(t, true)
 	longRunning := oneTask
 	longRunning.LongRunning, longRunning.Count = true, 8
@@ -179,6 +184,7 @@
 
 // A tenant that uses up its own limit waits, while others don't.
 func TestWaitForTheLimitOfATenant(t *testing.T) {
+	t.Parallel()
 	h := newAdmissionHarness(t, true)
 	h.shard.SetTenants([]cluster.Tenant{{Name: "small", Weight: 100, Limit: job.Resources{MilliCPU: 1000}}, {Name: "large", Weight: 100, Limit: job.Resources{MilliCPU: 1_000_000}}})
 	h.play(1500*time.Millisecond, 0, "")
@@ -196,6 +202,7 @@
 // machines. Where a planner moves machines, jobs are rejected only while it states that it has no more,
 // and a statement that is not renewed expires.
 func TestJobsAreRejectedOnlyWhileThePoolCannotGrow(t *testing.T) {
+	t.Parallel()
 	h := newAdmissionHarness(t, true)
 	h.shard.SetPoolGrows(true)
 	h.play(4*time.Second, 2, "")
--- a/policy/shard/capacity_test.go
+++ b/policy/shard/capacity_test.go
@@ -49,6 +49,7 @@
 // The capacities of executors shrink and grow while the store takes seconds for some writes:
 // no start brings an executor over its capacity.
 func TestStartsKeepWithinACapacityThatShrinksAndGrows(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		w.storeMayStall = true
@@ -73,6 +74,7 @@
 
 // A start that was decided before the capacity shrank is not sent.
 func TestDecidedStartIsNotSentToAnExecutorThatShrank(t *testing.T) {
+	t.Parallel()
 	e := newExecutorNamed("i-1")
 	h := newHarness(t, e)
 	two := oneTask
--- a/policy/shard/crashes_test.go
+++ b/policy/shard/crashes_test.go
@@ -130,6 +130,7 @@
 // themselves. A crashing task is given up before its third start after three crashes, jobs
 // without one are not, and all become final.
 func TestTasksThatCrashExecutorsAreGivenUpAndNoOthers(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		w.crashing = newCrashingTasks()
@@ -152,6 +153,7 @@
 // The crashes of a task are stored, so that they outlive their owner: its successor gives the
 // task up as soon as it would have.
 func TestCrashesOutliveTheOwner(t *testing.T) {
+	t.Parallel()
 	var progress *Progress
 	record := Record{ID: "00000000000000aa", Definition: job.Definition{Steps: []job.Step{oneTask}}, Queue: QueuePolicy{Name: "q", MaxAttempts: 2}}
 	for crashes := range crashesBeforeGivingUp {
@@ -175,6 +177,7 @@
 // that crashes start apart from all others. None is given up, and those that survive that are no
 // suspects any more.
 func TestSuspectsOfACrashStartApart(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.shard.crashingTaskFound = true
 	four := oneTask
@@ -200,6 +203,7 @@
 
 // A task under which two executors have crashed starts on an executor without other runs.
 func TestTaskOfTwoCrashesStartsOnAnEmptyExecutor(t *testing.T) {
+	t.Parallel()
 	busy := []cluster.Executor{executorOnRack("i-2", "r1-2"), executorOnRack("i-3", "r1-2")}
 	h := newHarness(t, newExecutorNamed("i-1"), newExecutorNamed("i-4"), busy[0], busy[1])
 	neighbour := oneTask
@@ -226,6 +230,7 @@
 
 // A run that an executor lists long after its start is no suspect when the executor crashes.
 func TestRunsThatSurvivedAreNoSuspects(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"), newExecutorNamed("i-2"))
 	h.submit("00000000000000aa", oneTask)
 	first := h.startAll()[0].Executor.ID
--- a/policy/shard/incarnations_test.go
+++ b/policy/shard/incarnations_test.go
@@ -59,6 +59,7 @@
 // there has the number 1: it must be read, and not be acknowledged by the number of the earlier
 // incarnation.
 func TestCompletionsAfterARestartAreReadBeforeTheyAreAcknowledged(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t)
 	first := &lister{from: cluster.Incarnation{ID: "i-1", Born: cluster.Birth(h.now.UnixMilli())}}
 	e := newExecutorNamed("i-1")
@@ -121,6 +122,7 @@
 
 // A later incarnation without the run ends the earlier one, as a crash: the task starts again there.
 func TestRestartUnderTheSameIDEndsTheRunsThere(t *testing.T) {
+	t.Parallel()
 	h := newRestartedHarness(t)
 	h.shard.SetExecutors([]cluster.Executor{h.secondEntry()}, h.now)
 	assert.Equal(t, h.executor().formerRuns(), 1)
@@ -135,6 +137,7 @@
 
 // A start has reached the later incarnation: its run stays where it is, and no other one starts.
 func TestRunThatALaterIncarnationHasIsKept(t *testing.T) {
+	t.Parallel()
 	h := newRestartedHarness(t)
 	h.second.running = h.first.running
 	h.shard.SetExecutors([]cluster.Executor{h.secondEntry()}, h.now)
@@ -149,6 +152,7 @@
 // Calls to an earlier incarnation may still be on their way: the later one is polled with a higher
 // fencing token, and its first poll acknowledges nothing.
 func TestFirstPollAfterARestartFencesOffEarlierCalls(t *testing.T) {
+	t.Parallel()
 	h := newRestartedHarness(t)
 	before := h.shard.latestToken
 	h.executor().token = before // as by a start after the last write
@@ -164,6 +168,7 @@
 // A start that reaches a later incarnation must fence it off from the acknowledgements that were
 // sent before: its token is above theirs.
 func TestStartCarriesAHigherTokenThanEarlierAcknowledgements(t *testing.T) {
+	t.Parallel()
 	h := newRestartedHarness(t)
 	h.first.end(execution.EndedDone)
 	assert.Equal(t, h.answer(h.first), int64(1))
@@ -177,6 +182,7 @@
 // While a start has no response it may have reached a later incarnation, whose first completions an
 // acknowledgement would let it forget.
 func TestNothingIsAcknowledgedWhileAStartHasNoResponse(t *testing.T) {
+	t.Parallel()
 	h := newRestartedHarness(t)
 	h.first.end(execution.EndedDone)
 	h.answer(h.first)
@@ -191,6 +197,7 @@
 // A start raises the fencing token that an executor has seen. A poll that was sent before and is
 // refused for that shows no successor.
 func TestRefusalByAnOwnLaterTokenIsNoSuccessor(t *testing.T) {
+	t.Parallel()
 	h := newRestartedHarness(t)
 	h.first.end(execution.EndedDone)
 	h.answer(h.first)
@@ -213,6 +220,7 @@
 // A poll of an earlier owner to an earlier incarnation may have renewed the leases of a later one, by
 // another clock: they last as long as any lease.
 func TestLeasesOfAYoungIncarnationMayBeTheLongest(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name  string
 		born  func(now time.Time) cluster.Birth
@@ -237,6 +245,7 @@
 
 // Machine lists lack the executor, but lag: it may have started again before a start reached it.
 func TestMachineListFromBeforeAStartEndsNoExecutor(t *testing.T) {
+	t.Parallel()
 	h := newRestartedHarness(t)
 	h.submit("00000000000000ab", oneTask)
 	starts := h.storeAndCommand()
@@ -258,6 +267,7 @@
 // The reply to a start has a clock that is not the executor's: another incarnation may have the run.
 // Nothing is concluded from the reply, and a poll follows at once.
 func TestReplyWithAnotherClockIsNoConfirmation(t *testing.T) {
+	t.Parallel()
 	h := newRestartedHarness(t)
 	h.submit("00000000000000ab", oneTask)
 	starts := h.storeAndCommand()
@@ -272,6 +282,7 @@
 
 // The response of an earlier incarnation is read after its end: the work is done.
 func TestLateResponseOfAnEarlierIncarnationCompletesItsTask(t *testing.T) {
+	t.Parallel()
 	h := newRestartedHarness(t)
 	h.now = h.now.Add(pollWait)
 	late := h.shard.Polls(h.now)
@@ -288,6 +299,7 @@
 // Entries lag: that of an earlier incarnation is no executor to use, and one without a birth does not say
 // whose it is.
 func TestEntryOfAnotherIncarnationListsNoExecutor(t *testing.T) {
+	t.Parallel()
 	h := newRestartedHarness(t)
 	h.shard.SetExecutors([]cluster.Executor{h.secondEntry()}, h.now)
 	h.answer(h.second)
@@ -302,6 +314,7 @@
 
 // What was held against an executor ends with its incarnation.
 func TestRestartedExecutorStartsAfresh(t *testing.T) {
+	t.Parallel()
 	h := newRestartedHarness(t)
 	draining := h.entry
 	draining.Draining = true
@@ -318,6 +331,7 @@
 
 // A ticket is valid in one incarnation of an executor.
 func TestTicketOfAnEarlierIncarnationIsNotUsed(t *testing.T) {
+	t.Parallel()
 	h := newRestartedHarness(t)
 	h.submit("00000000000000ab", oneTask)
 	j := h.shard.jobs["00000000000000ab"]
@@ -340,6 +354,7 @@
 // Stored progress names an incarnation that is not the listed one any more: its run is settled by the
 // list of the present one.
 func TestInheritedRunOfAnEarlierIncarnationIsSettled(t *testing.T) {
+	t.Parallel()
 	h := newRestartedHarness(t)
 	progress := h.shard.jobs["00000000000000aa"].progress()
 	assert.Equal(t, progress.Tasks[0].Born, longAgo)
@@ -358,6 +373,7 @@
 // An executor fails right after starts were decided there: those that were not sent yet are not held
 // back until leases expire, but start elsewhere.
 func TestStartThatWasNotSentToAFailingExecutorIsMadeElsewhere(t *testing.T) {
+	t.Parallel()
 	h := newRestartedHarness(t)
 	many := oneTask
 	many.Count = 3
@@ -390,6 +406,7 @@
 // A start without a response may have reached a later incarnation, where the lease that it asks for
 // counts by another clock: its task waits for the longest one.
 func TestUnansweredStartMayHoldTheLongestLease(t *testing.T) {
+	t.Parallel()
 	h := newRestartedHarness(t)
 	h.submit("00000000000000ab", oneTask)
 	starts := h.storeAndCommand()
--- a/policy/shard/lastresort_test.go
+++ b/policy/shard/lastresort_test.go
@@ -31,6 +31,7 @@
 
 // A long-running task on a cordoned executor runs on there until it has somewhere to go.
 func TestLongRunningTaskIsNotStoppedWithoutADestination(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.submit("00000000000000aa", longRunningTask)
 	h.startAll()
@@ -46,6 +47,7 @@
 // The planner has cordoned all executors of a service. A long-running task may share one that
 // others keep, but not an empty one, which may move at any moment.
 func TestLongRunningTaskStartsOnACordonedExecutorThatStays(t *testing.T) {
+	t.Parallel()
 	for _, inUse := range []bool{true, false} {
 		h := newHarness(t, newExecutorNamed("i-1"))
 		if inUse {
@@ -67,6 +69,7 @@
 
 // Once a load has shown a cordoned executor as empty, its machine may be on its way.
 func TestNoTaskStartsOnACordonedExecutorReportedAsEmpty(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.shard.SetCordons(cordon("i-1"), h.now)
 	assert.Equal(t, h.shard.load(h.now).Executors["i-1"].Runs, 0)
@@ -81,6 +84,7 @@
 // All executors became suspect while a short task lasts on each: no trial run is due before these
 // end. A long-running task must not wait for them.
 func TestLongRunningTaskStartsOnSuspectExecutorsBesideLastingTasks(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"), newExecutorNamed("i-2"))
 	lasting := oneTask
 	lasting.Estimate, lasting.Count, lasting.MaxPerServer = time.Minute, 2, 1
--- a/policy/shard/lease_test.go
+++ b/policy/shard/lease_test.go
@@ -64,6 +64,7 @@
 // An executor is lost for good, and connections to its address are refused. Polls that
 // can't be sent must not extend its lease bound, or its task would never start again.
 func TestTaskOfLostExecutorStartsAgainAfterItsLease(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.submit("00000000000000aa", oneTask)
 	cmds := h.storeAndCommand()
@@ -94,6 +95,7 @@
 // A scheduled job has nothing to do until it is due, and no event occurs then: the shard
 // must plan again by time alone.
 func TestScheduledJobStartsWhenDueWithoutAnyEvent(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	due := h.now.Add(3 * time.Second)
 	h.shard.AddJob(Record{
@@ -120,6 +122,7 @@
 // that it renews must have expired, on a clock that is 2% slow, before the successor
 // considers the runs there lost.
 func TestPredecessorsLastLeaseExpiresBeforeItsSuccessorRestartsTasks(t *testing.T) {
+	t.Parallel()
 	longRunning := job.Step{Count: 1, Need: job.Resources{MilliCPU: 1000}, LongRunning: true}
 	old := newHarness(t, newExecutorNamed("i-1"))
 	old.submit("00000000000000aa", longRunning)
@@ -159,6 +162,7 @@
 // that the executor does not count as unresponsive yet. It does once further polls fail
 // while the owner runs.
 func TestPollAcrossAGapDoesNotMakeExecutorUnresponsive(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.submit("00000000000000aa", oneTask)
 	for _, cmd := range h.storeAndCommand() {
@@ -187,6 +191,7 @@
 // An executor is up and refuses all polls, so that none shows what became of its runs. They
 // are over when their lease has expired.
 func TestTaskOfRefusingExecutorStartsAgainAfterItsLease(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.submit("00000000000000aa", oneTask)
 	for _, cmd := range h.storeAndCommand() {
--- a/policy/shard/liveness_test.go
+++ b/policy/shard/liveness_test.go
@@ -607,6 +607,7 @@
 // After any sequence of faults, a task that is not blocked and has capacity runs within
 // startBound once the faults have ended.
 func TestTasksStartWithinBoundOnceFaultsEnd(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { runSchedule(newLivenessWorld(t), true) })
 }
 
--- a/policy/shard/load_test.go
+++ b/policy/shard/load_test.go
@@ -10,6 +10,7 @@
 )
 
 func TestOccupiedCPU(t *testing.T) {
+	t.Parallel()
 	executor := job.Resources{MilliCPU: 16000, MemoryMB: 32000}
 	for _, c := range []struct {
 		name     string
@@ -31,6 +32,7 @@
 // A pool whose long-running tasks are limited by memory: the planner must learn how many
 // executors they need, not how many their CPU need would fill.
 func TestLoadOfAMemoryBoundPoolCountsItsExecutors(t *testing.T) {
+	t.Parallel()
 	large := newExecutorNamed("i-1")
 	large.Capacity = job.Resources{MilliCPU: 16000, MemoryMB: 32000}
 	h := newHarness(t, large)
--- a/policy/shard/longrunning_liveness_test.go
+++ b/policy/shard/longrunning_liveness_test.go
@@ -324,6 +324,7 @@
 // After any sequence of faults, and while faults of some executors and cordons last, each
 // long-running task that fits has a run within longRunningBound.
 func TestLongRunningTasksRunOnceFaultsEnd(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newLongRunningWorld(t)
 		for range rapid.IntRange(5, 25).Draw(t, "faults") {
--- a/policy/shard/longrunning_test.go
+++ b/policy/shard/longrunning_test.go
@@ -78,6 +78,7 @@
 }
 
 func TestReportGivesTheReasonWhyLongRunningTasksDoNotRun(t *testing.T) {
+	t.Parallel()
 	for _, c := range longRunningCases() {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t, newExecutorNamed("i-1"))
@@ -94,6 +95,7 @@
 // A long-running step that depends on another one is not due before that is done; its time
 // without a live run counts from the first report that finds it due.
 func TestReportOmitsBlockedLongRunningTasks(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	blocked := longRunningTask
 	blocked.After = []int{0}
@@ -112,6 +114,7 @@
 // An executor is lost for good. The report describes its task, whose job has other running
 // tasks, until the leases there have certainly expired and the task runs elsewhere.
 func TestReportDescribesTheTaskOfALostExecutor(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"), newExecutorNamed("i-2"))
 	step := longRunningSteps(2)
 	step.MaxPerServer = 1
@@ -164,6 +167,7 @@
 // A new owner can't reach the executor of an inherited run: it has had no contact, and counts
 // the time without a live run from its takeover.
 func TestReportDescribesAnInheritedRun(t *testing.T) {
+	t.Parallel()
 	h := &harness{t: t, shard: New(testLimits, 8), now: time.Unix(1000, 0)}
 	h.shard.SetExecutors([]cluster.Executor{newExecutorNamed("i-2")}, h.now)
 	h.shard.AddJob(Record{
@@ -185,6 +189,7 @@
 
 // The leases on a lost executor have expired, but the store is unavailable.
 func TestReportNamesTheStoreOnceTheLeasesHaveExpired(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.submit("00000000000000aa", longRunningTask)
 	h.startAll()
@@ -200,6 +205,7 @@
 // The executor has not been polled for long when the task starts there: its confirmation
 // counts as contact.
 func TestTaskThatStartsOnALongIdleExecutorIsLive(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.now = h.now.Add(maxClockAge / 2)
 	h.submit("00000000000000aa", longRunningTask)
@@ -211,6 +217,7 @@
 
 // The samples are those that have waited longest, however many tasks wait.
 func TestLongRunningSamplesAreTheOldest(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t)
 	const jobs = 3 * maxLongRunningSamples
 	for i := range jobs {
--- a/policy/shard/machinelist_faults_test.go
+++ b/policy/shard/machinelist_faults_test.go
@@ -37,6 +37,7 @@
 // A list that lacks a machine for once is no evidence: the pages of a list are not a snapshot. An
 // executor that has responded since the first such list was alive when that one was made.
 func TestResponseBetweenTwoMachineListsWithoutTheExecutorKeepsItsRuns(t *testing.T) {
+	t.Parallel()
 	h := startedOnUnresponsive(t)
 	h.shard.ApplyMachineList(NewMachineList(machinesOf("i-2"), h.now))
 	h.respondToPoll("i-1", h.listRuns("i-1", nil))
@@ -50,6 +51,7 @@
 // An unhealthy executor refuses all polls. It has responded, so that a machine list can show nothing
 // about it, and must not end its runs.
 func TestExecutorThatRefusesPollsNeedsNoMachineList(t *testing.T) {
+	t.Parallel()
 	h := startedOnUnresponsive(t)
 	h.failPoll("i-1", Responded, execution.RefusedOther)
 	assert.Assert(t, !h.shard.NeedsMachineList(h.now), "a list is requested for an executor that responds")
@@ -62,6 +64,7 @@
 // The machine list has none of the service's executors, though some respond: it is partial, or the
 // executors of this service are not on machines.
 func TestMachineListWithoutAnyRespondingExecutorEndsNone(t *testing.T) {
+	t.Parallel()
 	h := startedOnUnresponsive(t)
 	for range endedAfterLists {
 		h.shard.ApplyMachineList(NewMachineList(machinesOf("other-1", "other-2"), h.now))
@@ -72,6 +75,7 @@
 // A run that was decided, and whose batch is being stored, is on an executor that ends: the run is
 // not sent, and the task starts elsewhere once the batch is stored.
 func TestDecidedRunOnEndedExecutorStartsElsewhere(t *testing.T) {
+	t.Parallel()
 	h := startedOnUnresponsive(t)
 	h.shard.executors["i-1"].aliveMs = 1000 + survivalTime.Milliseconds() // the first run is no suspect
 	h.shard.executors["i-1"].failedCalls = 0
@@ -99,6 +103,7 @@
 // A poll response of an ended executor arrives late and lists a completion: its task is done, and the
 // run that was started elsewhere is stopped.
 func TestLateCompletionOfEndedExecutorIsApplied(t *testing.T) {
+	t.Parallel()
 	h := startedOnUnresponsive(t)
 	h.now = h.now.Add(10 * time.Second)
 	var late Poll
@@ -130,6 +135,7 @@
 // As TestSafetyRulesHoldUnderFaults, with machine lists that lack a living executor for once: the
 // pages of a list are not a snapshot.
 func TestSafetyRulesHoldWithUnreliableMachineLists(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		w.machineLists = machineListsUnreliable
@@ -145,6 +151,7 @@
 
 // As TestTasksStartWithinBoundOnceFaultsEnd, with executors that are lost for good.
 func TestTasksStartWithinBoundAfterLossOfExecutors(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newLivenessWorld(t)
 		w.liveness.noFailingJobs = true
@@ -163,10 +170,12 @@
 
 // The same loss where there is no machine service, or where it is down.
 func TestLongRunningTaskOfLostExecutorStartsInTimeWithoutMachineLists(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { loseExecutorWithItsOwner(t, machineListsAbsent) })
 }
 
 // The same loss where some requests for the machine list fail.
 func TestLongRunningTaskOfLostExecutorStartsInTimeWithUnreliableMachineLists(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { loseExecutorWithItsOwner(t, machineListsUnreliable) })
 }
--- a/policy/shard/machinelist_test.go
+++ b/policy/shard/machinelist_test.go
@@ -104,6 +104,7 @@
 // An executor is lost for good at about the time at which its owner is lost too. The successor
 // has never reached it, and the leases there may last for long.
 func TestLongRunningTaskOfExecutorLostWithItsOwnerStartsAgainInTime(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { loseExecutorWithItsOwner(t, machineListsComplete) })
 }
 
@@ -163,6 +164,7 @@
 }
 
 func TestMachineListEndsRunsOnlyOfExecutorsThatAreGone(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name  string
 		lists [][]cluster.Machine
@@ -199,6 +201,7 @@
 
 // An executor that responds keeps its runs, whatever the machine list says.
 func TestMachineListDoesNotEndRespondingExecutor(t *testing.T) {
+	t.Parallel()
 	h := startedOnUnresponsive(t)
 	h.shard.ApplyMachineList(NewMachineList(machinesOf("i-2"), h.now))
 	h.now = h.now.Add(time.Second)
--- a/policy/shard/prepared_replay_test.go
+++ b/policy/shard/prepared_replay_test.go
@@ -240,6 +240,7 @@
 // Guards against jobs that miss their objective because their next step waits for the end of a store
 // outage: without prepared starts, those whose first step ends in that time do.
 func TestJobsAcceptedBeforeAStoreOutageCompleteInTime(t *testing.T) {
+	t.Parallel()
 	for _, limits := range []Limits{{RunLease: 5 * time.Second, MaxRunLease: 6 * time.Second}, {RunLease: 5 * time.Second, MaxRunLease: 10 * time.Second}} {
 		for seed := range uint64(3) {
 			shares := map[bool]float64{}
@@ -259,6 +260,7 @@
 
 // Guards against a store that takes 240 ms for each write delaying every step by two batches.
 func TestPreparedStartsShortenJobsOnASlowStore(t *testing.T) {
+	t.Parallel()
 	times := map[bool]time.Duration{}
 	for _, prepared := range []bool{false, true} {
 		w := newOutageReplay(t, 1, testLimits, 240*time.Millisecond, false, prepared)
--- a/policy/shard/prepared_test.go
+++ b/policy/shard/prepared_test.go
@@ -100,6 +100,7 @@
 
 // Guards against writes that change where no tenants are configured.
 func TestNothingIsPreparedWithoutTenants(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	second := oneTask
 	second.After = []int{0}
@@ -111,6 +112,7 @@
 // Guards against a prepared start that is sent while the store responds, or before the blockers
 // have ended, or under another number or executor than is stored.
 func TestPreparedStartIsSentAsStored(t *testing.T) {
+	t.Parallel()
 	h := newPreparedHarness(t, testLimits)
 	assert.NilError(t, h.stored.Check())
 	assert.Equal(t, len(prepared(h.stored)), 2)
@@ -136,6 +138,7 @@
 // Guards against starts beside the store's while it responds, and against one number on two executors:
 // a task that is placed elsewhere gets the next one.
 func TestPreparedStartIsSupersededByAStoredOne(t *testing.T) {
+	t.Parallel()
 	h := newPreparedHarness(t, testLimits)
 	h.end(0, execution.EndedDone, time.Second)
 	assert.Equal(t, len(h.settle()), 0)
@@ -150,6 +153,7 @@
 // The batch that is open when the store falls silent has already decided the starts of a step. Those
 // that are as written ahead need not wait for it, and are sent once.
 func TestDecidedStartsThatWereWrittenAheadDoNotWait(t *testing.T) {
+	t.Parallel()
 	h := newPreparedHarness(t, testLimits)
 	h.end(0, execution.EndedDone, time.Second)
 	batch := h.shard.Batch(h.now, 29)
@@ -173,6 +177,7 @@
 // Guards against two runs of a task: of a prepared start that the open batch replaces, neither the
 // former nor the new one may be sent, since it is not known which of them a successor will read.
 func TestPreparedStartOfAnOpenBatchIsNotUsed(t *testing.T) {
+	t.Parallel()
 	h := newPreparedHarness(t, testLimits)
 	former := h.shard.jobs[preparedJob].occurrences[0].steps[1].tasks[0].prepared.executor.ID
 	h.shard.SetCordons(cordons(map[cluster.ExecutorID]Evacuation{former: EvacuateGracefully}), h.now)
@@ -187,6 +192,7 @@
 
 // Guards against a run that outlives the time after which a successor takes it for lost.
 func TestLeaseOfAPreparedStartEndsWithTheConfirmation(t *testing.T) {
+	t.Parallel()
 	for _, limits := range []Limits{{RunLease: 5 * time.Second, MaxRunLease: 6 * time.Second}, testLimits} {
 		for _, early := range []time.Duration{0, 2 * time.Second} {
 			h := newPreparedHarness(t, limits)
@@ -209,6 +215,7 @@
 // Guards against starts without room, on executors that get no work, on those that the stored or
 // the open list of unreached executors contains, and of cancelled jobs.
 func TestPreparedStartNeedsAUsableExecutor(t *testing.T) {
+	t.Parallel()
 	for name, spoil := range map[string]func(h *preparedHarness){
 		"full": func(h *preparedHarness) {
 			for _, e := range h.shard.executors {
@@ -253,6 +260,7 @@
 
 // Guards against a further attempt by the same prepared start after a failure in the outage.
 func TestFailedPreparedRunWaitsForTheStore(t *testing.T) {
+	t.Parallel()
 	h := newPreparedHarness(t, testLimits)
 	h.silence()
 	h.end(0, execution.EndedDone, time.Second)
@@ -269,6 +277,7 @@
 
 // Guards against a cancellation that waits for prepared starts which were never sent.
 func TestCancelledJobDoesNotWaitForPreparedStarts(t *testing.T) {
+	t.Parallel()
 	h := newPreparedHarness(t, testLimits)
 	h.shard.Cancel(preparedJob)
 	h.end(0, execution.EndedStopped, time.Second)
@@ -278,6 +287,7 @@
 // A successor finds that a prepared start was never sent: the blocked task does not start before its
 // blockers are done, and then under a new number. Its executor's end is no evidence against it.
 func TestSuccessorDiscardsAnUnsentPreparedStart(t *testing.T) {
+	t.Parallel()
 	h := newPreparedHarness(t, testLimits)
 	next := h.successor(h.stored)
 	assert.Equal(t, len(prepared(next.shard.progressOf(preparedJob))), 2)
@@ -303,6 +313,7 @@
 // A prepared start was sent, its owner is lost, and the run is done before the successor knows that the
 // blockers are. Their ends are listed again, or lost with their executor, so that they run again.
 func TestTaskMayBeDoneBeforeItsBlockersAreKnownToBe(t *testing.T) {
+	t.Parallel()
 	for _, lost := range []bool{false, true} {
 		h := newPreparedHarness(t, testLimits)
 		next := h.successor(h.stored)
@@ -345,6 +356,7 @@
 // Guards against executors that get no start in an outage for lack of a higher fencing token: once an
 // acknowledgement is answered it is not repeated, and does not count.
 func TestAnsweredAcknowledgementNeedsNoHigherToken(t *testing.T) {
+	t.Parallel()
 	h := newRestartedHarness(t)
 	h.shard.SetTenants(nil)
 	h.first.end(execution.EndedDone)
--- a/policy/shard/prepared_world_test.go
+++ b/policy/shard/prepared_world_test.go
@@ -147,6 +147,7 @@
 // Random outages of the store, with prepared starts, must not make a start violate a safety rule,
 // whatever happens to owners and executors meanwhile, and every job must become final afterwards.
 func TestSafetyRulesHoldWithPreparedStarts(t *testing.T) {
+	t.Parallel()
 	used := 0
 	rapid.Check(t, func(t *rapid.T) {
 		w := newOutageWorld(t)
@@ -167,6 +168,7 @@
 
 // Prepared starts must not keep a task from starting within the bound once all faults have ended.
 func TestTasksStartWithinBoundWithPreparedStarts(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newLivenessWorld(t)
 		w.outages = &storeOutages{}
--- a/policy/shard/quota_test.go
+++ b/policy/shard/quota_test.go
@@ -34,6 +34,7 @@
 
 // A tenant at its portion starts no more, and says what it could start; others go on.
 func TestTenantStartsNoMoreThanItsPortion(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"), newExecutorNamed("i-2"))
 	h.shard.SetUsable(usableCPU(2500, 2500, 8000))
 	four := oneTask
@@ -52,6 +53,7 @@
 // A portion that shrinks after a start was decided, and before it is sent, does not lead to the loss of
 // the start: it counts as used, so that the portion is not lowered below it.
 func TestDecidedStartsCountAsUsed(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.shard.SetUsable(usableCPU(2000, 2000, 8000))
 	two := oneTask
@@ -66,6 +68,7 @@
 
 // Runs that a successor inherits, and orphans of known jobs, count: they may be running.
 func TestInheritedRunsAndOrphansCountAsUsed(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.shard.SetUsable(usableCPU(2000, 2000, 8000))
 	two := oneTask
@@ -90,6 +93,7 @@
 // A gang starts only if the portion has room for all of it; what is taken back leaves nothing counted. A
 // gang above the limit never starts, and keeps no other job of its tenant waiting.
 func TestGangNeedsItsWholePortion(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.shard.SetUsable(usableCPU(3000, 3000, 4000))
 	gang := oneTask
@@ -109,6 +113,7 @@
 
 // A task that needs more than the limit starts if nothing else of its tenant runs.
 func TestTaskAboveTheLimitStartsAlone(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.shard.SetUsable(usableCPU(2000, 0, 2000))
 	large := oneTask
@@ -127,6 +132,7 @@
 
 // What no executor has room for is not blocked by the portion: it claims none, and smaller tasks start.
 func TestPortionIsNotClaimedForWhatHasNoRoom(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.shard.SetUsable(usableCPU(1000, 1000, 90_000))
 	large := oneTask
@@ -144,6 +150,7 @@
 
 // Without tenants there is nothing to count; a tenant without limit is counted and never kept waiting.
 func TestJobsWithoutTenantOrLimitAreNotLimited(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	two := oneTask
 	two.Count = 2
--- a/policy/shard/rate_test.go
+++ b/policy/shard/rate_test.go
@@ -64,6 +64,7 @@
 // A bucket holds the jobs of one second, but at least one job, and a tenant at its rate is never
 // beyond it.
 func TestRateOfATenant(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		weight float64
 		burst  int
@@ -82,6 +83,7 @@
 // half its rate must not have excess jobs by that, and one far beyond it must not get more than its
 // rate by the owner's clock.
 func TestRateDespiteClocksThatDiffer(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		weight := rapid.Float64Range(0.2, 20).Draw(t, "weight")
 		factor := rapid.SampledFrom([]float64{0.5, 7}).Draw(t, "factor")
@@ -108,6 +110,7 @@
 // A job with a time of acceptance in the far future or past neither refills a bucket beyond its
 // burst nor keeps later jobs out, also at a takeover.
 func TestRateDespiteAWrongTime(t *testing.T) {
+	t.Parallel()
 	for _, wrong := range []time.Duration{-1000 * time.Hour, 1000 * time.Hour} {
 		for _, takeover := range []bool{false, true} {
 			r := newRateTest(2)
@@ -131,6 +134,7 @@
 
 // Only short jobs of a configured tenant have a rate, and a change of its weight applies to later jobs.
 func TestJobsWithoutARate(t *testing.T) {
+	t.Parallel()
 	r := newRateTest(0.001)
 	r.contact(0, 0)
 	longRunning := oneTask
@@ -157,6 +161,7 @@
 // A successor reads the jobs that are not final in any order, before it knows the tenants. If none has
 // ended it decides as its predecessor did. Otherwise it counts as many jobs within the rate, or more.
 func TestExcessIsDecidedAlikeAtATakeover(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		weight := rapid.Float64Range(0.3, 10).Draw(t, "weight")
 		r := newRateTest(weight)
@@ -208,6 +213,7 @@
 // A peak of a queue lasts several seconds: with the burst of one second, most jobs of tenants that send
 // no more than their part of a peak would count as excess.
 func TestBurstCoversTheWindowOfTheOperator(t *testing.T) {
+	t.Parallel()
 	assert.Equal(t, RateAllowance{}.burst(2), 2.0)
 	assert.Equal(t, RateAllowance{}.burst(0.2), 1.0)
 	assert.Equal(t, RateAllowance{Window: 5 * time.Second, Overage: 0.1, Jobs: 20}.burst(2), 31.0)
--- a/policy/shard/replay_test.go
+++ b/policy/shard/replay_test.go
@@ -221,6 +221,7 @@
 // long as the objective. The shard's start order keeps new jobs in time, and completes most
 // of the others while they are still of use.
 func TestStartOrderKeepsJobsInTimeThroughAPeak(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		arrivals := peakArrivals(seed + 1)
 		fifo := playFIFO(arrivals)
--- a/policy/shard/reservation_test.go
+++ b/policy/shard/reservation_test.go
@@ -63,6 +63,7 @@
 // A forecast is wrong: no run ends as expected. Other tasks must get the room that is held in vain
 // within the bound, although further large jobs wait for it.
 func TestWrongForecastHoldsRoomNoLongerThanTheBound(t *testing.T) {
+	t.Parallel()
 	h := newFragmentedHarness(t)
 	began := h.now
 	started := 0
@@ -82,6 +83,7 @@
 
 // Tasks that end before the large one can start may use its room meanwhile; others may not.
 func TestHeldRoomIsBackfilled(t *testing.T) {
+	t.Parallel()
 	h := newFragmentedHarness(t)
 	for i := range 3 {
 		h.submitBehind(job.ID(fmt.Sprintf("%016x", 0xc0+i)), 20*time.Second)
@@ -102,6 +104,7 @@
 
 // Long-running tasks serve users: no reservation may delay them.
 func TestLongRunningTaskUsesHeldRoom(t *testing.T) {
+	t.Parallel()
 	h := newFragmentedHarness(t)
 	step := oneTask
 	step.LongRunning, step.Count = true, 4
@@ -111,6 +114,7 @@
 
 // A reservation must not outlive its executor's use, nor its job's.
 func TestReservationEndsWithItsExecutorAndItsJob(t *testing.T) {
+	t.Parallel()
 	heldOn := func(h *harness) *executorState { return h.shard.reservations[0].holds[0].executor }
 	for name, fault := range map[string]func(h *harness, e *executorState){
 		"crash": func(_ *harness, e *executorState) { e.failedCalls++ },
@@ -157,6 +161,7 @@
 // Faults of executors during a load of large and small tasks must neither stop the large ones from
 // starting nor leave any room held.
 func TestReservationsSurviveFaultsOfExecutors(t *testing.T) {
+	t.Parallel()
 	l := streamLoad()
 	l.executors, l.duration, l.load = 12, 15*time.Second, 0.8
 	p := l.newUnevenReplay(t, 1, largeFactor)
--- a/policy/shard/restarts_test.go
+++ b/policy/shard/restarts_test.go
@@ -194,6 +194,7 @@
 // Executors start again under their IDs, beside all other faults: once the faults end, each task starts
 // in time.
 func TestTasksStartWithinBoundAfterRestartsUnderTheSameID(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newLivenessWorld(t)
 		w.restarts = newRestarts()
@@ -214,6 +215,7 @@
 // Tasks crash the executors that start them, which start again under their IDs, often at once: such a
 // task is given up, and no other one is.
 func TestTasksThatCrashExecutorsAreGivenUpThoughTheseKeepTheirIDs(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		w.crashing, w.restarts = newCrashingTasks(), newRestarts()
@@ -228,6 +230,7 @@
 
 // Executors start again under their IDs, beside all other faults.
 func TestExecutorThatStartsAgainUnderItsIDRunsNoTaskTwice(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		w.restarts = newRestarts()
--- a/policy/shard/rules_test.go
+++ b/policy/shard/rules_test.go
@@ -67,6 +67,7 @@
 }
 
 func TestGangStartsAllOrNothingWithOneRunNumber(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"), newExecutorNamed("i-2"))
 	gang := oneTask
 	gang.Gang, gang.Count = true, 9 // 8 fit
@@ -84,6 +85,7 @@
 
 // One member of a gang fails, and the others end as a consequence: all start again together.
 func TestBrokenGangRestartsTogether(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	gang := oneTask
 	gang.Gang, gang.Count = true, 2
@@ -110,6 +112,7 @@
 }
 
 func TestPlacementKeepsStepConstraints(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, executorOnRack("i-1", "r1-1"), executorOnRack("i-2", "r1-2"))
 	labelled := oneTask
 	labelled.RequiredLabel, labelled.Count = "r1-2", 3
@@ -124,6 +127,7 @@
 }
 
 func TestDataLocalityOutweighsFreeCapacity(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, executorOnRack("i-1", "r1-1"), executorOnRack("i-2", "r1-2"))
 	near := oneTask
 	near.Affinity, near.Count = "r1-2", 4
@@ -136,6 +140,7 @@
 }
 
 func TestDrainingAndCordonedExecutorsGetNoStart(t *testing.T) {
+	t.Parallel()
 	draining, cordoned := newExecutorNamed("i-1"), newExecutorNamed("i-2")
 	h := newHarness(t, draining, cordoned)
 	draining.Draining = true
@@ -152,6 +157,7 @@
 // The executor of one of a step's tasks stops responding: no other task may be moved, not
 // even before the lease of the first has expired.
 func TestLongRunningTaskIsNotMovedWhileAnotherMayBeUnavailable(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"), newExecutorNamed("i-2"), newExecutorNamed("i-3"))
 	longRunning := job.Step{Count: 3, Need: job.Resources{MilliCPU: 1000}, LongRunning: true, MaxUnavailable: 1, MaxPerServer: 1}
 	h.submit("00000000000000aa", longRunning)
@@ -174,6 +180,7 @@
 }
 
 func TestBestEffortTasksAreThrottledBeforeServingTasksMissTheirTarget(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	serving := job.Step{Count: 1, Need: job.Resources{MilliCPU: 1000}, LongRunning: true, TargetLatency: 100 * time.Millisecond, Image: "serve"}
 	bestEffort := job.Step{Count: 1, Need: job.Resources{MilliCPU: 9000}, BestEffort: true, Estimate: time.Minute, Image: "fill"}
@@ -200,6 +207,7 @@
 }
 
 func TestStartsOfAnAdvisedQueueCarryTheTicket(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"), newExecutorNamed("i-2"))
 	h.shard.AddJob(Record{
 		ID: "00000000000000aa", Accepted: h.now, Definition: job.Definition{Steps: []job.Step{oneTask}},
@@ -220,6 +228,7 @@
 // Under load beyond the capacity, late jobs that are about to expire get a bounded share,
 // and the rest goes to jobs that can be in time.
 func TestExpiringJobsDoNotDelayAllOthers(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	for i := range 20 {
 		late := Record{
@@ -248,6 +257,7 @@
 // An executor on which several jobs fail gets no more work for a while; repeated failures
 // of one job, which may fail everywhere, don't make it suspect.
 func TestSuspectExecutorGetsNoWork(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	state := &h.shard.executors["i-1"].health
 	for range 10 {
@@ -272,6 +282,7 @@
 // A machine is needed for another service whose jobs can still be in time: runs of late
 // jobs are preempted, except those about to complete; runs of jobs in time are not.
 func TestLateJobsArePreemptedForOtherServices(t *testing.T) {
+	t.Parallel()
 	long := oneTask
 	long.Estimate = 2 * time.Second
 	for _, c := range []struct {
@@ -306,6 +317,7 @@
 // The time for which a task has run is subtracted from its estimate, so that a job close to
 // completion is not taken to be late.
 func TestElapsedRunTimeReducesTheRemainingEstimate(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	long := oneTask
 	long.Estimate = 2 * time.Second
@@ -324,6 +336,7 @@
 // A burst of jobs exceeds one store transaction: each batch uses all its entries and is
 // marked as full, so that the next one follows at once.
 func TestBurstIsStartedInFullBatches(t *testing.T) {
+	t.Parallel()
 	var executors []cluster.Executor
 	for i := range 10 {
 		executors = append(executors, newExecutorNamed(fmt.Sprintf("i-%d", i)))
@@ -349,6 +362,7 @@
 // Long-running tasks leave an executor one by one, each after the previous one was seen
 // running elsewhere: polls must not wait long in that time.
 func TestEvacuationIsNotDelayedByLongPolls(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"), newExecutorNamed("i-2"))
 	longRunning := job.Step{Count: 4, Need: job.Resources{MilliCPU: 1000}, LongRunning: true, MaxUnavailable: 1}
 	h.submit("00000000000000aa", longRunning)
@@ -374,6 +388,7 @@
 // elsewhere, and the executor gets no work for a while. If runs of only one job are overdue,
 // they are not stopped, since its estimate may be wrong, nor if there is no capacity elsewhere.
 func TestOverdueRunsAreStoppedOnAStalledExecutor(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name              string
 		jobs              int
--- a/policy/shard/runtimes_test.go
+++ b/policy/shard/runtimes_test.go
@@ -18,6 +18,7 @@
 
 // Forecasts must follow what was observed of an image, and its spread, not the estimate.
 func TestRunTimesAreLearnedByImage(t *testing.T) {
+	t.Parallel()
 	s := New(testLimits, 7)
 	st := testStep("slow")
 	assert.Equal(t, s.runTime(st, false, 0, 0.9), withMargin(time.Second))
@@ -47,6 +48,7 @@
 
 // Callers choose images and needs: what is learned must stay bounded in memory.
 func TestLearnedRunTimesAreBounded(t *testing.T) {
+	t.Parallel()
 	s := New(testLimits, 7)
 	for i := range 3 * maxRunTimeKinds {
 		now := time.Unix(int64(i), 0)
@@ -59,6 +61,7 @@
 
 // A large task needs one executor's gap; the small ones must go where they destroy none.
 func TestBestFitKeepsPlacesForLargeTasks(t *testing.T) {
+	t.Parallel()
 	u := unevenness{references: []job.Resources{{MilliCPU: 40_000, MemoryMB: 150_000}}}
 	small := job.Resources{MilliCPU: 5000, MemoryMB: 10_000}
 	cost := func(cpu, memory int64) float64 {
--- a/policy/shard/shares_replay_test.go
+++ b/policy/shard/shares_replay_test.go
@@ -109,7 +109,10 @@
 }
 
 // As above, at one and a half times the capacity, under a seed of its own.
-func TestSurgeOfOneTenantMakesNoJobOfOthersLateUnderSeed8(t *testing.T) { checkSurge(t, 60, 8) }
+func TestSurgeOfOneTenantMakesNoJobOfOthersLateUnderSeed8(t *testing.T) {
+	t.Parallel()
+	checkSurge(t, 60, 8)
+}
 
 // checkFairness plays a peak of one and a half times the capacity, in which each tenant is within its
 // rate and sends more than its share. The work done must be proportional to the weights within the work
@@ -169,6 +172,7 @@
 // A tenant whose weight is a thousandth of the others' has no share of a whole slot. Its jobs still
 // complete before they are too late, and so does the one that is within the rate of a weight below 1.
 func TestTinyWeightIsNotStarved(t *testing.T) {
+	t.Parallel()
 	for _, weight := range []float64{1, 0.01} {
 		list := []replayedTenant{{1000, 30}, {1000, 30}, {weight, weight}}
 		jobs := jobsOf(list[:2], 1, 1, 1)
--- a/policy/shard/shares_test.go
+++ b/policy/shard/shares_test.go
@@ -37,6 +37,7 @@
 // Where the operator has configured no tenants, the order is by deadline, though records may still
 // name tenants. It is the same where tenants are configured and all work fits.
 func TestOrderIsByDeadlineWithoutTenantsOrScarcity(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		configured := rapid.Bool().Draw(rt, "tenants")
 		executors, most := 1, 40
@@ -59,6 +60,7 @@
 // Whatever the shares, each job is in the order once, after the jobs of a lower rank, and after the
 // jobs of its own rank and tenant with an earlier deadline.
 func TestOrderBySharesKeepsRanksAndDeadlines(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		h := newHarness(t, newExecutorNamed("i-1"))
 		h.shard.SetTenants(equalTenants(3, rapid.Float64Range(0.5, 20).Draw(rt, "weight")))
@@ -97,6 +99,7 @@
 
 // The next job is of the tenant that uses least for its weight, counting its dominant resource.
 func TestNextJobIsOfTheTenantWithTheSmallestShare(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1")) // 4 cores, 4,000 MB
 	h.shard.SetTenants([]cluster.Tenant{{Name: "a", Weight: 10}, {Name: "b", Weight: 20}})
 	cpu := job.Step{Count: 1, Need: job.Resources{MilliCPU: 1000, MemoryMB: 10}, Estimate: time.Second}
@@ -113,6 +116,7 @@
 
 // Runs count for their tenant from their decision to their end.
 func TestUsageByTenant(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.submitFor("a", testID(1), h.now, oneTask)
 	h.submitFor("", testID(2), h.now, oneTask)
@@ -136,6 +140,7 @@
 
 // Excess work gets machines as late work does, and does not make the planner predict a peak.
 func TestLoadOfExcessJobs(t *testing.T) {
+	t.Parallel()
 	h := newExcessHarness(t)
 	load := h.shard.Batch(h.now, 29).Load
 	need := oneTask.Need.MilliCPU
@@ -146,6 +151,7 @@
 // Excess jobs that wait for their turn or for capacity have a reason of their own. Others keep theirs,
 // since it is what keeps them from starting.
 func TestReportOfExcessJobs(t *testing.T) {
+	t.Parallel()
 	h := newExcessHarness(t)
 	r := h.shard.Waiting(h.now, false)
 	assert.DeepEqual(t, r.Samples, map[job.ID]Reason{"aa": ReasonNotItsTurn, "ab": ReasonBeyondRate})
--- a/policy/shard/starts_test.go
+++ b/policy/shard/starts_test.go
@@ -43,6 +43,7 @@
 
 // An executor that refuses a stop has not executed it: the stop is sent again.
 func TestRefusedStopIsSentAgain(t *testing.T) {
+	t.Parallel()
 	h := newHarnessWithRefusedStop(t)
 	h.now = h.now.Add(2 * resendInterval)
 	assert.Equal(t, len(h.commandsOf(CommandStop)), 1)
@@ -51,6 +52,7 @@
 // A start without a response may still arrive after a refused stop: the run must be kept,
 // even though a poll does not list it.
 func TestRefusedStopKeepsTheRun(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.submit("00000000000000aa", oneTask)
 	for range maxStartSends {
@@ -68,6 +70,7 @@
 
 // A caller may list a dependency twice: the step starts when that dependency is done.
 func TestStepWithDuplicateDependencyStarts(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	second := oneTask
 	second.After = []int{0, 0}
@@ -83,6 +86,7 @@
 // A step that needs one rack for all its tasks gets one whose executors meet its other
 // constraints.
 func TestRackOfAStepHasAllowedExecutors(t *testing.T) {
+	t.Parallel()
 	labelled := executorOnRack("i-2", "r1-2")
 	labelled.Labels = append(labelled.Labels, "b")
 	byLabel, bySpread := oneTask, oneTask
@@ -111,6 +115,7 @@
 // A long-running task does not wait for capacity on the rack of the other tasks of its step,
 // since they never end.
 func TestLongRunningTaskStartsOnAnotherRackWhenItsOwnIsFull(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, executorOnRack("i-1", "r1-1"))
 	step := oneTask
 	step.LongRunning, step.SameRack, step.Count = true, true, 5 // 4 fit
@@ -126,6 +131,7 @@
 // A short task of a step that needs one rack waits for capacity there, since the other tasks
 // end soon.
 func TestShortTaskWaitsForCapacityOnTheRackOfItsStep(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, executorOnRack("i-1", "r1-1"))
 	step := oneTask
 	step.SameRack, step.Count = true, 5 // 4 fit
@@ -139,6 +145,7 @@
 // A step that only one executor may run finds it among many, though each advice request
 // names only some of them.
 func TestAdviceRequestsCoverAllExecutors(t *testing.T) {
+	t.Parallel()
 	var executors []cluster.Executor
 	for i := range 3 * maxAdviceExecutors {
 		executors = append(executors, newExecutorNamed(fmt.Sprintf("i-%03d", i)))
@@ -169,6 +176,7 @@
 
 // A job that is too late to be of any use goes last, but starts if capacity is left.
 func TestTooLateJobStartsOnSpareCapacity(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.submit("00000000000000aa", oneTask)
 	accepted := h.now
@@ -182,6 +190,7 @@
 // A task for which no executor has capacity, and a gang that does not fit as a whole, must
 // not keep jobs behind them in the start order from starting.
 func TestUnplaceableTaskBlocksNoOthers(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	large, gang := oneTask, oneTask
 	large.Need.MilliCPU = 5000 // of 4000
@@ -197,6 +206,7 @@
 // An executor gets work again once the reason against it ends: its cordon is removed, it is
 // listed again, a poll succeeds again or lists no orphan, or the pause after a stall is over.
 func TestExecutorIsUsedAgain(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct{ block, unblock func(h *harness) }{
 		"cordon": {
 			func(h *harness) {
@@ -246,6 +256,7 @@
 
 // A changed objective changes the start order of the jobs that already wait.
 func TestChangedQueuePolicyChangesTheOrder(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.submit("00000000000000aa", oneTask)
 	h.submit("00000000000000ab", oneTask)
@@ -270,6 +281,7 @@
 // An executor leaves the list and is listed again while the completion of its run is being stored, and lists
 // it once more: it is acknowledged only when it is durable.
 func TestCompletionThatIsListedAgainIsAcknowledgedOnceDurable(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.submit("00000000000000aa", oneTask)
 	h.startAll()
--- a/policy/shard/stuck_test.go
+++ b/policy/shard/stuck_test.go
@@ -17,6 +17,7 @@
 // An unhealthy executor refuses a stop with status 503 and does not execute it: the stop
 // must be sent until it is accepted.
 func TestRefusedStopIsRetriedUntilAccepted(t *testing.T) {
+	t.Parallel()
 	h := newHarnessWithRefusedStop(t)
 	resent := 0
 	for range 100 {
@@ -33,6 +34,7 @@
 // A start has no response and may be executed seconds later, and the stop that should
 // prevent this is refused with status 503. The task must not start elsewhere in that time.
 func TestTaskWithRefusedStopStartsNowhereElse(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"), newExecutorNamed("i-2"))
 	h.submit("00000000000000aa", oneTask)
 	var first cluster.ExecutorID
@@ -55,6 +57,7 @@
 // Jobs that fail on every executor make all executors suspect. A job that can complete must
 // nevertheless start within startBound.
 func TestAlwaysFailingJobsDoNotDelayOthers(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newLivenessWorld(t)
 		w.step(faultFreePeriod + startBound)
@@ -75,6 +78,7 @@
 // Three of four executors fail every run, and the queue is never empty. Each of them may use
 // up attempts only until it is suspect, and then with one trial run per pause.
 func TestBrokenExecutorsUseUpFewAttempts(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newLivenessWorld(t)
 		w.step(faultFreePeriod)
@@ -102,6 +106,7 @@
 
 // Random schedules, as in TestTasksStartWithinBoundOnceFaultsEnd, with jobs that always fail.
 func TestNoTaskWaitsBesideAlwaysFailingJobs(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { runSchedule(newLivenessWorld(t), false) })
 }
 
@@ -125,6 +130,7 @@
 // The advice service permits only an executor that the first request does not name: a later
 // request must name it.
 func TestStepStartsOnExecutorsBeyondTheFirstAdviceRequest(t *testing.T) {
+	t.Parallel()
 	var list []cluster.Executor
 	for i := range maxAdviceExecutors + 10 {
 		list = append(list, newExecutorNamed(fmt.Sprintf("i-%02d", i)))
@@ -155,6 +161,7 @@
 // The only executor with a ticket is removed, and another one is added that the request could
 // not name: advice must be requested again before the ticket expires.
 func TestAdviceIsRequestedAgainOnceItsExecutorsAreRemoved(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	validity := time.Minute
 	h.shard.AddJob(Record{
@@ -181,6 +188,7 @@
 // so that none of their leases lasts longer than one renewed at that time would: the task
 // must start again once such a lease would have expired.
 func TestTaskOfExecutorLostAfterATakeoverRestartsInTime(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"), newExecutorNamed("i-2"))
 	h.shard.AddJob(Record{
 		ID: "00000000000000aa", Accepted: h.now, Definition: job.Definition{Steps: []job.Step{oneTask}},
@@ -203,6 +211,7 @@
 // have expired: the task must start again in time after the last takeover nevertheless, and
 // not before the last lease that the first owner's predecessor may have renewed has expired.
 func TestTaskOfLostExecutorRestartsDespiteOwnerChanges(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		first := time.Unix(1000, 0)
 		began := map[int64]time.Time{}
@@ -238,6 +247,7 @@
 
 // Three owners follow each other within the longest lease.
 func TestTaskOfLostExecutorRestartsAfterThreeTakeovers(t *testing.T) {
+	t.Parallel()
 	const takeovers = 3
 	takeoverInterval := 4 * time.Second
 	began := map[int64]time.Time{}
@@ -270,6 +280,7 @@
 // An unreachable executor responds again: leases there may be renewed only once a write
 // without the executor is durable, since a successor would count on its being unreached.
 func TestLeaseOfReachedExecutorIsRenewedAfterThatIsStored(t *testing.T) {
+	t.Parallel()
 	now := time.Unix(1000, 0)
 	stored := Unreached{"i-1": {Term: 1}}
 	h := newOwnerOfLostRun(t, stored, map[int64]time.Time{1: now}, 2, now)
@@ -326,6 +337,7 @@
 // All executors that the advice service permits are suspect: a request must name them, since
 // no other executor may run the step.
 func TestAdvisedStepStartsOnSuspectExecutors(t *testing.T) {
+	t.Parallel()
 	for name, executors := range map[string][]cluster.Executor{
 		"all executors are suspect":       {newExecutorNamed("i-1")},
 		"another executor is not suspect": {newExecutorNamed("i-1"), newExecutorNamed("i-2")},
@@ -366,6 +378,7 @@
 // All executors are suspect after jobs that fail everywhere, and no short job is left that
 // could clear the suspicion: tasks of any kind must start nevertheless.
 func TestTasksStartWhileAllExecutorsAreSuspect(t *testing.T) {
+	t.Parallel()
 	longRunning, gang, spread := oneTask, oneTask, oneTask
 	longRunning.LongRunning, longRunning.Count = true, 3
 	gang.Gang, gang.Count = true, 3
@@ -384,6 +397,7 @@
 // Each executor has overdue runs of two jobs whose estimates are far too low. A long-running
 // task fits beside them: it must start, since these runs may last long.
 func TestLongRunningTaskStartsBesideOverdueRuns(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	underestimated := oneTask
 	underestimated.Estimate = 100 * time.Millisecond
@@ -400,6 +414,7 @@
 // several times a second. A long-running task of an executor that is lost meanwhile must
 // start elsewhere: its lease there has expired.
 func TestLongRunningTaskOfLostExecutorRestartsWhileTheOwnerIsSlowed(t *testing.T) {
+	t.Parallel()
 	for name, delivery := range map[string]Delivery{"polls time out": Ambiguous, "polls are refused": NotSent} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, newExecutorNamed("i-1"))
@@ -452,6 +467,7 @@
 // long-running task prefers them by the constraints of its step: it must start on another
 // executor nevertheless.
 func TestLongRunningTaskLeavesExecutorsThatFail(t *testing.T) {
+	t.Parallel()
 	near, far := executorOnRack("i-1", "r1-1"), executorOnRack("i-2", "r1-2")
 	affinity, sameRack, longRunning := oneTask, oneTask, oneTask
 	affinity.Affinity = "r1-1"
--- a/policy/shard/suspicions_test.go
+++ b/policy/shard/suspicions_test.go
@@ -18,6 +18,7 @@
 // A report tells once that an executor became suspect, with the jobs that failed, and once
 // that the suspicion was cleared.
 func TestSuspicionIsReportedOnceWithItsFailures(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"), newExecutorNamed("i-2"))
 	state := &h.shard.executors["i-2"].health
 	state.recordFailure(testID(9), h.now)
@@ -41,6 +42,7 @@
 
 // A suspicion that begins and ends between two reports is reported; of many, the latest.
 func TestBriefSuspicionsAreReported(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	var last time.Time
 	for range maxSuspicionChanges {
@@ -60,6 +62,7 @@
 // However many executors become suspect at once, each report lists a bounded number, and
 // each executor is listed once.
 func TestSuspicionChangesAreBoundedPerReport(t *testing.T) {
+	t.Parallel()
 	const executors = 2*maxReportChanges + 1
 	var list []cluster.Executor
 	for i := range executors {
@@ -86,6 +89,7 @@
 // Long-running tasks never succeed, so they can't clear a suspicion: on an executor without
 // other work they start as trials, all of them, once the pause is over.
 func TestLongRunningTasksStartOnASuspectExecutor(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.makeSuspect("i-1")
 	h.submit("00000000000000aa", longRunningSteps(3))
--- a/policy/shard/uneven_test.go
+++ b/policy/shard/uneven_test.go
@@ -154,6 +154,7 @@
 
 // Reservations and best fit must change nothing for deployments whose work is even.
 func TestEvenWorkIsPlacedAsBefore(t *testing.T) {
+	t.Parallel()
 	for name, l := range evenLoads() {
 		t.Run(name, func(t *testing.T) {
 			p := l.play(t, 1, largeFactor)
--- a/policy/shard/usability_test.go
+++ b/policy/shard/usability_test.go
@@ -20,6 +20,7 @@
 }
 
 func TestReportCountsUnusableExecutorsByReason(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name   string
 		change func(h *harness)
@@ -78,6 +79,7 @@
 // Each condition by itself makes an executor unavailable, in any combination with others;
 // the health matters to usable only.
 func TestUsabilityFollowsFromAllConditions(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
 		draw := func(label string) bool { return rapid.Bool().Draw(t, label) }
@@ -112,6 +114,7 @@
 // An executor that stays unusable is reported once after the longest lease, and once when it
 // is usable again.
 func TestLongUnusableExecutorIsReportedOnce(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name string
 		end  func(h *harness)
@@ -136,6 +139,7 @@
 
 // An executor that is usable at one report in between is not reported.
 func TestBrieflyUnusableExecutorIsNotReported(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	for range 3 {
 		h.shard.SetCordons(cordons(map[cluster.ExecutorID]Evacuation{"i-1": EvacuateGracefully}), h.now)
@@ -148,6 +152,7 @@
 // However many executors are unusable, each report lists a bounded number, and each executor
 // is listed once.
 func TestUsabilityChangesAreBoundedPerReport(t *testing.T) {
+	t.Parallel()
 	const executors = 2*maxReportChanges + 1
 	var list []cluster.Executor
 	for i := range executors {
--- a/policy/shard/waiting_test.go
+++ b/policy/shard/waiting_test.go
@@ -72,6 +72,7 @@
 }
 
 func TestReportGivesTheReasonWhyNothingRuns(t *testing.T) {
+	t.Parallel()
 	for _, c := range reportCases() {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t, newExecutorNamed("i-1"))
@@ -89,6 +90,7 @@
 
 // A report omits jobs that run, that are not due, or that are cancelled.
 func TestReportOmitsJobsThatNeedNoStart(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	fillExecutor(h, 4)
 	h.shard.AddJob(Record{
@@ -106,6 +108,7 @@
 // report that found it so; both end with its start. Once a job has started, its next wait is
 // counted from the first report that finds it idle.
 func TestReportMeasuresWaitingTime(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	h.submit("00000000000000aa", oneTask)
 	accepted := h.now
@@ -127,6 +130,7 @@
 
 // Schedulable tasks of a job that runs count as well.
 func TestReportCountsSchedulableTasksOfRunningJobs(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	step := oneTask
 	step.Count = 6
@@ -142,6 +146,7 @@
 // Tasks that compete for the same capacity don't all count as schedulable: under a steady
 // load there is always capacity for some task, which does not mean that the owner is slow.
 func TestReportCountsTasksThatAreSchedulableTogether(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	step := oneTask
 	step.Count = 3
@@ -158,6 +163,7 @@
 // A gang that does not fit as a whole reserves no capacity, in whichever order the jobs are
 // examined.
 func TestReportReservesNoCapacityForGangsThatDoNotFit(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	gang := oneTask
 	gang.Gang, gang.Count = true, 5 // 4 fit
@@ -173,6 +179,7 @@
 // However many jobs wait, a report has a bounded number of samples, and successive reports
 // sample each job once.
 func TestReportSamplesRotateOverAllJobs(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t)
 	const jobs = 3*maxReportSamples + 1
 	for i := range jobs {
@@ -196,6 +203,7 @@
 // Beyond maxReportChecks a report examines no more steps, and reports their jobs as not
 // examined.
 func TestReportIsBounded(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	labelled := oneTask
 	labelled.RequiredLabel = "other"
@@ -209,6 +217,7 @@
 
 // A report counts the batches, and the full ones, since the last report.
 func TestReportCountsBatches(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, newExecutorNamed("i-1"))
 	for i := range 4 {
 		h.submit(testID(i+1), oneTask)
--- a/policy/shard/world_test.go
+++ b/policy/shard/world_test.go
@@ -828,6 +828,7 @@
 // Random crashes, partitions, lost and delayed calls and changes of owner must not make a
 // start violate a safety rule, and every job must become final afterwards.
 func TestSafetyRulesHoldUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		for range rapid.IntRange(10, 40).Draw(t, "faults") {
@@ -843,6 +844,7 @@
 // An instance is so CPU-starved that its owner does nothing for seconds, repeatedly:
 // responses are read late or time out, and leases expire. There are no other faults.
 func TestCPUStarvedOwnerStartsNoTaskTwice(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		w.faultFree = true
@@ -935,6 +937,7 @@
 // A red schedule must be reproducible from its seed: two worlds with the same draws send the
 // same commands in the same order.
 func TestScheduleIsReproducible(t *testing.T) {
+	t.Parallel()
 	record := func(seed int) (sent []string) {
 		generator := rapid.Custom(func(t *rapid.T) []string {
 			w := newLivenessWorld(t)
