--- a/policy/shard/shareorder.go
+++ b/policy/shard/shareorder.go
@@ -181,7 +181,7 @@
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			if n := st.tasksLeft - st.runs; st.blockers == 0 && n > 0 {
-				sum = sum.Add(needOf(st.def, n))
+				sum = sum.Add(multiply(st.def.Reservation(), n))
 			}
 		}
 	}
@@ -193,14 +193,8 @@
 	var sum job.Resources
 	for i := range steps {
 		if len(steps[i].After) == 0 {
-			sum = sum.Add(needOf(&steps[i], steps[i].Count))
+			sum = sum.Add(multiply(steps[i].Reservation(), steps[i].Count))
 		}
 	}
 	return sum
 }
-
-// needOf returns the need of n tasks of a step.
-func needOf(def *job.Step, n int) job.Resources {
-	need, count := def.Reservation(), int64(n)
-	return job.Resources{MilliCPU: count * need.MilliCPU, MemoryMB: count * need.MemoryMB, GPU: count * need.GPU}
-}
