After a newcomer's reading: usual terms, one predicate for executors that accept work, comments that the merges had made wrong

No behaviour changes but names: the stored field of a rejection is retryAt, the reasons of rejections are spelled as those of waiting jobs, and a portion is oversized, not ample.

--- a/api/cluster/tenant.go
+++ b/api/cluster/tenant.go
@@ -10,7 +10,7 @@
 // queues, and what was accepted before the operator configured tenants.
 type TenantName string
 
-// Tenant is an organisation whose callers share the capacity with others.
+// Tenant is an organisation: its callers share the capacity with those of others.
 type Tenant struct {
 	Name TenantName
 	// Weight is the tenant's share when capacity is scarce, relative to that of others, and the
--- a/entry/admissions/admissions.go
+++ b/entry/admissions/admissions.go
@@ -53,7 +53,7 @@
 }
 
 // Enable sets whether the follower watches the store: only while the operator's configuration has
-// tenants. It does not block; there is one caller at a time.
+// tenants and late jobs are rejected. It does not block; there is one caller at a time.
 func (f *Follower) Enable(enabled bool) {
 	select {
 	case <-f.enable: // a value that Run has not taken yet
--- a/entry/fleetduty/exhausted.go
+++ b/entry/fleetduty/exhausted.go
@@ -27,8 +27,8 @@
 }
 
 // publishExhausted states to the owners of services that there are no more machines for them, where
-// the operator has configured tenants: owners reject jobs by that. A statement that can't be written
-// expires with the last one.
+// the operator has configured tenants and late jobs are rejected. If a write fails, the last statement
+// expires.
 func (h *Holder) publishExhausted(ctx context.Context) {
 	config := h.Config()
 	if config == nil || !config.Tenancy || !h.RejectLate || h.exhausted.storing {
--- a/entry/intake/admission.go
+++ b/entry/intake/admission.go
@@ -85,7 +85,7 @@
 	if !d.Rejected {
 		return nil, 0
 	}
-	stored, result, _ := i.storeRejection(ctx, c, d, told(d), 0)
+	stored, result, _ := i.storeRejection(ctx, c, d, retryTime(d), 0)
 	if stored {
 		return i.rejected(c, d), 0
 	}
@@ -93,30 +93,30 @@
 	if !found || state.Rejected == nil || !state.Rejected.Settled(arrivalOf(ctx)) {
 		return nil, 0 // the write of the job finds what is stored, and is answered accordingly
 	}
-	if admit.ReturnOf(state.Rejected.Told, arrivalOf(ctx)) == admit.InWindow {
+	if admit.TimingOf(state.Rejected.RetryAt, arrivalOf(ctx)) == admit.OnTime {
 		r.Returned = true
 		d = admit.Decide(k, r, time.Now())
 	}
 	if !d.Rejected {
 		return nil, item.Revision
 	}
-	if stored, _, _ = i.storeRejection(ctx, c, d, told(d), item.Revision); !stored {
+	if stored, _, _ = i.storeRejection(ctx, c, d, retryTime(d), item.Revision); !stored {
 		return nil, item.Revision
 	}
 	return i.rejected(c, d), 0
 }
 
-// told returns when the caller of a job that is rejected now is told to come back.
-func told(d admit.Decision) time.Time { return time.Now().Add(d.RetryAfter) }
+// retryTime returns when the caller of a job that is rejected now is told to come back.
+func retryTime(d admit.Decision) time.Time { return time.Now().Add(d.RetryAfter) }
 
 // storeRejection stores a rejection under the job's key, on condition that the key has the given
 // revision. There is one attempt: the job is rather accepted than kept waiting. A rejection that is
 // there already is replaced, too, so that no other request that is being handled can replace it.
-func (i *Intake) storeRejection(ctx context.Context, c candidate, d admit.Decision, told time.Time, revision kv.Revision) (stored bool, result kv.TxnResult, err error) {
+func (i *Intake) storeRejection(ctx context.Context, c candidate, d admit.Decision, retryAt time.Time, revision kv.Revision) (stored bool, result kv.TxnResult, err error) {
 	now := time.Now()
 	value, err := layout.Encode(layout.State{
 		Service: c.queue.Service, Queue: c.queue.Name, Tenant: c.tenant, State: job.Cancelled, FinalAt: now,
-		Rejected: &layout.Rejection{At: now, Told: told},
+		Rejected: &layout.Rejection{At: now, RetryAt: retryAt},
 	})
 	if err != nil {
 		return false, result, err
@@ -160,10 +160,10 @@
 			}
 			continue
 		}
-		d := admit.Early(admit.Decision{}, state.Rejected.Told, time.Now())
+		d := admit.Early(admit.Decision{}, state.Rejected.RetryAt, time.Now())
 		var stored bool
-		// The told time stays: a caller that sends early, or twice, must not push its own turn on.
-		if stored, result, err = i.storeRejection(ctx, c, d, state.Rejected.Told, item.Revision); stored {
+		// The retry time stays: a caller that sends early, or twice, must not push its own turn on.
+		if stored, result, err = i.storeRejection(ctx, c, d, state.Rejected.RetryAt, item.Revision); stored {
 			return result, i.rejected(c, d)
 		}
 		if err != nil {
--- a/entry/intake/admission_test.go
+++ b/entry/intake/admission_test.go
@@ -170,7 +170,7 @@
 		assert.Equal(t, send(h, http.MethodPost, shortJob).Code, http.StatusTooManyRequests, "the first attempt may be on its way still")
 		time.Sleep(time.Duration(told-1) * time.Second)
 		assert.Equal(t, send(h, http.MethodPost, shortJob).Code, http.StatusTooManyRequests, "an instance may have been paused with it")
-		time.Sleep(time.Second) // an early request does not push the told time on
+		time.Sleep(time.Second) // an early request does not push the retry time on
 		assert.Equal(t, send(h, http.MethodPost, shortJob).Code, http.StatusOK)
 		assert.Assert(t, store.hasRecord())
 		k.Admission = full()
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -1,8 +1,8 @@
 // Package intake is the callers' API: it accepts jobs, returns their states and cancels
 // them.
 //
-// A job is accepted only once it is stored. Where the operator has configured tenants, a short job
-// that would start too late is rejected. A response of 429 or 503 to a submission
+// A job is accepted only once it is stored. Where the operator has configured tenants and late jobs are
+// rejected, a short job that would start too late is not accepted. A response of 429 or 503 to a submission
 // guarantees that the job is not stored and never will be. If the outcome is unknown, the
 // response is 504.
 package intake
--- a/entry/layout/golden_test.go
+++ b/entry/layout/golden_test.go
@@ -95,7 +95,7 @@
 		Queues:  map[string]shard.QueueWait{"nightly": {Objectives: []int64{22, 23}, Sizes: []int64{24}, WaitMs: []int64{25, 26}, MemoryPerCore: 27}},
 		LimitMs: map[cluster.TenantName]int64{"palermo": 28}, Excess: map[cluster.TenantName]int{"trapani": 29},
 	}},
-	{JobKey("rejected"), State{Service: "batch", Queue: "nightly", Tenant: "palermo", State: job.Cancelled, FinalAt: goldenTime, Rejected: &Rejection{At: goldenTime, Told: goldenTime.Add(time.Hour)}}},
+	{JobKey("rejected"), State{Service: "batch", Queue: "nightly", Tenant: "palermo", State: job.Cancelled, FinalAt: goldenTime, Rejected: &Rejection{At: goldenTime, RetryAt: goldenTime.Add(time.Hour)}}},
 	{ExhaustedKey("batch"), Exhausted{AtMs: 30}},
 	{OwnerKey("batch"), Holder{Instance: "entry-1", Zone: "palermo", Term: "term"}},
 }
--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -168,8 +168,8 @@
 type Rejection struct {
 	// At is when it was rejected.
 	At time.Time `json:"at"`
-	// Told is when the caller should come back.
-	Told time.Time `json:"told"`
+	// RetryAt is when the caller should come back.
+	RetryAt time.Time `json:"retryAt"`
 }
 
 // Waiting counts by queue the jobs of which nothing has started.
@@ -241,7 +241,7 @@
 // job may replace it: as its caller was told, not before. An earlier request of the caller that an instance
 // reads late, since it was paused, must not store the job.
 func (r Rejection) Settled(arrived time.Time) bool {
-	return !arrived.Before(r.At.Add(rejectionSettled)) && admit.ReturnOf(r.Told, arrived) != admit.TooEarly
+	return !arrived.Before(r.At.Add(rejectionSettled)) && admit.TimingOf(r.RetryAt, arrived) != admit.TooEarly
 }
 
 // Encode returns the stored form of a value of this package or of a record.
--- a/policy/admit/admit.go
+++ b/policy/admit/admit.go
@@ -23,11 +23,11 @@
 	// ReasonCapacity: work that goes first occupies the service for too long.
 	ReasonCapacity Reason = "no-capacity-in-time"
 	// ReasonLimit: the tenant's own limit is used up for too long.
-	ReasonLimit Reason = "limit-of-the-tenant"
+	ReasonLimit Reason = "tenant-limit"
 	// ReasonRate: the tenant sends more than its rate, and others wait for capacity.
-	ReasonRate Reason = "beyond-the-rate"
+	ReasonRate Reason = "beyond-rate"
 	// ReasonEarly: the job was rejected before, and the caller was told a later time.
-	ReasonEarly Reason = "before-the-told-time"
+	ReasonEarly Reason = "retry-too-early"
 )
 
 const (
--- a/policy/admit/admit_test.go
+++ b/policy/admit/admit_test.go
@@ -97,11 +97,11 @@
 	assert.Assert(t, latest["within"] < earliest["beyond"] && latest["beyond"] < earliest["far"])
 }
 
-func TestReturnOf(t *testing.T) {
-	for after, want := range map[time.Duration]Return{
-		-time.Second: TooEarly, -returnTolerance: InWindow, 0: InWindow, returnWindow: InWindow, returnWindow + 1: TooLate,
+func TestTimingOf(t *testing.T) {
+	for after, want := range map[time.Duration]Timing{
+		-time.Second: TooEarly, -returnTolerance: OnTime, 0: OnTime, returnWindow: OnTime, returnWindow + 1: TooLate,
 	} {
-		assert.Equal(t, ReturnOf(testNow, testNow.Add(after)), want, after.String())
+		assert.Equal(t, TimingOf(testNow, testNow.Add(after)), want, after.String())
 	}
 	assert.Equal(t, Early(Decision{}, testNow.Add(1200*time.Millisecond), testNow).RetryAfter, 2*time.Second)
 }
--- a/policy/admit/replay_test.go
+++ b/policy/admit/replay_test.go
@@ -201,7 +201,7 @@
 
 func (r *replay) submit(j *replayJob) {
 	j.attempts++
-	returned := !j.told.IsZero() && ReturnOf(j.told, r.now) == InWindow
+	returned := !j.told.IsZero() && TimingOf(j.told, r.now) == OnTime
 	k := r.knowledge()
 	first := j.attempts == 1 && k != nil && k.Rejects()
 	if first {
--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -61,8 +61,8 @@
 	p.returnIdle(v, donors, maxMovesPerPlan-started)
 }
 
-// Exhausted returns the services that the last plan allocated fewer machines than the work needs that
-// is there or is arriving and can still be in time: the fleet has no more.
+// Exhausted returns the services to which the last plan allocated fewer machines than their present and
+// arriving work needs to be in time: the fleet has no more.
 func (p *Planner) Exhausted() []cluster.Service {
 	var list []cluster.Service
 	for _, n := range p.lastNeeds {
--- a/policy/quota/book.go
+++ b/policy/quota/book.go
@@ -77,12 +77,12 @@
 	// are math.MaxInt64 for the resources of which that is not so.
 	bound vector
 
-	ampleSince  time.Time // since when the portion has been far more than needed; zero if it is not
-	satisfiedAt time.Time // since when the published demand is met; zero if it is not
-	demandAt    time.Time // when the demand was planned last
-	lackedSince time.Time // since when other services have lacked something; zero if they don't
-	changedAt   time.Time // when a change was planned last that was not refused
-	usable      Usable    // as reported last
+	oversizedSince time.Time // since when the portion has been far more than needed; zero if it is not
+	satisfiedAt    time.Time // since when the published demand is met; zero if it is not
+	demandAt       time.Time // when the demand was planned last
+	lackedSince    time.Time // since when other services have lacked something; zero if they don't
+	changedAt      time.Time // when a change was planned last that was not refused
+	usable         Usable    // as reported last
 }
 
 var noBound = vector{math.MaxInt64, math.MaxInt64, math.MaxInt64}
--- a/policy/quota/plan.go
+++ b/policy/quota/plan.go
@@ -14,11 +14,11 @@
 	// MaxChanges is how many ledgers one transaction changes: each takes a condition and a put, and
 	// the owner's term one more condition, of at most 32 entries.
 	MaxChanges = 14
-	// ampleFactor is how many times its need a portion is when it counts as ample.
-	ampleFactor = 4
-	// ampleTime is how long a portion is ample before it is lowered though nobody waits for it: longer
+	// oversizedFactor is how many times its need a portion is when it counts as oversized.
+	oversizedFactor = 4
+	// oversizedTime is how long a portion is oversized before it is lowered though nobody waits for it: longer
 	// than the time between two peaks of a queue, so that portions don't follow each peak.
-	ampleTime = 30 * time.Second
+	oversizedTime = 30 * time.Second
 	// reserveDivisor is the part of the need by which a portion is raised beyond it while nobody
 	// else waits: a quarter.
 	reserveDivisor = 4
@@ -49,7 +49,7 @@
 	open := b.planned != nil
 	var candidates []candidate
 	for _, a := range b.accounts {
-		if a.settled && a.use == a.plannedUse || !b.limited(a) || b.quiet(a) {
+		if a.settled && a.use == a.plannedUse || !b.limited(a) || b.idle(a) {
 			continue
 		}
 		if c, due := b.plan(a, now); due && !open {
@@ -90,8 +90,8 @@
 	}
 }
 
-// quiet reports whether nothing of the tenant is used, held or asked for here.
-func (b *Book) quiet(a *account) bool {
+// idle reports whether nothing of the tenant is used, held or asked for here.
+func (b *Book) idle(a *account) bool {
 	return a.use == Use{Tenant: a.use.Tenant} && a.own == Allotment{} && a.bound == noBound
 }
 
@@ -111,7 +111,7 @@
 	next := d.allotment(a, now)
 	c := candidate{account: a, next: next, shortage: d.shortage()}
 	a.plannedUse = a.use
-	a.settled = next == a.own && a.own.Demand == job.Resources{} && d.lacked == vector{} && a.ampleSince.IsZero() && !b.limitOutdated(a)
+	a.settled = next == a.own && a.own.Demand == job.Resources{} && d.lacked == vector{} && a.oversizedSince.IsZero() && !b.limitOutdated(a)
 	interval := max(minChangeInterval, changeIntervalEach*time.Duration(b.services))
 	due := !a.unreadable && now.Sub(a.changedAt) >= interval && (next != a.own || b.limitOutdated(a))
 	return c, due
@@ -242,7 +242,7 @@
 		return d.own.max(d.task) // a run of its own, when this is stored
 	}
 	raised, useful := d.raised()
-	ample := d.ample(a, now)
+	oversized := d.oversized(a, now)
 	next := d.own
 	for i := range next {
 		keep := max(d.used[i], min(d.need[i], d.bound[i]))
@@ -255,7 +255,7 @@
 			}
 		case useful:
 			next[i] = max(next[i], raised[i])
-		case ample:
+		case oversized:
 			next[i] = min(next[i], max(d.base[i], 2*d.need[i]))
 		}
 		next[i] = max(next[i], d.used[i])
@@ -278,20 +278,20 @@
 	return raised, short && d.used.add(d.task).fits(raised)
 }
 
-// ample reports whether the portion has been far more than needed for ampleTime.
-func (d *decision) ample(a *account, now time.Time) bool {
-	ample := false
+// oversized reports whether the portion has been far more than needed for oversizedTime.
+func (d *decision) oversized(a *account, now time.Time) bool {
+	oversized := false
 	for i := range d.own {
-		ample = ample || d.own[i] > d.base[i] && d.own[i] > ampleFactor*d.need[i]
+		oversized = oversized || d.own[i] > d.base[i] && d.own[i] > oversizedFactor*d.need[i]
 	}
-	if !ample {
-		a.ampleSince = time.Time{}
+	if !oversized {
+		a.oversizedSince = time.Time{}
 		return false
 	}
-	if a.ampleSince.IsZero() {
-		a.ampleSince = now
+	if a.oversizedSince.IsZero() {
+		a.oversizedSince = now
 	}
-	return now.Sub(a.ampleSince) >= ampleTime
+	return now.Sub(a.oversizedSince) >= oversizedTime
 }
 
 // demand returns the demand and the next task to publish beside the portion. A published demand that
--- a/policy/shard/admission.go
+++ b/policy/shard/admission.go
@@ -173,14 +173,14 @@
 	publishedAt time.Time
 	published   Admission // the last one that was published
 
-	rates       tenantRates
-	recent      recentJobs
-	completed   workWindow // of short runs
-	saturatedAt time.Time  // since when work within the rates waits for capacity; zero if it does not
-	busyUntil   time.Time  // waits are forecast until then
-	// pressedUntil is until when jobs are expected at the highest rate that was seen lately.
-	pressedUntil time.Time
-	excessUntil  time.Time // excess jobs are rejected until then
+	rates         tenantRates
+	recent        recentJobs
+	completed     workWindow // of short runs
+	saturatedAt   time.Time  // since when work within the rates waits for capacity; zero if it does not
+	forecastUntil time.Time  // waits are forecast until then
+	// overloadedUntil is until when jobs are expected at the highest rate that was seen lately.
+	overloadedUntil time.Time
+	excessUntil     time.Time // excess jobs are rejected until then
 	// usableCPU is the capacity of the usable executors when there was last any.
 	usableCPU   int64
 	beganAt     time.Time     // when the present rejection began; zero if there is none
@@ -188,7 +188,7 @@
 }
 
 // SetAdmission sets whether the shard publishes its Admission: only where the operator has
-// configured tenants.
+// configured tenants and late jobs are rejected.
 func (s *Shard) SetAdmission(enabled bool) { s.admission.enabled = enabled }
 
 // SetPoolGrows sets whether a fleet planner moves machines to the service's pool. Jobs are then rejected
--- a/policy/shard/admission_test.go
+++ b/policy/shard/admission_test.go
@@ -223,7 +223,7 @@
 	w.shard.SetAdmission(true)
 	w.shard.admission.since = w.now.Add(-time.Minute)
 	for b.Loop() {
-		w.shard.admission.busyUntil = w.now.Add(time.Minute)
+		w.shard.admission.forecastUntil = w.now.Add(time.Minute)
 		w.shard.estimateAdmission(w.now, false)
 	}
 }
--- a/policy/shard/admissionestimate.go
+++ b/policy/shard/admissionestimate.go
@@ -19,19 +19,19 @@
 	// overdueRest is how much longer a run is expected to take that exceeds its expected time,
 	// as a share of the time that it has taken.
 	overdueRest = 0.25
-	// busyHold is for how long waits are forecast after work within the rates has waited for
+	// forecastHold is for how long waits are forecast after work within the rates has waited for
 	// capacity: in a peak all that waits may start now and then, and large tasks find no gap still.
-	busyHold = 500 * time.Millisecond
+	forecastHold = 500 * time.Millisecond
 	// probeLead is when the jobs arrive whose waits are forecast: the mean age of an Admission
 	// when it is used.
 	probeLead = 150 * time.Millisecond
-	// pressedWait is the wait of a job, and pressedLoad the work of the last second as a share of
-	// the capacity, from which on the service counts as pressed; for the last two seconds the
-	// share is pressedLongLoad. pressedHold is for how long it does so after that.
-	pressedWait     = 200 * time.Millisecond
-	pressedLoad     = 1.7
-	pressedLongLoad = 1.45
-	pressedHold     = 2 * time.Second
+	// overloadWait is the wait of a job, and overloadShortLoad the work of the last second as a share of
+	// the capacity, from which on the service counts as overloaded; for the last two seconds the
+	// share is overloadLongLoad. overloadHold is for how long it does so after that.
+	overloadWait      = 200 * time.Millisecond
+	overloadShortLoad = 1.7
+	overloadLongLoad  = 1.45
+	overloadHold      = 2 * time.Second
 	// burstTime is for how long jobs are expected at the highest rate: the time until the next
 	// Admission has reached all instances.
 	burstTime = 400 * time.Millisecond
@@ -89,7 +89,7 @@
 	}
 	e.collectJobs()
 	e.noteBlocked()
-	e.notePressure()
+	e.noteOverload()
 	var a Admission
 	e.addLimits(&a)
 	if st.exhausted(now) {
@@ -121,22 +121,22 @@
 		st.saturatedAt = time.Time{}
 		return
 	}
-	st.busyUntil = e.now.Add(busyHold)
+	st.forecastUntil = e.now.Add(forecastHold)
 	if st.saturatedAt.IsZero() {
 		st.saturatedAt = e.now
 	}
 }
 
-// notePressure records whether the service is in a peak beyond its capacity: jobs wait long, and
+// noteOverload records whether the service is in a peak beyond its capacity: jobs wait long, and
 // more work arrived lately than the capacity can do. A few jobs at once don't make a peak.
-func (e *estimate) notePressure() {
+func (e *estimate) noteOverload() {
 	st := &e.shard.admission
 	capacity := float64(st.usableCPU)
-	above := e.arrivedWork(rateTime) >= pressedLoad*capacity || e.arrivedWork(2*rateTime) >= pressedLongLoad*capacity
-	begins := e.oldest >= pressedWait && above
-	continues := e.now.Before(st.pressedUntil) && e.oldest >= pressedWait/2
+	above := e.arrivedWork(rateTime) >= overloadShortLoad*capacity || e.arrivedWork(2*rateTime) >= overloadLongLoad*capacity
+	begins := e.oldest >= overloadWait && above
+	continues := e.now.Before(st.overloadedUntil) && e.oldest >= overloadWait/2
 	if e.blocked && (begins || continues) {
-		st.pressedUntil = e.now.Add(pressedHold)
+		st.overloadedUntil = e.now.Add(overloadHold)
 	}
 }
 
@@ -331,7 +331,7 @@
 // rejected; after that, those of the last second come again.
 func (e *estimate) expect(f *forecast) {
 	recent := e.shard.admission.recent
-	if !e.now.Before(e.shard.admission.pressedUntil) {
+	if !e.now.Before(e.shard.admission.overloadedUntil) {
 		return
 	}
 	burst := recent.busiest(burstTime)
@@ -376,7 +376,7 @@
 	switch {
 	case len(e.usable) == 0:
 		list = e.waitsWithoutExecutors()
-	case e.now.Before(e.shard.admission.busyUntil):
+	case e.now.Before(e.shard.admission.forecastUntil):
 		list = e.waits()
 	default:
 		return // what could start has started
--- a/policy/shard/admissionrates.go
+++ b/policy/shard/admissionrates.go
@@ -148,8 +148,9 @@
 	u.rate *= max(0, 1-passed/rateTime.Seconds())
 }
 
-// usableLimit returns what a tenant may use in this service, and whether it is limited.
-func (s *Shard) usableLimit(tenant cluster.TenantName) (job.Resources, bool) {
+// tenantLimit returns the tenant's limit for all services together, and whether it has one. The wait
+// computed from it is a lower bound, since other services may use part of the limit.
+func (s *Shard) tenantLimit(tenant cluster.TenantName) (job.Resources, bool) {
 	limit := s.tenants[tenant].Limit
 	return limit, limit != job.Resources{}
 }
--- a/policy/shard/admissiontenants.go
+++ b/policy/shard/admissiontenants.go
@@ -20,7 +20,7 @@
 func (e *estimate) addLimits(a *Admission) {
 	ahead := map[cluster.TenantName][]*aheadJob{}
 	for _, j := range e.jobs {
-		if _, limited := e.shard.usableLimit(j.tenant); limited {
+		if _, limited := e.shard.tenantLimit(j.tenant); limited {
 			ahead[j.tenant] = append(ahead[j.tenant], j)
 		}
 	}
@@ -47,7 +47,7 @@
 // tenant's jobs that has not started, divided by what the tenant may use. It is zero while the
 // tasks that could start now fit.
 func (e *estimate) limitWait(tenant cluster.TenantName, jobs []*aheadJob) time.Duration {
-	usable, _ := e.shard.usableLimit(tenant)
+	usable, _ := e.shard.tenantLimit(tenant)
 	free := usable.Sub(e.shard.usedBy(tenant))
 	var wait float64 // seconds
 	for _, resource := range []func(job.Resources) int64{
--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -40,7 +40,7 @@
 	// up to which calls to earlier incarnations may be on their way.
 	token         int64
 	outdatedToken int64
-	ackToken      int64            // the highest token of a poll with an acknowledgement; zero if none is open
+	ackToken      int64            // the highest token of a poll with an acknowledgement; where starts are prepared, zero if no such poll is open
 	openAcks      int              // polls with an acknowledgement that were not answered
 	restarted     bool             // there was an earlier incarnation
 	supersededAt  time.Time        // when a later incarnation was learned of; zero if there is none
--- a/policy/shard/needs.go
+++ b/policy/shard/needs.go
@@ -8,10 +8,9 @@
 )
 
 const (
-	// largeFactor is how many times the typical need a need must exceed to be large: room for a
-	// smaller one is left by the end of two or three typical tasks. Needs from 3 to 13 cores, as the
-	// target deployments have, are even work: with a factor of 2 their largest counted as large
-	// whenever some smaller ones came in a row.
+	// largeFactor is how many times the typical need a need must exceed to be large: two or three ending
+	// tasks make room for a smaller one. With a factor of 2, the largest of needs from 3 to 13 cores would
+	// at times count as large.
 	largeFactor = 2.5
 	// minNeedJobs is the number of jobs from which a need may count as large.
 	minNeedJobs = 8
@@ -24,10 +23,10 @@
 	typicalNeedTasks = 1000
 )
 
-// needMix tells whether the work is uneven: whether some tasks need far more than the typical one.
+// needMix tracks the sizes of recent needs, to detect uneven work: whether some tasks need far more than the typical one.
 // For even work, placement has to consider neither gaps nor what will end.
 type needMix struct {
-	factor float64 // largeFactor
+	factor float64 // largeFactor, but in tests
 	weight float64
 	jobs   int
 	// logCPU and logMemory are the decaying means of the logarithms of the needs of short tasks.
--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -250,8 +250,11 @@
 	return b.candidates
 }
 
-func (b *builder) mayBeGivenWork(e *executorState) bool {
-	return e.usable(b.now) && !e.reserved && e.trials == 0
+func (b *builder) mayBeGivenWork(e *executorState) bool { return e.acceptsWork(b.now) }
+
+// acceptsWork reports whether the executor may be given tasks, other than trials, capacity aside.
+func (e *executorState) acceptsWork(now time.Time) bool {
+	return e.usable(now) && !e.reserved && e.trials == 0
 }
 
 // allows reports whether the executor meets the step's constraints, capacity aside.
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -105,7 +105,7 @@
 		s.NoteObservation(now.Sub(s.batchStats.openedAt)) // no load was published meanwhile
 	}
 	s.decideExcess(now)
-	s.updateCarry(now)
+	s.updateSurpluses(now)
 	s.resetBlocked()
 	b := &builder{shard: s, now: now, entriesLeft: maxEntries - loadEntries, included: map[*jobState]bool{}}
 	changed := b.changed()
--- a/policy/shard/prepared.go
+++ b/policy/shard/prepared.go
@@ -65,7 +65,8 @@
 // succeeded was sent. No prepared start is used before the first call.
 func (s *Shard) ConfirmTerm(at time.Time) { s.prepared.confirmedAt = at }
 
-// preparesStarts reports whether starts are prepared: where the operator has configured tenants.
+// preparesStarts reports whether starts are prepared: from the first configuration with tenants, even if
+// the list is empty, to the end of the term.
 func (s *Shard) preparesStarts() bool { return s.tenants != nil }
 
 // prepare prepares the starts of the job that come next, for the write that is being built.
@@ -207,7 +208,7 @@
 // longer than estimated.
 func (p *preparedPlaces) suits(e *executorState) bool {
 	def := p.step.def
-	return e.acceptsPrepared(p.builder.now) && p.step.allows(e, p.builder.now) && (def.Affinity == "" || e.Rack() == def.Affinity)
+	return e.acceptsWork(p.builder.now) && p.step.allows(e, p.builder.now) && (def.Affinity == "" || e.Rack() == def.Affinity)
 }
 
 // take returns the executor with the most room for one more task of the step; if there is none with
@@ -278,11 +279,6 @@
 	return false
 }
 
-// acceptsPrepared reports whether prepared starts may be used on the executor, capacity aside.
-func (e *executorState) acceptsPrepared(now time.Time) bool {
-	return e.usable(now) && !e.reserved && e.trials == 0
-}
-
 // usePrepared starts tasks by their prepared starts if the store does not respond.
 func (s *Shard) usePrepared(now time.Time) {
 	silent := s.openBatchAge(now) >= storeSilentAfter && !s.prepared.confirmedAt.IsZero()
@@ -365,7 +361,7 @@
 	if t.crashes.suspect() || withMargin(t.step.def.Estimate) > lease || s.mayBeListedUnreached(e.ID) {
 		return false
 	}
-	return s.executors[e.ID] == e && e.acceptsPrepared(now) && e.token != 0 && s.hasStartToken(e)
+	return s.executors[e.ID] == e && e.acceptsWork(now) && e.token != 0 && s.hasStartToken(e)
 }
 
 // sendDecided lets those starts of the open batch be sent that were written ahead. They are taken out
--- a/policy/shard/quota.go
+++ b/policy/shard/quota.go
@@ -27,8 +27,8 @@
 // occupied returns the need of everything of the tenant that may be running.
 func (u *tenantUse) occupied() job.Resources { return u.used.Add(u.orphans) }
 
-// admitsAhead reports whether one task of a step may start while no batch is planned, and so what blocks
-// the tenant is not looked at again: what waits for the portion goes first.
+// admitsAhead reports whether one task of a step may start between batches. It leaves room for the task
+// that waits for the portion.
 func (u *tenantUse) admitsAhead(def *job.Step) bool {
 	if !u.usable.Limited {
 		return true
@@ -183,7 +183,7 @@
 	}
 	var free job.Resources
 	for _, e := range b.shard.sortedExecutors() {
-		if b.mayGetWork(e) {
+		if b.acceptsWorkOrTrial(e) {
 			free = free.Add(atLeastZero(e.free()))
 		}
 	}
@@ -192,8 +192,8 @@
 	}
 }
 
-// mayGetWork reports whether the executor can be given work, be it only a trial.
-func (b *builder) mayGetWork(e *executorState) bool {
+// acceptsWorkOrTrial reports whether the executor can be given work, be it only a trial.
+func (b *builder) acceptsWorkOrTrial(e *executorState) bool {
 	return b.mayBeGivenWork(e) || e.allowsTrial(b.now)
 }
 
@@ -204,7 +204,7 @@
 		return false
 	}
 	for _, e := range b.shard.sortedExecutors() {
-		if b.mayGetWork(e) && need.Fits(e.free()) {
+		if b.acceptsWorkOrTrial(e) && need.Fits(e.free()) {
 			return true
 		}
 	}
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -75,7 +75,7 @@
 	undecided       []*jobState                           // jobs of which decideExcess has yet to decide
 	observedAt      time.Time                             // jobs added now were accepted after that; zero during a takeover
 	order           shareOrder                            // reused by each ordering
-	carryAt         time.Time                             // when updateCarry was called last
+	surplusAt       time.Time                             // when updateSurpluses was called last
 	uses            map[cluster.TenantName]*tenantUse     // of the tenants that have had jobs or limits
 	blocked         []*tenantUse                          // those that the last batch kept from starting tasks
 	orphaned        []*tenantUse                          // those with orphans, possibly repeated
--- a/policy/shard/shareorder.go
+++ b/policy/shard/shareorder.go
@@ -38,7 +38,7 @@
 	fits := ready.Fits(o.free)
 	o.free = o.free.Sub(ready)
 	if fits {
-		o.giveAll()
+		o.countAllPlanned()
 		return append(order, jobs...)
 	}
 	o.noteContention(u)
@@ -48,7 +48,7 @@
 		t := first.share
 		next := &t.queue[t.next]
 		order = append(order, next.job)
-		t.given = t.given.Add(next.ready)
+		t.planned = t.planned.Add(next.ready)
 		t.next++
 		if t.next == len(t.queue) {
 			t.clearQueue()
@@ -77,11 +77,11 @@
 	return ready
 }
 
-// giveAll counts the need of all queued jobs as used by their tenants, and empties the queues.
-func (o *shareOrder) giveAll() {
+// countAllPlanned counts the need of all queued jobs as used by their tenants, and empties the queues.
+func (o *shareOrder) countAllPlanned() {
 	for _, first := range o.turns {
 		for i := range first.share.queue {
-			first.share.given = first.share.given.Add(first.share.queue[i].ready)
+			first.share.planned = first.share.planned.Add(first.share.queue[i].ready)
 		}
 		first.share.clearQueue()
 	}
@@ -99,15 +99,15 @@
 	}
 }
 
-// keyOf returns the dominant share of a tenant for its weight, with what it carries.
+// keyOf returns the dominant share of a tenant for its weight, with its surplus.
 func (o *shareOrder) keyOf(t *tenantShare) float64 {
-	return dominantShare(t.used.Add(t.given), o.capacity)/t.weight + t.carry/carryTime.Seconds()
+	return dominantShare(t.used.Add(t.planned), o.capacity)/t.weight + t.surplus/surplusTime.Seconds()
 }
 
 // done resets what the ordering has set.
 func (o *shareOrder) done() {
 	for _, t := range o.touched {
-		t.given = job.Resources{}
+		t.planned = job.Resources{}
 	}
 }
 
@@ -145,8 +145,8 @@
 	}
 }
 
-// fix restores the heap after the turn at a position, or the first one, has become later. It replaces
-// container/heap, whose calls through an interface took a quarter of the time of an order.
+// fix restores the heap after the turn at a position, or the first one, has become later. container/heap
+// is not used, since its interface calls took a quarter of the ordering time.
 func (t turns) fix(i int) {
 	for {
 		child := 2*i + 1
--- a/policy/shard/shares.go
+++ b/policy/shard/shares.go
@@ -13,36 +13,38 @@
 	name       cluster.TenantName
 	configured bool    // the operator's configuration has the tenant
 	weight     float64 // 1 for a tenant that is not configured
-	used       job.Resources
-	bucket     tokenBucket
+	// used is the reservations of its runs, without orphans: what counts for its share. tenantUse counts
+	// needs, for the limit.
+	used   job.Resources
+	bucket tokenBucket
 	// withinRate and beyondRate count the jobs that were added in this term.
 	withinRate, beyondRate int64
 
-	// carry is the time integral of how far the weighted share exceeded the mean of those that had
+	// surplus is the time integral of how far the weighted share exceeded the mean of those that had
 	// to wait, in seconds of a weighted share; negative if it fell short.
-	carry float64
+	surplus float64
 	// contending is set while the tenant's work has to wait; see noteContention.
 	contending bool
 
 	// The fields below are set during one ordering.
-	given job.Resources // the need of its jobs that are in the order already
-	queue []rankedJob   // its jobs of the rank, by deadline
-	next  int           // position in queue of the first one that is not in the order yet
+	planned job.Resources // the need of its jobs that are in the order already
+	queue   []rankedJob   // its jobs of the rank, by deadline
+	next    int           // position in queue of the first one that is not in the order yet
 }
 
 const (
-	// carryTime is the time within which a deviation from the share is made up for. Shares of whole
+	// surplusTime is the time within which a deviation from the share is made up for. Shares of whole
 	// jobs can't be exact at each moment; without the correction the same tenants would be rounded
 	// up each time.
-	carryTime = 1 * time.Second
+	surplusTime = 1 * time.Second
 	// maxSurplus and maxDeficit bound the correction, in multiples of the mean weighted share: a
 	// tenant of small weight is rounded up by much with one job, and may have to pause for long, but
 	// not without bound; a tenant that could not use its share gets up to twice the share
 	// afterwards.
 	maxSurplus = 4.0
 	maxDeficit = 1.0
-	// maxCarryPeriod bounds the time between two updates for which the present use counts.
-	maxCarryPeriod = 500 * time.Millisecond
+	// maxSurplusPeriod bounds the time between two updates for which the present use counts.
+	maxSurplusPeriod = 500 * time.Millisecond
 )
 
 // shareOf returns the share of a tenant, a new one if it has none yet.
@@ -112,17 +114,17 @@
 func (s *Shard) usableFree(now time.Time) job.Resources {
 	var free job.Resources
 	for _, e := range s.executors {
-		if e.usable(now) && !e.reserved && e.trials == 0 {
+		if e.acceptsWork(now) {
 			free = free.Add(e.free())
 		}
 	}
 	return free
 }
 
-// updateCarry adds the time since the last update to the carries.
-func (s *Shard) updateCarry(now time.Time) {
-	period := min(now.Sub(s.carryAt), maxCarryPeriod).Seconds()
-	s.carryAt = now
+// updateSurpluses adds the time since the last update to the surpluses.
+func (s *Shard) updateSurpluses(now time.Time) {
+	period := min(now.Sub(s.surplusAt), maxSurplusPeriod).Seconds()
+	s.surplusAt = now
 	if !s.sharesApply() || period <= 0 {
 		return
 	}
@@ -139,9 +141,9 @@
 	}
 	for _, t := range s.shareList {
 		if contending.weights > 0 {
-			t.addCarry(dominantShare(t.used, capacity)/t.weight-contending.mean(), active.mean(), period)
+			t.addSurplus(dominantShare(t.used, capacity)/t.weight-contending.mean(), active.mean(), period)
 		} else {
-			t.fadeCarry(period)
+			t.decaySurplus(period)
 		}
 		t.contending = false
 	}
@@ -157,22 +159,22 @@
 
 func (w *weightedShares) mean() float64 { return w.shares / w.weights }
 
-// fadeCarry lets what the tenant carried end within about carryTime.
-func (t *tenantShare) fadeCarry(period float64) {
-	t.carry *= max(0, 1-period/carryTime.Seconds())
+// decaySurplus lets a surplus or deficit end within about surplusTime.
+func (t *tenantShare) decaySurplus(period float64) {
+	t.surplus *= max(0, 1-period/surplusTime.Seconds())
 }
 
-// addCarry adds the deviation of a tenant's weighted share, over a period, from the mean of the tenants
+// addSurplus adds the deviation of a tenant's weighted share, over a period, from the mean of the tenants
 // that contend. The bounds refer to the mean of all that use the service or contend. A tenant whose work
 // does not wait gains no claim by using less.
-func (t *tenantShare) addCarry(deviation, mean, period float64) {
-	unit := mean * carryTime.Seconds()
+func (t *tenantShare) addSurplus(deviation, mean, period float64) {
+	unit := mean * surplusTime.Seconds()
 	least := -maxDeficit * unit
 	if !t.contending {
-		if t.carry < 0 {
-			t.fadeCarry(period)
+		if t.surplus < 0 {
+			t.decaySurplus(period)
 		}
-		least = min(0, t.carry)
+		least = min(0, t.surplus)
 	}
-	t.carry = min(max(t.carry+deviation*period, least), maxSurplus*unit)
+	t.surplus = min(max(t.surplus+deviation*period, least), maxSurplus*unit)
 }
--- a/policy/shard/shares_test.go
+++ b/policy/shard/shares_test.go
@@ -86,7 +86,7 @@
 		}
 		for _, s := range h.shard.shareList {
 			assert.Equal(rt, len(s.queue), 0)
-			assert.Equal(rt, s.given, job.Resources{})
+			assert.Equal(rt, s.planned, job.Resources{})
 		}
 	})
 }
