Intake: one way from a request to its queue and caller, one to a stored state; one bound of the fleet's statements

The check after the body repeated that of the header with a gap: it refused a queue as unknown (404) by a configuration that had become outdated meanwhile; both now go through resolve, and such a request gets 503 (tested). currentState and stateIn were the same, storeRejection had a parameter without use, ends were tested twice for the two forecasts, and the age of a statement of the fleet planner stood in three places. No other behaviour changes; the test of a repeated submission passes the job's ID in place of its key, with the same three cases.

--- a/entry/fleetduty/exhausted.go
+++ b/entry/fleetduty/exhausted.go
@@ -8,11 +8,11 @@
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/entry/layout"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
-// exhaustedInterval is the time between two writes while services have too few machines; owners
-// ignore what is three times as old.
-const exhaustedInterval = 500 * time.Millisecond
+// exhaustedInterval is the time between two writes while services have too few machines.
+const exhaustedInterval = shard.MaxExhaustedAge / 3
 
 // maxExhausted bounds how many services one write names; with those that it removes, it stays within
 // the entries of a transaction.
--- a/entry/intake/admission.go
+++ b/entry/intake/admission.go
@@ -85,12 +85,12 @@
 	if !d.Rejected {
 		return nil, 0
 	}
-	stored, result, _ := i.storeRejection(ctx, c, d, retryTime(d), 0)
+	stored, result, _ := i.storeRejection(ctx, c, retryTime(d), 0)
 	if stored {
 		return i.rejected(c, d), 0
 	}
-	item, state, found := currentState(result, c.id)
-	if !found || state.Rejected == nil || !state.Rejected.Settled(arrivalOf(ctx)) {
+	item, state, err := storedState(c.id, result)
+	if err != nil || state.Rejected == nil || !state.Rejected.Settled(arrivalOf(ctx)) {
 		return nil, 0 // the write of the job finds what is stored, and is answered accordingly
 	}
 	if admit.TimingOf(state.Rejected.RetryAt, arrivalOf(ctx)) == admit.OnTime {
@@ -100,7 +100,7 @@
 	if !d.Rejected {
 		return nil, item.Revision
 	}
-	if stored, _, _ = i.storeRejection(ctx, c, d, retryTime(d), item.Revision); !stored {
+	if stored, _, _ = i.storeRejection(ctx, c, retryTime(d), item.Revision); !stored {
 		return nil, item.Revision
 	}
 	return i.rejected(c, d), 0
@@ -112,7 +112,7 @@
 // storeRejection stores a rejection under the job's key, on condition that the key has the given
 // revision. There is one attempt: the job is rather accepted than kept waiting. A rejection that is
 // there already is replaced, too, so that no other request that is being handled can replace it.
-func (i *Intake) storeRejection(ctx context.Context, c candidate, d admit.Decision, retryAt time.Time, revision kv.Revision) (stored bool, result kv.TxnResult, err error) {
+func (i *Intake) storeRejection(ctx context.Context, c candidate, retryAt time.Time, revision kv.Revision) (stored bool, result kv.TxnResult, err error) {
 	now := time.Now()
 	value, err := layout.Encode(layout.State{
 		Service: c.queue.Service, Queue: c.queue.Name, Tenant: c.tenant, State: job.Cancelled, FinalAt: now,
@@ -130,26 +130,14 @@
 	return err == nil && result.Applied, result, err
 }
 
-// currentState returns the state of a job that kept a write from being applied, if it is readable.
-func currentState(result kv.TxnResult, id job.ID) (kv.Item, layout.State, bool) {
-	for _, item := range result.Current {
-		if item.Key != layout.JobKey(id) {
-			continue
-		}
-		state, err := layout.Decode[layout.State](item.Key, item.Value)
-		return item, state, err == nil
-	}
-	return kv.Item{}, layout.State{}, false
-}
-
 // replaceRejection repeats a write that found a rejection under the job's key, so that the job
 // replaces it. A request that may have arrived before the rejection is rejected like the one that
 // got it.
 func (i *Intake) replaceRejection(ctx context.Context, c candidate, t kv.Txn, result kv.TxnResult) (kv.TxnResult, *response) {
 	var err error
 	for range maxReplacements {
-		item, state, found := currentState(result, c.id)
-		if result.Applied || !found || state.Rejected == nil {
+		item, state, missing := storedState(c.id, result)
+		if result.Applied || missing != nil || state.Rejected == nil {
 			return result, nil
 		}
 		if state.Rejected.Settled(arrivalOf(ctx)) {
@@ -163,14 +151,14 @@
 		d := admit.Early(admit.Decision{}, state.Rejected.RetryAt, time.Now())
 		var stored bool
 		// The retry time stays: a caller that sends early, or twice, must not push its own turn on.
-		if stored, result, err = i.storeRejection(ctx, c, d, state.Rejected.RetryAt, item.Revision); stored {
+		if stored, result, err = i.storeRejection(ctx, c, state.Rejected.RetryAt, item.Revision); stored {
 			return result, i.rejected(c, d)
 		}
 		if err != nil {
 			break
 		}
 	}
-	if _, state, found := currentState(result, c.id); err == nil && (result.Applied || !found || state.Rejected == nil) {
+	if _, state, missing := storedState(c.id, result); err == nil && (result.Applied || missing != nil || state.Rejected == nil) {
 		return result, nil
 	}
 	return result, &response{status: http.StatusGatewayTimeout, reason: "rejected elsewhere at the same time"}
--- a/entry/intake/identity.go
+++ b/entry/intake/identity.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/job"
 	"github.com/tarragonreach/tarragonreach/entry/layout"
 	"github.com/tarragonreach/tarragonreach/entry/operatorconfig"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
@@ -29,6 +30,23 @@
 	tenant  cluster.TenantName // empty on a public queue, and without tenancy
 }
 
+// resolve returns the queue of a request and who makes it, or the refusal. A queue that is unknown may be
+// in a configuration that is newer than an outdated one.
+func (i *Intake) resolve(k operatorconfig.Knowledge, r *http.Request) (caller, *response) {
+	if k.Config == nil {
+		return caller{}, &response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "no configuration yet"}
+	}
+	queue, found := k.Config.Route(hostOf(r), r.URL.Path)
+	switch {
+	case found:
+		return i.identify(k, queue, r.Header)
+	case k.Recent:
+		return caller{}, &response{status: http.StatusNotFound, reason: "no such queue"}
+	default:
+		return caller{}, &response{status: http.StatusServiceUnavailable, retryAfter: i.retryAfter(), reason: "no such queue by an outdated configuration"}
+	}
+}
+
 // identify returns who makes a request to a queue, or the refusal. With tenants, nothing is decided
 // by a configuration that is not recent: a key may have been added or removed since, and a queue may
 // not be public any more.
@@ -65,13 +83,13 @@
 	return !c.tenancy || s.Tenant == "" || s.Tenant == c.tenant || c.queue.Public && s.Queue == c.queue.Name
 }
 
-// repeated returns the response to a submission of an ID that exists already. current are the items
-// of the failed condition.
-func (c caller) repeated(key string, current []kv.Item) response {
+// repeated returns the response to a submission of an ID that exists already, given the result of its
+// write, whose condition failed.
+func (c caller) repeated(id job.ID, result kv.TxnResult) response {
 	if !c.tenancy {
 		return response{status: http.StatusOK, reason: "stored before"}
 	}
-	state, err := stateIn(key, current)
+	_, state, err := storedState(id, result)
 	if err != nil { // whose job it is, is unknown
 		return response{status: http.StatusGatewayTimeout, reason: err.Error()}
 	}
@@ -81,15 +99,18 @@
 	return response{status: http.StatusOK, reason: "stored before"}
 }
 
-var errNoState = errors.New("the store's answer lacks the stored state")
+var errNoState = errors.New("the store's response lacks the stored state")
 
-func stateIn(key string, items []kv.Item) (layout.State, error) {
-	for _, item := range items {
+// storedState returns the state of a job, and its item, that kept a write from being applied.
+func storedState(id job.ID, result kv.TxnResult) (kv.Item, layout.State, error) {
+	key := layout.JobKey(id)
+	for _, item := range result.Current {
 		if item.Key == key {
-			return layout.Decode[layout.State](item.Key, item.Value)
+			state, err := layout.Decode[layout.State](item.Key, item.Value)
+			return item, state, err
 		}
 	}
-	return layout.State{}, fmt.Errorf("%s: %w", key, errNoState)
+	return kv.Item{}, layout.State{}, fmt.Errorf("%s: %w", key, errNoState)
 }
 
 // noTenant is the tenant of metrics of requests that belong to none.
--- a/entry/intake/identity_test.go
+++ b/entry/intake/identity_test.go
@@ -154,7 +154,7 @@
 func TestRepeatedSubmissionWithoutTheStoredStateIsUnknown(t *testing.T) {
 	who := caller{tenancy: true, tenant: "north"}
 	for _, items := range [][]kv.Item{nil, {{Key: "jobs/other", Value: []byte(`{}`)}}, {{Key: "jobs/a", Value: []byte(`x`)}}} {
-		assert.Equal(t, who.repeated("jobs/a", items).status, http.StatusGatewayTimeout)
+		assert.Equal(t, who.repeated("a", kv.TxnResult{Current: items}).status, http.StatusGatewayTimeout)
 	}
 }
 
@@ -199,19 +199,27 @@
 }
 
 // A body may arrive long after the header by which the caller was identified. A key that was removed
-// meanwhile must not store the job.
-func TestKeyRemovedWhileTheBodyIsReadStoresNothing(t *testing.T) {
-	config := &fakeConfig{present: operatorconfig.Knowledge{Config: testConfig(t, tenantsText), Recent: true}}
-	store := &fakeStore{items: map[string]kv.Item{}}
-	i := New(store, config, func() bool { return false }, slog.New(slog.DiscardHandler), tally.NoopScope)
-	body := &lateBody{Reader: strings.NewReader(testBody), arrives: func() { config.present.Config = testConfig(t, `,"tenants":[]`) }}
-	r := httptest.NewRequest(http.MethodPost, "/closed/"+string(testJob), body)
-	r.Host = host
-	r.Header.Set("Authorization", "Bearer "+northKey)
-	w := httptest.NewRecorder()
-	i.Handler().ServeHTTP(w, r)
-	assert.Equal(t, w.Code, http.StatusUnauthorized)
-	assert.Equal(t, len(store.items), 0)
+// meanwhile must not store the job, and a configuration that has become outdated refuses no queue as
+// unknown.
+func TestSubmissionIsDecidedAgainOnceItsBodyWasRead(t *testing.T) {
+	noQueue := &cluster.Config{Version: 4, Tenancy: true}
+	for want, later := range map[int]operatorconfig.Knowledge{
+		http.StatusUnauthorized:       {Config: testConfig(t, `,"tenants":[]`), Recent: true},
+		http.StatusNotFound:           {Config: noQueue, Recent: true},
+		http.StatusServiceUnavailable: {Config: noQueue},
+	} {
+		config := &fakeConfig{present: operatorconfig.Knowledge{Config: testConfig(t, tenantsText), Recent: true}, awaited: later}
+		store := &fakeStore{items: map[string]kv.Item{}}
+		i := New(store, config, func() bool { return false }, slog.New(slog.DiscardHandler), tally.NoopScope)
+		body := &lateBody{Reader: strings.NewReader(testBody), arrives: func() { config.present = later }}
+		r := httptest.NewRequest(http.MethodPost, "/closed/"+string(testJob), body)
+		r.Host = host
+		r.Header.Set("Authorization", "Bearer "+northKey)
+		w := httptest.NewRecorder()
+		i.Handler().ServeHTTP(w, r)
+		assert.Equal(t, w.Code, want)
+		assert.Equal(t, len(store.items), 0)
+	}
 }
 
 // lateBody calls arrives before it is read.
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -154,28 +154,18 @@
 	defer cancel()
 	k := i.knowledge(ctx)
 	r.knowledge = k
-	if k.Config == nil {
-		return response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "no configuration yet"}
-	}
-	queue, found := k.Config.Route(hostOf(c.Request), c.Request.URL.Path)
-	if !found && !k.Recent {
-		return response{status: http.StatusServiceUnavailable, retryAfter: i.retryAfter(), reason: "no such queue by an outdated configuration"}
-	}
-	if !found {
-		return response{status: http.StatusNotFound, reason: "no such queue"}
-	}
-	rest := strings.TrimPrefix(c.Request.URL.Path, queue.Prefix)
+	who, refusal := i.resolve(k, c.Request)
+	r.caller = who
+	rest := strings.TrimPrefix(c.Request.URL.Path, who.queue.Prefix)
 	id, err := job.ParseID(rest)
 	if err == nil {
 		r.job = id // also for the log of a refusal
 	}
-	who, refusal := i.identify(k, queue, c.Request.Header)
-	r.caller = who
 	if refusal != nil {
 		return *refusal
 	}
 	if rest == "" && c.Request.Method == http.MethodGet {
-		return i.waitingCount(ctx, queue)
+		return i.waitingCount(ctx, who.queue)
 	}
 	if err != nil {
 		return response{status: http.StatusNotFound, reason: "no such job ID"} // without its text, which may hold anything
@@ -224,12 +214,7 @@
 	if !who.tenancy {
 		return nil
 	}
-	k := i.knowledge(ctx)
-	queue, found := k.Config.Route(hostOf(c.Request), c.Request.URL.Path)
-	if !found {
-		return &response{status: http.StatusNotFound, reason: "no such queue"}
-	}
-	again, refusal := i.identify(k, queue, c.Request.Header)
+	again, refusal := i.resolve(i.knowledge(ctx), c.Request)
 	if refusal == nil && (again.tenant != who.tenant || again.queue.Name != who.queue.Name) {
 		return &response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "the configuration has changed"}
 	}
--- a/entry/intake/jobs.go
+++ b/entry/intake/jobs.go
@@ -140,7 +140,7 @@
 	case result.Applied:
 		return response{status: http.StatusOK, reason: "stored"}
 	default:
-		return who.repeated(layout.JobKey(id), result.Current)
+		return who.repeated(id, result)
 	}
 }
 
--- a/entry/owner/load.go
+++ b/entry/owner/load.go
@@ -171,10 +171,7 @@
 	o.cordons[id] = shard.Cordon{ID: cordon.ID, Evacuation: evacuation}
 }
 
-// maxExhaustedAge is the age from which a statement of the fleet planner counts for nothing: it may
-// come from a planner that is lost. The clocks of the instances may differ.
-const maxExhaustedAge = 1500 * time.Millisecond
-
+// applyExhausted passes on what the fleet planner states. The clocks of the instances may differ.
 func (o *Owner) applyExhausted(event kv.Event, now time.Time) {
 	if event.Removed {
 		o.shard.NoteFleetExhausted(time.Time{})
@@ -185,7 +182,7 @@
 		o.Logger.Error("statement of the fleet planner not readable", "error", err)
 		return
 	}
-	if age := now.Sub(time.UnixMilli(exhausted.AtMs)); age.Abs() <= maxExhaustedAge {
+	if age := now.Sub(time.UnixMilli(exhausted.AtMs)); age.Abs() <= shard.MaxExhaustedAge {
 		o.shard.NoteFleetExhausted(now.Add(-max(0, age)))
 	}
 }
--- a/policy/shard/admission.go
+++ b/policy/shard/admission.go
@@ -200,12 +200,13 @@
 // service; zero if it has.
 func (s *Shard) NoteFleetExhausted(at time.Time) { s.admission.exhaustedAt = at }
 
-// exhaustedTime is how long a statement of the planner counts. It is renewed more often.
-const exhaustedTime = 1500 * time.Millisecond
+// MaxExhaustedAge is the age up to which a statement of the planner counts: it may come from one that is
+// lost. It is renewed three times as often, so that a missed write does not end it.
+const MaxExhaustedAge = 1500 * time.Millisecond
 
 // exhausted reports whether no machines can be added to the pool.
 func (a *admissionState) exhausted(now time.Time) bool {
-	return !a.poolGrows || !a.exhaustedAt.IsZero() && now.Sub(a.exhaustedAt) < exhaustedTime
+	return !a.poolGrows || !a.exhaustedAt.IsZero() && now.Sub(a.exhaustedAt) < MaxExhaustedAge
 }
 
 // due reports whether the waits have to be estimated.
--- a/policy/shard/completions.go
+++ b/policy/shard/completions.go
@@ -16,9 +16,6 @@
 	r := t.current
 	e.removeRun(r)
 	t.current = nil
-	if row.Reason == execution.EndedDone {
-		s.noteCompletion(r, now)
-	}
 	j := t.step.job
 	j.markChanged()
 	t.clearOfCrashes() // the executor outlived the run
@@ -27,6 +24,7 @@
 	}
 	switch row.Reason {
 	case execution.EndedDone:
+		s.noteCompletion(r, now)
 		s.learnRunTime(r, now)
 		s.applyDone(e, t)
 	case execution.EndedFailed:
