Intake: status requests that fail for different reasons can be told apart

What operators saw: refused status requests had status 503 and the text of an error, answered ones left no line, and nothing said how often the store refused a read. A rate that all instances exceed could not be told from an outage.

Each response now has an outcome from a bounded set. It is a tag of the request histogram and a field of the request's line, beside the number of store calls, refused calls and the deadline. A line a second sums up status requests, if there were any. Calls to the store are counted by result.

The test that lists the refusal counters now selects them by name, since there are other counters.

--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -81,6 +81,7 @@
 	followers      sync.WaitGroup
 	services       map[cluster.Service]bool // that this instance campaigns for
 	election       *election.Election
+	intake         *intake.Intake
 	dutyCtx        context.Context
 	admissions     *admissions.Follower
 }
@@ -112,9 +113,9 @@
 		operatorconfig.Options{ApplyWithin: node.ConfigApply, RevokeWithin: node.RevokeWithin}, h.campaignForServices, logger, m.Scope.SubScope("config"))
 	h.election = election.New(h.store, node.ID, node.Zone, node.Cores, logger)
 	h.admissions = admissions.New(h.store, h.election, logger)
-	in := intake.New(h.store, h.config, h.leaving.Load, logger, m.Scope.SubScope("intake"))
-	in.SetAdmissions(h.admissions)
-	h.front = &http.Server{Handler: in.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	h.intake = intake.New(h.store, h.config, h.leaving.Load, logger, m.Scope.SubScope("intake"))
+	h.intake.SetAdmissions(h.admissions)
+	h.front = &http.Server{Handler: h.intake.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	h.probes = &http.Server{Handler: h.probeHandler(), ReadHeaderTimeout: headerTimeout}
 	return h
 }
@@ -176,6 +177,7 @@
 	h.followers.Go(func() { h.config.Run(background) })
 	h.followers.Go(func() { h.store.Probe(background) })
 	h.followers.Go(func() { h.admissions.Run(background) })
+	h.followers.Go(func() { h.intake.Run(background) })
 	if h.node.MachinesAddress != "" {
 		h.campaigns.Go(h.campaignForFleet)
 	}
--- a/entry/intake/admission.go
+++ b/entry/intake/admission.go
@@ -161,7 +161,7 @@
 	if _, state, missing := storedState(c.id, result); err == nil && (result.Applied || missing != nil || state.Rejected == nil) {
 		return result, nil
 	}
-	return result, &response{status: http.StatusGatewayTimeout, reason: "rejected elsewhere at the same time"}
+	return result, &response{status: http.StatusGatewayTimeout, reason: "rejected elsewhere at the same time", outcome: outcomeUnknown}
 }
 
 // rejected logs and counts a rejection and returns its response.
@@ -173,5 +173,5 @@
 	i.logger.Info("rejected", "job", string(c.id), "queue", c.queue.Name, "tenant", string(c.tenant), "reason", string(d.Reason),
 		"knowledge_age_ms", d.Age.Milliseconds(), "wait_ms", d.Wait.Milliseconds(), "slack_ms", d.Slack.Milliseconds(),
 		"retry_after_s", strconv.Itoa(int(d.RetryAfter/time.Second)))
-	return &response{status: http.StatusTooManyRequests, retryAfter: d.RetryAfter, reason: string(d.Reason)}
+	return &response{status: http.StatusTooManyRequests, retryAfter: d.RetryAfter, reason: string(d.Reason), outcome: outcomeRejected}
 }
--- a/entry/intake/fakes_test.go
+++ b/entry/intake/fakes_test.go
@@ -20,6 +20,7 @@
 	"github.com/tarragonreach/tarragonreach/entry/operatorconfig"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 	"github.com/tarragonreach/tarragonreach/platform/registry"
+	"github.com/tarragonreach/tarragonreach/platform/submission"
 )
 
 // fakeStore is a store in memory that lists the calls that it receives.
@@ -27,10 +28,19 @@
 	items       map[string]kv.Item
 	calls       []string
 	unavailable bool
+	failure     error // of all reads
+	silent      bool  // reads get no response
 }
 
-func (s *fakeStore) Get(_ context.Context, key string) (kv.Item, error) {
+func (s *fakeStore) Get(ctx context.Context, key string) (kv.Item, error) {
 	s.calls = append(s.calls, "get "+key)
+	if s.silent {
+		<-ctx.Done()
+		return kv.Item{}, ctx.Err()
+	}
+	if s.failure != nil {
+		return kv.Item{}, s.failure
+	}
 	item, found := s.items[key]
 	if !found {
 		return item, kv.ErrNotFound
@@ -108,7 +118,10 @@
 	config  *fakeConfig
 	scope   tally.TestScope
 	log     bytes.Buffer
+	intake  *Intake
 	handler http.Handler
+	// deadline is the value of the header with the caller's deadline; none if empty.
+	deadline string
 }
 
 func newTestIntake(k operatorconfig.Knowledge, stored ...layout.State) *testIntake {
@@ -124,7 +137,8 @@
 		i.store.items[layout.JobKey(testJob)] = kv.Item{Key: layout.JobKey(testJob), Value: value, Revision: 5}
 	}
 	logger := slog.New(slog.NewJSONHandler(&i.log, nil))
-	i.handler = New(i.store, i.config, func() bool { return false }, logger, i.scope).Handler()
+	i.intake = New(i.store, i.config, func() bool { return false }, logger, i.scope)
+	i.handler = i.intake.Handler()
 	return i
 }
 
@@ -138,6 +152,9 @@
 	for _, value := range authorization {
 		request.Header.Add("Authorization", value)
 	}
+	if i.deadline != "" {
+		request.Header.Set(submission.HeaderDeadline, i.deadline)
+	}
 	recorder := httptest.NewRecorder()
 	i.handler.ServeHTTP(recorder, request)
 	return recorder
--- a/entry/intake/identity.go
+++ b/entry/intake/identity.go
@@ -34,16 +34,19 @@
 // in a configuration that is newer than an outdated one.
 func (i *Intake) resolve(k operatorconfig.Knowledge, r *http.Request) (caller, *response) {
 	if k.Config == nil {
-		return caller{}, &response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "no configuration yet"}
+		return caller{}, &response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "no configuration yet", outcome: outcomeNoConfig}
 	}
 	queue, found := k.Config.Route(hostOf(r), r.URL.Path)
 	switch {
 	case found:
 		return i.identify(k, queue, r.Header)
 	case k.Recent:
-		return caller{}, &response{status: http.StatusNotFound, reason: "no such queue"}
+		return caller{}, &response{status: http.StatusNotFound, reason: "no such queue", outcome: outcomeNoQueue}
 	default:
-		return caller{}, &response{status: http.StatusServiceUnavailable, retryAfter: i.retryAfter(), reason: "no such queue by an outdated configuration"}
+		return caller{}, &response{
+			status: http.StatusServiceUnavailable, retryAfter: i.retryAfter(), reason: "no such queue by an outdated configuration",
+			outcome: outcomeConfigNotRecent,
+		}
 	}
 }
 
@@ -56,7 +59,10 @@
 		return c, nil
 	}
 	if !k.Recent {
-		return c, &response{status: http.StatusServiceUnavailable, retryAfter: i.retryAfter(), reason: reasonNotRecent, refusal: reasonNotRecent}
+		return c, &response{
+			status: http.StatusServiceUnavailable, retryAfter: i.retryAfter(), reason: reasonNotRecent, refusal: reasonNotRecent,
+			outcome: outcomeConfigNotRecent,
+		}
 	}
 	if queue.Public {
 		return c, nil
@@ -74,7 +80,7 @@
 }
 
 func unauthorized(reason string) *response {
-	return &response{status: http.StatusUnauthorized, reason: reason, refusal: reason}
+	return &response{status: http.StatusUnauthorized, reason: reason, refusal: reason, outcome: outcomeKeyRefused}
 }
 
 // mayAccess reports whether the caller may read and cancel a job. Jobs without a tenant are
@@ -91,10 +97,10 @@
 	}
 	_, state, err := storedState(id, result)
 	if err != nil { // whose job it is, is unknown
-		return response{status: http.StatusGatewayTimeout, reason: err.Error()}
+		return response{status: http.StatusGatewayTimeout, reason: err.Error(), outcome: outcomeUnknown}
 	}
 	if !c.mayAccess(state) {
-		return response{status: http.StatusConflict, reason: reasonOtherTenants, refusal: reasonOtherTenants}
+		return response{status: http.StatusConflict, reason: reasonOtherTenants, refusal: reasonOtherTenants, outcome: outcomeOtherTenant}
 	}
 	return response{status: http.StatusOK, reason: "stored before"}
 }
--- a/entry/intake/identity_test.go
+++ b/entry/intake/identity_test.go
@@ -174,6 +174,9 @@
 	i.call(http.MethodPost, path, "Bearer "+southKey)
 	counts := map[string]int64{}
 	for _, counter := range i.scope.Snapshot().Counters() {
+		if counter.Name() != "refusals" {
+			continue
+		}
 		counts[counter.Tags()["tenant"]+": "+counter.Tags()["reason"]] += counter.Value()
 	}
 	assert.DeepEqual(t, counts, map[string]int64{
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -56,6 +56,7 @@
 	leaving func() bool
 	// admissions is nil if no job is rejected for lack of capacity.
 	admissions Admissions
+	summary    summary
 }
 
 // New returns an intake. While leaving reports true, connections are closed after the
@@ -92,6 +93,7 @@
 	retryAfter time.Duration
 	reason     string // for the log
 	refusal    string // why the caller's identity does not allow the request; empty otherwise
+	outcome    outcome
 }
 
 // record describes a request that was handled, for the log and the metrics.
@@ -102,6 +104,9 @@
 	response  response
 	took      time.Duration
 	knowledge operatorconfig.Knowledge // by which it was decided
+	deadline  time.Duration            // from its arrival to when the response was due
+	calls     storeCalls
+	forCount  bool // it asks for the number of waiting jobs
 }
 
 func (i *Intake) serve(c *gin.Context) {
@@ -130,9 +135,11 @@
 
 func (i *Intake) recordRequest(r record) {
 	queue := r.caller.queue.Name
-	scope := i.scope.Tagged(map[string]string{"queue": queue, "method": r.method, "status": strconv.Itoa(r.response.status)})
+	ended := r.response.endedAs().String()
+	scope := i.scope.Tagged(map[string]string{"queue": queue, "method": methodTag(r.method), "status": strconv.Itoa(r.response.status), "outcome": ended})
 	scope.Histogram("request_seconds", tally.DefaultBuckets).RecordDuration(r.took)
 	i.recordTenant(r)
+	i.summary.add(r)
 	if r.method == http.MethodGet && r.response.status == http.StatusOK {
 		return // not logged: a successful read changes nothing
 	}
@@ -141,16 +148,28 @@
 		version = r.knowledge.Config.Version
 	}
 	attributes := []any{"method", r.method, "job", string(r.job), "queue", queue, "status", r.response.status,
-		"reason", r.response.reason, "ms", r.took.Milliseconds(), "config", version, "config_age_ms", r.knowledge.Age.Milliseconds()}
+		"outcome", ended, "reason", r.response.reason, "ms", r.took.Milliseconds(), "config", version, "config_age_ms", r.knowledge.Age.Milliseconds(),
+		"deadline_ms", r.deadline.Milliseconds(), "store_calls", r.calls.attempts, "store_rate_limited", r.calls.rateLimited, "store_failed", r.calls.failed}
 	if r.caller.tenancy {
 		attributes = append(attributes, "tenant", string(r.caller.tenant))
 	}
 	i.logger.Info("request", attributes...)
 }
 
+// methodTag returns the method for the metrics, in which callers must not create values.
+func methodTag(method string) string {
+	switch method {
+	case http.MethodGet, http.MethodPost, http.MethodDelete:
+		return method
+	default:
+		return "other"
+	}
+}
+
 // dispatch handles a request, and records by which knowledge, whose it is and which job it is about.
 func (i *Intake) dispatch(c *gin.Context, r *record) response {
-	ctx, cancel := context.WithTimeout(c.Request.Context(), deadlineOf(c.Request))
+	r.deadline = deadlineOf(c.Request)
+	ctx, cancel := context.WithTimeout(withStoreCalls(c.Request.Context(), &r.calls), r.deadline)
 	defer cancel()
 	k := i.knowledge(ctx)
 	r.knowledge = k
@@ -165,10 +184,11 @@
 		return *refusal
 	}
 	if rest == "" && c.Request.Method == http.MethodGet {
+		r.forCount = true
 		return i.waitingCount(ctx, who.queue)
 	}
 	if err != nil {
-		return response{status: http.StatusNotFound, reason: "no such job ID"} // without its text, which may hold anything
+		return response{status: http.StatusNotFound, reason: "no such job ID", outcome: outcomeNoQueue} // without its text, which may hold anything
 	}
 	return i.dispatchJob(ctx, c, k.Config.Limits, who, id)
 }
@@ -204,7 +224,7 @@
 	case http.MethodDelete:
 		return i.cancel(ctx, who, id)
 	default:
-		return response{status: http.StatusMethodNotAllowed, reason: "method"}
+		return response{status: http.StatusMethodNotAllowed, reason: "method", outcome: outcomeNoQueue}
 	}
 }
 
@@ -216,7 +236,7 @@
 	}
 	again, refusal := i.resolve(i.knowledge(ctx), c.Request)
 	if refusal == nil && (again.tenant != who.tenant || again.queue.Name != who.queue.Name) {
-		return &response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "the configuration has changed"}
+		return &response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "the configuration has changed", outcome: outcomeChanging}
 	}
 	return refusal
 }
--- a/entry/intake/jobs.go
+++ b/entry/intake/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -74,7 +75,9 @@
 func (i *Intake) attempt(ctx context.Context, t kv.Txn, number int) (kv.TxnResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, i.store.Timeout(number))
 	defer cancel()
-	return i.store.Txn(ctx, t)
+	result, err := i.store.Txn(ctx, t)
+	i.countStoreCall(ctx, "txn", err)
+	return result, err
 }
 
 // read reads a key with up to refusedAttempts attempts.
@@ -87,9 +90,13 @@
 		callCtx, cancel := context.WithTimeout(ctx, i.store.Timeout(attempt))
 		item, err := i.store.Get(callCtx, key)
 		cancel()
+		i.countStoreCall(ctx, "get", err)
 		if err == nil || errors.Is(err, kv.ErrNotFound) {
 			return item, err
 		}
+		if ctx.Err() != nil {
+			return kv.Item{}, fmt.Errorf("%w: %w", contextError(ctx), err)
+		}
 		if attempt == refusedAttempts || backoff.Sleep(ctx, retryDelays.Delay(attempt, random)) != nil {
 			return kv.Item{}, err
 		}
@@ -97,7 +104,7 @@
 }
 
 func (i *Intake) unavailableResponse(err error) response {
-	return response{status: http.StatusServiceUnavailable, retryAfter: i.retryAfter(), reason: err.Error()}
+	return response{status: http.StatusServiceUnavailable, retryAfter: i.retryAfter(), reason: err.Error(), outcome: storeOutcome(err)}
 }
 
 // retryAfter returns when a caller that is refused for lack of the store should come back.
@@ -113,7 +120,7 @@
 // unknown, else 503.
 func (i *Intake) writeFailure(err error) response {
 	if errors.Is(err, errOutcomeUnknown) {
-		return response{status: http.StatusGatewayTimeout, reason: err.Error()}
+		return response{status: http.StatusGatewayTimeout, reason: err.Error(), outcome: outcomeUnknown}
 	}
 	return i.unavailableResponse(err)
 }
@@ -165,11 +172,14 @@
 	}, nil
 }
 
-var noSuchJob = response{status: http.StatusGone, reason: "no such job"}
+var noSuchJob = response{status: http.StatusGone, reason: "no such job", outcome: outcomeNotFound}
+
+// rejectedJob is the response to a request for a job that was rejected, which is none.
+var rejectedJob = response{status: http.StatusGone, reason: "rejected job", outcome: outcomeRejected}
 
 // othersJob is the response to a request for a job that the caller may not access. The caller can't
 // tell it from noSuchJob.
-var othersJob = response{status: http.StatusGone, reason: reasonOtherTenants, refusal: reasonOtherTenants}
+var othersJob = response{status: http.StatusGone, reason: reasonOtherTenants, refusal: reasonOtherTenants, outcome: outcomeOtherTenant}
 
 // readState reads the published state of a job. If there is none, if it can't be read or the caller
 // may not access it, the response to the caller is not nil.
@@ -184,13 +194,13 @@
 	}
 	state, err := layout.Decode[layout.State](item.Key, item.Value)
 	if err != nil {
-		return item, state, &response{status: http.StatusInternalServerError, reason: err.Error()}
+		return item, state, &response{status: http.StatusInternalServerError, reason: err.Error(), outcome: outcomeUnreadable}
 	}
 	if !who.mayAccess(state) {
 		return item, state, &othersJob
 	}
 	if state.Rejected != nil {
-		return item, state, &noSuchJob
+		return item, state, &rejectedJob
 	}
 	return item, state, nil
 }
@@ -225,7 +235,7 @@
 			return response{status: http.StatusOK, reason: "cancelled"}
 		}
 	}
-	return response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "the job keeps changing"}
+	return response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "the job keeps changing", outcome: outcomeChanging}
 }
 
 func (i *Intake) waitingCount(ctx context.Context, queue cluster.Queue) response {
@@ -238,7 +248,7 @@
 	}
 	counts, err := layout.Decode[layout.Waiting](item.Key, item.Value)
 	if err != nil {
-		return response{status: http.StatusInternalServerError, reason: err.Error()}
+		return response{status: http.StatusInternalServerError, reason: err.Error(), outcome: outcomeUnreadable}
 	}
 	return response{status: http.StatusOK, body: submission.WaitingBody{Waiting: counts[queue.Name]}}
 }
