Store health: an exceeded rate of reads is no outage

What callers would see: while all instances together exceed the store's rate of reads, an instance whose next calls were all refused (429) for 0.6 s took that for an outage. It was not ready, and refused submissions, whose writes have a rate of their own, and status requests without a call.

A refusal for the rate now counts neither as a failure nor as a response. What it leaves open, whether the store refuses this instance altogether, is told by stale reads, which count toward no rate: probes are stale reads then, and their refusal counts as a failure. RateLimited reports a refusal within the last second. kv.Client.GetStale reads one key without counting toward the rate.

--- a/entry/storehealth/dedicated.go
+++ b/entry/storehealth/dedicated.go
@@ -23,7 +23,7 @@
 func (d *Dedicated) Range(ctx context.Context, prefix, after string, read kv.Consistency) (kv.Page, error) {
 	sent := time.Now()
 	page, err := d.client.Range(ctx, prefix, after, read)
-	d.health.observe(sent, err)
+	d.health.observeOf(read, sent, err)
 	return page, err
 }
 
--- a/entry/storehealth/pages.go
+++ b/entry/storehealth/pages.go
@@ -42,7 +42,7 @@
 	defer release()
 	sent := time.Now()
 	page, err := s.Range(ctx, prefix, after, read)
-	s.observe(sent, err)
+	s.observeOf(read, sent, err)
 	return page, err
 }
 
--- a/entry/storehealth/storehealth.go
+++ b/entry/storehealth/storehealth.go
@@ -19,6 +19,9 @@
 	unavailableFailures = 4
 	// unavailableAfter is the time without a response that must also have passed.
 	unavailableAfter = 600 * time.Millisecond
+	// rateLimitedFor is how long the store's rate of reads counts as exceeded after it refused a read
+	// for that. Rates are per second.
+	rateLimitedFor = 1 * time.Second
 )
 
 // Store forwards calls to a client and observes their outcomes.
@@ -31,6 +34,7 @@
 	unavailableSince time.Time     // when the store began to count as unavailable; zero while it is available
 	latency          time.Duration // smoothed latency of successful writes
 	answeredSentAt   time.Time     // when the latest of the calls that were answered had been sent
+	rateLimitedAt    time.Time     // when the store last refused a read for its rate
 	notify           func(unavailable bool, failures int)
 	// outage is cancelled when the store is available again. Calls sent before then are
 	// cancelled with it, since they never get a response.
@@ -71,6 +75,19 @@
 	return s.unavailableSince, !s.unavailableSince.IsZero()
 }
 
+// RateLimited reports whether the store has lately refused reads of this instance since its rate is
+// exceeded. Stale reads don't count toward the rate.
+func (s *Store) RateLimited() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rateLimited()
+}
+
+// rateLimited is RateLimited for callers that hold s.mu.
+func (s *Store) rateLimited() bool {
+	return !s.rateLimitedAt.IsZero() && time.Since(s.rateLimitedAt) < rateLimitedFor
+}
+
 const (
 	// probeInterval is the time between two probes while the store is unavailable, and thus
 	// bounds how late an instance detects that it is available again.
@@ -82,7 +99,8 @@
 )
 
 // Probe probes the store while it is unavailable, until ctx ends. Without probes, an instance
-// that makes few calls would detect late that it is available again.
+// that makes few calls would detect late that it is available again. While the store refuses reads for
+// its rate and answers nothing else, probes tell whether it refuses this instance altogether.
 func (s *Store) Probe(ctx context.Context) {
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
@@ -92,16 +110,50 @@
 			return
 		case <-ticker.C:
 		}
-		if _, unavailable := s.Unavailable(); unavailable {
+		if s.needsProbe() {
 			go s.probe(ctx) // in the background: a probe may hang
 		}
 	}
 }
 
+func (s *Store) needsProbe() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.unavailableSince.IsZero() || s.rateLimited() && time.Since(s.lastResponse) >= probeInterval
+}
+
+// probe reads a key, and observes the outcome. The read is stale while others would be refused.
 func (s *Store) probe(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	_, _ = s.Get(ctx, probeKey) // Get observes the outcome
+	read := s.Get
+	if s.RateLimited() {
+		read = s.GetStale
+	}
+	_, _ = read(ctx, probeKey)
+}
+
+// observeRead records the outcome of a read that counts toward the store's rate. That the rate of all
+// instances is exceeded doesn't mean that the store is unavailable to this one, nor that it isn't.
+func (s *Store) observeRead(sent time.Time, err error) {
+	if !errors.Is(err, kv.ErrRateLimited) {
+		s.observe(sent, err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rateLimitedAt = time.Now()
+}
+
+// observeOf records the outcome of a read of the given consistency. No rate is a reason to refuse a stale
+// one, so that its refusal also counts as a failure.
+func (s *Store) observeOf(read kv.Consistency, sent time.Time, err error) {
+	if read == kv.Stale {
+		s.observe(sent, err)
+	}
+	if read == kv.Linearizable || errors.Is(err, kv.ErrRateLimited) {
+		s.observeRead(sent, err)
+	}
 }
 
 // observe records the outcome of a call that was sent at the given time.
@@ -175,7 +227,17 @@
 	defer release()
 	sent := time.Now()
 	item, err := s.Client.Get(ctx, key)
-	s.observe(sent, err)
+	s.observeOf(kv.Linearizable, sent, err)
+	return item, err
+}
+
+// GetStale reads a key like kv.Client and observes the outcome.
+func (s *Store) GetStale(ctx context.Context, key string) (kv.Item, error) {
+	ctx, release := s.untilRecovery(ctx)
+	defer release()
+	sent := time.Now()
+	item, err := s.Client.GetStale(ctx, key)
+	s.observeOf(kv.Stale, sent, err)
 	return item, err
 }
 
@@ -211,6 +273,6 @@
 	defer release()
 	sent := time.Now()
 	err := s.Client.KeepAlive(ctx, id)
-	s.observe(sent, err)
+	s.observeRead(sent, err)
 	return err
 }
--- a/entry/storehealth/storehealth_test.go
+++ b/entry/storehealth/storehealth_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/tarragonreach/tarragonreach/platform/backoff"
+	"github.com/tarragonreach/tarragonreach/platform/call"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 )
 
@@ -127,3 +128,29 @@
 	unresponsive.Store(false)
 	<-recovered
 }
+
+// An exceeded rate of reads, which all instances share, must not count as an outage: submissions would be
+// refused and callers sent elsewhere. Refused stale reads, which count toward no rate, must.
+func TestExceededRateIsTakenForAnOutage(t *testing.T) {
+	rateLimited := call.RefusedFor(call.Response{Status: http.StatusTooManyRequests}, kv.ErrRateLimited)
+	for read, want := range map[kv.Consistency]bool{kv.Linearizable: false, kv.Stale: true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := New(kv.New("unused:1"), func(bool, int) {})
+			assert.Assert(t, !s.RateLimited())
+			for range 20 {
+				time.Sleep(probeInterval)
+				s.observeOf(read, time.Now(), rateLimited)
+				assert.Assert(t, s.RateLimited())
+				assert.Assert(t, s.needsProbe())
+			}
+			_, unavailable := s.Unavailable()
+			assert.Equal(t, unavailable, want)
+			s.observeOf(kv.Stale, time.Now(), nil)
+			_, unavailable = s.Unavailable()
+			assert.Assert(t, !unavailable)
+			assert.Assert(t, !s.needsProbe())
+			time.Sleep(rateLimitedFor)
+			assert.Assert(t, !s.RateLimited())
+		})
+	}
+}
