Intake: status requests beyond the store's rate of reads are answered

Every status request was a linearizable read with up to four attempts within a second, all of which the store refused, and each of which exceeded the rate further.

A status read that is refused for the rate is now followed by a stale read, which does not count toward it. While reads were refused within the last second, the stale one goes first. A state found so is one that the job had, and a final one holds for good. Refusals (no such job, another tenant's, rejected, unreadable) are never taken from a stale read: a rejection may have been replaced by its job since. Then the linearizable read is repeated until the caller's deadline instead of four times; the same holds for reads that are lost. A cancellation that was decided by an older state takes the current one from the refused write.

--- a/entry/host/config_test.go
+++ b/entry/host/config_test.go
@@ -41,6 +41,7 @@
 	connectionsSilent // connections that were open at the beginning never respond again
 	storeFaults       // number of faults that drawDisruption draws
 	responsesLost     // calls take effect and get no response
+	storeRejects      // all calls get 429, as from a store that rejects a machine
 	readsSilent       // reads and watches, also those in progress, get no response; writes do
 )
 
@@ -99,6 +100,8 @@
 		hang(r)
 	case spell.fault == storeRefuses:
 		w.WriteHeader(http.StatusServiceUnavailable)
+	case spell.fault == storeRejects:
+		w.WriteHeader(http.StatusTooManyRequests)
 	case spell.fault == responsesLost:
 		s.Store.ServeHTTP(httptest.NewRecorder(), r)
 		hang(r)
--- /dev/null
+++ b/entry/host/statusload_test.go
@@ -0,0 +1,188 @@
+package host_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/job"
+	"github.com/tarragonreach/tarragonreach/entry/intake"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
+	"github.com/tarragonreach/tarragonreach/entry/operatorconfig"
+	"github.com/tarragonreach/tarragonreach/entry/storehealth"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/platform/standin"
+	"github.com/tarragonreach/tarragonreach/platform/submission"
+)
+
+const (
+	statusDeadline  = 3 * time.Second
+	statusInstances = 5
+	statusRevoke    = 5 * time.Second
+	// statusReads is the store's rate of reads. The ratio to the jobs that are asked for is that of a day of
+	// several times the usual size.
+	statusReads = 600
+	statusJobs  = 5 * statusReads
+	// newJobs were accepted so late that stale reads don't see them.
+	newJobs = statusReads / 2
+)
+
+// statusWorld is a deployment with tenants and strict revocation that has accepted many jobs.
+type statusWorld struct {
+	store    *faultyStore
+	handlers []http.Handler
+	configs  []*operatorconfig.Follower
+	stores   []*storehealth.Store
+	stop     func()
+}
+
+func newStatusWorld(reads int) *statusWorld {
+	w := &statusWorld{store: &faultyStore{Store: standin.NewStore()}}
+	fleet := standin.Fleet{Store: w.store.Store}
+	pools := []standin.PoolSpec{{Service: "terreni", Prefix: "/terreni/"}}
+	if err := fleet.ConfigureTenants(pools, []standin.TenantSpec{{Name: "north", Keys: []string{"k"}}}, 1); err != nil {
+		panic(err)
+	}
+	for n := range statusJobs {
+		if n == statusJobs-newJobs {
+			w.store.FreezeStaleReads(true)
+		}
+		value, err := layout.Encode(layout.State{Service: "terreni", Queue: "terreni", Tenant: "north", State: statusOf(n)})
+		if err != nil {
+			panic(err)
+		}
+		w.store.Put(layout.JobKey(statusID(n)), value)
+	}
+	w.store.SetRates(reads, 0)
+	network := newNetwork()
+	server := w.store.serve(network)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for n := range statusInstances {
+		dial := network.dial(fmt.Sprintf("front-%d", n))
+		store := storehealth.New(kv.NewWithDial(storeAddress, dial), func(bool, int) {})
+		w.stores = append(w.stores, store)
+		options := operatorconfig.Options{ApplyWithin: 2 * configDelay, RevokeWithin: statusRevoke, BootClock: virtualBootClock()}
+		logger := slog.New(slog.DiscardHandler)
+		config := operatorconfig.New(storehealth.NewDedicated(kv.NewWithDial(storeAddress, dial), store), options, func(*cluster.Config) {}, logger, tally.NoopScope)
+		running.Go(func() { store.Probe(ctx) })
+		running.Go(func() { config.Run(ctx) })
+		w.configs = append(w.configs, config)
+		w.handlers = append(w.handlers, intake.New(store, config, func() bool { return false }, logger, tally.NoopScope).Handler())
+	}
+	w.stop = func() {
+		_ = server.Close() // ends all calls
+		cancel()
+		running.Wait()
+		for _, store := range w.stores {
+			store.CloseIdle()
+		}
+	}
+	time.Sleep(configDelay)
+	return w
+}
+
+func statusID(n int) job.ID { return job.ID(fmt.Sprintf("%016x", n+1)) }
+
+func statusOf(n int) job.State {
+	return []job.State{job.Completed, job.Running, job.Failed, job.Queued}[n%4]
+}
+
+// ask asks an instance for the status of a job, and returns what is wrong with the answer.
+func (w *statusWorld) ask(n int) string {
+	request := httptest.NewRequest(http.MethodGet, "/terreni/"+string(statusID(n)), nil)
+	request.Host = standin.Host
+	request.Header.Set("Authorization", "Bearer k")
+	request.Header.Set(submission.HeaderDeadline, strconv.FormatInt(statusDeadline.Milliseconds(), 10))
+	response := httptest.NewRecorder()
+	sent := time.Now()
+	w.handlers[n%statusInstances].ServeHTTP(response, request)
+	if took := time.Since(sent); took > statusDeadline {
+		return fmt.Sprintf("answered after %v", took)
+	}
+	if response.Code != http.StatusOK {
+		return fmt.Sprintf("status %d", response.Code)
+	}
+	var body submission.StateBody
+	if err := json.Unmarshal(response.Body.Bytes(), &body); err != nil || body.State != statusOf(n) {
+		return fmt.Sprintf("state %q for one that is %q: %v", body.State, statusOf(n), err)
+	}
+	return ""
+}
+
+// Guards against status requests that are refused since the store's rate of reads is exceeded by
+// themselves: all accepted jobs are asked for within a short time, several times as many as reads are
+// served in a second.
+func TestStatusRequestsBeyondTheStoresRateGetNoAnswer(t *testing.T) {
+	for name, spread := range map[string]time.Duration{"at once": 0, "within a second": time.Second, "within three seconds": 3 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newStatusWorld(statusReads)
+				defer w.stop()
+				failures := make([]string, statusJobs)
+				var callers sync.WaitGroup
+				for n := range statusJobs {
+					callers.Go(func() {
+						time.Sleep(spread * time.Duration(n) / statusJobs)
+						failures[n] = w.ask(n)
+					})
+				}
+				callers.Wait()
+				counts := map[string]int{}
+				for _, failure := range failures {
+					if failure != "" {
+						counts[failure]++
+					}
+				}
+				assert.DeepEqual(t, counts, map[string]int{})
+			})
+		})
+	}
+}
+
+// Guards against instances that take an exceeded rate for an outage, by which they refuse submissions and
+// lose their callers, and against one that keeps its callers though the store rejects all of its calls.
+func TestExceededRateLooksLikeAnOutage(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		arrange     func(w *statusWorld)
+		unavailable bool
+	}{
+		{"no reads within the rate", func(w *statusWorld) { w.store.SetRates(1, 0) }, false},
+		{"all calls rejected", func(w *statusWorld) { w.store.begin(storeSpell{fault: storeRejects}) }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newStatusWorld(0)
+				defer w.stop()
+				c.arrange(w)
+				lost := 0
+				for range 100 {
+					time.Sleep(100 * time.Millisecond)
+					for _, store := range w.stores {
+						if _, unavailable := store.Unavailable(); unavailable {
+							lost++
+						}
+					}
+				}
+				if c.unavailable {
+					assert.Assert(t, lost > 80*statusInstances, "%d", lost)
+				} else {
+					assert.Equal(t, lost, 0)
+				}
+			})
+		})
+	}
+}
--- a/entry/intake/admission_test.go
+++ b/entry/intake/admission_test.go
@@ -67,6 +67,12 @@
 	return item, nil
 }
 
+func (s *memoryStore) GetStale(ctx context.Context, key string) (kv.Item, error) {
+	return s.Get(ctx, key)
+}
+
+func (s *memoryStore) RateLimited() bool { return false }
+
 func (s *memoryStore) Txn(ctx context.Context, t kv.Txn) (kv.TxnResult, error) {
 	return s.txn(ctx, t, s.fault())
 }
--- a/entry/intake/fakes_test.go
+++ b/entry/intake/fakes_test.go
@@ -28,8 +28,13 @@
 	items       map[string]kv.Item
 	calls       []string
 	unavailable bool
-	failure     error // of all reads
-	silent      bool  // reads get no response
+	failure     error     // of all reads
+	failsUntil  time.Time // when failure ends; zero for never
+	silent      bool      // reads get no response
+
+	staleItems    map[string]kv.Item
+	refusedUntil  time.Time // reads but stale ones are refused for the rate until then
+	rateLimitedAt time.Time // when that happened last
 }
 
 func (s *fakeStore) Get(ctx context.Context, key string) (kv.Item, error) {
@@ -38,7 +43,11 @@
 		<-ctx.Done()
 		return kv.Item{}, ctx.Err()
 	}
-	if s.failure != nil {
+	if time.Now().Before(s.refusedUntil) {
+		s.rateLimitedAt = time.Now()
+		return kv.Item{}, errRateLimited
+	}
+	if s.failure != nil && (s.failsUntil.IsZero() || time.Now().Before(s.failsUntil)) {
 		return kv.Item{}, s.failure
 	}
 	item, found := s.items[key]
@@ -48,6 +57,17 @@
 	return item, nil
 }
 
+func (s *fakeStore) GetStale(_ context.Context, key string) (kv.Item, error) {
+	s.calls = append(s.calls, "get-stale "+key)
+	item, found := s.staleItems[key]
+	if !found {
+		return item, kv.ErrNotFound
+	}
+	return item, nil
+}
+
+func (s *fakeStore) RateLimited() bool { return time.Since(s.rateLimitedAt) < time.Second }
+
 func (s *fakeStore) Txn(_ context.Context, t kv.Txn) (kv.TxnResult, error) {
 	call := fmt.Sprintf("txn if %v", t.Conditions)
 	for _, p := range t.Puts {
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -31,6 +31,10 @@
 // Store is the part of the store that the intake uses.
 type Store interface {
 	Get(ctx context.Context, key string) (kv.Item, error)
+	// GetStale is like Get, but its result may be seconds old. It does not count toward the store's rate.
+	GetStale(ctx context.Context, key string) (kv.Item, error)
+	// RateLimited reports whether the store has lately refused reads since its rate is exceeded.
+	RateLimited() bool
 	Txn(ctx context.Context, t kv.Txn) (kv.TxnResult, error)
 	// Unavailable reports whether the store has not responded to this instance for a while,
 	// and since when.
@@ -149,7 +153,8 @@
 	}
 	attributes := []any{"method", r.method, "job", string(r.job), "queue", queue, "status", r.response.status,
 		"outcome", ended, "reason", r.response.reason, "ms", r.took.Milliseconds(), "config", version, "config_age_ms", r.knowledge.Age.Milliseconds(),
-		"deadline_ms", r.deadline.Milliseconds(), "store_calls", r.calls.attempts, "store_rate_limited", r.calls.rateLimited, "store_failed", r.calls.failed}
+		"deadline_ms", r.deadline.Milliseconds(), "store_calls", r.calls.attempts, "store_rate_limited", r.calls.rateLimited, "store_failed", r.calls.failed,
+		"stale_reads", r.calls.stale}
 	if r.caller.tenancy {
 		attributes = append(attributes, "tenant", string(r.caller.tenant))
 	}
--- a/entry/intake/jobs.go
+++ b/entry/intake/jobs.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -20,7 +19,7 @@
 )
 
 const (
-	// refusedAttempts is how many times a call that the store refuses is attempted.
+	// refusedAttempts is how many times a write that the store refuses is attempted.
 	refusedAttempts = 4
 	// cancelAttempts bounds how often a job may change while it is being cancelled.
 	cancelAttempts = 5
@@ -76,33 +75,10 @@
 	ctx, cancel := context.WithTimeout(ctx, i.store.Timeout(number))
 	defer cancel()
 	result, err := i.store.Txn(ctx, t)
-	i.countStoreCall(ctx, "txn", err)
+	i.countStoreCall(ctx, callTxn, err)
 	return result, err
 }
 
-// read reads a key with up to refusedAttempts attempts.
-func (i *Intake) read(ctx context.Context, key string) (kv.Item, error) {
-	if err := i.checkStore(); err != nil {
-		return kv.Item{}, err
-	}
-	random := backoff.NewRandom()
-	for attempt := 1; ; attempt++ {
-		callCtx, cancel := context.WithTimeout(ctx, i.store.Timeout(attempt))
-		item, err := i.store.Get(callCtx, key)
-		cancel()
-		i.countStoreCall(ctx, "get", err)
-		if err == nil || errors.Is(err, kv.ErrNotFound) {
-			return item, err
-		}
-		if ctx.Err() != nil {
-			return kv.Item{}, fmt.Errorf("%w: %w", contextError(ctx), err)
-		}
-		if attempt == refusedAttempts || backoff.Sleep(ctx, retryDelays.Delay(attempt, random)) != nil {
-			return kv.Item{}, err
-		}
-	}
-}
-
 func (i *Intake) unavailableResponse(err error) response {
 	return response{status: http.StatusServiceUnavailable, retryAfter: i.retryAfter(), reason: err.Error(), outcome: storeOutcome(err)}
 }
@@ -181,10 +157,29 @@
 // tell it from noSuchJob.
 var othersJob = response{status: http.StatusGone, reason: reasonOtherTenants, refusal: reasonOtherTenants, outcome: outcomeOtherTenant}
 
+// judge returns the response to the caller of a request for a job with this state, if it is refused.
+func (c caller) judge(state layout.State) *response {
+	switch {
+	case !c.mayAccess(state):
+		return &othersJob
+	case state.Rejected != nil:
+		return &rejectedJob
+	default:
+		return nil
+	}
+}
+
 // readState reads the published state of a job. If there is none, if it can't be read or the caller
 // may not access it, the response to the caller is not nil.
+//
+// The state may be seconds old if the store refuses reads. It is one that the job had, and a final one
+// holds for good. What would refuse the caller may no longer hold, so that it is never taken from a stale
+// read: the job may have been stored since, or have replaced its rejection or another tenant's job.
 func (i *Intake) readState(ctx context.Context, who caller, id job.ID) (kv.Item, layout.State, *response) {
-	item, err := i.read(ctx, layout.JobKey(id))
+	item, err := i.read(ctx, layout.JobKey(id), func(stale kv.Item) bool {
+		state, err := layout.Decode[layout.State](stale.Key, stale.Value)
+		return err == nil && who.judge(state) == nil
+	})
 	if errors.Is(err, kv.ErrNotFound) {
 		return item, layout.State{}, &noSuchJob
 	}
@@ -196,13 +191,7 @@
 	if err != nil {
 		return item, state, &response{status: http.StatusInternalServerError, reason: err.Error(), outcome: outcomeUnreadable}
 	}
-	if !who.mayAccess(state) {
-		return item, state, &othersJob
-	}
-	if state.Rejected != nil {
-		return item, state, &rejectedJob
-	}
-	return item, state, nil
+	return item, state, who.judge(state)
 }
 
 func (i *Intake) jobState(ctx context.Context, who caller, id job.ID) response {
@@ -216,8 +205,8 @@
 // cancel stores a cancellation of the job, under the condition that the job's state has not
 // changed since it was read, so that none is stored for a job that has become final.
 func (i *Intake) cancel(ctx context.Context, who caller, id job.ID) response {
+	item, state, failure := i.readState(ctx, who, id)
 	for range cancelAttempts {
-		item, state, failure := i.readState(ctx, who, id)
 		if failure != nil {
 			return *failure
 		}
@@ -234,12 +223,18 @@
 		if result.Applied {
 			return response{status: http.StatusOK, reason: "cancelled"}
 		}
+		// The state that was read was stale, or has changed since.
+		if item, state, err = storedState(id, result); err == nil {
+			failure = who.judge(state)
+		} else {
+			item, state, failure = i.readState(ctx, who, id)
+		}
 	}
 	return response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "the job keeps changing", outcome: outcomeChanging}
 }
 
 func (i *Intake) waitingCount(ctx context.Context, queue cluster.Queue) response {
-	item, err := i.read(ctx, layout.WaitingKey(queue.Service))
+	item, err := i.read(ctx, layout.WaitingKey(queue.Service), nil)
 	if errors.Is(err, kv.ErrNotFound) {
 		return response{status: http.StatusOK, body: submission.WaitingBody{}}
 	}
--- a/entry/intake/outcome.go
+++ b/entry/intake/outcome.go
@@ -104,6 +104,7 @@
 	attempts    int
 	rateLimited int // attempts that the store refused since its rate is exceeded
 	failed      int // other attempts that the store refused or did not respond to
+	stale       int // attempts of stale reads
 }
 
 // storeCallsKey is the key of the *storeCalls of a request, in its context.
@@ -113,6 +114,13 @@
 	return context.WithValue(ctx, storeCallsKey{}, calls)
 }
 
+// Names of calls to the store in the metrics.
+const (
+	callGet      = "get"
+	callGetStale = "get-stale"
+	callTxn      = "txn"
+)
+
 // countStoreCall counts a call to the store that ended with err for the request of ctx, and in the
 // metrics by its result.
 func (i *Intake) countStoreCall(ctx context.Context, name string, err error) {
@@ -126,6 +134,9 @@
 		return
 	}
 	calls.attempts++
+	if name == callGetStale {
+		calls.stale++
+	}
 	switch result {
 	case outcomeAnswered:
 	case outcomeStoreRate:
--- a/entry/intake/outcome_test.go
+++ b/entry/intake/outcome_test.go
@@ -26,6 +26,8 @@
 	errRefused     = call.Refused(call.Response{Status: http.StatusServiceUnavailable})
 )
 
+const rejectedState = `{"service":"batch","queue":"closed","tenant":"north","state":"cancelled","rejected":{}}`
+
 // statusOutcomes are the ways in which a status request can end.
 var statusOutcomes = []struct {
 	outcome outcome
@@ -39,9 +41,7 @@
 	{outcomeKeyRefused, 401, func(*testIntake) {}, unknownKey},
 	{outcomeOtherTenant, 410, func(*testIntake) {}, southKey},
 	{outcomeNotFound, 410, func(i *testIntake) { clear(i.store.items) }, ""},
-	{outcomeRejected, 410, func(i *testIntake) {
-		i.setState(`{"service":"batch","queue":"closed","tenant":"north","state":"cancelled","rejected":{}}`)
-	}, ""},
+	{outcomeRejected, 410, func(i *testIntake) { i.setState(rejectedState) }, ""},
 	{outcomeUnreadable, 500, func(i *testIntake) { i.setState("[") }, ""},
 	{outcomeStoreRate, 503, func(i *testIntake) { i.store.failure = errRateLimited }, ""},
 	{outcomeStoreRefused, 503, func(i *testIntake) { i.store.failure = errRefused }, ""},
@@ -100,10 +100,16 @@
 		i := newTestIntake(operatorconfig.Knowledge{Config: testConfig(t, ""), Recent: true})
 		i.store.failure = errRateLimited
 		i.call(http.MethodGet, "/closed/"+string(testJob))
-		calls := len(i.store.calls)
-		assert.Assert(t, calls > 1)
-		assert.Assert(t, strings.Contains(i.log.String(), fmt.Sprintf(`"store_calls":%d,"store_rate_limited":%d,`, calls, calls)), i.log.String())
-		assert.Equal(t, i.scope.Snapshot().Counters()["store_calls+call=get,result=store-rate-limited"].Value(), int64(calls))
+		calls := map[string]int{}
+		for _, call := range i.store.calls {
+			name, _, _ := strings.Cut(call, " ")
+			calls[name]++
+		}
+		reads, stale := calls["get"], calls["get-stale"]
+		assert.Assert(t, reads > 1)
+		want := fmt.Sprintf(`"store_calls":%d,"store_rate_limited":%d,"store_failed":0,"stale_reads":%d}`, reads+stale, reads, stale)
+		assert.Assert(t, strings.Contains(i.log.String(), want), i.log.String())
+		assert.Equal(t, i.scope.Snapshot().Counters()["store_calls+call=get,result=store-rate-limited"].Value(), int64(reads))
 	})
 }
 
