Executor entries that name no executor to use are refused

What callers saw: an entry of another writer counted as an executor.

Cause: registry.Executor checked that fields were present and of their types, not what they said. Texts of any length went into log lines.

Births after the year 9999 are refused in entries and poll responses alike. Whether a birth is close to the present is not checked here: the same entry has to read alike on each instance; only a response of the executor can confirm it.

--- a/api/cluster/incarnation.go
+++ b/api/cluster/incarnation.go
@@ -9,10 +9,15 @@
 // platforms do not say it, and give a restarted executor another ID.
 type Birth int64
 
-// NewBirth returns the birth that a message states, or an error if it is not above zero.
+// MaxBirth is the latest birth: the end of the year 9999.
+const MaxBirth Birth = 253_402_300_799_999
+
+// NewBirth returns the birth that a message states, or an error unless it is above zero and at most
+// MaxBirth. Whether it is close to the present time is not checked, so that each instance reads a
+// message alike whatever its clock says.
 func NewBirth(unixMs int64) (Birth, error) {
-	if unixMs <= 0 {
-		return 0, fmt.Errorf("born %d: want above 0", unixMs)
+	if unixMs <= 0 || unixMs > int64(MaxBirth) {
+		return 0, fmt.Errorf("born %d: want above 0 and at most %d", unixMs, MaxBirth)
 	}
 	return Birth(unixMs), nil
 }
