--- a/api/cluster/cluster.go
+++ b/api/cluster/cluster.go
@@ -78,6 +78,9 @@
 	Labels   []string
 	Capacity job.Resources
 	Executor ExecutorID // its current executor, in whatever incarnation; empty while it has none
+	// Fault is why a part of its entry could not be used, empty if there is no such part. A machine
+	// with a fault is not up.
+	Fault string
 }
 
 // Rack returns the rack among the labels, or "".
