Configuration: a refused read is followed by another within a quarter of a second

What callers would see: with tenants, every request is refused with 503 once the configuration was not confirmed for 0.75 of the time within which it must be in force (2.25 s of 3 s). A read that the store refuses at once, for its rate or otherwise, was followed by the next one only when it would have been overdue (0.45 s), as if it had been lost: one second of refusals, or three refused reads of ten, outdated the configuration now and then.

A refused read is followed after a random pause of up to 0.08 of that time, at first 0.02. While all reads are refused, an instance makes less than 12 a second. Reads that are lost are handled as before. The counter refused_reads counts the refused ones.

--- a/entry/operatorconfig/operatorconfig.go
+++ b/entry/operatorconfig/operatorconfig.go
@@ -2,8 +2,8 @@
 // how old that knowledge is.
 //
 // A watch brings changes at once. Beside it, reads of the same key bound how old the instance's
-// knowledge can get: one is sent regularly, and the next one on a connection of its own as soon as
-// the last one is overdue. What was in flight when a disruption of the store began or ended
+// knowledge can get: one is sent regularly, the next one shortly after one that the store refuses, and
+// on a connection of its own as soon as the last one is overdue. What was in flight when a disruption of the store began or ended
 // therefore delays nothing.
 //
 // Requests that need an API key are decided only by a configuration that was confirmed recently
@@ -40,6 +40,11 @@
 	readIntervalShare = 0.3
 	overdueShare      = 0.15
 	readTimeoutShare  = 1.5
+	// refusedBaseShare and refusedCapShare bound the pauses after reads that the store refuses. The last
+	// read before a second of refusals and the first one after it are less than recentShare apart, and
+	// many instances whose reads are refused add little to what exceeds the store's rate.
+	refusedBaseShare = 0.02
+	refusedCapShare  = 0.08
 	// recentShare bounds the age of a configuration that counts as recent.
 	recentShare = 0.75
 )
@@ -78,13 +83,15 @@
 	readInterval time.Duration // between two reads that are answered
 	overdue      time.Duration // after which a read without a response is followed by another
 	readTimeout  time.Duration
-	recentAge    time.Duration // up to which a configuration counts as recent
+	refused      backoff.Policy // between a read that is refused and the next one
+	recentAge    time.Duration  // up to which a configuration counts as recent
 }
 
 func newTiming(applyWithin time.Duration) timing {
 	share := func(x float64) time.Duration { return max(minSpacing, time.Duration(x*float64(applyWithin))) }
 	return timing{
 		readInterval: share(readIntervalShare), overdue: share(overdueShare), readTimeout: share(readTimeoutShare),
+		refused:   backoff.Policy{Base: share(refusedBaseShare), Cap: share(refusedCapShare)},
 		recentAge: share(recentShare),
 	}
 }
@@ -137,6 +144,7 @@
 type followerMetrics struct {
 	version tally.Gauge
 	overdue tally.Counter // reads without a response in time
+	refused tally.Counter // reads that the store refused
 	age     tally.Histogram
 }
 
@@ -150,7 +158,8 @@
 		withTenancy:    newTenancyTiming(o.ApplyWithin, o.RevokeWithin),
 		metrics: followerMetrics{
 			version: scope.Gauge("version"), overdue: scope.Counter("overdue_reads"),
-			age: scope.Histogram("age_seconds", tally.DefaultBuckets),
+			refused: scope.Counter("refused_reads"),
+			age:     scope.Histogram("age_seconds", tally.DefaultBuckets),
 		},
 	}
 	if f.bootClock == nil {
@@ -232,49 +241,75 @@
 	f.store.CloseIdle()
 }
 
+// readResult is what became of a read.
+type readResult uint8
+
+const (
+	readLost     readResult = iota // it got no response, or not in time
+	readRefused                    // the store did nothing
+	readAnswered                   // it confirmed the configuration
+)
+
 // readAll reads the configuration regularly until ctx ends.
 func (f *Follower) readAll(ctx context.Context, running *sync.WaitGroup) {
+	refusals := 0 // in a row
+	random := backoff.NewRandom()
 	for ctx.Err() == nil {
 		sent := f.now()
 		timing := f.timing(f.Current())
-		answered := make(chan struct{})
-		running.Go(func() {
-			if f.read(ctx, sent, timing.readTimeout) {
-				close(answered)
-			}
-		})
-		if f.awaitAnswer(ctx, answered, timing.overdue) {
+		done := make(chan readResult, 1)
+		running.Go(func() { done <- f.read(ctx, sent, timing.readTimeout) })
+		result := f.awaitResult(ctx, done, timing.overdue)
+		pause := time.Duration(0)
+		switch result {
+		case readAnswered:
 			// The read may have brought the first configuration with tenants.
-			interval := f.timing(f.Current()).readInterval
-			_ = backoff.Sleep(ctx, interval-time.Since(sent.monotonic)) // the loop checks ctx
+			pause = f.timing(f.Current()).readInterval - time.Since(sent.monotonic)
+		case readRefused:
+			refusals++
+			f.metrics.refused.Inc(1)
+			pause = timing.refused.Delay(refusals, random)
+		}
+		if result != readRefused {
+			refusals = 0
 		}
+		_ = backoff.Sleep(ctx, pause) // the loop checks ctx
 	}
 }
 
-// awaitAnswer waits until a read is answered, and reports whether that happened before it was
-// overdue. Connections that no call uses are closed otherwise, so that the next read opens one.
-func (f *Follower) awaitAnswer(ctx context.Context, answered <-chan struct{}, overdue time.Duration) bool {
+// awaitResult waits until a read is answered or refused, or until it is overdue. In the last case,
+// connections that no call uses are closed, so that the next read opens one.
+func (f *Follower) awaitResult(ctx context.Context, done <-chan readResult, overdue time.Duration) readResult {
 	timer := time.NewTimer(overdue)
 	defer timer.Stop()
-	select {
-	case <-answered:
-		return true
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		f.metrics.overdue.Inc(1)
-		f.store.CloseIdle()
-		return false
+	for {
+		select {
+		case result := <-done:
+			if result != readLost {
+				return result
+			}
+			done = nil // the next read is sent once this one is overdue
+		case <-ctx.Done():
+			return readLost
+		case <-timer.C:
+			f.metrics.overdue.Inc(1)
+			f.store.CloseIdle()
+			return readLost
+		}
 	}
 }
 
-// read reads the configuration once and applies it, and reports whether the read was answered.
-func (f *Follower) read(ctx context.Context, sent instant, timeout time.Duration) bool {
+// read reads the configuration once and applies it.
+func (f *Follower) read(ctx context.Context, sent instant, timeout time.Duration) readResult {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	page, err := f.store.Range(ctx, registry.ConfigKey, "", kv.Linearizable)
-	if err != nil {
-		return false // the next read follows soon, and requests are logged with Age
+	switch { // the next read follows soon, and requests are logged with Age
+	case err == nil:
+	case kv.NotRun(err):
+		return readRefused
+	default:
+		return readLost
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -283,7 +318,7 @@
 	}
 	f.revision = max(f.revision, page.AsOf)
 	f.confirm(sent)
-	return true
+	return readAnswered
 }
 
 // confirm records that a read that was sent at the given time was answered. The caller holds
--- a/entry/operatorconfig/operatorconfig_test.go
+++ b/entry/operatorconfig/operatorconfig_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,17 +15,23 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/platform/call"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 	"github.com/tarragonreach/tarragonreach/platform/registry"
 )
 
 const applyWithin = 3 * time.Second
 
+// refusedLatency is the time that a read takes while the store refuses some.
+const refusedLatency = 20 * time.Millisecond
+
 // fakeStore returns one configuration. Its watches bring nothing.
 type fakeStore struct {
 	value string
 	reads atomic.Int64
 	down  atomic.Bool
+	// refusing reports whether the store refuses a read now; nil for never.
+	refusing atomic.Pointer[func() bool]
 }
 
 func (s *fakeStore) Range(ctx context.Context, _, _ string, _ kv.Consistency) (kv.Page, error) {
@@ -32,6 +40,12 @@
 		<-ctx.Done()
 		return kv.Page{}, ctx.Err()
 	}
+	if refusing := s.refusing.Load(); refusing != nil {
+		time.Sleep(refusedLatency)
+		if (*refusing)() {
+			return kv.Page{}, errRateLimited
+		}
+	}
 	return kv.Page{Items: []kv.Item{{Key: registry.ConfigKey, Value: []byte(s.value), Revision: 1}}, AsOf: 1}, nil
 }
 
@@ -166,3 +180,43 @@
 		f.Knowledge()
 	}
 }
+
+var errRateLimited = call.RefusedFor(call.Response{Status: http.StatusTooManyRequests}, kv.ErrRateLimited)
+
+// Refused reads must be followed by others soon enough that the configuration stays recent: the store
+// refuses all reads for the rest of a second whose rate is used up, or some of them for long. Without
+// a recent configuration every request of a caller is refused.
+func TestRefusedReadsOutdateTheConfiguration(t *testing.T) {
+	for name, refuses := range map[string]func(sinceStart time.Duration) bool{
+		"a second at a time": func(d time.Duration) bool { return d%(3100*time.Millisecond) < time.Second },
+		"three in ten":       func(time.Duration) bool { return rand.IntN(10) < 3 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, withTenants, 5*time.Second, func(t *testing.T, f *Follower, s *fakeStore, _ *bootClock) {
+				started := time.Now()
+				refusing := func() bool { return refuses(time.Since(started)) }
+				s.refusing.Store(&refusing)
+				outdated := 0
+				for range 6000 {
+					time.Sleep(10 * time.Millisecond)
+					if !f.Knowledge().Recent {
+						outdated++
+					}
+				}
+				assert.Equal(t, outdated, 0)
+			})
+		})
+	}
+}
+
+// An instance whose reads are all refused must not add more of them than a few a second: many instances
+// together would exceed the rate by themselves.
+func TestRefusedReadsAreRepeatedWithoutPause(t *testing.T) {
+	run(t, withTenants, 5*time.Second, func(t *testing.T, _ *Follower, s *fakeStore, _ *bootClock) {
+		refusing := func() bool { return true }
+		s.refusing.Store(&refusing)
+		before := s.reads.Load()
+		time.Sleep(time.Minute)
+		assert.Assert(t, s.reads.Load()-before < 12*60, "%d", s.reads.Load()-before)
+	})
+}
