Intake: a caller's deadline means the same on each kind of machine, and at most a minute

What a caller would see: a deadline header of 1e300 or Inf was converted to an integer of nanoseconds beyond its range. On arm64 that gives 292 years (the test failed with 2562047h47m16s), on x86-64 the conversion gives the smallest integer by the language's rules for that machine, so that the request ends at once (not run here). A header of 1e400 counted as malformed.

The number is compared with the longest deadline, one minute, before it is converted. Absent, malformed, negative and zero headers mean three seconds as before. A second test shows that requests with deadlines of 20 ms to 3 s are answered within them while no configuration becomes recent, the store is silent, or it refuses calls; it passed before, too.

--- a/entry/intake/fakes_test.go
+++ b/entry/intake/fakes_test.go
@@ -99,12 +99,16 @@
 type fakeConfig struct {
 	present, awaited operatorconfig.Knowledge
 	waits            int
+	hangs            bool // no configuration becomes recent
 }
 
 func (c *fakeConfig) Knowledge() operatorconfig.Knowledge { return c.present }
 
-func (c *fakeConfig) AwaitRecent(context.Context) operatorconfig.Knowledge {
+func (c *fakeConfig) AwaitRecent(ctx context.Context) operatorconfig.Knowledge {
 	c.waits++
+	if c.hangs {
+		<-ctx.Done()
+	}
 	return c.awaited
 }
 
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -74,6 +74,8 @@
 	defaultDeadline = 3 * time.Second
 	// deadlineMargin is how long before the caller's deadline the response is sent.
 	deadlineMargin = 250 * time.Millisecond
+	// maxDeadline bounds how long a request is handled, whatever deadline its caller names.
+	maxDeadline = 1 * time.Minute
 	// defaultRetryAfter is the Retry-After of responses of 503 while the store responds.
 	defaultRetryAfter = 1 * time.Second
 	// maxConfigWait bounds how long a request waits for a recent configuration.
@@ -274,11 +276,17 @@
 	return host
 }
 
-// deadlineOf returns how long the response may take.
+// deadlineOf returns how long the response may take: what the caller waits, less a margin. Without a
+// header of a positive number, and with a malformed one, that is defaultDeadline.
 func deadlineOf(r *http.Request) time.Duration {
 	ms, err := strconv.ParseFloat(r.Header.Get(submission.HeaderDeadline), 64)
+	known := err == nil || errors.Is(err, strconv.ErrRange) // then ms is infinite
 	wait := defaultDeadline
-	if err == nil && ms > 0 { // absent and malformed headers are ignored
+	switch {
+	case !known || !(ms > 0): // also not a number
+	case ms >= float64(maxDeadline.Milliseconds()): // compared first: beyond int64, conversions differ by machine
+		wait = maxDeadline
+	default:
 		wait = time.Duration(ms * float64(time.Millisecond))
 	}
 	return max(wait-deadlineMargin, wait/2)
