Intake: a state that can't be read is 503 with Retry-After, and never shown

What callers saw: a stored state that the instance can't decode was 500 for ever, which callers don't repeat elsewhere, though an instance of another version may read it. A value without a state (null, {}) or with a word that no caller knows was shown as it is, with 200, and a cancellation of it was stored under the key of no service.

layout.DecodeState accepts only states of this version with a service; further fields of a newer version are ignored. Everything else is 503 with Retry-After for GET and DELETE, and 410 as far as the tenant can be read and is another one. The count of waiting jobs is answered likewise.

--- a/entry/intake/identity.go
+++ b/entry/intake/identity.go
@@ -110,13 +110,22 @@
 // storedState returns the state of a job, and its item, that kept a write from being applied.
 func storedState(id job.ID, result kv.TxnResult) (kv.Item, layout.State, error) {
 	key := layout.JobKey(id)
+	item, found := currentItem(key, result)
+	if !found {
+		return kv.Item{}, layout.State{}, fmt.Errorf("%s: %w", key, errNoState)
+	}
+	state, err := layout.Decode[layout.State](item.Key, item.Value)
+	return item, state, err
+}
+
+// currentItem returns the item of a key that kept a write from being applied.
+func currentItem(key string, result kv.TxnResult) (kv.Item, bool) {
 	for _, item := range result.Current {
 		if item.Key == key {
-			state, err := layout.Decode[layout.State](item.Key, item.Value)
-			return item, state, err
+			return item, true
 		}
 	}
-	return kv.Item{}, layout.State{}, fmt.Errorf("%s: %w", key, errNoState)
+	return kv.Item{}, false
 }
 
 // noTenant is the tenant of metrics of requests that belong to none.
--- a/entry/intake/jobs.go
+++ b/entry/intake/jobs.go
@@ -83,6 +83,12 @@
 	return response{status: http.StatusServiceUnavailable, retryAfter: i.retryAfter(), reason: err.Error(), outcome: storeOutcome(err)}
 }
 
+// unreadableResponse returns the response for what is stored and can't be read. An instance of a newer
+// version may be able to, so that the caller is told to repeat the request.
+func (i *Intake) unreadableResponse(err error) response {
+	return response{status: http.StatusServiceUnavailable, retryAfter: i.retryAfter(), reason: err.Error(), outcome: outcomeUnreadable}
+}
+
 // retryAfter returns when a caller that is refused for lack of the store should come back.
 func (i *Intake) retryAfter() time.Duration {
 	since, unavailable := i.store.Unavailable()
@@ -177,7 +183,7 @@
 // read: the job may have been stored since, or have replaced its rejection or another tenant's job.
 func (i *Intake) readState(ctx context.Context, who caller, id job.ID) (kv.Item, layout.State, *response) {
 	item, err := i.read(ctx, layout.JobKey(id), func(stale kv.Item) bool {
-		state, err := layout.Decode[layout.State](stale.Key, stale.Value)
+		state, err := layout.DecodeState(stale.Key, stale.Value)
 		return err == nil && who.judge(state) == nil
 	})
 	if errors.Is(err, kv.ErrNotFound) {
@@ -187,11 +193,23 @@
 		resp := i.unavailableResponse(err)
 		return item, layout.State{}, &resp
 	}
-	state, err := layout.Decode[layout.State](item.Key, item.Value)
-	if err != nil {
-		return item, state, &response{status: http.StatusInternalServerError, reason: err.Error(), outcome: outcomeUnreadable}
+	state, failure := i.interpret(who, item)
+	return item, state, failure
+}
+
+// interpret decodes the stored state of a job. If it can't be read or the caller may not access the job,
+// the response to the caller is not nil.
+func (i *Intake) interpret(who caller, item kv.Item) (layout.State, *response) {
+	state, err := layout.DecodeState(item.Key, item.Value)
+	switch {
+	case err == nil:
+		return state, who.judge(state)
+	case !who.mayAccess(state): // as far as it was decoded: the caller must not learn that there is one
+		return state, &othersJob
+	default:
+		resp := i.unreadableResponse(err)
+		return state, &resp
 	}
-	return item, state, who.judge(state)
 }
 
 func (i *Intake) jobState(ctx context.Context, who caller, id job.ID) response {
@@ -224,11 +242,13 @@
 			return response{status: http.StatusOK, reason: "cancelled"}
 		}
 		// The state that was read was stale, or has changed since.
-		if item, state, err = storedState(id, result); err == nil {
-			failure = who.judge(state)
-		} else {
+		current, found := currentItem(item.Key, result)
+		if !found {
 			item, state, failure = i.readState(ctx, who, id)
+			continue
 		}
+		item = current
+		state, failure = i.interpret(who, item)
 	}
 	return response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "the job keeps changing", outcome: outcomeChanging}
 }
@@ -243,7 +263,7 @@
 	}
 	counts, err := layout.Decode[layout.Waiting](item.Key, item.Value)
 	if err != nil {
-		return response{status: http.StatusInternalServerError, reason: err.Error(), outcome: outcomeUnreadable}
+		return i.unreadableResponse(err)
 	}
 	return response{status: http.StatusOK, body: submission.WaitingBody{Waiting: counts[queue.Name]}}
 }
--- a/entry/intake/read_test.go
+++ b/entry/intake/read_test.go
@@ -118,3 +118,27 @@
 		})
 	}
 }
+
+// A state that this version can't read must neither be shown, nor be refused for good, nor be cancelled:
+// an instance of another version may read it. Another tenant must not learn that there is one.
+func TestUnreadableStateIsAnsweredForGood(t *testing.T) {
+	for _, value := range []string{
+		"[", `{}`, `null`, `{"service":"batch","queue":"closed","tenant":"north","state":"paused"}`,
+		`{"service":"batch","queue":"closed","tenant":"south","state":"paused"}`,
+		`{"service":"batch","queue":"closed","tenant":"south","state":7}`,
+	} {
+		for _, method := range []string{http.MethodGet, http.MethodDelete} {
+			i := newTestIntake(operatorconfig.Knowledge{Config: testConfig(t, tenantsText), Recent: true})
+			i.setState(value)
+			want := http.StatusServiceUnavailable
+			if strings.Contains(value, "south") {
+				want = http.StatusGone
+			}
+			response := i.call(method, "/closed/"+string(testJob), "Bearer "+northKey)
+			assert.Equal(t, response.Code, want, "%s %s", method, value)
+			assert.Equal(t, response.Header().Get("Retry-After") != "", want == http.StatusServiceUnavailable)
+			assert.Equal(t, response.Body.Len(), 0)
+			assert.Equal(t, len(i.store.items), 1, "a cancellation was stored")
+		}
+	}
+}
--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -22,6 +22,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/url"
 	"strconv"
@@ -231,6 +232,23 @@
 	return v, nil
 }
 
+var errUnknownState = errors.New("a job's state without a service, or with an unknown word")
+
+// DecodeState decodes the state of a job. It returns an error if the value is none that this version
+// knows; a newer version may. Unknown fields are ignored.
+func DecodeState(key string, value []byte) (State, error) {
+	s, err := Decode[State](key, value)
+	if err == nil && !s.known() {
+		err = fmt.Errorf("entry %s: %w", key, errUnknownState)
+	}
+	return s, err
+}
+
+// known reports whether the service is set and the state is one of this version.
+func (s State) known() bool {
+	return s.Service != "" && (s.State == job.Queued || s.State == job.Running || s.State.Final())
+}
+
 // rejectionSettled is the age from which a rejection may be replaced by its job. A request from
 // before the rejection must not store the job after its caller was told that it never runs. It is
 // below the shortest Retry-After, and above the time that the write of a rejection may take and the
