Election: a renewal that the store refuses for its rate is repeated at once

What callers would see: a service without an owner for a while, and its tasks held up, though its owner is well. Renewals of leases count toward the store's rate of reads. One refused was followed by the next only after 0.45 s, so that a second in which all reads are used up, or half of them refused, left 1.8 s and 2.7 s without a renewal, of a lease of 1.8 s: the duty was lost.

A refused renewal is repeated after a random pause of up to 0.12 s until the next one is due.

The simulation of many status requests also lists all jobs all the while: no listing takes longer than 2 s from its beginning to its success.

--- a/entry/election/election.go
+++ b/entry/election/election.go
@@ -26,6 +26,8 @@
 	leaseTTL = 1800 * time.Millisecond
 	// renewInterval allows three attempts within a TTL.
 	renewInterval = 450 * time.Millisecond
+	// refusedPause bounds the random pause after a renewal that the store refuses.
+	refusedPause = 120 * time.Millisecond
 	// callTimeout bounds one call to the store.
 	callTimeout = 1200 * time.Millisecond
 	// heldDutyDelay is the claim delay for each duty that an instance holds already: how
@@ -216,6 +218,15 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := e.store.KeepAlive(callCtx, term.lease)
+	// Renewals count toward the rate of reads, which other requests may exceed for a while. The next
+	// renewal takes over after renewInterval.
+	for began := time.Now(); errors.Is(err, kv.ErrRateLimited) && time.Since(began) < renewInterval; {
+		if backoff.Sleep(callCtx, rand.N(refusedPause)) != nil {
+			return
+		}
+		sentAt = clock()
+		err = e.store.KeepAlive(callCtx, term.lease)
+	}
 	if err == nil {
 		term.noteRenewal(sentAt)
 	}
--- a/entry/host/statusload_test.go
+++ b/entry/host/statusload_test.go
@@ -122,9 +122,29 @@
 	return ""
 }
 
+// maxListingTime is how long a listing of all jobs may take while the rate is exceeded: the rest of one
+// second in which all reads are used up, and as long again for its retries.
+const maxListingTime = 2 * time.Second
+
+// listFor lists all jobs again and again, as an owner that takes over does, and returns the longest time
+// from the beginning of a listing to its success.
+func (w *statusWorld) listFor(d time.Duration) (longest time.Duration) {
+	for began := time.Now(); time.Since(began) < d; time.Sleep(100 * time.Millisecond) {
+		sent := time.Now()
+		for {
+			if _, _, err := w.stores[0].All(context.Background(), layout.JobsPrefix, kv.Linearizable); err == nil {
+				break
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		longest = max(longest, time.Since(sent))
+	}
+	return longest
+}
+
 // Guards against status requests that are refused since the store's rate of reads is exceeded by
-// themselves: all accepted jobs are asked for within a short time, several times as many as reads are
-// served in a second.
+// themselves, and against listings of jobs that starve beside them: all accepted jobs are asked for within a
+// short time, several times as many as reads are served in a second.
 func TestStatusRequestsBeyondTheStoresRateGetNoAnswer(t *testing.T) {
 	for name, spread := range map[string]time.Duration{"at once": 0, "within a second": time.Second, "within three seconds": 3 * time.Second} {
 		t.Run(name, func(t *testing.T) {
@@ -139,7 +159,10 @@
 						failures[n] = w.ask(n)
 					})
 				}
+				var longestListing time.Duration
+				callers.Go(func() { longestListing = w.listFor(spread + time.Second) })
 				callers.Wait()
+				assert.Assert(t, longestListing < maxListingTime, "%v", longestListing)
 				counts := map[string]int{}
 				for _, failure := range failures {
 					if failure != "" {
