Intake: status requests share a bounded number of reads in progress

What callers would see: with thousands of status requests at once, each one opened a connection to the store beside that of its caller, of about 3,900 descriptors that a process has. Without the bound the test in virtual time has all 2,048 reads in progress.

At most 256 reads of callers' requests are in progress at an instance; others wait for their turn until their deadline, and end at once when the store becomes unavailable.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -61,12 +61,16 @@
 	// admissions is nil if no job is rejected for lack of capacity.
 	admissions Admissions
 	summary    summary
+	reads      chan struct{} // holds an element for each read in progress
 }
 
 // New returns an intake. While leaving reports true, connections are closed after the
 // response.
 func New(store Store, config Configuration, leaving func() bool, logger *slog.Logger, scope tally.Scope) *Intake {
-	return &Intake{store: store, config: config, logger: logger, scope: scope, leaving: leaving}
+	return &Intake{
+		store: store, config: config, logger: logger, scope: scope, leaving: leaving,
+		reads: make(chan struct{}, maxConcurrentReads),
+	}
 }
 
 const (
--- a/entry/intake/read.go
+++ b/entry/intake/read.go
@@ -9,24 +9,34 @@
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 )
 
+// maxConcurrentReads bounds the reads of callers' requests that are in progress at the store. Each may
+// need a connection of its own, of which a process has some thousands for callers and store together. It
+// is enough for 800 reads a second while the store takes 320 ms for each.
+const maxConcurrentReads = 256
+
+// reserveRead waits until fewer than maxConcurrentReads are in progress, and returns a function that ends
+// the reservation. It returns an error if ctx ends first.
+func (i *Intake) reserveRead(ctx context.Context) (release func(), err error) {
+	select {
+	case i.reads <- struct{}{}:
+		return func() { <-i.reads }, nil
+	case <-ctx.Done():
+		return nil, contextError(ctx)
+	}
+}
+
 // read reads a key until the store responds, the store becomes unavailable or ctx ends. While the store
 // refuses reads since its rate is exceeded, it returns a stale item if acceptStale accepts that; nil
 // accepts none.
 func (i *Intake) read(ctx context.Context, key string, acceptStale func(kv.Item) bool) (kv.Item, error) {
+	if err := i.checkStore(); err != nil {
+		return kv.Item{}, err
+	}
 	random := backoff.NewRandom()
 	unanswered := 0
 	var lastErr error
 	for attempt := 1; ; attempt++ {
-		if err := i.checkStore(); err != nil {
-			return kv.Item{}, err
-		}
-		triedStale := acceptStale != nil && i.store.RateLimited()
-		if triedStale {
-			if item, accepted := i.readStale(ctx, key, acceptStale); accepted {
-				return item, nil
-			}
-		}
-		item, err := i.readOnce(ctx, key, unanswered+1)
+		item, err := i.attemptRead(ctx, key, unanswered+1, acceptStale)
 		if err == nil || errors.Is(err, kv.ErrNotFound) {
 			return item, err
 		}
@@ -34,21 +44,44 @@
 			return kv.Item{}, failedRead(ctx, lastErr, err)
 		}
 		lastErr = err
-		rateLimited := errors.Is(err, kv.ErrRateLimited)
-		if rateLimited && !triedStale && acceptStale != nil {
-			if item, accepted := i.readStale(ctx, key, acceptStale); accepted {
-				return item, nil
-			}
+		if _, unavailable := i.store.Unavailable(); unavailable {
+			return kv.Item{}, err
 		}
 		if !kv.NotRun(err) {
 			unanswered++
 		}
 		if backoff.Sleep(ctx, retryDelays.Delay(attempt, random)) != nil {
-			return kv.Item{}, lastErr
+			return kv.Item{}, err
 		}
 	}
 }
 
+// attemptRead makes one attempt of a read, whose timeout grows with its number, and stale reads as long as
+// or once the store refuses others for its rate.
+func (i *Intake) attemptRead(ctx context.Context, key string, number int, acceptStale func(kv.Item) bool) (kv.Item, error) {
+	release, err := i.reserveRead(ctx)
+	if err != nil {
+		return kv.Item{}, err
+	}
+	defer release()
+	if err := i.checkStore(); err != nil { // it may have become unavailable meanwhile
+		return kv.Item{}, err
+	}
+	staleFirst := acceptStale != nil && i.store.RateLimited()
+	if staleFirst {
+		if item, accepted := i.readStale(ctx, key, acceptStale); accepted {
+			return item, nil
+		}
+	}
+	item, err := i.readOnce(ctx, key, number)
+	if errors.Is(err, kv.ErrRateLimited) && acceptStale != nil && !staleFirst {
+		if item, accepted := i.readStale(ctx, key, acceptStale); accepted {
+			return item, nil
+		}
+	}
+	return item, err
+}
+
 // failedRead returns the error of a read whose context ended: that of an earlier attempt, if there was one,
 // since that tells why there is no result.
 func failedRead(ctx context.Context, earlier, err error) error {
@@ -58,7 +91,7 @@
 	return fmt.Errorf("%w: %w", contextError(ctx), err)
 }
 
-// readOnce makes one attempt. Its timeout grows with the attempts that got no response.
+// readOnce makes one call of a linearizable read.
 func (i *Intake) readOnce(ctx context.Context, key string, number int) (kv.Item, error) {
 	callCtx, cancel := context.WithTimeout(ctx, i.store.Timeout(number))
 	defer cancel()
@@ -67,7 +100,7 @@
 	return item, err
 }
 
-// readStale makes one attempt of a stale read, and reports whether it found an item that accept accepts.
+// readStale makes one call of a stale read, and reports whether it found an item that accept accepts.
 func (i *Intake) readStale(ctx context.Context, key string, accept func(kv.Item) bool) (kv.Item, bool) {
 	callCtx, cancel := context.WithTimeout(ctx, i.store.Timeout(1))
 	defer cancel()
--- a/entry/intake/read_test.go
+++ b/entry/intake/read_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"github.com/tarragonreach/tarragonreach/entry/layout"
@@ -142,3 +147,42 @@
 		}
 	}
 }
+
+// slowStore takes a while for each read, and records how many are in progress at once.
+type slowStore struct {
+	fakeStore
+	reading, most atomic.Int64
+}
+
+func (s *slowStore) Get(context.Context, string) (kv.Item, error) {
+	s.most.Store(max(s.most.Load(), s.reading.Add(1)))
+	defer s.reading.Add(-1)
+	time.Sleep(300 * time.Millisecond)
+	return kv.Item{Value: []byte(ownState)}, nil
+}
+
+// Many status requests at once must not take a connection to the store each, of which a process has only
+// some thousands, and must all be answered.
+func TestStatusRequestsTakeAConnectionEach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &slowStore{}
+		config := &fakeConfig{present: operatorconfig.Knowledge{Config: testConfig(t, ""), Recent: true}}
+		handler := New(store, config, func() bool { return false }, slog.New(slog.DiscardHandler), tally.NoopScope).Handler()
+		var callers sync.WaitGroup
+		var answered atomic.Int64
+		for range 8 * maxConcurrentReads {
+			callers.Go(func() {
+				request := httptest.NewRequest(http.MethodGet, "/closed/"+string(testJob), nil)
+				request.Host = host
+				response := httptest.NewRecorder()
+				handler.ServeHTTP(response, request)
+				if response.Code == http.StatusOK {
+					answered.Add(1)
+				}
+			})
+		}
+		callers.Wait()
+		assert.Equal(t, answered.Load(), int64(8*maxConcurrentReads))
+		assert.Assert(t, store.most.Load() <= maxConcurrentReads, "%d", store.most.Load())
+	})
+}
