Intake: a read in progress goes on when the store becomes unavailable

Since reads go on until the deadline, they had ended at once when the store became unavailable, where they made four attempts before. A store that becomes slow counts as unavailable for a moment, so that requests in progress were refused that would have been answered. They make four attempts again; requests that wait for their turn end at once, as new ones do.

--- a/entry/intake/jobs.go
+++ b/entry/intake/jobs.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	// refusedAttempts is how many times a write that the store refuses is attempted.
+	// refusedAttempts is how many times a write is attempted that the store refuses, and a read while
+	// the store becomes unavailable.
 	refusedAttempts = 4
 	// cancelAttempts bounds how often a job may change while it is being cancelled.
 	cancelAttempts = 5
--- a/entry/intake/read.go
+++ b/entry/intake/read.go
@@ -15,19 +15,29 @@
 const maxConcurrentReads = 256
 
 // reserveRead waits until fewer than maxConcurrentReads are in progress, and returns a function that ends
-// the reservation. It returns an error if ctx ends first.
+// the reservation. It returns an error if ctx ends first, or if the store has become unavailable meanwhile.
 func (i *Intake) reserveRead(ctx context.Context) (release func(), err error) {
+	release = func() { <-i.reads }
+	select {
+	case i.reads <- struct{}{}:
+		return release, nil
+	default:
+	}
 	select {
 	case i.reads <- struct{}{}:
-		return func() { <-i.reads }, nil
 	case <-ctx.Done():
 		return nil, contextError(ctx)
 	}
+	if err := i.checkStore(); err != nil {
+		release()
+		return nil, err
+	}
+	return release, nil
 }
 
-// read reads a key until the store responds, the store becomes unavailable or ctx ends. While the store
-// refuses reads since its rate is exceeded, it returns a stale item if acceptStale accepts that; nil
-// accepts none.
+// read reads a key until the store responds or ctx ends. It makes no attempt while the store is
+// unavailable, and refusedAttempts if it becomes so. While the store refuses reads since its rate is
+// exceeded, it returns a stale item if acceptStale accepts that; nil accepts none.
 func (i *Intake) read(ctx context.Context, key string, acceptStale func(kv.Item) bool) (kv.Item, error) {
 	if err := i.checkStore(); err != nil {
 		return kv.Item{}, err
@@ -44,7 +54,7 @@
 			return kv.Item{}, failedRead(ctx, lastErr, err)
 		}
 		lastErr = err
-		if _, unavailable := i.store.Unavailable(); unavailable {
+		if _, unavailable := i.store.Unavailable(); unavailable && attempt >= refusedAttempts {
 			return kv.Item{}, err
 		}
 		if !kv.NotRun(err) {
@@ -64,9 +74,6 @@
 		return kv.Item{}, err
 	}
 	defer release()
-	if err := i.checkStore(); err != nil { // it may have become unavailable meanwhile
-		return kv.Item{}, err
-	}
 	staleFirst := acceptStale != nil && i.store.RateLimited()
 	if staleFirst {
 		if item, accepted := i.readStale(ctx, key, acceptStale); accepted {
