Store health: the latency of reads sets the timeouts, too

What callers would see: on an instance that writes nothing, each status request at a store that takes 300 ms made three reads: the first two timed out after 120 and 240 ms. A slow store's rate is exceeded earlier by that, for all instances.

The timeout of a first attempt followed the latency of writes only.

Left open: when the store becomes slow, no call is answered for 0.3 s while short first timeouts fail, so that it may count as unavailable for a moment, and requests that arrive then are refused.

--- a/entry/host/statusload_test.go
+++ b/entry/host/statusload_test.go
@@ -209,3 +209,32 @@
 		})
 	}
 }
+
+// Guards against status requests that make several reads each while the store is slow, and by that exceed
+// its rate: a timeout that is shorter than the store's latency loses responses that would come. In the first
+// second the store may count as unavailable, until timeouts have adapted.
+func TestStatusRequestsAreRepeatedAtASlowStore(t *testing.T) {
+	const (
+		requests = 500
+		spacing  = 20 * time.Millisecond
+		judged   = int(time.Second / spacing) // the first request that must be answered
+	)
+	synctest.Test(t, func(t *testing.T) {
+		w := newStatusWorld(0)
+		defer w.stop()
+		w.store.begin(storeSpell{fault: storeSlow, latency: 300 * time.Millisecond})
+		before := w.store.Calls("/kv-key")
+		var callers sync.WaitGroup
+		for n := range requests {
+			callers.Go(func() {
+				time.Sleep(time.Duration(n) * spacing)
+				if failure := w.ask(n); failure != "" && n >= judged {
+					t.Errorf("request %d: %s", n, failure)
+				}
+			})
+		}
+		callers.Wait()
+		reads := w.store.Calls("/kv-key") - before
+		assert.Assert(t, reads < requests*3/2, "%d reads for %d requests", reads, requests)
+	})
+}
--- a/entry/storehealth/storehealth.go
+++ b/entry/storehealth/storehealth.go
@@ -32,7 +32,7 @@
 	failures         int // consecutive
 	lastResponse     time.Time
 	unavailableSince time.Time     // when the store began to count as unavailable; zero while it is available
-	latency          time.Duration // smoothed latency of successful writes
+	latency          time.Duration // smoothed latency of successful calls that read or write one key
 	answeredSentAt   time.Time     // when the latest of the calls that were answered had been sent
 	rateLimitedAt    time.Time     // when the store last refused a read for its rate
 	notify           func(unavailable bool, failures int)
@@ -198,12 +198,12 @@
 	// latencyFactor is the minimum timeout of the first attempt, as a multiple of the usual
 	// latency.
 	latencyFactor = 3
-	// latencyWeight is the weight of the latest write in the usual latency. It is large,
+	// latencyWeight is the weight of the latest call in the usual latency. It is large,
 	// since the store may become slow from one call to the next.
 	latencyWeight = 0.5
 )
 
-// Timeout returns the timeout of an attempt of a write, counted from 1. The first one is at
+// Timeout returns the timeout of an attempt of a call, counted from 1. The first one is at
 // least latencyFactor times the usual latency, and each further one is twice as long as the
 // one before, all up to the cap of backoff.DefaultTimeouts.
 func (s *Store) Timeout(attempt int) time.Duration {
@@ -228,6 +228,9 @@
 	sent := time.Now()
 	item, err := s.Client.Get(ctx, key)
 	s.observeOf(kv.Linearizable, sent, err)
+	if err == nil {
+		s.observeLatency(time.Since(sent))
+	}
 	return item, err
 }
 
