--- a/api/cluster/cluster.go
+++ b/api/cluster/cluster.go
@@ -100,10 +100,17 @@
 	Public         bool    // callers need no API key
 }
 
+// maxObjective is the longest Objective, so that times it is added to can't overflow.
+const maxObjective = 100 * 365 * 24 * time.Hour
+
 // Objective returns the time within which a job with the given critical path should
-// complete.
+// complete. It is at most 100 years.
 func (q Queue) Objective(criticalPath time.Duration) time.Duration {
-	return time.Duration(q.Stretch*float64(criticalPath)) + q.TargetDuration
+	stretched := q.Stretch * float64(criticalPath)
+	if !(stretched+float64(q.TargetDuration) < float64(maxObjective)) { // also if it is not a number
+		return maxObjective
+	}
+	return time.Duration(stretched) + q.TargetDuration
 }
 
 // Advice holds the times of the advice service, which decides which executors may run
