--- a/api/job/job.go
+++ b/api/job/job.go
@@ -160,6 +160,9 @@
 	if !(Resources{}).Fits(s.Need) {
 		return fmt.Errorf("need %+v: want no negative amounts", s.Need)
 	}
+	if s.MaxPerServer < 0 || s.MaxUnavailable < 0 {
+		return fmt.Errorf("max-per-server %d, may-miss %d: want no negative numbers", s.MaxPerServer, s.MaxUnavailable)
+	}
 	for _, earlier := range s.After {
 		if earlier < 0 || earlier >= index {
 			return fmt.Errorf("waits for step %d: want an earlier step", earlier)
