--- a/api/execution/execution.go
+++ b/api/execution/execution.go
@@ -69,6 +69,7 @@
 	EndedLeaseExpired   EndReason = "lapsed"
 	EndedGangBroken     EndReason = "broken" // another member of its gang ended
 	EndedGangIncomplete EndReason = "alone"  // the other members of its gang did not start
+	EndedOther          EndReason = "other"  // the executor gave a reason that is not known
 )
 
 // Ended is a run that an executor lists as ended.
