Shard: only executors that have responded count in means, sums and shares

One entry in the list of executors that no executor stands behind changed what an owner derives from the capacity of its service. With two executors of 16 cores and 32 GB and 24 long-running tasks of 9 GB, the planner got as LongRunningCPU, instead of 127,992: 24,000 for an entry with the largest int64 or a negative capacity, 25,584 for 1 CPU and 2^50 MB, 4*10^15 for 10^15 CPU and 1 MB, and 109,704 for four times a real capacity. The same entries changed the dominant shares of tenants (0.56 to 0, 0.10, 0.19 or 0.05), what counts as a large need, and the CPU up to which expiring jobs go first.

Cause: meanCapacity, listedCapacity and capacityCPU summed over the listed executors, whatever stands behind their entries.

Now there is one notion: an executor is confirmed once it has responded to a poll of this owner, and remains so while it can't be reached. All sums and means of capacities are over confirmed ones. The search for places of prepared starts examines confirmed ones only, too: others used up its bound.

While none is confirmed, the mean is that of the last ones: a need must not shrink while all executors are replaced. A new owner that has heard of none yet holds its load back, so that what its predecessor published stays, until one has responded, for at most 2.5 s (maxResponseAge); after that needs count by themselves, as they do without any executor. Starts are on confirmed executors only, so a load with starts is never held back.

What else counts executors was looked through and stays: usable ones have responded (trials, holds, evacuation, advice, last resort, admission, quota); the load lists also those that have not, since the planner must know that an unreachable machine is empty, and marks them unusable; the report lists them by their reason, not-polled.

--- a/policy/shard/admissionestimate.go
+++ b/policy/shard/admissionestimate.go
@@ -156,7 +156,7 @@
 // their rates that can still be in time, and late ones about to be worth nothing within their
 // share.
 func (e *estimate) collectJobs() {
-	expiringLeft := expiringShare * float64(e.shard.capacityCPU())
+	expiringLeft := e.shard.expiringCPU()
 	for _, j := range e.shard.queue.jobs {
 		if j.terminating() || j.state.Final() || j.isLongRunning() {
 			continue
--- a/policy/shard/load.go
+++ b/policy/shard/load.go
@@ -95,22 +95,6 @@
 	return l
 }
 
-// meanCapacity returns the mean capacity of the listed executors; zero if there are none.
-func (s *Shard) meanCapacity() job.Resources {
-	var sum job.Resources
-	var n int64
-	for _, e := range s.executors {
-		if e.listed {
-			sum = sum.Add(e.Capacity)
-			n++
-		}
-	}
-	if n == 0 {
-		return job.Resources{}
-	}
-	return job.Resources{MilliCPU: sum.MilliCPU / n, MemoryMB: sum.MemoryMB / n, GPU: sum.GPU / n}
-}
-
 // occupiedCPU returns the CPU capacity that a task with the given need takes up on an
 // executor of the given capacity: the capacity divided by how many such tasks fit. That
 // includes the CPU capacity that is left over because the memory is used up, or because it
--- a/policy/shard/order.go
+++ b/policy/shard/order.go
@@ -79,7 +79,7 @@
 // of a rank does not fit into the free capacity, it is ordered by their shares.
 func (s *Shard) startOrder(now time.Time) []*jobState {
 	groups := map[rank][]*jobState{}
-	expiringCPULeft := expiringShare * float64(s.capacityCPU())
+	expiringCPULeft := s.expiringCPU()
 	count := 0
 	for _, j := range s.queue.jobs {
 		if j.terminating() || j.state.Final() {
@@ -124,15 +124,10 @@
 // beyond the capacity, each would make another job late, which in turn would expire.
 const expiringShare = 0.15
 
-// capacityCPU returns the CPU capacity of all listed executors, in thousandths of a core.
-func (s *Shard) capacityCPU() int64 {
-	var sum int64
-	for _, e := range s.executors {
-		if e.listed {
-			sum += e.Capacity.MilliCPU
-		}
-	}
-	return sum
+// expiringCPU returns the CPU capacity up to which expiring jobs go first, in thousandths of a core.
+func (s *Shard) expiringCPU() float64 {
+	capacity, _ := s.confirmedCapacity()
+	return expiringShare * float64(capacity.MilliCPU)
 }
 
 // openCPU returns the need of the job's tasks that run or could start, in thousandths of
--- a/policy/shard/order_test.go
+++ b/policy/shard/order_test.go
@@ -14,7 +14,7 @@
 // startOrderByDeadline is the start order without tenants, as it was before there were any.
 func (s *Shard) startOrderByDeadline(now time.Time) []*jobState {
 	groups := map[rank][]*jobState{}
-	expiringCPULeft := expiringShare * float64(s.capacityCPU())
+	expiringCPULeft := s.expiringCPU()
 	count := 0
 	for _, j := range s.queue.jobs {
 		if j.terminating() || j.state.Final() {
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -166,7 +166,7 @@
 
 // Pending reports whether Batch may have something to store or to start.
 func (s *Shard) Pending(now time.Time) bool {
-	due := s.dirty || len(s.jobs) > 0 && !now.Before(s.planAt) || s.admission.pending(now)
+	due := s.dirty || (len(s.jobs) > 0 || s.loadHeld) && !now.Before(s.planAt) || s.admission.pending(now)
 	return due && s.pendingBatch == nil
 }
 
@@ -364,7 +364,7 @@
 // addLoad adds the load after the starts of the batch, if it is due and has changed.
 func (b *builder) addLoad() {
 	s := b.shard
-	if b.now.Sub(s.loadComputedAt) < loadInterval && !s.loadUrgent {
+	if b.now.Sub(s.loadComputedAt) < loadInterval && !s.loadUrgent || s.loadWaits(b.now) {
 		return
 	}
 	s.loadUrgent, s.loadComputedAt = false, b.now
--- a/policy/shard/prepared.go
+++ b/policy/shard/prepared.go
@@ -260,9 +260,14 @@
 	s := p.builder.shard
 	known := len(p.list)
 	all := s.sortedExecutors()
-	for range min(maxPreparedScan, len(all)) {
+	examined := 0
+	for i := 0; i < len(all) && examined < maxPreparedScan; i++ {
 		s.prepared.scanned++
 		e := all[s.prepared.scanned%len(all)]
+		if !e.confirmed() {
+			continue
+		}
+		examined++
 		if !p.has(e, known) {
 			p.add(e, e.free())
 		}
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -96,15 +96,19 @@
 
 	loadComputedAt time.Time
 	lastLoad       Load      // as stored last
-	lastTick       time.Time // when Tick was called last
-	resumedAt      time.Time // when Tick was called after the last long gap
-	evacuating     bool      // long-running tasks have to leave an executor
-	evacuateDue    bool      // a poll result may allow another long-running task to leave
-	evacuatedAt    time.Time
-	leaving        []*executorState // executors that are cordoned or draining
-	loadUrgent     bool             // a cordon changed or a cordoned executor became empty
-	arrivedWork    int64            // core-milliseconds, of the short jobs added in this term
-	arrivedJobs    int64
+	loadDueSince   time.Time // when the load was first due; see loadWaits
+	loadHeld       bool      // what loadWaits returned last
+	// lastMeanCapacity is the mean capacity of the confirmed executors when there were last any.
+	lastMeanCapacity job.Resources
+	lastTick         time.Time // when Tick was called last
+	resumedAt        time.Time // when Tick was called after the last long gap
+	evacuating       bool      // long-running tasks have to leave an executor
+	evacuateDue      bool      // a poll result may allow another long-running task to leave
+	evacuatedAt      time.Time
+	leaving          []*executorState // executors that are cordoned or draining
+	loadUrgent       bool             // a cordon changed or a cordoned executor became empty
+	arrivedWork      int64            // core-milliseconds, of the short jobs added in this term
+	arrivedJobs      int64
 	// observationGaps is as Load.ObservationGaps; batchCommitted is set until the next batch
 	// is planned.
 	observationGaps int64
--- a/policy/shard/shareorder.go
+++ b/policy/shard/shareorder.go
@@ -23,8 +23,9 @@
 
 // newShareOrder returns an empty order. It reuses the memory of the last one.
 func (s *Shard) newShareOrder(now time.Time) *shareOrder {
+	capacity, _ := s.confirmedCapacity()
 	s.order = shareOrder{
-		capacity: s.listedCapacity(), free: s.usableFree(now),
+		capacity: capacity, free: s.usableFree(now),
 		turns: s.order.turns[:0], touched: s.order.touched[:0],
 	}
 	return &s.order
--- a/policy/shard/shares.go
+++ b/policy/shard/shares.go
@@ -99,17 +99,6 @@
 	return share
 }
 
-// listedCapacity returns the capacity of all listed executors.
-func (s *Shard) listedCapacity() job.Resources {
-	var sum job.Resources
-	for _, e := range s.executors {
-		if e.listed {
-			sum = sum.Add(e.Capacity)
-		}
-	}
-	return sum
-}
-
 // usableFree returns the free capacity of the executors that may be given work.
 func (s *Shard) usableFree(now time.Time) job.Resources {
 	var free job.Resources
@@ -128,7 +117,7 @@
 	if !s.sharesApply() || period <= 0 {
 		return
 	}
-	capacity := s.listedCapacity()
+	capacity, _ := s.confirmedCapacity()
 	var contending, active weightedShares
 	for _, t := range s.shareList {
 		share := dominantShare(t.used, capacity)
--- a/policy/shard/tenantreport.go
+++ b/policy/shard/tenantreport.go
@@ -13,12 +13,12 @@
 	Weight float64
 	// WithinRate and BeyondRate count the jobs since the last report.
 	WithinRate, BeyondRate int64
-	Share                  float64 // dominant share of the service that its runs use
+	Share                  float64 // dominant share of the confirmed executors that its runs use
 }
 
 // tenantReports reports on the configured tenants, by name.
 func (s *Shard) tenantReports() []TenantReport {
-	capacity := s.listedCapacity()
+	capacity, _ := s.confirmedCapacity()
 	var list []TenantReport
 	for _, t := range s.shareList {
 		if !t.configured {
