Shard: an entry with another address ends no run of an executor

Seen: with another writer's entry that names, under the ID and birth of an executor at work, the address of another executor, the owner called that address, was told there that it is another one (421), and took the executor for ended. It discarded its runs, which went on there, counted a crash under each task, and never used the executor again, also not after the executor had written its own entry. With all entries changed like that for 5 s, nothing of the service ran any more: the whole-process test timed out waiting for the next job's tasks.

Cause: a listed entry replaced the address of a known incarnation, and nothing took back "ended".

Change: the address at which an executor has responded to this owner, or at which an earlier owner stored a run, is kept for its life. An entry of the same incarnation with another address is not about it: the executor counts as not listed until its own entry is back, and its runs are polled where they are. An executor that has not responded yet takes the address of its latest entry, and outcomes of calls to the former one do not count.

Evidence: the three tests of address_test.go failed before (polled "i-2:80" instead of "i-1:80", polled nothing after the right entry, address i-2:80 instead of the stored one) and pass now.

--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -52,7 +52,9 @@
 	// reportedEmpty is set once a load has shown it without runs under the present cordon.
 	reportedEmpty bool
 	ended         bool // it has ended: another executor has its address or its machine, or none has
-	knownSince    time.Time
+	// confirmedAddress is where it has responded to this owner or an earlier one; empty if it has not.
+	confirmedAddress string
+	knownSince       time.Time
 
 	used job.Resources
 	runs map[job.TaskID]*run
--- a/policy/shard/incarnations.go
+++ b/policy/shard/incarnations.go
@@ -99,8 +99,10 @@
 		e = s.add(listed, now)
 	case e.Incarnation().SucceededBy(listed.Incarnation()):
 		e = s.succeed(e, listed, RestartListed, now)
-	case e.Born != listed.Born && e.Born != 0:
+	case e.Born != listed.Born && e.Born != 0, e.contradicts(listed):
 		return
+	case e.Address != listed.Address:
+		e.moveTo(listed.Address)
 	}
 	if listed.Draining && !e.everDraining {
 		e.everDraining = true
@@ -171,14 +173,19 @@
 	e := s.executors[named.ID]
 	switch {
 	case e == nil:
-		return s.add(unlisted, now)
+		e = s.add(unlisted, now)
+		e.confirmAddress(tp.Address)
+		return e
 	case e.Incarnation().MayEqual(named):
 		if e.Born == 0 {
 			e.Born = named.Born
 		}
+		e.confirmAddress(tp.Address)
 		return e
 	case e.Incarnation().SucceededBy(named):
-		return s.succeed(e, unlisted, RestartStored, now)
+		e = s.succeed(e, unlisted, RestartStored, now)
+		e.confirmAddress(tp.Address)
+		return e
 	}
 	for _, f := range e.former {
 		if f.Born == named.Born {
--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -117,6 +117,9 @@
 		s.applyLatePoll(e, delivery, response, now)
 		return
 	}
+	if poll.Executor.Address != e.Address {
+		return // sent to an address that is not the executor's
+	}
 	if poll.SentAt.Before(e.clockSentAt) {
 		return // a later poll has been answered, and shows more
 	}
@@ -178,6 +181,7 @@
 		s.settleFormer(e, response)
 	}
 	e.failedCalls, e.renewalPaused, e.polled, e.doubtedAt = 0, false, true, time.Time{}
+	e.confirmAddress(poll.Executor.Address)
 	e.clockMs, e.clockAt, e.clockSentAt, e.lastResponse = response.ClockMs, now, poll.SentAt, now
 	e.ackedSequence = max(e.ackedSequence, poll.Request.AckedThrough)
 	s.settleAcknowledgement(e, poll)
