Log: long texts of other programs do not make long lines

An error about an entry of another writer quotes its text: json names the whole literal of a number and registry the whole state, up to 1 MB each. The queue of the log holds 4,096 lines, so that such entries could take the memory of a process (limit 284 MB on the smallest site).

The handlers of `serve` and of logging.New now shorten each text, error or list of texts of an attribute to 4 KiB and state its length.

--- a/cmd/tarragond/serve.go
+++ b/cmd/tarragond/serve.go
@@ -40,7 +40,7 @@
 	}
 	out := logging.NewAsyncWriter(os.Stdout)
 	defer out.Close()
-	logger := slog.New(slog.NewJSONHandler(out, nil)).With("instance", string(node.ID), "zone", string(node.Zone))
+	logger := slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{ReplaceAttr: logging.BoundText})).With("instance", string(node.ID), "zone", string(node.Zone))
 	app := host.New(node, options, logger)
 	if err := app.Start(ctx); err != nil {
 		return fmt.Errorf("start: %w", err)
--- a/entry/logging/logging.go
+++ b/entry/logging/logging.go
@@ -18,14 +18,14 @@
 }
 
 // New returns a Log that writes to out with the level and format of the settings. Each
-// line carries the instance and its zone.
+// line carries the instance and its zone. Long texts are shortened.
 func New(out io.Writer, s settings.Log, instance settings.Instance) (*Log, error) {
 	level := new(slog.LevelVar)
 	l := &Log{level: level}
 	if err := l.SetLevel(s.Level); err != nil {
 		return nil, err
 	}
-	handler := newHandler(out, s.Format, &slog.HandlerOptions{Level: level})
+	handler := newHandler(out, s.Format, &slog.HandlerOptions{Level: level, ReplaceAttr: BoundText})
 	l.Logger = slog.New(handler).With("instance", string(instance.ID), "zone", string(instance.Zone))
 	return l, nil
 }
