--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -328,23 +328,40 @@
 	Executor
 	born    cluster.Birth
 	address string
+	usedAt  time.Time // when it was last asked for
 }
 
+// clientRetention is how long the client of an executor is kept that is not called: above the time
+// between two polls of an idle executor.
+const clientRetention = 2 * time.Minute
+
 // client returns the client of an executor. A later incarnation, or one that has moved, gets
 // connections of its own.
 func (o *Owner) client(e cluster.Executor) Executor {
 	client, known := o.clients[e.ID]
-	if known && client.born == e.Born && client.address == e.Address {
-		return client
-	}
-	if known {
+	if known && (client.born != e.Born || client.address != e.Address) {
 		client.Close()
+		known = false
 	}
-	client = executorClient{o.Dial(e.ID, e.Address), e.Born, e.Address}
+	if !known {
+		client = executorClient{Executor: o.Dial(e.ID, e.Address), born: e.Born, address: e.Address}
+	}
+	client.usedAt = time.Now()
 	o.clients[e.ID] = client
 	return client
 }
 
+// closeUnusedClients drops the clients that were not used for clientRetention: most of these executors
+// are gone.
+func (o *Owner) closeUnusedClients(now time.Time) {
+	for id, client := range o.clients {
+		if now.Sub(client.usedAt) > clientRetention {
+			client.Close()
+			delete(o.clients, id)
+		}
+	}
+}
+
 // deliveryOf returns whether a call to an executor that returned err was delivered.
 func deliveryOf(err error) shard.Delivery {
 	switch {
--- a/entry/owner/report.go
+++ b/entry/owner/report.go
@@ -63,6 +63,7 @@
 	delay := o.delays.maxEventDelay
 	used := o.cpuTimeUsed()
 	o.delays.reportedAt, o.delays.maxEventDelay = now, 0
+	o.closeUnusedClients(now)
 	overloaded := delay >= overloadedDelay || o.Cores > 0 && used.Seconds() >= overloadedCPUShare*o.Cores*period.Seconds()
 	r := o.shard.Waiting(now, overloaded)
 	o.measure(r, delay)
