Shard: executors that never respond leave descriptors to the others

Any writer may list executors that no one stands behind. An owner polled all of them at once, and each again within 2 s: with 2,000 such entries to which calls hang, 2,000 connections were being opened at a time, of the 3,900 descriptors that a process has for sockets, for each service that it leads; with twice as many, callers, the store and sound executors would get none.

Now at most 512 polls are in flight to executors that were not polled before, and 64 to those that have never responded; those that are due for the longest time come first, so that none starves. Executors that have responded to this owner, or have runs, are polled as before.

Evidence: TestExecutorsThatNeverRespondStarveNoOthers failed before with 2,000 polls in flight, bound 600. With the change the sound executors among them are usable within 3 s of the takeover, a new one within 1 s, and one that responds only later within 30 s.

--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -24,23 +24,42 @@
 	if s.fenced {
 		return nil
 	}
-	var list []Poll
+	var due []*executorState
+	var unknown contacts
 	for _, e := range s.sortedExecutors() {
-		if e.polling || e.ended || e.Address == "" || now.Before(e.pollAt) || !e.wantsPoll(now) || !s.hasToken(e) {
-			continue
-		}
-		e.polling = true
-		poll := Poll{Executor: e.Executor, SentAt: now, target: e, leaseBoundBefore: e.leaseBound}
-		poll.Request = s.pollRequest(e, now)
-		if poll.Request.AckedThrough > 0 {
-			e.noteAcknowledgement(poll.Request.Token)
+		switch {
+		case e.polling && e.uncontacted():
+			unknown.countInFlight(e)
+		case !s.pollDue(e, now):
+		case e.uncontacted():
+			unknown.due = append(unknown.due, e)
+		default:
+			due = append(due, e)
 		}
-		poll.leaseBoundAfter = e.leaseBound
-		list = append(list, poll)
+	}
+	var list []Poll
+	for _, e := range append(due, unknown.allowed()...) {
+		list = append(list, s.newPoll(e, now))
 	}
 	return list
 }
 
+func (s *Shard) pollDue(e *executorState, now time.Time) bool {
+	return !e.polling && !e.ended && e.Address != "" && !now.Before(e.pollAt) && e.wantsPoll(now) && s.hasToken(e)
+}
+
+// newPoll returns a poll that is sent now.
+func (s *Shard) newPoll(e *executorState, now time.Time) Poll {
+	e.polling = true
+	poll := Poll{Executor: e.Executor, SentAt: now, target: e, leaseBoundBefore: e.leaseBound}
+	poll.Request = s.pollRequest(e, now)
+	if poll.Request.AckedThrough > 0 {
+		e.noteAcknowledgement(poll.Request.Token)
+	}
+	poll.leaseBoundAfter = e.leaseBound
+	return poll
+}
+
 // wantsPoll reports whether there is a state to fetch from the executor or an
 // acknowledgement to send to it.
 func (e *executorState) wantsPoll(now time.Time) bool {
