Follow: failing watches are not followed by listings without a pause

While listings of a prefix succeeded and watches failed at once (a store that refuses a part of the calls, a response that is too long), a follower listed the prefix again and again as fast as the store responded, each page at the full price of a read: 20,010 listings in 20 s with listings of 1 ms. Each owner, each candidate and the fleet duty follow prefixes, so that a store that was short of reads got more of them.

A watch that fails after others have succeeded is followed by a listing at once, as before.

Evidence: TestFailingWatchesAreNotFollowedByListingsWithoutPause failed before with 20,010 listings, bound 200.

--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -62,7 +62,7 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	failures := 0
+	failures, failedWatches := 0, 0
 	for ctx.Err() == nil {
 		after, err := f.list(ctx)
 		if err != nil {
@@ -73,7 +73,12 @@
 			f.Logger.Info("store responds again", "prefix", f.Prefix, "revision", int64(after), "failures", failures)
 		}
 		failures = 0
-		f.watch(ctx, after)
+		if f.watch(ctx, after) {
+			failedWatches = 0
+			continue
+		}
+		failedWatches++
+		_ = backoff.Sleep(ctx, retry.Delay(failedWatches, backoff.NewRandom())) // the loop checks ctx
 	}
 }
 
@@ -97,24 +102,28 @@
 
 // watch applies changes until the history is compacted, a watch fails or returns no events,
 // or ctx ends. A watch may miss changes, so one without events is followed by a new
-// listing.
-func (f *Follower) watch(ctx context.Context, after kv.Revision) {
+// listing. It reports whether any watch succeeded.
+func (f *Follower) watch(ctx context.Context, after kv.Revision) (succeeded bool) {
 	for ctx.Err() == nil {
 		events, err := f.watchOnce(ctx, after)
 		switch {
 		case errors.Is(err, kv.ErrCompacted):
 			f.Logger.Info("history of the store is compacted; listing again", "prefix", f.Prefix, "revision", int64(after))
-			return
+			return succeeded
 		case err != nil && ctx.Err() == nil:
 			f.Logger.Warn("watch failed; listing again", "prefix", f.Prefix, "revision", int64(after), "error", err)
-			return
-		case err != nil || len(events.Events) == 0:
-			return
+			return succeeded
+		case err != nil:
+			return succeeded
+		case len(events.Events) == 0:
+			return true
 		}
+		succeeded = true
 		after = max(after, events.AsOf)
 		f.Apply(Change{Events: events.Events})
 		_ = backoff.Sleep(ctx, f.Pause) // the loop checks ctx
 	}
+	return succeeded
 }
 
 func (f *Follower) watchOnce(ctx context.Context, after kv.Revision) (kv.Events, error) {
--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -99,3 +99,21 @@
 		assert.Assert(t, len(changes) > 0)
 	})
 }
+
+// Listings succeed while watches fail at once, as when a store is overloaded or the response to a watch
+// is too long: the follower must not list the prefix again and again without a pause.
+func TestFailingWatchesAreNotFollowedByListingsWithoutPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		store := &scriptedStore{listingTime: time.Millisecond, watch: func(_ int, wait time.Duration) (kv.Events, error) {
+			if time.Since(start) < 20*time.Second {
+				return kv.Events{}, errors.New("refused")
+			}
+			time.Sleep(wait)
+			return kv.Events{}, nil
+		}}
+		runFollower(t, store, Follower{}, 30*time.Second)
+		assert.Assert(t, store.lists > 40, "%d listings", store.lists)
+		assert.Assert(t, store.lists <= 20*10, "%d listings", store.lists)
+	})
+}
