Election: a holder that can't be read does not keep a duty for ever

An entry of another writer under owners/, or in the place of a holder, counted as a holder. It has no lease that would expire, so nobody ever led that service, or the fleet, again: jobs were accepted and none ran. Only the first listing of a process looked at the holders, and it skipped such an entry.

Now each change is examined, and a holder that can't be read and has no lease is removed, under the condition that it has not changed since. Holders that can be read, and those with a lease, stay. The former log line for each is a summary.

--- a/entry/election/election.go
+++ b/entry/election/election.go
@@ -131,29 +131,44 @@
 
 // Follow keeps track of the duties until ctx ends.
 func (e *Election) Follow(ctx context.Context) {
+	unreadable := follow.NewSkipped(e.logger, "holders of duties not readable")
 	apply := func(c follow.Change) {
-		if first := e.vacancies.apply(c, time.Now()); first {
-			go e.releaseStaleDuties(ctx, c.Events)
+		first := e.vacancies.apply(c, time.Now())
+		if stale := e.staleHolders(c, first, unreadable); len(stale) > 0 {
+			go e.releaseDuties(ctx, stale)
 		}
 	}
 	f := follow.Follower{Store: e.store, Prefix: layout.OwnersPrefix, Apply: apply, Logger: e.logger}
 	f.Run(ctx)
 }
 
-// releaseStaleDuties removes the keys of an earlier process of this instance, so that no
-// candidate waits until its leases expire. If that process still runs, it loses the duty as
-// if its lease had expired.
-func (e *Election) releaseStaleDuties(ctx context.Context, events []kv.Event) {
-	for _, event := range events {
+// staleHolders returns the keys of a change that no instance holds: those of an earlier process of
+// this instance, if the change is the first listing, and those that can't be read and have no lease. So
+// no candidate waits until the leases of the former expire, or for ever for the latter, which another
+// writer has left. If the earlier process still runs, it loses the duty as if its lease had expired.
+func (e *Election) staleHolders(c follow.Change, first bool, unreadable *follow.Skipped) []kv.Item {
+	unreadable.Begin(c)
+	defer unreadable.Log()
+	var stale []kv.Item
+	for _, event := range c.Events {
+		if event.Removed {
+			continue
+		}
 		holder, err := layout.Decode[layout.Holder](event.Key, event.Value)
 		if err != nil {
-			e.logger.Error("holder of a duty not readable", "key", event.Key, "error", err)
-			continue
+			unreadable.Add(event.Key, err)
 		}
-		if holder.Instance == e.instance {
-			e.release(ctx, event.Item)
+		if err != nil && event.Lease == 0 || err == nil && first && holder.Instance == e.instance {
+			stale = append(stale, event.Item)
 		}
 	}
+	return stale
+}
+
+func (e *Election) releaseDuties(ctx context.Context, stale []kv.Item) {
+	for _, item := range stale {
+		e.release(ctx, item)
+	}
 }
 
 func (e *Election) release(ctx context.Context, stale kv.Item) {
@@ -163,7 +178,7 @@
 		Conditions: []kv.Condition{{Key: stale.Key, Revision: stale.Revision}},
 		Deletes:    []string{stale.Key},
 	})
-	e.logger.Info("duty of an earlier process released", "key", stale.Key, "token", int64(stale.Created), "applied", result.Applied, "error", err)
+	e.logger.Info("duty without a holder released", "key", stale.Key, "token", int64(stale.Created), "applied", result.Applied, "error", err)
 }
 
 // Campaign campaigns for the duty until ctx ends. For each term it calls lead with a context
--- a/entry/election/election_test.go
+++ b/entry/election/election_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -56,3 +57,37 @@
 	assert.Assert(t, small.baseClaimDelay(0) > large.baseClaimDelay(2))
 	assert.Assert(t, large.baseClaimDelay(0) == 0)
 }
+
+// Another writer leaves an entry that can't be read in the place of a duty's holder, before an instance
+// campaigns for it or while one holds it. It has no lease that expires: without its removal, nobody
+// would ever hold the duty again.
+func TestUnreadableHolderDoesNotKeepADutyForEver(t *testing.T) {
+	for _, odd := range []string{"", "[]", "\xff", `{"instance":7}`, strings.Repeat("[", 100_000)} {
+		store := standin.NewStore()
+		server := httptest.NewServer(store)
+		store.Put(layout.OwnerKey("fleet"), []byte(odd))
+		ctx, cancel := context.WithCancel(t.Context())
+		terms := make(chan Term, 2)
+		e := New(kv.New(strings.TrimPrefix(server.URL, "http://")), "n-1", "a", 1, slog.New(slog.DiscardHandler))
+		go e.Follow(ctx)
+		go e.Campaign(ctx, "fleet", func(ctx context.Context, term Term) {
+			terms <- term
+			<-ctx.Done()
+		})
+		first := <-terms
+		item, found := store.Get(layout.OwnerKey("fleet"))
+		assert.Assert(t, found)
+		assert.Equal(t, item.Revision, first.Revision)
+
+		overwritten := store.Put(layout.OwnerKey("fleet"), []byte(odd)) // loses its lease
+		for found := true; found; item, found = store.Get(layout.OwnerKey("fleet")) {
+			if item.Revision > overwritten {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+		server.CloseClientConnections()
+		server.Close()
+	}
+}
