Shard: what an executor says itself goes before what an entry says about it

One entry of another writer under the ID of an executor at work took the executor away, or made its tasks run twice:

- with a later birth (a few seconds in the future, also right): its runs were given up as those of an earlier incarnation, and its own responses and entries ignored for the rest of the term, or for a minute after it had been dropped.
One such entry for each executor ended the service.
- with an address where another executor responds, whatever the birth: wrong-executor counted as the end of the executor, so that its tasks were started elsewhere while they were at work.

So an address counts only once the executor has responded there.

The change, in entries.go: a birth that only an entry states is a claim. The former state is kept, and a poll asks. A response of an earlier birth to a poll that was sent after the entry had been listed proves the claim wrong, since the earlier incarnation would have ended before a later one could write that entry: its state is reinstated with the higher token, and the disproved birth is remembered. Completions read but not known to be durable are read again. Commands go where the executor has responded; polls that fail try the address of the entry in turn.

Not changed: capacity and labels in an entry of the right birth count until the next own one, and draining for good, as TestDrainingAndCordonedExecutorsGetNoStart demands: a list may be stale, and a draining executor must get no start.

--- a/policy/shard/commands.go
+++ b/policy/shard/commands.go
@@ -195,8 +195,10 @@
 func (s *Shard) HandleCommandResult(cmd Command, delivery Delivery, reply execution.Reply, now time.Time) {
 	e := cmd.target
 	if s.executors[e.ID] != e {
+		cmd.settleLate()
 		return // the list of a later incarnation shows what became of its runs
 	}
+	delivery = e.deliveryAt(cmd.Executor.Address, delivery, reply.Refusal)
 	s.dirty = true
 	e.markDue()
 	e.commandsInFlight--
@@ -227,6 +229,16 @@
 	s.applyCommandResult(cmd, delivery, reply, now)
 }
 
+// settleLate records that the command is no longer in flight, without a result to rely on: a later incarnation
+// may have replied.
+func (c Command) settleLate() {
+	c.target.commandsInFlight--
+	if c.run != nil && c.run.executor == c.target {
+		c.run.inFlight = false
+		c.run.unanswered = c.run.unanswered || c.Kind == CommandStart
+	}
+}
+
 // noteCommandDelivery records whether a command got a response of its executor.
 func (s *Shard) noteCommandDelivery(e *executorState, delivery Delivery, reply execution.Reply, now time.Time) {
 	e.recordCall(delivery, reply.Refusal, now)
--- /dev/null
+++ b/policy/shard/entries.go
@@ -0,0 +1,149 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/execution"
+)
+
+// The entry of an executor may be wrong: another writer may have written it. What an executor says itself, in its
+// response to a poll, goes before what an entry says. A birth that only an entry states is a claim: the owner
+// starts nothing there and asks. See docs/design/executor-incarnations.md.
+
+// hasDisproved reports whether a response of this incarnation has shown that there is none of that birth.
+func (e *executorState) hasDisproved(born cluster.Birth) bool {
+	return born != 0 && born == e.disproved
+}
+
+// provenBorn returns the latest birth that more than an entry states; zero if there is none.
+func (e *executorState) provenBorn() cluster.Birth {
+	switch {
+	case !e.claimed:
+		return e.Born
+	case e.replaced != nil:
+		return e.replaced.Born
+	default:
+		return 0
+	}
+}
+
+// enter applies an entry of this incarnation. Where the executor has responded, or had runs of an earlier owner,
+// calls go on going there; see pollAddress.
+func (e *executorState) enter(entry cluster.Executor, now time.Time) {
+	if entry.Draining && !e.everDraining {
+		e.everDraining = true
+	}
+	e.entryAddress = entry.Address
+	switch {
+	case e.provenAddress != "":
+		entry.Address = e.provenAddress
+	case entry.Address != e.Address:
+		// What responded at the former address may have been another executor.
+		e.ended, e.polling, e.pollAt = false, false, now
+	}
+	e.Executor = entry
+	e.listed, e.entered = true, true
+}
+
+// pollAddress returns where the next poll goes. While polls fail, every other one goes to another address at which
+// the executor may be: that of its entry or, if this incarnation is only claimed, that of the one before.
+func (e *executorState) pollAddress() string {
+	other := e.entryAddress
+	if e.claimed && e.replaced != nil {
+		other = e.replaced.provenAddress
+	}
+	if e.failedCalls%2 == 1 && other != "" {
+		return other
+	}
+	return e.Address
+}
+
+// mayBeAt reports whether the executor may be at an address, by what is known now.
+func (e *executorState) mayBeAt(address string) bool {
+	return address == e.Address || address == e.entryAddress || e.replaced != nil && address == e.replaced.provenAddress
+}
+
+// contradict applies an entry of an earlier birth than the claimed one: either may be wrong, and a poll at the
+// address of the latest one tells.
+func (e *executorState) contradict(entry cluster.Executor, now time.Time) {
+	e.listed = true
+	if e.Address != entry.Address {
+		e.Address = entry.Address
+		e.pollAnew(now)
+	}
+	e.rival = &entry
+}
+
+// proveAddress records where the executor has responded, or had runs of an earlier owner.
+func (e *executorState) proveAddress(address string) {
+	if address != "" {
+		e.provenAddress, e.Address = address, address
+	}
+}
+
+// deliveryAt returns what is known about the delivery of a call to the given address. The refusal of another
+// executor shows that this one has ended only at an address where it has responded: the entry with any other
+// address may be wrong. Where executors don't say their births, which never start again under their IDs, it also
+// does so at the address of the latest entry, as long as none has responded.
+func (e *executorState) deliveryAt(address string, delivery Delivery, refusal execution.Refusal) Delivery {
+	if delivery != Responded || refusal != execution.RefusedWrongExecutor || address == e.provenAddress {
+		return delivery
+	}
+	if e.Born == 0 && e.provenAddress == "" && address == e.Address {
+		return delivery
+	}
+	return NotSent
+}
+
+// disprove handles the response of an earlier incarnation than the claimed one, to a poll that was sent after the
+// entry with the claim was listed: the claim is wrong, since the earlier one would have ended before that entry
+// was written. It returns the state of the incarnation that has responded, or nil if the response is not to be
+// explained so.
+func (s *Shard) disprove(e *executorState, poll Poll, from cluster.Incarnation, now time.Time) *executorState {
+	if !e.claimed || from.ID != e.ID || from.Born == 0 || from.Born > e.Born {
+		return nil
+	}
+	known := slices.Clone(e.former)
+	if e.replaced != nil && !slices.Contains(known, e.replaced) {
+		known = append(known, e.replaced)
+	}
+	if slices.ContainsFunc(known, func(f *executorState) bool { return f.Born > from.Born }) {
+		return nil
+	}
+	s.noteRestart(RestartNote{Executor: e.ID, Former: e.Born, Born: from.Born, Evidence: RestartDisproved, Runs: e.formerRuns()})
+	claim, rival, listed := e.Born, e.rival, e.listed
+	if i := slices.IndexFunc(known, func(f *executorState) bool { return f.Born == from.Born }); i >= 0 {
+		e = s.reinstate(known[i], e)
+	} else {
+		// Nothing starts there before its own entry, which gives kind and capacity, has been listed.
+		e.Born, e.claimed, e.replaced, e.rival = from.Born, false, nil, nil
+		e.entered, e.everDraining, e.Draining = false, false, false
+	}
+	if rival != nil && rival.Born == e.Born {
+		e.enter(*rival, now)
+	}
+	e.listed = e.entered && listed
+	e.disproved = claim
+	s.sorted = nil
+	s.dirty = true
+	s.updateLeaving()
+	return e
+}
+
+// reinstate makes the state of an incarnation the present one again, which an entry has wrongly superseded. Calls
+// to it before now have tokens below that of the poll that it has responded to.
+func (s *Shard) reinstate(e, claimed *executorState) *executorState {
+	e.ended, e.supersededAt = false, time.Time{}
+	e.cordon, e.reportedEmpty = claimed.cordon, e.reportedEmpty || claimed.reportedEmpty
+	e.token = max(e.token, claimed.token)
+	e.polling = false
+	// Responses that were read meanwhile were applied without what is needed to acknowledge their completions.
+	e.pending = nil
+	e.appliedSequence = e.durableSequence
+	e.former = slices.DeleteFunc(claimed.former, func(f *executorState) bool { return f == e })
+	claimed.former = nil
+	s.executors[e.ID] = e
+	return e
+}
--- /dev/null
+++ b/policy/shard/entries_test.go
@@ -0,0 +1,191 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/execution"
+)
+
+// oddEntry returns an entry of another writer under the ID of the executor at work.
+func (h *restartedHarness) oddEntry(change func(*cluster.Executor)) cluster.Executor {
+	odd := h.entry
+	odd.Born = cluster.Birth(h.now.Add(3 * time.Second).UnixMilli())
+	if change != nil {
+		change(&odd)
+	}
+	return odd
+}
+
+// assertAtWork asserts that the executor is usable in its own incarnation and has its run, and that nothing was
+// given up or blamed on a crash.
+func (h *restartedHarness) assertAtWork() {
+	h.t.Helper()
+	e := h.executor()
+	assert.Equal(h.t, e.Born, h.first.from.Born)
+	assert.Equal(h.t, e.unusableReason(h.now), UnusableReason(""))
+	assert.Equal(h.t, e.formerRuns(), 0)
+	assert.Equal(h.t, len(h.first.running), 1)
+	r := h.shard.jobs["00000000000000aa"].occurrences[0].steps[0].tasks[0].current
+	assert.Assert(h.t, r != nil && r.executor == e)
+	assert.Equal(h.t, r.number, 1)
+	assert.Equal(h.t, len(h.shard.TakeGiveUpNotes()), 0)
+	assert.Equal(h.t, len(h.shard.TakeCrashNotes()), 0)
+	assert.Equal(h.t, h.shard.crashCount, 0)
+}
+
+// An entry with a later birth than that of the executor at work costs the executor for the rest of the term: its
+// runs are given up, and its responses and its own entries are ignored.
+func TestEntryOfAnotherWriterSupersedesAnExecutorAtWork(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name string
+		odd  func(*cluster.Executor)
+	}{
+		{"later birth", nil},
+		{"draining", func(e *cluster.Executor) { e.Draining = true }},
+		{"without capacity", func(e *cluster.Executor) { e.Capacity.MilliCPU, e.Labels = 0, nil }},
+		{"largest birth", func(e *cluster.Executor) { e.Born = 1<<63 - 1 }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			h := newRestartedHarness(t)
+			odd := h.oddEntry(c.odd)
+			h.shard.SetExecutors([]cluster.Executor{odd}, h.now)
+			h.answer(h.first)
+			h.assertAtWork() // though its own entry is not listed again
+			h.shard.SetExecutors([]cluster.Executor{odd}, h.now)
+			h.assertAtWork()
+			h.shard.SetExecutors([]cluster.Executor{h.entry}, h.now)
+			h.assertAtWork()
+			h.first.end(execution.EndedDone)
+			h.answer(h.first)
+			assert.Assert(t, !h.shard.HasJob("00000000000000aa"))
+		})
+	}
+}
+
+// failAt responds like an executor at one address; calls to other addresses get the result.
+func (h *restartedHarness) failAt(address string, delivery Delivery, refusal execution.Refusal) {
+	for range 10 {
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.shard.Tick(h.now)
+		for _, poll := range h.shard.Polls(h.now) {
+			response := execution.PollResponse{Reply: execution.Reply{Refusal: refusal}}
+			if poll.Executor.Address == address {
+				response = execution.PollResponse{Reply: execution.Reply{ClockMs: h.clock(h.first)}, From: h.first.from, Running: h.first.running}
+				h.shard.HandlePollResult(poll, Responded, response, h.now)
+				continue
+			}
+			h.shard.HandlePollResult(poll, delivery, response, h.now)
+		}
+		h.storeAndCommand()
+	}
+}
+
+// An entry names another address, where nobody responds, or another executor: the runs at work are given up,
+// and their tasks start elsewhere beside them.
+func TestEntryWithAnotherAddressEndsAnExecutorAtWork(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name     string
+		born     func(cluster.Birth) cluster.Birth
+		delivery Delivery
+		refusal  execution.Refusal
+	}{
+		{"later birth, nobody there", func(b cluster.Birth) cluster.Birth { return b }, NotSent, execution.NotRefused},
+		{"later birth, no answer", func(b cluster.Birth) cluster.Birth { return b }, Ambiguous, execution.NotRefused},
+		{"later birth, another executor there", func(b cluster.Birth) cluster.Birth { return b }, Responded, execution.RefusedWrongExecutor},
+		{"same birth, nobody there", func(cluster.Birth) cluster.Birth { return longAgo }, NotSent, execution.NotRefused},
+		{"same birth, another executor there", func(cluster.Birth) cluster.Birth { return longAgo }, Responded, execution.RefusedWrongExecutor},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			h := newRestartedHarness(t)
+			odd := h.oddEntry(func(e *cluster.Executor) { e.Born, e.Address = c.born(e.Born), "i-2:80" })
+			h.shard.SetExecutors([]cluster.Executor{odd}, h.now)
+			h.failAt("i-1:80", c.delivery, c.refusal)
+			h.shard.SetExecutors([]cluster.Executor{h.entry}, h.now) // its next own one
+			h.failAt("i-1:80", c.delivery, c.refusal)
+			h.assertAtWork()
+		})
+	}
+}
+
+// The odd entry is the first that a new owner reads, before or after the stored progress that names the
+// incarnation at work.
+func TestNewOwnerTakesAnEntryOfAnotherWriterForTheExecutor(t *testing.T) {
+	t.Parallel()
+	for _, entryFirst := range []bool{true, false} {
+		h := newRestartedHarness(t)
+		progress := h.shard.jobs["00000000000000aa"].progress()
+		record := h.shard.jobs["00000000000000aa"].Record
+		next := &restartedHarness{harness: newHarness(t), entry: h.entry, first: h.first}
+		next.now = h.now
+		odd := h.oddEntry(nil)
+		if entryFirst {
+			next.shard.SetExecutors([]cluster.Executor{odd}, h.now)
+		}
+		next.shard.AddJob(record, &progress, h.now)
+		next.shard.SetExecutors([]cluster.Executor{odd}, h.now)
+		next.answer(h.first)
+		next.shard.SetExecutors([]cluster.Executor{h.entry}, next.now)
+		next.assertAtWork()
+	}
+}
+
+// Without any run there either, the executor is usable once it has responded and its own entry is listed, also
+// after it was not listed for a while.
+func TestIdleExecutorIsLostByAnEntryOfAnotherWriter(t *testing.T) {
+	t.Parallel()
+	for _, known := range []bool{true, false} {
+		h := newHarness(t)
+		own := newExecutorNamed("i-1")
+		own.Born = longAgo
+		odd := own
+		odd.Born = cluster.Birth(h.now.Add(time.Hour).UnixMilli())
+		l := &lister{from: own.Incarnation()}
+		if known {
+			h.shard.SetExecutors([]cluster.Executor{own}, h.now)
+			h.answer(l)
+		}
+		h.shard.SetExecutors([]cluster.Executor{odd}, h.now)
+		h.shard.SetExecutors([]cluster.Executor{own}, h.now)
+		h.answer(l)
+		assert.Equal(t, h.shard.executors["i-1"].unusableReason(h.now), UnusableReason(""))
+		h.shard.SetExecutors([]cluster.Executor{odd}, h.now)
+		h.shard.SetExecutors(nil, h.now)
+		h.shard.SetExecutors([]cluster.Executor{own}, h.now)
+		h.answer(l)
+		assert.Equal(t, h.shard.executors["i-1"].unusableReason(h.now), UnusableReason(""))
+	}
+}
+
+// Completions that were read but not stored when the odd entry came must not be acknowledged unstored.
+func TestCompletionsSurviveAnEntryOfAnotherWriter(t *testing.T) {
+	t.Parallel()
+	h := newRestartedHarness(t)
+	late := h.shard.Polls(h.now.Add(pollWait))
+	assert.Equal(t, len(late), 1)
+	h.first.end(execution.EndedDone)
+	ended := execution.PollResponse{Reply: execution.Reply{ClockMs: h.clock(h.first)}, From: h.first.from, Ended: h.first.ended}
+	h.shard.HandlePollResult(late[0], Responded, ended, h.now)
+	h.shard.SetExecutors([]cluster.Executor{h.oddEntry(nil)}, h.now)
+	h.now = h.now.Add(pollRetry)
+	assert.Assert(t, h.shard.Batch(h.now, 29) != nil) // not durable yet
+	h.shard.NoteRevision(h.revision + 1)
+	for range 20 {
+		h.now = h.now.Add(100 * time.Millisecond)
+		for _, poll := range h.shard.Polls(h.now) {
+			assert.Equal(t, poll.Request.AckedThrough, int64(0))
+			ended.ClockMs = h.clock(h.first)
+			h.shard.HandlePollResult(poll, Responded, ended, h.now)
+		}
+	}
+	h.shard.Committed()
+	assert.Equal(t, h.answer(h.first), int64(1))
+	assert.Assert(t, !h.shard.HasJob("00000000000000aa"))
+}
--- a/policy/shard/incarnations.go
+++ b/policy/shard/incarnations.go
@@ -26,6 +26,8 @@
 	RestartPolled  RestartEvidence = "poll"     // its response to a poll has a later birth
 	RestartDoubted RestartEvidence = "clock"    // its clock is not that of the incarnation; a poll follows
 	RestartStored  RestartEvidence = "progress" // stored progress names an incarnation that is not the listed one
+	// RestartDisproved: it did not start again, though an entry said so. Former is the birth in the entry.
+	RestartDisproved RestartEvidence = "entry-disproved"
 )
 
 // RestartNote describes an executor that started again, for the log.
@@ -55,14 +57,15 @@
 
 // retiredIncarnation is what is remembered of an executor whose state was dropped.
 type retiredIncarnation struct {
-	born  cluster.Birth
-	token int64 // the highest token of a call to it or to earlier ones
+	known bool          // it had a birth
+	born  cluster.Birth // the latest one that more than an entry states; zero if there is none
+	token int64         // the highest token of a call to it or to earlier ones
 	at    time.Time
 }
 
 // retire remembers an executor whose state is dropped.
 func (s *Shard) retire(e *executorState, now time.Time) {
-	s.retired[e.ID] = retiredIncarnation{born: e.Born, token: max(e.token, e.outdatedToken), at: now}
+	s.retired[e.ID] = retiredIncarnation{known: e.Born != 0, born: e.provenBorn(), token: max(e.token, e.outdatedToken), at: now}
 }
 
 // forgetRetired drops what is remembered of executors for longer than retiredMemory.
@@ -77,7 +80,7 @@
 // add adds an executor of which there is no state.
 func (s *Shard) add(listed cluster.Executor, now time.Time) *executorState {
 	e := newExecutor(listed, now)
-	if r, known := s.retired[listed.ID]; known && r.born != 0 {
+	if r := s.retired[listed.ID]; r.known {
 		e.outdatedToken = r.token
 		e.restarted = r.born != listed.Born
 		delete(s.retired, listed.ID)
@@ -97,18 +100,22 @@
 			return
 		}
 		e = s.add(listed, now)
+		e.claimed = listed.Born != 0
+	case e.hasDisproved(listed.Born):
+		e.listed = e.entered
+		return
 	case e.Incarnation().SucceededBy(listed.Incarnation()):
 		e = s.succeed(e, listed, RestartListed, now)
-	case e.Born != listed.Born && e.Born != 0, e.contradicts(listed):
+		e.claimed = true
+	case e.claimed && listed.Born != 0 && listed.Born < e.Born:
+		e.contradict(listed, now)
+		return
+	case e.Born == 0:
+		e.claimed = listed.Born != 0
+	case e.Born != listed.Born:
 		return
-	case e.Address != listed.Address:
-		e.moveTo(listed.Address)
-	}
-	if listed.Draining && !e.everDraining {
-		e.everDraining = true
 	}
-	e.Executor = listed
-	e.listed = true
+	e.enter(listed, now)
 }
 
 // succeed replaces an executor's state by that of its next incarnation. Runs of the former one stay
@@ -126,6 +133,9 @@
 	if len(former.runs) > 0 {
 		e.former = append(e.former, former)
 	}
+	if e.replaced = former; former.claimed {
+		e.replaced = former.replaced
+	}
 	former.supersede(now)
 	s.executors[next.ID] = e
 	s.sorted = nil
@@ -145,24 +155,27 @@
 func (e *executorState) superseded() bool { return !e.supersededAt.IsZero() }
 
 // identify compares the incarnation that has responded to a poll with that of the executor's
-// state. It reports whether the response is about the latter; a later one replaces it.
-func (s *Shard) identify(e *executorState, from cluster.Incarnation, now time.Time) bool {
+// state. It returns the state that the response is about, or nil; a later incarnation replaces the state.
+func (s *Shard) identify(e *executorState, poll Poll, from cluster.Incarnation, now time.Time) *executorState {
 	switch {
 	case from.ID == "" || from == e.Incarnation():
-		return true
+		e.claimed, e.replaced = false, nil
+		return e
 	case e.Incarnation().SucceededBy(from):
 		next := e.Executor
 		next.Born, next.Draining, next.DrainRemaining = from.Born, false, 0
-		s.succeed(e, next, RestartPolled, now)
-		return false
+		s.succeed(e, next, RestartPolled, now).replaced = nil
+		return nil
 	case e.Born == 0 && from.ID == e.ID:
 		e.Born = from.Born
-		return true
-	default:
-		e.failedCalls++
-		e.pollAt = now.Add(pollRetry)
-		return false
+		return e
 	}
+	if proven := s.disprove(e, poll, from, now); proven != nil {
+		return proven
+	}
+	e.failedCalls++
+	e.pollAt = now.Add(pollRetry)
+	return nil
 }
 
 // holder returns the state of the incarnation that stored progress names, which may be an earlier or
@@ -174,17 +187,21 @@
 	switch {
 	case e == nil:
 		e = s.add(unlisted, now)
-		e.confirmAddress(tp.Address)
+		e.proveAddress(tp.Address)
 		return e
 	case e.Incarnation().MayEqual(named):
 		if e.Born == 0 {
 			e.Born = named.Born
 		}
-		e.confirmAddress(tp.Address)
+		if e.Born == named.Born {
+			e.claimed, e.replaced = false, nil
+		}
+		e.proveAddress(tp.Address)
 		return e
 	case e.Incarnation().SucceededBy(named):
 		e = s.succeed(e, unlisted, RestartStored, now)
-		e.confirmAddress(tp.Address)
+		e.replaced = nil
+		e.proveAddress(tp.Address)
 		return e
 	}
 	for _, f := range e.former {
@@ -193,6 +210,7 @@
 		}
 	}
 	f := newExecutor(unlisted, now)
+	f.proveAddress(tp.Address)
 	f.supersede(now)
 	e.former = append(e.former, f)
 	e.restarted = true
--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -52,6 +52,7 @@
 func (s *Shard) newPoll(e *executorState, now time.Time) Poll {
 	e.polling = true
 	poll := Poll{Executor: e.Executor, SentAt: now, target: e, leaseBoundBefore: e.leaseBound}
+	poll.Executor.Address = e.pollAddress()
 	poll.Request = s.pollRequest(e, now)
 	if poll.Request.AckedThrough > 0 {
 		e.noteAcknowledgement(poll.Request.Token)
@@ -136,25 +137,30 @@
 		s.applyLatePoll(e, delivery, response, now)
 		return
 	}
-	if poll.Executor.Address != e.Address {
-		return // sent to an address that is not the executor's
-	}
 	if poll.SentAt.Before(e.clockSentAt) {
 		return // a later poll has been answered, and shows more
 	}
 	e.polling = false
-	if delivery == Responded && response.Refusal == execution.NotRefused && !s.identify(e, response.From, now) {
-		return
+	delivery = e.deliveryAt(poll.Executor.Address, delivery, response.Refusal)
+	if delivery == NotSent {
+		e.undoRenewal(poll)
+		s.settleAcknowledgement(e, poll)
+	}
+	responded := delivery == Responded && response.Refusal == execution.NotRefused
+	if !responded && !e.mayBeAt(poll.Executor.Address) {
+		return // the next poll goes to another address
+	}
+	if responded {
+		if e = s.identify(e, poll, response.From, now); e == nil {
+			return
+		}
+		e.proveAddress(poll.Executor.Address)
 	}
 	e.recordCall(delivery, response.Refusal, now)
 	s.dirty = true
 	e.markDue()
 	switch {
 	case delivery != Responded:
-		if delivery == NotSent {
-			e.undoRenewal(poll)
-			s.settleAcknowledgement(e, poll)
-		}
 		e.notePollFailure(poll, now)
 	case response.Refusal == execution.RefusedFenced && poll.Request.Token < e.token:
 		e.undoRenewal(poll) // a later call of this owner has overtaken and fenced it off
@@ -200,7 +206,6 @@
 		s.settleFormer(e, response)
 	}
 	e.failedCalls, e.renewalPaused, e.polled, e.doubtedAt = 0, false, true, time.Time{}
-	e.confirmAddress(poll.Executor.Address)
 	e.clockMs, e.clockAt, e.clockSentAt, e.lastResponse = response.ClockMs, now, poll.SentAt, now
 	e.ackedSequence = max(e.ackedSequence, poll.Request.AckedThrough)
 	s.settleAcknowledgement(e, poll)
