Fleet planner: odd machines, waves and loads no longer shift the needs of all services

What a planner decided with one odd element in what it reads:

- one machine with an odd capacity (largest int64, 10^12): the mean over all machines made two services with work for 14 and 6 machines need 2 each, the minimum.
Machines that differ from the median by a factor of more than 16, or state none, now don't count in the mean.
- machines of pools without a configuration or a load: they were allocated to services though no machine is taken from such pools, so that a service that lacked machines was not called exhausted.
Now the spare pool and those of the services with needs count.
- two machines listed with the same executor: a machine was maintained because the executor of the other one was empty.
Such an executor now shows nothing about either.
- a wave with 10,000 machines that don't exist took 6 machines at once instead of 1 until these counted as removed.
Now only listed machines set its pace.
- needs beyond the range of an int: the conversion of a float gives the largest or the smallest int, by the kind of machine.
Needs are bounded, at 10^6 machines.

Looked through without a fault: a huge or negative MaxDown, a Duration of 0, negative or the largest, and a machine in two waves.

--- a/policy/fleetplan/moves.go
+++ b/policy/fleetplan/moves.go
@@ -30,6 +30,12 @@
 	minIdleTime = 700 * time.Millisecond
 	// minPoolMachines is the minimum number of machines that every pool keeps.
 	minPoolMachines = 2
+	// maxCapacityRatio is by how much the CPU capacities of machines of one fleet may differ from their
+	// median. One that differs more is a mistake of the list, and would shift the mean of all.
+	maxCapacityRatio = 16
+	// maxNeed bounds the machines that a service may need, beyond any fleet, so that sums and products of
+	// needs don't overflow.
+	maxNeed = 1_000_000
 )
 
 // planMoves starts moves to pools that lack machines, from the spare pool and from pools
@@ -95,20 +101,20 @@
 			continue
 		}
 		wanted := p.wantedCPU(v, service, riseTime)
-		minimum := max(minPoolMachines, v.Loads[service].MinExecutors)
+		minimum := min(max(minPoolMachines, v.Loads[service].MinExecutors), maxNeed)
 		list = append(list, need{
 			service: service,
-			late:    int(math.Ceil((wanted.inRate - wanted.inTime) / float64(machineCPU))),
-			present: max(minimum, int(math.Ceil(wanted.present/float64(machineCPU)))),
-			rising:  max(minimum, int(math.Ceil(wanted.rising/float64(machineCPU)))),
-			inTime:  max(minimum, int(math.Ceil(wanted.inTime/float64(machineCPU)))),
-			inRate:  max(minimum, int(math.Ceil(wanted.inRate/float64(machineCPU)))),
-			all:     max(minimum, int(math.Ceil(wanted.all/float64(machineCPU)))),
+			late:    machinesFor(wanted.inRate-wanted.inTime, machineCPU),
+			present: max(minimum, machinesFor(wanted.present, machineCPU)),
+			rising:  max(minimum, machinesFor(wanted.rising, machineCPU)),
+			inTime:  max(minimum, machinesFor(wanted.inTime, machineCPU)),
+			inRate:  max(minimum, machinesFor(wanted.inRate, machineCPU)),
+			all:     max(minimum, machinesFor(wanted.all, machineCPU)),
 			minimum: minimum,
 			have:    p.have(v, service),
 		})
 	}
-	allocate(list, v.usableMachines())
+	allocate(list, v.usableMachines(list))
 	slices.SortStableFunc(list, func(a, b need) int {
 		return cmp.Compare(b.share-b.have, a.share-a.have)
 	})
@@ -144,10 +150,33 @@
 	}
 }
 
-// usableMachines counts the machines that are up or are moving between pools.
-func (v *view) usableMachines() int {
+// machinesFor returns how many machines of the given mean capacity a need takes, from 0 to maxNeed; both amounts
+// are in thousandths of a core.
+func machinesFor(cpu float64, machineCPU int64) int {
+	n := math.Ceil(cpu / float64(machineCPU))
+	switch {
+	case n >= maxNeed:
+		return maxNeed
+	case n > 0:
+		return int(n)
+	default:
+		return 0
+	}
+}
+
+// usableMachines counts the machines that are up or are moving between pools, of the spare pool and of the services
+// with the given needs. No machine is moved from any other pool.
+func (v *view) usableMachines(needs []need) int {
+	n := countUsable(v.members[v.spare])
+	for i := range needs {
+		n += countUsable(v.members[needs[i].service])
+	}
+	return n
+}
+
+func countUsable(machines []cluster.Machine) int {
 	n := 0
-	for _, m := range v.Machines {
+	for _, m := range machines {
 		if m.State == cluster.MachineUp || m.State == cluster.MachineMoving {
 			n++
 		}
@@ -223,16 +252,28 @@
 	return unusable && now.Sub(at) >= unusableTime
 }
 
-// machineCPU returns the mean CPU capacity of a machine in thousandths of a core.
+// machineCPU returns the mean CPU capacity of a machine in thousandths of a core, without those that differ from the
+// median by more than maxCapacityRatio.
 func (v *view) machineCPU() int64 {
-	var sum int64
+	var list []int64
 	for _, m := range v.Machines {
-		sum += m.Capacity.MilliCPU
+		if m.Capacity.MilliCPU > 0 {
+			list = append(list, m.Capacity.MilliCPU)
+		}
 	}
-	if len(v.Machines) == 0 {
+	if len(list) == 0 {
 		return 0
 	}
-	return sum / int64(len(v.Machines))
+	slices.Sort(list)
+	median := list[len(list)/2]
+	var sum, n int64
+	for _, cpu := range list {
+		if cpu/maxCapacityRatio <= median && median/maxCapacityRatio <= cpu {
+			sum += cpu
+			n++
+		}
+	}
+	return sum / n
 }
 
 // donors are the machines that may change their pool, by pool.
--- a/policy/fleetplan/operations.go
+++ b/policy/fleetplan/operations.go
@@ -162,7 +162,7 @@
 	for _, id := range slices.Sorted(maps.Keys(v.Cordons)) {
 		service := v.Cordons[id].Service
 		_, known := v.Loads[service].Executors[id]
-		if !wanted[id] && (!known || v.listedExecutors[id]) {
+		if !wanted[id] && (!known || v.listedExecutors[id] > 0) {
 			actions = append(actions, Action{Kind: Uncordon, Executor: id, Service: service})
 		}
 	}
--- a/policy/fleetplan/view.go
+++ b/policy/fleetplan/view.go
@@ -15,7 +15,7 @@
 	pools           map[cluster.Service]cluster.Pool
 	spare           cluster.Service
 	members         map[cluster.Service][]cluster.Machine
-	listedExecutors map[cluster.ExecutorID]bool // executors of the machines as listed
+	listedExecutors map[cluster.ExecutorID]int // how many machines are listed with each executor
 }
 
 func newView(s Snapshot) *view {
@@ -24,13 +24,13 @@
 		byID:            map[cluster.MachineID]cluster.Machine{},
 		pools:           map[cluster.Service]cluster.Pool{},
 		members:         map[cluster.Service][]cluster.Machine{},
-		listedExecutors: map[cluster.ExecutorID]bool{},
+		listedExecutors: map[cluster.ExecutorID]int{},
 	}
 	slices.SortFunc(v.Machines, func(a, b cluster.Machine) int { return cmp.Compare(a.ID, b.ID) })
 	for _, m := range v.Machines {
 		v.byID[m.ID] = m
 		v.members[m.Pool] = append(v.members[m.Pool], m)
-		v.listedExecutors[m.Executor] = true
+		v.listedExecutors[m.Executor]++
 	}
 	for _, pool := range s.Pools {
 		v.pools[pool.Service] = pool
@@ -67,12 +67,13 @@
 
 // evacuated reports whether nothing runs on the machine and its owner will start nothing
 // there. The owner must have confirmed this very cordon: after an earlier one was revoked it
-// may have started tasks that its last stored load does not show.
+// may have started tasks that its last stored load does not show. An executor with which two machines are listed
+// shows nothing about either.
 func (v *view) evacuated(m cluster.Machine) bool {
 	if v.pools[m.Pool].Spare || m.Executor == "" {
 		return true
 	}
 	l, known := v.load(m)
 	cordon, cordoned := v.Cordons[m.Executor]
-	return known && cordoned && l.Cordoned && l.CordonID == cordon.ID && l.Runs == 0
+	return v.listedExecutors[m.Executor] == 1 && known && cordoned && l.Cordoned && l.CordonID == cordon.ID && l.Runs == 0
 }
--- a/policy/fleetplan/waves.go
+++ b/policy/fleetplan/waves.go
@@ -115,7 +115,13 @@
 // startMaintenance starts the maintenance of further machines of a wave.
 func (p *Planner) startMaintenance(v *view, wave cluster.Wave, w *waveState, remaining []cluster.MachineID) {
 	down := p.underMaintenance(v, wave)
-	allowed := min(wave.MaxDown, p.requiredConcurrency(v, wave, w, len(remaining))) - down
+	listed := 0
+	for _, id := range remaining {
+		if _, known := v.byID[id]; known {
+			listed++
+		}
+	}
+	allowed := min(wave.MaxDown, p.requiredConcurrency(v, wave, w, listed)) - down
 	var candidates []cluster.Machine
 	urgent := p.urgent(v, wave, w)
 	for _, id := range remaining {
