Shard: an executor that appears late and is not young is called only after a heartbeat

Another writer's entry can name the executor of another service, until that executor writes its own again. The owner of the wrong service polled it at once: with a higher token that fences off the owner at work there, and the runs there are stopped as orphans.

Now an executor that appears later than 5 s after the first list of the term, was not known in the last minute, and was born longer ago than 18 s or in the future, is called 2 s after it was listed, which is longer than a heartbeat: by then the own entry is back. Executors that have just started, that come back within a minute, or that are in the first lists of a term are called at once, as before; so an odd entry that a new owner finds in its first list still does that harm.

TestExecutorOfAnotherServiceIsCalled failed without the change in the cases "at work for long" and "birth in the future".

--- a/policy/shard/entries.go
+++ b/policy/shard/entries.go
@@ -12,6 +12,27 @@
 // response to a poll, goes before what an entry says. A birth that only an entry states is a claim: the owner
 // starts nothing there and asks. See docs/design/executor-incarnations.md.
 
+const (
+	// ownEntryTime is the time within which an executor at work writes its own entry again, over any other:
+	// more than a heartbeat.
+	ownEntryTime = 2 * time.Second
+	// takeoverLists is how long after the first list of a term executors may still be added that were
+	// there before.
+	takeoverLists = 5 * time.Second
+)
+
+// mayBeOfAnotherService reports whether an executor that the first lists of the term lacked may be at work for
+// another service, where another writer's entry says otherwise: it has not just started. A call to it would fence
+// off its owner, and its runs would be stopped.
+func (s *Shard) mayBeOfAnotherService(e *executorState, now time.Time) bool {
+	if s.firstListAt.IsZero() {
+		s.firstListAt = now
+	}
+	age := now.Sub(time.UnixMilli(int64(e.Born)))
+	justStarted := e.bornLately(now) && age >= -maxClockDifference
+	return e.Born != 0 && !justStarted && now.Sub(s.firstListAt) >= takeoverLists
+}
+
 // hasDisproved reports whether a response of this incarnation has shown that there is none of that birth.
 func (e *executorState) hasDisproved(born cluster.Birth) bool {
 	return born != 0 && born == e.disproved
--- a/policy/shard/entries_test.go
+++ b/policy/shard/entries_test.go
@@ -189,3 +189,51 @@
 	assert.Equal(t, h.answer(h.first), int64(1))
 	assert.Assert(t, !h.shard.HasJob("00000000000000aa"))
 }
+
+// Another writer puts the entry of an executor of another service into this one, until that executor writes its own:
+// a poll would fence off the owner there, and the runs there would be stopped as orphans.
+func TestExecutorOfAnotherServiceIsCalled(t *testing.T) {
+	t.Parallel()
+	polled := func(h *harness, id cluster.ExecutorID) bool {
+		called := false
+		for _, poll := range h.shard.Polls(h.now) {
+			called = called || poll.Executor.ID == id
+			h.shard.HandlePollResult(poll, Responded, execution.PollResponse{Reply: execution.Reply{ClockMs: 1000}, From: poll.Executor.Incarnation()}, h.now)
+		}
+		return called
+	}
+	for _, c := range []struct {
+		name   string
+		born   func(now time.Time) cluster.Birth
+		known  bool // listed before
+		called bool
+	}{
+		{"at work for long", func(time.Time) cluster.Birth { return longAgo }, false, false},
+		{"birth in the future", func(now time.Time) cluster.Birth { return cluster.Birth(now.Add(time.Minute).UnixMilli()) }, false, false},
+		{"just started", func(now time.Time) cluster.Birth { return cluster.Birth(now.UnixMilli()) }, false, true},
+		{"listed before", func(time.Time) cluster.Birth { return longAgo }, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			own, other := newExecutorNamed("i-1"), newExecutorNamed("i-2")
+			own.Born, other.Born = longAgo, longAgo
+			first := []cluster.Executor{own}
+			if c.known {
+				first = append(first, other)
+			}
+			h := newHarness(t, first...)
+			assert.Equal(t, polled(h, "i-1"), false) // newHarness has polled those of the first list
+			h.now = h.now.Add(takeoverLists)
+			h.shard.SetExecutors([]cluster.Executor{own}, h.now)
+			other.Born = c.born(h.now)
+			h.shard.SetExecutors([]cluster.Executor{own, other}, h.now)
+			h.storeAndCommand() // a later call needs a higher token
+			assert.Equal(t, polled(h, "i-2"), c.called)
+			if c.called {
+				return
+			}
+			h.now = h.now.Add(ownEntryTime)
+			assert.Assert(t, polled(h, "i-2")) // nobody else has claimed it
+		})
+	}
+}
--- a/policy/shard/incarnations.go
+++ b/policy/shard/incarnations.go
@@ -99,8 +99,12 @@
 		if s.retired[listed.ID].born > listed.Born {
 			return
 		}
+		_, known := s.retired[listed.ID]
 		e = s.add(listed, now)
 		e.claimed = listed.Born != 0
+		if !known && s.mayBeOfAnotherService(e, now) {
+			e.pollAt = now.Add(ownEntryTime)
+		}
 	case e.hasDisproved(listed.Born):
 		e.listed = e.entered
 		return
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -84,6 +84,7 @@
 	retired         map[cluster.ExecutorID]retiredIncarnation
 	sorted          []*executorState // by ID; nil after a change of executors
 	dirty           bool             // something changed that may allow new starts or writes
+	firstListAt     time.Time        // when executors were listed first
 	plannedAt       time.Time        // when starts were planned last
 	planAt          time.Time        // when to plan again if nothing changes before
 	fenced          bool
