Store health: a time without calls is no time without a response

What callers would see: an instance that had made no call for 0.6 s took the next four lost responses, which the timeouts of 120 ms give within a moment, for an outage: it was not ready and refused all requests until its next response. At a store that becomes slower than these timeouts, 6 of 500 status requests in the simulation were refused so; those were left out of the test before and count now.

The 0.6 s now begin when the first of the calls that failed in a row was sent. After four of them the shortest two timeouts are skipped, so that a response that comes after 0.3 s is not lost until the store counts as unavailable.

Two tests of storehealth set the clock so that the time without a response had passed, with calls that were sent at its end; these are now sent at its beginning. What they check is the same.

--- a/entry/host/statusload_test.go
+++ b/entry/host/statusload_test.go
@@ -211,13 +211,12 @@
 }
 
 // Guards against status requests that make several reads each while the store is slow, and by that exceed
-// its rate: a timeout that is shorter than the store's latency loses responses that would come. In the first
-// second the store may count as unavailable, until timeouts have adapted.
+// its rate: a timeout that is shorter than the store's latency loses responses that would come. Guards also against
+// requests that are refused since these lost responses look like an outage.
 func TestStatusRequestsAreRepeatedAtASlowStore(t *testing.T) {
 	const (
 		requests = 500
 		spacing  = 20 * time.Millisecond
-		judged   = int(time.Second / spacing) // the first request that must be answered
 	)
 	synctest.Test(t, func(t *testing.T) {
 		w := newStatusWorld(0)
@@ -228,7 +227,7 @@
 		for n := range requests {
 			callers.Go(func() {
 				time.Sleep(time.Duration(n) * spacing)
-				if failure := w.ask(n); failure != "" && n >= judged {
+				if failure := w.ask(n); failure != "" {
 					t.Errorf("request %d: %s", n, failure)
 				}
 			})
--- a/entry/storehealth/storehealth.go
+++ b/entry/storehealth/storehealth.go
@@ -17,7 +17,8 @@
 	// unavailableFailures is how many consecutive calls must have failed before the store
 	// counts as unavailable.
 	unavailableFailures = 4
-	// unavailableAfter is the time without a response that must also have passed.
+	// unavailableAfter is the time without a response that must also have passed since the first of them
+	// was sent.
 	unavailableAfter = 600 * time.Millisecond
 	// rateLimitedFor is how long the store's rate of reads counts as exceeded after it refused a read
 	// for that. Rates are per second.
@@ -29,7 +30,8 @@
 	*kv.Client
 
 	mu               sync.Mutex
-	failures         int // consecutive
+	failures         int       // consecutive
+	failingSince     time.Time // when the first of the calls was sent that failed consecutively
 	lastResponse     time.Time
 	unavailableSince time.Time     // when the store began to count as unavailable; zero while it is available
 	latency          time.Duration // smoothed latency of successful calls that read or write one key
@@ -171,13 +173,22 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		s.CloseIdle() // they may have gone silent like the one of this call
 	}
+	if s.failures == 0 || sent.Before(s.failingSince) {
+		s.failingSince = sent
+	}
 	s.failures++
-	if s.unavailableSince.IsZero() && s.failures >= unavailableFailures && time.Since(s.lastResponse) >= unavailableAfter {
+	if s.unavailableSince.IsZero() && s.failures >= unavailableFailures && s.silentFor() >= unavailableAfter {
 		s.unavailableSince = time.Now()
 		s.notify(true, s.failures)
 	}
 }
 
+// silentFor returns how long calls have had no response. A time without calls does not count. The caller
+// holds s.mu.
+func (s *Store) silentFor() time.Duration {
+	return min(time.Since(s.failingSince), time.Since(s.lastResponse))
+}
+
 // recordResponse records that a call that was sent at the given time got a response, and ends
 // an outage. The caller holds s.mu.
 func (s *Store) recordResponse(sent time.Time) {
@@ -201,6 +212,10 @@
 	// latencyWeight is the weight of the latest call in the usual latency. It is large,
 	// since the store may become slow from one call to the next.
 	latencyWeight = 0.5
+	// skippedAttempts is how many of the shortest timeouts are skipped after unavailableFailures calls
+	// in a row without a response: the store may have become slower than these timeouts, which would
+	// lose its responses until it counts as unavailable.
+	skippedAttempts = 2
 )
 
 // Timeout returns the timeout of an attempt of a call, counted from 1. The first one is at
@@ -208,8 +223,11 @@
 // one before, all up to the cap of backoff.DefaultTimeouts.
 func (s *Store) Timeout(attempt int) time.Duration {
 	s.mu.Lock()
-	usual := s.latency
+	usual, failures := s.latency, s.failures
 	s.mu.Unlock()
+	if failures >= unavailableFailures {
+		attempt += skippedAttempts
+	}
 	timeouts := backoff.DefaultTimeouts
 	timeouts.First = min(max(timeouts.First, latencyFactor*usual), timeouts.Cap)
 	return timeouts.ForAttempt(attempt)
--- a/entry/storehealth/storehealth_test.go
+++ b/entry/storehealth/storehealth_test.go
@@ -77,9 +77,10 @@
 		s := New(nil, func(bool, int) {})
 		before, release := s.untilRecovery(t.Context())
 		defer release()
+		sent := time.Now()
 		time.Sleep(unavailableAfter)
 		for range unavailableFailures {
-			s.observe(time.Now(), errors.New("no response"))
+			s.observe(sent, errors.New("no response"))
 		}
 		during, releaseDuring := s.untilRecovery(t.Context())
 		defer releaseDuring()
@@ -119,7 +120,7 @@
 	})
 	s.lastResponse = time.Now().Add(-unavailableAfter)
 	for range unavailableFailures {
-		s.observe(time.Now(), errors.New("no response"))
+		s.observe(s.lastResponse, errors.New("no response"))
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -154,3 +155,20 @@
 		})
 	}
 }
+
+// An instance that made no call for a while must not take a few lost responses for an outage; a response
+// that comes later than the timeouts of these calls must not be lost as well.
+func TestCallsAfterAPauseAreTakenForAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(nil, func(bool, int) {})
+		time.Sleep(time.Minute)
+		for range unavailableFailures {
+			s.observe(time.Now(), errors.New("no response"))
+		}
+		_, unavailable := s.Unavailable()
+		assert.Assert(t, !unavailable)
+		assert.Assert(t, s.Timeout(1) > 400*time.Millisecond)
+		s.observe(time.Now(), nil)
+		assert.Equal(t, s.Timeout(1), backoff.DefaultTimeouts.First)
+	})
+}
