Shard: an address that only an entry states is not stored as an executor's own

An owner that has inherited a run, and reads an entry of another writer with another address, stored that address with the run's progress. The next owner took it for the one where the executor had run, and wrong-executor there for its end.

Progress now has the address where the executor has responded or had runs of an earlier owner, and an entry without an address does not hide it. wrong-executor from another address ends no executor without a birth either. TestAddressInAnEntryOfAnotherWriterIsStored (i-2:80 instead of i-1:80) and TestAddressInAnEntryOfAnotherWriterEndsAnExecutorWithoutBirth failed without the change.

--- a/policy/shard/entries.go
+++ b/policy/shard/entries.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -104,18 +105,18 @@
 	}
 }
 
+// knownAddress returns where the executor has responded, or had runs of an earlier owner; else the address in its
+// entry.
+func (e *executorState) knownAddress() string { return cmp.Or(e.provenAddress, e.Address) }
+
 // deliveryAt returns what is known about the delivery of a call to the given address. The refusal of another
 // executor shows that this one has ended only at an address where it has responded: the entry with any other
-// address may be wrong. Where executors don't say their births, which never start again under their IDs, it also
-// does so at the address of the latest entry, as long as none has responded.
+// address may be wrong.
 func (e *executorState) deliveryAt(address string, delivery Delivery, refusal execution.Refusal) Delivery {
-	if delivery != Responded || refusal != execution.RefusedWrongExecutor || address == e.provenAddress {
-		return delivery
-	}
-	if e.Born == 0 && e.provenAddress == "" && address == e.Address {
-		return delivery
+	if delivery == Responded && refusal == execution.RefusedWrongExecutor && address != e.provenAddress {
+		return NotSent
 	}
-	return NotSent
+	return delivery
 }
 
 // disprove handles the response of an earlier incarnation than the claimed one, to a poll that was sent after the
--- a/policy/shard/entries_test.go
+++ b/policy/shard/entries_test.go
@@ -237,3 +237,53 @@
 		})
 	}
 }
+
+// A new owner stores the progress of an inherited run while the entry has another address: a later owner must not take
+// that for the executor's own, where another executor's refusal means that it has ended.
+func TestAddressInAnEntryOfAnotherWriterIsStored(t *testing.T) {
+	t.Parallel()
+	for _, address := range []string{"i-2:80", ""} {
+		h := newRestartedHarness(t)
+		progress := h.shard.jobs["00000000000000aa"].progress()
+		assert.Equal(t, progress.Tasks[0].Address, h.entry.Address)
+		next := newHarness(t)
+		odd := h.entry
+		odd.Address = address
+		next.shard.SetExecutors([]cluster.Executor{odd}, h.now)
+		next.shard.AddJob(h.shard.jobs["00000000000000aa"].Record, &progress, h.now)
+		next.shard.SetExecutors([]cluster.Executor{odd}, h.now)
+		assert.Equal(t, next.shard.jobs["00000000000000aa"].progress().Tasks[0].Address, h.entry.Address)
+		next.now = h.now
+		again := &restartedHarness{harness: next, entry: h.entry, first: h.first}
+		again.failAt(h.entry.Address, Responded, execution.RefusedWrongExecutor)
+		again.shard.SetExecutors([]cluster.Executor{h.entry}, again.now)
+		again.assertAtWork()
+	}
+}
+
+// The same on a platform that gives a restarted executor another ID, where births are not known.
+func TestAddressInAnEntryOfAnotherWriterEndsAnExecutorWithoutBirth(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, newExecutorNamed("i-1"))
+	h.submit(testID(0), oneTask)
+	assert.Equal(t, len(h.startAll()), 1)
+	odd := newExecutorNamed("i-1")
+	odd.Address = "i-2:80"
+	h.shard.SetExecutors([]cluster.Executor{odd}, h.now)
+	for range 20 {
+		h.now = h.now.Add(100 * time.Millisecond)
+		for _, poll := range h.shard.Polls(h.now) {
+			response := h.listRuns("i-1", nil)
+			if poll.Executor.Address != "i-1:80" || h.now.Sub(time.Unix(1000, 0)) < time.Second {
+				response = execution.PollResponse{Reply: execution.Reply{Refusal: execution.RefusedWrongExecutor}}
+			}
+			delivery := Responded
+			if poll.Executor.Address == "i-1:80" && response.Refusal != execution.NotRefused {
+				delivery = Ambiguous
+			}
+			h.shard.HandlePollResult(poll, delivery, response, h.now)
+		}
+	}
+	assert.Equal(t, len(h.shard.TakeGiveUpNotes()), 0)
+	assert.Equal(t, h.shard.executors["i-1"].unusableReason(h.now), UnusableReason(""))
+}
--- a/policy/shard/record.go
+++ b/policy/shard/record.go
@@ -148,5 +148,5 @@
 }
 
 func (p *TaskProgress) setExecutor(e *executorState) {
-	p.Executor, p.Born, p.Address = e.ID, e.Born, e.Address
+	p.Executor, p.Born, p.Address = e.ID, e.Born, e.knownAddress()
 }
