Shard: more capacity in an entry of an executor at work counts only after a heartbeat

Less counts at once, and what was granted before counts at once again when the own entry is back. The first entry that an owner reads of an incarnation counts at once, since new executors must be usable at once; so an odd one there still overloads the executor.

--- a/policy/shard/entries.go
+++ b/policy/shard/entries.go
@@ -52,7 +52,8 @@
 }
 
 // enter applies an entry of this incarnation. Where the executor has responded, or had runs of an earlier owner,
-// calls go on going there; see pollAddress.
+// calls go on going there; see pollAddress. More capacity than before counts only after ownEntryTime, since
+// tasks that the executor has no room for may not be started there; less counts at once.
 func (e *executorState) enter(entry cluster.Executor, now time.Time) {
 	if entry.Draining && !e.everDraining {
 		e.everDraining = true
@@ -65,10 +66,26 @@
 		// What responded at the former address may have been another executor.
 		e.ended, e.polling, e.pollAt = false, false, now
 	}
+	if !e.entered || entry.Capacity != e.entryCapacity {
+		e.entryCapacity, e.capacitySince = entry.Capacity, now
+	}
+	if !e.entered {
+		e.grantedCapacity = entry.Capacity
+	}
+	entry.Capacity = smaller(e.entryCapacity, e.grantedCapacity)
 	e.Executor = entry
 	e.listed, e.entered = true, true
 }
 
+// grantCapacities lets the capacities count that entries have stated for long enough.
+func (s *Shard) grantCapacities(now time.Time) {
+	for _, e := range s.executors {
+		if e.entered && e.grantedCapacity != e.entryCapacity && now.Sub(e.capacitySince) >= ownEntryTime {
+			e.grantedCapacity, e.Capacity = e.entryCapacity, e.entryCapacity
+		}
+	}
+}
+
 // pollAddress returns where the next poll goes. While polls fail, every other one goes to another address at which
 // the executor may be: that of its entry or, if this incarnation is only claimed, that of the one before.
 func (e *executorState) pollAddress() string {
--- a/policy/shard/entries_test.go
+++ b/policy/shard/entries_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/api/execution"
+	"github.com/tarragonreach/tarragonreach/api/job"
 )
 
 // oddEntry returns an entry of another writer under the ID of the executor at work.
@@ -238,6 +239,35 @@
 	}
 }
 
+// An entry states more capacity than an executor at work has: the tasks started by it would overload the executor
+// before its own entry is listed again.
+func TestCapacityInAnEntryOfAnotherWriterOverloadsAnExecutor(t *testing.T) {
+	t.Parallel()
+	own := newExecutorNamed("i-1")
+	h := newHarness(t, own)
+	odd := own
+	odd.Capacity = job.Resources{MilliCPU: 1e12, MemoryMB: 1e12}
+	many := oneTask
+	many.Count = 20
+	h.submit(testID(0), many)
+	h.shard.SetExecutors([]cluster.Executor{odd}, h.now)
+	h.storeAndCommand()
+	assert.Equal(t, len(h.shard.executors["i-1"].runs), 4)
+	less := own
+	less.Capacity = job.Resources{}
+	h.shard.SetExecutors([]cluster.Executor{less}, h.now)
+	assert.Equal(t, h.shard.executors["i-1"].Capacity, less.Capacity)
+	h.shard.SetExecutors([]cluster.Executor{own}, h.now)
+	assert.Equal(t, h.shard.executors["i-1"].Capacity, own.Capacity) // at once
+	h.shard.SetExecutors([]cluster.Executor{odd}, h.now)
+	h.now = h.now.Add(ownEntryTime - time.Millisecond)
+	h.storeAndCommand()
+	assert.Equal(t, h.shard.executors["i-1"].Capacity, own.Capacity)
+	h.now = h.now.Add(2 * time.Millisecond)
+	h.shard.Batch(h.now, 29)
+	assert.Equal(t, h.shard.executors["i-1"].Capacity, odd.Capacity) // it is the executor's own word
+}
+
 // A new owner stores the progress of an inherited run while the entry has another address: a later owner must not take
 // that for the executor's own, where another executor's refusal means that it has ended.
 func TestAddressInAnEntryOfAnotherWriterIsStored(t *testing.T) {
--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -38,24 +38,27 @@
 	cluster.Executor
 	// token is the fencing token of all calls to it; zero until there is one above outdatedToken,
 	// up to which calls to earlier incarnations may be on their way.
-	token         int64
-	outdatedToken int64
-	ackToken      int64             // the highest token of a poll with an acknowledgement; where starts are prepared, zero if no such poll is open
-	openAcks      int               // polls with an acknowledgement that were not answered
-	restarted     bool              // there was an earlier incarnation
-	supersededAt  time.Time         // when a later incarnation was learned of; zero if there is none
-	doubtedAt     time.Time         // when a reply last seemed to come from another one; zero after a poll
-	former        []*executorState  // earlier incarnations, the earliest first, whose runs are not settled
-	claimed       bool              // only an entry states this birth; see entries.go
-	replaced      *executorState    // the incarnation known before, while this one is only claimed
-	rival         *cluster.Executor // the latest entry of an earlier birth, while this one is only claimed
-	disproved     cluster.Birth     // of the last entry that a response of this incarnation has disproved
-	entered       bool              // an entry of this incarnation was applied
-	provenAddress string            // where it has responded, or had runs of an earlier owner
-	entryAddress  string            // in its latest entry
-	listed        bool              // in the latest list
-	everDraining  bool              // was ever listed as draining
-	cordon        Cordon
+	token           int64
+	outdatedToken   int64
+	ackToken        int64             // the highest token of a poll with an acknowledgement; where starts are prepared, zero if no such poll is open
+	openAcks        int               // polls with an acknowledgement that were not answered
+	restarted       bool              // there was an earlier incarnation
+	supersededAt    time.Time         // when a later incarnation was learned of; zero if there is none
+	doubtedAt       time.Time         // when a reply last seemed to come from another one; zero after a poll
+	former          []*executorState  // earlier incarnations, the earliest first, whose runs are not settled
+	claimed         bool              // only an entry states this birth; see entries.go
+	replaced        *executorState    // the incarnation known before, while this one is only claimed
+	rival           *cluster.Executor // the latest entry of an earlier birth, while this one is only claimed
+	disproved       cluster.Birth     // of the last entry that a response of this incarnation has disproved
+	entered         bool              // an entry of this incarnation was applied
+	provenAddress   string            // where it has responded, or had runs of an earlier owner
+	entryAddress    string            // in its latest entry
+	entryCapacity   job.Resources     // in its latest entry, since capacitySince
+	capacitySince   time.Time
+	grantedCapacity job.Resources // up to which that of the latest entry counts; see enter
+	listed          bool          // in the latest list
+	everDraining    bool          // was ever listed as draining
+	cordon          Cordon
 	// reportedEmpty is set once a load has shown it without runs under the present cordon.
 	reportedEmpty bool
 	ended         bool // it has ended: another executor has its address or its machine, or none has
--- a/policy/shard/oddwriters_test.go
+++ b/policy/shard/oddwriters_test.go
@@ -57,6 +57,7 @@
 	if rapid.Bool().Draw(w.t, "odd address") {
 		odd.Address = fmt.Sprintf("%s:%d", oddAddress, rapid.IntRange(1, 2).Draw(w.t, "port"))
 	}
+	// More than the own capacity is not drawn for an executor at work: in the first entry that an owner reads it counts.
 	switch rapid.IntRange(0, 3).Draw(w.t, "odd capacity") {
 	case 0:
 		odd.Capacity = job.Resources{}
@@ -139,3 +140,29 @@
 		w.healAndFinish()
 	})
 }
+
+// Other writers change the list of executors, beside all other faults: once that ends, each task starts in time.
+func TestTasksStartWithinBoundAfterEntriesOfOtherWriters(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		w := newLivenessWorld(t)
+		w.odd = &oddWriters{entries: map[cluster.ExecutorID]cluster.Executor{}}
+		w.liveness.noFailingJobs = true
+		for range rapid.IntRange(5, 30).Draw(t, "faults") {
+			w.injectLivenessFault()
+			if rapid.IntRange(0, 1).Draw(t, "odd entry") == 0 {
+				w.odd.write(w)
+				w.liveness.faultFreeSince = w.now.Add(settledAfterOddEntry)
+			}
+			w.checkedStep(w.randomTicks("pause", rapid.SampledFrom([]int{1000, 1000, 4000}).Draw(t, "longest pause")))
+		}
+		clear(w.odd.entries)
+		w.refreshExecutors()
+		w.step(settledAfterOddEntry)
+		w.healAndCheck()
+	})
+}
+
+// settledAfterOddEntry is the time after which an odd entry has been replaced by the own one, and its effects on
+// calls are over: a call there has failed, and the capacity counts again.
+const settledAfterOddEntry = maxOddTime*time.Millisecond + testCallTimeout + maxPollRetry + ownEntryTime
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -100,6 +100,7 @@
 		return nil
 	}
 	s.expireRuns(now)
+	s.grantCapacities(now)
 	if s.batchCommitted {
 		s.batchCommitted = false
 		s.NoteObservation(now.Sub(s.batchStats.openedAt)) // no load was published meanwhile
