--- a/cmd/tarragond/oddentries_test.go
+++ b/cmd/tarragond/oddentries_test.go
@@ -164,38 +164,51 @@
 	changedRounds = 10
 )
 
-// The entries of executors at work are overwritten: each names the address of another one for a while.
-// Their runs must go on, none may start twice, and the executors must get new work afterwards.
-func TestEntryWithAnotherAddressEndsNoRun(t *testing.T) {
+// The entries of executors at work are overwritten for a while: each names the address of another one, or
+// another service. Their runs must go on, none may start twice, and the executors must get new work
+// afterwards.
+func TestOverwrittenEntriesEndNoRun(t *testing.T) {
 	t.Parallel()
-	s := newServeSite(t, time.Hour, terreni)
-	s.startAll("pa-0", "pa-1")
-	const tasks = 24
-	const longestPoll = 2 * time.Second // so that each executor is polled meanwhile
-	s.submit(1, tasks, true)
-	running := func() int {
-		n := 0
-		for _, e := range s.fleet.Executors() {
-			n += e.Running()
-		}
-		return n
-	}
-	s.await("all tasks to run", func() bool { return running() == tasks })
-	executors := s.fleet.Executors()
-	for i, e := range executors {
-		key, _, err := e.Entry()
-		assert.NilError(t, err)
-		other := executors[(i+1)%len(executors)].Registration.Address
-		s.fleet.Store.Put(key, []byte(asOf(entryText("terreni", other, soundCapacity, ""), e.Registration.Born)))
+	other := standin.PoolSpec{Service: "sportello", Machines: 2, Prefix: "/sportello/"}
+	for name, odd := range map[string]func(e, next cluster.Executor) string{
+		"address": func(_, next cluster.Executor) string { return entryText("terreni", next.Address, soundCapacity, "") },
+		"service": func(e, _ cluster.Executor) string { return entryText("sportello", e.Address, soundCapacity, "") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newServeSite(t, time.Hour, terreni, other)
+			s.startAll("pa-0", "pa-1")
+			s.owner("sportello")
+			const tasks = 24
+			s.submit(1, tasks, true)
+			s.await("all tasks to run", func() bool { return s.running() == tasks })
+			executors := slices.DeleteFunc(s.fleet.Executors(), func(e *standin.Executor) bool { return e.Registration.Service != "terreni" })
+			for i, e := range executors {
+				key, _, err := e.Entry()
+				assert.NilError(t, err)
+				next := executors[(i+1)%len(executors)].Registration
+				s.fleet.Store.Put(key, []byte(asOf(odd(e.Registration, next), e.Registration.Born)))
+			}
+			const longestPoll = 2 * time.Second // so that each executor is polled meanwhile
+			time.Sleep(longestPoll)
+			for _, e := range executors {
+				key, sound, err := e.Entry()
+				assert.NilError(t, err)
+				s.fleet.Store.Put(key, sound)
+			}
+			s.submit(2, 6, true)
+			s.await("the tasks of the next job to run", func() bool { return s.running() == tasks+6 })
+			assert.Equal(t, s.fleet.Overlaps(), 0)
+			s.assertStarts(1)
+		})
 	}
-	time.Sleep(longestPoll)
-	for _, e := range executors {
-		key, sound, err := e.Entry()
-		assert.NilError(t, err)
-		s.fleet.Store.Put(key, sound)
+}
+
+// running returns the number of runs on all executors.
+func (s *serveSite) running() int {
+	n := 0
+	for _, e := range s.fleet.Executors() {
+		n += e.Running()
 	}
-	s.submit(2, 6, true)
-	s.await("the tasks of the next job to run", func() bool { return running() == tasks+6 })
-	assert.Equal(t, s.fleet.Overlaps(), 0)
-	s.assertStarts(1)
+	return n
 }
--- a/cmd/tarragond/serve_test.go
+++ b/cmd/tarragond/serve_test.go
@@ -302,18 +302,11 @@
 	s := newServeSite(t, time.Hour, terreni)
 	s.startAll("pa-0", "pa-1")
 	s.submit(1, 4, true)
-	running := func() int {
-		n := 0
-		for _, e := range s.fleet.Executors() {
-			n += e.Running()
-		}
-		return n
-	}
-	s.await("all tasks to run", func() bool { return running() == 4 })
+	s.await("all tasks to run", func() bool { return s.running() == 4 })
 	status, _, _ := s.processes[1].call(http.MethodDelete, jobPath(1), "")
 	assert.Equal(t, status, http.StatusOK)
 	s.awaitJobState(1, "cancelled")
-	assert.Equal(t, running(), 0)
+	assert.Equal(t, s.running(), 0)
 }
 
 // TestTasksOfAKilledOwnerContinueUnderItsSuccessor kills the owner while its tasks run.
--- a/entry/owner/executors_test.go
+++ b/entry/owner/executors_test.go
@@ -73,3 +73,76 @@
 		assert.Equal(t, len(o.clients), open)
 	})
 }
+
+// An entry of another writer names another service for an executor at work, whose owner would stop its
+// runs and fence off the owner of its own service. The executor's own entries hold.
+func TestExecutorStaysWithItsService(t *testing.T) {
+	entry := func(service cluster.Service, born int) kv.Event {
+		more := ""
+		if born > 0 {
+			more = fmt.Sprintf(`,"born":%d`, born)
+		}
+		return entryEvent("i-1", fmt.Sprintf(`{"service":%q,"address":"i-1:80","state":"ready","capacity":{"cpu":1}%s}`, service, more))
+	}
+	const other = cluster.Service("other")
+	for name, tc := range map[string]struct {
+		born, oddBorn int
+		moved         bool // by a later incarnation, which may have another service
+	}{
+		"same birth": {5, 5, false}, "no births": {0, 0, false}, "birth unknown later": {5, 0, false},
+		"birth unknown first": {0, 5, false}, "earlier birth": {5, 4, false}, "later birth": {5, 6, true},
+	} {
+		for _, reset := range []bool{false, true} {
+			own, others := newExecutorList(testService, slog.New(slog.DiscardHandler)), newExecutorList(other, slog.New(slog.DiscardHandler))
+			listed := func(e kv.Event) (int, int) {
+				for _, l := range []*executorList{own, others} {
+					l.apply(follow.Change{Reset: reset, Events: []kv.Event{e}})
+				}
+				return len(own.list()), len(others.list())
+			}
+			n, m := listed(entry(testService, tc.born))
+			assert.Equal(t, n*10+m, 10, name)
+			n, m = listed(entry(other, tc.oddBorn))
+			want := 0
+			if tc.moved {
+				want = 1
+			}
+			assert.Equal(t, n*10+m, want, name)
+			if !tc.moved {
+				n, m = listed(entry(testService, tc.born))
+				assert.Equal(t, n*10+m, 10, name)
+			}
+		}
+	}
+}
+
+// An owner sees the entry of another writer first, or it goes on writing beside the executor: the
+// executor's own entries, which follow each heartbeat, win, and nothing is kept of entries that are gone.
+func TestExecutorsOwnEntriesWinAgainstAnEarlierOneOfAnotherService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		entry := func(service cluster.Service) follow.Change {
+			return follow.Change{Reset: true, Events: []kv.Event{
+				entryEvent("i-1", fmt.Sprintf(`{"service":%q,"address":"i-1:80","state":"ready","capacity":{"cpu":1},"born":5}`, service)),
+			}}
+		}
+		const heartbeat = 1500 * time.Millisecond
+		own := newExecutorList(testService, slog.New(slog.DiscardHandler))
+		own.apply(entry("other"))
+		for range 5 {
+			own.apply(entry(testService))
+			time.Sleep(heartbeat)
+		}
+		assert.Equal(t, len(own.list()), 1)
+		for range 20 {
+			for range 3 {
+				own.apply(entry("other"))
+				assert.Equal(t, len(own.list()), 0)
+			}
+			own.apply(entry(testService))
+			assert.Equal(t, len(own.list()), 1)
+			time.Sleep(heartbeat)
+		}
+		own.apply(follow.Change{Reset: true})
+		assert.Equal(t, len(own.origins), 0)
+	})
+}
