Test: an odd configuration leaves the one in force until the next

Values under op/config that are empty, nested, of another type or without a version above 0, and keys that begin alike.

--- a/entry/operatorconfig/operatorconfig_test.go
+++ b/entry/operatorconfig/operatorconfig_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -220,3 +222,28 @@
 		assert.Assert(t, s.reads.Load()-before < 12*60, "%d", s.reads.Load()-before)
 	})
 }
+
+// A value that can't be read, or only in part, must not end the process nor take the configuration in force
+// away, and the next readable one applies.
+func TestOddConfigurationLeavesTheOneInForceUntilTheNext(t *testing.T) {
+	value := func(version int) kv.Item {
+		text := fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h","prefix":"/","service":"terreni"}]}`, version)
+		return kv.Item{Key: registry.ConfigKey, Value: []byte(text)}
+	}
+	for _, odd := range []string{
+		"", "null", "[]", "\xff", "{", `{"version":0}`, `{"version":-1}`, `{"version":1e400}`, `{"version":4.5}`, `{"version":"4"}`,
+		`{"version":4,"routes":7}`, strings.Repeat("[", 100_000), `{"version":4,"routes":` + strings.Repeat("[", 100_000) + `}`,
+	} {
+		f := New(&fakeStore{}, Options{ApplyWithin: applyWithin}, func(*cluster.Config) {}, slog.New(slog.DiscardHandler), tally.NoopScope)
+		for i, item := range []kv.Item{value(3), {Key: registry.ConfigKey, Value: []byte(odd)}, {Key: registry.ConfigKey + "x", Value: value(9).Value}} {
+			item.Revision = kv.Revision(i + 1)
+			f.applyItem(item)
+			assert.Equal(t, f.Current().Version, int64(3), "%.40s", odd)
+		}
+		next := value(5)
+		next.Revision = 4
+		f.applyItem(next)
+		assert.Equal(t, f.Current().Version, int64(5), "%.40s", odd)
+		assert.Equal(t, len(f.Current().Queues), 1)
+	}
+}
