Owner: reasons that no executor gives add no metrics

The reasons in the responses of what answers at an executor's address became tags of metrics and text of log lines as they were. Metrics are kept for ever, so that made-up reasons took memory without bound. Reasons that no executor gives now count as "unknown".

Evidence: without the change, TestUnknownReasonsAddNoMetrics failed with a metric for each of 1,000 reasons.

--- a/api/execution/execution.go
+++ b/api/execution/execution.go
@@ -24,6 +24,11 @@
 	RefusedWrongExecutor Refusal = "gone"   // another executor runs at the address
 )
 
+// Refusals lists the refusals of an executor.
+var Refusals = []Refusal{
+	RefusedFenced, RefusedStaleRun, RefusedLeaseExpired, RefusedCapacity, RefusedTicket, RefusedOther, RefusedWrongExecutor,
+}
+
 // Reply is an executor's reply to a command. If Refusal is NotRefused the command was
 // carried out, otherwise this call certainly did not carry it out.
 type Reply struct {
@@ -72,6 +77,9 @@
 	EndedOther          EndReason = "other"  // the executor gave a reason that is not known
 )
 
+// EndReasons lists the end reasons of a run.
+var EndReasons = []EndReason{EndedDone, EndedFailed, EndedStopped, EndedLeaseExpired, EndedGangBroken, EndedGangIncomplete}
+
 // Ended is a run that an executor lists as ended.
 type Ended struct {
 	RunRef
--- a/entry/owner/executors_test.go
+++ b/entry/owner/executors_test.go
@@ -12,8 +12,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/execution"
 	"github.com/tarragonreach/tarragonreach/entry/follow"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
 func entryEvent(id, value string) kv.Event {
@@ -146,3 +148,21 @@
 		assert.Equal(t, len(own.origins), 0)
 	})
 }
+
+// What responds at an address of another writer's entry gives any reasons. They are tags of metrics, which
+// are kept for ever.
+func TestUnknownReasonsAddNoMetrics(t *testing.T) {
+	o, _, scope := reportingOwner()
+	for i := range 1000 {
+		reason := fmt.Sprint("odd-", i)
+		o.logCompletions(shard.Poll{}, execution.PollResponse{Ended: []execution.Ended{{Reason: execution.EndReason(reason)}}})
+		o.logCommand(shard.Command{}, execution.Reply{Refusal: execution.Refusal(reason)}, nil)
+	}
+	o.logCompletions(shard.Poll{}, execution.PollResponse{Ended: []execution.Ended{{Reason: execution.EndedFailed}}})
+	o.logCommand(shard.Command{}, execution.Reply{Refusal: execution.RefusedCapacity}, nil)
+	counts := map[string]int64{}
+	for _, c := range scope.Snapshot().Counters() {
+		counts[c.Name()+" "+c.Tags()["how"]+c.Tags()["outcome"]] = c.Value()
+	}
+	assert.DeepEqual(t, counts, map[string]int64{"ends unknown": 1000, "ends failed": 1, "orders unknown": 1000, "orders room": 1})
+}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -422,9 +423,22 @@
 		return "no-answer"
 	case reply.Refusal == execution.NotRefused:
 		return "done"
-	default:
+	case slices.Contains(execution.Refusals, reply.Refusal):
 		return string(reply.Refusal)
+	default:
+		return unknownReason
+	}
+}
+
+// unknownReason stands for a reason that no executor gives. Reasons are tags of metrics, so that their
+// number must not grow with what responds at an address.
+const unknownReason = "unknown"
+
+func endReason(reason execution.EndReason) string {
+	if slices.Contains(execution.EndReasons, reason) {
+		return string(reason)
 	}
+	return unknownReason
 }
 
 func (o *Owner) poll(poll shard.Poll) {
@@ -447,11 +461,11 @@
 // logCompletions counts completions and logs those whose reason is not EndedDone.
 func (o *Owner) logCompletions(poll shard.Poll, response execution.PollResponse) {
 	for _, completion := range response.Ended {
-		o.Scope.Tagged(map[string]string{"how": string(completion.Reason)}).Counter("ends").Inc(1)
+		o.Scope.Tagged(map[string]string{"how": endReason(completion.Reason)}).Counter("ends").Inc(1)
 		if completion.Reason == execution.EndedDone {
 			continue
 		}
-		o.Logger.Info("run ended", "task", completion.Task.String(), "run", completion.Run, "how", string(completion.Reason),
+		o.Logger.Info("run ended", "task", completion.Task.String(), "run", completion.Run, "how", endReason(completion.Reason),
 			"executor", string(poll.Executor.ID), "sequence", completion.Sequence)
 	}
 }
