Follow: watches that do not wait are not followed by listings without a pause

A watch that returns no events counts as one that has waited for them, and a listing follows at once. From a store or a proxy that answers watches at once without events, each follower of each instance lists its prefix as fast as the store answers, which uses up the rate of reads of all instances. A watch without events that ended within 100 ms now counts as failed, so that the pauses of failed watches apply.

--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -25,6 +25,9 @@
 	defaultWait = 1 * time.Second
 	// watchSlack is how long after its wait time a watch may still respond.
 	watchSlack = 400 * time.Millisecond
+	// minEmptyWatch is the shortest time after which a watch without events has waited for some. It bounds
+	// the rate of the listings that follow them.
+	minEmptyWatch = 100 * time.Millisecond
 )
 
 // retry spaces calls to a store that fails.
@@ -102,9 +105,11 @@
 
 // watch applies changes until the history is compacted, a watch fails or returns no events,
 // or ctx ends. A watch may miss changes, so one without events is followed by a new
-// listing. It reports whether any watch succeeded.
+// listing. It reports whether any watch succeeded. One that returns no events within minEmptyWatch did
+// not wait for any, and does not count.
 func (f *Follower) watch(ctx context.Context, after kv.Revision) (succeeded bool) {
 	for ctx.Err() == nil {
+		sent := time.Now()
 		events, err := f.watchOnce(ctx, after)
 		switch {
 		case errors.Is(err, kv.ErrCompacted):
@@ -116,7 +121,7 @@
 		case err != nil:
 			return succeeded
 		case len(events.Events) == 0:
-			return true
+			return succeeded || time.Since(sent) >= minEmptyWatch
 		}
 		succeeded = true
 		after = max(after, events.AsOf)
--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -117,3 +117,17 @@
 		assert.Assert(t, store.lists <= 20*10, "%d listings", store.lists)
 	})
 }
+
+// Watches return no events at once, without waiting for any: the follower must not list the prefix again and
+// again without a pause.
+func TestWatchesThatDoNotWaitAreNotFollowedByListingsWithoutPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{listingTime: time.Millisecond, watch: func(int, time.Duration) (kv.Events, error) {
+			time.Sleep(time.Millisecond)
+			return kv.Events{}, nil
+		}}
+		runFollower(t, store, Follower{}, 20*time.Second)
+		assert.Assert(t, store.lists > 40, "%d listings", store.lists)
+		assert.Assert(t, store.lists <= 20*10, "%d listings", store.lists)
+	})
+}
