Store health: an exceeded rate of writes is no outage

Four writes in a row that the store refuses for its rate (429), without a response to another call for 600 ms, made the store count as unavailable to the instance, though it answers reads: it was not ready, and refused status requests as well. All instances share the rate of writes, so that this happens to many of them at a time. The new test failed: unavailable after eight refused writes.

As for reads, such a refusal now counts neither as a failure nor as a response, and a probe tells: it is linearizable, or stale once the store refuses linearizable reads for their rate. Four refused stale probes in a row make the store unavailable, so that one that refuses this instance everything is still detected; the test covers that, too.

--- a/entry/storehealth/storehealth.go
+++ b/entry/storehealth/storehealth.go
@@ -20,8 +20,8 @@
 	// unavailableAfter is the time without a response that must also have passed since the first of them
 	// was sent.
 	unavailableAfter = 600 * time.Millisecond
-	// rateLimitedFor is how long the store's rate of reads counts as exceeded after it refused a read
-	// for that. Rates are per second.
+	// rateLimitedFor is how long the store's rate of reads or writes counts as exceeded after it refused
+	// one for that. Rates are per second.
 	rateLimitedFor = 1 * time.Second
 )
 
@@ -37,6 +37,7 @@
 	latency          time.Duration // smoothed latency of successful calls that read or write one key
 	answeredSentAt   time.Time     // when the latest of the calls that were answered had been sent
 	rateLimitedAt    time.Time     // when the store last refused a read for its rate
+	writeLimitedAt   time.Time     // when the store last refused a write for its rate
 	notify           func(unavailable bool, failures int)
 	// outage is cancelled when the store is available again. Calls sent before then are
 	// cancelled with it, since they never get a response.
@@ -86,9 +87,10 @@
 }
 
 // rateLimited is RateLimited for callers that hold s.mu.
-func (s *Store) rateLimited() bool {
-	return !s.rateLimitedAt.IsZero() && time.Since(s.rateLimitedAt) < rateLimitedFor
-}
+func (s *Store) rateLimited() bool { return within(s.rateLimitedAt, rateLimitedFor) }
+
+// within reports whether a time, which is zero for never, is not longer ago than d.
+func within(at time.Time, d time.Duration) bool { return !at.IsZero() && time.Since(at) < d }
 
 const (
 	// probeInterval is the time between two probes while the store is unavailable, and thus
@@ -101,8 +103,8 @@
 )
 
 // Probe probes the store while it is unavailable, until ctx ends. Without probes, an instance
-// that makes few calls would detect late that it is available again. While the store refuses reads for
-// its rate and answers nothing else, probes tell whether it refuses this instance altogether.
+// that makes few calls would detect late that it is available again. While the store refuses calls for
+// its rates and answers nothing else, probes tell whether it refuses this instance altogether.
 func (s *Store) Probe(ctx context.Context) {
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
@@ -121,7 +123,8 @@
 func (s *Store) needsProbe() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.unavailableSince.IsZero() || s.rateLimited() && time.Since(s.lastResponse) >= probeInterval
+	limited := s.rateLimited() || within(s.writeLimitedAt, rateLimitedFor)
+	return !s.unavailableSince.IsZero() || limited && time.Since(s.lastResponse) >= probeInterval
 }
 
 // probe reads a key, and observes the outcome. The read is stale while others would be refused.
@@ -147,6 +150,18 @@
 	s.rateLimitedAt = time.Now()
 }
 
+// observeWrite records the outcome of a write. As for reads, that the rate of all instances is exceeded
+// says nothing about the store's availability; a read does.
+func (s *Store) observeWrite(sent time.Time, err error) {
+	if !errors.Is(err, kv.ErrRateLimited) {
+		s.observe(sent, err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writeLimitedAt = time.Now()
+}
+
 // observeOf records the outcome of a read of the given consistency. No rate is a reason to refuse a stale
 // one, so that its refusal also counts as a failure.
 func (s *Store) observeOf(read kv.Consistency, sent time.Time, err error) {
@@ -281,7 +296,7 @@
 	defer release()
 	start := time.Now()
 	result, err := s.Client.Txn(ctx, t)
-	s.observe(start, err)
+	s.observeWrite(start, err)
 	if err == nil {
 		s.observeLatency(time.Since(start))
 	}
--- a/entry/storehealth/storehealth_test.go
+++ b/entry/storehealth/storehealth_test.go
@@ -172,3 +172,39 @@
 		assert.Equal(t, s.Timeout(1), backoff.DefaultTimeouts.First)
 	})
 }
+
+// An exceeded rate of writes, which all instances share, must not count as an outage while the store answers
+// reads: status requests would be refused as well. A store that refuses this instance everything is one.
+func TestExceededRateOfWritesIsTakenForAnOutage(t *testing.T) {
+	var refusesAll atomic.Bool
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if refusesAll.Load() || r.URL.Path == "/kv-txn" {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		w.WriteHeader(http.StatusNotFound)
+	}))
+	defer server.Close()
+	s := New(kv.New(strings.TrimPrefix(server.URL, "http://")), func(bool, int) {})
+	s.lastResponse = time.Now().Add(-unavailableAfter)
+	for range 2 * unavailableFailures {
+		_, err := s.Txn(t.Context(), kv.Txn{Deletes: []string{"a"}})
+		assert.ErrorIs(t, err, kv.ErrRateLimited)
+	}
+	_, unavailable := s.Unavailable()
+	assert.Assert(t, !unavailable)
+	assert.Assert(t, s.needsProbe())
+	assert.Assert(t, !s.RateLimited()) // reads are answered
+	s.probe(t.Context())
+	assert.Assert(t, !s.needsProbe())
+
+	refusesAll.Store(true)
+	s.lastResponse = time.Now().Add(-unavailableAfter)
+	for !unavailable {
+		_, err := s.Txn(t.Context(), kv.Txn{Deletes: []string{"a"}})
+		assert.ErrorIs(t, err, kv.ErrRateLimited)
+		assert.Assert(t, s.needsProbe())
+		s.probe(t.Context())
+		_, unavailable = s.Unavailable()
+	}
+}
