Status requests are passed on to an instance that can answer them

Where fewer than half of a zone's instances are ready, the platform sends callers to all of them, and each attempt had the same chance to be refused, with 503 since the configuration was not recent or the store did not respond.

Cause: an answer depended on whether the store serves just the instance that a caller is connected to.

Now each instance registers its address in the store (instances/ID, under a lease) and reads those of the others every 5 s, by a stale read. A status request that the store keeps an instance from answering is passed on: to the instance that answered last, else to those of the zone and then others, at most 8, each for up to 0.4 s within the caller's deadline. Who gave no answer is left out for a while, growing up to 8 s, so that in an outage for all instances ask each other about once a second or less. The other instance identifies the caller by its own recent configuration, by the digest of the key: strict revocation holds, and what another writer registers learns no key. A response counts only with the ID of the registered instance.

Costs for each instance: a renewal and a stale read, each a tenth of a read, every 5 s.

--- a/api/cluster/tenant.go
+++ b/api/cluster/tenant.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
 
 	"github.com/tarragonreach/tarragonreach/api/job"
 )
@@ -40,7 +41,7 @@
 		c.names[t.Name] = position
 	}
 	for _, key := range keys {
-		digest := keyDigest(sha256.Sum256([]byte(key)))
+		digest := digestOf(key)
 		holder, found := c.keys[digest]
 		switch {
 		case key == "":
@@ -53,9 +54,29 @@
 	return held, added
 }
 
+// digestOf returns the digest of an API key.
+func digestOf(key string) keyDigest { return sha256.Sum256([]byte(key)) }
+
+// DigestKey returns the digest of an API key in hexadecimal digits.
+func DigestKey(key string) string {
+	digest := digestOf(key)
+	return hex.EncodeToString(digest[:])
+}
+
 // Authenticate returns the tenant that holds an API key, and whether there is one.
-func (c *Config) Authenticate(key string) (Tenant, bool) {
-	position, found := c.keys[keyDigest(sha256.Sum256([]byte(key)))]
+func (c *Config) Authenticate(key string) (Tenant, bool) { return c.holder(digestOf(key)) }
+
+// AuthenticateDigest is like Authenticate, for a key of which only the result of DigestKey is known.
+func (c *Config) AuthenticateDigest(digest string) (Tenant, bool) {
+	decoded, err := hex.DecodeString(digest)
+	if err != nil || len(decoded) != sha256.Size {
+		return Tenant{}, false
+	}
+	return c.holder(keyDigest(decoded))
+}
+
+func (c *Config) holder(digest keyDigest) (Tenant, bool) {
+	position, found := c.keys[digest]
 	if !found {
 		return Tenant{}, false
 	}
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -22,6 +22,7 @@
 	"github.com/tarragonreach/tarragonreach/entry/metrics"
 	"github.com/tarragonreach/tarragonreach/entry/operatorconfig"
 	"github.com/tarragonreach/tarragonreach/entry/owner"
+	"github.com/tarragonreach/tarragonreach/entry/peers"
 	"github.com/tarragonreach/tarragonreach/entry/storehealth"
 	"github.com/tarragonreach/tarragonreach/platform/advice"
 	"github.com/tarragonreach/tarragonreach/platform/backoff"
@@ -74,6 +75,9 @@
 
 	front  *http.Server
 	probes *http.Server
+	// peerCalls serves calls of other instances, if an address is assigned for these.
+	peerCalls *http.Server
+	peers     *peers.Peers
 
 	stopDuties     context.CancelFunc
 	stopBackground context.CancelFunc
@@ -116,6 +120,12 @@
 	h.intake = intake.New(h.store, h.config, h.leaving.Load, logger, m.Scope.SubScope("intake"))
 	h.intake.SetAdmissions(h.admissions)
 	h.front = &http.Server{Handler: h.intake.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	if node.PeerAddress != "" {
+		self := peers.Peer{ID: node.ID, Zone: node.Zone, Address: node.PeerAddress}
+		h.peers = peers.New(h.store, self, nil, logger, m.Scope.SubScope("peers"))
+		h.intake.SetPeers(h.peers)
+		h.peerCalls = &http.Server{Handler: h.peers.Handler(h.intake.PeerHandler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	}
 	h.probes = &http.Server{Handler: h.probeHandler(), ReadHeaderTimeout: headerTimeout}
 	return h
 }
@@ -163,7 +173,7 @@
 
 func (h *Host) start(ctx context.Context) error {
 	var listen net.ListenConfig
-	for server, address := range map[*http.Server]string{h.front: h.node.FrontAddress, h.probes: h.node.ReadyAddress} {
+	for server, address := range h.servers() {
 		listener, err := listen.Listen(ctx, "tcp", address)
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", address, err)
@@ -178,6 +188,9 @@
 	h.followers.Go(func() { h.store.Probe(background) })
 	h.followers.Go(func() { h.admissions.Run(background) })
 	h.followers.Go(func() { h.intake.Run(background) })
+	if h.peers != nil {
+		h.followers.Go(func() { h.peers.Run(background) })
+	}
 	if h.node.MachinesAddress != "" {
 		h.campaigns.Go(h.campaignForFleet)
 	}
@@ -185,6 +198,15 @@
 	return nil
 }
 
+// servers returns the servers with their addresses.
+func (h *Host) servers() map[*http.Server]string {
+	servers := map[*http.Server]string{h.front: h.node.FrontAddress, h.probes: h.node.ReadyAddress}
+	if h.peerCalls != nil {
+		servers[h.peerCalls] = h.node.PeerAddress
+	}
+	return servers
+}
+
 func (h *Host) serve(server *http.Server, listener net.Listener) {
 	err := server.Serve(listener)
 	if err != nil && err != http.ErrServerClosed {
@@ -279,6 +301,9 @@
 	h.stopBackground()
 	h.followers.Wait()
 	_ = h.probes.Close() // probes need no graceful shutdown
+	if h.peerCalls != nil {
+		_ = h.peerCalls.Close() // peers ask another instance
+	}
 	if err != nil {
 		return fmt.Errorf("requests of callers aborted: %w", err)
 	}
--- a/entry/host/statusload_test.go
+++ b/entry/host/statusload_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,10 +18,12 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/api/job"
 	"github.com/tarragonreach/tarragonreach/entry/intake"
 	"github.com/tarragonreach/tarragonreach/entry/layout"
 	"github.com/tarragonreach/tarragonreach/entry/operatorconfig"
+	"github.com/tarragonreach/tarragonreach/entry/peers"
 	"github.com/tarragonreach/tarragonreach/entry/storehealth"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 	"github.com/tarragonreach/tarragonreach/platform/standin"
@@ -41,20 +44,20 @@
 
 // statusWorld is a deployment with tenants and strict revocation that has accepted many jobs.
 type statusWorld struct {
-	store    *faultyStore
-	handlers []http.Handler
-	configs  []*operatorconfig.Follower
-	stores   []*storehealth.Store
-	stop     func()
+	store         *faultyStore
+	configVersion int64
+	handlers      []http.Handler
+	configs       []*operatorconfig.Follower
+	stores        []*storehealth.Store
+	network       *network
+	key           string       // of callers
+	relayed       atomic.Int64 // requests that instances have passed on
+	stop          func()
 }
 
 func newStatusWorld(reads int) *statusWorld {
-	w := &statusWorld{store: &faultyStore{Store: standin.NewStore()}}
-	fleet := standin.Fleet{Store: w.store.Store}
-	pools := []standin.PoolSpec{{Service: "terreni", Prefix: "/terreni/"}}
-	if err := fleet.ConfigureTenants(pools, []standin.TenantSpec{{Name: "north", Keys: []string{"k"}}}, 1); err != nil {
-		panic(err)
-	}
+	w := &statusWorld{store: &faultyStore{Store: standin.NewStore()}, network: newNetwork(), key: "k"}
+	w.configure(w.key)
 	for n := range statusJobs {
 		if n == statusJobs-newJobs {
 			w.store.FreezeStaleReads(true)
@@ -66,12 +69,13 @@
 		w.store.Put(layout.JobKey(statusID(n)), value)
 	}
 	w.store.SetRates(reads, 0)
-	network := newNetwork()
-	server := w.store.serve(network)
+	server := w.store.serve(w.network)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
+	var closers []func()
 	for n := range statusInstances {
-		dial := network.dial(fmt.Sprintf("front-%d", n))
+		self := peers.Peer{ID: fleet.InstanceID(fmt.Sprintf("front-%d", n)), Address: fmt.Sprintf("front-%d:7060", n)}
+		dial := w.network.dial(string(self.ID))
 		store := storehealth.New(kv.NewWithDial(storeAddress, dial), func(bool, int) {})
 		w.stores = append(w.stores, store)
 		options := operatorconfig.Options{ApplyWithin: 2 * configDelay, RevokeWithin: statusRevoke, BootClock: virtualBootClock()}
@@ -80,11 +84,19 @@
 		running.Go(func() { store.Probe(ctx) })
 		running.Go(func() { config.Run(ctx) })
 		w.configs = append(w.configs, config)
-		w.handlers = append(w.handlers, intake.New(store, config, func() bool { return false }, logger, tally.NoopScope).Handler())
+		in := intake.New(store, config, func() bool { return false }, logger, tally.NoopScope)
+		others := peers.New(store, self, dial, logger, tally.NoopScope)
+		in.SetPeers(others)
+		running.Go(func() { others.Run(ctx) })
+		closers = append(closers, serveOn(w.network, self.Address, others.Handler(w.countRelayed(in.PeerHandler()))))
+		w.handlers = append(w.handlers, in.Handler())
 	}
 	w.stop = func() {
-		_ = server.Close() // ends all calls
 		cancel()
+		for _, stop := range closers {
+			stop()
+		}
+		_ = server.Close() // ends all calls
 		running.Wait()
 		for _, store := range w.stores {
 			store.CloseIdle()
@@ -94,6 +106,32 @@
 	return w
 }
 
+// configure puts a configuration in force in which the jobs' tenant has the given key.
+func (w *statusWorld) configure(key string) {
+	w.configVersion++
+	deployment := standin.Fleet{Store: w.store.Store}
+	pools := []standin.PoolSpec{{Service: "terreni", Prefix: "/terreni/"}}
+	if err := deployment.ConfigureTenants(pools, []standin.TenantSpec{{Name: "north", Keys: []string{key}}}, w.configVersion); err != nil {
+		panic(err)
+	}
+}
+
+// serveOn serves an address of the network, and returns a function that ends that.
+func serveOn(n *network, address string, handler http.Handler) (stop func()) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	listener := n.listen(address)
+	go func() { _ = server.Serve(listener) }() // ends with Close
+	return func() { _ = server.Close() }
+}
+
+// countRelayed counts the requests that are passed on to an instance.
+func (w *statusWorld) countRelayed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.relayed.Add(1)
+		next.ServeHTTP(rw, r)
+	})
+}
+
 func statusID(n int) job.ID { return job.ID(fmt.Sprintf("%016x", n+1)) }
 
 func statusOf(n int) job.State {
@@ -104,7 +142,7 @@
 func (w *statusWorld) ask(n int) string {
 	request := httptest.NewRequest(http.MethodGet, "/terreni/"+string(statusID(n)), nil)
 	request.Host = standin.Host
-	request.Header.Set("Authorization", "Bearer k")
+	request.Header.Set("Authorization", "Bearer "+w.key)
 	request.Header.Set(submission.HeaderDeadline, strconv.FormatInt(statusDeadline.Milliseconds(), 10))
 	response := httptest.NewRecorder()
 	sent := time.Now()
--- /dev/null
+++ b/entry/host/statusrelay_test.go
@@ -0,0 +1,110 @@
+package host_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
+)
+
+// servedInstances is how many instances of a statusWorld the store still serves.
+const servedInstances = 1
+
+// knownWithin is the time within which instances that start together know each other.
+const knownWithin = 5 * time.Second
+
+// newRelayWorld returns a statusWorld whose instances know each other.
+func newRelayWorld() *statusWorld {
+	w := newStatusWorld(0)
+	w.store.FreezeStaleReads(false)
+	time.Sleep(knownWithin)
+	return w
+}
+
+// cutOffFromStore cuts all instances but the last servedInstances off from the store.
+func (w *statusWorld) cutOffFromStore() {
+	for n := range statusInstances - servedInstances {
+		w.network.partition(fmt.Sprintf("front-%d", n), storeAddress)
+	}
+}
+
+// Guards against status requests that get no answer, however often they are repeated, since the platform sends callers to
+// instances that the store does not serve, while it serves others.
+func TestStatusRequestsAtInstancesThatTheStoreDoesNotServeGetNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRelayWorld()
+		defer w.stop()
+		w.cutOffFromStore()
+		time.Sleep(statusRevoke)
+		for n := range 100 {
+			assert.Equal(t, w.ask(n), "", "job %d", n)
+		}
+	})
+}
+
+// Guards against instances that go on accepting a removed key, or refuse a valid one, since they pass on requests:
+// keys are removed and added while the store serves one instance only.
+func TestKeysOfRequestsThatArePassedOnAreOutdated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRelayWorld()
+		defer w.stop()
+		w.cutOffFromStore()
+		w.configure("l")
+		time.Sleep(statusRevoke)
+		assert.Equal(t, w.ask(0), "status 401")
+		w.key = "l"
+		assert.Equal(t, w.ask(0), "")
+	})
+}
+
+// Guards against an entry of another writer among the registrations of instances: what responds there must not decide
+// a request, and must not learn a key.
+func TestAnswerOfWhatIsNoInstanceDecidesARequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRelayWorld()
+		defer w.stop()
+		asked := 0
+		odd := serveOn(w.network, "odd:1", http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			asked++
+			assert.Equal(t, r.Header.Get("Authorization"), "")
+			rw.WriteHeader(http.StatusGone)
+		}))
+		defer odd()
+		for n, address := range []string{"odd:1", "", "odd:99999"} {
+			value, err := layout.Encode(layout.Instance{Address: address})
+			assert.NilError(t, err)
+			w.store.Put(layout.InstanceKey(fleet.InstanceID(fmt.Sprintf("odd-%d", n))), value)
+		}
+		w.store.Put(layout.InstancesPrefix, []byte("{"))
+		time.Sleep(10 * time.Second)
+		w.cutOffFromStore()
+		time.Sleep(statusRevoke)
+		for n := range 100 {
+			assert.Equal(t, w.ask(n), "", "job %d", n)
+		}
+		assert.Assert(t, asked > 0)
+	})
+}
+
+// Guards against instances that load each other with requests that none can answer.
+func TestInstancesAskEachOtherWithoutPauseInAnOutageForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRelayWorld()
+		defer w.stop()
+		w.store.SetDown(true)
+		time.Sleep(statusRevoke)
+		const seconds = 20
+		for n := range seconds * 50 {
+			assert.Equal(t, w.ask(n%statusJobs), "status 503")
+			time.Sleep(20 * time.Millisecond)
+		}
+		calls := w.relayed.Load()
+		assert.Assert(t, calls > 0 && calls <= statusInstances*(statusInstances-1)*seconds, "%d", calls)
+	})
+}
--- a/entry/intake/identity.go
+++ b/entry/intake/identity.go
@@ -12,7 +12,6 @@
 	"github.com/tarragonreach/tarragonreach/entry/layout"
 	"github.com/tarragonreach/tarragonreach/entry/operatorconfig"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
-	"github.com/tarragonreach/tarragonreach/platform/submission"
 )
 
 // Reasons for which a request is refused because of its caller's identity. The errors of
@@ -39,7 +38,7 @@
 	queue, found := k.Config.Route(hostOf(r), r.URL.Path)
 	switch {
 	case found:
-		return i.identify(k, queue, r.Header)
+		return i.identify(k, queue, r)
 	case k.Recent:
 		return caller{}, &response{status: http.StatusNotFound, reason: "no such queue", outcome: outcomeNoQueue}
 	default:
@@ -53,7 +52,7 @@
 // identify returns who makes a request to a queue, or the refusal. With tenants, nothing is decided
 // by a configuration that is not recent: a key may have been added or removed since, and a queue may
 // not be public any more.
-func (i *Intake) identify(k operatorconfig.Knowledge, queue cluster.Queue, header http.Header) (caller, *response) {
+func (i *Intake) identify(k operatorconfig.Knowledge, queue cluster.Queue, r *http.Request) (caller, *response) {
 	c := caller{queue: queue, tenancy: k.Config.Tenancy}
 	if !c.tenancy {
 		return c, nil
@@ -67,11 +66,10 @@
 	if queue.Public {
 		return c, nil
 	}
-	key, err := submission.APIKey(header)
+	tenant, found, err := authenticate(k.Config, r)
 	if err != nil {
 		return c, unauthorized(err.Error())
 	}
-	tenant, found := k.Config.Authenticate(key)
 	if !found {
 		return c, unauthorized(reasonUnknownKey)
 	}
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -61,6 +61,7 @@
 	// admissions is nil if no job is rejected for lack of capacity.
 	admissions Admissions
 	summary    summary
+	peers      Peers         // nil if requests are not passed on
 	reads      chan struct{} // holds an element for each read in progress
 }
 
@@ -117,6 +118,7 @@
 	deadline  time.Duration            // from its arrival to when the response was due
 	calls     storeCalls
 	forCount  bool // it asks for the number of waiting jobs
+	relayed   bool // another instance has answered it
 }
 
 func (i *Intake) serve(c *gin.Context) {
@@ -160,7 +162,7 @@
 	attributes := []any{"method", r.method, "job", string(r.job), "queue", queue, "status", r.response.status,
 		"outcome", ended, "reason", r.response.reason, "ms", r.took.Milliseconds(), "config", version, "config_age_ms", r.knowledge.Age.Milliseconds(),
 		"deadline_ms", r.deadline.Milliseconds(), "store_calls", r.calls.attempts, "store_rate_limited", r.calls.rateLimited, "store_failed", r.calls.failed,
-		"stale_reads", r.calls.stale}
+		"stale_reads", r.calls.stale, "relayed", r.relayed}
 	if r.caller.tenancy {
 		attributes = append(attributes, "tenant", string(r.caller.tenant))
 	}
@@ -177,12 +179,18 @@
 	}
 }
 
-// dispatch handles a request, and records by which knowledge, whose it is and which job it is about.
+// dispatch handles a request within its deadline.
 func (i *Intake) dispatch(c *gin.Context, r *record) response {
 	r.deadline = deadlineOf(c.Request)
 	ctx, cancel := context.WithTimeout(withStoreCalls(c.Request.Context(), &r.calls), r.deadline)
 	defer cancel()
-	k := i.knowledge(ctx)
+	return i.answerOrRelay(ctx, c, r)
+}
+
+// handle handles a request by what this instance and the store know, and records by which knowledge, whose it
+// is and which job it is about.
+func (i *Intake) handle(ctx context.Context, c *gin.Context, r *record) response {
+	k := i.knowledge(ctx, c.Request)
 	r.knowledge = k
 	who, refusal := i.resolve(k, c.Request)
 	r.caller = who
@@ -205,10 +213,10 @@
 }
 
 // knowledge returns the knowledge to decide a request by. A recent one is waited for only while the
-// store responds.
-func (i *Intake) knowledge(ctx context.Context) operatorconfig.Knowledge {
+// store responds, and not for a request that another instance has passed on: that one can ask others.
+func (i *Intake) knowledge(ctx context.Context, r *http.Request) operatorconfig.Knowledge {
 	k := i.config.Knowledge()
-	if k.Recent || k.Config == nil {
+	if k.Recent || k.Config == nil || isRelayed(r) {
 		return k
 	}
 	if _, unavailable := i.store.Unavailable(); unavailable {
@@ -245,7 +253,7 @@
 	if !who.tenancy {
 		return nil
 	}
-	again, refusal := i.resolve(i.knowledge(ctx), c.Request)
+	again, refusal := i.resolve(i.knowledge(ctx, c.Request), c.Request)
 	if refusal == nil && (again.tenant != who.tenant || again.queue.Name != who.queue.Name) {
 		return &response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "the configuration has changed", outcome: outcomeChanging}
 	}
--- a/entry/intake/summary.go
+++ b/entry/intake/summary.go
@@ -17,6 +17,7 @@
 	outcomes     [outcomeCount]atomic.Int64
 	storeCalls   atomic.Int64
 	rateLimited  atomic.Int64
+	relayed      atomic.Int64 // answered by another instance
 	staleReads   atomic.Int64
 	longest      atomic.Int64 // nanoseconds
 	oldestConfig atomic.Int64 // nanoseconds
@@ -31,6 +32,9 @@
 	s.outcomes[r.response.endedAs()].Add(1)
 	s.storeCalls.Add(int64(r.calls.attempts))
 	s.rateLimited.Add(int64(r.calls.rateLimited))
+	if r.relayed {
+		s.relayed.Add(1)
+	}
 	s.staleReads.Add(int64(r.calls.stale))
 	storeMax(&s.longest, int64(r.took))
 	storeMax(&s.oldestConfig, int64(r.knowledge.Age))
@@ -59,7 +63,7 @@
 		return
 	}
 	logger.Info("status requests", "requests", requests, slog.Group("outcomes", counts...),
-		"store_calls", s.storeCalls.Swap(0), "store_rate_limited", s.rateLimited.Swap(0),
+		"store_calls", s.storeCalls.Swap(0), "store_rate_limited", s.rateLimited.Swap(0), "relayed", s.relayed.Swap(0),
 		"stale_reads", s.staleReads.Swap(0),
 		"longest_ms", time.Duration(s.longest.Swap(0)).Milliseconds(),
 		"config_age_ms", time.Duration(s.oldestConfig.Swap(0)).Milliseconds())
--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -16,6 +16,7 @@
 //	chain/SERVICE                 WriteMarker: the last write of an owner
 //	quota/TENANT                  quota.Ledger: the limit of a tenant, divided among the services
 //	owners/DUTY                   Holder: the instance that holds a duty, under a lease
+//	instances/INSTANCE            Instance: where other instances call it, under a lease
 package layout
 
 import (
@@ -39,6 +40,23 @@
 // OwnersPrefix is the prefix of the holders of all duties.
 const OwnersPrefix = "owners/"
 
+// InstancesPrefix is the prefix of the registrations of all instances.
+const InstancesPrefix = "instances/"
+
+// InstanceKey returns the key of an instance's registration.
+func InstanceKey(id fleet.InstanceID) string { return InstancesPrefix + string(id) }
+
+// InstanceOf returns whose registration an InstanceKey is about.
+func InstanceOf(key string) fleet.InstanceID {
+	return fleet.InstanceID(strings.TrimPrefix(key, InstancesPrefix))
+}
+
+// Instance is the registration of an instance.
+type Instance struct {
+	Zone    fleet.AvailabilityZone `json:"zone"`
+	Address string                 `json:"address"` // host:port for calls of other instances
+}
+
 // JobsPrefix is the prefix of the states of all jobs.
 const JobsPrefix = "jobs/"
 
--- /dev/null
+++ b/entry/peers/peers.go
@@ -0,0 +1,310 @@
+// Package peers knows the other instances of the deployment and asks them on behalf of this one.
+//
+// Each instance registers its address in the store, under a lease, and reads those of the others now
+// and then. While the store does not respond to an instance, it goes on with the addresses that it
+// has read last. Calls are HTTP/1.1 on connections that are kept: they are made only while the store fails one
+// instance and serves others, and small instances can't afford a handshake with encryption for each.
+package peers
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/entry/follow"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
+	"github.com/tarragonreach/tarragonreach/platform/backoff"
+	"github.com/tarragonreach/tarragonreach/platform/bound"
+	"github.com/tarragonreach/tarragonreach/platform/call"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+)
+
+const (
+	// registrationTTL is how long the registration of an instance outlasts it.
+	registrationTTL = 30 * time.Second
+	// refreshInterval is the time between two renewals of the registration, and between two readings of
+	// the others.
+	refreshInterval = 5 * time.Second
+	// firstRefresh replaces refreshInterval until the peers were read after the registration: instances
+	// start at about the same time.
+	firstRefresh = 1 * time.Second
+	// storeTimeout bounds one call to the store.
+	storeTimeout = 2 * time.Second
+	// attemptTimeout bounds one call to a peer.
+	attemptTimeout = 400 * time.Millisecond
+	// maxAttempts is how many peers are asked about one request.
+	maxAttempts = 8
+	// maxResponse bounds the response of a peer in bytes.
+	maxResponse = 64 << 10
+	// idleConnections is how many idle connections are kept open to each peer.
+	idleConnections = 2
+)
+
+// retry spaces calls to a peer that can't answer: an outage may concern all instances, which must not
+// load each other then.
+var retry = backoff.Policy{Base: 1 * time.Second, Cap: 8 * time.Second}
+
+// Store is the part of the store that the registration uses.
+type Store interface {
+	All(ctx context.Context, prefix string, read kv.Consistency) ([]kv.Item, kv.Revision, error)
+	Txn(ctx context.Context, t kv.Txn) (kv.TxnResult, error)
+	Grant(ctx context.Context, ttl time.Duration) (kv.Lease, error)
+	KeepAlive(ctx context.Context, id kv.LeaseID) error
+	Revoke(ctx context.Context, id kv.LeaseID) error
+}
+
+// Peer is an instance.
+type Peer struct {
+	ID      fleet.InstanceID
+	Zone    fleet.AvailabilityZone
+	Address string // host:port for calls of other instances
+}
+
+// peer is another instance and what is known of its answers.
+type peer struct {
+	Peer
+	client     *call.Client
+	answeredAt time.Time // zero before its first answer
+	failures   int       // since then
+	retryAt    time.Time
+}
+
+// Peers are the other instances. Its methods may be called concurrently.
+type Peers struct {
+	store  Store
+	self   Peer
+	dial   call.DialFunc // nil for the network's
+	logger *slog.Logger
+	scope  tally.Scope
+	lease  kv.LeaseID // of the registration; zero if there is none. Used by Run only
+
+	mu     sync.Mutex
+	peers  map[fleet.InstanceID]*peer
+	random *rand.Rand
+}
+
+// New returns the peers of the instance self. Connections to them are opened with dial, or with the network's if
+// it is nil.
+func New(store Store, self Peer, dial call.DialFunc, logger *slog.Logger, scope tally.Scope) *Peers {
+	return &Peers{
+		store: store, self: self, dial: dial, logger: logger, scope: scope,
+		peers: map[fleet.InstanceID]*peer{}, random: backoff.NewRandom(),
+	}
+}
+
+// Run keeps the instance registered and reads the others until ctx ends. It then ends the registration.
+func (p *Peers) Run(ctx context.Context) {
+	unreadable := follow.NewSkipped(p.logger, "addresses of instances not readable")
+	pause := firstRefresh
+	for ctx.Err() == nil {
+		registered := p.register(ctx)
+		if read := p.refresh(ctx, unreadable); registered && read {
+			_ = backoff.Sleep(ctx, pause) // the loop checks ctx
+			pause = refreshInterval
+			continue
+		}
+		_ = backoff.Sleep(ctx, firstRefresh) // the loop checks ctx
+	}
+	p.deregister()
+	p.closeAll()
+}
+
+// register registers the instance or renews its registration, and reports whether that succeeded.
+func (p *Peers) register(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if p.lease != 0 {
+		err := p.store.KeepAlive(ctx, p.lease)
+		if !errors.Is(err, kv.ErrLeaseLost) {
+			return err == nil
+		}
+		p.lease = 0
+	}
+	lease, err := p.store.Grant(ctx, registrationTTL)
+	if err != nil {
+		return false
+	}
+	value, err := layout.Encode(layout.Instance{Zone: p.self.Zone, Address: p.self.Address})
+	if err != nil {
+		p.logger.Error("instance not registered", "error", err)
+		return false
+	}
+	put := kv.Put{Key: layout.InstanceKey(p.self.ID), Value: value, Lease: lease.ID}
+	if _, err := p.store.Txn(ctx, kv.Txn{Puts: []kv.Put{put}}); err != nil {
+		return false // the lease ends by itself, with the key if it was written after all
+	}
+	p.lease = lease.ID
+	return true
+}
+
+func (p *Peers) deregister() {
+	if p.lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	if err := p.store.Revoke(ctx, p.lease); err != nil {
+		p.logger.Info("registration left to its lease", "error", err)
+	}
+}
+
+// refresh reads the registrations of all instances and reports whether that succeeded. Old ones do for
+// the purpose: a peer that is gone costs an attempt.
+func (p *Peers) refresh(ctx context.Context, unreadable *follow.Skipped) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	items, _, err := p.store.All(ctx, layout.InstancesPrefix, kv.Stale)
+	if err != nil {
+		return false
+	}
+	unreadable.Begin(follow.Listing(items))
+	defer unreadable.Log()
+	listed := map[fleet.InstanceID]Peer{}
+	for _, item := range items {
+		other, err := decode(item)
+		if err != nil {
+			unreadable.Add(item.Key, err)
+			continue
+		}
+		if other.ID != p.self.ID {
+			listed[other.ID] = other
+		}
+	}
+	p.apply(listed)
+	return true
+}
+
+// decode decodes the registration of an instance. Another writer may have left it.
+func decode(item kv.Item) (Peer, error) {
+	instance, err := layout.Decode[layout.Instance](item.Key, item.Value)
+	if err != nil {
+		return Peer{}, err
+	}
+	if err := bound.Address(instance.Address); err != nil {
+		return Peer{}, fmt.Errorf("entry %s: %w", bound.Excerpt(item.Key), err)
+	}
+	return Peer{ID: layout.InstanceOf(item.Key), Zone: instance.Zone, Address: instance.Address}, nil
+}
+
+// apply replaces the known peers. Those that are listed as before keep what is known of their answers.
+func (p *Peers) apply(listed map[fleet.InstanceID]Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, known := range p.peers {
+		if listed[id] != known.Peer {
+			known.client.CloseIdle()
+			delete(p.peers, id)
+		}
+	}
+	for id, other := range listed {
+		if p.peers[id] == nil {
+			p.peers[id] = &peer{Peer: other, client: p.newClient(other.Address)}
+		}
+	}
+}
+
+func (p *Peers) newClient(address string) *call.Client {
+	client := call.New(address, idleConnections)
+	if p.dial != nil {
+		client = call.NewWithDial(address, idleConnections, p.dial)
+	}
+	client.LimitResponses(maxResponse)
+	return client
+}
+
+func (p *Peers) closeAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, known := range p.peers {
+		known.client.CloseIdle()
+	}
+}
+
+// headerInstance has the ID of the instance in its responses to peers. What else may respond at an address
+// that another writer has registered is no peer.
+const headerInstance = "Tarragonreach-Instance"
+
+// Handler returns the handler of calls of other instances, which next answers.
+func (p *Peers) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerInstance, string(p.self.ID))
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Ask makes a call at one peer after the other until one gives an answer that answers accepts. It returns
+// false if none of up to maxAttempts does before ctx ends. Peers that gave no answer lately are left out.
+func (p *Peers) Ask(ctx context.Context, r call.Request, answers func(call.Response) bool) (call.Response, bool) {
+	for _, other := range p.candidates(time.Now()) {
+		response, err := p.attempt(ctx, other, r)
+		if ctx.Err() != nil {
+			return call.Response{}, false // says nothing about the peer
+		}
+		answered := err == nil && response.Header.Get(headerInstance) == string(other.ID) && answers(response)
+		p.note(other, answered, time.Now())
+		if answered {
+			return response, true
+		}
+	}
+	return call.Response{}, false
+}
+
+func (p *Peers) attempt(ctx context.Context, other *peer, r call.Request) (call.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return other.client.Do(ctx, r)
+}
+
+// candidates returns the peers to ask, at most maxAttempts: those that answered last come first, then those of
+// the same availability zone, in random order.
+func (p *Peers) candidates(now time.Time) []*peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []*peer
+	for _, other := range p.peers {
+		if !now.Before(other.retryAt) {
+			list = append(list, other)
+		}
+	}
+	p.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(a, b *peer) int {
+		return cmp.Or(b.answeredAt.Compare(a.answeredAt), cmp.Compare(p.distance(a), p.distance(b)))
+	})
+	return list[:min(len(list), maxAttempts)]
+}
+
+// distance returns 0 for peers of the same availability zone, and 1 for others.
+func (p *Peers) distance(other *peer) int {
+	if other.Zone == p.self.Zone {
+		return 0
+	}
+	return 1
+}
+
+// note records whether a peer gave an answer. One that gave none is not asked for a while.
+func (p *Peers) note(other *peer, answered bool, now time.Time) {
+	result := "none"
+	if answered {
+		result = "answered"
+	}
+	p.scope.Tagged(map[string]string{"result": result}).Counter("calls").Inc(1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if answered {
+		other.answeredAt, other.failures, other.retryAt = now, 0, time.Time{}
+		return
+	}
+	other.failures++
+	other.answeredAt = time.Time{}
+	other.retryAt = now.Add(retry.Delay(other.failures, p.random))
+}
