Test: odd executor entries with addresses that hang or send garbage

The whole-process test also lists, from the start and under ever new keys while jobs run, addresses where calls get no response, and where each gets 100 MB.

--- a/cmd/tarragond/oddentries_test.go
+++ b/cmd/tarragond/oddentries_test.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"maps"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -26,9 +29,39 @@
 
 const soundCapacity = `{"cpu":16000,"mem-mb":65536}`
 
+// hangingAddress returns an address where calls get no response.
+func hangingAddress(t *testing.T) string {
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // the end of the connection is noticed only after it
+		<-r.Context().Done()
+	}))
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// garbageAddress returns an address where each call gets 100 MB of garbage.
+func garbageAddress(t *testing.T) string {
+	megabyte := bytes.Repeat([]byte("x"), 1<<20)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for range 100 {
+			if _, err := w.Write(megabyte); err != nil {
+				return
+			}
+		}
+	}))
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
 // oddEntries returns values of entries that another writer may leave, by name. Some can't be read,
 // others name executors that don't exist or can't be reached. The address is that of an executor at work.
-func oddEntries(address string) map[string]string {
+func oddEntries(t *testing.T, address string) map[string]string {
 	const nobody = "127.0.0.1:1"
 	const depth = 100_000
 	return map[string]string{
@@ -43,6 +76,8 @@
 		"port-negative":   entryText("terreni", "127.0.0.1:-1", soundCapacity, ""),
 		"port-none":       entryText("terreni", "127.0.0.1", soundCapacity, ""),
 		"address-text":    entryText("terreni", "%zz://[", soundCapacity, ""),
+		"address-hangs":   entryText("terreni", hangingAddress(t), soundCapacity, ""),
+		"address-garbage": entryText("terreni", garbageAddress(t), soundCapacity, ""),
 		"address-taken":   entryText("terreni", address, soundCapacity, ""),
 		"executor-absent": entryText("terreni", nobody, soundCapacity, ""),
 		"service-other":   entryText("sportello", address, soundCapacity, ""),
@@ -90,7 +125,7 @@
 	t.Parallel()
 	s := newServeSite(t, 400*time.Millisecond, terreni)
 	executors := s.fleet.Executors()
-	odd := oddEntries(executors[0].Registration.Address)
+	odd := oddEntries(t, executors[0].Registration.Address)
 	for name, value := range odd {
 		s.fleet.Store.Put(registry.ExecutorPrefix+name, []byte(value))
 	}
