--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -161,8 +161,8 @@
 	}
 	attributes := []any{"method", r.method, "job", string(r.job), "queue", queue, "status", r.response.status,
 		"outcome", ended, "reason", r.response.reason, "ms", r.took.Milliseconds(), "config", version, "config_age_ms", r.knowledge.Age.Milliseconds(),
-		"deadline_ms", r.deadline.Milliseconds(), "store_calls", r.calls.attempts, "store_rate_limited", r.calls.rateLimited, "store_failed", r.calls.failed,
-		"stale_reads", r.calls.stale, "relayed", r.relayed}
+		"deadline_ms", r.deadline.Milliseconds(), "relayed", r.relayed, "store_calls", r.calls.attempts, "store_rate_limited", r.calls.rateLimited, "store_failed", r.calls.failed,
+		"stale_reads", r.calls.stale}
 	if r.caller.tenancy {
 		attributes = append(attributes, "tenant", string(r.caller.tenant))
 	}
