Election: a holder without a lease does not keep a duty for ever

An entry of another writer in the place of a duty's holder was removed only if it could not be read. One that can, such as {} or the name of an instance that is not there, has no lease that expires either: the duty counted as held, and nobody would ever lead the service. The new cases of the test failed: no term began within 15 s. Instances write this key only with a lease, so that one without is not theirs, and is removed.

TestRestartedInstanceReleasesItsEarlierDuties wrote the holders that it arranges without a lease, which no instance does. They now have one; what it asserts is as before. TestUnreadableHolderDoesNotKeepADutyForEver has two more cases and is named by the failure.

--- a/entry/election/election.go
+++ b/entry/election/election.go
@@ -143,9 +143,9 @@
 }
 
 // staleHolders returns the keys of a change that no instance holds: those of an earlier process of
-// this instance, if the change is the first listing, and those that can't be read and have no lease. So
-// no candidate waits until the leases of the former expire, or for ever for the latter, which another
-// writer has left. If the earlier process still runs, it loses the duty as if its lease had expired.
+// this instance, if the change is the first listing, and those without a lease, which another writer has
+// left: instances claim duties with one. So no candidate waits until the leases of the former expire, or
+// for ever for the latter. If the earlier process still runs, it loses the duty as if its lease had expired.
 func (e *Election) staleHolders(c follow.Change, first bool, unreadable *follow.Skipped) []kv.Item {
 	unreadable.Begin(c)
 	defer unreadable.Log()
@@ -158,7 +158,7 @@
 		if err != nil {
 			unreadable.Add(event.Key, err)
 		}
-		if err != nil && event.Lease == 0 || err == nil && first && holder.Instance == e.instance {
+		if event.Lease == 0 || err == nil && first && holder.Instance == e.instance {
 			stale = append(stale, event.Item)
 		}
 	}
--- a/entry/election/election_test.go
+++ b/entry/election/election_test.go
@@ -24,10 +24,15 @@
 	defer server.Close()
 	holder, err := layout.Encode(layout.Holder{Instance: "n-1", Term: "earlier"})
 	assert.NilError(t, err)
-	stale := store.Put(layout.OwnerKey("fleet"), holder)
+	client := kv.New(strings.TrimPrefix(server.URL, "http://"))
+	lease, err := client.Grant(t.Context(), time.Minute)
+	assert.NilError(t, err)
+	stale, err := client.Txn(t.Context(), kv.Txn{Puts: []kv.Put{{Key: layout.OwnerKey("fleet"), Value: holder, Lease: lease.ID}}})
+	assert.NilError(t, err)
 	otherHolder, err := layout.Encode(layout.Holder{Instance: "n-3", Term: "present"})
 	assert.NilError(t, err)
-	kept := store.Put(layout.OwnerKey("a"), otherHolder) // listed before the key of "fleet"
+	kept, err := client.Txn(t.Context(), kv.Txn{Puts: []kv.Put{{Key: layout.OwnerKey("a"), Value: otherHolder, Lease: lease.ID}}}) // listed before the key of "fleet"
+	assert.NilError(t, err)
 
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -43,10 +48,10 @@
 	startInstance("n-2")
 	startInstance("n-1")
 	term := <-terms // of either instance
-	assert.Assert(t, term.Revision > stale)
+	assert.Assert(t, term.Revision > stale.Revision)
 	item, found := store.Get(layout.OwnerKey("a"))
 	assert.Assert(t, found)
-	assert.Equal(t, item.Revision, kept)
+	assert.Equal(t, item.Revision, kept.Revision)
 }
 
 // In a zone of many small instances and few larger ones, a duty goes to one of the larger
@@ -58,11 +63,11 @@
 	assert.Assert(t, large.baseClaimDelay(0) == 0)
 }
 
-// Another writer leaves an entry that can't be read in the place of a duty's holder, before an instance
-// campaigns for it or while one holds it. It has no lease that expires: without its removal, nobody
-// would ever hold the duty again.
-func TestUnreadableHolderDoesNotKeepADutyForEver(t *testing.T) {
-	for _, odd := range []string{"", "[]", "\xff", `{"instance":7}`, strings.Repeat("[", 100_000)} {
+// Another writer leaves an entry in the place of a duty's holder, before an instance campaigns for it or
+// while one holds it. It has no lease that expires, whether it can be read or not: without its removal,
+// nobody would ever hold the duty again.
+func TestHolderWithoutALeaseKeepsADutyForEver(t *testing.T) {
+	for _, odd := range []string{"", "[]", "\xff", `{"instance":7}`, strings.Repeat("[", 100_000), "{}", `{"instance":"n-9","term":"other"}`} {
 		store := standin.NewStore()
 		server := httptest.NewServer(store)
 		store.Put(layout.OwnerKey("fleet"), []byte(odd))
