Fleet duty: a stepped clock removes no state of a job that has just become final

Final states are removed three times status_s after they became final, by the time of day of the owner that wrote them and that of the holder of the fleet duty. Where one of the two clocks steps by more than that (the owner's back, or the holder's ahead), the next removal, at most 30 s later, takes states that are seconds old: each request for the status of such an accepted job is then answered 410, for good.

Now only states are removed that have not changed since a revision that the holder has seen long enough ago by its own monotonic clock, besides the condition before.

--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -117,6 +117,7 @@
 	writingCordons bool // a write of cordons is in progress
 	cordonsSet     int  // cordons that this holder has set, for their IDs
 	cleanedUpAt    time.Time
+	revisions      []seenRevision // as of earlier removals of old jobs, the earliest first
 	// historyStoredAt is when the planner's demand history was last stored.
 	historyStoredAt   time.Time
 	storedPeakChanges int // the planner's PeakChanges at that time
