Shard: a birth in an entry of another writer does not hide an executor that says none

On platforms whose executors don't say when they started, an entry of another writer with a birth, over that of an executor at work, cost the executor for the rest of the term: each of its responses counted as a failed poll, since it has no birth, and its own entries were ignored for the same reason. Its leases were renewed all the while, so its runs went on and ended, but no end was read: their jobs would never complete.

The new test failed: the birth of the entry stayed, also long after the executor's own entry was listed. A response without a birth now disproves the claim, as that of an earlier birth does, and an entry without one contradicts a claim. The draining of the state from before the claim is kept.

--- a/policy/shard/entries.go
+++ b/policy/shard/entries.go
@@ -138,10 +138,11 @@
 
 // disprove handles the response of an earlier incarnation than the claimed one, to a poll that was sent after the
 // entry with the claim was listed: the claim is wrong, since the earlier one would have ended before that entry
-// was written. It returns the state of the incarnation that has responded, or nil if the response is not to be
+// was written. A response without a birth shows that the executor doesn't say births, so that no entry of its own
+// states one. It returns the state of the incarnation that has responded, or nil if the response is not to be
 // explained so.
 func (s *Shard) disprove(e *executorState, poll Poll, from cluster.Incarnation, now time.Time) *executorState {
-	if !e.claimed || from.ID != e.ID || from.Born == 0 || from.Born > e.Born {
+	if !e.claimed || from.ID != e.ID || from.Born > e.Born {
 		return nil
 	}
 	known := slices.Clone(e.former)
@@ -158,7 +159,8 @@
 	} else {
 		// Nothing starts there before its own entry, which gives kind and capacity, has been listed.
 		e.Born, e.claimed, e.replaced, e.rival = from.Born, false, nil, nil
-		e.entered, e.everDraining, e.Draining = false, false, false
+		e.entered, e.Draining = false, false
+		e.everDraining = e.everDraining && from.Born == 0 // then the state is that from before the claim
 	}
 	if rival != nil && rival.Born == e.Born {
 		e.enter(*rival, now)
--- a/policy/shard/entries_test.go
+++ b/policy/shard/entries_test.go
@@ -239,6 +239,39 @@
 	}
 }
 
+// Executors that don't say when they started: an entry of another writer states a birth. Their responses to polls
+// must still be read, and their own entries used: else completions are never read, while the runs go on.
+func TestBirthInAnEntryOfAnotherWriterHidesAnExecutorWithoutBirths(t *testing.T) {
+	t.Parallel()
+	for name, ownFirst := range map[string]bool{"own entry before the response": true, "own entry after the response": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			own := newExecutorNamed("i-1")
+			l := &lister{from: own.Incarnation()}
+			h.shard.SetExecutors([]cluster.Executor{own}, h.now)
+			h.answer(l)
+			h.submit("00000000000000aa", oneTask)
+			h.answer(l)
+			assert.Equal(t, len(l.running), 1)
+			odd := own
+			odd.Born, odd.Address = cluster.Birth(h.now.UnixMilli()), "i-2:80"
+			h.shard.SetExecutors([]cluster.Executor{odd}, h.now)
+			if !ownFirst {
+				h.answer(l)
+				h.shard.SetExecutors([]cluster.Executor{odd}, h.now)
+			}
+			h.shard.SetExecutors([]cluster.Executor{own}, h.now)
+			h.answer(l)
+			assert.Equal(t, h.shard.executors["i-1"].Born, cluster.Birth(0))
+			assert.Equal(t, h.shard.executors["i-1"].unusableReason(h.now), UnusableReason(""))
+			assert.Equal(t, len(h.shard.TakeGiveUpNotes()), 0)
+			l.end(execution.EndedDone)
+			assert.Equal(t, h.answer(l), int64(1))
+			assert.Assert(t, !h.shard.HasJob("00000000000000aa"))
+		})
+	}
+}
 // An entry states more capacity than an executor at work has: the tasks started by it would overload the executor
 // before its own entry is listed again.
 func TestCapacityInAnEntryOfAnotherWriterOverloadsAnExecutor(t *testing.T) {
--- a/policy/shard/incarnations.go
+++ b/policy/shard/incarnations.go
@@ -111,7 +111,7 @@
 	case e.Incarnation().SucceededBy(listed.Incarnation()):
 		e = s.succeed(e, listed, RestartListed, now)
 		e.claimed = true
-	case e.claimed && listed.Born != 0 && listed.Born < e.Born:
+	case e.claimed && listed.Born < e.Born:
 		e.contradict(listed, now)
 		return
 	case e.Born == 0:
