Owner: jobs that an earlier version accepted with numbers out of range are run

What callers would see: after an update a job that the version before had accepted, and that had not ended, stayed queued for ever, if its record had a negative max-per-server or may-miss.

A definition that may be submitted is not changed.

--- a/entry/owner/load.go
+++ b/entry/owner/load.go
@@ -125,22 +125,6 @@
 	o.shard.AddJob(r, p, now)
 }
 
-// readRecord decodes a job's record. One that no instance has accepted, since it is of another job or its
-// definition is not valid, is an error.
-func readRecord(id job.ID, item kv.Item) (shard.Record, error) {
-	r, err := layout.Decode[shard.Record](item.Key, item.Value)
-	if err != nil {
-		return r, err
-	}
-	if r.ID != id {
-		return r, fmt.Errorf("entry %s: record of job %q", item.Key, r.ID)
-	}
-	if err := r.Definition.Validate(); err != nil {
-		return r, fmt.Errorf("entry %s: %w", item.Key, err)
-	}
-	return r, nil
-}
-
 // applyJobs applies new records, cancellations and cordons. Jobs that an earlier owner
 // started continue from their progress. Removals other than of cordons are ignored, since
 // this owner made them.
