Executor polls: long responses of sound executors are read

What callers would see: jobs with long checkpoints on an executor with many runs fail or run again. No poll of such an executor succeeds: 1,000 running rows with checkpoints of 2 KB are above 1 MiB, and a longer response is an error. Its runs get no renewals and its completions are not seen.

Cause: the limit of 1 MiB, which keeps what responds at an address that another writer has listed from taking the memory of the process, held for all executors for good.

Now a poll states whether its response may be long, 8 MiB as before. It may if the executor has responded to this owner, or if the owner knows of runs there, such as those in the progress that it took over. Others begin with 1 MiB. Their response may still be long, with runs of jobs that have become final: after a failed poll the next ones may have 8 MiB, of at most 8 executors at a time (64 MiB), those first that had none for the longest time.

Evidence: with the new field ignored, TestLongCheckpointsLoseEachPoll fails ("the response is too long") and so does TestLongFirstResponsesAreLostForEver (the executor with known runs is never polled with success); both pass now. TestEndlessResponseIsNotRead is unchanged and passes.

--- a/api/execution/execution.go
+++ b/api/execution/execution.go
@@ -108,6 +108,9 @@
 	// Wait is how long the executor may delay the response until a run ends; at most
 	// MaxPollWait.
 	Wait time.Duration
+	// LongResponse allows a long response, as one with many runs or long checkpoints is. Without it such a
+	// response is an error.
+	LongResponse bool
 }
 
 // MaxPollWait is the maximum Wait of a PollRequest.
--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -87,11 +87,13 @@
 
 	commandsInFlight int
 	// commandsAt is the time before which no run needs a command; markDue resets it.
-	commandsAt   time.Time
-	polling      bool
-	pollAt       time.Time // earliest time of the next poll
-	lastResponse time.Time // when the last successful poll response came
-	failedCalls  int       // failed polls and commands in a row
+	commandsAt    time.Time
+	polling       bool
+	longResponse  bool      // the response to the poll in flight may be long
+	longAllowedAt time.Time // when the latest poll with a long response before the first contact was sent
+	pollAt        time.Time // earliest time of the next poll
+	lastResponse  time.Time // when the last successful poll response came
+	failedCalls   int       // failed polls and commands in a row
 	// unansweredCalls is the number of calls without a response since the last one with a
 	// response, be it a refusal; missingLists is the number of machine lists since then that
 	// lack the executor.
--- a/policy/shard/firstcontacts_test.go
+++ b/policy/shard/firstcontacts_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/api/execution"
+	"github.com/tarragonreach/tarragonreach/api/job"
 )
 
 // callsInFlight is a world in which calls to some executors hang until they time out.
@@ -16,6 +17,9 @@
 	*harness
 	polls []Poll
 	most  int
+	// long holds the executors whose responses are lost unless they may be long.
+	long     map[cluster.ExecutorID]bool
+	mostLong int // polls in flight whose response may be long
 }
 
 // hangTime is how long a call hangs to which no one responds.
@@ -30,6 +34,10 @@
 		}
 		c.shard.Tick(c.now)
 		for _, poll := range c.shard.Polls(c.now) {
+			if c.long[poll.Executor.ID] && !poll.Request.LongResponse {
+				c.shard.HandlePollResult(poll, Ambiguous, execution.PollResponse{}, c.now)
+				continue
+			}
 			if answering[poll.Executor.ID] {
 				c.shard.HandlePollResult(poll, Responded, execution.PollResponse{Reply: execution.Reply{ClockMs: 1000}}, c.now)
 				continue
@@ -37,6 +45,13 @@
 			c.polls = append(c.polls, poll)
 		}
 		c.most = max(c.most, len(c.polls))
+		long := 0
+		for _, poll := range c.polls {
+			if poll.Request.LongResponse {
+				long++
+			}
+		}
+		c.mostLong = max(c.mostLong, long)
 	}
 }
 
@@ -73,3 +88,27 @@
 	c.run(30*time.Second, answering)
 	assert.Equal(t, c.shard.executors["m-1999"].unusableReason(c.now), UnusableReason(""))
 }
+
+// The first response of an executor to a new owner may be long, with runs that the owner knows or not: it
+// must be read, since all later ones are as long, and also among entries that many calls hang for.
+func TestLongFirstResponsesAreLostForEver(t *testing.T) {
+	t.Parallel()
+	for odd, within := range map[int]time.Duration{0: time.Second, 128: time.Minute} {
+		c := &callsInFlight{harness: newHarness(t), long: map[cluster.ExecutorID]bool{"known": true, "unknown": true}}
+		list := []cluster.Executor{newExecutorNamed("known"), newExecutorNamed("unknown")}
+		for i := range odd {
+			list = append(list, newExecutorNamed(fmt.Sprintf("m-%04d", i)))
+		}
+		c.shard.SetExecutors(list, c.now)
+		c.shard.AddJob(Record{ID: preparedJob, Accepted: c.now, Definition: job.Definition{Steps: []job.Step{oneTask}}},
+			&Progress{Tasks: []TaskProgress{{Run: 1, Executor: "known", Address: "known:80"}}}, c.now)
+		c.run(20*time.Millisecond, c.long)
+		assert.Assert(t, c.shard.executors["known"].polled)
+		c.run(within, c.long)
+		assert.Assert(t, c.shard.executors["unknown"].polled, "%d odd entries", odd)
+		assert.Assert(t, c.mostLong <= maxLongContacts, "%d", c.mostLong)
+		for _, id := range []cluster.ExecutorID{"known", "unknown"} {
+			assert.Equal(t, c.shard.executors[id].failedCalls, 0, string(id))
+		}
+	}
+}
--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -30,6 +30,7 @@
 		switch {
 		case e.polling && e.uncontacted():
 			unknown.countInFlight(e)
+			unknown.countLong(e)
 		case !s.pollDue(e, now):
 		case e.uncontacted():
 			unknown.due = append(unknown.due, e)
@@ -38,8 +39,13 @@
 		}
 	}
 	var list []Poll
-	for _, e := range append(due, unknown.allowed()...) {
-		list = append(list, s.newPoll(e, now))
+	for _, e := range due {
+		list = append(list, s.newPoll(e, true, now))
+	}
+	allowed := unknown.allowed()
+	long := unknown.allowLong(allowed, now)
+	for _, e := range allowed {
+		list = append(list, s.newPoll(e, long[e], now))
 	}
 	return list
 }
@@ -48,12 +54,13 @@
 	return !e.polling && !e.ended && e.Address != "" && !now.Before(e.pollAt) && e.wantsPoll(now) && s.hasToken(e)
 }
 
-// newPoll returns a poll that is sent now.
-func (s *Shard) newPoll(e *executorState, now time.Time) Poll {
-	e.polling = true
+// newPoll returns a poll that is sent now; its response may be long if allowed.
+func (s *Shard) newPoll(e *executorState, longResponse bool, now time.Time) Poll {
+	e.polling, e.longResponse = true, longResponse
 	poll := Poll{Executor: e.Executor, SentAt: now, target: e, leaseBoundBefore: e.leaseBound}
 	poll.Executor.Address = e.pollAddress()
 	poll.Request = s.pollRequest(e, now)
+	poll.Request.LongResponse = longResponse
 	if poll.Request.AckedThrough > 0 {
 		e.noteAcknowledgement(poll.Request.Token)
 	}
