Intake: requests for counts of waiting jobs share reads

What callers would see: requests for counts above the rate of the store retried until their deadline and then got 503, and took the rate from status requests.

Cause: each request made a linearizable read of its own.

The caller is authorized and its queue selected as before, by request.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -63,6 +63,7 @@
 	summary    summary
 	peers      Peers         // nil if requests are not passed on
 	reads      chan struct{} // holds an element for each read in progress
+	counts     sharedCounts
 }
 
 // New returns an intake. While leaving reports true, connections are closed after the
@@ -70,7 +71,7 @@
 func New(store Store, config Configuration, leaving func() bool, logger *slog.Logger, scope tally.Scope) *Intake {
 	return &Intake{
 		store: store, config: config, logger: logger, scope: scope, leaving: leaving,
-		reads: make(chan struct{}, maxConcurrentReads),
+		reads: make(chan struct{}, maxConcurrentReads), counts: sharedCounts{byService: map[cluster.Service]*countRead{}},
 	}
 }
 
--- a/entry/intake/jobs.go
+++ b/entry/intake/jobs.go
@@ -254,17 +254,16 @@
 	return response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "the job keeps changing", outcome: outcomeChanging}
 }
 
+// waitingCount returns the number of waiting jobs of a queue, as it was read within maxCountAge.
 func (i *Intake) waitingCount(ctx context.Context, queue cluster.Queue) response {
-	item, err := i.read(ctx, layout.WaitingKey(queue.Service), nil)
-	if errors.Is(err, kv.ErrNotFound) {
-		return response{status: http.StatusOK, body: submission.WaitingBody{}}
-	}
-	if err != nil {
-		return i.unavailableResponse(err)
-	}
-	counts, err := layout.Decode[layout.Waiting](item.Key, item.Value)
-	if err != nil {
+	counts, err := i.counts.get(ctx, queue.Service, func(ctx context.Context) (layout.Waiting, error) {
+		return i.readCounts(ctx, queue.Service)
+	})
+	switch {
+	case errors.Is(err, errUnreadableCounts):
 		return i.unreadableResponse(err)
+	case err != nil:
+		return i.unavailableResponse(err)
 	}
 	return response{status: http.StatusOK, body: submission.WaitingBody{Waiting: counts[queue.Name]}}
 }
