--- a/entry/owner/quota_test.go
+++ b/entry/owner/quota_test.go
@@ -56,15 +56,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.putLocked(key, value)
+	s.putLocked(kv.Put{Key: key, Value: value})
 }
 
-func (s *memoryStore) putLocked(key string, value []byte) {
-	item := kv.Item{Key: key, Value: value, Revision: s.revision, Created: s.revision}
-	if old, found := s.items[key]; found {
+func (s *memoryStore) putLocked(p kv.Put) {
+	item := kv.Item{Key: p.Key, Value: p.Value, Revision: s.revision, Created: s.revision, Lease: p.Lease}
+	if old, found := s.items[p.Key]; found {
 		item.Created = old.Created
 	}
-	s.items[key] = item
+	s.items[p.Key] = item
 	s.history = append(s.history, kv.Event{Item: item})
 }
 
@@ -148,7 +148,7 @@
 	s.revision++
 	ledger := ""
 	for _, p := range t.Puts {
-		s.putLocked(p.Key, p.Value)
+		s.putLocked(p)
 		if strings.HasPrefix(p.Key, layout.QuotaPrefix) {
 			ledger = string(p.Value)
 		}
