Peers: an instance that is cut off from the others refuses requests soon

A cut-off instance asked up to 8 silent peers, 0.4 s each, about each request, and its callers had fewer attempts elsewhere.

Now all calls about one request take 0.4 s together, a silent peer is left out for 8 s, and after no peer has responded at all none is called for 1 s, doubling to 8 s.

--- a/entry/host/statusrelay_test.go
+++ b/entry/host/statusrelay_test.go
@@ -108,3 +108,36 @@
 		assert.Assert(t, calls > 0 && calls <= statusInstances*(statusInstances-1)*seconds, "%d", calls)
 	})
 }
+
+// Guards against instances that are cut off from the store and from their peers, and hold requests in vain: the caller has
+// time for a few attempts, and other instances can answer.
+func TestInstancesThatAreCutOffFromTheirPeersHoldRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRelayWorld()
+		defer w.stop()
+		w.cutOffFromStore()
+		for n := range statusInstances {
+			for other := range statusInstances {
+				w.network.partition(fmt.Sprintf("front-%d", n), fmt.Sprintf("front-%d:7060", other))
+			}
+		}
+		time.Sleep(statusRevoke)
+		const (
+			requests = 200
+			spacing  = 100 * time.Millisecond
+			// An attempt of a caller that takes longer leaves it too few.
+			maxHold  = 500 * time.Millisecond
+			meanHold = 50 * time.Millisecond
+		)
+		var held time.Duration
+		for n := range requests {
+			sent := time.Now()
+			assert.Equal(t, w.ask(n*statusInstances%statusJobs), "status 503")
+			took := time.Since(sent)
+			assert.Assert(t, took <= maxHold, "%v", took)
+			held += took
+			time.Sleep(spacing)
+		}
+		assert.Assert(t, held <= requests*meanHold, "%v", held)
+	})
+}
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -40,8 +40,10 @@
 	firstRefresh = 1 * time.Second
 	// storeTimeout bounds one call to the store.
 	storeTimeout = 2 * time.Second
-	// attemptTimeout bounds one call to a peer.
-	attemptTimeout = 400 * time.Millisecond
+	// attemptTimeout bounds one call to a peer, and askTimeout all calls about one request: an instance that
+	// is cut off from its peers must refuse the request soon, so that its caller can try another instance.
+	attemptTimeout = 200 * time.Millisecond
+	askTimeout     = 400 * time.Millisecond
 	// maxAttempts is how many peers are asked about one request.
 	maxAttempts = 8
 	// maxResponse bounds the response of a peer in bytes.
@@ -54,6 +56,9 @@
 // load each other then.
 var retry = backoff.Policy{Base: 1 * time.Second, Cap: 8 * time.Second}
 
+// maxDoublings is how often the pause of an instance that is cut off from its peers doubles.
+const maxDoublings = 3
+
 // Store is the part of the store that the registration uses.
 type Store interface {
 	All(ctx context.Context, prefix string, read kv.Consistency) ([]kv.Item, kv.Revision, error)
@@ -91,6 +96,9 @@
 	mu     sync.Mutex
 	peers  map[fleet.InstanceID]*peer
 	random *rand.Rand
+	// cutOffUntil is when to call peers again after no one has responded, silences times in a row.
+	cutOffUntil time.Time
+	silences    int
 }
 
 // New returns the peers of the instance self. Connections to them are opened with dial, or with the network's if
@@ -242,27 +250,59 @@
 	})
 }
 
+// outcome is how a call to a peer ended.
+type outcome uint8
+
+const (
+	silent   outcome = iota // no response of the peer
+	refused                 // a response that is no answer
+	answered                // an answer
+)
+
+var outcomeNames = [...]string{silent: "silent", refused: "refused", answered: "answered"}
+
 // Ask makes a call at one peer after the other until one gives an answer that answers accepts. It returns
-// false if none of up to maxAttempts does before ctx ends. Peers that gave no answer lately are left out.
+// false if none of up to maxAttempts does within askTimeout, or before ctx ends. Peers that gave no answer lately are
+// left out; after no peer has responded at all, none is called for a while.
 func (p *Peers) Ask(ctx context.Context, r call.Request, answers func(call.Response) bool) (call.Response, bool) {
-	for _, other := range p.candidates(time.Now()) {
-		response, err := p.attempt(ctx, other, r)
+	askCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	candidates := p.candidates(time.Now())
+	if len(candidates) == 0 {
+		return call.Response{}, false
+	}
+	best := silent
+	for _, other := range candidates {
+		response, result := p.attempt(askCtx, other, r, answers)
 		if ctx.Err() != nil {
-			return call.Response{}, false // says nothing about the peer
+			return call.Response{}, false // says nothing about the peers
 		}
-		answered := err == nil && response.Header.Get(headerInstance) == string(other.ID) && answers(response)
-		p.note(other, answered, time.Now())
-		if answered {
+		p.note(other, result, time.Now())
+		best = max(best, result)
+		if result == answered {
+			p.noteContact(best, time.Now())
 			return response, true
 		}
+		if askCtx.Err() != nil {
+			break
+		}
 	}
+	p.noteContact(best, time.Now())
 	return call.Response{}, false
 }
 
-func (p *Peers) attempt(ctx context.Context, other *peer, r call.Request) (call.Response, error) {
+func (p *Peers) attempt(ctx context.Context, other *peer, r call.Request, answers func(call.Response) bool) (call.Response, outcome) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	return other.client.Do(ctx, r)
+	response, err := other.client.Do(ctx, r)
+	switch {
+	case err != nil || response.Header.Get(headerInstance) != string(other.ID):
+		return call.Response{}, silent
+	case answers(response):
+		return response, answered
+	default:
+		return response, refused
+	}
 }
 
 // candidates returns the peers to ask, at most maxAttempts: those that answered last come first, then those of
@@ -270,6 +310,9 @@
 func (p *Peers) candidates(now time.Time) []*peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if now.Before(p.cutOffUntil) {
+		return nil
+	}
 	var list []*peer
 	for _, other := range p.peers {
 		if !now.Before(other.retryAt) {
@@ -291,20 +334,35 @@
 	return 1
 }
 
-// note records whether a peer gave an answer. One that gave none is not asked for a while.
-func (p *Peers) note(other *peer, answered bool, now time.Time) {
-	result := "none"
-	if answered {
-		result = "answered"
-	}
-	p.scope.Tagged(map[string]string{"result": result}).Counter("calls").Inc(1)
+// note records how a call to a peer ended. One that gave no answer is not called for a while.
+func (p *Peers) note(other *peer, result outcome, now time.Time) {
+	p.scope.Tagged(map[string]string{"result": outcomeNames[result]}).Counter("calls").Inc(1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if answered {
+	if result == answered {
 		other.answeredAt, other.failures, other.retryAt = now, 0, time.Time{}
 		return
 	}
 	other.failures++
 	other.answeredAt = time.Time{}
 	other.retryAt = now.Add(retry.Delay(other.failures, p.random))
+	if result == silent {
+		other.retryAt = now.Add(retry.Cap)
+	}
+}
+
+// noteContact records the best outcome of the calls about one request. If no peer has responded, this instance may be
+// cut off from all.
+func (p *Peers) noteContact(best outcome, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if best != silent {
+		p.cutOffUntil, p.silences = time.Time{}, 0
+		return
+	}
+	if now.Before(p.cutOffUntil) {
+		return // noted by another request at the same time
+	}
+	p.silences++
+	p.cutOffUntil = now.Add(min(retry.Base<<min(p.silences-1, maxDoublings), retry.Cap))
 }
