Intake: a status request does not repeat a wait for the configuration that has just been in vain

What callers saw: an instance that can't confirm its configuration, and does not know yet that the store is unavailable, let each request wait 0.6 s before it was refused or passed on. A caller that asks for the state of a job has time for a few attempts, and other instances may answer.

Now one wait in vain, at most every 2 s, stands for the other reads; submissions wait as before. The new test failed before: the second request took 0.6 s.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -63,7 +64,9 @@
 	summary    summary
 	peers      Peers         // nil if requests are not passed on
 	reads      chan struct{} // holds an element for each read in progress
-	counts     sharedCounts
+	// waitedInVainAt is when a request last waited in vain for a recent configuration; nil before the first.
+	waitedInVainAt atomic.Pointer[time.Time]
+	counts         sharedCounts
 }
 
 // New returns an intake. While leaving reports true, connections are closed after the
@@ -86,6 +89,8 @@
 	defaultRetryAfter = 1 * time.Second
 	// maxConfigWait bounds how long a request waits for a recent configuration.
 	maxConfigWait = 600 * time.Millisecond
+	// vainWaitPause is how long after a wait in vain reads don't wait.
+	vainWaitPause = 2 * time.Second
 	// defaultMaxBody bounds bodies, in bytes, if the configuration does not.
 	defaultMaxBody = 256 << 10
 )
@@ -214,7 +219,8 @@
 }
 
 // knowledge returns the knowledge to decide a request by. A recent one is waited for only while the
-// store responds, and not for a request that another instance has passed on: that one can ask others.
+// store responds, and not for a request that another instance has passed on: that one can ask others. Reads
+// don't repeat a wait that has just been in vain, since their callers may do better elsewhere.
 func (i *Intake) knowledge(ctx context.Context, r *http.Request) operatorconfig.Knowledge {
 	k := i.config.Knowledge()
 	if k.Recent || k.Config == nil || isRelayed(r) {
@@ -223,9 +229,16 @@
 	if _, unavailable := i.store.Unavailable(); unavailable {
 		return k
 	}
+	if last := i.waitedInVainAt.Load(); r.Method == http.MethodGet && last != nil && time.Since(*last) < vainWaitPause {
+		return k
+	}
 	ctx, cancel := context.WithTimeout(ctx, maxConfigWait)
 	defer cancel()
-	return i.config.AwaitRecent(ctx)
+	k = i.config.AwaitRecent(ctx)
+	if now := time.Now(); !k.Recent {
+		i.waitedInVainAt.Store(&now)
+	}
+	return k
 }
 
 func (i *Intake) dispatchJob(ctx context.Context, c *gin.Context, limits cluster.RequestLimits, who caller, id job.ID) response {
