Machine list: an entry that can't be read costs no more than its machine

While one entry has no readable machine ID or executor ID, or a machine is on two pages with different executors, the whole list was an error: no moves, no waves and no ended executors, for as long as that entry stays. Also nobody logged cluster.Machine.Fault.

Planning goes on with the machines that can be read. Nothing is concluded from absence: an incomplete list ends no executor, but one that it lists counts as seen; the planner keeps operations of machines that it lacks, a wave does not count them as removed, and one that was called counts against the wave's limit until its maintenance must be over. The fleet duty logs faults, and an owner an incomplete list, once while they last and at most one line in 10 s.

TestUncertainStateIsNotTakenForDone now draws incomplete lists as well.

--- a/api/cluster/cluster.go
+++ b/api/cluster/cluster.go
@@ -3,6 +3,7 @@
 package cluster
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -83,6 +84,29 @@
 	Fault string
 }
 
+// MachineList is a list of machines as the platform reports it.
+type MachineList struct {
+	Machines []Machine
+	// Incomplete is why the list may lack machines, or executors of its machines; nil if it has all.
+	// A machine or an executor that an incomplete list lacks may still exist.
+	Incomplete error
+}
+
+// Faults returns what could not be used of the list, by a key that is the same in the next list while
+// that stays so.
+func (l MachineList) Faults() map[string]error {
+	faults := map[string]error{}
+	for _, m := range l.Machines {
+		if m.Fault != "" {
+			faults[string(m.ID)] = fmt.Errorf("machine %.64q: %s", m.ID, m.Fault)
+		}
+	}
+	if l.Incomplete != nil {
+		faults[""] = l.Incomplete
+	}
+	return faults
+}
+
 // Rack returns the rack among the labels, or "".
 func (m Machine) Rack() string { return rackOf(m.Labels) }
 
--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -50,7 +50,7 @@
 
 // Machines is the part of the machine service's client that the duty uses.
 type Machines interface {
-	List(ctx context.Context) ([]cluster.Machine, error)
+	List(ctx context.Context) (cluster.MachineList, error)
 	Move(ctx context.Context, h machines.Holder, m cluster.MachineID, pool cluster.Service) (machines.Refusal, error)
 	Maintain(ctx context.Context, h machines.Holder, m cluster.MachineID, wave int64) (machines.Refusal, error)
 }
@@ -106,9 +106,10 @@
 	waveWrites     waveWrites
 	fencedRefusals int
 
-	listedMachines []cluster.Machine // as last listed; nil before the first list
-	listedAt       time.Time         // when that list was requested
-	listing        bool              // a call that lists the machines is in progress
+	listedMachines cluster.MachineList // as last listed
+	machineFaults  *follow.Skipped     // what could not be used of that list
+	listedAt       time.Time           // when that list was requested; zero before the first list
+	listing        bool                // a call that lists the machines is in progress
 	plannedAt      time.Time
 	cordonsReadAt  time.Time // start of the last read of the stored cordons
 	// cordonWrites counts the starts and ends of this holder's writes of cordons, so that it
@@ -144,6 +145,7 @@
 	h.Logger = options.Logger.With("duty", Duty, "token", term.Token)
 	h.skippedWaves = follow.NewSkipped(h.Logger, "waves skipped: not readable")
 	h.skippedLoads = follow.NewSkipped(h.Logger, "loads skipped: not readable")
+	h.machineFaults = follow.NewSkipped(h.Logger, "the list of machines can't be used in full")
 	if err := h.load(ctx); err != nil {
 		h.Logger.Warn("duty not taken over", "error", err)
 		return
@@ -179,7 +181,7 @@
 				h.cleanUp(ctx)
 			}
 		}
-		if ctx.Err() == nil && h.listedMachines != nil && time.Since(h.plannedAt) >= planInterval {
+		if ctx.Err() == nil && !h.listedAt.IsZero() && time.Since(h.plannedAt) >= planInterval {
 			h.plan(ctx)
 		}
 	}
@@ -226,6 +228,8 @@
 				return
 			}
 			h.listedMachines, h.listedAt = list, requestedAt
+			h.machineFaults.Replace(list.Faults())
+			h.machineFaults.Log()
 		})
 	}()
 }
@@ -236,7 +240,7 @@
 		return
 	}
 	h.plannedAt = time.Now()
-	snapshot := fleetplan.Snapshot{Now: h.plannedAt, Machines: h.listedMachines, ListedAt: h.listedAt, Pools: config.Pools, Loads: h.loads, LoadsReadAt: h.loadsReadAt, Cordons: h.cordons}
+	snapshot := fleetplan.Snapshot{Now: h.plannedAt, Machines: h.listedMachines.Machines, Incomplete: h.listedMachines.Incomplete != nil, ListedAt: h.listedAt, Pools: config.Pools, Loads: h.loads, LoadsReadAt: h.loadsReadAt, Cordons: h.cordons}
 	for _, wave := range h.waves {
 		snapshot.Waves = append(snapshot.Waves, wave)
 	}
@@ -252,7 +256,7 @@
 	h.reportWaves(ctx, actions)
 }
 
-func (h *Holder) list(ctx context.Context) ([]cluster.Machine, error) {
+func (h *Holder) list(ctx context.Context) (cluster.MachineList, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return h.Machines.List(ctx)
--- a/entry/fleetduty/holder_test.go
+++ b/entry/fleetduty/holder_test.go
@@ -76,8 +76,9 @@
 		events: make(chan event, 64), ctx: context.Background(), waveWrites: newWaveWrites(),
 		stepDown: func() {}, leaseValid: func() bool { return true },
 		waves: map[int64]cluster.Wave{}, loads: map[cluster.Service]shard.Load{},
-		skippedWaves: follow.NewSkipped(slog.New(slog.DiscardHandler), "waves"),
-		skippedLoads: follow.NewSkipped(slog.New(slog.DiscardHandler), "loads"),
+		skippedWaves:  follow.NewSkipped(slog.New(slog.DiscardHandler), "waves"),
+		skippedLoads:  follow.NewSkipped(slog.New(slog.DiscardHandler), "loads"),
+		machineFaults: follow.NewSkipped(slog.New(slog.DiscardHandler), "machines"),
 	}
 }
 
@@ -105,11 +106,14 @@
 
 // fakeMachines is a machine service that accepts all commands. moves holds the machines of the
 // moves in the order of the calls.
-type fakeMachines struct{ moves chan cluster.MachineID }
+type fakeMachines struct {
+	moves chan cluster.MachineID
+	list  cluster.MachineList
+}
 
-func newFakeMachines() *fakeMachines { return &fakeMachines{make(chan cluster.MachineID, 16)} }
+func newFakeMachines() *fakeMachines { return &fakeMachines{moves: make(chan cluster.MachineID, 16)} }
 
-func (f *fakeMachines) List(context.Context) ([]cluster.Machine, error) { return nil, nil }
+func (f *fakeMachines) List(context.Context) (cluster.MachineList, error) { return f.list, nil }
 
 func (f *fakeMachines) Move(_ context.Context, _ machines.Holder, m cluster.MachineID, _ cluster.Service) (machines.Refusal, error) {
 	f.moves <- m
--- a/entry/fleetduty/odditems_test.go
+++ b/entry/fleetduty/odditems_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"log/slog"
 	"strings"
@@ -84,3 +85,28 @@
 		assert.Equal(t, len(h.loads), 1)
 	})
 }
+
+// A list with entries that can't be read must reach the planner, marked as incomplete, and the faults
+// must be logged: once while they last.
+func TestIncompleteMachineListIsPlannedFromAndLoggedOnce(t *testing.T) {
+	var log bytes.Buffer
+	h := newTestHolder(newTestStore(t))
+	h.machineFaults = follow.NewSkipped(slog.New(slog.NewJSONHandler(&log, nil)), "machines")
+	sound := cluster.Machine{ID: "m-1", State: cluster.MachineUp}
+	odd := cluster.Machine{ID: "m-2", State: cluster.MachineDown, Fault: "labels can't be read"}
+	service := h.Machines.(*fakeMachines)
+	service.list = cluster.MachineList{Machines: []cluster.Machine{sound, odd}, Incomplete: errors.New("an entry names no machine")}
+	for range 100 {
+		h.refreshMachines(t.Context())
+		(<-h.events)()
+	}
+	assert.Equal(t, len(h.listedMachines.Machines), 2)
+	assert.Assert(t, h.listedMachines.Incomplete != nil)
+	for _, fault := range []string{"labels can't be read", "an entry names no machine"} {
+		assert.Equal(t, strings.Count(log.String(), fault), 1, log.String())
+	}
+	service.list = cluster.MachineList{Machines: []cluster.Machine{sound}}
+	h.refreshMachines(t.Context())
+	(<-h.events)()
+	assert.Equal(t, h.machineFaults.Present(), 0)
+}
--- a/entry/follow/skipped.go
+++ b/entry/follow/skipped.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -58,6 +60,14 @@
 	}
 }
 
+// Replace makes the given entries, with the reasons, the only ones that are skipped.
+func (s *Skipped) Replace(entries map[string]error) {
+	maps.DeleteFunc(s.keys, func(key string, _ bool) bool { return entries[key] == nil })
+	for _, key := range slices.Sorted(maps.Keys(entries)) {
+		s.Add(key, entries[key])
+	}
+}
+
 // Used notes that an entry is not skipped any more.
 func (s *Skipped) Used(key string) { delete(s.keys, key) }
 
--- a/entry/owner/machinelist.go
+++ b/entry/owner/machinelist.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/entry/follow"
 	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
@@ -18,7 +19,8 @@
 // machineListRequests is the state of an owner's requests for the machine list.
 type machineListRequests struct {
 	inFlight    bool
-	requestedAt time.Time // when the last one was sent
+	requestedAt time.Time       // when the last one was sent
+	incomplete  *follow.Skipped // why the last list is incomplete, for the log
 }
 
 // requestMachineList requests the machine list in the background if it could show that
@@ -31,7 +33,7 @@
 	if !due || !o.shard.NeedsMachineList(now) {
 		return
 	}
-	o.machineList = machineListRequests{inFlight: true, requestedAt: now}
+	o.machineList.inFlight, o.machineList.requestedAt = true, now
 	go func() {
 		ctx, cancel := context.WithTimeout(o.ctx, machineListTimeout)
 		defer cancel()
@@ -40,16 +42,31 @@
 	}()
 }
 
-// handleMachineList applies a machine list. Without one, the runs on executors that have ended
-// are discarded when their leases have expired.
-func (o *Owner) handleMachineList(machines []cluster.Machine, err error, now time.Time) {
+// handleMachineList applies a machine list. Without a complete one, the runs on executors that have
+// ended are discarded when their leases have expired.
+func (o *Owner) handleMachineList(machines cluster.MachineList, err error, now time.Time) {
 	o.machineList.inFlight = false
 	if err != nil {
 		o.Logger.Warn("machines not listed; leases of unresponsive executors have to expire", "error", err)
 		return
 	}
-	list := shard.NewMachineList(machines, o.machineList.requestedAt)
+	o.logIncomplete(machines.Incomplete)
+	list := shard.NewMachineList(machines.Machines, o.machineList.requestedAt)
+	list.Incomplete = machines.Incomplete != nil
 	for _, id := range o.shard.ApplyMachineList(list) {
 		o.Logger.Info("executor has ended: no machine has it", "executor", string(id), "list_age_ms", now.Sub(list.RequestedAt).Milliseconds())
 	}
 }
+
+// logIncomplete logs why a machine list is incomplete, once while the lists stay so.
+func (o *Owner) logIncomplete(reason error) {
+	if o.machineList.incomplete == nil {
+		o.machineList.incomplete = follow.NewSkipped(o.Logger, "the machine list is incomplete; leases of unresponsive executors have to expire")
+	}
+	reasons := map[string]error{}
+	if reason != nil {
+		reasons[""] = reason
+	}
+	o.machineList.incomplete.Replace(reasons)
+	o.machineList.incomplete.Log()
+}
--- a/entry/owner/machinelist_faults_test.go
+++ b/entry/owner/machinelist_faults_test.go
@@ -15,10 +15,10 @@
 // hangingMachines is a machine service that never responds.
 type hangingMachines struct{ calls atomic.Int64 }
 
-func (m *hangingMachines) List(ctx context.Context) ([]cluster.Machine, error) {
+func (m *hangingMachines) List(ctx context.Context) (cluster.MachineList, error) {
 	m.calls.Add(1)
 	<-ctx.Done()
-	return nil, ctx.Err()
+	return cluster.MachineList{}, ctx.Err()
 }
 
 // A machine service that hangs delays neither the loop nor the fallback on leases, and has one
--- a/entry/owner/machinelist_test.go
+++ b/entry/owner/machinelist_test.go
@@ -1,9 +1,11 @@
 package owner
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"log/slog"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,19 +20,20 @@
 
 // listedMachines is a machine service that counts its calls.
 type listedMachines struct {
-	calls    int
-	took     time.Duration
-	failures int // calls that fail first
-	machines []cluster.Machine
+	calls      int
+	took       time.Duration
+	failures   int // calls that fail first
+	machines   []cluster.Machine
+	incomplete error // as MachineList.Incomplete
 }
 
-func (m *listedMachines) List(ctx context.Context) ([]cluster.Machine, error) {
+func (m *listedMachines) List(ctx context.Context) (cluster.MachineList, error) {
 	m.calls++
 	time.Sleep(m.took)
 	if m.calls <= m.failures {
-		return nil, errors.New("unavailable")
+		return cluster.MachineList{}, errors.New("unavailable")
 	}
-	return m.machines, ctx.Err()
+	return cluster.MachineList{Machines: m.machines, Incomplete: m.incomplete}, ctx.Err()
 }
 
 // newOwnerWithLostExecutor returns an owner that has inherited a long-running task on i-1, which does not
@@ -87,6 +90,22 @@
 	})
 }
 
+// An entry that can't be read may be that of the machine with the executor: its task must wait for the
+// leases there. Lists that stay incomplete are logged once.
+func TestExecutorThatAnIncompleteListLacksWaitsForItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		m := &listedMachines{machines: []cluster.Machine{{ID: "m-2", Executor: "i-2"}}, incomplete: errors.New("an entry names no machine")}
+		o := newOwnerWithLostExecutor(t.Context(), m)
+		o.Logger = slog.New(slog.NewJSONHandler(&log, nil))
+		took, started := runOwner(o, 20*time.Second)
+		assert.Assert(t, started)
+		assert.Assert(t, took > 10*time.Second, "started again after %s", took)
+		assert.Assert(t, m.calls > 2)
+		assert.Equal(t, strings.Count(log.String(), "an entry names no machine"), 1, log.String())
+	})
+}
+
 // A partitioned executor stays in the machine list. Its task waits for the leases there, and the
 // list is requested at the stated rate.
 func TestTaskOfPartitionedExecutorWaitsForItsLease(t *testing.T) {
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -37,7 +37,7 @@
 
 // Machines is the part of the machine service's client that an owner uses.
 type Machines interface {
-	List(ctx context.Context) ([]cluster.Machine, error)
+	List(ctx context.Context) (cluster.MachineList, error)
 }
 
 // Dial returns a client of an executor.
--- a/policy/fleetplan/fleetplan.go
+++ b/policy/fleetplan/fleetplan.go
@@ -24,6 +24,9 @@
 type Snapshot struct {
 	Now      time.Time
 	Machines []cluster.Machine
+	// Incomplete is set if Machines may lack machines, or executors of its machines: those that it
+	// lacks don't count as removed.
+	Incomplete bool
 	// ListedAt is when the list of machines was requested: it shows no older state.
 	ListedAt time.Time
 	Pools    []cluster.Pool
--- a/policy/fleetplan/operations.go
+++ b/policy/fleetplan/operations.go
@@ -35,7 +35,7 @@
 		m, listed := v.byID[id]
 		op.noteState(m)
 		switch {
-		case !listed && op.calledAt.IsZero():
+		case v.removed(id) && op.calledAt.IsZero():
 			delete(p.operations, id)
 		case m.State == cluster.MachineUp && m.Executor != "" && m.Executor != op.executor:
 			if op.underMaintenance {
@@ -55,12 +55,21 @@
 		case op.calledAt.IsZero() && v.Now.Sub(op.startedAt) > evacuationTimeout:
 			delete(p.operations, id) // it can't be evacuated now
 			p.notEvacuatedUntil[id] = v.Now.Add(evacuationPause)
-		case !op.calledAt.IsZero() && (!op.accepted || !listed) && v.Now.Sub(op.calledAt) > callExpiry:
+		case !op.calledAt.IsZero() && (!op.accepted || !listed) && v.Now.Sub(op.calledAt) > p.callEnd(v, listed):
 			delete(p.operations, id) // the call can no longer take effect
 		}
 	}
 }
 
+// callEnd is how long after a call without a known effect its operation is over. If the machine may
+// be one that an incomplete list lacks, it may also be undergoing the operation until then.
+func (p *Planner) callEnd(v *view, listed bool) time.Duration {
+	if v.Incomplete && !listed {
+		return callExpiry + max(p.limits.MaintenanceTime, p.limits.MoveTime)
+	}
+	return callExpiry
+}
+
 // giveBackLastMachines drops operations of pools without a usable machine whose tasks wait:
 // the other machines of the pool may have been lost since the operations were started.
 func (p *Planner) giveBackLastMachines(v *view) {
--- a/policy/fleetplan/uncertain_test.go
+++ b/policy/fleetplan/uncertain_test.go
@@ -19,12 +19,14 @@
 // machines has been maintained.
 type uncertainFleet struct {
 	*simFleet
-	rt      *rapid.T
-	list    []cluster.Machine // as the planner last received it
-	listed  time.Time
-	results []lateResult
-	owners  map[cluster.ExecutorID]*executorTasks
-	stored  map[cluster.Service]shard.Load // loads as the planner reads them
+	rt     *rapid.T
+	list   []cluster.Machine // as the planner last received it
+	listed time.Time
+	// incomplete is set if the list is marked as incomplete.
+	incomplete bool
+	results    []lateResult
+	owners     map[cluster.ExecutorID]*executorTasks
+	stored     map[cluster.Service]shard.Load // loads as the planner reads them
 }
 
 type lateResult struct {
@@ -107,14 +109,15 @@
 	}
 }
 
-// refreshList gives the planner a new list, which may lack machines on their way.
+// refreshList gives the planner a new list, which may lack machines on their way, and any machine if it
+// is marked as incomplete.
 func (f *uncertainFleet) refreshList() {
 	if !f.listed.IsZero() && !f.chance("list arrives", rapid.SampledFrom([]int{1, 1, 4, 30}).Draw(f.rt, "list rate")) {
 		return
 	}
-	f.list, f.listed = nil, f.now
+	f.list, f.listed, f.incomplete = nil, f.now, f.chance("incomplete", 4)
 	for _, id := range f.ids {
-		if m := f.machines[id]; m.State != cluster.MachineMoving || !f.chance("missing", 4) {
+		if m := f.machines[id]; m.State != cluster.MachineMoving && !f.incomplete || !f.chance("missing", 4) {
 			f.list = append(f.list, *m)
 		}
 	}
@@ -125,7 +128,7 @@
 	f.runOwners()
 	f.refreshList()
 	f.deliverResults()
-	s := Snapshot{Now: f.now, Machines: slices.Clone(f.list), ListedAt: f.listed, Pools: f.pools, Loads: f.stored, LoadsReadAt: f.now, Waves: f.waves, Cordons: f.cordons}
+	s := Snapshot{Now: f.now, Machines: slices.Clone(f.list), Incomplete: f.incomplete, ListedAt: f.listed, Pools: f.pools, Loads: f.stored, LoadsReadAt: f.now, Waves: f.waves, Cordons: f.cordons}
 	for _, a := range f.planner.Plan(s) {
 		f.apply(a)
 	}
@@ -384,3 +387,58 @@
 		}
 	}
 }
+
+// Entries that can't be read keep machines out of the list for long: a wave must not count them as removed,
+// must go on with the others, and must take no more machines down at once than it may.
+func TestMachinesThatIncompleteListsLackAreNotTakenForRemoved(t *testing.T) {
+	f := newSimFleet(t, map[cluster.Service]int{"a": 4, "b": 4}, 0)
+	f.waves = []cluster.Wave{{Number: 1, Duration: 20 * time.Second, MaxDown: 1, Machines: f.ids[:3]}}
+	unlisted := map[cluster.MachineID]bool{f.ids[0]: true}
+	called := map[cluster.MachineID]time.Time{}
+	plan := func(incomplete bool) {
+		f.refreshLoads()
+		s := f.snapshot()
+		s.Incomplete = incomplete
+		s.Machines = slices.DeleteFunc(s.Machines, func(m cluster.Machine) bool { return unlisted[m.ID] })
+		for _, a := range f.planner.Plan(s) {
+			switch a.Kind {
+			case Cordon:
+				f.cordons[a.Executor] = ActiveCordon{a.Service, string(a.Executor)}
+			case Uncordon:
+				delete(f.cordons, a.Executor)
+			case Report:
+				f.reports = append(f.reports, a.State)
+			case Maintain:
+				for other, at := range called {
+					assert.Assert(t, f.now.Sub(at) > callExpiry, "%s and %s may be down at once", other, a.Machine)
+				}
+				called[a.Machine] = f.now
+				unlisted[a.Machine] = true
+				f.planner.HandleResult(a, Unknown, f.now)
+			}
+		}
+		f.now = f.now.Add(100 * time.Millisecond)
+	}
+	for range 400 {
+		plan(true)
+	}
+	assert.Equal(t, len(called), 2, "the wave went on with %v", called)
+	assert.Assert(t, !slices.Contains(f.reports, cluster.WaveCompleted))
+	for range 200 {
+		plan(false)
+	}
+	assert.Assert(t, slices.Contains(f.reports, cluster.WaveCompleted))
+}
+
+// The machine of an operation is missing from one incomplete list: its evacuation must go on.
+func TestEvacuationOutlastsAnIncompleteList(t *testing.T) {
+	f := newSimFleet(t, map[cluster.Service]int{"a": 3, "b": 3}, 0)
+	f.waves = []cluster.Wave{{Number: 1, Duration: 20 * time.Second, MaxDown: 1, Machines: f.ids[:1]}}
+	f.planner.Plan(f.snapshot())
+	for _, incomplete := range []bool{true, false} {
+		s := f.snapshot()
+		s.Machines, s.Incomplete = s.Machines[1:], incomplete
+		f.planner.Plan(s)
+		assert.Equal(t, f.planner.operations[f.ids[0]] != nil, incomplete)
+	}
+}
--- a/policy/fleetplan/view.go
+++ b/policy/fleetplan/view.go
@@ -41,6 +41,12 @@
 	return v
 }
 
+// removed reports whether the list shows that a machine has been removed.
+func (v *view) removed(id cluster.MachineID) bool {
+	_, listed := v.byID[id]
+	return !listed && !v.Incomplete
+}
+
 // cordoned reports whether a cordon of the executor is in force.
 func (v *view) cordoned(id cluster.ExecutorID) bool {
 	_, cordoned := v.Cordons[id]
--- a/policy/fleetplan/waves.go
+++ b/policy/fleetplan/waves.go
@@ -102,6 +102,8 @@
 		case listed:
 			delete(w.missingSince, id)
 			remaining = append(remaining, id)
+		case v.Incomplete:
+			remaining = append(remaining, id) // it may still be there
 		case w.missingSince[id].IsZero():
 			w.missingSince[id] = v.ListedAt
 			remaining = append(remaining, id)
--- a/policy/shard/machinelist.go
+++ b/policy/shard/machinelist.go
@@ -22,6 +22,8 @@
 	// RequestedAt is when the list was requested. It shows the state at that time or later, but
 	// may still lack executors that started up to maxMachineListLag before.
 	RequestedAt time.Time
+	// Incomplete is set if the list may lack executors that some machine has.
+	Incomplete bool
 }
 
 // NewMachineList returns the list of the executors of all machines, requested at the given
@@ -64,10 +66,10 @@
 }
 
 // ApplyMachineList discards the runs on unresponsive executors that have ended, and returns
-// these executors. Without a list, the runs are discarded when their leases have certainly
+// these executors. Without a complete list, the runs are discarded when their leases have certainly
 // expired.
 func (s *Shard) ApplyMachineList(list MachineList) (ended []cluster.ExecutorID) {
-	if !s.plausible(list) {
+	if !list.Incomplete && !s.plausible(list) {
 		return nil
 	}
 	for _, e := range s.sortedExecutors() {
@@ -78,7 +80,7 @@
 			e.missingLists = 0
 			continue
 		}
-		if !e.mayHaveEnded() {
+		if list.Incomplete || !e.mayHaveEnded() {
 			continue
 		}
 		if e.mayHaveArrivedSince(list.RequestedAt.Add(-maxMachineListLag)) {
--- a/policy/shard/machinelist_test.go
+++ b/policy/shard/machinelist_test.go
@@ -169,12 +169,18 @@
 		name  string
 		lists [][]cluster.Machine
 		age   time.Duration // of the lists
-		ended bool
+		// incomplete holds the positions of the lists that are.
+		incomplete map[int]bool
+		ended      bool
 	}{
 		{name: "missing twice", lists: [][]cluster.Machine{machinesOf("i-2"), machinesOf("i-2")}, ended: true},
 		{name: "missing once", lists: [][]cluster.Machine{machinesOf("i-2")}},
 		{name: "partitioned", lists: [][]cluster.Machine{machinesOf("i-1", "i-2"), machinesOf("i-1", "i-2")}},
 		{name: "listed between two lists without it", lists: [][]cluster.Machine{machinesOf("i-2"), machinesOf("i-1", "i-2"), machinesOf("i-2")}},
+		{name: "missing twice, once from an incomplete list", lists: [][]cluster.Machine{machinesOf("i-2"), machinesOf("i-2")}, incomplete: map[int]bool{1: true}},
+		{name: "missing from incomplete lists", lists: [][]cluster.Machine{machinesOf("i-2"), machinesOf("i-2"), machinesOf("i-2")}, incomplete: map[int]bool{0: true, 1: true, 2: true}},
+		{name: "listed in an incomplete list in between", lists: [][]cluster.Machine{machinesOf("i-2"), machinesOf("i-1"), machinesOf("i-2")}, incomplete: map[int]bool{1: true}},
+		{name: "missing twice beside an incomplete list", lists: [][]cluster.Machine{machinesOf("i-2"), machinesOf("i-2"), machinesOf("i-2")}, incomplete: map[int]bool{1: true}, ended: true},
 		{name: "no executor listed at all", lists: [][]cluster.Machine{machinesOf(), machinesOf()}},
 		{name: "lists too old to show a new executor", lists: [][]cluster.Machine{machinesOf("i-2"), machinesOf("i-2")}, age: 20 * time.Millisecond},
 	}
@@ -182,8 +188,10 @@
 		t.Run(tt.name, func(t *testing.T) {
 			h := startedOnUnresponsive(t)
 			assert.Assert(t, h.shard.NeedsMachineList(h.now))
-			for _, machines := range tt.lists {
-				h.shard.ApplyMachineList(NewMachineList(machines, h.now.Add(-tt.age)))
+			for position, machines := range tt.lists {
+				list := NewMachineList(machines, h.now.Add(-tt.age))
+				list.Incomplete = tt.incomplete[position]
+				h.shard.ApplyMachineList(list)
 			}
 			h.now = h.now.Add(replanInterval)
 			cmds := h.storeAndCommand()
