--- a/policy/shard/entries_test.go
+++ b/policy/shard/entries_test.go
@@ -191,6 +191,46 @@
 	assert.Assert(t, !h.shard.HasJob("00000000000000aa"))
 }
 
+// While the odd entry holds, the response to an earlier poll lists the unstored end again, and a later end of a job
+// that is gone, which needs no write: an acknowledgement of the later one would cover the unstored one.
+func TestLaterEndAcknowledgesAnUnstoredOneAfterAnEntryOfAnotherWriter(t *testing.T) {
+	t.Parallel()
+	h := newRestartedHarness(t)
+	h.answer(h.first)
+	h.first.end(execution.EndedDone)
+	response := func() execution.PollResponse {
+		return execution.PollResponse{Reply: execution.Reply{ClockMs: h.clock(h.first)}, From: h.first.from, Ended: h.first.ended}
+	}
+	next := func() Poll {
+		t.Helper()
+		for range 100 {
+			h.now = h.now.Add(50 * time.Millisecond)
+			for _, poll := range h.shard.Polls(h.now) {
+				return poll
+			}
+		}
+		t.Fatal("no poll")
+		return Poll{}
+	}
+	h.shard.HandlePollResult(next(), Responded, response(), h.now)
+	assert.Equal(t, len(h.executor().pending), 1)
+	late := next()
+	h.shard.SetExecutors([]cluster.Executor{h.oddEntry(nil)}, h.now)
+	later := h.first.ended[0]
+	later.Sequence, later.Task.Job = 2, "00000000000000ff"
+	h.first.ended = append(h.first.ended, later)
+	h.shard.HandlePollResult(late, Responded, response(), h.now)
+	for range 5 {
+		poll := next()
+		assert.Equal(t, poll.Request.AckedThrough, int64(0))
+		h.shard.HandlePollResult(poll, Responded, response(), h.now)
+	}
+	assert.Equal(t, h.executor().Born, h.first.from.Born)
+	h.shard.Batch(h.now, 29)
+	h.shard.Committed()
+	assert.Equal(t, next().Request.AckedThrough, int64(2))
+}
+
 // Another writer puts the entry of an executor of another service into this one, until that executor writes its own:
 // a poll would fence off the owner there, and the runs there would be stopped as orphans.
 func TestExecutorOfAnotherServiceIsCalled(t *testing.T) {
