Metrics: open descriptors and failed accepts

Whether an instance runs out of descriptors could not be seen: the server repeats temporary accept errors and writes them to no log of the instance, and there was no count of descriptors.

--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -178,11 +178,12 @@
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", address, err)
 		}
-		go h.serve(server, listener)
+		go h.serve(server, &countingListener{Listener: listener, failed: h.metrics.Scope.Counter("failed_accepts"), logger: h.logger})
 	}
 	background, cancel := context.WithCancel(context.Background())
 	h.stopBackground = cancel
 	h.dutyCtx, h.stopDuties = context.WithCancel(background)
+	h.followers.Go(func() { reportDescriptors(background, h.metrics.Scope) })
 	h.followers.Go(func() { h.election.Follow(background) })
 	h.followers.Go(func() { h.config.Run(background) })
 	h.followers.Go(func() { h.store.Probe(background) })
