--- a/entry/intake/outcome.go
+++ b/entry/intake/outcome.go
@@ -50,7 +50,7 @@
 // String returns the name in metrics and log lines.
 func (o outcome) String() string { return outcomeNames[min(o, outcomeCount-1)] }
 
-// outcome returns how the request ended, by the status where the response does not say.
+// endedAs returns how the request ended, by the status where the response does not say.
 func (r response) endedAs() outcome {
 	switch {
 	case r.outcome != outcomeNone:
