--- a/entry/host/statusrelay_test.go
+++ b/entry/host/statusrelay_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,6 +49,21 @@
 	})
 }
 
+// Guards against status requests that spend all their time on a store that has just become silent for their instance,
+// before that counts as unavailable.
+func TestStatusRequestsRightAfterTheStoreIsLostGetNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRelayWorld()
+		defer w.stop()
+		w.cutOffFromStore()
+		var callers sync.WaitGroup
+		for n := range 5 * statusInstances {
+			callers.Go(func() { assert.Check(t, w.ask(n) == "", "job %d", n) })
+		}
+		callers.Wait()
+	})
+}
+
 // Guards against instances that go on accepting a removed key, or refuse a valid one, since they pass on requests:
 // keys are removed and added while the store serves one instance only.
 func TestKeysOfRequestsThatArePassedOnAreOutdated(t *testing.T) {
--- a/entry/intake/read.go
+++ b/entry/intake/read.go
@@ -37,7 +37,8 @@
 
 // read reads a key until the store responds or ctx ends. It makes no attempt while the store is
 // unavailable, and refusedAttempts if it becomes so. While the store refuses reads since its rate is
-// exceeded, it returns a stale item if acceptStale accepts that; nil accepts none.
+// exceeded, it returns a stale item if acceptStale accepts that; nil accepts none. A request that may be passed on is left
+// to other instances once reads get no response for localShare of its time.
 func (i *Intake) read(ctx context.Context, key string, acceptStale func(kv.Item) bool) (kv.Item, error) {
 	if err := i.checkStore(); err != nil {
 		return kv.Item{}, err
@@ -60,6 +61,9 @@
 		if !kv.NotRun(err) {
 			unanswered++
 		}
+		if unanswered > 0 && passOnDue(ctx) {
+			return kv.Item{}, err
+		}
 		if backoff.Sleep(ctx, retryDelays.Delay(attempt, random)) != nil {
 			return kv.Item{}, err
 		}
--- a/entry/intake/relay.go
+++ b/entry/intake/relay.go
@@ -32,6 +32,19 @@
 // wrote an entry about a peer that doesn't exist must not learn keys.
 const headerKeyDigest = "Tarragonreach-Key-Digest"
 
+// localShare is the part of the time until the deadline after which a request is passed on whose reads get no
+// response.
+const localShare = 0.3
+
+// passOnKey is the key of the time from which a request is passed on, in its context.
+type passOnKey struct{}
+
+// passOnDue reports whether the request of ctx is to be passed on if this instance can't answer it.
+func passOnDue(ctx context.Context) bool {
+	due, known := ctx.Value(passOnKey{}).(time.Time)
+	return known && !time.Now().Before(due)
+}
+
 type relayedKey struct{}
 
 // isRelayed reports whether another instance has passed the request on.
@@ -60,7 +73,8 @@
 	if !i.mayRelay(c.Request) {
 		return i.handle(ctx, c, r)
 	}
-	resp := i.handle(ctx, c, r)
+	passOnAt := time.Now().Add(time.Duration(localShare * float64(r.deadline)))
+	resp := i.handle(context.WithValue(ctx, passOnKey{}, passOnAt), c, r)
 	if !resp.outcome.mayDifferElsewhere() {
 		return resp
 	}
