Peers: after a request was passed on in vain, nothing is passed on for a while

What callers saw: with half of the instances cut off from the store and from the rest, but not all from each other, a cut-off instance passed each request on to others that were cut off as well, and held it for up to 0.4 s.

Now any request that is passed on in vain starts a pause of 1 s, doubling to 8 s, as it did before only if no peer had responded at all; peers that were asked least in vain come first. The case "from those that can answer" of the test covers it. TestAnswerOfWhatIsNoInstanceDecidesARequest now calls the odd peer for certain and checks how often.

--- a/entry/host/statusrelay_test.go
+++ b/entry/host/statusrelay_test.go
@@ -17,6 +17,9 @@
 // servedInstances is how many instances of a statusWorld the store still serves.
 const servedInstances = 1
 
+// longestPause is the longest time for which an instance passes nothing on, or not to one that gave no answer.
+const longestPause = 10 * time.Second
+
 // knownWithin is the time within which instances that start together know each other.
 const knownWithin = 5 * time.Second
 
@@ -101,10 +104,18 @@
 		time.Sleep(10 * time.Second)
 		w.cutOffFromStore()
 		time.Sleep(statusRevoke)
+		served := fmt.Sprintf("front-%d:7060", statusInstances-servedInstances)
+		for n := range statusInstances - servedInstances {
+			instance := fmt.Sprintf("front-%d", n)
+			w.network.partition(instance, served)
+			assert.Equal(t, w.ask(n), "status 503") // all other peers were called, among them the odd one
+			w.network.heal(instance, served)
+		}
+		assert.Equal(t, asked, statusInstances-servedInstances)
+		time.Sleep(longestPause)
 		for n := range 100 {
 			assert.Equal(t, w.ask(n), "", "job %d", n)
 		}
-		assert.Assert(t, asked > 0)
 	})
 }
 
@@ -125,15 +136,23 @@
 	})
 }
 
-// Guards against instances that are cut off from the store and from their peers, and hold requests in vain: the caller has
-// time for a few attempts, and other instances can answer.
+// Guards against instances that are cut off from the store and from their peers, or from those that can answer, and hold
+// requests in vain: the caller has time for a few attempts, and other instances can answer.
 func TestInstancesThatAreCutOffFromTheirPeersHoldRequests(t *testing.T) {
+	for name, reachable := range map[string]int{"from all": 0, "from those that can answer": statusInstances - servedInstances} {
+		t.Run(name, func(t *testing.T) { checkHeldRequests(t, reachable) })
+	}
+}
+
+// checkHeldRequests checks for how long requests are held by an instance that can reach only the first peers, which are
+// cut off from the store as well.
+func checkHeldRequests(t *testing.T, reachable int) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newRelayWorld()
 		defer w.stop()
 		w.cutOffFromStore()
 		for n := range statusInstances {
-			for other := range statusInstances {
+			for other := reachable; other < statusInstances; other++ {
 				w.network.partition(fmt.Sprintf("front-%d", n), fmt.Sprintf("front-%d:7060", other))
 			}
 		}
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -56,7 +56,7 @@
 // load each other then.
 var retry = backoff.Policy{Base: 1 * time.Second, Cap: 8 * time.Second}
 
-// maxDoublings is how often the pause of an instance that is cut off from its peers doubles.
+// maxDoublings is how often the pause after requests that were passed on in vain doubles.
 const maxDoublings = 3
 
 // Store is the part of the store that the registration uses.
@@ -96,9 +96,9 @@
 	mu     sync.Mutex
 	peers  map[fleet.InstanceID]*peer
 	random *rand.Rand
-	// cutOffUntil is when to call peers again after no one has responded, silences times in a row.
-	cutOffUntil time.Time
-	silences    int
+	// pausedUntil is when to call peers again after none had an answer, for inVain requests in a row.
+	pausedUntil time.Time
+	inVain      int
 }
 
 // New returns the peers of the instance self. Connections to them are opened with dial, or with the network's if
@@ -263,7 +263,7 @@
 
 // Ask makes a call at one peer after the other until one gives an answer that answers accepts. It returns
 // false if none of up to maxAttempts does within askTimeout, or before ctx ends. Peers that gave no answer lately are
-// left out; after no peer has responded at all, none is called for a while.
+// left out; after a request that was passed on in vain, none is for a while.
 func (p *Peers) Ask(ctx context.Context, r call.Request, answers func(call.Response) bool) (call.Response, bool) {
 	askCtx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -271,23 +271,20 @@
 	if len(candidates) == 0 {
 		return call.Response{}, false
 	}
-	best := silent
 	for _, other := range candidates {
 		response, result := p.attempt(askCtx, other, r, answers)
 		if ctx.Err() != nil {
 			return call.Response{}, false // says nothing about the peers
 		}
 		p.note(other, result, time.Now())
-		best = max(best, result)
 		if result == answered {
-			p.noteContact(best, time.Now())
 			return response, true
 		}
 		if askCtx.Err() != nil {
 			break
 		}
 	}
-	p.noteContact(best, time.Now())
+	p.noteInVain(time.Now())
 	return call.Response{}, false
 }
 
@@ -305,12 +302,12 @@
 	}
 }
 
-// candidates returns the peers to ask, at most maxAttempts: those that answered last come first, then those of
-// the same availability zone, in random order.
+// candidates returns the peers to ask, at most maxAttempts: those that answered last come first, then those that were
+// asked least in vain, then those of the same availability zone, in random order.
 func (p *Peers) candidates(now time.Time) []*peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Before(p.cutOffUntil) {
+	if now.Before(p.pausedUntil) {
 		return nil
 	}
 	var list []*peer
@@ -321,7 +318,7 @@
 	}
 	p.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	slices.SortStableFunc(list, func(a, b *peer) int {
-		return cmp.Or(b.answeredAt.Compare(a.answeredAt), cmp.Compare(p.distance(a), p.distance(b)))
+		return cmp.Or(b.answeredAt.Compare(a.answeredAt), cmp.Compare(a.failures, b.failures), cmp.Compare(p.distance(a), p.distance(b)))
 	})
 	return list[:min(len(list), maxAttempts)]
 }
@@ -341,6 +338,7 @@
 	defer p.mu.Unlock()
 	if result == answered {
 		other.answeredAt, other.failures, other.retryAt = now, 0, time.Time{}
+		p.pausedUntil, p.inVain = time.Time{}, 0
 		return
 	}
 	other.failures++
@@ -351,18 +349,13 @@
 	}
 }
 
-// noteContact records the best outcome of the calls about one request. If no peer has responded, this instance may be
-// cut off from all.
-func (p *Peers) noteContact(best outcome, now time.Time) {
+// noteInVain records that no peer had an answer to a request: this instance may be cut off from all that have.
+func (p *Peers) noteInVain(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if best != silent {
-		p.cutOffUntil, p.silences = time.Time{}, 0
-		return
-	}
-	if now.Before(p.cutOffUntil) {
-		return // noted by another request at the same time
+	if now.Before(p.pausedUntil) {
+		return // noted for another request at the same time
 	}
-	p.silences++
-	p.cutOffUntil = now.Add(min(retry.Base<<min(p.silences-1, maxDoublings), retry.Cap))
+	p.inVain++
+	p.pausedUntil = now.Add(min(retry.Base<<min(p.inVain-1, maxDoublings), retry.Cap))
 }
