--- a/entry/owner/executors_test.go
+++ b/entry/owner/executors_test.go
@@ -42,7 +42,7 @@
 		lines := strings.Count(log.String(), "\n")
 		assert.Assert(t, lines >= 1 && lines <= seconds/10+1, "%d lines", lines)
 		assert.Assert(t, log.Len() < lines*2000, "%d bytes", log.Len())
-		assert.Equal(t, strings.Count(log.String(), `entry \"servers/stays\":`), 1)
+		assert.Equal(t, strings.Count(log.String(), `entry \"`+executorPrefix+`stays\":`), 1)
 		l.apply(follow.Change{Reset: true, Events: []kv.Event{entryEvent("stays", "{")}})
 		assert.Equal(t, l.skipped.Present(), 1)
 	})
