Intake: a status request that is passed on is also answered by a store that is slow for all

What callers would see: at a store that takes 0.6 s for all instances, each status request was refused. Its reads were given up after 0.3 of its time in favour of other instances, which had no answer either, and no read lasted long enough to learn the store's latency.

Now a request that is not answered within 0.3 of its time is passed on beside its reads, and the first answer counts. The reads end after four attempts without a response, as they did before requests were passed on.

--- a/entry/host/statusrelay_test.go
+++ b/entry/host/statusrelay_test.go
@@ -176,3 +176,19 @@
 		assert.Assert(t, held <= requests*meanHold, "%v", held)
 	})
 }
+
+// Guards against requests that are given up in favour of other instances while a store that is slow for all would answer
+// them: a status request must be answered once the latency is known, and its first attempts must make it known.
+func TestStatusRequestsAtAStoreThatIsSlowForAllGetNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRelayWorld()
+		defer w.stop()
+		w.store.begin(storeSpell{fault: storeSlow, latency: 600 * time.Millisecond})
+		for n := range 2 * statusInstances {
+			w.ask(n)
+		}
+		for n := range 50 {
+			assert.Equal(t, w.ask(n), "", "job %d", n)
+		}
+	})
+}
--- a/entry/intake/read.go
+++ b/entry/intake/read.go
@@ -14,6 +14,10 @@
 // is enough for 800 reads a second while the store takes 320 ms for each.
 const maxConcurrentReads = 256
 
+// passedOnAttempts is how many attempts without a response are made for a request that is passed on as well: the rest of
+// its caller's time is better spent at another instance. The last of them waits long enough for a slow store.
+const passedOnAttempts = 4
+
 // reserveRead waits until fewer than maxConcurrentReads are in progress, and returns a function that ends
 // the reservation. It returns an error if ctx ends first, or if the store has become unavailable meanwhile.
 func (i *Intake) reserveRead(ctx context.Context) (release func(), err error) {
@@ -37,8 +41,8 @@
 
 // read reads a key until the store responds or ctx ends. It makes no attempt while the store is
 // unavailable, and refusedAttempts if it becomes so. While the store refuses reads since its rate is
-// exceeded, it returns a stale item if acceptStale accepts that; nil accepts none. A request that may be passed on is left
-// to other instances once reads get no response for localShare of its time.
+// exceeded, it returns a stale item if acceptStale accepts that; nil accepts none. For a request that is passed on it ends
+// after passedOnAttempts without a response.
 func (i *Intake) read(ctx context.Context, key string, acceptStale func(kv.Item) bool) (kv.Item, error) {
 	if err := i.checkStore(); err != nil {
 		return kv.Item{}, err
@@ -61,7 +65,7 @@
 		if !kv.NotRun(err) {
 			unanswered++
 		}
-		if unanswered > 0 && passOnDue(ctx) {
+		if unanswered >= passedOnAttempts && isPassedOn(ctx) {
 			return kv.Item{}, err
 		}
 		if backoff.Sleep(ctx, retryDelays.Delay(attempt, random)) != nil {
--- a/entry/intake/relay.go
+++ b/entry/intake/relay.go
@@ -32,18 +32,14 @@
 // wrote an entry about a peer that doesn't exist must not learn keys.
 const headerKeyDigest = "Tarragonreach-Key-Digest"
 
-// localShare is the part of the time until the deadline after which a request is passed on whose reads get no
-// response.
+// localShare is the part of the time until the deadline after which a request is also passed on that is not answered.
 const localShare = 0.3
 
-// passOnKey is the key of the time from which a request is passed on, in its context.
+// passOnKey marks the context of a request that is passed on.
 type passOnKey struct{}
 
-// passOnDue reports whether the request of ctx is to be passed on if this instance can't answer it.
-func passOnDue(ctx context.Context) bool {
-	due, known := ctx.Value(passOnKey{}).(time.Time)
-	return known && !time.Now().Before(due)
-}
+// isPassedOn reports whether the request of ctx is passed on if this instance does not answer it soon.
+func isPassedOn(ctx context.Context) bool { return ctx.Value(passOnKey{}) != nil }
 
 type relayedKey struct{}
 
@@ -68,19 +64,41 @@
 	return i.peers != nil && r.Method == http.MethodGet && !isRelayed(r)
 }
 
-// answerOrRelay handles a request. A read that the store kept from being answered is passed on.
+// passedOn is what became of a request that was passed on.
+type passedOn struct {
+	answer response
+	found  bool
+}
+
+// answerOrRelay handles a request. A read that the store keeps from being answered is passed on, or that is not answered
+// within localShare of its time; then the first answer counts.
 func (i *Intake) answerOrRelay(ctx context.Context, c *gin.Context, r *record) response {
 	if !i.mayRelay(c.Request) {
 		return i.handle(ctx, c, r)
 	}
-	passOnAt := time.Now().Add(time.Duration(localShare * float64(r.deadline)))
-	resp := i.handle(context.WithValue(ctx, passOnKey{}, passOnAt), c, r)
-	if !resp.outcome.mayDifferElsewhere() {
+	local, cancel := context.WithCancel(context.WithValue(ctx, passOnKey{}, true))
+	defer cancel()
+	request := c.Request
+	result := make(chan passedOn, 1)
+	passOn := func() {
+		answer, found := i.relay(ctx, request)
+		result <- passedOn{answer, found}
+		if found {
+			cancel()
+		}
+	}
+	timer := time.AfterFunc(time.Duration(localShare*float64(r.deadline)), passOn)
+	resp := i.handle(local, c, r)
+	notPassedOn := timer.Stop()
+	if !resp.outcome.mayDifferElsewhere() && local.Err() == nil {
 		return resp
 	}
-	if answer, found := i.relay(ctx, c.Request); found {
+	if notPassedOn {
+		passOn()
+	}
+	if other := <-result; other.found {
 		r.relayed = true
-		return answer
+		return other.answer
 	}
 	return resp
 }
