Calls: a response's size is limited in one place

The client had a limit of its own beside that of a request, and only calls between instances used it. They now state theirs with the request, as polls of executors do. Sizes are as before. A comment of the configuration's follower is wrapped.

--- a/entry/operatorconfig/operatorconfig.go
+++ b/entry/operatorconfig/operatorconfig.go
@@ -3,8 +3,8 @@
 //
 // A watch brings changes at once. Beside it, reads of the same key bound how old the instance's
 // knowledge can get: one is sent regularly, the next one shortly after one that the store refuses, and
-// on a connection of its own as soon as the last one is overdue. What was in flight when a disruption of the store began or ended
-// therefore delays nothing.
+// on a connection of its own as soon as the last one is overdue. What was in flight when a disruption of
+// the store began or ended therefore delays nothing.
 //
 // Requests that need an API key are decided only by a configuration that was confirmed recently
 // (Knowledge). The age of a confirmation counts time in which the machine was suspended.
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -222,12 +222,10 @@
 }
 
 func (p *Peers) newClient(address string) *call.Client {
-	client := call.New(address, idleConnections)
 	if p.dial != nil {
-		client = call.NewWithDial(address, idleConnections, p.dial)
+		return call.NewWithDial(address, idleConnections, p.dial)
 	}
-	client.LimitResponses(maxResponse)
-	return client
+	return call.New(address, idleConnections)
 }
 
 func (p *Peers) closeAll() {
@@ -291,6 +289,7 @@
 func (p *Peers) attempt(ctx context.Context, other *peer, r call.Request, answers func(call.Response) bool) (call.Response, outcome) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
+	r.MaxResponse = maxResponse
 	response, err := other.client.Do(ctx, r)
 	switch {
 	case err != nil || response.Header.Get(headerInstance) != string(other.ID):
