Link: bytes are counted by purpose and direction, and a busy link is logged

Calls of an instance whose link is full end in deadlines like those to executors and stores that are down, and neither logs nor metrics told which. limits.link-mbps of the settings file was not read.

platform/link counts the bytes of all connections of an instance: calls to the store, executors, machine service, advice service and peers, and connections of callers, peers and probes. The host reports them as tarragon_link_bytes and logs one line for each second in which a quarter or more of the link's rate is used in one direction. platform/call.Dial is the dial that call.New uses, with its time limits.

--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -26,8 +26,10 @@
 	"github.com/tarragonreach/tarragonreach/entry/storehealth"
 	"github.com/tarragonreach/tarragonreach/platform/advice"
 	"github.com/tarragonreach/tarragonreach/platform/backoff"
+	"github.com/tarragonreach/tarragonreach/platform/call"
 	"github.com/tarragonreach/tarragonreach/platform/executor"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/platform/link"
 	"github.com/tarragonreach/tarragonreach/platform/machines"
 	"github.com/tarragonreach/tarragonreach/platform/nodefile"
 	"github.com/tarragonreach/tarragonreach/policy/fleetplan"
@@ -68,6 +70,7 @@
 	store   *storehealth.Store
 	logger  *slog.Logger
 	metrics *metrics.Metrics
+	link    link.Meter
 	config  *operatorconfig.Follower
 	leaving atomic.Bool
 	// unconfirmed is set while API keys can't be accepted, since the configuration is not recent.
@@ -112,8 +115,8 @@
 		node: node, options: options, logger: logger, metrics: m,
 		services: map[cluster.Service]bool{},
 	}
-	h.store = storehealth.New(kv.New(node.StoreAddress), h.logStoreChange)
-	h.config = operatorconfig.New(storehealth.NewDedicated(kv.New(node.StoreAddress), h.store),
+	h.store = storehealth.New(h.storeClient(), h.logStoreChange)
+	h.config = operatorconfig.New(storehealth.NewDedicated(h.storeClient(), h.store),
 		operatorconfig.Options{ApplyWithin: node.ConfigApply, RevokeWithin: node.RevokeWithin}, h.campaignForServices, logger, m.Scope.SubScope("config"))
 	h.election = election.New(h.store, node.ID, node.Zone, node.Cores, logger)
 	h.admissions = admissions.New(h.store, h.election, logger)
@@ -122,7 +125,7 @@
 	h.front = &http.Server{Handler: h.intake.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	if node.PeerAddress != "" {
 		self := peers.Peer{ID: node.ID, Zone: node.Zone, Address: node.PeerAddress}
-		h.peers = peers.New(h.store, self, nil, logger, m.Scope.SubScope("peers"))
+		h.peers = peers.New(h.store, self, h.link.Dial(link.Peers, call.Dial), logger, m.Scope.SubScope("peers"))
 		h.intake.SetPeers(h.peers)
 		h.peerCalls = &http.Server{Handler: h.peers.Handler(h.intake.PeerHandler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	}
@@ -173,17 +176,19 @@
 
 func (h *Host) start(ctx context.Context) error {
 	var listen net.ListenConfig
-	for server, address := range h.servers() {
-		listener, err := listen.Listen(ctx, "tcp", address)
+	for server, endpoint := range h.servers() {
+		listener, err := listen.Listen(ctx, "tcp", endpoint.address)
 		if err != nil {
-			return fmt.Errorf("listen on %s: %w", address, err)
+			return fmt.Errorf("listen on %s: %w", endpoint.address, err)
 		}
-		go h.serve(server, &countingListener{Listener: listener, failed: h.metrics.Scope.Counter("failed_accepts"), logger: h.logger})
+		metered := h.link.Listener(endpoint.purpose, listener)
+		go h.serve(server, &countingListener{Listener: metered, failed: h.metrics.Scope.Counter("failed_accepts"), logger: h.logger})
 	}
 	background, cancel := context.WithCancel(context.Background())
 	h.stopBackground = cancel
 	h.dutyCtx, h.stopDuties = context.WithCancel(background)
 	h.followers.Go(func() { reportDescriptors(background, h.metrics.Scope) })
+	h.followers.Go(func() { h.reportLink(background) })
 	h.followers.Go(func() { h.election.Follow(background) })
 	h.followers.Go(func() { h.config.Run(background) })
 	h.followers.Go(func() { h.store.Probe(background) })
@@ -199,11 +204,20 @@
 	return nil
 }
 
-// servers returns the servers with their addresses.
-func (h *Host) servers() map[*http.Server]string {
-	servers := map[*http.Server]string{h.front: h.node.FrontAddress, h.probes: h.node.ReadyAddress}
+// endpoint is where a server listens, and for whom.
+type endpoint struct {
+	address string // host:port
+	purpose link.Purpose
+}
+
+// servers returns the servers with their endpoints.
+func (h *Host) servers() map[*http.Server]endpoint {
+	servers := map[*http.Server]endpoint{
+		h.front:  {h.node.FrontAddress, link.Callers},
+		h.probes: {h.node.ReadyAddress, link.Probes},
+	}
 	if h.peerCalls != nil {
-		servers[h.peerCalls] = h.node.PeerAddress
+		servers[h.peerCalls] = endpoint{h.node.PeerAddress, link.Peers}
 	}
 	return servers
 }
@@ -239,7 +253,7 @@
 			Rate:        shard.RateAllowance{Window: h.node.RateWindow, Overage: h.node.RateOverage, Jobs: h.node.RateSlack},
 		},
 		Store:      h.store,
-		Dial:       dialExecutor,
+		Dial:       h.dialExecutor,
 		RejectLate: h.options.RejectLate,
 		Config:     h.config.Current,
 		Cores:      h.node.Cores,
@@ -247,10 +261,10 @@
 		Scope:      h.metrics.Scope.SubScope("owner").Tagged(map[string]string{"service": string(service)}),
 	}
 	if h.node.AdviceAddress != "" {
-		options.Adviser = advice.New(h.node.AdviceAddress)
+		options.Adviser = advice.NewWithDial(h.node.AdviceAddress, h.link.Dial(link.Advice, call.Dial))
 	}
 	if h.node.MachinesAddress != "" {
-		options.Machines = machines.New(h.node.MachinesAddress)
+		options.Machines = h.machinesClient()
 	}
 	h.campaigns.Go(func() {
 		h.election.Campaign(h.dutyCtx, string(service), func(ctx context.Context, term election.Term) {
@@ -271,7 +285,7 @@
 		RejectLate:  h.options.RejectLate,
 		RetainFinal: h.node.RetainFinal,
 		Store:       h.store,
-		Machines:    machines.New(h.node.MachinesAddress),
+		Machines:    h.machinesClient(),
 		Config:      h.config.Current,
 		Logger:      h.logger,
 	}
@@ -280,8 +294,16 @@
 	})
 }
 
-func dialExecutor(id cluster.ExecutorID, address string) owner.Executor {
-	return executor.New(id, address)
+func (h *Host) dialExecutor(id cluster.ExecutorID, address string) owner.Executor {
+	return executor.NewWithDial(id, address, h.link.Dial(link.Executors, call.Dial))
+}
+
+func (h *Host) storeClient() *kv.Client {
+	return kv.NewWithDial(h.node.StoreAddress, h.link.Dial(link.Store, call.Dial))
+}
+
+func (h *Host) machinesClient() *machines.Client {
+	return machines.NewWithDial(h.node.MachinesAddress, h.link.Dial(link.Machines, call.Dial))
 }
 
 // stop shuts the instance down: readiness fails, duties are handed over, and callers are
