Owner: calls to executors are measured by kind, outcome and latency

The histogram call_seconds has the kind and the outcome as tags. Once per report period, one line is logged if at least 5% of the calls exceeded their limits: with their number by kind, and how many of the executors called were affected. If it is most of them, the cause is what they have in common and not one of them.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -111,8 +111,9 @@
 	renewalAllowed   bool      // whether leases of runs may be renewed
 	renewalCheckedAt time.Time // when renewalAllowed was last checked
 
-	delays  delays
-	ledgers ledgers
+	delays         delays
+	callStatistics callStatistics
+	ledgers        ledgers
 	// reportedTenants holds the tenants of the last report.
 	reportedTenants map[cluster.TenantName]bool
 	// machineList is the state of the requests for the machine list.
@@ -383,13 +384,20 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(o.ctx, commandTimeout)
 		defer cancel()
+		sentAt := time.Now()
 		reply, err := callExecutor(ctx, client, command)
 		respondedAt := time.Now()
+		result := callResult{
+			executor: command.Executor.ID, kind: command.Kind.String(), outcome: callOutcomeOf(ctx, err), took: respondedAt.Sub(sentAt),
+		}
 		if err != nil {
 			client.Close() // the connection may be half-open
 		}
 		o.logCommand(command, reply, err)
-		o.send(func(time.Time) { o.shard.HandleCommandResult(command, deliveryOf(err), reply, respondedAt) })
+		o.send(func(time.Time) {
+			o.recordCall(result)
+			o.shard.HandleCommandResult(command, deliveryOf(err), reply, respondedAt)
+		})
 	}()
 }
 
@@ -446,12 +454,18 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(o.ctx, poll.Request.Wait+pollSlack)
 		defer cancel()
+		sentAt := time.Now()
 		response, err := client.Poll(ctx, poll.Request)
 		respondedAt := time.Now()
+		result := callResult{
+			executor: poll.Executor.ID, kind: callKindPoll, outcome: callOutcomeOf(ctx, err),
+			took: respondedAt.Sub(sentAt), wait: poll.Request.Wait,
+		}
 		if err != nil {
 			client.Close() // the connection may be half-open
 		}
 		o.send(func(time.Time) {
+			o.recordCall(result)
 			o.logCompletions(poll, response)
 			o.shard.HandlePollResult(poll, deliveryOf(err), response, respondedAt)
 		})
--- a/entry/owner/report.go
+++ b/entry/owner/report.go
@@ -67,6 +67,7 @@
 	overloaded := delay >= overloadedDelay || o.Cores > 0 && used.Seconds() >= overloadedCPUShare*o.Cores*period.Seconds()
 	r := o.shard.Waiting(now, overloaded)
 	o.measure(r, delay)
+	o.reportCalls(period)
 	o.reportLedgers()
 	o.logUsabilityChanges(r.Executors.Changes, now)
 	o.logSuspicions(r.Executors.Suspicions, now)
