Owner: a run that was given up says what its executor's calls did, and whether it was completed

The log had 'run given up' with the reason lease-expired, but not whether the executor had failed to respond or for how long, and a completion that arrived afterwards left no line unless its reason was other than done. Both are logged and counted now.

--- a/entry/owner/usability.go
+++ b/entry/owner/usability.go
@@ -60,12 +60,20 @@
 	}
 }
 
-// logGivenUp logs the runs that were given up without a completion, and counts them.
+// logGivenUp logs the runs that were given up without a completion, and the completions of such runs
+// that arrived afterwards, and counts them.
 func (o *Owner) logGivenUp() {
+	now := time.Now()
 	for _, n := range o.shard.TakeGiveUpNotes() {
 		o.Scope.Tagged(map[string]string{"reason": string(n.Reason)}).Counter("runs_given_up").Inc(1)
 		o.Logger.Info("run given up", "task", n.Task.String(), "run", n.Run, "executor", string(n.Executor),
-			"reason", string(n.Reason), "applied_ends", n.Applied, "acked_ends", n.Acked)
+			"reason", string(n.Reason), "applied_ends", n.Applied, "acked_ends", n.Acked,
+			"failed_calls", n.FailedCalls, "unheard_ms", unheardMs(n.LastResponse, now))
+	}
+	for _, n := range o.shard.TakeLateCompletionNotes() {
+		o.Scope.Counter("late_completions").Inc(1)
+		o.Logger.Warn("run given up had been completed", "task", n.Task.String(), "run", n.Run, "executor", string(n.Executor),
+			"restarts", n.Restarts)
 	}
 }
 
@@ -77,3 +85,14 @@
 		scope.Gauge("unusable_executors").Update(float64(r.Unusable[reason]))
 	}
 }
+
+// neverHeard stands in a log line for the age of a response that there was not.
+const neverHeard = -1
+
+// unheardMs returns the age of an executor's last response in milliseconds, or neverHeard.
+func unheardMs(lastResponse, now time.Time) int64 {
+	if lastResponse.IsZero() {
+		return neverHeard
+	}
+	return now.Sub(lastResponse).Milliseconds()
+}
--- a/policy/shard/completions.go
+++ b/policy/shard/completions.go
@@ -39,6 +39,7 @@
 // was done nevertheless, its task needs no further run.
 func (s *Shard) applyLateCompletion(e *executorState, row execution.Ended, t *task) {
 	if t != nil && row.Reason == execution.EndedDone && !t.done && !t.step.def.LongRunning && !t.step.def.Gang {
+		s.noteLateCompletion(e, row.RunRef, t)
 		t.step.job.markChanged()
 		t.step.job.finishTask(t)
 		s.stop(t.current, StopDoneBefore)
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -126,6 +126,7 @@
 	crashingUntil     time.Time
 	crashNotes        []CrashNote
 	givenUp           []GiveUpNote
+	lateCompletions   []LateCompletionNote
 	restartNotes      []RestartNote
 
 	unusable unusablePeriods
