Intake: the line about a request has its Retry-After

Callers come back by Retry-After, up to a part of the time that they have left. The line about a refused request did not have it, so that how long a refusal delayed its caller could not be read from a log.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -87,6 +87,8 @@
 	maxDeadline = 1 * time.Minute
 	// defaultRetryAfter is the Retry-After of responses of 503 while the store responds.
 	defaultRetryAfter = 1 * time.Second
+	// noRetryAfter stands for a response without Retry-After.
+	noRetryAfter = -1 * time.Second
 	// maxConfigWait bounds how long a request waits for a recent configuration.
 	maxConfigWait = 600 * time.Millisecond
 	// vainWaitPause is how long after a wait in vain reads don't wait.
@@ -123,8 +125,10 @@
 	knowledge operatorconfig.Knowledge // by which it was decided
 	deadline  time.Duration            // from its arrival to when the response was due
 	calls     storeCalls
-	forCount  bool // it asks for the number of waiting jobs
-	relayed   bool // another instance has answered it
+	// retryAfter is the Retry-After of the response; negative if it has none.
+	retryAfter time.Duration
+	forCount   bool // it asks for the number of waiting jobs
+	relayed    bool // another instance has answered it
 }
 
 func (i *Intake) serve(c *gin.Context) {
@@ -135,8 +139,9 @@
 	if i.leaving() {
 		c.Header("Connection", "close")
 	}
-	if resp.retryAfter > 0 {
-		c.Header("Retry-After", strconv.Itoa(int((resp.retryAfter+time.Second-1)/time.Second)))
+	r.retryAfter = wholeSeconds(resp.retryAfter)
+	if r.retryAfter >= 0 {
+		c.Header("Retry-After", strconv.Itoa(int(r.retryAfter/time.Second)))
 	}
 	if resp.status == http.StatusUnauthorized {
 		c.Header("WWW-Authenticate", submission.AuthorizationScheme)
@@ -151,6 +156,14 @@
 	i.recordRequest(r)
 }
 
+// wholeSeconds rounds a Retry-After up to whole seconds. It returns noRetryAfter for zero.
+func wholeSeconds(d time.Duration) time.Duration {
+	if d <= 0 {
+		return noRetryAfter
+	}
+	return (d + time.Second - 1).Truncate(time.Second)
+}
+
 func (i *Intake) recordRequest(r record) {
 	queue := r.caller.queue.Name
 	ended := r.response.endedAs().String()
@@ -167,7 +180,7 @@
 	}
 	attributes := []any{"method", r.method, "job", string(r.job), "queue", queue, "status", r.response.status,
 		"outcome", ended, "reason", r.response.reason, "ms", r.took.Milliseconds(), "config", version, "config_age_ms", r.knowledge.Age.Milliseconds(),
-		"deadline_ms", r.deadline.Milliseconds(), "relayed", r.relayed, "store_calls", r.calls.attempts, "store_rate_limited", r.calls.rateLimited, "store_failed", r.calls.failed,
+		"deadline_ms", r.deadline.Milliseconds(), "retry_after_s", int(r.retryAfter / time.Second), "relayed", r.relayed, "store_calls", r.calls.attempts, "store_rate_limited", r.calls.rateLimited, "store_failed", r.calls.failed,
 		"stale_reads", r.calls.stale}
 	if r.caller.tenancy {
 		attributes = append(attributes, "tenant", string(r.caller.tenant))
