Follow: listings that repeat what watches may have missed take a tenth of a slow link

From the end of the submissions on (34 s) that took the whole link of two owners (shares received 0.9 to 1.01, of it 200 to 235 kB/s from the store), calls to executors and further watches exceeded their time limits, and each failed watch was followed by another listing.

A listing that only repeats what watches may have missed is now made when it takes at most a tenth of the link's rate, and after 5 s at the latest. Until then watches go on from the same revision, by which the store returns all changes since; compacted history is followed by a listing at once, as before. At 1,000 Mbit/s such a listing is due after 24 ms, which is below all wait times, so that nothing changes there.

The tests fail on the former code (37 listings a minute, at most 13 wanted; a failed watch was not resumed).

--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -18,6 +18,7 @@
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 	"github.com/tarragonreach/tarragonreach/platform/machines"
 	"github.com/tarragonreach/tarragonreach/policy/fleetplan"
+	"github.com/tarragonreach/tarragonreach/policy/linkshare"
 	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
@@ -73,10 +74,12 @@
 	RetainFinal time.Duration
 	// RejectLate lets the holder state for which services there are no more machines.
 	RejectLate bool
-	Store      Store
-	Machines   Machines
-	Config     func() *cluster.Config
-	Logger     *slog.Logger
+	// Link is the rate of the instance's network link.
+	Link     linkshare.Rate
+	Store    Store
+	Machines Machines
+	Config   func() *cluster.Config
+	Logger   *slog.Logger
 }
 
 // event runs on the goroutine of the loop.
--- a/entry/fleetduty/load.go
+++ b/entry/fleetduty/load.go
@@ -102,11 +102,11 @@
 }
 
 func (h *Holder) follow(ctx context.Context) {
-	waves := follow.Follower{Store: h.Store, Prefix: registry.WavePrefix, Logger: h.Logger, Apply: func(c follow.Change) {
+	waves := follow.Follower{Store: h.Store, Prefix: registry.WavePrefix, Link: h.Link, Logger: h.Logger, Apply: func(c follow.Change) {
 		h.send(func() { h.applyWaves(c) })
 	}}
 	go waves.Run(ctx)
-	loads := follow.Follower{Store: h.Store, Prefix: layout.LoadPrefix, Pause: loadPause, Wait: loadWait, Logger: h.Logger, Apply: func(c follow.Change) {
+	loads := follow.Follower{Store: h.Store, Prefix: layout.LoadPrefix, Pause: loadPause, Wait: loadWait, Link: h.Link, Logger: h.Logger, Apply: func(c follow.Change) {
 		h.send(func() { h.applyLoads(c) })
 	}}
 	go loads.Run(ctx)
--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -20,6 +20,7 @@
 	listingTime time.Duration // duration of a listing
 	lists       int
 	watches     int
+	after       []kv.Revision // of the watches
 	watch       func(number int, wait time.Duration) (kv.Events, error)
 }
 
@@ -31,8 +32,9 @@
 	return s.items, kv.Revision(s.lists), nil
 }
 
-func (s *scriptedStore) Watch(ctx context.Context, _ string, _ kv.Revision, wait time.Duration) (kv.Events, error) {
+func (s *scriptedStore) Watch(ctx context.Context, _ string, after kv.Revision, wait time.Duration) (kv.Events, error) {
 	s.watches++
+	s.after = append(s.after, after)
 	return s.watch(s.watches, wait)
 }
 
@@ -131,3 +133,57 @@
 		assert.Assert(t, store.lists <= 20*10, "%d listings", store.lists)
 	})
 }
+
+// Guards against listings that fill a slow link: 300 kB at 250 kB/s took the whole of it while watches returned
+// no events or failed, so that calls to executors exceeded their time limits.
+func TestListingsTakeABoundedShareOfTheLink(t *testing.T) {
+	for name, result := range map[string]error{"no events": nil, "failing": errors.New("no response")} {
+		synctest.Test(t, func(t *testing.T) {
+			store := &scriptedStore{items: largeItems(), listingTime: 1200 * time.Millisecond, watch: func(_ int, wait time.Duration) (kv.Events, error) {
+				time.Sleep(wait)
+				return kv.Events{}, result
+			}}
+			runFollower(t, store, Follower{Wait: 400 * time.Millisecond, Link: 250_000}, time.Minute)
+			assert.Assert(t, store.lists >= 10, "%s: %d listings", name, store.lists)
+			assert.Assert(t, store.lists <= 13, "%s: %d listings", name, store.lists)
+			assert.Assert(t, store.watches > 60, "%s: %d watches", name, store.watches)
+		})
+	}
+}
+
+// largeItems returns items of which a listing has about 300 kB.
+func largeItems() []kv.Item {
+	items := make([]kv.Item, 200)
+	for i := range items {
+		items[i] = kv.Item{Key: "key", Value: make([]byte, 1000)}
+	}
+	return items
+}
+
+// Guards against changes that are lost between two listings: a watch that failed or returned no events is
+// followed by one from the same revision, and compaction by a listing at once.
+func TestWatchesGoOnWhereTheLastOneEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{items: largeItems()}
+		store.watch = func(number int, wait time.Duration) (kv.Events, error) {
+			time.Sleep(wait)
+			switch number {
+			case 1:
+				return kv.Events{Events: []kv.Event{{}}, AsOf: 9}, nil
+			case 2:
+				return kv.Events{}, errors.New("no response")
+			case 3:
+				return kv.Events{AsOf: 11}, nil
+			case 4:
+				return kv.Events{Events: []kv.Event{{}}, AsOf: 12}, nil
+			case 5:
+				return kv.Events{}, kv.ErrCompacted
+			}
+			return kv.Events{}, nil
+		}
+		changes := runFollower(t, store, Follower{Wait: 400 * time.Millisecond, Link: 250_000}, 4*time.Second)
+		assert.DeepEqual(t, store.after[:6], []kv.Revision{1, 9, 9, 9, 12, 2})
+		assert.Equal(t, len(changes), 4)
+		assert.Assert(t, changes[3].Reset)
+	})
+}
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -33,6 +33,7 @@
 	"github.com/tarragonreach/tarragonreach/platform/machines"
 	"github.com/tarragonreach/tarragonreach/platform/nodefile"
 	"github.com/tarragonreach/tarragonreach/policy/fleetplan"
+	"github.com/tarragonreach/tarragonreach/policy/linkshare"
 	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
@@ -257,6 +258,7 @@
 		RejectLate: h.options.RejectLate,
 		Config:     h.config.Current,
 		Cores:      h.node.Cores,
+		Link:       linkshare.Rate(h.node.LinkRate),
 		Logger:     h.logger,
 		Scope:      h.metrics.Scope.SubScope("owner").Tagged(map[string]string{"service": string(service)}),
 	}
@@ -284,6 +286,7 @@
 		HolderGap:   h.node.HolderGap,
 		RejectLate:  h.options.RejectLate,
 		RetainFinal: h.node.RetainFinal,
+		Link:        linkshare.Rate(h.node.LinkRate),
 		Store:       h.store,
 		Machines:    h.machinesClient(),
 		Config:      h.config.Current,
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -18,6 +18,7 @@
 	"github.com/tarragonreach/tarragonreach/entry/follow"
 	"github.com/tarragonreach/tarragonreach/platform/advice"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/policy/linkshare"
 	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
@@ -67,8 +68,10 @@
 	// would start too late.
 	RejectLate bool
 	Cores      float64 // CPU capacity of the instance in cores; zero if unknown
-	Logger     *slog.Logger
-	Scope      tally.Scope
+	// Link is the rate of the instance's network link.
+	Link   linkshare.Rate
+	Logger *slog.Logger
+	Scope  tally.Scope
 }
 
 const (
@@ -169,14 +172,14 @@
 // follow applies changes of executors and jobs in the background.
 func (o *Owner) follow(ctx context.Context) {
 	executors := newExecutorList(o.Service, o.Logger)
-	f := follow.Follower{Store: o.Store, Prefix: executorPrefix, Pause: executorsPause, Logger: o.Logger, Apply: func(c follow.Change) {
+	f := follow.Follower{Store: o.Store, Prefix: executorPrefix, Pause: executorsPause, Link: o.Link, Logger: o.Logger, Apply: func(c follow.Change) {
 		if executors.apply(c) {
 			list := executors.list()
 			o.send(func(now time.Time) { o.shard.SetExecutors(list, now) })
 		}
 	}}
 	go f.Run(ctx)
-	jobs := follow.Follower{Store: o.Store, Prefix: o.shardPrefix(), Pause: jobsPause, Wait: jobsWait, Logger: o.Logger, Apply: func(c follow.Change) {
+	jobs := follow.Follower{Store: o.Store, Prefix: o.shardPrefix(), Pause: jobsPause, Wait: jobsWait, Link: o.Link, Logger: o.Logger, Apply: func(c follow.Change) {
 		o.send(func(now time.Time) {
 			o.shard.NoteObservation(now.Sub(o.delays.lastContact))
 			o.shard.NoteContact(o.delays.lastContact, now)
--- a/entry/owner/quota.go
+++ b/entry/owner/quota.go
@@ -109,7 +109,7 @@
 // term began, so that no write of an earlier owner of this service follows it.
 func (o *Owner) followLedgers(tenants int) {
 	f := follow.Follower{
-		Store: o.Store, Prefix: layout.QuotaPrefix, Pause: ledgerPause, Logger: o.Logger,
+		Store: o.Store, Prefix: layout.QuotaPrefix, Pause: ledgerPause, Link: o.Link, Logger: o.Logger,
 		Wait:  min(maxLedgerWait, max(minLedgerWait, time.Duration(tenants)*ledgerWaitEach)),
 		Apply: func(c follow.Change) { o.send(func(time.Time) { o.applyLedgers(c) }) },
 	}
