Owner: the time limits of calls follow the latency of those that were answered

A call is now abandoned after 600 ms only as long as the others are answered soon. The limit is three times the third quartile of the latencies of the last two seconds, at most 2.5 s (beyond the wait of a poll), and is decided again when it is reached: while a queue builds up, the calls that were answered show how long it is. One executor that is dead, or a connection that is half-open, does not raise it, and where no call is answered it stays at 600 ms.

--- a/entry/owner/calls.go
+++ b/entry/owner/calls.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/policy/calllimit"
 )
 
 // callOutcome tells how a call to an executor ended. It is a tag of metrics.
@@ -29,13 +31,68 @@
 		return callAnswered
 	case kv.NotRun(err):
 		return callNotSent
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(context.Cause(ctx), errOverdue):
 		return callTimedOut
 	default:
 		return callFailed
 	}
 }
 
+// callBounds are the limits of the time that a call to an executor takes beyond the wait of a poll. A poll that
+// takes the longest time still leaves time for another one before the leases that it renews expire.
+var callBounds = calllimit.Bounds{Base: 600 * time.Millisecond, Max: 2500 * time.Millisecond}
+
+// errOverdue is the cause of the end of a call that has exceeded its time limit.
+var errOverdue = errors.New("the call exceeded its time limit")
+
+// callLimits limits the time of an owner's calls to its executors. It is safe for concurrent use.
+type callLimits struct {
+	mu     sync.Mutex
+	limits calllimit.Limits
+}
+
+// record adds the time of a call that was answered. What a poll takes is known only if it has waited as long as
+// it may: otherwise a completion has ended its wait at an unknown time.
+func (l *callLimits) record(r callResult, now time.Time) {
+	if r.outcome != callAnswered || r.took < r.wait {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limits.Record(r.took-r.wait, now)
+}
+
+func (l *callLimits) limit(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limits.Limit(callBounds, now)
+}
+
+// context returns a context for a call that is sent now and may wait at the executor. It ends with the cause
+// errOverdue once the call exceeds its limit, which may have grown by then.
+func (l *callLimits) context(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	go func() {
+		sentAt := time.Now()
+		timer := time.NewTimer(wait + callBounds.Base)
+		defer timer.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case now := <-timer.C:
+				remaining := wait + l.limit(now) - now.Sub(sentAt)
+				if remaining <= 0 {
+					cancel(errOverdue)
+					return
+				}
+				timer.Reset(remaining)
+			}
+		}
+	}()
+	return ctx, func() { cancel(nil) }
+}
+
 // callKindPoll is the kind of polls in logs and metrics, beside the names of the kinds of commands.
 const callKindPoll = "poll"
 
--- a/entry/owner/calls_test.go
+++ b/entry/owner/calls_test.go
@@ -52,8 +52,8 @@
 }
 
 func TestOutcomeOfACallThatExceedsItsLimit(t *testing.T) {
-	ctx, cancel := context.WithTimeout(t.Context(), 0)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cancel(errOverdue)
 	assert.Equal(t, callOutcomeOf(ctx, ctx.Err()), callTimedOut)
 	assert.Equal(t, callOutcomeOf(t.Context(), context.Canceled), callFailed)
 	assert.Equal(t, callOutcomeOf(ctx, nil), callAnswered)
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -82,10 +82,6 @@
 	jobsPause = 10 * time.Millisecond
 	// jobsWait bounds how long a submission goes unnoticed if watches deliver no events.
 	jobsWait = 400 * time.Millisecond
-	// commandTimeout bounds one command to an executor.
-	commandTimeout = 600 * time.Millisecond
-	// pollSlack is how long after its wait time a poll may still get a response.
-	pollSlack = 600 * time.Millisecond
 	// eventQueueSize is how many events may wait for the loop.
 	eventQueueSize = 256
 )
@@ -112,6 +108,7 @@
 	renewalCheckedAt time.Time // when renewalAllowed was last checked
 
 	delays         delays
+	callLimits     callLimits
 	callStatistics callStatistics
 	ledgers        ledgers
 	// reportedTenants holds the tenants of the last report.
@@ -382,7 +379,7 @@
 func (o *Owner) sendCommand(command shard.Command) {
 	client := o.client(command.Executor)
 	go func() {
-		ctx, cancel := context.WithTimeout(o.ctx, commandTimeout)
+		ctx, cancel := o.callLimits.context(o.ctx, 0)
 		defer cancel()
 		sentAt := time.Now()
 		reply, err := callExecutor(ctx, client, command)
@@ -390,6 +387,7 @@
 		result := callResult{
 			executor: command.Executor.ID, kind: command.Kind.String(), outcome: callOutcomeOf(ctx, err), took: respondedAt.Sub(sentAt),
 		}
+		o.callLimits.record(result, respondedAt)
 		if err != nil {
 			client.Close() // the connection may be half-open
 		}
@@ -452,7 +450,7 @@
 func (o *Owner) poll(poll shard.Poll) {
 	client := o.client(poll.Executor)
 	go func() {
-		ctx, cancel := context.WithTimeout(o.ctx, poll.Request.Wait+pollSlack)
+		ctx, cancel := o.callLimits.context(o.ctx, poll.Request.Wait)
 		defer cancel()
 		sentAt := time.Now()
 		response, err := client.Poll(ctx, poll.Request)
@@ -461,6 +459,7 @@
 			executor: poll.Executor.ID, kind: callKindPoll, outcome: callOutcomeOf(ctx, err),
 			took: respondedAt.Sub(sentAt), wait: poll.Request.Wait,
 		}
+		o.callLimits.record(result, respondedAt)
 		if err != nil {
 			client.Close() // the connection may be half-open
 		}
--- /dev/null
+++ b/policy/calllimit/calllimit_test.go
@@ -0,0 +1,54 @@
+package calllimit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var bounds = Bounds{Base: 600 * time.Millisecond, Max: 2500 * time.Millisecond}
+
+func TestLimitFollowsTheLatency(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		latencies func(i int) time.Duration
+		n         int
+		age       time.Duration
+		want      time.Duration
+	}{
+		"no samples":                     {want: bounds.Base},
+		"good link":                      {n: 400, latencies: func(int) time.Duration { return 30 * time.Millisecond }, want: bounds.Base},
+		"a fifth of the servers is slow": {n: 400, latencies: func(i int) time.Duration { return time.Duration(20+i%5/4*500) * time.Millisecond }, want: bounds.Base},
+		"all calls are late":             {n: 400, latencies: func(int) time.Duration { return 400 * time.Millisecond }, want: 1200 * time.Millisecond},
+		"bounded":                        {n: 400, latencies: func(int) time.Duration { return 2 * time.Second }, want: bounds.Max},
+		"samples are old":                {n: 400, latencies: func(int) time.Duration { return 400 * time.Millisecond }, age: 3 * time.Second, want: bounds.Base},
+		"few samples":                    {n: minSamples - 1, latencies: func(int) time.Duration { return 400 * time.Millisecond }, want: bounds.Base},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var l Limits
+			for i := range c.n {
+				l.Record(c.latencies(i), begin)
+			}
+			assert.Equal(t, l.Limit(bounds, begin.Add(c.age)), c.want)
+		})
+	}
+}
+
+// Calls are sent at once over a link that carries one after the other: none of them may exceed its limit while
+// others are answered, be they as many as the highest limit allows.
+func TestQueueThatBuildsUpExceedsNoLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sent := time.Unix(1000, 0)
+		each := time.Duration(rapid.IntRange(1, 50).Draw(t, "ms each")) * time.Millisecond
+		var l Limits
+		for waited := each; waited < bounds.Max; waited += each {
+			now := sent.Add(waited)
+			if limit := l.Limit(bounds, now); waited > limit {
+				t.Fatalf("a call is abandoned after %s: limit %s", waited, limit)
+			}
+			l.Record(waited, now)
+		}
+	})
+}
