--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -13,11 +13,13 @@
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/api/execution"
+	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/api/job"
 	"github.com/tarragonreach/tarragonreach/entry/election"
 	"github.com/tarragonreach/tarragonreach/entry/follow"
 	"github.com/tarragonreach/tarragonreach/platform/advice"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/policy/handover"
 	"github.com/tarragonreach/tarragonreach/policy/linkshare"
 	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
@@ -69,9 +71,12 @@
 	RejectLate bool
 	Cores      float64 // CPU capacity of the instance in cores; zero if unknown
 	// Link is the rate of the instance's network link.
-	Link   linkshare.Rate
-	Logger *slog.Logger
-	Scope  tally.Scope
+	Link linkshare.Rate
+	// Successor returns an instance that could lead the service with more CPU capacity, if the term may be handed
+	// over; nil if duties are never handed over.
+	Successor func(election.Term) (fleet.InstanceID, bool)
+	Logger    *slog.Logger
+	Scope     tally.Scope
 }
 
 const (
@@ -113,7 +118,9 @@
 	delays         delays
 	callLimits     callLimits
 	callStatistics callStatistics
-	ledgers        ledgers
+	// overload detects that the owner has to hand over its duty.
+	overload handover.Detector
+	ledgers  ledgers
 	// reportedTenants holds the tenants of the last report.
 	reportedTenants map[cluster.TenantName]bool
 	// machineList is the state of the requests for the machine list.
