Layout: progress and load are stored compressed

By a breakdown of the bytes by path (a trial), the owner of the busiest service sent 89 kB/s of transactions, of which 60 were progress and 23 load in base64, beside 45 of starts and 18 of polls; the fleet's holder received 66 kB/s of loads.

Both are rewritten with each change and consist of names that recur. Values from 512 bytes on are compressed with compress/flate at its fastest level and marked by a first byte that no JSON text has; plain values are read as before. Jobs' records and states keep their form.

--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -242,10 +242,14 @@
 	}
 }
 
-// Decode reads a value that Encode wrote.
+// Decode reads a value that Encode or EncodeCompressed wrote.
 func Decode[T any](key string, value []byte) (T, error) {
 	var v T
-	if err := json.Unmarshal(value, &v); err != nil {
+	text, err := decompress(value)
+	if err != nil {
+		return v, fmt.Errorf("entry %s: %w", key, err)
+	}
+	if err := json.Unmarshal(text, &v); err != nil {
 		return v, fmt.Errorf("entry %s: %w", key, err)
 	}
 	return v, nil
@@ -289,3 +293,13 @@
 	}
 	return data, nil
 }
+
+// EncodeCompressed is like Encode for values that are written often: their stored form is compressed if they
+// are long. Decode reads both forms.
+func EncodeCompressed(v any) ([]byte, error) {
+	text, err := Encode(v)
+	if err != nil {
+		return nil, err
+	}
+	return compress(text), nil
+}
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -120,7 +120,7 @@
 		txn.Puts = append(txn.Puts, kv.Put{Key: layout.WaitingKey(o.Service), Value: value})
 	}
 	if b.Load != nil {
-		value, err := layout.Encode(b.Load)
+		value, err := layout.EncodeCompressed(b.Load)
 		if err != nil {
 			return kv.Txn{}, err
 		}
@@ -148,7 +148,7 @@
 		}
 	}
 	if w.Progress != nil {
-		value, err := layout.Encode(w.Progress)
+		value, err := layout.EncodeCompressed(w.Progress)
 		if err != nil {
 			return err
 		}
