Follow: a takeover lists its shard once, and listings take a bounded part of the link

Later, each watch without events for 0.4 s was followed by another listing of everything, however long the last one had taken. On a link that a listing occupies for seconds, all other responses wait behind it.

The owner now follows the changes from the revision of the listings that it has applied at its takeover. A listing after a watch without events waits until eight times the duration of the last one have passed, 10 s at most. The last contact with the store still counts from each watch that succeeds.

--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -28,13 +28,19 @@
 	// minEmptyWatch is the shortest time after which a watch without events has waited for some. It bounds
 	// the rate of the listings that follow them.
 	minEmptyWatch = 100 * time.Millisecond
+	// listingPauseFactor is the minimum time between the end of a listing and the next one that follows a watch
+	// without events, as a multiple of the time that the listing took. A prefix with many items may take seconds
+	// of the instance's link.
+	listingPauseFactor = 8
+	// maxListingPause bounds that time, and thus how long a change that watches miss goes unnoticed.
+	maxListingPause = 10 * time.Second
 )
 
 // retry spaces calls to a store that fails.
 var retry = backoff.Policy{Base: 100 * time.Millisecond, Cap: 400 * time.Millisecond}
 
 // Change is a set of changes under a prefix. With Reset, Events holds all current items, and
-// items missing from it have been removed.
+// items missing from it have been removed. A change without events says that the store has responded.
 type Change struct {
 	Reset  bool
 	Events []kv.Event
@@ -49,10 +55,36 @@
 	return Change{Reset: true, Events: events}
 }
 
+// Snapshot is what is known of a listing.
+type Snapshot struct {
+	AsOf kv.Revision
+	// ListedAt is when the listing was received, and Took the time that it took.
+	ListedAt time.Time
+	Took     time.Duration
+}
+
+// List returns all items under a prefix.
+func List(ctx context.Context, store Store, prefix string) ([]kv.Item, Snapshot, error) {
+	began := time.Now()
+	items, asOf, err := store.All(ctx, prefix, kv.Linearizable)
+	if err != nil {
+		return nil, Snapshot{}, err
+	}
+	now := time.Now()
+	return items, Snapshot{AsOf: asOf, ListedAt: now, Took: now.Sub(began)}, nil
+}
+
+// due reports whether the prefix may be listed again after a watch without events.
+func (s Snapshot) due(now time.Time) bool {
+	return now.Sub(s.ListedAt) >= min(listingPauseFactor*s.Took, maxListingPause)
+}
+
 // Follower follows one prefix.
 type Follower struct {
 	Store  Store
 	Prefix string
+	// From is a listing that the caller has applied already; the zero value begins with a listing.
+	From Snapshot
 	// Pause is the time between two watches, in which frequent changes accumulate.
 	Pause time.Duration
 	// Wait bounds one watch, and thus how long changes go unnoticed if watches deliver no
@@ -66,17 +98,20 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	failures, failedWatches := 0, 0
+	if f.From.AsOf > 0 {
+		f.watch(ctx, f.From)
+	}
 	for ctx.Err() == nil {
-		after, err := f.list(ctx)
+		listed, err := f.list(ctx)
 		if err != nil {
 			failures = f.backOff(ctx, failures, err)
 			continue
 		}
 		if failures > 0 {
-			f.Logger.Info("store responds again", "prefix", f.Prefix, "revision", int64(after), "failures", failures)
+			f.Logger.Info("store responds again", "prefix", f.Prefix, "revision", int64(listed.AsOf), "failures", failures)
 		}
 		failures = 0
-		if f.watch(ctx, after) {
+		if f.watch(ctx, listed) {
 			failedWatches = 0
 			continue
 		}
@@ -94,20 +129,21 @@
 	return failures
 }
 
-func (f *Follower) list(ctx context.Context) (kv.Revision, error) {
-	items, asOf, err := f.Store.All(ctx, f.Prefix, kv.Linearizable)
+func (f *Follower) list(ctx context.Context) (Snapshot, error) {
+	items, listed, err := List(ctx, f.Store, f.Prefix)
 	if err != nil {
-		return 0, err
+		return Snapshot{}, err
 	}
 	f.Apply(Listing(items))
-	return asOf, nil
+	return listed, nil
 }
 
-// watch applies changes until the history is compacted, a watch fails or returns no events,
-// or ctx ends. A watch may miss changes, so one without events is followed by a new
-// listing. It reports whether any watch succeeded. One that returns no events within minEmptyWatch did
+// watch applies changes after a listing until the history is compacted, a watch fails or returns no events,
+// or ctx ends. A watch may miss changes, so one without events is followed by a new listing, as soon as the time
+// that the last one took allows it. It reports whether any watch succeeded. One that returns no events within minEmptyWatch did
 // not wait for any, and does not count.
-func (f *Follower) watch(ctx context.Context, after kv.Revision) (succeeded bool) {
+func (f *Follower) watch(ctx context.Context, listed Snapshot) (succeeded bool) {
+	after := listed.AsOf
 	for ctx.Err() == nil {
 		sent := time.Now()
 		events, err := f.watchOnce(ctx, after)
@@ -120,8 +156,13 @@
 			return succeeded
 		case err != nil:
 			return succeeded
-		case len(events.Events) == 0:
+		case len(events.Events) == 0 && listed.due(time.Now()):
 			return succeeded || time.Since(sent) >= minEmptyWatch
+		case len(events.Events) == 0:
+			succeeded = succeeded || time.Since(sent) >= minEmptyWatch
+			f.Apply(Change{})
+			_ = backoff.Sleep(ctx, minEmptyWatch-time.Since(sent)) // the loop checks ctx
+			continue
 		}
 		succeeded = true
 		after = max(after, events.AsOf)
--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -131,3 +131,50 @@
 		assert.Assert(t, store.lists <= 20*10, "%d listings", store.lists)
 	})
 }
+
+// Guards against an owner on a slow link that lists hundreds of waiting jobs all the time: the responses that it
+// waits for queue behind the listings.
+func TestLongListingsTakeMostOfTheLink(t *testing.T) {
+	for _, listingTime := range []time.Duration{50 * time.Millisecond, 3 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			store := &scriptedStore{listingTime: listingTime, watch: func(_ int, wait time.Duration) (kv.Events, error) {
+				time.Sleep(wait)
+				return kv.Events{}, nil
+			}}
+			changes := runFollower(t, store, Follower{Wait: 400 * time.Millisecond}, time.Minute)
+			share := float64(store.lists) * listingTime.Seconds() / 60
+			assert.Assert(t, share <= 0.3, "listings take %.2f of the time", share)
+			assert.Assert(t, store.lists >= 5, "changes that watches miss go unnoticed: %d listings", store.lists)
+			assert.Assert(t, len(changes) > 100, "contacts with the store go unnoticed")
+		})
+	}
+}
+
+// Guards against a second listing right after the one that the caller has read at its takeover.
+func TestAppliedListingIsReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{listingTime: 3 * time.Second, watch: func(number int, wait time.Duration) (kv.Events, error) {
+			if number == 1 {
+				return kv.Events{Events: []kv.Event{{}}, AsOf: 9}, nil
+			}
+			time.Sleep(wait)
+			return kv.Events{}, nil
+		}}
+		from := Snapshot{AsOf: 7, ListedAt: time.Now(), Took: 3 * time.Second}
+		changes := runFollower(t, store, Follower{From: from, Wait: 400 * time.Millisecond}, 9*time.Second)
+		assert.Equal(t, store.lists, 0)
+		assert.Equal(t, len(changes[0].Events), 1)
+		assert.Assert(t, !changes[0].Reset)
+	})
+}
+
+// Guards against a busy loop while a new listing is not due.
+func TestWatchesThatDoNotWaitRepeatWithoutPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{listingTime: 3 * time.Second, watch: func(int, time.Duration) (kv.Events, error) {
+			return kv.Events{}, nil
+		}}
+		runFollower(t, store, Follower{}, 20*time.Second)
+		assert.Assert(t, store.watches <= 20*10, "%d watches", store.watches)
+	})
+}
--- a/entry/owner/load.go
+++ b/entry/owner/load.go
@@ -28,6 +28,7 @@
 	progress  storedProgress
 	items     []kv.Item
 	executors []kv.Item
+	listed    listings
 	config    *cluster.Config // if it limits tenants; nil otherwise, and then there are no ledgers
 	ledgers   []kv.Item
 }
@@ -44,8 +45,8 @@
 	var reads sync.WaitGroup
 	reads.Go(func() { s.marker, s.lastWrite, errs[0] = o.readLastWrite(ctx) })
 	reads.Go(func() { s.progress, errs[1] = o.readProgress(ctx) })
-	reads.Go(func() { s.items, _, errs[2] = o.Store.All(ctx, o.shardPrefix(), kv.Linearizable) })
-	reads.Go(func() { s.executors, _, errs[3] = o.Store.All(ctx, executorPrefix, kv.Linearizable) })
+	reads.Go(func() { s.items, s.listed.jobs, errs[2] = follow.List(ctx, o.Store, o.shardPrefix()) })
+	reads.Go(func() { s.executors, s.listed.executors, errs[3] = follow.List(ctx, o.Store, executorPrefix) })
 	if s.config != nil {
 		reads.Go(func() { s.ledgers, _, errs[4] = o.Store.All(ctx, layout.QuotaPrefix, kv.Linearizable) })
 	}
@@ -63,6 +64,7 @@
 	if err != nil {
 		return err
 	}
+	o.listed = s.listed
 	o.writes.revision = s.lastWrite
 	o.shard.RestoreUnreached(s.marker.Unreached, o.term.Began)
 	o.loadExecutors(s.executors)
@@ -76,10 +78,14 @@
 	return nil
 }
 
+// listings describes the listings that an owner reads at its takeover. It follows their changes without
+// a second listing, which would take seconds again on a slow link if many jobs wait.
+type listings struct{ executors, jobs follow.Snapshot }
+
 func (o *Owner) loadExecutors(items []kv.Item) {
-	list := newExecutorList(o.Service, o.Logger)
-	list.apply(follow.Listing(items))
-	o.shard.SetExecutors(list.list(), time.Now())
+	o.executors = newExecutorList(o.Service, o.Logger)
+	o.executors.apply(follow.Listing(items))
+	o.shard.SetExecutors(o.executors.list(), time.Now())
 }
 
 // storedProgress is the progress of a service's jobs that an earlier owner stored.
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -101,13 +101,16 @@
 // Owner leads one service during one term.
 type Owner struct {
 	Options
-	term     election.Term
-	shard    *shard.Shard
-	writes   writeSequence
-	clients  map[cluster.ExecutorID]executorClient
-	events   chan event
-	ctx      context.Context
-	stepDown context.CancelFunc
+	term    election.Term
+	shard   *shard.Shard
+	writes  writeSequence
+	clients map[cluster.ExecutorID]executorClient
+	// listed and executors are what was read at the takeover; executors belongs to its follower afterwards.
+	listed    listings
+	executors *executorList
+	events    chan event
+	ctx       context.Context
+	stepDown  context.CancelFunc
 
 	writing          bool
 	nextBatch        time.Time // earliest time of the next batch
@@ -173,17 +176,17 @@
 	}
 }
 
-// follow applies changes of executors and jobs in the background.
+// follow applies changes of executors and jobs since the takeover in the background.
 func (o *Owner) follow(ctx context.Context) {
-	executors := newExecutorList(o.Service, o.Logger)
-	f := follow.Follower{Store: o.Store, Prefix: executorPrefix, Pause: executorsPause, Logger: o.Logger, Apply: func(c follow.Change) {
+	executors := o.executors
+	f := follow.Follower{Store: o.Store, Prefix: executorPrefix, From: o.listed.executors, Pause: executorsPause, Logger: o.Logger, Apply: func(c follow.Change) {
 		if executors.apply(c) {
 			list := executors.list()
 			o.send(func(now time.Time) { o.shard.SetExecutors(list, now) })
 		}
 	}}
 	go f.Run(ctx)
-	jobs := follow.Follower{Store: o.Store, Prefix: o.shardPrefix(), Pause: jobsPause, Wait: jobsWait, Logger: o.Logger, Apply: func(c follow.Change) {
+	jobs := follow.Follower{Store: o.Store, Prefix: o.shardPrefix(), From: o.listed.jobs, Pause: jobsPause, Wait: jobsWait, Logger: o.Logger, Apply: func(c follow.Change) {
 		o.send(func(now time.Time) {
 			o.shard.NoteObservation(now.Sub(o.delays.lastContact))
 			o.shard.NoteContact(o.delays.lastContact, now)
