--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -4,14 +4,12 @@
 
 import (
 	"context"
-	"encoding/base64"
 	"errors"
 	"log/slog"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
-	"github.com/tarragonreach/tarragonreach/policy/linkshare"
 )
 
 // Store is the part of the store that a follower reads.
@@ -30,22 +28,19 @@
 	// minEmptyWatch is the shortest time after which a watch without events has waited for some. It bounds
 	// the rate of the listings that follow them.
 	minEmptyWatch = 100 * time.Millisecond
-	// listingShare is the share of the link's rate that listings after watches without events, or after
-	// watches that failed, may take: over a slow link, they would delay what the instance is there for, and
-	// calls that exceed their time limits for that would make further watches fail.
-	listingShare = 0.1
-	// maxListingInterval bounds the time between two of these listings, and thus how long changes go unnoticed
-	// if watches deliver no events.
-	maxListingInterval = 5 * time.Second
-	// itemOverhead is about what the response to a listing holds for an item besides key and value, in bytes.
-	itemOverhead = 70
+	// listingPauseFactor is the minimum time between the end of a listing and the next one that follows a watch
+	// that failed or returned no events, as a multiple of the time that the listing took. A prefix with many items may take seconds
+	// of the instance's link.
+	listingPauseFactor = 8
+	// maxListingPause bounds that time, and thus how long a change that watches miss goes unnoticed.
+	maxListingPause = 10 * time.Second
 )
 
 // retry spaces calls to a store that fails.
 var retry = backoff.Policy{Base: 100 * time.Millisecond, Cap: 400 * time.Millisecond}
 
 // Change is a set of changes under a prefix. With Reset, Events holds all current items, and
-// items missing from it have been removed.
+// items missing from it have been removed. A change without events says that the store has responded.
 type Change struct {
 	Reset  bool
 	Events []kv.Event
@@ -60,40 +55,63 @@
 	return Change{Reset: true, Events: events}
 }
 
+// Snapshot is what is known of a listing.
+type Snapshot struct {
+	AsOf kv.Revision
+	// ListedAt is when the listing was received, and Took the time that it took.
+	ListedAt time.Time
+	Took     time.Duration
+}
+
+// List returns all items under a prefix.
+func List(ctx context.Context, store Store, prefix string) ([]kv.Item, Snapshot, error) {
+	began := time.Now()
+	items, asOf, err := store.All(ctx, prefix, kv.Linearizable)
+	if err != nil {
+		return nil, Snapshot{}, err
+	}
+	now := time.Now()
+	return items, Snapshot{AsOf: asOf, ListedAt: now, Took: now.Sub(began)}, nil
+}
+
+// due reports whether the prefix may be listed again after a watch that failed or returned no events.
+func (s Snapshot) due(now time.Time) bool {
+	return now.Sub(s.ListedAt) >= min(listingPauseFactor*s.Took, maxListingPause)
+}
+
 // Follower follows one prefix.
 type Follower struct {
 	Store  Store
 	Prefix string
+	// From is a listing that the caller has applied already; the zero value begins with a listing.
+	From Snapshot
 	// Pause is the time between two watches, in which frequent changes accumulate.
 	Pause time.Duration
 	// Wait bounds one watch, and thus how long changes go unnoticed if watches deliver no
 	// events; zero means the default, 1 s.
 	Wait time.Duration
-	// Link is the rate of the instance's link. Listings that repeat what watches may have missed are made
-	// later than Wait says where they would take more than a tenth of it.
-	Link linkshare.Rate
 	// Apply applies each change, in order. It is not called concurrently.
 	Apply  func(Change)
 	Logger *slog.Logger
-
-	listedAt time.Time     // when the last listing was requested
-	relistIn time.Duration // minimum time from then to one that repeats what watches may have missed
 }
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	failures, failedWatches := 0, 0
+	if f.From.AsOf > 0 {
+		f.watch(ctx, f.From)
+	}
 	for ctx.Err() == nil {
-		after, err := f.list(ctx)
+		listed, err := f.list(ctx)
 		if err != nil {
 			failures = f.backOff(ctx, failures, err)
 			continue
 		}
 		if failures > 0 {
-			f.Logger.Info("store responds again", "prefix", f.Prefix, "revision", int64(after), "failures", failures)
+			f.Logger.Info("store responds again", "prefix", f.Prefix, "revision", int64(listed.AsOf), "failures", failures)
 		}
 		failures = 0
-		if f.watch(ctx, after) {
+		if f.watch(ctx, listed) {
 			failedWatches = 0
 			continue
 		}
@@ -111,78 +129,65 @@
 	return failures
 }
 
-func (f *Follower) list(ctx context.Context) (kv.Revision, error) {
-	requestedAt := time.Now()
-	items, asOf, err := f.Store.All(ctx, f.Prefix, kv.Linearizable)
+func (f *Follower) list(ctx context.Context) (Snapshot, error) {
+	items, listed, err := List(ctx, f.Store, f.Prefix)
 	if err != nil {
-		return 0, err
+		return Snapshot{}, err
 	}
-	f.listedAt = requestedAt
-	f.relistIn = min(maxListingInterval, f.Link.Interval(listingBytes(items), listingShare))
 	f.Apply(Listing(items))
-	return asOf, nil
+	return listed, nil
 }
 
-// listingBytes returns about how long the response to a listing is, with values in base64.
-func listingBytes(items []kv.Item) int {
-	bytes := 0
-	for _, item := range items {
-		bytes += len(item.Key) + base64.StdEncoding.EncodedLen(len(item.Value)) + itemOverhead
-	}
-	return bytes
-}
-
-// relistDue reports whether a listing that repeats what watches may have missed is due.
-func (f *Follower) relistDue() bool { return time.Since(f.listedAt) >= f.relistIn }
-
-// watch applies changes until the history is compacted, a listing is due after a watch that failed or
-// returned no events, or ctx ends. A watch may miss changes, so one without events is followed by a new
-// listing. Until that is due, watches go on from the same revision, by which the store returns all changes
-// since. It reports whether any watch succeeded. One that returns no events within minEmptyWatch did
-// not wait for any, and does not count.
-func (f *Follower) watch(ctx context.Context, after kv.Revision) (succeeded bool) {
+// watch applies changes after a listing until the history is compacted, a new listing is due after a watch that
+// failed or returned no events, or ctx ends. A watch may miss changes, so one without events is followed by a new
+// listing, as soon as the time that the last one took allows it. Until then watches go on from the same revision, by
+// which the store returns all changes since. It reports whether any watch succeeded. One that returns no events
+// within minEmptyWatch did not wait for any, and does not count.
+func (f *Follower) watch(ctx context.Context, listed Snapshot) (succeeded bool) {
+	after := listed.AsOf
 	failures := 0 // in a row
 	for ctx.Err() == nil {
 		sent := time.Now()
 		events, err := f.watchOnce(ctx, after)
 		useful := err == nil && (len(events.Events) > 0 || time.Since(sent) >= minEmptyWatch)
 		succeeded = succeeded || useful
-		if f.endsWatch(ctx, after, events, err) {
+		if f.listingFollows(ctx, listed, events, err) {
 			return succeeded
 		}
-		if !useful {
+		if err == nil {
+			f.Apply(Change{Events: events.Events})
+		}
+		switch {
+		case !useful:
 			failures++
 			_ = backoff.Sleep(ctx, retry.Delay(failures, backoff.NewRandom())) // the loop checks ctx
-			continue
+		case len(events.Events) == 0:
+			failures = 0
+		default:
+			failures = 0
+			after = max(after, events.AsOf)
+			_ = backoff.Sleep(ctx, f.Pause) // the loop checks ctx
 		}
-		failures = 0
-		if len(events.Events) == 0 {
-			continue
-		}
-		after = max(after, events.AsOf)
-		f.Apply(Change{Events: events.Events})
-		_ = backoff.Sleep(ctx, f.Pause) // the loop checks ctx
 	}
 	return succeeded
 }
 
-// endsWatch reports whether the result of a watch is to be followed by a listing, or ctx has ended, and logs
+// listingFollows reports whether the result of a watch is followed by a listing, or ctx has ended, and logs
 // failures.
-func (f *Follower) endsWatch(ctx context.Context, after kv.Revision, events kv.Events, err error) bool {
+func (f *Follower) listingFollows(ctx context.Context, listed Snapshot, events kv.Events, err error) bool {
+	due := listed.due(time.Now())
 	switch {
 	case errors.Is(err, kv.ErrCompacted):
-		f.Logger.Info("history of the store is compacted; listing again", "prefix", f.Prefix, "revision", int64(after))
+		f.Logger.Info("history of the store is compacted; listing again", "prefix", f.Prefix)
 		return true
 	case err != nil && ctx.Err() != nil:
 		return true
-	case err != nil && f.relistDue():
-		f.Logger.Warn("watch failed; listing again", "prefix", f.Prefix, "revision", int64(after), "error", err)
-		return true
 	case err != nil:
-		f.Logger.Warn("watch failed; watching again", "prefix", f.Prefix, "revision", int64(after), "error", err)
-		return false
+		f.Logger.Warn("watch failed", "prefix", f.Prefix, "listing_again", due, "error", err)
+		return due
+	default:
+		return len(events.Events) == 0 && due
 	}
-	return len(events.Events) == 0 && f.relistDue()
 }
 
 func (f *Follower) watchOnce(ctx context.Context, after kv.Revision) (kv.Events, error) {
--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -134,37 +134,61 @@
 	})
 }
 
-// Guards against listings that fill a slow link: 300 kB at 250 kB/s took the whole of it while watches returned
-// no events or failed, so that calls to executors exceeded their time limits.
-func TestListingsTakeABoundedShareOfTheLink(t *testing.T) {
-	for name, result := range map[string]error{"no events": nil, "failing": errors.New("no response")} {
-		synctest.Test(t, func(t *testing.T) {
-			store := &scriptedStore{items: largeItems(), listingTime: 1200 * time.Millisecond, watch: func(_ int, wait time.Duration) (kv.Events, error) {
-				time.Sleep(wait)
-				return kv.Events{}, result
-			}}
-			runFollower(t, store, Follower{Wait: 400 * time.Millisecond, Link: 250_000}, time.Minute)
-			assert.Assert(t, store.lists >= 10, "%s: %d listings", name, store.lists)
-			assert.Assert(t, store.lists <= 13, "%s: %d listings", name, store.lists)
-			assert.Assert(t, store.watches > 60, "%s: %d watches", name, store.watches)
-		})
+// Guards against an owner on a slow link that lists hundreds of waiting jobs all the time: the responses that it
+// waits for queue behind the listings.
+func TestLongListingsTakeMostOfTheLink(t *testing.T) {
+	for _, listingTime := range []time.Duration{50 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second} {
+		for name, result := range map[string]error{"no events": nil, "failing": errors.New("no response")} {
+			synctest.Test(t, func(t *testing.T) {
+				store := &scriptedStore{listingTime: listingTime, watch: func(_ int, wait time.Duration) (kv.Events, error) {
+					time.Sleep(wait)
+					return kv.Events{}, result
+				}}
+				changes := runFollower(t, store, Follower{Wait: 400 * time.Millisecond}, time.Minute)
+				share := float64(store.lists) * listingTime.Seconds() / 60
+				assert.Assert(t, share <= 0.3, "%s: listings take %.2f of the time", name, share)
+				assert.Assert(t, store.lists >= 5, "%s: changes that watches miss go unnoticed: %d listings", name, store.lists)
+				assert.Assert(t, store.watches > 40, "%s: %d watches", name, store.watches)
+				assert.Assert(t, result != nil || len(changes) > 100, "contacts with the store go unnoticed")
+			})
+		}
 	}
 }
 
-// largeItems returns items of which a listing has about 300 kB.
-func largeItems() []kv.Item {
-	items := make([]kv.Item, 200)
-	for i := range items {
-		items[i] = kv.Item{Key: "key", Value: make([]byte, 1000)}
-	}
-	return items
+// Guards against a second listing right after the one that the caller has read at its takeover.
+func TestAppliedListingIsReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{listingTime: 3 * time.Second, watch: func(number int, wait time.Duration) (kv.Events, error) {
+			if number == 1 {
+				return kv.Events{Events: []kv.Event{{}}, AsOf: 9}, nil
+			}
+			time.Sleep(wait)
+			return kv.Events{}, nil
+		}}
+		from := Snapshot{AsOf: 7, ListedAt: time.Now(), Took: 3 * time.Second}
+		changes := runFollower(t, store, Follower{From: from, Wait: 400 * time.Millisecond}, 9*time.Second)
+		assert.Equal(t, store.lists, 0)
+		assert.Equal(t, len(changes[0].Events), 1)
+		assert.Assert(t, !changes[0].Reset)
+	})
+}
+
+// Guards against a busy loop while a new listing is not due.
+func TestWatchesThatDoNotWaitRepeatWithoutPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{listingTime: 3 * time.Second, watch: func(int, time.Duration) (kv.Events, error) {
+			return kv.Events{}, nil
+		}}
+		runFollower(t, store, Follower{}, 20*time.Second)
+		assert.Assert(t, store.watches <= 20*10, "%d watches", store.watches)
+	})
 }
 
 // Guards against changes that are lost between two listings: a watch that failed or returned no events is
 // followed by one from the same revision, and compaction by a listing at once.
 func TestWatchesGoOnWhereTheLastOneEnded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &scriptedStore{items: largeItems()}
+		store := &scriptedStore{listingTime: 1200 * time.Millisecond}
 		store.watch = func(number int, wait time.Duration) (kv.Events, error) {
 			time.Sleep(wait)
 			switch number {
@@ -181,9 +205,9 @@
 			}
 			return kv.Events{}, nil
 		}
-		changes := runFollower(t, store, Follower{Wait: 400 * time.Millisecond, Link: 250_000}, 4*time.Second)
+		changes := runFollower(t, store, Follower{Wait: 400 * time.Millisecond}, 5*time.Second)
 		assert.DeepEqual(t, store.after[:6], []kv.Revision{1, 9, 9, 9, 12, 2})
-		assert.Equal(t, len(changes), 4)
-		assert.Assert(t, changes[3].Reset)
+		assert.Equal(t, store.lists, 2)
+		assert.Assert(t, changes[4].Reset)
 	})
 }
