Owner: polls that were sent before a queue built up don't hide it from the limits of calls

The limit of a call followed the latency of all calls of the last two seconds.

Calls that are answered at once and polls that wait are now looked at apart, and only those that were answered since the call was sent, if there are enough of them. The property test of a queue that builds up has such polls now, and idle calls before; it failed before.

--- a/entry/owner/calls.go
+++ b/entry/owner/calls.go
@@ -59,13 +59,13 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.limits.Record(r.took-r.wait, now)
+	l.limits.Record(r.took-r.wait, r.wait, now)
 }
 
-func (l *callLimits) limit(now time.Time) time.Duration {
+func (l *callLimits) limit(sentAt, now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.limits.Limit(callBounds, now)
+	return l.limits.Limit(callBounds, sentAt, now)
 }
 
 // context returns a context for a call that is sent now and may wait at the executor. It ends with the cause
@@ -81,7 +81,7 @@
 			case <-ctx.Done():
 				return
 			case now := <-timer.C:
-				remaining := wait + l.limit(now) - now.Sub(sentAt)
+				remaining := wait + l.limit(sentAt, now) - now.Sub(sentAt)
 				if remaining <= 0 {
 					cancel(errOverdue)
 					return
--- a/policy/calllimit/calllimit.go
+++ b/policy/calllimit/calllimit.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// window is the age up to which samples count.
+	// window is the age up to which samples count for a call since which there are too few.
 	window = 2 * time.Second
 	// maxSamples bounds the samples; the latest ones count.
 	maxSamples = 256
@@ -34,8 +34,27 @@
 
 // Limits holds the latest samples. The zero value has none. It is not safe for concurrent use.
 type Limits struct {
-	samples []sample // a ring
-	next    int
+	// immediate and waiting are the calls that the server answers at once, and those that wait there. The
+	// latter say what sending took when they were sent, which may be long ago, so that the former show a queue
+	// earlier.
+	immediate, waiting ring
+}
+
+// Record adds the latency of a call that was answered now, without its wait at the server, which is zero for a
+// call that was answered at once.
+func (l *Limits) Record(latency, wait time.Duration, now time.Time) {
+	samples := &l.immediate
+	if wait > 0 {
+		samples = &l.waiting
+	}
+	samples.add(sample{at: now, latency: latency})
+}
+
+// Limit returns how long a call may take by now that was sent at the given time. It may grow while the call is in
+// progress.
+func (l *Limits) Limit(b Bounds, sentAt, now time.Time) time.Duration {
+	high := max(l.immediate.high(sentAt, now), l.waiting.high(sentAt, now))
+	return min(max(factor*high, b.Base), b.Max)
 }
 
 type sample struct {
@@ -43,30 +62,41 @@
 	latency time.Duration
 }
 
-// Record adds the latency of a call that was answered now.
-func (l *Limits) Record(latency time.Duration, now time.Time) {
-	s := sample{at: now, latency: latency}
-	if len(l.samples) < maxSamples {
-		l.samples = append(l.samples, s)
+// ring holds the latest samples of one sort.
+type ring struct {
+	samples []sample
+	next    int
+}
+
+func (r *ring) add(s sample) {
+	if len(r.samples) < maxSamples {
+		r.samples = append(r.samples, s)
 		return
 	}
-	l.samples[l.next] = s
-	l.next = (l.next + 1) % maxSamples
+	r.samples[r.next] = s
+	r.next = (r.next + 1) % maxSamples
 }
 
-// Limit returns how long a call may take by now. For a call that is in progress it may have grown since the call
-// was sent.
-func (l *Limits) Limit(b Bounds, now time.Time) time.Duration {
-	latencies := make([]time.Duration, 0, len(l.samples))
-	for _, s := range l.samples {
-		if now.Sub(s.at) <= window {
-			latencies = append(latencies, s.latency)
-		}
+// high returns the quantile of the samples since the given time, or of those within the window if there are
+// too few; zero if these are too few as well.
+func (r *ring) high(since, now time.Time) time.Duration {
+	latencies := r.since(since)
+	if len(latencies) < minSamples {
+		latencies = r.since(now.Add(-window))
 	}
 	if len(latencies) < minSamples {
-		return b.Base
+		return 0
 	}
 	slices.Sort(latencies)
-	high := latencies[int(quantile*float64(len(latencies)-1))]
-	return min(max(factor*high, b.Base), b.Max)
+	return latencies[int(quantile*float64(len(latencies)-1))]
+}
+
+func (r *ring) since(t time.Time) []time.Duration {
+	latencies := make([]time.Duration, 0, len(r.samples))
+	for _, s := range r.samples {
+		if !s.at.Before(t) {
+			latencies = append(latencies, s.latency)
+		}
+	}
+	return latencies
 }
--- a/policy/calllimit/calllimit_test.go
+++ b/policy/calllimit/calllimit_test.go
@@ -29,9 +29,9 @@
 		t.Run(name, func(t *testing.T) {
 			var l Limits
 			for i := range c.n {
-				l.Record(c.latencies(i), begin)
+				l.Record(c.latencies(i), 0, begin)
 			}
-			assert.Equal(t, l.Limit(bounds, begin.Add(c.age)), c.want)
+			assert.Equal(t, l.Limit(bounds, begin.Add(c.age), begin.Add(c.age)), c.want)
 		})
 	}
 }
@@ -43,12 +43,16 @@
 		sent := time.Unix(1000, 0)
 		each := time.Duration(rapid.IntRange(1, 50).Draw(t, "ms each")) * time.Millisecond
 		var l Limits
+		for i := range maxSamples { // before, the link was idle, and polls went on to be answered soon
+			l.Record(5*time.Millisecond, 0, sent.Add(-time.Duration(i)*time.Millisecond))
+		}
 		for waited := each; waited < bounds.Max; waited += each {
 			now := sent.Add(waited)
-			if limit := l.Limit(bounds, now); waited > limit {
+			if limit := l.Limit(bounds, sent, now); waited > limit {
 				t.Fatalf("a call is abandoned after %s: limit %s", waited, limit)
 			}
-			l.Record(waited, now)
+			l.Record(waited, 0, now)
+			l.Record(5*time.Millisecond, time.Second, now)
 		}
 	})
 }
