--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -19,6 +19,7 @@
 	"github.com/tarragonreach/tarragonreach/entry/follow"
 	"github.com/tarragonreach/tarragonreach/platform/advice"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/policy/calllimit"
 	"github.com/tarragonreach/tarragonreach/policy/handover"
 	"github.com/tarragonreach/tarragonreach/policy/linkshare"
 	"github.com/tarragonreach/tarragonreach/policy/shard"
@@ -120,6 +121,7 @@
 
 	delays         delays
 	callLimits     callLimits
+	callWindow     calllimit.Window
 	callStatistics callStatistics
 	// overload detects that the owner has to hand over its duty.
 	overload handover.Detector
@@ -254,6 +256,7 @@
 	o.updateLeaseRenewal(now)
 	o.storeNextBatch(now)
 	o.storeLedgers(now)
+	o.shard.SetCommandWindow(o.callWindow.Size())
 	for _, command := range o.shard.Commands(now) {
 		o.sendCommand(command)
 	}
@@ -407,6 +410,7 @@
 		o.logCommand(command, reply, err)
 		o.send(func(time.Time) {
 			o.recordCall(result)
+			o.recordWindow(result, respondedAt)
 			o.shard.HandleCommandResult(command, deliveryOf(err), reply, respondedAt)
 		})
 	}()
