Tests: the counter of calls at an address that is no instance is atomic

Surveys and requests call it at the same time since peers are surveyed; the race detector reported the counter of TestAnswerOfWhatIsNoInstanceDecidesARequest. What is asserted is unchanged.

--- a/entry/host/statusrelay_test.go
+++ b/entry/host/statusrelay_test.go
@@ -95,9 +95,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newRelayWorld()
 		defer w.stop()
-		asked := 0
+		var asked atomic.Int64 // by surveys and requests at the same time
 		odd := serveOn(w.network, "odd:1", http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-			asked++
+			asked.Add(1)
 			assert.Equal(t, r.Header.Get("Authorization"), "")
 			rw.WriteHeader(http.StatusGone)
 		}))
@@ -118,7 +118,7 @@
 			assert.Equal(t, w.ask(n), "status 503") // all other peers were called, among them the odd one
 			w.network.heal(instance, served)
 		}
-		assert.Equal(t, asked, statusInstances-servedInstances)
+		assert.Equal(t, asked.Load(), int64(statusInstances-servedInstances))
 		time.Sleep(longestPause)
 		for n := range 100 {
 			assert.Equal(t, w.ask(n), "", "job %d", n)
