Peers: only surveys tell that a peer is silent

In an outage of the store for all, callers were told to come back at once and used up their attempts. A peer that had not answered a request within 0.2 s counted as silent, but such a request waits there for the silent store as well; with two of four peers silent the instance took the outage for a cut. Now requests that are passed on leave the state to surveys, which have their own pace, and a peer whose store is silent answers these without a read.

--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -86,6 +86,7 @@
 	failures   int       // since then
 	retryAt    time.Time
 	state      reach.State // what is known of it since the store became silent
+	surveyAt   time.Time   // when to survey it next
 }
 
 // Peers are the other instances. Its methods may be called concurrently.
@@ -312,24 +313,25 @@
 	}
 }
 
-// candidates returns the peers to ask about a request, at most maxAttempts. Once they were surveyed these are the ones
-// that can answer.
+// candidates returns the peers to ask about a request, at most maxAttempts, without those that gave no answer lately. Once
+// they were surveyed these are the ones that can answer.
 func (p *Peers) candidates(now time.Time) []*peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if now.Before(p.pausedUntil) {
 		return nil
 	}
-	return p.callable(now, func(other *peer) bool { return !p.surveyed || other.state == reach.Serving })
+	return p.choose(func(other *peer) bool {
+		return !now.Before(other.retryAt) && (!p.surveyed || other.state == reach.Serving)
+	})
 }
 
-// callable returns the peers that accept accepts, at most maxAttempts, without those that gave no answer lately: those
-// that answered last come first, then those that were asked least in vain, then those of the same availability zone, in
-// random order. The caller holds p.mu.
-func (p *Peers) callable(now time.Time, accept func(*peer) bool) []*peer {
+// choose returns up to maxAttempts of the peers that accept accepts: those that answered last come first, then those
+// that were asked least in vain, then those of the same availability zone, in random order. The caller holds p.mu.
+func (p *Peers) choose(accept func(*peer) bool) []*peer {
 	var list []*peer
 	for _, other := range p.peers {
-		if !now.Before(other.retryAt) && accept(other) {
+		if accept(other) {
 			list = append(list, other)
 		}
 	}
@@ -362,10 +364,11 @@
 	other.failures++
 	other.answeredAt = time.Time{}
 	other.retryAt = now.Add(retry.Delay(other.failures, p.random))
-	other.state = reach.Refusing
 	if result == silent {
 		other.retryAt = now.Add(retry.Cap)
-		other.state = reach.Silent
+	}
+	if other.state == reach.Serving {
+		other.state = reach.Refusing // a request may take longer than attemptTimeout where the store is silent
 	}
 }
 
--- a/entry/peers/survey.go
+++ b/entry/peers/survey.go
@@ -18,8 +18,12 @@
 	// silenceCheck is the time between two checks whether the store is silent.
 	silenceCheck = 50 * time.Millisecond
 	// surveyInterval is the time between the beginnings of two rounds. In each, up to maxAttempts peers are asked at the
-	// same time, each as seldom as by requests that are passed on in vain.
+	// same time.
 	surveyInterval = 1 * time.Second
+	// refusingInterval and silentInterval are the times between two surveys of a peer that can't answer callers, or does
+	// not respond.
+	refusingInterval = 2 * time.Second
+	silentInterval   = 8 * time.Second
 	// surveyTimeout bounds a round. It is longer than attemptTimeout: that a slow peer counts as silent has consequences
 	// for all callers.
 	surveyTimeout = 500 * time.Millisecond
@@ -84,7 +88,8 @@
 	p.logged = reach.Assessment{}
 	p.pausedUntil, p.inVain = time.Time{}, 0
 	for _, other := range p.peers {
-		other.state, other.failures, other.retryAt = reach.Unknown, 0, time.Time{}
+		other.state, other.surveyAt = reach.Unknown, time.Time{}
+		other.failures, other.retryAt = 0, time.Time{}
 	}
 }
 
@@ -96,21 +101,37 @@
 
 // round asks some of the peers.
 func (p *Peers) round(ctx context.Context) {
+	now := time.Now()
 	p.mu.Lock()
-	asked := p.callable(time.Now(), func(*peer) bool { return true })
+	asked := p.choose(func(other *peer) bool { return !now.Before(other.surveyAt) })
 	p.mu.Unlock()
 	var calls sync.WaitGroup
 	for _, other := range asked {
 		calls.Go(func() {
 			_, result := p.attempt(ctx, other, surveyRequest, surveyTimeout, serves)
 			if ctx.Err() == nil {
-				p.note(other, result, time.Now())
+				p.noteState(other, result, time.Now())
 			}
 		})
 	}
 	calls.Wait()
 }
 
+// noteState records the response of a peer to a survey.
+func (p *Peers) noteState(other *peer, result outcome, now time.Time) {
+	p.note(other, result, now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch result {
+	case answered:
+		other.state, other.surveyAt = reach.Serving, now
+	case refused:
+		other.state, other.surveyAt = reach.Refusing, now.Add(refusingInterval)
+	default:
+		other.state, other.surveyAt = reach.Silent, now.Add(silentInterval)
+	}
+}
+
 // noteSurvey records that a round has ended, and logs changes of what follows from it.
 func (p *Peers) noteSurvey() {
 	p.mu.Lock()
--- a/entry/storehealth/storehealth.go
+++ b/entry/storehealth/storehealth.go
@@ -95,12 +95,14 @@
 const (
 	// recentResponse is how long a response of the store shows that it responds.
 	recentResponse = 100 * time.Millisecond
-	// respondTimeout bounds the read that Responds makes otherwise.
-	respondTimeout = 400 * time.Millisecond
+	// respondTimeout bounds the read that Responds makes otherwise. It is several times the usual latency, and leaves
+	// time for the way to the instance that asks, which takes a later response for none.
+	respondTimeout = 200 * time.Millisecond
 )
 
 // Responds reports whether the store responds to this instance, by a response within recentResponse or by a read. An
-// instance that makes few calls learns late by them that it gets no responses any more.
+// instance that makes few calls learns late by them that it gets no responses any more. While the store is silent, none is
+// awaited.
 func (s *Store) Responds(ctx context.Context) bool {
 	s.mu.Lock()
 	recent := within(s.lastResponse, recentResponse)
@@ -108,6 +110,9 @@
 	if recent {
 		return true
 	}
+	if s.Silent() {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(ctx, respondTimeout)
 	defer cancel()
 	sent := s.noteSent()
