Handover: an overloaded instance with several duties hands one to an idle instance like it

An overloaded instance that has several duties gains as much by handing one over to an equal idle instance as one with a single duty gains by a successor with twice the capacity.

The capacity of an owner counts for each of its duties.

--- a/entry/election/election.go
+++ b/entry/election/election.go
@@ -66,7 +66,8 @@
 	renewed  *atomic.Int64 // when the last successful grant or renewal was sent, in nanoseconds of clock
 	began    func(token int64) (time.Time, bool)
 	// handedOver is set once the holder gives up the duty in favour of another instance.
-	handedOver *atomic.Bool
+	handedOver   *atomic.Bool
+	lastHandover *atomic.Pointer[time.Time] // of the instance
 }
 
 // Began returns when this instance first observed that a term of the same duty had begun,
@@ -122,6 +123,8 @@
 	held     atomic.Int64
 	// lastWon is when this instance last won a duty; nil before the first one.
 	lastWon atomic.Pointer[time.Time]
+	// lastHandover is when this instance last handed over a duty; nil before.
+	lastHandover atomic.Pointer[time.Time]
 }
 
 // New returns an election for an instance with the given CPU capacity in cores, which may
@@ -322,7 +325,7 @@
 	term.began = func(token int64) (time.Time, bool) {
 		return e.vacancies.began(layout.OwnerKey(c.duty), kv.Revision(token))
 	}
-	term.handedOver = &atomic.Bool{}
+	term.handedOver, term.lastHandover = &atomic.Bool{}, &e.lastHandover
 	if err == nil {
 		e.held.Add(1)
 		now := time.Now()
--- a/entry/election/handover.go
+++ b/entry/election/handover.go
@@ -28,22 +28,26 @@
 // HandOver makes the instance that holds the term leave the next claim of the duty to others. The holder
 // returns from its lead function afterwards.
 func (t Term) HandOver() {
-	if t.handedOver != nil {
-		t.handedOver.Store(true)
+	if t.handedOver == nil {
+		return
 	}
+	t.handedOver.Store(true)
+	now := time.Now()
+	t.lastHandover.Store(&now)
 }
 
 // Successor returns an instance that could take over an overloaded duty: the one with the most CPU capacity among
-// those that hold no duty and have sufficiently more than this one. It returns false if there is none, if the
-// last renewal of the term is not recent, so that the store may be out, or if the term or the previous one
-// began too short ago.
+// those that hold no duty and have sufficiently more than this one has for each of its duties. It returns false if there is none, if the
+// last renewal of the term is not recent, so that the store may be out, or if the term, the previous one or
+// the last handover of this instance began too short ago.
 func (e *Election) Successor(t Term) (fleet.InstanceID, bool) {
 	if e.candidates == nil || t.Age() > 2*renewInterval || !e.handoverAllowed(t, time.Now()) {
 		return "", false
 	}
 	busy := e.vacancies.instances()
+	duties := int(e.held.Load())
 	candidates := slices.DeleteFunc(e.candidates(), func(c Candidate) bool {
-		return busy[c.Instance] || c.Instance == e.instance || !handover.Sufficient(c.Cores, e.cores)
+		return busy[c.Instance] || c.Instance == e.instance || !handover.Sufficient(c.Cores, e.cores, duties)
 	})
 	if len(candidates) == 0 {
 		return "", false
@@ -54,8 +58,12 @@
 	return best.Instance, true
 }
 
-// handoverAllowed reports whether the term and the previous one of its duty began long enough ago.
+// handoverAllowed reports whether the term, the previous one of its duty and the last handover began long enough ago.
 func (e *Election) handoverAllowed(t Term, now time.Time) bool {
+	// The load of the duty that was handed over may have been the cause of the overload.
+	if last := e.lastHandover.Load(); last != nil && now.Sub(*last) < handover.MinTerm {
+		return false
+	}
 	began, previous := e.vacancies.lastTerms(layout.OwnerKey(t.Duty), kv.Revision(t.Token))
 	return !began.IsZero() && now.Sub(began) >= handover.MinTerm && now.Sub(previous) >= handover.MinSpacing
 }
--- a/entry/election/handover_test.go
+++ b/entry/election/handover_test.go
@@ -118,3 +118,30 @@
 		running.Wait()
 	})
 }
+
+// Guards against an overloaded instance that keeps two duties beside idle ones like it, and against one that hands
+// over both at once.
+func TestInstanceWithTwoDutiesKeepsBothWhenOverloaded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newMemoryStore()
+		var running sync.WaitGroup
+		both := New(store, "both", "z", 0.192, slog.New(slog.DiscardHandler))
+		both.SetCandidates(func() []Candidate { return []Candidate{{"idle", 0.192}} })
+		running.Go(func() { both.Follow(ctx) })
+		handedOver := make(chan struct{}, 2)
+		for _, duty := range []string{"a", "b"} {
+			running.Go(func() {
+				both.Campaign(ctx, duty, func(ctx context.Context, term Term) {
+					handOverWhenAllowed(ctx, both, term)
+					handedOver <- struct{}{}
+					<-ctx.Done()
+				})
+			})
+		}
+		time.Sleep(2*handover.MinTerm - time.Second)
+		assert.Equal(t, len(handedOver), 1)
+		cancel()
+		running.Wait()
+	})
+}
--- a/policy/handover/handover.go
+++ b/policy/handover/handover.go
@@ -19,7 +19,8 @@
 	// MinSpacing is the minimum time from the beginning of the previous term to a handover. It bounds the
 	// cost if the instances with more capacity can't claim the duty and a small one is next.
 	MinSpacing = 15 * time.Second
-	// minCapacityRatio is how many times the capacity of the owner a successor has to have.
+	// minCapacityRatio is how many times the capacity that the owner has for each of its duties a successor has
+	// to have.
 	minCapacityRatio = 2
 )
 
@@ -61,8 +62,8 @@
 	return l.At.Sub(d.since) >= overloadedTime
 }
 
-// Sufficient reports whether an instance with the given CPU capacity in cores may succeed an overloaded
-// owner with the capacity own. Unknown capacities are zero.
-func Sufficient(candidate, own float64) bool {
-	return own > 0 && candidate >= minCapacityRatio*own
+// Sufficient reports whether an instance without duties and with the given CPU capacity in cores may succeed
+// an overloaded owner with the capacity own, which its duties share. Unknown capacities are zero.
+func Sufficient(candidate, own float64, duties int) bool {
+	return own > 0 && duties > 0 && candidate*float64(duties) >= minCapacityRatio*own
 }
