Owner: a run is not given up while the lack of responses may be the owner's own

The owner's link was saturated: polls reached the executors, and their responses came seconds later, after the time limit of the call, so that they were dropped with their connection. When the lease had expired, the run was given up as on a dead executor, though its completion had been listed.

- The response of a poll is awaited for 10 s after its time limit.
It counts for what it lists.
The call still counts as failed, so that nothing starts on an executor whose replies would be late, too.
- An executor counts as unresponsive only if other executors have responded in time to calls that were sent after its last response was due.
On a link that delivers in order, that response would have come before theirs.
Three must have, so that an order that is a little different does no harm, and twice the longest delay seen lately must be over.
If no busy executor offers that evidence, up to three are polled without waiting.

Polls sent after the lease expired are left out: a completion that is first listed then does not count. Runs of long-running tasks are given up as before, and so is everything by other evidence (machine list, another executor at the address). An executor that is cut off alone is given up as before, as the others respond.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -441,21 +441,62 @@
 	return unknownReason
 }
 
+// poll sends a poll. A poll without a response within its time limit has failed, but its response is awaited for
+// longer: it may be late on the way to this instance, and list completions.
 func (o *Owner) poll(poll shard.Poll) {
 	client := o.client(poll.Executor)
+	responses := make(chan pollResponse, 1)
 	go func() {
-		ctx, cancel := context.WithTimeout(o.ctx, poll.Request.Wait+pollSlack)
+		ctx, cancel := context.WithTimeout(o.ctx, poll.Request.Wait+shard.LateResponseLimit)
 		defer cancel()
 		response, err := client.Poll(ctx, poll.Request)
-		respondedAt := time.Now()
 		if err != nil {
 			client.Close() // the connection may be half-open
 		}
+		responses <- pollResponse{response, err, time.Now()}
+	}()
+	go o.awaitPoll(poll, client, responses)
+}
+
+// pollResponse is the result of a poll.
+type pollResponse struct {
+	execution.PollResponse
+	err error
+	at  time.Time
+}
+
+// awaitPoll passes the result of a poll to the shard, and first that it exceeded its time limit if it did.
+func (o *Owner) awaitPoll(poll shard.Poll, client Executor, responses <-chan pollResponse) {
+	limit := time.NewTimer(poll.Request.Wait + pollSlack)
+	defer limit.Stop()
+	select {
+	case r := <-responses:
 		o.send(func(time.Time) {
-			o.logCompletions(poll, response)
-			o.shard.HandlePollResult(poll, deliveryOf(err), response, respondedAt)
+			o.logCompletions(poll, r.PollResponse)
+			o.shard.HandlePollResult(poll, deliveryOf(r.err), r.PollResponse, r.at)
 		})
-	}()
+		return
+	case <-limit.C:
+	}
+	client.Close() // idle connections may be half-open, too
+	exceededAt := time.Now()
+	o.send(func(time.Time) {
+		o.shard.HandlePollResult(poll, shard.Ambiguous, execution.PollResponse{}, exceededAt)
+	})
+	r := <-responses
+	o.Scope.Tagged(map[string]string{"outcome": lateOutcome(r.err)}).Counter("late_polls").Inc(1)
+	o.send(func(time.Time) {
+		o.logCompletions(poll, r.PollResponse)
+		o.shard.HandleLatePollResult(poll, deliveryOf(r.err), r.PollResponse, r.at)
+	})
+}
+
+// lateOutcome returns whether a poll that exceeded its time limit got a response after all.
+func lateOutcome(err error) string {
+	if err != nil {
+		return "no-answer"
+	}
+	return "answered"
 }
 
 // logCompletions counts completions and logs those whose reason is not EndedDone.
--- a/policy/shard/commands.go
+++ b/policy/shard/commands.go
@@ -208,6 +208,9 @@
 		return
 	}
 	s.noteCommandDelivery(e, delivery, reply, now)
+	if delivery == Responded {
+		e.noteInTime(cmd.sentAt)
+	}
 	switch {
 	case delivery != Responded:
 	case reply.Refusal == execution.RefusedFenced && cmd.Start.Token < e.token:
--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -106,6 +106,11 @@
 	heldSince       time.Time // when the present or last period of holds began; see mayHold
 	failingSince    time.Time // when the first of the unanswered calls failed; zero if there are none
 	lastFailedPoll  time.Time // when the last failed poll was sent
+	// responseExpectedAt is when the response was expected at the latest to the last poll that was sent before
+	// leaseBound.
+	responseExpectedAt time.Time
+	inTimeSentAt       time.Time // when the last call was sent that got a response in time
+	witness            bool      // its response is wanted; see searchWitnesses
 
 	appliedSequence int64 // completions up to here were applied
 	durableSequence int64 // completions up to here are durable, to be acknowledged
--- a/policy/shard/expiry.go
+++ b/policy/shard/expiry.go
@@ -6,7 +6,9 @@
 )
 
 // expireRuns discards the runs on unresponsive executors whose leases have certainly
-// expired. The poll responses of other executors show what became of their runs.
+// expired. The poll responses of other executors show what became of their runs. An executor
+// that does not respond to this instance, while the instance may be at fault, counts as responsive:
+// a completion that it has listed may be on its way.
 //
 // A run of a long-running task is discarded as soon as polls fail: a response that came
 // unread can't hold a completion of the task, since it has none.
@@ -17,6 +19,10 @@
 			continue
 		}
 		unresponsive := s.unresponsive(e)
+		if unresponsive && !s.atFault(e, now) {
+			s.searchWitnesses(e, now)
+			unresponsive = false
+		}
 		mayLast := slices.ContainsFunc(e.runOrder, func(r *run) bool { return r.leaseMayLast(s.limits, now) })
 		if unresponsive && !e.listed && !mayLast {
 			s.recordCrash(e)
--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -17,6 +17,7 @@
 	target           *executorState
 	leaseBoundBefore time.Time // the executor's leaseBound before this poll
 	leaseBoundAfter  time.Time
+	expectedAt       time.Time // when the executor responds at the latest
 }
 
 // Polls returns the polls to send now. Each is in flight until HandlePollResult.
@@ -65,6 +66,11 @@
 		e.noteAcknowledgement(poll.Request.Token)
 	}
 	poll.leaseBoundAfter = e.leaseBound
+	poll.expectedAt = now.Add(poll.Request.Wait)
+	if !now.After(e.leaseBound) {
+		e.responseExpectedAt = poll.expectedAt
+	}
+	e.witness = false
 	return poll
 }
 
@@ -83,7 +89,7 @@
 		return true
 	case e.durableSequence > e.ackedSequence && len(e.runs) == 0:
 		return now.Sub(e.lastResponse) > ackDelay
-	case now.Sub(e.clockAt) > maxClockAge:
+	case e.witness || now.Sub(e.clockAt) > maxClockAge:
 		return true
 	}
 	for _, r := range e.runs {
@@ -109,6 +115,9 @@
 	if len(e.pending) == 0 && len(e.orphans) == 0 && e.failedCalls == 0 {
 		request.Wait = e.pollWait()
 	}
+	if e.witness {
+		request.Wait = 0
+	}
 	if e.trials > 0 {
 		request.Wait = min(request.Wait, survivalTime)
 	}
@@ -139,6 +148,13 @@
 
 // HandlePollResult handles the result of a poll.
 func (s *Shard) HandlePollResult(poll Poll, delivery Delivery, response execution.PollResponse, now time.Time) {
+	if delivery == Responded {
+		poll.target.noteInTime(poll.SentAt)
+	}
+	s.handlePollResult(poll, delivery, response, now)
+}
+
+func (s *Shard) handlePollResult(poll Poll, delivery Delivery, response execution.PollResponse, now time.Time) {
 	e := poll.target
 	if s.executors[e.ID] != e {
 		s.applyLatePoll(e, delivery, response, now)
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -91,6 +91,7 @@
 	renewalDisabled bool // leases of runs must not be renewed: the term is not confirmed
 
 	unreached unreachedExecutors
+	path      responsePath
 
 	waitingStoredAt time.Time
 	waitingDirty    bool
--- a/policy/shard/world_test.go
+++ b/policy/shard/world_test.go
@@ -61,7 +61,8 @@
 	odd       *oddWriters         // nil if only executors write their entries
 	tenants   *tenantsSim         // nil if jobs belong to no tenants
 	limits    Limits
-	outages   *storeOutages // nil unless starts are prepared and owners are cut off from the store
+	outages   *storeOutages  // nil unless starts are prepared and owners are cut off from the store
+	slow      *slowResponses // nil unless responses queue on the owner's link
 }
 
 type storedJob struct {
@@ -487,6 +488,11 @@
 // call makes a call with a drawn outcome: execute executes it on the executor, respond passes
 // the result to the owner.
 func (w *world) call(o *ownerSim, id cluster.ExecutorID, execute func(e *executorSim), respond func(Delivery)) {
+	w.callWithLate(o, id, execute, respond, nil)
+}
+
+// callWithLate is like call; late passes a response to the owner that comes after the time limit. It may be nil.
+func (w *world) callWithLate(o *ownerSim, id cluster.ExecutorID, execute func(e *executorSim), respond func(Delivery), late func()) {
 	e := w.executors[id]
 	deliver := func(after time.Duration, d Delivery) {
 		o.responses = append(o.responses, responseSim{w.now.Add(after), func() { respond(d) }})
@@ -494,6 +500,10 @@
 	switch w.drawCallOutcome(o, e) {
 	case callDelivered:
 		execute(e)
+		if w.slow != nil {
+			w.slow.deliver(w, o, respond, late)
+			return
+		}
 		sent := w.now
 		o.responses = append(o.responses, responseSim{w.now.Add(20 * time.Millisecond), func() {
 			if w.now.Sub(sent) > testCallTimeout {
@@ -557,11 +567,12 @@
 		o.respondLater(w, func() { o.shard.HandlePollResult(poll, delivery, response, w.now) })
 		return
 	}
-	w.call(o, poll.Executor.ID, func(e *executorSim) {
+	w.callWithLate(o, poll.Executor.ID, func(e *executorSim) {
 		if response.Refusal = w.refusal(e); response.Refusal == execution.NotRefused {
 			response = w.executePoll(e, poll.Request)
 		}
-	}, func(d Delivery) { o.shard.HandlePollResult(poll, d, response, w.now) })
+	}, func(d Delivery) { o.shard.HandlePollResult(poll, d, response, w.now) },
+		func() { o.shard.HandleLatePollResult(poll, Responded, response, w.now) })
 }
 
 // respondLater passes a result to the owner within the time of a call.
