Owner: a run whose calls get no response is over once its start would be too late

A start that got no response four times was followed by a stop, and the run occupied its room until a reply to the stop came in time. On a saturated link none does, and runs were freed only as their executors were given up.

A start has an end of its lease on the executor's clock, and is refused as too late after it. So a response to a poll that lists the run neither as running nor as ended, at that time of the clock or later, shows that the run is over or never begins. The task starts again.

The test failed before: no second start within two leases.

--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -302,13 +302,14 @@
 
 // discardAbsent discards the runs that the response lists neither as running nor as
 // ended, if its poll was sent after they were confirmed or their earlier owner was
-// fenced off.
+// fenced off, or if their starts are refused as too late if they arrive now.
 func (s *Shard) discardAbsent(e *executorState, sentAt time.Time, listed map[execution.RunRef]bool, now time.Time) {
 	for _, r := range e.sortedRuns() {
 		if listed[r.ref()] {
 			continue
 		}
-		certain := r.phase == inherited || r.phase == confirmed && sentAt.After(r.confirmedAt)
+		tooLate := r.phase == unconfirmed && r.untilMs > 0 && e.clockMs >= r.untilMs
+		certain := tooLate || r.phase == inherited || r.phase == confirmed && sentAt.After(r.confirmedAt)
 		switch {
 		case certain && r.mayBeUnsent():
 			s.discard(r, GivenUpPrepared)
--- a/policy/shard/slowresponses_test.go
+++ b/policy/shard/slowresponses_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/tarragonreach/tarragonreach/api/execution"
 )
 
 // slowResponses is the saturated link of an owner's instance: calls reach sound executors in time, but
@@ -59,3 +62,29 @@
 		w.healAndFinish()
 	})
 }
+
+// No start of a task got a response, nor does the stop that follows. A response that lists the run neither as
+// running nor as ended, after its start would be refused as too late, shows that it is over: its task must start
+// again.
+func TestRunWithUnansweredCallsIsOverOnceItsStartIsTooLate(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, newExecutorNamed("i-1"))
+	h.submit("00000000000000aa", oneTask)
+	sent := h.now
+	for h.now.Sub(sent) < 2*testLease {
+		h.now = h.now.Add(20 * time.Millisecond)
+		h.shard.Tick(h.now)
+		for _, cmd := range h.storeAndCommand() {
+			if cmd.Start.Run > 1 {
+				assert.Assert(t, h.now.Sub(sent) > testLease, "started again after %s", h.now.Sub(sent))
+				return
+			}
+			h.shard.HandleCommandResult(cmd, Ambiguous, execution.Reply{}, h.now)
+		}
+		for _, poll := range h.shard.Polls(h.now) {
+			response := execution.PollResponse{Reply: execution.Reply{ClockMs: 1000 + h.now.Sub(sent).Milliseconds()}}
+			h.shard.HandlePollResult(poll, Responded, response, h.now)
+		}
+	}
+	t.Fatalf("not started again within %s", h.now.Sub(sent))
+}
