--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -96,6 +96,7 @@
 	commandsFrom  cluster.ExecutorID
 
 	unreached unreachedExecutors
+	path      responsePath
 
 	waitingStoredAt time.Time
 	waitingDirty    bool
