--- a/entry/storehealth/pages.go
+++ b/entry/storehealth/pages.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/platform/backoff"
@@ -55,8 +57,9 @@
 }
 
 // pageRequest requests one page until an attempt succeeds or pageAttempts have failed. An attempt
-// that is overtaken is followed by the next one, and continues: a long page may take longer than
-// other calls, but a call that was sent into a disruption may get its response late or never.
+// that is overtaken before its response begins is followed by the next one, and continues: a long page
+// may take longer than other calls, but a call that was sent into a disruption may get its response late
+// or never.
 type pageRequest struct {
 	send      func(ctx context.Context) (kv.Page, error)
 	overtaken func(sent time.Time) bool
@@ -74,11 +77,12 @@
 	pending := 0
 	for attempt := 1; ; attempt++ {
 		sent := time.Now()
-		go r.attempt(ctx, attempt, results)
+		var begun atomic.Bool
+		go r.attempt(traceResponse(ctx, &begun), attempt, results)
 		pending++
 		last := attempt == pageAttempts
 		for {
-			result, overtaken := r.await(sent, !last, results)
+			result, overtaken := r.await(sent, !last, &begun, results)
 			if overtaken {
 				break
 			}
@@ -97,9 +101,14 @@
 	}
 }
 
+// traceResponse returns a context for a call that sets begun when the response begins.
+func traceResponse(ctx context.Context, begun *atomic.Bool) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { begun.Store(true) }})
+}
+
 // await waits for the next result. If another attempt may follow, it returns without one once the
-// attempt that was sent at the given time is overtaken.
-func (r pageRequest) await(sent time.Time, mayFollow bool, results <-chan pageResult) (result pageResult, overtaken bool) {
+// attempt that was sent at the given time is overtaken and its response has not begun.
+func (r pageRequest) await(sent time.Time, mayFollow bool, begun *atomic.Bool, results <-chan pageResult) (result pageResult, overtaken bool) {
 	check := time.NewTicker(overtakenCheck)
 	defer check.Stop()
 	for {
@@ -107,7 +116,7 @@
 		case result := <-results:
 			return result, false
 		case <-check.C:
-			if mayFollow && r.overtaken(sent) {
+			if mayFollow && !begun.Load() && r.overtaken(sent) {
 				return pageResult{}, true
 			}
 		}
--- a/entry/storehealth/pages_test.go
+++ b/entry/storehealth/pages_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http/httptrace"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -43,6 +44,27 @@
 	})
 }
 
+// Guards against a long page on its way over a slow link that is requested once more, since shorter calls that were
+// sent later are answered, and takes the link twice.
+func TestPageOnItsWayIsRequestedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(nil, func(bool, int) {})
+		var requests atomic.Int32
+		request := pageRequest{overtaken: s.overtaken, send: func(ctx context.Context) (kv.Page, error) {
+			requests.Add(1)
+			httptrace.ContextClientTrace(ctx).GotFirstResponseByte()
+			return kv.Page{AsOf: 7}, backoff.Sleep(ctx, 2500*time.Millisecond)
+		}}
+		go func() {
+			time.Sleep(200 * time.Millisecond)
+			s.observe(time.Now(), nil)
+		}()
+		_, err := request.run(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, requests.Load(), int32(1))
+	})
+}
+
 // The response with one page is lost: only that page is requested again.
 func TestLostPageIsRequestedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
