Owner: leases are renewed while responses are late

After a poll without a response in time no lease was renewed until one came, and a response that comes 4 s late gives a reading of the executor's clock that is 4 s low, so that a lease counted from it is as much shorter.

- A poll after a failed one renews while late responses show that the owner's responses are late, until the last one is a lease old; or once more, up to 2.5 s after it, if the calls to most executors fail. leaseBound includes these renewals, so that no task starts again earlier.
- The bound of the clock from before a late response is kept if it is higher, for as long as that of an idle executor counts (30 s).

The test failed without each of the three.

--- a/policy/shard/executors.go
+++ b/policy/shard/executors.go
@@ -79,6 +79,7 @@
 	clockMs       int64 // the executor's clock at clockAt, as of its last poll response
 	clockAt       time.Time
 	clockSentAt   time.Time // when the poll with that response was sent
+	clockInTimeAt time.Time // when the last poll response came in time
 	renewalPaused bool      // the last poll failed: no lease renewal until one succeeds
 	// leaseBound is when the leases of all runs there have certainly expired, unless
 	// they are renewed.
--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -25,6 +25,7 @@
 	if s.fenced {
 		return nil
 	}
+	s.updatePath()
 	var due []*executorState
 	var unknown contacts
 	for _, e := range s.sortedExecutors() {
@@ -105,7 +106,7 @@
 	if e.mayAcknowledge() && (!s.preparesStarts() || e.durableSequence > e.ackedSequence) {
 		request.AckedThrough = e.durableSequence
 	}
-	if !e.polled || e.renewalPaused || s.renewalDisabled || s.unreached.listed(e.ID) {
+	if !e.polled || e.renewalPaused && !s.mayRenewUnanswered(e, now) || s.renewalDisabled || s.unreached.listed(e.ID) {
 		return request
 	}
 	if len(e.runs) > 0 {
@@ -152,6 +153,7 @@
 		poll.target.noteInTime(poll.SentAt)
 	}
 	s.handlePollResult(poll, delivery, response, now)
+	poll.target.noteClockInTime(now)
 }
 
 func (s *Shard) handlePollResult(poll Poll, delivery Delivery, response execution.PollResponse, now time.Time) {
@@ -200,7 +202,7 @@
 }
 
 // notePollFailure records a poll that the executor did not carry out, as far as is known. No lease is
-// renewed until one succeeds, so that leaseBound is not extended meanwhile.
+// renewed until one succeeds, so that leaseBound is not extended meanwhile, but see mayRenewUnanswered.
 func (e *executorState) notePollFailure(poll Poll, now time.Time) {
 	e.failedCalls++
 	e.lastFailedPoll = poll.SentAt
--- a/policy/shard/responsepath.go
+++ b/policy/shard/responsepath.go
@@ -31,6 +31,7 @@
 	late       time.Duration // the longest delay of a response that came after the time limit of its call
 	lateAt     time.Time     // when that one came
 	searchedAt time.Time     // when witnesses were last searched
+	mostFail   bool          // the calls to most of the listed executors fail
 }
 
 // noteLate records a response that came after the time limit of its call, with its delay.
@@ -69,8 +70,52 @@
 		return
 	}
 	polling, failedCalls, pollAt := e.polling, e.failedCalls, e.pollAt // with later polls
+	clockMs := e.clock(now)
 	s.handlePollResult(poll, delivery, response, now)
 	e.polling, e.failedCalls, e.pollAt = polling, failedCalls, pollAt
+	e.keepClock(clockMs, now)
+}
+
+// noteClockInTime records that the clock of the executor has been read just now by a response in time, if it has.
+func (e *executorState) noteClockInTime(now time.Time) {
+	if e.clockAt.Equal(now) {
+		e.clockInTimeAt = now
+	}
+}
+
+// keepClock keeps the former bound of the executor's clock where it is higher than that of a late response, which is
+// lower than the clock by the delay: leases that are counted from it would be shorter by that. The former bound counts
+// for as long as that of an idle executor does.
+func (e *executorState) keepClock(clockMs int64, now time.Time) {
+	if e.clockAt.Equal(now) && now.Sub(e.clockInTimeAt) <= maxClockAge {
+		e.clockMs = max(e.clockMs, clockMs)
+	}
+}
+
+// mayRenewUnanswered reports whether leases may be renewed on an executor whose last poll got no response: it is
+// probably sound, since responses come late at present or most executors do not respond, and its last one is not
+// older than that explains. leaseBound includes these renewals.
+func (s *Shard) mayRenewUnanswered(e *executorState, now time.Time) bool {
+	age := now.Sub(e.lastResponse)
+	if allowance := s.path.allowance(now); allowance > 0 {
+		return age < min(maxResponseAge+allowance, s.limits.RunLease)
+	}
+	return s.path.mostFail && age < maxResponseAge
+}
+
+// updatePath records whether the calls to most of the listed executors fail.
+func (s *Shard) updatePath() {
+	failing, listed := 0, 0
+	for _, e := range s.sortedExecutors() {
+		if !e.listed || e.ended {
+			continue
+		}
+		listed++
+		if e.failedCalls > 0 {
+			failing++
+		}
+	}
+	s.path.mostFail = failing >= minWitnesses && 2*failing > listed
 }
 
 // noteInTime records that the executor has responded in time to a call that was sent at the given time.
--- a/policy/shard/slowresponses_test.go
+++ b/policy/shard/slowresponses_test.go
@@ -1,13 +1,17 @@
 package shard
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/api/execution"
+	"github.com/tarragonreach/tarragonreach/api/job"
 )
 
 // slowResponses is the saturated link of an owner's instance: calls reach sound executors in time, but
@@ -63,6 +67,79 @@
 	})
 }
 
+// slowWorld answers the polls of a harness late, and holds the leases of its executors.
+type slowWorld struct {
+	*harness
+	began   time.Time
+	delay   time.Duration // of responses, after they were expected
+	pending []slowPoll
+	leases  map[cluster.ExecutorID]int64 // when they end on the executors' clocks
+}
+
+type slowPoll struct {
+	Poll
+	response execution.PollResponse
+}
+
+// clockMs returns the time on the executors' clocks.
+func (w *slowWorld) clockMs() int64 { return 1000 + w.now.Sub(w.began).Milliseconds() }
+
+// run runs the owner for d and fails the test if a lease expires. All responses list all runs.
+func (w *slowWorld) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(20 * time.Millisecond) {
+		w.shard.Tick(w.now)
+		for _, poll := range w.shard.Polls(w.now) {
+			id := poll.Executor.ID
+			w.leases[id] = max(w.leases[id], poll.Request.UntilMs)
+			response := w.listRuns(string(id), nil)
+			response.ClockMs = w.clockMs() + poll.Request.Wait.Milliseconds()
+			w.pending = append(w.pending, slowPoll{Poll: poll, response: response})
+		}
+		for id, until := range w.leases {
+			assert.Assert(w.t, w.clockMs() < until, "%s: the lease has expired %s after the beginning, with a delay of %s", id, w.now.Sub(w.began), w.delay)
+		}
+		w.pending = slices.DeleteFunc(w.pending, w.answer)
+		w.storeAndCommand()
+	}
+}
+
+// answer passes the result of a poll to the shard if it is due, and reports whether the response has arrived.
+func (w *slowWorld) answer(poll slowPoll) bool {
+	switch waited := w.now.Sub(poll.expectedAt); {
+	case waited >= w.delay && waited < testCallTimeout:
+		w.shard.HandlePollResult(poll.Poll, Responded, poll.response, w.now)
+		return true
+	case waited >= w.delay:
+		w.shard.HandleLatePollResult(poll.Poll, Responded, poll.response, w.now)
+		return true
+	case waited >= testCallTimeout && waited < testCallTimeout+20*time.Millisecond:
+		w.shard.HandlePollResult(poll.Poll, Ambiguous, execution.PollResponse{}, w.now)
+	}
+	return false
+}
+
+// Responses begin to come seconds after the time limits of their calls, and polls reach the executors in time: the
+// leases of the long-running tasks there must be renewed before they expire.
+func TestLeasesDoNotExpireWhileResponsesAreLate(t *testing.T) {
+	t.Parallel()
+	for _, delay := range []time.Duration{20 * time.Millisecond, 700 * time.Millisecond, 2 * time.Second, 4 * time.Second} {
+		var executors []cluster.Executor
+		for i := range 4 {
+			executors = append(executors, newExecutorNamed(fmt.Sprintf("i-%d", i)))
+		}
+		h := newHarness(t, executors...)
+		h.submit("00000000000000aa", job.Step{Count: 4, Need: job.Resources{MilliCPU: 1000}, MaxPerServer: 1, LongRunning: true})
+		assert.Equal(t, len(h.startAll()), 4)
+		w := slowWorld{harness: h, began: h.now, delay: 20 * time.Millisecond, leases: map[cluster.ExecutorID]int64{}}
+		for _, e := range executors {
+			w.leases[e.ID] = w.clockMs() + testLease.Milliseconds()
+		}
+		w.run(3 * time.Second)
+		w.delay = delay
+		w.run(20 * time.Second)
+	}
+}
+
 // No start of a task got a response, nor does the stop that follows. A response that lists the run neither as
 // running nor as ended, after its start would be refused as too late, shows that it is over: its task must start
 // again.
