--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -105,8 +105,8 @@
 	pausedUntil time.Time
 	inVain      int
 	// surveyed is set while the store is silent and peers have been asked whether they can answer callers.
-	surveyed bool
-	logged   reach.Assessment // the latest one in the log
+	surveyed   bool
+	assessment reach.Assessment // by the states of the peers; empty unless surveyed
 }
 
 // New returns the peers of the instance self. Connections to them are opened with dial, or with the network's if
@@ -355,6 +355,7 @@
 	p.scope.Tagged(map[string]string{"result": outcomeNames[result]}).Counter("calls").Inc(1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer p.assess()
 	if result == answered {
 		other.answeredAt, other.failures, other.retryAt = now, 0, time.Time{}
 		other.state = reach.Serving
--- a/entry/peers/survey.go
+++ b/entry/peers/survey.go
@@ -42,19 +42,24 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.surveyed {
-		return reach.Assessment{}
-	}
-	return p.assess()
+	return p.assessment
 }
 
-// assess is Assessment for callers that hold p.mu.
-func (p *Peers) assess() reach.Assessment {
+// assess updates the assessment by the states of the peers, and logs changes. The caller holds p.mu.
+func (p *Peers) assess() {
+	if !p.surveyed {
+		return
+	}
 	known := make([]reach.Peer, 0, len(p.peers))
 	for _, other := range p.peers {
 		known = append(known, reach.Peer{SameZone: other.Zone == p.self.Zone, State: other.state})
 	}
-	return reach.Assess(known)
+	now := reach.Assess(known)
+	if now == p.assessment {
+		return
+	}
+	p.assessment = now
+	p.logger.Info("other instances while the store is silent", "pass_on", now.PassOn, "cut_off", now.CutOff, "retry_at_once", now.RetryAtOnce)
 }
 
 // runSurvey surveys the peers while the store is silent, until ctx ends.
@@ -85,7 +90,6 @@
 func (p *Peers) forget() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.logged = reach.Assessment{}
 	p.pausedUntil, p.inVain = time.Time{}, 0
 	for _, other := range p.peers {
 		other.state, other.surveyAt = reach.Unknown, time.Time{}
@@ -96,7 +100,7 @@
 func (p *Peers) endSurvey() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.surveyed = false
+	p.surveyed, p.assessment = false, reach.Assessment{}
 }
 
 // round asks some of the peers.
@@ -132,15 +136,10 @@
 	}
 }
 
-// noteSurvey records that a round has ended, and logs changes of what follows from it.
+// noteSurvey records that a round has ended.
 func (p *Peers) noteSurvey() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.surveyed = true
-	now := p.assess()
-	if now == p.logged {
-		return
-	}
-	p.logged = now
-	p.logger.Info("other instances while the store is silent", "pass_on", now.PassOn, "cut_off", now.CutOff, "retry_at_once", now.RetryAtOnce)
+	p.assess()
 }
