Owner: the load is written less often while batches take long to store

The minimum time between two loads is now five times the smoothed time that storing a batch takes, between 100 ms as before and 500 ms; urgent ones wait half as long while it is above 100 ms. Where batches are stored within 20 ms nothing changes.

--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -181,11 +181,16 @@
 // write repeats the same write until its outcome is known.
 func (o *Owner) write(txn kv.Txn, b *shard.Batch) {
 	random := backoff.NewRandom()
+	begun := time.Now()
 	for attempt := 1; o.ctx.Err() == nil; attempt++ {
 		revision, outcome, err := o.attempt(txn, attempt)
 		switch outcome {
 		case written:
-			o.send(func(time.Time) { o.commitBatch(revision, b) })
+			took := time.Since(begun)
+			o.send(func(time.Time) {
+				o.shard.NoteStored(took)
+				o.commitBatch(revision, b)
+			})
 			return
 		case superseded:
 			o.Logger.Warn("another owner has written; stepping down", "error", err)
--- a/policy/shard/load.go
+++ b/policy/shard/load.go
@@ -68,8 +68,37 @@
 	}
 }
 
-// loadInterval is the minimum time between two writes of the load, except urgent ones.
-const loadInterval = 100 * time.Millisecond
+const (
+	// loadInterval is the minimum time between two writes of the load, except urgent ones, while batches are
+	// stored soon.
+	loadInterval = 100 * time.Millisecond
+	// loadStoringFactor is that time as a multiple of what storing a batch takes. Batches take long while the link
+	// of the instance is full, and the load of a large service is among the longest values in them. It arrives
+	// late then anyway.
+	loadStoringFactor = 5
+	// maxLoadInterval bounds that time: the planner must still see a peak begin.
+	maxLoadInterval = 500 * time.Millisecond
+	// storingGain is the weight of the latest batch in the smoothed time.
+	storingGain = 0.2
+)
+
+// NoteStored records how long it took to store a batch.
+func (s *Shard) NoteStored(took time.Duration) {
+	s.storingTime += time.Duration(storingGain * float64(took-s.storingTime))
+}
+
+// minLoadInterval returns the minimum time between two writes of the load.
+func (s *Shard) minLoadInterval() time.Duration {
+	interval := min(max(loadInterval, loadStoringFactor*s.storingTime), maxLoadInterval)
+	switch {
+	case !s.loadUrgent:
+		return interval
+	case interval == loadInterval:
+		return 0
+	default:
+		return interval / 2
+	}
+}
 
 // load returns the present load of the service.
 func (s *Shard) load(now time.Time) Load {
--- a/policy/shard/load_test.go
+++ b/policy/shard/load_test.go
@@ -1,7 +1,9 @@
 package shard
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -45,3 +47,36 @@
 	assert.Assert(t, machines > executors-0.1 && machines <= executors, "%.2f", machines)
 	assert.Equal(t, load.Executors[cluster.ExecutorID("i-1")].Runs, 0)
 }
+
+// loadsWritten returns how many loads are written within five seconds in which the load always changes, and
+// storing a batch takes the given time.
+func loadsWritten(t *testing.T, storing time.Duration, urgent bool) int {
+	h := newHarness(t, newExecutorNamed("i-1"))
+	written := 0
+	for i := range 100 {
+		h.submit(job.ID(fmt.Sprintf("%016x", i)), oneTask)
+		h.shard.loadUrgent = urgent
+		if batch := h.shard.Batch(h.now, 29); batch != nil {
+			h.shard.NoteStored(storing)
+			h.shard.Committed()
+			if batch.Load != nil {
+				written++
+			}
+		}
+		h.now = h.now.Add(50 * time.Millisecond)
+		h.pollListingRuns()
+	}
+	return written
+}
+
+// Loads took a sixth of the bytes that an owner sent over a full link, and a third of what arrived at the
+// fleet planner, whose link was full as well.
+func TestLoadIsWrittenLessOftenWhileBatchesTakeLong(t *testing.T) {
+	t.Parallel()
+	soon, urgentSoon := loadsWritten(t, 10*time.Millisecond, false), loadsWritten(t, 10*time.Millisecond, true)
+	late, urgentLate := loadsWritten(t, 200*time.Millisecond, false), loadsWritten(t, 200*time.Millisecond, true)
+	assert.Assert(t, soon >= 49, "%d", soon)
+	assert.Assert(t, urgentSoon >= 99, "%d", urgentSoon)
+	assert.Assert(t, late >= 9 && late <= 15, "%d", late)
+	assert.Assert(t, urgentLate >= 18 && urgentLate <= 26, "%d", urgentLate)
+}
--- a/policy/shard/plan.go
+++ b/policy/shard/plan.go
@@ -373,7 +373,7 @@
 // addLoad adds the load after the starts of the batch, if it is due and has changed.
 func (b *builder) addLoad() {
 	s := b.shard
-	if b.now.Sub(s.loadComputedAt) < loadInterval && !s.loadUrgent || s.loadWaits(b.now) {
+	if b.now.Sub(s.loadComputedAt) < s.minLoadInterval() || s.loadWaits(b.now) {
 		return
 	}
 	s.loadUrgent, s.loadComputedAt = false, b.now
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -112,6 +112,7 @@
 	evacuateDue      bool      // a poll result may allow another long-running task to leave
 	evacuatedAt      time.Time
 	leaving          []*executorState // executors that are cordoned or draining
+	storingTime      time.Duration    // smoothed; see NoteStored
 	loadUrgent       bool             // a cordon changed or a cordoned executor became empty
 	arrivedWork      int64            // core-milliseconds, of the short jobs added in this term
 	arrivedJobs      int64
