Owner: the limits of calls grow while hardly any call is answered

After a takeover an owner calls all executors at once, while its link is still full of the listings that it reads and of the instance's own start.

Calls that were abandoned now count as samples if at least eight were abandoned in the last two seconds and less than a quarter as many were answered: the limit is twice what they were given, up to 2.5 s. The first ones are still abandoned after 600 ms, so that half-open connections are found as before: the calls over new ones are answered then. Where a part of the executors is dead or cut off, the others answer more, and nothing changes.

The test of calls that all exceed their limits failed before (the limit stayed at 600 ms).

--- a/entry/owner/calls.go
+++ b/entry/owner/calls.go
@@ -51,15 +51,17 @@
 	limits calllimit.Limits
 }
 
-// record adds the time of a call that was answered. What a poll takes is known only if it has waited as long as
+// record adds the time of a call that was answered or was overdue. What a poll takes is known only if it has waited as long as
 // it may: otherwise a completion has ended its wait at an unknown time.
 func (l *callLimits) record(r callResult, now time.Time) {
-	if r.outcome != callAnswered || r.took < r.wait {
-		return
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.limits.Record(r.took-r.wait, r.wait, now)
+	switch {
+	case r.outcome == callTimedOut:
+		l.limits.RecordOverdue(r.took-r.wait, now)
+	case r.outcome == callAnswered && r.took >= r.wait:
+		l.limits.Record(r.took-r.wait, r.wait, now)
+	}
 }
 
 func (l *callLimits) limit(sentAt, now time.Time) time.Duration {
--- a/policy/calllimit/calllimit.go
+++ b/policy/calllimit/calllimit.go
@@ -25,6 +25,12 @@
 	// factor is the limit as a multiple of that quantile. While a queue builds up, the calls that have been
 	// answered are those that waited least.
 	factor = 3
+	// overdueFactor is the limit as a multiple of the time after which calls were abandoned, while hardly any is
+	// answered: it doubles, as in RFC 6298, 5.5.
+	overdueFactor = 2
+	// silentShare is the maximum number of answered calls, as a share of the abandoned ones, that counts as
+	// hardly any. Where a part of the servers is dead or cut off, the others answer more.
+	silentShare = 0.25
 )
 
 // Bounds are the limits of a call: Base while calls are answered soon, and at most Max.
@@ -38,6 +44,8 @@
 	// latter say what sending took when they were sent, which may be long ago, so that the former show a queue
 	// earlier.
 	immediate, waiting ring
+	// overdue are the calls that were abandoned.
+	overdue ring
 }
 
 // Record adds the latency of a call that was answered now, without its wait at the server, which is zero for a
@@ -50,11 +58,30 @@
 	samples.add(sample{at: now, latency: latency})
 }
 
+// RecordOverdue adds a call that was abandoned now after the given time, without its wait at the server.
+func (l *Limits) RecordOverdue(after time.Duration, now time.Time) {
+	l.overdue.add(sample{at: now, latency: after})
+}
+
 // Limit returns how long a call may take by now that was sent at the given time. It may grow while the call is in
 // progress.
 func (l *Limits) Limit(b Bounds, sentAt, now time.Time) time.Duration {
 	high := max(l.immediate.high(sentAt, now), l.waiting.high(sentAt, now))
-	return min(max(factor*high, b.Base), b.Max)
+	limit := max(factor*high, b.Base)
+	if l.silent(now) {
+		limit = max(limit, overdueFactor*l.overdue.high(now.Add(-window), now))
+	}
+	return min(limit, b.Max)
+}
+
+// silent reports whether hardly any call was answered lately. Calls that were sent at once over a link that is full
+// already are all late. The first ones that are abandoned show whether it is the connections: others that
+// are opened then are answered soon.
+func (l *Limits) silent(now time.Time) bool {
+	since := now.Add(-window)
+	answered := len(l.immediate.since(since)) + len(l.waiting.since(since))
+	overdue := len(l.overdue.since(since))
+	return overdue >= minSamples && float64(answered) < silentShare*float64(overdue)
 }
 
 type sample struct {
--- a/policy/calllimit/calllimit_test.go
+++ b/policy/calllimit/calllimit_test.go
@@ -56,3 +56,36 @@
 		}
 	})
 }
+
+// An owner that took over called all executors at once over a link that was full of other transfers: each call
+// exceeded its limit, so that there was no latency to go by, and all were repeated again and again.
+func TestLimitGrowsWhileNoCallIsAnswered(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var l Limits
+	for _, want := range []time.Duration{600 * time.Millisecond, 1200 * time.Millisecond, 2400 * time.Millisecond, bounds.Max} {
+		limit := l.Limit(bounds, now, now)
+		assert.Equal(t, limit, want)
+		now = now.Add(limit)
+		for range 100 {
+			l.RecordOverdue(limit, now)
+		}
+	}
+	for range 100 {
+		l.Record(5*time.Millisecond, 0, now)
+	}
+	assert.Equal(t, l.Limit(bounds, now, now), bounds.Base)
+}
+
+// A third of the servers is dead: the limits must not grow, so that this is found out soon.
+func TestLimitStaysWhileAPartOfTheServersIsSilent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var l Limits
+	for i := range 100 {
+		if i%3 == 0 {
+			l.RecordOverdue(bounds.Base, now)
+		} else {
+			l.Record(5*time.Millisecond, time.Second, now)
+		}
+	}
+	assert.Equal(t, l.Limit(bounds, now, now), bounds.Base)
+}
