Owner: a late response says nothing about the speed of its executor

A response that is applied seconds after it was sent lists runs that may have ended since, and ends that are as old. Measured until now, runs of several jobs seemed overdue, so that the executor counted as stalled and its runs were stopped, and a completed run seemed as much longer, which raised the learned run times of its kind. Both leave out late responses, which count since the owner awaits them. Found by reading; the test failed without either part.

--- a/policy/shard/responsepath.go
+++ b/policy/shard/responsepath.go
@@ -32,6 +32,9 @@
 	lateAt     time.Time     // when that one came
 	searchedAt time.Time     // when witnesses were last searched
 	mostFail   bool          // the calls to most of the listed executors fail
+	// applyingLate is set while a late response is applied: what it lists has been so for a time that is not known,
+	// so that nothing about the speed of its executor follows from it.
+	applyingLate bool
 }
 
 // noteLate records a response that came after the time limit of its call, with its delay.
@@ -71,7 +74,9 @@
 	}
 	polling, failedCalls, pollAt := e.polling, e.failedCalls, e.pollAt // with later polls
 	clockMs := e.clock(now)
+	s.path.applyingLate = true
 	s.handlePollResult(poll, delivery, response, now)
+	s.path.applyingLate = false
 	e.polling, e.failedCalls, e.pollAt = polling, failedCalls, pollAt
 	e.keepClock(clockMs, now)
 }
--- a/policy/shard/runtimes.go
+++ b/policy/shard/runtimes.go
@@ -151,8 +151,11 @@
 
 // learnRunTime records the run time of a completed run, from when the executor was known to have it
 // until its end was listed. Runs that were slowed down, that resumed, or that an earlier owner
-// started, tell nothing about the whole run time.
+// started, tell nothing about the whole run time, and neither does an end in a late response.
 func (s *Shard) learnRunTime(r *run, now time.Time) {
+	if s.path.applyingLate {
+		return
+	}
 	def := r.task.step.def
 	partial := r.startedAt.IsZero() || r.sentAt.IsZero() || r.checkpoint != "" || r.throttle < 100
 	if partial || def.LongRunning || def.Estimate <= 0 {
--- a/policy/shard/slowresponses_test.go
+++ b/policy/shard/slowresponses_test.go
@@ -165,3 +165,35 @@
 	}
 	t.Fatalf("not started again within %s", h.now.Sub(sent))
 }
+
+// A response comes long after it was sent, and lists runs that may have ended since, as well as an end that may be as
+// old: that must neither make the executor count as stalled, so that its runs are stopped, nor its run time as that of
+// a slow task.
+func TestLateResponseSaysNothingAboutTheSpeedOfItsExecutor(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, newExecutorNamed("i-1"))
+	step := oneTask
+	step.Count = 2
+	h.submit("00000000000000aa", step)
+	h.submit("00000000000000ab", step)
+	assert.Equal(t, len(h.startAll()), 4)
+	h.shard.SetExecutors([]cluster.Executor{newExecutorNamed("i-1"), newExecutorNamed("i-2")}, h.now)
+	h.respondToPoll("i-2", h.listRuns("i-2", nil))
+	h.now = h.now.Add(time.Second)
+	polls := slices.DeleteFunc(h.shard.Polls(h.now), func(p Poll) bool { return p.Executor.ID != "i-1" })
+	assert.Equal(t, len(polls), 1)
+	response := h.listRuns("i-1", nil)
+	ended := response.Running[3].RunRef
+	response.Running = response.Running[:3]
+	response.Ended = []execution.Ended{{RunRef: ended, Sequence: 1, Reason: execution.EndedDone}}
+	h.now = h.now.Add(testCallTimeout)
+	h.shard.HandlePollResult(polls[0], Ambiguous, execution.PollResponse{}, h.now)
+	h.now = h.now.Add(4 * time.Second)
+	h.shard.HandleLatePollResult(polls[0], Responded, response, h.now)
+	e := h.shard.executors["i-1"]
+	assert.Equal(t, len(e.runs), 3)
+	for _, r := range e.sortedRuns() {
+		assert.Assert(t, !r.stopping, "%s is stopped", r.task.id)
+	}
+	assert.Equal(t, len(h.shard.runTimes.kinds), 0)
+}
--- a/policy/shard/stall.go
+++ b/policy/shard/stall.go
@@ -33,6 +33,9 @@
 // its short runs, of several jobs, are overdue. The executor gets no work for stalledPause,
 // and its overdue runs are stopped as far as other executors have capacity for their tasks.
 func (s *Shard) detectStall(e *executorState, now time.Time) {
+	if s.path.applyingLate {
+		return // the runs may have ended since
+	}
 	var overdue []*run
 	jobs := map[job.ID]bool{}
 	shortRuns := 0
