Reach: an instance that can tell a cut from its zone alone refuses at once

Where most of the instances that an instance asks first are cut off with it, it held callers a second longer than others, until the second round of its survey: by those of its zone it already told them to come back at once, but did not count as cut off. The new case of TestAssess failed before; the new line of the property did not in the one run that was made without the change.

--- a/policy/reach/reach.go
+++ b/policy/reach/reach.go
@@ -23,8 +23,8 @@
 type Assessment struct {
 	// PassOn says that an instance can answer requests that are passed on to it.
 	PassOn bool
-	// CutOff says that none is known that can, and that so many are silent that the network between them and this
-	// instance is the likely cause: it can do nothing for callers.
+	// CutOff says that none is known that can, and that so many, in all or in the zone, are silent that the network
+	// between them and this instance is the likely cause: it can do nothing for callers.
 	CutOff bool
 	// RetryAtOnce says that callers, whose next attempt is made at another instance of the zone, should not wait:
 	// others there can answer them, or may since they are on the other side of the cut.
@@ -48,7 +48,7 @@
 	passOn := all[Serving] > 0
 	return Assessment{
 		PassOn:      passOn,
-		CutOff:      !passOn && all.suggestsCut(),
+		CutOff:      !passOn && (all.suggestsCut() || zone.suggestsCut()),
 		RetryAtOnce: zone[Serving] > 0 || zone.suggestsCut(),
 	}
 }
--- a/policy/reach/reach_test.go
+++ b/policy/reach/reach_test.go
@@ -25,6 +25,7 @@
 		"the zone is turned away":    {[][]Peer{peersOf(true, Refusing, 8), peersOf(false, Serving, 1)}, Assessment{PassOn: true}},
 		"cut off from all":           {[][]Peer{peersOf(true, Silent, 8), peersOf(false, Silent, 8)}, Assessment{CutOff: true, RetryAtOnce: true}},
 		"cut off with five of eight": {[][]Peer{peersOf(true, Refusing, 5), peersOf(true, Silent, 3)}, Assessment{CutOff: true, RetryAtOnce: true}},
+		"cut off with most known":    {[][]Peer{peersOf(true, Refusing, 4), peersOf(true, Silent, 2), peersOf(false, Refusing, 2)}, Assessment{CutOff: true, RetryAtOnce: true}},
 		"cut off with the zone":      {[][]Peer{peersOf(true, Refusing, 8), peersOf(false, Silent, 23)}, Assessment{CutOff: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -42,6 +43,7 @@
 		})).Draw(t, "peers")
 		a := Assess(peers)
 		assert.Assert(t, !a.CutOff || !a.PassOn)
+		assert.Assert(t, !a.RetryAtOnce || a.PassOn || a.CutOff)
 		known := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return p.State == Unknown })
 		assert.Equal(t, a, Assess(known))
 	})
