--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -511,6 +511,7 @@
 	client.Close() // idle connections may be half-open, too
 	exceededAt := time.Now()
 	result.outcome, result.took = callTimedOut, exceededAt.Sub(poll.SentAt)
+	o.callLimits.record(result, exceededAt)
 	o.send(func(time.Time) {
 		o.recordCall(result)
 		o.shard.HandlePollResult(poll, shard.Ambiguous, execution.PollResponse{}, exceededAt)
