Configuration: confirmed without reading it where it is long for the link

Requests were held and refused, calls of owners exceeded their limits. With a configuration of 17 kB it was 20 kB/s.

Where regular reads of the known value would take more than a tenth of the link's rate, a transaction without changes takes the place of a read, under the condition that the key has the known revision: linearizable as the read, and the value is returned only if it has changed. On links of 1,000 Mbit/s a value of 1 MiB is still read.

--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -118,7 +118,7 @@
 	}
 	h.store = storehealth.New(h.storeClient(), h.logStoreChange)
 	h.config = operatorconfig.New(storehealth.NewDedicated(h.storeClient(), h.store),
-		operatorconfig.Options{ApplyWithin: node.ConfigApply, RevokeWithin: node.RevokeWithin}, h.campaignForServices, logger, m.Scope.SubScope("config"))
+		operatorconfig.Options{ApplyWithin: node.ConfigApply, RevokeWithin: node.RevokeWithin, Link: linkshare.Rate(node.LinkRate)}, h.campaignForServices, logger, m.Scope.SubScope("config"))
 	h.election = election.New(h.store, node.ID, node.Zone, node.Cores, logger)
 	h.admissions = admissions.New(h.store, h.election, logger)
 	h.intake = intake.New(h.store, h.config, h.leaving.Load, logger, m.Scope.SubScope("intake"))
--- a/entry/operatorconfig/operatorconfig.go
+++ b/entry/operatorconfig/operatorconfig.go
@@ -4,7 +4,9 @@
 // A watch brings changes at once. Beside it, reads of the same key bound how old the instance's
 // knowledge can get: one is sent regularly, the next one shortly after one that the store refuses, and
 // on a connection of its own as soon as the last one is overdue. What was in flight when a disruption of
-// the store began or ended therefore delays nothing.
+// the store began or ended therefore delays nothing. Where the configuration is long for the instance's link, a
+// transaction without changes, under the condition that the key has its known revision, takes the place of
+// a read: the store returns the value only if it has changed.
 //
 // Requests that need an API key are decided only by a configuration that was confirmed recently
 // (Knowledge). The age of a confirmation counts time in which the machine was suspended.
@@ -12,6 +14,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -24,12 +27,14 @@
 	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 	"github.com/tarragonreach/tarragonreach/platform/registry"
+	"github.com/tarragonreach/tarragonreach/policy/linkshare"
 )
 
 // Store is the part of the store that a follower reads.
 type Store interface {
 	Range(ctx context.Context, prefix, after string, read kv.Consistency) (kv.Page, error)
 	Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Events, error)
+	Txn(ctx context.Context, t kv.Txn) (kv.TxnResult, error)
 	// CloseIdle closes the connections that no call uses; they may have gone silent.
 	CloseIdle()
 }
@@ -63,6 +68,10 @@
 	watchSlack = 400 * time.Millisecond
 )
 
+// readShare is the share of the link's rate that reads may take. Where they would take more, transactions
+// take their place.
+const readShare = 0.1
+
 // watchRetry spaces watches that fail.
 var watchRetry = backoff.Policy{Base: 100 * time.Millisecond, Cap: 400 * time.Millisecond}
 
@@ -74,6 +83,8 @@
 	// whatever happened to it; zero where revocation is not strict. It has an effect only while a
 	// configuration with tenants is in force.
 	RevokeWithin time.Duration
+	// Link is the rate of the instance's network link.
+	Link linkshare.Rate
 	// BootClock counts time in which the machine is suspended; nil for that of the machine.
 	BootClock func() time.Duration
 }
@@ -113,6 +124,7 @@
 	logger    *slog.Logger
 	metrics   followerMetrics
 	bootClock func() time.Duration
+	link      linkshare.Rate
 
 	withoutTenancy timing
 	withTenancy    timing
@@ -124,6 +136,7 @@
 	revision kv.Revision
 	// decoded is the revision of the newest value that was decoded, be it readable or not.
 	decoded   kv.Revision
+	bytes     int // length of that value in a response
 	confirmed atomic.Pointer[confirmation]
 }
 
@@ -153,7 +166,7 @@
 // puts in force, never concurrently.
 func New(store Store, o Options, changed func(*cluster.Config), logger *slog.Logger, scope tally.Scope) *Follower {
 	f := &Follower{
-		store: store, changed: changed, logger: logger, bootClock: o.BootClock,
+		store: store, changed: changed, logger: logger, bootClock: o.BootClock, link: o.Link,
 		withoutTenancy: newTiming(o.ApplyWithin),
 		withTenancy:    newTenancyTiming(o.ApplyWithin, o.RevokeWithin),
 		metrics: followerMetrics{
@@ -303,7 +316,7 @@
 func (f *Follower) read(ctx context.Context, sent instant, timeout time.Duration) readResult {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	page, err := f.store.Range(ctx, registry.ConfigKey, "", kv.Linearizable)
+	items, asOf, err := f.current(ctx)
 	switch { // the next read follows soon, and requests are logged with Age
 	case err == nil:
 	case kv.NotRun(err):
@@ -313,14 +326,37 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, item := range page.Items {
+	for _, item := range items {
 		f.applyItem(item)
 	}
-	f.revision = max(f.revision, page.AsOf)
+	f.revision = max(f.revision, asOf)
 	f.confirm(sent)
 	return readAnswered
 }
 
+// current returns the item of the configuration, without it if that is long for the link and has the revision
+// that is known, and a revision up to which no other changes of it are missing.
+func (f *Follower) current(ctx context.Context) ([]kv.Item, kv.Revision, error) {
+	f.mu.Lock()
+	known, long := f.decoded, f.isLong()
+	f.mu.Unlock()
+	if !long {
+		page, err := f.store.Range(ctx, registry.ConfigKey, "", kv.Linearizable)
+		return page.Items, page.AsOf, err
+	}
+	result, err := f.store.Txn(ctx, kv.Txn{Conditions: []kv.Condition{{Key: registry.ConfigKey, Revision: known}}})
+	if err != nil || result.Applied {
+		return nil, known, err
+	}
+	return result.Current, known, nil
+}
+
+// isLong reports whether regular reads of the value that was decoded last would take more than readShare of the
+// link. The caller holds f.mu.
+func (f *Follower) isLong() bool {
+	return f.decoded > 0 && f.link.Interval(f.bytes, readShare) > f.timing(f.Current()).readInterval
+}
+
 // confirm records that a read that was sent at the given time was answered. The caller holds
 // f.mu.
 func (f *Follower) confirm(sent instant) {
@@ -384,7 +420,7 @@
 	if item.Revision <= f.decoded {
 		return // most reads find the value unchanged
 	}
-	f.decoded = item.Revision
+	f.decoded, f.bytes = item.Revision, base64.StdEncoding.EncodedLen(len(item.Value))
 	config, err := registry.Config(item.Value)
 	if err != nil {
 		f.logger.Error("configuration skipped: not readable", "revision", int64(item.Revision), "error", err)
--- a/entry/operatorconfig/operatorconfig_test.go
+++ b/entry/operatorconfig/operatorconfig_test.go
@@ -59,6 +59,10 @@
 	return kv.Events{}, ctx.Err()
 }
 
+func (s *fakeStore) Txn(context.Context, kv.Txn) (kv.TxnResult, error) {
+	panic("the configuration is short for the link")
+}
+
 func (s *fakeStore) CloseIdle() {}
 
 // bootClock is virtual time, and the time for which the machine was suspended.
--- a/entry/storehealth/dedicated.go
+++ b/entry/storehealth/dedicated.go
@@ -38,5 +38,13 @@
 	return events, err
 }
 
+// Txn makes a transaction like kv.Client and observes the outcome.
+func (d *Dedicated) Txn(ctx context.Context, t kv.Txn) (kv.TxnResult, error) {
+	sent := d.health.noteSent()
+	result, err := d.client.Txn(ctx, t)
+	d.health.observeWrite(sent, err)
+	return result, err
+}
+
 // CloseIdle closes the connections that no call uses.
 func (d *Dedicated) CloseIdle() { d.client.CloseIdle() }
