Machine lists take a bounded share of a slow link

The holder of the fleet duty read the list of all machines every 250 ms and an owner with an unresponsive executor every 500 ms, however long the list and however slow the link.

A list is now read when the last one takes at most 0.2 (holder) or 0.1 (owner) of the link per interval. What a list shows is not changed: the time since a command or a doubt, and two lists in a row where that is required, count as before. At 1,000 Mbit/s a list of 26 kB is due after 2 ms, below both intervals.

The tests fail to compile on the former code, which knows no length of a list.

--- a/api/cluster/cluster.go
+++ b/api/cluster/cluster.go
@@ -90,6 +90,8 @@
 	// Incomplete is why the list may lack machines, or executors of its machines; nil if it has all.
 	// A machine or an executor that an incomplete list lacks may still exist.
 	Incomplete error
+	// Bytes is the length of the responses that the list was read from.
+	Bytes int
 }
 
 // Faults returns what could not be used of the list, by a key that is the same in the next list while
--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -26,8 +26,13 @@
 const Duty = "fleet"
 
 const (
-	// listInterval is the time between two reads of the machine list.
+	// listInterval is the minimum time between two reads of the machine list.
 	listInterval = 250 * time.Millisecond
+	// listShare is the share of the link that reads of the machine list may take. Where the link is slow, they
+	// are further apart.
+	listShare = 0.2
+	// listSlack is how much earlier than due a list is read, since reads are considered once in listInterval.
+	listSlack = listInterval / 2
 	// planInterval is the minimum time between two plans.
 	planInterval = 40 * time.Millisecond
 	// callTimeout bounds one call to the machine service; loading stored state may take twice
@@ -113,6 +118,7 @@
 	machineFaults  *follow.Skipped     // what could not be used of that list
 	listedAt       time.Time           // when that list was requested; zero before the first list
 	listing        bool                // a call that lists the machines is in progress
+	requestedAt    time.Time           // when the last such call was sent
 	plannedAt      time.Time
 	cordonsReadAt  time.Time // start of the last read of the stored cordons
 	// cordonWrites counts the starts and ends of this holder's writes of cordons, so that it
@@ -215,13 +221,19 @@
 	}
 }
 
-// refreshMachines lists the machines in the background, unless a list is in progress.
+// listDue reports whether the link allows for another list of the length of the last one.
+func (h *Holder) listDue(now time.Time) bool {
+	return now.Sub(h.requestedAt) >= h.Link.Interval(h.listedMachines.Bytes, listShare)-listSlack
+}
+
+// refreshMachines lists the machines in the background, unless a list is in progress or would take too much of
+// the link.
 func (h *Holder) refreshMachines(ctx context.Context) {
-	if h.listing {
+	requestedAt := time.Now()
+	if h.listing || !h.listDue(requestedAt) {
 		return
 	}
-	h.listing = true
-	requestedAt := time.Now()
+	h.listing, h.requestedAt = true, requestedAt
 	go func() {
 		list, err := h.list(ctx)
 		h.send(func() {
--- a/entry/fleetduty/odditems_test.go
+++ b/entry/fleetduty/odditems_test.go
@@ -17,6 +17,7 @@
 	"github.com/tarragonreach/tarragonreach/entry/layout"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 	"github.com/tarragonreach/tarragonreach/platform/registry"
+	"github.com/tarragonreach/tarragonreach/policy/linkshare"
 	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
@@ -110,3 +111,18 @@
 	(<-h.events)()
 	assert.Equal(t, h.machineFaults.Present(), 0)
 }
+
+// Guards against lists of machines that take most of a holder's slow link. A fast link leaves their rate as it is.
+func TestMachineListTakesABoundedShareOfTheLink(t *testing.T) {
+	for link, want := range map[linkshare.Rate]int{250_000: 10, 125_000_000: 40, 0: 40} {
+		h := &Holder{Options: Options{Link: link}, listedMachines: cluster.MachineList{Bytes: 50_000}}
+		lists := 0
+		for tick := range 40 {
+			if now := time.Unix(1000, 0).Add(time.Duration(tick) * listInterval); h.listDue(now) {
+				h.requestedAt = now
+				lists++
+			}
+		}
+		assert.Equal(t, lists, want)
+	}
+}
--- a/entry/owner/machinelist.go
+++ b/entry/owner/machinelist.go
@@ -12,6 +12,9 @@
 const (
 	// machineListInterval is the minimum time between two requests for the machine list.
 	machineListInterval = 500 * time.Millisecond
+	// machineListShare is the share of the link that these requests may take. Where the link is slow, they are
+	// further apart.
+	machineListShare = 0.1
 	// machineListTimeout bounds one request for the machine list, of all its pages.
 	machineListTimeout = 1500 * time.Millisecond
 )
@@ -20,6 +23,7 @@
 type machineListRequests struct {
 	inFlight    bool
 	requestedAt time.Time       // when the last one was sent
+	bytes       int             // length of the last list
 	incomplete  *follow.Skipped // why the last list is incomplete, for the log
 }
 
@@ -29,7 +33,8 @@
 	if o.Machines == nil || o.machineList.inFlight {
 		return
 	}
-	due := now.Sub(o.machineList.requestedAt) >= machineListInterval
+	interval := max(machineListInterval, o.Link.Interval(o.machineList.bytes, machineListShare))
+	due := now.Sub(o.machineList.requestedAt) >= interval
 	if !due || !o.shard.NeedsMachineList(now) {
 		return
 	}
@@ -50,6 +55,7 @@
 		o.Logger.Warn("machines not listed; leases of unresponsive executors have to expire", "error", err)
 		return
 	}
+	o.machineList.bytes = machines.Bytes
 	o.logIncomplete(machines.Incomplete)
 	list := shard.NewMachineList(machines.Machines, o.machineList.requestedAt)
 	list.Incomplete = machines.Incomplete != nil
--- a/entry/owner/machinelist_test.go
+++ b/entry/owner/machinelist_test.go
@@ -25,6 +25,7 @@
 	failures   int // calls that fail first
 	machines   []cluster.Machine
 	incomplete error // as MachineList.Incomplete
+	bytes      int   // as MachineList.Bytes
 }
 
 func (m *listedMachines) List(ctx context.Context) (cluster.MachineList, error) {
@@ -33,7 +34,7 @@
 	if m.calls <= m.failures {
 		return cluster.MachineList{}, errors.New("unavailable")
 	}
-	return cluster.MachineList{Machines: m.machines, Incomplete: m.incomplete}, ctx.Err()
+	return cluster.MachineList{Machines: m.machines, Incomplete: m.incomplete, Bytes: m.bytes}, ctx.Err()
 }
 
 // newOwnerWithLostExecutor returns an owner that has inherited a long-running task on i-1, which does not
@@ -118,6 +119,20 @@
 	})
 }
 
+// Guards against lists that an owner with a slow link requests for an unresponsive executor at the expense of the
+// calls by which the others hold their runs.
+func TestMachineListTakesABoundedShareOfTheLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &listedMachines{bytes: 50_000, machines: []cluster.Machine{{ID: "m-1", Executor: "i-1"}, {ID: "m-2", Executor: "i-2"}}}
+		o := newOwnerWithLostExecutor(t.Context(), m)
+		o.Link = 250_000
+		took, started := runOwner(o, 20*time.Second)
+		assert.Assert(t, started)
+		assert.Assert(t, m.calls > 2)
+		assert.Assert(t, m.calls <= int(took/(2*time.Second))+2, "%d requests in %s", m.calls, took)
+	})
+}
+
 // A machine service that fails delays nothing: the leases still expire.
 func TestOwnerWithoutMachineListFallsBackOnLeases(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
