Tests: submissions, cancellations and counts at an instance that is cut off are refused at once

The test began when the configuration was outdated, for which all requests are refused. It begins earlier now, when an instance that is cut off still has a recent one, and makes all kinds of requests. It fails without the survey.

--- a/entry/host/statusrelay_test.go
+++ b/entry/host/statusrelay_test.go
@@ -223,7 +223,11 @@
 
 // call makes a request for a job at an instance, whose caller waits for the given time.
 func (w *statusWorld) call(method string, instance, job int, wait time.Duration) *httptest.ResponseRecorder {
-	request := httptest.NewRequest(method, "/terreni/"+string(statusID(job)), strings.NewReader(`{"steps":[{"count":1}]}`))
+	return w.callPath(method, instance, "/terreni/"+string(statusID(job)), wait)
+}
+
+func (w *statusWorld) callPath(method string, instance int, path string, wait time.Duration) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, path, strings.NewReader(`{"steps":[{"count":1}]}`))
 	request.Host = standin.Host
 	request.Header.Set("Authorization", "Bearer "+w.key)
 	request.Header.Set(submission.HeaderDeadline, strconv.FormatInt(wait.Milliseconds(), 10))
@@ -302,8 +306,9 @@
 		const (
 			cut = 3
 			// knownAfter is the time within which an instance without callers learns that it is cut off: the
-			// interval of its reads of the configuration, the silence of the store and a survey.
-			knownAfter = statusRevoke
+			// interval of its reads of the configuration, the silence of the store and a survey. Its configuration
+			// is then still recent.
+			knownAfter = 2 * time.Second
 			requests   = 300
 			spacing    = 20 * time.Millisecond
 		)
@@ -311,11 +316,16 @@
 		time.Sleep(knownAfter)
 		for n := range requests {
 			instance, sent := n%cut, time.Now()
-			for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodDelete} {
-				response := w.call(method, instance, n, statusDeadline)
-				assert.Equal(t, response.Code, http.StatusServiceUnavailable, "%s", method)
-				assert.Equal(t, response.Header().Get("Retry-After"), "0", "%s", method)
-				assert.Equal(t, response.Header().Get("Connection"), "close", "%s", method)
+			responses := map[string]*httptest.ResponseRecorder{
+				"status":       w.call(http.MethodGet, instance, n, statusDeadline),
+				"submission":   w.call(http.MethodPost, instance, n, statusDeadline),
+				"cancellation": w.call(http.MethodDelete, instance, n, statusDeadline),
+				"count":        w.callPath(http.MethodGet, instance, "/terreni/", statusDeadline),
+			}
+			for name, response := range responses {
+				assert.Equal(t, response.Code, http.StatusServiceUnavailable, "%s", name)
+				assert.Equal(t, response.Header().Get("Retry-After"), "0", "%s", name)
+				assert.Equal(t, response.Header().Get("Connection"), "close", "%s", name)
 			}
 			assert.Equal(t, time.Since(sent), time.Duration(0))
 			time.Sleep(spacing)
