--- a/entry/owner/handover_test.go
+++ b/entry/owner/handover_test.go
@@ -21,7 +21,7 @@
 	for i := range seconds {
 		o.considerHandover(handover.Load{
 			At: time.Unix(int64(i+1), 0), Period: time.Second, CPUTime: 160 * time.Millisecond, Cores: 0.192,
-			Batches: 12, Full: 12, Schedulable: 900,
+			Batches: 12, Full: 12, Schedulable: 900, SchedulableOldest: 2 * time.Second,
 		})
 	}
 	return o.ctx.Err() == nil
--- a/entry/owner/report.go
+++ b/entry/owner/report.go
@@ -75,7 +75,7 @@
 	sinceContact := now.Sub(o.delays.lastContact)
 	o.considerHandover(handover.Load{
 		At: now, Period: period, CPUTime: used, Cores: o.Cores,
-		Batches: r.Batches, Full: r.Full, Schedulable: r.Schedulable,
+		Batches: r.Batches, Full: r.Full, Schedulable: r.Schedulable, SchedulableOldest: r.SchedulableOldest,
 	})
 	if max(r.Oldest, r.SchedulableOldest, sinceContact) < longWait {
 		return
--- a/policy/handover/handover.go
+++ b/policy/handover/handover.go
@@ -14,6 +14,9 @@
 	// overloadedTime is how long an owner has to be overloaded without interruption: a new owner works
 	// off what it has inherited first, and a handover costs the service about a second.
 	overloadedTime = 3 * time.Second
+	// minSchedulableWait is how long a job must have had tasks that could start: where executors are nearly
+	// full, a few tasks always fit that the next batch starts.
+	minSchedulableWait = 1 * time.Second
 	// MinTerm is the minimum time that an owner leads before a handover.
 	MinTerm = 5 * time.Second
 	// MinSpacing is the minimum time from the beginning of the previous term to a handover. It bounds the
@@ -33,6 +36,8 @@
 	Batches     int
 	Full        int // batches that left out starts or writes
 	Schedulable int // waiting tasks for which usable executors have free capacity
+	// SchedulableOldest is the longest time that a job has had such tasks.
+	SchedulableOldest time.Duration
 }
 
 // overloaded reports whether the owner is short of CPU time while tasks could start.
@@ -59,7 +64,7 @@
 	if d.since.IsZero() {
 		d.since = l.At.Add(-l.Period)
 	}
-	return l.At.Sub(d.since) >= overloadedTime
+	return l.At.Sub(d.since) >= overloadedTime && l.SchedulableOldest >= minSchedulableWait
 }
 
 // Sufficient reports whether an instance without duties and with the given CPU capacity in cores may succeed
--- a/policy/handover/handover_test.go
+++ b/policy/handover/handover_test.go
@@ -8,7 +8,7 @@
 )
 
 // second is one second of an owner's log.
-type second struct{ cpuMs, batches, full, schedulable int }
+type second struct{ cpuMs, batches, full, schedulable, oldestMs int }
 
 // detect returns after how many seconds an owner hands over; 0 if it doesn't.
 func detect(cores float64, seconds []second) int {
@@ -19,6 +19,7 @@
 			At: start.Add(time.Duration(i+1) * time.Second), Period: time.Second,
 			CPUTime: time.Duration(s.cpuMs) * time.Millisecond, Cores: cores,
 			Batches: s.batches, Full: s.full, Schedulable: s.schedulable,
+			SchedulableOldest: time.Duration(s.oldestMs) * time.Millisecond,
 		}
 		if d.Overloaded(load) {
 			return i + 1
@@ -32,7 +33,7 @@
 // jobs were left when the last ones were due.
 func TestOwnerShortOfCPUTimeKeepsItsDuty(t *testing.T) {
 	recorded := []second{
-		{63, 6, 0, 0}, {162, 18, 10, 9}, {164, 16, 11, 120}, {166, 4, 4, 791}, {154, 11, 11, 1224}, {163, 8, 8, 1195},
+		{63, 6, 0, 0, 0}, {162, 18, 10, 9, 0}, {164, 16, 11, 120, 0}, {166, 4, 4, 791, 1002}, {154, 11, 11, 1224, 2004}, {163, 8, 8, 1195, 2107},
 	}
 	assert.Equal(t, detect(0.192, recorded), 4)
 }
@@ -43,13 +44,15 @@
 		cores   float64
 		seconds []second
 	}{
-		"no tasks that could start":  {0.192, []second{{163, 10, 3, 0}, {155, 14, 9, 0}, {144, 12, 8, 0}, {147, 20, 11, 0}}},
-		"batches are not full":       {0.192, []second{{163, 12, 2, 5}, {165, 14, 0, 5}, {154, 12, 0, 3}, {147, 20, 0, 4}}},
-		"enough CPU time":            {0.8, []second{{314, 31, 20, 30}, {406, 34, 20, 30}, {341, 34, 20, 9}, {345, 31, 18, 2}}},
-		"store limits the batches":   {0.192, []second{{105, 8, 8, 1011}, {105, 8, 8, 1011}, {90, 2, 2, 1011}, {100, 3, 3, 1011}}},
-		"interrupted":                {0.192, []second{{163, 9, 9, 99}, {165, 9, 9, 99}, {40, 9, 9, 99}, {163, 9, 9, 99}, {163, 9, 9, 99}}},
-		"unknown capacity":           {0, []second{{163, 9, 9, 99}, {165, 9, 9, 99}, {163, 9, 9, 99}, {163, 9, 9, 99}}},
-		"no batch, the store is out": {0.192, []second{{163, 0, 0, 99}, {165, 0, 0, 99}, {163, 0, 0, 99}, {163, 0, 0, 99}}},
+		"no tasks that could start":  {0.192, []second{{163, 10, 3, 0, 0}, {155, 14, 9, 0, 0}, {144, 12, 8, 0, 0}, {147, 20, 11, 0, 0}}},
+		"batches are not full":       {0.192, []second{{163, 12, 2, 5, 2000}, {165, 14, 0, 5, 2000}, {154, 12, 0, 3, 2000}, {147, 20, 0, 4, 2000}}},
+		"enough CPU time":            {0.8, []second{{314, 31, 20, 30, 2000}, {406, 34, 20, 30, 2000}, {341, 34, 20, 9, 2000}, {345, 31, 18, 2, 2000}}},
+		"store limits the batches":   {0.192, []second{{105, 8, 8, 1011, 2000}, {105, 8, 8, 1011, 2000}, {90, 2, 2, 1011, 2000}, {100, 3, 3, 1011, 2000}}},
+		"interrupted":                {0.192, []second{{163, 9, 9, 99, 2000}, {165, 9, 9, 99, 2000}, {40, 9, 9, 99, 2000}, {163, 9, 9, 99, 2000}, {163, 9, 9, 99, 2000}}},
+		"unknown capacity":           {0, []second{{163, 9, 9, 99, 2000}, {165, 9, 9, 99, 2000}, {163, 9, 9, 99, 2000}, {163, 9, 9, 99, 2000}}},
+		"no batch, the store is out": {0.192, []second{{163, 0, 0, 99, 2000}, {165, 0, 0, 99, 2000}, {163, 0, 0, 99, 2000}, {163, 0, 0, 99, 2000}}},
+		// Recorded on a day of high load: the executors are full, and the next batch starts what fits.
+		"nearly full executors": {0.8, []second{{619, 50, 44, 71, 0}, {646, 49, 49, 9, 0}, {634, 47, 47, 3, 0}, {674, 46, 46, 118, 0}}},
 	} {
 		assert.Equal(t, detect(test.cores, test.seconds), 0, name)
 	}
--- a/policy/shard/restart_test.go
+++ b/policy/shard/restart_test.go
@@ -75,7 +75,7 @@
 	r := o.shard.Waiting(o.now, false)
 	l := o.load
 	l.Period, l.At, l.Cores = o.now.Sub(l.At), o.now, o.cores
-	l.Batches, l.Full, l.Schedulable = r.Batches, r.Full, r.Schedulable
+	l.Batches, l.Full, l.Schedulable, l.SchedulableOldest = r.Batches, r.Full, r.Schedulable, r.SchedulableOldest
 	o.load = handover.Load{At: o.now}
 	return o.overload.Overloaded(l) && o.now.Sub(o.begun) >= handover.MinTerm && handover.Sufficient(largeCores, o.cores, 1)
 }
