Calls: a long response ends with its caller

Found in review: once the deadline of a call with a long response had passed, no cancellation of its caller was seen, so that a body that made progress went on for up to 20 s: an instance that stops, or an owner that loses its term while it reads its shard, waited for it.

The time until the response begins is now the deadline of a context of its own; from then on the call ends with the context of the caller. Only listings' pages and followers' watches have such a context.

--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -3,12 +3,14 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/platform/backoff"
+	"github.com/tarragonreach/tarragonreach/platform/call"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 )
 
@@ -23,7 +25,7 @@
 const (
 	// defaultWait bounds one watch.
 	defaultWait = 1 * time.Second
-	// watchSlack is how long after its wait time a watch may still respond.
+	// watchSlack is how long after its wait time a watch may still begin to respond.
 	watchSlack = 400 * time.Millisecond
 	// minEmptyWatch is the shortest time after which a watch without events has waited for some. It bounds
 	// the rate of the listings that follow them.
@@ -191,11 +193,8 @@
 }
 
 func (f *Follower) watchOnce(ctx context.Context, after kv.Revision) (kv.Events, error) {
-	wait := f.Wait
-	if wait == 0 {
-		wait = defaultWait
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	wait := cmp.Or(f.Wait, defaultWait)
+	ctx, cancel := call.WithBeginTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	return f.Store.Watch(ctx, f.Prefix, after, wait)
 }
--- a/entry/storehealth/pages.go
+++ b/entry/storehealth/pages.go
@@ -7,14 +7,14 @@
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/platform/backoff"
+	"github.com/tarragonreach/tarragonreach/platform/call"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 )
 
 // pageAttempts is how many times a page of a listing is requested at most.
 const pageAttempts = 2
 
-// pageTimeouts bounds the attempts of one page, which may have 1 MB and arrive over a link
-// of a few Mbit/s.
+// pageTimeouts bounds the time until the response to an attempt of one page begins.
 var pageTimeouts = backoff.Timeouts{First: 3 * time.Second, Cap: 6 * time.Second}
 
 // pageRetry spaces the attempts of one page.
@@ -124,7 +124,7 @@
 }
 
 func (r pageRequest) attempt(ctx context.Context, number int, results chan<- pageResult) {
-	ctx, cancel := context.WithTimeout(ctx, pageTimeouts.ForAttempt(number))
+	ctx, cancel := call.WithBeginTimeout(ctx, pageTimeouts.ForAttempt(number))
 	defer cancel()
 	page, err := r.send(ctx)
 	results <- pageResult{page, err}
