Review: bounds on what other writers state and on what tells a cut

Found in review, each shown by a test or a calculation there: - Every stored value could be a compressed one, so that small values of another writer took 16 MB each to read. Only progress and loads may be compressed, up to the 1 MiB that the store takes of a plain value, and readers are reused. - A third of the other instances that did not respond counted as a cut, as in an outage of the store while one zone of three is lost, and one ended instance of a small deployment did. Now half of all or 0.3 of the zone, and two at least. - A registration with any number of cores could be a successor. Beyond 1,024 it counts as unknown. - An answer that an instance had was replaced by a refusal if the instance turned out to be cut off meanwhile.

--- a/entry/fleetduty/load.go
+++ b/entry/fleetduty/load.go
@@ -167,7 +167,7 @@
 			delete(h.loads, service)
 			continue
 		}
-		load, err := layout.Decode[shard.Load](event.Key, event.Value)
+		load, err := layout.DecodeCompressed[shard.Load](event.Key, event.Value)
 		if err != nil {
 			h.skippedLoads.Add(event.Key, err)
 			continue
--- a/entry/intake/relay.go
+++ b/entry/intake/relay.go
@@ -124,7 +124,7 @@
 	defer watch.Stop()
 	resp := i.handle(local, c, r)
 	notPassedOn := timer.Stop()
-	if !resp.outcome.mayDifferElsewhere() && local.Err() == nil {
+	if !resp.outcome.mayDifferElsewhere() && (local.Err() == nil || resp.outcome == outcomeAnswered) {
 		return resp
 	}
 	if notPassedOn {
--- a/entry/layout/compress.go
+++ b/entry/layout/compress.go
@@ -14,8 +14,9 @@
 	compressFrom = 512
 	// compressedMark is the first byte of a compressed value. No JSON text begins with it.
 	compressedMark = 0x01
-	// maxDecompressed bounds a decompressed value in bytes. Another writer may have left any value.
-	maxDecompressed = 16 << 20
+	// maxDecompressed bounds a decompressed value in bytes, which the store would not take uncompressed if it
+	// were longer. Another writer may have left any value.
+	maxDecompressed = 1 << 20
 )
 
 var errTooLong = errors.New("the decompressed value is too long")
@@ -51,12 +52,18 @@
 	return bytes.Clone(c.output.Bytes())
 }
 
+var decompressors = sync.Pool{New: func() any { return flate.NewReader(bytes.NewReader(nil)) }}
+
 // decompress returns the JSON text of a stored value, which may be compressed or not.
 func decompress(value []byte) ([]byte, error) {
 	if len(value) == 0 || value[0] != compressedMark {
 		return value, nil
 	}
-	reader := flate.NewReader(bytes.NewReader(value[1:]))
+	reader := decompressors.Get().(io.ReadCloser)
+	defer decompressors.Put(reader)
+	if err := reader.(flate.Resetter).Reset(bytes.NewReader(value[1:]), nil); err != nil {
+		return nil, fmt.Errorf("decompress: %w", err)
+	}
 	text, err := io.ReadAll(io.LimitReader(reader, maxDecompressed+1))
 	if err != nil {
 		return nil, fmt.Errorf("decompress: %w", err)
--- a/entry/layout/compress_test.go
+++ b/entry/layout/compress_test.go
@@ -29,7 +29,7 @@
 	value, err := EncodeCompressed(progress)
 	assert.NilError(t, err)
 	assert.Assert(t, 3*len(value) <= len(text), "%d bytes of %d", len(value), len(text))
-	decoded, err := Decode[shard.Progress]("key", value)
+	decoded, err := DecodeCompressed[shard.Progress]("key", value)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, decoded, progress)
 }
@@ -39,12 +39,12 @@
 		values := rapid.SliceOfN(rapid.String(), 0, 200).Draw(t, "values")
 		value, err := EncodeCompressed(values)
 		assert.NilError(t, err)
-		decoded, err := Decode[[]string]("key", value)
+		decoded, err := DecodeCompressed[[]string]("key", value)
 		assert.NilError(t, err)
 		assert.Equal(t, len(decoded), len(values))
 		plain, err := json.Marshal(values) // as earlier versions stored it
 		assert.NilError(t, err)
-		earlier, err := Decode[[]string]("key", plain)
+		earlier, err := DecodeCompressed[[]string]("key", plain)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, decoded, earlier)
 	})
@@ -62,10 +62,10 @@
 		assert.NilError(t, err)
 	}
 	assert.NilError(t, writer.Close())
-	_, err = Decode[[]string]("key", value.Bytes())
+	_, err = DecodeCompressed[[]string]("key", value.Bytes())
 	assert.ErrorIs(t, err, errTooLong)
 	for _, broken := range [][]byte{{compressedMark}, {compressedMark, 0xff, 0xff}, value.Bytes()[:value.Len()/2]} {
-		_, err = Decode[[]string]("key", broken)
+		_, err = DecodeCompressed[[]string]("key", broken)
 		assert.ErrorContains(t, err, "entry key")
 	}
 }
--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -242,19 +242,25 @@
 	}
 }
 
-// Decode reads a value that Encode or EncodeCompressed wrote.
+// Decode reads a value that Encode wrote.
 func Decode[T any](key string, value []byte) (T, error) {
 	var v T
-	text, err := decompress(value)
-	if err != nil {
-		return v, fmt.Errorf("entry %s: %w", key, err)
-	}
-	if err := json.Unmarshal(text, &v); err != nil {
+	if err := json.Unmarshal(value, &v); err != nil {
 		return v, fmt.Errorf("entry %s: %w", key, err)
 	}
 	return v, nil
 }
 
+// DecodeCompressed reads a value that EncodeCompressed or Encode wrote.
+func DecodeCompressed[T any](key string, value []byte) (T, error) {
+	text, err := decompress(value)
+	if err != nil {
+		var none T
+		return none, fmt.Errorf("entry %s: %w", key, err)
+	}
+	return Decode[T](key, text)
+}
+
 var errUnknownState = errors.New("a job's state without a service, or with an unknown word")
 
 // DecodeState decodes the state of a job. It returns an error if the value is none that this version
@@ -295,7 +301,7 @@
 }
 
 // EncodeCompressed is like Encode for values that are written often: their stored form is compressed if they
-// are long. Decode reads both forms.
+// are long. DecodeCompressed reads both forms.
 func EncodeCompressed(v any) ([]byte, error) {
 	text, err := Encode(v)
 	if err != nil {
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -49,6 +49,8 @@
 	maxAttempts = 8
 	// maxResponse bounds the response of a peer in bytes.
 	maxResponse = 64 << 10
+	// maxCores is the highest CPU capacity in cores that a registration may state; what is beyond counts as unknown.
+	maxCores = 1024
 	// idleConnections is how many idle connections are kept open to each peer.
 	idleConnections = 2
 )
@@ -214,7 +216,11 @@
 	if err := bound.Address(instance.Address); err != nil {
 		return Peer{}, fmt.Errorf("entry %s: %w", bound.Excerpt(item.Key), err)
 	}
-	return Peer{ID: layout.InstanceOf(item.Key), Zone: instance.Zone, Address: instance.Address, Cores: instance.Cores}, nil
+	cores := instance.Cores
+	if !(cores > 0 && cores <= maxCores) {
+		cores = 0
+	}
+	return Peer{ID: layout.InstanceOf(item.Key), Zone: instance.Zone, Address: instance.Address, Cores: cores}, nil
 }
 
 // apply replaces the known peers. Those that are listed as before keep what is known of their answers.
--- a/policy/reach/reach.go
+++ b/policy/reach/reach.go
@@ -31,10 +31,16 @@
 	RetryAtOnce bool
 }
 
-// silentShare is the smallest share of silent instances, among those of which anything is known, that tells a cut from an
-// instance that has ended. A caller with five attempts at random instances, of which that share can answer, is answered
-// with a probability of 0.83.
-const silentShare = 0.3
+const (
+	// zoneSilentShare is the smallest share of silent instances of the own zone, among those of which anything is known,
+	// that tells a cut from instances that have ended. A caller with five attempts at random instances, of which that
+	// share can answer, is answered with a probability of 0.83.
+	zoneSilentShare = 0.3
+	// allSilentShare is the same for the instances of all zones. It is higher: one zone of three may be lost.
+	allSilentShare = 0.5
+	// minSilent is the smallest number of silent instances that tells a cut: one may have ended.
+	minSilent = 2
+)
 
 // Assess judges the other instances. Of those without a known state it assumes nothing.
 func Assess(peers []Peer) Assessment {
@@ -48,8 +54,8 @@
 	passOn := all[Serving] > 0
 	return Assessment{
 		PassOn:      passOn,
-		CutOff:      !passOn && (all.suggestsCut() || zone.suggestsCut()),
-		RetryAtOnce: zone[Serving] > 0 || zone.suggestsCut(),
+		CutOff:      !passOn && (all.suggestsCut(allSilentShare) || zone.suggestsCut(zoneSilentShare)),
+		RetryAtOnce: zone[Serving] > 0 || zone.suggestsCut(zoneSilentShare),
 	}
 }
 
@@ -58,8 +64,8 @@
 
 func (t *tally) add(s State) { t[s]++ }
 
-// suggestsCut reports whether many instances are silent.
-func (t *tally) suggestsCut() bool {
+// suggestsCut reports whether at least the given share of the instances is silent.
+func (t *tally) suggestsCut(share float64) bool {
 	known := t[Serving] + t[Refusing] + t[Silent]
-	return known > 0 && float64(t[Silent]) >= silentShare*float64(known)
+	return t[Silent] >= minSilent && float64(t[Silent]) >= share*float64(known)
 }
