Owner: awaited polls are bounded

Found in review: a poll that exceeds its time limit is awaited for 10 s more, and the next ones are sent meanwhile. With 300 executors that had responded and then were silent 2,100 calls were in flight at a time; with 2,000 entries behind which there are no executors 3,024, of 4,100 descriptors (a test of the review).

Late responses of executors that never responded, and where nothing is known to run, are not awaited any more: the bounds of first contacts hold again. Of others, three polls are awaited, and the earliest is abandoned for a fourth: the response to a later poll lists what that to an earlier one does. Polls stand in a file of their own. TestSilentExecutorHoldsManyConnections has 4 and 1 in flight; it fails without the bound.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -121,6 +121,7 @@
 
 	delays         delays
 	callLimits     callLimits
+	latePolls      latePolls
 	callWindow     calllimit.Window
 	callStatistics callStatistics
 	// overload detects that the owner has to hand over its duty.
@@ -464,82 +465,6 @@
 	return unknownReason
 }
 
-// poll sends a poll. A poll without a response within its time limit has failed, but its response is awaited for
-// longer: it may be late on the way to this instance, and list completions.
-func (o *Owner) poll(poll shard.Poll) {
-	client := o.client(poll.Executor)
-	responses := make(chan pollResponse, 1)
-	go func() {
-		ctx, cancel := context.WithTimeout(o.ctx, poll.Request.Wait+shard.LateResponseLimit)
-		defer cancel()
-		sentAt := time.Now()
-		response, err := client.Poll(ctx, poll.Request)
-		if err != nil {
-			client.Close() // the connection may be half-open
-		}
-		now := time.Now()
-		responses <- pollResponse{PollResponse: response, err: err, at: now, took: now.Sub(sentAt)}
-	}()
-	go o.awaitPoll(poll, client, responses)
-}
-
-// pollResponse is the result of a poll.
-type pollResponse struct {
-	execution.PollResponse
-	err  error
-	at   time.Time
-	took time.Duration
-}
-
-// awaitPoll passes the result of a poll to the shard, and first that it exceeded its time limit if it did.
-func (o *Owner) awaitPoll(poll shard.Poll, client Executor, responses <-chan pollResponse) {
-	limit, cancel := o.callLimits.context(o.ctx, poll.Request.Wait)
-	defer cancel()
-	result := callResult{executor: poll.Executor.ID, kind: callKindPoll, wait: poll.Request.Wait}
-	select {
-	case r := <-responses:
-		result.outcome, result.took = callOutcomeOf(limit, r.err), r.took
-		o.callLimits.record(result, r.at)
-		o.send(func(time.Time) {
-			o.recordCall(result)
-			o.logCompletions(poll, r.PollResponse)
-			o.shard.HandlePollResult(poll, deliveryOf(r.err), r.PollResponse, r.at)
-		})
-		return
-	case <-limit.Done():
-	}
-	client.Close() // idle connections may be half-open, too
-	exceededAt := time.Now()
-	result.outcome, result.took = callTimedOut, exceededAt.Sub(poll.SentAt)
-	o.callLimits.record(result, exceededAt)
-	o.send(func(time.Time) {
-		o.recordCall(result)
-		o.shard.HandlePollResult(poll, shard.Ambiguous, execution.PollResponse{}, exceededAt)
-	})
-	o.passLatePoll(poll, result, <-responses)
-}
-
-// passLatePoll passes the result of a poll that has exceeded its time limit to the shard.
-func (o *Owner) passLatePoll(poll shard.Poll, result callResult, r pollResponse) {
-	o.Scope.Tagged(map[string]string{"outcome": lateOutcome(r.err)}).Counter("late_polls").Inc(1)
-	if r.err == nil {
-		result.outcome, result.took = callAnswered, r.took
-		o.callLimits.record(result, r.at) // later calls may take as long
-	}
-	o.send(func(time.Time) {
-		o.logCompletions(poll, r.PollResponse)
-		o.shard.HandleLatePollResult(poll, deliveryOf(r.err), r.PollResponse, r.at)
-	})
-}
-
-// lateOutcome returns whether a poll that exceeded its time limit got a response after all.
-func lateOutcome(err error) string {
-	if err != nil {
-		return "no-answer"
-	}
-	return "answered"
-}
-
 // logCompletions counts completions and logs those whose reason is not EndedDone.
 func (o *Owner) logCompletions(poll shard.Poll, response execution.PollResponse) {
 	for _, completion := range response.Ended {
--- a/policy/shard/polls.go
+++ b/policy/shard/polls.go
@@ -13,6 +13,9 @@
 	Executor cluster.Executor
 	Request  execution.PollRequest
 	SentAt   time.Time
+	// LateResponseCounts is set if a response after the time limit of the poll is of use. That of an executor which
+	// has never responded, and where nothing is known to run, isn't: any number of those may be listed.
+	LateResponseCounts bool
 
 	target           *executorState
 	leaseBoundBefore time.Time // the executor's leaseBound before this poll
@@ -59,7 +62,7 @@
 // newPoll returns a poll that is sent now; its response may be long if allowed.
 func (s *Shard) newPoll(e *executorState, longResponse bool, now time.Time) Poll {
 	e.polling, e.longResponse = true, longResponse
-	poll := Poll{Executor: e.Executor, SentAt: now, target: e, leaseBoundBefore: e.leaseBound}
+	poll := Poll{Executor: e.Executor, SentAt: now, LateResponseCounts: !e.uncontacted(), target: e, leaseBoundBefore: e.leaseBound}
 	poll.Executor.Address = e.pollAddress()
 	poll.Request = s.pollRequest(e, now)
 	poll.Request.LongResponse = longResponse
