Owner: the window of commands does not fall below what the link carries

Suspected, not proven: an owner with 0.192 cores that is short of CPU time reads all responses late, its window of commands fell to 32 for that, and it started a few runs at a time; its batches were then not full, so that it did not hand its duty over either.

The window's floor is now what the link carries within its target latency, with commands of 1,500 bytes: 41 with 2 Mbit/s, 208 with 10 Mbit/s, no bound with 200 Mbit/s. TestLateResponsesOverAFastLinkReduceTheWindow does not compile before.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -91,6 +91,9 @@
 	jobsPause = 10 * time.Millisecond
 	// jobsWait bounds how long a submission goes unnoticed if watches deliver no events.
 	jobsWait = 400 * time.Millisecond
+	// commandBytes is about how many bytes a command to an executor takes of the link, with a payload that is not
+	// the longest.
+	commandBytes = 1500
 	// eventQueueSize is how many events may wait for the loop.
 	eventQueueSize = 256
 )
@@ -153,6 +156,7 @@
 		events:  make(chan event, eventQueueSize),
 		cordons: map[cluster.ExecutorID]shard.Cordon{}, finished: map[job.ID]kv.Revision{},
 		ctx: ctx, stepDown: cancel, renewalAllowed: true,
+		callWindow: calllimit.Window{Floor: calllimit.FloorOf(float64(options.Link), commandBytes)},
 	}
 	o.Logger = options.Logger.With("service", string(options.Service), "token", term.Token)
 	o.skippedRecords = follow.NewSkipped(o.Logger, "jobs skipped: record not readable")
--- a/policy/calllimit/window.go
+++ b/policy/calllimit/window.go
@@ -24,6 +24,9 @@
 // does. It goes by the latency instead of by losses, since calls that wait in a queue are not lost. The zero value
 // is a window of the initial size. It is not safe for concurrent use.
 type Window struct {
+	// Floor is the size below which the window does not fall if it is above the lowest one: as many calls as are
+	// carried within targetLatency anyhow. Beyond maxWindow there is no bound.
+	Floor     int
 	size      int // zero stands for initialWindow
 	congested bool
 	unbounded bool
@@ -34,15 +37,21 @@
 // Size returns the maximum number of calls in flight; zero stands for no bound.
 func (w *Window) Size() int {
 	switch {
-	case w.unbounded:
+	case w.unbounded || w.Floor > maxWindow:
 		return 0
 	case w.size == 0:
-		return initialWindow
+		return max(initialWindow, w.Floor)
 	default:
 		return w.size
 	}
 }
 
+// FloorOf returns the floor of the window for calls of the given length over a link of the given rate, in bytes and
+// bytes per second. There is none where the rate is not known.
+func FloorOf(rate float64, callBytes int) int {
+	return int(min(rate*targetLatency.Seconds()/float64(callBytes), maxWindow+1))
+}
+
 // Record adds a call that was sent before the given time and has been answered or has exceeded its limit now,
 // and the number of calls in flight.
 func (w *Window) Record(took time.Duration, inFlight int, now time.Time) {
@@ -68,7 +77,7 @@
 	if w.unbounded {
 		size = inFlight
 	}
-	w.size = max(minWindow, int(reduction*float64(size)))
+	w.size = max(minWindow, w.Floor, int(reduction*float64(size)))
 	w.congested, w.unbounded, w.reducedAt = true, false, now
 }
 
--- a/policy/calllimit/window_test.go
+++ b/policy/calllimit/window_test.go
@@ -71,3 +71,16 @@
 	}
 	assert.Equal(t, w.Size(), initialWindow)
 }
+
+// Guards against an owner that is short of CPU time, so that it reads all responses late, and starts a few runs at a time
+// over a link that carries many: with 10 Mbit/s, 208 calls of 1,500 bytes take a quarter second.
+func TestLateResponsesOverAFastLinkReduceTheWindow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for rate, want := range map[float64]int{250_000: 41, 1_250_000: 208, 25e6: 0, 0: minWindow} {
+		w := Window{Floor: FloorOf(rate, 1500)}
+		for i := range 100 * epoch {
+			w.Record(time.Second, 500, now.Add(time.Duration(i)*100*time.Millisecond))
+		}
+		assert.Equal(t, w.Size(), want)
+	}
+}
