Owner, shard: commands in flight are counted in one place, and two tests share their owner

Found in the read-through: the room for commands was summed beside CommandsInFlight, and the tests of late and of silent polls set up the same owner.

--- a/entry/owner/latepolls_test.go
+++ b/entry/owner/latepolls_test.go
@@ -34,29 +34,35 @@
 
 func (e lateExecutor) Close() {}
 
+// polledJob is the job of a pollingOwner.
+const polledJob = job.ID("00000000000000aa")
+
+// pollingOwner returns an owner that calls its executors through dial and leads a service with one task.
+func pollingOwner(ctx context.Context, dial Dial, executors []cluster.Executor, progress shard.Progress) *Owner {
+	o := &Owner{
+		Options: Options{Service: testService, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, Dial: dial},
+		shard:   shard.New(shard.Limits{RunLease: 5 * time.Second, MaxRunLease: 10 * time.Second}, 1),
+		events:  make(chan event, eventQueueSize), ctx: ctx, clients: map[cluster.ExecutorID]executorClient{},
+	}
+	o.shard.SetExecutors(executors, time.Now())
+	record := shard.Record{ID: polledJob, Accepted: time.Now(), Definition: job.Definition{Steps: []job.Step{{Count: 1}}}}
+	o.shard.AddJob(record, &progress, time.Now())
+	return o
+}
+
 // All responses come seconds after the time limit of a poll. The completion in them must be read.
 func TestCompletionInALatePollResponseIsRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer cancel()
-		const id = job.ID("00000000000000aa")
 		ended := execution.Ended{
-			RunRef:   execution.RunRef{Task: job.TaskID{StepID: job.StepID{Job: id}}, Run: 1},
+			RunRef:   execution.RunRef{Task: job.TaskID{StepID: job.StepID{Job: polledJob}}, Run: 1},
 			Sequence: 1, Reason: execution.EndedDone,
 		}
-		o := &Owner{
-			Options: Options{
-				Service: testService, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
-				Dial: func(cluster.ExecutorID, string) Executor { return lateExecutor{delay: 4 * time.Second, ended: ended} },
-			},
-			shard:  shard.New(shard.Limits{RunLease: 5 * time.Second, MaxRunLease: 10 * time.Second}, 1),
-			events: make(chan event, eventQueueSize), ctx: ctx, clients: map[cluster.ExecutorID]executorClient{},
-		}
-		o.shard.SetExecutors([]cluster.Executor{{ID: "i-1", Address: "a:1"}}, time.Now())
+		dial := func(cluster.ExecutorID, string) Executor { return lateExecutor{delay: 4 * time.Second, ended: ended} }
 		progress := shard.Progress{Tasks: []shard.TaskProgress{{Run: 1, Executor: "i-1", Address: "a:1"}}}
-		record := shard.Record{ID: id, Accepted: time.Now(), Definition: job.Definition{Steps: []job.Step{{Count: 1}}}}
-		o.shard.AddJob(record, &progress, time.Now())
+		o := pollingOwner(ctx, dial, []cluster.Executor{{ID: "i-1", Address: "a:1"}}, progress)
 		for range 5 * time.Second / tickInterval {
 			o.drain()
 			now := time.Now()
@@ -69,6 +75,6 @@
 			}
 			time.Sleep(tickInterval)
 		}
-		assert.Assert(t, !o.shard.HasJob(id))
+		assert.Assert(t, !o.shard.HasJob(polledJob))
 	})
 }
--- a/entry/owner/silentpolls_test.go
+++ b/entry/owner/silentpolls_test.go
@@ -2,18 +2,15 @@
 
 import (
 	"context"
-	"log/slog"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/api/execution"
-	"github.com/tarragonreach/tarragonreach/api/job"
 	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
@@ -48,17 +45,8 @@
 				defer synctest.Wait()
 				defer cancel()
 				e := &silentExecutor{}
-				o := &Owner{
-					Options: Options{
-						Service: testService, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
-						Dial: func(cluster.ExecutorID, string) Executor { return e },
-					},
-					shard:  shard.New(shard.Limits{RunLease: 5 * time.Second, MaxRunLease: 10 * time.Second}, 1),
-					events: make(chan event, eventQueueSize), ctx: ctx, clients: map[cluster.ExecutorID]executorClient{},
-				}
-				o.shard.SetExecutors([]cluster.Executor{{ID: "i-1", Address: "a:1"}, {ID: "i-2", Address: "a:2"}}, time.Now())
-				record := shard.Record{ID: "00000000000000aa", Accepted: time.Now(), Definition: job.Definition{Steps: []job.Step{{Count: 1}}}}
-				o.shard.AddJob(record, &c.progress, time.Now())
+				dial := func(cluster.ExecutorID, string) Executor { return e }
+				o := pollingOwner(ctx, dial, []cluster.Executor{{ID: "i-1", Address: "a:1"}, {ID: "i-2", Address: "a:2"}}, c.progress)
 				for range 30 * time.Second / tickInterval {
 					o.drain()
 					now := time.Now()
--- a/policy/shard/commands.go
+++ b/policy/shard/commands.go
@@ -68,7 +68,7 @@
 	}
 	s.usePrepared(now)
 	executors := s.sortedExecutors()
-	free := s.freeCommands(executors)
+	free := s.freeCommands()
 	first := s.nextCommanded(executors)
 	var list []Command
 	for i := range executors {
--- a/policy/shard/window.go
+++ b/policy/shard/window.go
@@ -26,15 +26,11 @@
 }
 
 // freeCommands returns how many commands may be sent now.
-func (s *Shard) freeCommands(executors []*executorState) int {
+func (s *Shard) freeCommands() int {
 	if s.commandWindow == 0 {
 		return math.MaxInt
 	}
-	free := s.commandWindow
-	for _, e := range executors {
-		free -= e.commandsInFlight
-	}
-	return free
+	return s.commandWindow - s.CommandsInFlight()
 }
 
 // nextCommanded returns the position of the executor whose commands come first. It is the first one that the
