Review, case 1: after a burst no job of a queue with advice starts any more (LOST)

Cause: the owner sends a request for advice for each step that lacks a ticket, without a bound, and gives each up after 3 s, while the service answers up to 32 waiting ones in turn. Once that takes longer than 3 s, each call is given up before it is answered, and all steps ask again. Test: review/1/run.sh, with stand-ins for executors, clients and the advice service. Nothing is fixed.

--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+func init() {
+	scenarios["cancel"] = cancelOfUnansweredJob
+	scenarios["advice"] = adviceAfterBurst
+}
+
+// createsJob reports whether a body of /kv-txn writes something of a job.
+func createsJob(body []byte, id string) bool {
+	var t struct {
+		Puts []struct {
+			Key string `json:"key"`
+		} `json:"puts"`
+	}
+	_ = json.Unmarshal(body, &t)
+	for _, p := range t.Puts {
+		if strings.Contains(p.Key, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// lateWrite is how much later the store carries out the write that it leaves unanswered.
+const lateWrite = 5500 * time.Millisecond
+
+// cancelOfUnansweredJob hands a job in; the store leaves that one write unanswered and carries it out later. The client
+// leaves without an answer, cancels the job at another node, and gets an acknowledgement.
+func cancelOfUnansweredJob(s *site, trouble bool, r *rand.Rand) error {
+	s.queues = []*queue{{name: "r-one", prefix: "/one/", service: "alpha", maxAttempts: 4}}
+	if err := s.startSite([]string{"alpha"}, 4, 3); err != nil {
+		return err
+	}
+	time.Sleep(stableTime)
+	j := &job{id: newID(r), queue: s.queues[0]}
+	j.body = Submission{Spec: "spec of " + j.id}
+	for n := range 6 {
+		step := Step{Count: 2, CPU: 1000, Memory: 256, EstimatedMs: 1500}
+		if n > 0 {
+			step.After = []int{n - 1}
+		}
+		j.body.Steps = append(j.body.Steps, step)
+		j.workMs = append(j.workMs, step.EstimatedMs)
+	}
+	if trouble {
+		var disturbed atomic.Bool
+		for _, n := range s.nodes {
+			n.store.setFault(func(path string, body []byte) (string, time.Duration) {
+				if path != "/kv-txn" || !createsJob(body, j.id) || disturbed.Swap(true) {
+					return "", 0
+				}
+				s.trouble(lateWrite, "the store leaves one write of %s unanswered, and carries it out %v later", n.name, lateWrite)
+				return "late", lateWrite
+			})
+		}
+	}
+	s.submit(s.nodes[0], j, 100*time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	s.cancel(s.nodes[1], j, 3*time.Second)
+	s.noteState(s.nodes[2], j)
+	time.Sleep(lateWrite + 12*time.Second)
+	s.noteState(s.nodes[2], j)
+	return nil
+}
+
+func (s *site) noteState(n *node, j *job) {
+	status, state := s.state(n, j)
+	s.note("client: GET %s at %s: %d %s", j.id, n.name, status, state)
+}
+
+// Load of the case of advice, in jobs a second. The queue's demand rises to a peak for some seconds; the burst is 2.6
+// times that for 4 s.
+const (
+	quietRate   = 0.5
+	peakRate    = 6.5
+	burstFactor = 2.6
+	quietTime   = 6 * time.Second
+	peakTime    = 4500 * time.Millisecond
+	burstTime   = 4 * time.Second
+	finishTime  = 14 * time.Second
+	// stuckTime is how long a job has nothing running, though it could, until that counts.
+	stuckTime = 3 * time.Second
+)
+
+// adviceAfterBurst has a few jobs that last and short ones on a queue with advice, and a burst of the latter in a peak.
+func adviceAfterBurst(s *site, trouble bool, r *rand.Rand) error {
+	s.queues = []*queue{{
+		name: "r-one", prefix: "/one/", service: "alpha", maxAttempts: 4,
+		advice: &adviceTerms{DecisionMs: 100, EachMs: 1, ValidityMs: 3000},
+	}}
+	s.advice = &adviser{w: s.world, skipsAbandoned: os.Getenv("ADVICE_DROPS") == "1"}
+	if err := s.startSite([]string{"alpha"}, 8, 3); err != nil {
+		return err
+	}
+	for range 4 {
+		j := &job{id: newID(r), queue: s.queues[0], workMs: []int64{0}}
+		j.body = Submission{Spec: "lasts", Steps: []Step{{Count: 2, CPU: 1000, Memory: 256, EstimatedMs: 1000, LongRunning: true}}}
+		s.deliver(r, j, 20)
+	}
+	var clients sync.WaitGroup
+	sendFor := func(d time.Duration, rate float64) {
+		for end := time.Now().Add(d); time.Now().Before(end); {
+			j := &job{id: newID(r), queue: s.queues[0], workMs: []int64{300}}
+			j.body = Submission{Spec: "short", Steps: []Step{{Count: 1, CPU: 500, Memory: 256, EstimatedMs: 300}}}
+			own := rand.New(rand.NewPCG(r.Uint64(), 5))
+			clients.Go(func() { s.deliver(own, j, 20) })
+			time.Sleep(time.Duration(float64(time.Second) / rate))
+		}
+	}
+	for range 2 { // two peaks; the burst is in the first
+		sendFor(quietTime, quietRate)
+		s.note("client: peak of %.1f jobs a second", peakRate)
+		if trouble {
+			trouble = false
+			s.trouble(burstTime, "burst: %.1f times the jobs", burstFactor)
+			sendFor(burstTime, burstFactor*peakRate)
+			sendFor(peakTime-burstTime, peakRate)
+		} else {
+			sendFor(peakTime, peakRate)
+		}
+		s.noteAdvice()
+	}
+	sendFor(quietTime, quietRate)
+	clients.Wait()
+	s.note("client: the traffic has ended")
+	time.Sleep(finishTime)
+	s.noteAdvice()
+	s.checkStuck(r)
+	s.noteAdvice()
+	return nil
+}
+
+func (s *site) noteAdvice() {
+	s.note("advice: %d calls answered, %d refused with 429, callers of %d had gone", s.advice.calls.Load(), s.advice.refused.Load(), s.advice.abandoned.Load())
+}
+
+// checkStuck checks that no accepted job has nothing running for stuckTime though it could start.
+func (s *site) checkStuck(r *rand.Rand) {
+	waiting := s.idleJobs(r)
+	for end := time.Now().Add(stuckTime + 500*time.Millisecond); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		s.mu.Lock()
+		for id, j := range waiting {
+			if s.hasRuns(j) || !s.roomFor(j) {
+				delete(waiting, id)
+			}
+		}
+		s.mu.Unlock()
+	}
+	still := s.idleJobs(r)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range waiting {
+		if j := still[id]; j != nil {
+			s.breaks("LOST", "job %s, accepted %.1f s ago, has nothing running for %v, with room for it and under half of the capacity in use", id, time.Since(j.accepted).Seconds(), stuckTime)
+		}
+	}
+}
+
+// idleJobs returns the accepted jobs that are not final and have nothing running, by what callers are told.
+func (s *site) idleJobs(r *rand.Rand) map[string]*job {
+	s.mu.Lock()
+	var list []*job
+	for _, j := range s.jobs {
+		if !j.accepted.IsZero() && j.cancelSent.IsZero() && !s.hasRuns(j) && !s.allDone(j) {
+			list = append(list, j)
+		}
+	}
+	s.mu.Unlock()
+	idle := map[string]*job{}
+	for _, j := range list {
+		if status, state := s.state(s.nodes[r.IntN(len(s.nodes))], j); status == 200 && (state == "queued" || state == "running") {
+			idle[j.id] = j
+		}
+	}
+	return idle
+}
+
+// hasRuns reports whether anything of a job runs. The caller holds s.mu.
+func (s *site) hasRuns(j *job) bool {
+	for _, x := range s.executors {
+		for _, run := range x.running {
+			if run.job == j {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// roomFor reports whether the service has room for a job's first step twice over, and under half of its capacity is in
+// use. The caller holds s.mu.
+func (s *site) roomFor(j *job) bool {
+	var used, capacity, room int64
+	for _, x := range s.executors {
+		if x.service == j.queue.service {
+			used += x.used()
+			capacity += x.cpu
+			room += (x.cpu - x.used()) / j.body.Steps[0].CPU
+		}
+	}
+	return 2*used < capacity && room >= 2*int64(j.body.Steps[0].Count)
+}
