Review, case 3: a job of another queue with the same ID is shown and cancelled (MIXED)

Cause: jobs are stored and looked up by their ID alone, and a submission of an ID that any queue has counts as a repeated one. Nothing is fixed.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"strings"
@@ -13,6 +14,7 @@
 func init() {
 	scenarios["cancel"] = cancelOfUnansweredJob
 	scenarios["advice"] = adviceAfterBurst
+	scenarios["same-id"] = sameIDInTwoQueues
 }
 
 // createsJob reports whether a body of /kv-txn writes something of a job.
@@ -73,6 +75,41 @@
 	return nil
 }
 
+// sameIDInTwoQueues has two clients, each with a queue of its own on a service of its own. With trouble the second one
+// has chosen an ID that the first one has chosen as well. It later cancels another job of its own, likewise.
+func sameIDInTwoQueues(s *site, trouble bool, r *rand.Rand) error {
+	s.queues = []*queue{
+		{name: "r-one", prefix: "/one/", service: "alpha", maxAttempts: 4},
+		{name: "r-two", prefix: "/two/", service: "beta", maxAttempts: 4},
+	}
+	if err := s.startSite([]string{"alpha", "beta"}, 3, 3); err != nil {
+		return err
+	}
+	// Each client numbers its jobs; without trouble the second one begins elsewhere.
+	const first = 1
+	second := first
+	if !trouble {
+		second = 1001
+	}
+	newJob := func(q *queue, number int, work int64) *job {
+		j := &job{id: fmt.Sprintf("%016x", number), queue: q, workMs: []int64{work}}
+		j.body = Submission{Spec: "job of " + q.name, Steps: []Step{{Count: 2, CPU: 1000, Memory: 256, EstimatedMs: work}}}
+		return j
+	}
+	a, b := newJob(s.queues[0], first, 1000), newJob(s.queues[1], second, 1000)
+	s.deliver(r, a, 10)
+	time.Sleep(500 * time.Millisecond)
+	s.deliver(r, b, 10)
+	time.Sleep(4 * time.Second)
+	c, d := newJob(s.queues[0], first+1, 5000), newJob(s.queues[1], second+1, 5000)
+	s.deliver(r, c, 10)
+	s.deliver(r, d, 10)
+	time.Sleep(time.Second)
+	s.cancel(s.nodes[0], d, 3*time.Second)
+	s.settle(r, 15*time.Second)
+	return nil
+}
+
 func (s *site) noteState(n *node, j *job) {
 	status, state := s.state(n, j)
 	s.note("client: GET %s at %s: %d %s", j.id, n.name, status, state)
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -58,7 +58,7 @@
 	}
 	x := &executor{
 		w: w, id: id, service: service, address: listener.Addr().String(), labels: labels, cpu: cpu,
-		began: time.Now(), rate: 1, highest: map[string]int{}, listener: listener, responses: make(chan struct{}),
+		began: time.Now(), rate: 1 - 0.02*float64(len(w.executors)%3)/2, highest: map[string]int{}, listener: listener, responses: make(chan struct{}),
 	}
 	x.server = &http.Server{Handler: x}
 	go func() { _ = x.server.Serve(listener) }()
@@ -142,11 +142,18 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
+	if found && fault == "busy" {
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	status, body := x.handle(r.URL.Path, b, "")
 	if r.URL.Path == "/hold" && status == http.StatusOK {
 		body = x.hold(r, b)
 	}
-	if found || !x.awaitHeal(r) {
+	if found && fault == "slow" {
+		time.Sleep(lateBy(fmt.Sprint(time.Now().UnixNano())) / 6) // 0.3 to 2 s
+	}
+	if found && fault == "lost" || !x.awaitHeal(r) {
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
@@ -242,7 +249,7 @@
 		return refuse("late")
 	}
 	id, _, number, _ := splitTask(b.Task)
-	j := w.jobs[id]
+	j := w.job(x.service, id)
 	if j != nil && j.queue.advice != nil && !now.Before(w.tickets[x.id+" "+stepOf(b.Task)+" "+b.Ticket]) {
 		return refuse("ticket")
 	}
@@ -413,6 +420,12 @@
 	e := &end{number: x.sequence, task: r.task, run: r.run, how: how, saved: r.saved, at: now, on: x}
 	x.ended = append(x.ended, e)
 	x.w.ends = append(x.w.ends, e)
+	if step := x.service + "/" + stepOf(r.task); how == "done" {
+		if x.w.done[step] == nil {
+			x.w.done[step] = map[string]bool{}
+		}
+		x.w.done[step][r.task] = true
+	}
 	x.w.log("end %s run %d on %s: %s", r.task, r.run, x.id, how)
 }
 
--- a/review/standin/mixed.go
+++ b/review/standin/mixed.go
@@ -68,6 +68,11 @@
 		j.body.FirstRunMs = time.Now().Add(time.Duration(r.IntN(2000)) * time.Millisecond).UnixMilli()
 		j.body.IntervalMs = 300 + int64(r.IntN(1500))
 	}
+	if r.IntN(12) == 0 {
+		// Many small tasks: more ends than an executor lists at a time.
+		j.body = Submission{Spec: "spec of " + j.id, Steps: []Step{{Count: 1500, CPU: 1, EstimatedMs: 200}}}
+		j.workMs = []int64{200}
+	}
 	if r.IntN(6) == 0 {
 		share := uint64(1 + r.IntN(3))
 		j.fails = func(task string, run int) bool {
@@ -147,7 +152,7 @@
 	x := s.executors[r.IntN(len(s.executors))]
 	s.mu.Unlock()
 	long := time.Duration(1000+r.IntN(4000)) * time.Millisecond
-	switch r.IntN(9) {
+	switch r.IntN(14) {
 	case 0:
 		s.trouble(long, "%s is killed", n.name)
 		n.signal(syscall.SIGKILL)
@@ -218,10 +223,45 @@
 		s.trouble(long, "%s is cut off from the store", n.name)
 		n.store.setFault(func(string, []byte) (string, time.Duration) { return "silent", 0 })
 		time.AfterFunc(long, func() { n.store.setFault(nil) })
+	case 9:
+		s.trouble(long+12*time.Second, "all calls to %s may be carried out late", x.id)
+		s.faulty(r, x, long, "late", 3)
+	case 10:
+		s.trouble(long, "answers of %s are lost", x.id)
+		s.faulty(r, x, long, "lost", 3)
+	case 11:
+		s.trouble(long, "%s is not healthy", x.id)
+		s.faulty(r, x, long, "busy", 5)
+	case 12:
+		s.trouble(long+4*time.Second, "answers of %s come late", x.id)
+		s.faulty(r, x, long, "slow", 6)
+	case 13:
+		s.trouble(7*time.Second, "%s drains and leaves", x.id)
+		s.mu.Lock()
+		x.draining = true
+		s.mu.Unlock()
+		s.beat(x)
+		time.AfterFunc(2500*time.Millisecond, func() {
+			s.mu.Lock()
+			x.crash()
+			s.mu.Unlock()
+			s.store.Delete("servers/" + x.id)
+		})
+		_, err := s.addExecutor(x.service, "127.0.0.1:0", x.labels, x.cpu)
+		return err
 	}
 	return nil
 }
 
+// faulty lets a number of tenths of the calls to an executor meet a fault for a time.
+func (s *site) faulty(r *rand.Rand, x *executor, d time.Duration, kind string, tenths int) {
+	until := time.Now().Add(d)
+	own := rand.New(rand.NewPCG(r.Uint64(), 6))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x.fault = func(string, string) (string, bool) { return kind, time.Now().Before(until) && own.IntN(10) < tenths }
+}
+
 // heal ends disruptions that last.
 func (s *site) heal() {
 	s.store.SetDown(false)
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -431,7 +431,8 @@
 // submit sends a job once and records what the client sees.
 func (s *site) submit(n *node, j *job, limit time.Duration) int {
 	s.mu.Lock()
-	s.jobs[j.id] = j
+	s.jobs[j.queue.service+"/"+j.id] = j
+	j.otherTries++
 	s.mu.Unlock()
 	status, _ := s.call(n, http.MethodPost, j.queue.prefix+j.id, j.body, limit)
 	s.mu.Lock()
@@ -444,8 +445,7 @@
 		}
 	case status == 429 || status == 503 || status == 404:
 		j.rejections++
-	default:
-		j.otherTries++
+		j.otherTries--
 	}
 	return status
 }
@@ -543,8 +543,10 @@
 	a.w.mu.Lock()
 	defer a.w.mu.Unlock()
 	id, _, _ := strings.Cut(step, ".")
-	if j := a.w.jobs[id]; j != nil && j.queue.advice != nil {
-		return *j.queue.advice
+	for _, q := range a.w.queues {
+		if j := a.w.job(q.service, id); j != nil && j.queue.advice != nil {
+			return *j.queue.advice
+		}
 	}
 	return adviceTerms{DecisionMs: 20, ValidityMs: 3000}
 }
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -58,7 +58,7 @@
 	fails       func(task string, run int) bool // nil: no run fails
 	accepted    time.Time                       // of the first 2xx; zero before
 	rejections  int
-	otherTries  int
+	otherTries  int // without a rejection, also those in progress
 	cancelSent  time.Time
 	cancelAcked time.Time
 	final       string
@@ -101,12 +101,13 @@
 	mu        sync.Mutex
 	began     time.Time
 	out       io.Writer
-	jobs      map[string]*job
+	jobs      map[string]*job // by service and ID
 	queues    []*queue
 	executors []*executor // those that are up
 	starts    []start
 	ends      []*end
-	saved     map[string]bool // checkpoints that were produced, by step and value, or task and value
+	saved     map[string]bool            // checkpoints that were produced, by step and value, or task and value
+	done      map[string]map[string]bool // the tasks with a run that ended done, by step
 	broken    map[string]int
 	troubles  []span
 	tickets   map[string]time.Time // by executor, step and ticket: until when it is valid
@@ -116,9 +117,12 @@
 type span struct{ from, to time.Time }
 
 func newWorld(out io.Writer) *world {
-	return &world{began: time.Now(), out: out, jobs: map[string]*job{}, saved: map[string]bool{}, broken: map[string]int{}, tickets: map[string]time.Time{}}
+	return &world{began: time.Now(), out: out, jobs: map[string]*job{}, saved: map[string]bool{}, done: map[string]map[string]bool{}, broken: map[string]int{}, tickets: map[string]time.Time{}}
 }
 
+// job returns the job with an ID that was sent to a queue of a service, or nil. The caller holds w.mu.
+func (w *world) job(service, id string) *job { return w.jobs[service+"/"+id] }
+
 // log writes one line of the record. The caller holds w.mu.
 func (w *world) log(format string, args ...any) {
 	fmt.Fprintf(w.out, "%8.3f %s\n", time.Since(w.began).Seconds(), fmt.Sprintf(format, args...))
@@ -169,33 +173,16 @@
 
 func stepOf(task string) string { return task[:strings.LastIndexByte(task, '.')] }
 
-// doneBefore reports whether a run of the task, or for a gang of any member, has ended done.
-func (w *world) doneBefore(task string) bool {
-	for _, e := range w.ends {
-		if e.task == task && e.how == "done" {
-			return true
-		}
-	}
-	return false
-}
-
 // stepDone reports whether all tasks of a step have ended done.
 func (w *world) stepDone(j *job, occurrence, step int) bool {
-	prefix := fmt.Sprintf("%s.%d.%d.", j.id, occurrence, step)
-	done := map[string]bool{}
-	for _, e := range w.ends {
-		if e.how == "done" && strings.HasPrefix(e.task, prefix) {
-			done[e.task] = true
-		}
-	}
-	return len(done) == j.body.Steps[step].Count
+	return len(w.done[fmt.Sprintf("%s/%s.%d.%d", j.queue.service, j.id, occurrence, step)]) == j.body.Steps[step].Count
 }
 
 // checkStart checks the rules on a start at the moment when it happens. The caller holds w.mu.
 func (w *world) checkStart(x *executor, task string, run int, spec, checkpoint string, now time.Time) {
 	w.starts = append(w.starts, start{task, run, now, x})
 	id, occurrence, number, _ := splitTask(task)
-	j := w.jobs[id]
+	j := w.job(x.service, id)
 	if j == nil || number >= len(j.body.Steps) {
 		w.breaks("UNASKED", "%s run %d on %s: nobody sent it", task, run, x.id)
 		return
@@ -270,7 +257,7 @@
 	}
 	for _, s := range w.starts {
 		id, _, number, _ := splitTask(s.task)
-		j := w.jobs[id]
+		j := w.job(s.on.service, id)
 		if j == nil || number >= len(j.body.Steps) || j.body.Steps[number].LongRunning {
 			continue
 		}
