--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -14,6 +14,7 @@
 func init() {
 	scenarios["cancel"] = cancelOfUnansweredJob
 	scenarios["advice"] = adviceAfterBurst
+	scenarios["drain"] = drainWithUnansweredOrders
 	scenarios["same-id"] = sameIDInTwoQueues
 }
 
@@ -75,6 +76,57 @@
 	return nil
 }
 
+// unansweredOrders is how many orders a worker leaves unanswered, to carry them out later.
+const unansweredOrders = 3
+
+// drainWithUnansweredOrders has one job of one task. The worker that gets its start says just then that it leaves. With
+// trouble, it leaves the first orders unanswered.
+func drainWithUnansweredOrders(s *site, trouble bool, r *rand.Rand) error {
+	s.queues = []*queue{{name: "r-one", prefix: "/one/", service: "alpha", maxAttempts: 4}}
+	if err := s.startSite([]string{"alpha"}, 4, 3); err != nil {
+		return err
+	}
+	time.Sleep(stableTime)
+	j := &job{id: newID(r), queue: s.queues[0], workMs: []int64{3000}}
+	j.body = Submission{Spec: "spec of " + j.id, Steps: []Step{{Count: 1, CPU: 1000, Memory: 256, EstimatedMs: 3000}}}
+	s.mu.Lock()
+	var leaving *executor
+	orders := 0
+	for _, x := range s.executors {
+		x.fault = func(path, _ string) (string, bool) {
+			if path != "/run-start" {
+				return "", false
+			}
+			if leaving == nil {
+				leaving = x
+				time.AfterFunc(20*time.Millisecond, func() { s.drain(x) })
+			}
+			if x != leaving {
+				return "", false
+			}
+			orders++
+			s.log("order %d to start at %s", orders, x.id)
+			return "late", trouble && orders <= unansweredOrders
+		}
+	}
+	s.mu.Unlock()
+	s.deliver(r, j, 10)
+	time.Sleep(8 * time.Second)
+	s.mu.Lock()
+	x := leaving
+	s.mu.Unlock()
+	if x == nil {
+		return fmt.Errorf("no worker got a start")
+	}
+	s.mu.Lock()
+	s.log("%s exits", x.id)
+	x.crash()
+	s.mu.Unlock()
+	s.store.Delete("servers/" + x.id)
+	s.settle(r, 25*time.Second)
+	return nil
+}
+
 // sameIDInTwoQueues has two clients, each with a queue of its own on a service of its own. With trouble the second one
 // has chosen an ID that the first one has chosen as well. It later cancels another job of its own, likewise.
 func sameIDInTwoQueues(s *site, trouble bool, r *rand.Rand) error {
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -43,6 +43,7 @@
 	sequence  int64
 	beats     int64
 	draining  bool
+	leaves    time.Time // when the store accepted that it drains; zero before
 	gone      bool
 	cutUntil  time.Time                              // it neither gets nor sends anything before
 	fault     func(path, task string) (string, bool) // "lost" or "late", for a call
@@ -254,6 +255,9 @@
 		return refuse("ticket")
 	}
 	w.checkStart(x, b.Task, b.Run, b.Spec, b.Checkpoint, now)
+	if !x.leaves.IsZero() && now.Sub(x.leaves) > drainBound && how == "" {
+		w.breaks("DRAIN", "%s run %d starts on %s %.3f s after the store had accepted that it is draining", b.Task, b.Run, x.id, now.Sub(x.leaves).Seconds())
+	}
 	w.log("%sstart %s run %d token %d on %s", how, b.Task, b.Run, b.Token, x.id)
 	x.extend(b.UntilMs, now)
 	if j == nil || number >= len(j.body.Steps) {
--- a/review/standin/mixed.go
+++ b/review/standin/mixed.go
@@ -237,10 +237,7 @@
 		s.faulty(r, x, long, "slow", 6)
 	case 13:
 		s.trouble(7*time.Second, "%s drains and leaves", x.id)
-		s.mu.Lock()
-		x.draining = true
-		s.mu.Unlock()
-		s.beat(x)
+		s.drain(x)
 		time.AfterFunc(2500*time.Millisecond, func() {
 			s.mu.Lock()
 			x.crash()
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -190,6 +190,18 @@
 	}
 }
 
+// drain lets an executor say that it leaves.
+func (s *site) drain(x *executor) {
+	s.mu.Lock()
+	x.draining = true
+	s.mu.Unlock()
+	s.beat(x)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x.leaves = time.Now()
+	s.log("%s drains, as the store has accepted", x.id)
+}
+
 // run lets executors work and write their entries until stop is closed.
 func (s *site) run() {
 	s.wg.Add(2)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -13,6 +13,7 @@
 const (
 	cancelBound    = 3 * time.Second
 	stableTime     = 3 * time.Second
+	drainBound     = 2 * time.Second
 	stopTime       = 100 * time.Millisecond // of a run that is stopped; stop-ms is 400
 	gangTimeout    = 3 * time.Second
 	checkpointTime = 500 * time.Millisecond
