--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -8,12 +8,14 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
 func init() {
 	scenarios["cancel"] = cancelOfUnansweredJob
 	scenarios["advice"] = adviceAfterBurst
+	scenarios["freeze"] = cancelOfJobAtFrozenNode
 	scenarios["drain"] = drainWithUnansweredOrders
 	scenarios["same-id"] = sameIDInTwoQueues
 }
@@ -299,3 +301,60 @@
 	}
 	return 2*used < capacity && room >= 2*int64(j.body.Steps[0].Count)
 }
+
+const (
+	// freezeTime is how long a node stands still.
+	freezeTime = 4 * time.Second
+	// freezes is how many nodes stand still, one after the other.
+	freezes = 4
+	// clientsPerFreeze is how many clients hand a job in at each.
+	clientsPerFreeze = 5
+)
+
+// cancelOfJobAtFrozenNode hands jobs in at a node that stands still. Their clients leave without an answer, cancel the
+// jobs at another node, and get acknowledgements before the first one wakes.
+func cancelOfJobAtFrozenNode(s *site, trouble bool, r *rand.Rand) error {
+	s.queues = []*queue{{name: "r-one", prefix: "/one/", service: "alpha", maxAttempts: 4}}
+	if err := s.startSite([]string{"alpha"}, 4, 3); err != nil {
+		return err
+	}
+	time.Sleep(stableTime)
+	for range freezes {
+		first := r.IntN(len(s.nodes))
+		frozen, other := s.nodes[first], s.nodes[(first+1)%len(s.nodes)]
+		if trouble {
+			s.trouble(freezeTime, "%s stands still", frozen.name)
+			frozen.signal(syscall.SIGSTOP)
+			time.AfterFunc(freezeTime, func() { frozen.signal(syscall.SIGCONT) })
+			time.Sleep(50 * time.Millisecond)
+		}
+		var clients sync.WaitGroup
+		for range clientsPerFreeze {
+			j := chainedJob(newID(r), s.queues[0])
+			clients.Go(func() {
+				s.submit(frozen, j, 200*time.Millisecond)
+				s.cancel(other, j, 3*time.Second)
+				s.noteState(other, j)
+				time.Sleep(freezeTime + 6*time.Second)
+				s.noteState(other, j)
+			})
+			time.Sleep(20 * time.Millisecond)
+		}
+		clients.Wait()
+	}
+	return nil
+}
+
+// chainedJob returns a job of four steps, one after the other.
+func chainedJob(id string, q *queue) *job {
+	j := &job{id: id, queue: q, body: Submission{Spec: "spec of " + id}}
+	for n := range 4 {
+		step := Step{Count: 1, CPU: 1000, Memory: 256, EstimatedMs: 1500}
+		if n > 0 {
+			step.After = []int{n - 1}
+		}
+		j.body.Steps = append(j.body.Steps, step)
+		j.workMs = append(j.workMs, step.EstimatedMs)
+	}
+	return j
+}
