--- /dev/null
+++ b/entry/owner/advice.go
@@ -0,0 +1,175 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/platform/advice"
+	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/policy/shard"
+)
+
+// adviceTimeout bounds a request to the advice service; it is longer than the service
+// takes for its response.
+const adviceTimeout = 3 * time.Second
+
+// requestDueAdvice sends the requests for advice that are due.
+func (o *Owner) requestDueAdvice(now time.Time) {
+	if o.Adviser == nil {
+		return
+	}
+	for _, request := range o.shard.AdviceRequests(now) {
+		o.requestAdvice(request)
+	}
+}
+
+func (o *Owner) requestAdvice(request shard.AdviceRequest) {
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, adviceTimeout)
+		defer cancel()
+		sentAt := time.Now()
+		tickets, err := o.Adviser.RequestTickets(ctx, request.Step, request.Executors)
+		result := adviceResult{queue: request.Queue, outcome: adviceOutcomeOf(ctx, err), took: time.Since(sentAt)}
+		if err != nil {
+			o.Logger.Warn("no advice", "step", request.Step.String(), "queue", request.Queue,
+				"outcome", string(result.outcome), "ms", result.took.Milliseconds(), "error", err)
+			tickets.ByExecutor = nil
+		}
+		o.send(func(now time.Time) {
+			o.recordAdvice(result)
+			o.shard.HandleAdvice(request, tickets.ByExecutor, tickets.Validity, sentAt, now)
+		})
+	}()
+}
+
+// adviceOutcome tells how a call to the advice service ended. It is a tag of metrics.
+type adviceOutcome string
+
+// The outcomes of a call to the advice service.
+const (
+	adviceAnswered adviceOutcome = "answered"
+	adviceBusy     adviceOutcome = "busy"      // refused, since too many calls of this instance wait there
+	adviceTimedOut adviceOutcome = "timed-out" // given up; the service may still carry it out
+	adviceNotSent  adviceOutcome = "not-sent"  // no connection could be opened
+	adviceFailed   adviceOutcome = "failed"    // refused otherwise, or the connection or the response is at fault
+)
+
+// adviceOutcomes lists all outcomes.
+var adviceOutcomes = []adviceOutcome{adviceAnswered, adviceBusy, adviceTimedOut, adviceNotSent, adviceFailed}
+
+// adviceOutcomeOf returns how a call ended that returned err and was made with ctx.
+func adviceOutcomeOf(ctx context.Context, err error) adviceOutcome {
+	switch {
+	case err == nil:
+		return adviceAnswered
+	case errors.Is(err, advice.ErrBusy):
+		return adviceBusy
+	case ctx.Err() != nil:
+		return adviceTimedOut
+	case kv.NotRun(err):
+		return adviceNotSent
+	default:
+		return adviceFailed
+	}
+}
+
+// adviceResult is what became of one call to the advice service.
+type adviceResult struct {
+	queue   string
+	outcome adviceOutcome
+	took    time.Duration
+}
+
+// queueAdvice summarises the calls to the advice service for one queue in a report period.
+type queueAdvice struct {
+	byOutcome map[adviceOutcome]int
+	longest   time.Duration // that was answered
+}
+
+// adviceStatistics summarises the calls to the advice service in a report period, by queue.
+type adviceStatistics map[string]queueAdvice
+
+func (s adviceStatistics) record(r adviceResult) {
+	q := s[r.queue]
+	if q.byOutcome == nil {
+		q.byOutcome = map[adviceOutcome]int{}
+	}
+	q.byOutcome[r.outcome]++
+	if r.outcome == adviceAnswered {
+		q.longest = max(q.longest, r.took)
+	}
+	s[r.queue] = q
+}
+
+// recordAdvice adds a call to the metrics and to the statistics of the report period.
+func (o *Owner) recordAdvice(r adviceResult) {
+	scope := o.Scope.Tagged(map[string]string{"queue": r.queue, "outcome": string(r.outcome)})
+	scope.Histogram("advice_seconds", callLatencyBuckets).RecordDuration(r.took)
+	if o.adviceStatistics == nil {
+		o.adviceStatistics = adviceStatistics{}
+	}
+	o.adviceStatistics.record(r)
+}
+
+// longAdvice is the minimum age of a request for advice, or of a lack of tickets, that is logged.
+const longAdvice = 1 * time.Second
+
+// reportAdvice sets the gauges of the queues that need advice and logs those of which steps have lacked tickets for
+// longAdvice, or for which a call was not answered. It begins a new report period.
+func (o *Owner) reportAdvice(reports []shard.AdviceReport, period time.Duration) {
+	calls := o.adviceStatistics
+	o.adviceStatistics = nil
+	byQueue := make(map[string]shard.AdviceReport, len(reports))
+	for _, r := range reports {
+		byQueue[r.Queue] = r
+	}
+	for _, queue := range o.advisedQueues(byQueue, calls) {
+		r := byQueue[queue]
+		o.measureAdvice(queue, r)
+		c := calls[queue]
+		unanswered := 0
+		for outcome, n := range c.byOutcome {
+			if outcome != adviceAnswered {
+				unanswered += n
+			}
+		}
+		if max(r.OldestInFlight, r.OldestWaiting) < longAdvice && unanswered == 0 {
+			continue
+		}
+		o.Logger.Info("advice", "queue", queue, "period_ms", period.Milliseconds(), "calls", c.byOutcome, "longest_answered_ms", c.longest.Milliseconds(),
+			"in_flight", r.InFlight, "in_flight_oldest_ms", r.OldestInFlight.Milliseconds(),
+			"waiting_turn", r.Waiting, "waiting_turn_oldest_ms", r.OldestWaiting.Milliseconds(), "unused_tickets", r.Unused)
+	}
+}
+
+// advisedQueues returns the queues that a report, a call or the last report is about, so that gauges are reset.
+func (o *Owner) advisedQueues(reports map[string]shard.AdviceReport, calls adviceStatistics) []string {
+	var queues []string
+	for queue := range reports {
+		queues = append(queues, queue)
+	}
+	for queue := range calls {
+		if _, found := reports[queue]; !found {
+			queues = append(queues, queue)
+		}
+	}
+	for _, queue := range o.reportedAdvice {
+		_, reported := reports[queue]
+		_, called := calls[queue]
+		if !reported && !called {
+			o.measureAdvice(queue, shard.AdviceReport{})
+		}
+	}
+	o.reportedAdvice = queues
+	return queues
+}
+
+func (o *Owner) measureAdvice(queue string, r shard.AdviceReport) {
+	scope := o.Scope.Tagged(map[string]string{"queue": queue})
+	scope.Gauge("advice_in_flight").Update(float64(r.InFlight))
+	scope.Gauge("advice_in_flight_oldest_seconds").Update(r.OldestInFlight.Seconds())
+	scope.Gauge("advice_waiting").Update(float64(r.Waiting))
+	scope.Gauge("advice_waiting_oldest_seconds").Update(r.OldestWaiting.Seconds())
+	scope.Counter("advice_unused_tickets").Inc(int64(r.Unused))
+}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -127,6 +127,9 @@
 	latePolls      latePolls
 	callWindow     calllimit.Window
 	callStatistics callStatistics
+	// adviceStatistics are the calls to the advice service since the last report.
+	adviceStatistics adviceStatistics
+	reportedAdvice   []string // the queues with calls or steps that lacked tickets in the last report
 	// overload detects that the owner has to hand over its duty.
 	overload handover.Detector
 	ledgers  ledgers
@@ -270,11 +273,7 @@
 	}
 	o.requestMachineList(now)
 	o.report(now)
-	if o.Adviser != nil {
-		for _, request := range o.shard.AdviceRequests(now) {
-			o.requestAdvice(request)
-		}
-	}
+	o.requestDueAdvice(now)
 }
 
 const (
@@ -480,23 +479,3 @@
 			"executor", string(poll.Executor.ID), "sequence", completion.Sequence)
 	}
 }
-
-// adviceTimeout bounds a request to the advice service; it is longer than the service
-// takes for its response.
-const adviceTimeout = 3 * time.Second
-
-func (o *Owner) requestAdvice(request shard.AdviceRequest) {
-	go func() {
-		ctx, cancel := context.WithTimeout(o.ctx, adviceTimeout)
-		defer cancel()
-		sentAt := time.Now()
-		tickets, err := o.Adviser.RequestTickets(ctx, request.Step, request.Executors)
-		if err != nil {
-			o.Logger.Warn("no advice", "step", request.Step.String(), "error", err)
-			tickets.ByExecutor = nil
-		}
-		o.send(func(now time.Time) {
-			o.shard.HandleAdvice(request, tickets.ByExecutor, tickets.Validity, sentAt, now)
-		})
-	}()
-}
--- a/entry/owner/report.go
+++ b/entry/owner/report.go
@@ -69,6 +69,7 @@
 	r := o.shard.Waiting(now, overloaded)
 	o.measure(r, delay)
 	o.reportCalls(period)
+	o.reportAdvice(r.Advice, period)
 	o.reportLedgers()
 	o.logUsabilityChanges(r.Executors.Changes, now)
 	o.logSuspicions(r.Executors.Suspicions, now)
--- a/policy/shard/advice.go
+++ b/policy/shard/advice.go
@@ -32,6 +32,7 @@
 // AdviceRequest is a request to the advice service for tickets for a step.
 type AdviceRequest struct {
 	Step      job.StepID
+	Queue     string
 	Executors []cluster.ExecutorID
 
 	step         *step
@@ -66,17 +67,14 @@
 // go through the candidates in turn.
 func (s *Shard) adviceRequest(st *step, now time.Time) (AdviceRequest, bool) {
 	t := &st.tickets
-	if st.blockers > 0 || st.tasksLeft == 0 || t.requested || now.Before(t.retryAt) {
-		return AdviceRequest{}, false
-	}
-	if now.Before(t.validUntil) && !s.ticketsObsolete(t) {
+	if t.requested || now.Before(t.retryAt) || !s.lacksTickets(st, now) {
 		return AdviceRequest{}, false
 	}
 	candidates := s.adviceCandidates(now)
 	if len(candidates) == 0 {
 		return AdviceRequest{}, false
 	}
-	r := AdviceRequest{Step: st.id, step: st}
+	r := AdviceRequest{Step: st.id, Queue: st.job.Queue.Name, step: st}
 	for i := range min(len(candidates), maxAdviceExecutors) {
 		e := candidates[(t.nextExecutor+i)%len(candidates)]
 		r.Executors = append(r.Executors, e.ID)
@@ -84,10 +82,18 @@
 	}
 	r.partial = len(candidates) > len(r.Executors)
 	t.nextExecutor = (t.nextExecutor + len(r.Executors)) % len(candidates)
-	t.requested = true
+	t.requested, t.requestedAt = true, now
 	return r, true
 }
 
+// lacksTickets reports whether the step can't start tasks for lack of valid tickets.
+func (s *Shard) lacksTickets(st *step, now time.Time) bool {
+	if st.job.Queue.Advice == nil || st.blockers > 0 || st.tasksLeft == 0 {
+		return false
+	}
+	return !now.Before(st.tickets.validUntil) || s.ticketsObsolete(&st.tickets)
+}
+
 // adviceCandidates returns the executors that requests name, by health and ID. Suspect ones
 // are among them, since a trial run needs a ticket, too.
 func (s *Shard) adviceCandidates(now time.Time) []*executorState {
@@ -114,6 +120,7 @@
 	if byExecutor == nil || len(byExecutor) == 0 && r.partial {
 		return
 	}
+	s.noteReplacedTickets(r.step)
 	// A ticket is valid in one incarnation only.
 	r.step.tickets.byExecutor = make(map[cluster.Incarnation]string, len(byExecutor))
 	for _, executor := range r.incarnations {
@@ -121,6 +128,7 @@
 			r.step.tickets.byExecutor[executor] = ticket
 		}
 	}
+	r.step.tickets.used = false
 	r.step.tickets.validUntil = sentAt.Add(validity - ticketMargin)
 	s.dirty = true
 }
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -77,8 +77,11 @@
 type tickets struct {
 	byExecutor   map[cluster.Incarnation]string
 	validUntil   time.Time
+	used         bool // by a start
 	requested    bool
-	nextExecutor int // position after the last executor that a request named
+	requestedAt  time.Time
+	missingSince time.Time // since when the step has lacked tickets; zero if it has them. The report sets it.
+	nextExecutor int       // position after the last executor that a request named
 	retryAt      time.Time
 }
 
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -147,8 +147,9 @@
 	searchFrom        int // the position in the usable executors at which the next search starts
 
 	batchStats       batchStats
-	lastSample       job.ID    // the last job among the samples of the last report
-	nextAdviceSearch time.Time // when to search again for steps that need advice
+	lastSample       job.ID         // the last job among the samples of the last report
+	nextAdviceSearch time.Time      // when to search again for steps that need advice
+	unusedTickets    map[string]int // by queue, as AdviceReport.Unused
 }
 
 // New returns an empty shard for an owner with the given fencing token.
@@ -163,6 +164,8 @@
 		suspects:  map[*task]bool{},
 		uses:      map[cluster.TenantName]*tenantUse{},
 		needs:     needMix{factor: largeFactor},
+
+		unusedTickets: map[string]int{},
 	}
 }
 
--- a/policy/shard/waiting.go
+++ b/policy/shard/waiting.go
@@ -19,8 +19,12 @@
 	// ReasonReserved: free capacity is held for the larger tasks of another job.
 	ReasonReserved Reason = "reserved-for-larger"
 	// ReasonLimited: a limit keeps its tasks from starting: the pause after a failure, the
-	// maximum per executor, a missing ticket, or unready members of a gang.
+	// maximum per executor, executors without a ticket, or unready members of a gang.
 	ReasonLimited Reason = "held-by-a-limit"
+	// ReasonAwaitsAdvice: it has no tickets, and a request for them is in flight.
+	ReasonAwaitsAdvice Reason = "awaits-advice"
+	// ReasonAwaitsAdviceTurn: it has no tickets, and no request for them has been sent yet.
+	ReasonAwaitsAdviceTurn Reason = "awaits-advice-turn"
 	// ReasonTenantLimit: its tenant has as much running as its limit, or what this service has of
 	// it, allows.
 	ReasonTenantLimit Reason = "tenant-limit"
@@ -41,7 +45,8 @@
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
-	ReasonNoExecutor, ReasonNoCapacity, ReasonReserved, ReasonLimited, ReasonTenantLimit, ReasonUnconfirmed,
+	ReasonNoExecutor, ReasonNoCapacity, ReasonReserved, ReasonLimited, ReasonAwaitsAdvice,
+	ReasonAwaitsAdviceTurn, ReasonTenantLimit, ReasonUnconfirmed,
 	ReasonStoreUnavailable, ReasonOwnerOverloaded, ReasonNotItsTurn, ReasonBeyondRate, ReasonNotExamined,
 }
 
@@ -75,6 +80,7 @@
 	Batches, Full int
 	Storing       time.Duration
 	LongRunning   LongRunningReport
+	Advice        []AdviceReport // by queue; those with nothing to report are left out
 	Reservation   ReservationReport
 	Executors     ExecutorReport
 	Tenants       []TenantReport // by name; none if the operator configured none
@@ -115,6 +121,7 @@
 	r := b.report
 	r.Batches, r.Full, r.Storing = s.batchStats.total, s.batchStats.full, s.openBatchAge(now)
 	s.batchStats = batchStats{openedAt: s.batchStats.openedAt}
+	r.Advice = s.adviceReports(now)
 	r.Executors = s.executorReport(now)
 	r.Tenants = s.tenantReports()
 	r.Reservation = s.reservationReport()
@@ -316,6 +323,8 @@
 		return 0, ReasonNotExamined
 	case allowed:
 		return 0, ReasonNoCapacity
+	case b.shard.lacksTickets(st, b.now):
+		return 0, st.tickets.reason()
 	case st.def.MaxPerServer > 0 || st.job.Queue.Advice != nil:
 		return 0, ReasonLimited
 	default:
--- a/policy/shard/waiting_test.go
+++ b/policy/shard/waiting_test.go
@@ -47,7 +47,7 @@
 		}, false, ReasonLimited, 0},
 		{"no ticket", oneTask, nothing, func(h *harness) {
 			h.shard.jobs["00000000000000aa"].Queue.Advice = &cluster.Advice{}
-		}, false, ReasonLimited, 0},
+		}, false, ReasonAwaitsAdviceTurn, 0},
 		{"unconfirmed start", spread, nothing, func(h *harness) { h.storeAndCommand() }, false, ReasonUnconfirmed, 0},
 	}
 }
