--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -16,6 +16,7 @@
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/entry/admissions"
+	"github.com/tarragonreach/tarragonreach/entry/advicequeue"
 	"github.com/tarragonreach/tarragonreach/entry/election"
 	"github.com/tarragonreach/tarragonreach/entry/fleetduty"
 	"github.com/tarragonreach/tarragonreach/entry/intake"
@@ -92,6 +93,8 @@
 	intake         *intake.Intake
 	dutyCtx        context.Context
 	admissions     *admissions.Follower
+	adviser        *advice.Client // nil without an advice service
+	adviceQueue    advicequeue.Queue
 }
 
 // New returns the application of one instance.
@@ -131,6 +134,9 @@
 		h.election.SetCandidates(h.candidates)
 		h.peerCalls = &http.Server{Handler: h.peers.Handler(h.intake.PeerHandler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	}
+	if node.AdviceAddress != "" {
+		h.adviser = advice.NewWithDial(node.AdviceAddress, h.link.Dial(link.Advice, call.Dial))
+	}
 	h.probes = &http.Server{Handler: h.probeHandler(), ReadHeaderTimeout: headerTimeout}
 	return h
 }
@@ -273,8 +279,8 @@
 		Logger:     h.logger,
 		Scope:      h.metrics.Scope.SubScope("owner").Tagged(map[string]string{"service": string(service)}),
 	}
-	if h.node.AdviceAddress != "" {
-		options.Adviser = advice.NewWithDial(h.node.AdviceAddress, h.link.Dial(link.Advice, call.Dial))
+	if h.adviser != nil {
+		options.Adviser, options.AdviceQueue = h.adviser, &h.adviceQueue
 	}
 	if h.node.MachinesAddress != "" {
 		options.Machines = h.machinesClient()
--- a/entry/owner/advice.go
+++ b/entry/owner/advice.go
@@ -5,39 +5,55 @@
 	"errors"
 	"time"
 
+	"github.com/tarragonreach/tarragonreach/entry/advicequeue"
 	"github.com/tarragonreach/tarragonreach/platform/advice"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/policy/adviceflow"
 	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
-// adviceTimeout bounds a request to the advice service; it is longer than the service
-// takes for its response.
-const adviceTimeout = 3 * time.Second
-
-// requestDueAdvice sends the requests for advice that are due.
+// requestDueAdvice sends the requests for advice whose turn it is. The others wait here, so that the most urgent one
+// is sent next.
 func (o *Owner) requestDueAdvice(now time.Time) {
 	if o.Adviser == nil {
 		return
 	}
-	for _, request := range o.shard.AdviceRequests(now) {
-		o.requestAdvice(request)
+	for {
+		need, found := o.shard.AdviceNeed(now)
+		if !found {
+			o.adviceTurn.Withdraw()
+			return
+		}
+		call, admitted := o.adviceTurn.Begin(advicequeue.Request{Configured: need.Configured, Ahead: need.Ahead}, now)
+		if !admitted {
+			return
+		}
+		o.requestAdvice(o.shard.RequestAdvice(need, now), call)
 	}
 }
 
-func (o *Owner) requestAdvice(request shard.AdviceRequest) {
+// requestAdvice makes a call to the advice service. It goes on if the term ends: the service would carry it out all
+// the same, and the calls of the next term would wait for it without being counted with it.
+func (o *Owner) requestAdvice(request shard.AdviceRequest, call *advicequeue.Call) {
 	go func() {
-		ctx, cancel := context.WithTimeout(o.ctx, adviceTimeout)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(o.ctx), call.Limit)
 		defer cancel()
 		sentAt := time.Now()
 		tickets, err := o.Adviser.RequestTickets(ctx, request.Step, request.Executors)
-		result := adviceResult{queue: request.Queue, outcome: adviceOutcomeOf(ctx, err), took: time.Since(sentAt)}
+		answeredAt := time.Now()
+		result := adviceResult{queue: request.Queue, outcome: adviceOutcomeOf(ctx, err), took: answeredAt.Sub(sentAt)}
+		call.End(result.outcome.flow(), answeredAt)
 		if err != nil {
 			o.Logger.Warn("no advice", "step", request.Step.String(), "queue", request.Queue,
-				"outcome", string(result.outcome), "ms", result.took.Milliseconds(), "error", err)
+				"outcome", string(result.outcome), "ms", result.took.Milliseconds(), "limit_ms", call.Limit.Milliseconds(), "error", err)
 			tickets.ByExecutor = nil
 		}
 		o.send(func(now time.Time) {
 			o.recordAdvice(result)
+			if result.outcome == adviceUnusable {
+				o.shard.HandleUnusableAdvice(request, now)
+				return
+			}
 			o.shard.HandleAdvice(request, tickets.ByExecutor, tickets.Validity, sentAt, now)
 		})
 	}()
@@ -52,11 +68,21 @@
 	adviceBusy     adviceOutcome = "busy"      // refused, since too many calls of this instance wait there
 	adviceTimedOut adviceOutcome = "timed-out" // given up; the service may still carry it out
 	adviceNotSent  adviceOutcome = "not-sent"  // no connection could be opened
-	adviceFailed   adviceOutcome = "failed"    // refused otherwise, or the connection or the response is at fault
+	adviceFailed   adviceOutcome = "failed"    // refused otherwise, or the connection failed
+	adviceUnusable adviceOutcome = "unusable"  // this request was refused, or its response can't be read
 )
 
-// adviceOutcomes lists all outcomes.
-var adviceOutcomes = []adviceOutcome{adviceAnswered, adviceBusy, adviceTimedOut, adviceNotSent, adviceFailed}
+// flow returns what the outcome says about the service.
+func (a adviceOutcome) flow() adviceflow.Outcome {
+	switch a {
+	case adviceAnswered, adviceUnusable:
+		return adviceflow.Answered
+	case adviceTimedOut:
+		return adviceflow.TimedOut
+	default:
+		return adviceflow.Unserved
+	}
+}
 
 // adviceOutcomeOf returns how a call ended that returned err and was made with ctx.
 func adviceOutcomeOf(ctx context.Context, err error) adviceOutcome {
@@ -65,6 +91,8 @@
 		return adviceAnswered
 	case errors.Is(err, advice.ErrBusy):
 		return adviceBusy
+	case errors.Is(err, advice.ErrUnusable):
+		return adviceUnusable
 	case ctx.Err() != nil:
 		return adviceTimedOut
 	case kv.NotRun(err):
--- a/entry/owner/advice_test.go
+++ b/entry/owner/advice_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -12,17 +10,11 @@
 
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/api/job"
+	"github.com/tarragonreach/tarragonreach/entry/advicequeue"
 	"github.com/tarragonreach/tarragonreach/platform/advice"
 	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
-const (
-	advisedQueue   = "advised"
-	ticketValidity = 3 * time.Second
-)
-
-var adviceTerms = cluster.Advice{Decision: 100 * time.Millisecond, Each: time.Millisecond, Validity: ticketValidity}
-
 // adviserFunc is an advice service.
 type adviserFunc func(ctx context.Context, step job.StepID, executors []cluster.ExecutorID) (advice.Tickets, error)
 
@@ -30,15 +22,6 @@
 	return f(ctx, step, executors)
 }
 
-// addAdvisedJob adds a job of one short task to the owner's shard.
-func addAdvisedJob(o *Owner, number int) {
-	o.shard.AddJob(shard.Record{
-		ID: job.ID(fmt.Sprintf("%016x", number)), Accepted: time.Now(),
-		Definition: job.Definition{Steps: []job.Step{{Count: 1, Need: job.Resources{MilliCPU: 100, MemoryMB: 10}, Estimate: 300 * time.Millisecond}}},
-		Queue:      shard.QueuePolicy{Name: advisedQueue, MaxAttempts: 2, Stretch: 2, TargetDuration: time.Second, Advice: &adviceTerms},
-	}, nil, time.Now())
-}
-
 // adviceLine is a log line about a queue that needs advice.
 type adviceLine struct {
 	Queue     string                `json:"queue"`
@@ -60,24 +43,21 @@
 
 // Steps that waited for the advice service could not be told from steps that other limits kept from starting.
 func TestStepsThatWaitForAdviceAreReported(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	inPool(t, func(t *testing.T, ctx context.Context) {
 		o, log, scope := reportingOwner()
-		ctx, cancel := context.WithCancel(t.Context())
-		defer synctest.Wait()
-		defer cancel()
-		o.ctx = ctx
+		o.ctx, o.adviceTurn = ctx, new(advicequeue.Queue).Join()
 		o.Adviser = adviserFunc(func(ctx context.Context, _ job.StepID, _ []cluster.ExecutorID) (advice.Tickets, error) {
 			<-ctx.Done()
 			return advice.Tickets{}, ctx.Err()
 		})
 		o.shard.SetExecutors([]cluster.Executor{{ID: "i-1", Address: "i-1:80", Capacity: job.Resources{MilliCPU: 4000, MemoryMB: 4000}}}, time.Now())
 		reportFor(o, time.Second)
-		addAdvisedJob(o, 1)
+		o.shard.AddJob(advisedJob(1, shortStep), nil, time.Now())
 		reportFor(o, 1500*time.Millisecond)
 		assert.Equal(t, adviceGauge(scope, "advice_waiting"), 1.0)
 		assert.Equal(t, gauge(scope, "waiting_jobs", shard.ReasonAwaitsAdviceTurn), 1.0)
 		o.requestDueAdvice(time.Now())
-		reportFor(o, 2*time.Second)
+		reportFor(o, 1500*time.Millisecond)
 		assert.Equal(t, adviceGauge(scope, "advice_in_flight"), 1.0)
 		assert.Equal(t, adviceGauge(scope, "advice_waiting"), 0.0)
 		assert.Equal(t, gauge(scope, "waiting_jobs", shard.ReasonAwaitsAdvice), 1.0)
--- /dev/null
+++ b/entry/owner/advicepool_test.go
@@ -0,0 +1,314 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/execution"
+	"github.com/tarragonreach/tarragonreach/api/job"
+	"github.com/tarragonreach/tarragonreach/entry/advicequeue"
+	"github.com/tarragonreach/tarragonreach/platform/advice"
+	"github.com/tarragonreach/tarragonreach/policy/shard"
+)
+
+const (
+	advisedQueue = "advised"
+	shortRun     = 300 * time.Millisecond
+	// maxServiceWaiting is how many calls may wait at the advice service.
+	maxServiceWaiting = 32
+	// finishTime is how long after the end of the traffic all jobs have to be completed.
+	finishTime = 14 * time.Second
+)
+
+var (
+	adviceTerms  = cluster.Advice{Decision: 100 * time.Millisecond, Each: time.Millisecond, Validity: 3 * time.Second}
+	shortStep    = job.Step{Count: 1, Need: job.Resources{MilliCPU: 500, MemoryMB: 256}, Estimate: shortRun}
+	lastingSteps = job.Step{Count: 2, Need: job.Resources{MilliCPU: 1000, MemoryMB: 256}, Estimate: time.Second, LongRunning: true}
+)
+
+func advisedJob(number int, step job.Step) shard.Record {
+	return shard.Record{
+		ID: job.ID(fmt.Sprintf("%016x", number)), Accepted: time.Now(), Definition: job.Definition{Steps: []job.Step{step}},
+		Queue: shard.QueuePolicy{Name: advisedQueue, MaxAttempts: 4, Stretch: 2, TargetDuration: 600 * time.Millisecond, Advice: &adviceTerms},
+	}
+}
+
+// serialAdviser is the advice service as one machine sees it: it carries out one call at a time, in turn, also those
+// whose callers have left, and refuses more than maxServiceWaiting that wait.
+type serialAdviser struct {
+	turn       chan struct{}
+	each       time.Duration // of one call
+	waiting    int
+	maxWaiting int
+	carriedOut int
+	abandoned  int
+}
+
+func newSerialAdviser(each time.Duration) *serialAdviser {
+	return &serialAdviser{turn: make(chan struct{}, 1), each: each}
+}
+
+// RequestTickets implements Adviser. A ticket names its executor and the end of its validity, which counts from the
+// response.
+func (a *serialAdviser) RequestTickets(ctx context.Context, _ job.StepID, executors []cluster.ExecutorID) (advice.Tickets, error) {
+	if a.waiting > maxServiceWaiting {
+		return advice.Tickets{}, advice.ErrBusy
+	}
+	a.waiting++
+	a.maxWaiting = max(a.maxWaiting, a.waiting)
+	done := make(chan struct{})
+	go func() {
+		a.turn <- struct{}{}
+		time.Sleep(a.each)
+		a.waiting--
+		a.carriedOut++
+		<-a.turn
+		close(done)
+	}()
+	select {
+	case <-ctx.Done():
+		a.abandoned++
+		return advice.Tickets{}, ctx.Err()
+	case <-done:
+	}
+	tickets := advice.Tickets{ByExecutor: map[cluster.ExecutorID]string{}, Validity: adviceTerms.Validity}
+	for _, id := range executors {
+		tickets.ByExecutor[id] = fmt.Sprint(id, " ", time.Now().Add(adviceTerms.Validity).UnixMilli())
+	}
+	return tickets, nil
+}
+
+// advisedPool is an owner with its jobs and one large executor.
+type advisedPool struct {
+	*Owner
+	revision int64
+	running  map[execution.RunRef]time.Time // with the time at which they end; zero if they last
+	ended    []execution.Ended
+	refused  int // starts, for their tickets
+	jobs     int
+	lasting  map[job.ID]bool // the jobs whose tasks last
+}
+
+func newAdvisedPool(ctx context.Context, adviser Adviser, queue *advicequeue.Queue) *advisedPool {
+	p := &advisedPool{Owner: testOwner(), revision: 1, running: map[execution.RunRef]time.Time{}, lasting: map[job.ID]bool{}}
+	p.Scope, p.events, p.ctx = tally.NoopScope, make(chan event, eventQueueSize), ctx
+	p.Adviser, p.adviceTurn = adviser, queue.Join()
+	p.shard.SetExecutors([]cluster.Executor{{ID: "i-1", Address: "i-1:80", Capacity: job.Resources{MilliCPU: 128_000, MemoryMB: 128_000}}}, time.Now())
+	return p
+}
+
+func (p *advisedPool) add(step job.Step) {
+	p.jobs++
+	record := advisedJob(p.jobs, step)
+	p.lasting[record.ID] = step.LongRunning
+	p.shard.AddJob(record, nil, time.Now())
+}
+
+// runFor runs the owner's loop.
+func (p *advisedPool) runFor(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(tickInterval) {
+		p.tick(time.Now())
+	}
+}
+
+func (p *advisedPool) tick(now time.Time) {
+	p.drain()
+	p.requestDueAdvice(now)
+	if p.shard.Batch(now, 29) != nil {
+		p.revision++
+		p.shard.NoteRevision(p.revision)
+		p.shard.Committed()
+	}
+	for _, c := range p.shard.Commands(now) {
+		p.shard.HandleCommandResult(c, shard.Responded, p.carryOut(c, now), now)
+	}
+	for run, end := range p.running {
+		if !end.IsZero() && !now.Before(end) {
+			delete(p.running, run)
+			p.ended = append(p.ended, execution.Ended{RunRef: run, Sequence: int64(len(p.ended) + 1), Reason: execution.EndedDone})
+		}
+	}
+	for _, poll := range p.shard.Polls(now) {
+		p.shard.HandlePollResult(poll, shard.Responded, p.list(poll, now), now)
+	}
+}
+
+func (p *advisedPool) carryOut(c shard.Command, now time.Time) execution.Reply {
+	reply := execution.Reply{ClockMs: now.UnixMilli()}
+	if c.Kind != shard.CommandStart {
+		return reply
+	}
+	id, until, _ := strings.Cut(c.Start.Ticket, " ")
+	validUntil, err := strconv.ParseInt(until, 10, 64)
+	if err != nil || id != string(c.Executor.ID) || now.UnixMilli() >= validUntil {
+		p.refused++
+		reply.Refusal = execution.RefusedTicket
+		return reply
+	}
+	end := now.Add(shortRun)
+	if p.lasting[c.Start.Task.Job] {
+		end = time.Time{}
+	}
+	p.running[c.Start.RunRef] = end
+	return reply
+}
+
+func (p *advisedPool) list(poll shard.Poll, now time.Time) execution.PollResponse {
+	response := execution.PollResponse{Reply: execution.Reply{ClockMs: now.UnixMilli()}, From: poll.Executor.Incarnation()}
+	for run := range p.running {
+		response.Running = append(response.Running, execution.Running{RunRef: run, Percent: 100})
+	}
+	for _, e := range p.ended {
+		if e.Sequence > poll.Request.AckedThrough {
+			response.Ended = append(response.Ended, e)
+		}
+	}
+	return response
+}
+
+// inPool runs a test in virtual time, in which calls that are in progress at its end are awaited.
+func inPool(t *testing.T, test func(t *testing.T, ctx context.Context)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(time.Minute)
+		}()
+		test(t, ctx)
+	})
+}
+
+// submitFor adds jobs of one short task at a rate per second.
+func (p *advisedPool) submitFor(d time.Duration, rate float64) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		p.add(shortStep)
+		p.runFor(time.Duration(float64(time.Second) / rate))
+	}
+}
+
+// LOST: after a burst, more requests waited at the advice service than it answers within their time limits. Each was
+// given up shortly before its turn and sent again, so that no job of the queue started any more.
+func TestQueueWithAdviceRecoversFromABurst(t *testing.T) {
+	inPool(t, func(t *testing.T, ctx context.Context) {
+		service := newSerialAdviser(108 * time.Millisecond)
+		p := newAdvisedPool(ctx, service, new(advicequeue.Queue))
+		for range 5 {
+			p.add(lastingSteps)
+		}
+		const lastingRuns = 10
+		p.submitFor(6*time.Second, 0.5)
+		p.submitFor(4*time.Second, 2.6*6.5)
+		p.submitFor(500*time.Millisecond, 6.5)
+		p.submitFor(6*time.Second, 0.5)
+		p.runFor(finishTime)
+		assert.Equal(t, p.shard.Jobs(), 5, "short jobs are left")
+		assert.Equal(t, len(p.running), lastingRuns)
+		assert.Equal(t, service.abandoned, 0)
+		assert.Equal(t, p.refused, 0)
+	})
+}
+
+// LOST without any burst: a service that takes longer than configured, or several owners on one instance, had the same
+// effect, since each call waits for those before it.
+func TestJobsStartWhileTheAdviceServiceIsSlow(t *testing.T) {
+	for _, each := range []time.Duration{20 * time.Millisecond, 500 * time.Millisecond, 1200 * time.Millisecond, 2 * time.Second, 2600 * time.Millisecond} {
+		for _, owners := range []int{1, 3} {
+			t.Run(fmt.Sprint(each, " ", owners), func(t *testing.T) {
+				inPool(t, func(t *testing.T, ctx context.Context) {
+					const jobsOfEach = 8
+					service, queue := newSerialAdviser(each), new(advicequeue.Queue)
+					var pools []*advisedPool
+					for range owners {
+						p := newAdvisedPool(ctx, service, queue)
+						for range jobsOfEach {
+							p.add(shortStep)
+						}
+						pools = append(pools, p)
+					}
+					// Until the time of a call is known, some are given up, and the service carries them out all the same.
+					const learning = 20 * time.Second
+					needed := time.Duration(owners*jobsOfEach) * (each + 2*tickInterval)
+					for end := time.Now().Add(learning + needed); time.Now().Before(end); time.Sleep(tickInterval) {
+						for _, p := range pools {
+							p.tick(time.Now())
+						}
+					}
+					for i, p := range pools {
+						assert.Equal(t, p.shard.Jobs(), 0, "owner %d: jobs are left", i)
+					}
+				})
+			})
+		}
+	}
+}
+
+// A term that ends leaves its calls at the service. They must count with those of the next term of the same process.
+func TestCallsOfAnEndedTermCountWithTheNext(t *testing.T) {
+	inPool(t, func(t *testing.T, ctx context.Context) {
+		service, queue := newSerialAdviser(108*time.Millisecond), new(advicequeue.Queue)
+		const terms = 20
+		for range terms {
+			termCtx, end := context.WithCancel(ctx)
+			p := newAdvisedPool(termCtx, service, queue)
+			for range 8 {
+				p.add(shortStep)
+			}
+			p.runFor(100 * time.Millisecond)
+			end()
+			p.adviceTurn.Withdraw()
+		}
+		assert.Assert(t, service.maxWaiting <= 2, "%d calls at the service", service.maxWaiting)
+		assert.Equal(t, service.abandoned, 0)
+	})
+}
+
+// Requests that the service refuses for its own reasons must not be repeated at the rate of the owner's loop.
+func TestRefusedAdviceIsNotRequestedAtOnce(t *testing.T) {
+	inPool(t, func(t *testing.T, ctx context.Context) {
+		calls := 0
+		p := newAdvisedPool(ctx, adviserFunc(func(context.Context, job.StepID, []cluster.ExecutorID) (advice.Tickets, error) {
+			calls++
+			return advice.Tickets{}, advice.ErrBusy
+		}), new(advicequeue.Queue))
+		for range 100 {
+			p.add(shortStep)
+		}
+		p.runFor(10 * time.Second)
+		assert.Assert(t, calls >= 5 && calls <= 20, "%d calls in 10 s", calls)
+	})
+}
+
+// Steps for which the service gives no usable response must not keep the others from theirs.
+func TestUnusableAdviceOfSomeStepsDelaysNoOther(t *testing.T) {
+	inPool(t, func(t *testing.T, ctx context.Context) {
+		service := newSerialAdviser(108 * time.Millisecond)
+		const odd = 20
+		p := newAdvisedPool(ctx, adviserFunc(func(ctx context.Context, step job.StepID, executors []cluster.ExecutorID) (advice.Tickets, error) {
+			tickets, err := service.RequestTickets(ctx, step, executors)
+			if number, parseErr := strconv.ParseUint(string(step.Job), 16, 64); parseErr == nil && number <= odd {
+				return advice.Tickets{}, advice.ErrUnusable
+			}
+			return tickets, err
+		}), new(advicequeue.Queue))
+		for range odd {
+			p.add(shortStep)
+		}
+		p.runFor(5 * time.Second)
+		const others = 10
+		for range others {
+			p.add(shortStep)
+		}
+		p.runFor(10 * time.Second)
+		assert.Equal(t, p.shard.Jobs(), odd)
+	})
+}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -15,6 +15,7 @@
 	"github.com/tarragonreach/tarragonreach/api/execution"
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/api/job"
+	"github.com/tarragonreach/tarragonreach/entry/advicequeue"
 	"github.com/tarragonreach/tarragonreach/entry/election"
 	"github.com/tarragonreach/tarragonreach/entry/follow"
 	"github.com/tarragonreach/tarragonreach/platform/advice"
@@ -64,6 +65,8 @@
 	Store   Store
 	Dial    Dial
 	Adviser Adviser // nil where no queue needs advice
+	// AdviceQueue shares the calls to the advice service with the other owners of the process; nil without Adviser.
+	AdviceQueue *advicequeue.Queue
 	// Machines shows which executors have ended; nil where the platform lists no machines.
 	Machines Machines
 	Config   Config
@@ -127,6 +130,7 @@
 	latePolls      latePolls
 	callWindow     calllimit.Window
 	callStatistics callStatistics
+	adviceTurn     *advicequeue.Member
 	// adviceStatistics are the calls to the advice service since the last report.
 	adviceStatistics adviceStatistics
 	reportedAdvice   []string // the queues with calls or steps that lacked tickets in the last report
@@ -161,6 +165,10 @@
 		ctx: ctx, stepDown: cancel, renewalAllowed: true,
 		callWindow: calllimit.Window{Floor: calllimit.FloorOf(float64(options.Link), commandBytes)},
 	}
+	if o.Adviser != nil {
+		o.adviceTurn = o.AdviceQueue.Join()
+		defer o.adviceTurn.Withdraw()
+	}
 	o.Logger = options.Logger.With("service", string(options.Service), "token", term.Token)
 	o.skippedRecords = follow.NewSkipped(o.Logger, "jobs skipped: record not readable")
 	defer o.closeClients()
--- a/policy/shard/incarnations_test.go
+++ b/policy/shard/incarnations_test.go
@@ -337,7 +337,7 @@
 	j := h.shard.jobs["00000000000000ab"]
 	j.Queue.Advice = &cluster.Advice{Validity: time.Hour}
 	h.shard.updateAdvised(j)
-	requests := h.shard.AdviceRequests(h.now)
+	requests := h.adviceRequests()
 	assert.Equal(t, len(requests), 1)
 	advise := func() {
 		h.shard.HandleAdvice(requests[0], map[cluster.ExecutorID]string{"i-1": "ticket"}, time.Hour, h.now, h.now)
--- a/policy/shard/longrunning_liveness_test.go
+++ b/policy/shard/longrunning_liveness_test.go
@@ -13,6 +13,7 @@
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/api/execution"
 	"github.com/tarragonreach/tarragonreach/api/job"
+	"github.com/tarragonreach/tarragonreach/policy/adviceflow"
 )
 
 // The rule for long-running tasks: each has a run within longRunningBound after the last
@@ -101,8 +102,16 @@
 	return err == nil && number%3 != 0
 }
 
+// requestAdvice sends the requests that the flow of the owner's process admits.
+func (w *world) requestAdvice(o *ownerSim) {
+	need, found := o.shard.AdviceNeed(w.now)
+	for ; found && o.adviceFlow.Admits(need.Configured, w.now); need, found = o.shard.AdviceNeed(w.now) {
+		w.sendAdviceRequest(o, o.shard.RequestAdvice(need, w.now), o.adviceFlow.Begin(need.Configured, w.now))
+	}
+}
+
 // sendAdviceRequest sends a request to the advice service, which always responds.
-func (w *world) sendAdviceRequest(o *ownerSim, request AdviceRequest) {
+func (w *world) sendAdviceRequest(o *ownerSim, request AdviceRequest, call adviceflow.Call) {
 	sentAt := w.now
 	byExecutor := map[cluster.ExecutorID]string{}
 	for _, id := range request.Executors {
@@ -110,7 +119,13 @@
 			byExecutor[id] = fmt.Sprint(id, " ", sentAt.Add(ticketValidity).UnixMilli())
 		}
 	}
-	o.responses = append(o.responses, responseSim{w.now.Add(adviceTime), func() {
+	// The service carries out one call at a time.
+	if o.adviceBusyUntil.Before(w.now) {
+		o.adviceBusyUntil = w.now
+	}
+	o.adviceBusyUntil = o.adviceBusyUntil.Add(adviceTime)
+	o.responses = append(o.responses, responseSim{o.adviceBusyUntil, func() {
+		o.adviceFlow.End(call, adviceflow.Answered, w.now)
 		o.shard.HandleAdvice(request, byExecutor, ticketValidity, sentAt, w.now)
 	}})
 }
--- a/policy/shard/place.go
+++ b/policy/shard/place.go
@@ -260,13 +260,15 @@
 
 // allows reports whether the executor meets the step's constraints, capacity aside.
 func (s *step) allows(e *executorState, now time.Time) bool {
+	return s.meets(e) && (s.job.Queue.Advice == nil || s.hasTicket(e.Incarnation(), now))
+}
+
+// meets reports whether the executor meets the step's constraints, capacity and tickets aside.
+func (s *step) meets(e *executorState) bool {
 	if s.def.RequiredLabel != "" && !slices.Contains(e.Labels, s.def.RequiredLabel) {
 		return false
 	}
-	if s.def.MaxPerServer > 0 && e.runsOf(s) >= s.def.MaxPerServer {
-		return false
-	}
-	return s.job.Queue.Advice == nil || s.hasTicket(e.Incarnation(), now)
+	return s.def.MaxPerServer <= 0 || e.runsOf(s) < s.def.MaxPerServer
 }
 
 // placementCost returns a cost that is lower for better executors: near the task's data,
--- a/policy/shard/rules_test.go
+++ b/policy/shard/rules_test.go
@@ -214,10 +214,10 @@
 		Queue: QueuePolicy{Name: "q", MaxAttempts: 2, Advice: &cluster.Advice{Validity: 3 * time.Second}},
 	}, nil, h.now)
 	assert.Equal(t, len(h.startAll()), 0)
-	requests := h.shard.AdviceRequests(h.now)
+	requests := h.adviceRequests()
 	assert.Equal(t, len(requests), 1)
 	assert.Equal(t, len(requests[0].Executors), 2)
-	assert.Equal(t, len(h.shard.AdviceRequests(h.now)), 0) // the request is in flight
+	assert.Equal(t, len(h.adviceRequests()), 0) // the request is in flight
 	h.shard.HandleAdvice(requests[0], map[cluster.ExecutorID]string{"i-2": "ticket"}, 3*time.Second, h.now, h.now)
 	starts := h.startAll()
 	assert.Equal(t, len(starts), 1)
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -146,10 +146,10 @@
 	reservationCounts ReservationCounts
 	searchFrom        int // the position in the usable executors at which the next search starts
 
-	batchStats       batchStats
-	lastSample       job.ID         // the last job among the samples of the last report
-	nextAdviceSearch time.Time      // when to search again for steps that need advice
-	unusedTickets    map[string]int // by queue, as AdviceReport.Unused
+	batchStats    batchStats
+	lastSample    job.ID // the last job among the samples of the last report
+	adviceSearch  adviceSearch
+	unusedTickets map[string]int // by queue, as AdviceReport.Unused
 }
 
 // New returns an empty shard for an owner with the given fencing token.
--- a/policy/shard/starts_test.go
+++ b/policy/shard/starts_test.go
@@ -158,7 +158,7 @@
 		Queue: QueuePolicy{Name: "q", MaxAttempts: 2, Advice: &cluster.Advice{Validity: validity}},
 	}, nil, h.now)
 	for range 100 {
-		for _, request := range h.shard.AdviceRequests(h.now) {
+		for _, request := range h.adviceRequests() {
 			tickets := map[cluster.ExecutorID]string{}
 			if slices.Contains(request.Executors, allowed) {
 				tickets[allowed] = "ticket"
@@ -244,14 +244,14 @@
 	}
 }
 
-// The owner calls AdviceRequests with each of its events: a backlog of jobs that need no
+// The owner calls AdviceNeed with each of its events: a backlog of jobs that need no
 // advice must not cause allocations there.
 func TestBacklogWithoutAdviceAllocatesNothing(t *testing.T) {
 	h := newHarness(t, newExecutorNamed("i-1"))
 	for i := range 100 {
 		h.submit(testID(i), oneTask)
 	}
-	assert.Equal(t, testing.AllocsPerRun(10, func() { h.shard.AdviceRequests(h.now) }), 0.0)
+	assert.Equal(t, testing.AllocsPerRun(10, func() { h.shard.AdviceNeed(h.now) }), 0.0)
 }
 
 // A changed objective changes the start order of the jobs that already wait.
--- a/policy/shard/stuck_test.go
+++ b/policy/shard/stuck_test.go
@@ -144,7 +144,7 @@
 	started := false
 	for begin := h.now; h.now.Sub(begin) < time.Minute && !started; h.now = h.now.Add(20 * time.Millisecond) {
 		h.pollAll()
-		for _, request := range h.shard.AdviceRequests(h.now) {
+		for _, request := range h.adviceRequests() {
 			tickets := map[cluster.ExecutorID]string{}
 			for _, id := range request.Executors {
 				if id == allowed {
@@ -169,14 +169,14 @@
 		Queue: QueuePolicy{Name: "q", MaxAttempts: 2, Stretch: 2, TargetDuration: time.Second, Advice: &cluster.Advice{Validity: validity}},
 	}, nil, h.now)
 	h.pollAll()
-	requests := h.shard.AdviceRequests(h.now)
+	requests := h.adviceRequests()
 	assert.Equal(t, len(requests), 1)
 	h.shard.HandleAdvice(requests[0], map[cluster.ExecutorID]string{"i-1": "ticket"}, validity, h.now, h.now)
 	h.shard.SetExecutors([]cluster.Executor{newExecutorNamed("i-2")}, h.now)
 	started := false
 	for begin := h.now; h.now.Sub(begin) < startBound && !started; h.now = h.now.Add(20 * time.Millisecond) {
 		h.pollAll()
-		for _, request := range h.shard.AdviceRequests(h.now) {
+		for _, request := range h.adviceRequests() {
 			h.shard.HandleAdvice(request, map[cluster.ExecutorID]string{"i-2": "ticket"}, validity, h.now, h.now)
 		}
 		started = len(h.storeAndCommand()) > 0
@@ -354,7 +354,7 @@
 			started := false
 			for begin := h.now; h.now.Sub(begin) < longRunningBound && !started; h.now = h.now.Add(20 * time.Millisecond) {
 				h.pollAll()
-				for _, request := range h.shard.AdviceRequests(h.now) {
+				for _, request := range h.adviceRequests() {
 					tickets := map[cluster.ExecutorID]string{}
 					if slices.Contains(request.Executors, "i-1") {
 						tickets["i-1"] = "ticket"
--- a/policy/shard/world_test.go
+++ b/policy/shard/world_test.go
@@ -14,6 +14,7 @@
 	"github.com/tarragonreach/tarragonreach/api/execution"
 	"github.com/tarragonreach/tarragonreach/api/job"
 	_ "github.com/tarragonreach/tarragonreach/api/rapidseed"
+	"github.com/tarragonreach/tarragonreach/policy/adviceflow"
 )
 
 // world simulates a store, some executors and one owner at a time, in virtual time. Calls
@@ -91,6 +92,9 @@
 	listedAt     time.Time // when it last requested the machine list
 	reportedAt   time.Time
 	ledgers      *ledgersSim // nil if jobs belong to no tenants
+
+	adviceFlow      adviceflow.Flow
+	adviceBusyUntil time.Time // when the advice service has carried out its calls
 }
 
 // responseSim is a response on its way to an owner.
@@ -363,9 +367,7 @@
 	for _, cmd := range o.shard.Commands(w.now) {
 		w.sendCommand(o, cmd)
 	}
-	for _, request := range o.shard.AdviceRequests(w.now) {
-		w.sendAdviceRequest(o, request)
-	}
+	w.requestAdvice(o)
 	for _, poll := range o.shard.Polls(w.now) {
 		w.sendPoll(o, poll)
 	}
