--- a/entry/fleetduty/cleanup.go
+++ b/entry/fleetduty/cleanup.go
@@ -1,7 +1,9 @@
 package fleetduty
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/tarragonreach/tarragonreach/entry/layout"
@@ -11,9 +13,12 @@
 const (
 	// cleanupInterval is the time between two removals of old final jobs.
 	cleanupInterval = 30 * time.Second
-	// retainFactor is how long a final state is stored, as a multiple of RetainFinal:
+	// retainFactor is how long a final state or a withdrawal is stored, as a multiple of RetainFinal:
 	// duplicates of a submission may arrive late.
 	retainFactor = 3
+	// minRetention is the shortest time for which they are stored. A write that is carried out late, or a request that
+	// was read late by an instance that was paused, must still find them.
+	minRetention = 1 * time.Minute
 	// cleanupTimeout bounds one removal.
 	cleanupTimeout = 10 * time.Second
 )
@@ -38,7 +43,7 @@
 	return settled
 }
 
-// cleanUp removes the states of old final jobs in the background. Each is removed under the
+// cleanUp removes the states of old final jobs and old withdrawals in the background. Each is removed under the
 // condition that it has not changed since it was read.
 //
 // The time of day may step on this instance, and on the one that wrote a state. So only states are removed that
@@ -46,17 +51,20 @@
 // holder removes none at first.
 func (h *Holder) cleanUp(ctx context.Context) {
 	h.cleanedUpAt = time.Now()
-	retention := retainFactor * h.RetainFinal
+	retention := max(retainFactor*h.RetainFinal, minRetention)
 	settled := h.settledRevision(time.Now(), retention)
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, cleanupTimeout)
 		defer cancel()
-		removed, asOf, err := h.removeOldJobs(ctx, settled, time.Now().Add(-retention))
-		if err != nil {
-			h.Logger.Warn("old jobs not removed", "removed", removed, "error", err)
-		} else if removed > 0 {
-			h.Logger.Info("old jobs removed", "removed", removed)
-		}
+		before := time.Now().Add(-retention)
+		asOf := h.removeOld(ctx, "jobs", layout.JobsPrefix, settled, func(item kv.Item) (bool, error) {
+			state, err := layout.Decode[layout.State](item.Key, item.Value)
+			return state.State.Final() && !state.FinalAt.IsZero() && state.FinalAt.Before(before), err
+		})
+		h.removeOld(ctx, "withdrawals", layout.WithdrawalsPrefix, settled, func(item kv.Item) (bool, error) {
+			withdrawal, err := layout.Decode[layout.Withdrawal](item.Key, item.Value)
+			return withdrawal.At.Before(before), err
+		})
 		seen := seenRevision{asOf, time.Now()}
 		h.send(func() {
 			if seen.revision > 0 {
@@ -66,49 +74,65 @@
 	}()
 }
 
-// removeOldJobs removes final states that have not changed since the settled revision and are older than before. It
-// returns their number and the revision of the store as of the first page, or zero.
-func (h *Holder) removeOldJobs(ctx context.Context, settled kv.Revision, before time.Time) (removed int, asOf kv.Revision, err error) {
+// removeOld removes the items under a prefix that have not changed since the settled revision and are old, and logs
+// how many. It returns the revision of the store as of the first page, or zero.
+func (h *Holder) removeOld(ctx context.Context, kind, prefix string, settled kv.Revision, isOld func(kv.Item) (bool, error)) (asOf kv.Revision) {
+	removed := 0
 	after := ""
 	for {
-		page, err := h.Store.Range(ctx, layout.JobsPrefix, after, kv.Stale)
-		if err != nil {
-			return removed, asOf, err
+		page, err := h.Store.Range(ctx, prefix, after, kv.Stale)
+		if err == nil {
+			asOf = cmp.Or(asOf, page.AsOf)
+			var n int
+			n, err = h.removeItems(ctx, h.oldItems(page.Items, settled, isOld))
+			removed += n
 		}
-		if asOf == 0 {
-			asOf = page.AsOf
+		if err != nil {
+			h.Logger.Warn("old "+kind+" not removed", "removed", removed, "error", err)
+			return asOf
 		}
-		n, err := h.removeOldItems(ctx, page.Items, settled, before)
-		removed += n
-		if err != nil || !page.More || len(page.Items) == 0 {
-			return removed, asOf, err
+		if !page.More || len(page.Items) == 0 {
+			break
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
+	if removed > 0 {
+		h.Logger.Info("old "+kind+" removed", "removed", removed)
+	}
+	return asOf
 }
 
-func (h *Holder) removeOldItems(ctx context.Context, items []kv.Item, settled kv.Revision, before time.Time) (int, error) {
-	removed := 0
-	var t kv.Txn
-	for i, item := range items {
-		state, err := layout.Decode[layout.State](item.Key, item.Value)
+// oldItems returns the items that have not changed since the settled revision and are old. Those that can't be read
+// are kept.
+func (h *Holder) oldItems(items []kv.Item, settled kv.Revision, isOld func(kv.Item) (bool, error)) []kv.Item {
+	var old []kv.Item
+	for _, item := range items {
+		is, err := isOld(item)
 		if err != nil {
-			h.Logger.Error("state of a job not readable", "error", err)
+			h.Logger.Error("stored entry not readable", "error", err)
+			continue
 		}
-		if err == nil && item.Revision <= settled && state.State.Final() && !state.FinalAt.IsZero() && state.FinalAt.Before(before) {
+		if is && item.Revision <= settled {
+			old = append(old, item)
+		}
+	}
+	return old
+}
+
+// removeItems removes items, each on condition that it has not changed, and returns their number. The number is too
+// high if another holder removed some of them first.
+func (h *Holder) removeItems(ctx context.Context, items []kv.Item) (removed int, err error) {
+	const itemEntries = 2 // a condition and a removal
+	for chunk := range slices.Chunk(items, (kv.MaxTxnEntries-1)/itemEntries) {
+		var t kv.Txn
+		for _, item := range chunk {
 			t.Conditions = append(t.Conditions, kv.Condition{Key: item.Key, Revision: item.Revision})
 			t.Deletes = append(t.Deletes, item.Key)
 		}
-		full := t.Entries() >= kv.MaxTxnEntries-1
-		last := i == len(items)-1
-		if len(t.Deletes) == 0 || !full && !last {
-			continue
-		}
 		if _, err := h.attempt(ctx, t, txnAttempts); err != nil {
 			return removed, err
 		}
-		removed += len(t.Deletes) // too high if another holder removed some of them first
-		t = kv.Txn{}
+		removed += len(chunk)
 	}
 	return removed, nil
 }
--- a/entry/fleetduty/cleanup_test.go
+++ b/entry/fleetduty/cleanup_test.go
@@ -44,3 +44,42 @@
 	assert.Assert(t, stored(newJob))
 	assert.Equal(t, len(h.revisions), 2) // what is older than needed is forgotten
 }
+
+// UNASKED: a withdrawal must outlast each write of the submission that it cancels, also where final states are kept for
+// a short time only, and is removed afterwards.
+func TestWithdrawalIsRemovedOnceNoWriteCanFollow(t *testing.T) {
+	s := newTestStore(t)
+	h := newTestHolder(s)
+	h.RetainFinal = time.Second
+	key := layout.WithdrawalKey("00000000000000aa", "north", "q")
+	put := func(age time.Duration) {
+		value, err := layout.Encode(layout.Withdrawal{At: time.Now().Add(-age)})
+		assert.NilError(t, err)
+		s.standIn.Put(key, value)
+	}
+	cleanUp := func() {
+		h.cleanUp(t.Context())
+		(<-h.events)()
+	}
+	// later lets the holder's clock advance.
+	later := func(d time.Duration) {
+		for i := range h.revisions {
+			h.revisions[i].at = h.revisions[i].at.Add(-d)
+		}
+	}
+	stored := func() bool {
+		_, found := s.standIn.Get(key)
+		return found
+	}
+	put(minRetention - 10*time.Second)
+	cleanUp()
+	later(minRetention)
+	cleanUp()
+	assert.Assert(t, stored(), "removed too early")
+	put(2 * minRetention) // renewed by an instance whose clock is behind
+	cleanUp()
+	assert.Assert(t, stored(), "removed though it has just been written")
+	later(minRetention)
+	cleanUp()
+	assert.Assert(t, !stored(), "kept")
+}
--- a/entry/intake/admission.go
+++ b/entry/intake/admission.go
@@ -137,11 +137,11 @@
 	var err error
 	for range maxReplacements {
 		item, state, missing := storedState(c.id, result)
-		if result.Applied || missing != nil || state.Rejected == nil {
+		if result.Applied || missing != nil || state.Rejected == nil || c.withdrawn(result) {
 			return result, nil
 		}
 		if state.Rejected.Settled(arrivalOf(ctx)) {
-			t.Conditions = []kv.Condition{{Key: item.Key, Revision: item.Revision}}
+			t.Conditions[0].Revision = item.Revision
 			if result, err = i.write(ctx, t); err != nil {
 				failure := i.writeFailure(err)
 				return result, &failure
@@ -158,7 +158,7 @@
 			break
 		}
 	}
-	if _, state, missing := storedState(c.id, result); err == nil && (result.Applied || missing != nil || state.Rejected == nil) {
+	if _, state, missing := storedState(c.id, result); err == nil && (result.Applied || missing != nil || state.Rejected == nil || c.withdrawn(result)) {
 		return result, nil
 	}
 	return result, &response{status: http.StatusGatewayTimeout, reason: "rejected elsewhere at the same time", outcome: outcomeUnknown}
--- a/entry/intake/identity_test.go
+++ b/entry/intake/identity_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -75,8 +76,8 @@
 				}
 				if response.Code >= http.StatusMultipleChoices {
 					assert.Equal(t, response.Body.Len(), 0) // 410 must not tell another tenant's job from none
-					assert.Assert(t, len(i.store.calls) <= 1, "%v", i.store.calls)
 				}
+				checkRefusedCalls(t, i, method, response.Code, layout.WithdrawalKey(testJob, callerOf(c.queue, c.authorization), c.queue))
 				checkStored(t, i, c.stored, method, c.want[m], c.tenant)
 				checkNoKey(t, i.logAndMetrics())
 			})
@@ -84,6 +85,41 @@
 	}
 }
 
+// callerOf returns the tenant of an accepted request.
+func callerOf(queue string, authorization []string) cluster.TenantName {
+	switch {
+	case queue == "open":
+		return ""
+	case slices.Contains(authorization, "bearer "+southKey):
+		return "south"
+	default:
+		return "north"
+	}
+}
+
+// checkRefusedCalls checks the calls to the store for a request that was refused. A cancellation that gets 410 stores
+// its caller's own withdrawal and nothing else, and takes the same calls whether another tenant has a job with that ID.
+func checkRefusedCalls(t *testing.T, i *testIntake, method string, status int, withdrawal string) {
+	t.Helper()
+	withdrawn := method == http.MethodDelete && status == http.StatusGone
+	for key := range i.store.items {
+		if strings.HasPrefix(key, layout.WithdrawalsPrefix) {
+			assert.Assert(t, withdrawn, key)
+			assert.Equal(t, key, withdrawal)
+		}
+	}
+	if status < http.StatusMultipleChoices {
+		return
+	}
+	if !withdrawn {
+		assert.Assert(t, len(i.store.calls) <= 1, "%v", i.store.calls)
+		return
+	}
+	assert.Equal(t, len(i.store.calls), 2, "%v", i.store.calls)
+	_, found := i.store.items[withdrawal]
+	assert.Assert(t, found)
+}
+
 // checkStored checks what a request has written.
 func checkStored(t *testing.T, i *testIntake, before []layout.State, method string, status int, tenant cluster.TenantName) {
 	t.Helper()
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -69,6 +69,7 @@
 	// waitedInVainAt is when a request last waited in vain for a recent configuration; nil before the first.
 	waitedInVainAt atomic.Pointer[time.Time]
 	counts         sharedCounts
+	withdrawals    withdrawalLimits
 }
 
 // New returns an intake. While leaving reports true, connections are closed after the
--- a/entry/intake/jobs.go
+++ b/entry/intake/jobs.go
@@ -135,6 +135,8 @@
 		return *failure
 	case result.Applied:
 		return response{status: http.StatusOK, reason: "stored"}
+	case c.withdrawn(result):
+		return i.submitWithdrawn(ctx, who, c, result)
 	default:
 		return who.repeated(id, result)
 	}
@@ -153,7 +155,7 @@
 		return kv.Txn{}, err
 	}
 	return kv.Txn{
-		Conditions: []kv.Condition{{Key: layout.JobKey(id)}},
+		Conditions: []kv.Condition{{Key: layout.JobKey(id)}, {Key: layout.WithdrawalKey(id, who.tenant, queue.Name)}},
 		Puts: []kv.Put{
 			{Key: layout.JobKey(id), Value: state},
 			{Key: layout.RecordKey(queue.Service, id), Value: record},
@@ -228,28 +230,38 @@
 }
 
 // cancel stores a cancellation of the job, under the condition that the job's state has not
-// changed since it was read, so that none is stored for a job that has become final.
+// changed since it was read, so that none is stored for a job that has become final. If there is no job that the
+// caller may cancel, it stores a withdrawal.
 func (i *Intake) cancel(ctx context.Context, who caller, id job.ID) response {
 	item, state, failure := i.readState(ctx, who, id)
 	for range cancelAttempts {
-		if failure != nil {
+		if failure != nil && failure.status != http.StatusGone {
 			return *failure
 		}
-		if state.State.Final() {
+		if failure == nil && state.State.Final() {
 			return response{status: http.StatusOK, reason: "final already: " + string(state.State)}
 		}
+		done := response{status: http.StatusOK, reason: "cancelled"}
+		put := kv.Put{Key: layout.CancelKey(state.Service, id), Value: []byte("{}")}
+		if failure != nil {
+			withdrawal, refusal := i.withdrawal(who, id)
+			if refusal != nil {
+				return *refusal
+			}
+			done, put = *failure, withdrawal
+		}
 		result, err := i.write(ctx, kv.Txn{
-			Conditions: []kv.Condition{{Key: item.Key, Revision: item.Revision}},
-			Puts:       []kv.Put{{Key: layout.CancelKey(state.Service, id), Value: []byte("{}")}},
+			Conditions: []kv.Condition{{Key: layout.JobKey(id), Revision: item.Revision}},
+			Puts:       []kv.Put{put},
 		})
 		if err != nil {
 			return i.writeFailure(err)
 		}
 		if result.Applied {
-			return response{status: http.StatusOK, reason: "cancelled"}
+			return done
 		}
 		// The state that was read was stale, or has changed since.
-		current, found := currentItem(item.Key, result)
+		current, found := currentItem(layout.JobKey(id), result)
 		if !found {
 			item, state, failure = i.readState(ctx, who, id)
 			continue
--- a/entry/intake/outcome.go
+++ b/entry/intake/outcome.go
@@ -15,27 +15,28 @@
 type outcome uint8
 
 const (
-	outcomeNone             outcome = iota // not set: derived from the status
-	outcomeAnswered                        // success
-	outcomeNoConfig                        // no configuration was read yet
-	outcomeConfigNotRecent                 // the configuration is outdated
-	outcomeNoQueue                         // no such queue, job ID or method
-	outcomeKeyRefused                      // no key, or one that no tenant has
-	outcomeOtherTenant                     // the job belongs to another tenant
-	outcomeNotFound                        // no such job
-	outcomeRejected                        // the job was rejected for lack of capacity
-	outcomeStoreRate                       // the store refused the call: its rate is exceeded
-	outcomeStoreRefused                    // the store refused the call for another reason
-	outcomeStoreNoResponse                 // the store did not respond, or its response can't be used
-	outcomeStoreUnavailable                // no call was made: the store has not responded for a while
-	outcomeUnreadable                      // what is stored can't be read
-	outcomeDeadline                        // the caller's deadline passed before the store responded
-	outcomeCallerGone                      // the caller closed its connection
-	outcomeUnknown                         // a write may have taken effect
-	outcomeChanging                        // the job or the configuration keeps changing
-	outcomeInvalid                         // the request is malformed
-	outcomeInternal                        // a fault of this instance
-	outcomeCount                           // number of outcomes
+	outcomeNone               outcome = iota // not set: derived from the status
+	outcomeAnswered                          // success
+	outcomeNoConfig                          // no configuration was read yet
+	outcomeConfigNotRecent                   // the configuration is outdated
+	outcomeNoQueue                           // no such queue, job ID or method
+	outcomeKeyRefused                        // no key, or one that no tenant has
+	outcomeOtherTenant                       // the job belongs to another tenant
+	outcomeNotFound                          // no such job
+	outcomeRejected                          // the job was rejected for lack of capacity
+	outcomeStoreRate                         // the store refused the call: its rate is exceeded
+	outcomeStoreRefused                      // the store refused the call for another reason
+	outcomeStoreNoResponse                   // the store did not respond, or its response can't be used
+	outcomeStoreUnavailable                  // no call was made: the store has not responded for a while
+	outcomeUnreadable                        // what is stored can't be read
+	outcomeDeadline                          // the caller's deadline passed before the store responded
+	outcomeCallerGone                        // the caller closed its connection
+	outcomeUnknown                           // a write may have taken effect
+	outcomeChanging                          // the job or the configuration keeps changing
+	outcomeTooManyWithdrawals                // the tenant cancels too many jobs that are not stored
+	outcomeInvalid                           // the request is malformed
+	outcomeInternal                          // a fault of this instance
+	outcomeCount                             // number of outcomes
 )
 
 var outcomeNames = [outcomeCount]string{
@@ -44,7 +45,7 @@
 	outcomeRejected: "rejected", outcomeStoreRate: "store-rate-limited", outcomeStoreRefused: "store-refused",
 	outcomeStoreNoResponse: "store-no-response", outcomeStoreUnavailable: "store-unavailable", outcomeUnreadable: "unreadable",
 	outcomeDeadline: "deadline", outcomeCallerGone: "caller-gone", outcomeUnknown: "unknown", outcomeChanging: "changing",
-	outcomeInvalid: "invalid", outcomeInternal: "internal",
+	outcomeTooManyWithdrawals: "too-many-withdrawals", outcomeInvalid: "invalid", outcomeInternal: "internal",
 }
 
 // String returns the name in metrics and log lines.
--- a/entry/layout/golden_test.go
+++ b/entry/layout/golden_test.go
@@ -53,6 +53,7 @@
 		ID: goldenTenantJob, Queue: shard.QueuePolicy{Name: "nightly"}, Tenant: "north", Accepted: goldenTime,
 		Definition: job.Definition{Steps: []job.Step{{Count: 1}}},
 	}},
+	{WithdrawalKey(goldenJob, "north, south/1", "nightly"), Withdrawal{At: goldenTime}},
 	{CordonKey("batch", "e-1"), Cordon{Preempt: true}},
 	{ProgressKey("batch", goldenJob), shard.Progress{
 		Tasks: []shard.TaskProgress{{
--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -2,6 +2,7 @@
 // store.
 //
 //	jobs/JOB                      State: the published state of a job
+//	withdrawn/JOB/TENANT/QUEUE    Withdrawal: the tenant has cancelled a job of the queue that was not stored
 //	shard/SERVICE/job/JOB         shard.Record: a job that is not final
 //	shard/SERVICE/cancel/JOB      a cancellation that was acknowledged
 //	shard/SERVICE/cordon/EXECUTOR Cordon: an executor to evacuate
@@ -64,6 +65,20 @@
 // JobKey returns the key of a job's State.
 func JobKey(id job.ID) string { return JobsPrefix + string(id) }
 
+// WithdrawalsPrefix is the prefix of the withdrawals of all jobs.
+const WithdrawalsPrefix = "withdrawn/"
+
+// WithdrawalKey returns the key of a tenant's Withdrawal of a job of a queue. A submission of the job by the tenant to
+// the queue takes effect only if there is none.
+func WithdrawalKey(id job.ID, tenant cluster.TenantName, queue string) string {
+	return boundedKey(WithdrawalsPrefix+string(id)+"/", string(tenant), queue)
+}
+
+// Withdrawal is a cancellation of a job that was not stored. Old ones are removed.
+type Withdrawal struct {
+	At time.Time `json:"at"`
+}
+
 // ShardPrefix returns the prefix of the records and cancellations of a service's jobs, and
 // of its cordons.
 func ShardPrefix(s cluster.Service) string { return "shard/" + string(s) + "/" }
@@ -155,16 +170,23 @@
 // maxKeyBytes is the store's maximum length of a key.
 const maxKeyBytes = 200
 
-// QuotaKey returns the key of a tenant's ledger. A tenant's name may have any characters and any
-// length: it is escaped, and replaced by its hash if it is too long. No escaped name begins like a
-// hash, and the ledger holds the name.
-func QuotaKey(tenant cluster.TenantName) string {
-	key := QuotaPrefix + url.PathEscape(string(tenant))
+// QuotaKey returns the key of a tenant's ledger, which holds the tenant's name.
+func QuotaKey(tenant cluster.TenantName) string { return boundedKey(QuotaPrefix, string(tenant)) }
+
+// boundedKey returns the key of what has the given names under a prefix. The names may have any characters and any
+// length: they are escaped, and replaced by their hash if they are too long together. No escaped name begins like a
+// hash.
+func boundedKey(prefix string, names ...string) string {
+	escaped := make([]string, len(names))
+	for i, name := range names {
+		escaped[i] = url.PathEscape(name)
+	}
+	key := prefix + strings.Join(escaped, "/")
 	if len(key) <= maxKeyBytes {
 		return key
 	}
-	digest := sha256.Sum256([]byte(tenant))
-	return QuotaPrefix + "#" + hex.EncodeToString(digest[:])
+	digest := sha256.Sum256([]byte(strings.Join(names, "\x00")))
+	return prefix + "#" + hex.EncodeToString(digest[:])
 }
 
 // OwnerKey returns the key of a duty's Holder.
