--- a/entry/intake/withdrawal.go
+++ b/entry/intake/withdrawal.go
@@ -25,8 +25,8 @@
 const (
 	// withdrawalRate and withdrawalBurst bound the withdrawals that an instance stores for a tenant, per second and
 	// at once: anybody who may submit jobs can cancel any number of IDs that were never submitted.
-	withdrawalRate  rate.Limit = 20
-	withdrawalBurst            = 100
+	withdrawalRate  = rate.Limit(20)
+	withdrawalBurst = 100
 )
 
 // withdrawalLimits are the limits of the withdrawals of each tenant. The zero value has none yet.
--- a/policy/shard/advice.go
+++ b/policy/shard/advice.go
@@ -24,8 +24,10 @@
 	// adviceInterval is the minimum time between two searches for steps that need advice,
 	// since each computes the start order.
 	adviceInterval = 50 * time.Millisecond
-	// maxAdviceSearch bounds the steps of each sort that a search returns.
+	// maxAdviceSearch bounds the steps of each sort that a search returns, and maxAdviceChecks the checks of a step
+	// against an executor in one search.
 	maxAdviceSearch = 16
+	maxAdviceChecks = 20_000
 	// aheadInterval is the number of requests of which one is for a step that has no room yet, if there is one: it
 	// needs tickets by the time it gets room, or others go first for ever.
 	aheadInterval = 4
@@ -64,8 +66,8 @@
 // adviceSearch holds the steps that the last search for steps without tickets has found, most urgent first.
 type adviceSearch struct {
 	next      time.Time // earliest time of the next search
-	startable []*step   // with room, or long-running
-	ahead     []*step   // the others
+	startable []*step   // with room
+	ahead     []*step   // without
 	requests  int       // since the last one for a step without room
 }
 
@@ -86,7 +88,7 @@
 	if len(list) == 0 || len(search.ahead) > 0 && search.requests >= aheadInterval-1 {
 		list = search.ahead
 	}
-	if len(list) == 0 {
+	if len(list) == 0 || !slices.ContainsFunc(s.sortedExecutors(), func(e *executorState) bool { return e.isAdviceCandidate(now) }) {
 		return AdviceNeed{}, false
 	}
 	terms := list[0].job.Queue.Advice
@@ -107,8 +109,8 @@
 func (s *Shard) searchAdvice(now time.Time) {
 	search := &s.adviceSearch
 	search.startable, search.ahead = nil, nil
-	candidates := s.adviceCandidates(now)
-	if len(candidates) == 0 {
+	room := roomSearch{executors: s.adviceCandidates(now), checksLeft: maxAdviceChecks}
+	if len(room.executors) == 0 {
 		return
 	}
 	for _, j := range s.startOrder(now) {
@@ -118,29 +120,46 @@
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
 				if s.needsAdvice(st, now) {
-					search.add(st, candidates)
+					search.add(st, room.find(st))
 				}
 			}
 		}
-		if len(search.startable) >= maxAdviceSearch {
+		if len(search.startable) >= maxAdviceSearch && len(search.ahead) > 0 {
 			return
 		}
 	}
 }
 
-func (a *adviceSearch) add(st *step, candidates []*executorState) {
-	if st.def.LongRunning || st.hasRoom(candidates) {
-		a.startable = append(a.startable, st)
-	} else if len(a.ahead) < maxAdviceSearch {
-		a.ahead = append(a.ahead, st)
+func (a *adviceSearch) add(st *step, hasRoom bool) {
+	list := &a.ahead
+	if hasRoom {
+		list = &a.startable
+	}
+	if len(*list) < maxAdviceSearch {
+		*list = append(*list, st)
 	}
 }
 
-// hasRoom reports whether one of the executors has room for a task of the step, and may run it if the advice
-// service permits that.
-func (s *step) hasRoom(executors []*executorState) bool {
-	need := s.def.Reservation()
-	return slices.ContainsFunc(executors, func(e *executorState) bool { return need.Fits(e.free()) && s.meets(e) })
+// roomSearch searches executors with room.
+type roomSearch struct {
+	executors  []*executorState
+	checksLeft int // checks of a step against an executor still allowed
+}
+
+// find reports whether one of the executors has room for a task of the step, and may run it if the advice service
+// permits that. It reports false if too many checks would be needed.
+func (r *roomSearch) find(st *step) bool {
+	need := st.def.Reservation()
+	for _, e := range r.executors {
+		if r.checksLeft == 0 {
+			return false
+		}
+		r.checksLeft--
+		if need.Fits(e.free()) && st.meets(e) {
+			return true
+		}
+	}
+	return false
 }
 
 // needsAdvice reports whether advice should be requested for a step now.
@@ -206,10 +225,19 @@
 // adviceCandidates returns the executors that requests name, by health and ID. Suspect ones
 // are among them, since a trial run needs a ticket, too.
 func (s *Shard) adviceCandidates(now time.Time) []*executorState {
-	suspect := s.executorsWith(func(e *executorState) bool { return e.available(now) && e.health.suspect() })
+	suspect := s.executorsWith(func(e *executorState) bool { return e.isSuspectCandidate(now) })
 	return append(s.usableExecutors(now), suspect...)
 }
 
+func (e *executorState) isAdviceCandidate(now time.Time) bool {
+	return e.usable(now) || e.isSuspectCandidate(now)
+}
+
+// isSuspectCandidate reports whether a trial run may be placed there in time.
+func (e *executorState) isSuspectCandidate(now time.Time) bool {
+	return e.available(now) && e.health.suspect()
+}
+
 // ticketsObsolete reports whether there are tickets and none of their executors is listed
 // any more.
 func (s *Shard) ticketsObsolete(t *tickets) bool {
