--- a/entry/intake/admission.go
+++ b/entry/intake/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -141,6 +142,7 @@
 			return result, nil
 		}
 		if state.Rejected.Settled(arrivalOf(ctx)) {
+			t.Conditions = slices.Clone(t.Conditions) // an earlier attempt may still be on its way
 			t.Conditions[0].Revision = item.Revision
 			if result, err = i.write(ctx, t); err != nil {
 				failure := i.writeFailure(err)
--- a/entry/intake/jobs.go
+++ b/entry/intake/jobs.go
@@ -235,20 +235,9 @@
 func (i *Intake) cancel(ctx context.Context, who caller, id job.ID) response {
 	item, state, failure := i.readState(ctx, who, id)
 	for range cancelAttempts {
-		if failure != nil && failure.status != http.StatusGone {
-			return *failure
-		}
-		if failure == nil && state.State.Final() {
-			return response{status: http.StatusOK, reason: "final already: " + string(state.State)}
-		}
-		done := response{status: http.StatusOK, reason: "cancelled"}
-		put := kv.Put{Key: layout.CancelKey(state.Service, id), Value: []byte("{}")}
-		if failure != nil {
-			withdrawal, refusal := i.withdrawal(who, id)
-			if refusal != nil {
-				return *refusal
-			}
-			done, put = *failure, withdrawal
+		put, done, final := i.cancellation(who, id, state, failure)
+		if final {
+			return done
 		}
 		result, err := i.write(ctx, kv.Txn{
 			Conditions: []kv.Condition{{Key: layout.JobKey(id), Revision: item.Revision}},
@@ -272,6 +261,26 @@
 	return response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, reason: "the job keeps changing", outcome: outcomeChanging}
 }
 
+// cancellation returns what has to be stored to cancel a job, and the response once it is. If nothing is to be stored,
+// the response stands as it is. A failure is the response to the caller for which there is no such job, or no state.
+func (i *Intake) cancellation(who caller, id job.ID, state layout.State, failure *response) (put kv.Put, done response, final bool) {
+	switch {
+	case failure != nil && failure.status == http.StatusGone:
+		put, refusal := i.withdrawal(who, id)
+		if refusal != nil {
+			return kv.Put{}, *refusal, true
+		}
+		return put, *failure, false
+	case failure != nil:
+		return kv.Put{}, *failure, true
+	case state.State.Final():
+		return kv.Put{}, response{status: http.StatusOK, reason: "final already: " + string(state.State)}, true
+	default:
+		put = kv.Put{Key: layout.CancelKey(state.Service, id), Value: []byte("{}")}
+		return put, response{status: http.StatusOK, reason: "cancelled"}, false
+	}
+}
+
 // waitingCount returns the number of waiting jobs of a queue, as it was read within maxCountAge.
 func (i *Intake) waitingCount(ctx context.Context, queue cluster.Queue) response {
 	counts, err := i.counts.get(ctx, queue.Service, func(ctx context.Context) (layout.Waiting, error) {
