--- a/entry/owner/advice.go
+++ b/entry/owner/advice.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/tarragonreach/tarragonreach/api/verdict"
 	"github.com/tarragonreach/tarragonreach/entry/advicequeue"
 	"github.com/tarragonreach/tarragonreach/platform/advice"
-	"github.com/tarragonreach/tarragonreach/platform/kv"
+	"github.com/tarragonreach/tarragonreach/platform/call"
 	"github.com/tarragonreach/tarragonreach/policy/adviceflow"
 	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
@@ -24,28 +27,28 @@
 			o.adviceTurn.Withdraw()
 			return
 		}
-		call, admitted := o.adviceTurn.Begin(advicequeue.Request{Configured: need.Configured, Ahead: need.Ahead}, now)
+		turn, admitted := o.adviceTurn.Begin(advicequeue.Request{Configured: need.Configured, Ahead: need.Ahead}, now)
 		if !admitted {
 			return
 		}
-		o.requestAdvice(o.shard.RequestAdvice(need, now), call)
+		o.requestAdvice(o.shard.RequestAdvice(need, now), turn)
 	}
 }
 
 // requestAdvice makes a call to the advice service. It goes on if the term ends: the service would carry it out all
 // the same, and the calls of the next term would wait for it without being counted with it.
-func (o *Owner) requestAdvice(request shard.AdviceRequest, call *advicequeue.Call) {
+func (o *Owner) requestAdvice(request shard.AdviceRequest, turn *advicequeue.Call) {
 	go func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(o.ctx), call.Limit)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(o.ctx), turn.Limit)
 		defer cancel()
 		sentAt := time.Now()
 		tickets, err := o.Adviser.RequestTickets(ctx, request.Step, request.Executors)
 		answeredAt := time.Now()
 		result := adviceResult{queue: request.Queue, outcome: adviceOutcomeOf(ctx, err), took: answeredAt.Sub(sentAt)}
-		call.End(result.outcome.flow(), answeredAt)
+		turn.End(result.outcome.flow(), answeredAt)
 		if err != nil {
 			o.Logger.Warn("no advice", "step", request.Step.String(), "queue", request.Queue,
-				"outcome", string(result.outcome), "ms", result.took.Milliseconds(), "limit_ms", call.Limit.Milliseconds(), "error", err)
+				"outcome", string(result.outcome), "ms", result.took.Milliseconds(), "limit_ms", turn.Limit.Milliseconds(), "error", err)
 			tickets.ByExecutor = nil
 		}
 		o.send(func(now time.Time) {
@@ -86,6 +89,7 @@
 
 // adviceOutcomeOf returns how a call ended that returned err and was made with ctx.
 func adviceOutcomeOf(ctx context.Context, err error) adviceOutcome {
+	var failed *verdict.Error
 	switch {
 	case err == nil:
 		return adviceAnswered
@@ -93,10 +97,10 @@
 		return adviceBusy
 	case errors.Is(err, advice.ErrUnusable):
 		return adviceUnusable
+	case errors.As(err, &failed) && failed.Code == call.CodeUnreachable:
+		return adviceNotSent
 	case ctx.Err() != nil:
 		return adviceTimedOut
-	case kv.NotRun(err):
-		return adviceNotSent
 	default:
 		return adviceFailed
 	}
@@ -109,21 +113,33 @@
 	took    time.Duration
 }
 
-// queueAdvice summarises the calls to the advice service for one queue in a report period.
+// queueAdvice is what happened for one queue in a report period.
 type queueAdvice struct {
-	byOutcome map[adviceOutcome]int
-	longest   time.Duration // that was answered
+	calls   map[adviceOutcome]int
+	longest time.Duration // of a call that was answered
+	report  shard.AdviceReport
+}
+
+// unanswered returns how many calls were not answered.
+func (q queueAdvice) unanswered() int {
+	n := 0
+	for outcome, calls := range q.calls {
+		if outcome != adviceAnswered {
+			n += calls
+		}
+	}
+	return n
 }
 
-// adviceStatistics summarises the calls to the advice service in a report period, by queue.
+// adviceStatistics summarises a report period by queue.
 type adviceStatistics map[string]queueAdvice
 
 func (s adviceStatistics) record(r adviceResult) {
 	q := s[r.queue]
-	if q.byOutcome == nil {
-		q.byOutcome = map[adviceOutcome]int{}
+	if q.calls == nil {
+		q.calls = map[adviceOutcome]int{}
 	}
-	q.byOutcome[r.outcome]++
+	q.calls[r.outcome]++
 	if r.outcome == adviceAnswered {
 		q.longest = max(q.longest, r.took)
 	}
@@ -146,51 +162,33 @@
 // reportAdvice sets the gauges of the queues that need advice and logs those of which steps have lacked tickets for
 // longAdvice, or for which a call was not answered. It begins a new report period.
 func (o *Owner) reportAdvice(reports []shard.AdviceReport, period time.Duration) {
-	calls := o.adviceStatistics
-	o.adviceStatistics = nil
-	byQueue := make(map[string]shard.AdviceReport, len(reports))
+	statistics := adviceStatistics{}
+	maps.Copy(statistics, o.adviceStatistics)
 	for _, r := range reports {
-		byQueue[r.Queue] = r
+		q := statistics[r.Queue]
+		q.report = r
+		statistics[r.Queue] = q
 	}
-	for _, queue := range o.advisedQueues(byQueue, calls) {
-		r := byQueue[queue]
-		o.measureAdvice(queue, r)
-		c := calls[queue]
-		unanswered := 0
-		for outcome, n := range c.byOutcome {
-			if outcome != adviceAnswered {
-				unanswered += n
-			}
-		}
-		if max(r.OldestInFlight, r.OldestWaiting) < longAdvice && unanswered == 0 {
-			continue
+	for queue := range o.reportedAdvice {
+		if _, found := statistics[queue]; !found {
+			o.measureAdvice(queue, shard.AdviceReport{})
 		}
-		o.Logger.Info("advice", "queue", queue, "period_ms", period.Milliseconds(), "calls", c.byOutcome, "longest_answered_ms", c.longest.Milliseconds(),
-			"in_flight", r.InFlight, "in_flight_oldest_ms", r.OldestInFlight.Milliseconds(),
-			"waiting_turn", r.Waiting, "waiting_turn_oldest_ms", r.OldestWaiting.Milliseconds(), "unused_tickets", r.Unused)
 	}
+	for _, queue := range slices.Sorted(maps.Keys(statistics)) {
+		o.measureAdvice(queue, statistics[queue].report)
+		o.logAdvice(queue, statistics[queue], period)
+	}
+	o.adviceStatistics, o.reportedAdvice = nil, statistics
 }
 
-// advisedQueues returns the queues that a report, a call or the last report is about, so that gauges are reset.
-func (o *Owner) advisedQueues(reports map[string]shard.AdviceReport, calls adviceStatistics) []string {
-	var queues []string
-	for queue := range reports {
-		queues = append(queues, queue)
-	}
-	for queue := range calls {
-		if _, found := reports[queue]; !found {
-			queues = append(queues, queue)
-		}
-	}
-	for _, queue := range o.reportedAdvice {
-		_, reported := reports[queue]
-		_, called := calls[queue]
-		if !reported && !called {
-			o.measureAdvice(queue, shard.AdviceReport{})
-		}
+func (o *Owner) logAdvice(queue string, q queueAdvice, period time.Duration) {
+	r := q.report
+	if max(r.OldestInFlight, r.OldestWaiting) < longAdvice && q.unanswered() == 0 {
+		return
 	}
-	o.reportedAdvice = queues
-	return queues
+	o.Logger.Info("advice", "queue", queue, "period_ms", period.Milliseconds(), "calls", q.calls, "longest_answered_ms", q.longest.Milliseconds(),
+		"in_flight", r.InFlight, "in_flight_oldest_ms", r.OldestInFlight.Milliseconds(),
+		"waiting_turn", r.Waiting, "waiting_turn_oldest_ms", r.OldestWaiting.Milliseconds(), "unused_tickets", r.Unused)
 }
 
 func (o *Owner) measureAdvice(queue string, r shard.AdviceReport) {
--- a/entry/owner/advice_test.go
+++ b/entry/owner/advice_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,3 +71,37 @@
 		assert.Assert(t, last.OldestMs >= longAdvice.Milliseconds())
 	})
 }
+
+// Guards against outcomes by which an operator, or the bound of the calls, takes one fault of the service for another.
+func TestAdviceOutcomes(t *testing.T) {
+	var status atomic.Int64
+	silent := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if status.Load() == 0 {
+			<-silent
+			return
+		}
+		w.WriteHeader(int(status.Load()))
+		_, _ = w.Write([]byte("{"))
+	}))
+	address := strings.TrimPrefix(server.URL, "http://")
+	client := advice.New(address)
+	outcomeOf := func() adviceOutcome {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, err := client.RequestTickets(ctx, job.StepID{}, nil)
+		return adviceOutcomeOf(ctx, err)
+	}
+	assert.Equal(t, outcomeOf(), adviceTimedOut)
+	close(silent)
+	for s, want := range map[int]adviceOutcome{
+		http.StatusOK: adviceUnusable, http.StatusBadRequest: adviceUnusable, http.StatusTooManyRequests: adviceBusy,
+		http.StatusInternalServerError: adviceFailed, http.StatusServiceUnavailable: adviceFailed,
+	} {
+		status.Store(int64(s))
+		assert.Equal(t, outcomeOf(), want, "status %d", s)
+	}
+	server.Close()
+	client = advice.New(address) // without a connection
+	assert.Equal(t, outcomeOf(), adviceNotSent)
+}
--- a/entry/owner/advicepool_test.go
+++ b/entry/owner/advicepool_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,11 +47,12 @@
 // serialAdviser is the advice service as one machine sees it: it carries out one call at a time, in turn, also those
 // whose callers have left, and refuses more than maxServiceWaiting that wait.
 type serialAdviser struct {
-	turn       chan struct{}
-	each       time.Duration // of one call
+	turn chan struct{}
+	each time.Duration // of one call
+
+	mu         sync.Mutex
 	waiting    int
 	maxWaiting int
-	carriedOut int
 	abandoned  int
 }
 
@@ -60,23 +63,20 @@
 // RequestTickets implements Adviser. A ticket names its executor and the end of its validity, which counts from the
 // response.
 func (a *serialAdviser) RequestTickets(ctx context.Context, _ job.StepID, executors []cluster.ExecutorID) (advice.Tickets, error) {
-	if a.waiting > maxServiceWaiting {
+	if !a.enter() {
 		return advice.Tickets{}, advice.ErrBusy
 	}
-	a.waiting++
-	a.maxWaiting = max(a.maxWaiting, a.waiting)
 	done := make(chan struct{})
 	go func() {
 		a.turn <- struct{}{}
 		time.Sleep(a.each)
-		a.waiting--
-		a.carriedOut++
+		a.leave()
 		<-a.turn
 		close(done)
 	}()
 	select {
 	case <-ctx.Done():
-		a.abandoned++
+		a.abandon()
 		return advice.Tickets{}, ctx.Err()
 	case <-done:
 	}
@@ -87,6 +87,36 @@
 	return tickets, nil
 }
 
+func (a *serialAdviser) enter() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.waiting > maxServiceWaiting {
+		return false
+	}
+	a.waiting++
+	a.maxWaiting = max(a.maxWaiting, a.waiting)
+	return true
+}
+
+func (a *serialAdviser) leave() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.waiting--
+}
+
+func (a *serialAdviser) abandon() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.abandoned++
+}
+
+// counts returns the most calls that were at the service at a time, and how many were given up.
+func (a *serialAdviser) counts() (maxWaiting, abandoned int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.maxWaiting, a.abandoned
+}
+
 // advisedPool is an owner with its jobs and one large executor.
 type advisedPool struct {
 	*Owner
@@ -213,7 +243,8 @@
 		p.runFor(finishTime)
 		assert.Equal(t, p.shard.Jobs(), 5, "short jobs are left")
 		assert.Equal(t, len(p.running), lastingRuns)
-		assert.Equal(t, service.abandoned, 0)
+		_, abandoned := service.counts()
+		assert.Equal(t, abandoned, 0)
 		assert.Equal(t, p.refused, 0)
 	})
 }
@@ -267,24 +298,25 @@
 			end()
 			p.adviceTurn.Withdraw()
 		}
-		assert.Assert(t, service.maxWaiting <= 2, "%d calls at the service", service.maxWaiting)
-		assert.Equal(t, service.abandoned, 0)
+		maxWaiting, abandoned := service.counts()
+		assert.Assert(t, maxWaiting <= 2, "%d calls at the service", maxWaiting)
+		assert.Equal(t, abandoned, 0)
 	})
 }
 
 // Requests that the service refuses for its own reasons must not be repeated at the rate of the owner's loop.
 func TestRefusedAdviceIsNotRequestedAtOnce(t *testing.T) {
 	inPool(t, func(t *testing.T, ctx context.Context) {
-		calls := 0
+		var calls atomic.Int64
 		p := newAdvisedPool(ctx, adviserFunc(func(context.Context, job.StepID, []cluster.ExecutorID) (advice.Tickets, error) {
-			calls++
+			calls.Add(1)
 			return advice.Tickets{}, advice.ErrBusy
 		}), new(advicequeue.Queue))
 		for range 100 {
 			p.add(shortStep)
 		}
 		p.runFor(10 * time.Second)
-		assert.Assert(t, calls >= 5 && calls <= 20, "%d calls in 10 s", calls)
+		assert.Assert(t, calls.Load() >= 5 && calls.Load() <= 20, "%d calls in 10 s", calls.Load())
 	})
 }
 
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -131,9 +131,8 @@
 	callWindow     calllimit.Window
 	callStatistics callStatistics
 	adviceTurn     *advicequeue.Member
-	// adviceStatistics are the calls to the advice service since the last report.
-	adviceStatistics adviceStatistics
-	reportedAdvice   []string // the queues with calls or steps that lacked tickets in the last report
+	// adviceStatistics are the calls to the advice service since the last report, reportedAdvice what it was about.
+	adviceStatistics, reportedAdvice adviceStatistics
 	// overload detects that the owner has to hand over its duty.
 	overload handover.Detector
 	ledgers  ledgers
