--- a/entry/owner/advice_test.go
+++ b/entry/owner/advice_test.go
@@ -75,9 +75,10 @@
 // Guards against outcomes by which an operator, or the bound of the calls, takes one fault of the service for another.
 func TestAdviceOutcomes(t *testing.T) {
 	var status atomic.Int64
-	silent := make(chan struct{})
+	arrived, silent := make(chan struct{}), make(chan struct{})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if status.Load() == 0 {
+			close(arrived)
 			<-silent
 			return
 		}
@@ -86,22 +87,25 @@
 	}))
 	address := strings.TrimPrefix(server.URL, "http://")
 	client := advice.New(address)
-	outcomeOf := func() adviceOutcome {
-		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
-		defer cancel()
+	outcomeOf := func(ctx context.Context) adviceOutcome {
 		_, err := client.RequestTickets(ctx, job.StepID{}, nil)
 		return adviceOutcomeOf(ctx, err)
 	}
-	assert.Equal(t, outcomeOf(), adviceTimedOut)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	assert.Equal(t, outcomeOf(ctx), adviceTimedOut)
 	close(silent)
 	for s, want := range map[int]adviceOutcome{
 		http.StatusOK: adviceUnusable, http.StatusBadRequest: adviceUnusable, http.StatusTooManyRequests: adviceBusy,
 		http.StatusInternalServerError: adviceFailed, http.StatusServiceUnavailable: adviceFailed,
 	} {
 		status.Store(int64(s))
-		assert.Equal(t, outcomeOf(), want, "status %d", s)
+		assert.Equal(t, outcomeOf(t.Context()), want, "status %d", s)
 	}
 	server.Close()
 	client = advice.New(address) // without a connection
-	assert.Equal(t, outcomeOf(), adviceNotSent)
+	assert.Equal(t, outcomeOf(t.Context()), adviceNotSent)
 }
--- a/policy/shard/advice_test.go
+++ b/policy/shard/advice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -98,6 +99,8 @@
 		terms := cluster.Advice{Decision: 100 * time.Millisecond, Each: each, Validity: 3 * time.Second}
 		assert.Equal(t, adviceExecutors(&terms), want, "%v for each", each)
 	}
+	longest := cluster.Advice{Decision: math.MaxInt64, Each: math.MaxInt64, Validity: math.MaxInt64}
+	assert.Equal(t, configuredAdviceTime(&longest), 2*maxConfiguredAdvice)
 	unknown := cluster.Advice{Each: time.Second}
 	assert.Equal(t, adviceExecutors(&unknown), maxAdviceExecutors)
 }
