--- a/entry/owner/advice.go
+++ b/entry/owner/advice.go
@@ -45,6 +45,9 @@
 		tickets, err := o.Adviser.RequestTickets(ctx, request.Step, request.Executors)
 		answeredAt := time.Now()
 		result := adviceResult{queue: request.Queue, outcome: adviceOutcomeOf(ctx, err), took: answeredAt.Sub(sentAt)}
+		if result.outcome == adviceTimedOut || result.outcome == adviceFailed {
+			o.Adviser.Close() // they may be silent as well, and few calls are in flight to find that out
+		}
 		turn.End(result.outcome.flow(), answeredAt)
 		if err != nil {
 			o.Logger.Warn("no advice", "step", request.Step.String(), "queue", request.Queue,
--- a/entry/owner/advice_test.go
+++ b/entry/owner/advice_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,6 +28,9 @@
 	return f(ctx, step, executors)
 }
 
+// Close implements Adviser.
+func (adviserFunc) Close() {}
+
 // adviceLine is a log line about a queue that needs advice.
 type adviceLine struct {
 	Queue     string                `json:"queue"`
@@ -109,3 +114,67 @@
 	client = advice.New(address) // without a connection
 	assert.Equal(t, outcomeOf(t.Context()), adviceNotSent)
 }
+
+// silentConnections is an advice service whose connections go silent for good, while those that are opened later work.
+type silentConnections struct {
+	mu     sync.Mutex
+	opened map[string]bool // the addresses of callers that have called
+	silent map[string]bool
+	calls  int // on silent connections
+	ended  chan struct{}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *silentConnections) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.opened[r.RemoteAddr] = true
+	silent := s.silent[r.RemoteAddr]
+	if silent {
+		s.calls++
+	}
+	s.mu.Unlock()
+	if silent {
+		<-s.ended
+		return
+	}
+	_, _ = w.Write([]byte(`{"good":[["i-1","i-1 9000000000000000"]],"validity-ms":3000}`))
+}
+
+// openAll makes calls until the client has as many connections as it keeps open.
+func (s *silentConnections) openAll(t *testing.T, client *advice.Client, connections int) {
+	for opened := 0; opened < connections; {
+		var calls sync.WaitGroup
+		for range connections {
+			calls.Go(func() {
+				_, err := client.RequestTickets(t.Context(), job.StepID{}, nil)
+				assert.Check(t, err)
+			})
+		}
+		calls.Wait()
+		s.mu.Lock()
+		opened = len(s.opened)
+		s.mu.Unlock()
+	}
+}
+
+// LOST: few calls are in flight, so that each idle connection that has gone silent would keep all steps waiting for the
+// time limit of a call, one after the other.
+func TestSilentConnectionsToTheAdviceServiceCostOneCall(t *testing.T) {
+	service := &silentConnections{opened: map[string]bool{}, ended: make(chan struct{})}
+	server := httptest.NewServer(service)
+	defer server.Close()
+	defer close(service.ended)
+	client := advice.New(strings.TrimPrefix(server.URL, "http://"))
+	service.openAll(t, client, 2)
+	service.mu.Lock()
+	service.silent = maps.Clone(service.opened)
+	service.mu.Unlock()
+	p := newAdvisedPool(t.Context(), client, new(advicequeue.Queue))
+	p.add(shortStep)
+	for len(p.ended) == 0 {
+		p.runFor(tickInterval)
+	}
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	assert.Equal(t, service.calls, 1)
+}
--- a/entry/owner/advicepool_test.go
+++ b/entry/owner/advicepool_test.go
@@ -87,6 +87,9 @@
 	return tickets, nil
 }
 
+// Close implements Adviser.
+func (a *serialAdviser) Close() {}
+
 func (a *serialAdviser) enter() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -38,6 +38,8 @@
 // Adviser is the part of the advice service's client that an owner uses.
 type Adviser interface {
 	RequestTickets(ctx context.Context, step job.StepID, executors []cluster.ExecutorID) (advice.Tickets, error)
+	// Close closes idle connections.
+	Close()
 }
 
 // Machines is the part of the machine service's client that an owner uses.
