--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -14,6 +14,7 @@
 
 var cases = map[string]func(*world){
 	"gang-advice":    gangWithAdvice,
+	"service-name":   serviceName,
 	"advice-starved": starvedAdvice,
 	"waiting-route":  waitingAfterRoute,
 	"waiting-cut":    waitingWhileCut,
@@ -274,3 +275,49 @@
 	}
 	w.conclude(len(lost) > 0, "%d of %d jobs that could be done had no run for 3 s from finish_s on, with %d executors idle", len(lost), before+after, machines)
 }
+
+// serviceName: LOST. One of two services has the name "fleet".
+func serviceName(w *world) {
+	first := "fleet"
+	if !w.trouble {
+		first = "fleets"
+	}
+	services := []string{first, "kafi81c"}
+	prefixes := []string{"/puxa400/", "/wuhu344/"}
+	for i := range 8 {
+		w.startExecutor(fmt.Sprintf("i-%02d", i), fmt.Sprintf("m-%02d", i), services[i/4], fmt.Sprintf("r1-%d", i/4), 16000)
+	}
+	w.configure(1, 3000, services,
+		route{name: "r-u6wsjnb", prefix: prefixes[0], service: services[0]}, route{name: "r-m68k7b2", prefix: prefixes[1], service: services[1]})
+	w.startNodes("front-palermo-1", "front-palermo-2", "front-palermo-3")
+	time.Sleep(4 * time.Second)
+	body := `{"spec":"ms=800","steps":[{"count":2,"cpu":900,"mem-mb":1024,"estimated-ms":800}]}`
+	const each = 10
+	states := func(q int) map[string]int {
+		counts := map[string]int{}
+		for i := range each {
+			path := fmt.Sprintf("%s%016x", prefixes[q], 0xa00+0x100*q+i)
+			state := w.state(w.nodes[i%3], path)
+			w.record("client: GET %s at %s -> %s", path, w.nodes[i%3].name, state)
+			counts[state]++
+		}
+		return counts
+	}
+	for i := range each {
+		for q := range prefixes {
+			if !w.submit(w.nodes[i%3], fmt.Sprintf("%s%016x", prefixes[q], 0xa00+0x100*q+i), body) {
+				w.cannotRun("a job was not accepted")
+			}
+		}
+	}
+	w.record("end of the traffic")
+	time.Sleep(17 * time.Second) // bounds.finish_s and the 3 s of the rule
+	unbegun := 0
+	for i := range each {
+		if !w.hasBegun(fmt.Sprintf("%016x", 0xa00+i)) {
+			unbegun++
+		}
+	}
+	w.conclude(unbegun > 0, "%d of %d accepted jobs of service %q have not begun 17 s after the end of the traffic, with all executors idle: %v; those of the other service: %v",
+		unbegun, each, first, states(0), states(1))
+}
