Advice: steps that no executor may run are told from steps that wait for their turn

Of the log it could only be read that the steps await their turn at the advice service, not what the service works for meanwhile.

`jobs wait` has the reason no-executor-permitted: the last request for a step got no ticket. The log line `advice` and the metrics by queue show how many steps were never asked for and for how long, how many were permitted nowhere, and how many calls were repeated for such steps (`repeated`) or got no ticket (`fruitless`). The line is also written for a response without any ticket.

--- a/entry/owner/advice_test.go
+++ b/entry/owner/advice_test.go
@@ -39,6 +39,7 @@
 	OldestMs  int64                 `json:"in_flight_oldest_ms"`
 	Waiting   int                   `json:"waiting_turn"`
 	WaitingMs int64                 `json:"waiting_turn_oldest_ms"`
+	Fruitless int                   `json:"fruitless"`
 }
 
 func adviceGauge(scope tally.TestScope, name string) float64 {
@@ -77,6 +78,33 @@
 	})
 }
 
+// Steps that no executor may run could not be told from steps that wait for their turn, nor their requests from others.
+func TestStepsThatNoExecutorMayRunAreReported(t *testing.T) {
+	inPool(t, func(t *testing.T, ctx context.Context) {
+		o, log, scope := reportingOwner()
+		o.ctx, o.events, o.adviceTurn = ctx, make(chan event, eventQueueSize), new(advicequeue.Queue).Join()
+		o.Adviser = adviserFunc(func(context.Context, job.StepID, []cluster.ExecutorID) (advice.Tickets, error) {
+			return advice.Tickets{ByExecutor: map[cluster.ExecutorID]string{}, Validity: time.Second}, nil
+		})
+		o.shard.SetExecutors([]cluster.Executor{{ID: "i-1", Address: "i-1:80", Capacity: job.Resources{MilliCPU: 4000, MemoryMB: 4000}}}, time.Now())
+		o.shard.AddJob(advisedJob(1, shortStep), nil, time.Now())
+		reportFor(o, 1500*time.Millisecond)
+		assert.Equal(t, adviceGauge(scope, "advice_never_asked"), 1.0)
+		o.requestDueAdvice(time.Now())
+		time.Sleep(tickInterval)
+		o.drain()
+		reportFor(o, 3*time.Second)
+		assert.Equal(t, adviceGauge(scope, "advice_never_asked"), 0.0)
+		assert.Equal(t, adviceGauge(scope, "advice_not_permitted"), 1.0)
+		assert.Equal(t, gauge(scope, "waiting_jobs", shard.ReasonNotPermitted), 1.0)
+		fruitless := 0
+		for _, line := range linesOf[adviceLine](t, log, "advice") {
+			fruitless += line.Fruitless
+		}
+		assert.Equal(t, fruitless, 1)
+	})
+}
+
 // Guards against outcomes by which an operator, or the bound of the calls, takes one fault of the service for another.
 func TestAdviceOutcomes(t *testing.T) {
 	var status atomic.Int64
--- a/policy/shard/advice.go
+++ b/policy/shard/advice.go
@@ -59,6 +59,9 @@
 	t.nextExecutor = (t.nextExecutor + len(r.Executors)) % max(1, len(candidates))
 	t.requested, t.requestedAt = true, now
 	s.noteAdviceRequested(n.step)
+	if t.fruitless > 0 {
+		s.adviceCountsOf(n.step).Repeated++
+	}
 	return r
 }
 
@@ -110,7 +113,11 @@
 	t := &r.step.tickets
 	t.requested, t.unusableResponses = false, 0
 	t.retryAt = now.Add(adviceRetry)
-	if byExecutor == nil || len(byExecutor) == 0 && r.partial {
+	if byExecutor == nil {
+		return
+	}
+	s.noteResponse(r.step, len(byExecutor) > 0)
+	if len(byExecutor) == 0 && r.partial {
 		return
 	}
 	s.noteReplacedTickets(r.step)
--- a/policy/shard/advicereport.go
+++ b/policy/shard/advicereport.go
@@ -17,25 +17,63 @@
 	// which one of them has lacked tickets.
 	Waiting       int
 	OldestWaiting time.Duration
-	// Unused is how many responses since the last report were replaced before any of their tickets was used.
+	// NeverAsked is how many of those that wait have never been asked for; OldestNeverAsked is the longest time for
+	// which one of these has lacked tickets.
+	NeverAsked       int
+	OldestNeverAsked time.Duration
+	// NotPermitted is how many of them the last response has given no ticket.
+	NotPermitted int
+	AdviceCounts
+}
+
+// AdviceCounts counts requests and responses since the last report.
+type AdviceCounts struct {
+	// Repeated is how many requests were for a step whose last response had no ticket.
+	Repeated int
+	// Fruitless is how many responses had no ticket.
+	Fruitless int
+	// Unused is how many responses were replaced before any of their tickets was used.
 	Unused int
 }
 
 // reason returns why a step that lacks tickets waits.
 func (t *tickets) reason() Reason {
-	if t.requested {
+	switch {
+	case t.requested:
 		return ReasonAwaitsAdvice
+	case t.fruitless > 0:
+		return ReasonNotPermitted
+	default:
+		return ReasonAwaitsAdviceTurn
+	}
+}
+
+// adviceCountsOf returns the counts of the step's queue.
+func (s *Shard) adviceCountsOf(st *step) *AdviceCounts {
+	queue := st.job.Queue.Name
+	if s.adviceCounts[queue] == nil {
+		s.adviceCounts[queue] = &AdviceCounts{}
 	}
-	return ReasonAwaitsAdviceTurn
+	return s.adviceCounts[queue]
 }
 
 // noteReplacedTickets counts the tickets of a step that are replaced, if none of them was used.
 func (s *Shard) noteReplacedTickets(st *step) {
 	if len(st.tickets.byExecutor) > 0 && !st.tickets.used {
-		s.unusedTickets[st.job.Queue.Name]++
+		s.adviceCountsOf(st).Unused++
 	}
 }
 
+// noteResponse records whether a response for the step had tickets.
+func (s *Shard) noteResponse(st *step, granted bool) {
+	if granted {
+		st.tickets.fruitless = 0
+		return
+	}
+	st.tickets.fruitless++
+	s.adviceCountsOf(st).Fruitless++
+}
+
 // adviceReports reports on the queues that need advice, and begins a new report period.
 func (s *Shard) adviceReports(now time.Time) []AdviceReport {
 	byQueue := map[string]*AdviceReport{}
@@ -45,10 +83,10 @@
 		}
 		return byQueue[queue]
 	}
-	for queue, n := range s.unusedTickets {
-		reportOf(queue).Unused = n
+	for queue, counts := range s.adviceCounts {
+		reportOf(queue).AdviceCounts = *counts
 	}
-	clear(s.unusedTickets)
+	clear(s.adviceCounts)
 	for id := range s.advised {
 		j := s.jobs[id]
 		for _, o := range j.occurrences {
@@ -79,11 +117,19 @@
 }
 
 func (r *AdviceReport) add(t *tickets, now time.Time) {
+	if t.fruitless > 0 {
+		r.NotPermitted++
+	}
 	if t.requested {
 		r.InFlight++
 		r.OldestInFlight = max(r.OldestInFlight, now.Sub(t.requestedAt))
 		return
 	}
+	missing := now.Sub(t.missingSince)
 	r.Waiting++
-	r.OldestWaiting = max(r.OldestWaiting, now.Sub(t.missingSince))
+	r.OldestWaiting = max(r.OldestWaiting, missing)
+	if t.requestedAt.IsZero() {
+		r.NeverAsked++
+		r.OldestNeverAsked = max(r.OldestNeverAsked, missing)
+	}
 }
--- a/policy/shard/jobs.go
+++ b/policy/shard/jobs.go
@@ -83,6 +83,8 @@
 	missingSince time.Time // since when the step has lacked tickets; zero if it has them. The report sets it.
 	nextExecutor int       // position after the last executor that a request named
 	retryAt      time.Time
+	// fruitless counts the responses in a row without any ticket.
+	fruitless int
 	// unusableResponses counts the responses in a row from which nothing could be concluded.
 	unusableResponses int
 }
--- a/policy/shard/shard.go
+++ b/policy/shard/shard.go
@@ -146,10 +146,10 @@
 	reservationCounts ReservationCounts
 	searchFrom        int // the position in the usable executors at which the next search starts
 
-	batchStats    batchStats
-	lastSample    job.ID // the last job among the samples of the last report
-	adviceSearch  adviceSearch
-	unusedTickets map[string]int // by queue, as AdviceReport.Unused
+	batchStats   batchStats
+	lastSample   job.ID // the last job among the samples of the last report
+	adviceSearch adviceSearch
+	adviceCounts map[string]*AdviceCounts // by queue
 }
 
 // New returns an empty shard for an owner with the given fencing token.
@@ -165,7 +165,7 @@
 		uses:      map[cluster.TenantName]*tenantUse{},
 		needs:     needMix{factor: largeFactor},
 
-		unusedTickets: map[string]int{},
+		adviceCounts: map[string]*AdviceCounts{},
 	}
 }
 
--- a/policy/shard/waiting.go
+++ b/policy/shard/waiting.go
@@ -25,6 +25,9 @@
 	ReasonAwaitsAdvice Reason = "awaits-advice"
 	// ReasonAwaitsAdviceTurn: it has no tickets, and no request for them has been sent yet.
 	ReasonAwaitsAdviceTurn Reason = "awaits-advice-turn"
+	// ReasonNotPermitted: it has no tickets, and the advice service has permitted none of the executors that the last
+	// request for them named.
+	ReasonNotPermitted Reason = "no-executor-permitted"
 	// ReasonTenantLimit: its tenant has as much running as its limit, or what this service has of
 	// it, allows.
 	ReasonTenantLimit Reason = "tenant-limit"
@@ -46,7 +49,7 @@
 // Reasons lists all reasons.
 var Reasons = []Reason{
 	ReasonNoExecutor, ReasonNoCapacity, ReasonReserved, ReasonLimited, ReasonAwaitsAdvice,
-	ReasonAwaitsAdviceTurn, ReasonTenantLimit, ReasonUnconfirmed,
+	ReasonAwaitsAdviceTurn, ReasonNotPermitted, ReasonTenantLimit, ReasonUnconfirmed,
 	ReasonStoreUnavailable, ReasonOwnerOverloaded, ReasonNotItsTurn, ReasonBeyondRate, ReasonNotExamined,
 }
 
