--- a/entry/admissions/admissions.go
+++ b/entry/admissions/admissions.go
@@ -27,7 +27,7 @@
 
 // Terms knows which terms of duties are over.
 type Terms interface {
-	Over(duty string, token int64) bool
+	Over(duty layout.Duty, token int64) bool
 }
 
 // Follower follows the admissions of all services. Its methods may be called concurrently.
@@ -142,5 +142,5 @@
 	if !found || !e.Rejects() {
 		return nil
 	}
-	return &admit.Knowledge{Admission: e.Admission, Received: time.Since(e.at), TermOver: f.terms.Over(string(service), e.Token)}
+	return &admit.Knowledge{Admission: e.Admission, Received: time.Since(e.at), TermOver: f.terms.Over(layout.ServiceDuty(service), e.Token)}
 }
--- a/entry/admissions/admissions_test.go
+++ b/entry/admissions/admissions_test.go
@@ -80,7 +80,7 @@
 
 type terms map[int64]bool // by token: whether the term is over
 
-func (t terms) Over(_ string, token int64) bool { return t[token] }
+func (t terms) Over(_ layout.Duty, token int64) bool { return t[token] }
 
 func rejecting(t *testing.T, token, sequence int64) []byte {
 	t.Helper()
--- a/entry/election/election.go
+++ b/entry/election/election.go
@@ -57,7 +57,7 @@
 
 // Term is the period for which an instance holds a duty.
 type Term struct {
-	Duty  string
+	Duty  layout.Duty
 	Token int64 // fencing token
 	// Revision is the revision of the holder's key. A write under the condition that the
 	// key still has this revision happens within the term.
@@ -190,21 +190,21 @@
 
 // Campaign campaigns for the duty until ctx ends. For each term it calls lead with a context
 // that ends with the term; when lead returns, the term is given up.
-func (e *Election) Campaign(ctx context.Context, duty string, lead func(context.Context, Term)) {
+func (e *Election) Campaign(ctx context.Context, duty layout.Duty, lead func(context.Context, Term)) {
 	c := campaign{duty: duty, since: time.Now()}
 	for ctx.Err() == nil {
 		term, err := e.win(ctx, c)
 		if err != nil {
 			continue // win sleeps before each claim and returns when ctx ends
 		}
-		e.logger.Info("duty taken", "duty", duty, "token", term.Token, "held", e.held.Load())
+		e.logger.Info("duty taken", "duty", duty.String(), "kind", string(duty.Kind), "token", term.Token, "held", e.held.Load())
 		e.lead(ctx, term, lead)
 		e.held.Add(-1)
 		handedOver := term.handedOver.Load()
 		if handedOver {
 			c.leftUntil = time.Now().Add(handoverDelay)
 		}
-		e.logger.Info("duty given up", "duty", duty, "token", term.Token, "handed_over", handedOver)
+		e.logger.Info("duty given up", "duty", duty.String(), "kind", string(duty.Kind), "token", term.Token, "handed_over", handedOver)
 	}
 }
 
@@ -225,7 +225,7 @@
 	defer cancel()
 	err := e.store.Revoke(ctx, term.lease)
 	if err != nil && !errors.Is(err, kv.ErrLeaseLost) {
-		e.logger.Warn("lease of a duty not revoked", "duty", term.Duty, "error", err)
+		e.logger.Warn("lease of a duty not revoked", "duty", term.Duty.String(), "error", err)
 	}
 }
 
@@ -257,14 +257,14 @@
 		term.noteRenewal(sentAt)
 	}
 	if errors.Is(err, kv.ErrLeaseLost) && ctx.Err() == nil {
-		e.logger.Warn("lease of a duty lost", "duty", term.Duty, "token", term.Token)
+		e.logger.Warn("lease of a duty lost", "duty", term.Duty.String(), "token", term.Token)
 		lost()
 	}
 }
 
 // campaign is the candidacy of this instance for a duty.
 type campaign struct {
-	duty string
+	duty layout.Duty
 	// since is when the campaign began. All instances begin to campaign for a new duty at
 	// about the same time, which may be long after it became vacant.
 	since time.Time
@@ -344,7 +344,7 @@
 	return delay
 }
 
-func (e *Election) claim(ctx context.Context, duty string) (Term, error) {
+func (e *Election) claim(ctx context.Context, duty layout.Duty) (Term, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
 	renewed := &atomic.Int64{}
@@ -353,7 +353,7 @@
 	if err != nil {
 		return Term{}, fmt.Errorf("grant a lease for duty %s: %w", duty, err)
 	}
-	holder := layout.Holder{Instance: e.instance, Zone: e.zone, Term: fmt.Sprintf("%016x", rand.Uint64())}
+	holder := layout.Holder{Instance: e.instance, Zone: e.zone, Term: fmt.Sprintf("%016x", rand.Uint64()), Kind: duty.Kind}
 	value, err := layout.Encode(holder)
 	if err != nil {
 		return Term{}, err
@@ -380,7 +380,7 @@
 )
 
 // confirm reads the holder's key to find out whether a claim without a response took effect.
-func (e *Election) confirm(ctx context.Context, duty string, holder layout.Holder, lease kv.LeaseID) (Term, error) {
+func (e *Election) confirm(ctx context.Context, duty layout.Duty, holder layout.Holder, lease kv.LeaseID) (Term, error) {
 	item, err := e.store.Get(ctx, layout.OwnerKey(duty))
 	if err != nil {
 		return Term{}, fmt.Errorf("confirm the claim of duty %s: %w", duty, err)
--- a/entry/election/election_test.go
+++ b/entry/election/election_test.go
@@ -27,11 +27,11 @@
 	client := kv.New(strings.TrimPrefix(server.URL, "http://"))
 	lease, err := client.Grant(t.Context(), time.Minute)
 	assert.NilError(t, err)
-	stale, err := client.Txn(t.Context(), kv.Txn{Puts: []kv.Put{{Key: layout.OwnerKey("fleet"), Value: holder, Lease: lease.ID}}})
+	stale, err := client.Txn(t.Context(), kv.Txn{Puts: []kv.Put{{Key: layout.OwnerKey(layout.FleetDuty), Value: holder, Lease: lease.ID}}})
 	assert.NilError(t, err)
 	otherHolder, err := layout.Encode(layout.Holder{Instance: "n-3", Term: "present"})
 	assert.NilError(t, err)
-	kept, err := client.Txn(t.Context(), kv.Txn{Puts: []kv.Put{{Key: layout.OwnerKey("a"), Value: otherHolder, Lease: lease.ID}}}) // listed before the key of "fleet"
+	kept, err := client.Txn(t.Context(), kv.Txn{Puts: []kv.Put{{Key: layout.OwnerKey(layout.ServiceDuty("a")), Value: otherHolder, Lease: lease.ID}}}) // listed before the key of "fleet"
 	assert.NilError(t, err)
 
 	ctx, cancel := context.WithCancel(t.Context())
@@ -40,7 +40,7 @@
 	startInstance := func(instance fleet.InstanceID) {
 		e := New(kv.New(strings.TrimPrefix(server.URL, "http://")), instance, "a", 1, slog.New(slog.DiscardHandler))
 		go e.Follow(ctx)
-		go e.Campaign(ctx, "fleet", func(ctx context.Context, term Term) {
+		go e.Campaign(ctx, layout.FleetDuty, func(ctx context.Context, term Term) {
 			terms <- term
 			<-ctx.Done()
 		})
@@ -49,7 +49,7 @@
 	startInstance("n-1")
 	term := <-terms // of either instance
 	assert.Assert(t, term.Revision > stale.Revision)
-	item, found := store.Get(layout.OwnerKey("a"))
+	item, found := store.Get(layout.OwnerKey(layout.ServiceDuty("a")))
 	assert.Assert(t, found)
 	assert.Equal(t, item.Revision, kept.Revision)
 }
@@ -70,22 +70,22 @@
 	for _, odd := range []string{"", "[]", "\xff", `{"instance":7}`, strings.Repeat("[", 100_000), "{}", `{"instance":"n-9","term":"other"}`} {
 		store := standin.NewStore()
 		server := httptest.NewServer(store)
-		store.Put(layout.OwnerKey("fleet"), []byte(odd))
+		store.Put(layout.OwnerKey(layout.FleetDuty), []byte(odd))
 		ctx, cancel := context.WithCancel(t.Context())
 		terms := make(chan Term, 2)
 		e := New(kv.New(strings.TrimPrefix(server.URL, "http://")), "n-1", "a", 1, slog.New(slog.DiscardHandler))
 		go e.Follow(ctx)
-		go e.Campaign(ctx, "fleet", func(ctx context.Context, term Term) {
+		go e.Campaign(ctx, layout.FleetDuty, func(ctx context.Context, term Term) {
 			terms <- term
 			<-ctx.Done()
 		})
 		first := <-terms
-		item, found := store.Get(layout.OwnerKey("fleet"))
+		item, found := store.Get(layout.OwnerKey(layout.FleetDuty))
 		assert.Assert(t, found)
 		assert.Equal(t, item.Revision, first.Revision)
 
-		overwritten := store.Put(layout.OwnerKey("fleet"), []byte(odd)) // loses its lease
-		for found := true; found; item, found = store.Get(layout.OwnerKey("fleet")) {
+		overwritten := store.Put(layout.OwnerKey(layout.FleetDuty), []byte(odd)) // loses its lease
+		for found := true; found; item, found = store.Get(layout.OwnerKey(layout.FleetDuty)) {
 			if item.Revision > overwritten {
 				break
 			}
--- a/entry/election/handover.go
+++ b/entry/election/handover.go
@@ -90,13 +90,13 @@
 	defer v.mu.Unlock()
 	busy := make(map[fleet.InstanceID]bool, len(v.held))
 	for key := range v.held {
-		busy[v.holders[key]] = true
+		busy[v.holders[key].Instance] = true
 	}
 	return busy
 }
 
-// recordHolder records the instance that holds a duty; "" if its entry is not readable.
+// recordHolder records the holder of a duty.
 func (v *vacancies) recordHolder(item kv.Item) {
 	holder, _ := layout.Decode[layout.Holder](item.Key, item.Value) // Follow logs entries that are not readable
-	v.holders[item.Key] = holder.Instance
+	v.holders[item.Key] = holder
 }
--- a/entry/election/handover_test.go
+++ b/entry/election/handover_test.go
@@ -11,7 +11,9 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
 	"github.com/tarragonreach/tarragonreach/platform/backoff"
 	"github.com/tarragonreach/tarragonreach/policy/handover"
 )
@@ -48,7 +50,7 @@
 				return
 			}
 			running.Go(func() { e.Follow(ctx) })
-			e.Campaign(ctx, "s", func(ctx context.Context, term Term) {
+			e.Campaign(ctx, layout.ServiceDuty("s"), func(ctx context.Context, term Term) {
 				mu.Lock()
 				terms = append(terms, holding{l.id, time.Now()})
 				mu.Unlock()
@@ -110,7 +112,9 @@
 		busy := New(store, "busy", "z", 0.8, slog.New(slog.DiscardHandler))
 		var running sync.WaitGroup
 		running.Go(func() { busy.Follow(ctx) })
-		running.Go(func() { busy.Campaign(ctx, "other", func(ctx context.Context, _ Term) { <-ctx.Done() }) })
+		running.Go(func() {
+			busy.Campaign(ctx, layout.ServiceDuty("other"), func(ctx context.Context, _ Term) { <-ctx.Done() })
+		})
 		leaders := []leader{{id: "small", cores: 0.192}, {id: "equal", cores: 0.3, delay: time.Hour}, {id: "busy", cores: 0.8, delay: time.Hour}}
 		terms := runLeaders(t, leaders, store, time.Minute)
 		assert.Equal(t, len(terms), 1)
@@ -130,9 +134,9 @@
 		both.SetCandidates(func() []Candidate { return []Candidate{{"idle", 0.192}} })
 		running.Go(func() { both.Follow(ctx) })
 		handedOver := make(chan struct{}, 2)
-		for _, duty := range []string{"a", "b"} {
+		for _, duty := range []cluster.Service{"a", "b"} {
 			running.Go(func() {
-				both.Campaign(ctx, duty, func(ctx context.Context, term Term) {
+				both.Campaign(ctx, layout.ServiceDuty(duty), func(ctx context.Context, term Term) {
 					handOverWhenAllowed(ctx, both, term)
 					handedOver <- struct{}{}
 					<-ctx.Done()
--- a/entry/election/renew_test.go
+++ b/entry/election/renew_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/tarragonreach/tarragonreach/entry/layout"
 	"github.com/tarragonreach/tarragonreach/platform/call"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 )
@@ -57,7 +58,7 @@
 				e := New(store, "n-1", "a", 1, slog.New(slog.DiscardHandler))
 				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 				defer cancel()
-				e.renew(ctx, Term{Duty: "s", renewed: &atomic.Int64{}}, func() {})
+				e.renew(ctx, Term{Duty: layout.ServiceDuty("s"), renewed: &atomic.Int64{}}, func() {})
 				assert.Assert(t, store.longest < leaseTTL, "%v without a renewal", store.longest)
 				assert.Assert(t, store.calls < 60*20, "%d calls in a minute", store.calls)
 			})
--- a/entry/election/spread_test.go
+++ b/entry/election/spread_test.go
@@ -17,6 +17,7 @@
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 	_ "github.com/tarragonreach/tarragonreach/api/rapidseed"
 	"github.com/tarragonreach/tarragonreach/api/verdict"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 )
 
@@ -145,7 +146,9 @@
 	return nil
 }
 
-var testDuties = []string{"fleet", "a", "b", "c", "d"}
+var testDuties = []layout.Duty{
+	layout.FleetDuty, layout.ServiceDuty("a"), layout.ServiceDuty("b"), layout.ServiceDuty("c"), layout.ServiceDuty("d"),
+}
 
 // candidate is an instance that campaigns for all duties.
 type candidate struct {
@@ -156,7 +159,7 @@
 	configDelay time.Duration
 
 	mu   sync.Mutex
-	held []string
+	held []layout.Duty
 }
 
 func (c *candidate) run(ctx context.Context, store Store) {
@@ -166,7 +169,7 @@
 	running.Go(func() { e.Follow(ctx) })
 	for _, duty := range testDuties {
 		running.Go(func() {
-			if duty != "fleet" {
+			if duty != layout.FleetDuty {
 				time.Sleep(c.configDelay)
 			}
 			e.Campaign(ctx, duty, func(ctx context.Context, _ Term) {
@@ -180,7 +183,7 @@
 	running.Wait()
 }
 
-func (c *candidate) duties() []string {
+func (c *candidate) duties() []layout.Duty {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return slices.Clone(c.held)
@@ -188,13 +191,13 @@
 
 // runCandidates lets the candidates campaign for a time and returns the duties that each
 // one has held, by ID.
-func runCandidates(t *testing.T, candidates []*candidate, d time.Duration) map[string][]string {
+func runCandidates(t *testing.T, candidates []*candidate, d time.Duration) map[string][]layout.Duty {
 	return runCandidatesOn(t, candidates, d, func(s *memoryStore) Store { return s })
 }
 
 // runCandidatesOn is runCandidates with a store that wraps the one in memory.
-func runCandidatesOn(t *testing.T, candidates []*candidate, d time.Duration, wrap func(*memoryStore) Store) map[string][]string {
-	held := map[string][]string{}
+func runCandidatesOn(t *testing.T, candidates []*candidate, d time.Duration, wrap func(*memoryStore) Store) map[string][]layout.Duty {
+	held := map[string][]layout.Duty{}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		store := wrap(newMemoryStore())
--- a/entry/election/terms.go
+++ b/entry/election/terms.go
@@ -7,7 +7,7 @@
 
 // Over reports whether the term of a duty with the given token is known to be over: a later one has
 // begun, or its holder has left.
-func (e *Election) Over(duty string, token int64) bool {
+func (e *Election) Over(duty layout.Duty, token int64) bool {
 	return e.vacancies.over(layout.OwnerKey(duty), kv.Revision(token))
 }
 
--- /dev/null
+++ b/entry/election/unled.go
@@ -0,0 +1,41 @@
+package election
+
+import (
+	"time"
+
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
+)
+
+// Unled describes a duty that no instance carries out.
+type Unled struct {
+	Since time.Time // when this instance first observed it
+	// HeldFor is the kind of the duty for which another duty's holder has the key, and Holder that instance; both are
+	// empty if the key has no holder.
+	HeldFor layout.DutyKind
+	Holder  fleet.InstanceID
+}
+
+// Unled reports whether no instance carries out the duty, as far as is known: its key has no holder, or one that states
+// another duty.
+func (e *Election) Unled(duty layout.Duty) (Unled, bool) {
+	key := layout.OwnerKey(duty)
+	if since, vacant := e.vacancies.since(key); vacant {
+		return Unled{Since: since}, true
+	}
+	holder, since, held := e.vacancies.holder(key)
+	if !held || holder.Kind == "" || holder.Kind == duty.Kind {
+		return Unled{}, false
+	}
+	return Unled{Since: since, HeldFor: holder.Kind, Holder: holder.Instance}, true
+}
+
+// holder returns the holder of a duty, and when its term was first observed; false if there is none.
+func (v *vacancies) holder(key string) (holder layout.Holder, since time.Time, held bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if terms := v.terms[key]; len(terms) > 0 {
+		since = terms[len(terms)-1].at
+	}
+	return v.holders[key], since, v.held[key]
+}
--- a/entry/election/vacancies.go
+++ b/entry/election/vacancies.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
-	"github.com/tarragonreach/tarragonreach/api/fleet"
 	"github.com/tarragonreach/tarragonreach/entry/follow"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 )
 
@@ -13,11 +13,11 @@
 // safe for concurrent use.
 type vacancies struct {
 	mu       sync.Mutex
-	loadedAt time.Time                   // of the first listing; zero before
-	held     map[string]bool             // by key
-	holders  map[string]fleet.InstanceID // by key: the last holder
-	vacated  map[string]time.Time        // by key: when the removal of its holder was observed
-	terms    map[string][]termStart      // by key: the last terms, oldest first
+	loadedAt time.Time                // of the first listing; zero before
+	held     map[string]bool          // by key
+	holders  map[string]layout.Holder // by key: the last holder; the zero value if its entry is not readable
+	vacated  map[string]time.Time     // by key: when the removal of its holder was observed
+	terms    map[string][]termStart   // by key: the last terms, oldest first
 }
 
 // termStart is when a term was first observed. Its token is the revision at which the
@@ -31,7 +31,7 @@
 const maxTermStarts = 16
 
 func newVacancies() *vacancies {
-	return &vacancies{held: map[string]bool{}, holders: map[string]fleet.InstanceID{}, vacated: map[string]time.Time{}, terms: map[string][]termStart{}}
+	return &vacancies{held: map[string]bool{}, holders: map[string]layout.Holder{}, vacated: map[string]time.Time{}, terms: map[string][]termStart{}}
 }
 
 // apply applies a change and reports whether it was the first listing.
--- a/entry/fleetduty/fleetduty.go
+++ b/entry/fleetduty/fleetduty.go
@@ -15,6 +15,7 @@
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/entry/election"
 	"github.com/tarragonreach/tarragonreach/entry/follow"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 	"github.com/tarragonreach/tarragonreach/platform/machines"
 	"github.com/tarragonreach/tarragonreach/policy/fleetplan"
@@ -22,9 +23,6 @@
 	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
-// Duty is the name of the duty in the election.
-const Duty = "fleet"
-
 const (
 	// listInterval is the minimum time between two reads of the machine list.
 	listInterval = 250 * time.Millisecond
@@ -151,7 +149,7 @@
 		waveWrites: newWaveWrites(),
 		recent:     recentCommands{sentAt: map[cluster.MachineID]time.Time{}, retention: options.HolderGap + holderMargin},
 	}
-	h.Logger = options.Logger.With("duty", Duty, "token", term.Token)
+	h.Logger = options.Logger.With("duty", layout.FleetDuty.String(), "token", term.Token)
 	h.skippedWaves = follow.NewSkipped(h.Logger, "waves skipped: not readable")
 	h.skippedLoads = follow.NewSkipped(h.Logger, "loads skipped: not readable")
 	h.machineFaults = follow.NewSkipped(h.Logger, "the list of machines can't be used in full")
--- a/entry/fleetduty/holder_test.go
+++ b/entry/fleetduty/holder_test.go
@@ -68,7 +68,7 @@
 }
 
 func newTestHolder(s *testStore) *Holder {
-	term := election.Term{Duty: Duty, Revision: s.standIn.Put(layout.OwnerKey(Duty), []byte("{}"))}
+	term := election.Term{Duty: layout.FleetDuty, Revision: s.standIn.Put(layout.OwnerKey(layout.FleetDuty), []byte("{}"))}
 	return &Holder{
 		Options: Options{Store: s, Machines: newFakeMachines(), Logger: slog.New(slog.DiscardHandler), HolderGap: time.Second},
 		term:    term, planner: fleetplan.New(fleetplan.Limits{}),
@@ -175,7 +175,7 @@
 	h := newTestHolder(s)
 	steppedDown := false
 	h.stepDown = func() { steppedDown = true }
-	s.standIn.Put(layout.OwnerKey(Duty), []byte("{}"))
+	s.standIn.Put(layout.OwnerKey(layout.FleetDuty), []byte("{}"))
 	h.queueCommands(moveAction("m-1"))
 	h.announceQueued(t.Context())
 	h.finishWrites()
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -20,6 +20,7 @@
 	"github.com/tarragonreach/tarragonreach/entry/election"
 	"github.com/tarragonreach/tarragonreach/entry/fleetduty"
 	"github.com/tarragonreach/tarragonreach/entry/intake"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
 	"github.com/tarragonreach/tarragonreach/entry/metrics"
 	"github.com/tarragonreach/tarragonreach/entry/operatorconfig"
 	"github.com/tarragonreach/tarragonreach/entry/owner"
@@ -285,8 +286,10 @@
 	if h.node.MachinesAddress != "" {
 		options.Machines = h.machinesClient()
 	}
+	duty := layout.ServiceDuty(service)
+	h.followers.Go(func() { h.watchDuty(h.dutyCtx, duty) })
 	h.campaigns.Go(func() {
-		h.election.Campaign(h.dutyCtx, string(service), func(ctx context.Context, term election.Term) {
+		h.election.Campaign(h.dutyCtx, duty, func(ctx context.Context, term election.Term) {
 			owner.Lead(ctx, term, options)
 		})
 	})
@@ -309,7 +312,8 @@
 		Config:      h.config.Current,
 		Logger:      h.logger,
 	}
-	h.election.Campaign(h.dutyCtx, fleetduty.Duty, func(ctx context.Context, term election.Term) {
+	h.followers.Go(func() { h.watchDuty(h.dutyCtx, layout.FleetDuty) })
+	h.election.Campaign(h.dutyCtx, layout.FleetDuty, func(ctx context.Context, term election.Term) {
 		fleetduty.Lead(ctx, term, options)
 	})
 }
--- a/entry/host/liveness_test.go
+++ b/entry/host/liveness_test.go
@@ -274,7 +274,7 @@
 		Config: i.config.Current, Logger: logger, Scope: tally.NoopScope,
 	}
 	i.running.Go(func() {
-		e.Campaign(ctx, string(service), func(ctx context.Context, term election.Term) { owner.Lead(ctx, term, options) })
+		e.Campaign(ctx, layout.ServiceDuty(service), func(ctx context.Context, term election.Term) { owner.Lead(ctx, term, options) })
 	})
 }
 
@@ -549,7 +549,7 @@
 
 // killOwner kills the instance that leads a service, if any does.
 func (s *simulation) killOwner(service cluster.Service) {
-	item, found := s.store.Get(layout.OwnerKey(string(service)))
+	item, found := s.store.Get(layout.OwnerKey(layout.ServiceDuty(service)))
 	if !found {
 		return
 	}
--- a/entry/host/silentconnections_test.go
+++ b/entry/host/silentconnections_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/tarragonreach/tarragonreach/entry/election"
+	"github.com/tarragonreach/tarragonreach/entry/layout"
 	"github.com/tarragonreach/tarragonreach/entry/storehealth"
 	"github.com/tarragonreach/tarragonreach/platform/kv"
 	"github.com/tarragonreach/tarragonreach/platform/standin"
@@ -42,7 +43,7 @@
 	running.Go(func() { e.Follow(ctx) })
 	running.Go(func() { health.Probe(ctx) })
 	running.Go(func() {
-		e.Campaign(ctx, "fleet", func(ctx context.Context, _ election.Term) {
+		e.Campaign(ctx, layout.FleetDuty, func(ctx context.Context, _ election.Term) {
 			terms++
 			<-ctx.Done()
 		})
--- /dev/null
+++ b/entry/layout/duty.go
@@ -0,0 +1,52 @@
+package layout
+
+import (
+	"github.com/tarragonreach/tarragonreach/api/cluster"
+	"github.com/tarragonreach/tarragonreach/api/fleet"
+)
+
+// OwnersPrefix is the prefix of the holders of all duties.
+const OwnersPrefix = "owners/"
+
+// DutyKind is the kind of a duty.
+type DutyKind string
+
+// The kinds of duties.
+const (
+	// DutyFleet is the kind of FleetDuty.
+	DutyFleet DutyKind = "fleet"
+	// DutyService is the kind of the duty to lead a service.
+	DutyService DutyKind = "service"
+)
+
+// Duty is something that one instance at a time does.
+type Duty struct {
+	Kind    DutyKind
+	Service cluster.Service // empty for FleetDuty
+}
+
+// FleetDuty is the duty to plan the fleet.
+var FleetDuty = Duty{Kind: DutyFleet}
+
+// ServiceDuty returns the duty to lead a service.
+func ServiceDuty(s cluster.Service) Duty { return Duty{Kind: DutyService, Service: s} }
+
+// String returns the name of the duty in logs, which a service and the fleet may share.
+func (d Duty) String() string {
+	if d.Kind == DutyService {
+		return string(d.Service)
+	}
+	return string(d.Kind)
+}
+
+// OwnerKey returns the key of a duty's Holder.
+func OwnerKey(d Duty) string { return OwnersPrefix + d.String() }
+
+// Holder is the instance that holds a duty. Term distinguishes terms of the same instance.
+type Holder struct {
+	Instance fleet.InstanceID       `json:"instance"`
+	Zone     fleet.AvailabilityZone `json:"zone"`
+	Term     string                 `json:"term"`
+	// Kind is the kind of the duty. Instances of earlier versions don't state it.
+	Kind DutyKind `json:"kind,omitempty"`
+}
--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -38,9 +38,6 @@
 	"github.com/tarragonreach/tarragonreach/policy/shard"
 )
 
-// OwnersPrefix is the prefix of the holders of all duties.
-const OwnersPrefix = "owners/"
-
 // InstancesPrefix is the prefix of the registrations of all instances.
 const InstancesPrefix = "instances/"
 
@@ -189,9 +186,6 @@
 	return prefix + "#" + hex.EncodeToString(digest[:])
 }
 
-// OwnerKey returns the key of a duty's Holder.
-func OwnerKey(duty string) string { return OwnersPrefix + duty }
-
 // State is the published state of a job.
 type State struct {
 	Service cluster.Service `json:"service"`
@@ -217,13 +211,6 @@
 // Waiting counts by queue the jobs of which nothing has started.
 type Waiting map[string]int
 
-// Holder is the instance that holds a duty. Term distinguishes terms of the same instance.
-type Holder struct {
-	Instance fleet.InstanceID       `json:"instance"`
-	Zone     fleet.AvailabilityZone `json:"zone"`
-	Term     string                 `json:"term"`
-}
-
 // WriteMarker identifies the last write of an owner by a nonce, which shows whether a write
 // whose response was lost took effect.
 type WriteMarker struct {
--- a/entry/owner/bench_test.go
+++ b/entry/owner/bench_test.go
@@ -77,7 +77,7 @@
 		Logger:  logger, Scope: scope,
 	}
 	go e.Follow(ctx)
-	go e.Campaign(ctx, string(peakService), func(ctx context.Context, term election.Term) { owner.Lead(ctx, term, options) })
+	go e.Campaign(ctx, layout.ServiceDuty(peakService), func(ctx context.Context, term election.Term) { owner.Lead(ctx, term, options) })
 }
 
 func submit(ctx context.Context, client *kv.Client, number int) error {
--- a/entry/owner/quota_test.go
+++ b/entry/owner/quota_test.go
@@ -306,7 +306,7 @@
 		Config: func() *cluster.Config { return &f.config }, Logger: logger, Scope: tally.NoopScope,
 	}
 	go e.Follow(ctx)
-	go e.Campaign(ctx, string(service), func(ctx context.Context, term election.Term) { Lead(ctx, term, options) })
+	go e.Campaign(ctx, layout.ServiceDuty(service), func(ctx context.Context, term election.Term) { Lead(ctx, term, options) })
 	return cancel
 }
 
@@ -315,7 +315,7 @@
 	f.store.mu.Lock()
 	defer f.store.mu.Unlock()
 	f.store.revision++
-	f.store.deleteLocked(layout.OwnerKey(string(service)))
+	f.store.deleteLocked(layout.OwnerKey(layout.ServiceDuty(service)))
 }
 
 func (f *ledgerFleet) submit(service cluster.Service, tenant cluster.TenantName, tasks int) {
--- a/entry/owner/slowlink_test.go
+++ b/entry/owner/slowlink_test.go
@@ -61,7 +61,7 @@
 	}
 	e := election.New(f.store, "entry", "zone", 1, options.Logger)
 	go e.Follow(ctx)
-	go e.Campaign(ctx, "a", func(ctx context.Context, term election.Term) { Lead(ctx, term, options) })
+	go e.Campaign(ctx, layout.ServiceDuty("a"), func(ctx context.Context, term election.Term) { Lead(ctx, term, options) })
 	return f
 }
 
--- a/entry/storehealth/storehealth.go
+++ b/entry/storehealth/storehealth.go
@@ -163,10 +163,11 @@
 	// firstProbeTimeout bounds a probe while the store is not unavailable: that probes fail must not make a store
 	// unavailable that is slower than usual.
 	firstProbeTimeout = 2 * time.Second
-	// probeKey is the key that probes read; it need not exist.
-	probeKey = layout.OwnersPrefix + "fleet"
 )
 
+// probeKey is the key that probes read; it need not exist.
+var probeKey = layout.OwnerKey(layout.FleetDuty)
+
 // Probe probes the store while it is silent or unavailable, until ctx ends. Without probes, an instance
 // that makes few calls would detect late that it is available again. While the store refuses calls for
 // its rates and answers nothing else, probes tell whether it refuses this instance altogether.
