Election: a service called like the fleet's duty has a key of its own

Cause: the duty to lead a service was elected under the service's name, and the duty to plan the fleet under `fleet`, so that both claimed owners/fleet and one was never held.

Change: OwnerKey gives each duty another key: a service whose name alone would be the key of another duty has a prefix before it (owners/service:fleet). All other keys are as before, so that instances of two versions go on competing for the same ones. For the services whose key has changed, instances of this version neither claim nor keep the duty while an instance of an earlier version holds the former key, which it may hold for either duty.

--- a/entry/election/election.go
+++ b/entry/election/election.go
@@ -213,6 +213,7 @@
 	defer cancel()
 	var renewing sync.WaitGroup
 	renewing.Go(func() { e.renew(termCtx, term, cancel) })
+	renewing.Go(func() { e.yield(termCtx, term, cancel) })
 	lead(termCtx, term)
 	cancel()
 	renewing.Wait()
@@ -299,6 +300,9 @@
 // accepts them again.
 func (e *Election) claimDelay(c campaign, jitter time.Duration) (wait time.Duration, vacant bool) {
 	since, vacant := e.vacancies.since(layout.OwnerKey(c.duty))
+	if e.earlierHolder(c.duty) != "" {
+		return 0, false
+	}
 	if since.Before(c.since) {
 		since = c.since
 	}
@@ -359,8 +363,12 @@
 		return Term{}, err
 	}
 	key := layout.OwnerKey(duty)
+	conditions, err := e.formerKeyConditions(ctx, duty)
+	if err != nil {
+		return Term{}, err
+	}
 	result, err := e.store.Txn(ctx, kv.Txn{
-		Conditions: []kv.Condition{{Key: key}},
+		Conditions: append(conditions, kv.Condition{Key: key}),
 		Puts:       []kv.Put{{Key: key, Value: value, Lease: lease.ID}},
 	})
 	if err == nil && result.Applied {
--- a/entry/election/unled.go
+++ b/entry/election/unled.go
@@ -10,10 +10,10 @@
 // Unled describes a duty that no instance carries out.
 type Unled struct {
 	Since time.Time // when this instance first observed it
-	// HeldFor is the kind of the duty for which another duty's holder has the key, and Holder that instance; both are
-	// empty if the key has no holder.
+	// HeldFor is the kind of the duty for which another duty's holder has the key; empty if the key has no holder.
 	HeldFor layout.DutyKind
-	Holder  fleet.InstanceID
+	// Holder is that holder, or an instance of an earlier version that may hold the duty; empty if there is none.
+	Holder fleet.InstanceID
 }
 
 // Unled reports whether no instance carries out the duty, as far as is known: its key has no holder, or one that states
@@ -21,7 +21,7 @@
 func (e *Election) Unled(duty layout.Duty) (Unled, bool) {
 	key := layout.OwnerKey(duty)
 	if since, vacant := e.vacancies.since(key); vacant {
-		return Unled{Since: since}, true
+		return Unled{Since: since, Holder: e.earlierHolder(duty)}, true
 	}
 	holder, since, held := e.vacancies.holder(key)
 	if !held || holder.Kind == "" || holder.Kind == duty.Kind {
--- a/entry/fleetduty/golden_test.go
+++ b/entry/fleetduty/golden_test.go
@@ -10,4 +10,6 @@
 
 // TestDutyKeepsItsKey guards against a renamed duty, which instances of two versions would
 // both hold. The key is that of commit 81f8b51.
-func TestDutyKeepsItsKey(t *testing.T) { assert.Equal(t, layout.OwnerKey(layout.FleetDuty), "owners/fleet") }
+func TestDutyKeepsItsKey(t *testing.T) {
+	assert.Equal(t, layout.OwnerKey(layout.FleetDuty), "owners/fleet")
+}
--- a/entry/layout/duty.go
+++ b/entry/layout/duty.go
@@ -1,6 +1,8 @@
 package layout
 
 import (
+	"strings"
+
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 	"github.com/tarragonreach/tarragonreach/api/fleet"
 )
@@ -39,8 +41,26 @@
 	return string(d.Kind)
 }
 
-// OwnerKey returns the key of a duty's Holder.
-func OwnerKey(d Duty) string { return OwnersPrefix + d.String() }
+// servicePrefix distinguishes the key of a service from that of another duty.
+const servicePrefix = "service:"
+
+// OwnerKey returns the key of a duty's Holder. No two duties have the same one, whatever the services are called.
+func OwnerKey(d Duty) string {
+	if d.hasAmbiguousName() {
+		return OwnersPrefix + servicePrefix + d.String()
+	}
+	return OwnersPrefix + d.String()
+}
+
+// FormerOwnerKey returns the key under which instances of earlier versions hold the duty, and whether it is another one
+// than OwnerKey. They hold another duty under it as well, and don't state which.
+func FormerOwnerKey(d Duty) (string, bool) { return OwnersPrefix + d.String(), d.hasAmbiguousName() }
+
+// hasAmbiguousName reports whether the name of a service alone would be the key of another duty.
+func (d Duty) hasAmbiguousName() bool {
+	name := d.String()
+	return d.Kind == DutyService && (name == FleetDuty.String() || strings.HasPrefix(name, servicePrefix))
+}
 
 // Holder is the instance that holds a duty. Term distinguishes terms of the same instance.
 type Holder struct {
--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -16,7 +16,7 @@
 //	evidence/fleet                fleetplan.DemandHistory
 //	chain/SERVICE                 WriteMarker: the last write of an owner
 //	quota/TENANT                  quota.Ledger: the limit of a tenant, divided among the services
-//	owners/DUTY                   Holder: the instance that holds a duty, under a lease
+//	owners/fleet, owners/SERVICE  Holder: the instance that holds a duty, under a lease; see OwnerKey
 //	instances/INSTANCE            Instance: where other instances call it, under a lease
 package layout
 
