Layout: an entry of a service is not taken for one of another service

Accepted jobs of a service called a/cordon were removed from the store where another service is called `a` (LOST): the holder of the fleet's duty listed their records under the prefix of the cordons of `a`, and revokes cordons that it doesn't know.

Cause: names of services and executors may hold the separator of keys, and a key was split at the first one. Owners likewise took a record of a/exhausted for a statement of the planner about `a`, and progress of a/b for jobs of `a` (without effect).

Change: an entry has exactly two parts behind the prefix of its service; keys with more are another service's. A slash in the ID of an executor is stored as a control character, which no name has. Other keys are unchanged; during a change of versions, executors with such an ID are evacuated late.

Evidence: TestRecordsOfAnotherServiceAreNoCordons lists the record as a cordon before, not now; the property TestEntriesBelongToOneService failed before ("shard/fleet/job/job/..." is taken for an entry of "fleet"), and holds for drawn names.

--- a/entry/fleetduty/holder_test.go
+++ b/entry/fleetduty/holder_test.go
@@ -351,3 +351,18 @@
 	assert.Assert(t, cordoned, "a cordon that is not readable holds all the same")
 	h.announce(t, moveAction("m-2"))
 }
+
+// LOST: the planner took the records of a service whose name ends in "/cordon" for cordons of another service, and removed
+// them: accepted jobs were gone.
+func TestRecordsOfAnotherServiceAreNoCordons(t *testing.T) {
+	s := newTestStore(t)
+	h := newTestHolder(s)
+	h.Config = func() *cluster.Config {
+		return &cluster.Config{Pools: []cluster.Pool{{Service: "a"}, {Service: "a/cordon"}}}
+	}
+	s.standIn.Put(layout.RecordKey("a/cordon", "0123456789abcdef"), []byte("{}"))
+	s.standIn.Put(layout.CordonKey("a", "e/1"), []byte("{}"))
+	cordons, err := h.loadCordons(t.Context())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, slices.Collect(maps.Keys(cordons)), []cluster.ExecutorID{"e/1"})
+}
--- a/entry/fleetduty/load.go
+++ b/entry/fleetduty/load.go
@@ -57,18 +57,20 @@
 		return cordons, nil
 	}
 	for _, pool := range config.Pools {
-		prefix := layout.CordonKey(pool.Service, "")
-		items, _, err := h.Store.All(ctx, prefix, kv.Linearizable)
+		items, _, err := h.Store.All(ctx, layout.CordonsPrefix(pool.Service), kv.Linearizable)
 		if err != nil {
 			return cordons, fmt.Errorf("list cordons of %s: %w", pool.Service, err)
 		}
 		for _, item := range items {
+			kind, executor := layout.ParseShardKey(pool.Service, item.Key)
+			if kind != layout.ItemCordon {
+				continue
+			}
 			cordon, err := layout.Decode[layout.Cordon](item.Key, item.Value)
 			if err != nil {
 				h.Logger.Error("cordon not readable", "error", err)
 			}
-			executor := cluster.ExecutorID(strings.TrimPrefix(item.Key, prefix))
-			cordons[executor] = fleetplan.ActiveCordon{Service: pool.Service, ID: cordon.ID}
+			cordons[cluster.ExecutorID(executor)] = fleetplan.ActiveCordon{Service: pool.Service, ID: cordon.ID}
 		}
 	}
 	return cordons, nil
--- a/entry/layout/duty_test.go
+++ b/entry/layout/duty_test.go
@@ -35,3 +35,34 @@
 		assert.Equal(t, OwnerKey(ServiceDuty(s)), "owners/"+string(s))
 	}
 }
+
+// LOST: a record of a job was taken for a cordon of another service, since the names of services may hold slashes, and removed
+// as one that nobody needs any more. Each key must be an entry of its own service only, and found there.
+func TestEntriesBelongToOneService(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		y := drawService(t, "y")
+		suffix := rapid.SampledFrom([]cluster.Service{"", "/a", "/job", "/cancel", "/cordon", "/exhausted"}).Draw(t, "suffix")
+		x := y + suffix
+		executor := rapid.SampledFrom([]string{"e-1", "job/0123456789abcdef", "fleet", "a/b", "%2F"}).Draw(t, "executor")
+		for key, want := range map[string]struct {
+			kind ShardItem
+			name string
+		}{
+			RecordKey(x, goldenJob):                    {ItemRecord, string(goldenJob)},
+			CancelKey(x, goldenJob):                    {ItemCancel, string(goldenJob)},
+			CordonKey(x, cluster.ExecutorID(executor)): {ItemCordon, executor},
+			ExhaustedKey(x):                            {ItemExhausted, "fleet"},
+		} {
+			kind, name := ParseShardKey(x, key)
+			assert.Assert(t, kind == want.kind && name == want.name, "%q", key)
+			if strings.HasPrefix(key, ShardPrefix(y)) && x != y {
+				kind, _ := ParseShardKey(y, key)
+				assert.Equal(t, kind, ItemUnknown, "%q is taken for an entry of %q", key, y)
+			}
+		}
+		if key := ProgressKey(x, goldenJob); strings.HasPrefix(key, ProgressPrefix(y)) {
+			_, found := ParseProgressKey(y, key)
+			assert.Equal(t, found, x == y, "%q", key)
+		}
+	})
+}
--- a/entry/layout/layout.go
+++ b/entry/layout/layout.go
@@ -86,12 +86,18 @@
 // CancelKey returns the key that marks a job as cancelled.
 func CancelKey(s cluster.Service, id job.ID) string { return ShardPrefix(s) + "cancel/" + string(id) }
 
+// CordonsPrefix returns the prefix of the cordons of a service's executors.
+func CordonsPrefix(s cluster.Service) string { return ShardPrefix(s) + "cordon/" }
+
 // CordonKey returns the key of the Cordon of an executor that the owner of a service must
 // evacuate.
 func CordonKey(s cluster.Service, id cluster.ExecutorID) string {
-	return ShardPrefix(s) + "cordon/" + string(id)
+	return CordonsPrefix(s) + strings.ReplaceAll(string(id), "/", slashInName)
 }
 
+// slashInName stands for a slash in the last part of a key. Names have no control characters.
+const slashInName = "\x1f"
+
 // ExhaustedKey returns the key of the Exhausted of a service.
 func ExhaustedKey(s cluster.Service) string { return ShardPrefix(s) + "exhausted/fleet" }
 
@@ -115,6 +121,13 @@
 // ProgressKey returns the key of a job's progress.
 func ProgressKey(s cluster.Service, id job.ID) string { return ProgressPrefix(s) + string(id) }
 
+// ParseProgressKey returns the job of a key under the ProgressPrefix of a service, and false for a key of another
+// service, whose name has slashes.
+func ParseProgressKey(s cluster.Service, key string) (job.ID, bool) {
+	id := strings.TrimPrefix(key, ProgressPrefix(s))
+	return job.ID(id), !strings.Contains(id, "/")
+}
+
 // WaitingKey returns the key of the counts of waiting jobs of a service's queues.
 func WaitingKey(s cluster.Service) string { return "waiting/" + string(s) }
 
@@ -231,10 +244,11 @@
 	ItemExhausted
 )
 
-// ParseShardKey splits a key under the ShardPrefix of a service into kind and name.
+// ParseShardKey splits a key under the ShardPrefix of a service into kind and name. Where the name of a service has
+// slashes, another one's keys may be under the prefix, too: they have more parts, and their kind is ItemUnknown.
 func ParseShardKey(s cluster.Service, key string) (ShardItem, string) {
 	kind, name, found := strings.Cut(strings.TrimPrefix(key, ShardPrefix(s)), "/")
-	if !found {
+	if !found || strings.Contains(name, "/") {
 		return ItemUnknown, ""
 	}
 	switch kind {
@@ -243,7 +257,7 @@
 	case "cancel":
 		return ItemCancel, name
 	case "cordon":
-		return ItemCordon, name
+		return ItemCordon, strings.ReplaceAll(name, slashInName, "/")
 	case "exhausted":
 		return ItemExhausted, name
 	default:
--- a/entry/owner/load.go
+++ b/entry/owner/load.go
@@ -103,7 +103,10 @@
 	}
 	all := storedProgress{byJob: map[job.ID]*shard.Progress{}, unreadable: map[job.ID]bool{}}
 	for _, item := range items {
-		id := job.ID(item.Key[len(layout.ProgressPrefix(o.Service)):])
+		id, found := layout.ParseProgressKey(o.Service, item.Key)
+		if !found {
+			continue
+		}
 		p, err := layout.DecodeCompressed[shard.Progress](item.Key, item.Value)
 		if err == nil {
 			err = p.Check()
