Shard: a step that no executor may run blocks no other job of its tenant

Callers of a tenant with a limit saw `queued` for all its jobs that came after one that no executor may run (its label is nowhere, or it gets no ticket) and that needs more than is left of the tenant's portion, while executors were idle and the tenant used a fourth of its limit.

Cause: a step that waits for its tenant's portion keeps the tenant's later jobs waiting if any executor has room for it, whether it may run there or not.

Change: only an executor that has room and may run the step counts.

Evidence: TestStepThatNoExecutorMayRunBlocksNoOtherOfItsTenant, no start of the later job before, one now, by label and by ticket.

--- a/policy/shard/quota.go
+++ b/policy/shard/quota.go
@@ -139,7 +139,7 @@
 // that it admits have, and executors have room for more.
 func (b *builder) noteBlocked(st *step, ready, admitted []*task, runs int) {
 	rest := len(ready) - len(admitted)
-	if rest == 0 || runs < len(admitted) || !b.hasRoom(st.def.Reservation()) {
+	if rest == 0 || runs < len(admitted) || !b.hasRoom(st) {
 		return
 	}
 	u, next := st.job.use, st.def.Need
@@ -197,18 +197,25 @@
 	return b.mayBeGivenWork(e) || e.allowsTrial(b.now)
 }
 
-// hasRoom reports whether any executor that can be given work has capacity for the need: what has no
-// room must not claim a portion, which other services could use.
-func (b *builder) hasRoom(need job.Resources) bool {
+// hasRoom reports whether any executor that can be given work has capacity for a task of the step and may run it:
+// what has no room must not claim a portion, which other services could use, nor keep other jobs of its tenant waiting.
+func (b *builder) hasRoom(st *step) bool {
+	need, fits := st.def.Reservation(), false
 	if slices.ContainsFunc(b.roomless, func(failed job.Resources) bool { return failed.Fits(need) }) {
 		return false
 	}
 	for _, e := range b.shard.sortedExecutors() {
-		if b.acceptsWorkOrTrial(e) && need.Fits(e.free()) {
+		if !b.acceptsWorkOrTrial(e) || !need.Fits(e.free()) {
+			continue
+		}
+		if st.allows(e, b.now) {
 			return true
 		}
+		fits = true
+	}
+	if !fits {
+		b.roomless = append(b.roomless, need)
 	}
-	b.roomless = append(b.roomless, need)
 	return false
 }
 
--- a/policy/shard/quota_test.go
+++ b/policy/shard/quota_test.go
@@ -162,3 +162,33 @@
 	assert.Equal(t, len(h.startAll()), 2)
 	assert.Equal(t, h.use(), quota.Use{Tenant: testTenant, Used: cpuOf(2)})
 }
+
+// LOST: a step that no executor may run, and that needs more than is left of its tenant's portion, kept all later jobs of
+// the tenant waiting while another one's long-running task went on.
+func TestStepThatNoExecutorMayRunBlocksNoOtherOfItsTenant(t *testing.T) {
+	t.Parallel()
+	unlabelled := oneTask
+	unlabelled.Need, unlabelled.RequiredLabel = cpuOf(4), "elsewhere"
+	unadvised := oneTask
+	unadvised.Need = cpuOf(4)
+	for name, submit := range map[string]func(h *harness){
+		"no executor has the label": func(h *harness) { h.submitFor(testTenant, "00000000000000ab", h.now, unlabelled) },
+		"no executor has a ticket": func(h *harness) {
+			h.submitFor(testTenant, "00000000000000ab", h.now, unadvised)
+			j := h.shard.jobs["00000000000000ab"]
+			j.Queue.Advice = &shortTerms
+			h.shard.updateAdvised(j)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, newExecutorNamed("i-1"), newExecutorNamed("i-2"))
+			h.shard.SetUsable(usableCPU(4000, 4000, 4000))
+			h.submitFor(testTenant, "00000000000000aa", h.now, lastingOf(1, 0))
+			assert.Equal(t, len(h.startAll()), 1)
+			submit(h)
+			h.submitFor(testTenant, "00000000000000ac", h.now, oneTask)
+			assert.Equal(t, len(h.startAll()), 1)
+			assert.Equal(t, h.use().Blocked, job.Resources{})
+		})
+	}
+}
