Shard: refusals of a step are kept without a time each; naming executors stands apart

1,000 steps that no executor may run, of a pool of 300 executors, held 300,000 refusals with a time each. All refusals of a step are now forgotten together, a minute after the first, so that an entry has no value.

--- a/policy/shard/advice.go
+++ b/policy/shard/advice.go
@@ -71,26 +71,35 @@
 )
 
 // RequestAdvice returns the request for a need that AdviceNeed has just returned. It is open until HandleAdvice or
-// HandleAdviceFailure. It names executors of which it isn't known that they may not run the step; the requests for a
-// step go through them in turn.
+// HandleAdviceFailure.
 func (s *Shard) RequestAdvice(n AdviceNeed, now time.Time) AdviceRequest {
-	t := &n.step.tickets
-	s.dropOutdatedRefusals(t)
-	candidates := slices.DeleteFunc(s.adviceCandidates(now), func(e *executorState) bool { return !n.step.mayBeAdvised(e, now) })
 	r := AdviceRequest{Step: n.step.id, Queue: n.step.job.Queue.Name, step: n.step}
-	for i := range min(len(candidates), adviceExecutors(n.step.job.Queue.Advice)) {
-		e := candidates[(t.nextExecutor+i)%len(candidates)]
+	for _, e := range s.executorsToAskFor(n.step, now) {
 		r.Executors = append(r.Executors, e.ID)
 		r.incarnations = append(r.incarnations, e.Incarnation())
 	}
-	t.nextExecutor = (t.nextExecutor + len(r.Executors)) % max(1, len(candidates))
 	s.noteRequest(n)
+	t := &n.step.tickets
 	t.requested, t.requestedAt, t.examinedAt = true, now, now
 	t.hadRoom = n.class != adviceflow.Ahead
 	s.adviceSearch.turns.Took(n.class)
 	return r
 }
 
+// executorsToAskFor returns the executors that the next request for a step names: some of which it isn't known that they
+// may not run it. The requests for a step go through these in turn.
+func (s *Shard) executorsToAskFor(st *step, now time.Time) []*executorState {
+	t := &st.tickets
+	s.dropOutdatedRefusals(t)
+	candidates := slices.DeleteFunc(s.adviceCandidates(now), func(e *executorState) bool { return !st.mayBeAdvised(e, now) })
+	named := make([]*executorState, min(len(candidates), adviceExecutors(st.job.Queue.Advice)))
+	for i := range named {
+		named[i] = candidates[(t.nextExecutor+i)%len(candidates)]
+	}
+	t.nextExecutor = (t.nextExecutor + len(named)) % max(1, len(candidates))
+	return named
+}
+
 // mayBeAdvised reports whether a request for the step may name the executor.
 func (st *step) mayBeAdvised(e *executorState, now time.Time) bool {
 	return st.meets(e) && st.tickets.mayGet(e.Incarnation(), now)
--- a/policy/shard/advicesearch.go
+++ b/policy/shard/advicesearch.go
@@ -53,11 +53,10 @@
 		s.searchAdvice(now)
 	}
 	most, waiting := adviceflow.Classes, [adviceflow.Classes]bool{}
-	for class := adviceflow.Classes; class > 0; {
-		class--
+	for class := range adviceflow.Classes {
 		search.byClass[class] = s.dropSatisfied(search.byClass[class], now)
 		if len(search.byClass[class]) > 0 {
-			most, waiting[class] = class, true
+			most, waiting[class] = min(most, class), true
 		}
 	}
 	class, found := search.turns.Next(waiting)
--- a/policy/shard/tickets.go
+++ b/policy/shard/tickets.go
@@ -6,8 +6,8 @@
 	"github.com/tarragonreach/tarragonreach/api/cluster"
 )
 
-// refusalAge is how long a step is not asked for again with an executor that it got no ticket for. The advice service
-// permits an executor to run a step or not for its whole life; the age bounds for how long a wrong response counts.
+// refusalAge is the time from the first refusal of a step to when all of them are forgotten. The advice service permits an
+// executor to run a step or not for its whole life; the age bounds for how long a wrong response counts.
 const refusalAge = 1 * time.Minute
 
 // adviceResult is what became of the last request for a step.
@@ -26,8 +26,9 @@
 	byExecutor map[cluster.Incarnation]string
 	validUntil time.Time
 	used       bool // by a start
-	// refusals holds until when executors without a ticket are not asked for again.
-	refusals map[cluster.Incarnation]time.Time
+	// refused holds the executors that got no ticket since refusedSince.
+	refused      map[cluster.Incarnation]struct{}
+	refusedSince time.Time
 
 	result       adviceResult
 	hadRoom      bool // an executor had room when the last request was made
@@ -52,21 +53,22 @@
 
 // mayGet reports whether the executor may get a ticket by what is known.
 func (t *tickets) mayGet(executor cluster.Incarnation, now time.Time) bool {
-	until, found := t.refusals[executor]
-	return !found || !now.Before(until)
+	_, found := t.refused[executor]
+	return !found || now.Sub(t.refusedSince) >= refusalAge
 }
 
 // noteRefusals records which of the executors that a request named got no ticket.
 func (t *tickets) noteRefusals(named []cluster.Incarnation, granted map[cluster.ExecutorID]string, now time.Time) {
+	if len(granted) == len(named) {
+		return
+	}
+	if t.refused == nil || now.Sub(t.refusedSince) >= refusalAge {
+		t.refused, t.refusedSince = map[cluster.Incarnation]struct{}{}, now
+	}
 	for _, executor := range named {
-		if _, found := granted[executor.ID]; found {
-			delete(t.refusals, executor)
-			continue
-		}
-		if t.refusals == nil {
-			t.refusals = map[cluster.Incarnation]time.Time{}
+		if _, found := granted[executor.ID]; !found {
+			t.refused[executor] = struct{}{}
 		}
-		t.refusals[executor] = now.Add(refusalAge)
 	}
 }
 
@@ -100,9 +102,9 @@
 
 // dropOutdatedRefusals forgets the refusals of executors that are not listed any more.
 func (s *Shard) dropOutdatedRefusals(t *tickets) {
-	for executor := range t.refusals {
+	for executor := range t.refused {
 		if !s.isListed(executor) {
-			delete(t.refusals, executor)
+			delete(t.refused, executor)
 		}
 	}
 }
