--- a/entry/election/unled.go
+++ b/entry/election/leaderless.go
@@ -7,8 +7,8 @@
 	"github.com/tarragonreach/tarragonreach/entry/layout"
 )
 
-// Unled describes a duty that no instance carries out.
-type Unled struct {
+// Leaderless describes a duty that no instance carries out.
+type Leaderless struct {
 	Since time.Time // when this instance first observed it
 	// HeldFor is the kind of the duty for which another duty's holder has the key; empty if the key has no holder.
 	HeldFor layout.DutyKind
@@ -16,18 +16,18 @@
 	Holder fleet.InstanceID
 }
 
-// Unled reports whether no instance carries out the duty, as far as is known: its key has no holder, or one that states
+// Leaderless reports whether no instance carries out the duty, as far as is known: its key has no holder, or one that states
 // another duty.
-func (e *Election) Unled(duty layout.Duty) (Unled, bool) {
+func (e *Election) Leaderless(duty layout.Duty) (Leaderless, bool) {
 	key := layout.OwnerKey(duty)
 	if since, vacant := e.vacancies.since(key); vacant {
-		return Unled{Since: since, Holder: e.earlierHolder(duty)}, true
+		return Leaderless{Since: since, Holder: e.earlierHolder(duty)}, true
 	}
 	holder, since, held := e.vacancies.holder(key)
 	if !held || holder.Kind == "" || holder.Kind == duty.Kind {
-		return Unled{}, false
+		return Leaderless{}, false
 	}
-	return Unled{Since: since, HeldFor: holder.Kind, Holder: holder.Instance}, true
+	return Leaderless{Since: since, HeldFor: holder.Kind, Holder: holder.Instance}, true
 }
 
 // holder returns the holder of a duty, and when its term was first observed; false if there is none.
--- a/entry/election/terms_test.go
+++ b/entry/election/terms_test.go
@@ -32,7 +32,7 @@
 }
 
 // A service that nobody led was not to be told from one that is led, since its key has a holder.
-func TestUnledDuties(t *testing.T) {
+func TestLeaderlessDuties(t *testing.T) {
 	service := layout.ServiceDuty("s")
 	for name, c := range map[string]struct {
 		holder string // the value of the key; empty if it has none
@@ -47,17 +47,17 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := New(nil, "i", "palermo", 1, nil)
-			_, unled := e.Unled(service)
-			assert.Assert(t, !unled, "nothing is known yet")
+			_, leaderless := e.Leaderless(service)
+			assert.Assert(t, !leaderless, "nothing is known yet")
 			seen := time.Unix(1, 0)
 			change := follow.Change{Reset: true}
 			if c.holder != "" {
 				change.Events = []kv.Event{{Item: kv.Item{Key: layout.OwnerKey(service), Value: []byte(c.holder), Created: 5}}}
 			}
 			e.vacancies.apply(change, seen)
-			found, unled := e.Unled(service)
-			assert.Equal(t, unled, c.want)
-			if unled {
+			found, leaderless := e.Leaderless(service)
+			assert.Equal(t, leaderless, c.want)
+			if leaderless {
 				assert.Equal(t, found.Since, seen)
 			}
 		})
--- a/entry/owner/advice.go
+++ b/entry/owner/advice.go
@@ -198,14 +198,14 @@
 
 func (o *Owner) logAdvice(queue string, q queueAdvice, period time.Duration) {
 	r := q.report
-	if max(r.OldestInFlight, r.OldestWaiting) < longAdvice && q.unanswered() == 0 && r.Fruitless == 0 {
+	if max(r.OldestInFlight, r.OldestWaiting) < longAdvice && q.unanswered() == 0 && r.Denied == 0 {
 		return
 	}
 	o.Logger.Info("advice", "queue", queue, "period_ms", period.Milliseconds(), "calls", q.calls, "longest_answered_ms", q.longest.Milliseconds(),
 		"in_flight", r.InFlight, "in_flight_oldest_ms", r.OldestInFlight.Milliseconds(),
 		"waiting_turn", r.Waiting, "waiting_turn_oldest_ms", r.OldestWaiting.Milliseconds(),
 		"never_asked", r.NeverAsked, "never_asked_oldest_ms", r.OldestNeverAsked.Milliseconds(),
-		"not_permitted", r.NotPermitted, "repeated", r.Repeated, "fruitless", r.Fruitless, "unused_tickets", r.Unused)
+		"not_permitted", r.NotPermitted, "repeated", r.Repeated, "denied", r.Denied, "unused_tickets", r.Unused)
 }
 
 func (o *Owner) measureAdvice(queue string, r shard.AdviceReport) {
@@ -218,6 +218,6 @@
 	scope.Gauge("advice_never_asked_oldest_seconds").Update(r.OldestNeverAsked.Seconds())
 	scope.Gauge("advice_not_permitted").Update(float64(r.NotPermitted))
 	scope.Counter("advice_repeated_calls").Inc(int64(r.Repeated))
-	scope.Counter("advice_fruitless_responses").Inc(int64(r.Fruitless))
+	scope.Counter("advice_denied_responses").Inc(int64(r.Denied))
 	scope.Counter("advice_unused_tickets").Inc(int64(r.Unused))
 }
--- a/entry/owner/advice_test.go
+++ b/entry/owner/advice_test.go
@@ -39,7 +39,7 @@
 	OldestMs  int64                 `json:"in_flight_oldest_ms"`
 	Waiting   int                   `json:"waiting_turn"`
 	WaitingMs int64                 `json:"waiting_turn_oldest_ms"`
-	Fruitless int                   `json:"fruitless"`
+	Denied    int                   `json:"denied"`
 }
 
 func adviceGauge(scope tally.TestScope, name string) float64 {
@@ -97,11 +97,11 @@
 		assert.Equal(t, adviceGauge(scope, "advice_never_asked"), 0.0)
 		assert.Equal(t, adviceGauge(scope, "advice_not_permitted"), 1.0)
 		assert.Equal(t, gauge(scope, "waiting_jobs", shard.ReasonNotPermitted), 1.0)
-		fruitless := 0
+		denied := 0
 		for _, line := range linesOf[adviceLine](t, log, "advice") {
-			fruitless += line.Fruitless
+			denied += line.Denied
 		}
-		assert.Equal(t, fruitless, 1)
+		assert.Equal(t, denied, 1)
 	})
 }
 
--- a/entry/owner/advicestarved_test.go
+++ b/entry/owner/advicestarved_test.go
@@ -19,8 +19,8 @@
 	return 50*time.Millisecond + time.Duration(executors)*10*time.Millisecond
 }
 
-// hopelessKind is a way in which the steps of some jobs never start.
-type hopelessKind struct {
+// unstartableKind is a way in which the steps of some jobs never start.
+type unstartableKind struct {
 	name    string
 	step    job.Step
 	permits func(cluster.ExecutorID) bool // for these steps
@@ -37,7 +37,7 @@
 	return step
 }
 
-var hopelessKinds = []hopelessKind{
+var unstartableKinds = []unstartableKind{
 	{name: "no executor is permitted", step: lastingSteps, permits: nobody},
 	{
 		name: "the permitted executor has no room", permits: firstExecutor,
@@ -51,29 +51,29 @@
 	{name: "no response can be used", step: lastingSteps, err: advice.ErrUnusable},
 }
 
-// hopelessPool is a pool with jobs that never start, and others.
-type hopelessPool struct {
+// unstartablePool is a pool with jobs that never start, and others.
+type unstartablePool struct {
 	*advisedPool
-	kind     hopelessKind
-	hopeless map[job.ID]bool
-	service  *serialAdviser
+	kind        unstartableKind
+	unstartable map[job.ID]bool
+	service     *serialAdviser
 }
 
-func newHopelessPool(ctx context.Context, kind hopelessKind, executors int, service *serialAdviser, queue *advicequeue.Queue) *hopelessPool {
-	p := &hopelessPool{kind: kind, hopeless: map[job.ID]bool{}, service: service}
+func newUnstartablePool(ctx context.Context, kind unstartableKind, executors int, service *serialAdviser, queue *advicequeue.Queue) *unstartablePool {
+	p := &unstartablePool{kind: kind, unstartable: map[job.ID]bool{}, service: service}
 	p.advisedPool = newAdvisedPool(ctx, p, queue)
-	p.rejects = func(id job.ID) bool { return p.kind.reject && p.hopeless[id] }
+	p.rejects = func(id job.ID) bool { return p.kind.reject && p.unstartable[id] }
 	p.setExecutors(executors)
 	return p
 }
 
 // RequestTickets implements Adviser.
-func (p *hopelessPool) RequestTickets(ctx context.Context, step job.StepID, executors []cluster.ExecutorID) (advice.Tickets, error) {
+func (p *unstartablePool) RequestTickets(ctx context.Context, step job.StepID, executors []cluster.ExecutorID) (advice.Tickets, error) {
 	p.service.mu.Lock()
-	hopeless := p.hopeless[step.Job]
+	unstartable := p.unstartable[step.Job]
 	p.service.mu.Unlock()
 	tickets, err := p.service.RequestTickets(ctx, step, executors)
-	if !hopeless || err != nil {
+	if !unstartable || err != nil {
 		return tickets, err
 	}
 	if p.kind.err != nil {
@@ -88,13 +88,13 @@
 }
 
 // Close implements Adviser.
-func (p *hopelessPool) Close() {}
+func (p *unstartablePool) Close() {}
 
-func (p *hopelessPool) addHopeless(n int) {
+func (p *unstartablePool) addUnstartable(n int) {
 	for range n {
 		id := p.add(p.kind.step)
 		p.service.mu.Lock()
-		p.hopeless[id] = true
+		p.unstartable[id] = true
 		p.service.mu.Unlock()
 	}
 }
@@ -102,18 +102,18 @@
 // LOST: steps that never start, since the advice service permits them nowhere or for another reason, but that come first
 // in the start order took all calls of the service, so that no other job of the queue started.
 func TestStepsThatNeverStartDelayNoOther(t *testing.T) {
-	for _, kind := range hopelessKinds {
+	for _, kind := range unstartableKinds {
 		for _, executors := range []int{8, 36, 100} {
-			for _, hopeless := range []int{3, 12, 20} {
-				t.Run(fmt.Sprintf("%s, %d steps, %d executors", kind.name, hopeless, executors), func(t *testing.T) {
+			for _, unstartable := range []int{3, 12, 20} {
+				t.Run(fmt.Sprintf("%s, %d steps, %d executors", kind.name, unstartable, executors), func(t *testing.T) {
 					inPool(t, func(t *testing.T, ctx context.Context) {
-						p := newHopelessPool(ctx, kind, executors, newSerialAdviser(callTime), new(advicequeue.Queue))
+						p := newUnstartablePool(ctx, kind, executors, newSerialAdviser(callTime), new(advicequeue.Queue))
 						p.add(shortStep)
 						p.runFor(2 * time.Second)
-						p.addHopeless(hopeless)
+						p.addUnstartable(unstartable)
 						p.submitFor(15*time.Second, 2)
 						p.runFor(finishTime)
-						assert.Equal(t, p.shard.Jobs(), hopeless, "other jobs are left")
+						assert.Equal(t, p.shard.Jobs(), unstartable, "other jobs are left")
 					})
 				})
 			}
@@ -125,20 +125,20 @@
 // also if there are many such steps, and other jobs need advice all the time.
 func TestStepStartsOnceAPermittedExecutorIsThere(t *testing.T) {
 	inPool(t, func(t *testing.T, ctx context.Context) {
-		const executors, hopeless = 36, 20
+		const executors, unstartable = 36, 20
 		newcomer := func(id cluster.ExecutorID) bool { return id == "i-37" }
-		kind := hopelessKind{step: lastingSteps, permits: newcomer}
-		p := newHopelessPool(ctx, kind, executors, newSerialAdviser(callTime), new(advicequeue.Queue))
+		kind := unstartableKind{step: lastingSteps, permits: newcomer}
+		p := newUnstartablePool(ctx, kind, executors, newSerialAdviser(callTime), new(advicequeue.Queue))
 		p.runFor(2 * time.Second)
-		p.addHopeless(hopeless)
+		p.addUnstartable(unstartable)
 		p.submitFor(2*time.Minute, 1)
 		p.setExecutors(executors + 1)
 		p.submitFor(finishTime, 2)
 		running := map[job.ID]bool{}
 		for run := range p.executors["i-37"].running {
-			running[run.Task.Job] = p.hopeless[run.Task.Job]
+			running[run.Task.Job] = p.unstartable[run.Task.Job]
 		}
-		assert.Equal(t, len(running), hopeless)
+		assert.Equal(t, len(running), unstartable)
 	})
 }
 
@@ -146,11 +146,11 @@
 // must many steps of the other keep those of the first waiting that may start at last.
 func TestStepsThatNeverStartDelayNoOtherOwner(t *testing.T) {
 	inPool(t, func(t *testing.T, ctx context.Context) {
-		const executors, hopeless, others = 36, 5, 60
+		const executors, unstartable, others = 36, 5, 60
 		newcomer := func(id cluster.ExecutorID) bool { return id == "i-37" }
 		service, queue := newSerialAdviser(callTime), new(advicequeue.Queue)
-		first := newHopelessPool(ctx, hopelessKind{step: lastingSteps, permits: newcomer}, executors, service, queue)
-		second := newHopelessPool(ctx, hopelessKind{}, executors, service, queue)
+		first := newUnstartablePool(ctx, unstartableKind{step: lastingSteps, permits: newcomer}, executors, service, queue)
+		second := newUnstartablePool(ctx, unstartableKind{}, executors, service, queue)
 		runFor := func(d time.Duration) {
 			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(tickInterval) {
 				first.tick(time.Now())
@@ -158,7 +158,7 @@
 			}
 		}
 		runFor(2 * time.Second)
-		first.addHopeless(hopeless)
+		first.addUnstartable(unstartable)
 		for range others / 2 {
 			second.add(shortStep)
 		}
@@ -170,6 +170,6 @@
 		first.setExecutors(executors + 1)
 		runFor(finishTime)
 		assert.Assert(t, second.shard.Jobs() > 0, "the service was not busy")
-		assert.Equal(t, len(first.executors["i-37"].running), hopeless*lastingSteps.Count)
+		assert.Equal(t, len(first.executors["i-37"].running), unstartable*lastingSteps.Count)
 	})
 }
--- a/policy/shard/advice.go
+++ b/policy/shard/advice.go
@@ -146,7 +146,7 @@
 	}
 	if len(response.Tickets) == 0 {
 		t.result = adviceDenied
-		s.adviceCountsOf(r.step).Fruitless++
+		s.adviceCountsOf(r.step).Denied++
 		return
 	}
 	s.noteReplacedTickets(r.step)
--- a/policy/shard/advicereport.go
+++ b/policy/shard/advicereport.go
@@ -30,8 +30,8 @@
 type AdviceCounts struct {
 	// Repeated is how many requests were for a step whose last request had brought no start.
 	Repeated int
-	// Fruitless is how many responses had no ticket.
-	Fruitless int
+	// Denied is how many responses had no ticket.
+	Denied int
 	// Unused is how many responses were replaced before any of their tickets was used.
 	Unused int
 }
