--- a/policy/adviceflow/adviceflow.go
+++ b/policy/adviceflow/adviceflow.go
@@ -4,7 +4,8 @@
 // The service also carries out calls that were given up. If more calls wait there than it carries out within their
 // time limits, each is given up shortly before its turn and sent again, and the service works at its full rate for
 // nobody. Calls that wait at the service are also decided by an order that may have changed, and their tickets age
-// meanwhile. So only as many calls are sent as keep the service busy; the others wait at their owners.
+// meanwhile. So only as many calls are sent as keep the service busy; the others wait at their owners. Turns shares the
+// calls among the classes of steps that they are for.
 package adviceflow
 
 import "time"
