Election: what concerns the former key is decided before a lease is granted; tidying

From reading the whole change once more; no duty is held or given up otherwise than before.

- The holder of the former key was looked up, under the lock of all duties, at each poll of each campaign, also of the duties that have no former key: now only of those that do.
- A claim that the former key forbids granted a lease first, which then expired unused.
- The holder of a key is recorded and read in vacancies.go, beside the maps that it is in; two other files held one half each.
- KindFleet and KindService in place of DutyFleet and DutyService, beside FleetDuty; the gauge of a duty is looked up once, not once a second.

Tests of entry/election, layout, host, fleetduty and admissions pass unchanged but for the renamed constant.

--- a/entry/election/earlier.go
+++ b/entry/election/earlier.go
@@ -23,8 +23,11 @@
 // earlierHolder returns the instance of an earlier version that may hold the duty under its former key, or "".
 func (e *Election) earlierHolder(duty layout.Duty) fleet.InstanceID {
 	key, changed := layout.FormerOwnerKey(duty)
+	if !changed {
+		return ""
+	}
 	holder, _, held := e.vacancies.holder(key)
-	if !changed || !held || holder.Kind != "" {
+	if !held || holder.Kind != "" {
 		return ""
 	}
 	return cmp.Or(holder.Instance, unknownInstance)
--- a/entry/election/election.go
+++ b/entry/election/election.go
@@ -211,12 +211,12 @@
 func (e *Election) lead(ctx context.Context, term Term, lead func(context.Context, Term)) {
 	termCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var renewing sync.WaitGroup
-	renewing.Go(func() { e.renew(termCtx, term, cancel) })
-	renewing.Go(func() { e.yield(termCtx, term, cancel) })
+	var background sync.WaitGroup
+	background.Go(func() { e.renew(termCtx, term, cancel) })
+	background.Go(func() { e.yield(termCtx, term, cancel) })
 	lead(termCtx, term)
 	cancel()
-	renewing.Wait()
+	background.Wait()
 	e.revoke(term)
 }
 
@@ -351,6 +351,10 @@
 func (e *Election) claim(ctx context.Context, duty layout.Duty) (Term, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
+	conditions, err := e.formerKeyConditions(ctx, duty)
+	if err != nil {
+		return Term{}, err
+	}
 	renewed := &atomic.Int64{}
 	renewed.Store(int64(clock()))
 	lease, err := e.store.Grant(ctx, leaseTTL)
@@ -363,10 +367,6 @@
 		return Term{}, err
 	}
 	key := layout.OwnerKey(duty)
-	conditions, err := e.formerKeyConditions(ctx, duty)
-	if err != nil {
-		return Term{}, err
-	}
 	result, err := e.store.Txn(ctx, kv.Txn{
 		Conditions: append(conditions, kv.Condition{Key: key}),
 		Puts:       []kv.Put{{Key: key, Value: value, Lease: lease.ID}},
--- a/entry/election/handover.go
+++ b/entry/election/handover.go
@@ -94,9 +94,3 @@
 	}
 	return busy
 }
-
-// recordHolder records the holder of a duty.
-func (v *vacancies) recordHolder(item kv.Item) {
-	holder, _ := layout.Decode[layout.Holder](item.Key, item.Value) // Follow logs entries that are not readable
-	v.holders[item.Key] = holder
-}
--- a/entry/election/leaderless.go
+++ b/entry/election/leaderless.go
@@ -29,13 +29,3 @@
 	}
 	return Leaderless{Since: since, HeldFor: holder.Kind, Holder: holder.Instance}, true
 }
-
-// holder returns the holder of a duty, and when its term was first observed; false if there is none.
-func (v *vacancies) holder(key string) (holder layout.Holder, since time.Time, held bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if terms := v.terms[key]; len(terms) > 0 {
-		since = terms[len(terms)-1].at
-	}
-	return v.holders[key], since, v.held[key]
-}
--- a/entry/election/vacancies.go
+++ b/entry/election/vacancies.go
@@ -116,3 +116,19 @@
 	}
 	return v.loadedAt, true
 }
+
+// recordHolder records the holder of a duty.
+func (v *vacancies) recordHolder(item kv.Item) {
+	holder, _ := layout.Decode[layout.Holder](item.Key, item.Value) // Follow logs entries that are not readable
+	v.holders[item.Key] = holder
+}
+
+// holder returns the holder of a duty, and when its term was first observed; false if there is none.
+func (v *vacancies) holder(key string) (holder layout.Holder, since time.Time, held bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if terms := v.terms[key]; len(terms) > 0 {
+		since = terms[len(terms)-1].at
+	}
+	return v.holders[key], since, v.held[key]
+}
--- a/entry/host/leaderless.go
+++ b/entry/host/leaderless.go
@@ -18,7 +18,7 @@
 
 // watchDuty measures and logs that no instance carries out a duty for which this one campaigns, until ctx ends.
 func (h *Host) watchDuty(ctx context.Context, duty layout.Duty) {
-	scope := h.metrics.Scope.Tagged(map[string]string{"duty": duty.String(), "kind": string(duty.Kind)})
+	gauge := h.metrics.Scope.Tagged(map[string]string{"duty": duty.String(), "kind": string(duty.Kind)}).Gauge("duty_leaderless_seconds")
 	ticker := time.NewTicker(leaderlessInterval)
 	defer ticker.Stop()
 	var loggedAt time.Time
@@ -33,7 +33,7 @@
 		if found {
 			age = time.Since(leaderless.Since)
 		}
-		scope.Gauge("duty_leaderless_seconds").Update(age.Seconds())
+		gauge.Update(age.Seconds())
 		if age < leaderlessAfter || time.Since(loggedAt) < leaderlessLogInterval {
 			continue
 		}
--- a/entry/layout/duty.go
+++ b/entry/layout/duty.go
@@ -15,10 +15,10 @@
 
 // The kinds of duties.
 const (
-	// DutyFleet is the kind of FleetDuty.
-	DutyFleet DutyKind = "fleet"
-	// DutyService is the kind of the duty to lead a service.
-	DutyService DutyKind = "service"
+	// KindFleet is the kind of FleetDuty.
+	KindFleet DutyKind = "fleet"
+	// KindService is the kind of the duty to lead a service.
+	KindService DutyKind = "service"
 )
 
 // Duty is something that one instance at a time does.
@@ -28,14 +28,14 @@
 }
 
 // FleetDuty is the duty to plan the fleet.
-var FleetDuty = Duty{Kind: DutyFleet}
+var FleetDuty = Duty{Kind: KindFleet}
 
 // ServiceDuty returns the duty to lead a service.
-func ServiceDuty(s cluster.Service) Duty { return Duty{Kind: DutyService, Service: s} }
+func ServiceDuty(s cluster.Service) Duty { return Duty{Kind: KindService, Service: s} }
 
 // String returns the name of the duty in logs, which a service and the fleet may share.
 func (d Duty) String() string {
-	if d.Kind == DutyService {
+	if d.Kind == KindService {
 		return string(d.Service)
 	}
 	return string(d.Kind)
@@ -59,7 +59,7 @@
 // hasAmbiguousName reports whether the name of a service alone would be the key of another duty.
 func (d Duty) hasAmbiguousName() bool {
 	name := d.String()
-	return d.Kind == DutyService && (name == FleetDuty.String() || strings.HasPrefix(name, servicePrefix))
+	return d.Kind == KindService && (name == FleetDuty.String() || strings.HasPrefix(name, servicePrefix))
 }
 
 // Holder is the instance that holds a duty. Term distinguishes terms of the same instance.
--- a/entry/layout/golden_test.go
+++ b/entry/layout/golden_test.go
@@ -99,7 +99,7 @@
 	{JobKey("rejected"), State{Service: "batch", Queue: "nightly", Tenant: "palermo", State: job.Cancelled, FinalAt: goldenTime, Rejected: &Rejection{At: goldenTime, RetryAt: goldenTime.Add(time.Hour)}}},
 	{ExhaustedKey("batch"), Exhausted{AtMs: 30}},
 	{OwnerKey(ServiceDuty("batch")), Holder{Instance: "entry-1", Zone: "palermo", Term: "term"}},
-	{OwnerKey(FleetDuty), Holder{Instance: "entry-1", Zone: "palermo", Term: "term", Kind: DutyFleet}},
+	{OwnerKey(FleetDuty), Holder{Instance: "entry-1", Zone: "palermo", Term: "term", Kind: KindFleet}},
 }
 
 // TestStoredEntriesKeepTheirForm guards against renamed keys and JSON fields, with which a
