Advice: a refusal is recorded in one place, and a deferred search where it is decided

- Refusals were skipped by comparing the number of tickets with that of the executors named, which also holds for a response with tickets for others.
Each executor is looked at now.
- examine treated class Repeated apart; its caller for that class sets when the step is examined again.
- The model of the advice service had a filter that no test uses any more.

--- a/entry/owner/advicepool_test.go
+++ b/entry/owner/advicepool_test.go
@@ -47,9 +47,8 @@
 // serialAdviser is the advice service as one machine sees it: it carries out one call at a time, in turn, also those
 // whose callers have left, and refuses more than maxServiceWaiting that wait.
 type serialAdviser struct {
-	turn    chan struct{}
-	took    func(executors int) time.Duration                       // of one call that names so many executors
-	permits func(step job.StepID, executor cluster.ExecutorID) bool // nil if it permits everything
+	turn chan struct{}
+	took func(executors int) time.Duration // of one call that names so many executors
 
 	mu         sync.Mutex
 	waiting    int
@@ -68,7 +67,7 @@
 
 // RequestTickets implements Adviser. A ticket names its executor and the end of its validity, which counts from the
 // response.
-func (a *serialAdviser) RequestTickets(ctx context.Context, step job.StepID, executors []cluster.ExecutorID) (advice.Tickets, error) {
+func (a *serialAdviser) RequestTickets(ctx context.Context, _ job.StepID, executors []cluster.ExecutorID) (advice.Tickets, error) {
 	if !a.enter() {
 		return advice.Tickets{}, advice.ErrBusy
 	}
@@ -88,9 +87,7 @@
 	}
 	tickets := advice.Tickets{ByExecutor: map[cluster.ExecutorID]string{}, Validity: adviceTerms.Validity}
 	for _, id := range executors {
-		if a.permits == nil || a.permits(step, id) {
-			tickets.ByExecutor[id] = fmt.Sprint(id, " ", time.Now().Add(adviceTerms.Validity).UnixMilli())
-		}
+		tickets.ByExecutor[id] = fmt.Sprint(id, " ", time.Now().Add(adviceTerms.Validity).UnixMilli())
 	}
 	return tickets, nil
 }
--- a/policy/shard/advicesearch.go
+++ b/policy/shard/advicesearch.go
@@ -111,31 +111,31 @@
 	search.addRepeated(repeated, &roomSearch{executors: executors, checksLeft: maxRepeatedChecks, now: now})
 }
 
-// addRepeated adds steps whose last request brought no start, in the order in which they were last examined.
+// addRepeated adds steps whose last request brought no start, in the order in which they were last examined. One that
+// there is no executor to ask for is examined again after askableInterval.
 func (a *adviceSearch) addRepeated(steps []*step, room *roomSearch) {
 	slices.SortStableFunc(steps, func(x, y *step) int { return x.tickets.examinedAt.Compare(y.tickets.examinedAt) })
 	for _, st := range steps {
 		if room.checksLeft <= 0 || a.isFull(adviceflow.Repeated) {
 			return
 		}
-		a.examine(st, room, adviceflow.Repeated)
+		if a.examine(st, room, adviceflow.Repeated) == nothingToAsk {
+			st.tickets.examinedAt, st.tickets.retryAt = room.now, room.now.Add(askableInterval)
+		}
 	}
 }
 
 // examine adds a step to the steps of the given class if an executor has room for it, and to those of class Ahead if none
-// has. A repeated step that there is no executor to ask for is examined again after askableInterval.
-func (a *adviceSearch) examine(st *step, room *roomSearch, class adviceflow.Class) {
-	switch room.find(st) {
+// has, and returns what it has found.
+func (a *adviceSearch) examine(st *step, room *roomSearch, class adviceflow.Class) roomResult {
+	result := room.find(st)
+	switch result {
 	case roomFound:
 		a.add(st, class)
 	case roomMissing:
 		a.add(st, adviceflow.Ahead)
-	case nothingToAsk:
-		st.tickets.examinedAt = room.now
-		if class == adviceflow.Repeated {
-			st.tickets.retryAt = room.now.Add(askableInterval)
-		}
 	}
+	return result
 }
 
 func (a *adviceSearch) isFull(class adviceflow.Class) bool {
--- a/policy/shard/tickets.go
+++ b/policy/shard/tickets.go
@@ -34,7 +34,7 @@
 	hadRoom      bool // an executor had room when the last request was made
 	requested    bool
 	requestedAt  time.Time
-	examinedAt   time.Time // when a search last looked for executors to ask for, or a request was made
+	examinedAt   time.Time // of a repeated step: when there was last nobody to ask for, or a request was made
 	missingSince time.Time // since when the step has lacked tickets; zero if it has them. The report sets it.
 	nextExecutor int       // position after the last executor that a request named
 	retryAt      time.Time
@@ -59,19 +59,20 @@
 
 // noteRefusals records which of the executors that a request named got no ticket.
 func (t *tickets) noteRefusals(named []cluster.Incarnation, granted map[cluster.ExecutorID]string, now time.Time) {
-	if len(granted) == len(named) {
-		return
-	}
-	if t.refused == nil || now.Sub(t.refusedSince) >= refusalAge {
-		t.refused, t.refusedSince = map[cluster.Incarnation]struct{}{}, now
-	}
 	for _, executor := range named {
 		if _, found := granted[executor.ID]; !found {
-			t.refused[executor] = struct{}{}
+			t.refuse(executor, now)
 		}
 	}
 }
 
+func (t *tickets) refuse(executor cluster.Incarnation, now time.Time) {
+	if t.refused == nil || now.Sub(t.refusedSince) >= refusalAge {
+		t.refused, t.refusedSince = map[cluster.Incarnation]struct{}{}, now
+	}
+	t.refused[executor] = struct{}{}
+}
+
 // set replaces the tickets by those of a response. A ticket is valid in one incarnation only.
 func (t *tickets) set(named []cluster.Incarnation, granted map[cluster.ExecutorID]string, validUntil time.Time) {
 	t.byExecutor = make(map[cluster.Incarnation]string, len(granted))
